--- /dev/null
+++ b/packages/hickoryrelay/src/Logger.ts
@@ -0,0 +1,64 @@
+import { createLogger, format, transports } from 'winston';
+
+import type { Logger as WinstonLogger } from 'winston';
+
+/** The fixed prefixes of log lines, one for each part. */
+export const LogPrefix = {
+  Daemon: '[daemon]',
+  Configuration: '[configuration]',
+  Caller: '[caller]',
+  Admission: '[admission]',
+  Routing: '[routing]',
+  Endpoint: '[endpoint]',
+  Peer: '[peer]',
+  Membership: '[membership]',
+  Authority: '[authority]',
+  Orders: '[orders]',
+  Supply: '[supply]',
+  Usage: '[usage]',
+  Claims: '[claims]',
+  Platform: '[platform]',
+} as const;
+
+export type LogPrefix = (typeof LogPrefix)[keyof typeof LogPrefix];
+
+/** Fields of a log line. Never put an access key, a prompt or an answer in them. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes structured log lines of one part. */
+export interface PartLogger {
+  debug(sentence: string, fields?: LogFields): void;
+  info(sentence: string, fields?: LogFields): void;
+  warn(sentence: string, fields?: LogFields): void;
+  error(sentence: string, fields?: LogFields): void;
+}
+
+/** Makes the JSON logger of a process. Lines go to standard error. */
+export function createProcessLogger(level: string, instance: string): WinstonLogger {
+  return createLogger({
+    level,
+    defaultMeta: { instance },
+    format: format.combine(format.timestamp(), format.json()),
+    transports: [
+      new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug', 'silly'] }),
+    ],
+  });
+}
+
+/** Returns the logger of one part, which puts the part's prefix before each sentence. */
+export function partLogger(logger: WinstonLogger, prefix: LogPrefix): PartLogger {
+  return {
+    debug: (sentence, fields) => void logger.debug(`${prefix} ${sentence}`, fields),
+    info: (sentence, fields) => void logger.info(`${prefix} ${sentence}`, fields),
+    warn: (sentence, fields) => void logger.warn(`${prefix} ${sentence}`, fields),
+    error: (sentence, fields) => void logger.error(`${prefix} ${sentence}`, fields),
+  };
+}
+
+/** A logger that drops every line. For tests. */
+export const silentLogger: PartLogger = {
+  debug: () => {},
+  info: () => {},
+  warn: () => {},
+  error: () => {},
+};
--- /dev/null
+++ b/packages/hickoryrelay/src/ManualClock.ts
@@ -0,0 +1,94 @@
+import { Clock } from './Clock.js';
+import { FailureKind } from './Failure.js';
+import { RelayError } from './RelayError.js';
+
+interface Alarm {
+  readonly dueMilliseconds: number;
+  readonly action: () => void;
+}
+
+/** Lets promise reactions run that are already due. */
+async function settle(): Promise<void> {
+  await new Promise<void>((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+/** A clock that moves only when `advance` is called. For tests and models. */
+export class ManualClock extends Clock {
+  private nowMilliseconds = 0;
+
+  private readonly wallStartMilliseconds: number;
+
+  private alarms: Alarm[] = [];
+
+  constructor(wallStartMilliseconds = 1_700_000_000_000) {
+    super();
+    this.wallStartMilliseconds = wallStartMilliseconds;
+  }
+
+  override monotonicMilliseconds(): number {
+    return this.nowMilliseconds;
+  }
+
+  override wallMilliseconds(): number {
+    return this.wallStartMilliseconds + this.nowMilliseconds;
+  }
+
+  override sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const cancelled = () =>
+        new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' });
+      if (signal?.aborted) {
+        reject(cancelled());
+        return;
+      }
+      let cancelAlarm = () => {};
+      const onAbort = () => {
+        cancelAlarm();
+        reject(cancelled());
+      };
+      cancelAlarm = this.schedule(milliseconds, () => {
+        signal?.removeEventListener('abort', onAbort);
+        resolve();
+      });
+      signal?.addEventListener('abort', onAbort, { once: true });
+    });
+  }
+
+  override schedule(milliseconds: number, action: () => void): () => void {
+    const alarm = { dueMilliseconds: this.nowMilliseconds + Math.max(0, milliseconds), action };
+    this.alarms.push(alarm);
+    return () => {
+      this.alarms = this.alarms.filter((other) => other !== alarm);
+    };
+  }
+
+  /** Moves time forward and runs what falls due, in order, letting promises settle between. */
+  async advance(milliseconds: number): Promise<void> {
+    const endMilliseconds = this.nowMilliseconds + milliseconds;
+    await settle();
+    for (;;) {
+      const next = this.nextAlarm(endMilliseconds);
+      if (next === undefined) {
+        break;
+      }
+      this.alarms = this.alarms.filter((other) => other !== next);
+      this.nowMilliseconds = Math.max(this.nowMilliseconds, next.dueMilliseconds);
+      next.action();
+      await settle();
+    }
+    this.nowMilliseconds = endMilliseconds;
+  }
+
+  private nextAlarm(endMilliseconds: number): Alarm | undefined {
+    let next: Alarm | undefined;
+    for (const alarm of this.alarms) {
+      const isDue = alarm.dueMilliseconds <= endMilliseconds;
+      if (isDue && (next === undefined || alarm.dueMilliseconds < next.dueMilliseconds)) {
+        next = alarm;
+      }
+    }
+    return next;
+  }
+}
