Add the thin path: daemon, stand-ins, command-line tool and one request end to end

A federation of 7 entry instances, 13 engines and 3 services runs as separate processes on loopback.

--- a/packages/hickoryrelay-contract/src/Settings.ts
+++ b/packages/hickoryrelay-contract/src/Settings.ts
@@ -32,9 +32,7 @@
       callsInFlight: z.number().int().positive().default(4096),
     })
     .prefault({}),
-  drain: z
-    .strictObject({ deadlineSeconds: z.number().int().positive().default(600) })
-    .prefault({}),
+  drain: z.strictObject({ deadlineSeconds: z.number().int().positive().default(600) }).prefault({}),
   log: z
     .strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') })
     .prefault({}),
--- a/packages/hickoryrelay-contract/src/YamlFile.ts
+++ b/packages/hickoryrelay-contract/src/YamlFile.ts
@@ -10,7 +10,7 @@
 
 /** Finds the line of the field, or of the nearest parent that is present in the file. */
 function lineOf(document: Document, lines: LineCounter, path: Path): number {
-  for (let length = path.length; length >= 0; length -= 1) {
+  for (let { length } = path; length >= 0; length -= 1) {
     const node = document.getIn(path.slice(0, length), true);
     if (isNode(node) && node.range) {
       return lines.linePos(node.range[0]).line;
--- /dev/null
+++ b/packages/hickoryrelay-endpoint/src/Engine.ts
@@ -0,0 +1,13 @@
+import { Endpoint } from './Endpoint.js';
+
+/** The share of model work that an engine does. */
+export const EngineRole = { Prefill: 'prefill', Decode: 'decode', Mixed: 'mixed' } as const;
+
+export type EngineRole = (typeof EngineRole)[keyof typeof EngineRole];
+
+/** An endpoint that runs language models. */
+export class Engine extends Endpoint {
+  servesModel(model: string): boolean {
+    return this.kind.models.includes(model);
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/CallerIdentity.ts
@@ -0,0 +1,32 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
+import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
+import type { ClientAccount } from 'hickoryrelay-contract/ClientAccount';
+import type { Identity } from 'hickoryrelay-contract/Declarations';
+import type { ConfigurationView } from './ConfigurationView.js';
+
+/** Finds the account of a key on a view that is recent enough. */
+export function identifyCaller(view: ConfigurationView, keyText: string | undefined): Identity {
+  if (keyText === undefined) {
+    throw new RelayError({ kind: FailureKind.Unauthenticated, reason: 'no access key was sent' });
+  }
+  const { declarations } = view;
+  const limitSeconds = declarations.document.staleKeySeconds;
+  const ageSeconds = Math.floor(view.ageMilliseconds / 1000);
+  if (ageSeconds > limitSeconds) {
+    throw new RelayError({ kind: FailureKind.StaleView, ageSeconds, limitSeconds });
+  }
+  return declarations.identify(keyText);
+}
+
+/** Throws `not-permitted` unless the account may use the class. */
+export function assertMayUse(account: ClientAccount, work: ClassOfWork): void {
+  if (!account.mayUse(work.name)) {
+    throw new RelayError({
+      kind: FailureKind.NotPermitted,
+      account: account.name,
+      className: work.name,
+    });
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/hickoryrelayd.ts
@@ -0,0 +1,88 @@
+#!/usr/bin/env node
+import { readFile } from 'node:fs/promises';
+
+import { SystemClock } from 'hickoryrelay/Clock';
+import { describeFailure } from 'hickoryrelay/Failure';
+import { createProcessLogger, LogPrefix, partLogger } from 'hickoryrelay/Logger';
+import { SystemRandomSource } from 'hickoryrelay/RandomSource';
+import { failureOf } from 'hickoryrelay/RelayError';
+import { settingsSchema } from 'hickoryrelay-contract/Settings';
+import { YamlFile } from 'hickoryrelay-contract/YamlFile';
+import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
+import {
+  HttpEndpointSupply,
+  HttpInstanceList,
+  HttpUsageReportSink,
+} from 'hickoryrelay-platform/HttpPlatform';
+import meow from 'meow';
+
+import type { Settings } from 'hickoryrelay-contract/Settings';
+import { Instance } from './Instance.js';
+
+const ExitCode = { Success: 0, Failure: 1, InvalidSettings: 2 } as const;
+
+const program = meow(
+  `
+  Usage
+    $ hickoryrelayd --settings <file>
+
+  Options
+    --settings, -s  The settings file (YAML) of this entry instance
+
+  Once it listens it writes one JSON line with its addresses to standard output. Logs go to standard
+  error.
+
+  Examples
+    $ hickoryrelayd --settings examples/foucault/settings.yaml
+
+  Exit codes
+    0  stopped after all calls had finished
+    1  failed
+    2  the settings file is not valid
+`,
+  {
+    importMeta: import.meta,
+    flags: { settings: { type: 'string', shortFlag: 's', isRequired: true } },
+  },
+);
+
+async function readSettings(file: string): Promise<Settings | undefined> {
+  try {
+    return new YamlFile(settingsSchema).read(file, await readFile(file, 'utf8'));
+  } catch (error) {
+    process.stderr.write(`${describeFailure(failureOf(error))}\n`);
+    return undefined;
+  }
+}
+
+async function run(settings: Settings): Promise<void> {
+  const logger = createProcessLogger(settings.log.level, settings.instance.name);
+  const log = partLogger(logger, LogPrefix.Daemon);
+  const instance = new Instance({
+    settings,
+    clock: new SystemClock(),
+    random: new SystemRandomSource(),
+    logger,
+    platform: {
+      keyValue: new EtcdKeyValueStore({ urls: settings.platform.keyValue }),
+      supply: new HttpEndpointSupply(settings.platform.supply),
+      instances: new HttpInstanceList(settings.platform.instances),
+      usage: new HttpUsageReportSink(settings.platform.usage),
+    },
+  });
+  process.once('SIGTERM', () => {
+    log.info('Stopping.');
+    void instance.stop().then(() => process.exit(ExitCode.Success));
+  });
+  await instance.start();
+  const { address, port } = instance.callersAddress;
+  log.info('Listening for callers.', { address, port });
+  process.stdout.write(`${JSON.stringify({ callers: `http://${address}:${port}` })}\n`);
+}
+
+const settings = await readSettings(program.flags.settings);
+if (settings === undefined) {
+  process.exitCode = ExitCode.InvalidSettings;
+} else {
+  await run(settings);
+}
--- /dev/null
+++ b/packages/hickoryrelay-link/src/OpenAiEngineLink.ts
@@ -0,0 +1,33 @@
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { invariant } from 'hickoryrelay/Invariant';
+
+import { ModelOperation } from './Call.js';
+import { HttpEndpointLink } from './HttpEndpointLink.js';
+
+import type { Call } from './Call.js';
+import type { EncodedCall } from './HttpEndpointLink.js';
+
+const OPERATION_PATHS: Readonly<Record<ModelOperation, string>> = {
+  [ModelOperation.ChatCompletions]: '/v1/chat/completions',
+  [ModelOperation.Completions]: '/v1/completions',
+};
+
+/** The link to an engine that offers the OpenAI-style interface. */
+export class OpenAiEngineLink extends HttpEndpointLink {
+  protected override encode(call: Call): EncodedCall {
+    invariant(call.kind === WorkKind.Model, `engine link got a ${call.kind} call`);
+    const body = {
+      ...call.parameters,
+      model: call.model,
+      stream: call.isStreaming,
+      request_id: call.requestIdentifier,
+      ...(call.isStreaming ? { stream_options: { include_usage: true } } : {}),
+    };
+    return {
+      method: 'POST',
+      path: OPERATION_PATHS[call.operation],
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    };
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-link/src/ServiceLink.ts
@@ -0,0 +1,23 @@
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { invariant } from 'hickoryrelay/Invariant';
+
+import { HttpEndpointLink } from './HttpEndpointLink.js';
+
+import type { Call } from './Call.js';
+import type { EncodedCall } from './HttpEndpointLink.js';
+
+/** The link to a plain service. The client account goes along in a header. */
+export class ServiceLink extends HttpEndpointLink {
+  protected override encode(call: Call): EncodedCall {
+    invariant(call.kind === WorkKind.Service, `service link got a ${call.kind} call`);
+    return {
+      method: call.method,
+      path: `/${call.route}${call.path}`,
+      headers: {
+        ...(call.contentType === undefined ? {} : { 'content-type': call.contentType }),
+        ...(call.accountName === undefined ? {} : { 'x-client-account': call.accountName }),
+      },
+      body: call.body ?? null,
+    };
+  }
+}
--- a/packages/hickoryrelay-platform/src/EtcdCodec.ts
+++ b/packages/hickoryrelay-platform/src/EtcdCodec.ts
@@ -99,7 +99,9 @@
         key: encodeKey(operation.key),
         ...(operation.prefix === true ? { range_end: encodeKey(rangeEnd(operation.key)) } : {}),
       };
-      return operation.type === 'range' ? { request_range: range } : { request_delete_range: range };
+      return operation.type === 'range'
+        ? { request_range: range }
+        : { request_delete_range: range };
     }
   }
 }
--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -3,8 +3,14 @@
 import { Agent, request } from 'undici';
 
 import { KeyValueStore } from './KeyValueStore.js';
-import { decodeKeyValue, decodeTransaction, encodeKey, encodeTransaction } from './EtcdCodec.js';
-import { rangeEnd, splitLines } from './EtcdCodec.js';
+import {
+  decodeKeyValue,
+  decodeTransaction,
+  encodeKey,
+  encodeTransaction,
+  rangeEnd,
+  splitLines,
+} from './EtcdCodec.js';
 
 import type { EtcdKeyValue, EtcdTransactionAnswer, EtcdWatchLine } from './EtcdCodec.js';
 import type {
--- /dev/null
+++ b/packages/hickoryrelay-standin/src/KeyValueGateway.ts
@@ -0,0 +1,242 @@
+import type { ServerResponse } from 'node:http';
+import type {
+  Comparison,
+  KeyValue,
+  Operation,
+  OperationResult,
+  Transaction,
+  TransactionResult,
+  WatchBatch,
+  WatchEvent,
+} from 'hickoryrelay-platform/KeyValueStore';
+import { JsonServer } from './JsonServer.js';
+import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
+import type { KeyValueTable } from './KeyValueTable.js';
+
+interface RawRange {
+  readonly key: string;
+  readonly range_end?: string;
+}
+
+interface RawOperation {
+  readonly request_put?: { readonly key: string; readonly value?: string; readonly lease?: string };
+  readonly request_range?: RawRange;
+  readonly request_delete_range?: RawRange;
+  readonly request_txn?: RawTransaction;
+}
+
+interface RawComparison {
+  readonly key: string;
+  readonly target: string;
+  readonly create_revision?: string;
+  readonly mod_revision?: string;
+  readonly version?: string;
+  readonly value?: string;
+}
+
+interface RawTransaction {
+  readonly compare?: readonly RawComparison[];
+  readonly success?: readonly RawOperation[];
+  readonly failure?: readonly RawOperation[];
+}
+
+function decode(text: string | undefined): string {
+  return Buffer.from(text ?? '', 'base64').toString('utf8');
+}
+
+function encode(text: string): string {
+  return Buffer.from(text, 'utf8').toString('base64');
+}
+
+function decodeComparison(raw: RawComparison): Comparison {
+  const key = decode(raw.key);
+  switch (raw.target) {
+    case 'CREATE':
+      return { key, target: 'create-revision', operand: Number(raw.create_revision ?? 0) };
+    case 'MOD':
+      return { key, target: 'mod-revision', operand: Number(raw.mod_revision ?? 0) };
+    case 'VERSION':
+      return { key, target: 'version', operand: Number(raw.version ?? 0) };
+    default:
+      return { key, target: 'value', operand: decode(raw.value) };
+  }
+}
+
+function decodeOperation(raw: RawOperation): Operation {
+  if (raw.request_put !== undefined) {
+    const { key, value, lease } = raw.request_put;
+    return {
+      type: 'put',
+      key: decode(key),
+      value: decode(value),
+      ...(lease === undefined || lease === '0' ? {} : { lease }),
+    };
+  }
+  if (raw.request_txn !== undefined) {
+    return { type: 'transaction', transaction: decodeTransaction(raw.request_txn) };
+  }
+  const range = raw.request_range ?? raw.request_delete_range;
+  return {
+    type: raw.request_range === undefined ? 'delete' : 'range',
+    key: decode(range?.key),
+    prefix: range?.range_end !== undefined,
+  };
+}
+
+function decodeTransaction(raw: RawTransaction): Transaction {
+  return {
+    compare: (raw.compare ?? []).map(decodeComparison),
+    success: (raw.success ?? []).map(decodeOperation),
+    failure: (raw.failure ?? []).map(decodeOperation),
+  };
+}
+
+function encodeKeyValue(value: KeyValue): object {
+  return {
+    key: encode(value.key),
+    value: encode(value.value),
+    create_revision: String(value.createRevision),
+    mod_revision: String(value.modRevision),
+    version: String(value.version),
+    ...(value.lease === undefined ? {} : { lease: value.lease }),
+  };
+}
+
+function encodeOperation(result: OperationResult): object {
+  switch (result.type) {
+    case 'put':
+      return { response_put: {} };
+    case 'delete':
+      return { response_delete_range: { deleted: String(result.deleted) } };
+    case 'range':
+      return { response_range: { kvs: result.values.map(encodeKeyValue) } };
+    default:
+      return { response_txn: encodeTransaction(result.result) };
+  }
+}
+
+function encodeTransaction(result: TransactionResult): object {
+  return {
+    header: { revision: String(result.revision) },
+    succeeded: result.succeeded,
+    responses: result.results.map(encodeOperation),
+  };
+}
+
+function encodeEvent(event: WatchEvent): object {
+  if (event.type === 'put') {
+    return { type: 'PUT', kv: encodeKeyValue(event.value) };
+  }
+  return {
+    type: 'DELETE',
+    kv: { key: encode(event.key), mod_revision: String(event.modRevision) },
+  };
+}
+
+function keyOf(event: WatchEvent): string {
+  return event.type === 'put' ? event.value.key : event.key;
+}
+
+/** A stand-in for the key-value service: the etcd v3 JSON gateway over a table in memory. */
+export class KeyValueGateway extends JsonServer {
+  readonly table: KeyValueTable;
+
+  /** If true, watches stay open and stop sending. */
+  silencesWatches = false;
+
+  private writes = 0;
+
+  private reads = 0;
+
+  constructor(table: KeyValueTable) {
+    super();
+    this.table = table;
+  }
+
+  /** Calls so far; a transaction counts as one write. */
+  get counts(): { reads: number; writes: number } {
+    return { reads: this.reads, writes: this.writes };
+  }
+
+  protected override answer(request: ReceivedRequest): JsonAnswer {
+    const body = JSON.parse(request.text === '' ? '{}' : request.text) as Record<string, string>;
+    switch (request.path) {
+      case '/v3/kv/range':
+        return this.answerRange(body as unknown as RawRange);
+      case '/v3/kv/txn':
+        this.writes += 1;
+        return {
+          status: 200,
+          body: encodeTransaction(this.table.commit(decodeTransaction(body))),
+        };
+      case '/v3/lease/grant': {
+        this.writes += 1;
+        const grant = this.table.grantLease(Number(body.TTL));
+        return {
+          status: 200,
+          body: { ID: grant.identifier, TTL: String(grant.timeToLiveSeconds) },
+        };
+      }
+      case '/v3/lease/keepalive': {
+        this.writes += 1;
+        const seconds = this.table.keepLeaseAlive(String(body.ID));
+        return { status: 200, body: { result: { ID: body.ID, TTL: String(seconds) } } };
+      }
+      case '/v3/lease/revoke':
+        this.writes += 1;
+        this.table.revokeLease(String(body.ID));
+        return { status: 200, body: {} };
+      default:
+        return { status: 404, body: { code: 5, message: 'Not Found' } };
+    }
+  }
+
+  protected override async handleStream(
+    request: ReceivedRequest,
+    response: ServerResponse,
+  ): Promise<boolean> {
+    if (request.path !== '/v3/watch') {
+      return false;
+    }
+    this.reads += 1;
+    const body = JSON.parse(request.text) as {
+      create_request: { key: string; start_revision?: string };
+    };
+    const prefix = decode(body.create_request.key);
+    const start = Number(body.create_request.start_revision ?? 0);
+    response.writeHead(200, { 'content-type': 'application/json' });
+    response.write(`${JSON.stringify({ result: { created: true } })}\n`);
+    const send = (batch: WatchBatch) => this.sendBatch(response, prefix, batch);
+    if (start > 0) {
+      this.table.changesSince(start).forEach(send);
+    }
+    const unsubscribe = this.table.subscribe(send);
+    response.once('close', unsubscribe);
+    return true;
+  }
+
+  private sendBatch(response: ServerResponse, prefix: string, batch: WatchBatch): void {
+    const events = batch.events.filter((event) => keyOf(event).startsWith(prefix));
+    if (events.length === 0 || this.silencesWatches) {
+      return;
+    }
+    const result = {
+      header: { revision: String(batch.revision) },
+      events: events.map(encodeEvent),
+    };
+    response.write(`${JSON.stringify({ result })}\n`);
+  }
+
+  private answerRange(body: RawRange): JsonAnswer {
+    this.reads += 1;
+    const { revision, values } = this.table.range(decode(body.key), body.range_end !== undefined);
+    return {
+      status: 200,
+      body: {
+        header: { revision: String(revision) },
+        kvs: values.map(encodeKeyValue),
+        count: String(values.length),
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-standin/src/PlatformStandIn.ts
@@ -0,0 +1,91 @@
+import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
+import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
+import type { UsageReport } from 'hickoryrelay-platform/UsageReportSink';
+import { JsonServer } from './JsonServer.js';
+import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
+
+const OK: JsonAnswer = { status: 200, body: {} };
+const NOT_FOUND: JsonAnswer = { status: 404, body: {} };
+const CONFLICT: JsonAnswer = { status: 409, body: {} };
+
+/** A stand-in for endpoint supply, instance list and usage reports in one server. */
+export class PlatformStandIn extends JsonServer {
+  readonly endpoints = new Map<string, SuppliedEndpoint>();
+
+  readonly instances = new Map<string, ListedInstance>();
+
+  /** Every report received, in order, repeats included. */
+  readonly receivedReports: UsageReport[] = [];
+
+  /** Every order and release received, in order, repeats included. */
+  readonly receivedOrders: { zone: string; fencingNumber: number; idempotencyKey: string }[] = [];
+
+  private readonly highestFencing = new Map<string, number>();
+
+  protected override answer(request: ReceivedRequest): JsonAnswer {
+    const [, collection, first, second] = request.path.split('/');
+    switch (`${request.method} ${collection}`) {
+      case 'GET endpoints':
+        return this.listEndpoints(request.query.get('zone'));
+      case 'PUT endpoints':
+        this.endpoints.set(String(first), JSON.parse(request.text) as SuppliedEndpoint);
+        return OK;
+      case 'GET instances':
+        return { status: 200, body: { instances: [...this.instances.values()] } };
+      case 'PUT instances':
+        this.instances.set(String(first), JSON.parse(request.text) as ListedInstance);
+        return OK;
+      case 'POST reports':
+        return this.takeReport(JSON.parse(request.text) as UsageReport);
+      case 'GET reports':
+        return this.findReport(String(first), Number(second));
+      case 'POST orders':
+      case 'POST releases':
+        return this.takeOrder(JSON.parse(request.text));
+      case 'GET orders':
+        return this.listOrders(request.query.get('zone'));
+      default:
+        return NOT_FOUND;
+    }
+  }
+
+  private listEndpoints(zone: string | null): JsonAnswer {
+    const endpoints = [...this.endpoints.values()].filter(
+      (endpoint) => zone === null || endpoint.zone === zone,
+    );
+    return { status: 200, body: { endpoints } };
+  }
+
+  private takeReport(report: UsageReport): JsonAnswer {
+    this.receivedReports.push(report);
+    return OK;
+  }
+
+  private findReport(zone: string, windowStartMilliseconds: number): JsonAnswer {
+    const report = this.receivedReports.find(
+      (each) => each.zone === zone && each.windowStartMilliseconds === windowStartMilliseconds,
+    );
+    return report === undefined ? NOT_FOUND : { status: 200, body: report };
+  }
+
+  private takeOrder(order: {
+    zone: string;
+    fencingNumber: number;
+    idempotencyKey: string;
+  }): JsonAnswer {
+    const highest = this.highestFencing.get(order.zone) ?? 0;
+    if (order.fencingNumber < highest) {
+      return CONFLICT;
+    }
+    this.highestFencing.set(order.zone, order.fencingNumber);
+    this.receivedOrders.push(order);
+    return OK;
+  }
+
+  private listOrders(zone: string | null): JsonAnswer {
+    const idempotencyKeys = this.receivedOrders
+      .filter((order) => order.zone === zone)
+      .map((order) => order.idempotencyKey);
+    return { status: 200, body: { idempotencyKeys } };
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-standin/src/federation.ts
@@ -0,0 +1,234 @@
+#!/usr/bin/env node
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { readFile, mkdtemp, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { createInterface } from 'node:readline';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+
+import { AccessKey } from 'hickoryrelay-contract/AccessKey';
+import { declarationsSchema } from 'hickoryrelay-contract/Declarations';
+import { YamlFile } from 'hickoryrelay-contract/YamlFile';
+import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
+import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
+import { invariant } from 'hickoryrelay/Invariant';
+import { SystemRandomSource } from 'hickoryrelay/RandomSource';
+import meow from 'meow';
+import { request } from 'undici';
+import { stringify } from 'yaml';
+
+import type { ChildProcess } from 'node:child_process';
+import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
+
+const program = meow(
+  `
+  Usage
+    $ federation [--declarations <file>] [--port <port>] [--check]
+
+  Starts a small federation on loopback: a platform stand-in, three availability zones, 7 entry
+  instances, 13 engines and 3 plain services, each its own process. Ends with SIGINT or SIGTERM.
+
+  Options
+    --declarations  Declarations file [examples/foucault/declarations.yaml]
+    --port          Port of the first entry instance; the others follow; 0 for free ports [8101]
+    --check         Send one request of each kind, print the answers and stop
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      declarations: { type: 'string' },
+      port: { type: 'number', default: 8101 },
+      check: { type: 'boolean', default: false },
+    },
+  },
+);
+
+const ENGINE_COUNT = 13;
+const SERVICE_COUNT = 3;
+const INSTANCE_COUNT = 7;
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const READY_ATTEMPTS = 200;
+const READY_INTERVAL_MILLISECONDS = 50;
+
+const root = fileURLToPath(new URL('../../../', import.meta.url));
+const children: ChildProcess[] = [];
+
+function zoneOf(index: number): string {
+  const zone = ZONES[index % ZONES.length];
+  invariant(zone !== undefined, `no zone for ${index}`);
+  return zone;
+}
+
+function startProcess(script: string, parameters: readonly string[]): ChildProcess {
+  const child = spawn(process.execPath, [path.join(root, script), ...parameters], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  children.push(child);
+  return child;
+}
+
+/** Starts a process and returns the JSON line by which it reports its addresses. */
+async function startReporting<Report>(
+  script: string,
+  parameters: readonly string[],
+): Promise<Report> {
+  const child = startProcess(script, parameters);
+  invariant(child.stdout !== null, `${script} has no standard output`);
+  const lines = createInterface({ input: child.stdout });
+  const [line] = (await Promise.race([once(lines, 'line'), once(lines, 'close')])) as [string?];
+  invariant(line !== undefined, `${script} ended before it reported its addresses`);
+  return JSON.parse(line) as Report;
+}
+
+function startStandIn<Report>(script: string, parameters: readonly string[]): Promise<Report> {
+  return startReporting(`packages/hickoryrelay-standin/dist/${script}.js`, parameters);
+}
+
+async function startEndpoints(document: DeclarationsDocument, platform: string): Promise<void> {
+  const engineKinds = document.endpointKinds.filter((kind) => kind.serves === 'model');
+  const serviceKinds = document.endpointKinds.filter((kind) => kind.serves === 'service');
+  const start = (index: number, prefix: string, kinds: typeof engineKinds) => {
+    const kind = kinds[index % kinds.length];
+    invariant(kind !== undefined, `the declarations have no kind for ${prefix} endpoints`);
+    const models = kind.models.flatMap((model) => ['--model', model]);
+    const name = `${prefix}-${index + 1}`;
+    return startStandIn('endpoint', [
+      ...['--name', name, '--kind', kind.name, '--zone', zoneOf(index)],
+      ...['--platform', platform, ...models],
+    ]);
+  };
+  await Promise.all([
+    ...Array.from({ length: ENGINE_COUNT }, (empty, index) => start(index, 'engine', engineKinds)),
+    ...Array.from({ length: SERVICE_COUNT }, (empty, index) =>
+      start(index, 'service', serviceKinds),
+    ),
+  ]);
+}
+
+async function startInstances(keyValue: string, platform: string): Promise<string[]> {
+  const folder = await mkdtemp(path.join(tmpdir(), 'hickoryrelay-'));
+  const starts = Array.from({ length: INSTANCE_COUNT }, async (empty, index) => {
+    const name = `entry-${index + 1}`;
+    const port = program.flags.port === 0 ? 0 : program.flags.port + index;
+    const settings = {
+      instance: { name, zone: zoneOf(index) },
+      callers: { address: '127.0.0.1', port },
+      peers: { address: '127.0.0.1', port: 0 },
+      platform: { keyValue: [keyValue], supply: platform, instances: platform, usage: platform },
+      log: { level: 'warn' },
+    };
+    const file = path.join(folder, `${name}.yaml`);
+    await writeFile(file, stringify(settings));
+    const report = await startReporting<{ callers: string }>(
+      'packages/hickoryrelay-instance/dist/hickoryrelayd.js',
+      ['--settings', file],
+    );
+    return report.callers;
+  });
+  return Promise.all(starts);
+}
+
+async function waitUntilReady(url: string): Promise<void> {
+  for (let attempt = 0; attempt < READY_ATTEMPTS; attempt += 1) {
+    try {
+      const response = await request(`${url}/health/ready`);
+      await response.body.dump();
+      if (response.statusCode === 200) {
+        return;
+      }
+    } catch {
+      // The instance does not listen yet.
+    }
+    await sleep(READY_INTERVAL_MILLISECONDS);
+  }
+  invariant(false, `${url} did not become ready`);
+}
+
+async function sendChecks(url: string, key: string, document: DeclarationsDocument) {
+  const model = document.classes.flatMap((each) => (each.kind === 'model' ? each.models : []))[0];
+  const service = document.classes.find((each) => each.kind === 'service' && !each.idempotent);
+  invariant(service?.kind === 'service', 'the declarations have no service that is not idempotent');
+  const headers = { authorization: `Bearer ${key}`, 'content-type': 'application/json' };
+  const chat = await request(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers,
+    body: JSON.stringify({
+      model,
+      stream: true,
+      max_tokens: 4,
+      messages: [{ role: 'user', content: 'Where does the pendulum swing?' }],
+    }),
+  });
+  process.stdout.write(`chat ${chat.statusCode}\n${await chat.body.text()}`);
+  const order = await request(`${url}/services/${service.route}/new`, {
+    method: 'POST',
+    headers: { ...headers, 'idempotency-key': 'federation-check' },
+    body: JSON.stringify({ item: 1 }),
+  });
+  process.stdout.write(`${service.route} ${order.statusCode} ${await order.body.text()}\n`);
+  invariant(chat.statusCode === 200, `chat answered ${chat.statusCode}`);
+  invariant(order.statusCode === 200, `${service.route} answered ${order.statusCode}`);
+}
+
+async function stop(): Promise<void> {
+  const ends = children.map(async (child) => {
+    if (child.exitCode === null && child.signalCode === null) {
+      const ended = once(child, 'exit');
+      child.kill('SIGTERM');
+      await ended;
+    }
+  });
+  await Promise.all(ends);
+}
+
+/** Declares a new key for the first account and returns its text, to be shown once. */
+function issueFirstKey(document: DeclarationsDocument): string {
+  const { text, declaration } = AccessKey.issue(new SystemRandomSource());
+  const [account] = document.accounts;
+  invariant(account !== undefined, 'the declarations have no client account');
+  account.keys.push(declaration);
+  return text;
+}
+
+async function run(): Promise<void> {
+  const file = program.flags.declarations ?? path.join(root, 'examples/foucault/declarations.yaml');
+  const document = new YamlFile(declarationsSchema).read(file, await readFile(file, 'utf8'));
+  const key = issueFirstKey(document);
+  const urls = await startStandIn<{ keyValue: string; platform: string }>('platform', []);
+  const store = new EtcdKeyValueStore({ urls: [urls.keyValue] });
+  await new ConfigurationStore(store).replace(document, 0, {
+    author: 'federation',
+    summary: 'First declarations',
+    wallMilliseconds: Date.now(),
+  });
+  await store.close();
+  await startEndpoints(document, urls.platform);
+  const instances = await startInstances(urls.keyValue, urls.platform);
+  await Promise.all(instances.map(waitUntilReady));
+  const first = instances[0] ?? '';
+  process.stdout.write(
+    `Key-value service: ${urls.keyValue}\nEntry instances: ${instances.join(' ')}\n`,
+  );
+  process.stdout.write(`Key of account ${document.accounts[0]?.name}: ${key}\n`);
+  if (program.flags.check) {
+    await sleep(1500);
+    await sendChecks(first, key, document);
+    await stop();
+  }
+}
+
+function stopAndExit(): void {
+  void stop().then(() => process.exit(0));
+}
+
+process.once('SIGINT', stopAndExit);
+process.once('SIGTERM', stopAndExit);
+try {
+  await run();
+} catch (error) {
+  process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+  await stop();
+  process.exitCode = 1;
+}
--- a/packages/hickoryrelay/src/LifecycleManager.ts
+++ b/packages/hickoryrelay/src/LifecycleManager.ts
@@ -113,11 +113,7 @@
     }
   }
 
-  private reportTaskFailure(
-    task: Task,
-    signal: AbortSignal,
-    error: unknown,
-  ): Failure | undefined {
+  private reportTaskFailure(task: Task, signal: AbortSignal, error: unknown): Failure | undefined {
     const failure = failureOf(error);
     if (signal.aborted && failure.kind === FailureKind.Cancelled) {
       return undefined;
--- a/packages/hickoryrelay/src/Logger.ts
+++ b/packages/hickoryrelay/src/Logger.ts
@@ -47,11 +47,14 @@
 
 /** Returns the logger of one part, which puts the part's prefix before each sentence. */
 export function partLogger(logger: WinstonLogger, prefix: LogPrefix): PartLogger {
+  const write = (level: string) => (sentence: string, fields?: LogFields) => {
+    logger.log(level, `${prefix} ${sentence}`, fields);
+  };
   return {
-    debug: (sentence, fields) => void logger.debug(`${prefix} ${sentence}`, fields),
-    info: (sentence, fields) => void logger.info(`${prefix} ${sentence}`, fields),
-    warn: (sentence, fields) => void logger.warn(`${prefix} ${sentence}`, fields),
-    error: (sentence, fields) => void logger.error(`${prefix} ${sentence}`, fields),
+    debug: write('debug'),
+    info: write('info'),
+    warn: write('warn'),
+    error: write('error'),
   };
 }
 
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   resolve: { conditions: ['source'] },
-  ssr: { resolve: { conditions: ['source', 'node', 'import', 'default'] } },
+  ssr: { resolve: { conditions: ['source', 'node'] } },
   test: {
     include: ['packages/*/src/__tests__/**/*.test.ts'],
     testTimeout: 60_000,
