--- /dev/null
+++ b/packages/hickoryrelay-link/src/OrderLink.ts
@@ -0,0 +1,150 @@
+import { OrderAnswer, OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError, hasFailureKind } from 'hickoryrelay/RelayError';
+import { guardWrites } from 'hickoryrelay/SocketGuardUtils';
+import { buildConnector, Client } from 'undici';
+
+import type { EndpointPlace } from 'hickoryrelay-endpoint/Endpoint';
+import type {
+  EndpointOrder,
+  EndpointOrderState,
+  IssuedOrder,
+} from 'hickoryrelay-endpoint/EndpointOrder';
+
+const CONNECT_TIMEOUT_MILLISECONDS = 1000;
+const ANSWER_TIMEOUT_MILLISECONDS = 2000;
+const CONFLICT = 409;
+
+/** Throws `authority-lost` unless orders may be sent now. */
+export type AuthorityCheck = () => void;
+
+/**
+ * The one connection by which the holder of a term orders one endpoint. It belongs to the term and
+ * is closed when the term ends. An override runs the check in the tick in which it writes to the
+ * socket, and never repeats an order by itself. Its failures are `authority-lost` (not sent) and
+ * `endpoint-failed`; `mayHaveRun` is false only if the order cannot have reached the endpoint.
+ */
+export abstract class OrderLink {
+  abstract send(order: IssuedOrder): Promise<OrderAnswer>;
+
+  abstract readState(): Promise<EndpointOrderState>;
+
+  abstract close(): Promise<void>;
+}
+
+interface EncodedState {
+  readonly last_order?: string;
+  readonly progress?: OrderProgress;
+  readonly fencing_number?: number;
+}
+
+function encodeOrder(order: EndpointOrder): object {
+  switch (order.type) {
+    case 'load-model':
+      return { type: order.type, model: order.model, version: order.version };
+    case 'load-adapter':
+      return { type: order.type, model: order.model, adapter: order.adapter };
+    case 'change-role':
+      return { type: order.type, role: order.role };
+    default:
+      return { type: order.type };
+  }
+}
+
+/** Orders by HTTP/JSON: `POST /orders` and `GET /orders/state`. */
+export class HttpOrderLink extends OrderLink {
+  private readonly place: EndpointPlace;
+
+  private readonly client: Client;
+
+  private readonly check: AuthorityCheck;
+
+  constructor(place: EndpointPlace, check: AuthorityCheck) {
+    super();
+    this.place = place;
+    this.check = check;
+    const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+    this.client = new Client(place.url, {
+      pipelining: 1,
+      headersTimeout: ANSWER_TIMEOUT_MILLISECONDS,
+      bodyTimeout: ANSWER_TIMEOUT_MILLISECONDS,
+      connect: (options, callback) => {
+        connector(options, (...result) => {
+          if (result[1] !== null) {
+            guardWrites(result[1], check);
+          }
+          callback(...result);
+        });
+      },
+    });
+  }
+
+  override async send(issued: IssuedOrder): Promise<OrderAnswer> {
+    this.check();
+    const body = JSON.stringify({
+      identifier: issued.identifier,
+      fencing_number: issued.fencingNumber,
+      deadline_milliseconds: issued.deadlineMilliseconds,
+      order: encodeOrder(issued.order),
+    });
+    const { status, text } = await this.exchange('POST', '/orders', body);
+    if (status === 200) {
+      return OrderAnswer.Taken;
+    }
+    if (status >= 500) {
+      throw this.failure(`status ${status}`, true);
+    }
+    return status === CONFLICT && text.includes('"fenced"')
+      ? OrderAnswer.RefusedAsFenced
+      : OrderAnswer.Refused;
+  }
+
+  override async readState(): Promise<EndpointOrderState> {
+    const { status, text } = await this.exchange('GET', '/orders/state', null);
+    if (status !== 200) {
+      throw this.failure(`status ${status}`, false);
+    }
+    const state = JSON.parse(text) as EncodedState;
+    return {
+      ...(state.last_order === undefined ? {} : { lastOrder: state.last_order }),
+      progress: state.progress ?? OrderProgress.Done,
+      fencingNumber: state.fencing_number ?? 0,
+    };
+  }
+
+  override async close(): Promise<void> {
+    await this.client.destroy();
+  }
+
+  private async exchange(
+    method: 'GET' | 'POST',
+    path: string,
+    body: string | null,
+  ): Promise<{ status: number; text: string }> {
+    try {
+      const response = await this.client.request({
+        method,
+        path,
+        headers: { 'content-type': 'application/json' },
+        body,
+        signal: AbortSignal.timeout(ANSWER_TIMEOUT_MILLISECONDS),
+      });
+      return { status: response.statusCode, text: await response.body.text() };
+    } catch (error) {
+      if (hasFailureKind(error, FailureKind.AuthorityLost)) {
+        throw error;
+      }
+      const isRefused = error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+      const reason = error instanceof Error ? error.message : String(error);
+      throw this.failure(reason, !isRefused, error);
+    }
+  }
+
+  private failure(reason: string, mayHaveRun: boolean, cause?: unknown): RelayError {
+    const endpoint = this.place.identifier;
+    return new RelayError(
+      { kind: FailureKind.EndpointFailed, endpoint, reason, mayHaveRun },
+      cause,
+    );
+  }
+}
--- a/packages/hickoryrelay-platform/src/EndpointSupply.ts
+++ b/packages/hickoryrelay-platform/src/EndpointSupply.ts
@@ -12,6 +12,8 @@
   /** Base URL. */
   readonly url: string;
   readonly state: SupplyState;
+  /** Idempotency key of the order that brought the endpoint; absent if nobody ordered it. */
+  readonly orderKey?: string;
 }
 
 /** An order for one endpoint of a kind in a zone. */
@@ -21,6 +23,8 @@
   readonly kind: string;
   readonly zone: string;
   readonly fencingNumber: number;
+  /** Wall time after which the platform refuses the order. */
+  readonly deadlineMilliseconds: number;
 }
 
 /** An order to release an endpoint. */
@@ -29,20 +33,26 @@
   readonly endpoint: string;
   readonly zone: string;
   readonly fencingNumber: number;
+  /** Wall time after which the platform refuses the order. */
+  readonly deadlineMilliseconds: number;
 }
 
+/** Throws `authority-lost` unless orders may be sent now. */
+export type AuthorityCheck = () => void;
+
 /**
  * The platform's interface that lists, orders and releases endpoints. An override throws
- * `platform-unavailable` when no answer arrives and never repeats an order by itself.
+ * `platform-unavailable` when no answer arrives, never repeats an order by itself, and runs the
+ * check in the tick in which it writes an order to the socket.
  */
 export abstract class EndpointSupply {
   /** Lists endpoints, of one zone if given. The list lags. */
   abstract list(zone?: string): Promise<readonly SuppliedEndpoint[]>;
 
-  abstract order(order: SupplyOrder): Promise<void>;
+  abstract order(order: SupplyOrder, check: AuthorityCheck): Promise<void>;
 
-  abstract release(order: ReleaseOrder): Promise<void>;
+  abstract release(order: ReleaseOrder, check: AuthorityCheck): Promise<void>;
 
-  /** Returns the idempotency keys of orders that took effect in the zone. */
+  /** Returns the idempotency keys of orders and releases that took effect in the zone. */
   abstract effectiveOrders(zone: string): Promise<readonly string[]>;
 }
--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -22,6 +22,9 @@
 } from './KeyValueStore.js';
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 2000;
+const OK = 200;
+const NOT_FOUND = 404;
+const INTERNAL_ERROR = 500;
 
 /** Where the etcd JSON gateway is, and how long one call may take. */
 export interface EtcdOptions {
@@ -38,6 +41,9 @@
 
   private readonly agent = new Agent({ pipelining: 1, connections: 8 });
 
+  /** Watches stay open, so they do not share the limited connections of calls. */
+  private readonly watchAgent = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+
   private urlIndex = 0;
 
   constructor(options: EtcdOptions) {
@@ -90,7 +96,10 @@
   }
 
   override async revokeLease(identifier: string): Promise<void> {
-    await this.call('/v3/lease/revoke', { ID: identifier }, true);
+    const { status } = await this.send('/v3/lease/revoke', { ID: identifier }, true);
+    if (status !== OK && status !== NOT_FOUND) {
+      throw this.refused(status, true);
+    }
   }
 
   override async *watch(
@@ -105,62 +114,93 @@
         start_revision: String(fromRevision),
       },
     };
-    const response = await this.open('/v3/watch', body, signal, 0);
-    for await (const line of splitLines(response.body)) {
-      const { result } = JSON.parse(line) as EtcdWatchLine;
-      if (result?.canceled === true) {
-        throw this.unavailable('the watch was cancelled by the service', false);
+    try {
+      const response = await this.open('/v3/watch', body, signal, this.watchAgent);
+      if (response.statusCode !== OK) {
+        throw this.refused(response.statusCode, false);
       }
-      const events = (result?.events ?? []).map((event) =>
-        event.type === 'DELETE'
-          ? {
-              type: 'delete' as const,
-              key: decodeKeyValue(event.kv).key,
-              modRevision: Number(event.kv.mod_revision ?? 0),
-            }
-          : { type: 'put' as const, value: decodeKeyValue(event.kv) },
-      );
-      yield { revision: Number(result?.header?.revision ?? 0), events };
+      for await (const line of splitLines(response.body)) {
+        yield this.decodeWatchLine(line);
+      }
+    } catch (error) {
+      throw this.failure(error, false);
     }
+    throw this.unavailable('the service closed the watch', false);
   }
 
   /** Closes all connections. */
   async close(): Promise<void> {
-    await this.agent.destroy();
+    await Promise.all([this.agent.destroy(), this.watchAgent.destroy()]);
+  }
+
+  private decodeWatchLine(line: string): WatchBatch {
+    const { result } = JSON.parse(line) as EtcdWatchLine;
+    if (result?.canceled === true) {
+      throw this.unavailable('the watch was cancelled by the service', false);
+    }
+    const events = (result?.events ?? []).map((event) =>
+      event.type === 'DELETE'
+        ? {
+            type: 'delete' as const,
+            key: decodeKeyValue(event.kv).key,
+            modRevision: Number(event.kv.mod_revision ?? 0),
+          }
+        : { type: 'put' as const, value: decodeKeyValue(event.kv) },
+    );
+    return { revision: Number(result?.header?.revision ?? 0), events };
   }
 
   private async call<Answer>(path: string, body: object, isWrite: boolean): Promise<Answer> {
-    const signal = AbortSignal.timeout(this.timeoutMilliseconds);
+    const { status, text } = await this.send(path, body, isWrite);
+    if (status !== OK) {
+      throw this.refused(status, isWrite);
+    }
+    return JSON.parse(text) as Answer;
+  }
+
+  private async send(
+    path: string,
+    body: object,
+    isWrite: boolean,
+  ): Promise<{ status: number; text: string }> {
     try {
-      const response = await this.open(path, body, signal, this.timeoutMilliseconds);
-      const text = await response.body.text();
-      if (response.statusCode !== 200) {
-        throw this.unavailable(`status ${response.statusCode}`, isWrite);
-      }
-      return JSON.parse(text) as Answer;
+      const signal = AbortSignal.timeout(this.timeoutMilliseconds);
+      const response = await this.open(path, body, signal, this.agent);
+      return { status: response.statusCode, text: await response.body.text() };
     } catch (error) {
       this.urlIndex += 1;
-      if (error instanceof RelayError) {
-        throw error;
-      }
-      const reason = error instanceof Error ? error.message : String(error);
-      throw this.unavailable(reason, isWrite, error);
+      throw this.failure(error, isWrite);
     }
   }
 
-  private async open(path: string, body: object, signal: AbortSignal, timeout: number) {
+  private async open(path: string, body: object, signal: AbortSignal, dispatcher: Agent) {
     const base = this.urls[this.urlIndex % this.urls.length] ?? '';
     return request(`${base}${path}`, {
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(body),
-      dispatcher: this.agent,
+      dispatcher,
       signal,
-      headersTimeout: timeout,
-      bodyTimeout: timeout,
     });
   }
 
+  /** A status from 400 to 499 is an answer: the service applied nothing. */
+  private refused(status: number, isWrite: boolean): RelayError {
+    if (status >= INTERNAL_ERROR) {
+      this.urlIndex += 1;
+    }
+    return this.unavailable(`status ${status}`, isWrite && status >= INTERNAL_ERROR);
+  }
+
+  private failure(error: unknown, isWrite: boolean): RelayError {
+    if (error instanceof RelayError) {
+      return error;
+    }
+    const isRefused = error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+    const reason = error instanceof Error ? error.message : String(error);
+    return this.unavailable(reason, isWrite && !isRefused, error);
+  }
+
   private unavailable(reason: string, mayHaveTakenEffect: boolean, cause?: unknown): RelayError {
     return new RelayError(
       {
--- a/packages/hickoryrelay-platform/src/HttpPlatform.ts
+++ b/packages/hickoryrelay-platform/src/HttpPlatform.ts
@@ -1,16 +1,28 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
-import { request } from 'undici';
+import { guardWrites } from 'hickoryrelay/SocketGuardUtils';
+import { buildConnector, Client, getGlobalDispatcher, request } from 'undici';
 
+import type { Dispatcher } from 'undici';
 import { EndpointSupply } from './EndpointSupply.js';
 import { InstanceList } from './InstanceList.js';
 import { UsageReportSink } from './UsageReportSink.js';
 
-import type { ReleaseOrder, SuppliedEndpoint, SupplyOrder } from './EndpointSupply.js';
+import type {
+  AuthorityCheck,
+  ReleaseOrder,
+  SuppliedEndpoint,
+  SupplyOrder,
+} from './EndpointSupply.js';
 import type { ListedInstance } from './InstanceList.js';
 import type { UsageReport } from './UsageReportSink.js';
 
 const TIMEOUT_MILLISECONDS = 2000;
+const GONE = 410;
+
+function isRefusedConnection(error: unknown): boolean {
+  return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+}
 
 /** A small HTTP/JSON interface of the platform. */
 class JsonInterface {
@@ -28,6 +40,7 @@
     method: 'GET' | 'POST' | 'PUT',
     path: string,
     body?: object,
+    dispatcher: Dispatcher = getGlobalDispatcher(),
   ): Promise<{ status: number; body: Answer }> {
     const mayHaveTakenEffect = method !== 'GET';
     const { service } = this;
@@ -37,6 +50,7 @@
         headers: { 'content-type': 'application/json' },
         body: body === undefined ? null : JSON.stringify(body),
         signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
+        dispatcher,
       });
       const text = await response.body.text();
       if (response.statusCode >= 500) {
@@ -57,18 +71,60 @@
       }
       const reason = error instanceof Error ? error.message : String(error);
       throw new RelayError(
-        { kind: FailureKind.PlatformUnavailable, service, reason, mayHaveTakenEffect },
+        {
+          kind: FailureKind.PlatformUnavailable,
+          service,
+          reason,
+          mayHaveTakenEffect: mayHaveTakenEffect && !isRefusedConnection(error),
+        },
         error,
       );
     }
   }
 
-  /** Sends an order. Throws `authority-lost` if the platform refuses its fencing number. */
-  async order(path: string, zone: string, fencingNumber: number, body: object): Promise<void> {
-    const { status } = await this.call('POST', path, body);
+  /**
+   * Sends an order on a connection of its own, which checks the authority at each write. Throws
+   * `authority-lost` if the check fails or the platform refuses the fencing number.
+   */
+  async order(
+    path: string,
+    zone: string,
+    fencingNumber: number,
+    body: object,
+    check: AuthorityCheck = () => {},
+  ): Promise<void> {
+    check();
+    const connector = buildConnector({ timeout: TIMEOUT_MILLISECONDS });
+    const client = new Client(this.baseUrl, {
+      connect: (options, callback) => {
+        connector(options, (...result) => {
+          if (result[1] !== null) {
+            guardWrites(result[1], check);
+          }
+          callback(...result);
+        });
+      },
+    });
+    try {
+      const { status } = await this.call('POST', path, body, client);
+      this.assertAccepted(status, path, zone, fencingNumber);
+    } finally {
+      await client.destroy();
+    }
+  }
+
+  private assertAccepted(status: number, path: string, zone: string, fencingNumber: number): void {
     if (status === 409) {
       throw new RelayError({ kind: FailureKind.AuthorityLost, zone, fencingNumber });
     }
+    if (status === GONE) {
+      throw new RelayError({
+        kind: FailureKind.PlatformUnavailable,
+        service: this.service,
+        reason: 'the deadline of the order has passed',
+        mayHaveTakenEffect: false,
+      });
+    }
     if (status >= 400) {
       throw new RelayError({
         kind: FailureKind.ProtocolViolation,
@@ -97,12 +153,12 @@
     return answer.body.endpoints;
   }
 
-  override async order(order: SupplyOrder): Promise<void> {
-    await this.json.order('/orders', order.zone, order.fencingNumber, order);
+  override async order(order: SupplyOrder, check: AuthorityCheck): Promise<void> {
+    await this.json.order('/orders', order.zone, order.fencingNumber, order, check);
   }
 
-  override async release(order: ReleaseOrder): Promise<void> {
-    await this.json.order('/releases', order.zone, order.fencingNumber, order);
+  override async release(order: ReleaseOrder, check: AuthorityCheck): Promise<void> {
+    await this.json.order('/releases', order.zone, order.fencingNumber, order, check);
   }
 
   override async effectiveOrders(zone: string): Promise<readonly string[]> {
--- a/packages/hickoryrelay-standin/src/KeyValueGateway.ts
+++ b/packages/hickoryrelay-standin/src/KeyValueGateway.ts
@@ -1,3 +1,6 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { hasFailureKind } from 'hickoryrelay/RelayError';
+
 import type { ServerResponse } from 'node:http';
 import type {
   Comparison,
@@ -144,6 +147,9 @@
   /** If true, watches stay open and stop sending. */
   silencesWatches = false;
 
+  /** Watches that are open now. */
+  openWatches = 0;
+
   private writes = 0;
 
   private reads = 0;
@@ -158,6 +164,11 @@
     return { reads: this.reads, writes: this.writes };
   }
 
+  override async close(): Promise<void> {
+    this.table.close();
+    await super.close();
+  }
+
   protected override answer(request: ReceivedRequest): JsonAnswer {
     const body = JSON.parse(request.text === '' ? '{}' : request.text) as Record<string, string>;
     switch (request.path) {
@@ -165,10 +176,7 @@
         return this.answerRange(body as unknown as RawRange);
       case '/v3/kv/txn':
         this.writes += 1;
-        return {
-          status: 200,
-          body: encodeTransaction(this.table.commit(decodeTransaction(body))),
-        };
+        return this.answerTransaction(body);
       case '/v3/lease/grant': {
         this.writes += 1;
         const grant = this.table.grantLease(Number(body.TTL));
@@ -204,6 +212,7 @@
     };
     const prefix = decode(body.create_request.key);
     const start = Number(body.create_request.start_revision ?? 0);
+    this.openWatches += 1;
     response.writeHead(200, { 'content-type': 'application/json' });
     response.write(`${JSON.stringify({ result: { created: true } })}\n`);
     const send = (batch: WatchBatch) => this.sendBatch(response, prefix, batch);
@@ -211,7 +220,10 @@
       this.table.changesSince(start).forEach(send);
     }
     const unsubscribe = this.table.subscribe(send);
-    response.once('close', unsubscribe);
+    response.once('close', () => {
+      this.openWatches -= 1;
+      unsubscribe();
+    });
     return true;
   }
 
@@ -227,6 +239,18 @@
     response.write(`${JSON.stringify({ result })}\n`);
   }
 
+  private answerTransaction(body: RawTransaction): JsonAnswer {
+    try {
+      const result = this.table.commit(decodeTransaction(body));
+      return { status: 200, body: encodeTransaction(result) };
+    } catch (error) {
+      if (hasFailureKind(error, FailureKind.InvalidRequest)) {
+        return { status: 400, body: { code: 3, message: String(error) } };
+      }
+      throw error;
+    }
+  }
+
   private answerRange(body: RawRange): JsonAnswer {
     this.reads += 1;
     const { revision, values } = this.table.range(decode(body.key), body.range_end !== undefined);
--- a/packages/hickoryrelay-standin/src/KeyValueTable.ts
+++ b/packages/hickoryrelay-standin/src/KeyValueTable.ts
@@ -1,3 +1,6 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
 import type { Clock } from 'hickoryrelay/Clock';
 import type {
   Comparison,
@@ -20,6 +23,45 @@
 const MILLISECONDS_PER_SECOND = 1000;
 const FIRST_LEASE_IDENTIFIER = 1000;
 
+/** Default of etcd for the operations in one list of a transaction. */
+const MAXIMUM_OPERATIONS = 128;
+
+function refused(field: string, reason: string): RelayError {
+  return new RelayError({ kind: FailureKind.InvalidRequest, field, reason });
+}
+
+/** Keys that a list of operations may put. Throws on a repeated key, as etcd does. */
+function putKeys(operations: readonly Operation[]): Set<string> {
+  const keys = new Set<string>();
+  for (const operation of operations) {
+    let added = new Set<string>();
+    if (operation.type === 'put') {
+      added.add(operation.key);
+    } else if (operation.type === 'transaction') {
+      const { success, failure } = operation.transaction;
+      added = new Set([...putKeys(success), ...putKeys(failure)]);
+    }
+    for (const key of added) {
+      if (keys.has(key)) {
+        throw refused('key', 'duplicate key given in txn request');
+      }
+      keys.add(key);
+    }
+  }
+  return keys;
+}
+
+function checkSizes({ compare, success, failure }: Transaction): void {
+  if ([compare, success, failure].some((list) => list.length > MAXIMUM_OPERATIONS)) {
+    throw refused('operations', 'too many operations in txn request');
+  }
+  for (const operation of [...success, ...failure]) {
+    if (operation.type === 'transaction') {
+      checkSizes(operation.transaction);
+    }
+  }
+}
+
 /** The state of a key-value service in memory: revisions, leases and the history of changes. */
 export class KeyValueTable {
   private readonly clock: Clock;
@@ -32,10 +74,14 @@
 
   private readonly observers = new Set<(batch: WatchBatch) => void>();
 
+  private readonly decisions = new WeakMap<Transaction, boolean>();
+
   private revision = 1;
 
   private leaseCount = FIRST_LEASE_IDENTIFIER;
 
+  private cancelExpiry: () => void = () => {};
+
   constructor(clock: Clock) {
     this.clock = clock;
   }
@@ -45,8 +91,13 @@
     return { revision: this.revision, values: this.find(key, prefix) };
   }
 
+  /** Applies a transaction. Throws `invalid-request`, and applies nothing, where etcd refuses it. */
   commit(transaction: Transaction): TransactionResult {
     this.expireLeases();
+    checkSizes(transaction);
+    putKeys(transaction.success);
+    putKeys(transaction.failure);
+    this.decide(transaction);
     const events: WatchEvent[] = [];
     const result = this.apply(transaction, events, this.revision + 1);
     this.record(events);
@@ -59,6 +110,7 @@
     const expiryMilliseconds =
       this.clock.monotonicMilliseconds() + timeToLiveSeconds * MILLISECONDS_PER_SECOND;
     this.leases.set(identifier, { timeToLiveSeconds, expiryMilliseconds });
+    this.scheduleExpiry();
     return { identifier, timeToLiveSeconds };
   }
 
@@ -70,6 +122,7 @@
     }
     lease.expiryMilliseconds =
       this.clock.monotonicMilliseconds() + lease.timeToLiveSeconds * MILLISECONDS_PER_SECOND;
+    this.scheduleExpiry();
     return lease.timeToLiveSeconds;
   }
 
@@ -110,6 +163,25 @@
     }
   }
 
+  /** Stops the timer that expires leases. */
+  close(): void {
+    this.cancelExpiry();
+  }
+
+  /** Expires leases when they run out, so that watches see it without another call. */
+  private scheduleExpiry(): void {
+    this.cancelExpiry();
+    const expiries = [...this.leases.values()].map((lease) => lease.expiryMilliseconds);
+    if (expiries.length === 0) {
+      return;
+    }
+    const delay = Math.min(...expiries) - this.clock.monotonicMilliseconds();
+    this.cancelExpiry = this.clock.schedule(Math.max(0, delay), () => {
+      this.expireLeases();
+      this.scheduleExpiry();
+    });
+  }
+
   private find(key: string, prefix: boolean): KeyValue[] {
     if (!prefix) {
       const value = this.values.get(key);
@@ -120,12 +192,30 @@
       .toSorted((left, right) => (left.key < right.key ? -1 : 1));
   }
 
+  /**
+   * Evaluates all comparisons, nested ones included, before anything is applied, as etcd does, and
+   * checks the leases of the branches that are taken.
+   */
+  private decide(transaction: Transaction): void {
+    const succeeded = transaction.compare.every((comparison) => this.holds(comparison));
+    this.decisions.set(transaction, succeeded);
+    for (const operation of succeeded ? transaction.success : transaction.failure) {
+      if (operation.type === 'transaction') {
+        this.decide(operation.transaction);
+      } else if (operation.type === 'put' && operation.lease !== undefined) {
+        if (!this.leases.has(operation.lease)) {
+          throw refused('lease', 'requested lease not found');
+        }
+      }
+    }
+  }
+
   private apply(
     transaction: Transaction,
     events: WatchEvent[],
     newRevision: number,
   ): TransactionResult {
-    const succeeded = transaction.compare.every((comparison) => this.holds(comparison));
+    const succeeded = this.decisions.get(transaction) === true;
     const operations = succeeded ? transaction.success : transaction.failure;
     const results = operations.map((operation) => this.operate(operation, events, newRevision));
     return { succeeded, revision: newRevision, results };
--- a/packages/hickoryrelay-standin/src/PlatformStandIn.ts
+++ b/packages/hickoryrelay-standin/src/PlatformStandIn.ts
@@ -1,27 +1,30 @@
+import { SystemClock } from 'hickoryrelay/Clock';
+
 import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
 import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
 import type { UsageReport } from 'hickoryrelay-platform/UsageReportSink';
 import { JsonServer } from './JsonServer.js';
+import { SupplyAnswer, SupplySide } from './SupplySide.js';
+
+import type { ReceivedOrder } from './SupplySide.js';
 import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
 
 const OK: JsonAnswer = { status: 200, body: {} };
 const NOT_FOUND: JsonAnswer = { status: 404, body: {} };
 const CONFLICT: JsonAnswer = { status: 409, body: {} };
+const GONE: JsonAnswer = { status: 410, body: {} };
 
 /** A stand-in for endpoint supply, instance list and usage reports in one server. */
 export class PlatformStandIn extends JsonServer {
-  readonly endpoints = new Map<string, SuppliedEndpoint>();
+  readonly supply = new SupplySide(new SystemClock());
+
+  readonly endpoints = this.supply.endpoints;
 
   readonly instances = new Map<string, ListedInstance>();
 
   /** Every report received, in order, repeats included. */
   readonly receivedReports: UsageReport[] = [];
 
-  /** Every order and release received, in order, repeats included. */
-  readonly receivedOrders: { zone: string; fencingNumber: number; idempotencyKey: string }[] = [];
-
-  private readonly highestFencing = new Map<string, number>();
-
   protected override answer(request: ReceivedRequest): JsonAnswer {
     const [, collection, first, second] = request.path.split('/');
     switch (`${request.method} ${collection}`) {
@@ -41,7 +44,7 @@
         return this.findReport(String(first), Number(second));
       case 'POST orders':
       case 'POST releases':
-        return this.takeOrder(JSON.parse(request.text));
+        return this.takeOrder(JSON.parse(request.text) as ReceivedOrder);
       case 'GET orders':
         return this.listOrders(request.query.get('zone'));
       default:
@@ -50,10 +53,7 @@
   }
 
   private listEndpoints(zone: string | null): JsonAnswer {
-    const endpoints = [...this.endpoints.values()].filter(
-      (endpoint) => zone === null || endpoint.zone === zone,
-    );
-    return { status: 200, body: { endpoints } };
+    return { status: 200, body: { endpoints: this.supply.list(zone ?? undefined) } };
   }
 
   private takeReport(report: UsageReport): JsonAnswer {
@@ -68,24 +68,18 @@
     return report === undefined ? NOT_FOUND : { status: 200, body: report };
   }
 
-  private takeOrder(order: {
-    zone: string;
-    fencingNumber: number;
-    idempotencyKey: string;
-  }): JsonAnswer {
-    const highest = this.highestFencing.get(order.zone) ?? 0;
-    if (order.fencingNumber < highest) {
-      return CONFLICT;
+  private takeOrder(order: Omit<ReceivedOrder, 'atMilliseconds'>): JsonAnswer {
+    switch (this.supply.take(order)) {
+      case SupplyAnswer.Fenced:
+        return CONFLICT;
+      case SupplyAnswer.Late:
+        return GONE;
+      default:
+        return OK;
     }
-    this.highestFencing.set(order.zone, order.fencingNumber);
-    this.receivedOrders.push(order);
-    return OK;
   }
 
   private listOrders(zone: string | null): JsonAnswer {
-    const idempotencyKeys = this.receivedOrders
-      .filter((order) => order.zone === zone)
-      .map((order) => order.idempotencyKey);
-    return { status: 200, body: { idempotencyKeys } };
+    return { status: 200, body: { idempotencyKeys: this.supply.effectiveOrders(zone ?? '') } };
   }
 }
