--- a/packages/hickoryrelay-instance/src/hickoryrelayd.ts
+++ b/packages/hickoryrelay-instance/src/hickoryrelayd.ts
@@ -8,6 +8,8 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { settingsSchema } from 'hickoryrelay-contract/Settings';
 import { YamlFile } from 'hickoryrelay-contract/YamlFile';
+import { BudgetedKeyValueStore } from 'hickoryrelay-platform/BudgetedKeyValueStore';
+import { CallBudget } from 'hickoryrelay-platform/CallBudget';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
 import {
   HttpEndpointSupply,
@@ -58,13 +60,20 @@
 async function run(settings: Settings): Promise<void> {
   const logger = createProcessLogger(settings.log.level, settings.instance.name);
   const log = partLogger(logger, LogPrefix.Daemon);
+  const clock = new SystemClock();
+  const random = new SystemRandomSource();
   const instance = new Instance({
     settings,
-    clock: new SystemClock(),
-    random: new SystemRandomSource(),
+    clock,
+    random,
     logger,
     platform: {
-      keyValue: new EtcdKeyValueStore({ urls: settings.platform.keyValue }),
+      keyValue: new BudgetedKeyValueStore({
+        store: new EtcdKeyValueStore({ urls: settings.platform.keyValue }),
+        budget: new CallBudget(clock),
+        clock,
+        random,
+      }),
       supply: new HttpEndpointSupply(settings.platform.supply),
       instances: new HttpInstanceList(settings.platform.instances),
       usage: new HttpUsageReportSink(settings.platform.usage),
--- a/packages/hickoryrelay-platform/src/EtcdCodec.ts
+++ b/packages/hickoryrelay-platform/src/EtcdCodec.ts
@@ -38,6 +38,8 @@
     readonly header?: { readonly revision?: string };
     readonly created?: boolean;
     readonly canceled?: boolean;
+    /** Present if the watch asked for changes that have been compacted. */
+    readonly compact_revision?: string;
     readonly events?: readonly { readonly type?: string; readonly kv: EtcdKeyValue }[];
   };
 }
--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -135,6 +135,13 @@
 
   private decodeWatchLine(line: string): WatchBatch {
     const { result } = JSON.parse(line) as EtcdWatchLine;
+    if (result?.compact_revision !== undefined) {
+      throw new RelayError({
+        kind: FailureKind.ProtocolViolation,
+        peer: 'key-value service',
+        reason: `changes before revision ${result.compact_revision} are no longer kept`,
+      });
+    }
     if (result?.canceled === true) {
       throw this.unavailable('the watch was cancelled by the service', false);
     }
--- a/packages/hickoryrelay-standin/src/EngineOrderSide.ts
+++ b/packages/hickoryrelay-standin/src/EngineOrderSide.ts
@@ -9,7 +9,7 @@
   IssuedOrder,
 } from 'hickoryrelay-endpoint/EndpointOrder';
 import type { Clock } from 'hickoryrelay/Clock';
-import type { InProcessExchange } from './InProcessExchange.js';
+import type { OrderExchanges } from './InProcessExchange.js';
 import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
 
 /** What an engine checks before it takes an order. */
@@ -116,7 +116,7 @@
 
   private readonly side: EngineOrderSide;
 
-  private readonly exchange: InProcessExchange;
+  private readonly exchanges: OrderExchanges;
 
   private readonly check: () => void;
 
@@ -128,14 +128,14 @@
   constructor(
     endpoint: string,
     side: EngineOrderSide,
-    exchange: InProcessExchange,
+    exchanges: OrderExchanges,
     check: () => void,
     observeSend: (issued: IssuedOrder) => void = () => {},
   ) {
     super();
     this.endpoint = endpoint;
     this.side = side;
-    this.exchange = exchange;
+    this.exchanges = exchanges;
     this.check = check;
     this.observeSend = observeSend;
   }
@@ -144,7 +144,7 @@
     this.assertOpen();
     this.check();
     this.observeSend(issued);
-    return this.exchange.send(
+    return this.exchanges.orders.send(
       () => this.side.take(issued),
       ({ reason, mayHaveTakenEffect }) => this.failure(reason, mayHaveTakenEffect),
     );
@@ -152,7 +152,7 @@
 
   override async readState(): Promise<EndpointOrderState> {
     this.assertOpen();
-    return this.exchange.send(
+    return this.exchanges.reads.send(
       () => this.side.state(),
       ({ reason }) => this.failure(reason, false),
     );
--- a/packages/hickoryrelay-standin/src/InProcessExchange.ts
+++ b/packages/hickoryrelay-standin/src/InProcessExchange.ts
@@ -11,6 +11,12 @@
   readonly mayHaveTakenEffect: boolean;
 }
 
+/** The ways of one simulated process to a stand-in: orders may be held up while reads pass. */
+export interface OrderExchanges {
+  readonly orders: InProcessExchange;
+  readonly reads: InProcessExchange;
+}
+
 /**
  * Requests from one simulated process to a stand-in, with faults and delays. A request takes effect
  * after its delay even if the caller has timed out, paused or died by then.
--- a/packages/hickoryrelay-standin/src/ProcessClock.ts
+++ b/packages/hickoryrelay-standin/src/ProcessClock.ts
@@ -9,7 +9,11 @@
 export class ProcessClock extends Clock {
   private readonly base: Clock;
 
-  private held: (() => void)[] = [];
+  private heldTimers: (() => void)[] = [];
+
+  private heldArrivals: (() => void)[] = [];
+
+  private wallOffsetMilliseconds = 0;
 
   private isPaused = false;
 
@@ -29,7 +33,7 @@
   }
 
   override wallMilliseconds(): number {
-    return this.base.wallMilliseconds();
+    return this.base.wallMilliseconds() + this.wallOffsetMilliseconds;
   }
 
   override sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
@@ -61,7 +65,9 @@
         action();
       }
     };
-    const cancelAlarm = this.base.schedule(milliseconds, () => this.whenRunning(run));
+    const cancelAlarm = this.base.schedule(milliseconds, () => {
+      this.whenRunning(this.heldTimers, run);
+    });
     return () => {
       isOpen = false;
       cancelAlarm();
@@ -71,7 +77,7 @@
   /** Resolves once the process can take in what arrived from outside. */
   arrive(): Promise<void> {
     return new Promise((resolve) => {
-      this.whenRunning(resolve);
+      this.whenRunning(this.heldArrivals, resolve);
     });
   }
 
@@ -79,25 +85,39 @@
     this.isPaused = true;
   }
 
-  resume(): void {
+  /**
+   * Resumes. An event loop that wakes up may handle timers or arrivals first; what follows from the
+   * first kind runs before the second.
+   */
+  async resume(arrivalsFirst = false): Promise<void> {
     this.isPaused = false;
-    const { held } = this;
-    this.held = [];
-    if (!this.isKilled) {
-      held.forEach((action) => action());
-    }
+    const { heldTimers, heldArrivals } = this;
+    this.heldTimers = [];
+    this.heldArrivals = [];
+    const [first, second] = arrivalsFirst ? [heldArrivals, heldTimers] : [heldTimers, heldArrivals];
+    first.forEach((action) => action());
+    await new Promise<void>((resolve) => {
+      setImmediate(resolve);
+    });
+    second.forEach((action) => action());
+  }
+
+  /** Sets the wall clock of the process against the others. */
+  setWallOffset(milliseconds: number): void {
+    this.wallOffsetMilliseconds = milliseconds;
   }
 
   kill(): void {
     this.isKilled = true;
-    this.held = [];
+    this.heldTimers = [];
+    this.heldArrivals = [];
   }
 
-  private whenRunning(action: () => void): void {
+  private whenRunning(held: (() => void)[], action: () => void): void {
     if (this.isRunning) {
       action();
     } else if (!this.isKilled) {
-      this.held.push(action);
+      held.push(action);
     }
   }
 }
--- a/packages/hickoryrelay-standin/src/SupplySide.ts
+++ b/packages/hickoryrelay-standin/src/SupplySide.ts
@@ -9,7 +9,7 @@
   SupplyOrder,
 } from 'hickoryrelay-platform/EndpointSupply';
 import type { Clock } from 'hickoryrelay/Clock';
-import type { InProcessExchange } from './InProcessExchange.js';
+import type { OrderExchanges } from './InProcessExchange.js';
 
 /** An order or a release as the platform received it. */
 export interface ReceivedOrder {
@@ -96,7 +96,7 @@
 
 /** The way of one simulated process to the supply side, without sockets. */
 export class InProcessEndpointSupply extends EndpointSupply {
-  readonly exchange: InProcessExchange;
+  private readonly exchanges: OrderExchanges;
 
   private readonly side: SupplySide;
 
@@ -105,12 +105,12 @@
 
   constructor(
     side: SupplySide,
-    exchange: InProcessExchange,
+    exchanges: OrderExchanges,
     observeSend: (fencingNumber: number) => void = () => {},
   ) {
     super();
     this.side = side;
-    this.exchange = exchange;
+    this.exchanges = exchanges;
     this.observeSend = observeSend;
   }
 
@@ -133,7 +133,7 @@
   private async write(order: SupplyOrder | ReleaseOrder, check: AuthorityCheck): Promise<void> {
     check();
     this.observeSend(order.fencingNumber);
-    const answer = await this.exchange.send(
+    const answer = await this.exchanges.orders.send(
       () => this.side.take(order),
       ({ reason, mayHaveTakenEffect }) => this.unavailable(reason, mayHaveTakenEffect),
     );
@@ -147,7 +147,7 @@
   }
 
   private read<Answer>(effect: () => Answer): Promise<Answer> {
-    return this.exchange.send(effect, ({ reason }) => this.unavailable(reason, false));
+    return this.exchanges.reads.send(effect, ({ reason }) => this.unavailable(reason, false));
   }
 
   private unavailable(reason: string, mayHaveTakenEffect: boolean): RelayError {
--- a/packages/hickoryrelay-zone/src/OrderBook.ts
+++ b/packages/hickoryrelay-zone/src/OrderBook.ts
@@ -40,13 +40,6 @@
   readonly openLink: (endpoint: string, check: () => void) => OrderLink | undefined;
 }
 
-/** An order as it is stored before it is sent. */
-interface Intent {
-  readonly issued: IssuedOrder;
-  /** Wall time from which the network can no longer deliver the order. */
-  readonly settleAfterMilliseconds: number;
-}
-
 /**
  * The orders of one term to the endpoints of its zone. An order is written as an intent under the
  * condition that the term holds the authority key, then sent, then settled by the answer or by
@@ -74,6 +67,12 @@
 
   private readonly links = new Map<string, OrderLink>();
 
+  /**
+   * Monotonic times from which this term's orders, by identifier, can no longer arrive. Not from the
+   * deadline, because the wall clock may be set and not every endpoint checks it.
+   */
+  private readonly endsOfLife = new Map<string, number>();
+
   private isReady = false;
 
   constructor(parts: OrderBookParts) {
@@ -113,12 +112,13 @@
     if (link === undefined) {
       return OrderOutcome.NoEffect;
     }
-    const settleAfterMilliseconds =
-      clock.wallMilliseconds() + LONGEST_ORDER_MILLISECONDS + CLOCK_SKEW_MILLISECONDS;
-    const modRevision = await this.writeIntent({ issued, settleAfterMilliseconds });
+    const endMilliseconds = clock.monotonicMilliseconds() + LONGEST_ORDER_MILLISECONDS;
+    this.endsOfLife.set(issued.identifier, endMilliseconds + CLOCK_SKEW_MILLISECONDS);
+    const modRevision = await this.writeIntent(issued);
     const outcome = await this.send(link, issued);
     if (outcome !== OrderOutcome.Open) {
       await this.deleteIntent(endpoint, modRevision);
+      this.endsOfLife.delete(issued.identifier);
     }
     return outcome;
   }
@@ -132,7 +132,7 @@
     const { values } = await store.range(intentsPrefix(term.zone), { prefix: true });
     let open = 0;
     for (const stored of values) {
-      const isSettled = await this.settle(stored, JSON.parse(stored.value) as Intent);
+      const isSettled = await this.settle(stored, JSON.parse(stored.value) as IssuedOrder);
       open += isSettled ? 0 : 1;
     }
     return open;
@@ -161,11 +161,11 @@
   }
 
   /** Writes the intent and returns its revision. A lost answer is resolved by reading. */
-  private async writeIntent(intent: Intent): Promise<number> {
+  private async writeIntent(issued: IssuedOrder): Promise<number> {
     const { store, term } = this.parts;
-    const { endpoint } = intent.issued;
+    const { endpoint } = issued;
     const key = intentKey(term.zone, endpoint);
-    const value = JSON.stringify(intent);
+    const value = JSON.stringify(issued);
     try {
       const result = await store.commit({
         compare: [term.comparison, { key, target: 'create-revision', operand: 0 }],
@@ -235,13 +235,10 @@
     }
   }
 
-  private async settle(stored: KeyValue, intent: Intent): Promise<boolean> {
-    const { term, clock } = this.parts;
-    const { issued, settleAfterMilliseconds } = intent;
+  private async settle(stored: KeyValue, issued: IssuedOrder): Promise<boolean> {
     // A predecessor's orders can no longer arrive once `begin` has waited.
-    const mayStillArrive =
-      issued.fencingNumber === term.fencingNumber &&
-      clock.wallMilliseconds() < settleAfterMilliseconds;
+    const endOfLife = this.endsOfLife.get(issued.identifier) ?? 0;
+    const mayStillArrive = this.parts.clock.monotonicMilliseconds() < endOfLife;
     if (mayStillArrive) {
       return false;
     }
@@ -257,6 +254,7 @@
       }
     }
     await this.deleteIntent(issued.endpoint, stored.modRevision);
+    this.endsOfLife.delete(issued.identifier);
     return true;
   }
 
--- a/packages/hickoryrelay-zone/src/SupplyBook.ts
+++ b/packages/hickoryrelay-zone/src/SupplyBook.ts
@@ -54,8 +54,6 @@
   readonly amount: number;
   readonly fencingNumber: number;
   readonly deadlineMilliseconds: number;
-  /** Wall time from which the network can no longer deliver the order. */
-  readonly settleAfterMilliseconds: number;
 }
 
 /** An order that took effect and still costs money. */
@@ -87,6 +85,9 @@
 export class SupplyBook {
   private readonly parts: SupplyBookParts;
 
+  /** Monotonic times from which this term's orders, by key, can no longer arrive. */
+  private readonly endsOfLife = new Map<string, number>();
+
   private isReady = false;
 
   constructor(parts: SupplyBookParts) {
@@ -146,22 +147,25 @@
   /** Settles open intents by the platform's effective orders. Returns how many remain open. */
   async settleOpen(): Promise<number> {
     const { store, supply, term, clock } = this.parts;
+    const askedMilliseconds = clock.monotonicMilliseconds();
     const { values } = await store.range(supplyIntentsPrefix(term.zone), { prefix: true });
     if (values.length === 0) {
       return 0;
     }
-    const askedMilliseconds = clock.wallMilliseconds();
     const effective = new Set(await supply.effectiveOrders(term.zone));
     let open = 0;
     for (const stored of values) {
       const intent = JSON.parse(stored.value) as SupplyIntent;
-      const mayStillArrive =
-        intent.fencingNumber === term.fencingNumber &&
-        askedMilliseconds < intent.settleAfterMilliseconds;
+      // A predecessor's orders can no longer arrive once `begin` has waited.
+      const endOfLife = this.endsOfLife.get(intent.idempotencyKey) ?? 0;
+      const mayStillArrive = askedMilliseconds < endOfLife;
       const isEffective = effective.has(intent.idempotencyKey);
       const isSettled =
         (isEffective || !mayStillArrive) && (await this.settle(intent, stored, isEffective));
       open += isSettled ? 0 : 1;
+      if (isSettled) {
+        this.endsOfLife.delete(intent.idempotencyKey);
+      }
     }
     return open;
   }
@@ -204,15 +208,16 @@
       throw this.refused('the orders of the predecessor are not settled');
     }
     term.assertHeld();
-    const now = clock.wallMilliseconds();
+    const endMilliseconds = clock.monotonicMilliseconds() + LONGEST_ORDER_MILLISECONDS;
+    this.endsOfLife.set(idempotencyKey, endMilliseconds + CLOCK_SKEW_MILLISECONDS);
     return {
       type,
       idempotencyKey,
       subject,
       ...rest,
       fencingNumber: term.fencingNumber,
-      deadlineMilliseconds: now + Math.min(LONGEST_ORDER_MILLISECONDS, term.remainingMilliseconds),
-      settleAfterMilliseconds: now + LONGEST_ORDER_MILLISECONDS + CLOCK_SKEW_MILLISECONDS,
+      deadlineMilliseconds:
+        clock.wallMilliseconds() + Math.min(LONGEST_ORDER_MILLISECONDS, term.remainingMilliseconds),
     };
   }
 
@@ -281,7 +286,9 @@
       return OrderOutcome.Open;
     }
     endOrder();
-    await this.settle(intent, stored, isEffective);
+    if (await this.settle(intent, stored, isEffective)) {
+      this.endsOfLife.delete(intent.idempotencyKey);
+    }
     return isEffective ? OrderOutcome.Taken : OrderOutcome.NoEffect;
   }
 
--- a/packages/hickoryrelay-zone/src/__tests__/unit/Authority.fuzz.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/Authority.fuzz.test.ts
@@ -13,11 +13,12 @@
 /** Ends all faults, lets time pass, and checks that the zone works again with nothing left open. */
 async function heal(world: AuthorityWorld): Promise<void> {
   for (const process of world.processes) {
-    process.clock.resume();
+    await process.clock.resume();
+    process.clock.setWallOffset(0);
     for (const exchange of [
       process.store.exchange,
-      process.engineExchange,
-      process.supplyExchange,
+      ...Object.values(process.engineExchanges),
+      ...Object.values(process.supplyExchanges),
     ]) {
       exchange.faults.standing = Fault.None;
       exchange.slow(0, 0);
--- a/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityCommands.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityCommands.ts
@@ -85,13 +85,13 @@
     ),
 );
 
-const resume = processIndex.map(
-  (index) =>
+const resume = fc.tuple(processIndex, fc.boolean()).map(
+  ([index, arrivalsFirst]) =>
     new WorldCommand(
-      `resume(${index})`,
-      (world, model) => {
+      `resume(${index}, ${arrivalsFirst})`,
+      async (world, model) => {
         model.paused.delete(index);
-        processOf(world, index).clock.resume();
+        await processOf(world, index).clock.resume(arrivalsFirst);
       },
       (model) => model.paused.has(index),
     ),
@@ -105,7 +105,7 @@
       async (world) => {
         processOf(world, index).clock.pause();
         await world.advance(30_000);
-        processOf(world, index).clock.resume();
+        await processOf(world, index).clock.resume();
       },
       (model) => !model.paused.has(index),
     ),
@@ -128,16 +128,25 @@
     ),
 );
 
-const Target = { Store: 'store', Engines: 'engines', Supply: 'supply' } as const;
+const Target = {
+  Store: 'store',
+  EngineOrders: 'engine-orders',
+  EngineReads: 'engine-reads',
+  SupplyOrders: 'supply-orders',
+  SupplyReads: 'supply-reads',
+} as const;
 type Target = (typeof Target)[keyof typeof Target];
 const target = fc.constantFrom<Target>(...Object.values(Target));
 
 function exchangeOf(world: AuthorityWorld, index: number, name: Target) {
   const process = processOf(world, index);
-  if (name === Target.Store) {
-    return process.store.exchange;
-  }
-  return name === Target.Engines ? process.engineExchange : process.supplyExchange;
+  return {
+    [Target.Store]: process.store.exchange,
+    [Target.EngineOrders]: process.engineExchanges.orders,
+    [Target.EngineReads]: process.engineExchanges.reads,
+    [Target.SupplyOrders]: process.supplyExchanges.orders,
+    [Target.SupplyReads]: process.supplyExchanges.reads,
+  }[name];
 }
 
 const nextFault = fc
@@ -173,7 +182,7 @@
   .map(
     ([index, name, delay, end]) =>
       new WorldCommand(`orderInFlight(${index}, ${name}, ${delay}, ${end})`, async (world) => {
-        const exchanges = [Target.Engines, Target.Supply].map((each) =>
+        const exchanges = [Target.EngineOrders, Target.SupplyOrders].map((each) =>
           exchangeOf(world, index, each),
         );
         exchanges.forEach((exchange) => exchange.slow(delay, 0));
@@ -183,7 +192,7 @@
         if (end === 'pause') {
           processOf(world, index).clock.pause();
           await world.advance(14_000);
-          processOf(world, index).clock.resume();
+          await processOf(world, index).clock.resume();
         } else if (end === 'crash') {
           world.crash(index);
         } else if (end === 'stop') {
@@ -194,6 +203,32 @@
       }),
   );
 
+/**
+ * A holder is paused while it reads an engine's state before an order, its lease lapses, and it
+ * wakes up with the answer first and with a wall clock that may have been set back.
+ */
+const pausedBeforeSend = fc
+  .tuple(processIndex, engine, fc.constantFrom(1500, 1900), fc.constantFrom(0, -14_000))
+  .map(
+    ([index, name, delay, wallOffset]) =>
+      new WorldCommand(
+        `pausedBeforeSend(${index}, ${name}, ${delay}, ${wallOffset})`,
+        async (world) => {
+          const { clock } = processOf(world, index);
+          exchangeOf(world, index, Target.EngineReads).slow(delay, 0);
+          world.wishEngineOrder(name, index);
+          await world.advance(1500);
+          clock.pause();
+          await world.advance(14_000);
+          clock.setWallOffset(wallOffset);
+          await clock.resume(true);
+          exchangeOf(world, index, Target.EngineReads).slow(0, 0);
+          await world.advance(1000);
+        },
+        (model) => !model.paused.has(index),
+      ),
+  );
+
 const reclaim = fc
   .nat({ max: 4 })
   .map((choice) => new WorldCommand(`reclaim(${choice})`, (world) => world.reclaim(choice)));
@@ -240,6 +275,7 @@
   slow,
   orderInFlight,
   orderInFlight,
+  pausedBeforeSend,
   reclaim,
   otherZone,
   raceForSpend,
--- a/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityWorld.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityWorld.ts
@@ -18,6 +18,7 @@
 
 import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
 import type { OrderChecks } from 'hickoryrelay-standin/EngineOrderSide';
+import type { OrderExchanges } from 'hickoryrelay-standin/InProcessExchange';
 import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 import type { ZoneDecision } from 'hickoryrelay-zone/OrdersDuty';
 
@@ -63,9 +64,9 @@
 
   readonly store: InProcessKeyValueStore;
 
-  readonly engineExchange: InProcessExchange;
+  readonly engineExchanges: OrderExchanges;
 
-  readonly supplyExchange: InProcessExchange;
+  readonly supplyExchanges: OrderExchanges;
 
   readonly planner = new WishPlanner();
 
@@ -82,8 +83,9 @@
     this.random = new SeededRandomSource(seed);
     this.clock = new ProcessClock(world.clock);
     this.store = new InProcessKeyValueStore(world.table, world.clock, this.clock);
-    this.engineExchange = new InProcessExchange(world.clock, this.clock);
-    this.supplyExchange = new InProcessExchange(world.clock, this.clock);
+    const exchange = () => new InProcessExchange(world.clock, this.clock);
+    this.engineExchanges = { orders: exchange(), reads: exchange() };
+    this.supplyExchanges = { orders: exchange(), reads: exchange() };
     this.lifecycle = new LifecycleManager(name, this.clock, (owner, failure) => {
       world.report(`${name}: ${owner}: ${JSON.stringify(failure)}`);
     });
@@ -113,7 +115,7 @@
       openLink: (endpoint, check) => {
         const side = world.engines.get(endpoint);
         const observe = () => world.observeSend(endpoint, term.fencingNumber);
-        return side && new InProcessOrderLink(endpoint, side, this.engineExchange, check, observe);
+        return side && new InProcessOrderLink(endpoint, side, this.engineExchanges, check, observe);
       },
     });
     const supply = new SupplyBook({
@@ -121,7 +123,7 @@
       store,
       clock,
       random,
-      supply: new InProcessEndpointSupply(world.supply, this.supplyExchange, (fencingNumber) =>
+      supply: new InProcessEndpointSupply(world.supply, this.supplyExchanges, (fencingNumber) =>
         world.observeSend('platform', fencingNumber),
       ),
     });
@@ -295,6 +297,12 @@
       }
       this.checkedOrders.set(name, side.taken.length);
     });
+    this.processes.forEach(({ authority }) => {
+      const number = authority.currentTerm?.fencingNumber ?? this.holderNumber;
+      if (number !== this.holderNumber) {
+        this.report(`${number} believes that it holds, the holder is ${this.holderNumber}`);
+      }
+    });
     this.counts.supplyOrders = this.supply.received.length;
     if (this.spend.total > this.highestBudget * 1000) {
       this.report(`spend ${this.spend.total} exceeds the budget ${this.highestBudget}`);
