--- a/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityCommands.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityCommands.ts
@@ -198,8 +198,12 @@
         } else if (end === 'stop') {
           world.stop(index);
         }
-        world.wishEngineOrder(name, index + 1);
-        await world.advance(9000);
+        // The next orders are not held up, and may overtake the first one.
+        exchanges.forEach((exchange) => exchange.slow(0, 0));
+        for (let second = 0; second < 9; second += 1) {
+          world.wishEngineOrder(name, second);
+          await world.advance(1000);
+        }
       }),
   );
 
@@ -229,6 +233,45 @@
       ),
   );
 
+/** Hands the authority over to processes that have just started. */
+async function startAnew(world: AuthorityWorld, model: AuthorityModel): Promise<void> {
+  const indices = [...world.processes.keys()].filter((index) => !model.paused.has(index));
+  indices.forEach((index) => world.stop(index));
+  await world.advance(12_000);
+  indices.forEach((index) => world.crash(index));
+}
+
+/** A fault of the write that takes the authority: the fourth call of a process. */
+const faultOfTaking = fault.map(
+  (kind) =>
+    new WorldCommand(`faultOfTaking(${kind})`, async (world, model) => {
+      await startAnew(world, model);
+      world.processes.forEach(({ store }) => {
+        [Fault.None, Fault.None, Fault.None, kind].forEach((each) =>
+          store.exchange.faults.next(each),
+        );
+      });
+      await world.advance(25_000);
+    }),
+);
+
+/** The service answers late while the authority is taken and renewed, and then not at all. */
+const slowThenOut = fc.constantFrom(6000, 7000, 9000, 12_000).map(
+  (milliseconds) =>
+    new WorldCommand(`slowThenOut(${milliseconds})`, async (world, model) => {
+      await startAnew(world, model);
+      const exchanges = world.processes.map(({ store }) => store.exchange);
+      exchanges.forEach((exchange) => exchange.slow(0, 1900));
+      await world.advance(milliseconds);
+      exchanges.forEach(({ faults }) => Object.assign(faults, { standing: Fault.Refuse }));
+      await world.advance(15_000);
+      exchanges.forEach((exchange) => {
+        Object.assign(exchange.faults, { standing: Fault.None });
+        exchange.slow(0, 0);
+      });
+    }),
+);
+
 const reclaim = fc
   .nat({ max: 4 })
   .map((choice) => new WorldCommand(`reclaim(${choice})`, (world) => world.reclaim(choice)));
@@ -276,6 +319,8 @@
   orderInFlight,
   orderInFlight,
   pausedBeforeSend,
+  faultOfTaking,
+  slowThenOut,
   reclaim,
   otherZone,
   raceForSpend,
--- /dev/null
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
@@ -0,0 +1,166 @@
+import { Fault } from 'hickoryrelay-standin/FaultPlan';
+import { InProcessKeyValueStore } from 'hickoryrelay-standin/InProcessKeyValueStore';
+import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
+import { ProcessClock } from 'hickoryrelay-standin/ProcessClock';
+import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
+import { ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
+import { authorityKey, fencingKey } from 'hickoryrelay-zone/ZoneKeyUtils';
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+const ZONE = 'zone-a';
+
+describe('ZoneAuthority', () => {
+  let clock: ManualClock;
+  let table: KeyValueTable;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    table = new KeyValueTable(clock);
+  });
+
+  function contender(holder: string, seed = 1) {
+    const process = new ProcessClock(clock);
+    const store = new InProcessKeyValueStore(table, clock, process);
+    const lifecycle = new LifecycleManager(holder, process, () => {});
+    const authority = new ZoneAuthority({
+      zone: ZONE,
+      holder,
+      store,
+      random: new SeededRandomSource(seed),
+      log: silentLogger,
+      lifecycle,
+      duties: () => [],
+    });
+    return {
+      process,
+      store,
+      authority,
+      start: () => lifecycle.start(authority),
+      stop: () => lifecycle.stop(),
+    };
+  }
+
+  function storedHolder(): string | undefined {
+    const value = table.range(authorityKey(ZONE)).values[0]?.value;
+    return value === undefined ? undefined : (JSON.parse(value) as { holder: string }).holder;
+  }
+
+  it('gives the authority to one of two contenders and keeps it there', async () => {
+    const both = [contender('first', 1), contender('second', 2)];
+    both.forEach((each) => each.start());
+    await clock.advance(60_000);
+    expect(both.filter((each) => each.authority.currentTerm).length).toBe(1);
+    expect(table.range(fencingKey(ZONE)).values[0]?.value).toBe('1');
+  });
+
+  it('hands over on a graceful stop, before the lease would have run out', async () => {
+    const first = contender('first', 1);
+    first.start();
+    await clock.advance(1000);
+    const second = contender('second', 2);
+    second.start();
+    await clock.advance(1000);
+    await first.stop();
+    expect(storedHolder()).toBeUndefined();
+    await clock.advance(7500);
+    expect(second.authority.currentTerm?.fencingNumber).toBe(2);
+  });
+
+  it('holds after the answer to the taking write was lost', async () => {
+    const first = contender('first');
+    // Two reads, the grant of the lease, and then the write.
+    [Fault.None, Fault.None, Fault.None, Fault.LoseAnswer].forEach((fault) =>
+      first.store.exchange.faults.next(fault),
+    );
+    first.start();
+    await clock.advance(5000);
+    expect(first.authority.currentTerm?.fencingNumber).toBe(1);
+    expect(storedHolder()).toBe('first');
+  });
+
+  it('ends its term before the lease ends when grant and renewals are answered late', async () => {
+    const first = contender('first');
+    first.store.exchange.slow(0, 1900);
+    first.start();
+    const overlaps: number[] = [];
+    const watchUntil = async (milliseconds: number) => {
+      for (let passed = 0; passed < milliseconds; passed += 100) {
+        await clock.advance(100);
+        if (first.authority.currentTerm !== undefined && storedHolder() !== 'first') {
+          overlaps.push(clock.monotonicMilliseconds());
+        }
+      }
+    };
+    await watchUntil(9000);
+    expect(first.authority.currentTerm).toBeDefined();
+    first.store.exchange.faults.standing = Fault.Refuse;
+    await watchUntil(20_000);
+    // The same with an outage right after the authority was taken, before any renewal.
+    const second = contender('second');
+    second.store.exchange.slow(0, 1900);
+    second.start();
+    for (let passed = 0; passed < 20_000; passed += 100) {
+      await clock.advance(100);
+      if (second.authority.currentTerm !== undefined) {
+        second.store.exchange.faults.standing = Fault.Refuse;
+        if (storedHolder() !== 'second') {
+          overlaps.push(clock.monotonicMilliseconds());
+        }
+      }
+    }
+    expect(second.store.exchange.faults.standing).toBe(Fault.Refuse);
+    expect(overlaps).toEqual([]);
+  });
+
+  it('ends its authority while the platform is out of reach and takes it again after', async () => {
+    const first = contender('first');
+    first.start();
+    await clock.advance(5000);
+    first.store.exchange.faults.standing = Fault.Refuse;
+    await clock.advance(11_000);
+    expect(first.authority.currentTerm).toBeUndefined();
+    first.store.exchange.faults.standing = Fault.None;
+    await clock.advance(20_000);
+    expect(first.authority.currentTerm?.fencingNumber).toBe(2);
+  });
+
+  it('wakes up without authority after a pause longer than its lease', async () => {
+    const first = contender('first');
+    first.start();
+    await clock.advance(5000);
+    const term = first.authority.currentTerm;
+    first.process.pause();
+    await clock.advance(15_000);
+    // Even before its timers have run.
+    expect(() => term?.assertHeld()).toThrow('Authority over zone zone-a');
+    await first.process.resume(true);
+    expect(first.authority.currentTerm).toBeUndefined();
+  });
+});
+
+describe('AuthorityTerm', () => {
+  const grant = { zone: ZONE, holder: 'first', fencingNumber: 1, lease: '1' };
+  const span = { timeToLiveSeconds: 10, marginMilliseconds: 1000 };
+
+  it('is not held again by a renewal that comes after its end', async () => {
+    const clock = new ManualClock();
+    const term = new AuthorityTerm(grant, clock, { askedMilliseconds: 0, ...span });
+    await clock.advance(8900);
+    expect(term.isHeld).toBe(true);
+    await clock.advance(200);
+    expect(term.renew({ askedMilliseconds: 9100, ...span })).toBe(false);
+    expect([term.isHeld, term.signal.aborted]).toEqual([false, true]);
+  });
+
+  it('is not extended by a renewal beyond what its request time allows', async () => {
+    const clock = new ManualClock();
+    const term = new AuthorityTerm(grant, clock, { askedMilliseconds: 0, ...span });
+    await clock.advance(8000);
+    expect(term.renew({ askedMilliseconds: 3000, ...span })).toBe(true);
+    expect(term.remainingMilliseconds).toBe(4000);
+  });
+});
