--- a/packages/hickoryrelay-zone/src/RolePlan.ts
+++ b/packages/hickoryrelay-zone/src/RolePlan.ts
@@ -99,9 +99,14 @@
   readonly changeSeconds: number;
   /** Spare capacity to plan for, as a factor on the demand. */
   readonly headroom: number;
+  /** Share of the demand that better roles must be able to add before a series of changes begins. */
+  readonly leastShortfall: number;
   /** Least gain of a change, in engine-seconds over the horizon and for each second lost. */
   readonly leastGainPerSecondLost: number;
-  /** How long the same kind of change must be wanted without a break, in milliseconds. */
+  /**
+   * How long the same kind of change must be wanted before the first of a series, in milliseconds.
+   * Engines change one at a time, so confirming each of them would make a series twice as long.
+   */
   readonly confirmMilliseconds: number;
   /** How long an engine keeps a role, in milliseconds. */
   readonly dwellMilliseconds: number;
@@ -112,6 +117,7 @@
   horizonSeconds: 300,
   changeSeconds: 20,
   headroom: 1.1,
+  leastShortfall: 0.04,
   leastGainPerSecondLost: 2,
   confirmMilliseconds: 15_000,
   dwellMilliseconds: 120_000,
@@ -144,13 +150,17 @@
 /**
  * Changes one engine at a time to the role that meets more of the demand of both kinds, if the gain
  * over the horizon exceeds what is lost while the engine changes. A change must be wanted for a
- * while and an engine keeps its role for a while, so that noise does not move engines to and fro.
+ * while and an engine keeps its role for a while, so that noise does not move engines to and fro. A
+ * series begins only when better roles would meet clearly more of the demand, and then goes on until
+ * no change is worth it.
  */
 export class DemandRoles extends RolePolicy {
   private readonly limits: RoleLimits;
 
   private readonly changedMilliseconds = new Map<string, number>();
 
+  private changesInSeries = 0;
+
   private wanted: { readonly key: string; readonly sinceMilliseconds: number } | undefined;
 
   constructor(limits: RoleLimits = DEFAULT_ROLE_LIMITS) {
@@ -163,7 +173,12 @@
       return { reason: 'an engine is changing' };
     }
     const best = this.best(observation);
-    if (best === undefined) {
+    const isSeries = this.changesInSeries > 0;
+    if (
+      best === undefined ||
+      (!isSeries && this.shortfall(observation) < this.limits.leastShortfall)
+    ) {
+      this.changesInSeries = 0;
       this.wanted = undefined;
       return { reason: 'no change gains enough' };
     }
@@ -171,16 +186,26 @@
     const key = `${best.from}-${best.change.role}`;
     if (this.wanted?.key !== key) {
       this.wanted = { key, sinceMilliseconds: nowMilliseconds };
+      this.changesInSeries = 0;
     }
     if (nowMilliseconds - this.wanted.sinceMilliseconds < this.limits.confirmMilliseconds) {
       return { reason: `waiting to confirm ${key}` };
     }
-    this.wanted = undefined;
+    this.changesInSeries += 1;
     this.changedMilliseconds.set(best.change.endpoint, nowMilliseconds);
     const figures = `${best.gain.toFixed(0)} engine-seconds gained, ${best.loss.toFixed(0)} lost`;
     return { change: best.change, reason: `${key}: ${figures}` };
   }
 
+  /** Share of the demand that the same engines could meet beyond the present, in the best roles. */
+  private shortfall({ engines, demand }: RoleObservation): number {
+    const { headroom } = this.limits;
+    const planned = { prefill: demand.prefill * headroom, decode: demand.decode * headroom };
+    const total = planned.prefill + planned.decode;
+    const ideal = total === 0 ? 1 : Math.min(1, engines.length / total);
+    return ideal - Math.min(1, shareMet(planned, countRoles(engines)));
+  }
+
   private best(observation: RoleObservation): RatedChange | undefined {
     let best: RatedChange | undefined;
     for (const rated of this.candidates(observation)) {
--- a/packages/hickoryrelay-zone/src/__tests__/unit/SupplyBook.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/SupplyBook.test.ts
@@ -114,6 +114,9 @@
     store.exchange.slow(100, 0);
     orders.faults.next(Fault.Refuse);
     const ordering = book.order(KIND, 50_000);
+    while (side.received.length === 0 && reserved() === 0) {
+      await clock.advance(10);
+    }
     for (let step = 1; step <= 12; step += 1) {
       await clock.advance(50);
       put(
@@ -121,7 +124,7 @@
         Spend.parse(table.range(SPEND_KEY).values[0]?.value).add('zone-b', 1).serialize(),
       );
     }
-    // With changes at that rate the order waits; it ends once they stop.
+    // With changes at that rate the settling repeats; it ends once they stop.
     await clock.advance(5000);
     await ordering;
     const spend = Spend.parse(table.range(SPEND_KEY).values[0]?.value);
