Add the operators' command-line tool

apply with diff and dry run, get, diff, history, check, keys, accounts, classes, endpoints, usage and status; documented exit codes. A file that leaves keys out keeps the stored ones, and a withdrawal is final: an older file that declares the key as valid does not bring it back. 15 tests.

--- /dev/null
+++ b/packages/hickoryrelay-command-line/src/CommandRegistry.ts
@@ -0,0 +1,90 @@
+import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
+import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+
+import type { Failure } from 'hickoryrelay/Failure';
+import { ExitCode } from './Command.js';
+import {
+  ApplyCommand,
+  CheckCommand,
+  DiffCommand,
+  GetCommand,
+  HistoryCommand,
+} from './ConfigurationCommands.js';
+import { IssueKeyCommand, ListKeysCommand, WithdrawKeyCommand } from './KeyCommands.js';
+import {
+  AccountsCommand,
+  ClassesCommand,
+  EndpointsCommand,
+  StatusCommand,
+  UsageCommand,
+} from './ListCommands.js';
+
+import type { Command } from './Command.js';
+import type { CommandContext } from './CommandContext.js';
+
+function exitCodeOf(failure: Failure): ExitCode {
+  switch (failure.kind) {
+    case 'invalid-file':
+    case 'invalid-request':
+    case 'not-found':
+      return ExitCode.InvalidInput;
+    case 'revision-conflict':
+      return ExitCode.Conflict;
+    default:
+      return ExitCode.Failure;
+  }
+}
+
+/** All commands by name. */
+export class CommandRegistry {
+  private readonly commands: readonly Command[] = [
+    new ApplyCommand(),
+    new GetCommand(),
+    new DiffCommand(),
+    new HistoryCommand(),
+    new CheckCommand(),
+    new IssueKeyCommand(),
+    new WithdrawKeyCommand(),
+    new ListKeysCommand(),
+    new AccountsCommand(),
+    new ClassesCommand(),
+    new EndpointsCommand(),
+    new UsageCommand(),
+    new StatusCommand(),
+  ];
+
+  /** One line of help for each command. */
+  get usage(): readonly string[] {
+    return this.commands.map((command) => command.usage);
+  }
+
+  /** Runs the command that the words select. Failures are written and become the exit code. */
+  async run(
+    context: CommandContext,
+    words: readonly string[],
+    writeError: (text: string) => void,
+  ): Promise<ExitCode> {
+    try {
+      const [command, parameters] = this.select(words);
+      return await command.run(context, parameters);
+    } catch (error) {
+      const failure = failureOf(error);
+      writeError(`${describeFailure(failure)}\n`);
+      return exitCodeOf(failure);
+    }
+  }
+
+  private select(words: readonly string[]): [Command, readonly string[]] {
+    for (const command of this.commands) {
+      const names = command.name.split(' ');
+      if (names.every((name, index) => words[index] === name)) {
+        return [command, words.slice(names.length)];
+      }
+    }
+    throw new RelayError({
+      kind: FailureKind.NotFound,
+      subject: 'command',
+      name: words.join(' '),
+    });
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-command-line/src/ConfigurationCommands.ts
@@ -0,0 +1,123 @@
+import { changesBetween, carryKeys } from 'hickoryrelay-contract/DeclarationsChange';
+import { settingsSchema } from 'hickoryrelay-contract/Settings';
+import { YamlFile } from 'hickoryrelay-contract/YamlFile';
+import { stringify } from 'yaml';
+
+import type { EntryChange } from 'hickoryrelay-contract/DeclarationsChange';
+import { Command, ExitCode } from './Command.js';
+import { CommandContext } from './CommandContext.js';
+import { ConfigurationRollout } from './ConfigurationRollout.js';
+
+const SIGNS = { added: '+', changed: '~', removed: '-' } as const;
+
+function writeChanges(context: CommandContext, changes: readonly EntryChange[]): void {
+  if (context.flags.json) {
+    context.line(JSON.stringify(changes, undefined, 2));
+    return;
+  }
+  for (const change of changes) {
+    context.line(`${SIGNS[change.kind]} ${change.section} ${change.name}`);
+    for (const { field, before, after } of change.fields) {
+      context.line(`    ${field}: ${before ?? '(absent)'} -> ${after ?? '(absent)'}`);
+    }
+  }
+  if (changes.length === 0) {
+    context.line('No differences.');
+  }
+}
+
+/** Replaces the stored configuration by a declarations file. */
+export class ApplyCommand extends Command {
+  override readonly name = 'apply';
+
+  override readonly usage = 'apply <file> [--dry-run]   Replace the configuration by a file';
+
+  override async run(context: CommandContext, parameters: readonly string[]): Promise<ExitCode> {
+    const file = context.require(parameters, 0, 'file');
+    const declared = await context.readDeclarations(file);
+    const stored = await context.readStored();
+    const next = carryKeys(declared, stored.document);
+    const changes = changesBetween(stored.document, next);
+    writeChanges(context, changes);
+    if (changes.length === 0 || context.flags.dryRun) {
+      return ExitCode.Success;
+    }
+    const head = await context.platform.configurations.replace(next, stored.revision, {
+      author: context.author,
+      summary: changes
+        .map(({ kind, name }) => `${SIGNS[kind]}${name}`)
+        .join(' ')
+        .slice(0, 200),
+      wallMilliseconds: context.clock.wallMilliseconds(),
+    });
+    context.line(`Revision ${head.revision} is accepted.`);
+    return new ConfigurationRollout(context).follow(head.revision);
+  }
+}
+
+/** Shows the stored configuration. */
+export class GetCommand extends Command {
+  override readonly name = 'get';
+
+  override readonly usage = 'get                        Show the stored configuration as YAML';
+
+  override async run(context: CommandContext): Promise<ExitCode> {
+    const { revision, document } = await context.readApplied();
+    context.line(
+      context.flags.json
+        ? JSON.stringify({ revision, document }, undefined, 2)
+        : `# revision ${revision}\n${stringify(document)}`,
+    );
+    return ExitCode.Success;
+  }
+}
+
+/** Compares a declarations file with the stored configuration. */
+export class DiffCommand extends Command {
+  override readonly name = 'diff';
+
+  override readonly usage = 'diff <file>                Compare a file with the configuration';
+
+  override async run(context: CommandContext, parameters: readonly string[]): Promise<ExitCode> {
+    const declared = await context.readDeclarations(context.require(parameters, 0, 'file'));
+    const stored = await context.readStored();
+    const changes = changesBetween(stored.document, carryKeys(declared, stored.document));
+    writeChanges(context, changes);
+    return changes.length === 0 ? ExitCode.Success : ExitCode.Different;
+  }
+}
+
+/** Lists the latest changes of the configuration. */
+export class HistoryCommand extends Command {
+  override readonly name = 'history';
+
+  override readonly usage = 'history                    List the changes of the configuration';
+
+  override async run(context: CommandContext): Promise<ExitCode> {
+    const history = await context.platform.configurations.readHistory();
+    const rows = history.map(({ wallMilliseconds, ...entry }) => ({
+      ...entry,
+      time: new Date(wallMilliseconds).toISOString(),
+    }));
+    context.list(rows, ['revision', 'time', 'author', 'summary']);
+    return ExitCode.Success;
+  }
+}
+
+/** Checks a declarations or settings file without any connection. */
+export class CheckCommand extends Command {
+  override readonly name = 'check';
+
+  override readonly usage = 'check <file> [--settings]  Check a declarations or settings file';
+
+  override async run(context: CommandContext, parameters: readonly string[]): Promise<ExitCode> {
+    const file = context.require(parameters, 0, 'file');
+    if (context.flags.settings) {
+      new YamlFile(settingsSchema).read(file, await CommandContext.readText(file));
+    } else {
+      await context.readDeclarations(file);
+    }
+    context.line(`${file} is valid.`);
+    return ExitCode.Success;
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-command-line/src/KeyCommands.ts
@@ -0,0 +1,124 @@
+import { AccessKey } from 'hickoryrelay-contract/AccessKey';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { hasFailureKind, RelayError } from 'hickoryrelay/RelayError';
+
+import type { AccessKeyDeclaration } from 'hickoryrelay-contract/AccessKey';
+import type { ClientAccountDeclaration } from 'hickoryrelay-contract/ClientAccount';
+import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
+import { ConfigurationRollout } from './ConfigurationRollout.js';
+import { Command, ExitCode } from './Command.js';
+import type { CommandContext } from './CommandContext.js';
+
+const MOST_ATTEMPTS = 5;
+
+type KeyChange = (document: DeclarationsDocument) => ClientAccountDeclaration;
+
+/** Replaces one account in the stored configuration, again if another operator was first. */
+async function changeAccount(
+  context: CommandContext,
+  summary: string,
+  change: KeyChange,
+): Promise<number> {
+  for (let attempt = 1; ; attempt += 1) {
+    const { revision, document } = await context.readApplied();
+    const changed = change(document);
+    const accounts = document.accounts.map((account) =>
+      account.name === changed.name ? changed : account,
+    );
+    try {
+      const head = await context.platform.configurations.replace(
+        { ...document, accounts },
+        revision,
+        { author: context.author, summary, wallMilliseconds: context.clock.wallMilliseconds() },
+      );
+      return head.revision;
+    } catch (error) {
+      if (!hasFailureKind(error, FailureKind.RevisionConflict) || attempt === MOST_ATTEMPTS) {
+        throw error;
+      }
+    }
+  }
+}
+
+function findAccount(document: DeclarationsDocument, name: string): ClientAccountDeclaration {
+  const account = document.accounts.find((each) => each.name === name);
+  if (account === undefined) {
+    throw new RelayError({ kind: FailureKind.NotFound, subject: 'client account', name });
+  }
+  return account;
+}
+
+function withKey(
+  account: ClientAccountDeclaration,
+  key: AccessKeyDeclaration,
+): ClientAccountDeclaration {
+  const others = (account.keys ?? []).filter((each) => each.identifier !== key.identifier);
+  return { ...account, keys: [...others, key] };
+}
+
+/** Issues a key and shows it once. */
+export class IssueKeyCommand extends Command {
+  override readonly name = 'keys issue';
+
+  override readonly usage = 'keys issue <account>       Issue an access key; it is shown once';
+
+  override async run(context: CommandContext, parameters: readonly string[]): Promise<ExitCode> {
+    const name = context.require(parameters, 0, 'account');
+    const { text, declaration } = AccessKey.issue(context.random);
+    const revision = await changeAccount(
+      context,
+      `issue key ${declaration.identifier} for ${name}`,
+      (document) => withKey(findAccount(document, name), declaration),
+    );
+    context.line(
+      context.flags.json
+        ? JSON.stringify({ account: name, identifier: declaration.identifier, key: text, revision })
+        : `Key ${declaration.identifier} of ${name}, shown only now: ${text}`,
+    );
+    return new ConfigurationRollout(context).follow(revision);
+  }
+}
+
+/** Withdraws a key for good. */
+export class WithdrawKeyCommand extends Command {
+  override readonly name = 'keys withdraw';
+
+  override readonly usage = 'keys withdraw <identifier> Withdraw an access key, for good';
+
+  override async run(context: CommandContext, parameters: readonly string[]): Promise<ExitCode> {
+    const identifier = context.require(parameters, 0, 'identifier');
+    const revision = await changeAccount(context, `withdraw key ${identifier}`, (document) => {
+      for (const account of document.accounts) {
+        const key = account.keys?.find((each) => each.identifier === identifier);
+        if (key !== undefined) {
+          return withKey(account, { ...key, withdrawn: true });
+        }
+      }
+      throw new RelayError({ kind: FailureKind.NotFound, subject: 'access key', name: identifier });
+    });
+    context.line(`Key ${identifier} is withdrawn by revision ${revision}.`);
+    return new ConfigurationRollout(context).follow(revision);
+  }
+}
+
+/** Lists keys by identifier. */
+export class ListKeysCommand extends Command {
+  override readonly name = 'keys list';
+
+  override readonly usage = 'keys list [account]        List access keys by identifier';
+
+  override async run(context: CommandContext, parameters: readonly string[]): Promise<ExitCode> {
+    const [only] = parameters;
+    const { document } = await context.readApplied();
+    const accounts = only === undefined ? document.accounts : [findAccount(document, only)];
+    const rows = accounts.flatMap((account) =>
+      (account.keys ?? []).map(({ identifier, withdrawn }) => ({
+        identifier,
+        account: account.name,
+        state: withdrawn ? 'withdrawn' : 'valid',
+      })),
+    );
+    context.list(rows, ['identifier', 'account', 'state']);
+    return ExitCode.Success;
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-command-line/src/__tests__/unit/CommandRegistry.test.ts
@@ -0,0 +1,189 @@
+import { mkdtemp, readFile, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+
+import { CommandContext } from 'hickoryrelay-command-line/CommandContext';
+import { CommandRegistry } from 'hickoryrelay-command-line/CommandRegistry';
+import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
+import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
+import {
+  HttpEndpointSupply,
+  HttpInstanceList,
+  HttpUsageReportSink,
+} from 'hickoryrelay-platform/HttpPlatform';
+import { KeyValueGateway } from 'hickoryrelay-standin/KeyValueGateway';
+import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
+import { PlatformStandIn } from 'hickoryrelay-standin/PlatformStandIn';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { parse, stringify } from 'yaml';
+
+import type { CommandFlags } from 'hickoryrelay-command-line/CommandContext';
+
+const EXAMPLE = 'examples/foucault/declarations.yaml';
+const FLAGS: CommandFlags = {
+  json: false,
+  dryRun: false,
+  settings: false,
+  zone: undefined,
+  window: undefined,
+  waitSeconds: 1,
+};
+
+describe('the command-line tool', () => {
+  const clock = new SystemClock();
+  const registry = new CommandRegistry();
+  let gateway: KeyValueGateway;
+  let platform: PlatformStandIn;
+  let store: EtcdKeyValueStore;
+  let folder: string;
+
+  beforeEach(async () => {
+    gateway = new KeyValueGateway(new KeyValueTable(clock));
+    platform = new PlatformStandIn();
+    await gateway.listen();
+    await platform.listen();
+    store = new EtcdKeyValueStore({ urls: [gateway.url] });
+    folder = await mkdtemp(path.join(tmpdir(), 'hickoryrelay-test-'));
+  });
+
+  afterEach(async () => {
+    await store.close();
+    await Promise.all([gateway.close(), platform.close()]);
+  });
+
+  async function run(words: string, flags: Partial<CommandFlags> = {}) {
+    let output = '';
+    let errors = '';
+    const context = new CommandContext({
+      flags: { ...FLAGS, ...flags },
+      author: 'operator',
+      clock,
+      random: new SeededRandomSource(output.length + words.length),
+      write: (text) => {
+        output += text;
+      },
+      platform: () => ({
+        configurations: new ConfigurationStore(store),
+        supply: new HttpEndpointSupply(platform.url),
+        instances: new HttpInstanceList(platform.url),
+        usage: new HttpUsageReportSink(platform.url),
+      }),
+    });
+    const code = await registry.run(context, words.split(' '), (text) => {
+      errors += text;
+    });
+    return { code, output, errors };
+  }
+
+  /** Writes the example with some fields replaced. */
+  async function writeChanged(name: string, fields: object): Promise<string> {
+    const document = parse(await readFile(EXAMPLE, 'utf8')) as object;
+    const file = path.join(folder, `${name}.yaml`);
+    await writeFile(file, stringify({ ...document, ...fields }));
+    return file;
+  }
+
+  it('applies a file, then finds no differences', async () => {
+    expect(await run(`apply ${EXAMPLE}`)).toMatchObject({ code: 0 });
+    expect(await run(`diff ${EXAMPLE}`)).toMatchObject({ code: 0, output: 'No differences.\n' });
+    expect((await run('history')).output).toContain('operator');
+  });
+
+  it('changes nothing in a dry run', async () => {
+    const dry = await run(`apply ${EXAMPLE}`, { dryRun: true });
+    expect(dry.output).toContain('+ account city-museum');
+    expect((await run('get')).code).toBe(2);
+  });
+
+  it('shows the changed field in a diff', async () => {
+    await run(`apply ${EXAMPLE}`);
+    const file = await writeChanged('changed', { budget: { costPerHour: 7 } });
+    const diff = await run(`diff ${file}`);
+    expect(diff.code).toBe(5);
+    expect(diff.output).toContain('budget.costPerHour: 160 -> 7');
+  });
+
+  it('keeps issued keys when a file without keys is applied again', async () => {
+    await run(`apply ${EXAMPLE}`);
+    const issued = await run('keys issue city-museum');
+    const file = await writeChanged('changed', { staleKeySeconds: 60 });
+    await run(`apply ${file}`);
+    const listed = await run('keys list city-museum', { json: true });
+    const [key] = JSON.parse(listed.output) as { identifier: string; state: string }[];
+    expect(issued.output).toContain(key?.identifier);
+    expect(key?.state).toBe('valid');
+  });
+
+  it('never makes a withdrawn key valid again from an older file', async () => {
+    await run(`apply ${EXAMPLE}`);
+    await run('keys issue city-museum');
+    const { document } = JSON.parse((await run('get', { json: true })).output) as {
+      document: { accounts: { keys: { identifier: string }[] }[] };
+    };
+    const older = path.join(folder, 'older.yaml');
+    await writeFile(older, stringify(document));
+    const identifier = document.accounts
+      .flatMap(({ keys }) => keys)
+      .map((key) => key.identifier)
+      .join('');
+    expect((await run(`keys withdraw ${identifier}`)).code).toBe(0);
+    await run(`apply ${older}`);
+    expect((await run('keys list')).output).toContain('withdrawn');
+  });
+
+  it('tells the operator who was second', async () => {
+    await run(`apply ${EXAMPLE}`);
+    const file = await writeChanged('first', { staleKeySeconds: 61 });
+    const other = await writeChanged('second', { staleKeySeconds: 62 });
+    const results = await Promise.all([run(`apply ${file}`), run(`apply ${other}`)]);
+    const codes = results.map(({ code }) => code);
+    expect(codes).toContain(0);
+    expect(codes.every((code) => code === 0 || code === 3)).toBe(true);
+    const { output } = await run('get', { json: true });
+    const { revision } = JSON.parse(output) as { revision: number };
+    expect(revision).toBe(1 + codes.filter((code) => code === 0).length);
+  });
+
+  it('names instances at which a change is not in force', async () => {
+    platform.instances.set('entry-9', {
+      name: 'entry-9',
+      zone: 'zone-a',
+      state: 'live',
+      callersUrl: 'http://127.0.0.1:9',
+      peersUrl: 'ws://127.0.0.1:9',
+    });
+    const applied = await run(`apply ${EXAMPLE}`);
+    expect(applied.code).toBe(4);
+    expect(applied.output).toContain('entry-9');
+  });
+
+  it.each([
+    ['an unknown field', 'weights: {}\n', 'weights'],
+    ['a wrong type', 'staleKeySeconds: soon\n', 'staleKeySeconds'],
+    ['broken YAML', 'classes: [\n', '(syntax)'],
+  ])('names file, line and field of %s', async (name, text, field) => {
+    const file = path.join(folder, 'broken.yaml');
+    await writeFile(file, `version: 1\n${text}`);
+    const { code, errors } = await run(`check ${file}`);
+    expect(code).toBe(2);
+    expect(errors).toMatch(
+      new RegExp(`broken\\.yaml:\\d+: .*${field.replace(/[()]/gu, '.')}`, 'u'),
+    );
+  });
+
+  it.each([
+    ['foucault', 'declarations', false],
+    ['vekstlinje', 'declarations', false],
+    ['foucault', 'settings', true],
+    ['vekstlinje', 'settings', true],
+  ])('accepts the example %s %s', async (user, kind, settings) => {
+    const { code } = await run(`check examples/${user}/${kind}.yaml`, { settings });
+    expect(code).toBe(0);
+  });
+
+  it('refuses an unknown command', async () => {
+    expect(await run('frobnicate')).toMatchObject({ code: 2 });
+  });
+});
--- a/packages/hickoryrelay-command-line/src/hickoryrelay.ts
+++ b/packages/hickoryrelay-command-line/src/hickoryrelay.ts
@@ -1,79 +1,137 @@
 #!/usr/bin/env node
-import { readFile } from 'node:fs/promises';
 import { userInfo } from 'node:os';
 
-import { declarationsSchema } from 'hickoryrelay-contract/Declarations';
-import { settingsSchema } from 'hickoryrelay-contract/Settings';
 import { YamlFile } from 'hickoryrelay-contract/YamlFile';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
-import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
+import {
+  HttpEndpointSupply,
+  HttpInstanceList,
+  HttpUsageReportSink,
+} from 'hickoryrelay-platform/HttpPlatform';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { describeFailure } from 'hickoryrelay/Failure';
+import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 import { failureOf } from 'hickoryrelay/RelayError';
 import meow from 'meow';
 
-const ExitCode = { Success: 0, Failure: 1, InvalidFile: 2, Conflict: 3 } as const;
+import { ExitCode } from './Command.js';
+import { CommandContext } from './CommandContext.js';
+import { CommandRegistry } from './CommandRegistry.js';
+import { operatorSettingsSchema } from './OperatorSettings.js';
+
+import type { OperatorSettings } from './OperatorSettings.js';
+
+const DEFAULT_SETTINGS_FILE = 'operator.yaml';
+const DEFAULT_WAIT_SECONDS = 30;
+
+const registry = new CommandRegistry();
 
 const program = meow(
   `
   Usage
-    $ hickoryrelay apply <declarations file> --key-value <url>
-    $ hickoryrelay check <file> [--settings]
+    $ hickoryrelay <command> [options]
+
+  Commands
+${registry.usage.map((line) => `    ${line}`).join('\n')}
+
+  Options
+    --platform, -p  Operator's settings file with the platform's addresses [${DEFAULT_SETTINGS_FILE}]
+    --json          Write JSON (all reading commands)
+    --dry-run       Show what apply would change, and change nothing
+    --wait          Seconds to wait until a change is in force everywhere; 0 does not wait [${DEFAULT_WAIT_SECONDS}]
+    --settings      The file to check is an instance's settings file
+    --zone          Availability zone
+    --window        Start of a usage window, as ISO time
+
+  Examples
+    $ hickoryrelay check examples/foucault/declarations.yaml
+    $ hickoryrelay apply examples/foucault/declarations.yaml --dry-run
+    $ hickoryrelay keys issue city-museum
+    $ hickoryrelay status --json
 
   Exit codes
     0  done
     1  failed
-    2  a file is not valid
+    2  wrong usage, or a file that is not valid
     3  another operator changed the configuration first
+    4  accepted, but not yet in force at every live instance
+    5  the compared declarations differ (diff)
 `,
   {
     importMeta: import.meta,
     flags: {
-      keyValue: { type: 'string' },
+      platform: {
+        type: 'string',
+        shortFlag: 'p',
+        default: process.env.HICKORYRELAY_PLATFORM ?? DEFAULT_SETTINGS_FILE,
+      },
+      json: { type: 'boolean', default: false },
+      dryRun: { type: 'boolean', default: false },
       settings: { type: 'boolean', default: false },
+      wait: { type: 'number', default: DEFAULT_WAIT_SECONDS },
+      zone: { type: 'string' },
+      window: { type: 'string' },
     },
   },
 );
 
-async function check(file: string): Promise<void> {
-  const schema = program.flags.settings ? settingsSchema : declarationsSchema;
-  new YamlFile(schema).read(file, await readFile(file, 'utf8'));
-  process.stdout.write(`${file} is valid.\n`);
+const closers: (() => Promise<void>)[] = [];
+
+function openPlatform(settings: OperatorSettings) {
+  const { keyValue, supply, instances, usage } = settings.platform;
+  const store = new EtcdKeyValueStore({ urls: keyValue });
+  closers.push(() => store.close());
+  return {
+    configurations: new ConfigurationStore(store),
+    supply: new HttpEndpointSupply(supply),
+    instances: new HttpInstanceList(instances),
+    usage: new HttpUsageReportSink(usage),
+  };
 }
 
-async function apply(file: string): Promise<void> {
-  const document = new YamlFile(declarationsSchema).read(file, await readFile(file, 'utf8'));
-  const store = new EtcdKeyValueStore({ urls: [program.flags.keyValue ?? ''] });
-  try {
-    const configurations = new ConfigurationStore(store);
-    const current = await configurations.readHead();
-    const head = await configurations.replace(document, current?.revision ?? 0, {
-      author: userInfo().username,
-      summary: `apply ${file}`,
-      wallMilliseconds: Date.now(),
-    });
-    process.stdout.write(`Revision ${head.revision} is accepted.\n`);
-  } finally {
-    await store.close();
+async function readOperatorSettings(): Promise<OperatorSettings | undefined> {
+  const isOffline = program.input[0] === 'check';
+  if (isOffline) {
+    return undefined;
   }
+  const file = program.flags.platform;
+  return new YamlFile(operatorSettingsSchema).read(file, await CommandContext.readText(file));
+}
+
+async function run(): Promise<ExitCode> {
+  const settings = await readOperatorSettings();
+  const { json, dryRun, wait, zone, window } = program.flags;
+  const context = new CommandContext({
+    flags: {
+      json,
+      dryRun,
+      settings: program.flags.settings,
+      zone,
+      window,
+      waitSeconds: wait,
+    },
+    author: userInfo().username,
+    clock: new SystemClock(),
+    random: new SystemRandomSource(),
+    write: (text) => {
+      process.stdout.write(text);
+    },
+    platform: () => openPlatform(settings as OperatorSettings),
+  });
+  return registry.run(context, program.input, (text) => {
+    process.stderr.write(text);
+  });
 }
 
-const [command, file] = program.input;
+if (program.input.length === 0) {
+  program.showHelp(ExitCode.InvalidInput);
+}
 try {
-  if (command === 'check' && file !== undefined) {
-    await check(file);
-  } else if (command === 'apply' && file !== undefined) {
-    await apply(file);
-  } else {
-    program.showHelp(ExitCode.Failure);
-  }
+  process.exitCode = await run();
 } catch (error) {
-  const failure = failureOf(error);
-  process.stderr.write(`${describeFailure(failure)}\n`);
-  process.exitCode = ExitCode.Failure;
-  if (failure.kind === FailureKind.InvalidFile) {
-    process.exitCode = ExitCode.InvalidFile;
-  }
-  if (failure.kind === FailureKind.RevisionConflict) {
-    process.exitCode = ExitCode.Conflict;
-  }
+  process.stderr.write(`${describeFailure(failureOf(error))}\n`);
+  process.exitCode = ExitCode.InvalidInput;
+} finally {
+  await Promise.all(closers.map((close) => close()));
 }
--- a/packages/hickoryrelay-contract/src/ClientAccount.ts
+++ b/packages/hickoryrelay-contract/src/ClientAccount.ts
@@ -6,7 +6,8 @@
 export const clientAccountSchema = z.strictObject({
   name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/u, 'expected a lower-case name'),
   classes: z.array(z.string()).min(1),
-  keys: z.array(accessKeySchema).default([]),
+  /** Keys as salted hashes. If the field is left out, the stored keys stay as they are. */
+  keys: z.array(accessKeySchema).optional(),
 });
 
 /** A client account as declared. */
@@ -23,7 +24,7 @@
   constructor(declaration: ClientAccountDeclaration) {
     this.name = declaration.name;
     this.classNames = declaration.classes;
-    this.keys = declaration.keys.map((key) => new AccessKey(key));
+    this.keys = (declaration.keys ?? []).map((key) => new AccessKey(key));
   }
 
   mayUse(className: string): boolean {
--- a/packages/hickoryrelay-contract/src/Declarations.ts
+++ b/packages/hickoryrelay-contract/src/Declarations.ts
@@ -65,7 +65,7 @@
 function reportRepeatedKeys(declared: DeclarationsObject, context: z.RefinementCtx): void {
   const seen = new Set<string>();
   for (const [index, account] of declared.accounts.entries()) {
-    for (const [position, key] of account.keys.entries()) {
+    for (const [position, key] of (account.keys ?? []).entries()) {
       if (seen.has(key.identifier)) {
         context.addIssue({
           code: 'custom',
--- a/packages/hickoryrelay-standin/src/LocalFederation.ts
+++ b/packages/hickoryrelay-standin/src/LocalFederation.ts
@@ -11,6 +11,7 @@
 } from 'hickoryrelay-platform/HttpPlatform';
 import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
 import { SystemClock } from 'hickoryrelay/Clock';
+import { invariant } from 'hickoryrelay/Invariant';
 import { createProcessLogger } from 'hickoryrelay/Logger';
 import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 
@@ -63,7 +64,9 @@
   /** Issues a key for the account in the document, to be applied, and returns its text. */
   issueKey(document: DeclarationsDocument, accountName: string): string {
     const { text, declaration } = AccessKey.issue(this.random);
-    document.accounts.find(({ name }) => name === accountName)?.keys.push(declaration);
+    const account = document.accounts.find(({ name }) => name === accountName);
+    invariant(account !== undefined, `no account named ${accountName}`);
+    account.keys = [...(account.keys ?? []), declaration];
     return text;
   }
 
--- a/packages/hickoryrelay-standin/src/federation.ts
+++ b/packages/hickoryrelay-standin/src/federation.ts
@@ -188,7 +188,7 @@
   const { text, declaration } = AccessKey.issue(new SystemRandomSource());
   const [account] = document.accounts;
   invariant(account !== undefined, 'the declarations have no client account');
-  account.keys.push(declaration);
+  account.keys = [...(account.keys ?? []), declaration];
   return text;
 }
 
