Bound and check callers' input, measure calls, and drain on SIGTERM

Oversized, slow, malformed or key-carrying requests get a typed 4xx before anything is sent. Histograms for each client account and class at /metrics. SIGTERM drains; a second one names the lost calls and exits with 3.

Cause of two faults found by the shutdown tests: moleculer's broker installs its own signal handlers and ended the process with 0 in the middle of the drain, and an instance reported itself as ready before it knew any endpoint.

--- a/packages/hickoryrelay-contract/src/Settings.ts
+++ b/packages/hickoryrelay-contract/src/Settings.ts
@@ -30,9 +30,19 @@
       requestSeconds: z.number().int().positive().default(30),
       callSeconds: z.number().int().positive().default(600),
       callsInFlight: z.number().int().positive().default(4096),
+      /** How long a caller may take nothing of its answer before it is cut off. */
+      callerStallSeconds: z.number().int().positive().default(60),
+      connections: z.number().int().positive().default(10_000),
+    })
+    .prefault({}),
+  drain: z
+    .strictObject({
+      /** How long work is still taken after the instance reports itself as not ready. */
+      announceSeconds: z.number().int().min(0).default(5),
+      /** Time for the whole shutdown; calls that still run then are cut off. */
+      deadlineSeconds: z.number().int().positive().default(600),
     })
     .prefault({}),
-  drain: z.strictObject({ deadlineSeconds: z.number().int().positive().default(600) }).prefault({}),
   log: z
     .strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') })
     .prefault({}),
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/CallersInterface.ts
@@ -0,0 +1,225 @@
+import { createServer } from 'node:http';
+
+import { FailureKind } from 'hickoryrelay/Failure';
+import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+import ApiGateway from 'moleculer-web';
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { Call } from 'hickoryrelay-link/Call';
+import type { ServiceSchema } from 'moleculer';
+import { identifyCaller } from './CallerIdentity.js';
+import { CallTimer } from './CallTimer.js';
+import { answerParserErrors } from './ConnectionErrors.js';
+import { errorResponse } from './ErrorResponse.js';
+import { HttpAnswerWriter } from './HttpAnswerWriter.js';
+import { OpenAiFrontEnd } from './OpenAiFrontEnd.js';
+import { readKeyText } from './RequestReader.js';
+import { ServiceFrontEnd } from './ServiceFrontEnd.js';
+
+import type { FrontEnd } from './FrontEnd.js';
+import type { Instance } from './Instance.js';
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** How long a refused request may go on sending before its connection is closed. */
+const LINGER_MILLISECONDS = 1000;
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+function sendJson(response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
+
+/** The callers' HTTP interface of an instance. */
+export class CallersInterface {
+  private readonly instance: Instance;
+
+  private readonly log: PartLogger;
+
+  constructor(instance: Instance, log: PartLogger) {
+    this.instance = instance;
+    this.log = log;
+  }
+
+  /** Makes the service that the broker of the instance runs. */
+  schema(onServer: (server: Server) => void): ServiceSchema {
+    const { settings } = this.instance;
+    return {
+      name: 'callers',
+      mixins: [ApiGateway],
+      settings: {
+        ip: settings.callers.address,
+        port: settings.callers.port,
+        logRequest: null,
+        logResponse: null,
+        log4XXResponses: false,
+        onError: (request: IncomingMessage, response: ServerResponse) => {
+          const error = new RelayError({
+            kind: FailureKind.NotFound,
+            subject: 'path',
+            name: request.url ?? '',
+          });
+          this.refuse(request, response, this.instance.nextRequestIdentifier(), error);
+        },
+        routes: [
+          {
+            path: '/',
+            bodyParsers: false,
+            mappingPolicy: 'restrict',
+            aliases: this.aliases(),
+          },
+        ],
+      },
+      methods: {
+        createServer: this.serverFactory(onServer),
+      },
+    };
+  }
+
+  private aliases(): Record<string, Handler> {
+    const { view, settings, clock } = this.instance;
+    const openAi = this.relayHandler(new OpenAiFrontEnd(view, settings.limits, clock));
+    const services = this.relayHandler(new ServiceFrontEnd(view, settings.limits, clock));
+    return {
+      'POST /v1/chat/completions': openAi,
+      'POST /v1/completions': openAi,
+      'GET /v1/models': this.modelsHandler(),
+      'GET /health/live': (request, response) => sendJson(response, 200, { live: true }),
+      'GET /health/ready': this.readyHandler(),
+      'GET /metrics': this.metricsHandler(),
+      'GET /admin/status': (request, response) => sendJson(response, 200, this.instance.status()),
+      '/services/(.*)': services,
+    };
+  }
+
+  /** The gateway's own factory offers neither a header limit nor parser errors. */
+  private serverFactory(onServer: (server: Server) => void) {
+    const { instance } = this;
+    const { limits } = instance.settings;
+    return function createLimitedServer(this: { server?: Server; httpHandler: Handler }): void {
+      const server = createServer(
+        {
+          maxHeaderSize: limits.headerBytes,
+          requestTimeout: limits.requestSeconds * MILLISECONDS_PER_SECOND,
+          headersTimeout: limits.requestSeconds * MILLISECONDS_PER_SECOND,
+          connectionsCheckingInterval: MILLISECONDS_PER_SECOND,
+          noDelay: true,
+        },
+        this.httpHandler,
+      );
+      server.maxConnections = limits.connections;
+      answerParserErrors(server, limits, () => instance.nextRequestIdentifier());
+      this.server = server;
+      onServer(server);
+    };
+  }
+
+  private relayHandler(frontEnd: FrontEnd<IncomingMessage>): Handler {
+    return (request, response) => {
+      void this.relay(frontEnd, request, response);
+    };
+  }
+
+  private async relay(
+    frontEnd: FrontEnd<IncomingMessage>,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const requestIdentifier = this.instance.nextRequestIdentifier();
+    try {
+      this.instance.assertTakesWork();
+      const arrivalMilliseconds = this.instance.clock.monotonicMilliseconds();
+      const call = await frontEnd.decode({ request, requestIdentifier, arrivalMilliseconds });
+      this.instance.assertTakesWork();
+      await this.exchange(call, response);
+    } catch (error) {
+      this.refuse(request, response, requestIdentifier, error);
+    }
+  }
+
+  private async exchange(call: Call, response: ServerResponse): Promise<void> {
+    const { clock, metrics, settings } = this.instance;
+    const { requestIdentifier } = call;
+    const exchange = this.instance.open(call);
+    response.once('close', () => {
+      exchange.cancel(
+        new RelayError({ kind: FailureKind.Cancelled, reason: 'the caller has gone' }),
+      );
+    });
+    if (!this.instance.isReady) {
+      response.setHeader('connection', 'close');
+    }
+    const timer = new CallTimer(call, metrics.seriesOf(call), clock);
+    await exchange.run(
+      new HttpAnswerWriter({
+        response,
+        requestIdentifier,
+        timer,
+        clock,
+        stallMilliseconds: settings.limits.callerStallSeconds * MILLISECONDS_PER_SECOND,
+      }),
+    );
+    this.log.info('A call has ended.', {
+      requestIdentifier,
+      account: call.accountName,
+      class: call.className,
+      outcome: timer.outcome,
+      milliseconds: Math.round(clock.monotonicMilliseconds() - call.arrivalMilliseconds),
+    });
+  }
+
+  /** Answers a request that did not become a call. What it still sends is dropped. */
+  private refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    requestIdentifier: string,
+    error: unknown,
+  ): void {
+    const failure = failureOf(error);
+    this.log.info('Refused a request.', { requestIdentifier, code: failure.kind });
+    if (response.headersSent || response.destroyed) {
+      response.destroy();
+      return;
+    }
+    const { status, headers, body } = errorResponse({ failure, requestIdentifier, notRun: true });
+    const isUnread = !request.complete;
+    response.writeHead(status, { ...headers, ...(isUnread ? { connection: 'close' } : {}) });
+    response.end(JSON.stringify(body));
+    if (isUnread) {
+      request.resume();
+      const cancel = this.instance.clock.schedule(LINGER_MILLISECONDS, () => request.destroy());
+      request.once('close', cancel);
+    }
+  }
+
+  private modelsHandler(): Handler {
+    return (request, response) => {
+      try {
+        const { view } = this.instance;
+        const identity = identifyCaller(view, readKeyText(request));
+        const data = view.declarations
+          .modelsOf(identity.account)
+          .map((id) => ({ id, object: 'model', created: 0, owned_by: 'hickoryrelay' }));
+        sendJson(response, 200, { object: 'list', data });
+      } catch (error) {
+        this.refuse(request, response, this.instance.nextRequestIdentifier(), error);
+      }
+    };
+  }
+
+  private readyHandler(): Handler {
+    return (request, response) => {
+      const { isReady } = this.instance;
+      sendJson(response, isReady ? 200 : 503, { ready: isReady });
+    };
+  }
+
+  private metricsHandler(): Handler {
+    return (request, response) => {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+      response.end(this.instance.metrics.render());
+    };
+  }
+}
--- a/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
@@ -4,23 +4,35 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 
 import type { ServerResponse } from 'node:http';
+import type { Clock } from 'hickoryrelay/Clock';
 import { AnswerWriter } from './AnswerWriter.js';
 import { errorResponse } from './ErrorResponse.js';
 
 import type { FailureReport } from './AnswerWriter.js';
+import type { CallTimer } from './CallTimer.js';
 
 const EVENT_STREAM = 'text/event-stream';
 
+/** What a writer needs of its call. */
+export interface HttpAnswerParts {
+  readonly response: ServerResponse;
+  readonly requestIdentifier: string;
+  readonly timer: CallTimer;
+  readonly clock: Clock;
+  /** How long a caller may take nothing before it is cut off, in milliseconds. */
+  readonly stallMilliseconds: number;
+}
+
 /** Writes an answer to an HTTP/1.1 caller. */
 export class HttpAnswerWriter extends AnswerWriter {
-  private readonly response: ServerResponse;
+  private readonly parts: HttpAnswerParts;
 
-  private readonly requestIdentifier: string;
+  private readonly response: ServerResponse;
 
-  constructor(response: ServerResponse, requestIdentifier: string) {
+  constructor(parts: HttpAnswerParts) {
     super();
-    this.response = response;
-    this.requestIdentifier = requestIdentifier;
+    this.parts = parts;
+    this.response = parts.response;
   }
 
   override get hasBegun(): boolean {
@@ -28,25 +40,29 @@
   }
 
   override begin(status: number, contentType: string): void {
+    this.parts.timer.begin(status);
     this.response.writeHead(status, {
       'content-type': contentType,
-      'x-request-id': this.requestIdentifier,
+      'x-request-id': this.parts.requestIdentifier,
       ...(contentType.startsWith(EVENT_STREAM) ? { 'cache-control': 'no-cache' } : {}),
     });
   }
 
   override async write(piece: Buffer): Promise<void> {
     this.assertOpen();
+    this.parts.timer.piece();
     if (!this.response.write(piece)) {
       await this.drained();
     }
   }
 
   override async end(): Promise<void> {
+    this.parts.timer.end();
     this.response.end();
   }
 
   override async fail(report: FailureReport): Promise<void> {
+    this.parts.timer.fail(report.failure, report.notRun);
     const { status, headers, body } = errorResponse(report);
     if (!this.hasBegun) {
       this.response.writeHead(status, headers);
@@ -54,10 +70,11 @@
       return;
     }
     const contentType = String(this.response.getHeader('content-type') ?? '');
-    if (contentType.startsWith(EVENT_STREAM) && !this.response.writableEnded) {
+    if (contentType.startsWith(EVENT_STREAM) && !this.response.writableNeedDrain) {
       this.response.end(`data: ${JSON.stringify(body)}\n\n`);
       return;
     }
+    // A body that is neither an event stream nor complete can only be marked as broken by a reset.
     this.response.destroy();
   }
 
@@ -67,15 +84,20 @@
     }
   }
 
+  /** Waits until the caller has taken what was written. */
   private async drained(): Promise<void> {
     const settled = new AbortController();
     const { signal } = settled;
+    const stall = this.parts.clock.schedule(this.parts.stallMilliseconds, () => {
+      this.response.destroy();
+    });
     try {
       await Promise.race([
         once(this.response, 'drain', { signal }),
         once(this.response, 'close', { signal }),
       ]);
     } finally {
+      stall();
       settled.abort();
     }
     this.assertOpen();
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -22,10 +22,13 @@
 import type { Logger as ProcessLogger } from 'winston';
 import { FleetTask } from './FleetTask.js';
 import { Exchange } from './Exchange.js';
+import { ExchangeTable } from './ExchangeTable.js';
+import { Drain, DrainPhase } from './Drain.js';
 import { EndpointLinks } from './EndpointLinks.js';
 import { ConfigurationView } from './ConfigurationView.js';
 import { ConfigurationTask } from './ConfigurationTask.js';
-import { CallersInterface } from './CallersService.js';
+import { CallersInterface } from './CallersInterface.js';
+import { CallMetrics } from './CallMetrics.js';
 import { ConcurrencyLimitAdmission } from './AdmissionPolicy.js';
 import type { ExchangeParts } from './Exchange.js';
 
@@ -68,6 +71,8 @@
 
   readonly fleet = new Fleet();
 
+  readonly metrics = new CallMetrics();
+
   private readonly parts: InstanceParts;
 
   private readonly lifecycle: LifecycleManager;
@@ -76,9 +81,9 @@
 
   private readonly exchangeParts: ExchangeParts;
 
-  private readonly exchanges = new Set<Exchange>();
+  private readonly exchanges = new ExchangeTable();
 
-  private state: InstanceState = InstanceState.Live;
+  private readonly drain: Drain;
 
   private server: Server | undefined;
 
@@ -88,6 +93,7 @@
     this.clock = parts.clock;
     this.view = new ConfigurationView(parts.clock);
     const log = partLogger(parts.logger, LogPrefix.Daemon);
+    this.drain = new Drain(parts.settings.drain, this.exchanges, parts.clock, log);
     this.lifecycle = new LifecycleManager('instance', parts.clock, (owner, failure) => {
       log.error('A part failed.', { owner, reason: describeFailure(failure) });
     });
@@ -101,7 +107,7 @@
   }
 
   get isReady(): boolean {
-    return this.state === InstanceState.Live && this.view.revision > 0;
+    return this.drain.phase === DrainPhase.Open && this.view.revision > 0 && this.fleet.isKnown;
   }
 
   /** Address and port of the callers' interface, once started. */
@@ -111,13 +117,17 @@
     return address;
   }
 
+  private get state(): InstanceState {
+    return this.drain.phase === DrainPhase.Open ? InstanceState.Live : InstanceState.Leaving;
+  }
+
   nextRequestIdentifier(): string {
     return this.parts.random.identifier(REQUEST_IDENTIFIER_BYTES);
   }
 
-  /** Throws `shutting-down` once the instance is leaving. */
+  /** Throws `shutting-down` once the instance has closed itself to new work. */
   assertTakesWork(): void {
-    if (this.state !== InstanceState.Live) {
+    if (this.drain.phase === DrainPhase.Closed) {
       throw new RelayError({ kind: FailureKind.ShuttingDown });
     }
   }
@@ -125,7 +135,7 @@
   /** Opens the exchange of a call. It is followed until it has run. */
   open(call: Call): Exchange {
     const exchange = new Exchange(call, this.exchangeParts, () => {
-      this.exchanges.delete(exchange);
+      this.exchanges.remove(exchange);
     });
     this.exchanges.add(exchange);
     return exchange;
@@ -144,6 +154,7 @@
   }
 
   async start(): Promise<void> {
+    this.offerGauges();
     const { logger, platform, random } = this.parts;
     this.lifecycle.own('endpoint links', () => this.links.close());
     this.lifecycle.own(
@@ -160,14 +171,29 @@
     await this.startBroker();
   }
 
-  async stop(): Promise<void> {
-    this.state = InstanceState.Leaving;
+  /**
+   * Shuts down gracefully: reports itself as not ready, finishes what runs, then releases all that
+   * it owns. Returns the request identifiers of calls that were cut off at the deadline.
+   */
+  async stop(): Promise<readonly string[]> {
+    const lost = await this.drain.run();
     await this.lifecycle.stop();
+    return lost;
+  }
+
+  /** Cuts a graceful shutdown short. */
+  hurryStop(): void {
+    this.drain.hurry();
   }
 
   private async startBroker(): Promise<void> {
-    const broker = new ServiceBroker({ logger: false, transporter: undefined });
-    const callers = new CallersInterface(this);
+    const broker = new ServiceBroker({
+      logger: false,
+      transporter: undefined,
+      // The broker's own signal handlers would end the process before the drain has.
+      skipProcessEventRegistration: true,
+    });
+    const callers = new CallersInterface(this, partLogger(this.parts.logger, LogPrefix.Caller));
     broker.createService(
       callers.schema((server) => {
         this.server = server;
@@ -177,17 +203,23 @@
     this.lifecycle.own('broker', () => broker.stop());
   }
 
+  private offerGauges(): void {
+    this.metrics.gauge('calls_in_flight', () => this.exchanges.size);
+    this.metrics.gauge('configuration_revision', () => this.view.revision);
+    this.metrics.gauge('endpoints', () => [...this.fleet.endpoints()].length);
+    this.metrics.gauge('process_resident_bytes', () => process.memoryUsage().rss);
+  }
+
   private cancelWithdrawn(): void {
     const { declarations } = this.view;
-    for (const exchange of this.exchanges) {
-      const { keyIdentifier, accountName } = exchange.call;
+    this.exchanges.cancelWhere(({ call: { keyIdentifier, accountName } }) => {
       const isAccepted =
         keyIdentifier === undefined ||
         accountName === undefined ||
         declarations.acceptsKey(keyIdentifier, accountName);
-      if (!isAccepted) {
-        exchange.cancel(new RelayError({ kind: FailureKind.KeyWithdrawn, keyIdentifier }));
-      }
-    }
+      return isAccepted
+        ? undefined
+        : new RelayError({ kind: FailureKind.KeyWithdrawn, keyIdentifier });
+    });
   }
 }
--- a/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
+++ b/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
@@ -8,7 +8,15 @@
 import type { Identity } from 'hickoryrelay-contract/Declarations';
 import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { JsonValue, ModelCall } from 'hickoryrelay-link/Call';
-import { decodeJsonObject, readBody, readKeyText, readTarget } from './RequestReader.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import {
+  assertNoKey,
+  decodeJsonObject,
+  readBody,
+  readContentType,
+  readKeyText,
+  readTarget,
+} from './RequestReader.js';
 import { FrontEnd } from './FrontEnd.js';
 import { assertMayUse, identifyCaller } from './CallerIdentity.js';
 import type { ConfigurationView } from './ConfigurationView.js';
@@ -74,8 +82,11 @@
 
   private readonly limits: Settings['limits'];
 
-  constructor(view: ConfigurationView, limits: Settings['limits']) {
+  private readonly clock: Clock;
+
+  constructor(view: ConfigurationView, limits: Settings['limits'], clock: Clock) {
     super();
+    this.clock = clock;
     this.view = view;
     this.limits = limits;
   }
@@ -86,10 +97,13 @@
     const identity = identifyCaller(this.view, readKeyText(request));
     const body = await readBody(
       request,
-      this.limits.bodyBytes,
-      this.limits.requestSeconds * MILLISECONDS_PER_SECOND,
+      {
+        bodyBytes: this.limits.bodyBytes,
+        bodyMilliseconds: this.limits.requestSeconds * MILLISECONDS_PER_SECOND,
+      },
+      this.clock,
     );
-    const decoded = decodeJsonObject(request.headers['content-type'], body);
+    const decoded = decodeJsonObject(readContentType(request), body);
     return this.toCall(arrived, identity, path, decoded);
   }
 
@@ -168,6 +182,7 @@
         parameters[name] = value as JsonValue;
       }
     }
+    assertNoKey('body', JSON.stringify(parameters));
     return parameters;
   }
 
--- a/packages/hickoryrelay-instance/src/ServiceFrontEnd.ts
+++ b/packages/hickoryrelay-instance/src/ServiceFrontEnd.ts
@@ -7,7 +7,14 @@
 import type { Identity } from 'hickoryrelay-contract/Declarations';
 import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { ServiceCall } from 'hickoryrelay-link/Call';
-import { readBody, readKeyText, readTarget } from './RequestReader.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import {
+  assertNoKey,
+  readBody,
+  readContentType,
+  readKeyText,
+  readTarget,
+} from './RequestReader.js';
 import { FrontEnd } from './FrontEnd.js';
 import { assertMayUse, identifyCaller } from './CallerIdentity.js';
 import type { ConfigurationView } from './ConfigurationView.js';
@@ -23,8 +30,11 @@
 
   private readonly limits: Settings['limits'];
 
-  constructor(view: ConfigurationView, limits: Settings['limits']) {
+  private readonly clock: Clock;
+
+  constructor(view: ConfigurationView, limits: Settings['limits'], clock: Clock) {
     super();
+    this.clock = clock;
     this.view = view;
     this.limits = limits;
   }
@@ -42,9 +52,13 @@
     const idempotencyKey = ServiceFrontEnd.readIdempotencyKey(request);
     const body = await readBody(
       request,
-      this.limits.bodyBytes,
-      this.limits.requestSeconds * MILLISECONDS_PER_SECOND,
+      {
+        bodyBytes: this.limits.bodyBytes,
+        bodyMilliseconds: this.limits.requestSeconds * MILLISECONDS_PER_SECOND,
+      },
+      this.clock,
     );
+    assertNoKey('body', body.toString('latin1'));
     return {
       kind: WorkKind.Service,
       requestIdentifier,
@@ -58,7 +72,7 @@
       route,
       method: request.method ?? 'GET',
       path: `${match?.[2] ?? ''}${target.query}`,
-      contentType: request.headers['content-type'],
+      contentType: readContentType(request),
       body: body.length === 0 ? undefined : body,
     };
   }
--- a/packages/hickoryrelay-instance/src/hickoryrelayd.ts
+++ b/packages/hickoryrelay-instance/src/hickoryrelayd.ts
@@ -19,7 +19,7 @@
 import type { Settings } from 'hickoryrelay-contract/Settings';
 import { Instance } from './Instance.js';
 
-const ExitCode = { Success: 0, Failure: 1, InvalidSettings: 2 } as const;
+const ExitCode = { Success: 0, Failure: 1, InvalidSettings: 2, CallsCutOff: 3 } as const;
 
 const program = meow(
   `
@@ -35,10 +35,14 @@
   Examples
     $ hickoryrelayd --settings examples/foucault/settings.yaml
 
+  Signals
+    SIGTERM, SIGINT  stop gracefully; a second one stops at once
+
   Exit codes
     0  stopped after all calls had finished
     1  failed
     2  the settings file is not valid
+    3  stopped at the deadline or by a second signal; calls were cut off and are named in the log
 `,
   {
     importMeta: import.meta,
@@ -70,10 +74,22 @@
       usage: new HttpUsageReportSink(settings.platform.usage),
     },
   });
-  process.once('SIGTERM', () => {
+  let isStopping = false;
+  const stop = () => {
+    if (isStopping) {
+      log.warn('Stopping at once.');
+      instance.hurryStop();
+      return;
+    }
+    isStopping = true;
     log.info('Stopping.');
-    void instance.stop().then(() => process.exit(ExitCode.Success));
-  });
+    void instance.stop().then((lost) => {
+      log.info('Stopped.', { callsCutOff: lost.length });
+      process.exit(lost.length === 0 ? ExitCode.Success : ExitCode.CallsCutOff);
+    });
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
   await instance.start();
   const { address, port } = instance.callersAddress;
   log.info('Listening for callers.', { address, port });
--- a/packages/hickoryrelay-standin/src/LocalFederation.ts
+++ b/packages/hickoryrelay-standin/src/LocalFederation.ts
@@ -98,6 +98,7 @@
           instances: this.platform.url,
           usage: this.platform.url,
         },
+        drain: { announceSeconds: 0, deadlineSeconds: 5 },
         ...settings,
       }),
       clock: this.clock,
--- a/packages/hickoryrelay-standin/src/federation.ts
+++ b/packages/hickoryrelay-standin/src/federation.ts
@@ -117,6 +117,7 @@
       callers: { address: '127.0.0.1', port },
       peers: { address: '127.0.0.1', port: 0 },
       platform: { keyValue: [keyValue], supply: platform, instances: platform, usage: platform },
+      drain: { announceSeconds: 0 },
       log: { level: 'warn' },
     };
     const file = path.join(folder, `${name}.yaml`);
--- a/packages/hickoryrelay-zone/src/Fleet.ts
+++ b/packages/hickoryrelay-zone/src/Fleet.ts
@@ -11,6 +11,13 @@
 export class Fleet {
   private readonly zonesByName = new Map<string, AvailabilityZone>();
 
+  private hasList = false;
+
+  /** True once the platform's list has been read. */
+  get isKnown(): boolean {
+    return this.hasList;
+  }
+
   get zones(): IterableIterator<AvailabilityZone> {
     return this.zonesByName.values();
   }
@@ -35,6 +42,7 @@
     supplied: readonly SuppliedEndpoint[],
     kinds: ReadonlyMap<string, EndpointKind>,
   ): Endpoint[] {
+    this.hasList = true;
     const listed = new Set(supplied.map((each) => each.identifier));
     for (const each of supplied) {
       this.updateEndpoint(each, kinds.get(each.kind));
