--- a/packages/hickoryrelay-contract/src/ConfigurationBucket.ts
+++ b/packages/hickoryrelay-contract/src/ConfigurationBucket.ts
@@ -94,7 +94,7 @@
 
 /** Puts a document together from its buckets. Throws `invalid-file` if it is not valid as a whole. */
 export function documentFrom(texts: readonly string[]): DeclarationsDocument {
-  const entries = texts.flatMap((text) => entriesSchema.parse(JSON.parse(text)));
+  const entries = texts.flatMap(entriesFrom);
   const bodies = (section: EntrySection) =>
     entries.filter((entry) => entry.section === section).map((entry) => entry.body);
   const general = bodies(EntrySection.General)[0];
@@ -107,11 +107,27 @@
   if (result.success) {
     return result.data;
   }
-  const problems = result.error.issues.map((issue) => ({
-    file: '(configuration)',
-    line: 1,
-    field: issue.path.map(String).join('.'),
-    reason: issue.message,
-  }));
-  throw new RelayError({ kind: FailureKind.InvalidFile, problems });
+  throw invalidConfiguration(
+    result.error.issues.map((issue) => ({
+      field: issue.path.map(String).join('.'),
+      reason: issue.message,
+    })),
+  );
+}
+
+function entriesFrom(text: string, index: number): ConfigurationEntry[] {
+  try {
+    return entriesSchema.parse(JSON.parse(text));
+  } catch (error) {
+    const field = `bucket ${index}`;
+    throw invalidConfiguration([{ field, reason: 'not a list of entries' }], error);
+  }
+}
+
+function invalidConfiguration(
+  found: readonly { field: string; reason: string }[],
+  cause?: unknown,
+): RelayError {
+  const problems = found.map((problem) => ({ file: '(configuration)', line: 1, ...problem }));
+  return new RelayError({ kind: FailureKind.InvalidFile, problems }, cause);
 }
