--- /dev/null
+++ b/packages/hickoryrelay-link/src/PeerMessageCodec.ts
@@ -0,0 +1,165 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+import { Packr } from 'msgpackr';
+import { z } from 'zod';
+
+import type { DigestRow, PeerMessage } from './PeerMessages.js';
+
+const NAME_LENGTH = 128;
+const LIST_LENGTH = 10_000;
+
+const name = z.string().max(NAME_LENGTH);
+const count = z.number().int().nonnegative();
+const identity = z.strictObject({ name: name.min(1), zone: name.min(1), incarnation: name.min(1) });
+const digests = z.array(z.string().max(NAME_LENGTH)).max(LIST_LENGTH);
+/** `null` stands for a view that was never confirmed, since its age is infinite. */
+const age = z.number().nonnegative().nullable();
+
+const digestRow = z.tuple([
+  name.min(1),
+  name.min(1),
+  name.min(1),
+  count,
+  z.enum(['live', 'leaving']),
+  count,
+  age,
+  name,
+  z.array(z.tuple([name, z.number().nonnegative()])).max(LIST_LENGTH),
+]);
+
+const usageRecords = z
+  .array(
+    z.strictObject({
+      incarnation: name,
+      sequence: count,
+      instance: name,
+      zone: name,
+      requestIdentifier: name,
+      account: name,
+      className: name,
+      subject: z.string(),
+      endpoint: z.string(),
+      promptTokens: count,
+      completionTokens: count,
+      isClosed: z.boolean(),
+    }),
+  )
+  .max(LIST_LENGTH);
+
+const encodedMessage = z.discriminatedUnion('type', [
+  z.strictObject({ type: z.literal('hello'), identity, peersUrl: name, revision: count }),
+  z.strictObject({ type: z.literal('heartbeat'), body: z.tuple([count, count, count, age]) }),
+  z.strictObject({
+    type: z.literal('digest'),
+    rows: z.array(digestRow).max(LIST_LENGTH),
+    heartbeats: z.array(z.tuple([count, count])).max(LIST_LENGTH),
+  }),
+  z.strictObject({ type: z.literal('configuration-changed'), revision: count }),
+  z.strictObject({ type: z.literal('configuration-request'), digests }),
+  z.strictObject({
+    type: z.literal('configuration-buckets'),
+    revision: count,
+    digests,
+    buckets: z.array(z.tuple([count, z.string()])).max(LIST_LENGTH),
+  }),
+  z.strictObject({ type: z.literal('usage-open'), records: usageRecords }),
+  z.strictObject({
+    type: z.literal('usage-progress'),
+    incarnation: name,
+    entries: z.array(z.tuple([count, count])).max(LIST_LENGTH),
+  }),
+  z.strictObject({ type: z.literal('usage-close'), records: usageRecords }),
+  z.strictObject({
+    type: z.literal('usage-acknowledged'),
+    incarnation: name,
+    sequences: z.array(count).max(LIST_LENGTH),
+  }),
+  z.strictObject({ type: z.literal('usage-collect'), zone: name, windowStart: z.number() }),
+  z.strictObject({
+    type: z.literal('usage-statement'),
+    zone: name,
+    windowStart: z.number(),
+    records: usageRecords,
+  }),
+  z.strictObject({ type: z.literal('leaving'), identity }),
+]);
+
+type EncodedMessage = z.output<typeof encodedMessage>;
+
+const packr = new Packr({ useRecords: false });
+
+const encodedAge = (milliseconds: number) =>
+  Number.isFinite(milliseconds) ? Math.ceil(milliseconds) : null;
+
+const decodedAge = (milliseconds: number | null) => milliseconds ?? Number.POSITIVE_INFINITY;
+
+function encodedRow(row: DigestRow): z.output<typeof digestRow> {
+  return [
+    row.identity.name,
+    row.identity.zone,
+    row.identity.incarnation,
+    row.heartbeat,
+    row.state,
+    row.revision,
+    encodedAge(row.viewAgeMilliseconds),
+    row.peersUrl,
+    row.costs.map(([account, cost]) => [account, Math.round(cost)]),
+  ];
+}
+
+function decodedRow(row: z.output<typeof digestRow>): DigestRow {
+  const [rowName, zone, incarnation, heartbeat, state, revision, viewAge, peersUrl, costs] = row;
+  return {
+    identity: { name: rowName, zone, incarnation },
+    heartbeat,
+    state,
+    revision,
+    viewAgeMilliseconds: decodedAge(viewAge),
+    peersUrl,
+    costs,
+  };
+}
+
+function encodedForm(message: PeerMessage): object {
+  switch (message.type) {
+    case 'heartbeat': {
+      const { type, sequence, echo, revision, viewAgeMilliseconds } = message;
+      return { type, body: [sequence, echo, revision, encodedAge(viewAgeMilliseconds)] };
+    }
+    case 'digest':
+      return { ...message, rows: message.rows.map(encodedRow) };
+    default:
+      return message;
+  }
+}
+
+function decodedForm(encoded: EncodedMessage): PeerMessage {
+  switch (encoded.type) {
+    case 'heartbeat': {
+      const [sequence, echo, revision, viewAge] = encoded.body;
+      const viewAgeMilliseconds = decodedAge(viewAge);
+      return { type: encoded.type, sequence, echo, revision, viewAgeMilliseconds };
+    }
+    case 'digest':
+      return { ...encoded, rows: encoded.rows.map(decodedRow) };
+    default:
+      return encoded;
+  }
+}
+
+/** Encodes a message. Rows and heartbeats are lists, because field names would double their size. */
+export function encodePeerMessage(message: PeerMessage): Uint8Array {
+  return packr.pack(encodedForm(message));
+}
+
+/** Decodes and checks a message. Throws `protocol-violation` if it is malformed. */
+export function decodePeerMessage(bytes: Uint8Array, peer: string): PeerMessage {
+  try {
+    return decodedForm(encodedMessage.parse(packr.unpack(bytes)));
+  } catch (error) {
+    throw new RelayError(
+      { kind: FailureKind.ProtocolViolation, peer, reason: 'malformed message' },
+      error,
+    );
+  }
+}
--- a/packages/hickoryrelay-link/src/PeerMessages.ts
+++ b/packages/hickoryrelay-link/src/PeerMessages.ts
@@ -17,7 +17,10 @@
 
 export type PeerMessageType = (typeof PeerMessageType)[keyof typeof PeerMessageType];
 
-/** Names one run of an instance; a restarted instance has a new incarnation. */
+/**
+ * Names one run of an instance. A restarted instance has a new incarnation, which sorts after the
+ * old one as a string.
+ */
 export interface InstanceIdentity {
   readonly name: string;
   readonly zone: string;
@@ -33,10 +36,21 @@
   readonly revision: number;
   /** Time since the configuration was last confirmed current, in milliseconds. */
   readonly viewAgeMilliseconds: number;
-  /** Cost used since the last rows, of the accounts that used most: name and cost. */
+  /** URL of the peer interface (`ws:`). */
+  readonly peersUrl: string;
+  /**
+   * Cost since the incarnation started, of the accounts that used most lately: name and total.
+   * Totals, so that a lost row loses no cost.
+   */
   readonly costs: readonly (readonly [account: string, cost: number])[];
 }
 
+/**
+ * A heartbeat counter passed on without the row. The tag is a 32-bit hash of the incarnation, since
+ * a beat of 9 bytes allows one for each instance of a zone in every digest and a row does not.
+ */
+export type HeartbeatEntry = readonly [incarnationTag: number, heartbeat: number];
+
 /** A usage record as its replicas hold it. Figures are totals so far, not differences. */
 export interface UsageRecord {
   /** Instance incarnation and number, unique for the system. */
@@ -61,9 +75,27 @@
 
 /** A message between entry instances. */
 export type PeerMessage =
-  | { readonly type: 'hello'; readonly identity: InstanceIdentity; readonly revision: number }
-  | { readonly type: 'heartbeat'; readonly sequence: number }
-  | { readonly type: 'digest'; readonly rows: readonly DigestRow[] }
+  | {
+      readonly type: 'hello';
+      readonly identity: InstanceIdentity;
+      readonly peersUrl: string;
+      readonly revision: number;
+    }
+  | {
+      readonly type: 'heartbeat';
+      /** Grows by one with each heartbeat of the link. */
+      readonly sequence: number;
+      /** Last sequence received from the other end, 0 before the first. */
+      readonly echo: number;
+      readonly revision: number;
+      /** Time since the sender's view was last confirmed; infinite if it never was. */
+      readonly viewAgeMilliseconds: number;
+    }
+  | {
+      readonly type: 'digest';
+      readonly rows: readonly DigestRow[];
+      readonly heartbeats: readonly HeartbeatEntry[];
+    }
   | { readonly type: 'configuration-changed'; readonly revision: number }
   | {
       readonly type: 'configuration-request';
@@ -102,4 +134,9 @@
 export interface ReceivedPeerMessage {
   readonly from: InstanceIdentity;
   readonly message: PeerMessage;
+  /**
+   * For a heartbeat: when this instance sent the heartbeat that it echoes, on the monotonic clock.
+   * What the sender says about itself was true at that time or later.
+   */
+  readonly askedMilliseconds?: number;
 }
