Add membership, gossip of digests and configuration by peers

Neighbours come from rendezvous hashing over the platform's list and gossip rows. Watchers of a zone hear of a change first; the others hear of it from peers, fetch the changed buckets and pass the news on. Heartbeats carry the revision and the age of the view, which counts from before the question.

--- a/packages/hickoryrelay-instance/src/ConfigurationTask.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationTask.ts
@@ -1,12 +1,9 @@
 import { Task } from 'hickoryrelay/Task';
-import { failureOf } from 'hickoryrelay/RelayError';
-import { describeFailure } from 'hickoryrelay/Failure';
 
-import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
-import type { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
-import type { ConfigurationView } from './ConfigurationView.js';
+import type { ConfigurationIntake } from './ConfigurationIntake.js';
+import type { InstanceDigest } from './InstanceDigest.js';
 
 const READ_INTERVAL_MILLISECONDS = 5000;
 const FIRST_READ_INTERVAL_MILLISECONDS = 250;
@@ -15,64 +12,31 @@
 export class ConfigurationTask extends Task {
   override readonly name = 'configuration reader';
 
-  private readonly store: ConfigurationStore;
+  private readonly intake: ConfigurationIntake;
 
-  private readonly view: ConfigurationView;
+  private readonly digest: InstanceDigest;
 
   private readonly random: RandomSource;
 
-  private readonly log: PartLogger;
-
-  constructor(
-    store: ConfigurationStore,
-    view: ConfigurationView,
-    random: RandomSource,
-    log: PartLogger,
-  ) {
+  constructor(intake: ConfigurationIntake, digest: InstanceDigest, random: RandomSource) {
     super();
-    this.store = store;
-    this.view = view;
+    this.intake = intake;
+    this.digest = digest;
     this.random = random;
-    this.log = log;
   }
 
   protected override async *steps({
     clock,
     signal,
   }: TaskContext): AsyncGenerator<void, void, void> {
+    let isSettled = false;
     for (;;) {
-      await this.readOnce(clock.monotonicMilliseconds());
+      const hasAnswered = await this.intake.readPlatform();
       yield;
-      await clock.sleep(this.nextDelayMilliseconds(), signal);
+      this.intake.settleWithoutPlatform(this.digest.highestRevision);
+      isSettled ||= hasAnswered && this.intake.newestRevision > 0;
+      const interval = isSettled ? READ_INTERVAL_MILLISECONDS : FIRST_READ_INTERVAL_MILLISECONDS;
+      await clock.sleep(interval * (0.75 + this.random.fraction() / 2), signal);
     }
   }
-
-  private async readOnce(askedMilliseconds: number): Promise<void> {
-    try {
-      const head = await this.store.readHead();
-      if (head !== undefined && head.revision > this.view.revision) {
-        await this.takeWhole();
-      }
-      if (head !== undefined) {
-        this.view.confirm(head.revision, askedMilliseconds);
-      }
-    } catch (error) {
-      this.log.warn('Could not read the configuration.', {
-        reason: describeFailure(failureOf(error)),
-      });
-    }
-  }
-
-  private async takeWhole(): Promise<void> {
-    const configuration = await this.store.read();
-    if (configuration !== undefined && this.view.take(configuration)) {
-      this.log.info('A configuration came into force.', { revision: this.view.revision });
-    }
-  }
-
-  private nextDelayMilliseconds(): number {
-    const interval =
-      this.view.revision === 0 ? FIRST_READ_INTERVAL_MILLISECONDS : READ_INTERVAL_MILLISECONDS;
-    return interval * (0.75 + this.random.fraction() / 2);
-  }
 }
--- a/packages/hickoryrelay-instance/src/ConfigurationView.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationView.ts
@@ -17,6 +17,9 @@
 
   private readonly observers = new Set<ConfigurationObserver>();
 
+  /** Results of validation, since reading a configuration of 1,100 accounts takes milliseconds. */
+  private readonly validated = new WeakMap<Configuration, Declarations>();
+
   private configuration: Configuration | undefined;
 
   private snapshot: Declarations | undefined;
@@ -49,14 +52,8 @@
     return this.clock.monotonicMilliseconds() - this.confirmedMilliseconds;
   }
 
-  /**
-   * Puts a configuration into force if it is newer than the present one. Throws if it is not whole
-   * or not valid. Returns whether it came into force.
-   */
-  take(configuration: Configuration): boolean {
-    if (configuration.head.revision <= this.revision) {
-      return false;
-    }
+  /** Throws if the configuration is not whole or not valid; returns its declarations. */
+  assertValid(configuration: Configuration): Declarations {
     if (!isWhole(configuration)) {
       throw new RelayError({
         kind: FailureKind.ProtocolViolation,
@@ -65,6 +62,19 @@
       });
     }
     const declarations = new Declarations(documentFrom(configuration.texts));
+    this.validated.set(configuration, declarations);
+    return declarations;
+  }
+
+  /**
+   * Puts a configuration into force if it is newer than the present one. Throws if it is not whole
+   * or not valid. Returns whether it came into force.
+   */
+  take(configuration: Configuration): boolean {
+    if (configuration.head.revision <= this.revision) {
+      return false;
+    }
+    const declarations = this.validated.get(configuration) ?? this.assertValid(configuration);
     this.configuration = configuration;
     this.snapshot = declarations;
     for (const observer of this.observers) {
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -6,6 +6,7 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
+import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 
@@ -24,7 +25,7 @@
 import { Exchange } from './Exchange.js';
 import { EndpointLinks } from './EndpointLinks.js';
 import { ConfigurationView } from './ConfigurationView.js';
-import { ConfigurationTask } from './ConfigurationTask.js';
+import { InstanceControl } from './InstanceControl.js';
 import { CallersInterface } from './CallersService.js';
 import { ConcurrencyLimitAdmission } from './AdmissionPolicy.js';
 import type { ExchangeParts } from './Exchange.js';
@@ -82,6 +83,8 @@
 
   private server: Server | undefined;
 
+  private control: InstanceControl | undefined;
+
   constructor(parts: InstanceParts) {
     this.parts = parts;
     this.settings = parts.settings;
@@ -144,27 +147,44 @@
   }
 
   async start(): Promise<void> {
-    const { logger, platform, random } = this.parts;
+    const { logger, platform } = this.parts;
     this.lifecycle.own('endpoint links', () => this.links.close());
     this.lifecycle.own(
       'withdrawn keys',
       this.view.subscribe(() => this.cancelWithdrawn()),
     );
-    const configurationLog = partLogger(logger, LogPrefix.Configuration);
-    const store = new ConfigurationStore(platform.keyValue);
-    this.lifecycle.start(new ConfigurationTask(store, this.view, random, configurationLog));
     const endpointLog = partLogger(logger, LogPrefix.Endpoint);
     this.lifecycle.start(
       new FleetTask(platform.supply, this.fleet, this.view, this.links, endpointLog),
     );
     await this.startBroker();
+    await this.startControl();
   }
 
   async stop(): Promise<void> {
     this.state = InstanceState.Leaving;
+    await this.control?.leave();
     await this.lifecycle.stop();
   }
 
+  private async startControl(): Promise<void> {
+    const { clock, logger, platform, random, settings } = this.parts;
+    const { address, port } = this.callersAddress;
+    this.control = new InstanceControl({
+      place: settings.instance,
+      transport: new WebSocketPeerTransport(settings.peers.address, settings.peers.port),
+      store: new ConfigurationStore(platform.keyValue),
+      instances: platform.instances,
+      callersUrl: `http://${address}:${port}`,
+      view: this.view,
+      clock,
+      random,
+      lifecycle: this.lifecycle.child('control'),
+      log: (prefix) => partLogger(logger, prefix),
+    });
+    await this.control.start();
+  }
+
   private async startBroker(): Promise<void> {
     const broker = new ServiceBroker({ logger: false, transporter: undefined });
     const callers = new CallersInterface(this);
--- a/packages/hickoryrelay-platform/src/ConfigurationStore.ts
+++ b/packages/hickoryrelay-platform/src/ConfigurationStore.ts
@@ -100,7 +100,12 @@
 export function isWhole({ head, texts }: Configuration): boolean {
   return (
     texts.length === BUCKET_COUNT &&
-    texts.every((text, index) => digestBucket(text) === head.digests[index])
+    head.digests.length === BUCKET_COUNT &&
+    // Goes through the digests, because `every` passes over the holes of a list with gaps.
+    head.digests.every((digest, index) => {
+      const text = texts[index];
+      return text !== undefined && digestBucket(text) === digest;
+    })
   );
 }
 
--- a/packages/hickoryrelay-standin/src/MemoryPeerTransport.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPeerTransport.ts
@@ -20,7 +20,7 @@
   onSent(url: string, bytes: number): void;
   forget(connection: MemoryConnection): void;
   listen(url: string, accept: (connection: PeerConnection) => void): CleanUp;
-  connect(localUrl: string, remoteUrl: string): PeerConnection | undefined;
+  connect(localUrl: string, remoteUrl: string): PeerConnection | PathState;
 }
 
 class MemoryConnection extends PeerConnection {
@@ -32,6 +32,10 @@
 
   isSilent = false;
 
+  private isHeld = false;
+
+  private readonly arrivals: (Uint8Array | undefined)[] = [];
+
   private readonly net: NetAccess;
 
   constructor(net: NetAccess, localUrl: string, remoteUrl: string) {
@@ -48,7 +52,7 @@
   override send(bytes: Uint8Array): void {
     this.net.onSent(this.localUrl, bytes.length);
     if (!this.isSilent) {
-      this.other?.received.push(bytes);
+      this.other?.arrive(bytes);
     }
   }
 
@@ -56,7 +60,27 @@
     this.received.close();
     this.net.forget(this);
     if (!this.isSilent) {
-      this.other?.received.close();
+      this.other?.arrive(undefined);
+    }
+  }
+
+  /** Holds back what arrives, as while the process at this end is paused. */
+  hold(isHeld: boolean): void {
+    this.isHeld = isHeld;
+    if (!isHeld) {
+      this.arrivals.splice(0).forEach((each) => this.arrive(each));
+    }
+  }
+
+  /** Takes a message, or the end of the connection. */
+  private arrive(bytes: Uint8Array | undefined): void {
+    if (this.isHeld) {
+      this.arrivals.push(bytes);
+    } else if (bytes === undefined) {
+      this.received.close();
+      this.net.forget(this);
+    } else {
+      this.received.push(bytes);
     }
   }
 }
@@ -76,18 +100,19 @@
     return this.net.listen(this.url, accept);
   }
 
-  override async connect(url: string): Promise<PeerConnection> {
+  override async connect(url: string, signal: AbortSignal): Promise<PeerConnection> {
     const connection = this.net.connect(this.url, url);
-    if (connection === undefined) {
-      const reason = 'no connection';
-      throw new RelayError({
-        kind: FailureKind.EndpointFailed,
-        endpoint: url,
-        reason,
-        mayHaveRun: false,
+    if (typeof connection !== 'string') {
+      return connection;
+    }
+    if (connection === PathState.Silent && !signal.aborted) {
+      await new Promise((resolve) => {
+        signal.addEventListener('abort', resolve, { once: true });
       });
     }
-    return connection;
+    const reason = `path ${connection}`;
+    const endpoint = url;
+    throw new RelayError({ kind: FailureKind.EndpointFailed, endpoint, reason, mayHaveRun: false });
   }
 }
 
@@ -100,6 +125,8 @@
 
   private readonly connections = new Set<MemoryConnection>();
 
+  private readonly paused = new Set<string>();
+
   private readonly paths = new Map<string, PathState>();
 
   transport(url: string): PeerTransport {
@@ -160,11 +187,31 @@
     }
   }
 
-  connect(localUrl: string, remoteUrl: string): PeerConnection | undefined {
+  /** Holds back everything at an address, as while its process is paused. */
+  setPaused(url: string, isPaused: boolean): void {
+    if (isPaused) {
+      this.paused.add(url);
+    } else {
+      this.paused.delete(url);
+    }
+    for (const connection of [...this.connections]) {
+      if (connection.localUrl === url) {
+        connection.hold(isPaused);
+      }
+    }
+  }
+
+  connect(localUrl: string, remoteUrl: string): PeerConnection | PathState {
     const state = this.paths.get(MemoryNet.pathKey(localUrl, remoteUrl)) ?? PathState.Open;
     const accept = this.listeners.get(remoteUrl);
-    if (state !== PathState.Open || accept === undefined) {
-      return undefined;
+    if (state !== PathState.Open) {
+      return state;
+    }
+    if (this.paused.has(remoteUrl)) {
+      return PathState.Silent;
+    }
+    if (accept === undefined) {
+      return PathState.Cut;
     }
     const near = new MemoryConnection(this, localUrl, remoteUrl);
     const far = new MemoryConnection(this, remoteUrl, localUrl);
--- /dev/null
+++ b/packages/hickoryrelay-standin/src/MemoryPlatform.ts
@@ -0,0 +1,195 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+import { InstanceList } from 'hickoryrelay-platform/InstanceList';
+import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+
+import type { Clock } from 'hickoryrelay/Clock';
+import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
+import type {
+  LeaseGrant,
+  RangeResult,
+  Transaction,
+  TransactionResult,
+  WatchBatch,
+} from 'hickoryrelay-platform/KeyValueStore';
+import { KeyValueTable } from './KeyValueTable.js';
+
+const TIMEOUT_MILLISECONDS = 2000;
+const USUAL_DELAY_MILLISECONDS = 2;
+
+/** The platform's services in memory, with faults. For tests and measurements without sockets. */
+export class MemoryPlatform {
+  readonly table: KeyValueTable;
+
+  readonly instances = new Map<string, ListedInstance>();
+
+  /** Names of callers that get no answer from any service. */
+  readonly unreachableFor = new Set<string>();
+
+  isOut = false;
+
+  /** If true, watches stay open and stop sending. */
+  silencesWatches = false;
+
+  /** Time from the effect of a call to its answer. */
+  answerDelayMilliseconds = USUAL_DELAY_MILLISECONDS;
+
+  watchDelayMilliseconds = USUAL_DELAY_MILLISECONDS;
+
+  /** Number of transactions to come that take effect without an answer. */
+  lostAnswers = 0;
+
+  constructor(clock: Clock) {
+    this.table = new KeyValueTable(clock);
+  }
+
+  /** Ends all faults. */
+  heal(): void {
+    this.isOut = false;
+    this.silencesWatches = false;
+    this.answerDelayMilliseconds = USUAL_DELAY_MILLISECONDS;
+    this.watchDelayMilliseconds = USUAL_DELAY_MILLISECONDS;
+    this.lostAnswers = 0;
+    this.unreachableFor.clear();
+  }
+
+  isReachableFor(caller: string): boolean {
+    return !this.isOut && !this.unreachableFor.has(caller);
+  }
+
+  /** Answers a call after the usual delay, or times out. The effect comes at once. */
+  async call<Answer>(
+    caller: string,
+    clock: Clock,
+    isWrite: boolean,
+    effect: () => Answer,
+  ): Promise<Answer> {
+    const isReachable = this.isReachableFor(caller);
+    const answer = isReachable ? effect() : undefined;
+    const isLost = isWrite && this.lostAnswers > 0;
+    this.lostAnswers -= isLost ? 1 : 0;
+    const delay = isReachable && !isLost ? this.answerDelayMilliseconds : TIMEOUT_MILLISECONDS;
+    await clock.sleep(Math.min(delay, TIMEOUT_MILLISECONDS));
+    if (answer === undefined || delay >= TIMEOUT_MILLISECONDS) {
+      throw new RelayError({
+        kind: FailureKind.PlatformUnavailable,
+        service: 'memory platform',
+        reason: 'no answer',
+        mayHaveTakenEffect: isWrite,
+      });
+    }
+    return answer;
+  }
+}
+
+/** The key-value service of a platform in memory, as one caller sees it. */
+export class MemoryKeyValueStore extends KeyValueStore {
+  private readonly platform: MemoryPlatform;
+
+  private readonly caller: string;
+
+  private readonly clock: Clock;
+
+  constructor(platform: MemoryPlatform, caller: string, clock: Clock) {
+    super();
+    this.platform = platform;
+    this.caller = caller;
+    this.clock = clock;
+  }
+
+  override range(key: string, options: { prefix?: boolean } = {}): Promise<RangeResult> {
+    return this.call(false, () => this.platform.table.range(key, options.prefix));
+  }
+
+  override commit(transaction: Transaction): Promise<TransactionResult> {
+    return this.call(true, () => this.platform.table.commit(transaction));
+  }
+
+  override grantLease(timeToLiveSeconds: number): Promise<LeaseGrant> {
+    return this.call(true, () => this.platform.table.grantLease(timeToLiveSeconds));
+  }
+
+  override keepLeaseAlive(identifier: string): Promise<number> {
+    return this.call(true, () => this.platform.table.keepLeaseAlive(identifier));
+  }
+
+  override async revokeLease(identifier: string): Promise<void> {
+    await this.call(true, () => {
+      this.platform.table.revokeLease(identifier);
+      return true;
+    });
+  }
+
+  override async *watch(
+    prefix: string,
+    fromRevision: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<WatchBatch, void, void> {
+    const missed = await this.call(false, () => this.platform.table.changesSince(fromRevision));
+    const batches = [...missed];
+    let wake = () => {};
+    const receive = (batch: WatchBatch) => {
+      if (!this.platform.silencesWatches && this.platform.isReachableFor(this.caller)) {
+        this.clock.schedule(this.platform.watchDelayMilliseconds, () => {
+          batches.push(batch);
+          wake();
+        });
+      }
+    };
+    const unsubscribe = this.platform.table.subscribe(receive);
+    try {
+      while (!signal.aborted) {
+        const batch = batches.shift();
+        if (batch === undefined) {
+          await new Promise<void>((resolve) => {
+            wake = resolve;
+            signal.addEventListener('abort', () => resolve(), { once: true });
+          });
+        } else {
+          yield MemoryKeyValueStore.filtered(batch, prefix);
+        }
+      }
+    } finally {
+      unsubscribe();
+    }
+  }
+
+  private static filtered(batch: WatchBatch, prefix: string): WatchBatch {
+    const events = batch.events.filter((event) =>
+      (event.type === 'put' ? event.value.key : event.key).startsWith(prefix),
+    );
+    return { revision: batch.revision, events };
+  }
+
+  private call<Answer>(isWrite: boolean, effect: () => Answer): Promise<Answer> {
+    return this.platform.call(this.caller, this.clock, isWrite, effect);
+  }
+}
+
+/** The instance list of a platform in memory, as one caller sees it. */
+export class MemoryInstanceList extends InstanceList {
+  private readonly platform: MemoryPlatform;
+
+  private readonly caller: string;
+
+  private readonly clock: Clock;
+
+  constructor(platform: MemoryPlatform, caller: string, clock: Clock) {
+    super();
+    this.platform = platform;
+    this.caller = caller;
+    this.clock = clock;
+  }
+
+  override list(): Promise<readonly ListedInstance[]> {
+    const { platform } = this;
+    return platform.call(this.caller, this.clock, false, () => [...platform.instances.values()]);
+  }
+
+  override async announce(instance: ListedInstance): Promise<void> {
+    const { platform } = this;
+    await platform.call(this.caller, this.clock, true, () =>
+      platform.instances.set(instance.name, instance),
+    );
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-standin/src/SimulatedFederation.ts
@@ -0,0 +1,213 @@
+import { Clock } from 'hickoryrelay/Clock';
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { ConfigurationView } from 'hickoryrelay-instance/ConfigurationView';
+import { InstanceControl } from 'hickoryrelay-instance/InstanceControl';
+import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
+
+import type { Failure } from 'hickoryrelay/Failure';
+import { MemoryInstanceList, MemoryKeyValueStore, MemoryPlatform } from './MemoryPlatform.js';
+import { MemoryNet } from './MemoryPeerTransport.js';
+
+/** The clock of one simulated process. While it is paused, time passes and nothing runs. */
+export class ProcessClock extends Clock {
+  private readonly base: ManualClock;
+
+  private readonly due: (() => void)[] = [];
+
+  private isPaused = false;
+
+  private isKilled = false;
+
+  constructor(base: ManualClock) {
+    super();
+    this.base = base;
+  }
+
+  override monotonicMilliseconds(): number {
+    return this.base.monotonicMilliseconds();
+  }
+
+  override wallMilliseconds(): number {
+    return this.base.wallMilliseconds();
+  }
+
+  override async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    await this.base.sleep(milliseconds, signal);
+    if (this.isPaused) {
+      await new Promise<void>((resolve) => {
+        this.due.push(resolve);
+      });
+    }
+  }
+
+  override schedule(milliseconds: number, action: () => void): () => void {
+    let isCancelled = false;
+    const run = () => {
+      if (!isCancelled && !this.isKilled) {
+        action();
+      }
+    };
+    const cancel = this.base.schedule(milliseconds, () => {
+      if (this.isPaused) {
+        this.due.push(run);
+      } else {
+        run();
+      }
+    });
+    return () => {
+      isCancelled = true;
+      cancel();
+    };
+  }
+
+  pause(): void {
+    this.isPaused = true;
+  }
+
+  resume(): void {
+    this.isPaused = false;
+    this.due.splice(0).forEach((action) => action());
+  }
+
+  kill(): void {
+    this.isKilled = true;
+  }
+}
+
+/** The control part of one run of an instance in a simulated federation. */
+export class SimulatedInstance {
+  readonly name: string;
+
+  readonly zone: string;
+
+  readonly url: string;
+
+  readonly clock: ProcessClock;
+
+  readonly view: ConfigurationView;
+
+  readonly control: InstanceControl;
+
+  readonly failures: Failure[] = [];
+
+  isPaused = false;
+
+  private readonly lifecycle: LifecycleManager;
+
+  constructor(federation: SimulatedFederationParts, name: string, zone: string) {
+    const { clock, net, platform, random } = federation;
+    this.name = name;
+    this.zone = zone;
+    this.url = `ws://${name}`;
+    this.clock = new ProcessClock(clock);
+    this.view = new ConfigurationView(this.clock);
+    this.lifecycle = new LifecycleManager(name, this.clock, (owner, failure) => {
+      this.failures.push(failure);
+    });
+    this.control = new InstanceControl({
+      place: { name, zone },
+      transport: net.transport(this.url),
+      store: new ConfigurationStore(new MemoryKeyValueStore(platform, name, this.clock), random),
+      instances: new MemoryInstanceList(platform, name, this.clock),
+      callersUrl: `http://${name}`,
+      view: this.view,
+      clock: this.clock,
+      random,
+      lifecycle: this.lifecycle,
+      log: () => silentLogger,
+    });
+  }
+
+  start(): Promise<void> {
+    return this.control.start();
+  }
+
+  /** Ends the run without any farewell. */
+  kill(net: MemoryNet): void {
+    net.kill(this.url);
+    this.clock.kill();
+    void this.lifecycle.stop();
+  }
+
+  /** Ends the run as a planned stop does. */
+  async stop(): Promise<void> {
+    await this.control.leave();
+    await this.lifecycle.stop();
+  }
+}
+
+interface SimulatedFederationParts {
+  readonly clock: ManualClock;
+  readonly net: MemoryNet;
+  readonly platform: MemoryPlatform;
+  readonly random: SeededRandomSource;
+}
+
+/** Control parts of many instances in one process, on a clock that tests move. */
+export class SimulatedFederation implements SimulatedFederationParts {
+  readonly clock = new ManualClock();
+
+  readonly net = new MemoryNet();
+
+  readonly platform = new MemoryPlatform(this.clock);
+
+  readonly random: SeededRandomSource;
+
+  /** The live run of each instance. */
+  readonly instances = new Map<string, SimulatedInstance>();
+
+  constructor(seed: number) {
+    this.random = new SeededRandomSource(seed);
+  }
+
+  /** Starts an instance, or a new run of it. */
+  async start(name: string, zone: string): Promise<SimulatedInstance> {
+    const instance = new SimulatedInstance(this, name, zone);
+    this.instances.set(name, instance);
+    await instance.start();
+    return instance;
+  }
+
+  kill(name: string): void {
+    this.instances.get(name)?.kill(this.net);
+    this.instances.delete(name);
+    this.net.setPaused(`ws://${name}`, false);
+  }
+
+  setPaused(name: string, isPaused: boolean): void {
+    const instance = this.instances.get(name);
+    if (instance === undefined || instance.isPaused === isPaused) {
+      return;
+    }
+    instance.isPaused = isPaused;
+    if (isPaused) {
+      instance.clock.pause();
+    }
+    this.net.setPaused(instance.url, isPaused);
+    if (!isPaused) {
+      instance.clock.resume();
+    }
+  }
+
+  /** Ends all faults; instances that were killed stay so. */
+  heal(): void {
+    this.platform.heal();
+    this.net.heal();
+    [...this.instances.keys()].forEach((name) => this.setPaused(name, false));
+  }
+
+  /** An operator's access to the configuration. */
+  operator(name: string): ConfigurationStore {
+    return new ConfigurationStore(
+      new MemoryKeyValueStore(this.platform, name, this.clock),
+      this.random,
+    );
+  }
+
+  stop(): void {
+    [...this.instances.keys()].forEach((name) => this.kill(name));
+  }
+}
