--- a/packages/hickoryrelay-standin/src/MemoryPlatform.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPlatform.ts
@@ -128,6 +128,11 @@
     const missed = await this.call(false, () => this.platform.table.changesSince(fromRevision));
     const batches = [...missed];
     let wake = () => {};
+    const changed = () =>
+      new Promise<void>((resolve) => {
+        wake = resolve;
+        signal.addEventListener('abort', () => resolve(), { once: true });
+      });
     const receive = (batch: WatchBatch) => {
       if (!this.platform.silencesWatches && this.platform.isReachableFor(this.caller)) {
         this.clock.schedule(this.platform.watchDelayMilliseconds, () => {
@@ -141,10 +146,7 @@
       while (!signal.aborted) {
         const batch = batches.shift();
         if (batch === undefined) {
-          await new Promise<void>((resolve) => {
-            wake = resolve;
-            signal.addEventListener('abort', () => resolve(), { once: true });
-          });
+          await changed();
         } else {
           yield MemoryKeyValueStore.filtered(batch, prefix);
         }
