--- a/packages/hickoryrelay-instance/src/Membership.ts
+++ b/packages/hickoryrelay-instance/src/Membership.ts
@@ -193,9 +193,14 @@
       : Liveness.Unknown;
   }
 
+  /** Observed time since a heartbeat of the instance last advanced. */
+  heartbeatAgeMilliseconds(member: Member): number {
+    return this.observedMilliseconds - member.advancedMilliseconds;
+  }
+
   livenessOf(member: Member): Liveness {
     const factor = member.row.identity.zone === this.identity.zone ? 1 : OTHER_ZONE_FACTOR;
-    const age = this.observedMilliseconds - member.advancedMilliseconds;
+    const age = this.heartbeatAgeMilliseconds(member);
     if (age > DEAD_MILLISECONDS * factor) {
       return this.isIsolated ? Liveness.Suspect : Liveness.Dead;
     }
--- a/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationFuzz.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationFuzz.test.ts
@@ -106,25 +106,29 @@
   fc.boolean().map(
     (isOut) =>
       new Step(`platform out ${isOut}`, (real) => {
-        real.federation.platform.isOut = isOut;
+        const { platform } = real.federation;
+        platform.isOut = isOut;
       }),
   ),
   fc.constantFrom(2, 700, 1900, 2500).map(
     (milliseconds) =>
       new Step(`platform answers after ${milliseconds} ms`, (real) => {
-        real.federation.platform.answerDelayMilliseconds = milliseconds;
+        const { platform } = real.federation;
+        platform.answerDelayMilliseconds = milliseconds;
       }),
   ),
   fc.constantFrom(2, 4000, 12_000).map(
     (milliseconds) =>
       new Step(`watches lag ${milliseconds} ms`, (real) => {
-        real.federation.platform.watchDelayMilliseconds = milliseconds;
+        const { platform } = real.federation;
+        platform.watchDelayMilliseconds = milliseconds;
       }),
   ),
   fc.boolean().map(
     (isSilent) =>
       new Step(`watches silent ${isSilent}`, (real) => {
-        real.federation.platform.silencesWatches = isSilent;
+        const { platform } = real.federation;
+        platform.silencesWatches = isSilent;
       }),
   ),
   name.map(
--- a/packages/hickoryrelay-instance/src/__tests__/unit/FederationModel.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/FederationModel.ts
@@ -32,7 +32,6 @@
   readonly revisions: number[];
   /** Revision of the previous run of the same name when it ended. */
   readonly previousRevision: number;
-  reachedPlatformThroughout: boolean;
   /** For each slice: revisions of the peers that were linked. */
   readonly peerRevisions: Map<string, number>[];
 }
@@ -48,6 +47,9 @@
 
   private readonly runs = new Map<string, Run>();
 
+  /** Runs that could not reach the platform at some time since their start. */
+  private readonly cutOff = new Set<Run>();
+
   private readonly lastRevisions = new Map<string, number>();
 
   private readonly key: ReturnType<typeof AccessKey.issue>;
@@ -83,7 +85,6 @@
       instance,
       revisions: [],
       previousRevision: this.lastRevisions.get(name) ?? 0,
-      reachedPlatformThroughout: true,
       peerRevisions: [],
     };
     this.runs.set(name, run);
@@ -244,7 +245,7 @@
 
   /** Revision that a starting instance could get: from the platform, or from steady peers. */
   private reachableRevision(run: Run): number {
-    if (run.reachedPlatformThroughout) {
+    if (!this.cutOff.has(run)) {
       return this.newestRevision;
     }
     const slices = run.peerRevisions.slice(-LINKED_SLICES);
@@ -259,12 +260,15 @@
   private judge(run: Run): void {
     const { instance } = run;
     if (instance.isPaused) {
-      run.peerRevisions.length = 0;
+      run.peerRevisions.splice(0);
       return;
     }
     const { platform, clock } = this.federation;
-    run.reachedPlatformThroughout &&=
+    const isReached =
       platform.isReachableFor(instance.name) && platform.answerDelayMilliseconds < 2000;
+    if (!isReached) {
+      this.cutOff.add(run);
+    }
     const linked = instance.control.network
       .connectedPeers()
       .map(({ name }) => [name, this.runs.get(name)] as const)
--- a/packages/hickoryrelay-standin/src/MemoryPeerTransport.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPeerTransport.ts
@@ -18,6 +18,7 @@
 /** What connections and transports need of the net that they belong to. */
 interface NetAccess {
   onSent(url: string, bytes: number): void;
+  deliver(arrival: () => void): void;
   forget(connection: MemoryConnection): void;
   listen(url: string, accept: (connection: PeerConnection) => void): CleanUp;
   connect(localUrl: string, remoteUrl: string): PeerConnection | PathState;
@@ -52,7 +53,7 @@
   override send(bytes: Uint8Array): void {
     this.net.onSent(this.localUrl, bytes.length);
     if (!this.isSilent) {
-      this.other?.arrive(bytes);
+      this.net.deliver(() => this.other?.arrive(bytes));
     }
   }
 
@@ -60,7 +61,7 @@
     this.received.close();
     this.net.forget(this);
     if (!this.isSilent) {
-      this.other?.arrive(undefined);
+      this.net.deliver(() => this.other?.arrive(undefined));
     }
   }
 
@@ -121,6 +122,9 @@
   /** Messages and bytes sent by each address. */
   readonly sent = new Map<string, { messages: number; bytes: number }>();
 
+  /** Brings each message to the other end; replaced to make messages travel for a while. */
+  deliver: (arrival: () => void) => void = (arrival) => arrival();
+
   private readonly listeners = new Map<string, (connection: PeerConnection) => void>();
 
   private readonly connections = new Set<MemoryConnection>();
--- a/packages/hickoryrelay-standin/src/SimulatedFederation.ts
+++ b/packages/hickoryrelay-standin/src/SimulatedFederation.ts
@@ -148,18 +148,20 @@
 
 /** Control parts of many instances in one process, on a clock that tests move. */
 export class SimulatedFederation implements SimulatedFederationParts {
-  readonly clock = new ManualClock();
+  readonly clock: ManualClock;
 
   readonly net = new MemoryNet();
 
-  readonly platform = new MemoryPlatform(this.clock);
+  readonly platform: MemoryPlatform;
 
   readonly random: SeededRandomSource;
 
   /** The live run of each instance. */
   readonly instances = new Map<string, SimulatedInstance>();
 
-  constructor(seed: number) {
+  constructor(seed: number, clock = new ManualClock()) {
+    this.clock = clock;
+    this.platform = new MemoryPlatform(clock);
     this.random = new SeededRandomSource(seed);
   }
 
