--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -6,6 +6,7 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
+import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 
@@ -26,9 +27,9 @@
 import { Drain, DrainPhase } from './Drain.js';
 import { EndpointLinks } from './EndpointLinks.js';
 import { ConfigurationView } from './ConfigurationView.js';
-import { ConfigurationTask } from './ConfigurationTask.js';
 import { CallersInterface } from './CallersInterface.js';
 import { CallMetrics } from './CallMetrics.js';
+import { InstanceControl } from './InstanceControl.js';
 import { ConcurrencyLimitAdmission } from './AdmissionPolicy.js';
 import type { ExchangeParts } from './Exchange.js';
 
@@ -87,6 +88,8 @@
 
   private server: Server | undefined;
 
+  private control: InstanceControl | undefined;
+
   constructor(parts: InstanceParts) {
     this.parts = parts;
     this.settings = parts.settings;
@@ -155,20 +158,18 @@
 
   async start(): Promise<void> {
     this.offerGauges();
-    const { logger, platform, random } = this.parts;
+    const { logger, platform } = this.parts;
     this.lifecycle.own('endpoint links', () => this.links.close());
     this.lifecycle.own(
       'withdrawn keys',
       this.view.subscribe(() => this.cancelWithdrawn()),
     );
-    const configurationLog = partLogger(logger, LogPrefix.Configuration);
-    const store = new ConfigurationStore(platform.keyValue);
-    this.lifecycle.start(new ConfigurationTask(store, this.view, random, configurationLog));
     const endpointLog = partLogger(logger, LogPrefix.Endpoint);
     this.lifecycle.start(
       new FleetTask(platform.supply, this.fleet, this.view, this.links, endpointLog),
     );
     await this.startBroker();
+    await this.startControl();
   }
 
   /**
@@ -176,7 +177,7 @@
    * it owns. Returns the request identifiers of calls that were cut off at the deadline.
    */
   async stop(): Promise<readonly string[]> {
-    const lost = await this.drain.run();
+    const [lost] = await Promise.all([this.drain.run(), this.control?.leave()]);
     await this.lifecycle.stop();
     return lost;
   }
@@ -186,6 +187,24 @@
     this.drain.hurry();
   }
 
+  private async startControl(): Promise<void> {
+    const { clock, logger, platform, random, settings } = this.parts;
+    const { address, port } = this.callersAddress;
+    this.control = new InstanceControl({
+      place: settings.instance,
+      transport: new WebSocketPeerTransport(settings.peers.address, settings.peers.port),
+      store: new ConfigurationStore(platform.keyValue),
+      instances: platform.instances,
+      callersUrl: `http://${address}:${port}`,
+      view: this.view,
+      clock,
+      random,
+      lifecycle: this.lifecycle.child('control'),
+      log: (prefix) => partLogger(logger, prefix),
+    });
+    await this.control.start();
+  }
+
   private async startBroker(): Promise<void> {
     const broker = new ServiceBroker({
       logger: false,
