--- a/packages/hickoryrelay-instance/src/AnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/AnswerWriter.ts
@@ -18,8 +18,11 @@
 
   abstract begin(status: number, contentType: string): void;
 
-  /** Resolves when the caller's connection can take more. Rejects with `cancelled` if it is gone. */
-  abstract write(piece: Buffer): Promise<void>;
+  /**
+   * Resolves when the caller's connection can take more. Rejects with `cancelled` if it is gone, or
+   * if the signal aborts while a caller that does not read is waited for.
+   */
+  abstract write(piece: Buffer, signal: AbortSignal): Promise<void>;
 
   abstract end(): Promise<void>;
 
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/CallMetering.ts
@@ -0,0 +1,39 @@
+import type { Call } from 'hickoryrelay-link/Call';
+import type { CallFigures, CallMeter, MeteredCall } from 'hickoryrelay-usage/CallMeter';
+
+/** Meters one call over all its attempts: opened before the first is sent, closed once. */
+export class CallMetering {
+  private readonly meter: CallMeter;
+
+  private readonly call: Call;
+
+  private metered: MeteredCall | undefined;
+
+  private isClosed = false;
+
+  constructor(meter: CallMeter, call: Call) {
+    this.meter = meter;
+    this.call = call;
+  }
+
+  /** Records that the call is about to be sent to the endpoint. */
+  sendTo(endpoint: string): void {
+    if (this.metered === undefined) {
+      this.metered = this.meter.open(this.call, endpoint);
+    } else {
+      this.metered.moveTo(endpoint);
+    }
+  }
+
+  progress(completionTokens: number): void {
+    this.metered?.progress(completionTokens);
+  }
+
+  /** Closes the record if one is open. Only the first call has an effect. */
+  async close(figures: CallFigures): Promise<void> {
+    if (!this.isClosed) {
+      this.isClosed = true;
+      await this.metered?.close(figures);
+    }
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/EngineStatus.ts
@@ -0,0 +1,59 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
+import type { AnswerWriter } from './AnswerWriter.js';
+import type { Attempt } from './Attempt.js';
+import type { CallMetering } from './CallMetering.js';
+import type { ExchangeParts } from './Exchange.js';
+import { HeldAnswer } from './HeldAnswer.js';
+
+const OK = 200;
+
+/** Answers by which an engine says that the request itself is wrong, wherever it is sent. */
+const CALLERS_FAULT: ReadonlySet<number> = new Set([400, 413, 422]);
+
+/** Most bytes of an engine's error message that are passed on. */
+const LONGEST_REFUSAL_BYTES = 65_536;
+
+/** Tells whether another engine would refuse the request as well. */
+export function isCallersFault(status: number): boolean {
+  return CALLERS_FAULT.has(status);
+}
+
+/** Throws `endpoint-failed` if the engine answers with an error. */
+export function assertEngineAnswers(attempt: Attempt): void {
+  const { status } = attempt.answer;
+  if (status !== OK) {
+    throw new RelayError({
+      kind: FailureKind.EndpointFailed,
+      endpoint: attempt.endpoint.identifier,
+      reason: `status ${status}`,
+      mayHaveRun: true,
+    });
+  }
+}
+
+/** Passes on an engine's refusal of a wrong request. */
+export async function relayRefusal(
+  attempt: Attempt,
+  parts: ExchangeParts,
+  metering: CallMetering,
+  writer: AnswerWriter,
+  signal: AbortSignal,
+): Promise<void> {
+  const held = new HeldAnswer(parts.memory, LONGEST_REFUSAL_BYTES);
+  try {
+    for await (const piece of attempt.answer.pieces) {
+      if (!held.tryAdd(piece)) {
+        break;
+      }
+    }
+    await metering.close({ promptTokens: 0, completionTokens: 0 });
+    writer.begin(attempt.answer.status, attempt.answer.contentType);
+    await writer.write(held.take(), signal);
+    await writer.end();
+  } finally {
+    held.drop();
+    await attempt.end();
+  }
+}
--- a/packages/hickoryrelay-instance/src/Exchange.ts
+++ b/packages/hickoryrelay-instance/src/Exchange.ts
@@ -1,15 +1,27 @@
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { FailureKind } from 'hickoryrelay/Failure';
-import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+import { failureOf, hasFailureKind, RelayError } from 'hickoryrelay/RelayError';
 
 import type { Clock } from 'hickoryrelay/Clock';
-import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
-import type { AnswerStream } from 'hickoryrelay-link/AnswerStream';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { Call } from 'hickoryrelay-link/Call';
+import type { CallMeter } from 'hickoryrelay-usage/CallMeter';
+import type { ClaimRegister } from 'hickoryrelay-usage/ClaimRegister';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
 import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 import type { AdmissionPolicy } from './AdmissionPolicy.js';
+import type { AnswerMemory } from './AnswerMemory.js';
+import type { AnswerRelay } from './AnswerRelay.js';
 import type { AnswerWriter } from './AnswerWriter.js';
+import { CallAttempts } from './CallAttempts.js';
+import { CallMetering } from './CallMetering.js';
 import type { EndpointLinks } from './EndpointLinks.js';
+import type { ExchangeCounters } from './ExchangeCounters.js';
+import type { ExchangeLimits } from './ExchangeLimits.js';
+import { ModelStreamRelay } from './ModelStreamRelay.js';
+import type { RetryBudget } from './RetryBudget.js';
+import { ServiceRelay } from './ServiceRelay.js';
+import { WholeModelRelay } from './WholeModelRelay.js';
 
 /** What an exchange needs of its instance. */
 export interface ExchangeParts {
@@ -18,13 +30,13 @@
   readonly fleet: Fleet;
   readonly links: EndpointLinks;
   readonly clock: Clock;
-}
-
-const RETRY_AFTER_SECONDS = 1;
-
-interface Attempt {
-  readonly answer: AnswerStream;
-  readonly endCall: () => void;
+  readonly random: RandomSource;
+  readonly meter: CallMeter;
+  readonly claims: ClaimRegister;
+  readonly retryBudget: RetryBudget;
+  readonly memory: AnswerMemory;
+  readonly counters: ExchangeCounters;
+  readonly limits: ExchangeLimits;
 }
 
 /** One call from admission to the last byte of the answer. */
@@ -35,107 +47,66 @@
 
   private readonly abort = new AbortController();
 
-  private mayHaveRun = false;
+  private readonly attempts: CallAttempts;
 
-  private cancelFailure: RelayError | undefined;
+  private readonly answerRelay: AnswerRelay;
 
   private readonly onEnd: () => void;
 
+  private cancelFailure: RelayError | undefined;
+
   constructor(call: Call, parts: ExchangeParts, onEnd: () => void) {
     this.call = call;
     this.parts = parts;
     this.onEnd = onEnd;
+    const metering = new CallMetering(parts.meter, call);
+    this.attempts = new CallAttempts(call, parts, metering, this.abort.signal);
+    if (call.kind === WorkKind.Service) {
+      this.answerRelay = new ServiceRelay(call, parts, this.attempts, metering);
+    } else {
+      this.answerRelay = call.isStreaming
+        ? new ModelStreamRelay(call, parts, this.attempts, metering)
+        : new WholeModelRelay(call, parts, this.attempts, metering);
+    }
   }
 
-  /** Ends the exchange early, for the given reason. */
+  /** Ends the exchange early, for the given reason. The endpoint's call is cancelled at once. */
   cancel(error: RelayError): void {
     this.cancelFailure ??= error;
-    this.abort.abort();
+    this.abort.abort(error);
   }
 
   /** Runs the call and writes its answer, or its failure. Never rejects. */
   async run(writer: AnswerWriter): Promise<void> {
+    const cancelDeadline = this.setDeadline();
     try {
       const ticket = await this.parts.admission.admit(this.call, this.abort.signal);
       try {
-        await this.relay(writer);
+        this.parts.retryBudget.addCall();
+        await this.answerRelay.relay(writer);
       } finally {
         ticket.release();
       }
     } catch (error) {
+      const isUnknown = hasFailureKind(error, FailureKind.ResultUnknown);
       await writer.fail({
-        failure: failureOf(this.cancelFailure ?? error),
+        failure: failureOf(isUnknown ? error : (this.cancelFailure ?? error)),
         requestIdentifier: this.call.requestIdentifier,
-        notRun: !this.mayHaveRun,
+        notRun: !isUnknown && !this.attempts.mayHaveRun,
       });
     } finally {
+      cancelDeadline();
       this.onEnd();
     }
   }
 
-  private async relay(writer: AnswerWriter): Promise<void> {
-    const { answer, endCall } = await this.firstAnswer();
-    try {
-      writer.begin(answer.status, answer.contentType);
-      for await (const piece of answer.pieces) {
-        await writer.write(piece);
-      }
-      await writer.end();
-    } finally {
-      endCall();
-    }
-  }
-
-  /** Tries candidates until one answers. Only calls that cannot do harm twice are tried again. */
-  private async firstAnswer(): Promise<Attempt> {
-    let lastError: RelayError | undefined;
-    for (const endpoint of this.parts.selection.candidates(this.call, this.parts.fleet)) {
-      try {
-        return await this.attempt(endpoint);
-      } catch (error) {
-        this.assertMayRetry(error);
-        lastError = new RelayError(failureOf(error), error);
-      }
-    }
-    throw (
-      lastError ??
-      new RelayError({
-        kind: FailureKind.NoEndpoint,
-        className: this.call.className,
-        retryAfterSeconds: RETRY_AFTER_SECONDS,
-      })
-    );
-  }
-
-  private async attempt(endpoint: Endpoint): Promise<Attempt> {
-    const endCall = endpoint.beginCall();
-    try {
-      const link = this.parts.links.linkTo(endpoint);
-      const answer = await link.send(this.call, this.abort.signal);
-      this.mayHaveRun = true;
-      return { answer, endCall };
-    } catch (error) {
-      endCall();
-      throw error;
-    }
-  }
-
-  private assertMayRetry(error: unknown): void {
-    const failure = failureOf(error);
-    const wasSent = failure.kind !== FailureKind.EndpointFailed || failure.mayHaveRun;
-    this.mayHaveRun ||= wasSent;
-    if (this.abort.signal.aborted) {
-      throw new RelayError(failure, error);
-    }
-    if (wasSent && !this.call.isIdempotent) {
-      throw new RelayError(
-        {
-          kind: FailureKind.ResultUnknown,
-          requestIdentifier: this.call.requestIdentifier,
-          reason: 'the endpoint did not answer',
-        },
-        error,
-      );
-    }
+  /** The deadline bounds admission and all attempts together. */
+  private setDeadline(): () => void {
+    const { arrivalMilliseconds, deadlineMilliseconds } = this.call;
+    const leftMilliseconds = deadlineMilliseconds - this.parts.clock.monotonicMilliseconds();
+    return this.parts.clock.schedule(Math.max(0, leftMilliseconds), () => {
+      const limitMilliseconds = deadlineMilliseconds - arrivalMilliseconds;
+      this.cancel(new RelayError({ kind: FailureKind.DeadlineExceeded, limitMilliseconds }));
+    });
   }
 }
--- a/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
@@ -35,10 +35,10 @@
     });
   }
 
-  override async write(piece: Buffer): Promise<void> {
+  override async write(piece: Buffer, signal: AbortSignal): Promise<void> {
     this.assertOpen();
     if (!this.response.write(piece)) {
-      await this.drained();
+      await this.drained(signal);
     }
   }
 
@@ -53,6 +53,11 @@
       this.response.end(JSON.stringify(body));
       return;
     }
+    if (this.response.writableNeedDrain) {
+      // The caller does not read, so an event would wait behind what it has not read yet.
+      this.response.destroy();
+      return;
+    }
     const contentType = String(this.response.getHeader('content-type') ?? '');
     if (contentType.startsWith(EVENT_STREAM) && !this.response.writableEnded) {
       this.response.end(`data: ${JSON.stringify(body)}\n\n`);
@@ -67,15 +72,20 @@
     }
   }
 
-  private async drained(): Promise<void> {
+  private async drained(cancelled: AbortSignal): Promise<void> {
     const settled = new AbortController();
     const { signal } = settled;
+    const stop = () => settled.abort();
+    cancelled.addEventListener('abort', stop);
     try {
       await Promise.race([
         once(this.response, 'drain', { signal }),
         once(this.response, 'close', { signal }),
       ]);
+    } catch (error) {
+      throw new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' }, error);
     } finally {
+      cancelled.removeEventListener('abort', stop);
       settled.abort();
     }
     this.assertOpen();
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -6,6 +6,7 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
+import { DisabledCallMeter } from 'hickoryrelay-usage/CallMeter';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 
@@ -20,7 +21,12 @@
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import type { Logger as ProcessLogger } from 'winston';
+import { AnswerMemory } from './AnswerMemory.js';
+import { ExchangeCounters } from './ExchangeCounters.js';
+import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
 import { FleetTask } from './FleetTask.js';
+import { RetryBudget } from './RetryBudget.js';
+import { UnavailableClaimRegister } from './UnavailableClaimRegister.js';
 import { Exchange } from './Exchange.js';
 import { EndpointLinks } from './EndpointLinks.js';
 import { ConfigurationView } from './ConfigurationView.js';
@@ -97,6 +103,13 @@
       fleet: this.fleet,
       links: this.links,
       clock: parts.clock,
+      random: parts.random,
+      meter: new DisabledCallMeter(),
+      claims: new UnavailableClaimRegister(),
+      retryBudget: new RetryBudget(),
+      memory: new AnswerMemory(),
+      counters: new ExchangeCounters(),
+      limits: DEFAULT_EXCHANGE_LIMITS,
     };
   }
 
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/ModelStreamRelay.ts
@@ -0,0 +1,131 @@
+import { EngineEventReader } from 'hickoryrelay-link/EngineEvents';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
+import type { ModelCall } from 'hickoryrelay-link/Call';
+import { AnswerRelay } from './AnswerRelay.js';
+import type { AnswerWriter } from './AnswerWriter.js';
+import type { Attempt } from './Attempt.js';
+import type { CallAttempts } from './CallAttempts.js';
+import type { CallMetering } from './CallMetering.js';
+import type { ExchangeParts } from './Exchange.js';
+import { assertEngineAnswers, isCallersFault, relayRefusal } from './EngineStatus.js';
+import { ModelStream } from './ModelStream.js';
+
+/** Relays a model stream, and resumes it on the same or another engine when it breaks. */
+export class ModelStreamRelay extends AnswerRelay {
+  private readonly stream: ModelStream;
+
+  private readonly parts: ExchangeParts;
+
+  private readonly attempts: CallAttempts;
+
+  private readonly metering: CallMetering;
+
+  constructor(
+    call: ModelCall,
+    parts: ExchangeParts,
+    attempts: CallAttempts,
+    metering: CallMetering,
+  ) {
+    super();
+    const { counters, memory, limits } = parts;
+    this.stream = new ModelStream(call, counters, memory, limits.resumeTextBytes);
+    this.parts = parts;
+    this.attempts = attempts;
+    this.metering = metering;
+  }
+
+  override async relay(writer: AnswerWriter): Promise<void> {
+    try {
+      while (!this.stream.isComplete) {
+        const resume = this.stream.resumePoint();
+        if (resume !== undefined) {
+          this.parts.counters.resumes += 1;
+        }
+        const attempt = await this.attempts.open(resume);
+        if (!writer.hasBegun && isCallersFault(attempt.answer.status)) {
+          await relayRefusal(attempt, this.parts, this.metering, writer, this.attempts.signal);
+          return;
+        }
+        await this.relayAttempt(attempt, writer);
+      }
+    } finally {
+      this.stream.drop();
+      await this.metering.close(this.stream.figures);
+    }
+  }
+
+  /** Passes on the pieces of one attempt until it is complete or breaks. */
+  private async relayAttempt(attempt: Attempt, writer: AnswerWriter): Promise<void> {
+    this.stream.beginAttempt(attempt.endpoint.identifier);
+    try {
+      assertEngineAnswers(attempt);
+      if (!writer.hasBegun) {
+        writer.begin(attempt.answer.status, attempt.answer.contentType);
+      }
+      await this.relayPieces(attempt, writer);
+    } catch (error) {
+      await attempt.end();
+      this.attempts.recordFailure(attempt.endpoint, error);
+    }
+  }
+
+  private async relayPieces(attempt: Attempt, writer: AnswerWriter): Promise<void> {
+    const reader = new EngineEventReader(attempt.endpoint.identifier);
+    const { pieces } = attempt.answer;
+    let step = await pieces.next();
+    while (step.done !== true) {
+      attempt.pauseDeadline();
+      await this.relayPiece(reader, step.value, writer);
+      if (this.stream.isComplete) {
+        attempt.finish();
+        return;
+      }
+      attempt.resumeDeadline();
+      step = await pieces.next();
+    }
+    throw new RelayError({
+      kind: FailureKind.EndpointFailed,
+      endpoint: attempt.endpoint.identifier,
+      reason: 'the stream ended early',
+      mayHaveRun: true,
+    });
+  }
+
+  /** Passes on what the stream accepts, also when a later event of the same piece is refused. */
+  private async relayPiece(
+    reader: EngineEventReader,
+    piece: Buffer,
+    writer: AnswerWriter,
+  ): Promise<void> {
+    const accepted: Buffer[] = [];
+    try {
+      for (const event of reader.read(piece)) {
+        if (this.stream.accepts(event)) {
+          accepted.push(event.bytes);
+        }
+        if (this.stream.isComplete) {
+          break;
+        }
+      }
+    } finally {
+      const [first] = accepted;
+      if (first !== undefined) {
+        this.attempts.recordProgress();
+        await this.writeAccepted(accepted.length === 1 ? first : Buffer.concat(accepted), writer);
+      }
+    }
+  }
+
+  private async writeAccepted(bytes: Buffer, writer: AnswerWriter): Promise<void> {
+    if (!this.stream.isComplete) {
+      this.metering.progress(this.stream.deliveredTokens);
+      await writer.write(bytes, this.attempts.signal);
+      return;
+    }
+    await this.metering.close(this.stream.figures);
+    await writer.write(bytes, this.attempts.signal);
+    await writer.end();
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/WholeModelRelay.ts
@@ -0,0 +1,109 @@
+import { readWholeAnswer } from 'hickoryrelay-link/EngineEvents';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
+import type { ModelCall } from 'hickoryrelay-link/Call';
+import type { CallFigures } from 'hickoryrelay-usage/CallMeter';
+import { AnswerRelay } from './AnswerRelay.js';
+import type { AnswerWriter } from './AnswerWriter.js';
+import type { Attempt } from './Attempt.js';
+import type { CallAttempts } from './CallAttempts.js';
+import type { CallMetering } from './CallMetering.js';
+import { assertEngineAnswers, isCallersFault, relayRefusal } from './EngineStatus.js';
+import type { ExchangeParts } from './Exchange.js';
+import { HeldAnswer } from './HeldAnswer.js';
+
+interface CheckedAnswer {
+  readonly body: Buffer;
+  readonly figures: CallFigures;
+}
+
+/** Holds a model answer that is not streamed back until it is complete, and retries it. */
+export class WholeModelRelay extends AnswerRelay {
+  private readonly call: ModelCall;
+
+  private readonly parts: ExchangeParts;
+
+  private readonly attempts: CallAttempts;
+
+  private readonly metering: CallMetering;
+
+  constructor(
+    call: ModelCall,
+    parts: ExchangeParts,
+    attempts: CallAttempts,
+    metering: CallMetering,
+  ) {
+    super();
+    this.call = call;
+    this.parts = parts;
+    this.attempts = attempts;
+    this.metering = metering;
+  }
+
+  override async relay(writer: AnswerWriter): Promise<void> {
+    try {
+      for (;;) {
+        const attempt = await this.attempts.open();
+        const { status, contentType } = attempt.answer;
+        if (isCallersFault(status)) {
+          await relayRefusal(attempt, this.parts, this.metering, writer, this.attempts.signal);
+          return;
+        }
+        const checked = await this.collect(attempt);
+        if (checked !== undefined) {
+          await this.metering.close(checked.figures);
+          writer.begin(status, contentType);
+          await writer.write(checked.body, this.attempts.signal);
+          await writer.end();
+          return;
+        }
+      }
+    } finally {
+      await this.metering.close({ promptTokens: 0, completionTokens: 0 });
+    }
+  }
+
+  /** Returns the answer of an attempt, or undefined if it broke and may be tried again. */
+  private async collect(attempt: Attempt): Promise<CheckedAnswer | undefined> {
+    const held = new HeldAnswer(this.parts.memory, this.parts.limits.heldModelBytes);
+    try {
+      assertEngineAnswers(attempt);
+      for await (const piece of attempt.answer.pieces) {
+        if (!held.tryAdd(piece)) {
+          throw WholeModelRelay.broken(attempt, 'the answer is too large to be held back');
+        }
+        attempt.resumeDeadline();
+      }
+      return this.check(attempt, held.take());
+    } catch (error) {
+      this.attempts.recordFailure(attempt.endpoint, error);
+      return undefined;
+    } finally {
+      held.drop();
+      await attempt.end();
+    }
+  }
+
+  private check(attempt: Attempt, body: Buffer): CheckedAnswer {
+    const answer = readWholeAnswer(body);
+    if (answer === undefined) {
+      throw WholeModelRelay.broken(attempt, 'the answer is not complete');
+    }
+    if (answer.requestIdentifier !== this.call.requestIdentifier) {
+      this.parts.counters.foreignPieces += 1;
+      throw WholeModelRelay.broken(attempt, 'the answer belongs to another request');
+    }
+    return { body, figures: answer.usage };
+  }
+
+  private static broken(attempt: Attempt, reason: string): RelayError {
+    const endpoint = attempt.endpoint.identifier;
+    return new RelayError({
+      kind: FailureKind.EndpointFailed,
+      endpoint,
+      reason,
+      mayHaveRun: true,
+    });
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFaults.test.ts
@@ -0,0 +1,157 @@
+import { RetryBudget } from 'hickoryrelay-instance/RetryBudget';
+import { completionWords } from 'hickoryrelay-standin/EngineStandIn';
+import { Fault } from 'hickoryrelay-standin/FaultPlan';
+import { StreamFault } from 'hickoryrelay-standin/StreamFault';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import type { ExchangeLimits } from 'hickoryrelay-instance/ExchangeLimits';
+import { ExchangeFixture, readEvents, RecordingWriter } from './ExchangeFixture.js';
+
+describe('the exchange', () => {
+  let fixture = new ExchangeFixture();
+
+  beforeEach(async () => {
+    fixture = await new ExchangeFixture().start();
+  });
+
+  afterEach(() => fixture.stop());
+
+  const limit = (limits: Partial<ExchangeLimits>) => {
+    fixture.parts = { ...fixture.parts, limits: { ...fixture.parts.limits, ...limits } };
+  };
+  const refuseAll = () => {
+    for (const engine of fixture.engines) {
+      engine.faults.standing = Fault.Refuse;
+    }
+  };
+
+  it('ends all attempts at the deadline of the call', async () => {
+    refuseAll();
+    limit({ fruitlessAttempts: 1_000_000 });
+    const writer = await fixture.run(fixture.modelCall({ deadlineMilliseconds: 40 }));
+    expect(writer.report?.failure.kind).toBe('deadline-exceeded');
+    expect(fixture.counters.retries).toBeGreaterThan(3);
+  });
+
+  it('stops retrying when the retry budget of the instance is spent', async () => {
+    refuseAll();
+    const retryBudget = new RetryBudget({ share: 0.5, capacity: 3 });
+    fixture.parts = { ...fixture.parts, retryBudget };
+    await fixture.run(fixture.modelCall());
+    expect(fixture.counters.retries).toBe(3);
+    await fixture.run(fixture.modelCall());
+    await fixture.run(fixture.modelCall());
+    expect(fixture.counters.retries).toBe(4);
+  });
+
+  it('gives up after the allowed number of attempts that bring nothing', async () => {
+    refuseAll();
+    limit({ fruitlessAttempts: 4 });
+    const writer = await fixture.run(fixture.modelCall());
+    expect(writer.report?.failure.kind).toBe('endpoint-failed');
+    expect(writer.report?.notRun).toBe(false);
+    expect(fixture.counters.retries).toBe(3);
+  });
+
+  it('cancels the call at the engine at once when the caller goes', async () => {
+    fixture.engines[0]?.misbehaveNext({ fault: StreamFault.Silent, afterTokens: 2 });
+    const call = fixture.modelCall();
+    const exchange = fixture.open(call);
+    const writer = new RecordingWriter(fixture.meter);
+    const ended = exchange.run(writer);
+    const silentAnswers = () => fixture.engines[0]?.silentAnswers ?? 0;
+    await expect.poll(silentAnswers).toBe(1);
+    await expect.poll(() => readEvents(writer.text).text).not.toBe('');
+    exchange.cancel(new RelayError({ kind: FailureKind.Cancelled, reason: 'the caller has gone' }));
+    await ended;
+    await expect.poll(silentAnswers).toBe(0);
+    expect(fixture.clock.monotonicMilliseconds()).toBe(0);
+    expect(fixture.meter.closed).toHaveLength(1);
+    expect(fixture.meter.closed[0]?.figures.completionTokens).toBe(2);
+  });
+
+  it('does not take a caller that reads slowly for a silent engine', async () => {
+    const writer = new RecordingWriter(fixture.meter);
+    writer.onWrite = () => fixture.passSilence();
+    await fixture.run(fixture.modelCall(), writer);
+    expect(writer.ended).toBe(true);
+    expect(fixture.counters.silences).toBe(0);
+  });
+
+  it('resumes on another engine when one is withdrawn in the middle of a stream', async () => {
+    fixture.engines[0]?.misbehaveNext({ fault: StreamFault.Silent, afterTokens: 3 });
+    const call = fixture.modelCall();
+    const writer = new RecordingWriter(fixture.meter);
+    const ended = fixture.open(call).run(writer);
+    await expect.poll(() => fixture.engines[0]?.silentAnswers).toBe(1);
+    const [withdrawn] = fixture.fleet.endpoints();
+    if (withdrawn !== undefined) {
+      await fixture.parts.links.drop(withdrawn);
+    }
+    await fixture.passTimeUntil(ended);
+    expect(readEvents(writer.text).text).toBe(
+      completionWords(JSON.stringify(call.parameters.messages), 8).join(''),
+    );
+    expect(fixture.counters).toMatchObject({ silences: 0, resumes: 1 });
+  });
+
+  it('resumes with the delivered tokens and text, also if the engine does not number tokens', async () => {
+    const [engine] = fixture.engines;
+    for (const each of fixture.engines) {
+      each.numbersTokens = false;
+    }
+    engine?.misbehaveNext({ fault: StreamFault.Crash, afterTokens: 3 });
+    const call = fixture.modelCall();
+    const writer = await fixture.run(call);
+    const words = completionWords(JSON.stringify(call.parameters.messages), 8);
+    expect(readEvents(writer.text)).toMatchObject({ text: words.join(''), finishes: 1 });
+    expect(JSON.parse(fixture.engines[1]?.received[0]?.text ?? '{}')).toMatchObject({
+      resume: { delivered_tokens: 3, delivered_text: words.slice(0, 3).join('') },
+    });
+    expect(engine?.generatedTokens(call.requestIdentifier)).toBe(3);
+  });
+
+  it('ends a broken stream with a typed error when its text was too long to keep', async () => {
+    limit({ resumeTextBytes: 20 });
+    fixture.engines[0]?.misbehaveNext({ fault: StreamFault.Crash, afterTokens: 5 });
+    const writer = await fixture.run(fixture.modelCall());
+    expect(writer.report).toMatchObject({ failure: { kind: 'endpoint-failed' }, notRun: false });
+    expect(fixture.counters.resumes).toBe(0);
+    expect(fixture.memory.used).toBe(0);
+  });
+
+  it('does not hold an answer that is not streamed beyond the bound', async () => {
+    limit({ heldModelBytes: 100, fruitlessAttempts: 2 });
+    const writer = await fixture.run(fixture.modelCall({ isStreaming: false }));
+    expect(writer.report).toMatchObject({ failure: { kind: 'endpoint-failed' }, notRun: false });
+    expect(fixture.memory.used).toBe(0);
+  });
+
+  it('passes a long answer of a service on without holding it', async () => {
+    limit({ heldServiceBytes: 10 });
+    const writer = await fixture.run(fixture.serviceCall({ isIdempotent: true }));
+    expect(JSON.parse(writer.text)).toMatchObject({ run: 1 });
+    expect(fixture.memory.used).toBe(0);
+  });
+
+  it('gives a claim back when the call was certainly not run', async () => {
+    fixture.supply('http://127.0.0.1:9');
+    const refused = await fixture.run(fixture.serviceCall({ idempotencyKey: 'one' }));
+    expect(refused.report?.notRun).toBe(true);
+    fixture.supply(fixture.service.url);
+    const answered = await fixture.run(fixture.serviceCall({ idempotencyKey: 'one' }));
+    expect(answered.report).toBeUndefined();
+    expect(answered.ended).toBe(true);
+  });
+
+  it('counts the pieces that it drops', async () => {
+    fixture.engines[0]?.misbehaveNext(
+      { fault: StreamFault.ForeignPiece, afterTokens: 2 },
+      { fault: StreamFault.RepeatedPiece, afterTokens: 4 },
+    );
+    await fixture.run(fixture.modelCall());
+    expect(fixture.counters).toMatchObject({ foreignPieces: 1, repeatedPieces: 1, resumes: 0 });
+  });
+});
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
@@ -0,0 +1,352 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { AnswerMemory } from 'hickoryrelay-instance/AnswerMemory';
+import { AnswerWriter } from 'hickoryrelay-instance/AnswerWriter';
+import { ConcurrencyLimitAdmission } from 'hickoryrelay-instance/AdmissionPolicy';
+import { EndpointLinks } from 'hickoryrelay-instance/EndpointLinks';
+import { Exchange } from 'hickoryrelay-instance/Exchange';
+import { ExchangeCounters } from 'hickoryrelay-instance/ExchangeCounters';
+import { DEFAULT_EXCHANGE_LIMITS } from 'hickoryrelay-instance/ExchangeLimits';
+import { RetryBudget } from 'hickoryrelay-instance/RetryBudget';
+import { EngineStandIn } from 'hickoryrelay-standin/EngineStandIn';
+import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
+import { ServiceStandIn } from 'hickoryrelay-standin/ServiceStandIn';
+import { CallMeter } from 'hickoryrelay-usage/CallMeter';
+import { ClaimRegister } from 'hickoryrelay-usage/ClaimRegister';
+import { Fleet } from 'hickoryrelay-zone/Fleet';
+import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { RelayError } from 'hickoryrelay/RelayError';
+
+import type { FailureReport } from 'hickoryrelay-instance/AnswerWriter';
+import type { ExchangeParts } from 'hickoryrelay-instance/Exchange';
+import type { Call, ModelCall, ServiceCall } from 'hickoryrelay-link/Call';
+import type { CallFigures, MeteredCall } from 'hickoryrelay-usage/CallMeter';
+import type { ClaimOutcome, StoredAnswer } from 'hickoryrelay-usage/ClaimRegister';
+
+/** Far longer than all backoff delays of a test, so that only `passSilence` makes it pass. */
+const SILENCE_MILLISECONDS = 10_000_000;
+const MOST_TURNS = 4000;
+const NEVER_MILLISECONDS = Number.MAX_SAFE_INTEGER;
+
+/** A writer that keeps the answer, and from which the caller may go away. */
+export class RecordingWriter extends AnswerWriter {
+  status = 0;
+
+  ended = false;
+
+  report: FailureReport | undefined;
+
+  closesBeforeLastPiece = 0;
+
+  /** Called before each piece is kept. */
+  onWrite: (piece: Buffer) => Promise<void> | void = () => {};
+
+  readonly pieces: Buffer[] = [];
+
+  private readonly meter: RecordingMeter;
+
+  private readonly goneAfterPieces: number;
+
+  constructor(meter: RecordingMeter, goneAfterPieces = Number.POSITIVE_INFINITY) {
+    super();
+    this.meter = meter;
+    this.goneAfterPieces = goneAfterPieces;
+  }
+
+  override get hasBegun(): boolean {
+    return this.status !== 0;
+  }
+
+  get text(): string {
+    return Buffer.concat(this.pieces).toString('utf8');
+  }
+
+  override begin(status: number): void {
+    this.status = status;
+  }
+
+  override async write(piece: Buffer): Promise<void> {
+    this.closesBeforeLastPiece = this.meter.closed.length;
+    if (this.pieces.length >= this.goneAfterPieces) {
+      throw new RelayError({ kind: FailureKind.Cancelled, reason: 'the caller has gone' });
+    }
+    await this.onWrite(piece);
+    this.pieces.push(piece);
+  }
+
+  override async end(): Promise<void> {
+    this.ended = true;
+  }
+
+  override async fail(report: FailureReport): Promise<void> {
+    this.report = report;
+  }
+}
+
+/** Keeps what was metered, by request. */
+export class RecordingMeter extends CallMeter {
+  readonly opened: string[] = [];
+
+  readonly closed: { requestIdentifier: string; figures: CallFigures }[] = [];
+
+  override open({ requestIdentifier }: Call): MeteredCall {
+    this.opened.push(requestIdentifier);
+    return {
+      progress: () => {},
+      moveTo: () => {},
+      close: async (figures) => {
+        await sleep(1);
+        this.closed.push({ requestIdentifier, figures });
+      },
+    };
+  }
+}
+
+/** Claims in memory. */
+export class InMemoryClaimRegister extends ClaimRegister {
+  isUnavailable = false;
+
+  private readonly claims = new Map<
+    string,
+    { requestIdentifier: string; answer: StoredAnswer | undefined }
+  >();
+
+  override async claim(call: ServiceCall): Promise<ClaimOutcome> {
+    if (this.isUnavailable) {
+      throw new RelayError({
+        kind: FailureKind.PlatformUnavailable,
+        service: 'key-value service',
+        reason: 'down',
+        mayHaveTakenEffect: false,
+      });
+    }
+    const key = call.idempotencyKey ?? '';
+    const claim = this.claims.get(key);
+    if (claim === undefined) {
+      const { requestIdentifier } = call;
+      this.claims.set(key, { requestIdentifier, answer: undefined });
+      return { kind: 'granted' };
+    }
+    return claim.answer === undefined
+      ? { kind: 'unknown', requestIdentifier: claim.requestIdentifier }
+      : { kind: 'answered', answer: claim.answer };
+  }
+
+  override async store(call: ServiceCall, answer: StoredAnswer): Promise<void> {
+    const { requestIdentifier } = call;
+    this.claims.set(call.idempotencyKey ?? '', { requestIdentifier, answer });
+  }
+
+  override async abandon(call: ServiceCall): Promise<void> {
+    this.claims.delete(call.idempotencyKey ?? '');
+  }
+}
+
+/** Real exchanges and links with stand-ins on loopback, on a clock that the test moves. */
+export class ExchangeFixture {
+  readonly clock = new ManualClock();
+
+  readonly meter = new RecordingMeter();
+
+  readonly claims = new InMemoryClaimRegister();
+
+  readonly counters = new ExchangeCounters();
+
+  readonly memory = new AnswerMemory();
+
+  readonly engines: EngineStandIn[] = [];
+
+  readonly service = new ServiceStandIn();
+
+  readonly fleet = new Fleet();
+
+  parts: ExchangeParts;
+
+  private readonly links = new EndpointLinks();
+
+  private callNumber = 0;
+
+  private advancing = Promise.resolve();
+
+  constructor() {
+    this.parts = {
+      admission: new ConcurrencyLimitAdmission(100),
+      selection: new LeastOutstandingSelection('zone-a'),
+      fleet: this.fleet,
+      links: this.links,
+      clock: this.clock,
+      random: new SeededRandomSource(1),
+      meter: this.meter,
+      claims: this.claims,
+      retryBudget: new RetryBudget({ share: 1, capacity: 1000 }),
+      memory: this.memory,
+      counters: this.counters,
+      limits: {
+        ...DEFAULT_EXCHANGE_LIMITS,
+        firstPieceMilliseconds: SILENCE_MILLISECONDS,
+        progressMilliseconds: SILENCE_MILLISECONDS,
+        condemnedProgressMilliseconds: SILENCE_MILLISECONDS,
+        wholeAnswerMilliseconds: SILENCE_MILLISECONDS,
+        drainMilliseconds: SILENCE_MILLISECONDS,
+        fruitlessAttempts: 30,
+        backoff: { firstMilliseconds: 1, longestMilliseconds: 2 },
+      },
+    };
+  }
+
+  async start(engines = 2): Promise<this> {
+    for (let index = 0; index < engines; index += 1) {
+      const times = { prefillRate: Number.POSITIVE_INFINITY, decodeMilliseconds: 0 };
+      const engine = new EngineStandIn(['model-one'], times);
+      await engine.listen();
+      this.engines.push(engine);
+    }
+    await this.service.listen();
+    this.supply(this.service.url);
+    return this;
+  }
+
+  /** Enters the stand-ins into the fleet, with the service at the given address. */
+  supply(serviceUrl: string): void {
+    const kinds = sampleDeclarations().endpointKinds;
+    const place = { zone: 'zone-a', state: 'live' as const };
+    const engines = this.engines.map(({ url }, index) => ({
+      ...place,
+      identifier: `engine-${index}`,
+      kind: 'engine',
+      url,
+    }));
+    const service = { ...place, identifier: serviceUrl, kind: 'service', url: serviceUrl };
+    this.fleet.update([...engines, service], new Map(kinds.map((each) => [each.name, each])));
+  }
+
+  async stop(): Promise<void> {
+    await this.links.close();
+    await Promise.all([...this.engines, this.service].map((standIn) => standIn.close()));
+  }
+
+  modelCall(fields: Partial<ModelCall> = {}, tokens = 8): ModelCall {
+    const identity = this.identity();
+    return {
+      ...identity,
+      kind: 'model',
+      className: 'ask',
+      isIdempotent: true,
+      operation: 'chat-completions',
+      model: 'model-one',
+      parameters: {
+        messages: [{ role: 'user', content: identity.requestIdentifier }],
+        max_tokens: tokens,
+      },
+      isStreaming: true,
+      includesUsage: false,
+      promptTokens: 3,
+      ...fields,
+    };
+  }
+
+  serviceCall(fields: Partial<ServiceCall> = {}): ServiceCall {
+    const identity = this.identity();
+    return {
+      ...identity,
+      kind: 'service',
+      className: 'book',
+      isIdempotent: false,
+      route: 'book',
+      method: 'POST',
+      path: '/one',
+      contentType: 'text/plain',
+      body: Buffer.from(identity.requestIdentifier),
+      ...fields,
+    };
+  }
+
+  /** Opens the exchange of a call. */
+  open(call: Call): Exchange {
+    return new Exchange(call, this.parts, () => {});
+  }
+
+  /** Runs a call to its end. */
+  async run(
+    call: Call,
+    writer = new RecordingWriter(this.meter),
+    hasSilentService = false,
+  ): Promise<RecordingWriter> {
+    await this.passTimeUntil(this.open(call).run(writer), hasSilentService);
+    return writer;
+  }
+
+  /** How often the service ran a call. */
+  runsOf({ path, body }: ServiceCall): number {
+    return this.service.received.filter(
+      (each) => each.path === `/book${path}` && each.text === body?.toString('utf8'),
+    ).length;
+  }
+
+  /** Lets backoff delays pass, and silence where an endpoint is silent, until work is done. */
+  async passTimeUntil(work: Promise<unknown>, hasSilentService = false): Promise<void> {
+    const state = { isDone: false };
+    void work.finally(() => {
+      state.isDone = true;
+    });
+    for (let turn = 0; !state.isDone; turn += 1) {
+      if (turn > MOST_TURNS) {
+        throw new RelayError({ kind: FailureKind.InvariantViolated, message: 'the call hangs' });
+      }
+      await sleep(1);
+      await this.advance(1);
+      const isSilent = this.engines.some(({ silentAnswers }) => silentAnswers > 0);
+      if (isSilent || (hasSilentService && turn % 25 === 24)) {
+        await this.passSilence();
+      }
+    }
+    await work;
+  }
+
+  passSilence(): Promise<void> {
+    return this.advance(SILENCE_MILLISECONDS);
+  }
+
+  /** Advances overlap when calls run side by side, and the clock takes one at a time. */
+  private advance(milliseconds: number): Promise<void> {
+    this.advancing = this.advancing.then(() => this.clock.advance(milliseconds));
+    return this.advancing;
+  }
+
+  private identity() {
+    this.callNumber += 1;
+    return {
+      requestIdentifier: `request-${this.callNumber}`,
+      accountName: 'first',
+      keyIdentifier: undefined,
+      arrivalMilliseconds: this.clock.monotonicMilliseconds(),
+      deadlineMilliseconds: NEVER_MILLISECONDS,
+      idempotencyKey: undefined,
+    };
+  }
+}
+
+/** The texts of the events of a stream, and what else the caller saw. */
+export function readEvents(text: string) {
+  const events = text.split('\n\n').filter((event) => event !== '');
+  const decoded = events
+    .filter((event) => event !== 'data: [DONE]')
+    .map(
+      (event) =>
+        JSON.parse(event.slice(6)) as {
+          id: string;
+          choices: { delta: { content?: string }; finish_reason: string | null }[];
+          usage?: { completion_tokens: number };
+        },
+    );
+  return {
+    owners: new Set(decoded.map(({ id }) => id)),
+    text: decoded.map(({ choices }) => choices[0]?.delta.content ?? '').join(''),
+    finishes: decoded.filter(({ choices }) => choices[0]?.finish_reason === 'stop').length,
+    usages: decoded.flatMap(({ usage }) => (usage === undefined ? [] : [usage.completion_tokens])),
+    doneMarks: events.length - decoded.length,
+  };
+}
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFuzz.test.ts
@@ -0,0 +1,244 @@
+import fc from 'fast-check';
+import { completionWords } from 'hickoryrelay-standin/EngineStandIn';
+import { Fault } from 'hickoryrelay-standin/FaultPlan';
+import { StreamFault } from 'hickoryrelay-standin/StreamFault';
+import { describe, expect, it } from 'vitest';
+
+import type { ModelCall, ServiceCall } from 'hickoryrelay-link/Call';
+import { ExchangeFixture, readEvents, RecordingWriter } from './ExchangeFixture.js';
+
+/** `FUZZ_SEED` and `FUZZ_PATH` replay a failure that fast-check has printed. */
+const PARAMETERS = {
+  seed: Number(process.env.FUZZ_SEED ?? Math.trunc(Math.random() * 2_147_483_647)),
+  numRuns: Number(process.env.FUZZ_RUNS ?? 60),
+  ...(process.env.FUZZ_PATH === undefined ? {} : { path: process.env.FUZZ_PATH }),
+};
+
+const NO_SUCH_ADDRESS = 'http://127.0.0.1:9';
+
+const modelCallScript = fc.record({
+  tokens: fc.integer({ min: 1, max: 10 }),
+  isStreaming: fc.boolean(),
+  includesUsage: fc.boolean(),
+  goneAfterPieces: fc.option(fc.integer({ min: 0, max: 8 }), { nil: undefined, freq: 4 }),
+});
+
+const streamFaults = fc.array(
+  fc.record({
+    fault: fc.constantFrom(...Object.values(StreamFault)),
+    afterTokens: fc.integer({ min: 0, max: 6 }),
+  }),
+  { minLength: 1, maxLength: 3 },
+);
+
+/** Rare, so that sequences hold calls that go well after calls that do not. */
+const rarely = fc.constantFrom(false, false, false, true);
+
+const serviceStep = fc.record({
+  key: fc.constantFrom('a', 'b', undefined),
+  isIdempotent: fc.boolean(),
+  fault: fc.constantFrom(
+    Fault.None,
+    Fault.None,
+    Fault.None,
+    Fault.LoseAnswer,
+    Fault.Silent,
+    Fault.Refuse,
+  ),
+  isServiceDown: rarely,
+  isRegisterDown: rarely,
+  isCallerGone: rarely,
+});
+
+type ModelCallScript = typeof modelCallScript extends fc.Arbitrary<infer Script> ? Script : never;
+
+function expectedText(call: ModelCall): string {
+  const { messages, max_tokens: tokens } = call.parameters;
+  return completionWords(JSON.stringify(messages), Number(tokens)).join('');
+}
+
+/** Every planned fault is within the limits, so the caller gets the whole answer, once. */
+function checkModelAnswer(call: ModelCall, script: ModelCallScript, writer: RecordingWriter): void {
+  expect(writer.report).toBeUndefined();
+  if (!call.isStreaming) {
+    const answer = JSON.parse(writer.text) as {
+      id: string;
+      choices: { message: { content: string } }[];
+    };
+    expect(answer.id).toBe(call.requestIdentifier);
+    expect(answer.choices[0]?.message.content).toBe(expectedText(call));
+    return;
+  }
+  const seen = readEvents(writer.text);
+  expect([...seen.owners]).toEqual([call.requestIdentifier]);
+  expect(seen.text).toBe(expectedText(call));
+  expect(seen.finishes).toBe(1);
+  expect(seen.doneMarks).toBe(1);
+  expect(seen.usages).toEqual(call.includesUsage ? [script.tokens] : []);
+}
+
+function checkFigures(
+  fixture: ExchangeFixture,
+  call: ModelCall,
+  script: ModelCallScript,
+  writer: RecordingWriter,
+): void {
+  const { requestIdentifier } = call;
+  const records = fixture.meter.closed.filter(
+    (each) => each.requestIdentifier === requestIdentifier,
+  );
+  expect(fixture.meter.opened.filter((each) => each === requestIdentifier)).toHaveLength(1);
+  expect(records).toHaveLength(1);
+  const completionTokens = records[0]?.figures.completionTokens ?? -1;
+  if (writer.ended) {
+    expect(completionTokens).toBe(script.tokens);
+    expect(writer.closesBeforeLastPiece).toBeGreaterThan(0);
+  } else if (call.isStreaming) {
+    const passedOn = readEvents(writer.text).text.split(' ').length - 1;
+    expect(completionTokens).toBeGreaterThanOrEqual(passedOn);
+    expect(completionTokens).toBeLessThanOrEqual(script.tokens);
+  }
+}
+
+type ServiceStep = typeof serviceStep extends fc.Arbitrary<infer Step> ? Step : never;
+
+/** What callers may still be told, by what the service did. */
+class ServiceOracle {
+  private readonly fixture: ExchangeFixture;
+
+  private readonly answersByKey = new Map<string, string>();
+
+  constructor(fixture: ExchangeFixture) {
+    this.fixture = fixture;
+  }
+
+  call(step: ServiceStep): ServiceCall {
+    const { isIdempotent, key: idempotencyKey } = step;
+    const call = this.fixture.serviceCall({ isIdempotent, idempotencyKey });
+    const body = idempotencyKey === undefined ? call.body : Buffer.from(idempotencyKey);
+    return { ...call, body, path: isIdempotent ? '/again' : '/once' };
+  }
+
+  check(step: ServiceStep, call: ServiceCall, runsBefore: number, writer: RecordingWriter): void {
+    const runs = this.fixture.runsOf(call);
+    const { report } = writer;
+    if (report?.notRun === true) {
+      expect(runs).toBe(runsBefore);
+    }
+    expect(writer.ended).toBe(report === undefined);
+    if (call.isIdempotent) {
+      expect(writer.ended || step.isServiceDown || step.isCallerGone).toBe(true);
+    } else {
+      expect(runs).toBeLessThanOrEqual(1);
+      this.checkOnce(step, call, runsBefore, writer);
+    }
+    const metered = (each: { requestIdentifier: string }) =>
+      each.requestIdentifier === call.requestIdentifier;
+    const { opened, closed } = this.fixture.meter;
+    const opens = opened.filter((requestIdentifier) => metered({ requestIdentifier }));
+    expect(opens.length).toBeLessThanOrEqual(1);
+    expect(closed.filter(metered)).toHaveLength(opens.length);
+  }
+
+  private checkOnce(
+    step: ServiceStep,
+    call: ServiceCall,
+    runsBefore: number,
+    { report, text }: RecordingWriter,
+  ): void {
+    const hasRun = this.fixture.runsOf(call) > runsBefore;
+    const answer = this.answersByKey.get(call.idempotencyKey ?? '');
+    const isReachable = !step.isRegisterDown && !step.isCallerGone;
+    const isHealthy = isReachable && !step.isServiceDown && step.fault === Fault.None;
+    if ((isReachable && answer !== undefined) || (isHealthy && runsBefore === 0)) {
+      expect(report).toBeUndefined();
+    }
+    if (report === undefined && answer !== undefined) {
+      expect(text).toBe(answer);
+    }
+    if (report === undefined && call.idempotencyKey !== undefined) {
+      this.answersByKey.set(call.idempotencyKey, text);
+    }
+    if (hasRun && (step.fault === Fault.LoseAnswer || step.fault === Fault.Silent)) {
+      expect(report?.failure.kind).toBe('result-unknown');
+    }
+    if (hasRun && report !== undefined) {
+      expect(report.failure.kind).toBe('result-unknown');
+    }
+    const needsClaim = call.idempotencyKey !== undefined;
+    if (needsClaim ? step.isRegisterDown : step.isServiceDown) {
+      expect(report?.notRun).toBe(true);
+    }
+  }
+}
+
+describe('the exchange under generated faults', () => {
+  it('gives each caller its whole model answer, without a gap, a repeat or a foreign piece', async () => {
+    const script = fc.record({
+      calls: fc.array(modelCallScript, { minLength: 1, maxLength: 3 }),
+      faults: fc.array(streamFaults, { maxLength: 4 }),
+    });
+    await fc.assert(
+      fc.asyncProperty(script, async ({ calls, faults }) => {
+        const fixture = await new ExchangeFixture().start();
+        try {
+          for (const engine of fixture.engines) {
+            faults.forEach((planned) => engine.misbehaveNext(...planned));
+          }
+          const runs = calls.map(async (each) => {
+            const { isStreaming, includesUsage } = each;
+            const call = fixture.modelCall({ isStreaming, includesUsage }, each.tokens);
+            const writer = new RecordingWriter(fixture.meter, each.goneAfterPieces);
+            await fixture.run(call, writer);
+            return { call, each, writer };
+          });
+          for (const { call, each, writer } of await Promise.all(runs)) {
+            if (writer.ended) {
+              checkModelAnswer(call, each, writer);
+            } else {
+              expect(writer.report?.failure.kind).toBe('cancelled');
+              expect(each.goneAfterPieces).toBeDefined();
+            }
+            checkFigures(fixture, call, each, writer);
+          }
+          expect(fixture.memory.used).toBe(0);
+        } finally {
+          await fixture.stop();
+        }
+      }),
+      PARAMETERS,
+    );
+  });
+
+  it('runs a service call that is not idempotent at most once and never lies about it', async () => {
+    const script = fc.array(serviceStep, { minLength: 1, maxLength: 6 });
+    await fc.assert(
+      fc.asyncProperty(script, async (steps) => {
+        const fixture = await new ExchangeFixture().start(0);
+        const oracle = new ServiceOracle(fixture);
+        try {
+          for (const step of steps) {
+            const call = oracle.call(step);
+            const { faults } = fixture.service;
+            faults.standing = step.isIdempotent ? Fault.None : step.fault;
+            if (step.isIdempotent) {
+              faults.next(step.fault);
+            }
+            fixture.claims.isUnavailable = step.isRegisterDown;
+            fixture.supply(step.isServiceDown ? NO_SUCH_ADDRESS : fixture.service.url);
+            const writer = new RecordingWriter(fixture.meter, step.isCallerGone ? 0 : undefined);
+            const runsBefore = fixture.runsOf(call);
+            await fixture.run(call, writer, step.fault === Fault.Silent);
+            oracle.check(step, call, runsBefore, writer);
+            while (step.isIdempotent && faults.take() !== Fault.None) {
+              // Faults that no request has met must not meet the next call.
+            }
+          }
+        } finally {
+          await fixture.stop();
+        }
+      }),
+      PARAMETERS,
+    );
+  });
+});
--- a/packages/hickoryrelay-link/src/OpenAiEngineLink.ts
+++ b/packages/hickoryrelay-link/src/OpenAiEngineLink.ts
@@ -5,6 +5,7 @@
 import { HttpEndpointLink } from './HttpEndpointLink.js';
 
 import type { Call } from './Call.js';
+import type { ResumePoint } from './EndpointLink.js';
 import type { EncodedCall } from './HttpEndpointLink.js';
 
 const OPERATION_PATHS: Readonly<Record<ModelOperation, string>> = {
@@ -14,7 +15,7 @@
 
 /** The link to an engine that offers the OpenAI-style interface. */
 export class OpenAiEngineLink extends HttpEndpointLink {
-  protected override encode(call: Call): EncodedCall {
+  protected override encode(call: Call, resume: ResumePoint | undefined): EncodedCall {
     invariant(call.kind === WorkKind.Model, `engine link got a ${call.kind} call`);
     const body = {
       ...call.parameters,
@@ -22,6 +23,14 @@
       stream: call.isStreaming,
       request_id: call.requestIdentifier,
       ...(call.isStreaming ? { stream_options: { include_usage: true } } : {}),
+      ...(resume === undefined
+        ? {}
+        : {
+            resume: {
+              delivered_tokens: resume.deliveredTokens,
+              delivered_text: resume.deliveredText,
+            },
+          }),
     };
     return {
       method: 'POST',
--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -1,10 +1,13 @@
 import { createHash } from 'node:crypto';
+import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { ServerResponse } from 'node:http';
 import { JsonServer } from './JsonServer.js';
 
 import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
+import { StreamFault } from './StreamFault.js';
+import type { PlannedStreamFault } from './StreamFault.js';
 
 /** Service times of an engine stand-in. */
 export interface EngineTimes {
@@ -21,12 +24,16 @@
   readonly max_tokens?: number;
   readonly messages?: unknown;
   readonly prompt?: unknown;
+  readonly resume?: { readonly delivered_tokens: number; readonly delivered_text: string };
 }
 
 const WORDS = ['swing', 'weight', 'plumb', 'north', 'arc', 'drift', 'wire', 'floor'];
 const DEFAULT_MAX_TOKENS = 16;
 const BYTES_PER_TOKEN = 4;
 const MILLISECONDS_PER_SECOND = 1000;
+const REQUESTS_PATH = '/requests/';
+const FOREIGN_REQUEST = 'another-request';
+const MOST_COUNTED_REQUESTS = 10_000;
 
 /** The text that the stand-in gives for a prompt: the same for every engine. */
 export function completionWords(prompt: string, count: number): string[] {
@@ -37,11 +44,105 @@
   });
 }
 
+/** The events of one streamed answer. Each token carries its position in the whole answer. */
+class StreamedAnswer {
+  readonly response: ServerResponse;
+
+  readonly body: CompletionBody;
+
+  private readonly isChat: boolean;
+
+  private readonly numbersTokens: boolean;
+
+  constructor(
+    response: ServerResponse,
+    body: CompletionBody,
+    isChat: boolean,
+    numbersTokens: boolean,
+  ) {
+    this.response = response;
+    this.body = body;
+    this.isChat = isChat;
+    this.numbersTokens = numbersTokens;
+  }
+
+  get isClosed(): boolean {
+    return this.response.destroyed;
+  }
+
+  /** Resolves when the connection can take more. */
+  async sendToken(index: number, text: string): Promise<void> {
+    if (!this.response.write(this.token(index, text, this.body.request_id))) {
+      await Promise.race([once(this.response, 'drain'), once(this.response, 'close')]);
+    }
+  }
+
+  sendForeignPiece(index: number): void {
+    this.response.write(this.token(index, 'intruder ', FOREIGN_REQUEST));
+  }
+
+  repeatToken(index: number, text: string, wasSent: boolean): void {
+    if (wasSent) {
+      this.response.write(this.token(index, text, this.body.request_id));
+    }
+  }
+
+  sendEnd(tokens: number, usage: object): void {
+    const last = this.isChat
+      ? { index: 0, delta: {}, finish_reason: 'stop' }
+      : { index: 0, text: '', finish_reason: 'stop' };
+    this.response.write(this.event({ token_index: tokens }, { choices: [last] }));
+    this.response.write(this.event({}, { choices: [], usage }));
+    this.response.end('data: [DONE]\n\n');
+  }
+
+  crash(): void {
+    this.response.destroy();
+  }
+
+  close(): void {
+    this.response.end();
+  }
+
+  private token(index: number, text: string, requestIdentifier: string | undefined): string {
+    const choice = this.isChat
+      ? { index: 0, delta: { content: text }, finish_reason: null }
+      : { index: 0, text, finish_reason: null };
+    return this.event({ token_index: index }, { choices: [choice] }, requestIdentifier);
+  }
+
+  private event(
+    position: object,
+    content: object,
+    requestIdentifier = this.body.request_id,
+  ): string {
+    const event = {
+      id: requestIdentifier,
+      ...(this.numbersTokens ? position : {}),
+      object: this.isChat ? 'chat.completion.chunk' : 'text_completion',
+      created: 0,
+      model: this.body.model,
+      ...content,
+    };
+    return `data: ${JSON.stringify(event)}\n\n`;
+  }
+}
+
 /** A stand-in for a model engine with the OpenAI-style interface. */
 export class EngineStandIn extends JsonServer {
   /** Headers and bodies of every request received, to search for secrets. */
   readonly received: ReceivedRequest[] = [];
 
+  /** Whether each token says how many tokens of the answer come before it. */
+  numbersTokens = true;
+
+  /** Open answers on which nothing more is sent. */
+  silentAnswers = 0;
+
+  private readonly plannedFaults: (readonly PlannedStreamFault[])[] = [];
+
+  private readonly generated = new Map<string, number>();
+
   private readonly times: EngineTimes;
 
   private readonly models: readonly string[];
@@ -52,71 +153,187 @@
     this.times = times;
   }
 
+  /** Plans the faults of the next generation that has none yet. */
+  misbehaveNext(...faults: readonly PlannedStreamFault[]): void {
+    this.plannedFaults.push(faults);
+  }
+
+  /** Tokens generated for a request, over all its attempts; undefined if it was never received. */
+  generatedTokens(requestIdentifier: string): number | undefined {
+    return this.generated.get(requestIdentifier);
+  }
+
   protected override async answer(request: ReceivedRequest): Promise<JsonAnswer> {
     if (request.path === '/v1/models') {
       return { status: 200, body: { data: this.models.map((id) => ({ id })) } };
     }
+    if (request.method === 'GET' && request.path.startsWith(REQUESTS_PATH)) {
+      return this.answerCount(request.path.slice(REQUESTS_PATH.length));
+    }
     const body = this.accept(request);
     if (body === undefined) {
       return { status: 404, body: { error: { message: 'unknown model or path' } } };
     }
     const words = await this.prefill(body);
     await sleep(words.length * this.times.decodeMilliseconds);
-    const text = words.join('');
-    const choice = request.path.startsWith('/v1/chat')
-      ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
-      : { index: 0, text, finish_reason: 'stop' };
-    return {
-      status: 200,
-      body: {
-        id: body.request_id,
-        object: request.path.startsWith('/v1/chat') ? 'chat.completion' : 'text_completion',
-        created: 0,
-        model: body.model,
-        choices: [choice],
-        usage: EngineStandIn.usage(body, words.length),
-      },
-    };
+    this.countGenerated(body, words.length);
+    return { status: 200, body: EngineStandIn.wholeAnswer(request, body, words) };
   }
 
   protected override async handleStream(
     request: ReceivedRequest,
     response: ServerResponse,
   ): Promise<boolean> {
-    if (request.method !== 'POST' || !request.text.includes('"stream":true')) {
+    const faults = request.method === 'POST' ? this.plannedFaults[0] : undefined;
+    const isStream = request.method === 'POST' && request.text.includes('"stream":true');
+    if (!isStream && faults === undefined) {
       return false;
     }
     const body = this.accept(request);
     if (body === undefined) {
       return false;
     }
-    const isChat = request.path.startsWith('/v1/chat');
+    this.plannedFaults.shift();
     const words = await this.prefill(body);
+    if (!isStream) {
+      return this.breakWholeAnswer(request, response, body, words, faults?.[0]?.fault);
+    }
+    const resume = body.resume ?? { delivered_tokens: 0, delivered_text: '' };
+    const isResumable = words.slice(0, resume.delivered_tokens).join('') === resume.delivered_text;
+    if (!isResumable) {
+      response.writeHead(409, { 'content-type': 'application/json' });
+      response.end('{"error":{"message":"the delivered text does not fit the prompt"}}');
+      return true;
+    }
     response.writeHead(200, { 'content-type': 'text/event-stream' });
-    const common = {
+    const isChat = request.path.startsWith('/v1/chat');
+    const stream = new StreamedAnswer(response, body, isChat, this.numbersTokens);
+    await this.generate(stream, words, resume.delivered_tokens, faults ?? []);
+    return true;
+  }
+
+  /** Sends the tokens from the given one on, with the faults that are planned. */
+  private async generate(
+    stream: StreamedAnswer,
+    words: readonly string[],
+    firstToken: number,
+    faults: readonly PlannedStreamFault[],
+  ): Promise<void> {
+    for (let index = firstToken; index <= words.length; index += 1) {
+      const fault = faults.find((each) => each.afterTokens === index - firstToken)?.fault;
+      if (fault !== undefined && this.applyFault(fault, stream, words, index)) {
+        return;
+      }
+      const word = words[index];
+      if (word !== undefined) {
+        this.countGenerated(stream.body, index + 1);
+        if (fault !== StreamFault.MissingPiece) {
+          await stream.sendToken(index, word);
+        }
+        await sleep(this.times.decodeMilliseconds);
+      }
+      if (stream.isClosed) {
+        return;
+      }
+    }
+    stream.sendEnd(words.length, EngineStandIn.usage(stream.body, words.length));
+  }
+
+  /** Returns whether the generation ends with the fault. */
+  private applyFault(
+    fault: StreamFault,
+    stream: StreamedAnswer,
+    words: readonly string[],
+    index: number,
+  ): boolean {
+    switch (fault) {
+      case StreamFault.Crash:
+        stream.crash();
+        return true;
+      case StreamFault.CloseEarly:
+        stream.close();
+        return true;
+      case StreamFault.Silent:
+        this.noteSilent(stream.response);
+        return true;
+      case StreamFault.ForeignPiece:
+        stream.sendForeignPiece(index);
+        return false;
+      case StreamFault.RepeatedPiece:
+        stream.repeatToken(Math.max(0, index - 1), words[Math.max(0, index - 1)] ?? '', index > 0);
+        return false;
+      default:
+        return false;
+    }
+  }
+
+  /** Answers a request that is not streamed in a broken way. */
+  private breakWholeAnswer(
+    request: ReceivedRequest,
+    response: ServerResponse,
+    body: CompletionBody,
+    words: readonly string[],
+    fault: StreamFault | undefined,
+  ): boolean {
+    this.countGenerated(body, words.length);
+    const isForeign = fault === StreamFault.ForeignPiece;
+    const owner = isForeign ? { ...body, request_id: FOREIGN_REQUEST } : body;
+    const text = JSON.stringify(EngineStandIn.wholeAnswer(request, owner, words));
+    response.writeHead(200, { 'content-type': 'application/json' });
+    if (fault === StreamFault.Silent) {
+      response.write(text.slice(0, text.length / 2));
+      this.noteSilent(response);
+    } else if (fault === StreamFault.Crash) {
+      response.write(text.slice(0, text.length / 2), () => response.destroy());
+    } else if (fault === StreamFault.CloseEarly) {
+      response.end(text.slice(0, text.length / 2));
+    } else {
+      response.end(text);
+    }
+    return true;
+  }
+
+  private noteSilent(response: ServerResponse): void {
+    this.silentAnswers += 1;
+    response.once('close', () => {
+      this.silentAnswers -= 1;
+    });
+  }
+
+  private answerCount(requestIdentifier: string): JsonAnswer {
+    const tokens = this.generated.get(requestIdentifier);
+    return tokens === undefined
+      ? { status: 404, body: { error: { message: 'unknown request' } } }
+      : { status: 200, body: { request_id: requestIdentifier, completion_tokens: tokens } };
+  }
+
+  private countGenerated(body: CompletionBody, tokens: number): void {
+    const identifier = body.request_id ?? '';
+    this.generated.set(identifier, Math.max(tokens, this.generated.get(identifier) ?? 0));
+    if (this.generated.size > MOST_COUNTED_REQUESTS) {
+      const [oldest] = this.generated.keys();
+      this.generated.delete(oldest ?? '');
+    }
+  }
+
+  private static wholeAnswer(
+    request: ReceivedRequest,
+    body: CompletionBody,
+    words: readonly string[],
+  ): object {
+    const isChat = request.path.startsWith('/v1/chat');
+    const text = words.join('');
+    const choice = isChat
+      ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
+      : { index: 0, text, finish_reason: 'stop' };
+    return {
       id: body.request_id,
-      object: isChat ? 'chat.completion.chunk' : 'text_completion',
+      object: isChat ? 'chat.completion' : 'text_completion',
       created: 0,
       model: body.model,
+      choices: [choice],
+      usage: EngineStandIn.usage(body, words.length),
     };
-    for (const word of words) {
-      if (response.destroyed) {
-        return true;
-      }
-      const choice = isChat
-        ? { index: 0, delta: { content: word }, finish_reason: null }
-        : { index: 0, text: word, finish_reason: null };
-      response.write(`data: ${JSON.stringify({ ...common, choices: [choice] })}\n\n`);
-      await sleep(this.times.decodeMilliseconds);
-    }
-    const last = isChat
-      ? { index: 0, delta: {}, finish_reason: 'stop' }
-      : { index: 0, text: '', finish_reason: 'stop' };
-    response.write(`data: ${JSON.stringify({ ...common, choices: [last] })}\n\n`);
-    const usage = EngineStandIn.usage(body, words.length);
-    response.write(`data: ${JSON.stringify({ ...common, choices: [], usage })}\n\n`);
-    response.end('data: [DONE]\n\n');
-    return true;
   }
 
   private accept(request: ReceivedRequest): CompletionBody | undefined {
