--- /dev/null
+++ b/packages/hickoryrelay-bench/src/ChildProcess.ts
@@ -0,0 +1,42 @@
+import { fork } from 'node:child_process';
+import { once } from 'node:events';
+import { fileURLToPath } from 'node:url';
+
+import type { ChildProcess as NodeChildProcess } from 'node:child_process';
+import type { ProcessReport, ProcessSample } from './BenchMessages.js';
+
+/** A process of a measurement, started from a file beside this one. */
+export class ChildProcess {
+  private readonly child: NodeChildProcess;
+
+  constructor(file: string, argument: string) {
+    const path = fileURLToPath(new URL(file, import.meta.url));
+    this.child = fork(path, [argument], { execArgv: ['--expose-gc'] });
+  }
+
+  /** Resolves with the base URL once the process listens. */
+  async ready(): Promise<string> {
+    const report = await this.nextReport();
+    return report.type === 'ready' ? report.url : '';
+  }
+
+  /** Samples the process. Memory is exact only after a garbage collection, which costs CPU time. */
+  async sample(collects: boolean): Promise<ProcessSample> {
+    this.child.send(collects);
+    const report = await this.nextReport();
+    return report.type === 'sample'
+      ? report.sample
+      : { cpuSeconds: 0, residentBytes: 0, heapBytes: 0 };
+  }
+
+  async stop(): Promise<void> {
+    const exited = once(this.child, 'exit');
+    this.child.disconnect();
+    await exited;
+  }
+
+  private async nextReport(): Promise<ProcessReport> {
+    const [report] = (await once(this.child, 'message')) as [ProcessReport];
+    return report;
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-bench/src/engineProcess.ts
@@ -0,0 +1,53 @@
+import { createServer } from 'node:http';
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { epochMilliseconds } from './BenchMessages.js';
+
+/** An engine that sends one event of one token in each write, at a fixed pace. */
+const gapMilliseconds = Number(process.argv[2]);
+
+async function readJson(request: IncomingMessage): Promise<Record<string, unknown>> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    chunks.push(chunk);
+  }
+  return JSON.parse(Buffer.concat(chunks).toString('utf8')) as Record<string, unknown>;
+}
+
+async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  const { request_id: id, model } = await readJson(request);
+  response.writeHead(200, { 'content-type': 'text/event-stream' });
+  const startMilliseconds = performance.now();
+  let index = 0;
+  let timer: NodeJS.Timeout;
+  const send = () => {
+    // The text of a token is the time at which it was sent, so that a caller can tell the delay.
+    const content = epochMilliseconds().toFixed(3);
+    const event = {
+      id,
+      token_index: index,
+      object: 'chat.completion.chunk',
+      created: 0,
+      model,
+      choices: [{ index: 0, delta: { content }, finish_reason: null }],
+    };
+    index += 1;
+    response.write(`data: ${JSON.stringify(event)}\n\n`);
+    // Interval timers of many streams drift together and fire in bursts, which hides the delay of
+    // the relay behind the delay of the burst.
+    const dueMilliseconds = startMilliseconds + index * gapMilliseconds;
+    timer = setTimeout(send, Math.max(0, dueMilliseconds - performance.now()));
+  };
+  send();
+  response.once('close', () => clearTimeout(timer));
+}
+
+const server = createServer((request, response) => {
+  void serve(request, response);
+});
+server.listen(0, '127.0.0.1', () => {
+  const { port } = server.address() as AddressInfo;
+  process.send?.({ type: 'ready', url: `http://127.0.0.1:${port}` });
+});
+process.once('disconnect', () => process.exit(0));
--- /dev/null
+++ b/packages/hickoryrelay-bench/src/relay-cost.ts
@@ -0,0 +1,144 @@
+#!/usr/bin/env node
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
+import meow from 'meow';
+
+import { RelayKind } from './BenchMessages.js';
+import { ChildProcess } from './ChildProcess.js';
+import { StreamCallers } from './StreamCallers.js';
+
+import type { ProcessSample } from './BenchMessages.js';
+import type { CallerFigures } from './StreamCallers.js';
+
+const program = meow(
+  `
+  Usage
+    $ relay-cost [--streams <number>] [--gap <ms>] [--seconds <number>] [--rounds <number>]
+
+  Measures what a relay costs for each event of open streams: a bare byte pipe, the pipe with each
+  event parsed, and hickoryrelay. Engine and relay run in processes of their own.
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      streams: { type: 'number', default: 300 },
+      gap: { type: 'number', default: 20 },
+      seconds: { type: 'number', default: 8 },
+      rounds: { type: 'number', default: 2 },
+    },
+  },
+);
+
+const WARM_UP_MILLISECONDS = 2000;
+const OPENING_PAUSE_MILLISECONDS = 5;
+const MILLISECONDS_PER_SECOND = 1000;
+const BYTES_PER_KIBIBYTE = 1024;
+const NO_SAMPLE: ProcessSample = { cpuSeconds: 0, residentBytes: 0, heapBytes: 0 };
+
+interface Measurement {
+  readonly name: string;
+  readonly events: number;
+  readonly cpuSeconds: number;
+  readonly figures: CallerFigures;
+  readonly residentKibibytesPerStream: number;
+  readonly heapKibibytesPerStream: number;
+}
+
+const { streams, gap, seconds, rounds } = program.flags;
+
+/** Opens the streams, lets them run and measures them in the steady state. */
+async function measure(
+  name: string,
+  url: string,
+  key: string,
+  relay: ChildProcess | undefined,
+): Promise<Measurement> {
+  const sample = async (collects: boolean) =>
+    relay === undefined ? NO_SAMPLE : relay.sample(collects);
+  const callers = new StreamCallers();
+  const idle = await sample(true);
+  for (let index = 0; index < streams; index += 1) {
+    await Promise.all([callers.open(url, key), sleep(OPENING_PAUSE_MILLISECONDS)]);
+  }
+  await sleep(WARM_UP_MILLISECONDS);
+  const before = await sample(false);
+  callers.startRecording();
+  await sleep(seconds * MILLISECONDS_PER_SECOND);
+  const { events } = callers;
+  const after = await sample(true);
+  const perStream = (bytes: number) => bytes / streams / BYTES_PER_KIBIBYTE;
+  callers.close();
+  return {
+    name,
+    events,
+    cpuSeconds: after.cpuSeconds - before.cpuSeconds,
+    figures: callers.figures(),
+    residentKibibytesPerStream: perStream(after.residentBytes - idle.residentBytes),
+    heapKibibytesPerStream: perStream(after.heapBytes - idle.heapBytes),
+  };
+}
+
+function report(measurement: Measurement, direct: Measurement, pipeRate: number): number {
+  const { name, events, cpuSeconds, figures } = measurement;
+  const rate = cpuSeconds === 0 ? 0 : events / cpuSeconds;
+  const added = (field: keyof CallerFigures) => {
+    const { p50, p99 } = figures[field];
+    const base = direct.figures[field];
+    return `${(p50 - base.p50).toFixed(2)}/${(p99 - base.p99).toFixed(2)}`;
+  };
+  const row = [
+    name.padEnd(13),
+    String(events),
+    cpuSeconds.toFixed(2),
+    rate.toFixed(0),
+    pipeRate === 0 ? '1.00' : (rate / pipeRate).toFixed(2),
+    added('firstToken'),
+    added('gap'),
+    added('transit'),
+    measurement.residentKibibytesPerStream.toFixed(0),
+    measurement.heapKibibytesPerStream.toFixed(0),
+  ];
+  process.stdout.write(`| ${row.join(' | ')} |\n`);
+  return rate;
+}
+
+const federation = new LocalFederation();
+await federation.start();
+const document = sampleDeclarations();
+const key = federation.issueKey(document, 'first');
+await federation.apply(document);
+const engine = new ChildProcess('./engineProcess.js', String(gap));
+const engineUrl = await engine.ready();
+federation.platform.endpoints.set('engine-1', {
+  identifier: 'engine-1',
+  kind: 'engine',
+  zone: 'zone-a',
+  url: engineUrl,
+  state: 'live',
+});
+
+process.stdout.write(
+  '| relay | events | CPU s | events/CPU s | of pipe | first token +p50/p99 ms | gap +p50/p99 ms | ' +
+    'transit +p50/p99 ms | RSS KiB/stream | heap KiB/stream |\n',
+);
+process.stdout.write('| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n');
+for (let round = 0; round < rounds; round += 1) {
+  const direct = await measure('direct', engineUrl, key, undefined);
+  let pipeRate = 0;
+  for (const kind of Object.values(RelayKind)) {
+    const order = {
+      kind,
+      engineUrl,
+      platformUrl: federation.platform.url,
+      keyValueUrl: federation.gateway.url,
+    };
+    const relay = new ChildProcess('./relayProcess.js', JSON.stringify(order));
+    const measurement = await measure(kind, await relay.ready(), key, relay);
+    const rate = report(measurement, direct, pipeRate);
+    pipeRate ||= rate;
+    await relay.stop();
+  }
+}
+await engine.stop();
+await federation.stop();
