--- a/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
@@ -48,11 +48,11 @@
     });
   }
 
-  override async write(piece: Buffer): Promise<void> {
+  override async write(piece: Buffer, signal: AbortSignal): Promise<void> {
     this.assertOpen();
     this.parts.timer.piece();
     if (!this.response.write(piece)) {
-      await this.drained();
+      await this.drained(signal);
     }
   }
 
@@ -69,8 +69,13 @@
       this.response.end(JSON.stringify(body));
       return;
     }
+    if (this.response.writableNeedDrain) {
+      // The caller does not read, so an event would wait behind what it has not read yet.
+      this.response.destroy();
+      return;
+    }
     const contentType = String(this.response.getHeader('content-type') ?? '');
-    if (contentType.startsWith(EVENT_STREAM) && !this.response.writableNeedDrain) {
+    if (contentType.startsWith(EVENT_STREAM) && !this.response.writableEnded) {
       this.response.end(`data: ${JSON.stringify(body)}\n\n`);
       return;
     }
@@ -85,10 +90,12 @@
   }
 
   /** Waits until the caller has taken what was written. */
-  private async drained(): Promise<void> {
+  private async drained(cancelled: AbortSignal): Promise<void> {
     const settled = new AbortController();
     const { signal } = settled;
-    const stall = this.parts.clock.schedule(this.parts.stallMilliseconds, () => {
+    const stop = () => settled.abort();
+    cancelled.addEventListener('abort', stop);
+    const cancelStall = this.parts.clock.schedule(this.parts.stallMilliseconds, () => {
       this.response.destroy();
     });
     try {
@@ -96,8 +103,11 @@
         once(this.response, 'drain', { signal }),
         once(this.response, 'close', { signal }),
       ]);
+    } catch (error) {
+      throw new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' }, error);
     } finally {
-      stall();
+      cancelStall();
+      cancelled.removeEventListener('abort', stop);
       settled.abort();
     }
     this.assertOpen();
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -7,6 +7,7 @@
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
+import { DisabledCallMeter } from 'hickoryrelay-usage/CallMeter';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 
@@ -21,7 +22,12 @@
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import type { Logger as ProcessLogger } from 'winston';
+import { AnswerMemory } from './AnswerMemory.js';
+import { ExchangeCounters } from './ExchangeCounters.js';
+import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
 import { FleetTask } from './FleetTask.js';
+import { RetryBudget } from './RetryBudget.js';
+import { UnavailableClaimRegister } from './UnavailableClaimRegister.js';
 import { Exchange } from './Exchange.js';
 import { ExchangeTable } from './ExchangeTable.js';
 import { Drain, DrainPhase } from './Drain.js';
@@ -106,6 +112,13 @@
       fleet: this.fleet,
       links: this.links,
       clock: parts.clock,
+      random: parts.random,
+      meter: new DisabledCallMeter(),
+      claims: new UnavailableClaimRegister(),
+      retryBudget: new RetryBudget(),
+      memory: new AnswerMemory(),
+      counters: new ExchangeCounters(),
+      limits: DEFAULT_EXCHANGE_LIMITS,
     };
   }
 
