Let entry instances contend for the authority of their zone

ZoneDuties starts ZoneAuthority in each instance, with order book, supply book and planners under each term. Instances observe no demand yet, so they order nothing.

--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -9,6 +9,7 @@
 import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
 import { DisabledCallMeter } from 'hickoryrelay-usage/CallMeter';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
+import { NoObservation } from 'hickoryrelay-zone/PolicyPlanner';
 import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 
 import type { Server } from 'node:http';
@@ -25,6 +26,7 @@
 import { AnswerMemory } from './AnswerMemory.js';
 import { ExchangeCounters } from './ExchangeCounters.js';
 import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
+import { ZoneDuties } from './ZoneDuties.js';
 import { FleetTask } from './FleetTask.js';
 import { RetryBudget } from './RetryBudget.js';
 import { UnavailableClaimRegister } from './UnavailableClaimRegister.js';
@@ -216,6 +218,22 @@
       log: (prefix) => partLogger(logger, prefix),
     });
     await this.control.start();
+    this.startAuthority();
+  }
+
+  private startAuthority(): void {
+    const { clock, logger, platform, random, settings } = this.parts;
+    new ZoneDuties({
+      place: settings.instance,
+      store: platform.keyValue,
+      supply: platform.supply,
+      fleet: this.fleet,
+      observer: new NoObservation(),
+      clock,
+      random,
+      lifecycle: this.lifecycle.child('authority'),
+      log: (prefix) => partLogger(logger, prefix),
+    }).start();
   }
 
   private async startBroker(): Promise<void> {
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/ZoneDuties.ts
@@ -0,0 +1,86 @@
+import { LogPrefix } from 'hickoryrelay/Logger';
+import { Engine } from 'hickoryrelay-endpoint/Engine';
+import { HttpOrderLink } from 'hickoryrelay-link/OrderLink';
+import { OrderBook } from 'hickoryrelay-zone/OrderBook';
+import { OrdersDuty } from 'hickoryrelay-zone/OrdersDuty';
+import { PolicyPlanner } from 'hickoryrelay-zone/PolicyPlanner';
+import { DemandRoles } from 'hickoryrelay-zone/RolePlan';
+import { SupplyBook } from 'hickoryrelay-zone/SupplyBook';
+import { DemandSupply } from 'hickoryrelay-zone/SupplyPlan';
+import { ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
+
+import type { Clock } from 'hickoryrelay/Clock';
+import type { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { Task } from 'hickoryrelay/Task';
+import type { EndpointSupply } from 'hickoryrelay-platform/EndpointSupply';
+import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
+import type { Fleet } from 'hickoryrelay-zone/Fleet';
+import type { ZoneObserver } from 'hickoryrelay-zone/PolicyPlanner';
+
+const INCARNATION_BYTES = 8;
+
+/** What the duties of an instance towards its zone need. */
+export interface ZoneDutiesParts {
+  readonly place: { readonly name: string; readonly zone: string };
+  readonly store: KeyValueStore;
+  readonly supply: EndpointSupply;
+  readonly fleet: Fleet;
+  readonly observer: ZoneObserver;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly lifecycle: LifecycleManager;
+  readonly log: (prefix: LogPrefix) => PartLogger;
+}
+
+/** This instance's part in the authority over its zone: it contends, and orders while it holds. */
+export class ZoneDuties {
+  readonly authority: ZoneAuthority;
+
+  private readonly parts: ZoneDutiesParts;
+
+  constructor(parts: ZoneDutiesParts) {
+    this.parts = parts;
+    const { place, store, random, lifecycle } = parts;
+    this.authority = new ZoneAuthority({
+      zone: place.zone,
+      holder: `${place.name}/${random.identifier(INCARNATION_BYTES)}`,
+      store,
+      random,
+      lifecycle,
+      log: parts.log(LogPrefix.Authority),
+      duties: (term) => [this.orders(term)],
+    });
+  }
+
+  start(): void {
+    this.parts.lifecycle.start(this.authority);
+  }
+
+  private orders(term: AuthorityTerm): Task {
+    const { store, supply, clock, random, fleet, place, observer, log } = this.parts;
+    return new OrdersDuty({
+      term,
+      orders: new OrderBook({
+        term,
+        store,
+        clock,
+        random,
+        openLink: (identifier, check) => {
+          const endpoint = fleet.zone(place.zone).find(identifier);
+          return endpoint instanceof Engine ? new HttpOrderLink(endpoint.place, check) : undefined;
+        },
+      }),
+      supply: new SupplyBook({ term, store, supply, clock, random }),
+      planner: new PolicyPlanner({
+        observer,
+        roles: new DemandRoles(),
+        supply: new DemandSupply(),
+        log: log(LogPrefix.Orders),
+      }),
+      log: log(LogPrefix.Orders),
+    });
+  }
+}
--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -2,7 +2,10 @@
 import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { SystemClock } from 'hickoryrelay/Clock';
+
 import type { ServerResponse } from 'node:http';
+import { EngineOrderSide } from './EngineOrderSide.js';
 import { JsonServer } from './JsonServer.js';
 
 import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
@@ -147,6 +150,8 @@
 
   private readonly models: readonly string[];
 
+  readonly orders = new EngineOrderSide(new SystemClock(), { fencing: true, deadline: true });
+
   constructor(models: readonly string[], times: EngineTimes) {
     super();
     this.models = models;
@@ -170,6 +175,9 @@
     if (request.method === 'GET' && request.path.startsWith(REQUESTS_PATH)) {
       return this.answerCount(request.path.slice(REQUESTS_PATH.length));
     }
+    if (request.path.startsWith('/orders')) {
+      return this.orders.answer(request);
+    }
     const body = this.accept(request);
     if (body === undefined) {
       return { status: 404, body: { error: { message: 'unknown model or path' } } };
