--- a/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
+++ b/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
@@ -36,6 +36,9 @@
 
   silencesWatches = false;
 
+  /** If true, renewals of leases are refused while other calls pass. */
+  refusesRenewals = false;
+
   private readonly table: KeyValueTable;
 
   private readonly process: ProcessClock;
@@ -62,6 +65,9 @@
   }
 
   override keepLeaseAlive(identifier: string): Promise<number> {
+    if (this.refusesRenewals) {
+      return Promise.reject(unavailable({ reason: 'refused', mayHaveTakenEffect: false }));
+    }
     return this.send(() => this.table.keepLeaseAlive(identifier));
   }
 
--- a/packages/hickoryrelay-zone/src/__tests__/unit/Authority.fuzz.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/Authority.fuzz.test.ts
@@ -15,6 +15,7 @@
   for (const process of world.processes) {
     await process.clock.resume();
     process.clock.setWallOffset(0);
+    process.store.refusesRenewals = false;
     for (const exchange of [
       process.store.exchange,
       ...Object.values(process.engineExchanges),
--- a/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityCommands.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityCommands.ts
@@ -272,6 +272,31 @@
     }),
 );
 
+/**
+ * The holder cannot renew and sends an order just before its term ends. The network holds the order
+ * while a successor takes over and orders the same engine.
+ */
+const orderAtTermEnd = engine.map(
+  (name) =>
+    new WorldCommand(`orderAtTermEnd(${name})`, async (world) => {
+      const holder = world.processes.find(({ authority }) => authority.currentTerm);
+      if (holder === undefined) {
+        return;
+      }
+      holder.store.refusesRenewals = true;
+      holder.engineExchanges.orders.slow(4500, 0);
+      while ((holder.authority.currentTerm?.remainingMilliseconds ?? 0) > 1200) {
+        await world.advance(100);
+      }
+      for (let step = 0; step < 40; step += 1) {
+        world.wishEngineOrder(name, step);
+        await world.advance(250);
+      }
+      holder.store.refusesRenewals = false;
+      holder.engineExchanges.orders.slow(0, 0);
+    }),
+);
+
 const reclaim = fc
   .nat({ max: 4 })
   .map((choice) => new WorldCommand(`reclaim(${choice})`, (world) => world.reclaim(choice)));
@@ -321,6 +346,7 @@
   pausedBeforeSend,
   faultOfTaking,
   slowThenOut,
+  orderAtTermEnd,
   reclaim,
   otherZone,
   raceForSpend,
