--- a/packages/hickoryrelay-zone/src/__tests__/unit/OrderBook.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/OrderBook.test.ts
@@ -9,7 +9,7 @@
 import { authorityKey, intentKey } from 'hickoryrelay-zone/ZoneKeyUtils';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
-import { beforeEach, describe, expect, it } from 'vitest';
+import { beforeEach, describe, expect, it, vi } from 'vitest';
 
 const ZONE = 'zone-a';
 const ENGINE = 'engine-1';
@@ -89,6 +89,15 @@
     expect([openIntent(), side.taken.length]).toEqual([undefined, 0]);
   });
 
+  it('closes its ordering connections when the term ends', async () => {
+    const { book, term } = await readyBook(1);
+    await book.issue(ENGINE, DRAIN);
+    const close = vi.spyOn(InProcessOrderLink.prototype, 'close');
+    term.end();
+    expect(close).toHaveBeenCalledTimes(1);
+    close.mockRestore();
+  });
+
   it('gives no order a deadline after the end of its term', async () => {
     const { book, term } = await readyBook(1);
     await clock.advance(592_500);
--- a/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
@@ -116,6 +116,20 @@
     expect(overlaps).toEqual([]);
   });
 
+  it('does not use a fencing number again that another holder used in the meantime', async () => {
+    const first = contender('first');
+    first.store.exchange.slow(400, 0);
+    first.start();
+    // The counter was read at 800 ms; the taking write arrives at 1600 ms.
+    await clock.advance(1300);
+    const put = { type: 'put' as const, key: fencingKey(ZONE), value: '1' };
+    table.commit({ compare: [], success: [put], failure: [] });
+    await clock.advance(600);
+    expect(first.authority.currentTerm).toBeUndefined();
+    await clock.advance(15_000);
+    expect(first.authority.currentTerm?.fencingNumber).toBe(2);
+  });
+
   it('ends its authority while the platform is out of reach and takes it again after', async () => {
     const first = contender('first');
     first.start();
