Meter, replicate, seal and report usage

The meter keeps a record of each call at two peers and resolves a close once a peer has acknowledged the final figure. The authority of a zone seals windows in one transaction with the sequences counted so far, and reports the seals.

--- a/packages/hickoryrelay-link/src/PeerMessages.ts
+++ b/packages/hickoryrelay-link/src/PeerMessages.ts
@@ -37,28 +37,75 @@
   readonly costs: readonly (readonly [account: string, cost: number])[];
 }
 
-/** A usage record as its replicas hold it. Figures are totals so far, not differences. */
-export interface UsageRecord {
-  /** Instance incarnation and number, unique for the system. */
-  readonly incarnation: string;
-  readonly sequence: number;
-  readonly instance: string;
-  readonly zone: string;
-  readonly requestIdentifier: string;
-  readonly account: string;
-  readonly className: string;
+/**
+ * A usage record as it is sent to a peer that holds it. Names are indexes into the sender's name
+ * table. Figures are totals so far, not differences.
+ */
+export type UsageRecordEntry = readonly [
+  sequence: number,
+  requestIdentifier: string,
+  account: number,
+  className: number,
   /** The model, or the route of a plain service. */
-  readonly subject: string;
+  subject: number,
   /** The endpoint that runs the call, to be asked when the instance dies. */
-  readonly endpoint: string;
-  readonly promptTokens: number;
-  readonly completionTokens: number;
-  readonly isClosed: boolean;
-}
+  endpoint: number,
+  promptTokens: number,
+  completionTokens: number,
+  /** Number of the window in which the call closed; 0 while it runs. */
+  closedWindow: number,
+];
+
+/** Final figures of a call whose record the receiver holds. */
+export type UsageCloseEntry = readonly [
+  sequence: number,
+  promptTokens: number,
+  completionTokens: number,
+  closedWindow: number,
+];
 
 /** Figures of a running call; `[sequence, completion tokens so far]`. */
 export type UsageProgressEntry = readonly [sequence: number, completionTokens: number];
 
+/** Entry of a name table. */
+export type UsageName = readonly [index: number, name: string];
+
+/** Ascending numbers as pairs: distance from the end of the previous run, and length of the run. */
+export type SequenceRuns = readonly number[];
+
+/** The sequences of one incarnation that are counted: all up to `upTo` but the gaps. */
+export interface CountedMark {
+  readonly upTo: number;
+  readonly gaps: SequenceRuns;
+}
+
+/** A counted mark with the incarnation that it is about. */
+export type IncarnationMark = readonly [incarnation: string, mark: CountedMark];
+
+/** Use in one window, by names: account, class, subject, window, calls and tokens. */
+export type UsageLineEntry = readonly [
+  account: string,
+  className: string,
+  subject: string,
+  closedWindow: number,
+  calls: number,
+  promptTokens: number,
+  completionTokens: number,
+];
+
+/** A closed record of a dead incarnation, by the peer that held it. */
+export type AdoptedRecordEntry = readonly [
+  sequence: number,
+  account: string,
+  className: string,
+  subject: string,
+  promptTokens: number,
+  completionTokens: number,
+  closedWindow: number,
+  /** True if the instance itself closed the record, false if the figure is the engine's. */
+  isOwnFigure: boolean,
+];
+
 /** A message between entry instances. */
 export type PeerMessage =
   | { readonly type: 'hello'; readonly identity: InstanceIdentity; readonly revision: number }
@@ -77,24 +124,51 @@
       /** Index and text of the buckets that the receiver lacks. */
       readonly buckets: readonly (readonly [index: number, text: string])[];
     }
-  | { readonly type: 'usage-open'; readonly records: readonly UsageRecord[] }
+  | {
+      readonly type: 'usage-open';
+      /** Number of this message among those with an acknowledgement to the receiver. */
+      readonly number: number;
+      /** Names used in the message that the receiver has not acknowledged. */
+      readonly names: readonly UsageName[];
+      readonly records: readonly UsageRecordEntry[];
+    }
   | {
       readonly type: 'usage-progress';
-      readonly incarnation: string;
       readonly entries: readonly UsageProgressEntry[];
+      /** What of the sender's records is sealed, if that changed; the receiver drops it. */
+      readonly counted?: CountedMark;
+    }
+  | {
+      readonly type: 'usage-close';
+      readonly number: number;
+      readonly entries: readonly UsageCloseEntry[];
     }
-  | { readonly type: 'usage-close'; readonly records: readonly UsageRecord[] }
   | {
       readonly type: 'usage-acknowledged';
+      /** Incarnation that sent the message. */
       readonly incarnation: string;
-      readonly sequences: readonly number[];
+      readonly number: number;
     }
-  | { readonly type: 'usage-collect'; readonly zone: string; readonly windowStart: number }
   | {
-      readonly type: 'usage-statement';
+      readonly type: 'usage-collect';
       readonly zone: string;
-      readonly windowStart: number;
-      readonly records: readonly UsageRecord[];
+      /** Number of the window to be sealed. */
+      readonly window: number;
+      /** Identifies the collection; a statement of another one is ignored. */
+      readonly round: string;
+      /** What is counted of the receiver's incarnation and of those that it reported as dead. */
+      readonly marks: readonly IncarnationMark[];
+    }
+  | {
+      readonly type: 'usage-statement';
+      readonly round: string;
+      /** The sender's own closed records that the mark of the collection does not count. */
+      readonly own?: {
+        readonly sequences: SequenceRuns;
+        readonly lines: readonly UsageLineEntry[];
+      };
+      /** Closed records of dead incarnations, by incarnation. */
+      readonly adopted: readonly (readonly [string, readonly AdoptedRecordEntry[]])[];
     }
   | { readonly type: 'leaving'; readonly identity: InstanceIdentity };
 
--- a/packages/hickoryrelay-platform/src/UsageReportSink.ts
+++ b/packages/hickoryrelay-platform/src/UsageReportSink.ts
@@ -7,6 +7,8 @@
   readonly calls: number;
   readonly promptTokens: number;
   readonly completionTokens: number;
+  /** Start of the earlier window in which the calls closed, if they came too late for it. */
+  readonly correctedWindowStartMilliseconds?: number;
 }
 
 /** The report of one zone and window. */
--- a/packages/hickoryrelay-standin/src/PlatformStandIn.ts
+++ b/packages/hickoryrelay-standin/src/PlatformStandIn.ts
@@ -2,6 +2,7 @@
 import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
 import type { UsageReport } from 'hickoryrelay-platform/UsageReportSink';
 import { JsonServer } from './JsonServer.js';
+import { ReportAnswer, UsageReportTable } from './UsageReportTable.js';
 import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
 
 const OK: JsonAnswer = { status: 200, body: {} };
@@ -14,8 +15,8 @@
 
   readonly instances = new Map<string, ListedInstance>();
 
-  /** Every report received, in order, repeats included. */
-  readonly receivedReports: UsageReport[] = [];
+  /** The usage reports. */
+  readonly reports = new UsageReportTable();
 
   /** Every order and release received, in order, repeats included. */
   readonly receivedOrders: { zone: string; fencingNumber: number; idempotencyKey: string }[] = [];
@@ -57,14 +58,11 @@
   }
 
   private takeReport(report: UsageReport): JsonAnswer {
-    this.receivedReports.push(report);
-    return OK;
+    return this.reports.take(report) === ReportAnswer.Refused ? CONFLICT : OK;
   }
 
   private findReport(zone: string, windowStartMilliseconds: number): JsonAnswer {
-    const report = this.receivedReports.find(
-      (each) => each.zone === zone && each.windowStartMilliseconds === windowStartMilliseconds,
-    );
+    const report = this.reports.find(zone, windowStartMilliseconds);
     return report === undefined ? NOT_FOUND : { status: 200, body: report };
   }
 
--- /dev/null
+++ b/packages/hickoryrelay-usage/src/InstanceUsage.ts
@@ -0,0 +1,116 @@
+import type { Clock } from 'hickoryrelay/Clock';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { IncarnationMark, ReceivedPeerMessage } from 'hickoryrelay-link/PeerMessages';
+import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
+import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
+import { CountedSequences } from './CountedSequences.js';
+import { DEFAULT_REPLICATION, UsageMeter } from './UsageMeter.js';
+import { UsageReplica } from './UsageReplica.js';
+import { UsageReporter } from './UsageReporter.js';
+import { StatementSource, UsageSealer } from './UsageSealer.js';
+
+import type { Authority } from './Authority.js';
+import type { EngineUsageSource } from './EngineUsageSource.js';
+import type { InstanceLiveness } from './InstanceLiveness.js';
+import type { ReplicationSettings } from './UsageMeter.js';
+import type { UsageStatement } from './UsageMerge.js';
+
+/** What the usage part of an instance works with. */
+export interface InstanceUsageParts {
+  readonly network: PeerNetwork;
+  readonly store: KeyValueStore;
+  readonly sink: UsageReportSink;
+  readonly authority: Authority;
+  readonly liveness: InstanceLiveness;
+  readonly engines: EngineUsageSource;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: PartLogger;
+  readonly replication?: ReplicationSettings;
+}
+
+/** The usage part of one instance: its own records, those of others, and the zone's seals. */
+export class InstanceUsage extends StatementSource {
+  readonly meter: UsageMeter;
+
+  readonly replica: UsageReplica;
+
+  readonly sealer: UsageSealer;
+
+  readonly reporter: UsageReporter;
+
+  readonly batchMilliseconds: number;
+
+  readonly network: PeerNetwork;
+
+  readonly log: PartLogger;
+
+  constructor(parts: InstanceUsageParts) {
+    super();
+    const { clock, liveness, engines, log, replication = DEFAULT_REPLICATION } = parts;
+    this.network = parts.network;
+    this.log = log;
+    this.batchMilliseconds = replication.batchMilliseconds;
+    this.meter = new UsageMeter(parts, replication);
+    this.replica = new UsageReplica(clock, liveness, engines, log);
+    this.sealer = new UsageSealer(parts, this);
+    this.reporter = new UsageReporter(parts);
+  }
+
+  override state(
+    zone: string,
+    window: number,
+    marks: readonly IncarnationMark[],
+  ): Pick<UsageStatement, 'own' | 'adopted'> {
+    const { incarnation, zone: ownZone } = this.network.identity;
+    let ownCounted = new CountedSequences();
+    for (const [each, mark] of marks) {
+      const counted = CountedSequences.from(mark);
+      if (each === incarnation) {
+        ownCounted = counted;
+        this.meter.drop(counted);
+      } else {
+        this.replica.drop(each, counted);
+      }
+    }
+    return {
+      own: zone === ownZone ? this.meter.journal.statement(ownCounted, window) : undefined,
+      adopted: this.replica.statement(zone, window),
+    };
+  }
+
+  /** Handles one message of a peer. */
+  take({ from, message }: ReceivedPeerMessage): void {
+    switch (message.type) {
+      case 'usage-open':
+      case 'usage-close':
+        if (this.replica.take(from, message)) {
+          const { incarnation } = from;
+          const { number } = message;
+          this.network.send(from.name, { type: 'usage-acknowledged', incarnation, number });
+        }
+        break;
+      case 'usage-progress':
+        this.replica.take(from, message);
+        break;
+      case 'usage-acknowledged':
+        if (message.incarnation === this.network.identity.incarnation) {
+          this.meter.acknowledge(from, message.number);
+        }
+        break;
+      case 'usage-collect': {
+        const { zone, window, round, marks } = message;
+        const { own, adopted } = this.state(zone, window, marks);
+        const statement = { type: 'usage-statement' as const, round, adopted };
+        this.network.send(from.name, own === undefined ? statement : { ...statement, own });
+        break;
+      }
+      case 'usage-statement':
+        this.sealer.accept(from, message);
+        break;
+      default:
+    }
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-usage/src/UsageTasks.ts
@@ -0,0 +1,153 @@
+import { describeFailure } from 'hickoryrelay/Failure';
+import { failureOf } from 'hickoryrelay/RelayError';
+import { Task } from 'hickoryrelay/Task';
+
+import type { TaskContext } from 'hickoryrelay/Task';
+import type { InstanceUsage } from './InstanceUsage.js';
+
+const ADOPTION_INTERVAL_MILLISECONDS = 1000;
+const SEAL_CHECK_MILLISECONDS = 1000;
+const REPORT_CHECK_MILLISECONDS = 5000;
+/** Wait after a failed seal or report, so that an outage is not met with a read each second. */
+const RETRY_MILLISECONDS = 5000;
+
+const USAGE_MESSAGE_TYPES = [
+  'usage-open',
+  'usage-progress',
+  'usage-close',
+  'usage-acknowledged',
+  'usage-collect',
+  'usage-statement',
+] as const;
+
+/** Reads the usage messages of all peers, in order. */
+class UsageMessagesTask extends Task {
+  override readonly name = 'usage messages';
+
+  private readonly usage: InstanceUsage;
+
+  constructor(usage: InstanceUsage) {
+    super();
+    this.usage = usage;
+  }
+
+  protected override async *steps({ signal }: TaskContext): AsyncGenerator<void, void, void> {
+    for await (const received of this.usage.network.messages(USAGE_MESSAGE_TYPES, signal)) {
+      this.usage.take(received);
+      yield;
+    }
+  }
+}
+
+/** Sends the batches of usage records. */
+class UsageReplicationTask extends Task {
+  override readonly name = 'usage replication';
+
+  private readonly usage: InstanceUsage;
+
+  constructor(usage: InstanceUsage) {
+    super();
+    this.usage = usage;
+  }
+
+  protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
+    for (;;) {
+      this.usage.meter.replicate();
+      yield;
+      await context.clock.sleep(this.usage.batchMilliseconds, context.signal);
+    }
+  }
+}
+
+/** Closes the records of dead instances. */
+class UsageAdoptionTask extends Task {
+  override readonly name = 'usage adoption';
+
+  private readonly usage: InstanceUsage;
+
+  constructor(usage: InstanceUsage) {
+    super();
+    this.usage = usage;
+  }
+
+  protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
+    for (;;) {
+      await context.clock.sleep(ADOPTION_INTERVAL_MILLISECONDS, context.signal);
+      yield;
+      await this.usage.replica.closeAbandoned();
+    }
+  }
+}
+
+/** Seals the windows of the zone while this instance holds its authority. */
+class UsageSealingTask extends Task {
+  override readonly name = 'usage sealing';
+
+  private readonly usage: InstanceUsage;
+
+  constructor(usage: InstanceUsage) {
+    super();
+    this.usage = usage;
+  }
+
+  protected override async *steps({
+    clock,
+    signal,
+  }: TaskContext): AsyncGenerator<void, void, void> {
+    const { sealer, log } = this.usage;
+    for (;;) {
+      await clock.sleep(SEAL_CHECK_MILLISECONDS, signal);
+      yield;
+      if (sealer.isDue) {
+        try {
+          await sealer.seal(signal);
+        } catch (error) {
+          log.warn('Could not seal a usage window.', { reason: describeFailure(failureOf(error)) });
+          await clock.sleep(RETRY_MILLISECONDS, signal);
+        }
+      }
+    }
+  }
+}
+
+/** Reports the sealed windows of the zone while this instance holds its authority. */
+class UsageReportingTask extends Task {
+  override readonly name = 'usage reporting';
+
+  private readonly usage: InstanceUsage;
+
+  constructor(usage: InstanceUsage) {
+    super();
+    this.usage = usage;
+  }
+
+  protected override async *steps({
+    clock,
+    signal,
+  }: TaskContext): AsyncGenerator<void, void, void> {
+    const { reporter, sealer, log } = this.usage;
+    for (;;) {
+      await clock.sleep(REPORT_CHECK_MILLISECONDS, signal);
+      yield;
+      if (reporter.isDue(sealer.sealedWindow)) {
+        try {
+          await reporter.report(sealer.sealedWindow);
+        } catch (error) {
+          const reason = describeFailure(failureOf(error));
+          log.warn('Could not report a usage window.', { reason });
+        }
+      }
+    }
+  }
+}
+
+/** The tasks of the usage part of an instance, to be started by the instance. */
+export function usageTasks(usage: InstanceUsage): readonly Task[] {
+  return [
+    new UsageMessagesTask(usage),
+    new UsageReplicationTask(usage),
+    new UsageAdoptionTask(usage),
+    new UsageSealingTask(usage),
+    new UsageReportingTask(usage),
+  ];
+}
