--- a/packages/hickoryrelay-usage/src/ClaimRegister.ts
+++ b/packages/hickoryrelay-usage/src/ClaimRegister.ts
@@ -14,8 +14,11 @@
   | { readonly kind: 'granted' }
   /** An earlier call with the same key was answered. */
   | { readonly kind: 'answered'; readonly answer: StoredAnswer }
-  /** An earlier call with the same key was sent and its result is not known (yet). */
-  | { readonly kind: 'unknown'; readonly requestIdentifier: string };
+  /**
+   * An earlier call with the same key was sent and its result is not known (yet). The status is
+   * present if the call was answered but the answer was too large to be stored.
+   */
+  | { readonly kind: 'unknown'; readonly requestIdentifier: string; readonly status?: number };
 
 /** Claims calls that may run at most once, by client account, route and idempotency key. */
 export abstract class ClaimRegister {
--- /dev/null
+++ b/packages/hickoryrelay-usage/src/OpenAccount.ts
@@ -0,0 +1,2 @@
+/** Account of calls on open routes without a key. Not a valid account name. */
+export const OPEN_ACCOUNT = '*open*';
--- a/packages/hickoryrelay-usage/src/UsageMeter.ts
+++ b/packages/hickoryrelay-usage/src/UsageMeter.ts
@@ -6,6 +6,7 @@
 import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
 import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import { CallMeter } from './CallMeter.js';
+import { OPEN_ACCOUNT } from './OpenAccount.js';
 import { NameTable, ReplicaHolder } from './ReplicaHolder.js';
 import { UsageJournal } from './UsageJournal.js';
 import { windowAt } from './UsageWindow.js';
@@ -13,9 +14,6 @@
 import type { CallFigures, MeteredCall } from './CallMeter.js';
 import type { CountedSequences } from './CountedSequences.js';
 
-/** Account of calls on open routes without a key. Not a valid account name. */
-export const OPEN_ACCOUNT = '*open*';
-
 const HOLDER_COUNT = 2;
 
 /** What a usage meter works with. */
