--- a/packages/hickoryrelay-usage/src/UsageReplica.ts
+++ b/packages/hickoryrelay-usage/src/UsageReplica.ts
@@ -153,6 +153,12 @@
     return [...this.journals.values()].reduce((sum, journal) => sum + journal.records.size, 0);
   }
 
+  /** Tells whether the final figure of a record, by its own instance, is held here. */
+  holdsClosed(incarnation: string, sequence: number): boolean {
+    const record = this.journals.get(incarnation)?.records.get(sequence);
+    return record !== undefined && record.closedWindow > 0 && record.isOwnFigure;
+  }
+
   /** Takes what an instance sent about its records. Returns whether it is to be acknowledged. */
   take(from: InstanceIdentity, message: OpenMessage | CloseMessage | ProgressMessage): boolean {
     const journal = this.journals.get(from.incarnation) ?? new HeldJournal(from);
--- /dev/null
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
@@ -0,0 +1,452 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { silentLogger } from 'hickoryrelay/Logger';
+import { Clock } from 'hickoryrelay/Clock';
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { RelayError } from 'hickoryrelay/RelayError';
+import { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
+import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
+import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
+
+import type {
+  InstanceIdentity,
+  PeerMessage,
+  ReceivedPeerMessage,
+} from 'hickoryrelay-link/PeerMessages';
+import type { Comparison, RangeResult, Transaction } from 'hickoryrelay-platform/KeyValueStore';
+import type { UsageReport } from 'hickoryrelay-platform/UsageReportSink';
+import { Authority } from '../../Authority.js';
+import { EngineUsageSource } from '../../EngineUsageSource.js';
+import { InstanceLiveness } from '../../InstanceLiveness.js';
+import { InstanceUsage } from '../../InstanceUsage.js';
+import { KeyValueClaimRegister } from '../../KeyValueClaimRegister.js';
+import { usageTasks } from '../../UsageTasks.js';
+
+import type { EngineCount } from '../../EngineUsageSource.js';
+import type { ReplicationSettings } from '../../UsageMeter.js';
+
+const LINK_TIMEOUT = 3000;
+const DEAD_AFTER = 15_000;
+const STORE_TIMEOUT = 2000;
+
+/** The clock of one process, which can be paused or killed. */
+class ProcessClock extends Clock {
+  isKilled = false;
+
+  private isPaused = false;
+
+  private deferred: (() => void)[] = [];
+
+  constructor(private readonly world: Clock) {
+    super();
+  }
+
+  /** Runs the action now, when the process resumes, or never. */
+  run(action: () => void): void {
+    if (this.isPaused) {
+      this.deferred.push(action);
+    } else if (!this.isKilled) {
+      action();
+    }
+  }
+
+  pause(): void {
+    this.isPaused = true;
+  }
+
+  resume(): void {
+    this.isPaused = false;
+    this.deferred.splice(0).forEach((action) => this.run(action));
+  }
+
+  override monotonicMilliseconds(): number {
+    return this.world.monotonicMilliseconds();
+  }
+
+  override wallMilliseconds(): number {
+    return this.world.wallMilliseconds();
+  }
+
+  override async sleep(milliseconds: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.schedule(milliseconds, resolve);
+    });
+  }
+
+  override schedule(milliseconds: number, action: () => void): () => void {
+    return this.world.schedule(milliseconds, () => this.run(action));
+  }
+}
+
+/** Faults of the world, changed by commands while it runs. */
+export interface WorldFaults {
+  messageLoss: number;
+  messageDuplicates: number;
+  messageDelay: number;
+  storeOut: boolean;
+  /** Share of writes whose answer is lost, before or after they take effect. */
+  lostAnswers: number;
+  sinkOut: boolean;
+}
+
+/** Everything around the instances: time, links, the platform and the engines. */
+export class World {
+  readonly clock = new ManualClock();
+
+  readonly random: SeededRandomSource;
+
+  readonly table = new KeyValueTable(this.clock);
+
+  readonly faults: WorldFaults = {
+    ...{ messageLoss: 0, messageDuplicates: 0, messageDelay: 0, lostAnswers: 0 },
+    ...{ storeOut: false, sinkOut: false },
+  };
+
+  readonly instances: TestInstance[] = [];
+
+  readonly submitted: UsageReport[] = [];
+
+  readonly engineCounts = new Map<string, () => EngineCount>();
+
+  /** Pairs of names with a cut link, and the time of the cut. */
+  readonly cuts = new Map<string, number>();
+
+  /** Observers of messages, to measure them. */
+  readonly observers: ((from: string, to: string, message: PeerMessage) => void)[] = [];
+
+  readonly counts = { reads: 0, writes: 0 };
+
+  constructor(
+    seed: number,
+    readonly replication?: ReplicationSettings,
+  ) {
+    this.random = new SeededRandomSource(seed);
+  }
+
+  get live(): readonly TestInstance[] {
+    return this.instances.filter(({ clock }) => !clock.isKilled);
+  }
+
+  now(): number {
+    return this.clock.monotonicMilliseconds();
+  }
+
+  /** Time for which one instance has not heard of another, in milliseconds. */
+  silence(left: TestInstance, right: TestInstance): number {
+    const cutAt = this.cuts.get(World.pair(left.identity.name, right.identity.name));
+    const since = Math.min(right.silentSince, cutAt ?? Infinity);
+    return Math.max(0, this.now() - since);
+  }
+
+  deliver(from: TestInstance, name: string, message: PeerMessage): void {
+    const { messageLoss, messageDuplicates, messageDelay } = this.faults;
+    const target = this.live.find(({ identity }) => identity.name === name);
+    const copies = this.random.fraction() < messageDuplicates ? 2 : 1;
+    this.observers.forEach((observe) => observe(from.identity.name, name, message));
+    for (let copy = 0; copy < copies; copy += 1) {
+      const delay = 1 + this.random.fraction() * messageDelay;
+      const isLost =
+        this.cuts.has(World.pair(from.identity.name, name)) || this.random.fraction() < messageLoss;
+      if (target !== undefined && !isLost) {
+        const received = structuredClone({ from: from.identity, message });
+        this.clock.schedule(delay, () => target.clock.run(() => target.network.push(received)));
+      }
+    }
+  }
+
+  static pair(left: string, right: string): string {
+    return [left, right].toSorted().join('|');
+  }
+
+  /** Gives the authority over a zone to an instance. The term of the holder before ends. */
+  grantAuthority(zone: string, holder: TestInstance): void {
+    const key = `/authority/${zone}`;
+    this.instances.filter((each) => each.identity.zone === zone).forEach((each) => each.lose());
+    this.table.commit({
+      compare: [],
+      success: [
+        { type: 'delete', key },
+        { type: 'put', key: `/fencing/${zone}`, value: '' },
+      ],
+      failure: [],
+    });
+    const value = holder.identity.incarnation;
+    this.table.commit({ compare: [], success: [{ type: 'put', key, value }], failure: [] });
+    const term = this.table.range(key).values[0]?.createRevision ?? 0;
+    holder.take(term, this.now());
+  }
+}
+
+/** Links over the world, with its faults. */
+class TestNetwork extends PeerNetwork {
+  private readonly queue: ReceivedPeerMessage[] = [];
+
+  private wake = () => {};
+
+  constructor(private readonly owner: TestInstance) {
+    super();
+  }
+
+  override get identity(): InstanceIdentity {
+    return this.owner.identity;
+  }
+
+  override connectedPeers(): readonly InstanceIdentity[] {
+    const { world } = this.owner;
+    return world.instances
+      .filter((each) => each !== this.owner && world.silence(this.owner, each) < LINK_TIMEOUT)
+      .map(({ identity }) => identity);
+  }
+
+  override send(name: string, message: PeerMessage): boolean {
+    if (!this.connectedPeers().some((peer) => peer.name === name)) {
+      return false;
+    }
+    this.owner.world.deliver(this.owner, name, message);
+    return true;
+  }
+
+  push(received: ReceivedPeerMessage): void {
+    this.queue.push(received);
+    this.wake();
+  }
+
+  override async *messages(): AsyncGenerator<ReceivedPeerMessage, void, void> {
+    for (;;) {
+      yield* this.queue.splice(0);
+      await new Promise<void>((resolve) => {
+        this.wake = resolve;
+      });
+    }
+  }
+}
+
+function unavailable(mayHaveTakenEffect: boolean): RelayError {
+  const kind = FailureKind.PlatformUnavailable;
+  return new RelayError({ kind, service: 'test', reason: 'fault', mayHaveTakenEffect });
+}
+
+/** A platform call by one process, with the faults of the world. */
+async function callPlatform<Answer>(
+  { world, clock }: TestInstance,
+  isOut: () => boolean,
+  effect: () => Answer,
+): Promise<Answer> {
+  const { random, faults } = world;
+  const isLost = random.fraction() < faults.lostAnswers;
+  // A lost answer belongs to a write that takes effect now, after the time-out, or never.
+  const delay = isLost ? random.fraction() * 2 * STORE_TIMEOUT : 2;
+  const isDropped = isLost && random.fraction() < 0.3;
+  return new Promise<Answer>((resolve, reject) => {
+    world.clock.schedule(delay, () => {
+      if (isOut() || isDropped) {
+        clock.run(() => reject(unavailable(isLost)));
+        return;
+      }
+      const answer = effect();
+      if (!isLost) {
+        clock.run(() => resolve(answer));
+      }
+    });
+    if (isLost) {
+      clock.schedule(STORE_TIMEOUT, () => reject(unavailable(true)));
+    }
+  });
+}
+
+/** The key-value service over a table in memory, with the faults of the world. */
+class TestStore extends KeyValueStore {
+  constructor(private readonly owner: TestInstance) {
+    super();
+  }
+
+  private call<Answer>(kind: 'reads' | 'writes', effect: () => Answer): Promise<Answer> {
+    const { world } = this.owner;
+    world.counts[kind] += 1;
+    return callPlatform(this.owner, () => world.faults.storeOut, effect);
+  }
+
+  override range(key: string, options?: { prefix?: boolean }): Promise<RangeResult> {
+    return this.call('reads', () => this.owner.world.table.range(key, options?.prefix));
+  }
+
+  override commit(transaction: Transaction) {
+    return this.call('writes', () => this.owner.world.table.commit(transaction));
+  }
+
+  override grantLease(seconds: number) {
+    return this.call('writes', () => this.owner.world.table.grantLease(seconds));
+  }
+
+  override keepLeaseAlive(identifier: string) {
+    return this.call('writes', () => this.owner.world.table.keepLeaseAlive(identifier));
+  }
+
+  override async revokeLease(): Promise<void> {
+    throw unavailable(false);
+  }
+
+  // eslint-disable-next-line require-yield
+  override async *watch(): AsyncGenerator<never, void, void> {
+    throw unavailable(false);
+  }
+}
+
+/** The usage reports of the platform. It takes whatever comes, so that the oracle sees it. */
+class TestSink extends UsageReportSink {
+  constructor(private readonly owner: TestInstance) {
+    super();
+  }
+
+  private call<Answer>(effect: () => Answer): Promise<Answer> {
+    return callPlatform(this.owner, () => this.owner.world.faults.sinkOut, effect);
+  }
+
+  override async submit(report: UsageReport): Promise<void> {
+    await this.call(() => this.owner.world.submitted.push(report));
+  }
+
+  override find(zone: string, start: number): Promise<UsageReport | undefined> {
+    return this.call(() =>
+      this.owner.world.submitted.find(
+        (each) => each.zone === zone && each.windowStartMilliseconds === start,
+      ),
+    );
+  }
+}
+
+class TestAuthority extends Authority {
+  term = 0;
+
+  since = Infinity;
+
+  constructor(override readonly zone: string) {
+    super();
+  }
+
+  override get fencingNumber(): number {
+    return this.term;
+  }
+
+  override get isHeld(): boolean {
+    return this.since < Infinity;
+  }
+
+  override get heldSinceMilliseconds(): number {
+    return this.since;
+  }
+
+  override assertHeld(): void {
+    if (!this.isHeld) {
+      const { zone, term } = this;
+      throw new RelayError({ kind: FailureKind.AuthorityLost, zone, fencingNumber: term });
+    }
+  }
+
+  override comparison(): Comparison {
+    return { key: `/authority/${this.zone}`, target: 'create-revision', operand: this.term };
+  }
+}
+
+/** One entry instance: a process with the usage part and the claim register. */
+export class TestInstance {
+  readonly clock: ProcessClock;
+
+  readonly network: TestNetwork;
+
+  readonly usage: InstanceUsage;
+
+  readonly claims: KeyValueClaimRegister;
+
+  readonly authority: TestAuthority;
+
+  silentSince = Infinity;
+
+  private opened = 0;
+
+  /** True once any instance believed this one dead. */
+  wasBelievedDead = false;
+
+  constructor(
+    readonly world: World,
+    readonly identity: InstanceIdentity,
+  ) {
+    const { random, engineCounts } = world;
+    this.clock = new ProcessClock(world.clock);
+    this.network = new TestNetwork(this);
+    this.authority = new TestAuthority(identity.zone);
+    const store = new TestStore(this);
+    const isDead = (incarnation: string) => this.believesDead(incarnation);
+    this.usage = new InstanceUsage({
+      network: this.network,
+      store,
+      sink: new TestSink(this),
+      authority: this.authority,
+      liveness: new (class extends InstanceLiveness {
+        override isDead = isDead;
+      })(),
+      engines: new (class extends EngineUsageSource {
+        override count = async (endpoint: string, request: string) => engineCounts.get(request)?.();
+      })(),
+      clock: this.clock,
+      random,
+      log: silentLogger,
+      ...(world.replication === undefined ? {} : { replication: world.replication }),
+    });
+    this.claims = new KeyValueClaimRegister(store, this.clock, silentLogger);
+    const lifecycle = new LifecycleManager(identity.name, this.clock, (owner, failure) => {
+      throw new RelayError(failure);
+    });
+    usageTasks(this.usage).forEach((task) => lifecycle.start(task));
+  }
+
+  /** Number of the next usage record of this instance. */
+  nextSequence(): number {
+    this.opened += 1;
+    return this.opened;
+  }
+
+  kill(): void {
+    this.silentSince = Math.min(this.silentSince, this.world.now());
+    this.clock.isKilled = true;
+  }
+
+  pause(): void {
+    this.silentSince = Math.min(this.silentSince, this.world.now());
+    this.clock.pause();
+  }
+
+  resume(): void {
+    if (!this.clock.isKilled) {
+      this.silentSince = Infinity;
+      this.clock.resume();
+    }
+  }
+
+  take(term: number, since: number): void {
+    Object.assign(this.authority, { term, since });
+  }
+
+  lose(): void {
+    this.authority.since = Infinity;
+  }
+
+  private believesDead(incarnation: string): boolean {
+    const other = this.world.instances.find((each) => each.identity.incarnation === incarnation);
+    const isDead = other === undefined || this.world.silence(this, other) >= DEAD_AFTER;
+    if (isDead && other !== undefined) {
+      other.wasBelievedDead = true;
+    }
+    return isDead;
+  }
+}
+
+/** Starts an instance, as a new incarnation if there was one of the name. */
+export function startInstance(world: World, name: string, zone: string): TestInstance {
+  const incarnation = `${name}.${world.instances.length}`;
+  const instance = new TestInstance(world, { name, zone, incarnation });
+  world.instances.push(instance);
+  return instance;
+}
