--- a/packages/hickoryrelay-usage/src/UsageMeter.ts
+++ b/packages/hickoryrelay-usage/src/UsageMeter.ts
@@ -39,7 +39,7 @@
   batchMilliseconds: 250,
   closeGatherMilliseconds: 0,
   closeWaitMilliseconds: 2000,
-  progressTokens: 1,
+  progressTokens: 128,
 };
 
 /** Counts of closes that do not survive the loss of this instance. */
