--- a/packages/hickoryrelay-usage/src/ReplicaHolder.ts
+++ b/packages/hickoryrelay-usage/src/ReplicaHolder.ts
@@ -82,9 +82,25 @@
   /** Sends what the peer lacks. */
   flush(nowMilliseconds: number): void {
     this.requeueUnacknowledged(nowMilliseconds);
+    this.send([...this.outbox], nowMilliseconds);
+  }
+
+  /** Sends the closed records that the peer lacks; the others wait for the batch. */
+  flushClosed(nowMilliseconds: number): void {
+    const closed = [...this.outbox].filter(
+      ([sequence]) => this.journal.find(sequence)?.closedWindow !== 0,
+    );
+    this.send(closed, nowMilliseconds);
+  }
+
+  private send(
+    entries: readonly (readonly [sequence: number, needsWhole: boolean])[],
+    nowMilliseconds: number,
+  ): void {
     const whole: JournalRecord[] = [];
     const closed: JournalRecord[] = [];
-    for (const [sequence, needsWhole] of this.outbox) {
+    for (const [sequence, needsWhole] of entries) {
+      this.outbox.delete(sequence);
       const record = this.journal.find(sequence);
       if (record !== undefined && (needsWhole || !this.held.has(sequence))) {
         whole.push(record);
@@ -92,7 +108,6 @@
         closed.push(record);
       }
     }
-    this.outbox.clear();
     this.sendWhole(whole, nowMilliseconds);
     this.sendClosed(closed, nowMilliseconds);
   }
--- a/packages/hickoryrelay-usage/src/UsageMeter.ts
+++ b/packages/hickoryrelay-usage/src/UsageMeter.ts
@@ -37,7 +37,7 @@
 
 export const DEFAULT_REPLICATION: ReplicationSettings = {
   batchMilliseconds: 250,
-  closeGatherMilliseconds: 0,
+  closeGatherMilliseconds: 20,
   closeWaitMilliseconds: 2000,
   progressTokens: 128,
 };
@@ -174,10 +174,11 @@
     });
   }
 
+  /** Only the first holder is told at once; one acknowledgement is enough. */
   private flushClosings(): void {
     this.cancelGather = undefined;
     const now = this.clock.monotonicMilliseconds();
-    this.holders.forEach((holder) => holder.flush(now));
+    this.holders[0]?.flushClosed(now);
   }
 
   /** Keeps connected holders, replaces lost ones and prefers one in another zone. */
