--- a/packages/hickoryrelay-link/src/PeerMessages.ts
+++ b/packages/hickoryrelay-link/src/PeerMessages.ts
@@ -37,13 +37,16 @@
   readonly costs: readonly (readonly [account: string, cost: number])[];
 }
 
+/** A request identifier; as bytes if it is hexadecimal. */
+export type WireIdentifier = string | Uint8Array;
+
 /**
  * A usage record as it is sent to a peer that holds it. Names are indexes into the sender's name
  * table. Figures are totals so far, not differences.
  */
 export type UsageRecordEntry = readonly [
   sequence: number,
-  requestIdentifier: string,
+  requestIdentifier: WireIdentifier,
   account: number,
   className: number,
   /** The model, or the route of a plain service. */
--- a/packages/hickoryrelay-usage/src/ReplicaHolder.ts
+++ b/packages/hickoryrelay-usage/src/ReplicaHolder.ts
@@ -1,5 +1,7 @@
 import type { InstanceIdentity, UsageName, UsageRecordEntry } from 'hickoryrelay-link/PeerMessages';
 import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
+import { encodeIdentifier } from './RequestIdentifierCodec.js';
+
 import type { CountedSequences } from './CountedSequences.js';
 import type { JournalRecord, UsageJournal } from './UsageJournal.js';
 
@@ -170,7 +172,7 @@
     };
     const entries = records.map((record): UsageRecordEntry => [
       record.sequence,
-      record.requestIdentifier,
+      encodeIdentifier(record.requestIdentifier),
       indexOf(record.account),
       indexOf(record.className),
       indexOf(record.subject),
--- a/packages/hickoryrelay-usage/src/UsageReplica.ts
+++ b/packages/hickoryrelay-usage/src/UsageReplica.ts
@@ -9,6 +9,7 @@
 import { describeFailure } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
 import { CountedSequences } from './CountedSequences.js';
+import { decodeIdentifier } from './RequestIdentifierCodec.js';
 import { windowAt } from './UsageWindow.js';
 
 import type { EngineUsageSource } from './EngineUsageSource.js';
@@ -95,7 +96,8 @@
   }
 
   private take(entry: UsageRecordEntry): boolean {
-    const [sequence, requestIdentifier] = entry;
+    const sequence = entry[0];
+    const requestIdentifier = decodeIdentifier(entry[1]);
     const [account, className, subject, endpoint] = entry
       .slice(2, 6)
       .map((index) => this.names.get(Number(index)));
