--- a/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
@@ -370,6 +370,8 @@
 
   readonly authority: TestAuthority;
 
+  readonly store: KeyValueStore;
+
   silentSince = Infinity;
 
   private opened = 0;
@@ -385,7 +387,8 @@
     this.clock = new ProcessClock(world.clock);
     this.network = new TestNetwork(this);
     this.authority = new TestAuthority(identity.zone);
-    const store = new TestStore(this);
+    this.store = new TestStore(this);
+    const { store } = this;
     const isDead = (incarnation: string) => this.believesDead(incarnation);
     this.usage = new InstanceUsage({
       network: this.network,
