--- a/packages/hickoryrelay-link/src/PeerMessages.ts
+++ b/packages/hickoryrelay-link/src/PeerMessages.ts
@@ -64,7 +64,6 @@
   sequence: number,
   promptTokens: number,
   completionTokens: number,
-  closedWindow: number,
 ];
 
 /** Figures of a running call; `[sequence, completion tokens so far]`. */
@@ -144,6 +143,8 @@
   | {
       readonly type: 'usage-close';
       readonly number: number;
+      /** Number of the window in which the calls closed. */
+      readonly window: number;
       readonly entries: readonly UsageCloseEntry[];
     }
   | {
--- a/packages/hickoryrelay-usage/src/ReplicaHolder.ts
+++ b/packages/hickoryrelay-usage/src/ReplicaHolder.ts
@@ -187,20 +187,15 @@
   }
 
   private sendClosed(records: readonly JournalRecord[], nowMilliseconds: number): void {
-    if (records.length === 0) {
-      return;
+    for (const window of new Set(records.map(({ closedWindow }) => closedWindow))) {
+      const same = records.filter(({ closedWindow }) => closedWindow === window);
+      const number = this.remember(same, [], false, nowMilliseconds);
+      const entries = same.map(
+        ({ sequence, promptTokens, completionTokens }) =>
+          [sequence, promptTokens, completionTokens] as const,
+      );
+      this.network.send(this.identity.name, { type: 'usage-close', number, window, entries });
     }
-    const number = this.remember(records, [], false, nowMilliseconds);
-    const entries = records.map(
-      (record) =>
-        [
-          record.sequence,
-          record.promptTokens,
-          record.completionTokens,
-          record.closedWindow,
-        ] as const,
-    );
-    this.network.send(this.identity.name, { type: 'usage-close', number, entries });
   }
 
   private remember(
--- a/packages/hickoryrelay-usage/src/UsageReplica.ts
+++ b/packages/hickoryrelay-usage/src/UsageReplica.ts
@@ -65,7 +65,8 @@
 
   /** Takes final figures. Returns false if a record is missing. */
   close(message: CloseMessage): boolean {
-    return message.entries.every(([sequence, promptTokens, completionTokens, closedWindow]) => {
+    const closedWindow = message.window;
+    return message.entries.every(([sequence, promptTokens, completionTokens]) => {
       const record = this.records.get(sequence);
       if (record !== undefined) {
         Object.assign(record, { promptTokens, completionTokens, closedWindow, isOwnFigure: true });
