--- a/packages/hickoryrelay-bench/src/UsageCost.ts
+++ b/packages/hickoryrelay-bench/src/UsageCost.ts
@@ -5,6 +5,7 @@
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ModelOperation } from 'hickoryrelay-link/Call';
+import { encodePeerMessage } from 'hickoryrelay-link/PeerMessageCodec';
 import { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
@@ -14,7 +15,6 @@
 import { InstanceLiveness } from 'hickoryrelay-usage/InstanceLiveness';
 import { InstanceUsage } from 'hickoryrelay-usage/InstanceUsage';
 import { usageTasks } from 'hickoryrelay-usage/UsageTasks';
-import { pack } from 'msgpackr';
 
 import type { ModelCall } from 'hickoryrelay-link/Call';
 import type {
@@ -183,7 +183,7 @@
   }
 
   override send(name: string, message: PeerMessage): boolean {
-    const size = pack(message).length + FRAME_BYTES;
+    const size = encodePeerMessage(message).length + FRAME_BYTES;
     this.bytes[message.type] = (this.bytes[message.type] ?? 0) + size;
     this.messagesSent[message.type] = (this.messagesSent[message.type] ?? 0) + 1;
     const target = this.all.find(({ identity }) => identity.name === name);
--- a/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
@@ -4,23 +4,35 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 
 import type { ServerResponse } from 'node:http';
+import type { Clock } from 'hickoryrelay/Clock';
 import { AnswerWriter } from './AnswerWriter.js';
 import { errorResponse } from './ErrorResponse.js';
 
 import type { FailureReport } from './AnswerWriter.js';
+import type { CallTimer } from './CallTimer.js';
 
 const EVENT_STREAM = 'text/event-stream';
 
+/** What a writer needs of its call. */
+export interface HttpAnswerParts {
+  readonly response: ServerResponse;
+  readonly requestIdentifier: string;
+  readonly timer: CallTimer;
+  readonly clock: Clock;
+  /** How long a caller may take nothing before it is cut off, in milliseconds. */
+  readonly stallMilliseconds: number;
+}
+
 /** Writes an answer to an HTTP/1.1 caller. */
 export class HttpAnswerWriter extends AnswerWriter {
-  private readonly response: ServerResponse;
+  private readonly parts: HttpAnswerParts;
 
-  private readonly requestIdentifier: string;
+  private readonly response: ServerResponse;
 
-  constructor(response: ServerResponse, requestIdentifier: string) {
+  constructor(parts: HttpAnswerParts) {
     super();
-    this.response = response;
-    this.requestIdentifier = requestIdentifier;
+    this.parts = parts;
+    this.response = parts.response;
   }
 
   override get hasBegun(): boolean {
@@ -28,36 +40,46 @@
   }
 
   override begin(status: number, contentType: string): void {
+    this.parts.timer.begin(status);
     this.response.writeHead(status, {
       'content-type': contentType,
-      'x-request-id': this.requestIdentifier,
+      'x-request-id': this.parts.requestIdentifier,
       ...(contentType.startsWith(EVENT_STREAM) ? { 'cache-control': 'no-cache' } : {}),
     });
   }
 
-  override async write(piece: Buffer): Promise<void> {
+  override async write(piece: Buffer, signal: AbortSignal): Promise<void> {
     this.assertOpen();
+    this.parts.timer.piece();
     if (!this.response.write(piece)) {
-      await this.drained();
+      await this.drained(signal);
     }
   }
 
   override async end(): Promise<void> {
+    this.parts.timer.end();
     this.response.end();
   }
 
   override async fail(report: FailureReport): Promise<void> {
+    this.parts.timer.fail(report.failure, report.notRun);
     const { status, headers, body } = errorResponse(report);
     if (!this.hasBegun) {
       this.response.writeHead(status, headers);
       this.response.end(JSON.stringify(body));
       return;
     }
+    if (this.response.writableNeedDrain) {
+      // The caller does not read, so an event would wait behind what it has not read yet.
+      this.response.destroy();
+      return;
+    }
     const contentType = String(this.response.getHeader('content-type') ?? '');
     if (contentType.startsWith(EVENT_STREAM) && !this.response.writableEnded) {
       this.response.end(`data: ${JSON.stringify(body)}\n\n`);
       return;
     }
+    // A body that is neither an event stream nor complete can only be marked as broken by a reset.
     this.response.destroy();
   }
 
@@ -67,15 +89,25 @@
     }
   }
 
-  private async drained(): Promise<void> {
+  /** Waits until the caller has taken what was written. */
+  private async drained(cancelled: AbortSignal): Promise<void> {
     const settled = new AbortController();
     const { signal } = settled;
+    const stop = () => settled.abort();
+    cancelled.addEventListener('abort', stop);
+    const cancelStall = this.parts.clock.schedule(this.parts.stallMilliseconds, () => {
+      this.response.destroy();
+    });
     try {
       await Promise.race([
         once(this.response, 'drain', { signal }),
         once(this.response, 'close', { signal }),
       ]);
+    } catch (error) {
+      throw new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' }, error);
     } finally {
+      cancelStall();
+      cancelled.removeEventListener('abort', stop);
       settled.abort();
     }
     this.assertOpen();
