--- a/packages/hickoryrelay-usage/src/UsageMeter.ts
+++ b/packages/hickoryrelay-usage/src/UsageMeter.ts
@@ -37,7 +37,7 @@
 
 export const DEFAULT_REPLICATION: ReplicationSettings = {
   batchMilliseconds: 250,
-  closeGatherMilliseconds: 20,
+  closeGatherMilliseconds: 40,
   closeWaitMilliseconds: 2000,
   progressTokens: 128,
 };
