--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -8,6 +8,7 @@
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
 import { DisabledCallMeter } from 'hickoryrelay-usage/CallMeter';
+import { KeyValueClaimRegister } from 'hickoryrelay-usage/KeyValueClaimRegister';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 
@@ -27,7 +28,6 @@
 import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
 import { FleetTask } from './FleetTask.js';
 import { RetryBudget } from './RetryBudget.js';
-import { UnavailableClaimRegister } from './UnavailableClaimRegister.js';
 import { Exchange } from './Exchange.js';
 import { ExchangeTable } from './ExchangeTable.js';
 import { Drain, DrainPhase } from './Drain.js';
@@ -114,7 +114,11 @@
       clock: parts.clock,
       random: parts.random,
       meter: new DisabledCallMeter(),
-      claims: new UnavailableClaimRegister(),
+      claims: new KeyValueClaimRegister(
+        parts.platform.keyValue,
+        parts.clock,
+        partLogger(parts.logger, LogPrefix.Claims),
+      ),
       retryBudget: new RetryBudget(),
       memory: new AnswerMemory(),
       counters: new ExchangeCounters(),
