--- /dev/null
+++ b/packages/hickoryrelay-usage/src/__tests__/e2e/Claims.test.ts
@@ -0,0 +1,72 @@
+import { Fault } from 'hickoryrelay-standin/FaultPlan';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
+import { request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import type { Instance } from 'hickoryrelay-instance/Instance';
+import type { ServiceStandIn } from 'hickoryrelay-standin/ServiceStandIn';
+
+// Guards against a booking that runs twice because its repeat reaches another instance.
+describe('claims over the etcd gateway', () => {
+  const federation = new LocalFederation();
+  let service: ServiceStandIn;
+  let key = '';
+  let instances: readonly Instance[] = [];
+
+  beforeAll(async () => {
+    await federation.start();
+    service = await federation.addService('service-1', 'service', 'zone-a');
+    const document = sampleDeclarations();
+    key = federation.issueKey(document, 'first');
+    await federation.apply(document);
+    instances = [
+      await federation.addInstance('entry-1', 'zone-a'),
+      await federation.addInstance('entry-2', 'zone-a'),
+    ];
+  });
+
+  afterAll(() => federation.stop());
+
+  async function book(index: number, idempotencyKey: string, item: number) {
+    const instance = instances[index];
+    const response = await request(`${instance && federation.urlOf(instance)}/services/book/new`, {
+      method: 'POST',
+      headers: {
+        ...{ authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+        'idempotency-key': idempotencyKey,
+      },
+      body: JSON.stringify({ item }),
+    });
+    return { status: response.statusCode, text: await response.body.text() };
+  }
+
+  it('returns the stored answer from any instance', async () => {
+    const first = await book(0, 'one', 1);
+    const runs = service.received.length;
+    expect(first.status).toBe(200);
+    expect(await book(1, 'one', 1)).toEqual(first);
+    expect(service.received.length).toBe(runs);
+  });
+
+  it('refuses the same key with another request', async () => {
+    await book(0, 'two', 1);
+    expect((await book(1, 'two', 2)).text).toContain('idempotency-conflict');
+  });
+
+  it('resolves a lost answer of the claim by reading it back', async () => {
+    await book(0, 'warm', 1);
+    federation.gateway.faults.next(Fault.LoseAnswer);
+    const runs = service.received.length;
+    expect((await book(0, 'lost', 1)).status).toBe(200);
+    expect(service.received.length).toBe(runs + 1);
+  });
+
+  it('refuses calls as not run while the service is out', async () => {
+    federation.gateway.faults.standing = Fault.Refuse;
+    const runs = service.received.length;
+    const refused = await book(0, 'out', 1);
+    federation.gateway.faults.standing = Fault.None;
+    expect(refused.text).toContain('"not_run":true');
+    expect(service.received.length).toBe(runs);
+  });
+});
