--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -10,6 +10,7 @@
 import { DisabledCallMeter } from 'hickoryrelay-usage/CallMeter';
 import { KeyValueClaimRegister } from 'hickoryrelay-usage/KeyValueClaimRegister';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
+import { NoObservation } from 'hickoryrelay-zone/PolicyPlanner';
 import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 
 import type { Server } from 'node:http';
@@ -26,6 +27,7 @@
 import { AnswerMemory } from './AnswerMemory.js';
 import { ExchangeCounters } from './ExchangeCounters.js';
 import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
+import { ZoneDuties } from './ZoneDuties.js';
 import { FleetTask } from './FleetTask.js';
 import { RetryBudget } from './RetryBudget.js';
 import { Exchange } from './Exchange.js';
@@ -220,6 +222,22 @@
       log: (prefix) => partLogger(logger, prefix),
     });
     await this.control.start();
+    this.startAuthority();
+  }
+
+  private startAuthority(): void {
+    const { clock, logger, platform, random, settings } = this.parts;
+    new ZoneDuties({
+      place: settings.instance,
+      store: platform.keyValue,
+      supply: platform.supply,
+      fleet: this.fleet,
+      observer: new NoObservation(),
+      clock,
+      random,
+      lifecycle: this.lifecycle.child('authority'),
+      log: (prefix) => partLogger(logger, prefix),
+    }).start();
   }
 
   private async startBroker(): Promise<void> {
