--- a/packages/hickoryrelay-link/src/PeerMessageCodec.ts
+++ b/packages/hickoryrelay-link/src/PeerMessageCodec.ts
@@ -3,6 +3,8 @@
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
 
+import { usageMessages } from './UsageMessageSchemas.js';
+
 import type { DigestRow, PeerMessage } from './PeerMessages.js';
 
 const NAME_LENGTH = 128;
@@ -27,25 +29,6 @@
   z.array(z.tuple([name, z.number().nonnegative()])).max(LIST_LENGTH),
 ]);
 
-const usageRecords = z
-  .array(
-    z.strictObject({
-      incarnation: name,
-      sequence: count,
-      instance: name,
-      zone: name,
-      requestIdentifier: name,
-      account: name,
-      className: name,
-      subject: z.string(),
-      endpoint: z.string(),
-      promptTokens: count,
-      completionTokens: count,
-      isClosed: z.boolean(),
-    }),
-  )
-  .max(LIST_LENGTH);
-
 const encodedMessage = z.discriminatedUnion('type', [
   z.strictObject({ type: z.literal('hello'), identity, peersUrl: name, revision: count }),
   z.strictObject({ type: z.literal('heartbeat'), body: z.tuple([count, count, count, age]) }),
@@ -62,25 +45,7 @@
     digests,
     buckets: z.array(z.tuple([count, z.string()])).max(LIST_LENGTH),
   }),
-  z.strictObject({ type: z.literal('usage-open'), records: usageRecords }),
-  z.strictObject({
-    type: z.literal('usage-progress'),
-    incarnation: name,
-    entries: z.array(z.tuple([count, count])).max(LIST_LENGTH),
-  }),
-  z.strictObject({ type: z.literal('usage-close'), records: usageRecords }),
-  z.strictObject({
-    type: z.literal('usage-acknowledged'),
-    incarnation: name,
-    sequences: z.array(count).max(LIST_LENGTH),
-  }),
-  z.strictObject({ type: z.literal('usage-collect'), zone: name, windowStart: z.number() }),
-  z.strictObject({
-    type: z.literal('usage-statement'),
-    zone: name,
-    windowStart: z.number(),
-    records: usageRecords,
-  }),
+  ...usageMessages,
   z.strictObject({ type: z.literal('leaving'), identity }),
 ]);
 
--- a/packages/hickoryrelay-standin/src/PlatformStandIn.ts
+++ b/packages/hickoryrelay-standin/src/PlatformStandIn.ts
@@ -5,6 +5,7 @@
 import type { UsageReport } from 'hickoryrelay-platform/UsageReportSink';
 import { JsonServer } from './JsonServer.js';
 import { SupplyAnswer, SupplySide } from './SupplySide.js';
+import { ReportAnswer, UsageReportTable } from './UsageReportTable.js';
 
 import type { ReceivedOrder } from './SupplySide.js';
 import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
@@ -22,8 +23,8 @@
 
   readonly instances = new Map<string, ListedInstance>();
 
-  /** Every report received, in order, repeats included. */
-  readonly receivedReports: UsageReport[] = [];
+  /** The usage reports. */
+  readonly reports = new UsageReportTable();
 
   protected override answer(request: ReceivedRequest): JsonAnswer {
     const [, collection, first, second] = request.path.split('/');
@@ -57,14 +58,11 @@
   }
 
   private takeReport(report: UsageReport): JsonAnswer {
-    this.receivedReports.push(report);
-    return OK;
+    return this.reports.take(report) === ReportAnswer.Refused ? CONFLICT : OK;
   }
 
   private findReport(zone: string, windowStartMilliseconds: number): JsonAnswer {
-    const report = this.receivedReports.find(
-      (each) => each.zone === zone && each.windowStartMilliseconds === windowStartMilliseconds,
-    );
+    const report = this.reports.find(zone, windowStartMilliseconds);
     return report === undefined ? NOT_FOUND : { status: 200, body: report };
   }
 
