--- a/packages/hickoryrelay-link/src/EngineEvents.ts
+++ b/packages/hickoryrelay-link/src/EngineEvents.ts
@@ -1,6 +1,8 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
+import { EventTemplate } from './EventTemplate.js';
+
 /** What a piece of a model stream carries. */
 export const EngineEventKind = {
   /** Text, as one token. */
@@ -115,6 +117,11 @@
 
   private rest: Buffer = Buffer.alloc(0);
 
+  /** The latest token event that was parsed, and its template. */
+  private model: EngineEvent | undefined;
+
+  private template: EventTemplate | undefined;
+
   constructor(endpoint: string) {
     this.endpoint = endpoint;
   }
@@ -137,6 +144,21 @@
   }
 
   private decode(bytes: Buffer): EngineEvent {
+    const encoded = bytes.toString('latin1');
+    const parts = this.template?.match(encoded);
+    if (parts !== undefined && this.model !== undefined) {
+      const { tokenIndex, text } = parts;
+      return { ...this.model, bytes, tokenIndex, text };
+    }
+    const event = this.decodeByParsing(bytes);
+    if (event.kind === EngineEventKind.Token) {
+      this.model = event;
+      this.template = EventTemplate.of(encoded, event);
+    }
+    return event;
+  }
+
+  private decodeByParsing(bytes: Buffer): EngineEvent {
     const line = bytes.toString('utf8');
     if (line.startsWith(':')) {
       return EngineEventReader.mark(EngineEventKind.Comment, bytes);
