--- a/packages/hickoryrelay-link/src/EngineEvents.ts
+++ b/packages/hickoryrelay-link/src/EngineEvents.ts
@@ -1,8 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
-import { EventTemplate } from './EventTemplate.js';
-
 /** What a piece of a model stream carries. */
 export const EngineEventKind = {
   /** Text, as one token. */
@@ -117,11 +115,6 @@
 
   private rest: Buffer = Buffer.alloc(0);
 
-  /** The latest token event that was parsed, and its template. */
-  private model: EngineEvent | undefined;
-
-  private template: EventTemplate | undefined;
-
   constructor(endpoint: string) {
     this.endpoint = endpoint;
   }
@@ -144,21 +137,6 @@
   }
 
   private decode(bytes: Buffer): EngineEvent {
-    const encoded = bytes.toString('latin1');
-    const parts = this.template?.match(encoded);
-    if (parts !== undefined && this.model !== undefined) {
-      const { tokenIndex, text } = parts;
-      return { ...this.model, bytes, tokenIndex, text };
-    }
-    const event = this.decodeByParsing(bytes);
-    if (event.kind === EngineEventKind.Token) {
-      this.model = event;
-      this.template = EventTemplate.of(encoded, event);
-    }
-    return event;
-  }
-
-  private decodeByParsing(bytes: Buffer): EngineEvent {
     const line = bytes.toString('utf8');
     if (line.startsWith(':')) {
       return EngineEventReader.mark(EngineEventKind.Comment, bytes);
--- a/packages/hickoryrelay-link/src/__tests__/unit/EngineEvents.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/unit/EngineEvents.test.ts
@@ -36,32 +36,6 @@
     );
   });
 
-  it('reads events that differ in any byte as if each were parsed alone', () => {
-    const piece = fc.record({
-      id: fc.constantFrom('r', 'other'),
-      token_index: fc.option(fc.nat(20), { nil: undefined }),
-      content: fc.oneof(
-        fc.string({ unit: 'binary', maxLength: 4 }),
-        fc.constantFrom('', 'a ', '"', '\\', ' 7'),
-      ),
-      finish_reason: fc.constantFrom(null, null, 'stop'),
-      position: fc.constantFrom(0, 0, 1),
-    });
-    fc.assert(
-      fc.property(fc.array(piece, { maxLength: 12 }), (pieces) => {
-        const shared = new EngineEventReader('engine');
-        for (const { content, finish_reason: reason, position, ...identity } of pieces) {
-          const choice = { index: position, delta: { content }, finish_reason: reason };
-          const event = JSON.stringify({ ...identity, choices: [choice] });
-          const bytes = Buffer.from(`data: ${event}\n\n`);
-          const alone = [...new EngineEventReader('engine').read(bytes)];
-          expect([...shared.read(bytes)]).toEqual(alone);
-        }
-      }),
-      { numRuns: 500 },
-    );
-  });
-
   it('refuses what is not an event, without quoting it', () => {
     const reader = new EngineEventReader('engine');
     expect(() => [...reader.read(Buffer.from('data: {"secret\n\n'))]).toThrow(
