--- a/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
@@ -4,23 +4,35 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 
 import type { ServerResponse } from 'node:http';
+import type { Clock } from 'hickoryrelay/Clock';
 import { AnswerWriter } from './AnswerWriter.js';
 import { errorResponse } from './ErrorResponse.js';
 
 import type { FailureReport } from './AnswerWriter.js';
+import type { CallTimer } from './CallTimer.js';
 
 const EVENT_STREAM = 'text/event-stream';
 
+/** What a writer needs of its call. */
+export interface HttpAnswerParts {
+  readonly response: ServerResponse;
+  readonly requestIdentifier: string;
+  readonly timer: CallTimer;
+  readonly clock: Clock;
+  /** How long a caller may take nothing before it is cut off, in milliseconds. */
+  readonly stallMilliseconds: number;
+}
+
 /** Writes an answer to an HTTP/1.1 caller. */
 export class HttpAnswerWriter extends AnswerWriter {
-  private readonly response: ServerResponse;
+  private readonly parts: HttpAnswerParts;
 
-  private readonly requestIdentifier: string;
+  private readonly response: ServerResponse;
 
-  constructor(response: ServerResponse, requestIdentifier: string) {
+  constructor(parts: HttpAnswerParts) {
     super();
-    this.response = response;
-    this.requestIdentifier = requestIdentifier;
+    this.parts = parts;
+    this.response = parts.response;
   }
 
   override get hasBegun(): boolean {
@@ -28,25 +40,29 @@
   }
 
   override begin(status: number, contentType: string): void {
+    this.parts.timer.begin(status);
     this.response.writeHead(status, {
       'content-type': contentType,
-      'x-request-id': this.requestIdentifier,
+      'x-request-id': this.parts.requestIdentifier,
       ...(contentType.startsWith(EVENT_STREAM) ? { 'cache-control': 'no-cache' } : {}),
     });
   }
 
   override async write(piece: Buffer, signal: AbortSignal): Promise<void> {
     this.assertOpen();
+    this.parts.timer.piece();
     if (!this.response.write(piece)) {
       await this.drained(signal);
     }
   }
 
   override async end(): Promise<void> {
+    this.parts.timer.end();
     this.response.end();
   }
 
   override async fail(report: FailureReport): Promise<void> {
+    this.parts.timer.fail(report.failure, report.notRun);
     const { status, headers, body } = errorResponse(report);
     if (!this.hasBegun) {
       this.response.writeHead(status, headers);
@@ -63,6 +79,7 @@
       this.response.end(`data: ${JSON.stringify(body)}\n\n`);
       return;
     }
+    // A body that is neither an event stream nor complete can only be marked as broken by a reset.
     this.response.destroy();
   }
 
@@ -72,11 +89,15 @@
     }
   }
 
+  /** Waits until the caller has taken what was written. */
   private async drained(cancelled: AbortSignal): Promise<void> {
     const settled = new AbortController();
     const { signal } = settled;
     const stop = () => settled.abort();
     cancelled.addEventListener('abort', stop);
+    const cancelStall = this.parts.clock.schedule(this.parts.stallMilliseconds, () => {
+      this.response.destroy();
+    });
     try {
       await Promise.race([
         once(this.response, 'drain', { signal }),
@@ -85,6 +106,7 @@
     } catch (error) {
       throw new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' }, error);
     } finally {
+      cancelStall();
       cancelled.removeEventListener('abort', stop);
       settled.abort();
     }
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/HttpAnswerWriter.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/HttpAnswerWriter.test.ts
@@ -1,11 +1,16 @@
 import { createServer, request } from 'node:http';
 
+import { CallSeries } from 'hickoryrelay-instance/CallMetrics';
+import { CallTimer } from 'hickoryrelay-instance/CallTimer';
 import { HttpAnswerWriter } from 'hickoryrelay-instance/HttpAnswerWriter';
+import { SystemClock } from 'hickoryrelay/Clock';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { describe, expect, it } from 'vitest';
 
 import type { AddressInfo } from 'node:net';
+import type { Call } from 'hickoryrelay-link/Call';
 
+const clock = new SystemClock();
 const BLOCK = Buffer.alloc(1_048_576);
 
 describe('the writer of HTTP answers', () => {
@@ -13,7 +18,13 @@
     const cancel = new AbortController();
     const outcome = new Promise<unknown>((resolve) => {
       const server = createServer((incoming, response) => {
-        const writer = new HttpAnswerWriter(response, 'request-1');
+        const writer = new HttpAnswerWriter({
+          response,
+          requestIdentifier: 'request-1',
+          timer: new CallTimer({ arrivalMilliseconds: 0 } as Call, new CallSeries('a', 'c'), clock),
+          clock,
+          stallMilliseconds: 60_000,
+        });
         const writeUntilCancelled = async () => {
           writer.begin(200, 'text/event-stream');
           for (;;) {
--- /dev/null
+++ b/packages/hickoryrelay-standin/src/ProcessClock.ts
@@ -0,0 +1,123 @@
+import { Clock } from 'hickoryrelay/Clock';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
+/**
+ * The clock of one simulated process. While the process is paused time goes on, but nothing that
+ * falls due or arrives runs until it resumes; once killed, nothing runs any more.
+ */
+export class ProcessClock extends Clock {
+  private readonly base: Clock;
+
+  private heldTimers: (() => void)[] = [];
+
+  private heldArrivals: (() => void)[] = [];
+
+  private wallOffsetMilliseconds = 0;
+
+  private isPaused = false;
+
+  private isKilled = false;
+
+  constructor(base: Clock) {
+    super();
+    this.base = base;
+  }
+
+  get isRunning(): boolean {
+    return !this.isPaused && !this.isKilled;
+  }
+
+  override monotonicMilliseconds(): number {
+    return this.base.monotonicMilliseconds();
+  }
+
+  override wallMilliseconds(): number {
+    return this.base.wallMilliseconds() + this.wallOffsetMilliseconds;
+  }
+
+  override sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const cancelled = () =>
+        new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' });
+      if (signal?.aborted === true) {
+        reject(cancelled());
+        return;
+      }
+      let cancelAlarm = () => {};
+      const onAbort = () => {
+        cancelAlarm();
+        reject(cancelled());
+      };
+      cancelAlarm = this.schedule(milliseconds, () => {
+        signal?.removeEventListener('abort', onAbort);
+        resolve();
+      });
+      signal?.addEventListener('abort', onAbort, { once: true });
+    });
+  }
+
+  override schedule(milliseconds: number, action: () => void): () => void {
+    let isOpen = true;
+    const run = () => {
+      if (isOpen) {
+        isOpen = false;
+        action();
+      }
+    };
+    const cancelAlarm = this.base.schedule(milliseconds, () => {
+      this.whenRunning(this.heldTimers, run);
+    });
+    return () => {
+      isOpen = false;
+      cancelAlarm();
+    };
+  }
+
+  /** Resolves once the process can take in what arrived from outside. */
+  arrive(): Promise<void> {
+    return new Promise((resolve) => {
+      this.whenRunning(this.heldArrivals, resolve);
+    });
+  }
+
+  pause(): void {
+    this.isPaused = true;
+  }
+
+  /**
+   * Resumes. An event loop that wakes up may handle timers or arrivals first; what follows from the
+   * first kind runs before the second.
+   */
+  async resume(arrivalsFirst = false): Promise<void> {
+    this.isPaused = false;
+    const { heldTimers, heldArrivals } = this;
+    this.heldTimers = [];
+    this.heldArrivals = [];
+    const [first, second] = arrivalsFirst ? [heldArrivals, heldTimers] : [heldTimers, heldArrivals];
+    first.forEach((action) => action());
+    await new Promise<void>((resolve) => {
+      setImmediate(resolve);
+    });
+    second.forEach((action) => action());
+  }
+
+  /** Sets the wall clock of the process against the others. */
+  setWallOffset(milliseconds: number): void {
+    this.wallOffsetMilliseconds = milliseconds;
+  }
+
+  kill(): void {
+    this.isKilled = true;
+    this.heldTimers = [];
+    this.heldArrivals = [];
+  }
+
+  private whenRunning(held: (() => void)[], action: () => void): void {
+    if (this.isRunning) {
+      action();
+    } else if (!this.isKilled) {
+      held.push(action);
+    }
+  }
+}
