Tell a caller in the stream why its stream failed

The response does not keep headers that are given with its status, so the writer took every answer for one that is not an event stream and cut the connection in place of sending the error event. The writer now keeps the kind of the answer itself. Found when a mutation of that branch was not caught.

The second engine of the fixture now sends many tokens in one piece, and a test covers tokens that arrive in one piece with a gap.

--- a/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
@@ -29,6 +29,9 @@
 
   private readonly response: ServerResponse;
 
+  /** Kept here, because the response does not keep headers that are given with its status. */
+  private isEventStream = false;
+
   constructor(parts: HttpAnswerParts) {
     super();
     this.parts = parts;
@@ -41,10 +44,11 @@
 
   override begin(status: number, contentType: string): void {
     this.parts.timer.begin(status);
+    this.isEventStream = contentType.startsWith(EVENT_STREAM);
     this.response.writeHead(status, {
       'content-type': contentType,
       'x-request-id': this.parts.requestIdentifier,
-      ...(contentType.startsWith(EVENT_STREAM) ? { 'cache-control': 'no-cache' } : {}),
+      ...(this.isEventStream ? { 'cache-control': 'no-cache' } : {}),
     });
   }
 
@@ -74,8 +78,7 @@
       this.response.destroy();
       return;
     }
-    const contentType = String(this.response.getHeader('content-type') ?? '');
-    if (contentType.startsWith(EVENT_STREAM) && !this.response.writableEnded) {
+    if (this.isEventStream && !this.response.writableEnded) {
       this.response.end(`data: ${JSON.stringify(body)}\n\n`);
       return;
     }
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFaults.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFaults.test.ts
@@ -113,6 +113,20 @@
     expect(engine?.generatedTokens(call.requestIdentifier)).toBe(3);
   });
 
+  it('passes on the tokens before a gap that arrive in one piece with it', async () => {
+    const [, engine] = fixture.engines;
+    const [first] = fixture.fleet.endpoints();
+    const endCall = first?.beginCall();
+    engine?.misbehaveNext({ fault: StreamFault.MissingPiece, afterTokens: 4 });
+    const call = fixture.modelCall();
+    const writer = await fixture.run(call);
+    endCall?.();
+    const words = completionWords(JSON.stringify(call.parameters.messages), 8);
+    expect(readEvents(writer.text)).toMatchObject({ text: words.join(''), finishes: 1 });
+    expect(fixture.counters.resumes).toBe(1);
+    expect(writer.pieces.length).toBeLessThan(words.length);
+  });
+
   it('ends a broken stream with a typed error when its text was too long to keep', async () => {
     limit({ resumeTextBytes: 20 });
     fixture.engines[0]?.misbehaveNext({ fault: StreamFault.Crash, afterTokens: 5 });
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
@@ -199,7 +199,9 @@
 
   async start(engines = 2): Promise<this> {
     for (let index = 0; index < engines; index += 1) {
-      const times = { prefillRate: Number.POSITIVE_INFINITY, decodeMilliseconds: 0 };
+      // The first engine sends tokens one by one, the others send many in one piece.
+      const decodeMilliseconds = index === 0 ? 1 : 0;
+      const times = { prefillRate: Number.POSITIVE_INFINITY, decodeMilliseconds };
       const engine = new EngineStandIn(['model-one'], times);
       await engine.listen();
       this.engines.push(engine);
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/HttpAnswerWriter.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/HttpAnswerWriter.test.ts
@@ -7,24 +7,50 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { describe, expect, it } from 'vitest';
 
+import type { ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Call } from 'hickoryrelay-link/Call';
 
 const clock = new SystemClock();
 const BLOCK = Buffer.alloc(1_048_576);
 
+function writerOf(response: ServerResponse): HttpAnswerWriter {
+  return new HttpAnswerWriter({
+    response,
+    requestIdentifier: 'request-1',
+    timer: new CallTimer({ arrivalMilliseconds: 0 } as Call, new CallSeries('a', 'c'), clock),
+    clock,
+    stallMilliseconds: 60_000,
+  });
+}
+
 describe('the writer of HTTP answers', () => {
+  it('ends an event stream that fails with an event that tells the failure', async () => {
+    const text = await new Promise<string>((resolve) => {
+      const server = createServer(async (incoming, response) => {
+        const writer = writerOf(response);
+        writer.begin(200, 'text/event-stream');
+        await writer.write(Buffer.from('data: {}\n\n'), new AbortController().signal);
+        const failure = { kind: FailureKind.DeadlineExceeded, limitMilliseconds: 1 };
+        await writer.fail({ failure, requestIdentifier: 'request-1', notRun: false });
+        server.close();
+      });
+      server.listen(0, '127.0.0.1', () => {
+        const { port } = server.address() as AddressInfo;
+        const call = request({ port, host: '127.0.0.1' }, async (answer) => {
+          resolve(String(Buffer.concat(await answer.toArray())));
+        });
+        call.end();
+      });
+    });
+    expect(text).toMatch(/^data: \{\}\n\ndata: \{"error":.*"deadline-exceeded"/u);
+  });
+
   it('does not wait for a caller that never reads once the call is cancelled', async () => {
     const cancel = new AbortController();
     const outcome = new Promise<unknown>((resolve) => {
       const server = createServer((incoming, response) => {
-        const writer = new HttpAnswerWriter({
-          response,
-          requestIdentifier: 'request-1',
-          timer: new CallTimer({ arrivalMilliseconds: 0 } as Call, new CallSeries('a', 'c'), clock),
-          clock,
-          stallMilliseconds: 60_000,
-        });
+        const writer = writerOf(response);
         const writeUntilCancelled = async () => {
           writer.begin(200, 'text/event-stream');
           for (;;) {
--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -238,7 +238,9 @@
         if (fault !== StreamFault.MissingPiece) {
           await stream.sendToken(index, word);
         }
-        await sleep(this.times.decodeMilliseconds);
+        if (this.times.decodeMilliseconds > 0) {
+          await sleep(this.times.decodeMilliseconds);
+        }
       }
       if (stream.isClosed) {
         return;
