--- a/packages/hickoryrelay-instance/src/GossipTask.ts
+++ b/packages/hickoryrelay-instance/src/GossipTask.ts
@@ -9,10 +9,13 @@
 
 const ROUND_MILLISECONDS = 1000;
 
+/** Heartbeats go to more peers than rows, so that a live instance is rarely suspected. */
+const HEARTBEAT_PEERS = 2;
+
 /** Until the first neighbours are linked, rounds follow each other faster. */
 const FIRST_ROUND_MILLISECONDS = 100;
 
-/** Sends a digest to two peers each second and keeps the links to the neighbours of the hour. */
+/** Sends digests to a few peers each second and keeps the links to the neighbours. */
 export class GossipTask extends Task {
   override readonly name = 'gossip';
 
@@ -46,8 +49,7 @@
       this.network.follow(this.membership.neighbours());
       const peers = this.network.connectedPeers();
       if (peers.length > 0) {
-        const message = this.digest.nextMessage();
-        this.targets(peers).forEach((peer) => this.network.send(peer.name, message));
+        this.sendDigests(peers);
       }
       yield;
       const interval = peers.length === 0 ? FIRST_ROUND_MILLISECONDS : ROUND_MILLISECONDS;
@@ -55,12 +57,17 @@
     }
   }
 
-  /** One peer of the own zone and one of all others. */
-  private targets(peers: readonly InstanceIdentity[]): InstanceIdentity[] {
+  /** Sends everything to one peer, and heartbeats to a few others of the own zone. */
+  private sendDigests(peers: readonly InstanceIdentity[]): void {
     const { zone } = this.membership.identity;
-    const near = this.pick(peers.filter((peer) => peer.zone === zone));
-    const any = this.pick(peers.filter((peer) => peer !== near));
-    return [near, any].filter((peer) => peer !== undefined);
+    const { whole, brief } = this.digest.nextMessages();
+    const first = this.pick(peers);
+    const others = peers.filter((peer) => peer !== first && peer.zone === zone);
+    for (let count = 0; count < HEARTBEAT_PEERS && others.length > 0; count += 1) {
+      const [peer] = others.splice(this.random.integerBelow(others.length), 1);
+      this.network.send(peer?.name ?? '', brief);
+    }
+    this.network.send(first?.name ?? '', whole);
   }
 
   private pick(peers: readonly InstanceIdentity[]): InstanceIdentity | undefined {
--- a/packages/hickoryrelay-instance/src/InstanceDigest.ts
+++ b/packages/hickoryrelay-instance/src/InstanceDigest.ts
@@ -14,9 +14,20 @@
 const OWN_ZONE_HEARTBEATS = 64;
 const OTHER_ZONE_HEARTBEATS = 32;
 
+/** An older heartbeat is known to most others already, and would not end a suspicion for long. */
+const PASSED_ON_MILLISECONDS = 2500;
+
 /** Told of cost that an account used at other instances. */
 export type CostObserver = (account: string, cost: number) => void;
 
+/** The messages of one second. */
+export interface DigestMessages {
+  /** The own row, fresh rows of others and heartbeats. */
+  readonly whole: PeerMessage;
+  /** The own row and heartbeats, which cost a third. */
+  readonly brief: PeerMessage;
+}
+
 interface OwnCost {
   readonly total: number;
   /** Moves half-way to the total with each listing, so that a lost row is made up for. */
@@ -124,10 +135,11 @@
     this.heardRevision = Math.max(this.heardRevision, revision);
   }
 
-  /** Makes the message of this second: the own row, fresh rows of others and heartbeats. */
-  nextMessage(): PeerMessage {
+  /** Makes the messages of this second: all for one peer, and the heartbeats for some more. */
+  nextMessages(): DigestMessages {
     this.heartbeat += 1;
     const present = [...this.membership.present()];
+    const heartbeats = this.heartbeatEntries(present);
     const fresh = present
       .toSorted(
         (left, right) =>
@@ -135,10 +147,11 @@
       )
       .slice(0, ROWS_OF_OTHERS);
     fresh.forEach((member) => this.membership.markForwarded(member));
+    const ownRow = this.ownRow();
+    const rows = [ownRow, ...fresh.map(({ row }) => row)];
     return {
-      type: 'digest',
-      rows: [this.ownRow(), ...fresh.map(({ row }) => row)],
-      heartbeats: this.heartbeatEntries(present),
+      whole: { type: 'digest', rows, heartbeats },
+      brief: { type: 'digest', rows: [ownRow], heartbeats },
     };
   }
 
@@ -180,7 +193,11 @@
     const live = present.filter(
       (member) => this.membership.livenessOf(member) !== Liveness.Suspect,
     );
-    const own = live.filter(({ row }) => row.identity.zone === zone);
+    const own = live.filter(
+      (member) =>
+        member.row.identity.zone === zone &&
+        this.membership.heartbeatAgeMilliseconds(member) <= PASSED_ON_MILLISECONDS,
+    );
     const others = live.filter(({ row }) => row.identity.zone !== zone);
     const newest = own.toSorted(
       (left, right) => right.advancedMilliseconds - left.advancedMilliseconds,
