--- a/packages/hickoryrelay-instance/src/InstanceDigest.ts
+++ b/packages/hickoryrelay-instance/src/InstanceDigest.ts
@@ -14,6 +14,9 @@
 const OWN_ZONE_HEARTBEATS = 64;
 const OTHER_ZONE_HEARTBEATS = 32;
 
+/** Accounts that there is room for at first. */
+const FIRST_ACCOUNTS = 16;
+
 /** An older heartbeat is known to most others already, and would not end a suspicion for long. */
 const PASSED_ON_MILLISECONDS = 2500;
 
@@ -34,9 +37,27 @@
   readonly listed: number;
 }
 
-interface HeardCosts {
+/** Totals of one run of an instance by account, held as numbers alone. */
+class HeardCosts {
   readonly incarnation: string;
-  readonly totals: Map<string, number>;
+
+  private totals = new Float64Array(FIRST_ACCOUNTS);
+
+  constructor(incarnation: string) {
+    this.incarnation = incarnation;
+  }
+
+  /** Replaces a total if the new one is higher. Returns the difference. */
+  raise(accountIndex: number, total: number): number {
+    if (accountIndex >= this.totals.length) {
+      const longer = new Float64Array(2 * accountIndex);
+      longer.set(this.totals);
+      this.totals = longer;
+    }
+    const added = Math.max(0, total - (this.totals[accountIndex] ?? 0));
+    this.totals[accountIndex] = (this.totals[accountIndex] ?? 0) + added;
+    return added;
+  }
 }
 
 /** What this instance tells the others each second, and what it has heard from them. */
@@ -54,6 +75,9 @@
   /** Totals heard from the present run of each instance, by instance name. */
   private readonly heardCosts = new Map<string, HeardCosts>();
 
+  /** Position of each account in the totals; a name for each row would take ten times the memory. */
+  private readonly accountIndexes = new Map<string, number>();
+
   private readonly costsElsewhere = new Map<string, number>();
 
   private readonly observers = new Set<CostObserver>();
@@ -214,18 +238,22 @@
     const { name, incarnation } = row.identity;
     const previousRun = this.heardCosts.get(name);
     const isKnown = previousRun?.incarnation === incarnation;
-    const totals = isKnown ? previousRun.totals : new Map<string, number>();
-    this.heardCosts.set(name, { incarnation, totals });
+    const heard = isKnown ? previousRun : new HeardCosts(incarnation);
+    this.heardCosts.set(name, heard);
     // A run that was there before this instance starts to count with its first row.
     const isCounted = isKnown || previousRun !== undefined || row.heartbeat <= 1;
     for (const [account, total] of row.costs) {
-      const previous = totals.get(account) ?? 0;
-      totals.set(account, Math.max(total, previous));
-      if (total > previous && isCounted) {
-        const added = total - previous;
+      const added = heard.raise(this.accountIndex(account), total);
+      if (added > 0 && isCounted) {
         this.costsElsewhere.set(account, (this.costsElsewhere.get(account) ?? 0) + added);
         this.observers.forEach((observer) => observer(account, added));
       }
     }
   }
+
+  private accountIndex(account: string): number {
+    const index = this.accountIndexes.get(account) ?? this.accountIndexes.size;
+    this.accountIndexes.set(account, index);
+    return index;
+  }
 }
