Send all rows to an instance that has just started

Heartbeats count only for known rows, and single rows took more than half a minute to arrive at 232 nodes.

--- a/packages/hickoryrelay-instance/src/DigestTask.ts
+++ b/packages/hickoryrelay-instance/src/DigestTask.ts
@@ -2,8 +2,11 @@
 import { PeerMessageType } from 'hickoryrelay-link/PeerMessages';
 
 import type { TaskContext } from 'hickoryrelay/Task';
+import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
 import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import type { InstanceDigest } from './InstanceDigest.js';
+import { Liveness } from './Membership.js';
+
 import type { Membership } from './Membership.js';
 
 /** Takes in digests and passes on at once that an instance is leaving. */
@@ -24,10 +27,12 @@
   }
 
   protected override async *steps({ signal }: TaskContext): AsyncGenerator<void, void, void> {
-    const types = [PeerMessageType.Digest, PeerMessageType.Leaving];
-    for await (const { message } of this.network.messages(types, signal)) {
+    const types = [PeerMessageType.Hello, PeerMessageType.Digest, PeerMessageType.Leaving];
+    for await (const { from, message } of this.network.messages(types, signal)) {
       if (message.type === PeerMessageType.Digest) {
         this.digest.receive(message);
+      } else if (message.type === PeerMessageType.Hello) {
+        this.introduce(from);
       } else if (message.type === PeerMessageType.Leaving) {
         // Each instance passes the news on once, since it is news only the first time.
         if (this.membership.markLeaving(message.identity)) {
@@ -37,4 +42,16 @@
       yield;
     }
   }
+
+  /**
+   * Sends all rows to a run that is not known yet. Without them its heartbeats of others, which
+   * count only for known rows, would take a minute to be of use at 640 nodes.
+   */
+  private introduce(peer: InstanceIdentity): void {
+    if (this.membership.liveness(peer.incarnation) === Liveness.Unknown) {
+      for (const message of this.digest.wholeState()) {
+        this.network.send(peer.name, message);
+      }
+    }
+  }
 }
--- a/packages/hickoryrelay-instance/src/InstanceDigest.ts
+++ b/packages/hickoryrelay-instance/src/InstanceDigest.ts
@@ -11,6 +11,7 @@
 
 const ROWS_OF_OTHERS = 8;
 const COSTS_IN_ROW = 8;
+const ROWS_IN_MESSAGE = 64;
 const OWN_ZONE_HEARTBEATS = 64;
 const OTHER_ZONE_HEARTBEATS = 32;
 
@@ -179,6 +180,14 @@
     };
   }
 
+  /** Yields all rows in messages of bounded size, for an instance that has just started. */
+  *wholeState(): Generator<PeerMessage, void, void> {
+    const rows = [...this.membership.present()].map(({ row }) => row);
+    for (let start = 0; start < rows.length; start += ROWS_IN_MESSAGE) {
+      yield { type: 'digest', rows: rows.slice(start, start + ROWS_IN_MESSAGE), heartbeats: [] };
+    }
+  }
+
   /** Takes in the digest of a peer. */
   receive({ rows, heartbeats }: Extract<PeerMessage, { type: 'digest' }>): void {
     for (const row of rows) {
--- a/packages/hickoryrelay-link/src/PeerLink.ts
+++ b/packages/hickoryrelay-link/src/PeerLink.ts
@@ -147,10 +147,11 @@
   protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
     let failure: Failure | undefined;
     try {
-      await this.greet(context);
+      const greeting = await this.greet(context);
       if (!this.owner.admit(this)) {
         return;
       }
+      this.owner.deliver({ from: this.peer, message: greeting });
       yield;
       yield* this.converse(context);
     } catch (error) {
@@ -161,7 +162,7 @@
     }
   }
 
-  private async greet({ clock, signal }: TaskContext): Promise<void> {
+  private async greet({ clock, signal }: TaskContext): Promise<PeerMessage> {
     if (this.isOpener) {
       this.sendHello();
     }
@@ -183,7 +184,7 @@
     if (!this.isOpener) {
       this.sendHello();
     }
-    this.owner.deliver({ from: message.identity, message });
+    return message;
   }
 
   private async *converse({ clock, signal }: TaskContext): AsyncGenerator<void, void, void> {
