--- a/packages/hickoryrelay-instance/src/ConfigurationView.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationView.ts
@@ -83,6 +83,11 @@
     return true;
   }
 
+  /** Whether calls can be served: keyed ones are refused until the view is first confirmed. */
+  get isUsable(): boolean {
+    return this.revision > 0 && Number.isFinite(this.ageMilliseconds);
+  }
+
   /**
    * Records that the revision was current at the given time on the monotonic clock, which must be
    * from before the question was asked.
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -104,7 +104,7 @@
   }
 
   get isReady(): boolean {
-    return this.state === InstanceState.Live && this.view.revision > 0;
+    return this.state === InstanceState.Live && this.view.isUsable;
   }
 
   /** Address and port of the callers' interface, once started. */
--- a/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
@@ -60,6 +60,17 @@
   return socket;
 }
 
+/** Sends heartbeats without an echo: the peer is heard, but nothing shows that it hears. */
+function keepBeating(socket: WebSocket): void {
+  let sequence = 0;
+  const beat = setInterval(() => {
+    sequence += 1;
+    const body = { sequence, echo: 0, revision: 0, viewAgeMilliseconds: 0 };
+    socket.send(encodePeerMessage({ type: 'heartbeat', ...body }));
+  }, 200);
+  cleanUps.push(() => clearInterval(beat));
+}
+
 const leaving = (name: string) =>
   ({ type: 'leaving', identity: { name, zone: 'zone-a', incarnation: '01' } }) as const;
 
@@ -90,6 +101,7 @@
   it('links again with a restarted peer and replaces its old run', async () => {
     const left = await networkOf('left');
     const old = await rawPeer(left, hello('right', '01'));
+    keepBeating(old);
     await until(() => left.connectedPeers()[0]?.incarnation === '01');
     const renewed = await networkOf('right', '02');
     left.follow([{ name: 'right', url: renewed.peersUrl }]);
@@ -101,6 +113,16 @@
     expect(left.connectedPeers()[0]?.incarnation).toBe('02');
   });
 
+  it('replaces a link by a newer one that the same peer opened', async () => {
+    const network = await networkOf('left');
+    const old = await rawPeer(network, hello('right'));
+    keepBeating(old);
+    await until(() => network.connectedPeers().length === 1);
+    await rawPeer(network, hello('right'));
+    await until(() => old.readyState === WebSocket.CLOSED);
+    expect(network.connectedPeers()).toHaveLength(1);
+  });
+
   it('ends a link whose peer stays silent, though its connection is open', async () => {
     const network = await networkOf('left');
     await rawPeer(network, hello('right'));
@@ -112,21 +134,7 @@
   it('proves the sibling links after one has gone silent', async () => {
     const network = await networkOf('left');
     const sibling = await rawPeer(network, hello('sibling'));
-    let sequence = 0;
-    // Beats without an echo: the peer is heard, but nothing shows that it hears this end.
-    const beat = setInterval(() => {
-      sequence += 1;
-      sibling.send(
-        encodePeerMessage({
-          type: 'heartbeat',
-          sequence,
-          echo: 0,
-          revision: 0,
-          viewAgeMilliseconds: 0,
-        }),
-      );
-    }, 200);
-    cleanUps.push(() => clearInterval(beat));
+    keepBeating(sibling);
     await until(() => network.connectedPeers().length === 1);
     await rawPeer(network, hello('silent'));
     await until(() => network.connectedPeers().length === 2);
