--- a/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationFuzz.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationFuzz.test.ts
@@ -4,8 +4,13 @@
 import { PathState } from 'hickoryrelay-standin/MemoryPeerTransport';
 import { FederationModel, NAMES } from './FederationModel.js';
 
-/** Replay with FUZZ_SEED and FUZZ_PATH from a failure report; FUZZ_RUNS sets the number of runs. */
-const { FUZZ_RUNS = '40', FUZZ_SEED, FUZZ_PATH } = process.env;
+/**
+ * `FUZZ_SEED`, `FUZZ_PATH` and `FUZZ_REPLAY` (the path and replayPath that fast-check prints) replay
+ * a failure; the seed alone repeats all runs.
+ */
+const SEED = Number(process.env.FUZZ_SEED ?? Date.now() % 1_000_000_000);
+const RUNS = Number(process.env.FUZZ_RUNS ?? 60);
+const { FUZZ_PATH, FUZZ_REPLAY } = process.env;
 
 type Real = FederationModel;
 interface State {
@@ -152,12 +157,16 @@
 ];
 
 describe('configuration by platform and peers', () => {
-  it('never reverts, is never mixed, and arrives everywhere once faults end', async () => {
+  it(`never reverts, is never mixed, and arrives everywhere once faults end (FUZZ_SEED=${SEED} FUZZ_RUNS=${RUNS})`, async () => {
     await fc.assert(
       fc.asyncProperty(
         fc.integer({ min: 1, max: 1_000_000 }),
         fc.boolean(),
-        fc.commands(steps, { maxCommands: 40, size: 'max' }),
+        fc.commands(steps, {
+          maxCommands: 40,
+          size: 'max',
+          ...(FUZZ_REPLAY !== undefined && { replayPath: FUZZ_REPLAY }),
+        }),
         async (seed, endsWithPlatform, commands) => {
           const real = new FederationModel(seed);
           try {
@@ -175,8 +184,8 @@
         },
       ),
       {
-        numRuns: Number(FUZZ_RUNS),
-        ...(FUZZ_SEED !== undefined && { seed: Number(FUZZ_SEED) }),
+        numRuns: RUNS,
+        seed: SEED,
         ...(FUZZ_PATH !== undefined && { path: FUZZ_PATH }),
         endOnFailure: FUZZ_PATH !== undefined,
       },
--- a/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
@@ -165,6 +165,7 @@
     const type = 'configuration-buckets';
     peer.send(encodePeerMessage({ type, revision: 1, digests: [], buckets }));
     await until(() => peer.readyState === WebSocket.CLOSED);
+    expect(network.endCounts.get('deadline-exceeded')).toBeUndefined();
     expect(network.connectedPeers()).toEqual([]);
   });
 
--- a/packages/hickoryrelay-standin/src/MemoryPlatform.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPlatform.ts
@@ -131,7 +131,6 @@
     const changed = () =>
       new Promise<void>((resolve) => {
         wake = resolve;
-        signal.addEventListener('abort', () => resolve(), { once: true });
       });
     const receive = (batch: WatchBatch) => {
       if (!this.platform.silencesWatches && this.platform.isReachableFor(this.caller)) {
@@ -142,6 +141,7 @@
       }
     };
     const unsubscribe = this.platform.table.subscribe(receive);
+    signal.addEventListener('abort', () => wake(), { once: true });
     try {
       while (!signal.aborted) {
         const batch = batches.shift();
