--- a/packages/hickoryrelay-bench/src/PeerCost.ts
+++ b/packages/hickoryrelay-bench/src/PeerCost.ts
@@ -272,6 +272,12 @@
   readonly bytesInMemoryOfRow: number;
 }
 
+/** Bytes of the heap and of typed arrays, which lie outside it. */
+function memoryInUse(): number {
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
 export function measureDigest(nodes: number, accounts: number, clock: Clock): DigestFigures {
   const identity = { name: 'entry-0-own', zone: 'zone-0', incarnation: '000000000001abcd' };
   const build = () => {
@@ -280,7 +286,7 @@
     return new InstanceDigest(membership, clock, statement, () => 'ws://10.0.0.99:7400');
   };
   globalThis.gc?.();
-  const heapBefore = process.memoryUsage().heapUsed;
+  const memoryBefore = memoryInUse();
   const digest = build();
   for (let account = 0; account < ACCOUNTS_OF_NODE; account += 1) {
     digest.charge(`account-${account}`, 5000);
@@ -297,7 +303,7 @@
     }
   }
   globalThis.gc?.();
-  const heapBytes = process.memoryUsage().heapUsed - heapBefore;
+  const memoryBytes = memoryInUse() - memoryBefore;
   const bytes = encodePeerMessage(digest.nextMessages().whole);
   const sendMilliseconds = cpuMillisecondsOf(200, () => {
     digest.charge('account-1', 5000);
@@ -322,7 +328,7 @@
     messageBytes: bytes.length,
     sendMilliseconds,
     receiveMilliseconds,
-    bytesInMemoryOfRow: heapBytes / nodes,
+    bytesInMemoryOfRow: memoryBytes / nodes,
   };
 }
 
--- a/packages/hickoryrelay-bench/src/peer-cost.ts
+++ b/packages/hickoryrelay-bench/src/peer-cost.ts
@@ -19,6 +19,7 @@
     --accounts  Numbers of accounts           [default: 8,100,1100]
     --warm-up   Simulated seconds before the traffic is measured  [default: 60]
     --measured  Simulated seconds in which it is measured         [default: 20]
+    --no-traffic  Leaves out the simulation
     --seed      Seed of the simulation        [default: 1]
 
   Writes one JSON line for each measurement. Bytes are those of the messages, without the headers of
@@ -31,6 +32,7 @@
       accounts: { type: 'string', default: '8,100,1100' },
       warmUp: { type: 'number', default: 60 },
       measured: { type: 'number', default: 20 },
+      traffic: { type: 'boolean', default: true },
       seed: { type: 'number', default: 1 },
     },
   },
@@ -54,6 +56,6 @@
 numbersOf(nodes).forEach((count) =>
   write('digest', measureDigest(count, mostAccounts, new SystemClock())),
 );
-for (const count of numbersOf(nodes)) {
+for (const count of program.flags.traffic ? numbersOf(nodes) : []) {
   write('traffic', await new TrafficExperiment(count, mostAccounts, seed, times).run());
 }
