Count instances taken for dead in peer-cost, and lengthen incarnations

The program left dead rows out of its count. What it counted as dead were runs with equal incarnations: 16 random bits are too few for 640 instances that start in the same millisecond.

--- a/packages/hickoryrelay-bench/src/PeerCost.ts
+++ b/packages/hickoryrelay-bench/src/PeerCost.ts
@@ -123,8 +123,8 @@
       }
       await this.clock.advance(1000);
       for (const { control } of this.instances) {
-        for (const { row } of control.membership.present()) {
-          const liveness = control.digest.liveness(row.identity.incarnation);
+        for (const member of control.membership.known()) {
+          const liveness = control.membership.livenessOf(member);
           counts.suspect += liveness === Liveness.Suspect ? 1 : 0;
           counts.dead += liveness === Liveness.Dead ? 1 : 0;
         }
@@ -137,7 +137,7 @@
     const own: number[] = [];
     const others: number[] = [];
     for (const { control, zone } of this.instances) {
-      for (const member of control.membership.present()) {
+      for (const member of control.membership.known()) {
         const age = control.membership.heartbeatAgeMilliseconds(member);
         (member.row.identity.zone === zone ? own : others).push(age);
       }
--- a/packages/hickoryrelay-instance/src/InstanceControl.ts
+++ b/packages/hickoryrelay-instance/src/InstanceControl.ts
@@ -23,7 +23,8 @@
 import type { ConfigurationView } from './ConfigurationView.js';
 
 const TIME_DIGITS = 12;
-const RANDOM_BYTES = 2;
+/** Runs of 640 instances that start in the same millisecond must differ. */
+const RANDOM_BYTES = 4;
 
 /** What the control part of an instance is made of. */
 export interface InstanceControlParts {
--- a/packages/hickoryrelay-instance/src/Membership.ts
+++ b/packages/hickoryrelay-instance/src/Membership.ts
@@ -88,6 +88,11 @@
     return this.listed.size;
   }
 
+  /** Rows of all other instances, dead ones too until they are forgotten. */
+  known(): IterableIterator<Member> {
+    return this.members.values();
+  }
+
   /** Rows of other instances that are not dead. */
   *present(): Generator<Member, void, void> {
     for (const member of this.members.values()) {
