--- a/packages/hickoryrelay-bench/src/PeerCost.ts
+++ b/packages/hickoryrelay-bench/src/PeerCost.ts
@@ -15,6 +15,7 @@
 import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { PeerConnection } from 'hickoryrelay-link/PeerConnection';
+import type { SimulatedInstance } from 'hickoryrelay-standin/SimulatedFederation';
 import type { DigestRow, PeerMessage } from 'hickoryrelay-link/PeerMessages';
 import { QueueClock } from './QueueClock.js';
 
@@ -22,8 +23,6 @@
 const SECONDS_IN_DAY = 86_400;
 const CHANGES_IN_DAY = 7100;
 const LATENCY_MILLISECONDS = 2;
-const WARM_UP_MILLISECONDS = 60_000;
-const MEASURED_MILLISECONDS = 60_000;
 const ACCOUNTS_OF_NODE = 24;
 
 /** What the peers of one size of federation send, and how old what they know is. */
@@ -46,6 +45,12 @@
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * fraction))] ?? 0;
 }
 
+/** Simulated seconds before and during the measurement. */
+export interface TrafficTimes {
+  readonly warmUpSeconds: number;
+  readonly measuredSeconds: number;
+}
+
 /** Runs a simulated federation of the given size and reports its peer traffic. */
 export class TrafficExperiment {
   private readonly nodes: number;
@@ -58,8 +63,11 @@
 
   private changes = 0;
 
-  constructor(nodes: number, accounts: number, seed: number) {
+  private readonly times: TrafficTimes;
+
+  constructor(nodes: number, accounts: number, seed: number, times: TrafficTimes) {
     this.nodes = nodes;
+    this.times = times;
     this.accounts = accounts;
     this.federation = new SimulatedFederation(seed, this.clock);
     this.federation.net.deliver = (arrival) => {
@@ -73,11 +81,11 @@
       const zone = Math.floor(index / NODES_IN_ZONE);
       await this.federation.start(`entry-${zone}-${index % NODES_IN_ZONE}`, `zone-${zone}`);
     }
-    await this.elapse(WARM_UP_MILLISECONDS);
+    await this.elapse(this.times.warmUpSeconds * 1000);
     this.federation.net.sent.clear();
-    const suspected = await this.elapse(MEASURED_MILLISECONDS);
+    const seconds = this.times.measuredSeconds;
+    const suspected = await this.elapse(seconds * 1000);
     const sent = [...this.federation.net.sent.values()];
-    const seconds = MEASURED_MILLISECONDS / 1000;
     const ages = this.heartbeatAges();
     const links = this.instances.map(({ control }) => control.network.connectedPeers().length);
     const changeMilliseconds = await this.timeOfChange();
@@ -99,7 +107,7 @@
     };
   }
 
-  private get instances() {
+  private get instances(): SimulatedInstance[] {
     return [...this.federation.instances.values()];
   }
 
@@ -115,8 +123,8 @@
       }
       await this.clock.advance(1000);
       for (const { control } of this.instances) {
-        for (const { row } of control.membership.present()) {
-          const liveness = control.digest.liveness(row.identity.incarnation);
+        for (const member of control.membership.known()) {
+          const liveness = control.membership.livenessOf(member);
           counts.suspect += liveness === Liveness.Suspect ? 1 : 0;
           counts.dead += liveness === Liveness.Dead ? 1 : 0;
         }
@@ -129,7 +137,7 @@
     const own: number[] = [];
     const others: number[] = [];
     for (const { control, zone } of this.instances) {
-      for (const member of control.membership.present()) {
+      for (const member of control.membership.known()) {
         const age = control.membership.heartbeatAgeMilliseconds(member);
         (member.row.identity.zone === zone ? own : others).push(age);
       }
@@ -264,6 +272,12 @@
   readonly bytesInMemoryOfRow: number;
 }
 
+/** Bytes of the heap and of typed arrays, which lie outside it. */
+function memoryInUse(): number {
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
 export function measureDigest(nodes: number, accounts: number, clock: Clock): DigestFigures {
   const identity = { name: 'entry-0-own', zone: 'zone-0', incarnation: '000000000001abcd' };
   const build = () => {
@@ -272,7 +286,7 @@
     return new InstanceDigest(membership, clock, statement, () => 'ws://10.0.0.99:7400');
   };
   globalThis.gc?.();
-  const heapBefore = process.memoryUsage().heapUsed;
+  const memoryBefore = memoryInUse();
   const digest = build();
   for (let account = 0; account < ACCOUNTS_OF_NODE; account += 1) {
     digest.charge(`account-${account}`, 5000);
@@ -289,11 +303,11 @@
     }
   }
   globalThis.gc?.();
-  const heapBytes = process.memoryUsage().heapUsed - heapBefore;
-  const bytes = encodePeerMessage(digest.nextMessage());
+  const memoryBytes = memoryInUse() - memoryBefore;
+  const bytes = encodePeerMessage(digest.nextMessages().whole);
   const sendMilliseconds = cpuMillisecondsOf(200, () => {
     digest.charge('account-1', 5000);
-    encodePeerMessage(digest.nextMessage());
+    encodePeerMessage(digest.nextMessages().whole);
   });
   let heartbeat = rounds;
   const receiveMilliseconds = cpuMillisecondsOf(200, () => {
@@ -314,7 +328,7 @@
     messageBytes: bytes.length,
     sendMilliseconds,
     receiveMilliseconds,
-    bytesInMemoryOfRow: heapBytes / nodes,
+    bytesInMemoryOfRow: memoryBytes / nodes,
   };
 }
 
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -129,7 +129,7 @@
   }
 
   get isReady(): boolean {
-    return this.drain.phase === DrainPhase.Open && this.view.revision > 0 && this.fleet.isKnown;
+    return this.drain.phase === DrainPhase.Open && this.view.isUsable && this.fleet.isKnown;
   }
 
   /** Address and port of the callers' interface, once started. */
--- a/packages/hickoryrelay-instance/src/InstanceDigest.ts
+++ b/packages/hickoryrelay-instance/src/InstanceDigest.ts
@@ -11,21 +11,54 @@
 
 const ROWS_OF_OTHERS = 8;
 const COSTS_IN_ROW = 8;
+const ROWS_IN_MESSAGE = 64;
 const OWN_ZONE_HEARTBEATS = 64;
 const OTHER_ZONE_HEARTBEATS = 32;
 
+/** Accounts that there is room for at first. */
+const FIRST_ACCOUNTS = 16;
+
+/** An older heartbeat is known to most others already, and would not end a suspicion for long. */
+const PASSED_ON_MILLISECONDS = 2500;
+
 /** Told of cost that an account used at other instances. */
 export type CostObserver = (account: string, cost: number) => void;
 
+/** The messages of one second. */
+export interface DigestMessages {
+  /** The own row, fresh rows of others and heartbeats. */
+  readonly whole: PeerMessage;
+  /** The own row and heartbeats, which cost a third. */
+  readonly brief: PeerMessage;
+}
+
 interface OwnCost {
   readonly total: number;
   /** Moves half-way to the total with each listing, so that a lost row is made up for. */
   readonly listed: number;
 }
 
-interface HeardCosts {
+/** Totals of one run of an instance by account, held as numbers alone. */
+class HeardCosts {
   readonly incarnation: string;
-  readonly totals: Map<string, number>;
+
+  private totals = new Float64Array(FIRST_ACCOUNTS);
+
+  constructor(incarnation: string) {
+    this.incarnation = incarnation;
+  }
+
+  /** Replaces a total if the new one is higher. Returns the difference. */
+  raise(accountIndex: number, total: number): number {
+    if (accountIndex >= this.totals.length) {
+      const longer = new Float64Array(2 * accountIndex);
+      longer.set(this.totals);
+      this.totals = longer;
+    }
+    const added = Math.max(0, total - (this.totals[accountIndex] ?? 0));
+    this.totals[accountIndex] = (this.totals[accountIndex] ?? 0) + added;
+    return added;
+  }
 }
 
 /** What this instance tells the others each second, and what it has heard from them. */
@@ -43,6 +76,9 @@
   /** Totals heard from the present run of each instance, by instance name. */
   private readonly heardCosts = new Map<string, HeardCosts>();
 
+  /** Position of each account in the totals; a name for each row would take ten times the memory. */
+  private readonly accountIndexes = new Map<string, number>();
+
   private readonly costsElsewhere = new Map<string, number>();
 
   private readonly observers = new Set<CostObserver>();
@@ -124,10 +160,11 @@
     this.heardRevision = Math.max(this.heardRevision, revision);
   }
 
-  /** Makes the message of this second: the own row, fresh rows of others and heartbeats. */
-  nextMessage(): PeerMessage {
+  /** Makes the messages of this second: all for one peer, and the heartbeats for some more. */
+  nextMessages(): DigestMessages {
     this.heartbeat += 1;
     const present = [...this.membership.present()];
+    const heartbeats = this.heartbeatEntries(present);
     const fresh = present
       .toSorted(
         (left, right) =>
@@ -135,13 +172,22 @@
       )
       .slice(0, ROWS_OF_OTHERS);
     fresh.forEach((member) => this.membership.markForwarded(member));
+    const ownRow = this.ownRow();
+    const rows = [ownRow, ...fresh.map(({ row }) => row)];
     return {
-      type: 'digest',
-      rows: [this.ownRow(), ...fresh.map(({ row }) => row)],
-      heartbeats: this.heartbeatEntries(present),
+      whole: { type: 'digest', rows, heartbeats },
+      brief: { type: 'digest', rows: [ownRow], heartbeats },
     };
   }
 
+  /** Yields all rows in messages of bounded size, for an instance that has just started. */
+  *wholeState(): Generator<PeerMessage, void, void> {
+    const rows = [...this.membership.present()].map(({ row }) => row);
+    for (let start = 0; start < rows.length; start += ROWS_IN_MESSAGE) {
+      yield { type: 'digest', rows: rows.slice(start, start + ROWS_IN_MESSAGE), heartbeats: [] };
+    }
+  }
+
   /** Takes in the digest of a peer. */
   receive({ rows, heartbeats }: Extract<PeerMessage, { type: 'digest' }>): void {
     for (const row of rows) {
@@ -180,7 +226,11 @@
     const live = present.filter(
       (member) => this.membership.livenessOf(member) !== Liveness.Suspect,
     );
-    const own = live.filter(({ row }) => row.identity.zone === zone);
+    const own = live.filter(
+      (member) =>
+        member.row.identity.zone === zone &&
+        this.membership.heartbeatAgeMilliseconds(member) <= PASSED_ON_MILLISECONDS,
+    );
     const others = live.filter(({ row }) => row.identity.zone !== zone);
     const newest = own.toSorted(
       (left, right) => right.advancedMilliseconds - left.advancedMilliseconds,
@@ -197,18 +247,22 @@
     const { name, incarnation } = row.identity;
     const previousRun = this.heardCosts.get(name);
     const isKnown = previousRun?.incarnation === incarnation;
-    const totals = isKnown ? previousRun.totals : new Map<string, number>();
-    this.heardCosts.set(name, { incarnation, totals });
+    const heard = isKnown ? previousRun : new HeardCosts(incarnation);
+    this.heardCosts.set(name, heard);
     // A run that was there before this instance starts to count with its first row.
     const isCounted = isKnown || previousRun !== undefined || row.heartbeat <= 1;
     for (const [account, total] of row.costs) {
-      const previous = totals.get(account) ?? 0;
-      totals.set(account, Math.max(total, previous));
-      if (total > previous && isCounted) {
-        const added = total - previous;
+      const added = heard.raise(this.accountIndex(account), total);
+      if (added > 0 && isCounted) {
         this.costsElsewhere.set(account, (this.costsElsewhere.get(account) ?? 0) + added);
         this.observers.forEach((observer) => observer(account, added));
       }
     }
   }
+
+  private accountIndex(account: string): number {
+    const index = this.accountIndexes.get(account) ?? this.accountIndexes.size;
+    this.accountIndexes.set(account, index);
+    return index;
+  }
 }
