--- a/packages/hickoryrelay-endpoint/src/Endpoint.ts
+++ b/packages/hickoryrelay-endpoint/src/Endpoint.ts
@@ -1,4 +1,6 @@
 import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
+import { CircuitBreaker } from './CircuitBreaker.js';
+import { InFlightLimit } from './InFlightLimit.js';
 
 /** Whether an endpoint takes new work. */
 export const EndpointState = { Live: 'live', Leaving: 'leaving', Gone: 'gone' } as const;
@@ -13,19 +15,31 @@
   readonly url: string;
 }
 
+/** Counts the calls of this instance that run on any endpoint. */
+export class CallTally {
+  count = 0;
+}
+
 /** A process that runs calls, as one entry instance sees it. */
 export class Endpoint {
   readonly place: EndpointPlace;
 
   readonly kind: EndpointKind;
 
+  readonly breaker = new CircuitBreaker();
+
+  readonly limit = new InFlightLimit();
+
   private currentState: EndpointState = EndpointState.Live;
 
   private inFlight = 0;
 
-  constructor(place: EndpointPlace, kind: EndpointKind) {
+  private readonly tally: CallTally;
+
+  constructor(place: EndpointPlace, kind: EndpointKind, tally = new CallTally()) {
     this.place = place;
     this.kind = kind;
+    this.tally = tally;
   }
 
   get identifier(): string {
@@ -41,6 +55,11 @@
     return this.inFlight;
   }
 
+  /** True if the endpoint keeps its targets with one call more. */
+  get hasRoom(): boolean {
+    return this.inFlight < this.limit.value;
+  }
+
   /** True if new work may be sent. */
   get takesWork(): boolean {
     return this.currentState === EndpointState.Live;
@@ -60,11 +79,13 @@
   /** Counts a call as running. Returns the function that counts it as ended. */
   beginCall(): () => void {
     this.inFlight += 1;
+    this.tally.count += 1;
     let isOpen = true;
     return () => {
       if (isOpen) {
         isOpen = false;
         this.inFlight -= 1;
+        this.tally.count -= 1;
       }
     };
   }
--- a/packages/hickoryrelay-endpoint/src/Engine.ts
+++ b/packages/hickoryrelay-endpoint/src/Engine.ts
@@ -1,4 +1,6 @@
 import { Endpoint } from './Endpoint.js';
+import { EngineLoad } from './EngineLoad.js';
+import { PrefixIndex } from './PrefixIndex.js';
 
 /** The share of model work that an engine does. */
 export const EngineRole = { Prefill: 'prefill', Decode: 'decode', Mixed: 'mixed' } as const;
@@ -7,6 +9,10 @@
 
 /** An endpoint that runs language models. */
 export class Engine extends Endpoint {
+  readonly load = new EngineLoad();
+
+  readonly prefixes = new PrefixIndex();
+
   servesModel(model: string): boolean {
     return this.kind.models.includes(model);
   }
--- /dev/null
+++ b/packages/hickoryrelay-endpoint/src/InFlightLimit.ts
@@ -0,0 +1,44 @@
+const FIRST_LIMIT = 4;
+const LEAST_LIMIT = 1;
+const HIGHEST_LIMIT = 256;
+const DECREASE = 0.9;
+/** Latency above this part of the target stops growth, so that the limit settles below the target. */
+const GROW_BELOW = 0.8;
+/** Calls sent under the old limit go on reporting its latency; one decrease waits for their end. */
+const DECREASE_INTERVAL_MILLISECONDS = 1000;
+
+/**
+ * The number of calls that this instance may have in flight at an endpoint, learned from latency
+ * against target: additive increase while the limit is in use and latency is well below the target,
+ * multiplicative decrease above it.
+ */
+export class InFlightLimit {
+  private limit = FIRST_LIMIT;
+
+  private hasDecreased = false;
+
+  private decreasedMilliseconds = Number.NEGATIVE_INFINITY;
+
+  get value(): number {
+    return Math.floor(this.limit);
+  }
+
+  /** @param ratio observed latency divided by its target. */
+  record(ratio: number, callsInFlight: number, nowMilliseconds: number): void {
+    if (ratio > 1) {
+      this.decrease(nowMilliseconds);
+    } else if (ratio < GROW_BELOW && callsInFlight >= this.value - 1) {
+      const step = this.hasDecreased ? 1 / this.limit : 1;
+      this.limit = Math.min(HIGHEST_LIMIT, this.limit + step);
+    }
+  }
+
+  private decrease(nowMilliseconds: number): void {
+    if (nowMilliseconds - this.decreasedMilliseconds < DECREASE_INTERVAL_MILLISECONDS) {
+      return;
+    }
+    this.decreasedMilliseconds = nowMilliseconds;
+    this.hasDecreased = true;
+    this.limit = Math.max(LEAST_LIMIT, this.limit * DECREASE);
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-endpoint/src/PrefixIndex.ts
@@ -0,0 +1,100 @@
+/** What an engine's cache did with the prompt prefix that a key names. */
+export const CacheEventKind = { Stored: 'stored', Evicted: 'evicted', Cleared: 'cleared' } as const;
+
+export type CacheEventKind = (typeof CacheEventKind)[keyof typeof CacheEventKind];
+
+/** A change of an engine's prefix cache. Numbers grow by one; a jump means that events were lost. */
+export interface CacheEvent {
+  readonly number: number;
+  readonly kind: CacheEventKind;
+  readonly key: string;
+}
+
+const LIMIT_OF_KEYS = 4096;
+
+/** Own calls are a guess until the engine confirms them; it may have evicted the prefix already. */
+const GUESS_CONFIDENCE = 0.8;
+
+/** After lost events a known prefix may have been evicted unseen. */
+const DOUBTFUL_CONFIDENCE = 0.5;
+
+/**
+ * The prompt prefixes that an engine is believed to hold, from its cache events (late, with gaps)
+ * and from the calls that this instance sent to it. Bounded; the prefix used longest ago goes first.
+ */
+export class PrefixIndex {
+  private readonly confidences = new Map<string, number>();
+
+  private lastNumber = 0;
+
+  get lastEventNumber(): number {
+    return this.lastNumber;
+  }
+
+  get size(): number {
+    return this.confidences.size;
+  }
+
+  /** Takes over events in the order of their numbers. Events that are already known are ignored. */
+  apply(events: readonly CacheEvent[]): void {
+    for (const event of events) {
+      if (event.number > this.lastNumber) {
+        if (event.number > this.lastNumber + 1) {
+          this.doubtAll();
+        }
+        this.lastNumber = event.number;
+        this.applyOne(event);
+      }
+    }
+  }
+
+  /** Records that a call with these prefixes was sent to the engine. */
+  recordOwnCall(keys: readonly string[]): void {
+    for (const key of keys) {
+      this.put(key, Math.max(GUESS_CONFIDENCE, this.confidences.get(key) ?? 0));
+    }
+  }
+
+  /**
+   * Expected part of the prompt that the cache holds, from 0 to 1.
+   *
+   * @param keys keys of the prompt's prefixes, in order of length, all of the same step.
+   */
+  cachedPart(keys: readonly string[]): number {
+    let expected = 0;
+    let confidence = 1;
+    for (const key of keys) {
+      confidence = Math.min(confidence, this.confidences.get(key) ?? 0);
+      if (confidence === 0) {
+        break;
+      }
+      expected += confidence;
+    }
+    return keys.length === 0 ? 0 : expected / keys.length;
+  }
+
+  private applyOne({ kind, key }: CacheEvent): void {
+    if (kind === CacheEventKind.Stored) {
+      this.put(key, 1);
+    } else if (kind === CacheEventKind.Evicted) {
+      this.confidences.delete(key);
+    } else {
+      this.confidences.clear();
+    }
+  }
+
+  private doubtAll(): void {
+    for (const [key, confidence] of this.confidences) {
+      this.confidences.set(key, Math.min(confidence, DOUBTFUL_CONFIDENCE));
+    }
+  }
+
+  private put(key: string, confidence: number): void {
+    this.confidences.delete(key);
+    this.confidences.set(key, confidence);
+    if (this.confidences.size > LIMIT_OF_KEYS) {
+      const [oldest] = this.confidences.keys();
+      this.confidences.delete(oldest ?? key);
+    }
+  }
+}
--- a/packages/hickoryrelay-instance/src/AdmissionPolicy.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionPolicy.ts
@@ -5,6 +5,10 @@
 
 /** The right of an admitted call to run, until it is released. */
 export interface AdmissionTicket {
+  /** Records that the first piece of the answer has arrived. */
+  firstPiece(): void;
+  /** Records the length of the answer, so that the account is charged what the call cost. */
+  settle(decodeTokens: number): void;
   /** Gives the right back. Calling it more than once has no effect. */
   release(): void;
 }
@@ -41,6 +45,8 @@
     this.running += 1;
     let isOpen = true;
     return {
+      firstPiece: () => {},
+      settle: () => {},
       release: () => {
         if (isOpen) {
           isOpen = false;
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/PoolCapacity.ts
@@ -0,0 +1,38 @@
+import { withoutEjected } from 'hickoryrelay-zone/Ejection';
+import { canRun } from 'hickoryrelay-zone/SelectionPolicy';
+
+import type { Clock } from 'hickoryrelay/Clock';
+import type { Call } from 'hickoryrelay-link/Call';
+import type { EndpointPool } from 'hickoryrelay-zone/EndpointPool';
+import type { Fleet } from 'hickoryrelay-zone/Fleet';
+import { CallCapacity } from './CallCapacity.js';
+
+/** Room at the endpoints that this instance uses, by their learned limits. */
+export class PoolCapacity extends CallCapacity {
+  private readonly pool: EndpointPool;
+
+  private readonly fleet: Fleet;
+
+  private readonly clock: Clock;
+
+  constructor(pool: EndpointPool, fleet: Fleet, clock: Clock) {
+    super();
+    this.pool = pool;
+    this.fleet = fleet;
+    this.clock = clock;
+  }
+
+  override hasRoom(call: Call, admitted: number): boolean {
+    const members = this.pool.membersFor(call).filter((endpoint) => canRun(endpoint, call));
+    if (members.length === 0) {
+      // The call is admitted and fails with `no-endpoint`, rather than waiting for what may not come.
+      return true;
+    }
+    let free = 0;
+    for (const endpoint of withoutEjected(members, this.clock.monotonicMilliseconds())) {
+      free += Math.max(0, endpoint.limit.value - endpoint.callsInFlight);
+    }
+    const onTheWay = Math.max(0, admitted - this.fleet.callsInFlight);
+    return free > onTheWay;
+  }
+}
--- a/packages/hickoryrelay-link/src/Call.ts
+++ b/packages/hickoryrelay-link/src/Call.ts
@@ -40,6 +40,8 @@
   readonly includesUsage: boolean;
   /** Estimated size of the prompt, in tokens. */
   readonly promptTokens: number;
+  /** Keys of the prompt's leading parts, in order of length, to find engines that cache them. */
+  readonly prefixKeys?: readonly string[];
 }
 
 /** A call to a plain service. */
--- a/packages/hickoryrelay-zone/src/Fleet.ts
+++ b/packages/hickoryrelay-zone/src/Fleet.ts
@@ -1,5 +1,5 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
-import { Endpoint, EndpointState } from 'hickoryrelay-endpoint/Endpoint';
+import { CallTally, Endpoint, EndpointState } from 'hickoryrelay-endpoint/Endpoint';
 import { Engine } from 'hickoryrelay-endpoint/Engine';
 import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
 
@@ -11,6 +11,20 @@
 export class Fleet {
   private readonly zonesByName = new Map<string, AvailabilityZone>();
 
+  private readonly tally = new CallTally();
+
+  private currentVersion = 0;
+
+  /** Grows with each change of the endpoints or their states. */
+  get version(): number {
+    return this.currentVersion;
+  }
+
+  /** Calls of this instance that run on any endpoint, also on those that are gone. */
+  get callsInFlight(): number {
+    return this.tally.count;
+  }
+
   get zones(): IterableIterator<AvailabilityZone> {
     return this.zonesByName.values();
   }
@@ -43,6 +57,7 @@
     for (const endpoint of gone) {
       endpoint.moveTo(EndpointState.Gone);
       this.zone(endpoint.place.zone).remove(endpoint.identifier);
+      this.currentVersion += 1;
     }
     return gone;
   }
@@ -53,19 +68,21 @@
     if (supplied.state === SupplyState.Starting || kind === undefined) {
       return;
     }
-    const endpoint = known ?? Fleet.create(supplied, kind);
+    const endpoint = known ?? this.create(supplied, kind);
     if (known === undefined) {
       zone.add(endpoint);
+      this.currentVersion += 1;
     }
-    if (supplied.state === SupplyState.Leaving) {
+    if (supplied.state === SupplyState.Leaving && endpoint.takesWork) {
       endpoint.moveTo(EndpointState.Leaving);
+      this.currentVersion += 1;
     }
   }
 
-  private static create(supplied: SuppliedEndpoint, kind: EndpointKind): Endpoint {
+  private create(supplied: SuppliedEndpoint, kind: EndpointKind): Endpoint {
     const { identifier, zone, url } = supplied;
     return kind.serves === WorkKind.Model
-      ? new Engine({ identifier, zone, url }, kind)
-      : new Endpoint({ identifier, zone, url }, kind);
+      ? new Engine({ identifier, zone, url }, kind, this.tally)
+      : new Endpoint({ identifier, zone, url }, kind, this.tally);
   }
 }
--- a/packages/hickoryrelay-zone/src/SelectionPolicy.ts
+++ b/packages/hickoryrelay-zone/src/SelectionPolicy.ts
@@ -5,17 +5,19 @@
 import type { Call } from 'hickoryrelay-link/Call';
 import type { Fleet } from './Fleet.js';
 
-/** Tells whether the endpoint can run the call at all. */
-export function canRun(endpoint: Endpoint, call: Call): boolean {
-  if (!endpoint.takesWork) {
-    return false;
-  }
+/** Tells whether the endpoint is of a kind that can run the call. */
+export function isAble(endpoint: Endpoint, call: Call): boolean {
   if (call.kind === WorkKind.Model) {
     return endpoint instanceof Engine && endpoint.servesModel(call.model);
   }
   return endpoint.kind.routes.includes(call.route);
 }
 
+/** Tells whether the endpoint can run the call now. */
+export function canRun(endpoint: Endpoint, call: Call): boolean {
+  return endpoint.takesWork && isAble(endpoint, call);
+}
+
 /** Chooses endpoints for calls. An override yields each endpoint at most once, the best first. */
 export abstract class SelectionPolicy {
   abstract candidates(call: Call, fleet: Fleet): Generator<Endpoint, void, void>;
