--- /dev/null
+++ b/packages/hickoryrelay-bench/src/PolicyModel.ts
@@ -0,0 +1,384 @@
+import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
+import type { AdmissionPolicy } from 'hickoryrelay-instance/AdmissionPolicy';
+import { CollectedRemoteUse } from 'hickoryrelay-instance/RemoteUse';
+import { TrafficPolicy } from 'hickoryrelay-instance/TrafficPolicy';
+import { EngineServiceModel } from 'hickoryrelay-standin/EngineServiceModel';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { Engine } from 'hickoryrelay-endpoint/Engine';
+import { Fleet } from 'hickoryrelay-zone/Fleet';
+
+import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
+import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
+import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
+import { FirstComeAdmission, LeastOfAllSelection, RoundRobinSelection } from './Baselines.js';
+import { CLASSES, MODEL, nominalCost, Workload } from './Workload.js';
+
+import type { PlannedCall } from './Workload.js';
+
+/** The policies that the load tool compares. */
+export const PolicyName = {
+  Hickoryrelay: 'hickoryrelay',
+  RoundRobin: 'round-robin',
+  LeastOutstanding: 'least-outstanding',
+  FirstCome: 'first-come',
+} as const;
+
+export type PolicyName = (typeof PolicyName)[keyof typeof PolicyName];
+
+/** Demand of one account, in engine time (milliseconds) a second. */
+export interface AccountDemand {
+  readonly account: string;
+  readonly costPerSecond: number;
+}
+
+/** One run of the model. */
+export interface Scenario {
+  readonly seed: number;
+  readonly seconds: number;
+  /** Calls that arrive earlier are not counted. */
+  readonly warmUpSeconds: number;
+  readonly demands: readonly AccountDemand[];
+  /** Part of the work that is prefill, at a time in seconds. */
+  readonly prefillPart: (seconds: number) => number;
+  /** When the reclaimable engines of zone c are announced as leaving; they end 3 s later. */
+  readonly reclaimSeconds?: number;
+  /** Calls that first come, first served runs at a time, for each engine of the fleet. */
+  readonly firstComeLimit: number;
+}
+
+/** What became of a call. */
+export interface CallOutcome {
+  readonly account: string;
+  readonly className: string;
+  readonly arrivalSeconds: number;
+  readonly cost: number;
+  readonly isRefused: boolean;
+  readonly isMet: boolean;
+  readonly isComplete: boolean;
+  readonly wasMoved: boolean;
+  readonly ranOnReclaimable: boolean;
+}
+
+const STEP_MILLISECONDS = 10;
+const REPORT_INTERVAL_MILLISECONDS = 1000;
+const GOSSIP_INTERVAL_MILLISECONDS = 1000;
+const LOST_EVENT_SHARE = 0.02;
+const RECLAIM_NOTICE_SECONDS = 3;
+const MILLISECONDS_PER_SECOND = 1000;
+const LARGEST_ACCOUNTS = 8;
+export const ENGINE_COUNT = 13;
+const INSTANCE_COUNT = 7;
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+
+const QUEUE_LIMIT = 512;
+
+function kindOf(name: string, reclaimable: boolean, costPerHour: number): EndpointKind {
+  return {
+    name,
+    serves: WorkKind.Model,
+    models: [MODEL],
+    routes: [],
+    checksFencing: true,
+    reclaimable,
+    costPerHour,
+  };
+}
+
+const KINDS: ReadonlyMap<string, EndpointKind> = new Map(
+  [kindOf('engine-lasting', false, 8), kindOf('engine-reclaimable', true, 3)].map((kind) => [
+    kind.name,
+    kind,
+  ]),
+);
+
+interface ModelledEngine {
+  readonly identifier: string;
+  readonly zone: string;
+  readonly kind: string;
+  readonly service: EngineServiceModel;
+  state: SupplyState;
+}
+
+/** An instance with its policies and no connections. */
+class ModelledInstance {
+  readonly fleet = new Fleet();
+
+  readonly remoteUse = new CollectedRemoteUse();
+
+  readonly policy: TrafficPolicy;
+
+  readonly admission: AdmissionPolicy;
+
+  readonly selection: SelectionPolicy;
+
+  constructor(index: number, name: PolicyName, clock: ManualClock, scenario: Scenario) {
+    this.policy = new TrafficPolicy({
+      instanceName: `entry-${index}`,
+      zone: ZONES[index % ZONES.length] ?? '',
+      fleet: this.fleet,
+      clock,
+      random: new SeededRandomSource(scenario.seed * 100 + index),
+      remoteUse: this.remoteUse,
+      classOf: (className) => CLASSES.get(className),
+      queueLimit: QUEUE_LIMIT,
+    });
+    const isOurs = name === PolicyName.Hickoryrelay;
+    const limit =
+      name === PolicyName.FirstCome
+        ? Math.floor((ENGINE_COUNT * scenario.firstComeLimit) / INSTANCE_COUNT)
+        : Number.POSITIVE_INFINITY;
+    this.admission = isOurs ? this.policy.admission : new FirstComeAdmission(limit);
+    if (isOurs) {
+      this.selection = this.policy.selection;
+    } else {
+      this.selection =
+        name === PolicyName.RoundRobin
+          ? new RoundRobinSelection(index)
+          : new LeastOfAllSelection(index);
+    }
+  }
+}
+
+/** Runs calls through the policies of the instances on modelled engines. Repeatable by seed. */
+export class PolicyModel {
+  readonly outcomes: CallOutcome[] = [];
+
+  private readonly clock = new ManualClock();
+
+  private readonly scenario: Scenario;
+
+  /** Draws that differ between policies come from another source than the arrivals. */
+  private readonly random: SeededRandomSource;
+
+  private readonly unfinished = new Map<string, CallOutcome>();
+
+  private readonly engines: readonly ModelledEngine[];
+
+  private readonly instances: readonly ModelledInstance[];
+
+  private readonly onCut = new Map<string, Set<() => void>>();
+
+  constructor(name: PolicyName, scenario: Scenario) {
+    this.scenario = scenario;
+    this.random = new SeededRandomSource(scenario.seed + 1_000_000);
+    this.engines = Array.from({ length: ENGINE_COUNT }, (empty, index) => ({
+      identifier: `engine-${index}`,
+      zone: ZONES[index % ZONES.length] ?? '',
+      // Zone c holds only reclaimable engines (4), zone b two more, of 13.
+      kind: index % 3 === 2 || index === 1 || index === 4 ? 'engine-reclaimable' : 'engine-lasting',
+      service: new EngineServiceModel(),
+      state: SupplyState.Live,
+    }));
+    this.instances = Array.from(
+      { length: INSTANCE_COUNT },
+      (empty, index) => new ModelledInstance(index, name, this.clock, scenario),
+    );
+  }
+
+  async run(): Promise<readonly CallOutcome[]> {
+    const arrivals = new SeededRandomSource(this.scenario.seed);
+    const workload = new Workload(arrivals);
+    this.updateFleets();
+    for (let step = 0; step * STEP_MILLISECONDS < this.scenario.seconds * 1000; step += 1) {
+      const now = step * STEP_MILLISECONDS;
+      const seconds = now / MILLISECONDS_PER_SECOND;
+      this.reclaimAt(now);
+      this.deliver(now);
+      for (const { account, costPerSecond } of this.scenario.demands) {
+        const part = this.scenario.prefillPart(seconds);
+        for (const planned of workload.arrivals(
+          account,
+          costPerSecond,
+          part,
+          now,
+          STEP_MILLISECONDS,
+        )) {
+          const instance = this.instances[arrivals.integerBelow(INSTANCE_COUNT)];
+          if (instance !== undefined) {
+            void this.relay(planned, instance);
+          }
+        }
+      }
+      for (const { service } of this.engines) {
+        service.step(STEP_MILLISECONDS);
+      }
+      await this.clock.advance(STEP_MILLISECONDS);
+    }
+    this.outcomes.push(...this.unfinished.values());
+    return this.outcomes;
+  }
+
+  private async relay(planned: PlannedCall, instance: ModelledInstance): Promise<void> {
+    const { call, answerTokens } = planned;
+    const arrivalSeconds = call.arrivalMilliseconds / MILLISECONDS_PER_SECOND;
+    const base = {
+      account: call.accountName ?? '',
+      className: call.className,
+      arrivalSeconds,
+      cost: nominalCost(call.promptTokens, answerTokens),
+      isRefused: false,
+      isMet: false,
+      isComplete: false,
+      wasMoved: false,
+      ranOnReclaimable: false,
+    };
+    this.record(call.requestIdentifier, base);
+    try {
+      const ticket = await instance.admission.admit(call, new AbortController().signal);
+      const answer: { first: number | undefined; delivered: number } = {
+        first: undefined,
+        delivered: 0,
+      };
+      let attempts = 0;
+      let ranOnReclaimable = false;
+      for (const endpoint of instance.selection.candidates(call, instance.fleet)) {
+        attempts += 1;
+        ranOnReclaimable ||= endpoint.kind.reclaimable;
+        const attempt = instance.policy.begin(endpoint, call);
+        const before = answer.delivered;
+        const isComplete = await this.attempt(endpoint.identifier, planned, before, (tokens) => {
+          answer.delivered = before + tokens;
+          answer.first ??= this.clock.monotonicMilliseconds();
+          ticket.firstPiece();
+          PolicyModel.learn(attempt, tokens);
+        });
+        attempt.end(isComplete);
+        if (isComplete) {
+          break;
+        }
+      }
+      ticket.settle(answer.delivered);
+      ticket.release();
+      const now = this.clock.monotonicMilliseconds();
+      const lateness = CLASSES.get(call.className)?.targets.lateness;
+      const firstTarget = lateness?.firstTokenMilliseconds ?? 0;
+      const betweenTarget = lateness?.betweenTokensMilliseconds ?? 0;
+      const { delivered, first } = answer;
+      const isComplete = delivered >= answerTokens && first !== undefined;
+      const isMet =
+        isComplete &&
+        (first ?? 0) - call.arrivalMilliseconds <= firstTarget &&
+        (now - (first ?? 0)) / Math.max(1, answerTokens - 1) <= betweenTarget;
+      const wasMoved = attempts > 1;
+      const outcome = { ...base, isMet, isComplete, wasMoved, ranOnReclaimable };
+      this.finish(call.requestIdentifier, outcome);
+    } catch {
+      this.finish(call.requestIdentifier, { ...base, isRefused: true });
+    }
+  }
+
+  /** Resolves with true when the answer is complete, with false when the engine is gone. */
+  private attempt(
+    identifier: string,
+    planned: PlannedCall,
+    delivered: number,
+    onTokens: (tokens: number) => void,
+  ): Promise<boolean> {
+    return new Promise((resolve) => {
+      const engine = this.engines.find((each) => each.identifier === identifier);
+      const cuts = this.onCut.get(identifier) ?? new Set();
+      this.onCut.set(identifier, cuts);
+      const cut = () => resolve(false);
+      cuts.add(cut);
+      engine?.service.submit({
+        promptTokens: planned.call.promptTokens + delivered,
+        prefixKeys: planned.call.prefixKeys ?? [],
+        decodeTokens: Math.max(1, planned.answerTokens - delivered),
+        onTokens,
+        onEnd: () => {
+          cuts.delete(cut);
+          resolve(true);
+        },
+      });
+    });
+  }
+
+  private record(identifier: string, outcome: CallOutcome): void {
+    if (outcome.arrivalSeconds >= this.scenario.warmUpSeconds) {
+      this.unfinished.set(identifier, outcome);
+    }
+  }
+
+  private finish(identifier: string, outcome: CallOutcome): void {
+    if (this.unfinished.delete(identifier)) {
+      this.outcomes.push(outcome);
+    }
+  }
+
+  /** Load reports, cache events and digests arrive once a second, each at its own time. */
+  private deliver(now: number): void {
+    const slots = REPORT_INTERVAL_MILLISECONDS / STEP_MILLISECONDS;
+    for (const [engineIndex, { identifier, service, zone }] of this.engines.entries()) {
+      if ((now / STEP_MILLISECONDS + engineIndex * 7) % slots === 0) {
+        const report = service.report();
+        const events = service.takeEvents().filter(() => this.random.fraction() > LOST_EVENT_SHARE);
+        for (const { fleet } of this.instances) {
+          const engine = fleet.zone(zone).find(identifier);
+          if (engine instanceof Engine) {
+            engine.load.update(report);
+            engine.prefixes.apply(events);
+          }
+        }
+      }
+    }
+    if (now % GOSSIP_INTERVAL_MILLISECONDS === 0) {
+      for (const instance of this.instances) {
+        const use = instance.policy.admission.takeOwnUse(LARGEST_ACCOUNTS);
+        for (const other of this.instances) {
+          if (other !== instance) {
+            other.remoteUse.add(use);
+          }
+        }
+      }
+    }
+  }
+
+  private reclaimAt(now: number): void {
+    const { reclaimSeconds } = this.scenario;
+    if (reclaimSeconds === undefined) {
+      return;
+    }
+    const isAnnounced = now === reclaimSeconds * MILLISECONDS_PER_SECOND;
+    const isOver = now === (reclaimSeconds + RECLAIM_NOTICE_SECONDS) * MILLISECONDS_PER_SECOND;
+    const taken = this.engines.filter(
+      ({ kind, zone }) => kind === 'engine-reclaimable' && zone === 'zone-c',
+    );
+    if (isAnnounced) {
+      for (const engine of taken) {
+        engine.state = SupplyState.Leaving;
+      }
+      this.updateFleets();
+    }
+    if (isOver) {
+      for (const { identifier, service } of taken) {
+        service.reclaim();
+        this.onCut.get(identifier)?.forEach((cut) => cut());
+      }
+    }
+  }
+
+  private updateFleets(): void {
+    for (const { fleet } of this.instances) {
+      fleet.update(
+        this.engines.map(({ identifier, kind, state, zone }) => ({
+          identifier,
+          kind,
+          zone,
+          state,
+          url: `http://${identifier}`,
+        })),
+        KINDS,
+      );
+    }
+  }
+
+  private static learn(attempt: EndpointCall, tokens: number): void {
+    if (tokens === 1) {
+      attempt.firstPiece();
+    } else if (tokens % 16 === 0) {
+      attempt.progress(tokens);
+    }
+  }
+}
--- a/packages/hickoryrelay-endpoint/src/PrefixIndex.ts
+++ b/packages/hickoryrelay-endpoint/src/PrefixIndex.ts
@@ -10,6 +10,9 @@
   readonly key: string;
 }
 
+/** Prompt tokens that one key stands for; callers cut prompts into parts of this size. */
+export const TOKENS_PER_PREFIX_KEY = 256;
+
 const LIMIT_OF_KEYS = 4096;
 
 /** Own calls are a guess until the engine confirms them; it may have evicted the prefix already. */
@@ -56,11 +59,11 @@
   }
 
   /**
-   * Expected part of the prompt that the cache holds, from 0 to 1.
+   * Expected number of prompt tokens that the cache holds.
    *
-   * @param keys keys of the prompt's prefixes, in order of length, all of the same step.
+   * @param keys keys of the prompt's leading parts, in order of length.
    */
-  cachedPart(keys: readonly string[]): number {
+  cachedTokens(keys: readonly string[]): number {
     let expected = 0;
     let confidence = 1;
     for (const key of keys) {
@@ -70,7 +73,7 @@
       }
       expected += confidence;
     }
-    return keys.length === 0 ? 0 : expected / keys.length;
+    return expected * TOKENS_PER_PREFIX_KEY;
   }
 
   private applyOne({ kind, key }: CacheEvent): void {
--- a/packages/hickoryrelay-instance/src/CallCost.ts
+++ b/packages/hickoryrelay-instance/src/CallCost.ts
@@ -50,13 +50,17 @@
     this.cachedTokens = cachedTokens;
   }
 
+  /** Expected length of the answer. */
+  decodeTokens(call: Call): number {
+    return this.decodeEstimate.tokens(accountOf(call), call.className, decodeLimit(call));
+  }
+
   estimate(call: Call): CallCost {
     if (call.kind !== WorkKind.Model) {
       const total = this.serviceTimes.get(call.route) ?? DEFAULT_SERVICE_MILLISECONDS;
       return { prefill: 0, decode: total, total };
     }
-    const { className } = call;
-    const tokens = this.decodeEstimate.tokens(accountOf(call), className, decodeLimit(call));
+    const tokens = this.decodeTokens(call);
     return this.weigh(Math.max(0, call.promptTokens - this.cachedTokens(call)), tokens);
   }
 
--- a/packages/hickoryrelay-link/src/PromptPrefix.ts
+++ b/packages/hickoryrelay-link/src/PromptPrefix.ts
@@ -1,7 +1,9 @@
 import { createHash } from 'node:crypto';
 
-/** A part is about 256 tokens, so that a key stands for a useful saving and a prompt has few keys. */
-const PART_CHARACTERS = 1024;
+import { TOKENS_PER_PREFIX_KEY } from 'hickoryrelay-endpoint/PrefixIndex';
+
+const CHARACTERS_PER_TOKEN = 4;
+const PART_CHARACTERS = TOKENS_PER_PREFIX_KEY * CHARACTERS_PER_TOKEN;
 
 /** Later parts of very long prompts seldom repeat; 64 keys cover 16,000 tokens. */
 const MOST_KEYS = 64;
--- /dev/null
+++ b/packages/hickoryrelay-standin/src/EngineServiceModel.ts
@@ -0,0 +1,228 @@
+import { CacheEventKind, TOKENS_PER_PREFIX_KEY } from 'hickoryrelay-endpoint/PrefixIndex';
+import { EngineRole } from 'hickoryrelay-endpoint/Engine';
+
+import type { CacheEvent } from 'hickoryrelay-endpoint/PrefixIndex';
+import type { LoadReport } from 'hickoryrelay-endpoint/EngineLoad';
+
+/** Size and speed of a modelled engine. */
+export interface EngineServiceParts {
+  /** Calls that run at a time; others wait in order of arrival. */
+  readonly slots: number;
+  /** Prompt tokens a second when the whole engine works on prompts. */
+  readonly prefillRate: number;
+  /** Time of one decoding step: a fixed part, and a part for each stream. */
+  readonly stepMilliseconds: number;
+  readonly streamMilliseconds: number;
+  /** Prompt tokens that the prefix cache holds. */
+  readonly cacheTokens: number;
+  /** Time without service while the role changes. */
+  readonly roleChangeMilliseconds: number;
+}
+
+export const DEFAULT_ENGINE_SERVICE: EngineServiceParts = {
+  slots: 24,
+  prefillRate: 20_000,
+  stepMilliseconds: 8,
+  streamMilliseconds: 1,
+  cacheTokens: 160_000,
+  roleChangeMilliseconds: 5000,
+};
+
+/** Share of the engine that prompts take while streams decode. */
+const PREFILL_SHARES: Readonly<Record<EngineRole, number>> = {
+  [EngineRole.Prefill]: 0.75,
+  [EngineRole.Mixed]: 0.5,
+  [EngineRole.Decode]: 0.25,
+};
+
+const MILLISECONDS_PER_SECOND = 1000;
+const CALL_TIME_WEIGHT = 0.1;
+
+/** A call as the model runs it. */
+export interface ModelledCall {
+  readonly promptTokens: number;
+  readonly prefixKeys: readonly string[];
+  readonly decodeTokens: number;
+  /** Told of the number of tokens so far, after each step that brought one. */
+  readonly onTokens: (tokens: number) => void;
+  readonly onEnd: () => void;
+}
+
+interface RunningCall {
+  readonly call: ModelledCall;
+  readonly startedMilliseconds: number;
+  prefillTokens: number;
+  decoded: number;
+}
+
+/**
+ * Service times of one engine with continuous batching. Prompts and streams share the engine: while
+ * both are present, prompts take a share set by the role, and streams slow down accordingly. Moved
+ * in steps by its owner; keeps no timers and no random numbers.
+ */
+export class EngineServiceModel {
+  private readonly parts: EngineServiceParts;
+
+  private currentRole: EngineRole = EngineRole.Mixed;
+
+  private nowMilliseconds = 0;
+
+  private unavailableUntil = 0;
+
+  private readonly waiting: ModelledCall[] = [];
+
+  private running: RunningCall[] = [];
+
+  private readonly cache = new Set<string>();
+
+  private events: CacheEvent[] = [];
+
+  private eventNumber = 0;
+
+  private callMilliseconds = 0;
+
+  constructor(parts: EngineServiceParts = DEFAULT_ENGINE_SERVICE) {
+    this.parts = parts;
+  }
+
+  get role(): EngineRole {
+    return this.currentRole;
+  }
+
+  submit(call: ModelledCall): void {
+    this.waiting.push(call);
+  }
+
+  changeRole(role: EngineRole): void {
+    this.currentRole = role;
+    this.unavailableUntil = this.nowMilliseconds + this.parts.roleChangeMilliseconds;
+  }
+
+  /** Ends the engine. Returns the calls that were cut off, with the tokens they had. */
+  reclaim(): { call: ModelledCall; tokens: number }[] {
+    const cut = [
+      ...this.running.map(({ call, decoded }) => ({ call, tokens: Math.floor(decoded) })),
+      ...this.waiting.map((call) => ({ call, tokens: 0 })),
+    ];
+    this.running = [];
+    this.waiting.length = 0;
+    return cut;
+  }
+
+  report(): LoadReport {
+    const { slots, prefillRate, stepMilliseconds, streamMilliseconds } = this.parts;
+    const prefilling = this.running.reduce((sum, { prefillTokens }) => sum + prefillTokens, 0);
+    const queued = this.waiting.reduce((sum, call) => sum + this.uncachedTokens(call), 0);
+    const streams = Math.max(1, this.running.length);
+    return {
+      running: this.running.length,
+      waiting: this.waiting.length,
+      slots,
+      waitingPrefillTokens: prefilling + queued,
+      prefillRate,
+      decodeRate:
+        (streams * MILLISECONDS_PER_SECOND) / (stepMilliseconds + streams * streamMilliseconds),
+      callMilliseconds: this.callMilliseconds,
+      takenMilliseconds: this.nowMilliseconds,
+    };
+  }
+
+  /** Cache events since the last call. */
+  takeEvents(): readonly CacheEvent[] {
+    const taken = this.events;
+    this.events = [];
+    return taken;
+  }
+
+  step(milliseconds: number): void {
+    this.nowMilliseconds += milliseconds;
+    if (this.nowMilliseconds < this.unavailableUntil) {
+      return;
+    }
+    this.fillSlots();
+    const prefilling = this.running.filter(({ prefillTokens }) => prefillTokens > 0);
+    const decoding = this.running.filter(({ prefillTokens }) => prefillTokens <= 0);
+    const share = this.prefillShare(prefilling.length, decoding.length);
+    this.prefill(prefilling, milliseconds * share);
+    this.decode(decoding, milliseconds * (1 - share));
+    this.running = this.running.filter((each) => each.decoded < each.call.decodeTokens);
+  }
+
+  private prefillShare(prompts: number, streams: number): number {
+    if (streams === 0) {
+      return 1;
+    }
+    return prompts > 0 ? PREFILL_SHARES[this.currentRole] : 0;
+  }
+
+  private fillSlots(): void {
+    while (this.running.length < this.parts.slots) {
+      const call = this.waiting.shift();
+      if (call === undefined) {
+        return;
+      }
+      const prefillTokens = Math.max(1, this.uncachedTokens(call));
+      const startedMilliseconds = this.nowMilliseconds;
+      this.running.push({ call, startedMilliseconds, prefillTokens, decoded: 0 });
+    }
+  }
+
+  private prefill(calls: readonly RunningCall[], milliseconds: number): void {
+    let tokens = (milliseconds * this.parts.prefillRate) / MILLISECONDS_PER_SECOND;
+    for (const each of calls) {
+      const done = Math.min(tokens, each.prefillTokens);
+      each.prefillTokens -= done;
+      tokens -= done;
+      if (each.prefillTokens <= 0) {
+        this.remember(each.call.prefixKeys);
+        each.decoded = 1;
+        each.call.onTokens(1);
+      }
+    }
+  }
+
+  private decode(streams: readonly RunningCall[], milliseconds: number): void {
+    const { stepMilliseconds, streamMilliseconds } = this.parts;
+    const gained = milliseconds / (stepMilliseconds + streams.length * streamMilliseconds);
+    for (const each of streams) {
+      const before = Math.floor(each.decoded);
+      each.decoded += gained;
+      if (Math.floor(each.decoded) > before) {
+        each.call.onTokens(Math.min(each.call.decodeTokens, Math.floor(each.decoded)));
+      }
+      if (each.decoded >= each.call.decodeTokens) {
+        const taken = this.nowMilliseconds - each.startedMilliseconds;
+        this.callMilliseconds += CALL_TIME_WEIGHT * (taken - this.callMilliseconds);
+        each.call.onEnd();
+      }
+    }
+  }
+
+  private uncachedTokens({ prefixKeys, promptTokens }: ModelledCall): number {
+    const missing = prefixKeys.findIndex((key) => !this.cache.has(key));
+    const hits = missing < 0 ? prefixKeys.length : missing;
+    return Math.max(0, promptTokens - hits * TOKENS_PER_PREFIX_KEY);
+  }
+
+  private remember(keys: readonly string[]): void {
+    for (const key of keys) {
+      if (!this.cache.delete(key)) {
+        this.emit(CacheEventKind.Stored, key);
+      }
+      this.cache.add(key);
+    }
+    const most = Math.floor(this.parts.cacheTokens / TOKENS_PER_PREFIX_KEY);
+    for (const key of this.cache) {
+      if (this.cache.size <= most) {
+        break;
+      }
+      this.cache.delete(key);
+      this.emit(CacheEventKind.Evicted, key);
+    }
+  }
+
+  private emit(kind: CacheEventKind, key: string): void {
+    this.eventNumber += 1;
+    this.events.push({ number: this.eventNumber, kind, key });
+  }
+}
--- a/packages/hickoryrelay-zone/src/EndpointCall.ts
+++ b/packages/hickoryrelay-zone/src/EndpointCall.ts
@@ -40,7 +40,8 @@
     this.endings = [endpoint.beginCall()];
     if (endpoint instanceof Engine && call.kind === WorkKind.Model) {
       const keys = call.prefixKeys ?? [];
-      const prefillTokens = call.promptTokens * (1 - endpoint.prefixes.cachedPart(keys));
+      const saved = endpoint.prefixes.cachedTokens(keys);
+      const prefillTokens = Math.max(0, call.promptTokens - saved);
       this.endings.push(endpoint.load.begin(prefillTokens, this.sentMilliseconds));
       endpoint.prefixes.recordOwnCall(keys);
     }
--- a/packages/hickoryrelay-zone/src/SampledSelection.ts
+++ b/packages/hickoryrelay-zone/src/SampledSelection.ts
@@ -77,7 +77,8 @@
 
   private engineMilliseconds(call: ModelCall, engine: Engine, nowMilliseconds: number): number {
     const { load, prefixes } = engine;
-    const prefillTokens = call.promptTokens * (1 - prefixes.cachedPart(call.prefixKeys ?? []));
+    const saved = prefixes.cachedTokens(call.prefixKeys ?? []);
+    const prefillTokens = Math.max(0, call.promptTokens - saved);
     const prefill = (prefillTokens / load.prefillRate) * MILLISECONDS_PER_SECOND;
     const decode = load.decodeMilliseconds(this.parts.decodeTokens(call));
     return load.waitMilliseconds(nowMilliseconds) + prefill + decode * DECODE_WEIGHT;
@@ -153,10 +154,10 @@
     return endpoints
       .map((endpoint) => ({
         endpoint,
-        part: endpoint instanceof Engine ? endpoint.prefixes.cachedPart(keys) : 0,
+        saved: endpoint instanceof Engine ? endpoint.prefixes.cachedTokens(keys) : 0,
       }))
-      .filter(({ part }) => part > 0)
-      .sort((left, right) => right.part - left.part)
+      .filter(({ saved }) => saved > 0)
+      .sort((left, right) => right.saved - left.saved)
       .slice(0, PREFIX_SAMPLES)
       .map(({ endpoint }) => endpoint);
   }
