Lower in-flight limits in proportion to the excess, from what is in flight

Cause: a limit that had grown beyond what was in flight came down by a tenth a second with no effect.

--- a/packages/hickoryrelay-endpoint/src/InFlightLimit.ts
+++ b/packages/hickoryrelay-endpoint/src/InFlightLimit.ts
@@ -1,7 +1,9 @@
 const FIRST_LIMIT = 4;
 const LEAST_LIMIT = 1;
 const HIGHEST_LIMIT = 256;
-const DECREASE = 0.9;
+/** One decrease is in proportion to the excess, within these factors. */
+const LEAST_DECREASE = 0.9;
+const GREATEST_DECREASE = 0.5;
 /** Latency above this part of the target stops growth, so that the limit settles below the target. */
 const GROW_BELOW = 0.8;
 /** Calls sent under the old limit go on reporting its latency; one decrease waits for their end. */
@@ -26,19 +28,22 @@
   /** @param ratio observed latency divided by its target. */
   record(ratio: number, callsInFlight: number, nowMilliseconds: number): void {
     if (ratio > 1) {
-      this.decrease(nowMilliseconds);
+      this.decrease(ratio, callsInFlight, nowMilliseconds);
     } else if (ratio < GROW_BELOW && callsInFlight >= this.value - 1) {
       const step = this.hasDecreased ? 1 / this.limit : 1;
       this.limit = Math.min(HIGHEST_LIMIT, this.limit + step);
     }
   }
 
-  private decrease(nowMilliseconds: number): void {
+  private decrease(ratio: number, callsInFlight: number, nowMilliseconds: number): void {
     if (nowMilliseconds - this.decreasedMilliseconds < DECREASE_INTERVAL_MILLISECONDS) {
       return;
     }
     this.decreasedMilliseconds = nowMilliseconds;
     this.hasDecreased = true;
-    this.limit = Math.max(LEAST_LIMIT, this.limit * DECREASE);
+    // A limit above what is in flight has no effect, so the decrease starts from what is.
+    const inUse = Math.min(this.limit, Math.max(LEAST_LIMIT, callsInFlight));
+    const factor = Math.min(LEAST_DECREASE, Math.max(GREATEST_DECREASE, 1 / ratio));
+    this.limit = Math.max(LEAST_LIMIT, inUse * factor);
   }
 }
