--- a/packages/hickoryrelay-endpoint/src/Endpoint.ts
+++ b/packages/hickoryrelay-endpoint/src/Endpoint.ts
@@ -55,9 +55,9 @@
     return this.inFlight;
   }
 
-  /** True if the endpoint keeps its targets with one call more. */
-  get hasRoom(): boolean {
-    return this.inFlight < this.limit.value;
+  /** Calls that the endpoint can take now and keep its targets. */
+  get room(): number {
+    return Math.max(0, this.limit.value - this.inFlight);
   }
 
   /** True if new work may be sent. */
--- a/packages/hickoryrelay-endpoint/src/Engine.ts
+++ b/packages/hickoryrelay-endpoint/src/Engine.ts
@@ -13,6 +13,11 @@
 
   readonly prefixes = new PrefixIndex();
 
+  /** No more than the free places of the batch: calls wait better where their order can change. */
+  override get room(): number {
+    return Math.min(super.room, this.load.freeSlots);
+  }
+
   servesModel(model: string): boolean {
     return this.kind.models.includes(model);
   }
--- a/packages/hickoryrelay-endpoint/src/EngineLoad.ts
+++ b/packages/hickoryrelay-endpoint/src/EngineLoad.ts
@@ -124,6 +124,14 @@
     return Math.max(0, running + waiting + this.sent.length - this.endedSinceReport) / slots;
   }
 
+  /** Places of the batch that are free as far as this instance knows; many before a report. */
+  get freeSlots(): number {
+    if (this.report === undefined) {
+      return Number.POSITIVE_INFINITY;
+    }
+    return Math.max(0, Math.ceil(this.report.slots * (1 - this.occupancy)));
+  }
+
   /** Time to decode an answer among the streams that run, in milliseconds. */
   decodeMilliseconds(tokens: number): number {
     const streams = 1 + this.occupancy * (this.report?.slots ?? 0);
--- a/packages/hickoryrelay-instance/src/PoolCapacity.ts
+++ b/packages/hickoryrelay-instance/src/PoolCapacity.ts
@@ -30,7 +30,7 @@
     }
     let free = 0;
     for (const endpoint of withoutEjected(members, this.clock.monotonicMilliseconds())) {
-      free += Math.max(0, endpoint.limit.value - endpoint.callsInFlight);
+      free += endpoint.room;
     }
     const onTheWay = Math.max(0, admitted - this.fleet.callsInFlight);
     return free > onTheWay;
--- a/packages/hickoryrelay-zone/src/SampledSelection.ts
+++ b/packages/hickoryrelay-zone/src/SampledSelection.ts
@@ -57,7 +57,7 @@
     const now = this.parts.clock.monotonicMilliseconds();
     const members = this.parts.pool.membersFor(call).filter((each) => canRun(each, call));
     const usable = withoutEjected(members, now);
-    const withRoom = usable.filter((endpoint) => endpoint.hasRoom);
+    const withRoom = usable.filter((endpoint) => endpoint.room > 0);
     const sampled = this.sample(call, withRoom.length > 0 ? withRoom : usable);
     yield* this.byScore(call, sampled, now);
     const rest = usable.filter((endpoint) => !sampled.has(endpoint));
