Keep half of the lateness target for waiting in the queue

Cause: when engines are slow, the learned time to the first token made every call late on arrival, and only calls that came while there was room ran, whatever their share.

--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -41,6 +41,12 @@
 /** A waiting call gives way only if at least this many calls of the newcomer's size fit in its place. */
 const REPLACEMENT_RATIO = 2;
 
+/**
+ * Part of the target that a call may always wait. Without it, slow engines make every call late at
+ * once: only those that happen to arrive when there is room would run, whatever their share.
+ */
+const LEAST_WAITING_PART = 0.5;
+
 function laneOf(call: Call): string {
   return call.kind === WorkKind.Model ? `model ${call.model}` : `route ${call.route}`;
 }
@@ -135,9 +141,11 @@
 
   private entryOf(call: Call, outcome: Pick<WaitingCall, 'reject' | 'resolve'>): WaitingCall {
     const cost = this.parts.costs.estimate(call);
-    const firstToken =
-      (this.firstTokenTimes.get(call.className) ?? cost.prefill) * FIRST_TOKEN_MARGIN;
     const target = this.parts.latenessMilliseconds(call.className);
+    const firstToken = Math.min(
+      (this.firstTokenTimes.get(call.className) ?? cost.prefill) * FIRST_TOKEN_MARGIN,
+      target * (1 - LEAST_WAITING_PART),
+    );
     return {
       call,
       account: accountOf(call),
