--- a/packages/hickoryrelay-bench/src/PolicyModel.ts
+++ b/packages/hickoryrelay-bench/src/PolicyModel.ts
@@ -56,6 +56,7 @@
   readonly cost: number;
   readonly isRefused: boolean;
   readonly isMet: boolean;
+  readonly isFirstLate: boolean;
   readonly isComplete: boolean;
   readonly wasMoved: boolean;
   readonly ranOnReclaimable: boolean;
@@ -220,6 +221,7 @@
       cost: nominalCost(call.promptTokens, answerTokens),
       isRefused: false,
       isMet: false,
+      isFirstLate: false,
       isComplete: false,
       wasMoved: false,
       ranOnReclaimable: false,
@@ -257,12 +259,13 @@
       const betweenTarget = lateness?.betweenTokensMilliseconds ?? 0;
       const { delivered, first } = answer;
       const isComplete = delivered >= answerTokens && first !== undefined;
+      const isFirstLate = (first ?? now) - call.arrivalMilliseconds > firstTarget;
       const isMet =
         isComplete &&
-        (first ?? 0) - call.arrivalMilliseconds <= firstTarget &&
+        !isFirstLate &&
         (now - (first ?? 0)) / Math.max(1, answerTokens - 1) <= betweenTarget;
       const wasMoved = attempts > 1;
-      const outcome = { ...base, isMet, isComplete, wasMoved, ranOnReclaimable };
+      const outcome = { ...base, isMet, isFirstLate, isComplete, wasMoved, ranOnReclaimable };
       this.finish(call.requestIdentifier, outcome);
     } catch {
       this.finish(call.requestIdentifier, { ...base, isRefused: true });
--- a/packages/hickoryrelay-bench/src/policy.ts
+++ b/packages/hickoryrelay-bench/src/policy.ts
@@ -151,6 +151,7 @@
           ({ isMet }) => isMet,
         ),
         refused: share(outcomes, ({ isRefused }) => isRefused),
+        'first late': share(outcomes, ({ isFirstLate }) => isFirstLate),
         'worst share': Number(worstShare(outcomes).ratio.toFixed(3)),
       };
     },
@@ -170,6 +171,8 @@
           ({ isMet }) => isMet,
         ),
         'met/s': Number((outcomes.filter(({ isMet }) => isMet).length / 90).toFixed(2)),
+        refused: share(outcomes, ({ isRefused }) => isRefused),
+        'first late': share(outcomes, ({ isFirstLate }) => isFirstLate),
       };
     },
   );
--- a/packages/hickoryrelay-endpoint/src/InFlightLimit.ts
+++ b/packages/hickoryrelay-endpoint/src/InFlightLimit.ts
@@ -6,6 +6,12 @@
 const GREATEST_DECREASE = 0.5;
 /** Latency above this part of the target stops growth, so that the limit settles below the target. */
 const GROW_BELOW = 0.8;
+/**
+ * Classes with wide targets report low ratios while those with near targets are late, so growth
+ * waits until no call has been late for this long.
+ */
+const HOLD_MILLISECONDS = 3000;
+
 /** Calls sent under the old limit go on reporting its latency; one decrease waits for their end. */
 const DECREASE_INTERVAL_MILLISECONDS = 1000;
 
@@ -17,6 +23,8 @@
 export class InFlightLimit {
   private limit = FIRST_LIMIT;
 
+  private exceededMilliseconds = Number.NEGATIVE_INFINITY;
+
   private hasDecreased = false;
 
   private decreasedMilliseconds = Number.NEGATIVE_INFINITY;
@@ -28,8 +36,13 @@
   /** @param ratio observed latency divided by its target. */
   record(ratio: number, callsInFlight: number, nowMilliseconds: number): void {
     if (ratio > 1) {
+      this.exceededMilliseconds = nowMilliseconds;
       this.decrease(ratio, callsInFlight, nowMilliseconds);
-    } else if (ratio < GROW_BELOW && callsInFlight >= this.value - 1) {
+    } else if (
+      ratio < GROW_BELOW &&
+      callsInFlight >= this.value - 1 &&
+      nowMilliseconds - this.exceededMilliseconds >= HOLD_MILLISECONDS
+    ) {
       const step = this.hasDecreased ? 1 / this.limit : 1;
       this.limit = Math.min(HIGHEST_LIMIT, this.limit + step);
     }
