--- a/packages/hickoryrelay-bench/src/PolicyModel.ts
+++ b/packages/hickoryrelay-bench/src/PolicyModel.ts
@@ -10,6 +10,7 @@
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 
 import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
+import type { AccountUse } from 'hickoryrelay-instance/RemoteUse';
 import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
 import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 import { FirstComeAdmission, LeastOfAllSelection, RoundRobinSelection } from './Baselines.js';
@@ -106,7 +107,11 @@
 class ModelledInstance {
   readonly fleet = new Fleet();
 
-  readonly remoteUse = new CollectedRemoteUse();
+  private ownUse = new Map<string, number>();
+
+  readonly remoteUse = new CollectedRemoteUse((account, cost) => {
+    this.ownUse.set(account, (this.ownUse.get(account) ?? 0) + cost);
+  });
 
   readonly policy: TrafficPolicy;
 
@@ -140,6 +145,14 @@
           : new LeastOfAllSelection(index);
     }
   }
+
+  /** Cost since the last call of the accounts that used most, as a digest row holds it. */
+  takeOwnUse(): readonly AccountUse[] {
+    const byCost = [...this.ownUse].filter(([, cost]) => cost > 0);
+    byCost.sort((left, right) => right[1] - left[1]);
+    this.ownUse.clear();
+    return byCost.slice(0, LARGEST_ACCOUNTS);
+  }
 }
 
 /** Runs calls through the policies of the instances on modelled engines. Repeatable by seed. */
@@ -328,7 +341,7 @@
     }
     if (now % GOSSIP_INTERVAL_MILLISECONDS === 0) {
       for (const instance of this.instances) {
-        const use = instance.policy.admission.takeOwnUse(LARGEST_ACCOUNTS);
+        const use = instance.takeOwnUse();
         for (const other of this.instances) {
           if (other !== instance) {
             other.remoteUse.add(use);
--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -14,7 +14,7 @@
 import type { AdmissionTicket } from './AdmissionPolicy.js';
 import type { CallCapacity } from './CallCapacity.js';
 import type { CallCostModel } from './CallCost.js';
-import type { AccountUse, RemoteUse } from './RemoteUse.js';
+import type { RemoteUse } from './RemoteUse.js';
 import type { WaitingCall } from './WaitingCalls.js';
 
 /** What an admission queue is made of. */
@@ -67,8 +67,6 @@
 
   private readonly firstTokenTimes = new MovingAverages();
 
-  private readonly ownUse = new Map<string, number>();
-
   private waitingCount = 0;
 
   private admittedCount = 0;
@@ -127,18 +125,6 @@
     });
   }
 
-  /** Cost used here since the last call, of the accounts that used most. For the digests. */
-  takeOwnUse(limit: number): AccountUse[] {
-    const byCost = [...this.ownUse]
-      .filter(([, cost]) => cost > 0)
-      .sort((left, right) => right[1] - left[1]);
-    const taken = byCost.slice(0, limit);
-    for (const [account] of taken) {
-      this.ownUse.delete(account);
-    }
-    return taken;
-  }
-
   private entryOf(call: Call, outcome: Pick<WaitingCall, 'reject' | 'resolve'>): WaitingCall {
     const cost = this.parts.costs.estimate(call);
     const target = this.parts.latenessMilliseconds(call.className);
@@ -364,7 +350,7 @@
 
   private charge(account: string, cost: number): void {
     this.share.charge(account, cost);
-    this.ownUse.set(account, (this.ownUse.get(account) ?? 0) + cost);
+    this.parts.remoteUse.publish(account, cost);
   }
 
   private takeRemoteUse(): void {
--- a/packages/hickoryrelay-instance/src/Exchange.ts
+++ b/packages/hickoryrelay-instance/src/Exchange.ts
@@ -7,7 +7,8 @@
 import type { Call } from 'hickoryrelay-link/Call';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
 import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
-import type { AdmissionPolicy } from './AdmissionPolicy.js';
+import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
+import type { AdmissionPolicy, AdmissionTicket } from './AdmissionPolicy.js';
 import type { AnswerWriter } from './AnswerWriter.js';
 import type { EndpointLinks } from './EndpointLinks.js';
 
@@ -18,13 +19,15 @@
   readonly fleet: Fleet;
   readonly links: EndpointLinks;
   readonly clock: Clock;
+  /** Begins an attempt at an endpoint, so that its load, health and limit are learned. */
+  readonly begin: (endpoint: Endpoint, call: Call) => EndpointCall;
 }
 
 const RETRY_AFTER_SECONDS = 1;
 
 interface Attempt {
   readonly answer: AnswerStream;
-  readonly endCall: () => void;
+  readonly endpointCall: EndpointCall;
 }
 
 /** One call from admission to the last byte of the answer. */
@@ -58,7 +61,7 @@
     try {
       const ticket = await this.parts.admission.admit(this.call, this.abort.signal);
       try {
-        await this.relay(writer);
+        await this.relay(writer, ticket);
       } finally {
         ticket.release();
       }
@@ -73,16 +76,20 @@
     }
   }
 
-  private async relay(writer: AnswerWriter): Promise<void> {
-    const { answer, endCall } = await this.firstAnswer();
+  private async relay(writer: AnswerWriter, ticket: AdmissionTicket): Promise<void> {
+    const { answer, endpointCall } = await this.firstAnswer();
     try {
       writer.begin(answer.status, answer.contentType);
       for await (const piece of answer.pieces) {
+        ticket.firstPiece();
+        endpointCall.firstPiece();
         await writer.write(piece);
       }
+      endpointCall.end(true);
       await writer.end();
-    } finally {
-      endCall();
+    } catch (error) {
+      endpointCall.end(this.outcomeOf(error));
+      throw error;
     }
   }
 
@@ -108,18 +115,24 @@
   }
 
   private async attempt(endpoint: Endpoint): Promise<Attempt> {
-    const endCall = endpoint.beginCall();
+    const endpointCall = this.parts.begin(endpoint, this.call);
     try {
       const link = this.parts.links.linkTo(endpoint);
       const answer = await link.send(this.call, this.abort.signal);
       this.mayHaveRun = true;
-      return { answer, endCall };
+      return { answer, endpointCall };
     } catch (error) {
-      endCall();
+      endpointCall.end(this.outcomeOf(error));
       throw error;
     }
   }
 
+  /** Only a failure of the endpoint counts against it. */
+  private outcomeOf(error: unknown): false | undefined {
+    const isEndpointFailure = failureOf(error).kind === FailureKind.EndpointFailed;
+    return isEndpointFailure && !this.abort.signal.aborted ? false : undefined;
+  }
+
   private assertMayRetry(error: unknown): void {
     const failure = failureOf(error);
     const wasSent = failure.kind !== FailureKind.EndpointFailed || failure.mayHaveRun;
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -6,8 +6,8 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
+import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
-import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -22,11 +22,16 @@
 import type { Logger as ProcessLogger } from 'winston';
 import { FleetTask } from './FleetTask.js';
 import { Exchange } from './Exchange.js';
+import { ExchangeTable } from './ExchangeTable.js';
+import { Drain, DrainPhase } from './Drain.js';
 import { EndpointLinks } from './EndpointLinks.js';
 import { ConfigurationView } from './ConfigurationView.js';
-import { ConfigurationTask } from './ConfigurationTask.js';
-import { CallersInterface } from './CallersService.js';
-import { ConcurrencyLimitAdmission } from './AdmissionPolicy.js';
+import { CallersInterface } from './CallersInterface.js';
+import { CallMetrics } from './CallMetrics.js';
+import { InstanceControl } from './InstanceControl.js';
+import { CollectedRemoteUse } from './RemoteUse.js';
+import { TrafficPolicy } from './TrafficPolicy.js';
+import { EngineLoadTasks } from './EngineLoadTasks.js';
 import type { ExchangeParts } from './Exchange.js';
 
 /** The services of the platform that an instance uses. */
@@ -68,6 +73,8 @@
 
   readonly fleet = new Fleet();
 
+  readonly metrics = new CallMetrics();
+
   private readonly parts: InstanceParts;
 
   private readonly lifecycle: LifecycleManager;
@@ -76,24 +83,44 @@
 
   private readonly exchangeParts: ExchangeParts;
 
-  private readonly exchanges = new Set<Exchange>();
+  private readonly exchanges = new ExchangeTable();
+
+  private readonly remoteUse = new CollectedRemoteUse((account, cost) => {
+    this.control?.digest.charge(account, cost);
+  });
+
+  private readonly policy: TrafficPolicy;
 
-  private state: InstanceState = InstanceState.Live;
+  private readonly drain: Drain;
 
   private server: Server | undefined;
 
+  private control: InstanceControl | undefined;
+
   constructor(parts: InstanceParts) {
     this.parts = parts;
     this.settings = parts.settings;
     this.clock = parts.clock;
     this.view = new ConfigurationView(parts.clock);
     const log = partLogger(parts.logger, LogPrefix.Daemon);
+    this.drain = new Drain(parts.settings.drain, this.exchanges, parts.clock, log);
     this.lifecycle = new LifecycleManager('instance', parts.clock, (owner, failure) => {
       log.error('A part failed.', { owner, reason: describeFailure(failure) });
     });
+    this.policy = new TrafficPolicy({
+      instanceName: parts.settings.instance.name,
+      zone: parts.settings.instance.zone,
+      fleet: this.fleet,
+      clock: parts.clock,
+      random: parts.random,
+      remoteUse: this.remoteUse,
+      classOf: (className) => this.view.declarations.classes.get(className),
+      queueLimit: parts.settings.limits.callsInFlight,
+    });
     this.exchangeParts = {
-      admission: new ConcurrencyLimitAdmission(parts.settings.limits.callsInFlight),
-      selection: new LeastOutstandingSelection(parts.settings.instance.zone),
+      admission: this.policy.admission,
+      selection: this.policy.selection,
+      begin: (endpoint, call) => this.policy.begin(endpoint, call),
       fleet: this.fleet,
       links: this.links,
       clock: parts.clock,
@@ -101,7 +128,7 @@
   }
 
   get isReady(): boolean {
-    return this.state === InstanceState.Live && this.view.revision > 0;
+    return this.drain.phase === DrainPhase.Open && this.view.revision > 0 && this.fleet.isKnown;
   }
 
   /** Address and port of the callers' interface, once started. */
@@ -111,13 +138,17 @@
     return address;
   }
 
+  private get state(): InstanceState {
+    return this.drain.phase === DrainPhase.Open ? InstanceState.Live : InstanceState.Leaving;
+  }
+
   nextRequestIdentifier(): string {
     return this.parts.random.identifier(REQUEST_IDENTIFIER_BYTES);
   }
 
-  /** Throws `shutting-down` once the instance is leaving. */
+  /** Throws `shutting-down` once the instance has closed itself to new work. */
   assertTakesWork(): void {
-    if (this.state !== InstanceState.Live) {
+    if (this.drain.phase === DrainPhase.Closed) {
       throw new RelayError({ kind: FailureKind.ShuttingDown });
     }
   }
@@ -125,7 +156,7 @@
   /** Opens the exchange of a call. It is followed until it has run. */
   open(call: Call): Exchange {
     const exchange = new Exchange(call, this.exchangeParts, () => {
-      this.exchanges.delete(exchange);
+      this.exchanges.remove(exchange);
     });
     this.exchanges.add(exchange);
     return exchange;
@@ -144,30 +175,69 @@
   }
 
   async start(): Promise<void> {
-    const { logger, platform, random } = this.parts;
+    this.offerGauges();
+    const { logger, platform } = this.parts;
     this.lifecycle.own('endpoint links', () => this.links.close());
     this.lifecycle.own(
       'withdrawn keys',
       this.view.subscribe(() => this.cancelWithdrawn()),
     );
-    const configurationLog = partLogger(logger, LogPrefix.Configuration);
-    const store = new ConfigurationStore(platform.keyValue);
-    this.lifecycle.start(new ConfigurationTask(store, this.view, random, configurationLog));
     const endpointLog = partLogger(logger, LogPrefix.Endpoint);
     this.lifecycle.start(
       new FleetTask(platform.supply, this.fleet, this.view, this.links, endpointLog),
     );
+    this.lifecycle.start(
+      new EngineLoadTasks(this.policy.pool, this.lifecycle.child('engine loads'), endpointLog),
+    );
     await this.startBroker();
+    await this.startControl();
   }
 
-  async stop(): Promise<void> {
-    this.state = InstanceState.Leaving;
+  /**
+   * Shuts down gracefully: reports itself as not ready, finishes what runs, then releases all that
+   * it owns. Returns the request identifiers of calls that were cut off at the deadline.
+   */
+  async stop(): Promise<readonly string[]> {
+    const [lost] = await Promise.all([this.drain.run(), this.control?.leave()]);
     await this.lifecycle.stop();
+    return lost;
+  }
+
+  /** Cuts a graceful shutdown short. */
+  hurryStop(): void {
+    this.drain.hurry();
+  }
+
+  private async startControl(): Promise<void> {
+    const { clock, logger, platform, random, settings } = this.parts;
+    const { address, port } = this.callersAddress;
+    this.control = new InstanceControl({
+      place: settings.instance,
+      transport: new WebSocketPeerTransport(settings.peers.address, settings.peers.port),
+      store: new ConfigurationStore(platform.keyValue),
+      instances: platform.instances,
+      callersUrl: `http://${address}:${port}`,
+      view: this.view,
+      clock,
+      random,
+      lifecycle: this.lifecycle.child('control'),
+      log: (prefix) => partLogger(logger, prefix),
+    });
+    this.lifecycle.own(
+      'cost at other instances',
+      this.control.digest.subscribe((account, cost) => this.remoteUse.add([[account, cost]])),
+    );
+    await this.control.start();
   }
 
   private async startBroker(): Promise<void> {
-    const broker = new ServiceBroker({ logger: false, transporter: undefined });
-    const callers = new CallersInterface(this);
+    const broker = new ServiceBroker({
+      logger: false,
+      transporter: undefined,
+      // The broker's own signal handlers would end the process before the drain has.
+      skipProcessEventRegistration: true,
+    });
+    const callers = new CallersInterface(this, partLogger(this.parts.logger, LogPrefix.Caller));
     broker.createService(
       callers.schema((server) => {
         this.server = server;
@@ -177,17 +247,23 @@
     this.lifecycle.own('broker', () => broker.stop());
   }
 
+  private offerGauges(): void {
+    this.metrics.gauge('calls_in_flight', () => this.exchanges.size);
+    this.metrics.gauge('configuration_revision', () => this.view.revision);
+    this.metrics.gauge('endpoints', () => [...this.fleet.endpoints()].length);
+    this.metrics.gauge('process_resident_bytes', () => process.memoryUsage().rss);
+  }
+
   private cancelWithdrawn(): void {
     const { declarations } = this.view;
-    for (const exchange of this.exchanges) {
-      const { keyIdentifier, accountName } = exchange.call;
+    this.exchanges.cancelWhere(({ call: { keyIdentifier, accountName } }) => {
       const isAccepted =
         keyIdentifier === undefined ||
         accountName === undefined ||
         declarations.acceptsKey(keyIdentifier, accountName);
-      if (!isAccepted) {
-        exchange.cancel(new RelayError({ kind: FailureKind.KeyWithdrawn, keyIdentifier }));
-      }
-    }
+      return isAccepted
+        ? undefined
+        : new RelayError({ kind: FailureKind.KeyWithdrawn, keyIdentifier });
+    });
   }
 }
--- a/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
+++ b/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
@@ -1,5 +1,6 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { ModelOperation } from 'hickoryrelay-link/Call';
+import { prefixKeys } from 'hickoryrelay-link/PromptPrefix';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
@@ -8,7 +9,15 @@
 import type { Identity } from 'hickoryrelay-contract/Declarations';
 import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { JsonValue, ModelCall } from 'hickoryrelay-link/Call';
-import { decodeJsonObject, readBody, readKeyText, readTarget } from './RequestReader.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import {
+  assertNoKey,
+  decodeJsonObject,
+  readBody,
+  readContentType,
+  readKeyText,
+  readTarget,
+} from './RequestReader.js';
 import { FrontEnd } from './FrontEnd.js';
 import { assertMayUse, identifyCaller } from './CallerIdentity.js';
 import type { ConfigurationView } from './ConfigurationView.js';
@@ -74,8 +83,11 @@
 
   private readonly limits: Settings['limits'];
 
-  constructor(view: ConfigurationView, limits: Settings['limits']) {
+  private readonly clock: Clock;
+
+  constructor(view: ConfigurationView, limits: Settings['limits'], clock: Clock) {
     super();
+    this.clock = clock;
     this.view = view;
     this.limits = limits;
   }
@@ -86,10 +98,13 @@
     const identity = identifyCaller(this.view, readKeyText(request));
     const body = await readBody(
       request,
-      this.limits.bodyBytes,
-      this.limits.requestSeconds * MILLISECONDS_PER_SECOND,
+      {
+        bodyBytes: this.limits.bodyBytes,
+        bodyMilliseconds: this.limits.requestSeconds * MILLISECONDS_PER_SECOND,
+      },
+      this.clock,
     );
-    const decoded = decodeJsonObject(request.headers['content-type'], body);
+    const decoded = decodeJsonObject(readContentType(request), body);
     return this.toCall(arrived, identity, path, decoded);
   }
 
@@ -127,6 +142,7 @@
       isStreaming: readOptional(body, 'stream', 'boolean') ?? false,
       includesUsage: streamOptions?.include_usage === true,
       promptTokens: OpenAiFrontEnd.estimatePromptTokens(parameters),
+      prefixKeys: prefixKeys(identity.account.name, OpenAiFrontEnd.promptText(parameters)),
     };
   }
 
@@ -168,12 +184,17 @@
         parameters[name] = value as JsonValue;
       }
     }
+    assertNoKey('body', JSON.stringify(parameters));
     return parameters;
   }
 
-  private static estimatePromptTokens(parameters: Record<string, JsonValue>): number {
+  private static promptText(parameters: Record<string, JsonValue>): string {
     const prompt = parameters.messages ?? parameters.prompt ?? '';
-    const text = typeof prompt === 'string' ? prompt : JSON.stringify(prompt);
+    return typeof prompt === 'string' ? prompt : JSON.stringify(prompt);
+  }
+
+  private static estimatePromptTokens(parameters: Record<string, JsonValue>): number {
+    const text = OpenAiFrontEnd.promptText(parameters);
     return Math.max(1, Math.ceil(Buffer.byteLength(text) / BYTES_PER_TOKEN));
   }
 }
--- a/packages/hickoryrelay-instance/src/RemoteUse.ts
+++ b/packages/hickoryrelay-instance/src/RemoteUse.ts
@@ -7,6 +7,9 @@
  */
 export abstract class RemoteUse {
   abstract take(): readonly AccountUse[];
+
+  /** Lets other instances know of cost used here; negative if an estimate was too high. */
+  abstract publish(account: string, cost: number): void;
 }
 
 /** No other instance is known. */
@@ -14,12 +17,25 @@
   override take(): readonly AccountUse[] {
     return [];
   }
+
+  override publish(): void {}
 }
 
 /** Collects figures that others push, such as the rows of a digest, until they are taken. */
 export class CollectedRemoteUse extends RemoteUse {
   private readonly costsByAccount = new Map<string, number>();
 
+  private readonly publisher: (account: string, cost: number) => void;
+
+  constructor(publisher: (account: string, cost: number) => void) {
+    super();
+    this.publisher = publisher;
+  }
+
+  override publish(account: string, cost: number): void {
+    this.publisher(account, cost);
+  }
+
   add(uses: readonly AccountUse[]): void {
     for (const [account, cost] of uses) {
       this.costsByAccount.set(account, (this.costsByAccount.get(account) ?? 0) + cost);
--- a/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
@@ -24,7 +24,7 @@
 class QueueDriver {
   readonly clock = new ManualClock();
 
-  readonly remoteUse = new CollectedRemoteUse();
+  readonly remoteUse = new CollectedRemoteUse(() => {});
 
   readonly queue: AdmissionQueue;
 
--- a/packages/hickoryrelay-zone/src/Fleet.ts
+++ b/packages/hickoryrelay-zone/src/Fleet.ts
@@ -15,6 +15,8 @@
 
   private currentVersion = 0;
 
+  private hasList = false;
+
   /** Grows with each change of the endpoints or their states. */
   get version(): number {
     return this.currentVersion;
@@ -25,6 +27,11 @@
     return this.tally.count;
   }
 
+  /** True once the platform's list has been read. */
+  get isKnown(): boolean {
+    return this.hasList;
+  }
+
   get zones(): IterableIterator<AvailabilityZone> {
     return this.zonesByName.values();
   }
@@ -49,6 +56,7 @@
     supplied: readonly SuppliedEndpoint[],
     kinds: ReadonlyMap<string, EndpointKind>,
   ): Endpoint[] {
+    this.hasList = true;
     const listed = new Set(supplied.map((each) => each.identifier));
     for (const each of supplied) {
       this.updateEndpoint(each, kinds.get(each.kind));
