--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -163,7 +163,7 @@
     return now + wait - entry.latestStartMilliseconds;
   }
 
-  /** A call starts when the virtual time reaches its account's clock, or when all others are done. */
+  /** An account waits for its own calls at its share of the rate, or for all calls at the whole rate. */
   private expectedWait(entry: WaitingCall, freedCost: number): number {
     const lane = this.lanes.get(entry.lane);
     const rate = this.drainRates.get(entry.lane)?.costPerMillisecond;
@@ -172,8 +172,7 @@
     }
     const line = lane.line(entry.account);
     const accounts = lane.accountCount + (line === undefined ? 1 : 0);
-    const queued = Math.max(0, (line?.queuedCost ?? 0) - freedCost);
-    const own = Math.max(0, this.share.leadOf(entry.account) + queued) * accounts;
+    const own = Math.max(0, (line?.queuedCost ?? 0) - freedCost) * accounts;
     return Math.min(own, Math.max(0, lane.queuedCost - freedCost)) / rate;
   }
 
--- a/packages/hickoryrelay-instance/src/FairShare.ts
+++ b/packages/hickoryrelay-instance/src/FairShare.ts
@@ -38,11 +38,6 @@
     return this.clocks.get(account) ?? this.virtual;
   }
 
-  /** How far the account's clock is ahead of the virtual time; negative if it has credit. */
-  leadOf(account: string): number {
-    return this.clockOf(account) - this.virtual;
-  }
-
   /** Called when an account begins to wait. Credit from an idle time is limited to one burst. */
   activate(account: string): void {
     const floor = this.virtual - this.bounds.burst;
