--- a/packages/hickoryrelay-zone/src/EndpointCall.ts
+++ b/packages/hickoryrelay-zone/src/EndpointCall.ts
@@ -7,7 +7,7 @@
 import type { Call } from 'hickoryrelay-link/Call';
 
 /** Part of a lateness target that an endpoint may use; the rest is for waiting before admission. */
-const ENDPOINT_PART = 0.3;
+const ENDPOINT_PART = 0.5;
 
 /** Fewer tokens say too little about the time between tokens. */
 const LEAST_TOKENS = 4;
