--- a/packages/hickoryrelay-standin/src/EngineServiceModel.ts
+++ b/packages/hickoryrelay-standin/src/EngineServiceModel.ts
@@ -114,12 +114,14 @@
     const prefilling = this.running.reduce((sum, { prefillTokens }) => sum + prefillTokens, 0);
     const queued = this.waiting.reduce((sum, call) => sum + this.uncachedTokens(call), 0);
     const streams = Math.max(1, this.running.length);
+    const decoding = this.running.filter(({ prefillTokens }) => prefillTokens <= 0).length;
     return {
       running: this.running.length,
       waiting: this.waiting.length,
       slots,
       waitingPrefillTokens: prefilling + queued,
-      prefillRate,
+      // What an engine measures: prompts get their share of it while streams decode.
+      prefillRate: prefillRate * this.prefillShare(1, decoding),
       decodeRate:
         (streams * MILLISECONDS_PER_SECOND) / (stepMilliseconds + streams * streamMilliseconds),
       callMilliseconds: this.callMilliseconds,
