--- /dev/null
+++ b/packages/hickoryrelay-bench/src/policyCost.ts
@@ -0,0 +1,109 @@
+#!/usr/bin/env node
+import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
+import { NoRemoteUse } from 'hickoryrelay-instance/RemoteUse';
+import { TrafficPolicy } from 'hickoryrelay-instance/TrafficPolicy';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { Fleet } from 'hickoryrelay-zone/Fleet';
+
+import type { AdmissionTicket } from 'hickoryrelay-instance/AdmissionPolicy';
+import { CLASSES, MODEL, Workload } from './Workload.js';
+
+const SEED = 1;
+const ROUNDS = 5000;
+const DEMAND = 1e9;
+
+const KIND = {
+  name: 'engine',
+  serves: WorkKind.Model,
+  models: [MODEL],
+  routes: [],
+  checksFencing: true,
+  reclaimable: false,
+  costPerHour: 1,
+};
+
+/** CPU time of one admission and one selection, in microseconds, with a call of each account waiting. */
+async function measure(engines: number, accounts: number): Promise<object> {
+  const fleet = new Fleet();
+  const clock = new ManualClock();
+  const random = new SeededRandomSource(SEED);
+  const policy = new TrafficPolicy({
+    instanceName: 'entry-1',
+    zone: 'zone-a',
+    fleet,
+    clock,
+    random,
+    remoteUse: new NoRemoteUse(),
+    classOf: (className) => CLASSES.get(className),
+    queueLimit: 100_000,
+  });
+  const supplied = Array.from({ length: engines }, (empty, index) => ({
+    identifier: `engine-${index}`,
+    kind: KIND.name,
+    zone: 'zone-a',
+    url: 'http://127.0.0.1:1',
+    state: SupplyState.Live,
+  }));
+  fleet.update(supplied, new Map([[KIND.name, KIND]]));
+  const workload = new Workload(random);
+  const tickets: AdmissionTicket[] = [];
+  const admit = (account: string) => {
+    const [planned] = workload.arrivals(account, DEMAND, 0.4, 0, 1);
+    if (planned !== undefined) {
+      policy.admission.admit(planned.call, new AbortController().signal).then(
+        (ticket) => tickets.push(ticket),
+        () => {},
+      );
+    }
+    return planned?.call;
+  };
+  for (let index = 0; policy.admission.size < accounts; index += 1) {
+    admit(`account-${index % accounts}`);
+    await Promise.resolve();
+  }
+  let call = admit('account-0');
+  const before = process.cpuUsage();
+  for (let round = 0; round < ROUNDS; round += 1) {
+    tickets.shift()?.release();
+    call = admit(`account-${round % accounts}`);
+    await Promise.resolve();
+  }
+  const admission = process.cpuUsage(before);
+  const start = process.cpuUsage();
+  for (let round = 0; round < ROUNDS && call !== undefined; round += 1) {
+    policy.selection.candidates(call, fleet).next();
+  }
+  const selection = process.cpuUsage(start);
+  const version = process.cpuUsage();
+  for (let round = 0; round < 100; round += 1) {
+    fleet.update(supplied.slice(round % 2), new Map([[KIND.name, KIND]]));
+    void policy.pool.members;
+  }
+  const change = process.cpuUsage(version);
+  const micros = (usage: NodeJS.CpuUsage, count: number) =>
+    Number(((usage.user + usage.system) / count).toFixed(1));
+  return {
+    engines,
+    accounts,
+    waiting: policy.admission.size,
+    'admission µs': micros(admission, ROUNDS),
+    'selection µs': micros(selection, ROUNDS),
+    'change of the list µs': micros(change, 100),
+  };
+}
+
+const rows: object[] = [];
+for (const [engines, accounts] of [
+  [164, 1100],
+  [328, 1100],
+  [655, 275],
+  [655, 550],
+  [655, 1100],
+] as const) {
+  rows.push(await measure(engines, accounts));
+}
+// The table is the program's output.
+// eslint-disable-next-line no-console
+console.table(rows);
