--- a/packages/hickoryrelay-bench/src/PolicyModel.ts
+++ b/packages/hickoryrelay-bench/src/PolicyModel.ts
@@ -391,10 +391,7 @@
   }
 
   private static learn(attempt: EndpointCall, tokens: number): void {
-    if (tokens === 1) {
-      attempt.firstPiece();
-    } else if (tokens % 16 === 0) {
-      attempt.progress(tokens);
-    }
+    attempt.firstPiece();
+    attempt.progress(tokens);
   }
 }
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -7,7 +7,9 @@
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
+import { DisabledCallMeter } from 'hickoryrelay-usage/CallMeter';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
+import { NoObservation } from 'hickoryrelay-zone/PolicyPlanner';
 
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -20,7 +22,13 @@
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import type { Logger as ProcessLogger } from 'winston';
+import { AnswerMemory } from './AnswerMemory.js';
+import { ExchangeCounters } from './ExchangeCounters.js';
+import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
+import { ZoneDuties } from './ZoneDuties.js';
 import { FleetTask } from './FleetTask.js';
+import { RetryBudget } from './RetryBudget.js';
+import { UnavailableClaimRegister } from './UnavailableClaimRegister.js';
 import { Exchange } from './Exchange.js';
 import { ExchangeTable } from './ExchangeTable.js';
 import { Drain, DrainPhase } from './Drain.js';
@@ -124,6 +132,13 @@
       fleet: this.fleet,
       links: this.links,
       clock: parts.clock,
+      random: parts.random,
+      meter: new DisabledCallMeter(),
+      claims: new UnavailableClaimRegister(),
+      retryBudget: new RetryBudget(),
+      memory: new AnswerMemory(),
+      counters: new ExchangeCounters(),
+      limits: DEFAULT_EXCHANGE_LIMITS,
     };
   }
 
@@ -228,6 +243,22 @@
       this.control.digest.subscribe((account, cost) => this.remoteUse.add([[account, cost]])),
     );
     await this.control.start();
+    this.startAuthority();
+  }
+
+  private startAuthority(): void {
+    const { clock, logger, platform, random, settings } = this.parts;
+    new ZoneDuties({
+      place: settings.instance,
+      store: platform.keyValue,
+      supply: platform.supply,
+      fleet: this.fleet,
+      observer: new NoObservation(),
+      clock,
+      random,
+      lifecycle: this.lifecycle.child('authority'),
+      log: (prefix) => partLogger(logger, prefix),
+    }).start();
   }
 
   private async startBroker(): Promise<void> {
--- a/packages/hickoryrelay-zone/src/EndpointCall.ts
+++ b/packages/hickoryrelay-zone/src/EndpointCall.ts
@@ -9,8 +9,8 @@
 /** Part of a lateness target that an endpoint may use; the rest is for waiting before admission. */
 const ENDPOINT_PART = 0.5;
 
-/** Fewer tokens say too little about the time between tokens. */
-const LEAST_TOKENS = 4;
+/** The time between tokens is learned over this many; fewer say too little. */
+const TOKENS_TO_LEARN = 16;
 
 /** One attempt to run a call at an endpoint: it updates what this instance knows of the endpoint. */
 export class EndpointCall {
@@ -20,6 +20,8 @@
 
   private readonly isModelCall: boolean;
 
+  private readonly isStreaming: boolean;
+
   private readonly clock: Clock;
 
   private readonly endings: (() => void)[];
@@ -30,10 +32,13 @@
 
   private firstMilliseconds: number | undefined;
 
+  private mark: { readonly tokens: number; readonly atMilliseconds: number } | undefined;
+
   constructor(endpoint: Endpoint, call: Call, targets: ClassTargets['lateness'], clock: Clock) {
     this.endpoint = endpoint;
     this.targets = targets;
     this.isModelCall = call.kind === WorkKind.Model;
+    this.isStreaming = call.kind === WorkKind.Model && call.isStreaming;
     this.clock = clock;
     this.sentMilliseconds = clock.monotonicMilliseconds();
     this.recordOutcome = endpoint.breaker.begin(this.sentMilliseconds);
@@ -52,7 +57,7 @@
     if (this.firstMilliseconds === undefined) {
       this.firstMilliseconds = this.clock.monotonicMilliseconds();
       const target = this.targets.firstTokenMilliseconds;
-      if (this.isModelCall && target !== undefined) {
+      if (this.isStreaming && target !== undefined) {
         this.learn((this.firstMilliseconds - this.sentMilliseconds) / (target * ENDPOINT_PART));
       }
     }
@@ -61,10 +66,15 @@
   /** Records the number of tokens that have arrived so far. */
   progress(tokens: number): void {
     const target = this.targets.betweenTokensMilliseconds;
-    if (this.firstMilliseconds !== undefined && target !== undefined && tokens >= LEAST_TOKENS) {
-      const elapsed = this.clock.monotonicMilliseconds() - this.firstMilliseconds;
-      this.learn(elapsed / (tokens - 1) / target);
+    const now = this.clock.monotonicMilliseconds();
+    const gained = tokens - (this.mark?.tokens ?? tokens);
+    if (this.mark !== undefined && gained < TOKENS_TO_LEARN) {
+      return;
+    }
+    if (this.mark !== undefined && target !== undefined) {
+      this.learn((now - this.mark.atMilliseconds) / gained / target);
     }
+    this.mark = { tokens, atMilliseconds: now };
   }
 
   /** Ends the attempt. A call that was cancelled (undefined) says nothing about the endpoint. */
