--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -250,7 +250,6 @@
 
   /** Admits waiting calls while there is room, and refuses those that have become too late. */
   private admitWaiting(): void {
-    this.refuseLate();
     for (;;) {
       const next = this.next();
       if (next === undefined) {
@@ -269,13 +268,11 @@
   }
 
   private next(): WaitingCall | undefined {
+    this.refuseLate();
     const open = [...this.lanes.values()].filter((lane) => {
       const [line] = lane.lines;
       return line?.first !== undefined && this.hasRoom(line.first);
     });
-    if (open.length === 0) {
-      return undefined;
-    }
     this.share.advance(open.flatMap((lane) => [...lane.accounts]));
     let best: WaitingCall | undefined;
     for (const lane of open) {
