--- a/packages/hickoryrelay-instance/src/Attempt.ts
+++ b/packages/hickoryrelay-instance/src/Attempt.ts
@@ -1,11 +1,12 @@
 import { FailureKind } from 'hickoryrelay/Failure';
-import { RelayError } from 'hickoryrelay/RelayError';
+import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 
 import type { Clock } from 'hickoryrelay/Clock';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
 import type { AnswerStream } from 'hickoryrelay-link/AnswerStream';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { EndpointLink, ResumePoint } from 'hickoryrelay-link/EndpointLink';
+import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
 import type { ExchangeCounters } from './ExchangeCounters.js';
 import { ProgressDeadline } from './ProgressDeadline.js';
 import type { SilenceLimits } from './ProgressDeadline.js';
@@ -14,6 +15,7 @@
 export interface AttemptParts {
   readonly call: Call;
   readonly endpoint: Endpoint;
+  readonly begin: (endpoint: Endpoint, call: Call) => EndpointCall;
   readonly link: EndpointLink;
   readonly clock: Clock;
   readonly silence: SilenceLimits;
@@ -35,13 +37,15 @@
 
   private readonly deadline: ProgressDeadline;
 
-  private readonly endCall: () => void;
+  private readonly endpointCall: EndpointCall;
+
+  private hasFailed = false;
 
   constructor(parts: AttemptParts, resume: ResumePoint | undefined) {
     const { call, endpoint, link, clock, silence, signal } = parts;
     this.parts = parts;
     this.endpoint = endpoint;
-    this.endCall = endpoint.beginCall();
+    this.endpointCall = parts.begin(endpoint, call);
     signal.addEventListener('abort', this.onCancel);
     if (signal.aborted) {
       this.onCancel();
@@ -57,6 +61,7 @@
 
   /** Records that the endpoint has brought something, and that the caller is waited for. */
   pauseDeadline(): void {
+    this.endpointCall.firstPiece();
     this.deadline.pause();
   }
 
@@ -65,6 +70,18 @@
     this.deadline.resume();
   }
 
+  /** Records the tokens that the caller has got so far, to learn the time between them. */
+  recordTokens(tokens: number): void {
+    this.endpointCall.progress(tokens);
+  }
+
+  /** Records what broke the attempt, before it is ended. Only the endpoint's faults count. */
+  fail(error: unknown): void {
+    const { kind } = failureOf(error);
+    this.hasFailed ||=
+      kind === FailureKind.EndpointFailed || kind === FailureKind.ProtocolViolation;
+  }
+
   /** Ends the attempt. The call is cancelled at the endpoint unless its answer has ended. */
   async end(): Promise<void> {
     this.release();
@@ -88,7 +105,8 @@
 
   private release(): void {
     this.deadline.stop();
-    this.endCall();
+    // A call that was cancelled says nothing about the endpoint.
+    this.endpointCall.end(this.parts.signal.aborted ? undefined : !this.hasFailed);
     this.parts.signal.removeEventListener('abort', this.onCancel);
   }
 
--- a/packages/hickoryrelay-instance/src/CallAttempts.ts
+++ b/packages/hickoryrelay-instance/src/CallAttempts.ts
@@ -69,6 +69,7 @@
         this.hasRunSomewhere = true;
         return attempt;
       } catch (error) {
+        attempt.fail(error);
         await attempt.end();
         this.recordFailure(endpoint, error);
       }
@@ -103,11 +104,12 @@
   }
 
   private attempt(endpoint: Endpoint, resume: ResumePoint | undefined): Attempt {
-    const { clock, counters, limits, links } = this.parts;
+    const { begin, clock, counters, limits, links } = this.parts;
     return new Attempt(
       {
         call: this.call,
         endpoint,
+        begin,
         link: links.linkTo(endpoint),
         clock,
         silence: this.silenceLimits(),
--- a/packages/hickoryrelay-instance/src/CallMetering.ts
+++ b/packages/hickoryrelay-instance/src/CallMetering.ts
@@ -1,5 +1,6 @@
 import type { Call } from 'hickoryrelay-link/Call';
 import type { CallFigures, CallMeter, MeteredCall } from 'hickoryrelay-usage/CallMeter';
+import type { AdmissionTicket } from './AdmissionPolicy.js';
 
 /** Meters one call over all its attempts: opened before the first is sent, closed once. */
 export class CallMetering {
@@ -9,6 +10,8 @@
 
   private metered: MeteredCall | undefined;
 
+  private ticket: AdmissionTicket | undefined;
+
   private isClosed = false;
 
   constructor(meter: CallMeter, call: Call) {
@@ -16,6 +19,11 @@
     this.call = call;
   }
 
+  /** Lets admission know of the first token and of the length of the answer. */
+  follow(ticket: AdmissionTicket): void {
+    this.ticket = ticket;
+  }
+
   /** Records that the call is about to be sent to the endpoint. */
   sendTo(endpoint: string): void {
     if (this.metered === undefined) {
@@ -26,6 +34,7 @@
   }
 
   progress(completionTokens: number): void {
+    this.ticket?.firstPiece();
     this.metered?.progress(completionTokens);
   }
 
@@ -33,6 +42,9 @@
   async close(figures: CallFigures): Promise<void> {
     if (!this.isClosed) {
       this.isClosed = true;
+      if (figures.completionTokens > 0) {
+        this.ticket?.settle(figures.completionTokens);
+      }
       await this.metered?.close(figures);
     }
   }
--- a/packages/hickoryrelay-instance/src/Exchange.ts
+++ b/packages/hickoryrelay-instance/src/Exchange.ts
@@ -8,6 +8,8 @@
 import type { CallMeter } from 'hickoryrelay-usage/CallMeter';
 import type { ClaimRegister } from 'hickoryrelay-usage/ClaimRegister';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
+import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
+import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
 import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 import type { AdmissionPolicy } from './AdmissionPolicy.js';
 import type { AnswerMemory } from './AnswerMemory.js';
@@ -30,6 +32,8 @@
   readonly fleet: Fleet;
   readonly links: EndpointLinks;
   readonly clock: Clock;
+  /** Begins an attempt at an endpoint, so that its load, health and limit are learned. */
+  readonly begin: (endpoint: Endpoint, call: Call) => EndpointCall;
   readonly random: RandomSource;
   readonly meter: CallMeter;
   readonly claims: ClaimRegister;
@@ -49,6 +53,8 @@
 
   private readonly attempts: CallAttempts;
 
+  private readonly metering: CallMetering;
+
   private readonly answerRelay: AnswerRelay;
 
   private readonly onEnd: () => void;
@@ -60,6 +66,7 @@
     this.parts = parts;
     this.onEnd = onEnd;
     const metering = new CallMetering(parts.meter, call);
+    this.metering = metering;
     this.attempts = new CallAttempts(call, parts, metering, this.abort.signal);
     if (call.kind === WorkKind.Service) {
       this.answerRelay = new ServiceRelay(call, parts, this.attempts, metering);
@@ -82,6 +89,7 @@
     try {
       const ticket = await this.parts.admission.admit(this.call, this.abort.signal);
       try {
+        this.metering.follow(ticket);
         this.parts.retryBudget.addCall();
         await this.answerRelay.relay(writer);
       } finally {
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -11,7 +11,6 @@
 import { KeyValueClaimRegister } from 'hickoryrelay-usage/KeyValueClaimRegister';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { NoObservation } from 'hickoryrelay-zone/PolicyPlanner';
-import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -38,7 +37,9 @@
 import { CallersInterface } from './CallersInterface.js';
 import { CallMetrics } from './CallMetrics.js';
 import { InstanceControl } from './InstanceControl.js';
-import { ConcurrencyLimitAdmission } from './AdmissionPolicy.js';
+import { CollectedRemoteUse } from './RemoteUse.js';
+import { TrafficPolicy } from './TrafficPolicy.js';
+import { EngineLoadTasks } from './EngineLoadTasks.js';
 import type { ExchangeParts } from './Exchange.js';
 
 /** The services of the platform that an instance uses. */
@@ -92,6 +93,12 @@
 
   private readonly exchanges = new ExchangeTable();
 
+  private readonly remoteUse = new CollectedRemoteUse((account, cost) => {
+    this.control?.digest.charge(account, cost);
+  });
+
+  private readonly policy: TrafficPolicy;
+
   private readonly drain: Drain;
 
   private server: Server | undefined;
@@ -108,9 +115,20 @@
     this.lifecycle = new LifecycleManager('instance', parts.clock, (owner, failure) => {
       log.error('A part failed.', { owner, reason: describeFailure(failure) });
     });
+    this.policy = new TrafficPolicy({
+      instanceName: parts.settings.instance.name,
+      zone: parts.settings.instance.zone,
+      fleet: this.fleet,
+      clock: parts.clock,
+      random: parts.random,
+      remoteUse: this.remoteUse,
+      classOf: (className) => this.view.declarations.classes.get(className),
+      queueLimit: parts.settings.limits.callsInFlight,
+    });
     this.exchangeParts = {
-      admission: new ConcurrencyLimitAdmission(parts.settings.limits.callsInFlight),
-      selection: new LeastOutstandingSelection(parts.settings.instance.zone),
+      admission: this.policy.admission,
+      selection: this.policy.selection,
+      begin: (endpoint, call) => this.policy.begin(endpoint, call),
       fleet: this.fleet,
       links: this.links,
       clock: parts.clock,
@@ -187,6 +205,9 @@
     this.lifecycle.start(
       new FleetTask(platform.supply, this.fleet, this.view, this.links, endpointLog),
     );
+    this.lifecycle.start(
+      new EngineLoadTasks(this.policy.pool, this.lifecycle.child('engine loads'), endpointLog),
+    );
     await this.startBroker();
     await this.startControl();
   }
@@ -221,6 +242,10 @@
       lifecycle: this.lifecycle.child('control'),
       log: (prefix) => partLogger(logger, prefix),
     });
+    this.lifecycle.own(
+      'cost at other instances',
+      this.control.digest.subscribe((account, cost) => this.remoteUse.add([[account, cost]])),
+    );
     await this.control.start();
     this.startAuthority();
   }
--- a/packages/hickoryrelay-instance/src/ModelStreamRelay.ts
+++ b/packages/hickoryrelay-instance/src/ModelStreamRelay.ts
@@ -72,6 +72,7 @@
       }
       await this.relayPieces(attempt, writer);
     } catch (error) {
+      attempt.fail(error);
       await attempt.end();
       this.attempts.recordFailure(attempt.endpoint, error);
     }
@@ -88,6 +89,7 @@
         this.attempts.recordProgress();
         await this.pass(bytes, writer);
       }
+      attempt.recordTokens(this.stream.deliveredTokens);
       if (error !== undefined) {
         throw error;
       }
--- a/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
+++ b/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
@@ -1,5 +1,6 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { ModelOperation } from 'hickoryrelay-link/Call';
+import { prefixKeys } from 'hickoryrelay-link/PromptPrefix';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
@@ -141,6 +142,7 @@
       isStreaming: readOptional(body, 'stream', 'boolean') ?? false,
       includesUsage: streamOptions?.include_usage === true,
       promptTokens: OpenAiFrontEnd.estimatePromptTokens(parameters),
+      prefixKeys: prefixKeys(identity.account.name, OpenAiFrontEnd.promptText(parameters)),
     };
   }
 
@@ -186,9 +188,13 @@
     return parameters;
   }
 
-  private static estimatePromptTokens(parameters: Record<string, JsonValue>): number {
+  private static promptText(parameters: Record<string, JsonValue>): string {
     const prompt = parameters.messages ?? parameters.prompt ?? '';
-    const text = typeof prompt === 'string' ? prompt : JSON.stringify(prompt);
+    return typeof prompt === 'string' ? prompt : JSON.stringify(prompt);
+  }
+
+  private static estimatePromptTokens(parameters: Record<string, JsonValue>): number {
+    const text = OpenAiFrontEnd.promptText(parameters);
     return Math.max(1, Math.ceil(Buffer.byteLength(text) / BYTES_PER_TOKEN));
   }
 }
--- a/packages/hickoryrelay-instance/src/ServiceRelay.ts
+++ b/packages/hickoryrelay-instance/src/ServiceRelay.ts
@@ -134,6 +134,7 @@
       if (writer.hasBegun) {
         throw error;
       }
+      attempt.fail(error);
       this.attempts.recordFailure(attempt.endpoint, error);
       return false;
     } finally {
--- a/packages/hickoryrelay-instance/src/WholeModelRelay.ts
+++ b/packages/hickoryrelay-instance/src/WholeModelRelay.ts
@@ -77,6 +77,7 @@
       }
       return this.check(attempt, held.take());
     } catch (error) {
+      attempt.fail(error);
       this.attempts.recordFailure(attempt.endpoint, error);
       return undefined;
     } finally {
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
@@ -16,6 +16,7 @@
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
 import { FailureKind } from 'hickoryrelay/Failure';
+import { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
@@ -178,6 +179,7 @@
       fleet: this.fleet,
       links: this.links,
       clock: this.clock,
+      begin: (endpoint, call) => new EndpointCall(endpoint, call, {}, this.clock),
       random: new SeededRandomSource(1),
       meter: this.meter,
       claims: this.claims,
