Do not count an answer as silent that is already closed

The engine stand-in counted a silent answer whose connection was closed before and never counted it down. The fuzz test then passed silence on its clock in every turn and cut healthy attempts until the call failed.

--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -304,6 +304,9 @@
   }
 
   private noteSilent(response: ServerResponse): void {
+    if (response.destroyed) {
+      return;
+    }
     this.silentAnswers += 1;
     response.once('close', () => {
       this.silentAnswers -= 1;
