Meter calls in the running instance, and seal and report usage by the zone's authority

Cause: the instance still used a meter that counts nothing, so no report was ever made. Before: no usage report from a federation. After: an end-to-end test with three instances, nine calls and a wall clock at 20 times its speed gets every call and token counted once.

--- /dev/null
+++ b/packages/hickoryrelay-instance/src/HttpEngineUsageSource.ts
@@ -0,0 +1,70 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+import { EngineUsageSource } from 'hickoryrelay-usage/EngineUsageSource';
+import { request } from 'undici';
+import { z } from 'zod';
+
+import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
+import type { EngineCount } from 'hickoryrelay-usage/EngineUsageSource';
+
+const TIMEOUT_MILLISECONDS = 2000;
+const OK = 200;
+const NOT_FOUND = 404;
+
+const countSchema = z.object({
+  prompt_tokens: z.number().int().nonnegative(),
+  completion_tokens: z.number().int().nonnegative(),
+  finished: z.boolean(),
+});
+
+/** Reads an engine's count of a request by `GET /requests/<id>`. */
+export class HttpEngineUsageSource extends EngineUsageSource {
+  private readonly find: (identifier: string) => Endpoint | undefined;
+
+  /** The function finds an endpoint by its identifier. */
+  constructor(find: (identifier: string) => Endpoint | undefined) {
+    super();
+    this.find = find;
+  }
+
+  override async count(
+    endpoint: string,
+    requestIdentifier: string,
+  ): Promise<EngineCount | undefined> {
+    const place = this.find(endpoint)?.place;
+    if (place === undefined) {
+      throw HttpEngineUsageSource.failed(endpoint, 'the endpoint is not in the fleet');
+    }
+    try {
+      const path = `/requests/${encodeURIComponent(requestIdentifier)}`;
+      const response = await request(`${place.url}${path}`, {
+        signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
+      });
+      const body: unknown = await response.body.json();
+      if (response.statusCode === NOT_FOUND) {
+        return undefined;
+      }
+      if (response.statusCode !== OK) {
+        throw HttpEngineUsageSource.failed(endpoint, `status ${response.statusCode}`);
+      }
+      const count = countSchema.parse(body);
+      return {
+        isFinished: count.finished,
+        promptTokens: count.prompt_tokens,
+        completionTokens: count.completion_tokens,
+      };
+    } catch (error) {
+      throw error instanceof RelayError
+        ? error
+        : HttpEngineUsageSource.failed(endpoint, 'no usable count', error);
+    }
+  }
+
+  private static failed(endpoint: string, reason: string, cause?: unknown): RelayError {
+    const detail = cause === undefined ? reason : `${reason}: ${failureOf(cause).kind}`;
+    return new RelayError(
+      { kind: FailureKind.EndpointFailed, endpoint, reason: detail, mayHaveRun: false },
+      cause,
+    );
+  }
+}
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -7,7 +7,6 @@
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
-import { DisabledCallMeter } from 'hickoryrelay-usage/CallMeter';
 import { KeyValueClaimRegister } from 'hickoryrelay-usage/KeyValueClaimRegister';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { NoObservation } from 'hickoryrelay-zone/PolicyPlanner';
@@ -26,6 +25,7 @@
 import { AnswerMemory } from './AnswerMemory.js';
 import { ExchangeCounters } from './ExchangeCounters.js';
 import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
+import { UsageDuties } from './UsageDuties.js';
 import { ZoneDuties } from './ZoneDuties.js';
 import { FleetTask } from './FleetTask.js';
 import { RetryBudget } from './RetryBudget.js';
@@ -94,7 +94,7 @@
   private readonly exchanges = new ExchangeTable();
 
   private readonly remoteUse = new CollectedRemoteUse((account, cost) => {
-    this.control?.digest.charge(account, cost);
+    this.control.digest.charge(account, cost);
   });
 
   private readonly policy: TrafficPolicy;
@@ -103,7 +103,11 @@
 
   private server: Server | undefined;
 
-  private control: InstanceControl | undefined;
+  private readonly control: InstanceControl;
+
+  private readonly zoneDuties: ZoneDuties;
+
+  private readonly usageDuties: UsageDuties;
 
   constructor(parts: InstanceParts) {
     this.parts = parts;
@@ -115,6 +119,9 @@
     this.lifecycle = new LifecycleManager('instance', parts.clock, (owner, failure) => {
       log.error('A part failed.', { owner, reason: describeFailure(failure) });
     });
+    this.control = this.createControl();
+    this.zoneDuties = this.createZoneDuties();
+    this.usageDuties = this.createUsageDuties();
     this.policy = new TrafficPolicy({
       instanceName: parts.settings.instance.name,
       zone: parts.settings.instance.zone,
@@ -133,7 +140,7 @@
       links: this.links,
       clock: parts.clock,
       random: parts.random,
-      meter: new DisabledCallMeter(),
+      meter: this.usageDuties.usage.meter,
       claims: new KeyValueClaimRegister(
         parts.platform.keyValue,
         parts.clock,
@@ -217,7 +224,8 @@
    * it owns. Returns the request identifiers of calls that were cut off at the deadline.
    */
   async stop(): Promise<readonly string[]> {
-    const [lost] = await Promise.all([this.drain.run(), this.control?.leave()]);
+    const [lost] = await Promise.all([this.drain.run(), this.control.leave()]);
+    await this.usageDuties.flush();
     await this.lifecycle.stop();
     return lost;
   }
@@ -227,32 +235,28 @@
     this.drain.hurry();
   }
 
-  private async startControl(): Promise<void> {
+  private createControl(): InstanceControl {
     const { clock, logger, platform, random, settings } = this.parts;
-    const { address, port } = this.callersAddress;
-    this.control = new InstanceControl({
+    return new InstanceControl({
       place: settings.instance,
       transport: new WebSocketPeerTransport(settings.peers.address, settings.peers.port),
       store: new ConfigurationStore(platform.keyValue),
       instances: platform.instances,
-      callersUrl: `http://${address}:${port}`,
+      callersUrl: () => {
+        const { address, port } = this.callersAddress;
+        return `http://${address}:${port}`;
+      },
       view: this.view,
       clock,
       random,
       lifecycle: this.lifecycle.child('control'),
       log: (prefix) => partLogger(logger, prefix),
     });
-    this.lifecycle.own(
-      'cost at other instances',
-      this.control.digest.subscribe((account, cost) => this.remoteUse.add([[account, cost]])),
-    );
-    await this.control.start();
-    this.startAuthority();
   }
 
-  private startAuthority(): void {
+  private createZoneDuties(): ZoneDuties {
     const { clock, logger, platform, random, settings } = this.parts;
-    new ZoneDuties({
+    return new ZoneDuties({
       place: settings.instance,
       store: platform.keyValue,
       supply: platform.supply,
@@ -262,7 +266,34 @@
       random,
       lifecycle: this.lifecycle.child('authority'),
       log: (prefix) => partLogger(logger, prefix),
-    }).start();
+    });
+  }
+
+  private createUsageDuties(): UsageDuties {
+    const { clock, logger, platform, random, settings } = this.parts;
+    return new UsageDuties({
+      zone: settings.instance.zone,
+      network: this.control.network,
+      digest: this.control.digest,
+      authority: this.zoneDuties.authority,
+      store: platform.keyValue,
+      sink: platform.usage,
+      fleet: this.fleet,
+      clock,
+      random,
+      lifecycle: this.lifecycle.child('usage'),
+      log: (prefix) => partLogger(logger, prefix),
+    });
+  }
+
+  private async startControl(): Promise<void> {
+    this.lifecycle.own(
+      'cost at other instances',
+      this.control.digest.subscribe((account, cost) => this.remoteUse.add([[account, cost]])),
+    );
+    await this.control.start();
+    this.zoneDuties.start();
+    this.usageDuties.start();
   }
 
   private async startBroker(): Promise<void> {
--- a/packages/hickoryrelay-instance/src/InstanceControl.ts
+++ b/packages/hickoryrelay-instance/src/InstanceControl.ts
@@ -32,7 +32,8 @@
   readonly transport: PeerTransport;
   readonly store: ConfigurationStore;
   readonly instances: InstanceList;
-  readonly callersUrl: string;
+  /** Known once the callers' interface listens. */
+  readonly callersUrl: () => string;
   readonly view: ConfigurationView;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -116,6 +117,6 @@
   private announcement(): ListedInstance {
     const { callersUrl, place, transport } = this.parts;
     const { name, zone } = place;
-    return { name, zone, state: this.state, callersUrl, peersUrl: transport.url };
+    return { name, zone, state: this.state, callersUrl: callersUrl(), peersUrl: transport.url };
   }
 }
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/UsageDuties.ts
@@ -0,0 +1,135 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { LogPrefix } from 'hickoryrelay/Logger';
+import { RelayError } from 'hickoryrelay/RelayError';
+import { Authority } from 'hickoryrelay-usage/Authority';
+import { InstanceLiveness } from 'hickoryrelay-usage/InstanceLiveness';
+import { InstanceUsage } from 'hickoryrelay-usage/InstanceUsage';
+import { usageTasks } from 'hickoryrelay-usage/UsageTasks';
+
+import type { Clock } from 'hickoryrelay/Clock';
+import type { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
+import type { Comparison, KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
+import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
+import type { Fleet } from 'hickoryrelay-zone/Fleet';
+import type { ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
+import { Liveness } from './Membership.js';
+import { HttpEngineUsageSource } from './HttpEngineUsageSource.js';
+import type { InstanceDigest } from './InstanceDigest.js';
+
+/** Time for peers to acknowledge the last records of an instance that leaves. */
+const FLUSH_MILLISECONDS = 1000;
+
+/** The authority over the own zone, as usage sealing sees it. */
+class ZoneUsageAuthority extends Authority {
+  private readonly authority: ZoneAuthority;
+
+  private readonly zoneName: string;
+
+  constructor(authority: ZoneAuthority, zoneName: string) {
+    super();
+    this.authority = authority;
+    this.zoneName = zoneName;
+  }
+
+  override get zone(): string {
+    return this.zoneName;
+  }
+
+  override get fencingNumber(): number {
+    return this.term.fencingNumber;
+  }
+
+  override get isHeld(): boolean {
+    return this.authority.currentTerm !== undefined;
+  }
+
+  override get heldSinceMilliseconds(): number {
+    return this.term.startedMilliseconds;
+  }
+
+  override assertHeld(): void {
+    this.term.assertHeld();
+  }
+
+  override comparison(): Comparison {
+    return this.term.comparison;
+  }
+
+  private get term(): AuthorityTerm {
+    const term = this.authority.currentTerm;
+    if (term === undefined) {
+      throw new RelayError({
+        kind: FailureKind.AuthorityLost,
+        zone: this.zoneName,
+        fencingNumber: 0,
+      });
+    }
+    return term;
+  }
+}
+
+/** Which runs of instances have ended, by the heartbeats in their digest rows. */
+class DigestLiveness extends InstanceLiveness {
+  private readonly digest: InstanceDigest;
+
+  constructor(digest: InstanceDigest) {
+    super();
+    this.digest = digest;
+  }
+
+  override isDead(incarnation: string): boolean {
+    return this.digest.liveness(incarnation) === Liveness.Dead;
+  }
+}
+
+/** What the usage part of an instance works with. */
+export interface UsageDutiesParts {
+  readonly zone: string;
+  readonly network: PeerNetwork;
+  readonly digest: InstanceDigest;
+  readonly authority: ZoneAuthority;
+  readonly store: KeyValueStore;
+  readonly sink: UsageReportSink;
+  readonly fleet: Fleet;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly lifecycle: LifecycleManager;
+  readonly log: (prefix: LogPrefix) => PartLogger;
+}
+
+/** This instance's part in usage: it meters, holds records of others, seals and reports. */
+export class UsageDuties {
+  readonly usage: InstanceUsage;
+
+  private readonly parts: UsageDutiesParts;
+
+  constructor(parts: UsageDutiesParts) {
+    this.parts = parts;
+    const { zone, network, digest, authority, store, sink, fleet, clock, random, log } = parts;
+    this.usage = new InstanceUsage({
+      network,
+      store,
+      sink,
+      authority: new ZoneUsageAuthority(authority, zone),
+      liveness: new DigestLiveness(digest),
+      engines: new HttpEngineUsageSource((identifier) => fleet.find(identifier)),
+      clock,
+      random,
+      log: log(LogPrefix.Usage),
+    });
+  }
+
+  start(): void {
+    usageTasks(this.usage).forEach((task) => this.parts.lifecycle.start(task));
+  }
+
+  /** Sends the last records to the peers that hold them, when this instance leaves. */
+  async flush(): Promise<void> {
+    this.usage.meter.replicate();
+    await this.parts.clock.sleep(FLUSH_MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/UsageReports.test.ts
@@ -0,0 +1,78 @@
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+const ZONE = 'zone-a';
+const WALL_SPEED = 20;
+const CALLS = 9;
+const TOKENS = 5;
+const WAIT_MILLISECONDS = 55_000;
+
+/** A clock whose time of day runs faster, so that usage windows of 60 s pass in 3 s. */
+class FastWallClock extends SystemClock {
+  private readonly startWallMilliseconds = super.wallMilliseconds();
+
+  private readonly startMilliseconds = super.monotonicMilliseconds();
+
+  override wallMilliseconds(): number {
+    const elapsed = this.monotonicMilliseconds() - this.startMilliseconds;
+    return this.startWallMilliseconds + elapsed * WALL_SPEED;
+  }
+}
+
+describe('usage reports of a zone', () => {
+  const federation = new LocalFederation(new FastWallClock());
+  let key = '';
+
+  beforeAll(async () => {
+    await federation.start();
+    await federation.addEngine('engine-1', {
+      kind: 'engine',
+      zone: ZONE,
+      models: ['model-one'],
+      times: { prefillRate: 100_000, decodeMilliseconds: 1 },
+    });
+    const document = sampleDeclarations();
+    key = federation.issueKey(document, 'first');
+    await federation.apply(document);
+    for (const name of ['entry-1', 'entry-2', 'entry-3']) {
+      await federation.addInstance(name, ZONE);
+    }
+  });
+
+  afterAll(() => federation.stop());
+
+  async function ask(index: number): Promise<void> {
+    const instance = federation.instances[index % federation.instances.length];
+    expect(instance).toBeDefined();
+    const url = instance === undefined ? '' : federation.urlOf(instance);
+    const response = await request(`${url}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+      body: JSON.stringify({
+        model: 'model-one',
+        messages: [{ role: 'user', content: 'x' }],
+        stream: index % 2 === 0,
+        max_tokens: TOKENS,
+      }),
+    });
+    await response.body.text();
+    expect(response.statusCode).toBe(200);
+  }
+
+  const total = (field: 'calls' | 'completionTokens') =>
+    federation.platform.reports.accepted
+      .flatMap((report) => report.lines)
+      .reduce((sum, line) => sum + line[field], 0);
+
+  it('count every call of every instance once', { timeout: 120_000 }, async () => {
+    await Promise.all(Array.from({ length: CALLS }, (empty, index) => ask(index)));
+    const end = federation.clock.monotonicMilliseconds() + WAIT_MILLISECONDS;
+    while (total('calls') < CALLS && federation.clock.monotonicMilliseconds() < end) {
+      await federation.clock.sleep(100);
+    }
+    expect(total('calls')).toBe(CALLS);
+    expect(total('completionTokens')).toBe(CALLS * TOKENS);
+  });
+});
--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -6,6 +6,7 @@
 
 import type { ServerResponse } from 'node:http';
 import { EngineOrderSide } from './EngineOrderSide.js';
+import { GenerationTable } from './GenerationTable.js';
 import { JsonServer } from './JsonServer.js';
 
 import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
@@ -36,7 +37,6 @@
 const MILLISECONDS_PER_SECOND = 1000;
 const REQUESTS_PATH = '/requests/';
 const FOREIGN_REQUEST = 'another-request';
-const MOST_COUNTED_REQUESTS = 10_000;
 
 /** The text that the stand-in gives for a prompt: the same for every engine. */
 export function completionWords(prompt: string, count: number): string[] {
@@ -144,7 +144,7 @@
 
   private readonly plannedFaults: (readonly PlannedStreamFault[])[] = [];
 
-  private readonly generated = new Map<string, number>();
+  private readonly generations = new GenerationTable();
 
   private readonly times: EngineTimes;
 
@@ -165,7 +165,7 @@
 
   /** Tokens generated for a request, over all its attempts; undefined if it was never received. */
   generatedTokens(requestIdentifier: string): number | undefined {
-    return this.generated.get(requestIdentifier);
+    return this.generations.tokens(requestIdentifier);
   }
 
   protected override async answer(request: ReceivedRequest): Promise<JsonAnswer> {
@@ -173,7 +173,7 @@
       return { status: 200, body: { data: this.models.map((id) => ({ id })) } };
     }
     if (request.method === 'GET' && request.path.startsWith(REQUESTS_PATH)) {
-      return this.answerCount(request.path.slice(REQUESTS_PATH.length));
+      return this.generations.answer(request.path.slice(REQUESTS_PATH.length));
     }
     if (request.path.startsWith('/orders')) {
       return this.orders.answer(request);
@@ -216,7 +216,13 @@
     response.writeHead(200, { 'content-type': 'text/event-stream' });
     const isChat = request.path.startsWith('/v1/chat');
     const stream = new StreamedAnswer(response, body, isChat, this.numbersTokens);
-    await this.generate(stream, words, resume.delivered_tokens, faults ?? []);
+    const promptTokens = EngineStandIn.promptTokens(body);
+    const endGeneration = this.generations.begin(body.request_id ?? '', promptTokens);
+    try {
+      await this.generate(stream, words, resume.delivered_tokens, faults ?? []);
+    } finally {
+      endGeneration();
+    }
     return true;
   }
 
@@ -313,20 +319,8 @@
     });
   }
 
-  private answerCount(requestIdentifier: string): JsonAnswer {
-    const tokens = this.generated.get(requestIdentifier);
-    return tokens === undefined
-      ? { status: 404, body: { error: { message: 'unknown request' } } }
-      : { status: 200, body: { request_id: requestIdentifier, completion_tokens: tokens } };
-  }
-
   private countGenerated(body: CompletionBody, tokens: number): void {
-    const identifier = body.request_id ?? '';
-    this.generated.set(identifier, Math.max(tokens, this.generated.get(identifier) ?? 0));
-    if (this.generated.size > MOST_COUNTED_REQUESTS) {
-      const [oldest] = this.generated.keys();
-      this.generated.delete(oldest ?? '');
-    }
+    this.generations.record(body.request_id ?? '', tokens);
   }
 
   private static wholeAnswer(
--- /dev/null
+++ b/packages/hickoryrelay-standin/src/GenerationTable.ts
@@ -0,0 +1,65 @@
+import type { JsonAnswer } from './JsonServer.js';
+
+const MOST_GENERATIONS = 10_000;
+
+interface Generation {
+  promptTokens: number;
+  completionTokens: number;
+  /** Attempts that are generating now. */
+  attempts: number;
+}
+
+/** What an engine stand-in has generated for each request, over all its attempts. */
+export class GenerationTable {
+  private readonly generations = new Map<string, Generation>();
+
+  /** Counts an attempt as running. Returns the function that counts it as ended. */
+  begin(requestIdentifier: string, promptTokens: number): () => void {
+    const generation = this.find(requestIdentifier);
+    generation.promptTokens = promptTokens;
+    generation.attempts += 1;
+    return () => {
+      generation.attempts -= 1;
+    };
+  }
+
+  /** Records the tokens of the answer so far. */
+  record(requestIdentifier: string, completionTokens: number): void {
+    const generation = this.find(requestIdentifier);
+    generation.completionTokens = Math.max(completionTokens, generation.completionTokens);
+  }
+
+  tokens(requestIdentifier: string): number | undefined {
+    return this.generations.get(requestIdentifier)?.completionTokens;
+  }
+
+  /** Answers `GET /requests/<id>`. */
+  answer(requestIdentifier: string): JsonAnswer {
+    const generation = this.generations.get(requestIdentifier);
+    if (generation === undefined) {
+      return { status: 404, body: { error: { message: 'unknown request' } } };
+    }
+    return {
+      status: 200,
+      body: {
+        request_id: requestIdentifier,
+        prompt_tokens: generation.promptTokens,
+        completion_tokens: generation.completionTokens,
+        finished: generation.attempts === 0,
+      },
+    };
+  }
+
+  private find(requestIdentifier: string): Generation {
+    let generation = this.generations.get(requestIdentifier);
+    if (generation === undefined) {
+      generation = { promptTokens: 0, completionTokens: 0, attempts: 0 };
+      this.generations.set(requestIdentifier, generation);
+      if (this.generations.size > MOST_GENERATIONS) {
+        const [oldest] = this.generations.keys();
+        this.generations.delete(oldest ?? '');
+      }
+    }
+    return generation;
+  }
+}
--- a/packages/hickoryrelay-standin/src/LocalFederation.ts
+++ b/packages/hickoryrelay-standin/src/LocalFederation.ts
@@ -15,6 +15,7 @@
 import { createProcessLogger } from 'hickoryrelay/Logger';
 import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 
+import type { Clock } from 'hickoryrelay/Clock';
 import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 import { EngineStandIn } from './EngineStandIn.js';
 import { KeyValueGateway } from './KeyValueGateway.js';
@@ -30,11 +31,11 @@
 
 /** A small federation in one process, on loopback with free ports. For tests and measurements. */
 export class LocalFederation {
-  readonly clock = new SystemClock();
+  readonly clock: Clock;
 
   readonly random = new SystemRandomSource();
 
-  readonly gateway = new KeyValueGateway(new KeyValueTable(this.clock));
+  readonly gateway: KeyValueGateway;
 
   readonly platform = new PlatformStandIn();
 
@@ -44,6 +45,11 @@
 
   private readonly stores: EtcdKeyValueStore[] = [];
 
+  constructor(clock: Clock = new SystemClock()) {
+    this.clock = clock;
+    this.gateway = new KeyValueGateway(new KeyValueTable(clock));
+  }
+
   async start(): Promise<void> {
     await this.gateway.listen();
     await this.platform.listen();
--- a/packages/hickoryrelay-standin/src/SimulatedFederation.ts
+++ b/packages/hickoryrelay-standin/src/SimulatedFederation.ts
@@ -112,7 +112,7 @@
       transport: net.transport(this.url),
       store: new ConfigurationStore(new MemoryKeyValueStore(platform, name, this.clock), random),
       instances: new MemoryInstanceList(platform, name, this.clock),
-      callersUrl: `http://${name}`,
+      callersUrl: () => `http://${name}`,
       view: this.view,
       clock: this.clock,
       random,
--- a/packages/hickoryrelay-standin/src/UsageReportTable.ts
+++ b/packages/hickoryrelay-standin/src/UsageReportTable.ts
@@ -18,6 +18,11 @@
 
   private readonly taken = new Map<string, UsageReport>();
 
+  /** The accepted report of each zone and window. */
+  get accepted(): readonly UsageReport[] {
+    return [...this.taken.values()];
+  }
+
   private readonly highestFencing = new Map<string, number>();
 
   take(report: UsageReport): ReportAnswer {
--- a/packages/hickoryrelay-zone/src/AuthorityTerm.ts
+++ b/packages/hickoryrelay-zone/src/AuthorityTerm.ts
@@ -37,6 +37,9 @@
 export class AuthorityTerm {
   readonly grant: AuthorityGrant;
 
+  /** When the term was taken, on the monotonic clock. */
+  readonly startedMilliseconds: number;
+
   private readonly clock: Clock;
 
   private readonly ending = new AbortController();
@@ -51,6 +54,7 @@
   constructor(grant: AuthorityGrant, clock: Clock, span: LeaseSpan) {
     this.grant = grant;
     this.clock = clock;
+    this.startedMilliseconds = clock.monotonicMilliseconds();
     this.endMilliseconds = endOf(span);
     this.setAlarm();
   }
--- a/packages/hickoryrelay-zone/src/Fleet.ts
+++ b/packages/hickoryrelay-zone/src/Fleet.ts
@@ -42,6 +42,17 @@
     }
   }
 
+  /** Finds an endpoint of any zone by its identifier. */
+  find(identifier: string): Endpoint | undefined {
+    for (const zone of this.zonesByName.values()) {
+      const endpoint = zone.find(identifier);
+      if (endpoint !== undefined) {
+        return endpoint;
+      }
+    }
+    return undefined;
+  }
+
   zone(name: string): AvailabilityZone {
     let zone = this.zonesByName.get(name);
     if (zone === undefined) {
