Test daemon processes that are paused, killed or cut off from the platform

A paused holder of the authority wakes up without it and the fencing number grows at each change; a zone without the platform serves model calls and unkeyed bookings and refuses claimed ones as not run.

--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -67,6 +67,8 @@
   readonly ready: boolean;
   readonly revision: number;
   readonly callsInFlight: number;
+  /** Fencing number of the authority over the own zone; absent unless it is held. */
+  readonly fencingNumber?: number;
 }
 
 const REQUEST_IDENTIFIER_BYTES = 12;
@@ -190,6 +192,7 @@
 
   status(): InstanceStatus {
     const { name, zone } = this.settings.instance;
+    const term = this.zoneDuties.authority.currentTerm;
     return {
       name,
       zone,
@@ -197,6 +200,7 @@
       ready: this.isReady,
       revision: this.view.revision,
       callsInFlight: this.exchanges.size,
+      ...(term === undefined ? {} : { fencingNumber: term.fencingNumber }),
     };
   }
 
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/Outages.test.ts
@@ -0,0 +1,135 @@
+import { DaemonProcess } from 'hickoryrelay-standin/DaemonProcess';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
+import { RelayMode, TcpRelay } from 'hickoryrelay-standin/TcpRelay';
+import { request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import type { ServiceStandIn } from 'hickoryrelay-standin/ServiceStandIn';
+
+const ZONE = 'zone-a';
+
+interface ErrorAnswer {
+  readonly error: { readonly code: string; readonly not_run: boolean };
+}
+
+describe('processes that are killed, paused or cut off', () => {
+  const federation = new LocalFederation();
+  const daemons: DaemonProcess[] = [];
+  let keyValuePath: TcpRelay;
+  let platformPath: TcpRelay;
+  let service: ServiceStandIn;
+  let key = '';
+
+  beforeAll(async () => {
+    await federation.start();
+    await federation.addEngine('engine-1', {
+      kind: 'engine',
+      zone: ZONE,
+      models: ['model-one'],
+      times: { prefillRate: 100_000, decodeMilliseconds: 5 },
+    });
+    service = await federation.addService('service-1', 'service', ZONE);
+    const document = sampleDeclarations();
+    key = federation.issueKey(document, 'first');
+    await federation.apply(document);
+    keyValuePath = new TcpRelay(federation.gateway.url);
+    platformPath = new TcpRelay(federation.platform.url);
+    await Promise.all([keyValuePath.listen(), platformPath.listen()]);
+  });
+
+  afterAll(async () => {
+    daemons.forEach((daemon) => daemon.signal('SIGKILL'));
+    await federation.stop();
+    await Promise.all([keyValuePath.close(), platformPath.close()]);
+  });
+
+  async function startDaemon(name: string): Promise<DaemonProcess> {
+    const daemon = await DaemonProcess.start(name, ZONE, {
+      keyValue: keyValuePath.url,
+      platform: platformPath.url,
+    });
+    daemons.push(daemon);
+    return daemon;
+  }
+
+  async function ask(daemon: DaemonProcess): Promise<number> {
+    const response = await request(`${daemon.url}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+      body: JSON.stringify({ model: 'model-one', messages: [], max_tokens: 3 }),
+    });
+    await response.body.dump();
+    return response.statusCode;
+  }
+
+  async function book(daemon: DaemonProcess, idempotencyKey?: string) {
+    const response = await request(`${daemon.url}/services/book/new`, {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${key}`,
+        ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
+      },
+      body: 'one crate',
+    });
+    return { status: response.statusCode, body: await response.body.json() };
+  }
+
+  async function fencingNumber(daemon: DaemonProcess): Promise<number | undefined> {
+    const response = await request(`${daemon.url}/admin/status`);
+    const status = (await response.body.json()) as { fencingNumber?: number };
+    return status.fencingNumber;
+  }
+
+  /** Waits until one of the daemons holds the authority of the zone. */
+  async function holderAmong(candidates: readonly DaemonProcess[]): Promise<DaemonProcess> {
+    let holder: DaemonProcess | undefined;
+    await candidates[0]?.waitUntil(async () => {
+      const numbers = await Promise.all(candidates.map(fencingNumber));
+      holder = candidates[numbers.findIndex((number) => number !== undefined)];
+      return holder !== undefined;
+    });
+    expect(holder).toBeDefined();
+    return holder as DaemonProcess;
+  }
+
+  it('serve without the platform, and refuse only claimed calls, as not run', async () => {
+    const daemon = await startDaemon('entry-1');
+    expect((await book(daemon, 'before')).status).toBe(200);
+    keyValuePath.setMode(RelayMode.Partition);
+    platformPath.setMode(RelayMode.Partition);
+    const runs = service.received.length;
+    expect(await ask(daemon)).toBe(200);
+    const refused = await book(daemon, 'during');
+    expect(refused.status).toBe(503);
+    expect((refused.body as ErrorAnswer).error.not_run).toBe(true);
+    expect(service.received.length).toBe(runs);
+    expect((await book(daemon)).status).toBe(200);
+    expect(service.received.length).toBe(runs + 1);
+    keyValuePath.setMode(RelayMode.Pass);
+    platformPath.setMode(RelayMode.Pass);
+    await daemon.waitUntil(async () => (await book(daemon, 'after')).status === 200);
+    const again = await book(daemon, 'after');
+    expect(again.status).toBe(200);
+    expect(service.received.filter(({ text }) => text === 'one crate').length).toBe(3);
+    daemon.signal('SIGKILL');
+    await daemon.exited();
+  });
+
+  it('lose their authority when paused, and another takes it with a higher number', async () => {
+    const pair = [await startDaemon('entry-2'), await startDaemon('entry-3')];
+    const holder = await holderAmong(pair);
+    const first = await fencingNumber(holder);
+    const others = pair.filter((daemon) => daemon !== holder);
+    holder.signal('SIGSTOP');
+    const successor = await holderAmong(others);
+    const second = await fencingNumber(successor);
+    holder.signal('SIGCONT');
+    expect(await fencingNumber(holder)).toBeUndefined();
+    expect(second).toBeGreaterThan(first ?? Number.POSITIVE_INFINITY);
+    successor.signal('SIGKILL');
+    await successor.exited();
+    await holderAmong([holder]);
+    expect(await fencingNumber(holder)).toBeGreaterThan(second ?? Number.POSITIVE_INFINITY);
+    expect(await ask(holder)).toBe(200);
+  });
+});
