--- a/packages/hickoryrelay-bench/src/fuzz.ts
+++ b/packages/hickoryrelay-bench/src/fuzz.ts
@@ -37,7 +37,7 @@
 
 /** Runs one round and returns whether all tests passed. */
 async function runRound(seed: number): Promise<boolean> {
-  const child = spawn('npx', ['vitest', 'run', 'Fuzz', 'fuzz'], {
+  const child = spawn('npx', ['vitest', 'run', 'Fuzz.test'], {
     stdio: 'inherit',
     env: {
       ...process.env,
