Share the calls that the key-value service allows among the live instances

Cause: every instance kept to the share of one of 640, 0.5 writes a second, so that a federation of 8 would hold back bookings for seconds. Now the share follows the list of instances, and stays at one of 640 until the list is known.

--- /dev/null
+++ b/packages/hickoryrelay-instance/src/CallShareTask.ts
@@ -0,0 +1,39 @@
+import { Task } from 'hickoryrelay/Task';
+
+import type { TaskContext } from 'hickoryrelay/Task';
+import type { CallBudget } from 'hickoryrelay-platform/CallBudget';
+import type { Membership } from './Membership.js';
+
+const INTERVAL_MILLISECONDS = 5000;
+
+/**
+ * Sets this instance's share of the calls that the key-value service allows to all. Until the list of
+ * instances is known the share of one of 640 stays, so that a common start makes no storm.
+ */
+export class CallShareTask extends Task {
+  override readonly name = 'share of calls';
+
+  private readonly budget: CallBudget;
+
+  private readonly membership: Membership;
+
+  constructor(budget: CallBudget, membership: Membership) {
+    super();
+    this.budget = budget;
+    this.membership = membership;
+  }
+
+  protected override async *steps({
+    clock,
+    signal,
+  }: TaskContext): AsyncGenerator<void, void, void> {
+    for (;;) {
+      const others = this.membership.listedCount;
+      if (others > 0) {
+        this.budget.shareAmong(others + 1);
+      }
+      yield;
+      await clock.sleep(INTERVAL_MILLISECONDS, signal);
+    }
+  }
+}
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -19,6 +19,7 @@
 import type { Call } from 'hickoryrelay-link/Call';
 import type { EndpointSupply } from 'hickoryrelay-platform/EndpointSupply';
 import type { InstanceList } from 'hickoryrelay-platform/InstanceList';
+import type { CallBudget } from 'hickoryrelay-platform/CallBudget';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import type { Logger as ProcessLogger } from 'winston';
@@ -27,6 +28,7 @@
 import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
 import { UsageDuties } from './UsageDuties.js';
 import { ZoneDuties } from './ZoneDuties.js';
+import { CallShareTask } from './CallShareTask.js';
 import { FleetTask } from './FleetTask.js';
 import { RetryBudget } from './RetryBudget.js';
 import { Exchange } from './Exchange.js';
@@ -57,6 +59,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: ProcessLogger;
+  /** The budget of the key-value store, to be set to this instance's share. */
+  readonly callBudget?: CallBudget;
 }
 
 /** What `GET /admin/status` returns. */
@@ -296,6 +300,10 @@
       this.control.digest.subscribe((account, cost) => this.remoteUse.add([[account, cost]])),
     );
     await this.control.start();
+    const { callBudget } = this.parts;
+    if (callBudget !== undefined) {
+      this.lifecycle.start(new CallShareTask(callBudget, this.control.membership));
+    }
     this.zoneDuties.start();
     this.usageDuties.start();
   }
--- a/packages/hickoryrelay-instance/src/hickoryrelayd.ts
+++ b/packages/hickoryrelay-instance/src/hickoryrelayd.ts
@@ -66,15 +66,17 @@
   const log = partLogger(logger, LogPrefix.Daemon);
   const clock = new SystemClock();
   const random = new SystemRandomSource();
+  const callBudget = new CallBudget(clock);
   const instance = new Instance({
     settings,
     clock,
     random,
     logger,
+    callBudget,
     platform: {
       keyValue: new BudgetedKeyValueStore({
         store: new EtcdKeyValueStore({ urls: settings.platform.keyValue }),
-        budget: new CallBudget(clock),
+        budget: callBudget,
         clock,
         random,
       }),
--- a/packages/hickoryrelay-platform/src/CallBudget.ts
+++ b/packages/hickoryrelay-platform/src/CallBudget.ts
@@ -31,9 +31,27 @@
   openWatches: 3,
 };
 
+/** Calls a second that all instances together may make, a tenth under what the platform allows. */
+const SHARED_READS_PER_SECOND = 1800;
+const SHARED_WRITES_PER_SECOND = 320;
+
+/** A federation of a few instances has no use for more. */
+const FEWEST_SHARES = 8;
+
+/** The limits of one of the given number of instances. The rest is as for 640. */
+export function limitsFor(instances: number): CallLimits {
+  const shares = Math.max(instances, FEWEST_SHARES);
+  const { reads, writes } = DEFAULT_CALL_LIMITS;
+  return {
+    ...DEFAULT_CALL_LIMITS,
+    reads: { ...reads, perSecond: SHARED_READS_PER_SECOND / shares },
+    writes: { ...writes, perSecond: SHARED_WRITES_PER_SECOND / shares },
+  };
+}
+
 /** A token bucket. A call that finds no token is given the delay after which its token is there. */
 class TokenBucket {
-  private readonly rate: CallRate;
+  private rate: CallRate;
 
   private readonly clock: Clock;
 
@@ -45,6 +63,10 @@
     this.clock = clock;
   }
 
+  setRate(rate: CallRate): void {
+    this.rate = rate;
+  }
+
   /** Takes a token that may still have to come. Returns the time until then. */
   take(): number {
     const now = this.clock.monotonicMilliseconds();
@@ -90,6 +112,13 @@
     };
   }
 
+  /** Sets this instance's share of what the platform allows. */
+  shareAmong(instances: number): void {
+    const { reads, writes } = limitsFor(instances);
+    this.buckets[CallKind.Read].setRate(reads);
+    this.buckets[CallKind.Write].setRate(writes);
+  }
+
   get counts(): CallCounts {
     return { ...this.made, openWatches: this.openWatches };
   }
--- /dev/null
+++ b/packages/hickoryrelay-platform/src/__tests__/unit/CallBudget.test.ts
@@ -0,0 +1,28 @@
+import { CallBudget, CallKind, limitsFor } from 'hickoryrelay-platform/CallBudget';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { describe, expect, it } from 'vitest';
+
+const PLATFORM_READS_PER_SECOND = 2000;
+const PLATFORM_WRITES_PER_SECOND = 400;
+
+describe('CallBudget', () => {
+  it.each([1, 8, 58, 640, 2000])(
+    'keeps %d instances within the limits of the platform',
+    (count) => {
+      const { reads, writes } = limitsFor(count);
+      expect(reads.perSecond * count).toBeLessThanOrEqual(PLATFORM_READS_PER_SECOND);
+      expect(writes.perSecond * count).toBeLessThanOrEqual(PLATFORM_WRITES_PER_SECOND);
+    },
+  );
+
+  it('does not delay 100 writes in 10 s in a federation of 8 instances', async () => {
+    const clock = new ManualClock();
+    const budget = new CallBudget(clock);
+    budget.shareAmong(8);
+    for (let index = 0; index < 100; index += 1) {
+      await budget.take(CallKind.Write);
+      await clock.advance(100);
+    }
+    expect(budget.counts).toMatchObject({ writes: 100, delayed: 0 });
+  });
+});
