Try: reserve room for accounts that used less than an equal part lately

Cause: a flooding account takes every place that is free while no other account waits, so the engines are full when the calls of the others arrive and answer late.

--- a/packages/hickoryrelay-instance/src/PoolCapacity.ts
+++ b/packages/hickoryrelay-instance/src/PoolCapacity.ts
@@ -7,6 +7,8 @@
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
 import { CallCapacity } from './CallCapacity.js';
 
+import type { CallRoom } from './CallCapacity.js';
+
 /** Room at the endpoints that this instance uses, by their learned limits. */
 export class PoolCapacity extends CallCapacity {
   private readonly pool: EndpointPool;
@@ -22,17 +24,17 @@
     this.clock = clock;
   }
 
-  override hasRoom(call: Call, admitted: number): boolean {
+  override room(call: Call, admitted: number): CallRoom {
     const members = this.pool.membersFor(call).filter((endpoint) => canRun(endpoint, call));
     if (members.length === 0) {
       // The call is admitted and fails with `no-endpoint`, rather than waiting for what may not come.
-      return true;
+      return { free: Number.POSITIVE_INFINITY, total: 0 };
     }
     let free = 0;
     for (const endpoint of withoutEjected(members, this.clock.monotonicMilliseconds())) {
       free += endpoint.room;
     }
     const onTheWay = Math.max(0, admitted - this.fleet.callsInFlight);
-    return free > onTheWay;
+    return { free: free - onTheWay, total: free - onTheWay + admitted };
   }
 }
