--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -8,12 +8,11 @@
 import { accountOf } from './CallCost.js';
 import { DrainRate } from './DrainRate.js';
 import { FairShare } from './FairShare.js';
-import { RecentUse } from './RecentUse.js';
 import { MovingAverages } from './DecodeEstimate.js';
 import { WaitingLane } from './WaitingCalls.js';
 
 import type { AdmissionTicket } from './AdmissionPolicy.js';
-import type { CallCapacity, CallRoom } from './CallCapacity.js';
+import type { CallCapacity } from './CallCapacity.js';
 import type { CallCostModel } from './CallCost.js';
 import type { RemoteUse } from './RemoteUse.js';
 import type { WaitingCall } from './WaitingCalls.js';
@@ -48,13 +47,6 @@
  */
 const LEAST_WAITING_PART = 0.5;
 
-/**
- * Part of the room that an account with twice an equal part of the recent use leaves free. Without
- * it, a flooding account takes every place that is free while no other account happens to wait, and
- * the next calls of the others wait until their slack is used up.
- */
-const RESERVED_PART = 0.5;
-
 function laneOf(call: Call): string {
   return call.kind === WorkKind.Model ? `model ${call.model}` : `route ${call.route}`;
 }
@@ -69,8 +61,6 @@
 
   private readonly share: FairShare;
 
-  private readonly recentUse = new RecentUse();
-
   private readonly lanes = new Map<string, WaitingLane>();
 
   private readonly drainRates = new Map<string, DrainRate>();
@@ -279,23 +269,19 @@
 
   private next(): WaitingCall | undefined {
     this.refuseLate();
-    const open: { lane: WaitingLane; room: CallRoom }[] = [];
-    for (const lane of this.lanes.values()) {
+    const open = [...this.lanes.values()].filter((lane) => {
       const [line] = lane.lines;
-      const room = line?.first === undefined ? undefined : this.roomFor(line.first);
-      if (room !== undefined && room.free > 0) {
-        open.push({ lane, room });
-      }
-    }
-    this.share.advance(open.flatMap(({ lane }) => [...lane.accounts]));
+      return line?.first !== undefined && this.hasRoom(line.first);
+    });
+    this.share.advance(open.flatMap((lane) => [...lane.accounts]));
     let best: WaitingCall | undefined;
-    for (const { lane, room } of open) {
+    for (const lane of open) {
       for (const { account, first } of lane.lines) {
         const isBefore =
           first !== undefined &&
           (best === undefined || first.latestStartMilliseconds < best.latestStartMilliseconds);
-        // The account with the lowest clock is always within its share.
-        if (isBefore && this.share.isWithinShare(account) && !this.leavesFree(account, room)) {
+        // The account with the lowest clock is always within its share, so work is never held back.
+        if (isBefore && this.share.isWithinShare(account)) {
           best = first;
         }
       }
@@ -303,12 +289,6 @@
     return best;
   }
 
-  /** True if what is free is reserved for accounts that used less lately. */
-  private leavesFree(account: string, room: CallRoom): boolean {
-    const excess = this.recentUse.excess(account, this.parts.clock.monotonicMilliseconds());
-    return excess > 0 && room.free <= excess * RESERVED_PART * room.total;
-  }
-
   /** A late call runs only if it is the only one that waits: then it takes nobody's place. */
   private refuseLate(): void {
     const now = this.parts.clock.monotonicMilliseconds();
@@ -370,23 +350,17 @@
 
   private charge(account: string, cost: number): void {
     this.share.charge(account, cost);
-    this.recentUse.record(account, cost, this.parts.clock.monotonicMilliseconds());
     this.parts.remoteUse.publish(account, cost);
   }
 
   private takeRemoteUse(): void {
     for (const [account, cost] of this.parts.remoteUse.take()) {
       this.share.charge(account, cost);
-      this.recentUse.record(account, cost, this.parts.clock.monotonicMilliseconds());
     }
   }
 
   private hasRoom(entry: WaitingCall): boolean {
-    return this.roomFor(entry).free > 0;
-  }
-
-  private roomFor(entry: WaitingCall): CallRoom {
-    return this.parts.capacity.room(entry.call, this.admittedCount);
+    return this.parts.capacity.hasRoom(entry.call, this.admittedCount);
   }
 
   private refuse(entry: WaitingCall, reason: string): void {
--- a/packages/hickoryrelay-instance/src/PoolCapacity.ts
+++ b/packages/hickoryrelay-instance/src/PoolCapacity.ts
@@ -7,8 +7,6 @@
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
 import { CallCapacity } from './CallCapacity.js';
 
-import type { CallRoom } from './CallCapacity.js';
-
 /** Room at the endpoints that this instance uses, by their learned limits. */
 export class PoolCapacity extends CallCapacity {
   private readonly pool: EndpointPool;
@@ -24,17 +22,17 @@
     this.clock = clock;
   }
 
-  override room(call: Call, admitted: number): CallRoom {
+  override hasRoom(call: Call, admitted: number): boolean {
     const members = this.pool.membersFor(call).filter((endpoint) => canRun(endpoint, call));
     if (members.length === 0) {
       // The call is admitted and fails with `no-endpoint`, rather than waiting for what may not come.
-      return { free: Number.POSITIVE_INFINITY, total: 0 };
+      return true;
     }
     let free = 0;
     for (const endpoint of withoutEjected(members, this.clock.monotonicMilliseconds())) {
       free += endpoint.room;
     }
     const onTheWay = Math.max(0, admitted - this.fleet.callsInFlight);
-    return { free: free - onTheWay, total: free - onTheWay + admitted };
+    return free > onTheWay;
   }
 }
