Keep waiting calls of a lane in order of slack instead of scanning all accounts

Each admission went through the lines of all accounts to find the call with the least slack. The lane now keeps one sorted list, and lines refer to the virtual clock of their account.

--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -219,9 +219,8 @@
       lane = new WaitingLane();
       this.lanes.set(entry.lane, lane);
     }
-    lane.insert(entry);
+    lane.insert(entry, this.share.beginWaiting(entry.account));
     this.waitingCount += 1;
-    this.share.activate(entry.account);
     this.observeDrain(entry.lane);
   }
 
@@ -231,6 +230,7 @@
       return false;
     }
     this.waitingCount -= 1;
+    this.share.endWaiting(entry.account);
     if (lane.size === 0) {
       this.lanes.delete(entry.lane);
     }
@@ -269,38 +269,44 @@
 
   private next(): WaitingCall | undefined {
     this.refuseLate();
-    const open = [...this.lanes.values()].filter((lane) => {
-      const [line] = lane.lines;
-      return line?.first !== undefined && this.hasRoom(line.first);
-    });
-    this.share.advance(open.flatMap((lane) => [...lane.accounts]));
+    const open = [...this.lanes.values()].filter(
+      ({ calls: { first } }) => first !== undefined && this.hasRoom(first),
+    );
+    this.share.advance(open);
     let best: WaitingCall | undefined;
     for (const lane of open) {
-      for (const { account, first } of lane.lines) {
-        const isBefore =
-          first !== undefined &&
-          (best === undefined || first.latestStartMilliseconds < best.latestStartMilliseconds);
-        // The account with the lowest clock is always within its share, so work is never held back.
-        if (isBefore && this.share.isWithinShare(account)) {
-          best = first;
-        }
+      const first = this.firstWithinShare(lane);
+      const isBefore =
+        first !== undefined &&
+        (best === undefined || first.latestStartMilliseconds < best.latestStartMilliseconds);
+      if (isBefore) {
+        best = first;
       }
     }
     return best;
   }
 
+  private firstWithinShare(lane: WaitingLane): WaitingCall | undefined {
+    for (const entry of lane.calls) {
+      const clock = lane.line(entry.account)?.clock;
+      // The account with the lowest clock is always within its share, so work is never held back.
+      if (clock !== undefined && this.share.isWithinShare(clock)) {
+        return entry;
+      }
+    }
+    return undefined;
+  }
+
   /** A late call runs only if it is the only one that waits: then it takes nobody's place. */
   private refuseLate(): void {
     const now = this.parts.clock.monotonicMilliseconds();
     for (const lane of [...this.lanes.values()]) {
-      for (const line of [...lane.lines]) {
-        for (
-          let { first } = line;
-          first !== undefined && first.latestStartMilliseconds < now && lane.size > 1;
-          { first } = line
-        ) {
-          this.refuse(first, 'the lateness target cannot be met');
-        }
+      for (
+        let { first } = lane.calls;
+        first !== undefined && first.latestStartMilliseconds < now && lane.size > 1;
+        { first } = lane.calls
+      ) {
+        this.refuse(first, 'the lateness target cannot be met');
       }
     }
   }
--- a/packages/hickoryrelay-instance/src/FairShare.ts
+++ b/packages/hickoryrelay-instance/src/FairShare.ts
@@ -12,6 +12,13 @@
  */
 export const DEFAULT_FAIR_SHARE_BOUNDS: FairShareBounds = { burst: 2000, debtLimit: 30_000 };
 
+/** The virtual clock of one account. Kept as an object, so that readers need no look-up. */
+export interface AccountClock {
+  value: number;
+  /** Calls of the account that wait; while there are any, the clock is not forgotten. */
+  waiting: number;
+}
+
 const PRUNE_SIZE = 4096;
 
 /**
@@ -22,7 +29,7 @@
 export class FairShare {
   private readonly bounds: FairShareBounds;
 
-  private readonly clocks = new Map<string, number>();
+  private readonly clocks = new Map<string, AccountClock>();
 
   private virtual = 0;
 
@@ -35,20 +42,29 @@
   }
 
   clockOf(account: string): number {
-    return this.clocks.get(account) ?? this.virtual;
+    return this.clocks.get(account)?.value ?? this.virtual;
   }
 
-  /** Called when an account begins to wait. Credit from an idle time is limited to one burst. */
-  activate(account: string): void {
-    const floor = this.virtual - this.bounds.burst;
-    this.clocks.set(account, Math.max(this.clockOf(account), floor));
+  /** Called when a call begins to wait. Credit from an idle time is limited to one burst. */
+  beginWaiting(account: string): AccountClock {
+    const clock = this.clock(account);
+    clock.value = Math.max(clock.value, this.virtual - this.bounds.burst);
+    clock.waiting += 1;
+    return clock;
+  }
+
+  /** Called when a call waits no longer. */
+  endWaiting(account: string): void {
+    this.clock(account).waiting -= 1;
   }
 
-  /** Advances the virtual time to the lowest clock of the accounts that wait. */
-  advance(waiting: Iterable<string>): void {
+  /** Advances the virtual time to the lowest clock of the accounts that wait in the lanes. */
+  advance(lanes: Iterable<{ readonly lines: Iterable<{ readonly clock: AccountClock }> }>): void {
     let lowest = Number.POSITIVE_INFINITY;
-    for (const account of waiting) {
-      lowest = Math.min(lowest, this.clockOf(account));
+    for (const { lines } of lanes) {
+      for (const { clock } of lines) {
+        lowest = Math.min(lowest, clock.value);
+      }
     }
     if (lowest < Number.POSITIVE_INFINITY) {
       this.virtual = Math.max(this.virtual, lowest);
@@ -56,24 +72,34 @@
   }
 
   /** True if the account has used no more than its share, give or take a burst. */
-  isWithinShare(account: string): boolean {
-    return this.clockOf(account) <= this.virtual + this.bounds.burst;
+  isWithinShare(clock: AccountClock): boolean {
+    return clock.value <= this.virtual + this.bounds.burst;
   }
 
   /** Charges cost, or gives back an over-estimate if negative. */
   charge(account: string, cost: number): void {
     const limit = this.virtual + this.bounds.debtLimit;
-    this.clocks.set(account, Math.min(limit, this.clockOf(account) + cost));
+    const clock = this.clock(account);
+    clock.value = Math.min(limit, clock.value + cost);
     if (this.clocks.size > PRUNE_SIZE) {
       this.prune();
     }
   }
 
+  private clock(account: string): AccountClock {
+    let clock = this.clocks.get(account);
+    if (clock === undefined) {
+      clock = { value: this.virtual, waiting: 0 };
+      this.clocks.set(account, clock);
+    }
+    return clock;
+  }
+
   /** Forgets accounts whose clock says no more than that of an unknown account. */
   private prune(): void {
     const floor = this.virtual - this.bounds.burst;
     for (const [account, clock] of this.clocks) {
-      if (clock <= floor) {
+      if (clock.value <= floor && clock.waiting === 0) {
         this.clocks.delete(account);
       }
     }
--- a/packages/hickoryrelay-instance/src/WaitingCalls.ts
+++ b/packages/hickoryrelay-instance/src/WaitingCalls.ts
@@ -1,6 +1,8 @@
 import type { Call } from 'hickoryrelay-link/Call';
 import type { AdmissionTicket } from './AdmissionPolicy.js';
 import type { CallCost } from './CallCost.js';
+import type { AccountClock } from './FairShare.js';
+import { SlackOrder } from './SlackOrder.js';
 
 /** A call that waits for admission. */
 export interface WaitingCall {
@@ -19,16 +21,19 @@
 export class WaitingLine {
   readonly account: string;
 
-  private readonly calls: WaitingCall[] = [];
+  readonly clock: AccountClock;
+
+  private readonly calls = new SlackOrder();
 
   private cost = 0;
 
-  constructor(account: string) {
+  constructor(account: string, clock: AccountClock) {
     this.account = account;
+    this.clock = clock;
   }
 
   get size(): number {
-    return this.calls.length;
+    return this.calls.size;
   }
 
   get queuedCost(): number {
@@ -36,36 +41,23 @@
   }
 
   get first(): WaitingCall | undefined {
-    return this.calls[0];
+    return this.calls.first;
   }
 
   get last(): WaitingCall | undefined {
-    return this.calls.at(-1);
+    return this.calls.last;
   }
 
   insert(entry: WaitingCall): void {
-    let low = 0;
-    let high = this.calls.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      const other = this.calls[middle];
-      if (other !== undefined && other.latestStartMilliseconds <= entry.latestStartMilliseconds) {
-        low = middle + 1;
-      } else {
-        high = middle;
-      }
-    }
-    this.calls.splice(low, 0, entry);
+    this.calls.insert(entry);
     this.cost += entry.cost.total;
   }
 
   remove(entry: WaitingCall): boolean {
-    const index = this.calls.indexOf(entry);
-    if (index < 0) {
+    if (!this.calls.remove(entry)) {
       return false;
     }
-    this.calls.splice(index, 1);
-    this.cost = this.calls.length === 0 ? 0 : this.cost - entry.cost.total;
+    this.cost = this.calls.size === 0 ? 0 : this.cost - entry.cost.total;
     return true;
   }
 
@@ -88,12 +80,13 @@
 export class WaitingLane {
   private readonly linesByAccount = new Map<string, WaitingLine>();
 
-  private cost = 0;
+  /** All calls of the lane. The first one of an account within its share is the next to start. */
+  readonly calls = new SlackOrder();
 
-  private count = 0;
+  private cost = 0;
 
   get size(): number {
-    return this.count;
+    return this.calls.size;
   }
 
   get queuedCost(): number {
@@ -104,10 +97,6 @@
     return this.linesByAccount.size;
   }
 
-  get accounts(): IterableIterator<string> {
-    return this.linesByAccount.keys();
-  }
-
   get lines(): IterableIterator<WaitingLine> {
     return this.linesByAccount.values();
   }
@@ -116,15 +105,15 @@
     return this.linesByAccount.get(account);
   }
 
-  insert(entry: WaitingCall): void {
+  insert(entry: WaitingCall, clock: AccountClock): void {
     let line = this.linesByAccount.get(entry.account);
     if (line === undefined) {
-      line = new WaitingLine(entry.account);
+      line = new WaitingLine(entry.account, clock);
       this.linesByAccount.set(entry.account, line);
     }
     line.insert(entry);
+    this.calls.insert(entry);
     this.cost += entry.cost.total;
-    this.count += 1;
   }
 
   /** Returns false if the call no longer waits. */
@@ -133,8 +122,8 @@
     if (line?.remove(entry) !== true) {
       return false;
     }
-    this.count -= 1;
-    this.cost = this.count === 0 ? 0 : this.cost - entry.cost.total;
+    this.calls.remove(entry);
+    this.cost = this.calls.size === 0 ? 0 : this.cost - entry.cost.total;
     if (line.size === 0) {
       this.linesByAccount.delete(entry.account);
     }
