Answer GET /load in the engine stand-in, and test the load reports against it

The stand-in answered 404, so load reports never reached the fleet in tests of the daemon. The tests cover EngineStatusLink and EngineLoadTask, not yet EngineLoadTasks.

--- /dev/null
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/EngineLoad.test.ts
@@ -0,0 +1,61 @@
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { EngineLoadTask } from 'hickoryrelay-instance/EngineLoadTasks';
+import { EngineStatusLink } from 'hickoryrelay-link/EngineStatusLink';
+import { EngineStandIn } from 'hickoryrelay-standin/EngineStandIn';
+import { Engine } from 'hickoryrelay-endpoint/Engine';
+import { CallTally } from 'hickoryrelay-endpoint/Endpoint';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+const KIND = {
+  name: 'engine',
+  serves: WorkKind.Model,
+  models: ['model-one'],
+  routes: [],
+  checksFencing: true,
+  reclaimable: false,
+  costPerHour: 1,
+};
+
+describe('the load reports of an engine', () => {
+  const clock = new SystemClock();
+  const times = { prefillRate: 1234, decodeMilliseconds: 4 };
+  let server: EngineStandIn;
+  let place: { identifier: string; zone: string; url: string };
+
+  beforeEach(async () => {
+    server = new EngineStandIn(['model-one'], times);
+    await server.listen();
+    place = { identifier: 'engine-1', zone: 'zone-a', url: server.url };
+  });
+
+  afterEach(() => server.close());
+
+  it('carry the calls that run and the measured rates (guards against a report that is refused)', async () => {
+    const { signal } = new AbortController();
+    const call = fetch(`${server.url}/v1/completions`, {
+      method: 'POST',
+      body: JSON.stringify({ model: 'model-one', prompt: 'a'.repeat(4000), max_tokens: 1 }),
+    });
+    const link = new EngineStatusLink(place, clock);
+    const report = await vi.waitUntil(async () => {
+      const read = await link.readLoad(signal);
+      return read?.running === 1 ? read : undefined;
+    });
+    expect(report).toMatchObject({ prefillRate: 1234, decodeRate: 250, waiting: 0 });
+    expect(report.waitingPrefillTokens).toBeGreaterThanOrEqual(1000);
+    await call;
+    expect((await link.readLoad(signal))?.running).toBe(0);
+  });
+
+  it('reach the engine of the fleet by its task (guards against rates that stay at their defaults)', async () => {
+    const engine = new Engine(place, KIND, new CallTally());
+    const lifecycle = new LifecycleManager('test', clock, () => {});
+    lifecycle.start(new EngineLoadTask(engine, () => 10, silentLogger));
+    await vi.waitUntil(() => engine.load.prefillRate === 1234);
+    await lifecycle.stop();
+    expect(engine.load.decodeRate).toBe(250);
+  });
+});
--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { EngineRole } from 'hickoryrelay-endpoint/Engine';
 import { SystemClock } from 'hickoryrelay/Clock';
 
 import type { ServerResponse } from 'node:http';
@@ -35,6 +36,9 @@
 const DEFAULT_MAX_TOKENS = 16;
 const BYTES_PER_TOKEN = 4;
 const MILLISECONDS_PER_SECOND = 1000;
+/** The stand-in runs any number of calls at a time; it reports so many places. */
+const REPORTED_SLOTS = 256;
+const CALL_TIME_WEIGHT = 0.1;
 const REQUESTS_PATH = '/requests/';
 const FOREIGN_REQUEST = 'another-request';
 
@@ -146,6 +150,13 @@
 
   private readonly generations = new GenerationTable();
 
+  /** Prompt tokens of the calls whose prompt is being processed. */
+  private readonly prefilling = new Set<{ readonly tokens: number }>();
+
+  private runningCalls = 0;
+
+  private callMilliseconds = 0;
+
   private readonly times: EngineTimes;
 
   private readonly models: readonly string[];
@@ -175,6 +186,9 @@
     if (request.method === 'GET' && request.path.startsWith(REQUESTS_PATH)) {
       return this.generations.answer(request.path.slice(REQUESTS_PATH.length));
     }
+    if (request.method === 'GET' && request.path === '/load') {
+      return { status: 200, body: this.loadReport() };
+    }
     if (request.path.startsWith('/orders')) {
       return this.orders.answer(request);
     }
@@ -182,10 +196,12 @@
     if (body === undefined) {
       return { status: 404, body: { error: { message: 'unknown model or path' } } };
     }
-    const words = await this.prefill(body);
-    await sleep(words.length * this.times.decodeMilliseconds);
-    this.countGenerated(body, words.length);
-    return { status: 200, body: EngineStandIn.wholeAnswer(request, body, words) };
+    return this.whileRunning(async () => {
+      const words = await this.prefill(body);
+      await sleep(words.length * this.times.decodeMilliseconds);
+      this.countGenerated(body, words.length);
+      return { status: 200, body: EngineStandIn.wholeAnswer(request, body, words) };
+    });
   }
 
   protected override async handleStream(
@@ -202,6 +218,16 @@
       return false;
     }
     this.plannedFaults.shift();
+    return this.whileRunning(() => this.stream(request, response, body, isStream, faults));
+  }
+
+  private async stream(
+    request: ReceivedRequest,
+    response: ServerResponse,
+    body: CompletionBody,
+    isStream: boolean,
+    faults: readonly PlannedStreamFault[] | undefined,
+  ): Promise<boolean> {
     const words = await this.prefill(body);
     if (!isStream) {
       return this.breakWholeAnswer(request, response, body, words, faults?.[0]?.fault);
@@ -319,6 +345,37 @@
     });
   }
 
+  private async whileRunning<Result>(run: () => Promise<Result>): Promise<Result> {
+    const started = performance.now();
+    this.runningCalls += 1;
+    try {
+      return await run();
+    } finally {
+      this.runningCalls -= 1;
+      const taken = performance.now() - started;
+      this.callMilliseconds += CALL_TIME_WEIGHT * (taken - this.callMilliseconds);
+    }
+  }
+
+  private loadReport(): object {
+    const lastRole = this.orders.taken.findLast(({ issued }) => issued.order.type === 'change-role')
+      ?.issued.order;
+    const tokens = [...this.prefilling].reduce((sum, each) => sum + each.tokens, 0);
+    const streams = Math.max(1, this.runningCalls);
+    return {
+      running: this.runningCalls,
+      waiting: 0,
+      slots: REPORTED_SLOTS,
+      waiting_prefill_tokens: tokens,
+      prefill_rate: this.times.prefillRate,
+      // Streams do not slow each other down, and no time between tokens is below 1 ms here.
+      decode_rate: (streams * MILLISECONDS_PER_SECOND) / Math.max(1, this.times.decodeMilliseconds),
+      call_milliseconds: this.callMilliseconds,
+      age_milliseconds: 0,
+      role: lastRole?.type === 'change-role' ? lastRole.role : EngineRole.Mixed,
+    };
+  }
+
   private countGenerated(body: CompletionBody, tokens: number): void {
     this.generations.record(body.request_id ?? '', tokens);
   }
@@ -353,10 +410,13 @@
   }
 
   private async prefill(body: CompletionBody): Promise<string[]> {
-    const prompt = EngineStandIn.promptOf(body);
+    const text = EngineStandIn.promptOf(body);
     const tokens = EngineStandIn.promptTokens(body);
+    const prompt = { tokens };
+    this.prefilling.add(prompt);
     await sleep((tokens / this.times.prefillRate) * MILLISECONDS_PER_SECOND);
-    return completionWords(prompt, body.max_tokens ?? DEFAULT_MAX_TOKENS);
+    this.prefilling.delete(prompt);
+    return completionWords(text, body.max_tokens ?? DEFAULT_MAX_TOKENS);
   }
 
   private static promptOf(body: CompletionBody): string {
