Pass on model work in digest rows and tell roles in load reports

The cost model tells the work of each call on arrival, so refused calls count as demand. Load reports may name the engine's role and whether it is changing; the engine stand-in offers them on request.

--- a/packages/hickoryrelay-bench/src/PeerCost.ts
+++ b/packages/hickoryrelay-bench/src/PeerCost.ts
@@ -259,6 +259,14 @@
       `account-${(start + offset) % accounts}`,
       heartbeat * 1000 + offset,
     ]),
+    work: {
+      prefill: 40_000_000_000,
+      decode: 40_000_000_000,
+      classes: [
+        [65_534, 40_000_000_000],
+        [65_535, 40_000_000_000],
+      ],
+    },
   };
 }
 
--- a/packages/hickoryrelay-endpoint/src/Engine.ts
+++ b/packages/hickoryrelay-endpoint/src/Engine.ts
@@ -2,10 +2,7 @@
 import { EngineLoad } from './EngineLoad.js';
 import { PrefixIndex } from './PrefixIndex.js';
 
-/** The share of model work that an engine does. */
-export const EngineRole = { Prefill: 'prefill', Decode: 'decode', Mixed: 'mixed' } as const;
-
-export type EngineRole = (typeof EngineRole)[keyof typeof EngineRole];
+export { EngineRole } from './EngineRole.js';
 
 /** An endpoint that runs language models. */
 export class Engine extends Endpoint {
--- a/packages/hickoryrelay-endpoint/src/EngineLoad.ts
+++ b/packages/hickoryrelay-endpoint/src/EngineLoad.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import { EngineRole } from './EngineRole.js';
+
 /** Schema of what an engine answers to `GET /load`. */
 export const loadReportSchema = z.object({
   /** Calls that are in the batch. */
@@ -18,6 +20,9 @@
   call_milliseconds: z.number().nonnegative(),
   /** Age of the figures when the answer was sent, in milliseconds. */
   age_milliseconds: z.number().nonnegative().default(0),
+  role: z.enum(Object.values(EngineRole)).optional(),
+  /** True while the engine carries out an order and takes no work. */
+  is_changing: z.boolean().default(false),
 });
 
 /** The load of an engine as it last reported it. */
@@ -29,6 +34,9 @@
   readonly prefillRate: number;
   readonly decodeRate: number;
   readonly callMilliseconds: number;
+  /** Absent if the engine does not tell it. */
+  readonly role?: EngineRole;
+  readonly isChanging?: boolean;
   /** When the figures were taken, on the clock of this instance. */
   readonly takenMilliseconds: number;
 }
@@ -44,6 +52,8 @@
     prefillRate: report.prefill_rate,
     decodeRate: report.decode_rate,
     callMilliseconds: report.call_milliseconds,
+    ...(report.role === undefined ? {} : { role: report.role }),
+    isChanging: report.is_changing,
     takenMilliseconds: arrivedMilliseconds - report.age_milliseconds,
   };
 }
@@ -69,6 +79,11 @@
 
   private endedSinceReport = 0;
 
+  /** The last report as it was. */
+  get lastReport(): LoadReport | undefined {
+    return this.report;
+  }
+
   get prefillRate(): number {
     return this.report?.prefillRate ?? DEFAULT_PREFILL_RATE;
   }
--- a/packages/hickoryrelay-instance/src/CallCost.ts
+++ b/packages/hickoryrelay-instance/src/CallCost.ts
@@ -31,12 +31,17 @@
   return typeof limit === 'number' && limit > 0 ? limit : undefined;
 }
 
+/** Told of the model work of a call when it arrives, and of the difference when it has ended. */
+export type WorkObserver = (className: string, work: Omit<CallCost, 'total'>) => void;
+
 /** Estimates the cost of calls from token counts, measured rates and past answers. */
 export class CallCostModel {
   private readonly rates: () => TokenRates;
 
   private readonly cachedTokens: (call: Call) => number;
 
+  private readonly observeWork: WorkObserver;
+
   private readonly decodeEstimate = new DecodeEstimate();
 
   private readonly serviceTimes = new MovingAverages();
@@ -44,10 +49,16 @@
   /**
    * @param rates the engines' measured rates.
    * @param cachedTokens prompt tokens of the call that a cached prefix saves.
+   * @param observeWork told of the work of each call, of refused ones too.
    */
-  constructor(rates: () => TokenRates, cachedTokens: (call: Call) => number) {
+  constructor(
+    rates: () => TokenRates,
+    cachedTokens: (call: Call) => number,
+    observeWork: WorkObserver = () => {},
+  ) {
     this.rates = rates;
     this.cachedTokens = cachedTokens;
+    this.observeWork = observeWork;
   }
 
   /** Expected length of the answer. */
@@ -55,13 +66,16 @@
     return this.decodeEstimate.tokens(accountOf(call), call.className, decodeLimit(call));
   }
 
+  /** Estimates the cost of a call that has arrived. Once for each call, since its work is counted. */
   estimate(call: Call): CallCost {
     if (call.kind !== WorkKind.Model) {
       const total = this.serviceTimes.get(call.route) ?? DEFAULT_SERVICE_MILLISECONDS;
       return { prefill: 0, decode: total, total };
     }
     const tokens = this.decodeTokens(call);
-    return this.weigh(Math.max(0, call.promptTokens - this.cachedTokens(call)), tokens);
+    const cost = this.weigh(Math.max(0, call.promptTokens - this.cachedTokens(call)), tokens);
+    this.observeWork(call.className, cost);
+    return cost;
   }
 
   /** The cost of a call that has ended, with the prefill cost that was estimated. */
@@ -71,6 +85,7 @@
     }
     this.decodeEstimate.record(accountOf(call), call.className, decodeTokens);
     const decode = decodeTokens * this.rates().decodeMilliseconds;
+    this.observeWork(call.className, { prefill: 0, decode: decode - estimate.decode });
     return { prefill: estimate.prefill, decode, total: estimate.prefill + decode };
   }
 
--- a/packages/hickoryrelay-instance/src/InstanceDigest.ts
+++ b/packages/hickoryrelay-instance/src/InstanceDigest.ts
@@ -6,6 +6,7 @@
 import type { DigestRow, HeartbeatEntry, PeerMessage } from 'hickoryrelay-link/PeerMessages';
 import { Liveness } from './Membership.js';
 import { hashText } from './RendezvousUtils.js';
+import { ZoneWork } from './ZoneWork.js';
 
 import type { Member, Membership } from './Membership.js';
 
@@ -63,6 +64,9 @@
 
 /** What this instance tells the others each second, and what it has heard from them. */
 export class InstanceDigest {
+  /** Work at the instances of the own zone. */
+  readonly work: ZoneWork;
+
   private readonly membership: Membership;
 
   private readonly clock: Clock;
@@ -97,6 +101,7 @@
     statement: () => PeerStatement,
     peersUrl: () => string,
   ) {
+    this.work = new ZoneWork(membership.identity.zone);
     this.membership = membership;
     this.clock = clock;
     this.statement = statement;
@@ -153,7 +158,10 @@
 
   /** Drops what was heard from instances that are long dead. */
   forget(names: readonly string[]): void {
-    names.forEach((name) => this.heardCosts.delete(name));
+    names.forEach((name) => {
+      this.heardCosts.delete(name);
+      this.work.forget(name);
+    });
   }
 
   noteRevision(revision: number): void {
@@ -194,6 +202,7 @@
       if (this.membership.takeRow(row)) {
         this.noteRevision(row.revision);
         this.takeCosts(row);
+        this.work.hear(row);
       }
     }
     for (const entry of heartbeats) {
@@ -218,6 +227,7 @@
         this.ownCosts.set(account, { total: own.total, listed });
         return [account, own.total];
       }),
+      work: this.work.nextTotals(),
     };
   }
 
--- a/packages/hickoryrelay-instance/src/TrafficPolicy.ts
+++ b/packages/hickoryrelay-instance/src/TrafficPolicy.ts
@@ -16,7 +16,7 @@
 import { CallCostModel } from './CallCost.js';
 import { PoolCapacity } from './PoolCapacity.js';
 
-import type { TokenRates } from './CallCost.js';
+import type { TokenRates, WorkObserver } from './CallCost.js';
 import type { RemoteUse } from './RemoteUse.js';
 
 /** What the policies of one instance are made of. */
@@ -30,6 +30,7 @@
   readonly classOf: (className: string) => ClassOfWork | undefined;
   /** Most calls that wait for admission. */
   readonly queueLimit: number;
+  readonly observeWork?: WorkObserver;
 }
 
 /** The zones of a region are 1.5 ms apart. */
@@ -66,6 +67,7 @@
     this.costs = new CallCostModel(
       () => this.currentRates(),
       (call) => this.cachedTokens(call),
+      parts.observeWork,
     );
     this.admission = new AdmissionQueue({
       clock,
--- a/packages/hickoryrelay-instance/src/__tests__/unit/Membership.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/Membership.test.ts
@@ -17,6 +17,7 @@
     viewAgeMilliseconds: 0,
     peersUrl: `ws://${name}`,
     costs: [],
+    work: { prefill: 0, decode: 0, classes: [] },
     ...changes,
   };
 }
--- a/packages/hickoryrelay-link/src/PeerMessageCodec.ts
+++ b/packages/hickoryrelay-link/src/PeerMessageCodec.ts
@@ -5,11 +5,17 @@
 
 import { usageMessages } from './UsageMessageSchemas.js';
 
-import type { DigestRow, PeerMessage } from './PeerMessages.js';
+import type { DigestRow, PeerMessage, WorkTotals } from './PeerMessages.js';
 
 const NAME_LENGTH = 128;
 const LIST_LENGTH = 10_000;
 
+/**
+ * Work is sent in tenths of a second of engine time: four bytes then hold more than a year of the
+ * engines of one node.
+ */
+const WORK_UNIT_MILLISECONDS = 100;
+
 const name = z.string().max(NAME_LENGTH);
 const count = z.number().int().nonnegative();
 const identity = z.strictObject({ name: name.min(1), zone: name.min(1), incarnation: name.min(1) });
@@ -27,6 +33,8 @@
   age,
   name,
   z.array(z.tuple([name, z.number().nonnegative()])).max(LIST_LENGTH),
+  /** Prefill, decode, then tag and total of each class. */
+  z.tuple([count, count], count).refine((work) => work.length % 2 === 0),
 ]);
 
 const encodedMessage = z.discriminatedUnion('type', [
@@ -58,6 +66,29 @@
 
 const decodedAge = (milliseconds: number | null) => milliseconds ?? Number.POSITIVE_INFINITY;
 
+function encodedWork({ prefill, decode, classes }: WorkTotals): [number, number, ...number[]] {
+  const units = (milliseconds: number) =>
+    Math.max(0, Math.round(milliseconds / WORK_UNIT_MILLISECONDS));
+  const listed = classes.flatMap(([tag, total]) => [tag, units(total)]);
+  return [units(prefill), units(decode), ...listed];
+}
+
+function decodedWork([prefill, decode, ...listed]: readonly [
+  number,
+  number,
+  ...number[],
+]): WorkTotals {
+  const classes: [number, number][] = [];
+  for (let index = 0; index < listed.length; index += 2) {
+    classes.push([listed[index] ?? 0, (listed[index + 1] ?? 0) * WORK_UNIT_MILLISECONDS]);
+  }
+  return {
+    prefill: prefill * WORK_UNIT_MILLISECONDS,
+    decode: decode * WORK_UNIT_MILLISECONDS,
+    classes,
+  };
+}
+
 function encodedRow(row: DigestRow): z.output<typeof digestRow> {
   return [
     row.identity.name,
@@ -69,11 +100,13 @@
     encodedAge(row.viewAgeMilliseconds),
     row.peersUrl,
     row.costs.map(([account, cost]) => [account, Math.round(cost)]),
+    encodedWork(row.work),
   ];
 }
 
 function decodedRow(row: z.output<typeof digestRow>): DigestRow {
-  const [rowName, zone, incarnation, heartbeat, state, revision, viewAge, peersUrl, costs] = row;
+  const [rowName, zone, incarnation, heartbeat, state, revision, viewAge, peersUrl, costs, work] =
+    row;
   return {
     identity: { name: rowName, zone, incarnation },
     heartbeat,
@@ -82,6 +115,7 @@
     viewAgeMilliseconds: decodedAge(viewAge),
     peersUrl,
     costs,
+    work: decodedWork(work),
   };
 }
 
--- a/packages/hickoryrelay-link/src/PeerMessages.ts
+++ b/packages/hickoryrelay-link/src/PeerMessages.ts
@@ -27,6 +27,14 @@
   readonly incarnation: string;
 }
 
+/** Work of the calls at one instance since its incarnation started, in milliseconds of engine time. */
+export interface WorkTotals {
+  readonly prefill: number;
+  readonly decode: number;
+  /** Totals of some classes of work, in turn: a 16-bit hash of the name and the total. */
+  readonly classes: readonly (readonly [classTag: number, total: number])[];
+}
+
 /** What one instance tells about itself; passed on by gossip. */
 export interface DigestRow {
   readonly identity: InstanceIdentity;
@@ -43,6 +51,7 @@
    * Totals, so that a lost row loses no cost.
    */
   readonly costs: readonly (readonly [account: string, cost: number])[];
+  readonly work: WorkTotals;
 }
 
 /**
--- a/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
@@ -205,6 +205,7 @@
           viewAgeMilliseconds: Infinity,
           peersUrl: 'ws://left',
           costs: [['first', 12]],
+          work: { prefill: 1200, decode: 300, classes: [[65_535, 1500]] },
         },
       ],
       heartbeats: [[4_000_000_000, 7]],
--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -2,9 +2,11 @@
 import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
 import { SystemClock } from 'hickoryrelay/Clock';
 
 import type { ServerResponse } from 'node:http';
+import type { EngineRole } from 'hickoryrelay-endpoint/Engine';
 import { EngineOrderSide } from './EngineOrderSide.js';
 import { JsonServer } from './JsonServer.js';
 
@@ -20,6 +22,15 @@
   readonly decodeMilliseconds: number;
 }
 
+/** Figures of the load reports of an engine stand-in. */
+export interface EngineLoadFigures {
+  /** Role until an order changes it. */
+  readonly role: EngineRole;
+  /** Tokens a second. */
+  readonly prefillRate: number;
+  readonly decodeRate: number;
+}
+
 interface CompletionBody {
   readonly model: string;
   readonly stream?: boolean;
@@ -139,6 +150,9 @@
   /** Whether each token says how many tokens of the answer come before it. */
   numbersTokens = true;
 
+  /** What the engine answers to `GET /load`; it offers no load reports if undefined. */
+  load: EngineLoadFigures | undefined;
+
   /** Open answers on which nothing more is sent. */
   silentAnswers = 0;
 
@@ -178,6 +192,9 @@
     if (request.path.startsWith('/orders')) {
       return this.orders.answer(request);
     }
+    if (request.path === '/load' && this.load !== undefined) {
+      return { status: 200, body: this.loadReport(this.load) };
+    }
     const body = this.accept(request);
     if (body === undefined) {
       return { status: 404, body: { error: { message: 'unknown model or path' } } };
@@ -313,6 +330,22 @@
     });
   }
 
+  private loadReport({ role, prefillRate, decodeRate }: EngineLoadFigures): object {
+    const orders = this.orders.taken.map(({ issued }) => issued.order);
+    const last = orders.findLast((order) => order.type === 'change-role');
+    return {
+      running: 0,
+      waiting: 0,
+      slots: 64,
+      waiting_prefill_tokens: 0,
+      prefill_rate: prefillRate,
+      decode_rate: decodeRate,
+      call_milliseconds: 0,
+      role: last?.type === 'change-role' ? last.role : role,
+      is_changing: this.orders.state().progress === OrderProgress.Running,
+    };
+  }
+
   private answerCount(requestIdentifier: string): JsonAnswer {
     const tokens = this.generated.get(requestIdentifier);
     return tokens === undefined
