Observe demand where the authority of a zone is held

ZoneDemandObserver answers from memory and ZoneObservationTask reads engine loads, supply and spend under a term. Figures from before an order are not used after it, since they do not show the order.

--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -10,7 +10,6 @@
 import { DisabledCallMeter } from 'hickoryrelay-usage/CallMeter';
 import { KeyValueClaimRegister } from 'hickoryrelay-usage/KeyValueClaimRegister';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
-import { NoObservation } from 'hickoryrelay-zone/PolicyPlanner';
 
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -40,6 +39,9 @@
 import { CollectedRemoteUse } from './RemoteUse.js';
 import { TrafficPolicy } from './TrafficPolicy.js';
 import { EngineLoadTasks } from './EngineLoadTasks.js';
+import { SmoothedDemand } from './SmoothedDemand.js';
+import { ZoneDemandObserver } from './ZoneDemandObserver.js';
+import { ZoneObservationTask } from './ZoneObservationTask.js';
 import type { ExchangeParts } from './Exchange.js';
 
 /** The services of the platform that an instance uses. */
@@ -124,6 +126,7 @@
       remoteUse: this.remoteUse,
       classOf: (className) => this.view.declarations.classes.get(className),
       queueLimit: parts.settings.limits.callsInFlight,
+      observeWork: (className, work) => this.control?.digest.work.add(className, work),
     });
     this.exchangeParts = {
       admission: this.policy.admission,
@@ -247,17 +250,29 @@
       this.control.digest.subscribe((account, cost) => this.remoteUse.add([[account, cost]])),
     );
     await this.control.start();
-    this.startAuthority();
+    this.startAuthority(this.control);
   }
 
-  private startAuthority(): void {
+  private startAuthority({ digest, membership }: InstanceControl): void {
     const { clock, logger, platform, random, settings } = this.parts;
+    const { zone } = settings.instance;
+    const { keyValue: store, supply } = platform;
+    const observer = new ZoneDemandObserver({
+      zone,
+      clock,
+      fleet: this.fleet,
+      declarations: () => this.view.declarations,
+      demand: new SmoothedDemand(digest.work.sums, clock),
+      hearsZone: () => membership.hearsOwnZone,
+    });
+    const log = partLogger(logger, LogPrefix.Authority);
     new ZoneDuties({
       place: settings.instance,
-      store: platform.keyValue,
-      supply: platform.supply,
+      store,
+      supply,
       fleet: this.fleet,
-      observer: new NoObservation(),
+      observer,
+      observation: (term) => new ZoneObservationTask({ observer, zone, store, supply, log }, term),
       clock,
       random,
       lifecycle: this.lifecycle.child('authority'),
--- a/packages/hickoryrelay-instance/src/Membership.ts
+++ b/packages/hickoryrelay-instance/src/Membership.ts
@@ -226,6 +226,15 @@
     return [...own, ...others];
   }
 
+  /** Whether no instance of the own zone is silent. */
+  get hearsOwnZone(): boolean {
+    return [...this.present()].every(
+      (member) =>
+        member.row.identity.zone !== this.identity.zone ||
+        this.livenessOf(member) !== Liveness.Suspect,
+    );
+  }
+
   /** Whether this instance is one of the few of its zone that watch the platform's service. */
   get isConfigurationWatcher(): boolean {
     const { name, zone } = this.identity;
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/ZoneDemandObserver.ts
@@ -0,0 +1,272 @@
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { EndpointState } from 'hickoryrelay-endpoint/Endpoint';
+import { Engine } from 'hickoryrelay-endpoint/Engine';
+import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
+import { ZoneObserver } from 'hickoryrelay-zone/PolicyPlanner';
+
+import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
+import type { Declarations } from 'hickoryrelay-contract/Declarations';
+import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
+import type { LoadReport } from 'hickoryrelay-endpoint/EngineLoad';
+import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
+import type { Fleet } from 'hickoryrelay-zone/Fleet';
+import type { ZoneDecision } from 'hickoryrelay-zone/OrdersDuty';
+import type { PlannedEngine, RoleObservation } from 'hickoryrelay-zone/RolePlan';
+import type { Spend } from 'hickoryrelay-zone/Spend';
+import type { SuppliedKind, SupplyObservation } from 'hickoryrelay-zone/SupplyPlan';
+import type { Clock } from 'hickoryrelay/Clock';
+import { classTag } from './ZoneWork.js';
+
+import type { SmoothedDemand } from './SmoothedDemand.js';
+
+/** Load reports of an engine that the authority reads in a second; about 400 bytes each. */
+export const ENGINE_READS_PER_SECOND = 5;
+
+/** Reports stay fresh for this long and two rounds over the engines of the zone. */
+const LEAST_FRESH_MILLISECONDS = 10_000;
+const ROUNDS_FRESH = 2;
+
+/** Spend and supplied endpoints are read every two seconds, so this is several failed reads. */
+const FIGURES_FRESH_MILLISECONDS = 15_000;
+
+const MILLISECONDS_PER_SECOND = 1000;
+const THOUSANDTHS = 1000;
+
+/** What the platform told of spend and supply. */
+export interface SupplyFigures {
+  /** When the first of the reads was sent. */
+  readonly askedMilliseconds: number;
+  readonly spend: Spend;
+  readonly supplied: readonly SuppliedEndpoint[];
+  /** Kinds of the endpoints that were ordered and are not listed. */
+  readonly pendingKinds: readonly string[];
+}
+
+/** What an observer of demand is made of. */
+export interface ZoneDemandObserverParts {
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly fleet: Fleet;
+  readonly declarations: () => Declarations;
+  readonly demand: SmoothedDemand;
+  /** False while an instance of the zone is silent, so that its work is not known. */
+  readonly hearsZone: () => boolean;
+}
+
+/** Highest spend in whole thousandths for an hour. Rounds down, so that the budget holds. */
+function limitOf(costPerHour: number): number {
+  return Math.floor(Math.round(costPerHour * THOUSANDTHS * THOUSANDTHS) / THOUSANDTHS);
+}
+
+/**
+ * Observes the demand for model work in a zone, and what the zone has to meet it. It answers from
+ * memory; `ZoneObservationTask` keeps the figures up to date. Figures that are missing or too old
+ * make it observe nothing. Plain services are left out: their cost is a time, not an occupation.
+ */
+export class ZoneDemandObserver extends ZoneObserver {
+  private readonly parts: ZoneDemandObserverParts;
+
+  private figures: SupplyFigures | undefined;
+
+  private supplyOrderedMilliseconds = Number.NEGATIVE_INFINITY;
+
+  /** When engines were last ordered to do something, by identifier. */
+  private readonly orderedMilliseconds = new Map<string, number>();
+
+  constructor(parts: ZoneDemandObserverParts) {
+    super();
+    this.parts = parts;
+  }
+
+  override roles(): RoleObservation | undefined {
+    const { clock, demand } = this.parts;
+    const engines = this.plannedEngines();
+    if (!this.isDemandKnown || engines === undefined || demand.prefill + demand.decode === 0) {
+      return undefined;
+    }
+    return {
+      nowMilliseconds: clock.monotonicMilliseconds(),
+      engines,
+      demand: { prefill: demand.prefill, decode: demand.decode },
+      needs: this.modelClasses().map(({ name, models }) => ({
+        className: name,
+        models,
+        prefillEngines: 1,
+        decodeEngines: 1,
+      })),
+    };
+  }
+
+  override supply(): SupplyObservation | undefined {
+    const { clock, declarations, demand, fleet } = this.parts;
+    const now = clock.monotonicMilliseconds();
+    const figures = this.freshFigures(now);
+    const kinds = this.alikeKinds();
+    const classes = this.modelClasses();
+    // Two classes with one tag cannot be told apart.
+    const isAmbiguous = new Set(classes.map(({ name }) => classTag(name))).size < classes.length;
+    if (!this.isDemandKnown || figures === undefined || kinds.length === 0 || isAmbiguous) {
+      return undefined;
+    }
+    return {
+      nowMilliseconds: now,
+      kinds: kinds.map((kind) => this.suppliedKind(kind, figures, now)),
+      demands: classes.map(({ name, isIdempotent, targets }) => {
+        const units = demand.ofClass(classTag(name));
+        const lossTarget = targets.loss;
+        return {
+          className: name,
+          units,
+          unitsAfterLead: units,
+          survivesLoss: isIdempotent,
+          lossTarget,
+        };
+      }),
+      largestReclaim: this.largestReclaim(),
+      zoneCount: [...fleet.zones].length,
+      spendLimit: limitOf(declarations().document.budget.costPerHour),
+      spent: figures.spend.total,
+    };
+  }
+
+  override findSupplied(identifier: string): SuppliedEndpoint | undefined {
+    return this.figures?.supplied.find((each) => each.identifier === identifier);
+  }
+
+  override noteOrder(decision: ZoneDecision): void {
+    const now = this.parts.clock.monotonicMilliseconds();
+    if (decision.type === 'endpoint-order') {
+      this.orderedMilliseconds.set(decision.endpoint, now);
+    } else {
+      this.supplyOrderedMilliseconds = now;
+    }
+  }
+
+  /** Forgets what was observed, at the start of a term. */
+  reset(): void {
+    this.parts.demand.reset();
+    this.figures = undefined;
+  }
+
+  /** Takes a sample of the demand. */
+  sample(): void {
+    if (this.parts.hearsZone()) {
+      this.parts.demand.sample();
+    } else {
+      this.parts.demand.reset();
+    }
+  }
+
+  update(figures: SupplyFigures): void {
+    this.figures = figures;
+  }
+
+  /** The engines whose next report must show the outcome of an order, and the others. */
+  enginesToRead(): [awaited: Engine[], others: Engine[]] {
+    const engines = this.liveEngines();
+    const isAwaited = (engine: Engine) => this.awaitsReport(engine, engine.load.lastReport);
+    return [engines.filter(isAwaited), engines.filter((engine) => !isAwaited(engine))];
+  }
+
+  private get isDemandKnown(): boolean {
+    return this.parts.hearsZone() && this.parts.demand.isKnown;
+  }
+
+  private liveEngines(): Engine[] {
+    return [...this.parts.fleet.zone(this.parts.zone).endpoints].filter(
+      (each): each is Engine => each instanceof Engine && each.state === EndpointState.Live,
+    );
+  }
+
+  /**
+   * Engines that report. A silent one does no work that can be relied on, so it is left out; if
+   * more than half are silent, the fault is more likely on this side, and nothing is observed.
+   */
+  private plannedEngines(): PlannedEngine[] | undefined {
+    const live = this.liveEngines();
+    const planned: PlannedEngine[] = [];
+    for (const engine of live) {
+      const report = this.freshReport(engine, live.length);
+      if (report?.role !== undefined) {
+        const isChanging = report.isChanging === true || this.awaitsReport(engine, report);
+        const { identifier, kind } = engine;
+        planned.push({ identifier, role: report.role, models: kind.models, isChanging });
+      }
+    }
+    return planned.length * 2 < live.length || planned.length === 0 ? undefined : planned;
+  }
+
+  private freshReport(engine: Engine, engineCount: number): LoadReport | undefined {
+    const report = engine.load.lastReport;
+    const round = (engineCount / ENGINE_READS_PER_SECOND) * MILLISECONDS_PER_SECOND;
+    const longest = LEAST_FRESH_MILLISECONDS + ROUNDS_FRESH * round;
+    const now = this.parts.clock.monotonicMilliseconds();
+    return report !== undefined && now - report.takenMilliseconds <= longest ? report : undefined;
+  }
+
+  private awaitsReport({ identifier }: Engine, report: LoadReport | undefined): boolean {
+    const ordered = this.orderedMilliseconds.get(identifier);
+    return ordered !== undefined && (report === undefined || report.takenMilliseconds <= ordered);
+  }
+
+  private freshFigures(now: number): SupplyFigures | undefined {
+    const { figures } = this;
+    const isFresh =
+      figures !== undefined &&
+      now - figures.askedMilliseconds <= FIGURES_FRESH_MILLISECONDS &&
+      figures.askedMilliseconds > this.supplyOrderedMilliseconds;
+    return isFresh ? figures : undefined;
+  }
+
+  private modelClasses(): ClassOfWork[] {
+    const { classes } = this.parts.declarations();
+    return [...classes.values()].filter(({ kind }) => kind === WorkKind.Model);
+  }
+
+  /** The kinds of engines, if all can run every declared model; none if they are not alike. */
+  private alikeKinds(): EndpointKind[] {
+    const models = this.modelClasses().flatMap((each) => each.models);
+    const kinds = [...this.parts.declarations().endpointKinds.values()].filter(
+      ({ serves }) => serves === WorkKind.Model,
+    );
+    const areAlike = kinds.every((kind) => models.every((model) => kind.models.includes(model)));
+    return areAlike ? kinds : [];
+  }
+
+  private suppliedKind(kind: EndpointKind, figures: SupplyFigures, now: number): SuppliedKind {
+    const present = figures.supplied.filter(
+      (each) => each.kind === kind.name && each.state !== SupplyState.Leaving,
+    );
+    const pending = figures.pendingKinds.filter((name) => name === kind.name);
+    return {
+      kind,
+      count: present.length + pending.length,
+      // Endpoints that no authority ordered belong to the operators and are never released.
+      idle: present
+        .filter(({ orderKey, state }) => orderKey !== undefined && state === SupplyState.Live)
+        .map(({ identifier }) => identifier)
+        .filter((identifier) => this.isIdle(identifier, now)),
+    };
+  }
+
+  private isIdle(identifier: string, now: number): boolean {
+    const engine = this.parts.fleet.zone(this.parts.zone).find(identifier);
+    const report = engine instanceof Engine ? engine.load.lastReport : undefined;
+    return (
+      engine?.callsInFlight === 0 &&
+      report?.running === 0 &&
+      report.waiting === 0 &&
+      now - report.takenMilliseconds <= LEAST_FRESH_MILLISECONDS
+    );
+  }
+
+  private largestReclaim(): number {
+    const counts = [...this.parts.fleet.zones].map(
+      ({ endpoints }) =>
+        [...endpoints].filter(
+          (each) => each instanceof Engine && each.kind.reclaimable && each.takesWork,
+        ).length,
+    );
+    return Math.max(0, ...counts);
+  }
+}
--- a/packages/hickoryrelay-instance/src/ZoneDuties.ts
+++ b/packages/hickoryrelay-instance/src/ZoneDuties.ts
@@ -29,6 +29,8 @@
   readonly supply: EndpointSupply;
   readonly fleet: Fleet;
   readonly observer: ZoneObserver;
+  /** Makes the task that keeps the observer up to date under a term. */
+  readonly observation?: (term: AuthorityTerm) => Task;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly lifecycle: LifecycleManager;
@@ -51,7 +53,10 @@
       random,
       lifecycle,
       log: parts.log(LogPrefix.Authority),
-      duties: (term) => [this.orders(term)],
+      duties: (term) => {
+        const observation = parts.observation?.(term);
+        return [this.orders(term), ...(observation === undefined ? [] : [observation])];
+      },
     });
   }
 
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/ZoneObservationTask.ts
@@ -0,0 +1,137 @@
+import { EngineStatusLink } from 'hickoryrelay-link/EngineStatusLink';
+import { Spend } from 'hickoryrelay-zone/Spend';
+import { SupplyOrderType } from 'hickoryrelay-zone/SupplyBook';
+import { SPEND_KEY, suppliedPrefix, supplyIntentsPrefix } from 'hickoryrelay-zone/ZoneKeyUtils';
+import { describeFailure } from 'hickoryrelay/Failure';
+import { failureOf } from 'hickoryrelay/RelayError';
+import { Task } from 'hickoryrelay/Task';
+
+import type { Engine } from 'hickoryrelay-endpoint/Engine';
+import type { EndpointSupply } from 'hickoryrelay-platform/EndpointSupply';
+import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
+import type { SuppliedRecord, SupplyIntent } from 'hickoryrelay-zone/SupplyBook';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { TaskContext } from 'hickoryrelay/Task';
+import { ENGINE_READS_PER_SECOND } from './ZoneDemandObserver.js';
+
+import type { SupplyFigures, ZoneDemandObserver } from './ZoneDemandObserver.js';
+
+const SAMPLE_INTERVAL_MILLISECONDS = 1000;
+
+/** Three reads every two seconds for each zone: 17 a second of about 2,000 for 11 zones. */
+const SUPPLY_INTERVAL_MILLISECONDS = 2000;
+
+/** Reports that the instance's own load tasks keep younger than this need no further read. */
+const READ_AGAIN_MILLISECONDS = 3000;
+
+/** What the task reads from, and the observer that it keeps up to date. */
+export interface ZoneObservationParts {
+  readonly observer: ZoneDemandObserver;
+  readonly zone: string;
+  readonly store: KeyValueStore;
+  readonly supply: EndpointSupply;
+  readonly log: PartLogger;
+}
+
+/** Keeps what the observer knows up to date, while the authority is held. */
+export class ZoneObservationTask extends Task {
+  override readonly name = 'observation of the zone';
+
+  private readonly parts: ZoneObservationParts;
+
+  private readonly term: AuthorityTerm;
+
+  private readonly triedMilliseconds = new WeakMap<Engine, number>();
+
+  constructor(parts: ZoneObservationParts, term: AuthorityTerm) {
+    super();
+    this.parts = parts;
+    this.term = term;
+  }
+
+  protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
+    const { observer } = this.parts;
+    const { clock } = context;
+    const signal = AbortSignal.any([context.signal, this.term.signal]);
+    observer.reset();
+    let supplyMilliseconds = Number.NEGATIVE_INFINITY;
+    while (!signal.aborted) {
+      observer.sample();
+      const now = clock.monotonicMilliseconds();
+      if (now - supplyMilliseconds >= SUPPLY_INTERVAL_MILLISECONDS) {
+        supplyMilliseconds = now;
+        await this.attempt(async () => observer.update(await this.readFigures(now)));
+        yield;
+      }
+      await this.readEngines(clock, signal);
+      yield;
+      await clock.sleep(SAMPLE_INTERVAL_MILLISECONDS, signal).catch(() => {});
+    }
+  }
+
+  /**
+   * Reads intents, then records, then the list: an order moves on in this direction, so that each
+   * is seen at least once. The keys tell which are the same.
+   */
+  private async readFigures(askedMilliseconds: number): Promise<SupplyFigures> {
+    const { store, supply, zone } = this.parts;
+    const pending = new Map<string, string>();
+    const intents = await store.range(supplyIntentsPrefix(zone), { prefix: true });
+    for (const { value } of intents.values) {
+      const intent = JSON.parse(value) as SupplyIntent;
+      if (intent.type === SupplyOrderType.Order) {
+        pending.set(intent.idempotencyKey, intent.subject);
+      }
+    }
+    const prefix = suppliedPrefix(zone);
+    const records = await store.range(prefix, { prefix: true });
+    for (const { key, value } of records.values) {
+      pending.set(key.slice(prefix.length), (JSON.parse(value) as SuppliedRecord).kind);
+    }
+    const supplied = await supply.list(zone);
+    supplied.forEach(({ orderKey }) => pending.delete(orderKey ?? ''));
+    const spend = Spend.parse((await store.get(SPEND_KEY))?.value);
+    return { askedMilliseconds, spend, supplied, pendingKinds: [...pending.values()] };
+  }
+
+  /** Reads the engines whose last read is longest ago. */
+  private async readEngines(clock: Clock, signal: AbortSignal): Promise<void> {
+    const now = clock.monotonicMilliseconds();
+    const lastRead = (engine: Engine) =>
+      Math.max(
+        this.triedMilliseconds.get(engine) ?? Number.NEGATIVE_INFINITY,
+        engine.load.lastReport?.takenMilliseconds ?? Number.NEGATIVE_INFINITY,
+      );
+    const [awaited, others] = this.parts.observer.enginesToRead();
+    const due = [
+      ...awaited,
+      ...others
+        .filter((engine) => now - lastRead(engine) >= READ_AGAIN_MILLISECONDS)
+        .toSorted((left, right) => lastRead(left) - lastRead(right)),
+    ].slice(0, ENGINE_READS_PER_SECOND);
+    await Promise.all(
+      due.map((engine) => {
+        this.triedMilliseconds.set(engine, now);
+        return this.attempt(async () => {
+          const report = await new EngineStatusLink(engine.place, clock).readLoad(signal);
+          if (report !== undefined) {
+            engine.load.update(report);
+          }
+        });
+      }),
+    );
+  }
+
+  private async attempt(work: () => Promise<void>): Promise<void> {
+    try {
+      await work();
+    } catch (error) {
+      this.parts.log.debug('Could not read figures of the zone.', {
+        zone: this.parts.zone,
+        reason: describeFailure(failureOf(error)),
+      });
+    }
+  }
+}
--- a/packages/hickoryrelay-zone/src/PolicyPlanner.ts
+++ b/packages/hickoryrelay-zone/src/PolicyPlanner.ts
@@ -16,6 +16,9 @@
   abstract supply(): SupplyObservation | undefined;
 
   abstract findSupplied(identifier: string): SuppliedEndpoint | undefined;
+
+  /** Tells that an order may have taken effect, which figures from before do not show. */
+  noteOrder(_decision: ZoneDecision): void {}
 }
 
 /** Observes nothing, so that nothing is ordered. For instances without a source of demand. */
@@ -57,6 +60,9 @@
   }
 
   override note(decision: ZoneDecision, outcome: OrderOutcome): void {
+    if (outcome !== OrderOutcome.NoEffect) {
+      this.parts.observer.noteOrder(decision);
+    }
     if (outcome !== OrderOutcome.Taken) {
       this.parts.log.warn('An order has not been taken.', { type: decision.type, outcome });
     }
--- a/packages/hickoryrelay-zone/src/SupplyBook.ts
+++ b/packages/hickoryrelay-zone/src/SupplyBook.ts
@@ -43,7 +43,7 @@
 
 export type SupplyOrderType = (typeof SupplyOrderType)[keyof typeof SupplyOrderType];
 
-interface SupplyIntent {
+export interface SupplyIntent {
   readonly type: SupplyOrderType;
   readonly idempotencyKey: string;
   /** Kind of an ordered endpoint, or identifier of a released one. */
@@ -57,7 +57,7 @@
 }
 
 /** An order that took effect and still costs money. */
-interface SuppliedRecord {
+export interface SuppliedRecord {
   readonly kind: string;
   readonly amount: number;
   readonly orderedMilliseconds: number;
