--- a/packages/hickoryrelay-instance/src/__tests__/unit/Membership.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/Membership.test.ts
@@ -57,6 +57,20 @@
     expect(membership.liveness('01-other')).toBe(Liveness.Live);
   });
 
+  // Guards against orders from a demand that lacks the work of a silent instance.
+  it('tells whether an instance of the own zone is silent', async () => {
+    const far = { name: 'far', zone: 'zone-b', incarnation: '01-far' };
+    membership.takeRow(rowOf('other', 1));
+    membership.takeRow(rowOf('far', 1, { identity: far }));
+    await pass(5);
+    expect(membership.hearsOwnZone).toBe(true);
+    await pass(1);
+    expect(membership.hearsOwnZone).toBe(false);
+    await pass(10);
+    expect(membership.liveness('01-far')).toBe(Liveness.Suspect);
+    expect(membership.hearsOwnZone).toBe(true);
+  });
+
   it('takes nobody for dead while it hears nobody at all', async () => {
     membership.takeRow(rowOf('other', 1));
     for (let second = 0; second < 30; second += 1) {
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/ZoneDemandObserver.test.ts
@@ -0,0 +1,212 @@
+import { Declarations } from 'hickoryrelay-contract/Declarations';
+import { Engine, EngineRole } from 'hickoryrelay-endpoint/Engine';
+import { decodeLoadReport } from 'hickoryrelay-endpoint/EngineLoad';
+import { encodePeerMessage } from 'hickoryrelay-link/PeerMessageCodec';
+import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
+import { Fleet } from 'hickoryrelay-zone/Fleet';
+import { Spend } from 'hickoryrelay-zone/Spend';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import type { DigestRow, WorkTotals } from 'hickoryrelay-link/PeerMessages';
+import { SmoothedDemand } from '../../SmoothedDemand.js';
+import { ZoneDemandObserver } from '../../ZoneDemandObserver.js';
+import { classTag, ZoneWork } from '../../ZoneWork.js';
+
+const TAG = classTag('ask');
+const NOTHING: WorkTotals = { prefill: 0, decode: 0, classes: [] };
+
+function rowOf(heartbeat: number, prefill: number, changes: Partial<DigestRow> = {}): DigestRow {
+  return {
+    identity: { name: 'other', zone: 'zone-a', incarnation: '01' },
+    heartbeat,
+    state: 'live',
+    revision: 1,
+    viewAgeMilliseconds: 0,
+    peersUrl: 'ws://other',
+    costs: [],
+    work: { prefill, decode: 0, classes: [[TAG, prefill]] },
+    ...changes,
+  };
+}
+
+describe('the work of a zone', () => {
+  // Guards against demand that is counted twice, or that jumps when an instance is first heard.
+  it('counts the work of others once, whatever rows are lost', () => {
+    const work = new ZoneWork('zone-a');
+    work.hear(rowOf(7, 1000));
+    expect(work.sums.prefill).toBe(0);
+    work.hear(rowOf(9, 1500));
+    work.hear(rowOf(1, 200, { identity: { name: 'other', zone: 'zone-a', incarnation: '02' } }));
+    work.hear(rowOf(1, 900, { identity: { name: 'far', zone: 'zone-b', incarnation: '03' } }));
+    work.add('ask', { prefill: 10, decode: 0 });
+    expect(work.sums.prefill).toBe(710);
+    expect(work.sums.classes.get(TAG)).toBe(710);
+  });
+
+  // Guards against classes that are never named and rows that outgrow their allowance.
+  it('names each class in its turn, within 30 bytes of a row', () => {
+    const work = new ZoneWork('zone-a');
+    const names = ['ask', 'brief', 'label', 'caption', 'proof'];
+    names.forEach((name) => work.add(name, { prefill: 3e10, decode: 3e10 }));
+    const heard = new Set<number>();
+    for (let row = 0; row < 3; row += 1) {
+      const totals = work.nextTotals();
+      totals.classes.forEach(([tag]) => heard.add(tag));
+      const bytes = (each: WorkTotals) =>
+        encodePeerMessage({
+          type: 'digest',
+          rows: [rowOf(1, 0, { work: each })],
+          heartbeats: [],
+        }).length;
+      // An empty list of work is three of the bytes.
+      expect(bytes(totals) - bytes(NOTHING) + 3).toBeLessThanOrEqual(30);
+    }
+    expect(heard).toEqual(new Set(names.map(classTag)));
+  });
+});
+
+describe('an observer of demand', () => {
+  let clock: ManualClock;
+  let work: ZoneWork;
+  let fleet: Fleet;
+  let hearsZone: boolean;
+  let observer: ZoneDemandObserver;
+  const document = { ...sampleDeclarations(), budget: { costPerHour: 8.5 } };
+  const declarations = new Declarations(document);
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    work = new ZoneWork('zone-a');
+    fleet = new Fleet();
+    hearsZone = true;
+    observer = new ZoneDemandObserver({
+      zone: 'zone-a',
+      clock,
+      fleet,
+      declarations: () => declarations,
+      demand: new SmoothedDemand(work.sums, clock),
+      hearsZone: () => hearsZone,
+    });
+    const supplied = ['engine-1', 'engine-2'].map((identifier) => ({
+      identifier,
+      kind: 'engine',
+      zone: 'zone-a',
+      url: 'http://127.0.0.1:9',
+      state: 'live' as const,
+      ...(identifier === 'engine-2' ? { orderKey: 'order-2' } : {}),
+    }));
+    fleet.update(supplied, declarations.endpointKinds);
+  });
+
+  function report(role: EngineRole = EngineRole.Mixed): void {
+    for (const engine of fleet.endpoints()) {
+      if (engine instanceof Engine) {
+        const figures = { running: 0, waiting: 0, slots: 8, waiting_prefill_tokens: 0 };
+        const rates = { prefill_rate: 1000, decode_rate: 100, call_milliseconds: 0 };
+        engine.load.update(
+          decodeLoadReport({ ...figures, ...rates, role }, clock.monotonicMilliseconds()),
+        );
+      }
+    }
+  }
+
+  function tellSupply(pendingKinds: readonly string[] = []): void {
+    const supplied = [...fleet.endpoints()].map(({ place, kind }) => ({
+      ...place,
+      kind: kind.name,
+      state: 'live' as const,
+      ...(place.identifier === 'engine-2' ? { orderKey: 'order-2' } : {}),
+    }));
+    const spend = new Spend({ 'zone-b': 4000 });
+    observer.update({
+      askedMilliseconds: clock.monotonicMilliseconds(),
+      spend,
+      supplied,
+      pendingKinds,
+    });
+  }
+
+  /** Lets seconds pass in which work for three engines of prefill and one of decode arrives. */
+  async function pass(seconds: number): Promise<void> {
+    for (let second = 0; second < seconds; second += 1) {
+      work.add('ask', { prefill: 3000, decode: 1000 });
+      await clock.advance(1000);
+      report();
+      tellSupply();
+      observer.sample();
+    }
+  }
+
+  // Guards against orders from the first seconds of a term.
+  it('observes nothing until the demand has been observed for 20 s', async () => {
+    observer.sample();
+    await pass(19);
+    expect([observer.roles(), observer.supply()]).toEqual([undefined, undefined]);
+    await pass(1);
+    expect(observer.roles()?.demand.prefill).toBeCloseTo(3);
+    expect(observer.roles()?.demand.decode).toBeCloseTo(1);
+    expect(observer.supply()?.demands[0]?.units).toBeCloseTo(4);
+  });
+
+  // Guards against averages over time in which nothing was heard.
+  it('starts anew after a pause or the silence of an instance', async () => {
+    await pass(21);
+    await clock.advance(16_000);
+    await pass(2);
+    expect(observer.roles()).toBeUndefined();
+    await pass(20);
+    expect(observer.roles()).toBeDefined();
+    hearsZone = false;
+    expect([observer.roles(), observer.supply()]).toEqual([undefined, undefined]);
+    await pass(1);
+    hearsZone = true;
+    await pass(2);
+    expect(observer.roles()).toBeUndefined();
+  });
+
+  // Guards against orders from figures that are no longer true.
+  it('trusts no reports that are old', async () => {
+    await pass(21);
+    await clock.advance(11_000);
+    expect(observer.roles()).toBeUndefined();
+    report();
+    expect(observer.roles()).toBeDefined();
+    observer.sample();
+    await clock.advance(5000);
+    report();
+    expect([observer.roles() !== undefined, observer.supply()]).toEqual([true, undefined]);
+  });
+
+  // Guards against a second engine that changes at the same time.
+  it('takes an ordered engine for changing until a later report', async () => {
+    await pass(21);
+    observer.noteOrder({
+      type: 'endpoint-order',
+      endpoint: 'engine-1',
+      order: { type: 'change-role', role: EngineRole.Prefill },
+      reason: '',
+    });
+    report(EngineRole.Prefill);
+    const changing = () => observer.roles()?.engines.map(({ isChanging }) => isChanging);
+    expect(changing()).toEqual([true, false]);
+    await clock.advance(100);
+    report(EngineRole.Prefill);
+    expect(changing()).toEqual([false, false]);
+  });
+
+  // Guards against a second order for the same shortfall.
+  it('waits for figures from after a supply order, which count what is not listed yet', async () => {
+    await pass(21);
+    const kind = declarations.endpointKinds.get('engine')!;
+    observer.noteOrder({ type: 'supply-order', kind, limit: 8500, reason: '' });
+    expect(observer.supply()).toBeUndefined();
+    await clock.advance(100);
+    tellSupply(['engine']);
+    expect(observer.supply()).toMatchObject({
+      kinds: [{ count: 3, idle: ['engine-2'] }],
+      spendLimit: 8500,
+      spent: 4000,
+    });
+  });
+});
