--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -18,6 +18,7 @@
 import type { Call } from 'hickoryrelay-link/Call';
 import type { EndpointSupply } from 'hickoryrelay-platform/EndpointSupply';
 import type { InstanceList } from 'hickoryrelay-platform/InstanceList';
+import type { CallBudget } from 'hickoryrelay-platform/CallBudget';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import type { Logger as ProcessLogger } from 'winston';
@@ -26,6 +27,7 @@
 import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
 import { UsageDuties } from './UsageDuties.js';
 import { ZoneDuties } from './ZoneDuties.js';
+import { CallShareTask } from './CallShareTask.js';
 import { FleetTask } from './FleetTask.js';
 import { RetryBudget } from './RetryBudget.js';
 import { Exchange } from './Exchange.js';
@@ -59,6 +61,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: ProcessLogger;
+  /** The budget of the key-value store, to be set to this instance's share. */
+  readonly callBudget?: CallBudget;
 }
 
 /** What `GET /admin/status` returns. */
@@ -69,6 +73,8 @@
   readonly ready: boolean;
   readonly revision: number;
   readonly callsInFlight: number;
+  /** Fencing number of the authority over the own zone; absent unless it is held. */
+  readonly fencingNumber?: number;
 }
 
 const REQUEST_IDENTIFIER_BYTES = 12;
@@ -193,6 +199,7 @@
 
   status(): InstanceStatus {
     const { name, zone } = this.settings.instance;
+    const term = this.zoneDuties.authority.currentTerm;
     return {
       name,
       zone,
@@ -200,6 +207,7 @@
       ready: this.isReady,
       revision: this.view.revision,
       callsInFlight: this.exchanges.size,
+      ...(term === undefined ? {} : { fencingNumber: term.fencingNumber }),
     };
   }
 
@@ -308,6 +316,10 @@
       this.control.digest.subscribe((account, cost) => this.remoteUse.add([[account, cost]])),
     );
     await this.control.start();
+    const { callBudget } = this.parts;
+    if (callBudget !== undefined) {
+      this.lifecycle.start(new CallShareTask(callBudget, this.control.membership));
+    }
     this.zoneDuties.start();
     this.usageDuties.start();
   }
