--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
 import { SystemClock } from 'hickoryrelay/Clock';
 
@@ -22,6 +23,15 @@
   readonly decodeMilliseconds: number;
 }
 
+/** Figures of the load reports of an engine stand-in. */
+export interface EngineLoadFigures {
+  /** Role until an order changes it. */
+  readonly role: EngineRole;
+  /** Tokens a second. */
+  readonly prefillRate: number;
+  readonly decodeRate: number;
+}
+
 interface CompletionBody {
   readonly model: string;
   readonly stream?: boolean;
@@ -143,6 +153,9 @@
   /** Whether each token says how many tokens of the answer come before it. */
   numbersTokens = true;
 
+  /** Figures for `GET /load` in place of the engine's own. */
+  load: EngineLoadFigures | undefined;
+
   /** Open answers on which nothing more is sent. */
   silentAnswers = 0;
 
@@ -358,21 +371,31 @@
   }
 
   private loadReport(): object {
-    const lastRole = this.orders.taken.findLast(({ issued }) => issued.order.type === 'change-role')
-      ?.issued.order;
-    const tokens = [...this.prefilling].reduce((sum, each) => sum + each.tokens, 0);
-    const streams = Math.max(1, this.runningCalls);
+    const orders = this.orders.taken.map(({ issued }) => issued.order);
+    const last = orders.findLast((order) => order.type === 'change-role');
+    const { role, prefillRate, decodeRate } = this.load ?? this.ownFigures();
     return {
       running: this.runningCalls,
       waiting: 0,
       slots: REPORTED_SLOTS,
-      waiting_prefill_tokens: tokens,
-      prefill_rate: this.times.prefillRate,
-      // Streams do not slow each other down, and no time between tokens is below 1 ms here.
-      decode_rate: (streams * MILLISECONDS_PER_SECOND) / Math.max(1, this.times.decodeMilliseconds),
+      waiting_prefill_tokens: [...this.prefilling].reduce((sum, each) => sum + each.tokens, 0),
+      prefill_rate: prefillRate,
+      decode_rate: decodeRate,
       call_milliseconds: this.callMilliseconds,
       age_milliseconds: 0,
-      role: lastRole?.type === 'change-role' ? lastRole.role : EngineRole.Mixed,
+      role: last?.type === 'change-role' ? last.role : role,
+      is_changing: this.orders.state().progress === OrderProgress.Running,
+    };
+  }
+
+  /** Streams do not slow each other down, and no time between tokens is below 1 ms here. */
+  private ownFigures(): EngineLoadFigures {
+    const streams = Math.max(1, this.runningCalls);
+    const tokenMilliseconds = Math.max(1, this.times.decodeMilliseconds);
+    return {
+      role: EngineRole.Mixed,
+      prefillRate: this.times.prefillRate,
+      decodeRate: (streams * MILLISECONDS_PER_SECOND) / tokenMilliseconds,
     };
   }
 
