--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -56,6 +56,19 @@
       'no-void': ['error', { allowAsStatement: true }],
       'no-use-before-define': 'off',
       '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      'import-x/order': [
+        'error',
+        {
+          groups: ['builtin', ['external', 'internal'], ['parent', 'sibling'], 'type'],
+          pathGroups: [
+            { pattern: 'hickoryrelay{,-*}/**', group: 'external', position: 'after' },
+            { pattern: 'hickoryrelay{,-*}/**', group: 'type' },
+          ],
+          pathGroupsExcludedImportTypes: ['type'],
+          'newlines-between': 'ignore',
+          alphabetize: { order: 'asc', caseInsensitive: true },
+        },
+      ],
       'import-x/prefer-default-export': 'off',
       'import-x/no-default-export': 'error',
       'import-x/extensions': 'off',
--- a/packages/hickoryrelay-bench/src/Baselines.ts
+++ b/packages/hickoryrelay-bench/src/Baselines.ts
@@ -1,8 +1,8 @@
-import { canRun, SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 import { AdmissionPolicy } from 'hickoryrelay-instance/AdmissionPolicy';
+import { canRun, SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 
-import type { AdmissionTicket } from 'hickoryrelay-instance/AdmissionPolicy';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
+import type { AdmissionTicket } from 'hickoryrelay-instance/AdmissionPolicy';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
 
--- a/packages/hickoryrelay-bench/src/ChildProcess.ts
+++ b/packages/hickoryrelay-bench/src/ChildProcess.ts
@@ -2,8 +2,8 @@
 import { once } from 'node:events';
 import { fileURLToPath } from 'node:url';
 
-import type { ChildProcess as NodeChildProcess } from 'node:child_process';
 import type { ProcessReport, ProcessSample } from './BenchMessages.js';
+import type { ChildProcess as NodeChildProcess } from 'node:child_process';
 
 /** A process of a measurement, started from a file beside this one. */
 export class ChildProcess {
--- a/packages/hickoryrelay-bench/src/MeasuredRelay.ts
+++ b/packages/hickoryrelay-bench/src/MeasuredRelay.ts
@@ -1,5 +1,9 @@
 import { createServer } from 'node:http';
 
+import { Pool } from 'undici';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { createProcessLogger } from 'hickoryrelay/Logger';
+import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 import { settingsSchema } from 'hickoryrelay-contract/Settings';
 import { Instance } from 'hickoryrelay-instance/Instance';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
@@ -8,16 +12,12 @@
   HttpInstanceList,
   HttpUsageReportSink,
 } from 'hickoryrelay-platform/HttpPlatform';
-import { SystemClock } from 'hickoryrelay/Clock';
-import { createProcessLogger } from 'hickoryrelay/Logger';
-import { SystemRandomSource } from 'hickoryrelay/RandomSource';
-import { Pool } from 'undici';
 
+import { RelayKind } from './BenchMessages.js';
+import type { RelayOrder } from './BenchMessages.js';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Readable } from 'node:stream';
-import { RelayKind } from './BenchMessages.js';
-import type { RelayOrder } from './BenchMessages.js';
 
 const READY_INTERVAL_MILLISECONDS = 25;
 const EVENT_END = '\n\n';
--- a/packages/hickoryrelay-bench/src/PeerCost.ts
+++ b/packages/hickoryrelay-bench/src/PeerCost.ts
@@ -1,9 +1,9 @@
-import { AccessKey } from 'hickoryrelay-contract/AccessKey';
-import { bucketsOf, documentFrom } from 'hickoryrelay-contract/ConfigurationBucket';
-import { Declarations } from 'hickoryrelay-contract/Declarations';
 import { SystemClock } from 'hickoryrelay/Clock';
 import { invariant } from 'hickoryrelay/Invariant';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { AccessKey } from 'hickoryrelay-contract/AccessKey';
+import { bucketsOf, documentFrom } from 'hickoryrelay-contract/ConfigurationBucket';
+import { Declarations } from 'hickoryrelay-contract/Declarations';
 import { InstanceDigest } from 'hickoryrelay-instance/InstanceDigest';
 import { Liveness, Membership } from 'hickoryrelay-instance/Membership';
 import { decodePeerMessage, encodePeerMessage } from 'hickoryrelay-link/PeerMessageCodec';
@@ -12,12 +12,12 @@
 import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { SimulatedFederation } from 'hickoryrelay-standin/SimulatedFederation';
 
-import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
+import { QueueClock } from './QueueClock.js';
 import type { Clock } from 'hickoryrelay/Clock';
+import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 import type { PeerConnection } from 'hickoryrelay-link/PeerConnection';
-import type { SimulatedInstance } from 'hickoryrelay-standin/SimulatedFederation';
 import type { DigestRow, PeerMessage } from 'hickoryrelay-link/PeerMessages';
-import { QueueClock } from './QueueClock.js';
+import type { SimulatedInstance } from 'hickoryrelay-standin/SimulatedFederation';
 
 const NODES_IN_ZONE = 58;
 const SECONDS_IN_DAY = 86_400;
--- a/packages/hickoryrelay-bench/src/PolicyModel.ts
+++ b/packages/hickoryrelay-bench/src/PolicyModel.ts
@@ -1,22 +1,22 @@
-import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
-import type { AdmissionPolicy } from 'hickoryrelay-instance/AdmissionPolicy';
-import { CollectedRemoteUse } from 'hickoryrelay-instance/RemoteUse';
-import { TrafficPolicy } from 'hickoryrelay-instance/TrafficPolicy';
-import { EngineServiceModel } from 'hickoryrelay-standin/EngineServiceModel';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { Engine } from 'hickoryrelay-endpoint/Engine';
+import { CollectedRemoteUse } from 'hickoryrelay-instance/RemoteUse';
+import { TrafficPolicy } from 'hickoryrelay-instance/TrafficPolicy';
+import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
+import { EngineServiceModel } from 'hickoryrelay-standin/EngineServiceModel';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 
-import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
-import type { AccountUse } from 'hickoryrelay-instance/RemoteUse';
-import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
-import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 import { FirstComeAdmission, LeastOfAllSelection, RoundRobinSelection } from './Baselines.js';
 import { CLASSES, MODEL, nominalCost, Workload } from './Workload.js';
 
 import type { PlannedCall } from './Workload.js';
+import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
+import type { AdmissionPolicy } from 'hickoryrelay-instance/AdmissionPolicy';
+import type { AccountUse } from 'hickoryrelay-instance/RemoteUse';
+import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
+import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 
 /** The policies that the load tool compares. */
 export const PolicyName = {
--- a/packages/hickoryrelay-bench/src/RoleExperiment.ts
+++ b/packages/hickoryrelay-bench/src/RoleExperiment.ts
@@ -1,6 +1,6 @@
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
 import { DemandRoles, StaticRoles, countRoles, shareMet } from 'hickoryrelay-zone/RolePlan';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 
 import type { PlannedEngine, RoleDemand, RolePolicy } from 'hickoryrelay-zone/RolePlan';
 
--- a/packages/hickoryrelay-bench/src/StreamCallers.ts
+++ b/packages/hickoryrelay-bench/src/StreamCallers.ts
@@ -2,9 +2,9 @@
 
 import { build } from 'hdr-histogram-js';
 
-import type { ClientRequest, IncomingMessage } from 'node:http';
-import type { Histogram } from 'hdr-histogram-js';
 import { epochMilliseconds } from './BenchMessages.js';
+import type { Histogram } from 'hdr-histogram-js';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 
 const MICROSECONDS_PER_MILLISECOND = 1000;
 const TEXT_MARK = '"content":"';
--- a/packages/hickoryrelay-bench/src/UsageCost.ts
+++ b/packages/hickoryrelay-bench/src/UsageCost.ts
@@ -1,9 +1,9 @@
-import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
-import { silentLogger } from 'hickoryrelay/Logger';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { ModelOperation } from 'hickoryrelay-link/Call';
 import { encodePeerMessage } from 'hickoryrelay-link/PeerMessageCodec';
 import { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
--- a/packages/hickoryrelay-bench/src/Workload.ts
+++ b/packages/hickoryrelay-bench/src/Workload.ts
@@ -1,6 +1,6 @@
 import { ClassOfWork, WorkKind } from 'hickoryrelay-contract/ClassOfWork';
-import { ModelOperation } from 'hickoryrelay-link/Call';
 import { TOKENS_PER_PREFIX_KEY } from 'hickoryrelay-endpoint/PrefixIndex';
+import { ModelOperation } from 'hickoryrelay-link/Call';
 
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { ModelCall } from 'hickoryrelay-link/Call';
--- a/packages/hickoryrelay-bench/src/engineProcess.ts
+++ b/packages/hickoryrelay-bench/src/engineProcess.ts
@@ -1,8 +1,8 @@
 import { createServer } from 'node:http';
 
+import { epochMilliseconds } from './BenchMessages.js';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { epochMilliseconds } from './BenchMessages.js';
 
 /** An engine that sends one event of one token in each write, at a fixed pace. */
 const gapMilliseconds = Number(process.argv[2]);
--- a/packages/hickoryrelay-bench/src/policyCost.ts
+++ b/packages/hickoryrelay-bench/src/policyCost.ts
@@ -1,14 +1,14 @@
 #!/usr/bin/env node
-import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
-import { NoRemoteUse } from 'hickoryrelay-instance/RemoteUse';
-import { TrafficPolicy } from 'hickoryrelay-instance/TrafficPolicy';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { NoRemoteUse } from 'hickoryrelay-instance/RemoteUse';
+import { TrafficPolicy } from 'hickoryrelay-instance/TrafficPolicy';
+import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 
-import type { AdmissionTicket } from 'hickoryrelay-instance/AdmissionPolicy';
 import { CLASSES, MODEL, Workload } from './Workload.js';
+import type { AdmissionTicket } from 'hickoryrelay-instance/AdmissionPolicy';
 
 const SEED = 1;
 const ROUNDS = 5000;
--- a/packages/hickoryrelay-bench/src/relay-cost.ts
+++ b/packages/hickoryrelay-bench/src/relay-cost.ts
@@ -1,8 +1,8 @@
 #!/usr/bin/env node
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import meow from 'meow';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 
 import { RelayKind } from './BenchMessages.js';
 import { ChildProcess } from './ChildProcess.js';
--- a/packages/hickoryrelay-bench/src/relayProcess.ts
+++ b/packages/hickoryrelay-bench/src/relayProcess.ts
@@ -1,5 +1,5 @@
-import type { ProcessReport, RelayOrder } from './BenchMessages.js';
 import { measuredRelay } from './MeasuredRelay.js';
+import type { ProcessReport, RelayOrder } from './BenchMessages.js';
 
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
--- a/packages/hickoryrelay-command-line/src/CommandContext.ts
+++ b/packages/hickoryrelay-command-line/src/CommandContext.ts
@@ -1,19 +1,19 @@
 import { readFile } from 'node:fs/promises';
 
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
 import { documentFrom } from 'hickoryrelay-contract/ConfigurationBucket';
 import { declarationsSchema } from 'hickoryrelay-contract/Declarations';
 import { YamlFile } from 'hickoryrelay-contract/YamlFile';
-import { FailureKind } from 'hickoryrelay/Failure';
-import { RelayError } from 'hickoryrelay/RelayError';
 
+import { renderTable } from './Table.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 import type { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import type { EndpointSupply } from 'hickoryrelay-platform/EndpointSupply';
 import type { InstanceList } from 'hickoryrelay-platform/InstanceList';
 import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
-import type { Clock } from 'hickoryrelay/Clock';
-import type { RandomSource } from 'hickoryrelay/RandomSource';
-import { renderTable } from './Table.js';
 
 /** The flags that commands look at. */
 export interface CommandFlags {
--- a/packages/hickoryrelay-command-line/src/CommandRegistry.ts
+++ b/packages/hickoryrelay-command-line/src/CommandRegistry.ts
@@ -1,7 +1,6 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 
-import type { Failure } from 'hickoryrelay/Failure';
 import { ExitCode } from './Command.js';
 import {
   ApplyCommand,
@@ -21,6 +20,7 @@
 
 import type { Command } from './Command.js';
 import type { CommandContext } from './CommandContext.js';
+import type { Failure } from 'hickoryrelay/Failure';
 
 function exitCodeOf(failure: Failure): ExitCode {
   switch (failure.kind) {
--- a/packages/hickoryrelay-command-line/src/ConfigurationCommands.ts
+++ b/packages/hickoryrelay-command-line/src/ConfigurationCommands.ts
@@ -1,12 +1,12 @@
+import { stringify } from 'yaml';
 import { changesBetween, carryKeys } from 'hickoryrelay-contract/DeclarationsChange';
 import { settingsSchema } from 'hickoryrelay-contract/Settings';
 import { YamlFile } from 'hickoryrelay-contract/YamlFile';
-import { stringify } from 'yaml';
 
-import type { EntryChange } from 'hickoryrelay-contract/DeclarationsChange';
 import { Command, ExitCode } from './Command.js';
 import { CommandContext } from './CommandContext.js';
 import { ConfigurationRollout } from './ConfigurationRollout.js';
+import type { EntryChange } from 'hickoryrelay-contract/DeclarationsChange';
 
 const SIGNS = { added: '+', changed: '~', removed: '-' } as const;
 
--- a/packages/hickoryrelay-command-line/src/ConfigurationRollout.ts
+++ b/packages/hickoryrelay-command-line/src/ConfigurationRollout.ts
@@ -1,10 +1,10 @@
-import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 import { request } from 'undici';
+import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 
-import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
 import { ExitCode } from './Command.js';
 
 import type { CommandContext } from './CommandContext.js';
+import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
 
 const POLL_INTERVAL_MILLISECONDS = 500;
 const STATUS_TIMEOUT_MILLISECONDS = 2000;
--- a/packages/hickoryrelay-command-line/src/KeyCommands.ts
+++ b/packages/hickoryrelay-command-line/src/KeyCommands.ts
@@ -1,13 +1,13 @@
-import { AccessKey } from 'hickoryrelay-contract/AccessKey';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { hasFailureKind, RelayError } from 'hickoryrelay/RelayError';
+import { AccessKey } from 'hickoryrelay-contract/AccessKey';
 
+import { Command, ExitCode } from './Command.js';
+import { ConfigurationRollout } from './ConfigurationRollout.js';
+import type { CommandContext } from './CommandContext.js';
 import type { AccessKeyDeclaration } from 'hickoryrelay-contract/AccessKey';
 import type { ClientAccountDeclaration } from 'hickoryrelay-contract/ClientAccount';
 import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
-import { ConfigurationRollout } from './ConfigurationRollout.js';
-import { Command, ExitCode } from './Command.js';
-import type { CommandContext } from './CommandContext.js';
 
 const MOST_ATTEMPTS = 5;
 
--- a/packages/hickoryrelay-command-line/src/__tests__/unit/CommandRegistry.test.ts
+++ b/packages/hickoryrelay-command-line/src/__tests__/unit/CommandRegistry.test.ts
@@ -2,6 +2,10 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { parse, stringify } from 'yaml';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { CommandContext } from 'hickoryrelay-command-line/CommandContext';
 import { CommandRegistry } from 'hickoryrelay-command-line/CommandRegistry';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
@@ -14,10 +18,6 @@
 import { KeyValueGateway } from 'hickoryrelay-standin/KeyValueGateway';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 import { PlatformStandIn } from 'hickoryrelay-standin/PlatformStandIn';
-import { SystemClock } from 'hickoryrelay/Clock';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { parse, stringify } from 'yaml';
 
 import type { CommandFlags } from 'hickoryrelay-command-line/CommandContext';
 
--- a/packages/hickoryrelay-command-line/src/hickoryrelay.ts
+++ b/packages/hickoryrelay-command-line/src/hickoryrelay.ts
@@ -1,6 +1,11 @@
 #!/usr/bin/env node
 import { userInfo } from 'node:os';
 
+import meow from 'meow';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { describeFailure } from 'hickoryrelay/Failure';
+import { SystemRandomSource } from 'hickoryrelay/RandomSource';
+import { failureOf } from 'hickoryrelay/RelayError';
 import { YamlFile } from 'hickoryrelay-contract/YamlFile';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
@@ -9,11 +14,6 @@
   HttpInstanceList,
   HttpUsageReportSink,
 } from 'hickoryrelay-platform/HttpPlatform';
-import { SystemClock } from 'hickoryrelay/Clock';
-import { describeFailure } from 'hickoryrelay/Failure';
-import { SystemRandomSource } from 'hickoryrelay/RandomSource';
-import { failureOf } from 'hickoryrelay/RelayError';
-import meow from 'meow';
 
 import { ExitCode } from './Command.js';
 import { CommandContext } from './CommandContext.js';
--- a/packages/hickoryrelay-contract/src/ConfigurationBucket.ts
+++ b/packages/hickoryrelay-contract/src/ConfigurationBucket.ts
@@ -1,8 +1,8 @@
 import { createHash } from 'node:crypto';
 
+import { z } from 'zod';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
-import { z } from 'zod';
 
 import { declarationsSchema } from './Declarations.js';
 
--- a/packages/hickoryrelay-contract/src/Declarations.ts
+++ b/packages/hickoryrelay-contract/src/Declarations.ts
@@ -1,11 +1,11 @@
+import { z } from 'zod';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
-import { z } from 'zod';
 
+import { parseKey } from './AccessKey.js';
 import { ClassOfWork, classOfWorkSchema, WorkKind } from './ClassOfWork.js';
 import { ClientAccount, clientAccountSchema } from './ClientAccount.js';
 import { endpointKindSchema } from './EndpointKind.js';
-import { parseKey } from './AccessKey.js';
 
 import type { AccessKey } from './AccessKey.js';
 import type { EndpointKind } from './EndpointKind.js';
--- a/packages/hickoryrelay-contract/src/YamlFile.ts
+++ b/packages/hickoryrelay-contract/src/YamlFile.ts
@@ -1,6 +1,6 @@
+import { isNode, LineCounter, parseDocument } from 'yaml';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
-import { isNode, LineCounter, parseDocument } from 'yaml';
 
 import type { FileProblem } from 'hickoryrelay/Failure';
 import type { Document } from 'yaml';
--- a/packages/hickoryrelay-contract/src/__tests__/unit/Declarations.test.ts
+++ b/packages/hickoryrelay-contract/src/__tests__/unit/Declarations.test.ts
@@ -1,15 +1,15 @@
 import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { hasFailureKind } from 'hickoryrelay/RelayError';
 import { AccessKey } from 'hickoryrelay-contract/AccessKey';
 import { bucketsOf, digestBucket, documentFrom } from 'hickoryrelay-contract/ConfigurationBucket';
 import { Declarations, declarationsSchema } from 'hickoryrelay-contract/Declarations';
 import { carryKeys, changesBetween } from 'hickoryrelay-contract/DeclarationsChange';
-import { FailureKind } from 'hickoryrelay/Failure';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
-import { hasFailureKind } from 'hickoryrelay/RelayError';
-import { describe, expect, it } from 'vitest';
 
-import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 import type { FailureKind as Kind } from 'hickoryrelay/Failure';
+import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 
 const SEED = 20_261_204;
 
--- a/packages/hickoryrelay-endpoint/src/Endpoint.ts
+++ b/packages/hickoryrelay-endpoint/src/Endpoint.ts
@@ -1,6 +1,6 @@
-import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
 import { CircuitBreaker } from './CircuitBreaker.js';
 import { InFlightLimit } from './InFlightLimit.js';
+import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
 
 /** Whether an endpoint takes new work. */
 export const EndpointState = { Live: 'live', Leaving: 'leaving', Gone: 'gone' } as const;
--- a/packages/hickoryrelay-endpoint/src/__tests__/unit/EngineView.test.ts
+++ b/packages/hickoryrelay-endpoint/src/__tests__/unit/EngineView.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest';
 
-import { CacheEventKind, PrefixIndex, TOKENS_PER_PREFIX_KEY } from '../../PrefixIndex.js';
 import { EngineLoad } from '../../EngineLoad.js';
 import { InFlightLimit } from '../../InFlightLimit.js';
+import { CacheEventKind, PrefixIndex, TOKENS_PER_PREFIX_KEY } from '../../PrefixIndex.js';
 
 const REPORT = {
   running: 2,
--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -1,14 +1,12 @@
-import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { Call } from 'hickoryrelay-link/Call';
 import { AdmissionPolicy } from './AdmissionPolicy.js';
 import { accountOf } from './CallCost.js';
+import { MovingAverages } from './DecodeEstimate.js';
 import { DrainRate } from './DrainRate.js';
 import { FairShare } from './FairShare.js';
-import { MovingAverages } from './DecodeEstimate.js';
 import { WaitingLane } from './WaitingCalls.js';
 
 import type { AdmissionTicket } from './AdmissionPolicy.js';
@@ -16,6 +14,8 @@
 import type { CallCostModel } from './CallCost.js';
 import type { RemoteUse } from './RemoteUse.js';
 import type { WaitingCall } from './WaitingCalls.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { Call } from 'hickoryrelay-link/Call';
 
 /** What an admission queue is made of. */
 export interface AdmissionQueueParts {
--- a/packages/hickoryrelay-instance/src/Attempt.ts
+++ b/packages/hickoryrelay-instance/src/Attempt.ts
@@ -1,15 +1,15 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 
+import { ProgressDeadline } from './ProgressDeadline.js';
+import type { ExchangeCounters } from './ExchangeCounters.js';
+import type { SilenceLimits } from './ProgressDeadline.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
 import type { AnswerStream } from 'hickoryrelay-link/AnswerStream';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { EndpointLink, ResumePoint } from 'hickoryrelay-link/EndpointLink';
 import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
-import type { ExchangeCounters } from './ExchangeCounters.js';
-import { ProgressDeadline } from './ProgressDeadline.js';
-import type { SilenceLimits } from './ProgressDeadline.js';
 
 /** What an attempt works with. */
 export interface AttemptParts {
--- a/packages/hickoryrelay-instance/src/CallAttempts.ts
+++ b/packages/hickoryrelay-instance/src/CallAttempts.ts
@@ -1,15 +1,15 @@
-import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { backoffDelays } from 'hickoryrelay/Backoff';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
-import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
-import type { Call } from 'hickoryrelay-link/Call';
-import type { ResumePoint } from 'hickoryrelay-link/EndpointLink';
 import { Attempt } from './Attempt.js';
 import type { CallMetering } from './CallMetering.js';
 import type { ExchangeParts } from './Exchange.js';
 import type { SilenceLimits } from './ProgressDeadline.js';
+import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
+import type { Call } from 'hickoryrelay-link/Call';
+import type { ResumePoint } from 'hickoryrelay-link/EndpointLink';
 
 const RETRY_AFTER_SECONDS = 1;
 
--- a/packages/hickoryrelay-instance/src/CallCost.ts
+++ b/packages/hickoryrelay-instance/src/CallCost.ts
@@ -1,7 +1,7 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
-import type { Call } from 'hickoryrelay-link/Call';
 import { DecodeEstimate, MovingAverages } from './DecodeEstimate.js';
+import type { Call } from 'hickoryrelay-link/Call';
 
 /** Engine time that one token takes, in milliseconds. */
 export interface TokenRates {
--- a/packages/hickoryrelay-instance/src/CallMetering.ts
+++ b/packages/hickoryrelay-instance/src/CallMetering.ts
@@ -1,6 +1,6 @@
+import type { AdmissionTicket } from './AdmissionPolicy.js';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { CallFigures, CallMeter, MeteredCall } from 'hickoryrelay-usage/CallMeter';
-import type { AdmissionTicket } from './AdmissionPolicy.js';
 
 /** Meters one call over all its attempts: opened before the first is sent, closed once. */
 export class CallMetering {
--- a/packages/hickoryrelay-instance/src/CallShareTask.ts
+++ b/packages/hickoryrelay-instance/src/CallShareTask.ts
@@ -1,8 +1,8 @@
 import { Task } from 'hickoryrelay/Task';
 
+import type { Membership } from './Membership.js';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { CallBudget } from 'hickoryrelay-platform/CallBudget';
-import type { Membership } from './Membership.js';
 
 const INTERVAL_MILLISECONDS = 5000;
 
--- a/packages/hickoryrelay-instance/src/CallTimer.ts
+++ b/packages/hickoryrelay-instance/src/CallTimer.ts
@@ -1,8 +1,8 @@
+import { CallOutcome, CallTime } from './CallMetrics.js';
+import type { CallSeries } from './CallMetrics.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { Failure } from 'hickoryrelay/Failure';
 import type { Call } from 'hickoryrelay-link/Call';
-import { CallOutcome, CallTime } from './CallMetrics.js';
-import type { CallSeries } from './CallMetrics.js';
 
 const FIRST_ERROR_STATUS = 400;
 
--- a/packages/hickoryrelay-instance/src/CallerIdentity.ts
+++ b/packages/hickoryrelay-instance/src/CallerIdentity.ts
@@ -1,10 +1,10 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
+import type { ConfigurationView } from './ConfigurationView.js';
 import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
 import type { ClientAccount } from 'hickoryrelay-contract/ClientAccount';
 import type { Identity } from 'hickoryrelay-contract/Declarations';
-import type { ConfigurationView } from './ConfigurationView.js';
 
 /** Finds the account of a key on a view that is recent enough. */
 export function identifyCaller(view: ConfigurationView, keyText: string | undefined): Identity {
--- a/packages/hickoryrelay-instance/src/CallersInterface.ts
+++ b/packages/hickoryrelay-instance/src/CallersInterface.ts
@@ -1,13 +1,9 @@
 import { createServer } from 'node:http';
 
+import ApiGateway from 'moleculer-web';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
-import ApiGateway from 'moleculer-web';
 
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { Call } from 'hickoryrelay-link/Call';
-import type { ServiceSchema } from 'moleculer';
 import { identifyCaller } from './CallerIdentity.js';
 import { CallTimer } from './CallTimer.js';
 import { answerParserErrors } from './ConnectionErrors.js';
@@ -19,6 +15,10 @@
 
 import type { FrontEnd } from './FrontEnd.js';
 import type { Instance } from './Instance.js';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { Call } from 'hickoryrelay-link/Call';
+import type { ServiceSchema } from 'moleculer';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
--- a/packages/hickoryrelay-instance/src/ConfigurationExchangeTask.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationExchangeTask.ts
@@ -2,14 +2,14 @@
 import { BUCKET_COUNT } from 'hickoryrelay-contract/ConfigurationBucket';
 import { PeerMessageType } from 'hickoryrelay-link/PeerMessages';
 
+import type { ConfigurationIntake } from './ConfigurationIntake.js';
+import type { ConfigurationView } from './ConfigurationView.js';
+import type { InstanceDigest } from './InstanceDigest.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { PeerMessage, ReceivedPeerMessage } from 'hickoryrelay-link/PeerMessages';
 import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import type { Configuration } from 'hickoryrelay-platform/ConfigurationStore';
-import type { ConfigurationIntake } from './ConfigurationIntake.js';
-import type { ConfigurationView } from './ConfigurationView.js';
-import type { InstanceDigest } from './InstanceDigest.js';
 
 /** A peer that has not answered a request within this time is passed over. */
 const REQUEST_MILLISECONDS = 1000;
--- a/packages/hickoryrelay-instance/src/ConfigurationIntake.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationIntake.ts
@@ -1,6 +1,7 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
 
+import type { ConfigurationView } from './ConfigurationView.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type {
@@ -8,7 +9,6 @@
   ConfigurationHead,
   ConfigurationStore,
 } from 'hickoryrelay-platform/ConfigurationStore';
-import type { ConfigurationView } from './ConfigurationView.js';
 
 /** After a start without the platform, how long peers may answer before the newest is taken. */
 const PEERS_MILLISECONDS = 2000;
--- a/packages/hickoryrelay-instance/src/ConfigurationTask.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationTask.ts
@@ -1,9 +1,9 @@
 import { Task } from 'hickoryrelay/Task';
 
-import type { RandomSource } from 'hickoryrelay/RandomSource';
-import type { TaskContext } from 'hickoryrelay/Task';
 import type { ConfigurationIntake } from './ConfigurationIntake.js';
 import type { InstanceDigest } from './InstanceDigest.js';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { TaskContext } from 'hickoryrelay/Task';
 
 const READ_INTERVAL_MILLISECONDS = 5000;
 const FIRST_READ_INTERVAL_MILLISECONDS = 250;
--- a/packages/hickoryrelay-instance/src/ConfigurationView.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationView.ts
@@ -1,11 +1,11 @@
-import { Declarations } from 'hickoryrelay-contract/Declarations';
-import { documentFrom } from 'hickoryrelay-contract/ConfigurationBucket';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { documentFrom } from 'hickoryrelay-contract/ConfigurationBucket';
+import { Declarations } from 'hickoryrelay-contract/Declarations';
 import { isWhole } from 'hickoryrelay-platform/ConfigurationStore';
 
-import type { CleanUp } from 'hickoryrelay/LifecycleManager';
 import type { Clock } from 'hickoryrelay/Clock';
+import type { CleanUp } from 'hickoryrelay/LifecycleManager';
 import type { Configuration } from 'hickoryrelay-platform/ConfigurationStore';
 
 /** Told of each configuration that comes into force. */
--- a/packages/hickoryrelay-instance/src/ConfigurationWatchTask.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationWatchTask.ts
@@ -2,12 +2,12 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
+import type { ConfigurationIntake } from './ConfigurationIntake.js';
+import type { Membership } from './Membership.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
-import type { ConfigurationIntake } from './ConfigurationIntake.js';
-import type { Membership } from './Membership.js';
 
 const CHECK_MILLISECONDS = 1000;
 
--- a/packages/hickoryrelay-instance/src/ConnectionErrors.ts
+++ b/packages/hickoryrelay-instance/src/ConnectionErrors.ts
@@ -1,10 +1,10 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 
-import type { Server } from 'node:http';
-import type { Socket } from 'node:net';
+import { errorResponse } from './ErrorResponse.js';
 import type { Failure } from 'hickoryrelay/Failure';
 import type { Settings } from 'hickoryrelay-contract/Settings';
-import { errorResponse } from './ErrorResponse.js';
+import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
--- a/packages/hickoryrelay-instance/src/DigestTask.ts
+++ b/packages/hickoryrelay-instance/src/DigestTask.ts
@@ -1,13 +1,12 @@
 import { Task } from 'hickoryrelay/Task';
 import { PeerMessageType } from 'hickoryrelay-link/PeerMessages';
 
+import { Liveness } from './Membership.js';
+import type { InstanceDigest } from './InstanceDigest.js';
+import type { Membership } from './Membership.js';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
 import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
-import type { InstanceDigest } from './InstanceDigest.js';
-import { Liveness } from './Membership.js';
-
-import type { Membership } from './Membership.js';
 
 /** Takes in digests and passes on at once that an instance is leaving. */
 export class DigestTask extends Task {
--- a/packages/hickoryrelay-instance/src/Drain.ts
+++ b/packages/hickoryrelay-instance/src/Drain.ts
@@ -1,10 +1,10 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
+import type { ExchangeTable } from './ExchangeTable.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { Settings } from 'hickoryrelay-contract/Settings';
-import type { ExchangeTable } from './ExchangeTable.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
--- a/packages/hickoryrelay-instance/src/EngineLoadTasks.ts
+++ b/packages/hickoryrelay-instance/src/EngineLoadTasks.ts
@@ -1,8 +1,8 @@
-import { Engine } from 'hickoryrelay-endpoint/Engine';
-import { EngineStatusLink } from 'hickoryrelay-link/EngineStatusLink';
 import { describeFailure } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
+import { Engine } from 'hickoryrelay-endpoint/Engine';
+import { EngineStatusLink } from 'hickoryrelay-link/EngineStatusLink';
 
 import type { LifecycleManager, RunningTask } from 'hickoryrelay/LifecycleManager';
 import type { PartLogger } from 'hickoryrelay/Logger';
--- a/packages/hickoryrelay-instance/src/EngineStatus.ts
+++ b/packages/hickoryrelay-instance/src/EngineStatus.ts
@@ -1,11 +1,11 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
+import { HeldAnswer } from './HeldAnswer.js';
 import type { AnswerWriter } from './AnswerWriter.js';
 import type { Attempt } from './Attempt.js';
 import type { CallMetering } from './CallMetering.js';
 import type { ExchangeParts } from './Exchange.js';
-import { HeldAnswer } from './HeldAnswer.js';
 
 const OK = 200;
 
--- a/packages/hickoryrelay-instance/src/ErrorResponse.ts
+++ b/packages/hickoryrelay-instance/src/ErrorResponse.ts
@@ -1,7 +1,7 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 
-import type { Failure } from 'hickoryrelay/Failure';
 import type { FailureReport } from './AnswerWriter.js';
+import type { Failure } from 'hickoryrelay/Failure';
 
 const STATUS_CODES: Readonly<Record<FailureKind, number>> = {
   [FailureKind.InvalidRequest]: 400,
--- a/packages/hickoryrelay-instance/src/Exchange.ts
+++ b/packages/hickoryrelay-instance/src/Exchange.ts
@@ -1,29 +1,29 @@
-import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, hasFailureKind, RelayError } from 'hickoryrelay/RelayError';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { RandomSource } from 'hickoryrelay/RandomSource';
-import type { Call } from 'hickoryrelay-link/Call';
-import type { CallMeter } from 'hickoryrelay-usage/CallMeter';
-import type { ClaimRegister } from 'hickoryrelay-usage/ClaimRegister';
-import type { Fleet } from 'hickoryrelay-zone/Fleet';
-import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
-import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
-import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
+import { CallAttempts } from './CallAttempts.js';
+import { CallMetering } from './CallMetering.js';
+import { ModelStreamRelay } from './ModelStreamRelay.js';
+import { ServiceRelay } from './ServiceRelay.js';
+import { WholeModelRelay } from './WholeModelRelay.js';
 import type { AdmissionPolicy } from './AdmissionPolicy.js';
 import type { AnswerMemory } from './AnswerMemory.js';
 import type { AnswerRelay } from './AnswerRelay.js';
 import type { AnswerWriter } from './AnswerWriter.js';
-import { CallAttempts } from './CallAttempts.js';
-import { CallMetering } from './CallMetering.js';
 import type { EndpointLinks } from './EndpointLinks.js';
 import type { ExchangeCounters } from './ExchangeCounters.js';
 import type { ExchangeLimits } from './ExchangeLimits.js';
-import { ModelStreamRelay } from './ModelStreamRelay.js';
 import type { RetryBudget } from './RetryBudget.js';
-import { ServiceRelay } from './ServiceRelay.js';
-import { WholeModelRelay } from './WholeModelRelay.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
+import type { Call } from 'hickoryrelay-link/Call';
+import type { CallMeter } from 'hickoryrelay-usage/CallMeter';
+import type { ClaimRegister } from 'hickoryrelay-usage/ClaimRegister';
+import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
+import type { Fleet } from 'hickoryrelay-zone/Fleet';
+import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 
 /** What an exchange needs of its instance. */
 export interface ExchangeParts {
--- a/packages/hickoryrelay-instance/src/ExchangeTable.ts
+++ b/packages/hickoryrelay-instance/src/ExchangeTable.ts
@@ -1,5 +1,5 @@
-import type { RelayError } from 'hickoryrelay/RelayError';
 import type { Exchange } from './Exchange.js';
+import type { RelayError } from 'hickoryrelay/RelayError';
 
 /** The calls that run at this instance. */
 export class ExchangeTable {
--- a/packages/hickoryrelay-instance/src/FleetTask.ts
+++ b/packages/hickoryrelay-instance/src/FleetTask.ts
@@ -2,12 +2,12 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
+import type { ConfigurationView } from './ConfigurationView.js';
+import type { EndpointLinks } from './EndpointLinks.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { EndpointSupply } from 'hickoryrelay-platform/EndpointSupply';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
-import type { ConfigurationView } from './ConfigurationView.js';
-import type { EndpointLinks } from './EndpointLinks.js';
 
 const READ_INTERVAL_MILLISECONDS = 1000;
 
--- a/packages/hickoryrelay-instance/src/GossipTask.ts
+++ b/packages/hickoryrelay-instance/src/GossipTask.ts
@@ -1,11 +1,11 @@
 import { Task } from 'hickoryrelay/Task';
 
+import type { InstanceDigest } from './InstanceDigest.js';
+import type { Membership } from './Membership.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
-import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
 import type { LinkedPeerNetwork } from 'hickoryrelay-link/LinkedPeerNetwork';
-import type { InstanceDigest } from './InstanceDigest.js';
-import type { Membership } from './Membership.js';
+import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
 
 const ROUND_MILLISECONDS = 1000;
 
--- a/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
@@ -3,13 +3,13 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
-import type { ServerResponse } from 'node:http';
-import type { Clock } from 'hickoryrelay/Clock';
 import { AnswerWriter } from './AnswerWriter.js';
 import { errorResponse } from './ErrorResponse.js';
 
 import type { FailureReport } from './AnswerWriter.js';
 import type { CallTimer } from './CallTimer.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { ServerResponse } from 'node:http';
 
 const EVENT_STREAM = 'text/event-stream';
 
--- a/packages/hickoryrelay-instance/src/HttpEngineUsageSource.ts
+++ b/packages/hickoryrelay-instance/src/HttpEngineUsageSource.ts
@@ -1,8 +1,8 @@
+import { request } from 'undici';
+import { z } from 'zod';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 import { EngineUsageSource } from 'hickoryrelay-usage/EngineUsageSource';
-import { request } from 'undici';
-import { z } from 'zod';
 
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
 import type { EngineCount } from 'hickoryrelay-usage/EngineUsageSource';
--- a/packages/hickoryrelay-instance/src/InstanceControl.ts
+++ b/packages/hickoryrelay-instance/src/InstanceControl.ts
@@ -2,14 +2,6 @@
 import { LinkedPeerNetwork } from 'hickoryrelay-link/LinkedPeerNetwork';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { LifecycleManager } from 'hickoryrelay/LifecycleManager';
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { RandomSource } from 'hickoryrelay/RandomSource';
-import type { PeerTransport } from 'hickoryrelay-link/PeerConnection';
-import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
-import type { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
-import type { InstanceList, ListedInstance } from 'hickoryrelay-platform/InstanceList';
 import { ConfigurationExchangeTask } from './ConfigurationExchangeTask.js';
 import { ConfigurationIntake } from './ConfigurationIntake.js';
 import { ConfigurationTask } from './ConfigurationTask.js';
@@ -21,6 +13,14 @@
 import { MembershipTask } from './MembershipTask.js';
 
 import type { ConfigurationView } from './ConfigurationView.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { PeerTransport } from 'hickoryrelay-link/PeerConnection';
+import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
+import type { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
+import type { InstanceList, ListedInstance } from 'hickoryrelay-platform/InstanceList';
 
 const TIME_DIGITS = 12;
 /** Runs of 640 instances that start in the same millisecond must differ. */
--- a/packages/hickoryrelay-instance/src/InstanceDigest.ts
+++ b/packages/hickoryrelay-instance/src/InstanceDigest.ts
@@ -1,14 +1,13 @@
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { CleanUp } from 'hickoryrelay/LifecycleManager';
-import type { PeerStatement } from 'hickoryrelay-link/PeerLink';
-import type { DigestRow, HeartbeatEntry, PeerMessage } from 'hickoryrelay-link/PeerMessages';
 import { Liveness } from './Membership.js';
 import { hashText } from './RendezvousUtils.js';
 import { ZoneWork } from './ZoneWork.js';
-
 import type { Member, Membership } from './Membership.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { CleanUp } from 'hickoryrelay/LifecycleManager';
+import type { PeerStatement } from 'hickoryrelay-link/PeerLink';
+import type { DigestRow, HeartbeatEntry, PeerMessage } from 'hickoryrelay-link/PeerMessages';
 
 const ROWS_OF_OTHERS = 8;
 const COSTS_IN_ROW = 8;
--- a/packages/hickoryrelay-instance/src/Membership.ts
+++ b/packages/hickoryrelay-instance/src/Membership.ts
@@ -1,10 +1,10 @@
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 
+import { hashText, rendezvousOrder } from './RendezvousUtils.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { PeerAddress } from 'hickoryrelay-link/PeerDialler';
 import type { DigestRow, HeartbeatEntry, InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
 import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
-import { hashText, rendezvousOrder } from './RendezvousUtils.js';
 
 export const SUSPECT_MILLISECONDS = 5000;
 export const DEAD_MILLISECONDS = 15_000;
--- a/packages/hickoryrelay-instance/src/MembershipTask.ts
+++ b/packages/hickoryrelay-instance/src/MembershipTask.ts
@@ -2,11 +2,11 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
+import type { Membership } from './Membership.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { InstanceList, ListedInstance } from 'hickoryrelay-platform/InstanceList';
-import type { Membership } from './Membership.js';
 
 const SHORTEST_INTERVAL_MILLISECONDS = 5000;
 
--- a/packages/hickoryrelay-instance/src/ModelStream.ts
+++ b/packages/hickoryrelay-instance/src/ModelStream.ts
@@ -1,14 +1,14 @@
-import { EngineEventKind } from 'hickoryrelay-link/EngineEvents';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { EngineEventKind } from 'hickoryrelay-link/EngineEvents';
 
+import { DeliveredText } from './DeliveredText.js';
+import type { AnswerMemory } from './AnswerMemory.js';
+import type { ExchangeCounters } from './ExchangeCounters.js';
 import type { ModelCall } from 'hickoryrelay-link/Call';
-import type { EngineEvent, EngineUsage } from 'hickoryrelay-link/EngineEvents';
 import type { ResumePoint } from 'hickoryrelay-link/EndpointLink';
+import type { EngineEvent, EngineUsage } from 'hickoryrelay-link/EngineEvents';
 import type { CallFigures } from 'hickoryrelay-usage/CallMeter';
-import type { AnswerMemory } from './AnswerMemory.js';
-import { DeliveredText } from './DeliveredText.js';
-import type { ExchangeCounters } from './ExchangeCounters.js';
 
 /**
  * One model stream as the caller sees it, over all attempts. Decides for each event whether it goes
--- a/packages/hickoryrelay-instance/src/ModelStreamRelay.ts
+++ b/packages/hickoryrelay-instance/src/ModelStreamRelay.ts
@@ -1,16 +1,16 @@
-import { EngineEventReader } from 'hickoryrelay-link/EngineEvents';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+import { EngineEventReader } from 'hickoryrelay-link/EngineEvents';
 
-import type { ModelCall } from 'hickoryrelay-link/Call';
 import { AnswerRelay } from './AnswerRelay.js';
+import { assertEngineAnswers, isCallersFault, relayRefusal } from './EngineStatus.js';
+import { ModelStream } from './ModelStream.js';
 import type { AnswerWriter } from './AnswerWriter.js';
 import type { Attempt } from './Attempt.js';
 import type { CallAttempts } from './CallAttempts.js';
 import type { CallMetering } from './CallMetering.js';
 import type { ExchangeParts } from './Exchange.js';
-import { assertEngineAnswers, isCallersFault, relayRefusal } from './EngineStatus.js';
-import { ModelStream } from './ModelStream.js';
+import type { ModelCall } from 'hickoryrelay-link/Call';
 
 /** What of a piece goes to the caller, and the failure that ended the reading, if any. */
 interface AcceptedBytes {
--- a/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
+++ b/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
@@ -1,15 +1,11 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { ModelOperation } from 'hickoryrelay-link/Call';
 import { prefixKeys } from 'hickoryrelay-link/PromptPrefix';
-import { FailureKind } from 'hickoryrelay/Failure';
-import { RelayError } from 'hickoryrelay/RelayError';
 
-import type { IncomingMessage } from 'node:http';
-import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
-import type { Identity } from 'hickoryrelay-contract/Declarations';
-import type { Settings } from 'hickoryrelay-contract/Settings';
-import type { JsonValue, ModelCall } from 'hickoryrelay-link/Call';
-import type { Clock } from 'hickoryrelay/Clock';
+import { assertMayUse, identifyCaller } from './CallerIdentity.js';
+import { FrontEnd } from './FrontEnd.js';
 import {
   assertNoKey,
   decodeJsonObject,
@@ -18,10 +14,14 @@
   readKeyText,
   readTarget,
 } from './RequestReader.js';
-import { FrontEnd } from './FrontEnd.js';
-import { assertMayUse, identifyCaller } from './CallerIdentity.js';
 import type { ConfigurationView } from './ConfigurationView.js';
 import type { ArrivedRequest } from './FrontEnd.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
+import type { Identity } from 'hickoryrelay-contract/Declarations';
+import type { Settings } from 'hickoryrelay-contract/Settings';
+import type { JsonValue, ModelCall } from 'hickoryrelay-link/Call';
+import type { IncomingMessage } from 'node:http';
 
 /** Header by which a caller names the class of work; the first class with the model otherwise. */
 const CLASS_HEADER = 'x-class-of-work';
--- a/packages/hickoryrelay-instance/src/PoolCapacity.ts
+++ b/packages/hickoryrelay-instance/src/PoolCapacity.ts
@@ -1,11 +1,11 @@
 import { withoutEjected } from 'hickoryrelay-zone/Ejection';
 import { canRun } from 'hickoryrelay-zone/SelectionPolicy';
 
+import { CallCapacity } from './CallCapacity.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { EndpointPool } from 'hickoryrelay-zone/EndpointPool';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
-import { CallCapacity } from './CallCapacity.js';
 
 /** Room at the endpoints that this instance uses, by their learned limits. */
 export class PoolCapacity extends CallCapacity {
--- a/packages/hickoryrelay-instance/src/RequestReader.ts
+++ b/packages/hickoryrelay-instance/src/RequestReader.ts
@@ -1,8 +1,8 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
-import type { IncomingMessage } from 'node:http';
 import type { Clock } from 'hickoryrelay/Clock';
+import type { IncomingMessage } from 'node:http';
 
 const CREDENTIAL_HEADERS: ReadonlySet<string> = new Set([
   'authorization',
--- a/packages/hickoryrelay-instance/src/ServiceFrontEnd.ts
+++ b/packages/hickoryrelay-instance/src/ServiceFrontEnd.ts
@@ -1,13 +1,9 @@
-import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
-import type { IncomingMessage } from 'node:http';
-import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
-import type { Identity } from 'hickoryrelay-contract/Declarations';
-import type { Settings } from 'hickoryrelay-contract/Settings';
-import type { ServiceCall } from 'hickoryrelay-link/Call';
-import type { Clock } from 'hickoryrelay/Clock';
+import { assertMayUse, identifyCaller } from './CallerIdentity.js';
+import { FrontEnd } from './FrontEnd.js';
 import {
   assertNoKey,
   readBody,
@@ -15,10 +11,14 @@
   readKeyText,
   readTarget,
 } from './RequestReader.js';
-import { FrontEnd } from './FrontEnd.js';
-import { assertMayUse, identifyCaller } from './CallerIdentity.js';
 import type { ConfigurationView } from './ConfigurationView.js';
 import type { ArrivedRequest } from './FrontEnd.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
+import type { Identity } from 'hickoryrelay-contract/Declarations';
+import type { Settings } from 'hickoryrelay-contract/Settings';
+import type { ServiceCall } from 'hickoryrelay-link/Call';
+import type { IncomingMessage } from 'node:http';
 
 const MILLISECONDS_PER_SECOND = 1000;
 const LONGEST_IDEMPOTENCY_KEY = 255;
--- a/packages/hickoryrelay-instance/src/ServiceRelay.ts
+++ b/packages/hickoryrelay-instance/src/ServiceRelay.ts
@@ -1,15 +1,15 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { hasFailureKind, RelayError } from 'hickoryrelay/RelayError';
 
-import type { ServiceCall } from 'hickoryrelay-link/Call';
-import type { StoredAnswer } from 'hickoryrelay-usage/ClaimRegister';
 import { AnswerRelay } from './AnswerRelay.js';
+import { HeldAnswer } from './HeldAnswer.js';
 import type { AnswerWriter } from './AnswerWriter.js';
 import type { Attempt } from './Attempt.js';
 import type { CallAttempts } from './CallAttempts.js';
 import type { CallMetering } from './CallMetering.js';
 import type { ExchangeParts } from './Exchange.js';
-import { HeldAnswer } from './HeldAnswer.js';
+import type { ServiceCall } from 'hickoryrelay-link/Call';
+import type { StoredAnswer } from 'hickoryrelay-usage/ClaimRegister';
 
 const NO_TOKENS = { promptTokens: 0, completionTokens: 0 };
 
--- a/packages/hickoryrelay-instance/src/SmoothedDemand.ts
+++ b/packages/hickoryrelay-instance/src/SmoothedDemand.ts
@@ -1,5 +1,5 @@
-import type { Clock } from 'hickoryrelay/Clock';
 import type { WorkSums } from './ZoneWork.js';
+import type { Clock } from 'hickoryrelay/Clock';
 
 /** Times over which demand is observed, in milliseconds. */
 export interface DemandTimes {
--- a/packages/hickoryrelay-instance/src/TrafficPolicy.ts
+++ b/packages/hickoryrelay-instance/src/TrafficPolicy.ts
@@ -5,19 +5,18 @@
 import { EndpointSubset } from 'hickoryrelay-zone/EndpointSubset';
 import { SampledSelection } from 'hickoryrelay-zone/SampledSelection';
 
-import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
+import { AdmissionQueue } from './AdmissionQueue.js';
+import { CallCostModel } from './CallCost.js';
+import { PoolCapacity } from './PoolCapacity.js';
+import type { TokenRates, WorkObserver } from './CallCost.js';
+import type { RemoteUse } from './RemoteUse.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
 import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
-import { AdmissionQueue } from './AdmissionQueue.js';
-import { CallCostModel } from './CallCost.js';
-import { PoolCapacity } from './PoolCapacity.js';
-
-import type { TokenRates, WorkObserver } from './CallCost.js';
-import type { RemoteUse } from './RemoteUse.js';
 
 /** What the policies of one instance are made of. */
 export interface TrafficPolicyParts {
--- a/packages/hickoryrelay-instance/src/UsageDuties.ts
+++ b/packages/hickoryrelay-instance/src/UsageDuties.ts
@@ -6,6 +6,9 @@
 import { InstanceUsage } from 'hickoryrelay-usage/InstanceUsage';
 import { usageTasks } from 'hickoryrelay-usage/UsageTasks';
 
+import { HttpEngineUsageSource } from './HttpEngineUsageSource.js';
+import { Liveness } from './Membership.js';
+import type { InstanceDigest } from './InstanceDigest.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import type { PartLogger } from 'hickoryrelay/Logger';
@@ -16,9 +19,6 @@
 import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
 import type { ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
-import { Liveness } from './Membership.js';
-import { HttpEngineUsageSource } from './HttpEngineUsageSource.js';
-import type { InstanceDigest } from './InstanceDigest.js';
 
 /** Time for peers to acknowledge the last records of an instance that leaves. */
 const FLUSH_MILLISECONDS = 1000;
--- a/packages/hickoryrelay-instance/src/WaitingCalls.ts
+++ b/packages/hickoryrelay-instance/src/WaitingCalls.ts
@@ -1,8 +1,8 @@
-import type { Call } from 'hickoryrelay-link/Call';
+import { SlackOrder } from './SlackOrder.js';
 import type { AdmissionTicket } from './AdmissionPolicy.js';
 import type { CallCost } from './CallCost.js';
 import type { AccountClock } from './FairShare.js';
-import { SlackOrder } from './SlackOrder.js';
+import type { Call } from 'hickoryrelay-link/Call';
 
 /** A call that waits for admission. */
 export interface WaitingCall {
--- a/packages/hickoryrelay-instance/src/WholeModelRelay.ts
+++ b/packages/hickoryrelay-instance/src/WholeModelRelay.ts
@@ -1,17 +1,17 @@
-import { readWholeAnswer } from 'hickoryrelay-link/EngineEvents';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { readWholeAnswer } from 'hickoryrelay-link/EngineEvents';
 
-import type { ModelCall } from 'hickoryrelay-link/Call';
-import type { CallFigures } from 'hickoryrelay-usage/CallMeter';
 import { AnswerRelay } from './AnswerRelay.js';
+import { assertEngineAnswers, isCallersFault, relayRefusal } from './EngineStatus.js';
+import { HeldAnswer } from './HeldAnswer.js';
 import type { AnswerWriter } from './AnswerWriter.js';
 import type { Attempt } from './Attempt.js';
 import type { CallAttempts } from './CallAttempts.js';
 import type { CallMetering } from './CallMetering.js';
-import { assertEngineAnswers, isCallersFault, relayRefusal } from './EngineStatus.js';
 import type { ExchangeParts } from './Exchange.js';
-import { HeldAnswer } from './HeldAnswer.js';
+import type { ModelCall } from 'hickoryrelay-link/Call';
+import type { CallFigures } from 'hickoryrelay-usage/CallMeter';
 
 interface CheckedAnswer {
   readonly body: Buffer;
--- a/packages/hickoryrelay-instance/src/ZoneDemandObserver.ts
+++ b/packages/hickoryrelay-instance/src/ZoneDemandObserver.ts
@@ -4,6 +4,9 @@
 import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
 import { ZoneObserver } from 'hickoryrelay-zone/PolicyPlanner';
 
+import { classTag } from './ZoneWork.js';
+import type { SmoothedDemand } from './SmoothedDemand.js';
+import type { Clock } from 'hickoryrelay/Clock';
 import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
 import type { Declarations } from 'hickoryrelay-contract/Declarations';
 import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
@@ -14,10 +17,6 @@
 import type { PlannedEngine, RoleObservation } from 'hickoryrelay-zone/RolePlan';
 import type { Spend } from 'hickoryrelay-zone/Spend';
 import type { SuppliedKind, SupplyObservation } from 'hickoryrelay-zone/SupplyPlan';
-import type { Clock } from 'hickoryrelay/Clock';
-import { classTag } from './ZoneWork.js';
-
-import type { SmoothedDemand } from './SmoothedDemand.js';
 
 /** Load reports of an engine that the authority reads in a second; about 400 bytes each. */
 export const ENGINE_READS_PER_SECOND = 5;
--- a/packages/hickoryrelay-instance/src/ZoneObservationTask.ts
+++ b/packages/hickoryrelay-instance/src/ZoneObservationTask.ts
@@ -1,22 +1,21 @@
+import { describeFailure } from 'hickoryrelay/Failure';
+import { failureOf } from 'hickoryrelay/RelayError';
+import { Task } from 'hickoryrelay/Task';
 import { EngineStatusLink } from 'hickoryrelay-link/EngineStatusLink';
 import { Spend } from 'hickoryrelay-zone/Spend';
 import { SupplyOrderType } from 'hickoryrelay-zone/SupplyBook';
 import { SPEND_KEY, suppliedPrefix, supplyIntentsPrefix } from 'hickoryrelay-zone/ZoneKeyUtils';
-import { describeFailure } from 'hickoryrelay/Failure';
-import { failureOf } from 'hickoryrelay/RelayError';
-import { Task } from 'hickoryrelay/Task';
 
+import { ENGINE_READS_PER_SECOND } from './ZoneDemandObserver.js';
+import type { SupplyFigures, ZoneDemandObserver } from './ZoneDemandObserver.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { TaskContext } from 'hickoryrelay/Task';
 import type { Engine } from 'hickoryrelay-endpoint/Engine';
 import type { EndpointSupply } from 'hickoryrelay-platform/EndpointSupply';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 import type { SuppliedRecord, SupplyIntent } from 'hickoryrelay-zone/SupplyBook';
-import type { Clock } from 'hickoryrelay/Clock';
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { TaskContext } from 'hickoryrelay/Task';
-import { ENGINE_READS_PER_SECOND } from './ZoneDemandObserver.js';
-
-import type { SupplyFigures, ZoneDemandObserver } from './ZoneDemandObserver.js';
 
 const SAMPLE_INTERVAL_MILLISECONDS = 1000;
 
--- a/packages/hickoryrelay-instance/src/ZoneWork.ts
+++ b/packages/hickoryrelay-instance/src/ZoneWork.ts
@@ -1,7 +1,7 @@
-import type { DigestRow, WorkTotals } from 'hickoryrelay-link/PeerMessages';
 import { hashText } from './RendezvousUtils.js';
 
 import type { CallCost } from './CallCost.js';
+import type { DigestRow, WorkTotals } from 'hickoryrelay-link/PeerMessages';
 
 const TAG_MASK = 0xff_ff;
 
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/BadInput.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/BadInput.test.ts
@@ -1,9 +1,9 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
 
-import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 
 import type { EngineStandIn } from 'hickoryrelay-standin/EngineStandIn';
 import type { ServiceStandIn } from 'hickoryrelay-standin/ServiceStandIn';
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/CallPath.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/CallPath.test.ts
@@ -1,7 +1,7 @@
-import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import OpenAI from 'openai';
 import { request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 
 import type { EngineStandIn } from 'hickoryrelay-standin/EngineStandIn';
 import type { ServiceStandIn } from 'hickoryrelay-standin/ServiceStandIn';
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/EngineLoad.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/EngineLoad.test.ts
@@ -1,13 +1,13 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { CallTally } from 'hickoryrelay-endpoint/Endpoint';
+import { Engine } from 'hickoryrelay-endpoint/Engine';
 import { EngineLoadTask } from 'hickoryrelay-instance/EngineLoadTasks';
 import { EngineStatusLink } from 'hickoryrelay-link/EngineStatusLink';
 import { EngineStandIn } from 'hickoryrelay-standin/EngineStandIn';
-import { Engine } from 'hickoryrelay-endpoint/Engine';
-import { CallTally } from 'hickoryrelay-endpoint/Endpoint';
-import { SystemClock } from 'hickoryrelay/Clock';
-import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
-import { silentLogger } from 'hickoryrelay/Logger';
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 const KIND = {
   name: 'engine',
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFaults.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFaults.test.ts
@@ -1,13 +1,13 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
 import { RetryBudget } from 'hickoryrelay-instance/RetryBudget';
 import { completionWords } from 'hickoryrelay-standin/EngineStandIn';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import { StreamFault } from 'hickoryrelay-standin/StreamFault';
-import { FailureKind } from 'hickoryrelay/Failure';
-import { RelayError } from 'hickoryrelay/RelayError';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
-import type { ExchangeLimits } from 'hickoryrelay-instance/ExchangeLimits';
 import { ExchangeFixture, readEvents, RecordingWriter } from './ExchangeFixture.js';
+import type { ExchangeLimits } from 'hickoryrelay-instance/ExchangeLimits';
 
 describe('the exchange', () => {
   let fixture = new ExchangeFixture();
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
@@ -1,8 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { FailureKind } from 'hickoryrelay/Failure';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { RelayError } from 'hickoryrelay/RelayError';
+import { ConcurrencyLimitAdmission } from 'hickoryrelay-instance/AdmissionPolicy';
 import { AnswerMemory } from 'hickoryrelay-instance/AnswerMemory';
 import { AnswerWriter } from 'hickoryrelay-instance/AnswerWriter';
-import { ConcurrencyLimitAdmission } from 'hickoryrelay-instance/AdmissionPolicy';
 import { EndpointLinks } from 'hickoryrelay-instance/EndpointLinks';
 import { Exchange } from 'hickoryrelay-instance/Exchange';
 import { ExchangeCounters } from 'hickoryrelay-instance/ExchangeCounters';
@@ -13,13 +17,9 @@
 import { ServiceStandIn } from 'hickoryrelay-standin/ServiceStandIn';
 import { CallMeter } from 'hickoryrelay-usage/CallMeter';
 import { ClaimRegister } from 'hickoryrelay-usage/ClaimRegister';
+import { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { LeastOutstandingSelection } from 'hickoryrelay-zone/SelectionPolicy';
-import { FailureKind } from 'hickoryrelay/Failure';
-import { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
-import { ManualClock } from 'hickoryrelay/ManualClock';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
-import { RelayError } from 'hickoryrelay/RelayError';
 
 import type { FailureReport } from 'hickoryrelay-instance/AnswerWriter';
 import type { ExchangeParts } from 'hickoryrelay-instance/Exchange';
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFuzz.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFuzz.test.ts
@@ -1,12 +1,12 @@
 import fc from 'fast-check';
-import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
+import { describe, expect, it } from 'vitest';
 import { completionWords } from 'hickoryrelay-standin/EngineStandIn';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
+import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 import { StreamFault } from 'hickoryrelay-standin/StreamFault';
-import { describe, expect, it } from 'vitest';
 
-import type { ModelCall, ServiceCall } from 'hickoryrelay-link/Call';
 import { ExchangeFixture, readEvents, RecordingWriter } from './ExchangeFixture.js';
+import type { ModelCall, ServiceCall } from 'hickoryrelay-link/Call';
 
 const { seed: SEED, runs: RUNS, path: FUZZ_PATH } = fuzzSettings(60);
 
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/HttpAnswerWriter.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/HttpAnswerWriter.test.ts
@@ -1,15 +1,15 @@
 import { createServer, request } from 'node:http';
 
+import { describe, expect, it } from 'vitest';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { FailureKind } from 'hickoryrelay/Failure';
 import { CallSeries } from 'hickoryrelay-instance/CallMetrics';
 import { CallTimer } from 'hickoryrelay-instance/CallTimer';
 import { HttpAnswerWriter } from 'hickoryrelay-instance/HttpAnswerWriter';
-import { SystemClock } from 'hickoryrelay/Clock';
-import { FailureKind } from 'hickoryrelay/Failure';
-import { describe, expect, it } from 'vitest';
 
+import type { Call } from 'hickoryrelay-link/Call';
 import type { ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import type { Call } from 'hickoryrelay-link/Call';
 
 const clock = new SystemClock();
 const BLOCK = Buffer.alloc(1_048_576);
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/KeyWithdrawal.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/KeyWithdrawal.test.ts
@@ -1,6 +1,6 @@
-import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 
 import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/Outages.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/Outages.test.ts
@@ -1,8 +1,8 @@
+import { request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { DaemonProcess } from 'hickoryrelay-standin/DaemonProcess';
 import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { RelayMode, TcpRelay } from 'hickoryrelay-standin/TcpRelay';
-import { request } from 'undici';
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import type { ServiceStandIn } from 'hickoryrelay-standin/ServiceStandIn';
 
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/Shutdown.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/Shutdown.test.ts
@@ -1,7 +1,7 @@
-import { DaemonProcess } from 'hickoryrelay-standin/DaemonProcess';
-import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { DaemonProcess } from 'hickoryrelay-standin/DaemonProcess';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 
 const READY_ATTEMPTS = 400;
 
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/UsageReports.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/UsageReports.test.ts
@@ -1,7 +1,7 @@
-import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
-import { SystemClock } from 'hickoryrelay/Clock';
 import { request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 
 const ZONE = 'zone-a';
 const WALL_SPEED = 20;
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ZoneDemand.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ZoneDemand.test.ts
@@ -1,8 +1,8 @@
+import { request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
 import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { SPEND_KEY } from 'hickoryrelay-zone/ZoneKeyUtils';
-import { request } from 'undici';
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import type { EngineStandIn } from 'hickoryrelay-standin/EngineStandIn';
 
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ZoneDuties.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ZoneDuties.test.ts
@@ -1,13 +1,13 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
+import { ZoneDuties } from 'hickoryrelay-instance/ZoneDuties';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
 import { HttpEndpointSupply } from 'hickoryrelay-platform/HttpPlatform';
-import { ZoneDuties } from 'hickoryrelay-instance/ZoneDuties';
 import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { ZoneObserver } from 'hickoryrelay-zone/PolicyPlanner';
 import { authorityKey, SPEND_KEY } from 'hickoryrelay-zone/ZoneKeyUtils';
-import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
-import { silentLogger } from 'hickoryrelay/Logger';
-import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import type { SupplyObservation } from 'hickoryrelay-zone/SupplyPlan';
 
--- a/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
@@ -1,19 +1,19 @@
 import fc from 'fast-check';
-import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
-import { ModelOperation } from 'hickoryrelay-link/Call';
+import { describe, expect, it } from 'vitest';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { failureOf } from 'hickoryrelay/RelayError';
-import { describe, expect, it } from 'vitest';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { ModelOperation } from 'hickoryrelay-link/Call';
 
-import type { ModelCall } from 'hickoryrelay-link/Call';
 import { AdmissionQueue } from '../../AdmissionQueue.js';
+import { FixedCapacity } from '../../CallCapacity.js';
 import { CallCostModel } from '../../CallCost.js';
 import { FairShare } from '../../FairShare.js';
-import { FixedCapacity } from '../../CallCapacity.js';
 import { CollectedRemoteUse } from '../../RemoteUse.js';
 
 import type { AdmissionTicket } from '../../AdmissionPolicy.js';
+import type { ModelCall } from 'hickoryrelay-link/Call';
 
 const SEED = 20_261_204;
 const RUNS = 200;
--- a/packages/hickoryrelay-instance/src/__tests__/unit/CallMetrics.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/CallMetrics.test.ts
@@ -1,5 +1,5 @@
-import { CallMetrics, CallOutcome, CallTime } from 'hickoryrelay-instance/CallMetrics';
 import { describe, expect, it } from 'vitest';
+import { CallMetrics, CallOutcome, CallTime } from 'hickoryrelay-instance/CallMetrics';
 
 import type { Call } from 'hickoryrelay-link/Call';
 
--- a/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationFuzz.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationFuzz.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
-import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 import { describe, it } from 'vitest';
+import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 
 import { PathState } from 'hickoryrelay-standin/MemoryPeerTransport';
 import { FederationModel, NAMES } from './FederationModel.js';
--- a/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationIntake.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationIntake.test.ts
@@ -1,14 +1,14 @@
-import { bucketsOf } from 'hickoryrelay-contract/ConfigurationBucket';
+import { beforeEach, describe, expect, it } from 'vitest';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
+import { bucketsOf } from 'hickoryrelay-contract/ConfigurationBucket';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { MemoryKeyValueStore, MemoryPlatform } from 'hickoryrelay-standin/MemoryPlatform';
-import { beforeEach, describe, expect, it } from 'vitest';
 
-import type { Configuration } from 'hickoryrelay-platform/ConfigurationStore';
 import { ConfigurationIntake } from '../../ConfigurationIntake.js';
 import { ConfigurationView } from '../../ConfigurationView.js';
+import type { Configuration } from 'hickoryrelay-platform/ConfigurationStore';
 
 function configurationOf(revision: number): Configuration {
   const document = sampleDeclarations();
--- a/packages/hickoryrelay-instance/src/__tests__/unit/FederationModel.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/FederationModel.ts
@@ -1,14 +1,14 @@
-import { bucketsOf } from 'hickoryrelay-contract/ConfigurationBucket';
-import { AccessKey } from 'hickoryrelay-contract/AccessKey';
 import { invariant } from 'hickoryrelay/Invariant';
 import { hasFailureKind } from 'hickoryrelay/RelayError';
+import { AccessKey } from 'hickoryrelay-contract/AccessKey';
+import { bucketsOf } from 'hickoryrelay-contract/ConfigurationBucket';
 import { HEAD_KEY } from 'hickoryrelay-platform/ConfigurationStore';
 import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { SimulatedFederation } from 'hickoryrelay-standin/SimulatedFederation';
 
+import { identifyCaller } from '../../CallerIdentity.js';
 import type { ConfigurationHead } from 'hickoryrelay-platform/ConfigurationStore';
 import type { SimulatedInstance } from 'hickoryrelay-standin/SimulatedFederation';
-import { identifyCaller } from '../../CallerIdentity.js';
 
 export const STALE_KEY_SECONDS = 30;
 
--- a/packages/hickoryrelay-instance/src/__tests__/unit/Membership.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/Membership.test.ts
@@ -1,10 +1,10 @@
+import { beforeEach, describe, expect, it } from 'vitest';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SimulatedFederation } from 'hickoryrelay-standin/SimulatedFederation';
-import { beforeEach, describe, expect, it } from 'vitest';
 
-import type { DigestRow } from 'hickoryrelay-link/PeerMessages';
 import { InstanceDigest } from '../../InstanceDigest.js';
 import { Liveness, Membership } from '../../Membership.js';
+import type { DigestRow } from 'hickoryrelay-link/PeerMessages';
 
 const OWN = { name: 'own', zone: 'zone-a', incarnation: '00aa' };
 
--- a/packages/hickoryrelay-instance/src/__tests__/unit/ProgressDeadline.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/ProgressDeadline.test.ts
@@ -1,6 +1,6 @@
-import { ProgressDeadline } from 'hickoryrelay-instance/ProgressDeadline';
-import { ManualClock } from 'hickoryrelay/ManualClock';
 import { describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { ProgressDeadline } from 'hickoryrelay-instance/ProgressDeadline';
 
 const LIMITS = { firstMilliseconds: 100, nextMilliseconds: 50, condemnedMilliseconds: 10 };
 
--- a/packages/hickoryrelay-instance/src/__tests__/unit/ZoneDemandObserver.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/ZoneDemandObserver.test.ts
@@ -1,3 +1,5 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
 import { Declarations } from 'hickoryrelay-contract/Declarations';
 import { Engine, EngineRole } from 'hickoryrelay-endpoint/Engine';
 import { decodeLoadReport } from 'hickoryrelay-endpoint/EngineLoad';
@@ -5,13 +7,11 @@
 import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 import { Spend } from 'hickoryrelay-zone/Spend';
-import { ManualClock } from 'hickoryrelay/ManualClock';
-import { beforeEach, describe, expect, it } from 'vitest';
 
-import type { DigestRow, WorkTotals } from 'hickoryrelay-link/PeerMessages';
 import { SmoothedDemand } from '../../SmoothedDemand.js';
 import { ZoneDemandObserver } from '../../ZoneDemandObserver.js';
 import { classTag, ZoneWork } from '../../ZoneWork.js';
+import type { DigestRow, WorkTotals } from 'hickoryrelay-link/PeerMessages';
 
 const TAG = classTag('ask');
 const NOTHING: WorkTotals = { prefill: 0, decode: 0, classes: [] };
--- a/packages/hickoryrelay-instance/src/hickoryrelayd.ts
+++ b/packages/hickoryrelay-instance/src/hickoryrelayd.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { readFile } from 'node:fs/promises';
 
+import meow from 'meow';
 import { SystemClock } from 'hickoryrelay/Clock';
 import { describeFailure } from 'hickoryrelay/Failure';
 import { createProcessLogger, LogPrefix, partLogger } from 'hickoryrelay/Logger';
@@ -16,10 +17,9 @@
   HttpInstanceList,
   HttpUsageReportSink,
 } from 'hickoryrelay-platform/HttpPlatform';
-import meow from 'meow';
 
-import type { Settings } from 'hickoryrelay-contract/Settings';
 import { Instance } from './Instance.js';
+import type { Settings } from 'hickoryrelay-contract/Settings';
 
 const ExitCode = { Success: 0, Failure: 1, InvalidSettings: 2, CallsCutOff: 3 } as const;
 
--- a/packages/hickoryrelay-link/src/EngineStatusLink.ts
+++ b/packages/hickoryrelay-link/src/EngineStatusLink.ts
@@ -1,7 +1,7 @@
-import { decodeLoadReport } from 'hickoryrelay-endpoint/EngineLoad';
+import { request } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
-import { request } from 'undici';
+import { decodeLoadReport } from 'hickoryrelay-endpoint/EngineLoad';
 
 import type { Clock } from 'hickoryrelay/Clock';
 import type { EndpointPlace } from 'hickoryrelay-endpoint/Endpoint';
--- a/packages/hickoryrelay-link/src/HttpAnswer.ts
+++ b/packages/hickoryrelay-link/src/HttpAnswer.ts
@@ -1,8 +1,8 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
-import type { Dispatcher } from 'undici';
 import type { AnswerStream } from './AnswerStream.js';
+import type { Dispatcher } from 'undici';
 
 /**
  * Bytes of an answer that may wait here for a slow caller before the endpoint's connection is
--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -1,13 +1,13 @@
 import { Client, Pool } from 'undici';
 
-import type { Dispatcher } from 'undici';
-import type { EndpointPlace } from 'hickoryrelay-endpoint/Endpoint';
 import { EndpointLink } from './EndpointLink.js';
 import { HttpAnswer } from './HttpAnswer.js';
 
 import type { AnswerStream } from './AnswerStream.js';
 import type { Call } from './Call.js';
 import type { ResumePoint } from './EndpointLink.js';
+import type { EndpointPlace } from 'hickoryrelay-endpoint/Endpoint';
+import type { Dispatcher } from 'undici';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
 
--- a/packages/hickoryrelay-link/src/LinkedPeerNetwork.ts
+++ b/packages/hickoryrelay-link/src/LinkedPeerNetwork.ts
@@ -1,17 +1,12 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { Failure } from 'hickoryrelay/Failure';
-import type { LifecycleManager, RunningTask } from 'hickoryrelay/LifecycleManager';
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { RandomSource } from 'hickoryrelay/RandomSource';
 import { MessageQueue } from './MessageQueue.js';
 import { PeerDialler } from './PeerDialler.js';
 import { PeerLink } from './PeerLink.js';
 import { PeerNetwork } from './PeerNetwork.js';
 
-import type { PeerAddress } from './PeerDialler.js';
 import type { PeerConnection, PeerTransport } from './PeerConnection.js';
+import type { PeerAddress } from './PeerDialler.js';
 import type { PeerLinkOwner, PeerStatement } from './PeerLink.js';
 import type {
   InstanceIdentity,
@@ -19,6 +14,11 @@
   PeerMessageType,
   ReceivedPeerMessage,
 } from './PeerMessages.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { Failure } from 'hickoryrelay/Failure';
+import type { LifecycleManager, RunningTask } from 'hickoryrelay/LifecycleManager';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
 
 /** Messages that may wait for one consumer. Beyond it the link that sends more is cut. */
 const CONSUMER_LIMIT = 4096;
--- a/packages/hickoryrelay-link/src/OrderLink.ts
+++ b/packages/hickoryrelay-link/src/OrderLink.ts
@@ -1,8 +1,8 @@
-import { OrderAnswer, OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
+import { buildConnector, Client } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError, hasFailureKind } from 'hickoryrelay/RelayError';
 import { guardWrites } from 'hickoryrelay/SocketGuardUtils';
-import { buildConnector, Client } from 'undici';
+import { OrderAnswer, OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
 
 import type { EndpointPlace } from 'hickoryrelay-endpoint/Endpoint';
 import type {
--- a/packages/hickoryrelay-link/src/PeerConnection.ts
+++ b/packages/hickoryrelay-link/src/PeerConnection.ts
@@ -1,6 +1,5 @@
-import type { CleanUp } from 'hickoryrelay/LifecycleManager';
-
 import { MessageQueue } from './MessageQueue.js';
+import type { CleanUp } from 'hickoryrelay/LifecycleManager';
 
 /**
  * Longest message in bytes. A whole configuration of 1,100 accounts is 550 KB; each of its buckets
--- a/packages/hickoryrelay-link/src/PeerDialler.ts
+++ b/packages/hickoryrelay-link/src/PeerDialler.ts
@@ -1,13 +1,13 @@
+import { backoffDelays } from 'hickoryrelay/Backoff';
 import { describeFailure } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
-import { backoffDelays } from 'hickoryrelay/Backoff';
 import { Task } from 'hickoryrelay/Task';
 
+import type { PeerConnection, PeerTransport } from './PeerConnection.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
-import type { PeerConnection, PeerTransport } from './PeerConnection.js';
 
 /** Longest wait stays well below the 19 s in which a change must arrive everywhere. */
 const RECONNECT_LIMITS = { firstMilliseconds: 200, longestMilliseconds: 4000 };
--- a/packages/hickoryrelay-link/src/PeerLink.ts
+++ b/packages/hickoryrelay-link/src/PeerLink.ts
@@ -3,16 +3,16 @@
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { Failure } from 'hickoryrelay/Failure';
-import type { TaskContext } from 'hickoryrelay/Task';
 import { QueueOutcome } from './MessageQueue.js';
 import { MAXIMUM_QUEUED_BYTES } from './PeerConnection.js';
 import { decodePeerMessage, encodePeerMessage } from './PeerMessageCodec.js';
 import { PeerMessageType } from './PeerMessages.js';
 
-import type { InstanceIdentity, PeerMessage, ReceivedPeerMessage } from './PeerMessages.js';
 import type { PeerConnection } from './PeerConnection.js';
+import type { InstanceIdentity, PeerMessage, ReceivedPeerMessage } from './PeerMessages.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { Failure } from 'hickoryrelay/Failure';
+import type { TaskContext } from 'hickoryrelay/Task';
 
 export const HEARTBEAT_MILLISECONDS = 1000;
 
--- a/packages/hickoryrelay-link/src/PeerMessageCodec.ts
+++ b/packages/hickoryrelay-link/src/PeerMessageCodec.ts
@@ -1,7 +1,7 @@
-import { FailureKind } from 'hickoryrelay/Failure';
-import { RelayError } from 'hickoryrelay/RelayError';
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
 
 import { usageMessages } from './UsageMessageSchemas.js';
 
--- a/packages/hickoryrelay-link/src/ServiceLink.ts
+++ b/packages/hickoryrelay-link/src/ServiceLink.ts
@@ -1,5 +1,5 @@
-import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { invariant } from 'hickoryrelay/Invariant';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
 import { HttpEndpointLink } from './HttpEndpointLink.js';
 
--- a/packages/hickoryrelay-link/src/WebSocketPeerTransport.ts
+++ b/packages/hickoryrelay-link/src/WebSocketPeerTransport.ts
@@ -1,13 +1,13 @@
 import { once } from 'node:events';
 
+import WebSocket, { WebSocketServer } from 'ws';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { invariant } from 'hickoryrelay/Invariant';
 import { RelayError } from 'hickoryrelay/RelayError';
-import WebSocket, { WebSocketServer } from 'ws';
 
+import { MAXIMUM_MESSAGE_BYTES, PeerConnection, PeerTransport } from './PeerConnection.js';
 import type { CleanUp } from 'hickoryrelay/LifecycleManager';
 import type { RawData } from 'ws';
-import { MAXIMUM_MESSAGE_BYTES, PeerConnection, PeerTransport } from './PeerConnection.js';
 
 function bytesOf(data: RawData): Uint8Array {
   if (Array.isArray(data)) {
--- a/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
@@ -1,13 +1,13 @@
 import { createServer } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import { ServiceLink } from 'hickoryrelay-link/ServiceLink';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { ServiceLink } from 'hickoryrelay-link/ServiceLink';
 
-import type { RequestListener, Server } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
 import type { AnswerStream } from 'hickoryrelay-link/AnswerStream';
 import type { ServiceCall } from 'hickoryrelay-link/Call';
+import type { RequestListener, Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
 
 const CALL: ServiceCall = {
   kind: 'service',
--- a/packages/hickoryrelay-link/src/__tests__/e2e/OrderLink.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/OrderLink.test.ts
@@ -1,10 +1,10 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { SystemClock } from 'hickoryrelay/Clock';
+import { RelayError, failureOf } from 'hickoryrelay/RelayError';
+import { HttpOrderLink } from 'hickoryrelay-link/OrderLink';
 import { EngineOrderSide } from 'hickoryrelay-standin/EngineOrderSide';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import { JsonServer } from 'hickoryrelay-standin/JsonServer';
-import { HttpOrderLink } from 'hickoryrelay-link/OrderLink';
-import { SystemClock } from 'hickoryrelay/Clock';
-import { RelayError, failureOf } from 'hickoryrelay/RelayError';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
 import type { IssuedOrder } from 'hickoryrelay-endpoint/EndpointOrder';
 import type { JsonAnswer, ReceivedRequest } from 'hickoryrelay-standin/JsonServer';
--- a/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
@@ -1,10 +1,10 @@
+import { pack } from 'msgpackr';
+import { afterEach, describe, expect, it } from 'vitest';
+import WebSocket, { WebSocketServer } from 'ws';
 import { SystemClock } from 'hickoryrelay/Clock';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { SystemRandomSource } from 'hickoryrelay/RandomSource';
-import { pack } from 'msgpackr';
-import { afterEach, describe, expect, it } from 'vitest';
-import WebSocket, { WebSocketServer } from 'ws';
 
 import { LinkedPeerNetwork } from '../../LinkedPeerNetwork.js';
 import { MAXIMUM_MESSAGE_BYTES } from '../../PeerConnection.js';
--- a/packages/hickoryrelay-link/src/__tests__/unit/EngineEvents.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/unit/EngineEvents.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
-import { EngineEventReader, readWholeAnswer } from 'hickoryrelay-link/EngineEvents';
 import { describe, expect, it } from 'vitest';
+import { EngineEventReader, readWholeAnswer } from 'hickoryrelay-link/EngineEvents';
 
 const EVENTS = [
   { id: 'r', choices: [{ index: 0, delta: { role: 'assistant' }, finish_reason: null }] },
--- a/packages/hickoryrelay-platform/src/BudgetedKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/BudgetedKeyValueStore.ts
@@ -2,8 +2,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError, hasFailureKind } from 'hickoryrelay/RelayError';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { RandomSource } from 'hickoryrelay/RandomSource';
 import { CallKind } from './CallBudget.js';
 import { KeyValueStore } from './KeyValueStore.js';
 
@@ -15,6 +13,8 @@
   TransactionResult,
   WatchBatch,
 } from './KeyValueStore.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
 
 const READ_ATTEMPTS = 3;
 const RETRY_LIMITS = { firstMilliseconds: 200, longestMilliseconds: 2000 };
--- a/packages/hickoryrelay-platform/src/ConfigurationStore.ts
+++ b/packages/hickoryrelay-platform/src/ConfigurationStore.ts
@@ -1,17 +1,17 @@
+import { z } from 'zod';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { SystemRandomSource } from 'hickoryrelay/RandomSource';
+import { RelayError } from 'hickoryrelay/RelayError';
 import {
   BUCKET_COUNT,
   bucketsOf,
   digestBucket,
   documentFrom,
 } from 'hickoryrelay-contract/ConfigurationBucket';
-import { FailureKind } from 'hickoryrelay/Failure';
-import { RelayError } from 'hickoryrelay/RelayError';
-import { SystemRandomSource } from 'hickoryrelay/RandomSource';
-import { z } from 'zod';
 
-import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
-import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { KeyValue, KeyValueStore, Operation } from './KeyValueStore.js';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 
 export const CONFIGURATION_PREFIX = '/hickoryrelay/configuration/';
 export const HEAD_KEY = `${CONFIGURATION_PREFIX}head`;
--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -1,8 +1,7 @@
+import { Agent, request } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
-import { Agent, request } from 'undici';
 
-import { KeyValueStore } from './KeyValueStore.js';
 import {
   decodeKeyValue,
   decodeTransaction,
@@ -11,6 +10,7 @@
   rangeEnd,
   splitLines,
 } from './EtcdCodec.js';
+import { KeyValueStore } from './KeyValueStore.js';
 
 import type { EtcdKeyValue, EtcdTransactionAnswer, EtcdWatchLine } from './EtcdCodec.js';
 import type {
--- a/packages/hickoryrelay-platform/src/HttpPlatform.ts
+++ b/packages/hickoryrelay-platform/src/HttpPlatform.ts
@@ -1,9 +1,8 @@
+import { buildConnector, Client, getGlobalDispatcher, request } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { guardWrites } from 'hickoryrelay/SocketGuardUtils';
-import { buildConnector, Client, getGlobalDispatcher, request } from 'undici';
 
-import type { Dispatcher } from 'undici';
 import { EndpointSupply } from './EndpointSupply.js';
 import { InstanceList } from './InstanceList.js';
 import { UsageReportSink } from './UsageReportSink.js';
@@ -16,6 +15,7 @@
 } from './EndpointSupply.js';
 import type { ListedInstance } from './InstanceList.js';
 import type { UsageReport } from './UsageReportSink.js';
+import type { Dispatcher } from 'undici';
 
 const TIMEOUT_MILLISECONDS = 2000;
 const GONE = 410;
--- a/packages/hickoryrelay-platform/src/__tests__/e2e/EtcdKeyValueStore.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/e2e/EtcdKeyValueStore.test.ts
@@ -1,14 +1,14 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { failureOf } from 'hickoryrelay/RelayError';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import { KeyValueGateway } from 'hickoryrelay-standin/KeyValueGateway';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
-import { FailureKind } from 'hickoryrelay/Failure';
-import { ManualClock } from 'hickoryrelay/ManualClock';
-import { failureOf } from 'hickoryrelay/RelayError';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
-import type { Transaction, WatchBatch } from 'hickoryrelay-platform/KeyValueStore';
 import type { Failure } from 'hickoryrelay/Failure';
+import type { Transaction, WatchBatch } from 'hickoryrelay-platform/KeyValueStore';
 
 function putIfAbsent(key: string, value: string, lease?: string): Transaction {
   return {
--- a/packages/hickoryrelay-platform/src/__tests__/unit/BudgetedKeyValueStore.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/unit/BudgetedKeyValueStore.test.ts
@@ -1,12 +1,12 @@
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { BudgetedKeyValueStore } from 'hickoryrelay-platform/BudgetedKeyValueStore';
 import { CallBudget, CallKind } from 'hickoryrelay-platform/CallBudget';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import { InProcessKeyValueStore } from 'hickoryrelay-standin/InProcessKeyValueStore';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 import { ProcessClock } from 'hickoryrelay-standin/ProcessClock';
-import { ManualClock } from 'hickoryrelay/ManualClock';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
-import { describe, expect, it } from 'vitest';
 
 const LIMITS = {
   reads: { perSecond: 2, burst: 4 },
--- a/packages/hickoryrelay-platform/src/__tests__/unit/CallBudget.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/unit/CallBudget.test.ts
@@ -1,6 +1,6 @@
-import { CallBudget, CallKind, limitsFor } from 'hickoryrelay-platform/CallBudget';
-import { ManualClock } from 'hickoryrelay/ManualClock';
 import { describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { CallBudget, CallKind, limitsFor } from 'hickoryrelay-platform/CallBudget';
 
 const PLATFORM_READS_PER_SECOND = 2000;
 const PLATFORM_WRITES_PER_SECOND = 400;
--- a/packages/hickoryrelay-standin/src/DaemonProcess.ts
+++ b/packages/hickoryrelay-standin/src/DaemonProcess.ts
@@ -7,9 +7,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
-import { invariant } from 'hickoryrelay/Invariant';
 import { request } from 'undici';
 import { stringify } from 'yaml';
+import { invariant } from 'hickoryrelay/Invariant';
 
 import type { ChildProcessWithoutNullStreams } from 'node:child_process';
 
--- a/packages/hickoryrelay-standin/src/EngineOrderSide.ts
+++ b/packages/hickoryrelay-standin/src/EngineOrderSide.ts
@@ -1,16 +1,16 @@
-import { OrderAnswer, OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
-import { OrderLink } from 'hickoryrelay-link/OrderLink';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { OrderAnswer, OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
+import { OrderLink } from 'hickoryrelay-link/OrderLink';
 
+import type { OrderExchanges } from './InProcessExchange.js';
+import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
+import type { Clock } from 'hickoryrelay/Clock';
 import type {
   EndpointOrder,
   EndpointOrderState,
   IssuedOrder,
 } from 'hickoryrelay-endpoint/EndpointOrder';
-import type { Clock } from 'hickoryrelay/Clock';
-import type { OrderExchanges } from './InProcessExchange.js';
-import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
 
 /** What an engine checks before it takes an order. */
 export interface OrderChecks {
--- a/packages/hickoryrelay-standin/src/EngineServiceModel.ts
+++ b/packages/hickoryrelay-standin/src/EngineServiceModel.ts
@@ -1,8 +1,8 @@
-import { CacheEventKind, TOKENS_PER_PREFIX_KEY } from 'hickoryrelay-endpoint/PrefixIndex';
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
+import { CacheEventKind, TOKENS_PER_PREFIX_KEY } from 'hickoryrelay-endpoint/PrefixIndex';
 
-import type { CacheEvent } from 'hickoryrelay-endpoint/PrefixIndex';
 import type { LoadReport } from 'hickoryrelay-endpoint/EngineLoad';
+import type { CacheEvent } from 'hickoryrelay-endpoint/PrefixIndex';
 
 /** Size and speed of a modelled engine. */
 export interface EngineServiceParts {
--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -2,18 +2,18 @@
 import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { SystemClock } from 'hickoryrelay/Clock';
 import { OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
-import { SystemClock } from 'hickoryrelay/Clock';
 
-import type { ServerResponse } from 'node:http';
 import { EngineOrderSide } from './EngineOrderSide.js';
 import { GenerationTable } from './GenerationTable.js';
 import { JsonServer } from './JsonServer.js';
 
-import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
 import { StreamFault } from './StreamFault.js';
+import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
 import type { PlannedStreamFault } from './StreamFault.js';
+import type { ServerResponse } from 'node:http';
 
 /** Service times of an engine stand-in. */
 export interface EngineTimes {
--- a/packages/hickoryrelay-standin/src/InProcessExchange.ts
+++ b/packages/hickoryrelay-standin/src/InProcessExchange.ts
@@ -1,6 +1,6 @@
-import type { Clock } from 'hickoryrelay/Clock';
 import { Fault, FaultPlan } from './FaultPlan.js';
 import type { ProcessClock } from './ProcessClock.js';
+import type { Clock } from 'hickoryrelay/Clock';
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 2000;
 
--- a/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
+++ b/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
@@ -1,7 +1,13 @@
-import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import { FailureKind, describeFailure } from 'hickoryrelay/Failure';
 import { RelayError, failureOf } from 'hickoryrelay/RelayError';
+import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+
+import { InProcessExchange } from './InProcessExchange.js';
 
+import type { NoAnswer } from './InProcessExchange.js';
+import type { KeyValueTable } from './KeyValueTable.js';
+import type { ProcessClock } from './ProcessClock.js';
+import type { Clock } from 'hickoryrelay/Clock';
 import type {
   LeaseGrant,
   RangeResult,
@@ -9,12 +15,6 @@
   TransactionResult,
   WatchBatch,
 } from 'hickoryrelay-platform/KeyValueStore';
-import type { Clock } from 'hickoryrelay/Clock';
-import { InProcessExchange } from './InProcessExchange.js';
-
-import type { NoAnswer } from './InProcessExchange.js';
-import type { KeyValueTable } from './KeyValueTable.js';
-import type { ProcessClock } from './ProcessClock.js';
 
 function unavailable({ reason, mayHaveTakenEffect }: NoAnswer): RelayError {
   return new RelayError({
--- a/packages/hickoryrelay-standin/src/JsonServer.ts
+++ b/packages/hickoryrelay-standin/src/JsonServer.ts
@@ -1,9 +1,9 @@
 import { createServer } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { Fault, FaultPlan } from './FaultPlan.js';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { Fault, FaultPlan } from './FaultPlan.js';
 
 /** A request as a stand-in sees it. */
 export interface ReceivedRequest {
--- a/packages/hickoryrelay-standin/src/KeyValueGateway.ts
+++ b/packages/hickoryrelay-standin/src/KeyValueGateway.ts
@@ -1,7 +1,9 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { hasFailureKind } from 'hickoryrelay/RelayError';
 
-import type { ServerResponse } from 'node:http';
+import { JsonServer } from './JsonServer.js';
+import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
+import type { KeyValueTable } from './KeyValueTable.js';
 import type {
   Comparison,
   KeyValue,
@@ -12,9 +14,7 @@
   WatchBatch,
   WatchEvent,
 } from 'hickoryrelay-platform/KeyValueStore';
-import { JsonServer } from './JsonServer.js';
-import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
-import type { KeyValueTable } from './KeyValueTable.js';
+import type { ServerResponse } from 'node:http';
 
 interface RawRange {
   readonly key: string;
--- a/packages/hickoryrelay-standin/src/LocalFederation.ts
+++ b/packages/hickoryrelay-standin/src/LocalFederation.ts
@@ -1,22 +1,20 @@
+import { SystemClock } from 'hickoryrelay/Clock';
+import { invariant } from 'hickoryrelay/Invariant';
+import { createProcessLogger } from 'hickoryrelay/Logger';
+import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 import { AccessKey } from 'hickoryrelay-contract/AccessKey';
 import { declarationsSchema } from 'hickoryrelay-contract/Declarations';
 import { settingsSchema } from 'hickoryrelay-contract/Settings';
 import { Instance } from 'hickoryrelay-instance/Instance';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
+import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
 import {
   HttpEndpointSupply,
   HttpInstanceList,
   HttpUsageReportSink,
 } from 'hickoryrelay-platform/HttpPlatform';
-import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
-import { SystemClock } from 'hickoryrelay/Clock';
-import { invariant } from 'hickoryrelay/Invariant';
-import { createProcessLogger } from 'hickoryrelay/Logger';
-import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 import { EngineStandIn } from './EngineStandIn.js';
 import { KeyValueGateway } from './KeyValueGateway.js';
 import { KeyValueTable } from './KeyValueTable.js';
@@ -25,6 +23,8 @@
 
 import type { EngineTimes } from './EngineStandIn.js';
 import type { JsonServer } from './JsonServer.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
 
 const READY_ATTEMPTS = 600;
 const READY_INTERVAL_MILLISECONDS = 25;
--- a/packages/hickoryrelay-standin/src/MemoryPlatform.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPlatform.ts
@@ -3,6 +3,7 @@
 import { InstanceList } from 'hickoryrelay-platform/InstanceList';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
+import { KeyValueTable } from './KeyValueTable.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
 import type {
@@ -12,7 +13,6 @@
   TransactionResult,
   WatchBatch,
 } from 'hickoryrelay-platform/KeyValueStore';
-import { KeyValueTable } from './KeyValueTable.js';
 
 const TIMEOUT_MILLISECONDS = 2000;
 const USUAL_DELAY_MILLISECONDS = 2;
--- a/packages/hickoryrelay-standin/src/PlatformStandIn.ts
+++ b/packages/hickoryrelay-standin/src/PlatformStandIn.ts
@@ -1,14 +1,14 @@
 import { SystemClock } from 'hickoryrelay/Clock';
 
-import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
-import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
-import type { UsageReport } from 'hickoryrelay-platform/UsageReportSink';
 import { JsonServer } from './JsonServer.js';
 import { SupplyAnswer, SupplySide } from './SupplySide.js';
 import { ReportAnswer, UsageReportTable } from './UsageReportTable.js';
 
-import type { ReceivedOrder } from './SupplySide.js';
 import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
+import type { ReceivedOrder } from './SupplySide.js';
+import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
+import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
+import type { UsageReport } from 'hickoryrelay-platform/UsageReportSink';
 
 const OK: JsonAnswer = { status: 200, body: {} };
 const NOT_FOUND: JsonAnswer = { status: 404, body: {} };
--- a/packages/hickoryrelay-standin/src/SimulatedFederation.ts
+++ b/packages/hickoryrelay-standin/src/SimulatedFederation.ts
@@ -7,9 +7,9 @@
 import { InstanceControl } from 'hickoryrelay-instance/InstanceControl';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 
-import type { Failure } from 'hickoryrelay/Failure';
-import { MemoryInstanceList, MemoryKeyValueStore, MemoryPlatform } from './MemoryPlatform.js';
 import { MemoryNet } from './MemoryPeerTransport.js';
+import { MemoryInstanceList, MemoryKeyValueStore, MemoryPlatform } from './MemoryPlatform.js';
+import type { Failure } from 'hickoryrelay/Failure';
 
 /** The clock of one simulated process. While it is paused, time passes and nothing runs. */
 export class ProcessClock extends Clock {
--- a/packages/hickoryrelay-standin/src/SupplySide.ts
+++ b/packages/hickoryrelay-standin/src/SupplySide.ts
@@ -1,15 +1,15 @@
-import { EndpointSupply, SupplyState } from 'hickoryrelay-platform/EndpointSupply';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { EndpointSupply, SupplyState } from 'hickoryrelay-platform/EndpointSupply';
 
+import type { OrderExchanges } from './InProcessExchange.js';
+import type { Clock } from 'hickoryrelay/Clock';
 import type {
   AuthorityCheck,
   ReleaseOrder,
   SuppliedEndpoint,
   SupplyOrder,
 } from 'hickoryrelay-platform/EndpointSupply';
-import type { Clock } from 'hickoryrelay/Clock';
-import type { OrderExchanges } from './InProcessExchange.js';
 
 /** An order or a release as the platform received it. */
 export interface ReceivedOrder {
--- a/packages/hickoryrelay-standin/src/federation.ts
+++ b/packages/hickoryrelay-standin/src/federation.ts
@@ -8,19 +8,19 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
+import meow from 'meow';
+import { request } from 'undici';
+import { stringify } from 'yaml';
+import { invariant } from 'hickoryrelay/Invariant';
+import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 import { AccessKey } from 'hickoryrelay-contract/AccessKey';
 import { declarationsSchema } from 'hickoryrelay-contract/Declarations';
 import { YamlFile } from 'hickoryrelay-contract/YamlFile';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
-import { invariant } from 'hickoryrelay/Invariant';
-import { SystemRandomSource } from 'hickoryrelay/RandomSource';
-import meow from 'meow';
-import { request } from 'undici';
-import { stringify } from 'yaml';
 
-import type { ChildProcess } from 'node:child_process';
 import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
+import type { ChildProcess } from 'node:child_process';
 
 const program = meow(
   `
--- a/packages/hickoryrelay-standin/src/platform.ts
+++ b/packages/hickoryrelay-standin/src/platform.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
-import { SystemClock } from 'hickoryrelay/Clock';
 import meow from 'meow';
+import { SystemClock } from 'hickoryrelay/Clock';
 
 import { KeyValueGateway } from './KeyValueGateway.js';
 import { KeyValueTable } from './KeyValueTable.js';
--- a/packages/hickoryrelay-usage/src/InstanceUsage.ts
+++ b/packages/hickoryrelay-usage/src/InstanceUsage.ts
@@ -1,10 +1,3 @@
-import type { Clock } from 'hickoryrelay/Clock';
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { RandomSource } from 'hickoryrelay/RandomSource';
-import type { IncarnationMark, ReceivedPeerMessage } from 'hickoryrelay-link/PeerMessages';
-import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
-import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
-import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import { CountedSequences } from './CountedSequences.js';
 import { DEFAULT_REPLICATION, UsageMeter } from './UsageMeter.js';
 import { UsageReplica } from './UsageReplica.js';
@@ -14,8 +7,15 @@
 import type { Authority } from './Authority.js';
 import type { EngineUsageSource } from './EngineUsageSource.js';
 import type { InstanceLiveness } from './InstanceLiveness.js';
-import type { ReplicationSettings } from './UsageMeter.js';
 import type { UsageStatement } from './UsageMerge.js';
+import type { ReplicationSettings } from './UsageMeter.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { IncarnationMark, ReceivedPeerMessage } from 'hickoryrelay-link/PeerMessages';
+import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
+import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 
 /** What the usage part of an instance works with. */
 export interface InstanceUsageParts {
--- a/packages/hickoryrelay-usage/src/KeyValueClaimRegister.ts
+++ b/packages/hickoryrelay-usage/src/KeyValueClaimRegister.ts
@@ -2,16 +2,16 @@
 import { invariant } from 'hickoryrelay/Invariant';
 import { failureOf, hasFailureKind, RelayError } from 'hickoryrelay/RelayError';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { ServiceCall } from 'hickoryrelay-link/Call';
-import type { KeyValueStore, Transaction } from 'hickoryrelay-platform/KeyValueStore';
 import { ClaimRegister } from './ClaimRegister.js';
 import { answeredClaim, claimKey, claimOf, outcomeOf } from './StoredClaim.js';
 import { WriteBatcher } from './WriteBatcher.js';
 
 import type { ClaimOutcome, StoredAnswer } from './ClaimRegister.js';
 import type { StoredClaim } from './StoredClaim.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { ServiceCall } from 'hickoryrelay-link/Call';
+import type { KeyValueStore, Transaction } from 'hickoryrelay-platform/KeyValueStore';
 
 const HOUR_MILLISECONDS = 3_600_000;
 
--- a/packages/hickoryrelay-usage/src/ReplicaHolder.ts
+++ b/packages/hickoryrelay-usage/src/ReplicaHolder.ts
@@ -1,9 +1,9 @@
-import type { InstanceIdentity, UsageName, UsageRecordEntry } from 'hickoryrelay-link/PeerMessages';
-import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import { encodeIdentifier } from './RequestIdentifierCodec.js';
 
 import type { CountedSequences } from './CountedSequences.js';
 import type { JournalRecord, UsageJournal } from './UsageJournal.js';
+import type { InstanceIdentity, UsageName, UsageRecordEntry } from 'hickoryrelay-link/PeerMessages';
+import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 
 /** A message without an acknowledgement after this time is sent again. */
 const RESEND_AFTER_MILLISECONDS = 1000;
--- a/packages/hickoryrelay-usage/src/StoredClaim.ts
+++ b/packages/hickoryrelay-usage/src/StoredClaim.ts
@@ -1,9 +1,9 @@
 import { createHash } from 'node:crypto';
 
-import type { ServiceCall } from 'hickoryrelay-link/Call';
 import { OPEN_ACCOUNT } from './OpenAccount.js';
 
 import type { ClaimOutcome, StoredAnswer } from './ClaimRegister.js';
+import type { ServiceCall } from 'hickoryrelay-link/Call';
 
 const CLAIMS_PREFIX = '/hickoryrelay/claims/';
 
--- a/packages/hickoryrelay-usage/src/UsageJournal.ts
+++ b/packages/hickoryrelay-usage/src/UsageJournal.ts
@@ -1,11 +1,11 @@
 import { invariant } from 'hickoryrelay/Invariant';
 
-import type { SequenceRuns, UsageLineEntry } from 'hickoryrelay-link/PeerMessages';
-import type { CallFigures } from './CallMeter.js';
 import { runsOf } from './CountedSequences.js';
 import { UsageTotals } from './UsageTotals.js';
+import type { CallFigures } from './CallMeter.js';
 
 import type { CountedSequences } from './CountedSequences.js';
+import type { SequenceRuns, UsageLineEntry } from 'hickoryrelay-link/PeerMessages';
 
 /** What names the use that a record counts. */
 export interface UsageSubject {
--- a/packages/hickoryrelay-usage/src/UsageMerge.ts
+++ b/packages/hickoryrelay-usage/src/UsageMerge.ts
@@ -1,13 +1,13 @@
-import type {
-  AdoptedRecordEntry,
-  CountedMark,
-  UsageLineEntry,
-} from 'hickoryrelay-link/PeerMessages';
 import { CountedSequences, sequencesOf } from './CountedSequences.js';
 import { UsageTotals } from './UsageTotals.js';
 
 import type { OwnStatement } from './UsageJournal.js';
 import type { SealedMark } from './UsageSeal.js';
+import type {
+  AdoptedRecordEntry,
+  CountedMark,
+  UsageLineEntry,
+} from 'hickoryrelay-link/PeerMessages';
 
 /** What one instance stated for a window. */
 export interface UsageStatement {
--- a/packages/hickoryrelay-usage/src/UsageMeter.ts
+++ b/packages/hickoryrelay-usage/src/UsageMeter.ts
@@ -1,10 +1,5 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
-import type { Clock } from 'hickoryrelay/Clock';
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { Call } from 'hickoryrelay-link/Call';
-import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
-import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import { CallMeter } from './CallMeter.js';
 import { OPEN_ACCOUNT } from './OpenAccount.js';
 import { MessageNumbers, NameTable, ReplicaHolder } from './ReplicaHolder.js';
@@ -13,6 +8,11 @@
 
 import type { CallFigures, MeteredCall } from './CallMeter.js';
 import type { CountedSequences } from './CountedSequences.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { Call } from 'hickoryrelay-link/Call';
+import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
+import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 
 const HOLDER_COUNT = 2;
 
--- a/packages/hickoryrelay-usage/src/UsageReplica.ts
+++ b/packages/hickoryrelay-usage/src/UsageReplica.ts
@@ -1,11 +1,3 @@
-import type { Clock } from 'hickoryrelay/Clock';
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type {
-  AdoptedRecordEntry,
-  InstanceIdentity,
-  PeerMessage,
-  UsageRecordEntry,
-} from 'hickoryrelay-link/PeerMessages';
 import { describeFailure } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
 import { CountedSequences } from './CountedSequences.js';
@@ -14,6 +6,14 @@
 
 import type { EngineUsageSource } from './EngineUsageSource.js';
 import type { InstanceLiveness } from './InstanceLiveness.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type {
+  AdoptedRecordEntry,
+  InstanceIdentity,
+  PeerMessage,
+  UsageRecordEntry,
+} from 'hickoryrelay-link/PeerMessages';
 
 /** An engine that gave no count for this time is not asked again; the progress is counted. */
 const ENGINE_PATIENCE_MILLISECONDS = 60_000;
--- a/packages/hickoryrelay-usage/src/UsageReporter.ts
+++ b/packages/hickoryrelay-usage/src/UsageReporter.ts
@@ -1,14 +1,13 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { hasFailureKind, RelayError } from 'hickoryrelay/RelayError';
 
+import { countedKey, reportedKey, reportOf, sealKey } from './UsageSeal.js';
+import type { Authority } from './Authority.js';
+import type { CountedState, UsageSeal } from './UsageSeal.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import type { UsageReport, UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
-import { countedKey, reportedKey, reportOf, sealKey } from './UsageSeal.js';
-
-import type { Authority } from './Authority.js';
-import type { CountedState, UsageSeal } from './UsageSeal.js';
 
 /**
  * A new holder waits this long before its first report, so that reports of its predecessor have
--- a/packages/hickoryrelay-usage/src/UsageSeal.ts
+++ b/packages/hickoryrelay-usage/src/UsageSeal.ts
@@ -1,6 +1,6 @@
+import { WINDOW_MILLISECONDS } from './UsageWindow.js';
 import type { CountedMark, UsageLineEntry } from 'hickoryrelay-link/PeerMessages';
 import type { UsageLine, UsageReport } from 'hickoryrelay-platform/UsageReportSink';
-import { WINDOW_MILLISECONDS } from './UsageWindow.js';
 
 const USAGE_PREFIX = '/hickoryrelay/usage/';
 
--- a/packages/hickoryrelay-usage/src/UsageSealer.ts
+++ b/packages/hickoryrelay-usage/src/UsageSealer.ts
@@ -1,3 +1,11 @@
+import { UsageMerge } from './UsageMerge.js';
+import { countedKey, EMPTY_COUNTED_STATE, reportedKey, sealKey } from './UsageSeal.js';
+import { windowAt } from './UsageWindow.js';
+
+import type { Authority } from './Authority.js';
+import type { InstanceLiveness } from './InstanceLiveness.js';
+import type { UsageStatement } from './UsageMerge.js';
+import type { CountedState, SealedMark, UsageSeal } from './UsageSeal.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
@@ -9,14 +17,6 @@
 } from 'hickoryrelay-link/PeerMessages';
 import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
-import { UsageMerge } from './UsageMerge.js';
-import { countedKey, EMPTY_COUNTED_STATE, reportedKey, sealKey } from './UsageSeal.js';
-import { windowAt } from './UsageWindow.js';
-
-import type { Authority } from './Authority.js';
-import type { InstanceLiveness } from './InstanceLiveness.js';
-import type { UsageStatement } from './UsageMerge.js';
-import type { CountedState, SealedMark, UsageSeal } from './UsageSeal.js';
 
 /** Time after the end of a window for records on their way, before it is sealed. */
 export const SEAL_GRACE_MILLISECONDS = 5000;
--- a/packages/hickoryrelay-usage/src/UsageTasks.ts
+++ b/packages/hickoryrelay-usage/src/UsageTasks.ts
@@ -2,8 +2,8 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
-import type { TaskContext } from 'hickoryrelay/Task';
 import type { InstanceUsage } from './InstanceUsage.js';
+import type { TaskContext } from 'hickoryrelay/Task';
 
 const ADOPTION_INTERVAL_MILLISECONDS = 1000;
 const SEAL_CHECK_MILLISECONDS = 1000;
--- a/packages/hickoryrelay-usage/src/__tests__/e2e/Claims.test.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/e2e/Claims.test.ts
@@ -1,7 +1,7 @@
-import { Fault } from 'hickoryrelay-standin/FaultPlan';
-import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { Fault } from 'hickoryrelay-standin/FaultPlan';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 
 import type { Instance } from 'hickoryrelay-instance/Instance';
 import type { ServiceStandIn } from 'hickoryrelay-standin/ServiceStandIn';
--- a/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
@@ -1,7 +1,7 @@
-import { FailureKind } from 'hickoryrelay/Failure';
-import { silentLogger } from 'hickoryrelay/Logger';
 import { Clock } from 'hickoryrelay/Clock';
+import { FailureKind } from 'hickoryrelay/Failure';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
@@ -10,13 +10,6 @@
 import { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 
-import type {
-  InstanceIdentity,
-  PeerMessage,
-  ReceivedPeerMessage,
-} from 'hickoryrelay-link/PeerMessages';
-import type { Comparison, RangeResult, Transaction } from 'hickoryrelay-platform/KeyValueStore';
-import type { UsageReport } from 'hickoryrelay-platform/UsageReportSink';
 import { Authority } from '../../Authority.js';
 import { EngineUsageSource } from '../../EngineUsageSource.js';
 import { InstanceLiveness } from '../../InstanceLiveness.js';
@@ -26,6 +19,13 @@
 
 import type { EngineCount } from '../../EngineUsageSource.js';
 import type { ReplicationSettings } from '../../UsageMeter.js';
+import type {
+  InstanceIdentity,
+  PeerMessage,
+  ReceivedPeerMessage,
+} from 'hickoryrelay-link/PeerMessages';
+import type { Comparison, RangeResult, Transaction } from 'hickoryrelay-platform/KeyValueStore';
+import type { UsageReport } from 'hickoryrelay-platform/UsageReportSink';
 
 const LINK_TIMEOUT = 3000;
 const DEAD_AFTER = 15_000;
--- a/packages/hickoryrelay-usage/src/__tests__/unit/UsageFailures.test.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/UsageFailures.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from 'vitest';
 
-import type { AdoptedRecordEntry, UsageLineEntry } from 'hickoryrelay-link/PeerMessages';
-import type { ServiceCall } from 'hickoryrelay-link/Call';
 import { UsageMerge } from '../../UsageMerge.js';
 import { startInstance, World } from './TestWorld.js';
 
 import type { UsageSeal } from '../../UsageSeal.js';
+import type { ServiceCall } from 'hickoryrelay-link/Call';
+import type { AdoptedRecordEntry, UsageLineEntry } from 'hickoryrelay-link/PeerMessages';
 
 const WINDOW = 60_000;
 
--- a/packages/hickoryrelay-usage/src/__tests__/unit/UsageFuzz.test.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/UsageFuzz.test.ts
@@ -1,14 +1,13 @@
 import fc from 'fast-check';
-import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
-import { invariant } from 'hickoryrelay/Invariant';
 import { expect, it } from 'vitest';
+import { invariant } from 'hickoryrelay/Invariant';
+import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 
-import type { ServiceCall } from 'hickoryrelay-link/Call';
-import type { UsageLineEntry } from 'hickoryrelay-link/PeerMessages';
-import type { UsageSeal } from '../../UsageSeal.js';
 import { startInstance, World } from './TestWorld.js';
-
+import type { UsageSeal } from '../../UsageSeal.js';
 import type { TestInstance } from './TestWorld.js';
+import type { ServiceCall } from 'hickoryrelay-link/Call';
+import type { UsageLineEntry } from 'hickoryrelay-link/PeerMessages';
 
 const { seed: SEED, runs: RUNS, path: PATH, replayPath: REPLAY_PATH } = fuzzSettings(30);
 const REPLAY = REPLAY_PATH === undefined ? {} : { replayPath: REPLAY_PATH };
--- a/packages/hickoryrelay-zone/src/AuthorityTerm.ts
+++ b/packages/hickoryrelay-zone/src/AuthorityTerm.ts
@@ -1,9 +1,9 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
-import type { Comparison } from 'hickoryrelay-platform/KeyValueStore';
-import type { Clock } from 'hickoryrelay/Clock';
 import { authorityKey } from './ZoneKeyUtils.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { Comparison } from 'hickoryrelay-platform/KeyValueStore';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
--- a/packages/hickoryrelay-zone/src/EndpointCall.ts
+++ b/packages/hickoryrelay-zone/src/EndpointCall.ts
@@ -1,8 +1,8 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { Engine } from 'hickoryrelay-endpoint/Engine';
 
-import type { ClassTargets } from 'hickoryrelay-contract/ClassOfWork';
 import type { Clock } from 'hickoryrelay/Clock';
+import type { ClassTargets } from 'hickoryrelay-contract/ClassOfWork';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
 import type { Call } from 'hickoryrelay-link/Call';
 
--- a/packages/hickoryrelay-zone/src/EndpointPool.ts
+++ b/packages/hickoryrelay-zone/src/EndpointPool.ts
@@ -1,12 +1,12 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { EndpointState } from 'hickoryrelay-endpoint/Endpoint';
 
-import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
-import type { Call } from 'hickoryrelay-link/Call';
 import { DEFAULT_SUBSET_SIZE, EndpointSubset } from './EndpointSubset.js';
 import { isAble } from './SelectionPolicy.js';
 
 import type { Fleet } from './Fleet.js';
+import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
+import type { Call } from 'hickoryrelay-link/Call';
 
 /** With fewer endpoints for a model or route, the loss of one would leave too little choice. */
 const LEAST_FOR_ONE_SUBJECT = 4;
--- a/packages/hickoryrelay-zone/src/Fleet.ts
+++ b/packages/hickoryrelay-zone/src/Fleet.ts
@@ -3,9 +3,9 @@
 import { Engine } from 'hickoryrelay-endpoint/Engine';
 import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
 
+import { AvailabilityZone } from './AvailabilityZone.js';
 import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
 import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
-import { AvailabilityZone } from './AvailabilityZone.js';
 
 /** All zones and endpoints that this instance knows. */
 export class Fleet {
--- a/packages/hickoryrelay-zone/src/OrderBook.ts
+++ b/packages/hickoryrelay-zone/src/OrderBook.ts
@@ -1,14 +1,14 @@
-import { OrderAnswer, OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError, failureOf, hasFailureKind } from 'hickoryrelay/RelayError';
+import { OrderAnswer, OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
 
+import { intentKey, intentsPrefix } from './ZoneKeyUtils.js';
+import type { AuthorityTerm } from './AuthorityTerm.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { EndpointOrder, IssuedOrder } from 'hickoryrelay-endpoint/EndpointOrder';
 import type { OrderLink } from 'hickoryrelay-link/OrderLink';
 import type { KeyValue, KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
-import type { Clock } from 'hickoryrelay/Clock';
-import type { RandomSource } from 'hickoryrelay/RandomSource';
-import type { AuthorityTerm } from './AuthorityTerm.js';
-import { intentKey, intentsPrefix } from './ZoneKeyUtils.js';
 
 /** Longest life of an order: from its intent until no endpoint may take it any more. */
 export const LONGEST_ORDER_MILLISECONDS = 5000;
--- a/packages/hickoryrelay-zone/src/OrdersDuty.ts
+++ b/packages/hickoryrelay-zone/src/OrdersDuty.ts
@@ -2,14 +2,14 @@
 import { failureOf, hasFailureKind } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
-import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
-import type { EndpointOrder } from 'hickoryrelay-endpoint/EndpointOrder';
-import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { TaskContext } from 'hickoryrelay/Task';
 import type { AuthorityTerm } from './AuthorityTerm.js';
 import type { OrderBook, OrderOutcome } from './OrderBook.js';
 import type { SupplyBook } from './SupplyBook.js';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { TaskContext } from 'hickoryrelay/Task';
+import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
+import type { EndpointOrder } from 'hickoryrelay-endpoint/EndpointOrder';
+import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
 
 const DECISION_INTERVAL_MILLISECONDS = 1000;
 const RECONCILE_INTERVAL_MILLISECONDS = 60_000;
--- a/packages/hickoryrelay-zone/src/PolicyPlanner.ts
+++ b/packages/hickoryrelay-zone/src/PolicyPlanner.ts
@@ -1,11 +1,11 @@
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
 import { OrderOutcome } from './OrderBook.js';
 import { ZonePlanner } from './OrdersDuty.js';
 
 import type { ZoneDecision } from './OrdersDuty.js';
 import type { RoleObservation, RolePolicy } from './RolePlan.js';
 import type { SupplyObservation, SupplyPolicy } from './SupplyPlan.js';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { SuppliedEndpoint } from 'hickoryrelay-platform/EndpointSupply';
 
 /** What the authority knows of its zone. An override answers from memory, without I/O. */
 export abstract class ZoneObserver {
--- a/packages/hickoryrelay-zone/src/SampledSelection.ts
+++ b/packages/hickoryrelay-zone/src/SampledSelection.ts
@@ -1,14 +1,13 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { Engine } from 'hickoryrelay-endpoint/Engine';
 
+import { withoutEjected } from './Ejection.js';
+import { canRun, SelectionPolicy } from './SelectionPolicy.js';
+import type { EndpointPool } from './EndpointPool.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
 import type { Call, ModelCall } from 'hickoryrelay-link/Call';
-import { canRun, SelectionPolicy } from './SelectionPolicy.js';
-import { withoutEjected } from './Ejection.js';
-
-import type { EndpointPool } from './EndpointPool.js';
 
 /** What a sampled selection is made of. */
 export interface SampledSelectionParts {
--- a/packages/hickoryrelay-zone/src/SelectionPolicy.ts
+++ b/packages/hickoryrelay-zone/src/SelectionPolicy.ts
@@ -1,9 +1,9 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { Engine } from 'hickoryrelay-endpoint/Engine';
 
+import type { Fleet } from './Fleet.js';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
 import type { Call } from 'hickoryrelay-link/Call';
-import type { Fleet } from './Fleet.js';
 
 /** Tells whether the endpoint is of a kind that can run the call. */
 export function isAble(endpoint: Endpoint, call: Call): boolean {
--- a/packages/hickoryrelay-zone/src/SupplyBook.ts
+++ b/packages/hickoryrelay-zone/src/SupplyBook.ts
@@ -1,6 +1,18 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError, failureOf, hasFailureKind } from 'hickoryrelay/RelayError';
 
+import { CLOCK_SKEW_MILLISECONDS, LONGEST_ORDER_MILLISECONDS, OrderOutcome } from './OrderBook.js';
+import { Spend, thousandthsOf } from './Spend.js';
+import {
+  SPEND_KEY,
+  suppliedKey,
+  suppliedPrefix,
+  supplyIntentKey,
+  supplyIntentsPrefix,
+} from './ZoneKeyUtils.js';
+import type { AuthorityTerm } from './AuthorityTerm.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
 import type {
   EndpointSupply,
@@ -14,18 +26,6 @@
   KeyValueStore,
   Operation,
 } from 'hickoryrelay-platform/KeyValueStore';
-import type { Clock } from 'hickoryrelay/Clock';
-import type { RandomSource } from 'hickoryrelay/RandomSource';
-import type { AuthorityTerm } from './AuthorityTerm.js';
-import { CLOCK_SKEW_MILLISECONDS, LONGEST_ORDER_MILLISECONDS, OrderOutcome } from './OrderBook.js';
-import { Spend, thousandthsOf } from './Spend.js';
-import {
-  SPEND_KEY,
-  suppliedKey,
-  suppliedPrefix,
-  supplyIntentKey,
-  supplyIntentsPrefix,
-} from './ZoneKeyUtils.js';
 
 const IDENTIFIER_BYTES = 8;
 
--- a/packages/hickoryrelay-zone/src/SupplyPlan.ts
+++ b/packages/hickoryrelay-zone/src/SupplyPlan.ts
@@ -1,5 +1,5 @@
-import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
 import { thousandthsOf } from './Spend.js';
+import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
 
 /** The endpoints of one kind in the zone. */
 export interface SuppliedKind {
--- a/packages/hickoryrelay-zone/src/ZoneAuthority.ts
+++ b/packages/hickoryrelay-zone/src/ZoneAuthority.ts
@@ -2,14 +2,14 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
-import type { KeyValue, KeyValueStore, Transaction } from 'hickoryrelay-platform/KeyValueStore';
+import { AuthorityTerm } from './AuthorityTerm.js';
+import { authorityKey, fencingKey } from './ZoneKeyUtils.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
-import { AuthorityTerm } from './AuthorityTerm.js';
-import { authorityKey, fencingKey } from './ZoneKeyUtils.js';
+import type { KeyValue, KeyValueStore, Transaction } from 'hickoryrelay-platform/KeyValueStore';
 
 /** Times of the lease of a zone's authority. */
 export interface AuthorityTimes {
--- a/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityCommands.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityCommands.ts
@@ -1,6 +1,6 @@
-import { Fault } from 'hickoryrelay-standin/FaultPlan';
-import { invariant } from 'hickoryrelay/Invariant';
 import fc from 'fast-check';
+import { invariant } from 'hickoryrelay/Invariant';
+import { Fault } from 'hickoryrelay-standin/FaultPlan';
 
 import { ENGINES } from './AuthorityWorld.js';
 import type { AuthorityWorld, ContendingProcess } from './AuthorityWorld.js';
--- a/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityFuzz.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityFuzz.test.ts
@@ -1,7 +1,7 @@
-import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import fc from 'fast-check';
-import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 import { describe, expect, it } from 'vitest';
+import { Fault } from 'hickoryrelay-standin/FaultPlan';
+import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 
 import { authorityCommands } from './AuthorityCommands.js';
 import { AuthorityWorld, ZONE } from './AuthorityWorld.js';
--- a/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityWorld.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityWorld.ts
@@ -1,3 +1,7 @@
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
 import { EngineOrderSide, InProcessOrderLink } from 'hickoryrelay-standin/EngineOrderSide';
 import { InProcessExchange } from 'hickoryrelay-standin/InProcessExchange';
@@ -11,10 +15,6 @@
 import { SupplyBook } from 'hickoryrelay-zone/SupplyBook';
 import { ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
 import { authorityKey, SPEND_KEY } from 'hickoryrelay-zone/ZoneKeyUtils';
-import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
-import { silentLogger } from 'hickoryrelay/Logger';
-import { ManualClock } from 'hickoryrelay/ManualClock';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 
 import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
 import type { OrderChecks } from 'hickoryrelay-standin/EngineOrderSide';
--- a/packages/hickoryrelay-zone/src/__tests__/unit/OrderBook.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/OrderBook.test.ts
@@ -1,3 +1,6 @@
+import { beforeEach, describe, expect, it, vi } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { EngineOrderSide, InProcessOrderLink } from 'hickoryrelay-standin/EngineOrderSide';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import { InProcessExchange } from 'hickoryrelay-standin/InProcessExchange';
@@ -7,9 +10,6 @@
 import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 import { OrderBook } from 'hickoryrelay-zone/OrderBook';
 import { authorityKey, intentKey } from 'hickoryrelay-zone/ZoneKeyUtils';
-import { ManualClock } from 'hickoryrelay/ManualClock';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
-import { beforeEach, describe, expect, it, vi } from 'vitest';
 
 const ZONE = 'zone-a';
 const ENGINE = 'engine-1';
--- a/packages/hickoryrelay-zone/src/__tests__/unit/Plans.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/Plans.test.ts
@@ -1,12 +1,12 @@
-import { DemandRoles, meetsNeeds, shareMet, StaticRoles } from 'hickoryrelay-zone/RolePlan';
-import { DemandSupply, leastHarm, StaticSupply } from 'hickoryrelay-zone/SupplyPlan';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { DemandRoles, meetsNeeds, shareMet, StaticRoles } from 'hickoryrelay-zone/RolePlan';
+import { DemandSupply, leastHarm, StaticSupply } from 'hickoryrelay-zone/SupplyPlan';
 
+import { KIND } from './AuthorityWorld.js';
 import type { EngineRole } from 'hickoryrelay-endpoint/Engine';
 import type { PlannedEngine, RoleObservation } from 'hickoryrelay-zone/RolePlan';
 import type { SupplyObservation } from 'hickoryrelay-zone/SupplyPlan';
-import { KIND } from './AuthorityWorld.js';
 
 function engines(roles: Partial<Record<EngineRole, number>>): PlannedEngine[] {
   return Object.entries(roles).flatMap(([role, count]) =>
--- a/packages/hickoryrelay-zone/src/__tests__/unit/SampledSelection.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/SampledSelection.test.ts
@@ -1,18 +1,18 @@
 import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { Engine } from 'hickoryrelay-endpoint/Engine';
 import { ModelOperation } from 'hickoryrelay-link/Call';
 import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
-import { ManualClock } from 'hickoryrelay/ManualClock';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
-import { describe, expect, it } from 'vitest';
 
-import type { ModelCall } from 'hickoryrelay-link/Call';
+import { withoutEjected } from '../../Ejection.js';
 import { EndpointPool } from '../../EndpointPool.js';
 import { EndpointSubset } from '../../EndpointSubset.js';
 import { Fleet } from '../../Fleet.js';
 import { SampledSelection } from '../../SampledSelection.js';
-import { withoutEjected } from '../../Ejection.js';
+import type { ModelCall } from 'hickoryrelay-link/Call';
 
 const SEED = 20_261_204;
 const kind = (name: string, reclaimable: boolean) => ({
--- a/packages/hickoryrelay-zone/src/__tests__/unit/SupplyBook.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/SupplyBook.test.ts
@@ -1,3 +1,6 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import { InProcessExchange } from 'hickoryrelay-standin/InProcessExchange';
 import { InProcessKeyValueStore } from 'hickoryrelay-standin/InProcessKeyValueStore';
@@ -8,9 +11,6 @@
 import { Spend } from 'hickoryrelay-zone/Spend';
 import { SupplyBook } from 'hickoryrelay-zone/SupplyBook';
 import { authorityKey, SPEND_KEY } from 'hickoryrelay-zone/ZoneKeyUtils';
-import { ManualClock } from 'hickoryrelay/ManualClock';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
-import { beforeEach, describe, expect, it } from 'vitest';
 
 import { KIND, ZONE } from './AuthorityWorld.js';
 
--- a/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
@@ -1,3 +1,8 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import { InProcessKeyValueStore } from 'hickoryrelay-standin/InProcessKeyValueStore';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
@@ -5,11 +10,6 @@
 import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 import { ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
 import { authorityKey, fencingKey } from 'hickoryrelay-zone/ZoneKeyUtils';
-import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
-import { silentLogger } from 'hickoryrelay/Logger';
-import { ManualClock } from 'hickoryrelay/ManualClock';
-import { SeededRandomSource } from 'hickoryrelay/RandomSource';
-import { beforeEach, describe, expect, it } from 'vitest';
 
 const ZONE = 'zone-a';
 
--- a/packages/hickoryrelay/src/LifecycleManager.ts
+++ b/packages/hickoryrelay/src/LifecycleManager.ts
@@ -1,5 +1,5 @@
-import { failureOf } from './RelayError.js';
 import { FailureKind } from './Failure.js';
+import { failureOf } from './RelayError.js';
 
 import type { Clock } from './Clock.js';
 import type { Failure } from './Failure.js';
--- a/packages/hickoryrelay/src/__tests__/unit/LifecycleManager.test.ts
+++ b/packages/hickoryrelay/src/__tests__/unit/LifecycleManager.test.ts
@@ -1,9 +1,9 @@
+import { beforeEach, describe, expect, it } from 'vitest';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
-import { beforeEach, describe, expect, it } from 'vitest';
 
 import type { Failure } from 'hickoryrelay/Failure';
 import type { TaskContext } from 'hickoryrelay/Task';
