--- a/packages/hickoryrelay-bench/src/MeasuredRelay.ts
+++ b/packages/hickoryrelay-bench/src/MeasuredRelay.ts
@@ -5,6 +5,7 @@
 import { createProcessLogger } from 'hickoryrelay/Logger';
 import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 import { settingsSchema } from 'hickoryrelay-contract/Settings';
+import { ConcurrencyLimitAdmission } from 'hickoryrelay-instance/AdmissionPolicy';
 import { Instance } from 'hickoryrelay-instance/Instance';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
 import {
@@ -19,6 +20,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Readable } from 'node:stream';
 
+const MOST_STREAMS = 10_000;
 const READY_INTERVAL_MILLISECONDS = 25;
 const EVENT_END = '\n\n';
 const DATA_PREFIX = 'data: ';
@@ -111,6 +113,8 @@
       clock: this.clock,
       random: new SystemRandomSource(),
       logger: createProcessLogger('error', 'measured'),
+      // The learned limits start low, and all streams open at once here.
+      admission: new ConcurrencyLimitAdmission(MOST_STREAMS),
       platform: {
         keyValue: new EtcdKeyValueStore({ urls: [keyValueUrl] }),
         supply: new HttpEndpointSupply(platformUrl),
--- a/packages/hickoryrelay-bench/src/engineProcess.ts
+++ b/packages/hickoryrelay-bench/src/engineProcess.ts
@@ -44,6 +44,10 @@
 }
 
 const server = createServer((request, response) => {
+  if (request.method !== 'POST') {
+    response.writeHead(404).end('{}');
+    return;
+  }
   void serve(request, response);
 });
 server.listen(0, '127.0.0.1', () => {
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -32,6 +32,7 @@
 import { ZoneDemandObserver } from './ZoneDemandObserver.js';
 import { ZoneDuties } from './ZoneDuties.js';
 import { ZoneObservationTask } from './ZoneObservationTask.js';
+import type { AdmissionPolicy } from './AdmissionPolicy.js';
 import type { ExchangeParts } from './Exchange.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
@@ -63,6 +64,8 @@
   readonly logger: ProcessLogger;
   /** The budget of the key-value store, to be set to this instance's share. */
   readonly callBudget?: CallBudget;
+  /** Takes the place of the admission queue. For measurements of relaying alone. */
+  readonly admission?: AdmissionPolicy;
 }
 
 /** What `GET /admin/status` returns. */
@@ -142,7 +145,7 @@
       observeWork: (className, work) => this.control.digest.work.add(className, work),
     });
     this.exchangeParts = {
-      admission: this.policy.admission,
+      admission: parts.admission ?? this.policy.admission,
       selection: this.policy.selection,
       begin: (endpoint, call) => this.policy.begin(endpoint, call),
       fleet: this.fleet,
--- a/packages/hickoryrelay-standin/src/federation.ts
+++ b/packages/hickoryrelay-standin/src/federation.ts
@@ -49,11 +49,13 @@
 const SERVICE_COUNT = 3;
 const INSTANCE_COUNT = 7;
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const DAEMON = 'packages/hickoryrelay-instance/dist/hickoryrelayd.js';
 const READY_ATTEMPTS = 200;
 const READY_INTERVAL_MILLISECONDS = 50;
 
 const root = fileURLToPath(new URL('../../../', import.meta.url));
-const children: ChildProcess[] = [];
+const daemons: ChildProcess[] = [];
+const standIns: ChildProcess[] = [];
 
 function zoneOf(index: number): string {
   const zone = ZONES[index % ZONES.length];
@@ -65,7 +67,7 @@
   const child = spawn(process.execPath, [path.join(root, script), ...parameters], {
     stdio: ['ignore', 'pipe', 'inherit'],
   });
-  children.push(child);
+  (script === DAEMON ? daemons : standIns).push(child);
   return child;
 }
 
@@ -122,10 +124,7 @@
     };
     const file = path.join(folder, `${name}.yaml`);
     await writeFile(file, stringify(settings));
-    const report = await startReporting<{ callers: string }>(
-      'packages/hickoryrelay-instance/dist/hickoryrelayd.js',
-      ['--settings', file],
-    );
+    const report = await startReporting<{ callers: string }>(DAEMON, ['--settings', file]);
     return report.callers;
   });
   return Promise.all(starts);
@@ -173,15 +172,18 @@
   invariant(order.statusCode === 200, `${service.route} answered ${order.statusCode}`);
 }
 
+async function stopProcess(child: ChildProcess): Promise<void> {
+  if (child.exitCode === null && child.signalCode === null) {
+    const ended = once(child, 'exit');
+    child.kill('SIGTERM');
+    await ended;
+  }
+}
+
+/** Entry instances hand over their leases before the platform ends, so they are stopped first. */
 async function stop(): Promise<void> {
-  const ends = children.map(async (child) => {
-    if (child.exitCode === null && child.signalCode === null) {
-      const ended = once(child, 'exit');
-      child.kill('SIGTERM');
-      await ended;
-    }
-  });
-  await Promise.all(ends);
+  await Promise.all(daemons.map(stopProcess));
+  await Promise.all(standIns.map(stopProcess));
 }
 
 /** Declares a new key for the first account and returns its text, to be shown once. */
