Resolve imports from the sources when linting a fresh clone

The linter then resolved workspace packages to dist/ only, and a checkout that was never built reported every such import.

Excluded: the exports of the packages and the TypeScript configuration; tsc and vitest resolve the same imports in a fresh clone.

Before: 615 import-x/no-unresolved errors in a fresh clone, none in a built one.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,5 +1,6 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
+import { createTypeScriptImportResolver } from 'eslint-import-resolver-typescript';
 
 const noIndexFiles = {
   selector: 'Program',
@@ -22,12 +23,13 @@
       parserOptions: { projectService: false, project: './tsconfig.tests.json' },
     },
     settings: {
-      'import-x/resolver': {
-        typescript: {
+      // The "source" condition resolves the workspace's packages before anything is built.
+      'import-x/resolver-next': [
+        createTypeScriptImportResolver({
           project: './tsconfig.tests.json',
           conditionNames: ['source', 'types', 'node', 'import', 'require', 'default'],
-        },
-      },
+        }),
+      ],
     },
     rules: {
       // A task is straight-line code, so its loops await and may run without an end.
