Share the waiting of clocks and the in-memory store of the simulations

Cause: three clocks wrote the same cancellable sleep, two simulations had a process clock each, and two stores wrote the same watch loop over the same table.

Clock.sleep is now built on schedule. SimulatedFederation uses ProcessClock, and both stores extend TableKeyValueStore and add only their delays and faults. MemoryPlatform keeps an answer that is undefined apart from no answer.

--- a/packages/hickoryrelay-standin/src/MemoryPlatform.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPlatform.ts
@@ -1,22 +1,24 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { InstanceList } from 'hickoryrelay-platform/InstanceList';
-import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
 import { KeyValueTable } from './KeyValueTable.js';
+import { TableKeyValueStore } from './TableKeyValueStore.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
-import type {
-  LeaseGrant,
-  RangeResult,
-  Transaction,
-  TransactionResult,
-  WatchBatch,
-} from 'hickoryrelay-platform/KeyValueStore';
 
 const TIMEOUT_MILLISECONDS = 2000;
 const USUAL_DELAY_MILLISECONDS = 2;
 
+function unanswered(mayHaveTakenEffect: boolean): RelayError {
+  return new RelayError({
+    kind: FailureKind.PlatformUnavailable,
+    service: 'memory platform',
+    reason: 'no answer',
+    mayHaveTakenEffect,
+  });
+}
+
 /** The platform's services in memory, with faults. For tests and measurements without sockets. */
 export class MemoryPlatform {
   readonly table: KeyValueTable;
@@ -65,25 +67,20 @@
     effect: () => Answer,
   ): Promise<Answer> {
     const isReachable = this.isReachableFor(caller);
-    const answer = isReachable ? effect() : undefined;
+    const outcome = isReachable ? { answer: effect() } : undefined;
     const isLost = isWrite && this.lostAnswers > 0;
     this.lostAnswers -= isLost ? 1 : 0;
     const delay = isReachable && !isLost ? this.answerDelayMilliseconds : TIMEOUT_MILLISECONDS;
     await clock.sleep(Math.min(delay, TIMEOUT_MILLISECONDS));
-    if (answer === undefined || delay >= TIMEOUT_MILLISECONDS) {
-      throw new RelayError({
-        kind: FailureKind.PlatformUnavailable,
-        service: 'memory platform',
-        reason: 'no answer',
-        mayHaveTakenEffect: isWrite,
-      });
+    if (outcome === undefined || delay >= TIMEOUT_MILLISECONDS) {
+      throw unanswered(isWrite);
     }
-    return answer;
+    return outcome.answer;
   }
 }
 
 /** The key-value service of a platform in memory, as one caller sees it. */
-export class MemoryKeyValueStore extends KeyValueStore {
+export class MemoryKeyValueStore extends TableKeyValueStore {
   private readonly platform: MemoryPlatform;
 
   private readonly caller: string;
@@ -91,80 +88,29 @@
   private readonly clock: Clock;
 
   constructor(platform: MemoryPlatform, caller: string, clock: Clock) {
-    super();
+    super(platform.table);
     this.platform = platform;
     this.caller = caller;
     this.clock = clock;
   }
 
-  override range(key: string, options: { prefix?: boolean } = {}): Promise<RangeResult> {
-    return this.call(false, () => this.platform.table.range(key, options.prefix));
-  }
-
-  override commit(transaction: Transaction): Promise<TransactionResult> {
-    return this.call(true, () => this.platform.table.commit(transaction));
-  }
-
-  override grantLease(timeToLiveSeconds: number): Promise<LeaseGrant> {
-    return this.call(true, () => this.platform.table.grantLease(timeToLiveSeconds));
-  }
-
-  override keepLeaseAlive(identifier: string): Promise<number> {
-    return this.call(true, () => this.platform.table.keepLeaseAlive(identifier));
+  protected override read<Answer>(effect: () => Answer): Promise<Answer> {
+    return this.platform.call(this.caller, this.clock, false, effect);
   }
 
-  override async revokeLease(identifier: string): Promise<void> {
-    await this.call(true, () => {
-      this.platform.table.revokeLease(identifier);
-      return true;
-    });
+  protected override write<Answer>(effect: () => Answer): Promise<Answer> {
+    return this.platform.call(this.caller, this.clock, true, effect);
   }
 
-  override async *watch(
-    prefix: string,
-    fromRevision: number,
-    signal: AbortSignal,
-  ): AsyncGenerator<WatchBatch, void, void> {
-    const missed = await this.call(false, () => this.platform.table.changesSince(fromRevision));
-    const batches = [...missed];
-    let wake = () => {};
-    const changed = () =>
-      new Promise<void>((resolve) => {
-        wake = resolve;
-      });
-    const receive = (batch: WatchBatch) => {
-      if (!this.platform.silencesWatches && this.platform.isReachableFor(this.caller)) {
-        this.clock.schedule(this.platform.watchDelayMilliseconds, () => {
-          batches.push(batch);
-          wake();
-        });
-      }
-    };
-    const unsubscribe = this.platform.table.subscribe(receive);
-    signal.addEventListener('abort', () => wake(), { once: true });
-    try {
-      while (!signal.aborted) {
-        const batch = batches.shift();
-        if (batch === undefined) {
-          await changed();
-        } else {
-          yield MemoryKeyValueStore.filtered(batch, prefix);
-        }
-      }
-    } finally {
-      unsubscribe();
+  protected override deliver(arrive: () => void): void {
+    const { silencesWatches, watchDelayMilliseconds } = this.platform;
+    if (!silencesWatches && this.platform.isReachableFor(this.caller)) {
+      this.clock.schedule(watchDelayMilliseconds, arrive);
     }
   }
 
-  private static filtered(batch: WatchBatch, prefix: string): WatchBatch {
-    const events = batch.events.filter((event) =>
-      (event.type === 'put' ? event.value.key : event.key).startsWith(prefix),
-    );
-    return { revision: batch.revision, events };
-  }
-
-  private call<Answer>(isWrite: boolean, effect: () => Answer): Promise<Answer> {
-    return this.platform.call(this.caller, this.clock, isWrite, effect);
+  protected override brokenWatch(): Error {
+    return unanswered(false);
   }
 }
 
--- a/packages/hickoryrelay-standin/src/ProcessClock.ts
+++ b/packages/hickoryrelay-standin/src/ProcessClock.ts
@@ -1,6 +1,4 @@
 import { Clock } from 'hickoryrelay/Clock';
-import { FailureKind } from 'hickoryrelay/Failure';
-import { RelayError } from 'hickoryrelay/RelayError';
 
 /**
  * The clock of one simulated process. While the process is paused time goes on, but nothing that
@@ -36,27 +34,6 @@
     return this.base.wallMilliseconds() + this.wallOffsetMilliseconds;
   }
 
-  override sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
-    return new Promise((resolve, reject) => {
-      const cancelled = () =>
-        new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' });
-      if (signal?.aborted === true) {
-        reject(cancelled());
-        return;
-      }
-      let cancelAlarm = () => {};
-      const onAbort = () => {
-        cancelAlarm();
-        reject(cancelled());
-      };
-      cancelAlarm = this.schedule(milliseconds, () => {
-        signal?.removeEventListener('abort', onAbort);
-        resolve();
-      });
-      signal?.addEventListener('abort', onAbort, { once: true });
-    });
-  }
-
   override schedule(milliseconds: number, action: () => void): () => void {
     let isOpen = true;
     const run = () => {
--- a/packages/hickoryrelay-standin/src/SimulatedFederation.ts
+++ b/packages/hickoryrelay-standin/src/SimulatedFederation.ts
@@ -1,4 +1,3 @@
-import { Clock } from 'hickoryrelay/Clock';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
@@ -9,74 +8,9 @@
 
 import { MemoryNet } from './MemoryPeerTransport.js';
 import { MemoryInstanceList, MemoryKeyValueStore, MemoryPlatform } from './MemoryPlatform.js';
+import { ProcessClock } from './ProcessClock.js';
 import type { Failure } from 'hickoryrelay/Failure';
 
-/** The clock of one simulated process. While it is paused, time passes and nothing runs. */
-export class ProcessClock extends Clock {
-  private readonly base: ManualClock;
-
-  private readonly due: (() => void)[] = [];
-
-  private isPaused = false;
-
-  private isKilled = false;
-
-  constructor(base: ManualClock) {
-    super();
-    this.base = base;
-  }
-
-  override monotonicMilliseconds(): number {
-    return this.base.monotonicMilliseconds();
-  }
-
-  override wallMilliseconds(): number {
-    return this.base.wallMilliseconds();
-  }
-
-  override async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
-    await this.base.sleep(milliseconds, signal);
-    if (this.isPaused) {
-      await new Promise<void>((resolve) => {
-        this.due.push(resolve);
-      });
-    }
-  }
-
-  override schedule(milliseconds: number, action: () => void): () => void {
-    let isCancelled = false;
-    const run = () => {
-      if (!isCancelled && !this.isKilled) {
-        action();
-      }
-    };
-    const cancel = this.base.schedule(milliseconds, () => {
-      if (this.isPaused) {
-        this.due.push(run);
-      } else {
-        run();
-      }
-    });
-    return () => {
-      isCancelled = true;
-      cancel();
-    };
-  }
-
-  pause(): void {
-    this.isPaused = true;
-  }
-
-  resume(): void {
-    this.isPaused = false;
-    this.due.splice(0).forEach((action) => action());
-  }
-
-  kill(): void {
-    this.isKilled = true;
-  }
-}
-
 /** The control part of one run of an instance in a simulated federation. */
 export class SimulatedInstance {
   readonly name: string;
@@ -190,7 +124,7 @@
     }
     this.net.setPaused(instance.url, isPaused);
     if (!isPaused) {
-      instance.clock.resume();
+      void instance.clock.resume();
     }
   }
 
--- a/packages/hickoryrelay/src/Clock.ts
+++ b/packages/hickoryrelay/src/Clock.ts
@@ -1,5 +1,3 @@
-import { setTimeout as sleepFor } from 'node:timers/promises';
-
 import { FailureKind } from './Failure.js';
 import { RelayError } from './RelayError.js';
 
@@ -11,11 +9,30 @@
   /** Milliseconds since the Unix epoch. */
   abstract wallMilliseconds(): number;
 
-  /** Resolves after the time has passed; rejects with `cancelled` if the signal aborts first. */
-  abstract sleep(milliseconds: number, signal?: AbortSignal): Promise<void>;
-
   /** Runs the action once after the time has passed. Returns the function that cancels it. */
   abstract schedule(milliseconds: number, action: () => void): () => void;
+
+  /** Resolves after the time has passed; rejects with `cancelled` if the signal aborts first. */
+  sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const cancelled = () =>
+        new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' });
+      if (signal?.aborted === true) {
+        reject(cancelled());
+        return;
+      }
+      let cancelAlarm = () => {};
+      const onAbort = () => {
+        cancelAlarm();
+        reject(cancelled());
+      };
+      cancelAlarm = this.schedule(milliseconds, () => {
+        signal?.removeEventListener('abort', onAbort);
+        resolve();
+      });
+      signal?.addEventListener('abort', onAbort, { once: true });
+    });
+  }
 }
 
 /** The clock of the operating system. */
@@ -28,14 +45,6 @@
     return Date.now();
   }
 
-  override async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
-    try {
-      await sleepFor(milliseconds, undefined, { signal });
-    } catch (error) {
-      throw new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' }, error);
-    }
-  }
-
   override schedule(milliseconds: number, action: () => void): () => void {
     const timer = setTimeout(action, milliseconds);
     return () => clearTimeout(timer);
--- a/packages/hickoryrelay/src/ManualClock.ts
+++ b/packages/hickoryrelay/src/ManualClock.ts
@@ -1,6 +1,4 @@
 import { Clock } from './Clock.js';
-import { FailureKind } from './Failure.js';
-import { RelayError } from './RelayError.js';
 
 interface Alarm {
   readonly dueMilliseconds: number;
@@ -35,27 +33,6 @@
     return this.wallStartMilliseconds + this.nowMilliseconds;
   }
 
-  override sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
-    return new Promise((resolve, reject) => {
-      const cancelled = () =>
-        new RelayError({ kind: FailureKind.Cancelled, reason: 'the wait was aborted' });
-      if (signal?.aborted) {
-        reject(cancelled());
-        return;
-      }
-      let cancelAlarm = () => {};
-      const onAbort = () => {
-        cancelAlarm();
-        reject(cancelled());
-      };
-      cancelAlarm = this.schedule(milliseconds, () => {
-        signal?.removeEventListener('abort', onAbort);
-        resolve();
-      });
-      signal?.addEventListener('abort', onAbort, { once: true });
-    });
-  }
-
   override schedule(milliseconds: number, action: () => void): () => void {
     const alarm = { dueMilliseconds: this.nowMilliseconds + Math.max(0, milliseconds), action };
     this.alarms.push(alarm);
