Share the parts of the answer relays and of the HTTP front ends

Cause: three relays and two front ends repeated the same fields, constructors, limits and deadline. AnswerRelay now owns the parts of a call, and HttpFrontEnd reads bodies and works out deadlines.

Before and after: BadInput, CallPath, ExchangeFaults and ExchangeFuzz pass (45 tests).

--- a/packages/hickoryrelay-instance/src/ModelStreamRelay.ts
+++ b/packages/hickoryrelay-instance/src/ModelStreamRelay.ts
@@ -19,27 +19,18 @@
 }
 
 /** Relays a model stream, and resumes it on the same or another engine when it breaks. */
-export class ModelStreamRelay extends AnswerRelay {
+export class ModelStreamRelay extends AnswerRelay<ModelCall> {
   private readonly stream: ModelStream;
 
-  private readonly parts: ExchangeParts;
-
-  private readonly attempts: CallAttempts;
-
-  private readonly metering: CallMetering;
-
   constructor(
     call: ModelCall,
     parts: ExchangeParts,
     attempts: CallAttempts,
     metering: CallMetering,
   ) {
-    super();
+    super(call, parts, attempts, metering);
     const { counters, memory, limits } = parts;
     this.stream = new ModelStream(call, counters, memory, limits.resumeTextBytes);
-    this.parts = parts;
-    this.attempts = attempts;
-    this.metering = metering;
   }
 
   override async relay(writer: AnswerWriter): Promise<void> {
--- a/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
+++ b/packages/hickoryrelay-instance/src/OpenAiFrontEnd.ts
@@ -5,21 +5,17 @@
 import { prefixKeys } from 'hickoryrelay-link/PromptPrefix';
 
 import { assertMayUse, identifyCaller } from './CallerIdentity.js';
-import { FrontEnd } from './FrontEnd.js';
+import { HttpFrontEnd } from './HttpFrontEnd.js';
 import {
   assertNoKey,
   decodeJsonObject,
-  readBody,
   readContentType,
   readKeyText,
   readTarget,
 } from './RequestReader.js';
-import type { ConfigurationView } from './ConfigurationView.js';
 import type { ArrivedRequest } from './FrontEnd.js';
-import type { Clock } from 'hickoryrelay/Clock';
 import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
 import type { Identity } from 'hickoryrelay-contract/Declarations';
-import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { JsonValue, ModelCall } from 'hickoryrelay-link/Call';
 import type { IncomingMessage } from 'node:http';
 
@@ -27,7 +23,6 @@
 const CLASS_HEADER = 'x-class-of-work';
 
 const BYTES_PER_TOKEN = 4;
-const MILLISECONDS_PER_SECOND = 1000;
 
 /** Parameters that are passed on to engines. All others are dropped. */
 const ALLOWED_PARAMETERS: readonly string[] = [
@@ -78,32 +73,12 @@
 }
 
 /** Decodes the OpenAI-style requests for chat and text completions. */
-export class OpenAiFrontEnd extends FrontEnd<IncomingMessage> {
-  private readonly view: ConfigurationView;
-
-  private readonly limits: Settings['limits'];
-
-  private readonly clock: Clock;
-
-  constructor(view: ConfigurationView, limits: Settings['limits'], clock: Clock) {
-    super();
-    this.clock = clock;
-    this.view = view;
-    this.limits = limits;
-  }
-
+export class OpenAiFrontEnd extends HttpFrontEnd {
   override async decode(arrived: ArrivedRequest<IncomingMessage>): Promise<ModelCall> {
     const { request } = arrived;
     const { path } = readTarget(request);
     const identity = identifyCaller(this.view, readKeyText(request));
-    const body = await readBody(
-      request,
-      {
-        bodyBytes: this.limits.bodyBytes,
-        bodyMilliseconds: this.limits.requestSeconds * MILLISECONDS_PER_SECOND,
-      },
-      this.clock,
-    );
+    const body = await this.readBody(request);
     const decoded = decodeJsonObject(readContentType(request), body);
     return this.toCall(arrived, identity, path, decoded);
   }
@@ -133,7 +108,7 @@
       keyIdentifier: identity.key.identifier,
       className: work.name,
       arrivalMilliseconds,
-      deadlineMilliseconds: arrivalMilliseconds + this.limits.callSeconds * MILLISECONDS_PER_SECOND,
+      deadlineMilliseconds: this.deadlineOf(arrivalMilliseconds),
       isIdempotent: true,
       idempotencyKey: undefined,
       operation,
--- a/packages/hickoryrelay-instance/src/ServiceFrontEnd.ts
+++ b/packages/hickoryrelay-instance/src/ServiceFrontEnd.ts
@@ -3,42 +3,19 @@
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
 import { assertMayUse, identifyCaller } from './CallerIdentity.js';
-import { FrontEnd } from './FrontEnd.js';
-import {
-  assertNoKey,
-  readBody,
-  readContentType,
-  readKeyText,
-  readTarget,
-} from './RequestReader.js';
-import type { ConfigurationView } from './ConfigurationView.js';
+import { HttpFrontEnd } from './HttpFrontEnd.js';
+import { assertNoKey, readContentType, readKeyText, readTarget } from './RequestReader.js';
 import type { ArrivedRequest } from './FrontEnd.js';
-import type { Clock } from 'hickoryrelay/Clock';
 import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
 import type { Identity } from 'hickoryrelay-contract/Declarations';
-import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { ServiceCall } from 'hickoryrelay-link/Call';
 import type { IncomingMessage } from 'node:http';
 
-const MILLISECONDS_PER_SECOND = 1000;
 const LONGEST_IDEMPOTENCY_KEY = 255;
 const PATH_PATTERN = /^\/services\/([a-z0-9][a-z0-9-]{0,62})((?:\/[^?#]*)?)$/u;
 
 /** Decodes plain HTTP requests for services: `/services/<route>/<path>`. */
-export class ServiceFrontEnd extends FrontEnd<IncomingMessage> {
-  private readonly view: ConfigurationView;
-
-  private readonly limits: Settings['limits'];
-
-  private readonly clock: Clock;
-
-  constructor(view: ConfigurationView, limits: Settings['limits'], clock: Clock) {
-    super();
-    this.clock = clock;
-    this.view = view;
-    this.limits = limits;
-  }
-
+export class ServiceFrontEnd extends HttpFrontEnd {
   override async decode(arrived: ArrivedRequest<IncomingMessage>): Promise<ServiceCall> {
     const { request, requestIdentifier, arrivalMilliseconds } = arrived;
     const target = readTarget(request);
@@ -50,14 +27,7 @@
     }
     const identity = this.identityFor(work, request);
     const idempotencyKey = ServiceFrontEnd.readIdempotencyKey(request);
-    const body = await readBody(
-      request,
-      {
-        bodyBytes: this.limits.bodyBytes,
-        bodyMilliseconds: this.limits.requestSeconds * MILLISECONDS_PER_SECOND,
-      },
-      this.clock,
-    );
+    const body = await this.readBody(request);
     assertNoKey('body', body.toString('latin1'));
     return {
       kind: WorkKind.Service,
@@ -66,7 +36,7 @@
       keyIdentifier: identity?.key.identifier,
       className: work.name,
       arrivalMilliseconds,
-      deadlineMilliseconds: arrivalMilliseconds + this.limits.callSeconds * MILLISECONDS_PER_SECOND,
+      deadlineMilliseconds: this.deadlineOf(arrivalMilliseconds),
       isIdempotent: work.isIdempotent,
       idempotencyKey,
       route,
--- a/packages/hickoryrelay-instance/src/ServiceRelay.ts
+++ b/packages/hickoryrelay-instance/src/ServiceRelay.ts
@@ -5,37 +5,13 @@
 import { HeldAnswer } from './HeldAnswer.js';
 import type { AnswerWriter } from './AnswerWriter.js';
 import type { Attempt } from './Attempt.js';
-import type { CallAttempts } from './CallAttempts.js';
-import type { CallMetering } from './CallMetering.js';
-import type { ExchangeParts } from './Exchange.js';
 import type { ServiceCall } from 'hickoryrelay-link/Call';
 import type { StoredAnswer } from 'hickoryrelay-usage/ClaimRegister';
 
 const NO_TOKENS = { promptTokens: 0, completionTokens: 0 };
 
 /** Relays the answer of a plain service. A call that is not idempotent is sent at most once. */
-export class ServiceRelay extends AnswerRelay {
-  private readonly call: ServiceCall;
-
-  private readonly parts: ExchangeParts;
-
-  private readonly attempts: CallAttempts;
-
-  private readonly metering: CallMetering;
-
-  constructor(
-    call: ServiceCall,
-    parts: ExchangeParts,
-    attempts: CallAttempts,
-    metering: CallMetering,
-  ) {
-    super();
-    this.call = call;
-    this.parts = parts;
-    this.attempts = attempts;
-    this.metering = metering;
-  }
-
+export class ServiceRelay extends AnswerRelay<ServiceCall> {
   override async relay(writer: AnswerWriter): Promise<void> {
     if (this.call.isIdempotent) {
       await this.send(writer, false);
--- a/packages/hickoryrelay-instance/src/WholeModelRelay.ts
+++ b/packages/hickoryrelay-instance/src/WholeModelRelay.ts
@@ -7,9 +7,6 @@
 import { HeldAnswer } from './HeldAnswer.js';
 import type { AnswerWriter } from './AnswerWriter.js';
 import type { Attempt } from './Attempt.js';
-import type { CallAttempts } from './CallAttempts.js';
-import type { CallMetering } from './CallMetering.js';
-import type { ExchangeParts } from './Exchange.js';
 import type { ModelCall } from 'hickoryrelay-link/Call';
 import type { CallFigures } from 'hickoryrelay-usage/CallMeter';
 
@@ -19,28 +16,7 @@
 }
 
 /** Holds a model answer that is not streamed back until it is complete, and retries it. */
-export class WholeModelRelay extends AnswerRelay {
-  private readonly call: ModelCall;
-
-  private readonly parts: ExchangeParts;
-
-  private readonly attempts: CallAttempts;
-
-  private readonly metering: CallMetering;
-
-  constructor(
-    call: ModelCall,
-    parts: ExchangeParts,
-    attempts: CallAttempts,
-    metering: CallMetering,
-  ) {
-    super();
-    this.call = call;
-    this.parts = parts;
-    this.attempts = attempts;
-    this.metering = metering;
-  }
-
+export class WholeModelRelay extends AnswerRelay<ModelCall> {
   override async relay(writer: AnswerWriter): Promise<void> {
     try {
       for (;;) {
