Vary the calls of the usage cost tool and print bytes by message kind

Cause: all calls had one length, prompt and token count, so they closed in the order of their sequences. Columns encoded as differences would have looked cheaper than under real traffic.

Excluded: other arrival patterns; the rate stays even.

--- a/packages/hickoryrelay-bench/src/UsageCost.ts
+++ b/packages/hickoryrelay-bench/src/UsageCost.ts
@@ -53,6 +53,14 @@
 /** From 26,600 tokens and 97 calls a second at each node, and 1,300 open streams. */
 const TOKENS_PER_CALL = 274;
 const CALL_MILLISECONDS = 13_400;
+const PROMPT_TOKENS = 1800;
+/**
+ * Calls differ in length, tokens and prompt, evenly from this share of the mean to as much above it.
+ * Equal calls would close in the order of their sequences and make differences of columns too cheap.
+ */
+const LEAST_SHARE = 0.1;
+/** The engine counts up to this share more or fewer prompt tokens than the estimate at the opening. */
+const PROMPT_ERROR = 0.1;
 const MODELS = 9;
 const CLASSES = 4;
 const ENGINES = 24;
@@ -210,6 +218,9 @@
 interface RunningCall {
   readonly meter: MeteredCall;
   readonly startMilliseconds: number;
+  readonly milliseconds: number;
+  readonly promptTokens: number;
+  readonly completionTokens: number;
 }
 
 /** The calls of one instance at a steady rate. */
@@ -233,25 +244,30 @@
   step(nowMilliseconds: number): void {
     const due = (nowMilliseconds / MILLISECONDS_PER_SECOND) * this.setting.callRate;
     for (; this.opened < due; this.opened += 1) {
-      this.running.push({ meter: this.open(), startMilliseconds: nowMilliseconds });
+      this.running.push(this.open(nowMilliseconds));
     }
-    const ended = this.running.filter(
-      ({ startMilliseconds }) => nowMilliseconds - startMilliseconds >= CALL_MILLISECONDS,
-    );
-    this.running = this.running.slice(ended.length);
-    ended.forEach(({ meter }) => {
-      void meter.close({ promptTokens: 1800, completionTokens: TOKENS_PER_CALL });
+    const hasEnded = ({ startMilliseconds, milliseconds }: RunningCall) =>
+      nowMilliseconds - startMilliseconds >= milliseconds;
+    this.running.filter(hasEnded).forEach(({ meter, promptTokens, completionTokens }) => {
+      void meter.close({ promptTokens, completionTokens });
     });
+    this.running = this.running.filter((call) => !hasEnded(call));
     if (nowMilliseconds % PROGRESS_STEP_MILLISECONDS !== 0) {
       return;
     }
-    for (const { meter, startMilliseconds } of this.running) {
-      const share = (nowMilliseconds - startMilliseconds) / CALL_MILLISECONDS;
-      meter.progress(Math.floor(share * TOKENS_PER_CALL));
+    for (const { meter, startMilliseconds, milliseconds, completionTokens } of this.running) {
+      const share = (nowMilliseconds - startMilliseconds) / milliseconds;
+      meter.progress(Math.floor(share * completionTokens));
     }
   }
 
-  private open(): MeteredCall {
+  /** A figure of one call, with the given mean over all calls. */
+  private around(mean: number): number {
+    return Math.round(mean * (LEAST_SHARE + 2 * (1 - LEAST_SHARE) * this.random.fraction()));
+  }
+
+  private open(startMilliseconds: number): RunningCall {
+    const estimate = this.around(PROMPT_TOKENS);
     const call: ModelCall = {
       kind: WorkKind.Model,
       requestIdentifier: this.random.identifier(REQUEST_BYTES),
@@ -267,9 +283,16 @@
       parameters: {},
       isStreaming: true,
       includesUsage: false,
-      promptTokens: 1800,
+      promptTokens: estimate,
+    };
+    const error = PROMPT_ERROR * (2 * this.random.fraction() - 1);
+    return {
+      meter: this.usage.meter.open(call, `engine-${this.random.integerBelow(ENGINES)}`),
+      startMilliseconds,
+      milliseconds: this.around(CALL_MILLISECONDS),
+      promptTokens: Math.round(estimate * (1 + error)),
+      completionTokens: this.around(TOKENS_PER_CALL),
     };
-    return this.usage.meter.open(call, `engine-${this.random.integerBelow(ENGINES)}`);
   }
 }
 
--- a/packages/hickoryrelay-bench/src/usage-cost.ts
+++ b/packages/hickoryrelay-bench/src/usage-cost.ts
@@ -3,7 +3,7 @@
 
 import { measureUsageCost } from './UsageCost.js';
 
-import type { UsageCostCase } from './UsageCost.js';
+import type { UsageCostCase, UsageCostResult } from './UsageCost.js';
 
 const program = meow(
   `
@@ -33,6 +33,7 @@
   process.stdout.write(`${line}\n`);
 }
 
+let baseResult: UsageCostResult | undefined;
 const totals: { bytes: number; messages: number }[] = [];
 print('| calls/s | instances | accounts | B/s | messages/s | reads/s | writes/s | largest value |');
 print('| --- | --- | --- | --- | --- | --- | --- | --- |');
@@ -46,12 +47,17 @@
       `| ${result.reads.toFixed(3)} | ${result.writes.toFixed(3)} | ${result.largestValueBytes} |`,
   );
   if (setting === BASE) {
-    const types = Object.keys(result.bytes).toSorted();
-    const parts = types.map(
-      (type) =>
-        `${type}: ${result.bytes[type]?.toFixed(0)} B/s in ${result.messages[type]?.toFixed(1)}/s`,
-    );
-    process.stderr.write(`${parts.join('\n')}\n`);
+    baseResult = result;
+  }
+}
+if (baseResult !== undefined) {
+  print('');
+  print('| message | B/s | messages/s | B each |');
+  print('| --- | --- | --- | --- |');
+  for (const type of Object.keys(baseResult.bytes).toSorted()) {
+    const [bytes = 0, messages = 0] = [baseResult.bytes[type], baseResult.messages[type]];
+    const each = (bytes / messages).toFixed(1);
+    print(`| ${type} | ${bytes.toFixed(0)} | ${messages.toFixed(1)} | ${each} |`);
   }
 }
 const [low, base, wide, many] = totals;
