Send frequent usage messages as lists with differences and columns

Cause: openings, closings, progress and acknowledgements carried type and field names, an array header for each entry, whole sequences, and in each acknowledgement the incarnation that the receiver knows of itself.

Excluded: msgpackr records, because their definitions are state of a stream and a lost or reordered definition would be guessed; a byte format of our own, because codecs come from libraries.

The message types stay as they are. The first element of a list is the number of its layout; an unknown layout or a list that does not add up is refused as protocol-violation.

--- a/packages/hickoryrelay-bench/src/UsageCost.ts
+++ b/packages/hickoryrelay-bench/src/UsageCost.ts
@@ -191,10 +191,10 @@
   }
 
   override send(name: string, message: PeerMessage): boolean {
-    const size = encodePeerMessage(message).length + FRAME_BYTES;
+    const target = this.all.find(({ identity }) => identity.name === name);
+    const size = encodePeerMessage(message, target?.identity).length + FRAME_BYTES;
     this.bytes[message.type] = (this.bytes[message.type] ?? 0) + size;
     this.messagesSent[message.type] = (this.messagesSent[message.type] ?? 0) + 1;
-    const target = this.all.find(({ identity }) => identity.name === name);
     const received = { from: this.identity, message };
     this.clock.schedule(LINK_DELAY_MILLISECONDS, () => target?.push(received));
     return target !== undefined;
--- a/packages/hickoryrelay-link/src/PeerLink.ts
+++ b/packages/hickoryrelay-link/src/PeerLink.ts
@@ -119,7 +119,7 @@
 
   /** Sends a message. Cuts the link if the peer has stopped reading. */
   send(message: PeerMessage): boolean {
-    const bytes = encodePeerMessage(message);
+    const bytes = encodePeerMessage(message, this.peerIdentity);
     if (this.connection.queuedBytes + bytes.length > MAXIMUM_QUEUED_BYTES) {
       const reason = `peer ${this.name} does not read`;
       this.cut({ kind: FailureKind.Overloaded, reason, retryAfterSeconds: 1 });
@@ -170,7 +170,7 @@
     if (typeof bytes === 'string') {
       throw this.lost(`no greeting: ${bytes}`);
     }
-    const message = decodePeerMessage(bytes, this.name);
+    const message = decodePeerMessage(bytes, this.name, this.owner.identity);
     if (message.type !== PeerMessageType.Hello) {
       throw this.violation(`expected a greeting, received "${message.type}"`);
     }
@@ -204,7 +204,7 @@
       }
       if (bytes !== QueueOutcome.TimedOut) {
         heardMilliseconds = clock.monotonicMilliseconds();
-        this.receive(decodePeerMessage(bytes, this.name));
+        this.receive(decodePeerMessage(bytes, this.name, this.owner.identity));
       }
       yield;
     }
--- a/packages/hickoryrelay-link/src/PeerMessageCodec.ts
+++ b/packages/hickoryrelay-link/src/PeerMessageCodec.ts
@@ -3,9 +3,10 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
+import { decodedUsage, encodedUsage } from './UsageMessageCodec.js';
 import { usageMessages } from './UsageMessageSchemas.js';
 
-import type { DigestRow, PeerMessage, WorkTotals } from './PeerMessages.js';
+import type { DigestRow, InstanceIdentity, PeerMessage, WorkTotals } from './PeerMessages.js';
 
 const NAME_LENGTH = 128;
 const LIST_LENGTH = 10_000;
@@ -119,7 +120,7 @@
   };
 }
 
-function encodedForm(message: PeerMessage): object {
+function encodedForm(message: PeerMessage, receiver: InstanceIdentity | undefined): object {
   switch (message.type) {
     case 'heartbeat': {
       const { type, sequence, echo, revision, viewAgeMilliseconds } = message;
@@ -127,6 +128,11 @@
     }
     case 'digest':
       return { ...message, rows: message.rows.map(encodedRow) };
+    case 'usage-open':
+    case 'usage-progress':
+    case 'usage-close':
+    case 'usage-acknowledged':
+      return encodedUsage(message, receiver);
     default:
       return message;
   }
@@ -146,15 +152,28 @@
   }
 }
 
-/** Encodes a message. Rows and heartbeats are lists, because field names would double their size. */
-export function encodePeerMessage(message: PeerMessage): Uint8Array {
-  return packr.pack(encodedForm(message));
+/**
+ * Encodes a message. Rows, heartbeats and frequent usage messages are lists, because field names
+ * would double their size. What the receiver knows of itself is left out if it is given.
+ */
+export function encodePeerMessage(message: PeerMessage, receiver?: InstanceIdentity): Uint8Array {
+  return packr.pack(encodedForm(message, receiver));
 }
 
-/** Decodes and checks a message. Throws `protocol-violation` if it is malformed. */
-export function decodePeerMessage(bytes: Uint8Array, peer: string): PeerMessage {
+/**
+ * Decodes and checks a message that came to the receiver. Throws `protocol-violation` if it is
+ * malformed or of an unknown layout.
+ */
+export function decodePeerMessage(
+  bytes: Uint8Array,
+  peer: string,
+  receiver?: InstanceIdentity,
+): PeerMessage {
   try {
-    return decodedForm(encodedMessage.parse(packr.unpack(bytes)));
+    const encoded: unknown = packr.unpack(bytes);
+    return Array.isArray(encoded)
+      ? decodedUsage(encoded, receiver)
+      : decodedForm(encodedMessage.parse(encoded));
   } catch (error) {
     throw new RelayError(
       { kind: FailureKind.ProtocolViolation, peer, reason: 'malformed message' },
--- a/packages/hickoryrelay-link/src/PeerMessages.ts
+++ b/packages/hickoryrelay-link/src/PeerMessages.ts
@@ -60,7 +60,7 @@
  */
 export type HeartbeatEntry = readonly [incarnationTag: number, heartbeat: number];
 
-/** A request identifier; as bytes if it is hexadecimal. */
+/** A request identifier; as bytes, at least one, if it is hexadecimal. */
 export type WireIdentifier = string | Uint8Array;
 
 /**
