Make request identifiers in blocks that share all but the last byte

Cause: an opening carried 12 random bytes for its request to each holder, over half of its size after the last change.

Excluded: sequences of the instance in place of identifiers, because a holder asks the engine by the identifier; a block for the whole run, because it tells callers how many requests the instance serves.

--- a/packages/hickoryrelay-bench/src/UsageCost.ts
+++ b/packages/hickoryrelay-bench/src/UsageCost.ts
@@ -7,6 +7,7 @@
 import { ModelOperation } from 'hickoryrelay-link/Call';
 import { encodePeerMessage } from 'hickoryrelay-link/PeerMessageCodec';
 import { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
+import { RequestIdentifiers } from 'hickoryrelay-link/RequestIdentifiers';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
@@ -64,7 +65,6 @@
 const MODELS = 9;
 const CLASSES = 4;
 const ENGINES = 24;
-const REQUEST_BYTES = 12;
 const TERM = 1;
 
 class CountingStore extends KeyValueStore {
@@ -231,6 +231,8 @@
 
   private readonly setting: UsageCostCase;
 
+  private readonly identifiers: RequestIdentifiers;
+
   private running: RunningCall[] = [];
 
   private opened = 0;
@@ -239,6 +241,7 @@
     this.usage = usage;
     this.random = random;
     this.setting = setting;
+    this.identifiers = new RequestIdentifiers(random);
   }
 
   step(nowMilliseconds: number): void {
@@ -270,7 +273,7 @@
     const estimate = this.around(PROMPT_TOKENS);
     const call: ModelCall = {
       kind: WorkKind.Model,
-      requestIdentifier: this.random.identifier(REQUEST_BYTES),
+      requestIdentifier: this.identifiers.next(),
       accountName: `account-${this.random.integerBelow(this.setting.accounts)}`,
       keyIdentifier: undefined,
       className: `class-${this.random.integerBelow(CLASSES)}`,
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -4,6 +4,7 @@
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import { LogPrefix, partLogger } from 'hickoryrelay/Logger';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { RequestIdentifiers } from 'hickoryrelay-link/RequestIdentifiers';
 import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
@@ -80,8 +81,6 @@
   readonly fencingNumber?: number;
 }
 
-const REQUEST_IDENTIFIER_BYTES = 12;
-
 /** An entry instance: one process between callers and endpoints, equal to all others. */
 export class Instance {
   readonly settings: Settings;
@@ -104,6 +103,8 @@
 
   private readonly exchanges = new ExchangeTable();
 
+  private readonly requestIdentifiers: RequestIdentifiers;
+
   private readonly remoteUse = new CollectedRemoteUse((account, cost) => {
     this.control.digest.charge(account, cost);
   });
@@ -124,6 +125,7 @@
     this.parts = parts;
     this.settings = parts.settings;
     this.clock = parts.clock;
+    this.requestIdentifiers = new RequestIdentifiers(parts.random);
     this.view = new ConfigurationView(parts.clock);
     const log = partLogger(parts.logger, LogPrefix.Daemon);
     this.drain = new Drain(parts.settings.drain, this.exchanges, parts.clock, log);
@@ -181,7 +183,7 @@
   }
 
   nextRequestIdentifier(): string {
-    return this.parts.random.identifier(REQUEST_IDENTIFIER_BYTES);
+    return this.requestIdentifiers.next();
   }
 
   /** Throws `shutting-down` once the instance has closed itself to new work. */
