Send usage records in the order of their sequences

Cause: closings stood in the order of the calls' ends and progress in that of the acknowledgements, so differences of sequences took three bytes.

--- a/packages/hickoryrelay-usage/src/ReplicaHolder.ts
+++ b/packages/hickoryrelay-usage/src/ReplicaHolder.ts
@@ -110,8 +110,11 @@
         closed.push(record);
       }
     }
-    this.sendWhole(whole, nowMilliseconds);
-    this.sendClosed(closed, nowMilliseconds);
+    // Ascending sequences have small differences, which is what the links send.
+    const bySequence = (left: JournalRecord, right: JournalRecord) =>
+      left.sequence - right.sequence;
+    this.sendWhole(whole.toSorted(bySequence), nowMilliseconds);
+    this.sendClosed(closed.toSorted(bySequence), nowMilliseconds);
   }
 
   /** Sends the figures of running calls that grew by the threshold, and what is sealed. */
@@ -124,7 +127,8 @@
       )
       .map(
         ({ record }) => [record?.sequence ?? 0, record?.completionTokens ?? 0] as [number, number],
-      );
+      )
+      .toSorted(([left], [right]) => left - right);
     if (entries.length === 0 && counted === undefined) {
       return;
     }
