Send progress of running calls once a second

Cause: progress went out with each batch of 250 ms, although a call's figure grows by the threshold of 128 tokens in about 6 s.

Excluded: a higher threshold, and progress to one holder only; both lower what is counted when an instance and its engine are lost together.

Openings and closings keep their batches. Progress is counted only if the engine gives no count for 60 s, and then misses at most a second more of tokens.

--- a/packages/hickoryrelay-usage/src/UsageMeter.ts
+++ b/packages/hickoryrelay-usage/src/UsageMeter.ts
@@ -25,8 +25,10 @@
 
 /** Times and thresholds of the replication of usage records. */
 export interface ReplicationSettings {
-  /** Interval of the batches with openings and progress. */
+  /** Interval of the batches with openings and with closings for the second holder. */
   readonly batchMilliseconds: number;
+  /** Least time between two batches of progress. */
+  readonly progressMilliseconds: number;
   /** Time for which closings are gathered before they go to the first holder. */
   readonly closeGatherMilliseconds: number;
   /** Longest wait of `close` for an acknowledgement. */
@@ -37,6 +39,7 @@
 
 export const DEFAULT_REPLICATION: ReplicationSettings = {
   batchMilliseconds: 250,
+  progressMilliseconds: 1000,
   closeGatherMilliseconds: 40,
   closeWaitMilliseconds: 2000,
   progressTokens: 128,
@@ -72,6 +75,8 @@
 
   private newlyCounted: CountedSequences | undefined;
 
+  private nextProgressMilliseconds = 0;
+
   private closedWithoutPeer = 0;
 
   private closedUnacknowledged = 0;
@@ -120,11 +125,14 @@
   replicate(): void {
     this.updateHolders();
     const now = this.clock.monotonicMilliseconds();
-    for (const holder of this.holders) {
-      holder.flush(now);
-      holder.sendProgress(this.settings.progressTokens, this.newlyCounted);
+    this.holders.forEach((holder) => holder.flush(now));
+    if (now >= this.nextProgressMilliseconds) {
+      this.nextProgressMilliseconds = now + this.settings.progressMilliseconds;
+      this.holders.forEach((holder) =>
+        holder.sendProgress(this.settings.progressTokens, this.newlyCounted),
+      );
+      this.newlyCounted = undefined;
     }
-    this.newlyCounted = undefined;
   }
 
   /** Takes the acknowledgement of a holder. */
