Acknowledge openings with the next closing or batch

Cause: each opening cost a message of 13 bytes in acknowledgement, although nobody waits for it.

Excluded: to gather acknowledgements of closings, because a caller's last piece waits for them; ranges, because the numbers of one sender alternate between its holders.

An opening that carries a closed record is acknowledged at once. A message is sent again after 1 s without an acknowledgement, which stays well above 250 ms.

--- a/packages/hickoryrelay-link/src/PeerMessages.ts
+++ b/packages/hickoryrelay-link/src/PeerMessages.ts
@@ -190,9 +190,9 @@
     }
   | {
       readonly type: 'usage-acknowledged';
-      /** Incarnation that sent the message. */
+      /** Incarnation that sent the messages. */
       readonly incarnation: string;
-      readonly number: number;
+      readonly numbers: readonly number[];
     }
   | {
       readonly type: 'usage-collect';
--- a/packages/hickoryrelay-link/src/UsageMessageCodec.ts
+++ b/packages/hickoryrelay-link/src/UsageMessageCodec.ts
@@ -67,8 +67,8 @@
   ]),
   /** Number, window and entries: difference to the sequence before, prompt and completion tokens. */
   z.tuple([z.literal(UsageLayout.Close), count, count, differences]),
-  z.tuple([z.literal(UsageLayout.Acknowledged), count]),
-  z.tuple([z.literal(UsageLayout.AcknowledgedOther), name, count]),
+  z.tuple([z.literal(UsageLayout.Acknowledged)], count),
+  z.tuple([z.literal(UsageLayout.AcknowledgedOther), name], count),
 ]);
 
 type EncodedUsage = z.output<typeof layouts>;
@@ -254,8 +254,8 @@
       ];
     default:
       return message.incarnation === receiver?.incarnation
-        ? [UsageLayout.Acknowledged, message.number]
-        : [UsageLayout.AcknowledgedOther, message.incarnation, message.number];
+        ? [UsageLayout.Acknowledged, ...message.numbers]
+        : [UsageLayout.AcknowledgedOther, message.incarnation, ...message.numbers];
   }
 }
 
@@ -287,11 +287,12 @@
     case UsageLayout.Acknowledged: {
       assertThat(receiver !== undefined, 'an acknowledgement outside a link');
       const { incarnation } = receiver;
-      return { type: 'usage-acknowledged', incarnation, number: message[1] };
+      const [, ...numbers] = message;
+      return { type: 'usage-acknowledged', incarnation, numbers };
     }
     default: {
-      const [, incarnation, number] = message;
-      return { type: 'usage-acknowledged', incarnation, number };
+      const [, incarnation, ...numbers] = message;
+      return { type: 'usage-acknowledged', incarnation, numbers };
     }
   }
 }
--- a/packages/hickoryrelay-link/src/__tests__/unit/PeerMessageCodec.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/unit/PeerMessageCodec.test.ts
@@ -65,7 +65,7 @@
   acknowledgement: fc.record({
     type: fc.constant('usage-acknowledged' as const),
     incarnation: fc.oneof(fc.constant(receiver.incarnation), text),
-    number: count,
+    numbers: fc.array(count),
   }),
 };
 
@@ -125,7 +125,7 @@
   // Guards against an acknowledgement that is taken for one of the receiver's next incarnation.
   it('leaves the incarnation out only if the receiver is that incarnation', () => {
     const of = (incarnation: string) =>
-      ({ type: 'usage-acknowledged', incarnation, number: 5 }) as const;
+      ({ type: 'usage-acknowledged', incarnation, numbers: [5, 9] }) as const;
     const own = encodePeerMessage(of(receiver.incarnation), receiver);
     const other = encodePeerMessage(of('earlier'), receiver);
     expect(own.length).toBeLessThan(other.length);
@@ -183,7 +183,7 @@
   it.each<[string, Uint8Array]>([
     ['a number that is not whole', packr.pack([4, 1.5])],
     ['a negative number', packr.pack([4, -1])],
-    ['an element too many', packr.pack([4, 1, 1])],
+    ['an element too many', packr.pack([3, 1, 1, [], 1])],
     ['an incarnation that is not text', packr.pack([5, 1, 1])],
     ['a closing cut inside a row', packr.pack([3, 1, 1, [1, 2]])],
     ['a closing with a negative sequence', packr.pack([3, 1, 1, [1, 2, 3, -2, 2, 3]])],
--- a/packages/hickoryrelay-usage/src/InstanceUsage.ts
+++ b/packages/hickoryrelay-usage/src/InstanceUsage.ts
@@ -1,3 +1,4 @@
+import { AcknowledgementOutbox } from './AcknowledgementOutbox.js';
 import { CountedSequences } from './CountedSequences.js';
 import { DEFAULT_REPLICATION, UsageMeter } from './UsageMeter.js';
 import { UsageReplica } from './UsageReplica.js';
@@ -12,11 +13,17 @@
 import type { Clock } from 'hickoryrelay/Clock';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
-import type { IncarnationMark, ReceivedPeerMessage } from 'hickoryrelay-link/PeerMessages';
+import type {
+  IncarnationMark,
+  PeerMessage,
+  ReceivedPeerMessage,
+} from 'hickoryrelay-link/PeerMessages';
 import type { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 
+type RecordsMessage = Extract<PeerMessage, { type: 'usage-open' | 'usage-close' }>;
+
 /** What the usage part of an instance works with. */
 export interface InstanceUsageParts {
   readonly network: PeerNetwork;
@@ -43,6 +50,8 @@
 
   readonly batchMilliseconds: number;
 
+  private readonly acknowledgements: AcknowledgementOutbox;
+
   readonly network: PeerNetwork;
 
   readonly log: PartLogger;
@@ -53,6 +62,7 @@
     this.network = parts.network;
     this.log = log;
     this.batchMilliseconds = replication.batchMilliseconds;
+    this.acknowledgements = new AcknowledgementOutbox(parts.network);
     this.meter = new UsageMeter(parts, replication);
     this.replica = new UsageReplica(clock, liveness, engines, log);
     this.sealer = new UsageSealer(parts, this);
@@ -81,15 +91,23 @@
     };
   }
 
+  /** Sends the batches to the holders and to those whose records are held. */
+  replicate(): void {
+    this.meter.replicate();
+    this.acknowledgements.sendAll();
+  }
+
   /** Handles one message of a peer. */
   take({ from, message }: ReceivedPeerMessage): void {
     switch (message.type) {
       case 'usage-open':
       case 'usage-close':
         if (this.replica.take(from, message)) {
-          const { incarnation } = from;
-          const { number } = message;
-          this.network.send(from.name, { type: 'usage-acknowledged', incarnation, number });
+          this.acknowledgements.add(from, message.number);
+        }
+        // Callers wait for the acknowledgement of a closing; that of an opening waits for the batch.
+        if (InstanceUsage.hasClosing(message)) {
+          this.acknowledgements.send(from);
         }
         break;
       case 'usage-progress':
@@ -97,7 +115,7 @@
         break;
       case 'usage-acknowledged':
         if (message.incarnation === this.network.identity.incarnation) {
-          this.meter.acknowledge(from, message.number);
+          this.meter.acknowledge(from, message.numbers);
         }
         break;
       case 'usage-collect': {
@@ -113,4 +131,11 @@
       default:
     }
   }
+
+  private static hasClosing(message: RecordsMessage): boolean {
+    return (
+      message.type === 'usage-close' ||
+      message.records.some(([, , , , , , , , closedWindow]) => closedWindow > 0)
+    );
+  }
 }
--- a/packages/hickoryrelay-usage/src/UsageMeter.ts
+++ b/packages/hickoryrelay-usage/src/UsageMeter.ts
@@ -135,10 +135,12 @@
     }
   }
 
-  /** Takes the acknowledgement of a holder. */
-  acknowledge(from: InstanceIdentity, number: number): void {
+  /** Takes the acknowledgement of messages by a holder. */
+  acknowledge(from: InstanceIdentity, numbers: readonly number[]): void {
     const holder = this.holders.find(({ identity }) => identity.incarnation === from.incarnation);
-    holder?.acknowledge(number).forEach((sequence) => this.waiters.get(sequence)?.());
+    numbers
+      .flatMap((number) => holder?.acknowledge(number) ?? [])
+      .forEach((sequence) => this.waiters.get(sequence)?.());
   }
 
   /** Drops the records that a seal counts, here and at the holders. */
--- a/packages/hickoryrelay-usage/src/UsageTasks.ts
+++ b/packages/hickoryrelay-usage/src/UsageTasks.ts
@@ -52,7 +52,7 @@
 
   protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
     for (;;) {
-      this.usage.meter.replicate();
+      this.usage.replicate();
       yield;
       await context.clock.sleep(this.usage.batchMilliseconds, context.signal);
     }
