Send digests and heartbeats as lists without field names

Cause: after usage, digests are the largest part of the control traffic. Each row spent 17 bytes on a hexadecimal incarnation, about 20 on an address as text, 5 on the state and 8 on headers of cost entries; each heartbeat entry 2 on headers; each heartbeat message 22 on field names.

Costs and ages that are not whole numbers are now refused: no instance sends them, and the property over damaged packets showed that a digest with one was accepted but could not have been sent.

Of a row of about 200 bytes, 128 are the names and costs of eight accounts.

--- a/packages/hickoryrelay-link/src/UsageMessageCodec.ts
+++ b/packages/hickoryrelay-link/src/UsageMessageCodec.ts
@@ -1,7 +1,8 @@
 import { z } from 'zod';
-import { FailureKind } from 'hickoryrelay/Failure';
 import { invariant } from 'hickoryrelay/Invariant';
-import { RelayError } from 'hickoryrelay/RelayError';
+
+import { assertWellFormed, byteString, rowsOf } from './CompactListUtils.js';
+import { MessageLayout } from './MessageLayoutConstants.js';
 
 import type {
   InstanceIdentity,
@@ -13,16 +14,6 @@
   WireIdentifier,
 } from './PeerMessages.js';
 
-/** First element of a usage message that is sent as a list. A new layout takes a new number. */
-const UsageLayout = {
-  Open: 1,
-  Progress: 2,
-  Close: 3,
-  Acknowledged: 4,
-  /** An acknowledgement of messages of another incarnation than the one at the end of the link. */
-  AcknowledgedOther: 5,
-} as const;
-
 const NAME_LENGTH = 256;
 const IDENTIFIER_LENGTH = 256;
 const LIST_LENGTH = 100_000;
@@ -37,13 +28,11 @@
 const count = z.number().int().nonnegative();
 const counts = z.array(count).max(ROW_LENGTH * LIST_LENGTH);
 const differences = z.array(z.number().int()).max(CLOSE_LENGTH * LIST_LENGTH);
-const bytes = (longest: number) =>
-  z.custom<Uint8Array>((value) => value instanceof Uint8Array && value.length <= longest);
-const head = z.union([z.string().max(IDENTIFIER_LENGTH), bytes(IDENTIFIER_LENGTH - 1)]);
+const head = z.union([z.string().max(IDENTIFIER_LENGTH), byteString(IDENTIFIER_LENGTH - 1)]);
 
 const layouts = z.union([
   z.tuple([
-    ...([z.literal(UsageLayout.Open), count] as const),
+    ...([z.literal(MessageLayout.UsageOpen), count] as const),
     /** Index and name in turn. */
     z.array(z.union([count, name])).max(2 * LIST_LENGTH),
     /** Runs of sequences: distance from the end of the run before, and length. */
@@ -51,7 +40,7 @@
     /** Identifiers as text, or without their last byte. */
     z.array(head).max(LIST_LENGTH),
     /** Last byte of each identifier. */
-    bytes(LIST_LENGTH),
+    byteString(LIST_LENGTH),
     /** Index of the head of each identifier; empty if there is one head for all. */
     counts,
     counts,
@@ -59,42 +48,31 @@
     counts,
   ]),
   z.tuple([
-    z.literal(UsageLayout.Progress),
+    z.literal(MessageLayout.UsageProgress),
     /** Difference to the sequence before, and completion tokens. */
     differences,
     /** End and gaps of the counted mark. */
     counts.min(1).optional(),
   ]),
   /** Number, window and entries: difference to the sequence before, prompt and completion tokens. */
-  z.tuple([z.literal(UsageLayout.Close), count, count, differences]),
-  z.tuple([z.literal(UsageLayout.Acknowledged)], count),
-  z.tuple([z.literal(UsageLayout.AcknowledgedOther), name], count),
+  z.tuple([z.literal(MessageLayout.UsageClose), count, count, differences]),
+  z.tuple([z.literal(MessageLayout.UsageAcknowledged)], count),
+  z.tuple([z.literal(MessageLayout.UsageAcknowledgedOther), name], count),
 ]);
 
 type EncodedUsage = z.output<typeof layouts>;
-type EncodedOpening = Extract<EncodedUsage, readonly [typeof UsageLayout.Open, ...unknown[]]>;
+type EncodedOpening = Extract<
+  EncodedUsage,
+  readonly [typeof MessageLayout.UsageOpen, ...unknown[]]
+>;
 type Opening = Extract<PeerMessage, { type: 'usage-open' }>;
 
-/** The messages that are sent as lists. */
+/** The usage messages that are sent as lists. */
 export type CompactUsageMessage = Extract<
   PeerMessage,
   { type: 'usage-open' | 'usage-progress' | 'usage-close' | 'usage-acknowledged' }
 >;
 
-function assertThat(isSo: boolean, reason: string): asserts isSo {
-  if (!isSo) {
-    throw new RelayError({ kind: FailureKind.ProtocolViolation, peer: '', reason });
-  }
-}
-
-/** Splits a flat list into rows. */
-function rowsOf<Value>(flat: readonly Value[], length: number): readonly (readonly Value[])[] {
-  assertThat(flat.length % length === 0, 'a row is cut short');
-  return Array.from({ length: flat.length / length }, (empty, row) =>
-    flat.slice(row * length, (row + 1) * length),
-  );
-}
-
 function encodedRuns(sequences: readonly number[]): number[] {
   const runs: number[] = [];
   let end = 0;
@@ -114,15 +92,15 @@
   let position = 0;
   for (const [distance = 0, length = 0] of rowsOf(runs, 2)) {
     position += distance;
-    assertThat(position >= 0 && length > 0, 'a run of sequences is not valid');
-    assertThat(sequences.length + length <= expected, 'more sequences than records');
+    assertWellFormed(position >= 0 && length > 0, 'a run of sequences is not valid');
+    assertWellFormed(sequences.length + length <= expected, 'more sequences than records');
     for (let index = 0; index < length; index += 1) {
       sequences.push(position + index);
     }
     position += length;
   }
-  assertThat(sequences.length === expected, 'fewer sequences than records');
-  assertThat(Number.isSafeInteger(position), 'a sequence is out of range');
+  assertWellFormed(sequences.length === expected, 'fewer sequences than records');
+  assertWellFormed(Number.isSafeInteger(position), 'a sequence is out of range');
   return sequences;
 }
 
@@ -140,8 +118,8 @@
   let sequence = 0;
   return rowsOf(flat, length).map(([difference = 0, ...figures]) => {
     sequence += difference;
-    assertThat(Number.isSafeInteger(sequence) && sequence >= 0, 'a sequence is out of range');
-    assertThat(
+    assertWellFormed(Number.isSafeInteger(sequence) && sequence >= 0, 'a sequence is out of range');
+    assertWellFormed(
       figures.every((figure) => figure >= 0),
       'a figure is negative',
     );
@@ -177,18 +155,18 @@
 
 function decodedIdentifiers([, , , , heads, tails, headIndexes]: EncodedOpening): WireIdentifier[] {
   const isShared = heads.length === 1 && headIndexes.length === 0;
-  assertThat(isShared || headIndexes.length === tails.length, 'identifiers lack their heads');
+  assertWellFormed(isShared || headIndexes.length === tails.length, 'identifiers lack their heads');
   return Array.from(tails, (tail, position) => {
     const part = heads[isShared ? 0 : (headIndexes[position] ?? heads.length)];
-    assertThat(part !== undefined, 'an identifier has an unknown head');
-    assertThat(typeof part !== 'string' || tail === 0, 'a text identifier has a last byte');
+    assertWellFormed(part !== undefined, 'an identifier has an unknown head');
+    assertWellFormed(typeof part !== 'string' || tail === 0, 'a text identifier has a last byte');
     return typeof part === 'string' ? part : Uint8Array.of(...part, tail);
   });
 }
 
 function encodedOpening({ number, names, records }: Opening): EncodedOpening {
   return [
-    UsageLayout.Open,
+    MessageLayout.UsageOpen,
     number,
     names.flat(),
     encodedRuns(records.map(([sequence]) => sequence)),
@@ -203,7 +181,7 @@
 }
 
 function decodedName([index, text]: readonly (number | string)[]): UsageName {
-  assertThat(typeof index === 'number' && typeof text === 'string', 'a name is not valid');
+  assertWellFormed(typeof index === 'number' && typeof text === 'string', 'a name is not valid');
   return [index, text];
 }
 
@@ -212,11 +190,11 @@
   const identifiers = decodedIdentifiers(encoded);
   const sequences = decodedRuns(runs, tails.length);
   const rows = rowsOf(flat, ROW_LENGTH);
-  assertThat(rows.length === tails.length, 'records and identifiers differ in number');
+  assertWellFormed(rows.length === tails.length, 'records and identifiers differ in number');
   const listed = rowsOf(figures, FIGURES_LENGTH);
   const byPosition = new Map(listed.map((row) => [row[0] ?? 0, row] as const));
-  assertThat(byPosition.size === listed.length, 'two figures of one record');
-  assertThat(
+  assertWellFormed(byPosition.size === listed.length, 'two figures of one record');
+  assertWellFormed(
     [...byPosition.keys()].every((position) => position < rows.length),
     'figures of an unknown record',
   );
@@ -244,18 +222,18 @@
       const { entries, counted } = message;
       const differencesOfEntries = encodedDifferences(entries);
       return counted === undefined
-        ? [UsageLayout.Progress, differencesOfEntries]
-        : [UsageLayout.Progress, differencesOfEntries, [counted.upTo, ...counted.gaps]];
+        ? [MessageLayout.UsageProgress, differencesOfEntries]
+        : [MessageLayout.UsageProgress, differencesOfEntries, [counted.upTo, ...counted.gaps]];
     }
     case 'usage-close':
       return [
-        ...([UsageLayout.Close, message.number, message.window] as const),
+        ...([MessageLayout.UsageClose, message.number, message.window] as const),
         encodedDifferences(message.entries),
       ];
     default:
       return message.incarnation === receiver?.incarnation
-        ? [UsageLayout.Acknowledged, ...message.numbers]
-        : [UsageLayout.AcknowledgedOther, message.incarnation, ...message.numbers];
+        ? [MessageLayout.UsageAcknowledged, ...message.numbers]
+        : [MessageLayout.UsageAcknowledgedOther, message.incarnation, ...message.numbers];
   }
 }
 
@@ -269,9 +247,9 @@
 ): CompactUsageMessage {
   const message = layouts.parse(encoded);
   switch (message[0]) {
-    case UsageLayout.Open:
+    case MessageLayout.UsageOpen:
       return decodedOpening(message);
-    case UsageLayout.Progress: {
+    case MessageLayout.UsageProgress: {
       const [, flat, mark] = message;
       const entries = decodedDifferences(flat, 2) as unknown as UsageProgressEntry[];
       const [upTo = 0, ...gaps] = mark ?? [];
@@ -279,13 +257,13 @@
         ? { type: 'usage-progress', entries }
         : { type: 'usage-progress', entries, counted: { upTo, gaps } };
     }
-    case UsageLayout.Close: {
+    case MessageLayout.UsageClose: {
       const [, number, window, flat] = message;
       const entries = decodedDifferences(flat, CLOSE_LENGTH) as unknown as UsageCloseEntry[];
       return { type: 'usage-close', number, window, entries };
     }
-    case UsageLayout.Acknowledged: {
-      assertThat(receiver !== undefined, 'an acknowledgement outside a link');
+    case MessageLayout.UsageAcknowledged: {
+      assertWellFormed(receiver !== undefined, 'an acknowledgement outside a link');
       const { incarnation } = receiver;
       const [, ...numbers] = message;
       return { type: 'usage-acknowledged', incarnation, numbers };
--- a/packages/hickoryrelay-link/src/__tests__/unit/PeerMessageCodec.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/unit/PeerMessageCodec.test.ts
@@ -69,6 +69,52 @@
   }),
 };
 
+/** Ages and costs are sent as whole numbers, and work in tenths of a second. */
+const age = fc.oneof(fc.nat(), fc.constant(Infinity));
+const work = fc.nat().map((value) => value * 100);
+const name = fc.string({ minLength: 1, maxLength: 40 });
+const hexadecimal = fc
+  .array(fc.nat({ max: 255 }), { minLength: 1, maxLength: 12 })
+  .map((values) => Buffer.from(values).toString('hex'));
+const url = fc.oneof(
+  fc
+    .tuple(fc.array(fc.nat({ max: 300 }), { minLength: 4, maxLength: 4 }), fc.nat({ max: 70_000 }))
+    .map(([address, port]) => `ws://${address.join('.')}:${port}`),
+  fc.constantFrom('ws://10.0.0.01:7400', 'ws://10.0.0.1:07400', 'ws://host:1', 'ws://[::1]:7400'),
+  text,
+);
+const row = fc.record({
+  identity: fc.record({ name, zone: name, incarnation: fc.oneof(hexadecimal, name) }),
+  heartbeat: count,
+  state: fc.constantFrom('live' as const, 'leaving' as const),
+  revision: count,
+  viewAgeMilliseconds: age,
+  peersUrl: url,
+  costs: fc.array(fc.tuple(text, count)),
+  work: fc.record({
+    prefill: work,
+    decode: work,
+    classes: fc.array(fc.tuple(fc.nat({ max: 65_535 }), work)),
+  }),
+});
+
+const digestMessages: Readonly<Record<string, fc.Arbitrary<PeerMessage>>> = {
+  heartbeat: fc.record({
+    type: fc.constant('heartbeat' as const),
+    sequence: count,
+    echo: count,
+    revision: count,
+    viewAgeMilliseconds: age,
+  }),
+  digest: fc.record({
+    type: fc.constant('digest' as const),
+    rows: fc.array(row, { maxLength: 9 }),
+    heartbeats: fc.array(fc.tuple(fc.nat({ max: 0xff_ff_ff_ff }), count)),
+  }),
+};
+
+const listed = [...Object.entries(messages), ...Object.entries(digestMessages)];
+
 /** The message, or the kind of the failure; any other error fails the test. */
 function decoded(packet: Uint8Array): PeerMessage | string {
   try {
@@ -110,9 +156,16 @@
   return packr.pack(whole.map((part, index) => (index in parts ? parts[index] : part)));
 }
 
+/** A digest of one well-formed row, with some of its parts replaced. */
+function digestWith(parts: Readonly<Record<number, unknown>>): Uint8Array {
+  const whole = ['entry', 'zone-a', '01', 1, 0, 1, 1, 'ws://host:1', ['account', 1], [1, 2]];
+  const changed = whole.map((part, index) => (index in parts ? parts[index] : part));
+  return packr.pack([7, [changed], Buffer.alloc(4), [1]]);
+}
+
 describe('the codec of peer messages', () => {
   // Guards against a compact form that loses or changes what the plain object says.
-  it.each(Object.entries(messages))('gives back any %s', (kind, arbitrary) => {
+  it.each(listed)('gives back any %s', (kind, arbitrary) => {
     fc.assert(
       fc.property(arbitrary, (message) => {
         const packet = encodePeerMessage(message, receiver);
@@ -135,7 +188,7 @@
   });
 
   // Guards against bytes that are dropped or invented when a packet is damaged on its way.
-  it.each(Object.entries(messages))('refuses any %s that is cut short', (kind, arbitrary) => {
+  it.each(listed)('refuses any %s that is cut short', (kind, arbitrary) => {
     fc.assert(
       fc.property(arbitrary, fc.double({ min: 0, max: 1, noNaN: true }), (message, share) => {
         const packet = encodePeerMessage(message, receiver);
@@ -148,7 +201,7 @@
   });
 
   // Guards against errors of other types and against messages that could not have been sent.
-  it.each(Object.entries(messages))('refuses or reads whole any damaged %s', (kind, arbitrary) => {
+  it.each(listed)('refuses or reads whole any damaged %s', (kind, arbitrary) => {
     fc.assert(
       fc.property(arbitrary, fc.nat(), fc.nat({ max: 255 }), (message, at, value) => {
         const packet = Uint8Array.from(encodePeerMessage(message, receiver));
@@ -167,7 +220,7 @@
 
   // Guards against a guess at the meaning of a list that a later version sends.
   it('refuses unknown layouts', () => {
-    for (const layout of [0, 6, 7, 99, -1, 1.5, '1', null, undefined, [1], true]) {
+    for (const layout of [0, 8, 9, 99, -1, 1.5, '1', null, undefined, [1], true]) {
       expect(decoded(packr.pack([layout, 1, 2, []]))).toBe('protocol-violation');
       expect(decoded(packr.pack([layout]))).toBe('protocol-violation');
     }
@@ -185,6 +238,22 @@
     ['a negative number', packr.pack([4, -1])],
     ['an element too many', packr.pack([3, 1, 1, [], 1])],
     ['an incarnation that is not text', packr.pack([5, 1, 1])],
+    ['a heartbeat without an age', packr.pack([6, 1, 2, 3])],
+    ['a heartbeat with a negative age', packr.pack([6, 1, 2, 3, -1])],
+    ['a digest with a tag cut short', packr.pack([7, [], Buffer.alloc(3), [1]])],
+    ['a digest with a tag too many', packr.pack([7, [], Buffer.alloc(8), [1]])],
+    ['a digest with tags that are not bytes', packr.pack([7, [], [1], [1]])],
+    ['a row without a state', digestWith({ 4: null })],
+    ['a row with an unknown state', digestWith({ 4: 2 })],
+    ['a row without a name', digestWith({ 0: '' })],
+    ['a row with an empty incarnation', digestWith({ 2: new Uint8Array(0) })],
+    ['a row with an address cut short', digestWith({ 7: Buffer.alloc(5) })],
+    ['a row with an account without a cost', digestWith({ 8: ['account'] })],
+    ['a row with a cost before its account', digestWith({ 8: [1, 'account'] })],
+    ['a row with a cost that is not whole', digestWith({ 8: ['account', 0.5] })],
+    ['a row with an age that is not whole', digestWith({ 6: 0.5 })],
+    ['a row with work beyond exact numbers', digestWith({ 9: [2 ** 50, 2] })],
+    ['a row with a class without a total', digestWith({ 9: [1, 2, 3] })],
     ['a closing cut inside a row', packr.pack([3, 1, 1, [1, 2]])],
     ['a closing with a negative sequence', packr.pack([3, 1, 1, [1, 2, 3, -2, 2, 3]])],
     ['a closing with a negative figure', packr.pack([3, 1, 1, [1, -2, 3]])],
@@ -211,6 +280,7 @@
     ['an opening with cut figures', openingWith({ 8: [1, 1] })],
   ])('refuses %s', (what, packet) => {
     expect(decoded(openingWith({}))).toMatchObject({ type: 'usage-open', number: 7 });
+    expect(decoded(digestWith({}))).toMatchObject({ type: 'digest', heartbeats: [[0, 1]] });
     expect(decoded(packet)).toBe('protocol-violation');
   });
 });
