Refuse runs that stand for more sequences than any instance has

Cause: gaps and sequences are runs, and a receiver goes through each sequence, so a message of a few bytes with a run of billions would have held an instance in a loop until its memory ended.

Before: such a message was accepted. Bytes of well-formed messages are unchanged.

--- a/packages/hickoryrelay-link/src/UsageMessageCodec.ts
+++ b/packages/hickoryrelay-link/src/UsageMessageCodec.ts
@@ -3,6 +3,7 @@
 
 import { assertWellFormed, byteString, rowsOf } from './CompactListUtils.js';
 import { MessageLayout } from './MessageLayoutConstants.js';
+import { sequenceRuns } from './UsageMessageSchemas.js';
 
 import type {
   InstanceIdentity,
@@ -255,7 +256,7 @@
       const [upTo = 0, ...gaps] = mark ?? [];
       return mark === undefined
         ? { type: 'usage-progress', entries }
-        : { type: 'usage-progress', entries, counted: { upTo, gaps } };
+        : { type: 'usage-progress', entries, counted: { upTo, gaps: sequenceRuns.parse(gaps) } };
     }
     case MessageLayout.UsageClose: {
       const [, number, window, flat] = message;
