--- a/packages/hickoryrelay-link/src/PeerMessages.ts
+++ b/packages/hickoryrelay-link/src/PeerMessages.ts
@@ -60,7 +60,7 @@
  */
 export type HeartbeatEntry = readonly [incarnationTag: number, heartbeat: number];
 
-/** A request identifier; as bytes if it is hexadecimal. */
+/** A request identifier; as bytes, at least one, if it is hexadecimal. */
 export type WireIdentifier = string | Uint8Array;
 
 /**
@@ -190,9 +190,9 @@
     }
   | {
       readonly type: 'usage-acknowledged';
-      /** Incarnation that sent the message. */
+      /** Incarnation that sent the messages. */
       readonly incarnation: string;
-      readonly number: number;
+      readonly numbers: readonly number[];
     }
   | {
       readonly type: 'usage-collect';
