Force the orders of events that seals and reports guard against

Cause: no test failed when one of these mechanisms was taken out alone: a comparison of the seal, the round of a collection, the wait before a first report, the check before a submission, the comparison on the reported mark.

Excluded: a fault in the mechanisms; each order below gives the stated result with them.

Before, each mechanism taken out alone on a working copy (test of UsageOrder that fails, what was seen): - authority.comparison() in seal(): "refuses a seal of an earlier holder before its successor has sealed", seals of two terms. The counted comparison keeps each record counted once, but the reporter relies on no foreign seal appearing during its term. - create-revision of the seal: "does not replace a seal when what is counted was deleted", a window sealed twice. Only a deleted `counted` needs it; otherwise the mod-revision of `counted`, written in the same transaction, covers it. - mod-revision of `counted`: "refuses its own earlier seal after a later one", one record counted twice. No test failed for it alone before. - round: "does not take the statement of an earlier collection for that of a later one", the record misses its window. It is counted in a later one. - wait of 10 s in isDue(): "waits for a report that its predecessor has under way", two reports of a window. - assertHeld() in submit(): "does not report when the authority ended while the platform was asked", reports of terms 6 and 3. - mod-revision of the mark: "does not take the reported mark back when an earlier write arrives late", the mark goes back by a window. No second report follows, because the seal is pruned with the mark.

Taken out alone, no test fails for two checks, which are kept: assertHeld() in reportOne(), because submit() and mark() check again, and the authority comparison of the mark, because a mark is only written once the report is known to be taken, so that a late mark of an earlier holder is true.

Conclusion: each of these mechanisms, but for the two, has a test that needs it.

--- a/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
@@ -372,6 +372,8 @@
 
   readonly store: KeyValueStore;
 
+  readonly sink: UsageReportSink;
+
   silentSince = Infinity;
 
   private opened = 0;
@@ -388,12 +390,13 @@
     this.network = new TestNetwork(this);
     this.authority = new TestAuthority(identity.zone);
     this.store = new TestStore(this);
-    const { store } = this;
+    this.sink = new TestSink(this);
+    const { store, sink } = this;
     const isDead = (incarnation: string) => this.believesDead(incarnation);
     this.usage = new InstanceUsage({
       network: this.network,
       store,
-      sink: new TestSink(this),
+      sink,
       authority: this.authority,
       liveness: new (class extends InstanceLiveness {
         override isDead = isDead;
--- a/packages/hickoryrelay-usage/src/__tests__/unit/UsageFailures.test.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/UsageFailures.test.ts
@@ -1,42 +1,10 @@
 import { describe, expect, it } from 'vitest';
 
 import { UsageMerge } from '../../UsageMerge.js';
+import { callOf, smallWorld, WINDOW } from './SmallWorld.js';
 import { startInstance, World } from './TestWorld.js';
 
-import type { UsageSeal } from '../../UsageSeal.js';
-import type { ServiceCall } from 'hickoryrelay-link/Call';
-import type { AdoptedRecordEntry, UsageLineEntry } from 'hickoryrelay-link/PeerMessages';
-
-const WINDOW = 60_000;
-
-function callOf(request: string): ServiceCall {
-  return {
-    ...{ kind: 'service', requestIdentifier: request, accountName: request, className: 'work' },
-    ...{ route: 'book', idempotencyKey: request, method: 'POST', path: '/', body: Buffer.from('') },
-  } as ServiceCall;
-}
-
-/** Three instances of one zone and one of another; the first holds the authority. */
-function smallWorld() {
-  const world = new World(1);
-  const instances = ['a-1', 'a-2', 'a-3'].map((name) => startInstance(world, name, 'zone-a'));
-  const elsewhere = startInstance(world, 'b-1', 'zone-b');
-  const [first, second, third] = instances as [
-    (typeof instances)[0],
-    (typeof instances)[0],
-    (typeof instances)[0],
-  ];
-  world.grantAuthority('zone-a', first);
-  const lines: UsageLineEntry[] = [];
-  world.table.subscribe(({ events }) => {
-    for (const event of events) {
-      if (event.type === 'put' && /usage\/.*\/\d+$/u.test(event.value.key)) {
-        lines.push(...(JSON.parse(event.value.value) as UsageSeal).lines);
-      }
-    }
-  });
-  return { world, first, second, third, elsewhere, lines };
-}
+import type { AdoptedRecordEntry } from 'hickoryrelay-link/PeerMessages';
 
 describe('usage records when parts fail', () => {
   // Guards against running calls that nobody bills because their instance was killed.
@@ -50,7 +18,7 @@
     await world.clock.advance(1000);
     second.kill();
     await world.clock.advance(3 * WINDOW);
-    expect(lines.map(([account, , , , ...figures]) => [account, ...figures])).toEqual([
+    expect(lines().map(([account, , , , ...figures]) => [account, ...figures])).toEqual([
       ['running', 1, 5, 11],
     ]);
   });
@@ -122,10 +90,10 @@
     await world.clock.advance(WINDOW);
     world.grantAuthority('zone-a', second);
     await world.clock.advance(WINDOW);
-    expect(lines.length).toBe(1);
+    expect(lines().length).toBe(1);
     held.forEach((release) => release());
     await world.clock.advance(2 * WINDOW);
-    expect(lines.map(([account]) => account)).toEqual(['once']);
+    expect(lines().map(([account]) => account)).toEqual(['once']);
   });
 });
 
