--- a/packages/hickoryrelay-usage/src/InstanceUsage.ts
+++ b/packages/hickoryrelay-usage/src/InstanceUsage.ts
@@ -65,18 +65,16 @@
     marks: readonly IncarnationMark[],
   ): Pick<UsageStatement, 'own' | 'adopted'> {
     const { incarnation, zone: ownZone } = this.network.identity;
-    let ownCounted = new CountedSequences();
     for (const [each, mark] of marks) {
       const counted = CountedSequences.from(mark);
       if (each === incarnation) {
-        ownCounted = counted;
         this.meter.drop(counted);
       } else {
         this.replica.drop(each, counted);
       }
     }
     return {
-      own: zone === ownZone ? this.meter.journal.statement(ownCounted, window) : undefined,
+      own: zone === ownZone ? this.meter.journal.statement(window) : undefined,
       adopted: this.replica.statement(zone, window),
     };
   }
--- a/packages/hickoryrelay-usage/src/UsageJournal.ts
+++ b/packages/hickoryrelay-usage/src/UsageJournal.ts
@@ -68,13 +68,13 @@
     this.replace(sequence, { ...figures, closedWindow });
   }
 
-  /** The records that closed up to the window and are not counted yet. */
-  statement(counted: CountedSequences, window: number): OwnStatement {
+  /** The records that closed up to the window. Those that are counted must be dropped before. */
+  statement(window: number): OwnStatement {
     const sequences: number[] = [];
     const totals = new UsageTotals();
     for (const record of this.records.values()) {
       const isDue = record.closedWindow > 0 && record.closedWindow <= window;
-      if (isDue && !counted.has(record.sequence)) {
+      if (isDue) {
         const { account, className, subject, closedWindow } = record;
         sequences.push(record.sequence);
         totals.add([
--- a/packages/hickoryrelay-usage/src/__tests__/unit/UsageOrder.test.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/UsageOrder.test.ts
@@ -62,6 +62,18 @@
     expect(lines().map(([account]) => account)).toEqual(['once']);
   });
 
+  // Guards against statements that are refused for ever because they hold counted records.
+  it('counts records that close after others were counted', async () => {
+    const small = smallWorld();
+    const { second, seals, lines } = small;
+    for (const account of ['earlier', 'later']) {
+      void second.usage.meter.open(callOf(account), 'engine-1').close(FIGURES);
+      const count = seals.length;
+      await until(small, () => seals.length === count + 2);
+    }
+    expect(lines().map(([account]) => account)).toEqual(['earlier', 'later']);
+  });
+
   // Guards against a late statement that ends a collection before its instance has answered.
   it('does not take the statement of an earlier collection for that of a later one', async () => {
     const small = smallWorld();
