Estimate a call only after its engine gave no count for 60 s

Cause: the 60 s were counted from the time at which the instance was first seen dead. If the engine reported a running request for more than 60 s after that and then failed to answer once, the holder closed the record with the last progress at once.

The wait starts with the engine's last count of the request, or with the first question about it.

Conclusion: a holder may wait longer than before, by the time for which the engine answered.

--- a/packages/hickoryrelay-usage/src/UsageReplica.ts
+++ b/packages/hickoryrelay-usage/src/UsageReplica.ts
@@ -34,6 +34,8 @@
   closedWindow: number;
   /** False once this instance has closed the record with the engine's figure. */
   isOwnFigure: boolean;
+  /** Time of the engine's last count, or of the first question, on the monotonic clock. */
+  engineSinceMilliseconds?: number;
 }
 
 type OpenMessage = Extract<PeerMessage, { type: 'usage-open' }>;
@@ -229,9 +231,14 @@
   }
 
   private async closeByEngine(journal: HeldJournal, record: HeldRecord): Promise<void> {
-    const deadSince = journal.deadSinceMilliseconds ?? 0;
-    const waited = this.clock.monotonicMilliseconds() - deadSince;
     const count = await this.ask(record);
+    const now = this.clock.monotonicMilliseconds();
+    // Starts with the last count: the engine of an instance dead for long may have failed just now.
+    if (count !== undefined || record.engineSinceMilliseconds === undefined) {
+      Object.assign(record, { engineSinceMilliseconds: now });
+    }
+    const { deadSinceMilliseconds: deadSince = 0 } = journal;
+    const waited = now - Math.max(deadSince, record.engineSinceMilliseconds ?? now);
     // The instance may have closed the record, or sent it again, while the engine was asked.
     if (journal.records.get(record.sequence) !== record || record.closedWindow > 0) {
       return;
--- a/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
@@ -30,6 +30,7 @@
 const LINK_TIMEOUT = 3000;
 const DEAD_AFTER = 15_000;
 const STORE_TIMEOUT = 2000;
+const ESTIMATE_AFTER = 60_000;
 
 /** The clock of one process, which can be paused or killed. */
 class ProcessClock extends Clock {
@@ -80,6 +81,17 @@
   }
 }
 
+/** What the engines do when they are asked for their count of a request. */
+export const EngineFault = {
+  None: 'none',
+  /** No answer. */
+  Out: 'out',
+  /** An answer without usage figures, as after a restart. */
+  NoFigures: 'no-figures',
+} as const;
+
+export type EngineFault = (typeof EngineFault)[keyof typeof EngineFault];
+
 /** Faults of the world, changed by commands while it runs. */
 export interface WorldFaults {
   messageLoss: number;
@@ -89,6 +101,7 @@
   /** Share of writes whose answer is lost, before or after they take effect. */
   lostAnswers: number;
   sinkOut: boolean;
+  engines: EngineFault;
 }
 
 /** Everything around the instances: time, links, the platform and the engines. */
@@ -101,7 +114,7 @@
 
   readonly faults: WorldFaults = {
     ...{ messageLoss: 0, messageDuplicates: 0, messageDelay: 0, lostAnswers: 0 },
-    ...{ storeOut: false, sinkOut: false },
+    ...{ storeOut: false, sinkOut: false, engines: EngineFault.None },
   };
 
   readonly instances: TestInstance[] = [];
@@ -110,6 +123,9 @@
 
   readonly engineCounts = new Map<string, () => EngineCount>();
 
+  /** Requests for which some instance got no count in the time after which it may estimate. */
+  readonly estimable = new Set<string>();
+
   /** Pairs of names with a cut link, and the time of the cut. */
   readonly cuts = new Map<string, number>();
 
@@ -378,6 +394,9 @@
 
   private opened = 0;
 
+  /** Time of the last count of a request, or of the first question without one. */
+  private readonly uncountedSince = new Map<string, number>();
+
   /** True once any instance believed this one dead. */
   wasBelievedDead = false;
 
@@ -385,7 +404,7 @@
     readonly world: World,
     readonly identity: InstanceIdentity,
   ) {
-    const { random, engineCounts } = world;
+    const { random } = world;
     this.clock = new ProcessClock(world.clock);
     this.network = new TestNetwork(this);
     this.authority = new TestAuthority(identity.zone);
@@ -393,6 +412,7 @@
     this.sink = new TestSink(this);
     const { store, sink } = this;
     const isDead = (incarnation: string) => this.believesDead(incarnation);
+    const countOf = (request: string) => this.countOf(request);
     this.usage = new InstanceUsage({
       network: this.network,
       store,
@@ -402,7 +422,7 @@
         override isDead = isDead;
       })(),
       engines: new (class extends EngineUsageSource {
-        override count = async (endpoint: string, request: string) => engineCounts.get(request)?.();
+        override count = async (endpoint: string, request: string) => countOf(request);
       })(),
       clock: this.clock,
       random,
@@ -447,6 +467,23 @@
     this.authority.since = Infinity;
   }
 
+  private countOf(request: string): EngineCount | undefined {
+    const { faults, engineCounts, estimable } = this.world;
+    const now = this.world.now();
+    const since = this.uncountedSince.get(request) ?? now;
+    this.uncountedSince.set(request, faults.engines === EngineFault.None ? now : since);
+    if (faults.engines === EngineFault.None) {
+      return engineCounts.get(request)?.();
+    }
+    if (now - since >= ESTIMATE_AFTER) {
+      estimable.add(request);
+    }
+    if (faults.engines === EngineFault.Out) {
+      throw unavailable(false);
+    }
+    return undefined;
+  }
+
   private believesDead(incarnation: string): boolean {
     const other = this.world.instances.find((each) => each.identity.incarnation === incarnation);
     const isDead = other === undefined || this.world.silence(this, other) >= DEAD_AFTER;
