Let engines fail to give counts in the usage fuzz

Cause: engines always answered in UsageFuzz, so the estimate of a dead instance's call was never made there.

Excluded: engines that answer late; the holder asks again each second.

The command `engines` switches between answers, no answer, and answers without figures. The world notes each call for which some holder got no count for 60 s. For these the oracle asks for a figure no higher than the true one; for all others that were closed it still asks for the exact figure. That each call counts at most once, and once if it was closed, holds for all.

--- a/packages/hickoryrelay-usage/src/__tests__/unit/UsageFuzz.test.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/UsageFuzz.test.ts
@@ -3,7 +3,7 @@
 import { invariant } from 'hickoryrelay/Invariant';
 import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 
-import { startInstance, World } from './TestWorld.js';
+import { EngineFault, startInstance, World } from './TestWorld.js';
 import type { UsageSeal } from '../../UsageSeal.js';
 import type { TestInstance } from './TestWorld.js';
 import type { ServiceCall } from 'hickoryrelay-link/Call';
@@ -43,6 +43,9 @@
 
   readonly grants: string[] = [];
 
+  /** Calls of which an instance may have counted the last progress, for want of the engine's count. */
+  estimable = 0;
+
   /** Calls whose owner and all holders were killed. */
   lost = 0;
 }
@@ -140,6 +143,7 @@
     const { world } = this;
     Object.assign(world.faults, { messageLoss: 0, messageDuplicates: 0, lostAnswers: 0 });
     Object.assign(world.faults, { messageDelay: 0, storeOut: false, sinkOut: false });
+    world.faults.engines = EngineFault.None;
     world.cuts.clear();
     world.live.forEach((instance) => instance.resume());
     ZONES.forEach((zone, index) => world.grantAuthority(zone, this.at(index * 3)));
@@ -161,7 +165,10 @@
         const { incarnation } = call.owner.identity;
         expect(count, `${call.account} of ${incarnation} closed and not counted`).toBe(1);
       }
-      if (count === 1 && call.isClosed) {
+      if (world.estimable.has(call.account)) {
+        oracle.estimable += 1;
+        expect(tokens, `${call.account} estimated too high`).toBeLessThanOrEqual(call.figure);
+      } else if (count === 1 && call.isClosed) {
         expect(tokens, `${call.account} counted with a wrong figure`).toBe(call.figure);
       }
       oracle.lost += call.isClosed && count === 0 ? 1 : 0;
@@ -307,6 +314,12 @@
         Object.assign(world.faults, { sinkOut: sinkOut === 1 });
       }),
   ),
+  fc.nat({ max: 2 }).map(
+    (p) =>
+      new Event('engines', [p], ({ world }) => {
+        Object.assign(world.faults, { engines: Object.values(EngineFault)[p] });
+      }),
+  ),
   fc
     .tuple(index)
     .map(
@@ -319,7 +332,7 @@
 
 // Guards against usage that is lost or counted twice, reports that differ, and calls that run twice.
 it('counts each call once, reports one figure and grants each claim once', async () => {
-  let [calls, lost] = [0, 0];
+  let [calls, lost, estimable] = [0, 0, 0];
   await fc.assert(
     fc.asyncProperty(
       fc.nat(),
@@ -332,6 +345,7 @@
         system.check();
         calls += oracle.calls.length;
         lost += oracle.lost;
+        estimable += oracle.estimable;
       },
     ),
     {
@@ -342,6 +356,7 @@
     },
   );
   process.stdout.write(
-    `usage fuzz: seed ${SEED}, ${RUNS} runs, ${calls} calls, ${lost} lost with all their holders\n`,
+    `usage fuzz: seed ${SEED}, ${RUNS} runs, ${calls} calls, ${lost} lost with all their holders, ` +
+      `${estimable} that may be estimated\n`,
   );
 }, 900_000);
