--- a/packages/hickoryrelay-link/src/PeerMessageCodec.ts
+++ b/packages/hickoryrelay-link/src/PeerMessageCodec.ts
@@ -57,7 +57,8 @@
 }
 
 /**
- * Encodes a message. The frequent ones are lists, because field names would double their size. What the receiver knows of itself is left out if it is given.
+ * Encodes a message. The frequent ones are lists, because field names would double their size. What
+ * the receiver knows of itself is left out if it is given.
  */
 export function encodePeerMessage(message: PeerMessage, receiver?: InstanceIdentity): Uint8Array {
   return packr.pack(encodedForm(message, receiver));
