Count the faults that fuzz tests inject, by kind

Cause: the stateful fuzz tests inject faults without counting them, so a run could pass although a fault never took effect.

Change: FaultTally of the stand-ins takes the counts. Stand-ins count a fault where it takes effect: a pause when it holds up the first timer or arrival, a cut when it ends a link, a lost answer after the effect. Each fuzz test prints one line at its end, which names the kinds that the test expects and that were never injected.

Excluded: counting commands. A command may have no effect (a pause with nothing due, a fault that no request meets). Planned stops are not counted.

Conclusion: a kind that is never injected is now visible.

--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
@@ -13,6 +13,7 @@
 import { DEFAULT_EXCHANGE_LIMITS } from 'hickoryrelay-instance/ExchangeLimits';
 import { RetryBudget } from 'hickoryrelay-instance/RetryBudget';
 import { EngineStandIn } from 'hickoryrelay-standin/EngineStandIn';
+import { FaultKind, FaultTally } from 'hickoryrelay-standin/FaultTally';
 import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { ServiceStandIn } from 'hickoryrelay-standin/ServiceStandIn';
 import { CallMeter } from 'hickoryrelay-usage/CallMeter';
@@ -30,6 +31,10 @@
 /** Far longer than all backoff delays of a test, so that only `passSilence` makes it pass. */
 const SILENCE_MILLISECONDS = 10_000_000;
 const MOST_TURNS = 4000;
+
+/** Nothing listens there. */
+export const NO_SUCH_ADDRESS = 'http://127.0.0.1:9';
+
 const NEVER_MILLISECONDS = Number.MAX_SAFE_INTEGER;
 
 /** A writer that keeps the answer, and from which the caller may go away. */
@@ -38,6 +43,9 @@
 
   ended = false;
 
+  /** Whether the caller went away before its answer was complete. */
+  isGone = false;
+
   report: FailureReport | undefined;
 
   closesBeforeLastPiece = 0;
@@ -72,6 +80,7 @@
   override async write(piece: Buffer): Promise<void> {
     this.closesBeforeLastPiece = this.meter.closed.length;
     if (this.pieces.length >= this.goneAfterPieces) {
+      this.isGone = true;
       throw new RelayError({ kind: FailureKind.Cancelled, reason: 'the caller has gone' });
     }
     await this.onWrite(piece);
@@ -110,6 +119,9 @@
 export class InMemoryClaimRegister extends ClaimRegister {
   isUnavailable = false;
 
+  /** Takes the faults that took effect. */
+  tally = new FaultTally();
+
   private readonly claims = new Map<
     string,
     { requestIdentifier: string; answer: StoredAnswer | undefined }
@@ -117,6 +129,7 @@
 
   override async claim(call: ServiceCall): Promise<ClaimOutcome> {
     if (this.isUnavailable) {
+      this.tally.count(FaultKind.Outage);
       throw new RelayError({
         kind: FailureKind.PlatformUnavailable,
         service: 'key-value service',
@@ -166,20 +179,30 @@
 
   parts: ExchangeParts;
 
+  readonly tally: FaultTally;
+
   private readonly links = new EndpointLinks();
 
   private callNumber = 0;
 
   private advancing = Promise.resolve();
 
-  constructor() {
+  constructor(tally = new FaultTally()) {
+    this.tally = tally;
+    this.claims.tally = tally;
+    this.service.tally = tally;
     this.parts = {
       admission: new ConcurrencyLimitAdmission(100),
       selection: new LeastOutstandingSelection('zone-a'),
       fleet: this.fleet,
       links: this.links,
       clock: this.clock,
-      begin: (endpoint, call) => new EndpointCall(endpoint, call, {}, this.clock),
+      begin: (endpoint, call) => {
+        if (endpoint.identifier === NO_SUCH_ADDRESS) {
+          tally.count(FaultKind.RefusedConnection);
+        }
+        return new EndpointCall(endpoint, call, {}, this.clock);
+      },
       random: new SeededRandomSource(1),
       meter: this.meter,
       claims: this.claims,
@@ -205,6 +228,7 @@
       const decodeMilliseconds = index === 0 ? 1 : 0;
       const times = { prefillRate: Number.POSITIVE_INFINITY, decodeMilliseconds };
       const engine = new EngineStandIn(['model-one'], times);
+      engine.tally = this.tally;
       await engine.listen();
       this.engines.push(engine);
     }
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFuzz.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFuzz.test.ts
@@ -1,11 +1,17 @@
 import fc from 'fast-check';
-import { describe, expect, it } from 'vitest';
+import { afterAll, describe, expect, it } from 'vitest';
 import { completionWords } from 'hickoryrelay-standin/EngineStandIn';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
+import { FaultKind, FaultTally } from 'hickoryrelay-standin/FaultTally';
 import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 import { StreamFault } from 'hickoryrelay-standin/StreamFault';
 
-import { ExchangeFixture, readEvents, RecordingWriter } from './ExchangeFixture.js';
+import {
+  ExchangeFixture,
+  NO_SUCH_ADDRESS,
+  readEvents,
+  RecordingWriter,
+} from './ExchangeFixture.js';
 import type { ModelCall, ServiceCall } from 'hickoryrelay-link/Call';
 
 const { seed: SEED, runs: RUNS, path: FUZZ_PATH } = fuzzSettings(60);
@@ -17,7 +23,31 @@
   ...(FUZZ_PATH === undefined ? {} : { path: FUZZ_PATH }),
 };
 
-const NO_SUCH_ADDRESS = 'http://127.0.0.1:9';
+const FAULTS = [
+  FaultKind.EngineCrash,
+  FaultKind.EarlyClose,
+  FaultKind.SilentEngine,
+  FaultKind.ForeignPiece,
+  FaultKind.RepeatedPiece,
+  FaultKind.MissingPiece,
+  FaultKind.CallerGone,
+  FaultKind.Refusal,
+  FaultKind.LostAnswer,
+  FaultKind.SilentConnection,
+  FaultKind.RefusedConnection,
+  FaultKind.Outage,
+];
+const TALLY = new FaultTally();
+
+afterAll(() => {
+  process.stdout.write(TALLY.describe('exchange', FAULTS));
+});
+
+function countGone(writer: RecordingWriter): void {
+  if (writer.isGone) {
+    TALLY.count(FaultKind.CallerGone);
+  }
+}
 
 const modelCallScript = fc.record({
   tokens: fc.integer({ min: 1, max: 10 }),
@@ -183,7 +213,7 @@
     });
     await fc.assert(
       fc.asyncProperty(script, async ({ calls, faults }) => {
-        const fixture = await new ExchangeFixture().start();
+        const fixture = await new ExchangeFixture(TALLY).start();
         try {
           for (const engine of fixture.engines) {
             faults.forEach((planned) => engine.misbehaveNext(...planned));
@@ -193,6 +223,7 @@
             const call = fixture.modelCall({ isStreaming, includesUsage }, each.tokens);
             const writer = new RecordingWriter(fixture.meter, each.goneAfterPieces);
             await fixture.run(call, writer);
+            countGone(writer);
             return { call, each, writer };
           });
           for (const { call, each, writer } of await Promise.all(runs)) {
@@ -217,7 +248,7 @@
     const script = fc.array(serviceStep, { minLength: 1, maxLength: 6 });
     await fc.assert(
       fc.asyncProperty(script, async (steps) => {
-        const fixture = await new ExchangeFixture().start(0);
+        const fixture = await new ExchangeFixture(TALLY).start(0);
         const oracle = new ServiceOracle(fixture);
         try {
           for (const step of steps) {
@@ -232,6 +263,7 @@
             const writer = new RecordingWriter(fixture.meter, step.isCallerGone ? 0 : undefined);
             const runsBefore = fixture.runsOf(call);
             await fixture.run(call, writer, step.fault === Fault.Silent);
+            countGone(writer);
             oracle.check(step, call, runsBefore, writer);
             while (step.isIdempotent && faults.take() !== Fault.None) {
               // Faults that no request has met must not meet the next call.
--- a/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationFuzz.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationFuzz.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import { describe, it } from 'vitest';
+import { FaultKind, FaultTally } from 'hickoryrelay-standin/FaultTally';
 import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 
 import { PathState } from 'hickoryrelay-standin/MemoryPeerTransport';
@@ -11,6 +12,21 @@
  */
 const { seed: SEED, runs: RUNS, path: FUZZ_PATH, replayPath: FUZZ_REPLAY } = fuzzSettings(60);
 
+const FAULTS = [
+  FaultKind.Kill,
+  FaultKind.Pause,
+  FaultKind.CutLink,
+  FaultKind.RefusedConnection,
+  FaultKind.SilentConnection,
+  FaultKind.LostMessage,
+  FaultKind.Outage,
+  FaultKind.LostAnswer,
+  FaultKind.DelayedRequest,
+  FaultKind.SilentWatch,
+  FaultKind.DelayedWatch,
+  FaultKind.LostRace,
+];
+
 type Real = FederationModel;
 interface State {
   readonly running: Set<string>;
@@ -157,6 +173,7 @@
 
 describe('configuration by platform and peers', () => {
   it(`never reverts, is never mixed, and arrives everywhere once faults end (FUZZ_SEED=${SEED} FUZZ_RUNS=${RUNS})`, async () => {
+    const tally = new FaultTally();
     await fc.assert(
       fc.asyncProperty(
         fc.integer({ min: 1, max: 1_000_000 }),
@@ -167,7 +184,7 @@
           ...(FUZZ_REPLAY !== undefined && { replayPath: FUZZ_REPLAY }),
         }),
         async (seed, endsWithPlatform, commands) => {
-          const real = new FederationModel(seed);
+          const real = new FederationModel(seed, tally);
           try {
             await real.race(1, 0);
             const running = new Set(NAMES.slice(0, 4));
@@ -189,5 +206,6 @@
         endOnFailure: FUZZ_PATH !== undefined,
       },
     );
+    process.stdout.write(tally.describe('configuration', FAULTS));
   }, 600_000);
 });
--- a/packages/hickoryrelay-instance/src/__tests__/unit/FederationModel.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/FederationModel.ts
@@ -1,8 +1,10 @@
 import { invariant } from 'hickoryrelay/Invariant';
+import { ManualClock } from 'hickoryrelay/ManualClock';
 import { hasFailureKind } from 'hickoryrelay/RelayError';
 import { AccessKey } from 'hickoryrelay-contract/AccessKey';
 import { bucketsOf } from 'hickoryrelay-contract/ConfigurationBucket';
 import { HEAD_KEY } from 'hickoryrelay-platform/ConfigurationStore';
+import { FaultKind, FaultTally } from 'hickoryrelay-standin/FaultTally';
 import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { SimulatedFederation } from 'hickoryrelay-standin/SimulatedFederation';
 
@@ -58,8 +60,8 @@
 
   private changeCount = 0;
 
-  constructor(seed: number) {
-    this.federation = new SimulatedFederation(seed);
+  constructor(seed: number, tally = new FaultTally()) {
+    this.federation = new SimulatedFederation(seed, new ManualClock(), tally);
     this.key = AccessKey.issue(this.federation.random);
     this.keyText = this.key.text;
     this.federation.platform.table.subscribe(({ events }) => {
@@ -125,6 +127,9 @@
       const isExpected =
         hasFailureKind(error, 'revision-conflict') || hasFailureKind(error, 'platform-unavailable');
       invariant(isExpected, `replace failed with ${String(error)}`);
+      if (hasFailureKind(error, 'revision-conflict')) {
+        this.federation.tally.count(FaultKind.LostRace);
+      }
       return false;
     }
     return true;
--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -7,6 +7,7 @@
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
 
 import { EngineOrderSide } from './EngineOrderSide.js';
+import { FaultKind } from './FaultTally.js';
 import { GenerationTable } from './GenerationTable.js';
 import { JsonServer } from './JsonServer.js';
 
@@ -145,6 +146,15 @@
   }
 }
 
+const KIND_OF_STREAM_FAULT = {
+  [StreamFault.Crash]: FaultKind.EngineCrash,
+  [StreamFault.Silent]: FaultKind.SilentEngine,
+  [StreamFault.CloseEarly]: FaultKind.EarlyClose,
+  [StreamFault.ForeignPiece]: FaultKind.ForeignPiece,
+  [StreamFault.RepeatedPiece]: FaultKind.RepeatedPiece,
+  [StreamFault.MissingPiece]: FaultKind.MissingPiece,
+} as const;
+
 /** A stand-in for a model engine with the OpenAI-style interface. */
 export class EngineStandIn extends JsonServer {
   /** Headers and bodies of every request received, to search for secrets. */
@@ -301,6 +311,11 @@
     words: readonly string[],
     index: number,
   ): boolean {
+    const isRepeatOfNothing = fault === StreamFault.RepeatedPiece && index === 0;
+    const isGapAfterEnd = fault === StreamFault.MissingPiece && index >= words.length;
+    if (!stream.isClosed && !isRepeatOfNothing && !isGapAfterEnd) {
+      this.tally.count(KIND_OF_STREAM_FAULT[fault]);
+    }
     switch (fault) {
       case StreamFault.Crash:
         stream.crash();
@@ -332,6 +347,11 @@
   ): boolean {
     this.countGenerated(body, words.length);
     const isForeign = fault === StreamFault.ForeignPiece;
+    const isStreamedOnly =
+      fault === StreamFault.RepeatedPiece || fault === StreamFault.MissingPiece;
+    if (fault !== undefined && !isStreamedOnly) {
+      this.tally.count(KIND_OF_STREAM_FAULT[fault]);
+    }
     const owner = isForeign ? { ...body, request_id: FOREIGN_REQUEST } : body;
     const text = JSON.stringify(EngineStandIn.wholeAnswer(request, owner, words));
     response.writeHead(200, { 'content-type': 'application/json' });
--- a/packages/hickoryrelay-standin/src/InProcessExchange.ts
+++ b/packages/hickoryrelay-standin/src/InProcessExchange.ts
@@ -1,4 +1,5 @@
 import { Fault, FaultPlan } from './FaultPlan.js';
+import { FaultKind, FaultTally } from './FaultTally.js';
 import type { ProcessClock } from './ProcessClock.js';
 import type { Clock } from 'hickoryrelay/Clock';
 
@@ -24,6 +25,9 @@
 export class InProcessExchange {
   readonly faults = new FaultPlan();
 
+  /** Takes the faults that took effect. */
+  tally = new FaultTally();
+
   /** Time until a request takes effect, in milliseconds. */
   requestMilliseconds = 0;
 
@@ -51,8 +55,12 @@
   async send<Answer>(effect: () => Answer, toError: (reason: NoAnswer) => Error): Promise<Answer> {
     const fault = this.faults.take();
     if (fault === Fault.Refuse) {
+      this.tally.count(FaultKind.Refusal);
       throw toError({ reason: 'connection refused', mayHaveTakenEffect: false });
     }
+    if (this.requestMilliseconds + this.answerMilliseconds > 0) {
+      this.tally.count(FaultKind.DelayedRequest);
+    }
     const outcome = await this.firstOf(effect, fault);
     await this.process.arrive();
     if (outcome === undefined) {
@@ -74,9 +82,14 @@
     });
     const answered = this.perform(effect).then(async (outcome) => {
       if (fault === Fault.LoseAnswer) {
+        this.tally.count(FaultKind.LostAnswer);
         return undefined;
       }
-      return fault === Fault.Silent ? timedOut : outcome;
+      if (fault === Fault.Silent) {
+        this.tally.count(FaultKind.SilentConnection);
+        return timedOut;
+      }
+      return outcome;
     });
     const outcome = await Promise.race([answered, timedOut]);
     cancelTimeout();
--- a/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
+++ b/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
@@ -2,6 +2,7 @@
 import { RelayError, failureOf } from 'hickoryrelay/RelayError';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
+import { FaultKind } from './FaultTally.js';
 import { InProcessExchange } from './InProcessExchange.js';
 
 import type { NoAnswer } from './InProcessExchange.js';
@@ -66,6 +67,7 @@
 
   override keepLeaseAlive(identifier: string): Promise<number> {
     if (this.refusesRenewals) {
+      this.exchange.tally.count(FaultKind.RefusedRenewal);
       return Promise.reject(unavailable({ reason: 'refused', mayHaveTakenEffect: false }));
     }
     return this.send(() => this.table.keepLeaseAlive(identifier));
--- a/packages/hickoryrelay-standin/src/JsonServer.ts
+++ b/packages/hickoryrelay-standin/src/JsonServer.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { Fault, FaultPlan } from './FaultPlan.js';
+import { FaultKind, FaultTally } from './FaultTally.js';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
@@ -32,6 +33,9 @@
 export abstract class JsonServer {
   readonly faults = new FaultPlan();
 
+  /** Takes the faults that took effect. */
+  tally = new FaultTally();
+
   private readonly server: Server;
 
   constructor() {
@@ -80,6 +84,7 @@
       await sleep(this.faults.delayMilliseconds);
     }
     if (fault === Fault.Refuse) {
+      this.tally.count(FaultKind.Refusal);
       response.writeHead(503).end();
       return;
     }
@@ -89,10 +94,13 @@
     }
     const { status, body } = await this.answer(received);
     if (fault === Fault.LoseAnswer) {
+      this.tally.count(FaultKind.LostAnswer);
       request.socket.destroy();
     } else if (fault === Fault.None) {
       response.writeHead(status, { 'content-type': 'application/json' });
       response.end(JSON.stringify(body));
+    } else {
+      this.tally.count(FaultKind.SilentConnection);
     }
   }
 }
--- a/packages/hickoryrelay-standin/src/KeyValueTable.ts
+++ b/packages/hickoryrelay-standin/src/KeyValueTable.ts
@@ -1,6 +1,8 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
+import { FaultKind, FaultTally } from './FaultTally.js';
+
 import type { Clock } from 'hickoryrelay/Clock';
 import type {
   Comparison,
@@ -64,6 +66,9 @@
 
 /** The state of a key-value service in memory: revisions, leases and the history of changes. */
 export class KeyValueTable {
+  /** Takes the faults that took effect. */
+  tally = new FaultTally();
+
   private readonly clock: Clock;
 
   private readonly values = new Map<string, KeyValue>();
@@ -158,6 +163,7 @@
     const now = this.clock.monotonicMilliseconds();
     for (const [identifier, lease] of [...this.leases]) {
       if (lease.expiryMilliseconds <= now) {
+        this.tally.count(FaultKind.LapsedLease);
         this.revokeLease(identifier);
       }
     }
--- a/packages/hickoryrelay-standin/src/MemoryPeerTransport.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPeerTransport.ts
@@ -2,6 +2,8 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 import { PeerConnection, PeerTransport } from 'hickoryrelay-link/PeerConnection';
 
+import { FaultKind, FaultTally } from './FaultTally.js';
+
 import type { CleanUp } from 'hickoryrelay/LifecycleManager';
 
 /** What the path between two addresses does. */
@@ -17,6 +19,7 @@
 
 /** What connections and transports need of the net that they belong to. */
 interface NetAccess {
+  readonly tally: FaultTally;
   onSent(url: string, bytes: number): void;
   deliver(arrival: () => void): void;
   forget(connection: MemoryConnection): void;
@@ -52,7 +55,9 @@
 
   override send(bytes: Uint8Array): void {
     this.net.onSent(this.localUrl, bytes.length);
-    if (!this.isSilent) {
+    if (this.isSilent) {
+      this.net.tally.count(FaultKind.LostMessage);
+    } else {
       this.net.deliver(() => this.other?.arrive(bytes));
     }
   }
@@ -119,6 +124,9 @@
 
 /** The paths between entry instances of one process, with faults. For tests and measurements. */
 export class MemoryNet implements NetAccess {
+  /** Takes the faults that took effect. */
+  tally = new FaultTally();
+
   /** Messages and bytes sent by each address. */
   readonly sent = new Map<string, { messages: number; bytes: number }>();
 
@@ -143,7 +151,8 @@
     for (const connection of [...this.connections]) {
       const { localUrl, remoteUrl } = connection;
       if (MemoryNet.pathKey(localUrl, remoteUrl) === MemoryNet.pathKey(left, right)) {
-        if (state === PathState.Cut) {
+        if (state === PathState.Cut && this.connections.has(connection)) {
+          this.tally.count(FaultKind.CutLink);
           connection.terminate();
         }
         // A connection that has lost its state stays silent when the path is open again.
@@ -209,6 +218,8 @@
     const state = this.paths.get(MemoryNet.pathKey(localUrl, remoteUrl)) ?? PathState.Open;
     const accept = this.listeners.get(remoteUrl);
     if (state !== PathState.Open) {
+      const isCut = state === PathState.Cut;
+      this.tally.count(isCut ? FaultKind.RefusedConnection : FaultKind.SilentConnection);
       return state;
     }
     if (this.paused.has(remoteUrl)) {
--- a/packages/hickoryrelay-standin/src/MemoryPlatform.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPlatform.ts
@@ -3,6 +3,7 @@
 import { InstanceList } from 'hickoryrelay-platform/InstanceList';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
+import { FaultKind, FaultTally } from './FaultTally.js';
 import { KeyValueTable } from './KeyValueTable.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ListedInstance } from 'hickoryrelay-platform/InstanceList';
@@ -21,6 +22,9 @@
 export class MemoryPlatform {
   readonly table: KeyValueTable;
 
+  /** Takes the faults that took effect. */
+  tally = new FaultTally();
+
   readonly instances = new Map<string, ListedInstance>();
 
   /** Names of callers that get no answer from any service. */
@@ -65,6 +69,7 @@
     effect: () => Answer,
   ): Promise<Answer> {
     const isReachable = this.isReachableFor(caller);
+    this.countFault(isReachable, isWrite);
     const answer = isReachable ? effect() : undefined;
     const isLost = isWrite && this.lostAnswers > 0;
     this.lostAnswers -= isLost ? 1 : 0;
@@ -80,6 +85,16 @@
     }
     return answer;
   }
+
+  private countFault(isReachable: boolean, isWrite: boolean): void {
+    if (!isReachable) {
+      this.tally.count(FaultKind.Outage);
+    } else if (isWrite && this.lostAnswers > 0) {
+      this.tally.count(FaultKind.LostAnswer);
+    } else if (this.answerDelayMilliseconds > USUAL_DELAY_MILLISECONDS) {
+      this.tally.count(FaultKind.DelayedRequest);
+    }
+  }
 }
 
 /** The key-value service of a platform in memory, as one caller sees it. */
@@ -133,7 +148,13 @@
         wake = resolve;
       });
     const receive = (batch: WatchBatch) => {
-      if (!this.platform.silencesWatches && this.platform.isReachableFor(this.caller)) {
+      const { tally } = this.platform;
+      if (this.platform.silencesWatches || !this.platform.isReachableFor(this.caller)) {
+        tally.count(FaultKind.SilentWatch);
+      } else {
+        if (this.platform.watchDelayMilliseconds > USUAL_DELAY_MILLISECONDS) {
+          tally.count(FaultKind.DelayedWatch);
+        }
         this.clock.schedule(this.platform.watchDelayMilliseconds, () => {
           batches.push(batch);
           wake();
--- a/packages/hickoryrelay-standin/src/ProcessClock.ts
+++ b/packages/hickoryrelay-standin/src/ProcessClock.ts
@@ -2,11 +2,16 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
+import { FaultKind, FaultTally } from './FaultTally.js';
+
 /**
  * The clock of one simulated process. While the process is paused time goes on, but nothing that
  * falls due or arrives runs until it resumes; once killed, nothing runs any more.
  */
 export class ProcessClock extends Clock {
+  /** Takes the faults that took effect. */
+  tally = new FaultTally();
+
   private readonly base: Clock;
 
   private heldTimers: (() => void)[] = [];
@@ -104,10 +109,14 @@
 
   /** Sets the wall clock of the process against the others. */
   setWallOffset(milliseconds: number): void {
+    if (milliseconds !== this.wallOffsetMilliseconds && milliseconds !== 0) {
+      this.tally.count(FaultKind.ClockStep);
+    }
     this.wallOffsetMilliseconds = milliseconds;
   }
 
   kill(): void {
+    this.tally.count(FaultKind.Kill);
     this.isKilled = true;
     this.heldTimers = [];
     this.heldArrivals = [];
@@ -117,6 +126,9 @@
     if (this.isRunning) {
       action();
     } else if (!this.isKilled) {
+      if (this.heldTimers.length + this.heldArrivals.length === 0) {
+        this.tally.count(FaultKind.Pause);
+      }
       held.push(action);
     }
   }
--- a/packages/hickoryrelay-standin/src/SimulatedFederation.ts
+++ b/packages/hickoryrelay-standin/src/SimulatedFederation.ts
@@ -7,6 +7,7 @@
 import { InstanceControl } from 'hickoryrelay-instance/InstanceControl';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 
+import { FaultKind, FaultTally } from './FaultTally.js';
 import { MemoryNet } from './MemoryPeerTransport.js';
 import { MemoryInstanceList, MemoryKeyValueStore, MemoryPlatform } from './MemoryPlatform.js';
 import type { Failure } from 'hickoryrelay/Failure';
@@ -15,15 +16,18 @@
 export class ProcessClock extends Clock {
   private readonly base: ManualClock;
 
+  private readonly tally: FaultTally;
+
   private readonly due: (() => void)[] = [];
 
   private isPaused = false;
 
   private isKilled = false;
 
-  constructor(base: ManualClock) {
+  constructor(base: ManualClock, tally: FaultTally) {
     super();
     this.base = base;
+    this.tally = tally;
   }
 
   override monotonicMilliseconds(): number {
@@ -38,7 +42,7 @@
     await this.base.sleep(milliseconds, signal);
     if (this.isPaused) {
       await new Promise<void>((resolve) => {
-        this.due.push(resolve);
+        this.hold(resolve);
       });
     }
   }
@@ -52,7 +56,7 @@
     };
     const cancel = this.base.schedule(milliseconds, () => {
       if (this.isPaused) {
-        this.due.push(run);
+        this.hold(run);
       } else {
         run();
       }
@@ -75,6 +79,13 @@
   kill(): void {
     this.isKilled = true;
   }
+
+  private hold(action: () => void): void {
+    if (this.due.length === 0) {
+      this.tally.count(FaultKind.Pause);
+    }
+    this.due.push(action);
+  }
 }
 
 /** The control part of one run of an instance in a simulated federation. */
@@ -98,11 +109,11 @@
   private readonly lifecycle: LifecycleManager;
 
   constructor(federation: SimulatedFederationParts, name: string, zone: string) {
-    const { clock, net, platform, random } = federation;
+    const { clock, net, platform, random, tally } = federation;
     this.name = name;
     this.zone = zone;
     this.url = `ws://${name}`;
-    this.clock = new ProcessClock(clock);
+    this.clock = new ProcessClock(clock, tally);
     this.view = new ConfigurationView(this.clock);
     this.lifecycle = new LifecycleManager(name, this.clock, (owner, failure) => {
       this.failures.push(failure);
@@ -144,6 +155,7 @@
   readonly net: MemoryNet;
   readonly platform: MemoryPlatform;
   readonly random: SeededRandomSource;
+  readonly tally: FaultTally;
 }
 
 /** Control parts of many instances in one process, on a clock that tests move. */
@@ -156,12 +168,17 @@
 
   readonly random: SeededRandomSource;
 
+  readonly tally: FaultTally;
+
   /** The live run of each instance. */
   readonly instances = new Map<string, SimulatedInstance>();
 
-  constructor(seed: number, clock = new ManualClock()) {
+  constructor(seed: number, clock = new ManualClock(), tally = new FaultTally()) {
     this.clock = clock;
+    this.tally = tally;
+    this.net.tally = tally;
     this.platform = new MemoryPlatform(clock);
+    this.platform.tally = tally;
     this.random = new SeededRandomSource(seed);
   }
 
@@ -174,9 +191,10 @@
   }
 
   kill(name: string): void {
-    this.instances.get(name)?.kill(this.net);
-    this.instances.delete(name);
-    this.net.setPaused(`ws://${name}`, false);
+    if (this.instances.has(name)) {
+      this.tally.count(FaultKind.Kill);
+    }
+    this.end(name);
   }
 
   setPaused(name: string, isPaused: boolean): void {
@@ -210,6 +228,12 @@
   }
 
   stop(): void {
-    [...this.instances.keys()].forEach((name) => this.kill(name));
+    [...this.instances.keys()].forEach((name) => this.end(name));
+  }
+
+  private end(name: string): void {
+    this.instances.get(name)?.kill(this.net);
+    this.instances.delete(name);
+    this.net.setPaused(`ws://${name}`, false);
   }
 }
--- a/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
@@ -8,6 +8,7 @@
 import { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
+import { FaultKind, FaultTally } from 'hickoryrelay-standin/FaultTally';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 
 import { Authority } from '../../Authority.js';
@@ -39,13 +40,19 @@
 
   private deferred: (() => void)[] = [];
 
-  constructor(private readonly world: Clock) {
+  constructor(
+    private readonly world: Clock,
+    private readonly tally: FaultTally,
+  ) {
     super();
   }
 
   /** Runs the action now, when the process resumes, or never. */
   run(action: () => void): void {
     if (this.isPaused) {
+      if (this.deferred.length === 0) {
+        this.tally.count(FaultKind.Pause);
+      }
       this.deferred.push(action);
     } else if (!this.isKilled) {
       action();
@@ -121,6 +128,7 @@
   constructor(
     seed: number,
     readonly replication?: ReplicationSettings,
+    readonly tally = new FaultTally(),
   ) {
     this.random = new SeededRandomSource(seed);
   }
@@ -145,10 +153,18 @@
     const target = this.live.find(({ identity }) => identity.name === name);
     const copies = this.random.fraction() < messageDuplicates ? 2 : 1;
     this.observers.forEach((observe) => observe(from.identity.name, name, message));
+    if (copies > 1) {
+      this.tally.count(FaultKind.RepeatedMessage);
+    }
     for (let copy = 0; copy < copies; copy += 1) {
       const delay = 1 + this.random.fraction() * messageDelay;
-      const isLost =
-        this.cuts.has(World.pair(from.identity.name, name)) || this.random.fraction() < messageLoss;
+      const isCut = this.cuts.has(World.pair(from.identity.name, name));
+      const isLost = isCut || this.random.fraction() < messageLoss;
+      if (isLost) {
+        this.tally.count(isCut ? FaultKind.CutMessage : FaultKind.LostMessage);
+      } else if (messageDelay > 0) {
+        this.tally.count(FaultKind.DelayedMessage);
+      }
       if (target !== undefined && !isLost) {
         const received = structuredClone({ from: from.identity, message });
         this.clock.schedule(delay, () => target.clock.run(() => target.network.push(received)));
@@ -163,6 +179,9 @@
   /** Gives the authority over a zone to an instance. The term of the holder before ends. */
   grantAuthority(zone: string, holder: TestInstance): void {
     const key = `/authority/${zone}`;
+    if (this.instances.some((each) => each !== holder && each.holds(zone))) {
+      this.tally.count(FaultKind.AuthorityChange);
+    }
     this.instances.filter((each) => each.identity.zone === zone).forEach((each) => each.lose());
     this.table.commit({
       compare: [],
@@ -245,11 +264,15 @@
   return new Promise<Answer>((resolve, reject) => {
     world.clock.schedule(delay, () => {
       if (isOut() || isDropped) {
+        world.tally.count(isOut() ? FaultKind.Outage : FaultKind.Refusal);
         clock.run(() => reject(unavailable(isLost)));
         return;
       }
       const answer = effect();
-      if (!isLost) {
+      if (isLost) {
+        const isLate = delay > STORE_TIMEOUT;
+        world.tally.count(isLate ? FaultKind.LateEffect : FaultKind.LostAnswer);
+      } else {
         clock.run(() => resolve(answer));
       }
     });
@@ -384,7 +407,7 @@
     readonly identity: InstanceIdentity,
   ) {
     const { random, engineCounts } = world;
-    this.clock = new ProcessClock(world.clock);
+    this.clock = new ProcessClock(world.clock, world.tally);
     this.network = new TestNetwork(this);
     this.authority = new TestAuthority(identity.zone);
     this.store = new TestStore(this);
@@ -419,7 +442,13 @@
     return this.opened;
   }
 
+  /** Whether this instance holds the authority over the zone. */
+  holds(zone: string): boolean {
+    return this.identity.zone === zone && this.authority.isHeld;
+  }
+
   kill(): void {
+    this.world.tally.count(FaultKind.Kill);
     this.silentSince = Math.min(this.silentSince, this.world.now());
     this.clock.isKilled = true;
   }
--- a/packages/hickoryrelay-usage/src/__tests__/unit/UsageFuzz.test.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/UsageFuzz.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { expect, it } from 'vitest';
 import { invariant } from 'hickoryrelay/Invariant';
+import { FaultKind, FaultTally } from 'hickoryrelay-standin/FaultTally';
 import { fuzzSettings } from 'hickoryrelay-standin/FuzzSettings';
 
 import { startInstance, World } from './TestWorld.js';
@@ -14,6 +15,20 @@
 const ZONES = ['zone-a', 'zone-b'];
 const NAMES = ['a-1', 'a-2', 'a-3', 'b-1', 'b-2'];
 const KEY_COUNT = 6;
+const TALLY = new FaultTally();
+const FAULTS = [
+  FaultKind.Kill,
+  FaultKind.Pause,
+  FaultKind.CutMessage,
+  FaultKind.LostMessage,
+  FaultKind.RepeatedMessage,
+  FaultKind.DelayedMessage,
+  FaultKind.Outage,
+  FaultKind.Refusal,
+  FaultKind.LostAnswer,
+  FaultKind.LateEffect,
+  FaultKind.AuthorityChange,
+];
 
 function groupBy<Item>(items: readonly Item[], keyOf: (item: Item) => string) {
   const groups = new Map<string, Item[]>();
@@ -54,7 +69,7 @@
     seed: number,
     readonly oracle: Oracle,
   ) {
-    this.world = new World(seed);
+    this.world = new World(seed, undefined, TALLY);
     this.world.table.subscribe(({ events }) => {
       for (const event of events) {
         if (event.type === 'put' && /^\/hickoryrelay\/usage\/.*\/\d+$/u.test(event.value.key)) {
@@ -344,4 +359,5 @@
   process.stdout.write(
     `usage fuzz: seed ${SEED}, ${RUNS} runs, ${calls} calls, ${lost} lost with all their holders\n`,
   );
+  process.stdout.write(TALLY.describe('usage', FAULTS));
 }, 900_000);
--- a/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityWorld.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/AuthorityWorld.ts
@@ -4,6 +4,7 @@
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
 import { EngineOrderSide, InProcessOrderLink } from 'hickoryrelay-standin/EngineOrderSide';
+import { FaultKind, FaultTally } from 'hickoryrelay-standin/FaultTally';
 import { InProcessExchange } from 'hickoryrelay-standin/InProcessExchange';
 import { InProcessKeyValueStore } from 'hickoryrelay-standin/InProcessKeyValueStore';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
@@ -86,6 +87,7 @@
     const exchange = () => new InProcessExchange(world.clock, this.clock);
     this.engineExchanges = { orders: exchange(), reads: exchange() };
     this.supplyExchanges = { orders: exchange(), reads: exchange() };
+    [this.clock, ...this.exchanges].forEach((each) => Object.assign(each, { tally: world.tally }));
     this.lifecycle = new LifecycleManager(name, this.clock, (owner, failure) => {
       world.report(`${name}: ${owner}: ${JSON.stringify(failure)}`);
     });
@@ -101,6 +103,15 @@
     this.lifecycle.start(this.authority);
   }
 
+  /** All ways of this process to the platform and the engines. */
+  get exchanges(): readonly InProcessExchange[] {
+    return [
+      this.store.exchange,
+      ...Object.values<InProcessExchange>({ ...this.engineExchanges }),
+      ...Object.values<InProcessExchange>({ ...this.supplyExchanges }),
+    ];
+  }
+
   stop(): void {
     void this.lifecycle.stop();
   }
@@ -148,6 +159,8 @@
 
   readonly processes: ContendingProcess[] = [];
 
+  readonly tally: FaultTally;
+
   readonly violations: string[] = [];
 
   budget = 20;
@@ -167,7 +180,9 @@
 
   private readonly checkedOrders = new Map<string, number>();
 
-  constructor(processCount: number) {
+  constructor(processCount: number, tally = new FaultTally()) {
+    this.tally = tally;
+    this.table.tally = tally;
     this.engines.forEach((side) => {
       Object.assign(side, { holderNumber: () => this.holderNumber });
     });
@@ -251,7 +266,10 @@
   /** The platform takes an endpoint back. */
   reclaim(choice: number): void {
     const listed = this.supply.list(ZONE);
-    this.supply.endpoints.delete(listed[choice % Math.max(1, listed.length)]?.identifier ?? '');
+    const endpoint = listed[choice % Math.max(1, listed.length)]?.identifier ?? '';
+    if (this.supply.endpoints.delete(endpoint)) {
+      this.tally.count(FaultKind.Reclaim);
+    }
   }
 
   /** Moves time in small steps and checks the oracle after each. */
