Read the body of a refused watch, so that no listener stays on its signal

Cause: EtcdKeyValueStore.watch left the body of an answer with another status than 200 unread. undici then keeps the connection and its listener on the signal. BudgetedKeyValueStore opens watch after watch with one signal, so both piled up while the service refused (status 503).

These are open watches, not a leak; the tests now give each watch its own signal, as instances have. No limit was raised.

Excluded: watches that break or are left early leave no listener (tested).

Before: the new test "refused" fails with three listeners after three refused watches, and the suite prints two warnings. After: 21 tests of hickoryrelay-platform passed without a warning.

Conclusion: the leak is mended; a silent body is given up after the time-out of a call.

--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -26,6 +26,9 @@
 const NOT_FOUND = 404;
 const INTERNAL_ERROR = 500;
 
+/** A longer body of a refused watch is cut off with its connection. */
+const MOST_REFUSAL_BYTES = 16_384;
+
 /** Where the etcd JSON gateway is, and how long one call may take. */
 export interface EtcdOptions {
   /** Base URLs, tried in order on the next call after one fails. */
@@ -117,6 +120,11 @@
     try {
       const response = await this.open('/v3/watch', body, signal, this.watchAgent);
       if (response.statusCode !== OK) {
+        // Until the body is read, the library keeps the connection and a listener on the signal.
+        await response.body.dump({
+          limit: MOST_REFUSAL_BYTES,
+          signal: AbortSignal.timeout(this.timeoutMilliseconds),
+        });
         throw this.refused(response.statusCode, false);
       }
       for await (const line of splitLines(response.body)) {
--- a/packages/hickoryrelay-platform/src/__tests__/e2e/EtcdKeyValueStore.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/e2e/EtcdKeyValueStore.test.ts
@@ -1,3 +1,5 @@
+import { getEventListeners } from 'node:events';
+
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { ManualClock } from 'hickoryrelay/ManualClock';
@@ -96,8 +98,8 @@
 
   it('goes on with calls while many watches are open or silent', async () => {
     gateway.silencesWatches = true;
-    const abort = new AbortController();
-    const watches = Array.from({ length: 12 }, () => store.watch('/w/', 0, abort.signal));
+    const aborts = Array.from({ length: 12 }, () => new AbortController());
+    const watches = aborts.map(({ signal }) => store.watch('/w/', 0, signal));
     const opened = await Promise.all(watches.map((watch) => watch.next()));
     expect(opened.every((each) => !each.done && each.value.events.length === 0)).toBe(true);
     const later = watches[0]?.next().then(
@@ -107,10 +109,34 @@
     // A silent watch tells nothing, but a read still does.
     await store.commit(putIfAbsent('/w/1', 'one'));
     expect((await store.get('/w/1'))?.value).toBe('one');
-    abort.abort();
+    aborts.forEach((abort) => abort.abort());
     await later;
   });
 
+  // Guards against listeners and connections that pile up while a service refuses each new watch.
+  it.each([
+    ['refused', Fault.Refuse],
+    ['broken', Fault.None],
+    ['left early', Fault.None],
+  ])('leaves no listener on the signal when a watch is %s', async (end, fault) => {
+    const { signal } = new AbortController();
+    for (let attempt = 0; attempt < 3; attempt += 1) {
+      gateway.faults.next(fault);
+      const watch = store.watch('/w/', 0, signal);
+      const opened = await failureFrom(watch.next());
+      expect(opened?.kind).toBe(end === 'refused' ? 'platform-unavailable' : undefined);
+      if (end === 'broken') {
+        const { port } = new URL(gateway.url);
+        await gateway.close();
+        await failureFrom(watch.next());
+        await gateway.listen(Number(port));
+      }
+      await watch.return();
+    }
+    await clock.advance(0);
+    expect(getEventListeners(signal, 'abort')).toEqual([]);
+  });
+
   it('ends a broken watch with a failure that can be told from a refusal of the request', async () => {
     const watch = store.watch('/w/', 0, new AbortController().signal);
     await watch.next();
--- a/packages/hickoryrelay-platform/src/__tests__/unit/BudgetedKeyValueStore.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/unit/BudgetedKeyValueStore.test.ts
@@ -115,10 +115,11 @@
 
   it('spreads the watches of 640 instances after a partition has healed', async () => {
     const { clock, members } = fleetOf(640);
-    const abort = new AbortController();
-    members.forEach(({ store }) => {
+    // Each instance has a signal of its own.
+    const aborts = members.map(() => new AbortController());
+    members.forEach(({ store }, index) => {
       void (async () => {
-        for await (const batch of store.watch('/w/', 1, abort.signal)) {
+        for await (const batch of store.watch('/w/', 1, aborts[index]!.signal)) {
           expect(batch.revision).toBeGreaterThan(0);
         }
       })();
@@ -140,7 +141,7 @@
       last = reads();
     }
     const open = members.filter(({ budget }) => budget.counts.openWatches === 1).length;
-    abort.abort();
+    aborts.forEach((abort) => abort.abort());
     expect(open).toBe(640);
     // The service allows about 2,000 reads a second; without jitter all 640 would come at once.
     expect(worst).toBeLessThan(100);
