Return the outcome of the first stop to every later one

Cause: each Instance.stop() ran the shutdown anew. After the first had released the callers' interface, the announcement of the second read its address and threw "the instance has not started". During the drain, the lost call was logged twice.

Excluded: the daemon's own second signal, which calls hurryStop.

Conclusion: stop() may be called at any time, by several callers.

--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -114,6 +114,8 @@
 
   private server: Server | undefined;
 
+  private stopping: Promise<readonly string[]> | undefined;
+
   private readonly control: InstanceControl;
 
   private readonly zoneDuties: ZoneDuties;
@@ -235,13 +237,12 @@
 
   /**
    * Shuts down gracefully: reports itself as not ready, finishes what runs, then releases all that
-   * it owns. Returns the request identifiers of calls that were cut off at the deadline.
+   * it owns. Returns the request identifiers of calls that were cut off at the deadline. A further
+   * call returns the outcome of the first.
    */
-  async stop(): Promise<readonly string[]> {
-    const [lost] = await Promise.all([this.drain.run(), this.control.leave()]);
-    await this.usageDuties.flush();
-    await this.lifecycle.stop();
-    return lost;
+  stop(): Promise<readonly string[]> {
+    this.stopping ??= this.shutDown();
+    return this.stopping;
   }
 
   /** Cuts a graceful shutdown short. */
@@ -249,6 +250,13 @@
     this.drain.hurry();
   }
 
+  private async shutDown(): Promise<readonly string[]> {
+    const [lost] = await Promise.all([this.drain.run(), this.control.leave()]);
+    await this.usageDuties.flush();
+    await this.lifecycle.stop();
+    return lost;
+  }
+
   private createControl(): InstanceControl {
     const { clock, logger, platform, random, settings } = this.parts;
     return new InstanceControl({
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/Shutdown.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/Shutdown.test.ts
@@ -106,4 +106,19 @@
     expect(daemon.log).toContain(requestIdentifier);
     expect(daemon.log).not.toContain(key);
   });
+
+  // Guards against a supervisor and a signal handler that both stop an instance.
+  it('gives a second stop the outcome of the first, during the drain and after it', async () => {
+    const instance = await federation.addInstance('entry-2', 'zone-a');
+    const stream = await startStream(federation.urlOf(instance), 100_000);
+    stream.body.on('error', () => {});
+    stream.body.resume();
+    const first = instance.stop();
+    const second = instance.stop();
+    instance.hurryStop();
+    const lost = await first;
+    expect(lost).toEqual([stream.headers['x-request-id']]);
+    expect(await second).toEqual(lost);
+    expect(await instance.stop()).toEqual(lost);
+  });
 });
