Let settings name seeds: peers to try while no live instance is known

Change: `peers.seeds` takes names and URLs. Membership adds them to the neighbours only while no other instance seems to live, and leaves out those that the list or a peer has named. The greeting checks the name, as on every link. PlatformStandIn can refuse its instance list alone.

Excluded: seeds without a name; a dialler follows one peer by name and the greeting must match it.

Before: an instance started without seeds finds 0 of 5 instances in 19 s. After: with one seed it finds all 5 and links to 3 of its zone (manual clock); over sockets it gets the configuration from the seed.

--- a/packages/hickoryrelay-contract/src/Settings.ts
+++ b/packages/hickoryrelay-contract/src/Settings.ts
@@ -8,14 +8,27 @@
 
 const urlSchema = z.url({ protocol: /^http$/u });
 
+const instanceNameSchema = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/u, 'expected a lower-case name');
+
+const seedSchema = z.strictObject({
+  name: instanceNameSchema,
+  /** URL of the peer's interface for peers. */
+  url: z.url({ protocol: /^ws$/u }),
+});
+
 /** Schema of a settings file of one entry instance. */
 export const settingsSchema = z.strictObject({
   instance: z.strictObject({
-    name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/u, 'expected a lower-case name'),
+    name: instanceNameSchema,
     zone: z.string().min(1),
   }),
   callers: listenSchema,
-  peers: listenSchema,
+  peers: listenSchema.extend({
+    /** Peers to try while no live instance is known, as when the platform's list is out. */
+    seeds: z.array(seedSchema).default([]),
+  }),
   platform: z.strictObject({
     /** Base URLs of the key-value service; the first that answers is used. */
     keyValue: z.array(urlSchema).min(1),
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -262,6 +262,7 @@
     return new InstanceControl({
       place: settings.instance,
       transport: new WebSocketPeerTransport(settings.peers.address, settings.peers.port),
+      seeds: settings.peers.seeds,
       store: new ConfigurationStore(platform.keyValue),
       instances: platform.instances,
       callersUrl: () => {
--- a/packages/hickoryrelay-instance/src/InstanceControl.ts
+++ b/packages/hickoryrelay-instance/src/InstanceControl.ts
@@ -18,6 +18,7 @@
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { PeerTransport } from 'hickoryrelay-link/PeerConnection';
+import type { PeerAddress } from 'hickoryrelay-link/PeerDialler';
 import type { InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
 import type { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 import type { InstanceList, ListedInstance } from 'hickoryrelay-platform/InstanceList';
@@ -30,6 +31,8 @@
 export interface InstanceControlParts {
   readonly place: { readonly name: string; readonly zone: string };
   readonly transport: PeerTransport;
+  /** Peers to try while no live instance is known. */
+  readonly seeds?: readonly PeerAddress[];
   readonly store: ConfigurationStore;
   readonly instances: InstanceList;
   /** Known once the callers' interface listens. */
@@ -79,7 +82,7 @@
       statement,
       log: log(LogPrefix.Peer),
     });
-    this.membership = new Membership(identity, clock);
+    this.membership = new Membership(identity, clock, parts.seeds);
     this.digest = new InstanceDigest(this.membership, clock, statement, () => transport.url);
     this.intake = new ConfigurationIntake(view, store, clock, log(LogPrefix.Configuration));
   }
--- a/packages/hickoryrelay-instance/src/Membership.ts
+++ b/packages/hickoryrelay-instance/src/Membership.ts
@@ -59,6 +59,8 @@
 
   private readonly clock: Clock;
 
+  private readonly seeds: readonly PeerAddress[];
+
   private readonly members = new Map<string, Member>();
 
   /** Member names by tag of their incarnation; undefined for a tag that two share. */
@@ -74,7 +76,8 @@
 
   private lastAdvanceMilliseconds = Number.NEGATIVE_INFINITY;
 
-  constructor(identity: InstanceIdentity, clock: Clock) {
+  constructor(identity: InstanceIdentity, clock: Clock, seeds: readonly PeerAddress[] = []) {
+    this.seeds = seeds.filter(({ name }) => name !== identity.name);
     this.identity = identity;
     this.clock = clock;
     this.tickMilliseconds = clock.monotonicMilliseconds();
@@ -215,7 +218,10 @@
     return age > SUSPECT_MILLISECONDS * factor ? Liveness.Suspect : Liveness.Live;
   }
 
-  /** Peers to keep links to: 3 in the own zone and 1 in each of up to two other zones. */
+  /**
+   * Peers to keep links to: 3 in the own zone and 1 in each of up to two other zones. The seeds of
+   * the settings are added only while no other instance seems to live.
+   */
   neighbours(): PeerAddress[] {
     const zones = this.candidateZones();
     const own = this.bestOf(zones.get(this.identity.zone) ?? [], OWN_ZONE_NEIGHBOURS);
@@ -223,7 +229,9 @@
     const others = rendezvousOrder(this.identity.name, otherZones)
       .slice(0, OTHER_ZONE_NEIGHBOURS)
       .flatMap((zone) => this.bestOf(zones.get(zone) ?? [], 1));
-    return [...own, ...others];
+    const known = [...own, ...others];
+    const isAlone = [...zones.values()].flat().every(({ isLikely }) => !isLikely);
+    return isAlone ? [...known, ...this.unknownSeeds()] : known;
   }
 
   /** Whether no instance of the own zone is silent. */
@@ -247,6 +255,11 @@
       .includes(name);
   }
 
+  /** Seeds of which neither the list nor a peer has said where they are. */
+  private unknownSeeds(): PeerAddress[] {
+    return this.seeds.filter(({ name }) => !this.listed.has(name) && !this.members.has(name));
+  }
+
   /** Nobody has been heard for a while, so silence says nothing about the others. */
   private get isIsolated(): boolean {
     return this.observedMilliseconds - this.lastAdvanceMilliseconds > SUSPECT_MILLISECONDS;
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/PeerFederation.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/PeerFederation.test.ts
@@ -38,6 +38,18 @@
     federation.gateway.faults.standing = Fault.None;
   });
 
+  // Guards against an instance that stays alone because it starts while the list is out.
+  it('starts an instance from a seed while the key-value service and the list are out', async () => {
+    const seed = { name: 'entry-1', url: federation.platform.instances.get('entry-1')?.peersUrl };
+    federation.gateway.faults.standing = Fault.Refuse;
+    federation.platform.isInstanceListOut = true;
+    const peers = { address: '127.0.0.1', port: 0, seeds: [seed] };
+    const instance = await federation.addInstance('entry-5', 'zone-a', { peers });
+    expect(instance.view.revision).toBe(1);
+    federation.gateway.faults.standing = Fault.None;
+    federation.platform.isInstanceListOut = false;
+  });
+
   it('brings the withdrawal of a key to every instance, with all watches silent', async () => {
     federation.gateway.silencesWatches = true;
     const before = await Promise.all(federation.instances.map(statusOfCall));
--- a/packages/hickoryrelay-instance/src/__tests__/unit/Membership.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/Membership.test.ts
@@ -159,4 +159,40 @@
     federation.stop();
     expect(new Set(views)).toEqual(new Set([Liveness.Leaving]));
   });
+
+  // Guards against a seed that goes before what the list and the peers say.
+  it('uses seeds only while no other instance seems to live', async () => {
+    const seeds = ['own', 'seed', 'other'].map((name) => ({ name, url: `ws://seed-${name}` }));
+    const seeded = new Membership(OWN, clock, seeds);
+    const urls = () => seeded.neighbours().map(({ url }) => url);
+    expect(urls()).toEqual(['ws://seed-seed', 'ws://seed-other']);
+    seeded.takeRow(rowOf('other', 1));
+    expect(urls()).toEqual(['ws://other']);
+    // A second instance is heard all the time, so that the silence of the first means its death.
+    for (let second = 0; second < 20; second += 1) {
+      await clock.advance(1000);
+      seeded.takeRow(rowOf('third', second, { state: 'leaving' }));
+      seeded.tick();
+    }
+    expect(urls()).toEqual(['ws://other', 'ws://seed-seed']);
+  });
+
+  // Guards against an instance that stays alone because it starts while the list is out.
+  it.each([
+    [[{ name: 'entry-0', url: 'ws://entry-0' }], 5],
+    [[], 0],
+  ])('finds all instances from the seeds %j while the platform is out', async (seeds, found) => {
+    const federation = new SimulatedFederation(1);
+    for (let index = 0; index < 5; index += 1) {
+      await federation.start(`entry-${index}`, index < 3 ? 'zone-a' : 'zone-b');
+    }
+    await federation.clock.advance(20_000);
+    federation.platform.isOut = true;
+    const { control } = await federation.start('late', 'zone-a', seeds);
+    await federation.clock.advance(19_000);
+    const linked = control.network.connectedPeers().filter(({ zone }) => zone === 'zone-a');
+    federation.stop();
+    expect(control.membership.size).toBe(found);
+    expect(linked).toHaveLength(Math.min(found, 3));
+  });
 });
--- a/packages/hickoryrelay-standin/src/PlatformStandIn.ts
+++ b/packages/hickoryrelay-standin/src/PlatformStandIn.ts
@@ -14,6 +14,7 @@
 const NOT_FOUND: JsonAnswer = { status: 404, body: {} };
 const CONFLICT: JsonAnswer = { status: 409, body: {} };
 const GONE: JsonAnswer = { status: 410, body: {} };
+const UNAVAILABLE: JsonAnswer = { status: 503, body: {} };
 
 /** A stand-in for endpoint supply, instance list and usage reports in one server. */
 export class PlatformStandIn extends JsonServer {
@@ -23,11 +24,17 @@
 
   readonly instances = new Map<string, ListedInstance>();
 
+  /** If true, the instance list refuses all requests. */
+  isInstanceListOut = false;
+
   /** The usage reports. */
   readonly reports = new UsageReportTable();
 
   protected override answer(request: ReceivedRequest): JsonAnswer {
     const [, collection, first, second] = request.path.split('/');
+    if (collection === 'instances' && this.isInstanceListOut) {
+      return UNAVAILABLE;
+    }
     switch (`${request.method} ${collection}`) {
       case 'GET endpoints':
         return this.listEndpoints(request.query.get('zone'));
--- a/packages/hickoryrelay-standin/src/SimulatedFederation.ts
+++ b/packages/hickoryrelay-standin/src/SimulatedFederation.ts
@@ -11,6 +11,7 @@
 import { MemoryNet } from './MemoryPeerTransport.js';
 import { MemoryInstanceList, MemoryKeyValueStore, MemoryPlatform } from './MemoryPlatform.js';
 import type { Failure } from 'hickoryrelay/Failure';
+import type { PeerAddress } from 'hickoryrelay-link/PeerDialler';
 
 /** The clock of one simulated process. While it is paused, time passes and nothing runs. */
 export class ProcessClock extends Clock {
@@ -108,7 +109,12 @@
 
   private readonly lifecycle: LifecycleManager;
 
-  constructor(federation: SimulatedFederationParts, name: string, zone: string) {
+  constructor(
+    federation: SimulatedFederationParts,
+    name: string,
+    zone: string,
+    seeds: readonly PeerAddress[] = [],
+  ) {
     const { clock, net, platform, random, tally } = federation;
     this.name = name;
     this.zone = zone;
@@ -121,6 +127,7 @@
     this.control = new InstanceControl({
       place: { name, zone },
       transport: net.transport(this.url),
+      seeds,
       store: new ConfigurationStore(new MemoryKeyValueStore(platform, name, this.clock), random),
       instances: new MemoryInstanceList(platform, name, this.clock),
       callersUrl: () => `http://${name}`,
@@ -183,8 +190,12 @@
   }
 
   /** Starts an instance, or a new run of it. */
-  async start(name: string, zone: string): Promise<SimulatedInstance> {
-    const instance = new SimulatedInstance(this, name, zone);
+  async start(
+    name: string,
+    zone: string,
+    seeds: readonly PeerAddress[] = [],
+  ): Promise<SimulatedInstance> {
+    const instance = new SimulatedInstance(this, name, zone, seeds);
     this.instances.set(name, instance);
     await instance.start();
     return instance;
