--- a/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
+++ b/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
@@ -1,6 +1,7 @@
 import { FailureKind, describeFailure } from 'hickoryrelay/Failure';
 import { RelayError, failureOf } from 'hickoryrelay/RelayError';
 
+import { FaultKind } from './FaultTally.js';
 import { InProcessExchange } from './InProcessExchange.js';
 import { TableKeyValueStore } from './TableKeyValueStore.js';
 
@@ -42,6 +43,7 @@
 
   override keepLeaseAlive(identifier: string): Promise<number> {
     if (this.refusesRenewals) {
+      this.exchange.tally.count(FaultKind.RefusedRenewal);
       return Promise.reject(unavailable({ reason: 'refused', mayHaveTakenEffect: false }));
     }
     return super.keepLeaseAlive(identifier);
--- a/packages/hickoryrelay-standin/src/MemoryPlatform.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPlatform.ts
@@ -2,6 +2,7 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 import { InstanceList } from 'hickoryrelay-platform/InstanceList';
 
+import { FaultKind, FaultTally } from './FaultTally.js';
 import { KeyValueTable } from './KeyValueTable.js';
 import { TableKeyValueStore } from './TableKeyValueStore.js';
 import type { Clock } from 'hickoryrelay/Clock';
@@ -23,6 +24,9 @@
 export class MemoryPlatform {
   readonly table: KeyValueTable;
 
+  /** Takes the faults that took effect. */
+  tally = new FaultTally();
+
   readonly instances = new Map<string, ListedInstance>();
 
   /** Names of callers that get no answer from any service. */
@@ -67,6 +71,7 @@
     effect: () => Answer,
   ): Promise<Answer> {
     const isReachable = this.isReachableFor(caller);
+    this.countFault(isReachable, isWrite);
     const outcome = isReachable ? { answer: effect() } : undefined;
     const isLost = isWrite && this.lostAnswers > 0;
     this.lostAnswers -= isLost ? 1 : 0;
@@ -77,6 +82,16 @@
     }
     return outcome.answer;
   }
+
+  private countFault(isReachable: boolean, isWrite: boolean): void {
+    if (!isReachable) {
+      this.tally.count(FaultKind.Outage);
+    } else if (isWrite && this.lostAnswers > 0) {
+      this.tally.count(FaultKind.LostAnswer);
+    } else if (this.answerDelayMilliseconds > USUAL_DELAY_MILLISECONDS) {
+      this.tally.count(FaultKind.DelayedRequest);
+    }
+  }
 }
 
 /** The key-value service of a platform in memory, as one caller sees it. */
@@ -103,10 +118,15 @@
   }
 
   protected override deliver(arrive: () => void): void {
-    const { silencesWatches, watchDelayMilliseconds } = this.platform;
-    if (!silencesWatches && this.platform.isReachableFor(this.caller)) {
-      this.clock.schedule(watchDelayMilliseconds, arrive);
+    const { silencesWatches, tally, watchDelayMilliseconds } = this.platform;
+    if (silencesWatches || !this.platform.isReachableFor(this.caller)) {
+      tally.count(FaultKind.SilentWatch);
+      return;
+    }
+    if (watchDelayMilliseconds > USUAL_DELAY_MILLISECONDS) {
+      tally.count(FaultKind.DelayedWatch);
     }
+    this.clock.schedule(watchDelayMilliseconds, arrive);
   }
 
   protected override brokenWatch(): Error {
--- a/packages/hickoryrelay-standin/src/ProcessClock.ts
+++ b/packages/hickoryrelay-standin/src/ProcessClock.ts
@@ -1,10 +1,15 @@
 import { Clock } from 'hickoryrelay/Clock';
 
+import { FaultKind, FaultTally } from './FaultTally.js';
+
 /**
  * The clock of one simulated process. While the process is paused time goes on, but nothing that
  * falls due or arrives runs until it resumes; once killed, nothing runs any more.
  */
 export class ProcessClock extends Clock {
+  /** Takes the faults that took effect. */
+  tally = new FaultTally();
+
   private readonly base: Clock;
 
   private heldTimers: (() => void)[] = [];
@@ -81,10 +86,20 @@
 
   /** Sets the wall clock of the process against the others. */
   setWallOffset(milliseconds: number): void {
+    if (milliseconds !== this.wallOffsetMilliseconds && milliseconds !== 0) {
+      this.tally.count(FaultKind.ClockStep);
+    }
     this.wallOffsetMilliseconds = milliseconds;
   }
 
+  /** Ends the process as a fault. */
   kill(): void {
+    this.tally.count(FaultKind.Kill);
+    this.end();
+  }
+
+  /** Ends the process when a test is over. */
+  end(): void {
     this.isKilled = true;
     this.heldTimers = [];
     this.heldArrivals = [];
@@ -94,6 +109,9 @@
     if (this.isRunning) {
       action();
     } else if (!this.isKilled) {
+      if (this.heldTimers.length + this.heldArrivals.length === 0) {
+        this.tally.count(FaultKind.Pause);
+      }
       held.push(action);
     }
   }
--- a/packages/hickoryrelay-standin/src/SimulatedFederation.ts
+++ b/packages/hickoryrelay-standin/src/SimulatedFederation.ts
@@ -6,10 +6,12 @@
 import { InstanceControl } from 'hickoryrelay-instance/InstanceControl';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
 
+import { FaultTally } from './FaultTally.js';
 import { MemoryNet } from './MemoryPeerTransport.js';
 import { MemoryInstanceList, MemoryKeyValueStore, MemoryPlatform } from './MemoryPlatform.js';
 import { ProcessClock } from './ProcessClock.js';
 import type { Failure } from 'hickoryrelay/Failure';
+import type { PeerAddress } from 'hickoryrelay-link/PeerDialler';
 
 /** The control part of one run of an instance in a simulated federation. */
 export class SimulatedInstance {
@@ -31,12 +33,18 @@
 
   private readonly lifecycle: LifecycleManager;
 
-  constructor(federation: SimulatedFederationParts, name: string, zone: string) {
-    const { clock, net, platform, random } = federation;
+  constructor(
+    federation: SimulatedFederationParts,
+    name: string,
+    zone: string,
+    seeds: readonly PeerAddress[] = [],
+  ) {
+    const { clock, net, platform, random, tally } = federation;
     this.name = name;
     this.zone = zone;
     this.url = `ws://${name}`;
     this.clock = new ProcessClock(clock);
+    this.clock.tally = tally;
     this.view = new ConfigurationView(this.clock);
     this.lifecycle = new LifecycleManager(name, this.clock, (owner, failure) => {
       this.failures.push(failure);
@@ -44,6 +52,7 @@
     this.control = new InstanceControl({
       place: { name, zone },
       transport: net.transport(this.url),
+      seeds,
       store: new ConfigurationStore(new MemoryKeyValueStore(platform, name, this.clock), random),
       instances: new MemoryInstanceList(platform, name, this.clock),
       callersUrl: () => `http://${name}`,
@@ -59,10 +68,16 @@
     return this.control.start();
   }
 
-  /** Ends the run without any farewell. */
+  /** Ends the run without any farewell, as a fault. */
   kill(net: MemoryNet): void {
-    net.kill(this.url);
     this.clock.kill();
+    this.end(net);
+  }
+
+  /** Ends the run without any farewell, when a test is over. */
+  end(net: MemoryNet): void {
+    net.kill(this.url);
+    this.clock.end();
     void this.lifecycle.stop();
   }
 
@@ -78,6 +93,7 @@
   readonly net: MemoryNet;
   readonly platform: MemoryPlatform;
   readonly random: SeededRandomSource;
+  readonly tally: FaultTally;
 }
 
 /** Control parts of many instances in one process, on a clock that tests move. */
@@ -90,18 +106,27 @@
 
   readonly random: SeededRandomSource;
 
+  readonly tally: FaultTally;
+
   /** The live run of each instance. */
   readonly instances = new Map<string, SimulatedInstance>();
 
-  constructor(seed: number, clock = new ManualClock()) {
+  constructor(seed: number, clock = new ManualClock(), tally = new FaultTally()) {
     this.clock = clock;
+    this.tally = tally;
+    this.net.tally = tally;
     this.platform = new MemoryPlatform(clock);
+    this.platform.tally = tally;
     this.random = new SeededRandomSource(seed);
   }
 
   /** Starts an instance, or a new run of it. */
-  async start(name: string, zone: string): Promise<SimulatedInstance> {
-    const instance = new SimulatedInstance(this, name, zone);
+  async start(
+    name: string,
+    zone: string,
+    seeds: readonly PeerAddress[] = [],
+  ): Promise<SimulatedInstance> {
+    const instance = new SimulatedInstance(this, name, zone, seeds);
     this.instances.set(name, instance);
     await instance.start();
     return instance;
@@ -109,8 +134,7 @@
 
   kill(name: string): void {
     this.instances.get(name)?.kill(this.net);
-    this.instances.delete(name);
-    this.net.setPaused(`ws://${name}`, false);
+    this.remove(name);
   }
 
   setPaused(name: string, isPaused: boolean): void {
@@ -144,6 +168,12 @@
   }
 
   stop(): void {
-    [...this.instances.keys()].forEach((name) => this.kill(name));
+    this.instances.forEach((instance) => instance.end(this.net));
+    [...this.instances.keys()].forEach((name) => this.remove(name));
+  }
+
+  private remove(name: string): void {
+    this.instances.delete(name);
+    this.net.setPaused(`ws://${name}`, false);
   }
 }
