Measure one heavy account beside a light one, and the room left unused

The command 'heavy' of the policy tool has one account that asks for twice the fleet beside one that asks for a given part of it. 'room unused' is the part of the learned room that is free while calls wait, averaged over time and instances.

No behaviour of the relay changes.

--- a/packages/hickoryrelay-bench/src/PolicyModel.ts
+++ b/packages/hickoryrelay-bench/src/PolicyModel.ts
@@ -146,6 +146,20 @@
     }
   }
 
+  /** Part of the learned room that stays unused while calls wait; 0 while none waits. */
+  get unusedRoom(): number {
+    if (this.policy.admission.size === 0) {
+      return 0;
+    }
+    let free = 0;
+    let total = 0;
+    for (const { callsInFlight, room } of this.policy.pool.members) {
+      free += room;
+      total += room + callsInFlight;
+    }
+    return free / Math.max(1, total);
+  }
+
   /** Cost since the last call of the accounts that used most, as a digest row holds it. */
   takeOwnUse(): readonly AccountUse[] {
     const byCost = [...this.ownUse].filter(([, cost]) => cost > 0);
@@ -172,6 +186,10 @@
 
   private readonly instances: readonly ModelledInstance[];
 
+  private unusedRoomSum = 0;
+
+  private countedSteps = 0;
+
   private readonly onCut = new Map<string, Set<() => void>>();
 
   constructor(name: PolicyName, scenario: Scenario) {
@@ -191,6 +209,11 @@
     );
   }
 
+  /** Average over time and instances, after the warm-up, of the room unused while calls wait. */
+  get unusedRoom(): number {
+    return this.unusedRoomSum / Math.max(1, this.countedSteps * INSTANCE_COUNT);
+  }
+
   async run(): Promise<readonly CallOutcome[]> {
     const arrivals = new SeededRandomSource(this.scenario.seed);
     const workload = new Workload(arrivals);
@@ -219,6 +242,12 @@
         service.step(STEP_MILLISECONDS);
       }
       await this.clock.advance(STEP_MILLISECONDS);
+      if (seconds >= this.scenario.warmUpSeconds) {
+        this.countedSteps += 1;
+        for (const { unusedRoom } of this.instances) {
+          this.unusedRoomSum += unusedRoom;
+        }
+      }
     }
     this.outcomes.push(...this.unfinished.values());
     return this.outcomes;
--- a/packages/hickoryrelay-bench/src/policy.ts
+++ b/packages/hickoryrelay-bench/src/policy.ts
@@ -10,14 +10,19 @@
   Usage
     $ policy shift [--load 1.2] [--seed 1 --seed 2] [--first-come-limit 12]
     $ policy flood [--seed 1]
+    $ policy heavy [--light 0.1] [--seed 1]
     $ policy reclaim [--load 0.7] [--seed 1]
 
+  "heavy" has one account that asks for twice the fleet, beside one that asks for the given part of
+  the fleet; with --light 0 the heavy account is alone.
+
   Drives the policies against modelled engines on a manual clock and prints tables.
   Load is the demanded engine time, without cached prefixes, divided by that of all engines.
 `,
   {
     importMeta: import.meta,
     flags: {
+      light: { type: 'number', default: 0.1 },
       load: { type: 'number', default: 1.2 },
       firstComeLimit: { type: 'number', default: 24 },
       policy: { type: 'string', isMultiple: true, default: Object.values(PolicyName) },
@@ -29,6 +34,8 @@
 const CAPACITY = ENGINE_COUNT * 1000;
 const PHASE_SECONDS = 40;
 const WARM_UP_SECONDS = 10;
+const HEAVY_ACCOUNT = 'account-heavy';
+const LIGHT_ACCOUNT = 'account-light';
 
 /** Two large accounts with three times the demand of the other six. */
 function demandsAt(load: number): AccountDemand[] {
@@ -49,6 +56,12 @@
   });
 }
 
+/** One account asks for twice the fleet, beside one that asks for the given part of it, if any. */
+function heavyDemands(light: number): AccountDemand[] {
+  const heavy = { account: HEAVY_ACCOUNT, costPerSecond: 2 * CAPACITY };
+  return light > 0 ? [heavy, { account: LIGHT_ACCOUNT, costPerSecond: light * CAPACITY }] : [heavy];
+}
+
 /** 40% of the work is prefill, then half as much again, then half as much. */
 function shiftingPart(seconds: number): number {
   if (seconds < PHASE_SECONDS) {
@@ -107,14 +120,14 @@
 
 async function measure(
   scenario: Scenario,
-  row: (outcomes: CallOutcome[]) => object,
+  row: (outcomes: CallOutcome[], model: PolicyModel) => object,
 ): Promise<void> {
   const rows: object[] = [];
   for (const policy of Object.values(PolicyName).filter(isWanted)) {
     for (const seed of program.flags.seed) {
       const model = new PolicyModel(policy, { ...scenario, seed });
       const outcomes = await model.run();
-      rows.push({ policy, seed, ...row(counted(outcomes, scenario.seconds - 20)) });
+      rows.push({ policy, seed, ...row(counted(outcomes, scenario.seconds - 20), model) });
     }
   }
   // The table is the program's output.
@@ -159,7 +172,7 @@
 } else if (command === 'flood') {
   await measure(
     { ...common, seconds: 120, demands: floodDemands(), prefillPart: () => 0.4 },
-    (outcomes) => {
+    (outcomes, { unusedRoom }) => {
       const worst = worstShare(outcomes);
       const others = outcomes.filter(({ account }) => account !== 'account-7');
       return {
@@ -173,6 +186,32 @@
         'met/s': Number((outcomes.filter(({ isMet }) => isMet).length / 90).toFixed(2)),
         refused: share(outcomes, ({ isRefused }) => isRefused),
         'first late': share(outcomes, ({ isFirstLate }) => isFirstLate),
+        'room unused': Number(unusedRoom.toFixed(4)),
+      };
+    },
+  );
+} else if (command === 'heavy') {
+  const demands = heavyDemands(program.flags.light);
+  await measure(
+    { ...common, seconds: 120, demands, prefillPart: () => 0.4 },
+    (outcomes, { unusedRoom }) => {
+      const heavy = outcomes.filter(({ account }) => account === HEAVY_ACCOUNT);
+      const light = outcomes.filter(({ account }) => account === LIGHT_ACCOUNT);
+      const served = (some: readonly CallOutcome[]) =>
+        [...costByAccount(some.filter(({ isComplete }) => isComplete)).values()].reduce(
+          (sum, cost) => sum + cost,
+          0,
+        ) /
+        (90 * CAPACITY);
+      return {
+        'room unused': Number(unusedRoom.toFixed(4)),
+        'served, heavy': Number(served(heavy).toFixed(3)),
+        'served, light': Number(served(light).toFixed(3)),
+        'met/s': Number((outcomes.filter(({ isMet }) => isMet).length / 90).toFixed(2)),
+        'met, heavy': share(heavy, ({ isMet }) => isMet),
+        'met, light': share(light, ({ isMet }) => isMet),
+        refused: share(outcomes, ({ isRefused }) => isRefused),
+        'first late': share(outcomes, ({ isFirstLate }) => isFirstLate),
       };
     },
   );
