--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -7,15 +7,13 @@
 import { MovingAverages } from './DecodeEstimate.js';
 import { DrainRate } from './DrainRate.js';
 import { FairShare } from './FairShare.js';
-import { LaneOccupancy } from './LaneOccupancy.js';
-import { RecentUse } from './RecentUse.js';
 import { WaitingLane } from './WaitingCalls.js';
 
 import type { AdmissionTicket } from './AdmissionPolicy.js';
-import type { CallCapacity, CallRoom } from './CallCapacity.js';
+import type { CallCapacity } from './CallCapacity.js';
 import type { CallCostModel } from './CallCost.js';
 import type { RemoteUse } from './RemoteUse.js';
-import type { WaitingCall, WaitingLine } from './WaitingCalls.js';
+import type { WaitingCall } from './WaitingCalls.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { Call } from 'hickoryrelay-link/Call';
 
@@ -49,20 +47,6 @@
  */
 const LEAST_WAITING_PART = 0.5;
 
-/**
- * Part of the room that an account with twice an equal part of the recent use leaves free at most.
- * Without a reserve, a flooding account takes every place that is free while no other account
- * happens to wait, and the next calls of the others wait until their slack is used up.
- */
-const RESERVED_PART = 0.5;
-
-/** A lane whose endpoints have room. */
-interface OpenLane {
-  readonly lane: WaitingLane;
-  readonly name: string;
-  readonly room: CallRoom;
-}
-
 function laneOf(call: Call): string {
   return call.kind === WorkKind.Model ? `model ${call.model}` : `route ${call.route}`;
 }
@@ -77,10 +61,6 @@
 
   private readonly share: FairShare;
 
-  private readonly recentUse = new RecentUse();
-
-  private readonly occupancies = new Map<string, LaneOccupancy>();
-
   private readonly lanes = new Map<string, WaitingLane>();
 
   private readonly drainRates = new Map<string, DrainRate>();
@@ -289,18 +269,13 @@
 
   private next(): WaitingCall | undefined {
     this.refuseLate();
-    const open: OpenLane[] = [];
-    for (const [name, lane] of this.lanes) {
-      const { first } = lane.calls;
-      const room = first === undefined ? undefined : this.roomFor(first);
-      if (room !== undefined && room.free > 0) {
-        open.push({ lane, name, room });
-      }
-    }
-    this.advanceVirtualTime(open);
+    const open = [...this.lanes.values()].filter(
+      ({ calls: { first } }) => first !== undefined && this.hasRoom(first),
+    );
+    this.share.advance(open);
     let best: WaitingCall | undefined;
-    for (const each of open) {
-      const first = this.firstToStart(each);
+    for (const lane of open) {
+      const first = this.firstWithinShare(lane);
       const isBefore =
         first !== undefined &&
         (best === undefined || first.latestStartMilliseconds < best.latestStartMilliseconds);
@@ -311,70 +286,17 @@
     return best;
   }
 
-  /** Accounts that leave the room to others do not hold the virtual time back. */
-  private advanceVirtualTime(open: readonly OpenLane[]): void {
-    const isAnyLine = () => true;
-    let lowest = AdmissionQueue.lowest(open, isAnyLine);
-    if (lowest !== undefined && this.leavesRoom(lowest.line, lowest.open)) {
-      lowest = AdmissionQueue.lowest(open, (line, each) => !this.leavesRoom(line, each));
-    }
-    if (lowest !== undefined) {
-      this.share.advance(lowest.line.clock.value);
-    }
-  }
-
-  /** The line with the lowest clock of its account. */
-  private static lowest(
-    open: readonly OpenLane[],
-    test: (line: WaitingLine, open: OpenLane) => boolean,
-  ): { line: WaitingLine; open: OpenLane } | undefined {
-    let lowest: { line: WaitingLine; open: OpenLane } | undefined;
-    for (const each of open) {
-      for (const line of each.lane.lines) {
-        if (
-          (lowest === undefined || line.clock.value < lowest.line.clock.value) &&
-          test(line, each)
-        ) {
-          lowest = { line, open: each };
-        }
-      }
-    }
-    return lowest;
-  }
-
-  private firstToStart(open: OpenLane): WaitingCall | undefined {
-    for (const entry of open.lane.calls) {
-      const line = open.lane.line(entry.account);
-      // Of the accounts that may use the room, that with the lowest clock is within its share.
-      if (
-        line !== undefined &&
-        this.share.isWithinShare(line.clock) &&
-        !this.leavesRoom(line, open)
-      ) {
+  private firstWithinShare(lane: WaitingLane): WaitingCall | undefined {
+    for (const entry of lane.calls) {
+      const clock = lane.line(entry.account)?.clock;
+      // The account with the lowest clock is always within its share, so work is never held back.
+      if (clock !== undefined && this.share.isWithinShare(clock)) {
         return entry;
       }
     }
     return undefined;
   }
 
-  /** True if what is free is reserved for other accounts. */
-  private leavesRoom({ account }: WaitingLine, { name, room }: OpenLane): boolean {
-    if (room.free > RESERVED_PART * room.total) {
-      return false;
-    }
-    const now = this.parts.clock.monotonicMilliseconds();
-    const part = this.recentUse.excess(account, now) * RESERVED_PART * room.total;
-    return room.free <= part && room.free <= this.usableByOthers(name, account, now);
-  }
-
-  /** Calls that the other accounts had at once lately, beyond those that they run now. */
-  private usableByOthers(laneName: string, account: string, now: number): number {
-    const occupancy = this.occupancies.get(laneName);
-    return occupancy === undefined
-      ? 0
-      : occupancy.peakOfOthers(account, now) - occupancy.runningOfOthers(account);
-  }
-
   /** A late call runs only if it is the only one that waits: then it takes nobody's place. */
   private refuseLate(): void {
     const now = this.parts.clock.monotonicMilliseconds();
@@ -394,7 +316,6 @@
     this.remove(entry);
     this.charge(entry.account, entry.cost.total);
     this.admittedCount += 1;
-    this.occupancyOf(entry.lane).begin(entry.account, this.parts.clock.monotonicMilliseconds());
     entry.resolve(this.ticketOf(entry));
   }
 
@@ -419,7 +340,6 @@
         if (isOpen) {
           isOpen = false;
           this.admittedCount -= 1;
-          this.occupancyOf(entry.lane).end(entry.account, this.parts.clock.monotonicMilliseconds());
           this.recordServiceTime(call, started);
           this.admitWaiting();
         }
@@ -436,32 +356,17 @@
 
   private charge(account: string, cost: number): void {
     this.share.charge(account, cost);
-    this.recentUse.record(account, cost, this.parts.clock.monotonicMilliseconds());
     this.parts.remoteUse.publish(account, cost);
   }
 
   private takeRemoteUse(): void {
     for (const [account, cost] of this.parts.remoteUse.take()) {
       this.share.charge(account, cost);
-      this.recentUse.record(account, cost, this.parts.clock.monotonicMilliseconds());
     }
   }
 
   private hasRoom(entry: WaitingCall): boolean {
-    return this.roomFor(entry).free > 0;
-  }
-
-  private roomFor(entry: WaitingCall): CallRoom {
-    return this.parts.capacity.room(entry.call, this.admittedCount);
-  }
-
-  private occupancyOf(laneName: string): LaneOccupancy {
-    let occupancy = this.occupancies.get(laneName);
-    if (occupancy === undefined) {
-      occupancy = new LaneOccupancy();
-      this.occupancies.set(laneName, occupancy);
-    }
-    return occupancy;
+    return this.parts.capacity.hasRoom(entry.call, this.admittedCount);
   }
 
   private refuse(entry: WaitingCall, reason: string): void {
