Leave room free for accounts that lately used less, bounded by what they had at once

Cause: a flooding account takes every place that is free while no other account waits. The engines are full when the next calls of the others arrive, which then start late or not at all.

Change: an account whose use of the last 10 s is beyond an equal part of that of the active accounts leaves room free: at most its excess (0 at an equal part, 1 from twice that on) times half of the room, and at most the most calls that the other accounts had at once in the last 5 to 10 s in the same lane (model or route). Without other active accounts the bound is 0. Accounts that leave room do not hold the virtual time back, and a queue that is full of their calls does not refuse a call that may start.

The property 'keeps its bounds under any order of events' forbade any call to wait while there is room. It now allows it only within the bound above, which the test works out again from the whole history of starts and ends, and it checks each waiting call by itself. Any other idle room fails it. The old check stands word for word in two new properties: with one account, and with several of which the others were not active lately. The queue also has to look again within 50 ms.

The allowed case ('leaves as much room free ...'), room for 10 calls: 0 s light starts 1 call; heavy brings 12: 8 start, 1 place stays free, 4 wait (use 10 to 800, excess 0.98, half of the room 5: at most 4.9; others had 1 at once: 1) 0 s light brings another call, which starts at once in the free place: 10 run 10 s both calls of light end; light had 2 at once, so 2 places stay free, 8 run 20.05 s light was not active for 10 s, so the bound is 0 and heavy runs 10

--- a/packages/hickoryrelay-bench/src/policy.ts
+++ b/packages/hickoryrelay-bench/src/policy.ts
@@ -1,9 +1,19 @@
 #!/usr/bin/env node
 import meow from 'meow';
 
-import { ENGINE_COUNT, PolicyModel, PolicyName } from './PolicyModel.js';
-
-import type { AccountDemand, CallOutcome, Scenario } from './PolicyModel.js';
+import {
+  CAPACITY,
+  demandsAt,
+  FLOODING_ACCOUNT,
+  floodDemands,
+  HEAVY_ACCOUNT,
+  heavyDemands,
+  LIGHT_ACCOUNT,
+} from './AccountDemands.js';
+import { costByAccount, counted, worstShare } from './AccountShares.js';
+import { PolicyModel, PolicyName } from './PolicyModel.js';
+
+import type { CallOutcome, Scenario } from './PolicyModel.js';
 
 const program = meow(
   `
@@ -31,36 +41,8 @@
   },
 );
 
-const CAPACITY = ENGINE_COUNT * 1000;
 const PHASE_SECONDS = 40;
 const WARM_UP_SECONDS = 10;
-const HEAVY_ACCOUNT = 'account-heavy';
-const LIGHT_ACCOUNT = 'account-light';
-
-/** Two large accounts with three times the demand of the other six. */
-function demandsAt(load: number): AccountDemand[] {
-  return Array.from({ length: 8 }, (empty, index) => ({
-    account: `account-${index}`,
-    costPerSecond: (CAPACITY * load * (index < 2 ? 3 : 1)) / 12,
-  }));
-}
-
-/** One account asks for the whole fleet; two ask for more, the others for less than a share. */
-function floodDemands(): AccountDemand[] {
-  return Array.from({ length: 8 }, (empty, index) => {
-    const part = index < 2 ? 1.5 : 0.9;
-    return {
-      account: `account-${index}`,
-      costPerSecond: (CAPACITY * (index === 7 ? 8 : part)) / 8,
-    };
-  });
-}
-
-/** One account asks for twice the fleet, beside one that asks for the given part of it, if any. */
-function heavyDemands(light: number): AccountDemand[] {
-  const heavy = { account: HEAVY_ACCOUNT, costPerSecond: 2 * CAPACITY };
-  return light > 0 ? [heavy, { account: LIGHT_ACCOUNT, costPerSecond: light * CAPACITY }] : [heavy];
-}
 
 /** 40% of the work is prefill, then half as much again, then half as much. */
 function shiftingPart(seconds: number): number {
@@ -75,45 +57,6 @@
   return outcomes.length === 0 ? '-' : (count / outcomes.length).toFixed(3);
 }
 
-/** Max-min fair shares of what was served, by demand. */
-function fairShares(demands: ReadonlyMap<string, number>, served: number): Map<string, number> {
-  const shares = new Map<string, number>();
-  let left = served;
-  const byDemand = [...demands].sort((one, other) => one[1] - other[1]);
-  for (const [index, [account, demand]] of byDemand.entries()) {
-    const given = Math.min(demand, left / (byDemand.length - index));
-    shares.set(account, given);
-    left -= given;
-  }
-  return shares;
-}
-
-function costByAccount(outcomes: readonly CallOutcome[]): Map<string, number> {
-  const costs = new Map<string, number>();
-  for (const { account, cost } of outcomes) {
-    costs.set(account, (costs.get(account) ?? 0) + cost);
-  }
-  return costs;
-}
-
-function worstShare(outcomes: readonly CallOutcome[]): { account: string; ratio: number } {
-  const served = costByAccount(outcomes.filter(({ isComplete }) => isComplete));
-  const total = [...served.values()].reduce((sum, cost) => sum + cost, 0);
-  let worst = { account: '', ratio: Number.POSITIVE_INFINITY };
-  for (const [account, fair] of fairShares(costByAccount(outcomes), total)) {
-    const ratio = (served.get(account) ?? 0) / fair;
-    if (ratio < worst.ratio) {
-      worst = { account, ratio };
-    }
-  }
-  return worst;
-}
-
-/** Arrivals of the last seconds cannot complete within the run and are left out. */
-function counted(outcomes: readonly CallOutcome[], seconds: number): CallOutcome[] {
-  return outcomes.filter(({ arrivalSeconds }) => arrivalSeconds < seconds);
-}
-
 function isWanted(policy: PolicyName): boolean {
   return program.flags.policy.includes(policy);
 }
@@ -174,13 +117,13 @@
     { ...common, seconds: 120, demands: floodDemands(), prefillPart: () => 0.4 },
     (outcomes, { unusedRoom }) => {
       const worst = worstShare(outcomes);
-      const others = outcomes.filter(({ account }) => account !== 'account-7');
+      const others = outcomes.filter(({ account }) => account !== FLOODING_ACCOUNT);
       return {
         'worst account': worst.account,
         'share of fair': Number(worst.ratio.toFixed(3)),
         'met, others': share(others, ({ isMet }) => isMet),
         'met, flood': share(
-          outcomes.filter(({ account }) => account === 'account-7'),
+          outcomes.filter(({ account }) => account === FLOODING_ACCOUNT),
           ({ isMet }) => isMet,
         ),
         'met/s': Number((outcomes.filter(({ isMet }) => isMet).length / 90).toFixed(2)),
--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -7,10 +7,12 @@
 import { MovingAverages } from './DecodeEstimate.js';
 import { DrainRate } from './DrainRate.js';
 import { FairShare } from './FairShare.js';
+import { LaneOccupancy } from './LaneOccupancy.js';
+import { RecentUse } from './RecentUse.js';
 import { WaitingLane } from './WaitingCalls.js';
 
 import type { AdmissionTicket } from './AdmissionPolicy.js';
-import type { CallCapacity } from './CallCapacity.js';
+import type { CallCapacity, CallRoom } from './CallCapacity.js';
 import type { CallCostModel } from './CallCost.js';
 import type { RemoteUse } from './RemoteUse.js';
 import type { WaitingCall } from './WaitingCalls.js';
@@ -47,6 +49,20 @@
  */
 const LEAST_WAITING_PART = 0.5;
 
+/**
+ * Part of the room that an account with twice an equal part of the recent use leaves free at most.
+ * Without a reserve, a flooding account takes every place that is free while no other account
+ * happens to wait, and the next calls of the others wait until their slack is used up.
+ */
+const RESERVED_PART = 0.5;
+
+/** A lane whose endpoints have room. */
+interface OpenLane {
+  readonly lane: WaitingLane;
+  readonly occupancy: LaneOccupancy;
+  readonly room: CallRoom;
+}
+
 function laneOf(call: Call): string {
   return call.kind === WorkKind.Model ? `model ${call.model}` : `route ${call.route}`;
 }
@@ -61,6 +77,10 @@
 
   private readonly share: FairShare;
 
+  private readonly recentUse = new RecentUse();
+
+  private readonly occupancies = new Map<string, LaneOccupancy>();
+
   private readonly lanes = new Map<string, WaitingLane>();
 
   private readonly drainRates = new Map<string, DrainRate>();
@@ -150,7 +170,11 @@
     if (lateBy > 0 && !this.replaceCostlier(entry)) {
       return AdmissionQueue.refusal('the queue is longer than the target allows', lateBy);
     }
-    if (this.waitingCount < this.parts.limit) {
+    if (this.waitingCount >= this.parts.limit && this.mayStart(entry)) {
+      // Only calls that leave room to others wait then, or some that may start by now and go first.
+      this.admitWaiting();
+    }
+    if (this.waitingCount < this.parts.limit || this.mayStart(entry)) {
       return undefined;
     }
     return this.evictFor(entry);
@@ -269,13 +293,22 @@
 
   private next(): WaitingCall | undefined {
     this.refuseLate();
-    const open = [...this.lanes.values()].filter(
-      ({ calls: { first } }) => first !== undefined && this.hasRoom(first),
-    );
-    this.share.advance(open);
+    const now = this.parts.clock.monotonicMilliseconds();
+    this.recentUse.refresh(now);
+    const open: OpenLane[] = [];
+    for (const [name, lane] of this.lanes) {
+      const { first } = lane.calls;
+      const room = first === undefined ? undefined : this.roomFor(first);
+      if (room !== undefined && room.free > 0) {
+        const occupancy = this.occupancyOf(name);
+        occupancy.refresh(now);
+        open.push({ lane, occupancy, room });
+      }
+    }
+    this.advanceVirtualTime(open);
     let best: WaitingCall | undefined;
-    for (const lane of open) {
-      const first = this.firstWithinShare(lane);
+    for (const each of open) {
+      const first = this.firstToStart(each);
       const isBefore =
         first !== undefined &&
         (best === undefined || first.latestStartMilliseconds < best.latestStartMilliseconds);
@@ -286,17 +319,47 @@
     return best;
   }
 
-  private firstWithinShare(lane: WaitingLane): WaitingCall | undefined {
-    for (const entry of lane.calls) {
-      const clock = lane.line(entry.account)?.clock;
-      // The account with the lowest clock is always within its share, so work is never held back.
-      if (clock !== undefined && this.share.isWithinShare(clock)) {
+  /** Accounts that leave the room to others do not hold the virtual time back. */
+  private advanceVirtualTime(open: readonly OpenLane[]): void {
+    let lowest = Number.POSITIVE_INFINITY;
+    for (const each of open) {
+      for (const line of each.lane.lines) {
+        const { value } = line.clock;
+        if (value < lowest && !this.leavesRoom(line.account, each)) {
+          lowest = value;
+        }
+      }
+    }
+    if (lowest < Number.POSITIVE_INFINITY) {
+      this.share.advance(lowest);
+    }
+  }
+
+  private firstToStart(open: OpenLane): WaitingCall | undefined {
+    for (const entry of open.lane.calls) {
+      const line = open.lane.line(entry.account);
+      // Of the accounts that may use the room, that with the lowest clock is within its share.
+      if (
+        line !== undefined &&
+        this.share.isWithinShare(line.clock) &&
+        !this.leavesRoom(line.account, open)
+      ) {
         return entry;
       }
     }
     return undefined;
   }
 
+  /** True if what is free is reserved for other accounts. */
+  private leavesRoom(account: string, { occupancy, room }: Omit<OpenLane, 'lane'>): boolean {
+    const most = RESERVED_PART * room.total;
+    return (
+      room.free <= most &&
+      room.free <= this.recentUse.excess(account) * most &&
+      room.free <= occupancy.peakOfOthers(account)
+    );
+  }
+
   /** A late call runs only if it is the only one that waits: then it takes nobody's place. */
   private refuseLate(): void {
     const now = this.parts.clock.monotonicMilliseconds();
@@ -316,6 +379,7 @@
     this.remove(entry);
     this.charge(entry.account, entry.cost.total);
     this.admittedCount += 1;
+    this.occupancyOf(entry.lane).begin(entry.account, this.parts.clock.monotonicMilliseconds());
     entry.resolve(this.ticketOf(entry));
   }
 
@@ -340,6 +404,7 @@
         if (isOpen) {
           isOpen = false;
           this.admittedCount -= 1;
+          this.occupancyOf(entry.lane).end(entry.account, this.parts.clock.monotonicMilliseconds());
           this.recordServiceTime(call, started);
           this.admitWaiting();
         }
@@ -356,17 +421,45 @@
 
   private charge(account: string, cost: number): void {
     this.share.charge(account, cost);
+    this.recentUse.record(account, cost, this.parts.clock.monotonicMilliseconds());
     this.parts.remoteUse.publish(account, cost);
   }
 
   private takeRemoteUse(): void {
     for (const [account, cost] of this.parts.remoteUse.take()) {
       this.share.charge(account, cost);
+      this.recentUse.record(account, cost, this.parts.clock.monotonicMilliseconds());
     }
   }
 
   private hasRoom(entry: WaitingCall): boolean {
-    return this.parts.capacity.hasRoom(entry.call, this.admittedCount);
+    return this.roomFor(entry).free > 0;
+  }
+
+  private roomFor(entry: WaitingCall): CallRoom {
+    return this.parts.capacity.room(entry.call, this.admittedCount);
+  }
+
+  /** True if there is room that is not reserved for accounts other than that of the call. */
+  private mayStart(entry: WaitingCall): boolean {
+    const room = this.roomFor(entry);
+    if (room.free <= 0) {
+      return false;
+    }
+    const now = this.parts.clock.monotonicMilliseconds();
+    const occupancy = this.occupancyOf(entry.lane);
+    this.recentUse.refresh(now);
+    occupancy.refresh(now);
+    return !this.leavesRoom(entry.account, { occupancy, room });
+  }
+
+  private occupancyOf(laneName: string): LaneOccupancy {
+    let occupancy = this.occupancies.get(laneName);
+    if (occupancy === undefined) {
+      occupancy = new LaneOccupancy();
+      this.occupancies.set(laneName, occupancy);
+    }
+    return occupancy;
   }
 
   private refuse(entry: WaitingCall, reason: string): void {
--- a/packages/hickoryrelay-instance/src/CallCapacity.ts
+++ b/packages/hickoryrelay-instance/src/CallCapacity.ts
@@ -1,12 +1,18 @@
 import type { Call } from 'hickoryrelay-link/Call';
 
+/** Calls that may start now, and calls that may run at a time. */
+export interface CallRoom {
+  readonly free: number;
+  readonly total: number;
+}
+
 /**
  * Room for calls at the endpoints. An override derives it from what the endpoints take within
  * their targets; `admitted` is the number of calls that were admitted and have not ended, so that
  * calls on their way to an endpoint are counted.
  */
 export abstract class CallCapacity {
-  abstract hasRoom(call: Call, admitted: number): boolean;
+  abstract room(call: Call, admitted: number): CallRoom;
 }
 
 /** Room for a fixed number of calls. For tests and comparisons. */
@@ -18,7 +24,7 @@
     this.limit = limit;
   }
 
-  override hasRoom(call: Call, admitted: number): boolean {
-    return admitted < this.limit;
+  override room(call: Call, admitted: number): CallRoom {
+    return { free: this.limit - admitted, total: this.limit };
   }
 }
--- a/packages/hickoryrelay-instance/src/FairShare.ts
+++ b/packages/hickoryrelay-instance/src/FairShare.ts
@@ -58,17 +58,9 @@
     this.clock(account).waiting -= 1;
   }
 
-  /** Advances the virtual time to the lowest clock of the accounts that wait in the lanes. */
-  advance(lanes: Iterable<{ readonly lines: Iterable<{ readonly clock: AccountClock }> }>): void {
-    let lowest = Number.POSITIVE_INFINITY;
-    for (const { lines } of lanes) {
-      for (const { clock } of lines) {
-        lowest = Math.min(lowest, clock.value);
-      }
-    }
-    if (lowest < Number.POSITIVE_INFINITY) {
-      this.virtual = Math.max(this.virtual, lowest);
-    }
+  /** Advances the virtual time to the lowest clock of the accounts that wait, which the caller finds. */
+  advance(lowestClock: number): void {
+    this.virtual = Math.max(this.virtual, lowestClock);
   }
 
   /** True if the account has used no more than its share, give or take a burst. */
--- a/packages/hickoryrelay-instance/src/PoolCapacity.ts
+++ b/packages/hickoryrelay-instance/src/PoolCapacity.ts
@@ -2,6 +2,7 @@
 import { canRun } from 'hickoryrelay-zone/SelectionPolicy';
 
 import { CallCapacity } from './CallCapacity.js';
+import type { CallRoom } from './CallCapacity.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { EndpointPool } from 'hickoryrelay-zone/EndpointPool';
@@ -22,17 +23,19 @@
     this.clock = clock;
   }
 
-  override hasRoom(call: Call, admitted: number): boolean {
+  override room(call: Call, admitted: number): CallRoom {
     const members = this.pool.membersFor(call).filter((endpoint) => canRun(endpoint, call));
     if (members.length === 0) {
       // The call is admitted and fails with `no-endpoint`, rather than waiting for what may not come.
-      return true;
+      return { free: Number.POSITIVE_INFINITY, total: 0 };
     }
     let free = 0;
+    let running = 0;
     for (const endpoint of withoutEjected(members, this.clock.monotonicMilliseconds())) {
       free += endpoint.room;
+      running += endpoint.callsInFlight;
     }
     const onTheWay = Math.max(0, admitted - this.fleet.callsInFlight);
-    return free > onTheWay;
+    return { free: free - onTheWay, total: free + running };
   }
 }
--- a/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
@@ -13,6 +13,7 @@
 import { CollectedRemoteUse } from '../../RemoteUse.js';
 
 import type { AdmissionTicket } from '../../AdmissionPolicy.js';
+import type { CallRoom } from '../../CallCapacity.js';
 import type { ModelCall } from 'hickoryrelay-link/Call';
 
 const SEED = 20_261_204;
@@ -20,6 +21,86 @@
 const BURST = 500;
 const LATENESS: Readonly<Record<string, number>> = { urgent: 1000, patient: 1e9, calm: 2e9 };
 
+/** What the reserve is specified by, stated here again so that the check does not follow the code. */
+const RESERVED_PART = 0.5;
+const ACTIVE_MILLISECONDS = 10_000;
+const SLOT_MILLISECONDS = 5000;
+const LOOK_AGAIN_MILLISECONDS = 50;
+const ROUNDING = 1e-9;
+
+/** A fixed capacity that keeps when the queue last looked at it. */
+class ObservedCapacity extends FixedCapacity {
+  lookedMilliseconds = 0;
+
+  private readonly clock: ManualClock;
+
+  constructor(limit: number, clock: ManualClock) {
+    super(limit);
+    this.clock = clock;
+  }
+
+  override room(call: ModelCall, admitted: number): CallRoom {
+    this.lookedMilliseconds = this.clock.monotonicMilliseconds();
+    return super.room(call, admitted);
+  }
+}
+
+/** The most room that an account may leave free, from the whole history of starts and ends. */
+class ReserveOracle {
+  private readonly events: { account: string; change: 1 | -1; cost: number; at: number }[] = [];
+
+  begin(account: string, cost: number, at: number): void {
+    this.events.push({ account, change: 1, cost, at });
+  }
+
+  end(account: string, at: number): void {
+    this.events.push({ account, change: -1, cost: 0, at });
+  }
+
+  bound(account: string, capacity: number, now: number): number {
+    return Math.min(
+      this.excess(account, now) * RESERVED_PART * capacity,
+      this.peakOfOthers(account, now),
+    );
+  }
+
+  /** Most calls that the others had at once in the present slot of 5 s and the one before. */
+  private peakOfOthers(account: string, now: number): number {
+    const since = (Math.floor(now / SLOT_MILLISECONDS) - 1) * SLOT_MILLISECONDS;
+    const others = this.events.filter((event) => event.account !== account);
+    let running = others
+      .filter(({ at }) => at < since)
+      .reduce((sum, { change }) => sum + change, 0);
+    let peak = running;
+    for (const { change } of others.filter(({ at }) => at >= since)) {
+      running += change;
+      peak = Math.max(peak, running);
+    }
+    return peak;
+  }
+
+  private excess(account: string, now: number): number {
+    const uses = new Map<string, { use: number; at: number }>();
+    for (const { account: user, at, change, cost } of this.events) {
+      if (change === 1) {
+        const known = uses.get(user);
+        const age = at - (known?.at ?? at);
+        const before = age > ACTIVE_MILLISECONDS ? 0 : (known?.use ?? 0);
+        uses.set(user, { use: before * Math.exp(-age / ACTIVE_MILLISECONDS) + cost, at });
+      }
+    }
+    const active = [...uses].filter(([, { at }]) => now - at <= ACTIVE_MILLISECONDS);
+    const recent = new Map(
+      active.map(([user, { at, use }]) => [user, use * Math.exp((at - now) / ACTIVE_MILLISECONDS)]),
+    );
+    const total = [...recent.values()].reduce((sum, use) => sum + use, 0);
+    if (recent.size < 2) {
+      return 0;
+    }
+    return Math.min(1, Math.max(0, ((recent.get(account) ?? 0) * recent.size) / total - 1));
+  }
+}
+
 /** Drives a queue by hand and keeps what became of each call. */
 class QueueDriver {
   readonly clock = new ManualClock();
@@ -34,26 +115,38 @@
 
   readonly refused: { call: ModelCall; kind: string; retryAfterSeconds: number }[] = [];
 
+  readonly waiting = new Set<ModelCall>();
+
+  readonly oracle = new ReserveOracle();
+
+  readonly capacity: ObservedCapacity;
+
   readonly aborts = new Map<ModelCall, AbortController>();
 
   private made = 0;
 
-  constructor(capacity: number, limit: number) {
+  constructor(capacity: number, limit: number, burst = BURST) {
+    this.capacity = new ObservedCapacity(capacity, this.clock);
     this.queue = new AdmissionQueue({
       clock: this.clock,
       costs: new CallCostModel(
         () => ({ prefillMilliseconds: 1, decodeMilliseconds: 0 }),
         () => 0,
       ),
-      capacity: new FixedCapacity(capacity),
+      capacity: this.capacity,
       remoteUse: this.remoteUse,
       latenessMilliseconds: (className) => LATENESS[className] ?? 0,
       limit,
-      share: new FairShare({ burst: BURST, debtLimit: 1e6 }),
+      share: new FairShare({ burst, debtLimit: 1e6 }),
     });
   }
 
-  async admit(account: string, className: string, promptTokens: number): Promise<ModelCall> {
+  async admit(
+    account: string,
+    className: string,
+    promptTokens: number,
+    model = 'model-one',
+  ): Promise<ModelCall> {
     this.made += 1;
     const now = this.clock.monotonicMilliseconds();
     const call: ModelCall = {
@@ -67,7 +160,7 @@
       isIdempotent: true,
       idempotencyKey: undefined,
       operation: ModelOperation.Completions,
-      model: 'model-one',
+      model,
       parameters: {},
       isStreaming: true,
       includesUsage: false,
@@ -75,12 +168,16 @@
     };
     const abort = new AbortController();
     this.aborts.set(call, abort);
+    this.waiting.add(call);
     this.queue.admit(call, abort.signal).then(
       (ticket) => {
+        this.waiting.delete(call);
+        this.oracle.begin(account, promptTokens, this.clock.monotonicMilliseconds());
         this.running.push({ call, ticket });
         this.admitted.push(call);
       },
       (error: unknown) => {
+        this.waiting.delete(call);
         const failure = failureOf(error);
         const retryAfterSeconds =
           failure.kind === FailureKind.Overloaded ? failure.retryAfterSeconds : 0;
@@ -93,7 +190,10 @@
 
   async release(index = 0): Promise<ModelCall | undefined> {
     const [ended] = this.running.splice(index % Math.max(1, this.running.length), 1);
-    ended?.ticket.release();
+    if (ended !== undefined) {
+      this.oracle.end(ended.call.accountName ?? '', this.clock.monotonicMilliseconds());
+      ended.ticket.release();
+    }
     await QueueDriver.settle();
     return ended?.call;
   }
@@ -104,6 +204,25 @@
     }
   }
 
+  /**
+   * Every call that waits while there was room at the last look must be one that may leave it free.
+   * With a bound of 0 this says that no call waits while there is room.
+   */
+  checkUnusedRoom(capacity: number): void {
+    const free = capacity - this.running.length;
+    if (this.queue.size === 0 || free <= 0) {
+      return;
+    }
+    const { lookedMilliseconds } = this.capacity;
+    const sinceLook = this.clock.monotonicMilliseconds() - lookedMilliseconds;
+    expect(sinceLook).toBeLessThanOrEqual(LOOK_AGAIN_MILLISECONDS);
+    expect(this.waiting.size).toBe(this.queue.size);
+    for (const { accountName } of this.waiting) {
+      const bound = this.oracle.bound(accountName ?? '', capacity, lookedMilliseconds);
+      expect(free).toBeLessThanOrEqual(bound + ROUNDING);
+    }
+  }
+
   servedCost(account: string): number {
     return this.admitted
       .filter(({ accountName }) => accountName === account)
@@ -111,67 +230,232 @@
   }
 }
 
-const commandArbitrary = fc.oneof(
-  fc.record({
-    type: fc.constant('admit' as const),
-    account: fc.constantFrom('a', 'b', 'c'),
-    className: fc.constantFrom('urgent', 'patient', 'calm'),
-    tokens: fc.integer({ min: 1, max: 400 }),
-  }),
-  fc.record({ type: fc.constant('release' as const), index: fc.nat(20) }),
-  fc.record({ type: fc.constant('abort' as const), index: fc.nat(40) }),
-  fc.record({
-    type: fc.constant('advance' as const),
-    milliseconds: fc.integer({ min: 1, max: 700 }),
-  }),
-);
+/** Events on a queue; `longest` is the longest time that may pass between two of them. */
+function commandsOf(accounts: readonly string[], longest: number) {
+  return fc.oneof(
+    fc.record({
+      type: fc.constant('admit' as const),
+      account: fc.constantFrom(...accounts),
+      className: fc.constantFrom('urgent', 'patient', 'calm'),
+      tokens: fc.integer({ min: 1, max: 400 }),
+    }),
+    fc.record({ type: fc.constant('release' as const), index: fc.nat(20) }),
+    fc.record({ type: fc.constant('abort' as const), index: fc.nat(40) }),
+    fc.record({
+      type: fc.constant('advance' as const),
+      milliseconds: fc.integer({ min: 1, max: longest }),
+    }),
+  );
+}
+
+type Command = ReturnType<typeof commandsOf> extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** Runs the commands and checks the bounds of the queue, and the room left unused, after each. */
+async function checkBounds(
+  driver: QueueDriver,
+  commands: readonly Command[],
+  capacity: number,
+  limit: number,
+  checkRoom: () => void,
+): Promise<void> {
+  const calls: ModelCall[] = [...driver.aborts.keys()];
+  for (const command of commands) {
+    if (command.type === 'admit') {
+      calls.push(await driver.admit(command.account, command.className, command.tokens));
+    } else if (command.type === 'release') {
+      await driver.release(command.index);
+    } else if (command.type === 'advance') {
+      await driver.clock.advance(command.milliseconds);
+    } else if (calls.length > 0) {
+      const call = calls[command.index % calls.length];
+      const before = driver.queue.size;
+      const isWaiting =
+        call !== undefined &&
+        !driver.admitted.includes(call) &&
+        !driver.refused.some((each) => each.call === call);
+      if (call !== undefined) {
+        driver.aborts.get(call)?.abort();
+      }
+      expect(driver.queue.size).toBe(isWaiting ? before - 1 : before);
+      await QueueDriver.settle();
+    }
+    const { queue, admitted, refused, running } = driver;
+    expect(queue.size).toBeLessThanOrEqual(limit);
+    expect(queue.admitted).toBe(running.length);
+    expect(running.length).toBeLessThanOrEqual(capacity);
+    expect(calls.length).toBe(admitted.length + refused.length + queue.size);
+    expect(refused.some(({ call }) => admitted.includes(call))).toBe(false);
+    checkRoom();
+  }
+}
 
 describe('AdmissionQueue', () => {
   // Guards against a queue that grows without bound, callers that left but still hold a place,
-  // refused calls that run all the same, and room that stays unused while calls wait.
+  // refused calls that run all the same, and room that stays unused while calls wait, beyond the
+  // reserve: only calls of an account beyond an equal part of the recent use may leave room free,
+  // and no more than the others had at once lately.
   it('keeps its bounds under any order of events', async () => {
     await fc.assert(
       fc.asyncProperty(
-        fc.array(commandArbitrary, { minLength: 20, maxLength: 120 }),
+        fc.array(commandsOf(['a', 'b', 'c'], 700), { minLength: 20, maxLength: 120 }),
+        fc.integer({ min: 1, max: 8 }),
+        fc.integer({ min: 1, max: 8 }),
+        async (commands, capacity, limit) => {
+          const driver = new QueueDriver(capacity, limit);
+          await checkBounds(driver, commands, capacity, limit, () => {
+            driver.checkUnusedRoom(capacity);
+          });
+        },
+      ),
+      { seed: SEED, numRuns: RUNS },
+    );
+  });
+
+  // Guards against reserves that outlast the use by others that they are for.
+  it('keeps the bounds of its reserve while accounts come and go', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(commandsOf(['a', 'a', 'a', 'b', 'c'], 4000), { minLength: 60, maxLength: 120 }),
+        fc.integer({ min: 2, max: 8 }),
+        async (commands, capacity) => {
+          // With a small burst the accounts beyond their share are often the only ones that may start.
+          const driver = new QueueDriver(capacity, 8, BURST / 10);
+          await checkBounds(driver, commands, capacity, 8, () => {
+            driver.checkUnusedRoom(capacity);
+          });
+        },
+      ),
+      { seed: SEED, numRuns: RUNS },
+    );
+  });
+
+  // Guards against a reserve for nobody: with one account, no room stays unused while calls wait.
+  it('keeps its bounds and leaves no room unused with one account', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(commandsOf(['a'], 700), { minLength: 20, maxLength: 120 }),
         fc.integer({ min: 1, max: 4 }),
         fc.integer({ min: 1, max: 8 }),
         async (commands, capacity, limit) => {
           const driver = new QueueDriver(capacity, limit);
-          const calls: ModelCall[] = [];
-          for (const command of commands) {
-            if (command.type === 'admit') {
-              calls.push(await driver.admit(command.account, command.className, command.tokens));
-            } else if (command.type === 'release') {
-              await driver.release(command.index);
-            } else if (command.type === 'advance') {
-              await driver.clock.advance(command.milliseconds);
-            } else if (calls.length > 0) {
-              const call = calls[command.index % calls.length];
-              const before = driver.queue.size;
-              const isWaiting =
-                call !== undefined &&
-                !driver.admitted.includes(call) &&
-                !driver.refused.some((each) => each.call === call);
-              if (call !== undefined) {
-                driver.aborts.get(call)?.abort();
-              }
-              expect(driver.queue.size).toBe(isWaiting ? before - 1 : before);
-              await QueueDriver.settle();
-            }
-            const { queue, admitted, refused, running } = driver;
-            expect(queue.size).toBeLessThanOrEqual(limit);
-            expect(queue.admitted).toBe(running.length);
-            expect(running.length).toBeLessThanOrEqual(capacity);
-            expect(calls.length).toBe(admitted.length + refused.length + queue.size);
-            expect(refused.some(({ call }) => admitted.includes(call))).toBe(false);
+          const { queue, running } = driver;
+          await checkBounds(driver, commands, capacity, limit, () => {
             expect(queue.size > 0 && running.length < capacity).toBe(false);
+          });
+        },
+      ),
+      { seed: SEED, numRuns: RUNS },
+    );
+  });
+
+  // Guards against a reserve for accounts that were active once but not lately.
+  it('keeps its bounds and leaves no room unused when the others were not active lately', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(commandsOf(['a', 'b', 'c'], 700), { minLength: 20, maxLength: 120 }),
+        fc.array(commandsOf(['a'], 700), { minLength: 20, maxLength: 120 }),
+        fc.integer({ min: 1, max: 4 }),
+        fc.integer({ min: 1, max: 8 }),
+        async (earlier, commands, capacity, limit) => {
+          const driver = new QueueDriver(capacity, limit);
+          const { queue, running } = driver;
+          await checkBounds(driver, earlier, capacity, limit, () => {});
+          while (running.length > 0) {
+            await driver.release();
           }
+          await driver.clock.advance(ACTIVE_MILLISECONDS + LOOK_AGAIN_MILLISECONDS);
+          while (running.length > 0) {
+            await driver.release();
+          }
+          await driver.clock.advance(ACTIVE_MILLISECONDS + LOOK_AGAIN_MILLISECONDS);
+          await checkBounds(driver, commands, capacity, limit, () => {
+            expect(queue.size > 0 && running.length < capacity).toBe(false);
+          });
         },
       ),
       { seed: SEED, numRuns: RUNS },
     );
   });
 
+  // Guards against a reserve beyond what the others can use, and one that outlasts their use.
+  it('leaves as much room free as the others had at once lately, and no longer than lately', async () => {
+    const driver = new QueueDriver(10, 100);
+    await driver.admit('light', 'patient', 10);
+    for (let index = 0; index < 12; index += 1) {
+      await driver.admit('heavy', 'patient', 100);
+    }
+    expect(driver.running.length).toBe(9);
+    const light = await driver.admit('light', 'patient', 10);
+    expect(driver.admitted.at(-1)).toBe(light);
+    await driver.clock.advance(ACTIVE_MILLISECONDS);
+    await driver.release(driver.running.findIndex(({ call }) => call === light));
+    await driver.release(driver.running.findIndex(({ call }) => call.accountName === 'light'));
+    // The two calls of the light account ran at once.
+    expect(driver.running.length).toBe(8);
+    await driver.clock.advance(2 * SLOT_MILLISECONDS + LOOK_AGAIN_MILLISECONDS);
+    expect(driver.running.length).toBe(10);
+  });
+
+  // Guards against a queue full of calls that leave room to others, which shuts out these others.
+  it('starts a call that may use the reserved room although the queue is full', async () => {
+    const driver = new QueueDriver(10, 1);
+    await driver.admit('light', 'patient', 10);
+    for (let index = 0; index < 9; index += 1) {
+      await driver.admit('heavy', 'patient', 100);
+    }
+    expect(driver.running.length).toBe(9);
+    expect(driver.queue.size).toBe(1);
+    const light = await driver.admit('light', 'patient', 200);
+    expect(driver.admitted.at(-1)).toBe(light);
+    expect(driver.refused).toEqual([]);
+    expect(driver.queue.size).toBe(1);
+  });
+
+  // Guards against calls of one model that wait for accounts that use only another one.
+  it('reserves no room for accounts that use other models', async () => {
+    const driver = new QueueDriver(10, 100);
+    for (let index = 0; index < 3; index += 1) {
+      await driver.admit('light', 'patient', 10, 'model-two');
+    }
+    for (let index = 0; index < 12; index += 1) {
+      await driver.admit('heavy', 'patient', 100);
+    }
+    expect(driver.running.length).toBe(10);
+  });
+
+  // Guards against a flood that fills the endpoints while no other account happens to wait: calls
+  // of the others that arrive together then find too few free places before they are late.
+  it('gives each account at least 0.9 of its fair share while one floods', async () => {
+    const driver = new QueueDriver(20, 500);
+    const stepMilliseconds = 100;
+    const ends = new Map<ModelCall, number>();
+    let started = 0;
+    for (let now = 0; now < 60_000; now += stepMilliseconds) {
+      for (const call of [...ends.keys()].filter((each) => (ends.get(each) ?? 0) <= now)) {
+        ends.delete(call);
+        await driver.release(driver.running.findIndex((each) => each.call === call));
+      }
+      if (now % 2000 === 1000) {
+        for (let index = 0; index < 8; index += 1) {
+          await driver.admit(`light${index % 2}`, 'urgent', 400);
+        }
+      }
+      await driver.admit('flood', 'patient', 400);
+      await driver.admit('flood', 'patient', 400);
+      for (const { call } of driver.running.filter((each) => !ends.has(each.call))) {
+        // From 1 to 3 s in a fixed order, so that places become free at all times.
+        ends.set(call, now + 1000 + ((started * 700) % 2100));
+        started += 1;
+      }
+      await driver.clock.advance(stepMilliseconds);
+    }
+    const demand = 30 * 4 * 400;
+    expect(driver.servedCost('flood')).toBeGreaterThan(demand);
+    for (const account of ['light0', 'light1']) {
+      expect(driver.servedCost(account) / demand).toBeGreaterThanOrEqual(0.9);
+    }
+  });
+
   // Guards against an account that floods with urgent calls and takes the share of the others.
   it('gives each waiting account its max-min fair share within a bound', async () => {
     await fc.assert(
