Test that calls which leave room are not held for good

An account that waits beside others that keep their calls running is served once its recent use has decayed. The test holds a heavy account's call back beside six running calls of a light account and expects it to start within 20 s; it passes on the present code, so nothing else changes.

--- a/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
@@ -411,6 +411,26 @@
     expect(driver.queue.size).toBe(1);
   });
 
+  // Guards against an account that waits for good beside others that keep their calls running.
+  it('starts the calls that leave room within seconds when their account is not served', async () => {
+    const driver = new QueueDriver(10, 100);
+    for (let index = 0; index < 60; index += 1) {
+      await driver.admit('heavy', 'patient', 400);
+      await driver.release();
+    }
+    for (let index = 0; index < 6; index += 1) {
+      await driver.admit('light', 'calm', 100);
+    }
+    const held = await driver.admit('heavy', 'patient', 400);
+    expect(driver.admitted.includes(held)).toBe(false);
+    for (let second = 0; second < 20; second += 1) {
+      await driver.clock.advance(1000);
+      await driver.release(driver.running.findIndex(({ call }) => call.accountName === 'light'));
+      await driver.admit('light', 'calm', 100);
+    }
+    expect(driver.admitted.includes(held)).toBe(true);
+  });
+
   // Guards against calls of one model that wait for accounts that use only another one.
   it('reserves no room for accounts that use other models', async () => {
     const driver = new QueueDriver(10, 100);
