Follow the cache events of each engine of the subset

Cause: the daemon knew of an engine's prefix cache only from its own calls, so prefixes that calls of other instances left behind were not found, and evictions were not seen.

Each engine of the subset has a CacheEventTask beside its EngineLoadTask; what both share is in EngineReadingTask and EngineReadingTasks.

Answers end at 32 KB, the index at 4,096 keys. After a read of N bytes a task waits N times the number of engines / 2,048 B/s, so that all engines together cost 2 KB a second. Calls carry `prefix_keys`, by which the engine names the parts of a prompt in its events. Time limits of reads run on the instance's clock, and malformed answers are protocol violations.

Excluded: `cache_salt` and hashes of the engine's own. An instance that does not tokenize cannot match them with a prompt.

--- a/packages/hickoryrelay-endpoint/src/PrefixIndex.ts
+++ b/packages/hickoryrelay-endpoint/src/PrefixIndex.ts
@@ -10,6 +10,24 @@
   readonly key: string;
 }
 
+/** What an engine answers to a reader that knows its events up to a number. */
+export interface CacheChanges {
+  /** Names one run of the engine's process; it changes when the engine restarts. */
+  readonly incarnation: string;
+  /** Number of the last event that the engine has published. */
+  readonly lastNumber: number;
+  /** Events after the reader's number, oldest first; not necessarily all of them. */
+  readonly events: readonly CacheEvent[];
+}
+
+/** The prefixes that an engine holds after the event of the given number. */
+export interface CacheSnapshot {
+  readonly incarnation: string;
+  readonly lastNumber: number;
+  /** The prefix used longest ago first. */
+  readonly keys: readonly string[];
+}
+
 /** Prompt tokens that one key stands for; callers cut prompts into parts of this size. */
 export const TOKENS_PER_PREFIX_KEY = 256;
 
@@ -30,6 +48,9 @@
 
   private lastNumber = 0;
 
+  /** The run of the engine whose events are followed; undefined until a snapshot is taken over. */
+  private incarnation: string | undefined;
+
   get lastEventNumber(): number {
     return this.lastNumber;
   }
@@ -38,6 +59,40 @@
     return this.confidences.size;
   }
 
+  /** False if only a snapshot can tell what the engine holds. */
+  get isFollowing(): boolean {
+    return this.incarnation !== undefined;
+  }
+
+  /** Drops all that is known of the engine. */
+  forget(): void {
+    this.confidences.clear();
+    this.incarnation = undefined;
+    this.lastNumber = 0;
+  }
+
+  /** Takes over what the engine holds. Calls that were sent in the meantime stay known. */
+  takeSnapshot({ incarnation, keys, lastNumber }: CacheSnapshot): void {
+    this.incarnation = incarnation;
+    this.lastNumber = lastNumber;
+    for (const key of keys) {
+      this.put(key, 1);
+    }
+  }
+
+  /**
+   * Takes over the events that follow what is known. After a gap or a restart of the engine, drops
+   * everything and returns false: evictions may have gone unseen.
+   */
+  takeChanges(changes: CacheChanges): boolean {
+    if (!this.isContinuedBy(changes)) {
+      this.forget();
+      return false;
+    }
+    this.apply(changes.events);
+    return true;
+  }
+
   /** Takes over events in the order of their numbers. Events that are already known are ignored. */
   apply(events: readonly CacheEvent[]): void {
     for (const event of events) {
@@ -76,6 +131,13 @@
     return expected * TOKENS_PER_PREFIX_KEY;
   }
 
+  private isContinuedBy({ events, incarnation, lastNumber }: CacheChanges): boolean {
+    const hasNoGap = events.every(({ number }, index) => number === this.lastNumber + index + 1);
+    // An engine that has published more and gives none of it has lost the events in between.
+    const hasNoLostEnd = events.length > 0 || lastNumber === this.lastNumber;
+    return incarnation === this.incarnation && hasNoGap && hasNoLostEnd;
+  }
+
   private applyOne({ kind, key }: CacheEvent): void {
     if (kind === CacheEventKind.Stored) {
       this.put(key, 1);
--- a/packages/hickoryrelay-endpoint/src/__tests__/unit/EngineView.test.ts
+++ b/packages/hickoryrelay-endpoint/src/__tests__/unit/EngineView.test.ts
@@ -85,4 +85,42 @@
     expect(index.cachedTokens(['1'])).toBe(0);
     expect(index.cachedTokens(['5000'])).toBe(TOKENS_PER_PREFIX_KEY);
   });
+
+  // Guards against evictions that were missed: in a gap, at the end of the sequence, by a restart.
+  it('drops everything unless the changes continue what it knows', () => {
+    const known = { incarnation: 'one', lastNumber: 7, keys };
+    const event = (number: number) => ({ number, kind: CacheEventKind.Stored, key: `${number}` });
+    const cases = [
+      { incarnation: 'one', lastNumber: 9, events: [event(9)] },
+      { incarnation: 'one', lastNumber: 10, events: [event(8), event(10)] },
+      { incarnation: 'one', lastNumber: 8, events: [] },
+      { incarnation: 'one', lastNumber: 6, events: [] },
+      { incarnation: 'two', lastNumber: 7, events: [] },
+    ];
+    for (const changes of cases) {
+      const index = new PrefixIndex();
+      index.takeSnapshot(known);
+      expect(index.takeChanges(changes)).toBe(false);
+      expect([index.size, index.isFollowing]).toEqual([0, false]);
+    }
+    const index = new PrefixIndex();
+    index.takeSnapshot(known);
+    expect(index.takeChanges({ ...known, events: [] })).toBe(true);
+    expect(index.takeChanges({ ...known, lastNumber: 20, events: [event(8), event(9)] })).toBe(
+      true,
+    );
+    expect([index.size, index.lastEventNumber]).toEqual([5, 9]);
+  });
+
+  // Guards against unbounded memory by a snapshot, and against the loss of the latest prefixes.
+  it('keeps the end of a snapshot that is too long', () => {
+    const index = new PrefixIndex();
+    const many = Array.from({ length: 5000 }, (empty, at) => `${at}`);
+    index.takeSnapshot({ incarnation: 'one', lastNumber: 1, keys: many });
+    expect(index.size).toBe(4096);
+    expect([index.cachedTokens(['0']), index.cachedTokens(['4999'])]).toEqual([
+      0,
+      TOKENS_PER_PREFIX_KEY,
+    ]);
+  });
 });
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -11,6 +11,7 @@
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 
 import { AnswerMemory } from './AnswerMemory.js';
+import { CacheEventTasks } from './CacheEventTasks.js';
 import { CallersInterface } from './CallersInterface.js';
 import { CallMetrics } from './CallMetrics.js';
 import { CallShareTask } from './CallShareTask.js';
@@ -229,6 +230,14 @@
     this.lifecycle.start(
       new EngineLoadTasks(this.policy.pool, this.lifecycle.child('engine loads'), endpointLog),
     );
+    this.lifecycle.start(
+      new CacheEventTasks(
+        this.policy.pool,
+        this.lifecycle.child('cache events'),
+        this.parts.random,
+        endpointLog,
+      ),
+    );
     await this.startBroker();
     await this.startControl();
   }
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/EngineReadingFixture.ts
@@ -0,0 +1,128 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import { vi } from 'vitest';
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { RandomSource } from 'hickoryrelay/RandomSource';
+import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
+import { EngineStandIn } from 'hickoryrelay-standin/EngineStandIn';
+import { EndpointPool } from 'hickoryrelay-zone/EndpointPool';
+import { EndpointSubset } from 'hickoryrelay-zone/EndpointSubset';
+import { Fleet } from 'hickoryrelay-zone/Fleet';
+
+import type { Failure } from 'hickoryrelay/Failure';
+import type { JsonAnswer, ReceivedRequest } from 'hickoryrelay-standin/JsonServer';
+
+export const KIND = {
+  name: 'engine',
+  serves: WorkKind.Model,
+  models: ['model-one'],
+  routes: [],
+  checksFencing: true,
+  reclaimable: false,
+  costPerHour: 1,
+};
+
+/** Long enough for a read on loopback that is wrongly under way to be seen. */
+const QUIET_MILLISECONDS = 60;
+
+/** Draws the lowest number each time, so that delays with jitter are half of their ceilings. */
+export class LowestRandomSource extends RandomSource {
+  draws = 0;
+
+  override fraction(): number {
+    this.draws += 1;
+    return 0;
+  }
+
+  override identifier(): string {
+    return '0';
+  }
+}
+
+/** Engines that share one address; their names are the first part of the path. */
+export class ReadEngines extends EngineStandIn {
+  /** Paths and queries of all reads, with the engine's name in front. */
+  readonly reads: string[] = [];
+
+  /** Reads whose answers are on the way back. */
+  answered = 0;
+
+  constructor() {
+    super(['model-one'], { prefillRate: 1000, decodeMilliseconds: 1 });
+  }
+
+  protected override async answer(request: ReceivedRequest): Promise<JsonAnswer> {
+    const [, name = '', ...rest] = request.path.split('/');
+    const query = request.query.size === 0 ? '' : `?${request.query.toString()}`;
+    this.reads.push(`${name}/${rest.join('/')}${query}`);
+    const answer = await super.answer({ ...request, path: `/${rest.join('/')}` });
+    this.answered += 1;
+    return answer;
+  }
+}
+
+/** A pool of engines on a clock that the test moves, and the owner of its tasks. */
+export class EngineReadingFixture {
+  readonly clock = new ManualClock();
+
+  readonly random = new LowestRandomSource();
+
+  readonly failures: Failure[] = [];
+
+  readonly lifecycle = new LifecycleManager('test', this.clock, (owner, failure) => {
+    this.failures.push(failure);
+  });
+
+  readonly fleet = new Fleet();
+
+  readonly pool = new EndpointPool(new EndpointSubset('entry-1', 'zone-a'), this.fleet);
+
+  readonly engines = new ReadEngines();
+
+  supply(count: number): void {
+    const supplied = Array.from({ length: count }, (empty, index) => ({
+      identifier: `engine-${index}`,
+      kind: KIND.name,
+      zone: 'zone-a',
+      url: `${this.engines.url}/engine-${index}`,
+      state: SupplyState.Live,
+    }));
+    this.fleet.update(supplied, new Map([[KIND.name, KIND]]));
+  }
+
+  /** Names of the engines read since the given number of reads, sorted. */
+  readSince(count: number): string[] {
+    const names = this.engines.reads.slice(count).map((read) => read.split('/')[0] ?? '');
+    return [...new Set(names)].sort();
+  }
+
+  /** Names of the engines that the instance uses, sorted. */
+  get members(): string[] {
+    return this.pool.members.map(({ identifier }) => identifier).sort();
+  }
+
+  async waitForReads(count: number): Promise<void> {
+    await vi.waitUntil(() => this.engines.answered >= count);
+    await this.settle();
+  }
+
+  /** Lets answers that are on their way arrive. */
+  async settle(): Promise<void> {
+    await sleep(QUIET_MILLISECONDS);
+  }
+
+  /** Moves the clock in steps, with time for the reads that fall due in each. */
+  async pass(milliseconds: number, stepMilliseconds = 500): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += stepMilliseconds) {
+      await this.clock.advance(Math.min(stepMilliseconds, milliseconds - passed));
+      await this.settle();
+    }
+  }
+
+  async stop(): Promise<void> {
+    await this.lifecycle.stop();
+    await this.engines.close();
+  }
+}
--- a/packages/hickoryrelay-link/src/OpenAiEngineLink.ts
+++ b/packages/hickoryrelay-link/src/OpenAiEngineLink.ts
@@ -22,6 +22,10 @@
       model: call.model,
       stream: call.isStreaming,
       request_id: call.requestIdentifier,
+      // The engine names the parts of the prompt by these keys in its cache events.
+      ...(call.prefixKeys === undefined || call.prefixKeys.length === 0
+        ? {}
+        : { prefix_keys: call.prefixKeys }),
       ...(call.isStreaming ? { stream_options: { include_usage: true } } : {}),
       ...(resume === undefined
         ? {}
--- /dev/null
+++ b/packages/hickoryrelay-standin/src/CacheEventLog.ts
@@ -0,0 +1,47 @@
+import { runsOf } from 'hickoryrelay-endpoint/CacheEvents';
+
+import type { JsonAnswer } from './JsonServer.js';
+import type { PrefixCacheModel } from './PrefixCacheModel.js';
+import type { CacheEvent } from 'hickoryrelay-endpoint/PrefixIndex';
+
+/** Events that are kept for readers; older ones are lost to them. */
+const KEPT_EVENTS = 4096;
+const DEFAULT_LIMIT = 256;
+
+/** The interface by which a modelled engine publishes the events of its prefix cache. */
+export class CacheEventLog {
+  private readonly cache: PrefixCacheModel;
+
+  private readonly incarnation: string;
+
+  private published: CacheEvent[] = [];
+
+  private lastNumber = 0;
+
+  private publishedKeys: readonly string[] = [];
+
+  constructor(cache: PrefixCacheModel, incarnation: string) {
+    this.cache = cache;
+    this.incarnation = incarnation;
+  }
+
+  /** Publishes what has happened since the last time, but for the events that are lost. */
+  publish(isLost: (event: CacheEvent) => boolean = () => false): void {
+    const kept = this.cache.takeEvents().filter((event) => !isLost(event));
+    this.published = [...this.published, ...kept].slice(-KEPT_EVENTS);
+    this.lastNumber = this.cache.lastEventNumber;
+    this.publishedKeys = this.cache.keys;
+  }
+
+  /** Answers `GET /cache_events`: events after a number, or a snapshot. */
+  answer(query: URLSearchParams): JsonAnswer {
+    const head = { incarnation: this.incarnation, last_number: this.lastNumber };
+    const limit = Number(query.get('limit') ?? DEFAULT_LIMIT);
+    const after = query.get('after');
+    if (after === null) {
+      return { status: 200, body: { ...head, keys: this.publishedKeys.slice(-limit) } };
+    }
+    const events = this.published.filter(({ number }) => number > Number(after)).slice(0, limit);
+    return { status: 200, body: { ...head, runs: runsOf(events) } };
+  }
+}
--- a/packages/hickoryrelay-standin/src/EngineServiceModel.ts
+++ b/packages/hickoryrelay-standin/src/EngineServiceModel.ts
@@ -1,8 +1,7 @@
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
-import { CacheEventKind, TOKENS_PER_PREFIX_KEY } from 'hickoryrelay-endpoint/PrefixIndex';
 
+import { PrefixCacheModel } from './PrefixCacheModel.js';
 import type { LoadReport } from 'hickoryrelay-endpoint/EngineLoad';
-import type { CacheEvent } from 'hickoryrelay-endpoint/PrefixIndex';
 
 /** Size and speed of a modelled engine. */
 export interface EngineServiceParts {
@@ -73,16 +72,27 @@
 
   private running: RunningCall[] = [];
 
-  private readonly cache = new Set<string>();
+  readonly cache: PrefixCacheModel;
 
-  private events: CacheEvent[] = [];
+  private prompts = 0;
 
-  private eventNumber = 0;
+  private saved = 0;
 
   private callMilliseconds = 0;
 
   constructor(parts: EngineServiceParts = DEFAULT_ENGINE_SERVICE) {
     this.parts = parts;
+    this.cache = new PrefixCacheModel(parts.cacheTokens);
+  }
+
+  /** Prompt tokens of all calls that were started. */
+  get promptTokens(): number {
+    return this.prompts;
+  }
+
+  /** Prompt tokens that the prefix cache held when their calls were started. */
+  get savedTokens(): number {
+    return this.saved;
   }
 
   get role(): EngineRole {
@@ -129,13 +139,6 @@
     };
   }
 
-  /** Cache events since the last call. */
-  takeEvents(): readonly CacheEvent[] {
-    const taken = this.events;
-    this.events = [];
-    return taken;
-  }
-
   step(milliseconds: number): void {
     this.nowMilliseconds += milliseconds;
     if (this.nowMilliseconds < this.unavailableUntil) {
@@ -164,6 +167,8 @@
         return;
       }
       const prefillTokens = Math.max(1, this.uncachedTokens(call));
+      this.prompts += call.promptTokens;
+      this.saved += call.promptTokens - prefillTokens;
       const startedMilliseconds = this.nowMilliseconds;
       this.running.push({ call, startedMilliseconds, prefillTokens, decoded: 0 });
     }
@@ -176,7 +181,7 @@
       each.prefillTokens -= done;
       tokens -= done;
       if (each.prefillTokens <= 0) {
-        this.remember(each.call.prefixKeys);
+        this.cache.remember(each.call.prefixKeys);
         each.decoded = 1;
         each.call.onTokens(1);
       }
@@ -201,30 +206,6 @@
   }
 
   private uncachedTokens({ prefixKeys, promptTokens }: ModelledCall): number {
-    const missing = prefixKeys.findIndex((key) => !this.cache.has(key));
-    const hits = missing < 0 ? prefixKeys.length : missing;
-    return Math.max(0, promptTokens - hits * TOKENS_PER_PREFIX_KEY);
-  }
-
-  private remember(keys: readonly string[]): void {
-    for (const key of keys) {
-      if (!this.cache.delete(key)) {
-        this.emit(CacheEventKind.Stored, key);
-      }
-      this.cache.add(key);
-    }
-    const most = Math.floor(this.parts.cacheTokens / TOKENS_PER_PREFIX_KEY);
-    for (const key of this.cache) {
-      if (this.cache.size <= most) {
-        break;
-      }
-      this.cache.delete(key);
-      this.emit(CacheEventKind.Evicted, key);
-    }
-  }
-
-  private emit(kind: CacheEventKind, key: string): void {
-    this.eventNumber += 1;
-    this.events.push({ number: this.eventNumber, kind, key });
+    return Math.max(0, promptTokens - this.cache.cachedTokens(prefixKeys));
   }
 }
--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { createHash, randomUUID } from 'node:crypto';
 import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 
@@ -6,10 +6,11 @@
 import { OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
 
+import { CacheEventLog } from './CacheEventLog.js';
 import { EngineOrderSide } from './EngineOrderSide.js';
 import { GenerationTable } from './GenerationTable.js';
 import { JsonServer } from './JsonServer.js';
-
+import { PrefixCacheModel } from './PrefixCacheModel.js';
 import { StreamFault } from './StreamFault.js';
 import type { JsonAnswer, ReceivedRequest } from './JsonServer.js';
 import type { PlannedStreamFault } from './StreamFault.js';
@@ -37,6 +38,7 @@
   readonly stream?: boolean;
   readonly request_id?: string;
   readonly max_tokens?: number;
+  readonly prefix_keys?: readonly string[];
   readonly messages?: unknown;
   readonly prompt?: unknown;
   readonly resume?: { readonly delivered_tokens: number; readonly delivered_text: string };
@@ -49,6 +51,7 @@
 /** The stand-in runs any number of calls at a time; it reports so many places. */
 const REPORTED_SLOTS = 256;
 const CALL_TIME_WEIGHT = 0.1;
+const DEFAULT_CACHE_TOKENS = 160_000;
 const REQUESTS_PATH = '/requests/';
 const FOREIGN_REQUEST = 'another-request';
 
@@ -156,6 +159,12 @@
   /** Figures for `GET /load` in place of the engine's own. */
   load: EngineLoadFigures | undefined;
 
+  /** Whether `GET /cache_events` is offered. */
+  publishesCacheEvents = true;
+
+  /** Whether events are published as soon as a prompt is processed; otherwise by `cacheEvents`. */
+  publishesAtOnce = true;
+
   /** Open answers on which nothing more is sent. */
   silentAnswers = 0;
 
@@ -170,6 +179,10 @@
 
   private callMilliseconds = 0;
 
+  private cache = new PrefixCacheModel(DEFAULT_CACHE_TOKENS);
+
+  private log = this.newLog();
+
   private readonly times: EngineTimes;
 
   private readonly models: readonly string[];
@@ -182,6 +195,17 @@
     this.times = times;
   }
 
+  /** The published events of the prefix cache; tests publish late and leave some out. */
+  get cacheEvents(): CacheEventLog {
+    return this.log;
+  }
+
+  /** Empties the prefix cache and begins a new sequence of events, as a new process does. */
+  restartCache(cacheTokens = DEFAULT_CACHE_TOKENS): void {
+    this.cache = new PrefixCacheModel(cacheTokens);
+    this.log = this.newLog();
+  }
+
   /** Plans the faults of the next generation that has none yet. */
   misbehaveNext(...faults: readonly PlannedStreamFault[]): void {
     this.plannedFaults.push(faults);
@@ -202,6 +226,9 @@
     if (request.method === 'GET' && request.path === '/load') {
       return { status: 200, body: this.loadReport() };
     }
+    if (request.path === '/cache_events' && this.publishesCacheEvents) {
+      return this.log.answer(request.query);
+    }
     if (request.path.startsWith('/orders')) {
       return this.orders.answer(request);
     }
@@ -439,9 +466,22 @@
     this.prefilling.add(prompt);
     await sleep((tokens / this.times.prefillRate) * MILLISECONDS_PER_SECOND);
     this.prefilling.delete(prompt);
+    this.rememberPrefix(body.prefix_keys ?? []);
     return completionWords(text, body.max_tokens ?? DEFAULT_MAX_TOKENS);
   }
 
+  /** Holds the parts of a prompt in the prefix cache. */
+  rememberPrefix(keys: readonly string[]): void {
+    this.cache.remember(keys);
+    if (this.publishesAtOnce) {
+      this.log.publish();
+    }
+  }
+
+  private newLog(): CacheEventLog {
+    return new CacheEventLog(this.cache, randomUUID());
+  }
+
   private static promptOf(body: CompletionBody): string {
     return JSON.stringify(body.messages ?? body.prompt);
   }
