Measure routing with and without cache events

Cause: the model gave every instance every event once a second at no cost, so the figures of the policy held for events that the daemon did not read.

The model's instances now read events as CacheEventTask does, within `--event-bytes` (0: none), with `--lost-events` lost before publication.

--- a/packages/hickoryrelay-bench/src/PolicyModel.ts
+++ b/packages/hickoryrelay-bench/src/PolicyModel.ts
@@ -1,10 +1,18 @@
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import { decodeCacheChanges, decodeCacheSnapshot } from 'hickoryrelay-endpoint/CacheEvents';
 import { Engine } from 'hickoryrelay-endpoint/Engine';
+import { cacheReadIntervalMilliseconds } from 'hickoryrelay-instance/CacheEventTasks';
 import { CollectedRemoteUse } from 'hickoryrelay-instance/RemoteUse';
 import { TrafficPolicy } from 'hickoryrelay-instance/TrafficPolicy';
+import {
+  MOST_EVENTS,
+  MOST_SNAPSHOT_KEYS,
+  READ_OVERHEAD_BYTES,
+} from 'hickoryrelay-link/EngineStatusLink';
 import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
+import { CacheEventLog } from 'hickoryrelay-standin/CacheEventLog';
 import { EngineServiceModel } from 'hickoryrelay-standin/EngineServiceModel';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 
@@ -45,10 +53,24 @@
   readonly prefillPart: (seconds: number) => number;
   /** When the reclaimable engines of zone c are announced as leaving; they end 3 s later. */
   readonly reclaimSeconds?: number;
+  /** Bytes a second that an instance spends on cache events; 0 for routing without them. */
+  readonly cacheEventBytesPerSecond: number;
+  /** Part of the cache events that is lost before they are published. */
+  readonly lostEvents: number;
   /** Calls that first come, first served runs at a time, for each engine of the fleet. */
   readonly firstComeLimit: number;
 }
 
+/** What the prefix caches saved, and what the cache events cost. */
+export interface CacheFigures {
+  /** Part of all prompt tokens that a cache held. */
+  readonly savedPart: number;
+  /** Bytes a second that one instance spent on cache events, on average. */
+  readonly eventBytesPerSecond: number;
+  /** Snapshots that one instance read in a second, on average. */
+  readonly snapshotsPerSecond: number;
+}
+
 /** What became of a call. */
 export interface CallOutcome {
   readonly account: string;
@@ -66,7 +88,6 @@
 const STEP_MILLISECONDS = 10;
 const REPORT_INTERVAL_MILLISECONDS = 1000;
 const GOSSIP_INTERVAL_MILLISECONDS = 1000;
-const LOST_EVENT_SHARE = 0.02;
 const RECLAIM_NOTICE_SECONDS = 3;
 const MILLISECONDS_PER_SECOND = 1000;
 const LARGEST_ACCOUNTS = 8;
@@ -100,6 +121,7 @@
   readonly zone: string;
   readonly kind: string;
   readonly service: EngineServiceModel;
+  readonly log: CacheEventLog;
   state: SupplyState;
 }
 
@@ -113,6 +135,14 @@
     this.ownUse.set(account, (this.ownUse.get(account) ?? 0) + cost);
   });
 
+  private readonly nextReads = new Map<string, number>();
+
+  private readonly scenario: Scenario;
+
+  eventBytes = 0;
+
+  snapshots = 0;
+
   readonly policy: TrafficPolicy;
 
   readonly admission: AdmissionPolicy;
@@ -120,6 +150,7 @@
   readonly selection: SelectionPolicy;
 
   constructor(index: number, name: PolicyName, clock: ManualClock, scenario: Scenario) {
+    this.scenario = scenario;
     this.policy = new TrafficPolicy({
       instanceName: `entry-${index}`,
       zone: ZONES[index % ZONES.length] ?? '',
@@ -146,6 +177,43 @@
     }
   }
 
+  /** Reads the cache events of an engine when their time has come, as `CacheEventTask` does. */
+  readEvents({ identifier, log, zone }: ModelledEngine, now: number): void {
+    const { cacheEventBytesPerSecond } = this.scenario;
+    const engine = this.fleet.zone(zone).find(identifier);
+    const isDue = now >= (this.nextReads.get(identifier) ?? 0);
+    if (cacheEventBytesPerSecond === 0 || !isDue || !(engine instanceof Engine)) {
+      return;
+    }
+    const bytesBefore = this.eventBytes;
+    const { prefixes } = engine;
+    const isContinued =
+      prefixes.isFollowing &&
+      prefixes.takeChanges(
+        decodeCacheChanges(this.ask(log, { after: prefixes.lastEventNumber, limit: MOST_EVENTS })),
+      );
+    if (!isContinued) {
+      this.snapshots += 1;
+      prefixes.takeSnapshot(decodeCacheSnapshot(this.ask(log, { limit: MOST_SNAPSHOT_KEYS })));
+    }
+    const interval = cacheReadIntervalMilliseconds(
+      this.eventBytes - bytesBefore,
+      ENGINE_COUNT,
+      cacheEventBytesPerSecond,
+    );
+    this.nextReads.set(identifier, now + interval);
+  }
+
+  private ask(log: CacheEventLog, query: Record<string, number>): unknown {
+    const parameters = Object.entries(query).map(([name, value]): [string, string] => [
+      name,
+      String(value),
+    ]);
+    const { body } = log.answer(new URLSearchParams(parameters));
+    this.eventBytes += READ_OVERHEAD_BYTES + JSON.stringify(body).length;
+    return body;
+  }
+
   /** Cost since the last call of the accounts that used most, as a digest row holds it. */
   takeOwnUse(): readonly AccountUse[] {
     const byCost = [...this.ownUse].filter(([, cost]) => cost > 0);
@@ -177,20 +245,38 @@
   constructor(name: PolicyName, scenario: Scenario) {
     this.scenario = scenario;
     this.random = new SeededRandomSource(scenario.seed + 1_000_000);
-    this.engines = Array.from({ length: ENGINE_COUNT }, (empty, index) => ({
-      identifier: `engine-${index}`,
-      zone: ZONES[index % ZONES.length] ?? '',
-      // Zone c holds only reclaimable engines (4), zone b two more, of 13.
-      kind: index % 3 === 2 || index === 1 || index === 4 ? 'engine-reclaimable' : 'engine-lasting',
-      service: new EngineServiceModel(),
-      state: SupplyState.Live,
-    }));
+    this.engines = Array.from({ length: ENGINE_COUNT }, (empty, index) => {
+      const service = new EngineServiceModel();
+      return {
+        identifier: `engine-${index}`,
+        zone: ZONES[index % ZONES.length] ?? '',
+        // Zone c holds only reclaimable engines (4), zone b two more, of 13.
+        kind:
+          index % 3 === 2 || index === 1 || index === 4 ? 'engine-reclaimable' : 'engine-lasting',
+        service,
+        log: new CacheEventLog(service.cache, `run-${index}`),
+        state: SupplyState.Live,
+      };
+    });
     this.instances = Array.from(
       { length: INSTANCE_COUNT },
       (empty, index) => new ModelledInstance(index, name, this.clock, scenario),
     );
   }
 
+  get cacheFigures(): CacheFigures {
+    const sum = (figures: readonly number[]) => figures.reduce((total, each) => total + each, 0);
+    const instanceSeconds = INSTANCE_COUNT * this.scenario.seconds;
+    return {
+      savedPart:
+        sum(this.engines.map(({ service }) => service.savedTokens)) /
+        sum(this.engines.map(({ service }) => service.promptTokens)),
+      eventBytesPerSecond:
+        sum(this.instances.map(({ eventBytes }) => eventBytes)) / instanceSeconds,
+      snapshotsPerSecond: sum(this.instances.map(({ snapshots }) => snapshots)) / instanceSeconds,
+    };
+  }
+
   async run(): Promise<readonly CallOutcome[]> {
     const arrivals = new SeededRandomSource(this.scenario.seed);
     const workload = new Workload(arrivals);
@@ -323,21 +409,24 @@
     }
   }
 
-  /** Load reports, cache events and digests arrive once a second, each at its own time. */
+  /** Load reports, cache events and digests are published once a second, each at its own time. */
   private deliver(now: number): void {
     const slots = REPORT_INTERVAL_MILLISECONDS / STEP_MILLISECONDS;
-    for (const [engineIndex, { identifier, service, zone }] of this.engines.entries()) {
+    for (const [engineIndex, modelled] of this.engines.entries()) {
+      const { identifier, log, service, zone } = modelled;
       if ((now / STEP_MILLISECONDS + engineIndex * 7) % slots === 0) {
         const report = service.report();
-        const events = service.takeEvents().filter(() => this.random.fraction() > LOST_EVENT_SHARE);
+        log.publish(() => this.random.fraction() <= this.scenario.lostEvents);
         for (const { fleet } of this.instances) {
           const engine = fleet.zone(zone).find(identifier);
           if (engine instanceof Engine) {
             engine.load.update(report);
-            engine.prefixes.apply(events);
           }
         }
       }
+      for (const instance of this.instances) {
+        instance.readEvents(modelled, now);
+      }
     }
     if (now % GOSSIP_INTERVAL_MILLISECONDS === 0) {
       for (const instance of this.instances) {
--- a/packages/hickoryrelay-bench/src/policy.ts
+++ b/packages/hickoryrelay-bench/src/policy.ts
@@ -1,24 +1,30 @@
 #!/usr/bin/env node
 import meow from 'meow';
 
+import { CACHE_EVENT_BYTES_PER_SECOND } from 'hickoryrelay-instance/CacheEventTasks';
+
 import { ENGINE_COUNT, PolicyModel, PolicyName } from './PolicyModel.js';
 
-import type { AccountDemand, CallOutcome, Scenario } from './PolicyModel.js';
+import type { AccountDemand, CacheFigures, CallOutcome, Scenario } from './PolicyModel.js';
 
 const program = meow(
   `
   Usage
     $ policy shift [--load 1.2] [--seed 1 --seed 2] [--first-come-limit 12]
+                   [--event-bytes 2048] [--lost-events 0.02]
     $ policy flood [--seed 1]
     $ policy reclaim [--load 0.7] [--seed 1]
 
   Drives the policies against modelled engines on a manual clock and prints tables.
+  Event bytes are those that an instance spends on cache events in a second; 0 routes without them.
   Load is the demanded engine time, without cached prefixes, divided by that of all engines.
 `,
   {
     importMeta: import.meta,
     flags: {
       load: { type: 'number', default: 1.2 },
+      eventBytes: { type: 'number', default: CACHE_EVENT_BYTES_PER_SECOND },
+      lostEvents: { type: 'number', default: 0.02 },
       firstComeLimit: { type: 'number', default: 24 },
       policy: { type: 'string', isMultiple: true, default: Object.values(PolicyName) },
       seed: { type: 'number', isMultiple: true, default: [1, 2, 3] },
@@ -107,14 +113,18 @@
 
 async function measure(
   scenario: Scenario,
-  row: (outcomes: CallOutcome[]) => object,
+  row: (outcomes: CallOutcome[], cache: CacheFigures) => object,
 ): Promise<void> {
   const rows: object[] = [];
   for (const policy of Object.values(PolicyName).filter(isWanted)) {
     for (const seed of program.flags.seed) {
       const model = new PolicyModel(policy, { ...scenario, seed });
       const outcomes = await model.run();
-      rows.push({ policy, seed, ...row(counted(outcomes, scenario.seconds - 20)) });
+      rows.push({
+        policy,
+        seed,
+        ...row(counted(outcomes, scenario.seconds - 20), model.cacheFigures),
+      });
     }
   }
   // The table is the program's output.
@@ -126,13 +136,15 @@
   seed: 0,
   warmUpSeconds: WARM_UP_SECONDS,
   firstComeLimit: program.flags.firstComeLimit,
+  cacheEventBytesPerSecond: program.flags.eventBytes,
+  lostEvents: program.flags.lostEvents,
 };
 const [command] = program.input;
 if (command === 'shift') {
   const seconds = 3 * PHASE_SECONDS + 20;
   await measure(
     { ...common, seconds, demands: demandsAt(program.flags.load), prefillPart: shiftingPart },
-    (outcomes) => {
+    (outcomes, cache) => {
       const phase = (from: number, to: number) =>
         outcomes.filter((each) => each.arrivalSeconds >= from && each.arrivalSeconds < to);
       const met = outcomes.filter(({ isMet }) => isMet).length;
@@ -150,6 +162,9 @@
           outcomes.filter(({ className }) => className === 'rig-brief'),
           ({ isMet }) => isMet,
         ),
+        'prefill saved': Number(cache.savedPart.toFixed(3)),
+        'events B/s': Math.round(cache.eventBytesPerSecond),
+        'snapshots/s': Number(cache.snapshotsPerSecond.toFixed(2)),
         refused: share(outcomes, ({ isRefused }) => isRefused),
         'first late': share(outcomes, ({ isFirstLate }) => isFirstLate),
         'worst share': Number(worstShare(outcomes).ratio.toFixed(3)),
