Let a prefix key stand for 1,024 tokens in place of 256

Cause: at load 1.2 the 2 KB a second for cache events were too slow: a prompt of 16,000 tokens made 64 events, and as many evictions.

Prefixes of less than 1,024 tokens have no affinity any more.

--- a/packages/hickoryrelay-endpoint/src/PrefixIndex.ts
+++ b/packages/hickoryrelay-endpoint/src/PrefixIndex.ts
@@ -28,8 +28,11 @@
   readonly keys: readonly string[];
 }
 
-/** Prompt tokens that one key stands for; callers cut prompts into parts of this size. */
-export const TOKENS_PER_PREFIX_KEY = 256;
+/**
+ * Prompt tokens that one key stands for; callers cut prompts into parts of this size. With parts of
+ * 256, four times the events had to pass, and 2 KB a second were too few under overload.
+ */
+export const TOKENS_PER_PREFIX_KEY = 1024;
 
 const LIMIT_OF_KEYS = 4096;
 
--- a/packages/hickoryrelay-link/src/PromptPrefix.ts
+++ b/packages/hickoryrelay-link/src/PromptPrefix.ts
@@ -5,8 +5,8 @@
 const CHARACTERS_PER_TOKEN = 4;
 const PART_CHARACTERS = TOKENS_PER_PREFIX_KEY * CHARACTERS_PER_TOKEN;
 
-/** Later parts of very long prompts seldom repeat; 64 keys cover 16,000 tokens. */
-const MOST_KEYS = 64;
+/** Later parts of very long prompts seldom repeat; 16 keys cover 16,000 tokens. */
+const MOST_KEYS = 16;
 const KEY_CHARACTERS = 12;
 
 /**
