Wait for the reads themselves in the tests of reading tasks

Cause: the tests gave each read 60 ms of real time.

The clock of the tests now counts the reads under way by their time limits, and the tests wait until none is open but those of a silent engine. No assertion is relaxed; the silent engine's reads are counted when they start.

--- a/packages/hickoryrelay-instance/src/__tests__/e2e/CacheEvents.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/CacheEvents.test.ts
@@ -128,19 +128,23 @@
     start();
     await fixture.waitForReads(1);
     engines.faults.standing = Fault.Silent;
+    fixture.silentReads = 1;
     await nextRead();
-    expect(engines.reads).toHaveLength(2);
+    await fixture.waitForReads(2);
     // The limit of 1 s, then delays of 1 s and 2 s.
     await fixture.pass(1000);
     await fixture.pass(999, 999);
-    expect(engines.reads).toHaveLength(2);
+    expect(fixture.clock.startedReads).toBe(2);
     await fixture.pass(1);
-    expect(engines.reads).toHaveLength(3);
+    expect(fixture.clock.startedReads).toBe(3);
+    await fixture.waitForReads(3);
     await fixture.pass(1000);
     engines.faults.standing = Fault.None;
+    fixture.silentReads = 0;
+    await fixture.settle();
     engines.rememberPrefix(['b']);
     await fixture.pass(1999, 1999);
-    expect(engines.reads).toHaveLength(3);
+    expect(fixture.clock.startedReads).toBe(3);
     expect(held('a')).toBe(1);
     await fixture.pass(1);
     expect(held('a', 'b')).toBe(2);
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/EngineReadingFixture.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/EngineReadingFixture.ts
@@ -1,5 +1,3 @@
-import { setTimeout as sleep } from 'node:timers/promises';
-
 import { vi } from 'vitest';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import { ManualClock } from 'hickoryrelay/ManualClock';
@@ -24,8 +22,39 @@
   costPerHour: 1,
 };
 
-/** Long enough for a read on loopback that is wrongly under way to be seen. */
-const QUIET_MILLISECONDS = 60;
+/** Real time that a read on loopback may take on a busy machine. */
+const LONG_WAIT = { interval: 5, timeout: 20_000 };
+
+/** A manual clock that knows which reads are under way: each has a time limit on the clock. */
+export class ReadingClock extends ManualClock {
+  startedReads = 0;
+
+  openReads = 0;
+
+  private isSleep = false;
+
+  override sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    this.isSleep = true;
+    try {
+      return super.sleep(milliseconds, signal);
+    } finally {
+      this.isSleep = false;
+    }
+  }
+
+  override schedule(milliseconds: number, action: () => void): () => void {
+    if (this.isSleep) {
+      return super.schedule(milliseconds, action);
+    }
+    this.startedReads += 1;
+    this.openReads += 1;
+    const cancel = super.schedule(milliseconds, action);
+    return () => {
+      this.openReads -= 1;
+      cancel();
+    };
+  }
+}
 
 /** Draws the lowest number each time, so that delays with jitter are half of their ceilings. */
 export class LowestRandomSource extends RandomSource {
@@ -65,7 +94,10 @@
 
 /** A pool of engines on a clock that the test moves, and the owner of its tasks. */
 export class EngineReadingFixture {
-  readonly clock = new ManualClock();
+  readonly clock = new ReadingClock();
+
+  /** Reads that get no answer; they stay open until the clock reaches their limit. */
+  silentReads = 0;
 
   readonly random = new LowestRandomSource();
 
@@ -104,13 +136,13 @@
   }
 
   async waitForReads(count: number): Promise<void> {
-    await vi.waitUntil(() => this.engines.answered >= count);
+    await vi.waitUntil(() => this.engines.answered >= count, LONG_WAIT);
     await this.settle();
   }
 
-  /** Lets answers that are on their way arrive. */
+  /** Waits until the answers of all reads but the silent ones are taken in. */
   async settle(): Promise<void> {
-    await sleep(QUIET_MILLISECONDS);
+    await vi.waitUntil(() => this.clock.openReads <= this.silentReads, LONG_WAIT);
   }
 
   /** Moves the clock in steps, with time for the reads that fall due in each. */
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/EngineReadingTasks.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/EngineReadingTasks.test.ts
@@ -75,10 +75,15 @@
   it('goes on with the others while an engine is silent (guards against one wait for all)', async () => {
     fixture.supply(2);
     fixture.engines.faults.next(Fault.Silent);
+    fixture.silentReads = 1;
     fixture.lifecycle.start(make(fixture));
     await fixture.waitForReads(2);
+    await fixture.pass(1000);
+    fixture.silentReads = 0;
+    await fixture.settle();
+    const taken = fixture.engines.reads.length;
     await fixture.pass(ROUND_MILLISECONDS);
-    expect(fixture.readSince(2)).toEqual(['engine-0', 'engine-1']);
+    expect(fixture.readSince(taken)).toEqual(['engine-0', 'engine-1']);
   });
 });
 
