--- a/packages/hickoryrelay-bench/src/__tests__/unit/FloodFairness.test.ts
+++ b/packages/hickoryrelay-bench/src/__tests__/unit/FloodFairness.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { CACHE_EVENT_BYTES_PER_SECOND } from 'hickoryrelay-instance/CacheEventTasks';
 
 import { floodDemands } from '../../AccountDemands.js';
 import { counted, worstShare } from '../../AccountShares.js';
@@ -21,6 +22,8 @@
         warmUpSeconds: 10,
         demands: floodDemands(),
         prefillPart: () => 0.4,
+        cacheEventBytesPerSecond: CACHE_EVENT_BYTES_PER_SECOND,
+        lostEvents: 0.02,
         firstComeLimit: 24,
       });
       const outcomes = await model.run();
