Let the limit of calls in flight grow only below 0.6 of the target

Cause: with the reserve of room and the cache events together, engines still ran too full under a flood: the growth stopped at 0.8 of the target, and waiting for a place takes the rest of it.

--- a/packages/hickoryrelay-endpoint/src/InFlightLimit.ts
+++ b/packages/hickoryrelay-endpoint/src/InFlightLimit.ts
@@ -5,7 +5,7 @@
 const LEAST_DECREASE = 0.9;
 const GREATEST_DECREASE = 0.5;
 /** Latency above this part of the target stops growth, so that the limit settles below the target. */
-const GROW_BELOW = 0.8;
+const GROW_BELOW = 0.6;
 /**
  * Classes with wide targets report low ratios while those with near targets are late, so growth
  * waits until no call has been late for this long.
