Compare recent use over 30 s for the reserve of room

Cause: with a time constant of 10 s, a flooding account that was held back for a few seconds came near an equal part of the recent use and took the reserved room again, so that the engines filled up.

The oracle of the properties of AdmissionQueue takes the time constant from the rule; no bound changes.

--- a/packages/hickoryrelay-bench/src/__tests__/unit/FloodFairness.test.ts
+++ b/packages/hickoryrelay-bench/src/__tests__/unit/FloodFairness.test.ts
@@ -13,7 +13,7 @@
 describe('fairness under a flood', () => {
   // Guards against an account that floods the modelled fleet and takes from the share of the others.
   // The model runs on a manual clock, so the figure of a seed is the same in every run.
-  it.each([1, 2, 3])(
+  it.each([1, 2, 3, 5, 7])(
     'serves the worst-served account at least 0.9 of its share, seed %i',
     async (seed) => {
       const model = new PolicyModel(PolicyName.Hickoryrelay, {
--- a/packages/hickoryrelay-instance/src/RecentUse.ts
+++ b/packages/hickoryrelay-instance/src/RecentUse.ts
@@ -1,10 +1,11 @@
-const TIME_CONSTANT_MILLISECONDS = 10_000;
+/** With 10 s, an account that was held back for a few seconds soon took the reserved room again. */
+const TIME_CONSTANT_MILLISECONDS = 30_000;
 
 /** An account without use for this long is not active, and takes no part in the equal part. */
 const ACTIVE_MILLISECONDS = 10_000;
 
 /** The scale of the figures grows by a factor of e^10 until they are divided by it again. */
-const RESCALE_MILLISECONDS = 100_000;
+const RESCALE_MILLISECONDS = 300_000;
 
 interface AccountUseRecord {
   /** Cost weighted by e^((t - origin) / time constant), so that records of any age compare. */
--- a/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
@@ -24,6 +24,7 @@
 /** What the reserve is specified by, stated here again so that the check does not follow the code. */
 const RESERVED_PART = 0.5;
 const ACTIVE_MILLISECONDS = 10_000;
+const USE_TIME_CONSTANT_MILLISECONDS = 30_000;
 const SLOT_MILLISECONDS = 5000;
 const LOOK_AGAIN_MILLISECONDS = 50;
 const ROUNDING = 1e-9;
@@ -86,12 +87,18 @@
         const known = uses.get(user);
         const age = at - (known?.at ?? at);
         const before = age > ACTIVE_MILLISECONDS ? 0 : (known?.use ?? 0);
-        uses.set(user, { use: before * Math.exp(-age / ACTIVE_MILLISECONDS) + cost, at });
+        uses.set(user, {
+          use: before * Math.exp(-age / USE_TIME_CONSTANT_MILLISECONDS) + cost,
+          at,
+        });
       }
     }
     const active = [...uses].filter(([, { at }]) => now - at <= ACTIVE_MILLISECONDS);
     const recent = new Map(
-      active.map(([user, { at, use }]) => [user, use * Math.exp((at - now) / ACTIVE_MILLISECONDS)]),
+      active.map(([user, { at, use }]) => [
+        user,
+        use * Math.exp((at - now) / USE_TIME_CONSTANT_MILLISECONDS),
+      ]),
     );
     const total = [...recent.values()].reduce((sum, use) => sum + use, 0);
     if (recent.size < 2) {
