Try: frame the chunks of an answer in one buffer

Cause: node:http passes each chunk to the socket as four buffers, and writev is the largest part of the relay's CPU time (25.6% in a profile of this state).

Change: after the head, the writer frames chunks itself, so that each event is one buffer and one write.

--- a/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
@@ -4,6 +4,7 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 
 import { AnswerWriter } from './AnswerWriter.js';
+import { ChunkedBody } from './ChunkedBody.js';
 import { errorResponse } from './ErrorResponse.js';
 
 import type { FailureReport } from './AnswerWriter.js';
@@ -32,6 +33,8 @@
   /** Kept here, because the response does not keep headers that are given with its status. */
   private isEventStream = false;
 
+  private body: ChunkedBody | undefined;
+
   constructor(parts: HttpAnswerParts) {
     super();
     this.parts = parts;
@@ -50,19 +53,20 @@
       'x-request-id': this.parts.requestIdentifier,
       ...(this.isEventStream ? { 'cache-control': 'no-cache' } : {}),
     });
+    this.body = new ChunkedBody(this.response);
   }
 
   override async write(piece: Buffer, signal: AbortSignal): Promise<void> {
     this.assertOpen();
     this.parts.timer.piece();
-    if (!this.response.write(piece)) {
+    if (this.body?.write(piece) === false) {
       await this.drained(signal);
     }
   }
 
   override async end(): Promise<void> {
     this.parts.timer.end();
-    this.response.end();
+    this.body?.end();
   }
 
   override async fail(report: FailureReport): Promise<void> {
@@ -79,7 +83,8 @@
       return;
     }
     if (this.isEventStream && !this.response.writableEnded) {
-      this.response.end(`data: ${JSON.stringify(body)}\n\n`);
+      this.body?.write(Buffer.from(`data: ${JSON.stringify(body)}\n\n`));
+      this.body?.end();
       return;
     }
     // A body that is neither an event stream nor complete can only be marked as broken by a reset.
