--- a/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpAnswerWriter.ts
@@ -4,7 +4,6 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 
 import { AnswerWriter } from './AnswerWriter.js';
-import { ChunkedBody } from './ChunkedBody.js';
 import { errorResponse } from './ErrorResponse.js';
 
 import type { FailureReport } from './AnswerWriter.js';
@@ -33,8 +32,6 @@
   /** Kept here, because the response does not keep headers that are given with its status. */
   private isEventStream = false;
 
-  private body: ChunkedBody | undefined;
-
   constructor(parts: HttpAnswerParts) {
     super();
     this.parts = parts;
@@ -53,20 +50,19 @@
       'x-request-id': this.parts.requestIdentifier,
       ...(this.isEventStream ? { 'cache-control': 'no-cache' } : {}),
     });
-    this.body = new ChunkedBody(this.response);
   }
 
   override async write(piece: Buffer, signal: AbortSignal): Promise<void> {
     this.assertOpen();
     this.parts.timer.piece();
-    if (this.body?.write(piece) === false) {
+    if (!this.response.write(piece)) {
       await this.drained(signal);
     }
   }
 
   override async end(): Promise<void> {
     this.parts.timer.end();
-    this.body?.end();
+    this.response.end();
   }
 
   override async fail(report: FailureReport): Promise<void> {
@@ -83,8 +79,7 @@
       return;
     }
     if (this.isEventStream && !this.response.writableEnded) {
-      this.body?.write(Buffer.from(`data: ${JSON.stringify(body)}\n\n`));
-      this.body?.end();
+      this.response.end(`data: ${JSON.stringify(body)}\n\n`);
       return;
     }
     // A body that is neither an event stream nor complete can only be marked as broken by a reset.
