--- a/packages/hickoryrelay-standin/src/ProcessClock.ts
+++ b/packages/hickoryrelay-standin/src/ProcessClock.ts
@@ -20,7 +20,7 @@
 
   private isPaused = false;
 
-  private isKilled = false;
+  private hasEnded = false;
 
   constructor(base: Clock) {
     super();
@@ -28,7 +28,11 @@
   }
 
   get isRunning(): boolean {
-    return !this.isPaused && !this.isKilled;
+    return !this.isPaused && !this.hasEnded;
+  }
+
+  get isKilled(): boolean {
+    return this.hasEnded;
   }
 
   override monotonicMilliseconds(): number {
@@ -59,10 +63,15 @@
   /** Resolves once the process can take in what arrived from outside. */
   arrive(): Promise<void> {
     return new Promise((resolve) => {
-      this.whenRunning(this.heldArrivals, resolve);
+      this.receive(resolve);
     });
   }
 
+  /** Runs the action once the process can take in what arrived from outside. */
+  receive(action: () => void): void {
+    this.whenRunning(this.heldArrivals, action);
+  }
+
   pause(): void {
     this.isPaused = true;
   }
@@ -100,7 +109,7 @@
 
   /** Ends the process when a test is over. */
   end(): void {
-    this.isKilled = true;
+    this.hasEnded = true;
     this.heldTimers = [];
     this.heldArrivals = [];
   }
@@ -108,7 +117,7 @@
   private whenRunning(held: (() => void)[], action: () => void): void {
     if (this.isRunning) {
       action();
-    } else if (!this.isKilled) {
+    } else if (!this.hasEnded) {
       if (this.heldTimers.length + this.heldArrivals.length === 0) {
         this.tally.count(FaultKind.Pause);
       }
--- a/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/TestWorld.ts
@@ -1,4 +1,3 @@
-import { Clock } from 'hickoryrelay/Clock';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import { silentLogger } from 'hickoryrelay/Logger';
@@ -10,6 +9,7 @@
 import { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import { FaultKind, FaultTally } from 'hickoryrelay-standin/FaultTally';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
+import { ProcessClock } from 'hickoryrelay-standin/ProcessClock';
 
 import { Authority } from '../../Authority.js';
 import { EngineUsageSource } from '../../EngineUsageSource.js';
@@ -33,61 +33,6 @@
 const STORE_TIMEOUT = 2000;
 const ESTIMATE_AFTER = 60_000;
 
-/** The clock of one process, which can be paused or killed. */
-class ProcessClock extends Clock {
-  isKilled = false;
-
-  private isPaused = false;
-
-  private deferred: (() => void)[] = [];
-
-  constructor(
-    private readonly world: Clock,
-    private readonly tally: FaultTally,
-  ) {
-    super();
-  }
-
-  /** Runs the action now, when the process resumes, or never. */
-  run(action: () => void): void {
-    if (this.isPaused) {
-      if (this.deferred.length === 0) {
-        this.tally.count(FaultKind.Pause);
-      }
-      this.deferred.push(action);
-    } else if (!this.isKilled) {
-      action();
-    }
-  }
-
-  pause(): void {
-    this.isPaused = true;
-  }
-
-  resume(): void {
-    this.isPaused = false;
-    this.deferred.splice(0).forEach((action) => this.run(action));
-  }
-
-  override monotonicMilliseconds(): number {
-    return this.world.monotonicMilliseconds();
-  }
-
-  override wallMilliseconds(): number {
-    return this.world.wallMilliseconds();
-  }
-
-  override async sleep(milliseconds: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.schedule(milliseconds, resolve);
-    });
-  }
-
-  override schedule(milliseconds: number, action: () => void): () => void {
-    return this.world.schedule(milliseconds, () => this.run(action));
-  }
-}
-
 /** What the engines do when they are asked for their count of a request. */
 export const EngineFault = {
   None: 'none',
@@ -183,7 +128,7 @@
       }
       if (target !== undefined && !isLost) {
         const received = structuredClone({ from: from.identity, message });
-        this.clock.schedule(delay, () => target.clock.run(() => target.network.push(received)));
+        this.clock.schedule(delay, () => target.clock.receive(() => target.network.push(received)));
       }
     }
   }
@@ -281,7 +226,7 @@
     world.clock.schedule(delay, () => {
       if (isOut() || isDropped) {
         world.tally.count(isOut() ? FaultKind.Outage : FaultKind.Refusal);
-        clock.run(() => reject(unavailable(isLost)));
+        clock.receive(() => reject(unavailable(isLost)));
         return;
       }
       const answer = effect();
@@ -289,7 +234,7 @@
         const isLate = delay > STORE_TIMEOUT;
         world.tally.count(isLate ? FaultKind.LateEffect : FaultKind.LostAnswer);
       } else {
-        clock.run(() => resolve(answer));
+        clock.receive(() => resolve(answer));
       }
     });
     if (isLost) {
@@ -428,7 +373,8 @@
     readonly identity: InstanceIdentity,
   ) {
     const { random } = world;
-    this.clock = new ProcessClock(world.clock, world.tally);
+    this.clock = new ProcessClock(world.clock);
+    this.clock.tally = world.tally;
     this.network = new TestNetwork(this);
     this.authority = new TestAuthority(identity.zone);
     this.store = new TestStore(this);
@@ -471,9 +417,8 @@
   }
 
   kill(): void {
-    this.world.tally.count(FaultKind.Kill);
     this.silentSince = Math.min(this.silentSince, this.world.now());
-    this.clock.isKilled = true;
+    this.clock.kill();
   }
 
   pause(): void {
@@ -484,7 +429,7 @@
   resume(): void {
     if (!this.clock.isKilled) {
       this.silentSince = Infinity;
-      this.clock.resume();
+      void this.clock.resume();
     }
   }
 
