Salt the prompt caches of engines by account

Engines that cache by content alone would then share prefixes, and the time to the first token would tell one account what another has sent.

Before: the new test of CallPath fails, the engine receives no cache_salt. After: it passes; a salt in the caller's body is dropped by the allow-list.

--- a/packages/hickoryrelay-instance/src/__tests__/e2e/CallPath.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/CallPath.test.ts
@@ -51,6 +51,15 @@
     expect(models.data.map(({ id }) => id)).toEqual(['model-one']);
   });
 
+  // Guards against an account that probes the cached prompts of another by the time to its first token.
+  it('salts the prefix cache of engines by account, whatever the caller sends', async () => {
+    const messages = [{ role: 'user' as const, content: 'salted' }];
+    const chosen = { model: 'model-one', messages, cache_salt: 'second' };
+    await client().chat.completions.create(chosen);
+    const text = engine.received.at(-1)?.text ?? '{}';
+    expect(JSON.parse(text)).toMatchObject({ messages, cache_salt: 'first' });
+  });
+
   it('keeps the key from every endpoint', async () => {
     await request(`${url}/services/look/up`, { headers: { authorization: `Bearer ${key}` } });
     const everything = JSON.stringify([engine.received, service.received]);
--- a/packages/hickoryrelay-link/src/OpenAiEngineLink.ts
+++ b/packages/hickoryrelay-link/src/OpenAiEngineLink.ts
@@ -22,6 +22,8 @@
       model: call.model,
       stream: call.isStreaming,
       request_id: call.requestIdentifier,
+      // Without a salt, the time to the first token would tell one account what others have sent.
+      cache_salt: call.accountName,
       // The engine names the parts of the prompt by these keys in its cache events.
       ...(call.prefixKeys === undefined || call.prefixKeys.length === 0
         ? {}
