Count waiting calls for the reserve of room

Cause: the reserve was bounded by the calls that the others had running, and only admitted calls made an account active. Accounts whose calls found no free place in time had neither, so nothing was ever reserved for them and they stayed without service.

Excluded: preemption of running calls, and a fixed number of places for each account.

Now an account is active from the arrival of a call, and waiting calls count among those it had at once.

The oracle of the properties takes arrivals and refusals into its history in the same way; the bound and all checks stay.

--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -134,8 +134,11 @@
         this.remove(entry);
         reject(cancelled());
       };
+      this.recentUse.arrive(entry.account, this.parts.clock.monotonicMilliseconds());
+      this.beginOccupancy(entry);
       const refusal = this.makePlace(entry);
       if (refusal !== undefined) {
+        this.endOccupancy(entry);
         reject(refusal);
         return;
       }
@@ -248,7 +251,28 @@
     this.observeDrain(entry.lane);
   }
 
+  /**
+   * Counts the call among those that its account has here, waiting or running. Calls that wait count,
+   * because an account of which none was admitted lately would have no room reserved and stay so.
+   */
+  private beginOccupancy(entry: WaitingCall): void {
+    this.occupancyOf(entry.lane).begin(entry.account, this.parts.clock.monotonicMilliseconds());
+  }
+
+  private endOccupancy(entry: WaitingCall): void {
+    this.occupancyOf(entry.lane).end(entry.account, this.parts.clock.monotonicMilliseconds());
+  }
+
+  /** Takes out a call that will not start. */
   private remove(entry: WaitingCall): boolean {
+    const wasWaiting = this.takeFromLane(entry);
+    if (wasWaiting) {
+      this.endOccupancy(entry);
+    }
+    return wasWaiting;
+  }
+
+  private takeFromLane(entry: WaitingCall): boolean {
     const lane = this.lanes.get(entry.lane);
     if (lane?.remove(entry) !== true) {
       return false;
@@ -376,10 +400,9 @@
 
   private start(entry: WaitingCall): void {
     this.observeDrain(entry.lane).record(entry.cost.total);
-    this.remove(entry);
+    this.takeFromLane(entry);
     this.charge(entry.account, entry.cost.total);
     this.admittedCount += 1;
-    this.occupancyOf(entry.lane).begin(entry.account, this.parts.clock.monotonicMilliseconds());
     entry.resolve(this.ticketOf(entry));
   }
 
@@ -404,7 +427,7 @@
         if (isOpen) {
           isOpen = false;
           this.admittedCount -= 1;
-          this.occupancyOf(entry.lane).end(entry.account, this.parts.clock.monotonicMilliseconds());
+          this.endOccupancy(entry);
           this.recordServiceTime(call, started);
           this.admitWaiting();
         }
--- a/packages/hickoryrelay-instance/src/LaneOccupancy.ts
+++ b/packages/hickoryrelay-instance/src/LaneOccupancy.ts
@@ -3,10 +3,10 @@
 
 /** The calls of one account, and those of all others. */
 class AccountOccupancy {
-  /** Calls of the account that run. */
-  running = 0;
+  /** Calls of the account that wait or run. */
+  present = 0;
 
-  /** Last slot in which calls of the account ran. */
+  /** Last slot in which the account had calls. */
   usedSlot = 0;
 
   private peakOfOthers = 0;
@@ -18,17 +18,17 @@
     return Math.max(this.earlierPeakOfOthers, this.peakOfOthers);
   }
 
-  /** @param total calls of all accounts that run. */
+  /** @param total calls of all accounts that wait or run. */
   observe(total: number): void {
-    const others = total - this.running;
+    const others = total - this.present;
     if (others > this.peakOfOthers) {
       this.peakOfOthers = others;
     }
   }
 
-  /** Nothing began or ended in slots that were passed over, so what runs now is their peak. */
+  /** Nothing began or ended in slots that were passed over, so what they have now is their peak. */
   moveOn(total: number, isNextSlot: boolean): void {
-    const others = total - this.running;
+    const others = total - this.present;
     this.earlierPeakOfOthers = isNextSlot ? this.peakOfOthers : others;
     this.peakOfOthers = others;
   }
@@ -38,7 +38,7 @@
   }
 }
 
-/** How many calls of one lane the accounts run at once, now and lately. */
+/** How many calls of one lane the accounts have at once, waiting or running, now and lately. */
 export class LaneOccupancy {
   private readonly records = new Map<string, AccountOccupancy>();
 
@@ -60,7 +60,7 @@
       this.records.set(account, own);
       this.list.push(own);
     }
-    own.running += 1;
+    own.present += 1;
     own.usedSlot = this.slot;
     this.total += 1;
     this.unknown.observe(this.total);
@@ -73,7 +73,7 @@
     this.refresh(nowMilliseconds);
     const own = this.records.get(account);
     if (own !== undefined) {
-      own.running -= 1;
+      own.present -= 1;
       this.total -= 1;
     }
   }
@@ -94,7 +94,7 @@
     this.unknown.moveOn(this.total, isNext);
     for (const [account, record] of this.records) {
       record.moveOn(this.total, isNext);
-      if (record.running > 0) {
+      if (record.present > 0) {
         record.usedSlot = slot;
       } else if (record.usedSlot < slot - 1) {
         this.records.delete(account);
--- a/packages/hickoryrelay-instance/src/RecentUse.ts
+++ b/packages/hickoryrelay-instance/src/RecentUse.ts
@@ -25,6 +25,14 @@
 
   private originMilliseconds = 0;
 
+  /** Records a call that arrived: its account is active, whether the call starts or not. */
+  arrive(account: string, nowMilliseconds: number): void {
+    this.refresh(nowMilliseconds);
+    const weighted = this.records.get(account)?.weighted ?? 0;
+    this.records.delete(account);
+    this.records.set(account, { weighted, atMilliseconds: nowMilliseconds });
+  }
+
   /** Records cost, or gives back an over-estimate if negative. Only cost makes an account active. */
   record(account: string, cost: number, nowMilliseconds: number): void {
     this.refresh(nowMilliseconds);
--- a/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
@@ -46,12 +46,16 @@
   }
 }
 
-/** The most room that an account may leave free, from the whole history of starts and ends. */
+/** The most room that an account may leave free, from the whole history of calls. */
 class ReserveOracle {
-  private readonly events: { account: string; change: 1 | -1; cost: number; at: number }[] = [];
+  private readonly events: { account: string; change: 1 | 0 | -1; cost: number; at: number }[] = [];
 
-  begin(account: string, cost: number, at: number): void {
-    this.events.push({ account, change: 1, cost, at });
+  arrive(account: string, at: number): void {
+    this.events.push({ account, change: 1, cost: 0, at });
+  }
+
+  start(account: string, cost: number, at: number): void {
+    this.events.push({ account, change: 0, cost, at });
   }
 
   end(account: string, at: number): void {
@@ -65,7 +69,7 @@
     );
   }
 
-  /** Most calls that the others had at once in the present slot of 5 s and the one before. */
+  /** Most calls that the others had at once, waiting or running, in this slot of 5 s and the last. */
   private peakOfOthers(account: string, now: number): number {
     const since = (Math.floor(now / SLOT_MILLISECONDS) - 1) * SLOT_MILLISECONDS;
     const others = this.events.filter((event) => event.account !== account);
@@ -83,7 +87,7 @@
   private excess(account: string, now: number): number {
     const uses = new Map<string, { use: number; at: number }>();
     for (const { account: user, at, change, cost } of this.events) {
-      if (change === 1) {
+      if (change >= 0) {
         const known = uses.get(user);
         const age = at - (known?.at ?? at);
         const before = age > ACTIVE_MILLISECONDS ? 0 : (known?.use ?? 0);
@@ -101,7 +105,7 @@
       ]),
     );
     const total = [...recent.values()].reduce((sum, use) => sum + use, 0);
-    if (recent.size < 2) {
+    if (recent.size < 2 || total === 0) {
       return 0;
     }
     return Math.min(1, Math.max(0, ((recent.get(account) ?? 0) * recent.size) / total - 1));
@@ -176,15 +180,17 @@
     const abort = new AbortController();
     this.aborts.set(call, abort);
     this.waiting.add(call);
+    this.oracle.arrive(account, now);
     this.queue.admit(call, abort.signal).then(
       (ticket) => {
         this.waiting.delete(call);
-        this.oracle.begin(account, promptTokens, this.clock.monotonicMilliseconds());
+        this.oracle.start(account, promptTokens, this.clock.monotonicMilliseconds());
         this.running.push({ call, ticket });
         this.admitted.push(call);
       },
       (error: unknown) => {
         this.waiting.delete(call);
+        this.oracle.end(account, this.clock.monotonicMilliseconds());
         const failure = failureOf(error);
         const retryAfterSeconds =
           failure.kind === FailureKind.Overloaded ? failure.retryAfterSeconds : 0;
@@ -483,6 +489,30 @@
     }
   });
 
+  // Guards against accounts that are starved because none of their calls was admitted lately: all calls
+  // end together, so that no place becomes free while the others' calls are still in time.
+  it('serves accounts of which no call runs while another floods', async () => {
+    const driver = new QueueDriver(20, 500);
+    for (let index = 0; index < 40; index += 1) {
+      await driver.admit('flood', 'patient', 400);
+    }
+    for (let second = 1; second <= 60; second += 1) {
+      await driver.clock.advance(400);
+      await driver.admit('light0', 'urgent', 400);
+      await driver.admit('light1', 'urgent', 400);
+      await driver.clock.advance(600);
+      for (let left = second % 2 === 0 ? driver.running.length : 0; left > 0; left -= 1) {
+        await driver.release();
+      }
+      for (let index = 0; index < 20; index += 1) {
+        await driver.admit('flood', 'patient', 400);
+      }
+    }
+    for (const account of ['light0', 'light1']) {
+      expect(driver.servedCost(account) / (60 * 400)).toBeGreaterThanOrEqual(0.9);
+    }
+  });
+
   // Guards against an account that floods with urgent calls and takes the share of the others.
   it('gives each waiting account its max-min fair share within a bound', async () => {
     await fc.assert(
