--- a/packages/hickoryrelay-bench/src/engineProcess.ts
+++ b/packages/hickoryrelay-bench/src/engineProcess.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
-/** An engine that sends one event of one token in each write, at a fixed pace. */
+/** An engine that sends one event of one token in each write, at a fixed pace, or a whole answer at once. */
 const gapMilliseconds = Number(process.argv[2]);
 
 async function readJson(request: IncomingMessage): Promise<Record<string, unknown>> {
@@ -15,8 +15,22 @@
   return JSON.parse(Buffer.concat(chunks).toString('utf8')) as Record<string, unknown>;
 }
 
+function answerWhole(response: ServerResponse, id: unknown, model: unknown): void {
+  const message = { role: 'assistant', content: 'measured' };
+  const usage = { prompt_tokens: 1, completion_tokens: 1, total_tokens: 2 };
+  const choices = [{ index: 0, message, finish_reason: 'stop' }];
+  response.writeHead(200, { 'content-type': 'application/json' });
+  response.end(
+    JSON.stringify({ id, object: 'chat.completion', created: 0, model, choices, usage }),
+  );
+}
+
 async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-  const { request_id: id, model } = await readJson(request);
+  const { request_id: id, model, stream } = await readJson(request);
+  if (stream !== true) {
+    answerWhole(response, id, model);
+    return;
+  }
   response.writeHead(200, { 'content-type': 'text/event-stream' });
   const startMilliseconds = performance.now();
   let index = 0;
--- a/packages/hickoryrelay-bench/src/relay-cost.ts
+++ b/packages/hickoryrelay-bench/src/relay-cost.ts
@@ -7,6 +7,7 @@
 import { RelayKind } from './BenchMessages.js';
 import { ChildProcess } from './ChildProcess.js';
 import { StreamCallers } from './StreamCallers.js';
+import { WholeCallers } from './WholeCallers.js';
 
 import type { ProcessSample } from './BenchMessages.js';
 import type { CallerFigures } from './StreamCallers.js';
@@ -15,9 +16,11 @@
   `
   Usage
     $ relay-cost [--streams <number>] [--gap <ms>] [--seconds <number>] [--rounds <number>]
+    $ relay-cost --callers <number> [--seconds <number>] [--rounds <number>]
 
   Measures what a relay costs for each event of open streams: a bare byte pipe, the pipe with each
-  event parsed, and hickoryrelay. Engine and relay run in processes of their own.
+  event parsed, and hickoryrelay. Engine and relay run in processes of their own. With callers, these
+  send one short call after the other, each with a whole answer, in place of the streams.
 `,
   {
     importMeta: import.meta,
@@ -26,6 +29,7 @@
       gap: { type: 'number', default: 20 },
       seconds: { type: 'number', default: 8 },
       rounds: { type: 'number', default: 2 },
+      callers: { type: 'number', default: 0 },
     },
   },
 );
@@ -45,7 +49,7 @@
   readonly heapKibibytesPerStream: number;
 }
 
-const { streams, gap, seconds, rounds } = program.flags;
+const { streams, gap, seconds, rounds, callers: callerCount } = program.flags;
 
 /** Opens the streams, lets them run and measures them in the steady state. */
 async function measure(
@@ -79,6 +83,22 @@
   };
 }
 
+/** Answers a second and for each second of CPU time of the relay. */
+async function measureCalls(name: string, url: string, key: string, relay: ChildProcess) {
+  const callers = new WholeCallers(url, key, callerCount);
+  await sleep(WARM_UP_MILLISECONDS);
+  const before = await relay.sample(false);
+  const answeredBefore = callers.answered;
+  await sleep(seconds * MILLISECONDS_PER_SECOND);
+  const answered = callers.answered - answeredBefore;
+  const cpuSeconds = (await relay.sample(false)).cpuSeconds - before.cpuSeconds;
+  await callers.close();
+  const figures = [answered / seconds, cpuSeconds, answered / cpuSeconds];
+  process.stdout.write(
+    `| ${[name, ...figures.map((figure) => figure.toFixed(2))].join(' | ')} |\n`,
+  );
+}
+
 function report(measurement: Measurement, direct: Measurement, pipeRate: number): number {
   const { name, events, cpuSeconds, figures } = measurement;
   const rate = cpuSeconds === 0 ? 0 : events / cpuSeconds;
@@ -118,13 +138,17 @@
   state: 'live',
 });
 
-process.stdout.write(
-  '| relay | events | CPU s | events/CPU s | of pipe | first token +p50/p99 ms | gap +p50/p99 ms | ' +
-    'transit +p50/p99 ms | RSS KiB/stream | heap KiB/stream |\n',
-);
-process.stdout.write('| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n');
+if (callerCount > 0) {
+  process.stdout.write('| relay | calls/s | CPU s | calls/CPU s |\n| --- | --- | --- | --- |\n');
+} else {
+  process.stdout.write(
+    '| relay | events | CPU s | events/CPU s | of pipe | first token +p50/p99 ms | gap +p50/p99 ms | ' +
+      'transit +p50/p99 ms | RSS KiB/stream | heap KiB/stream |\n',
+  );
+  process.stdout.write('| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n');
+}
 for (let round = 0; round < rounds; round += 1) {
-  const direct = await measure('direct', engineUrl, key, undefined);
+  const direct = callerCount > 0 ? undefined : await measure('direct', engineUrl, key, undefined);
   let pipeRate = 0;
   for (const kind of Object.values(RelayKind)) {
     const order = {
@@ -134,9 +158,14 @@
       keyValueUrl: federation.gateway.url,
     };
     const relay = new ChildProcess('./relayProcess.js', JSON.stringify(order));
-    const measurement = await measure(kind, await relay.ready(), key, relay);
-    const rate = report(measurement, direct, pipeRate);
-    pipeRate ||= rate;
+    const url = await relay.ready();
+    if (direct === undefined) {
+      await measureCalls(kind, url, key, relay);
+    } else {
+      const measurement = await measure(kind, url, key, relay);
+      const rate = report(measurement, direct, pipeRate);
+      pipeRate ||= rate;
+    }
     await relay.stop();
   }
 }
