Move the reserve of room out of the admission queue

RoomReserve owns the recent use and the occupancy of the lanes. UsageTask holds what the usage tasks share.

--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-instance/src/AdmissionQueue.ts
@@ -7,8 +7,7 @@
 import { MovingAverages } from './DecodeEstimate.js';
 import { DrainRate } from './DrainRate.js';
 import { FairShare } from './FairShare.js';
-import { LaneOccupancy } from './LaneOccupancy.js';
-import { RecentUse } from './RecentUse.js';
+import { RoomReserve } from './RoomReserve.js';
 import { WaitingLane } from './WaitingCalls.js';
 
 import type { AdmissionTicket } from './AdmissionPolicy.js';
@@ -49,17 +48,10 @@
  */
 const LEAST_WAITING_PART = 0.5;
 
-/**
- * Part of the room that an account with twice an equal part of the recent use leaves free at most.
- * Without a reserve, a flooding account takes every place that is free while no other account
- * happens to wait, and the next calls of the others wait until their slack is used up.
- */
-const RESERVED_PART = 0.5;
-
 /** A lane whose endpoints have room. */
 interface OpenLane {
+  readonly name: string;
   readonly lane: WaitingLane;
-  readonly occupancy: LaneOccupancy;
   readonly room: CallRoom;
 }
 
@@ -77,9 +69,7 @@
 
   private readonly share: FairShare;
 
-  private readonly recentUse = new RecentUse();
-
-  private readonly occupancies = new Map<string, LaneOccupancy>();
+  private readonly reserve = new RoomReserve();
 
   private readonly lanes = new Map<string, WaitingLane>();
 
@@ -134,11 +124,10 @@
         this.remove(entry);
         reject(cancelled());
       };
-      this.recentUse.arrive(entry.account, this.parts.clock.monotonicMilliseconds());
-      this.beginOccupancy(entry);
+      this.reserve.arrive(entry.account, entry.lane, this.parts.clock.monotonicMilliseconds());
       const refusal = this.makePlace(entry);
       if (refusal !== undefined) {
-        this.endOccupancy(entry);
+        this.leaveReserve(entry);
         reject(refusal);
         return;
       }
@@ -251,23 +240,15 @@
     this.observeDrain(entry.lane);
   }
 
-  /**
-   * Counts the call among those that its account has here, waiting or running. Calls that wait count,
-   * because an account of which none was admitted lately would have no room reserved and stay so.
-   */
-  private beginOccupancy(entry: WaitingCall): void {
-    this.occupancyOf(entry.lane).begin(entry.account, this.parts.clock.monotonicMilliseconds());
-  }
-
-  private endOccupancy(entry: WaitingCall): void {
-    this.occupancyOf(entry.lane).end(entry.account, this.parts.clock.monotonicMilliseconds());
+  private leaveReserve(entry: WaitingCall): void {
+    this.reserve.leave(entry.account, entry.lane, this.parts.clock.monotonicMilliseconds());
   }
 
   /** Takes out a call that will not start. */
   private remove(entry: WaitingCall): boolean {
     const wasWaiting = this.takeFromLane(entry);
     if (wasWaiting) {
-      this.endOccupancy(entry);
+      this.leaveReserve(entry);
     }
     return wasWaiting;
   }
@@ -317,16 +298,13 @@
 
   private next(): WaitingCall | undefined {
     this.refuseLate();
-    const now = this.parts.clock.monotonicMilliseconds();
-    this.recentUse.refresh(now);
+    this.reserve.refresh(this.parts.clock.monotonicMilliseconds());
     const open: OpenLane[] = [];
     for (const [name, lane] of this.lanes) {
       const { first } = lane.calls;
       const room = first === undefined ? undefined : this.roomFor(first);
       if (room !== undefined && room.free > 0) {
-        const occupancy = this.occupancyOf(name);
-        occupancy.refresh(now);
-        open.push({ lane, occupancy, room });
+        open.push({ name, lane, room });
       }
     }
     this.advanceVirtualTime(open);
@@ -349,7 +327,7 @@
     for (const each of open) {
       for (const line of each.lane.lines) {
         const { value } = line.clock;
-        if (value < lowest && !this.leavesRoom(line.account, each)) {
+        if (value < lowest && !this.reserve.isReservedFrom(line.account, each.name, each.room)) {
           lowest = value;
         }
       }
@@ -366,7 +344,7 @@
       if (
         line !== undefined &&
         this.share.isWithinShare(line.clock) &&
-        !this.leavesRoom(line.account, open)
+        !this.reserve.isReservedFrom(line.account, open.name, open.room)
       ) {
         return entry;
       }
@@ -374,16 +352,6 @@
     return undefined;
   }
 
-  /** True if what is free is reserved for other accounts. */
-  private leavesRoom(account: string, { occupancy, room }: Omit<OpenLane, 'lane'>): boolean {
-    const most = RESERVED_PART * room.total;
-    return (
-      room.free <= most &&
-      room.free <= this.recentUse.excess(account) * most &&
-      room.free <= occupancy.peakOfOthers(account)
-    );
-  }
-
   /** A late call runs only if it is the only one that waits: then it takes nobody's place. */
   private refuseLate(): void {
     const now = this.parts.clock.monotonicMilliseconds();
@@ -427,7 +395,7 @@
         if (isOpen) {
           isOpen = false;
           this.admittedCount -= 1;
-          this.endOccupancy(entry);
+          this.leaveReserve(entry);
           this.recordServiceTime(call, started);
           this.admitWaiting();
         }
@@ -444,14 +412,14 @@
 
   private charge(account: string, cost: number): void {
     this.share.charge(account, cost);
-    this.recentUse.record(account, cost, this.parts.clock.monotonicMilliseconds());
+    this.reserve.charge(account, cost, this.parts.clock.monotonicMilliseconds());
     this.parts.remoteUse.publish(account, cost);
   }
 
   private takeRemoteUse(): void {
     for (const [account, cost] of this.parts.remoteUse.take()) {
       this.share.charge(account, cost);
-      this.recentUse.record(account, cost, this.parts.clock.monotonicMilliseconds());
+      this.reserve.charge(account, cost, this.parts.clock.monotonicMilliseconds());
     }
   }
 
@@ -469,20 +437,8 @@
     if (room.free <= 0) {
       return false;
     }
-    const now = this.parts.clock.monotonicMilliseconds();
-    const occupancy = this.occupancyOf(entry.lane);
-    this.recentUse.refresh(now);
-    occupancy.refresh(now);
-    return !this.leavesRoom(entry.account, { occupancy, room });
-  }
-
-  private occupancyOf(laneName: string): LaneOccupancy {
-    let occupancy = this.occupancies.get(laneName);
-    if (occupancy === undefined) {
-      occupancy = new LaneOccupancy();
-      this.occupancies.set(laneName, occupancy);
-    }
-    return occupancy;
+    this.reserve.refresh(this.parts.clock.monotonicMilliseconds());
+    return !this.reserve.isReservedFrom(entry.account, entry.lane, room);
   }
 
   private refuse(entry: WaitingCall, reason: string): void {
--- a/packages/hickoryrelay-usage/src/UsageTasks.ts
+++ b/packages/hickoryrelay-usage/src/UsageTasks.ts
@@ -20,16 +20,19 @@
   'usage-statement',
 ] as const;
 
-/** Reads the usage messages of all peers, in order. */
-class UsageMessagesTask extends Task {
-  override readonly name = 'usage messages';
-
-  private readonly usage: InstanceUsage;
+/** A task of the usage part of an instance. */
+abstract class UsageTask extends Task {
+  protected readonly usage: InstanceUsage;
 
   constructor(usage: InstanceUsage) {
     super();
     this.usage = usage;
   }
+}
+
+/** Reads the usage messages of all peers, in order. */
+class UsageMessagesTask extends UsageTask {
+  override readonly name = 'usage messages';
 
   protected override async *steps({ signal }: TaskContext): AsyncGenerator<void, void, void> {
     for await (const received of this.usage.network.messages(USAGE_MESSAGE_TYPES, signal)) {
@@ -40,16 +43,9 @@
 }
 
 /** Sends the batches of usage records. */
-class UsageReplicationTask extends Task {
+class UsageReplicationTask extends UsageTask {
   override readonly name = 'usage replication';
 
-  private readonly usage: InstanceUsage;
-
-  constructor(usage: InstanceUsage) {
-    super();
-    this.usage = usage;
-  }
-
   protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
     for (;;) {
       this.usage.replicate();
@@ -60,16 +56,9 @@
 }
 
 /** Closes the records of dead instances. */
-class UsageAdoptionTask extends Task {
+class UsageAdoptionTask extends UsageTask {
   override readonly name = 'usage adoption';
 
-  private readonly usage: InstanceUsage;
-
-  constructor(usage: InstanceUsage) {
-    super();
-    this.usage = usage;
-  }
-
   protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
     for (;;) {
       await context.clock.sleep(ADOPTION_INTERVAL_MILLISECONDS, context.signal);
@@ -80,16 +69,9 @@
 }
 
 /** Seals the windows of the zone while this instance holds its authority. */
-class UsageSealingTask extends Task {
+class UsageSealingTask extends UsageTask {
   override readonly name = 'usage sealing';
 
-  private readonly usage: InstanceUsage;
-
-  constructor(usage: InstanceUsage) {
-    super();
-    this.usage = usage;
-  }
-
   protected override async *steps({
     clock,
     signal,
@@ -111,16 +93,9 @@
 }
 
 /** Reports the sealed windows of the zone while this instance holds its authority. */
-class UsageReportingTask extends Task {
+class UsageReportingTask extends UsageTask {
   override readonly name = 'usage reporting';
 
-  private readonly usage: InstanceUsage;
-
-  constructor(usage: InstanceUsage) {
-    super();
-    this.usage = usage;
-  }
-
   protected override async *steps({
     clock,
     signal,
