--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -252,6 +252,9 @@
       reader.hear(now);
       if (memory === undefined) {
         reader.recordFailure(now);
+        reader.recordDelay(this.admitted.route.latencyTargetMilliseconds, now);
+        // A read that was refused counts as an arrival beyond the first.
+        this.parts.budgets.tryTake(this.admitted.service);
         this.trace.note(`read ${reader.record.identifier}: refused`);
       } else {
         reader.recordSuccess(now);
@@ -259,6 +262,7 @@
       }
       return memory;
     } catch (error) {
+      this.parts.budgets.tryTake(this.admitted.service);
       if (!this.ending.signal.aborted) {
         reader.recordFailure(clock.monotonicMilliseconds());
       }
