Place generations by shared parts and by the load of all instances

Cause: each instance knew only its own load, so reading engines were overloaded, reads were given up and repeated elsewhere, and shared parts were read 8.5 million tokens over. Instances now tell each other in small datagrams what they have under way; one plan weighs reading apart against reading in place, requests that will be late rank behind, and what cannot begin in time is refused at once.

--- a/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
+++ b/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
@@ -1,5 +1,6 @@
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { ForwardingConfiguration } from './ForwardingConfiguration.js';
+import type { PeerRecord } from './PeerRecord.js';
 import type { Clock } from 'hickoryrelay/Clock';
 
 /**
@@ -13,6 +14,8 @@
   /** Undefined while the operator has written none. */
   readonly configuration: ForwardingConfiguration | undefined;
   readonly endpoints: readonly EndpointRecord[];
+  /** Registered instances of the system, this one included. */
+  readonly peers: readonly PeerRecord[];
 }
 
 /** Reads configuration and registered endpoints in one step. An override never caches an answer. */
@@ -37,6 +40,8 @@
 
   private current: ForwardingConfiguration | undefined;
 
+  private registeredPeers: readonly PeerRecord[] = [];
+
   private records = new Map<string, EndpointRecord>();
 
   private confirmedMilliseconds = Number.NEGATIVE_INFINITY;
@@ -57,6 +62,10 @@
     return [...this.records.values()];
   }
 
+  get peers(): readonly PeerRecord[] {
+    return this.registeredPeers;
+  }
+
   /** Time since the last confirmed reading was asked for, in milliseconds. */
   get ageMilliseconds(): number {
     return this.ageAt(this.clock.monotonicMilliseconds());
@@ -102,6 +111,7 @@
     }
     const arrived = [...records.values()].filter(({ identifier }) => !this.records.has(identifier));
     this.records = records;
+    this.registeredPeers = reading.peers;
     this.confirmedMilliseconds = Math.max(this.confirmedMilliseconds, askedMilliseconds);
     return {
       configurationVersion: isNewer ? this.current?.version : undefined,
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -2,6 +2,8 @@
 import { EndpointState } from './EndpointState.js';
 
 import type { EndpointRecord } from './EndpointRecord.js';
+import type { EndpointLoad } from './LoadMessage.js';
+import type { PeerLoads } from './PeerLoads.js';
 
 /** An incarnation of an endpoint: the identifier may be used again after a restart. */
 function incarnationOf(record: EndpointRecord): string {
@@ -14,13 +16,28 @@
 
   private byService = new Map<string, EndpointState[]>();
 
+  private readonly peers: PeerLoads;
+
+  constructor(peers: PeerLoads) {
+    this.peers = peers;
+  }
+
+  /** What this instance has under way, at each endpoint that it uses. */
+  *ownLoads(): Generator<EndpointLoad, void, void> {
+    for (const { ownLoad } of this.states.values()) {
+      if (ownLoad.running > 0) {
+        yield ownLoad;
+      }
+    }
+  }
+
   /** Replaces the list of endpoints. States of known incarnations are kept. */
   replace(records: readonly EndpointRecord[]): void {
     const states = new Map<string, EndpointState>();
     const byService = new Map<string, EndpointState[]>();
     for (const record of records) {
       const key = incarnationOf(record);
-      const state = this.states.get(key) ?? new EndpointState(record);
+      const state = this.states.get(key) ?? new EndpointState(record, this.peers);
       state.record = record;
       states.set(key, state);
       byService.set(record.service, [...(byService.get(record.service) ?? []), state]);
@@ -35,17 +52,4 @@
       ({ record }) => record.phase === EndpointPhase.Ready,
     );
   }
-
-  /** Endpoints of a service, also those that are leaving. */
-  allOf(service: string): readonly EndpointState[] {
-    return this.byService.get(service) ?? [];
-  }
-
-  /** True if the state belongs to an endpoint that still takes new requests. */
-  isReady(state: EndpointState): boolean {
-    return (
-      this.states.get(incarnationOf(state.record)) === state &&
-      state.record.phase === EndpointPhase.Ready
-    );
-  }
 }
--- a/packages/hickoryrelay-forwarding/src/EndpointState.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointState.ts
@@ -1,4 +1,8 @@
+import { hashText } from 'hickoryrelay/RendezvousUtils';
+
 import type { EndpointRecord } from './EndpointRecord.js';
+import type { EndpointLoad } from './LoadMessage.js';
+import type { PeerLoads } from './PeerLoads.js';
 
 /** A request without a sign of life from its endpoint for this long makes it suspect, in ms. */
 const SILENCE_MILLISECONDS = 600;
@@ -39,9 +43,16 @@
   /** Requests of this instance that the endpoint runs. */
   running = 0;
 
-  /** Prompt tokens that the endpoint reads for this instance. */
+  /** Prompt tokens that the endpoint reads for this instance's requests that can be on time. */
   readingTokens = 0;
 
+  /** Prompt tokens that the endpoint reads for this instance's requests that will be late. */
+  lateTokens = 0;
+
+  private readonly peers: PeerLoads;
+
+  private readonly hash: number;
+
   private readonly excessDelay = new FadingAverage();
 
   private readonly failureShare = new FadingAverage();
@@ -54,8 +65,27 @@
 
   private silentSinceMilliseconds: number | undefined;
 
-  constructor(record: EndpointRecord) {
+  constructor(record: EndpointRecord, peers: PeerLoads) {
     this.record = record;
+    this.peers = peers;
+    this.hash = hashText(record.identifier);
+  }
+
+  /** Requests of all instances that the endpoint runs, as far as is known. */
+  get allRunning(): number {
+    return this.running + this.peers.loadOf(this.hash).running;
+  }
+
+  /** Prompt tokens that the endpoint reads for all instances before a request gets its turn. */
+  tokensBefore(isLate: boolean): number {
+    const { readingTokens, lateTokens } = this.peers.loadOf(this.hash);
+    return this.readingTokens + readingTokens + (isLate ? this.lateTokens + lateTokens : 0);
+  }
+
+  /** What this instance has under way here. */
+  get ownLoad(): EndpointLoad {
+    const { hash, running, readingTokens, lateTokens } = this;
+    return { endpoint: hash, running, readingTokens, lateTokens };
   }
 
   begin(now: number): void {
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -1,15 +1,17 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
+import { invariant } from 'hickoryrelay/Invariant';
 import { failureOf } from 'hickoryrelay/RelayError';
 
 import { AttemptKind } from './EndpointLink.js';
-import { promptTokensOf } from './ForwardedRequest.js';
+import { shapeOf } from './EnginePlacement.js';
 import { Repetition } from './ForwardingConfiguration.js';
 import {
   ANSWER_MARGIN_MILLISECONDS,
+  EVENT_PATIENCE,
+  EXPECTED_PATIENCE_PART,
   HELD_ANSWER_BYTES,
-  READING_TIME_SHARE,
+  LATE_URGENCY,
   RETRY_AFTER_MILLISECONDS,
-  SEPARATE_READING_TOKENS,
   SHORTEST_ATTEMPT_MILLISECONDS,
   SHORTEST_SILENCE_MILLISECONDS,
   SILENCE_TARGET_MULTIPLE,
@@ -23,7 +25,8 @@
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { EndpointState } from './EndpointState.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
-import type { Placement, PlacementContext } from './Placement.js';
+import type { EnginePlacement, GenerationPlan, PromptShape } from './EnginePlacement.js';
+import type { PlacementContext, ServicePlacement } from './Placement.js';
 import type { AdmissionResult } from './RequestAdmission.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { UsageTally } from './UsageTally.js';
@@ -51,7 +54,8 @@
   readonly zone: string;
   readonly view: ConfirmedView;
   readonly registry: EndpointRegistry;
-  readonly placement: Placement;
+  readonly services: ServicePlacement;
+  readonly engines: EnginePlacement;
   readonly link: EndpointLink;
   readonly budgets: RetryBudgets;
   readonly tally: UsageTally;
@@ -74,6 +78,18 @@
 
 type SendResult = (typeof SendResult)[keyof typeof SendResult];
 
+/** Engines that are asked to read the prompt of one request. */
+const MOST_READS = 2;
+
+/** Where a request is sent. */
+interface Destination {
+  readonly state: EndpointState;
+  /** Expected time of the reading in place, in milliseconds. */
+  readonly expectedMilliseconds: number;
+  /** Memory of the prompt that another engine has read. */
+  readonly memory?: PromptMemory;
+}
+
 /** One request on its way through endpoints, until its answer is complete or given up. */
 export class ForwardedCall {
   private readonly parts: ForwardedCallParts;
@@ -95,6 +111,9 @@
 
   private isOverdue = false;
 
+  /** True once the first event is expected after the latency target. */
+  private isLate = false;
+
   /** True once the fate of a send is not known. */
   private mayHaveRun = false;
 
@@ -155,44 +174,35 @@
 
   private async attemptUntilDone(): Promise<string> {
     let unsentTries = 0;
-    let memory = await this.readSeparately();
-    try {
-      for (;;) {
-        if (this.ending.signal.aborted || this.remaining() < SHORTEST_ATTEMPT_MILLISECONDS) {
-          return this.giveUp('the time is over');
-        }
-        const state = this.choose();
-        if (state === undefined) {
-          return this.giveUp('no endpoint is left');
-        }
-        if (this.trace.attempts > 0 && !this.parts.budgets.tryTake(this.admitted.service)) {
-          return this.giveUp('the retry budget is used up');
-        }
-        this.tried.add(state);
-        const handed = memory;
-        memory = undefined;
-        const result = await this.send(state, handed);
-        if (result === SendResult.Done) {
-          return 'done';
-        }
-        if (result === SendResult.NotSent) {
-          unsentTries += 1;
-          memory = handed;
-        } else {
-          this.trace.attempts += 1;
-          this.mayHaveRun ||= result === SendResult.Failed;
-          if (handed !== undefined && result === SendResult.NotRun) {
-            this.releaseMemory(handed);
-          }
-        }
-        const isSpent = this.trace.attempts >= this.admitted.route.maximumAttempts;
-        if (isSpent || unsentTries >= MOST_UNSENT_TRIES || (this.mayHaveRun && !this.isRepeatable)) {
-          return this.giveUp('no attempt is left');
-        }
+    for (;;) {
+      if (this.ending.signal.aborted || this.remaining() < SHORTEST_ATTEMPT_MILLISECONDS) {
+        return this.giveUp('the time is over');
       }
-    } finally {
-      if (memory !== undefined) {
-        this.releaseMemory(memory);
+      const route = this.isGeneration ? await this.planGeneration() : this.planService();
+      if (typeof route === 'string') {
+        return this.giveUp(route);
+      }
+      if (this.trace.attempts > 0 && !this.parts.budgets.tryTake(this.admitted.service)) {
+        this.dropMemory(route);
+        return this.giveUp('the retry budget is used up');
+      }
+      this.tried.add(route.state);
+      const result = await this.send(route);
+      if (result === SendResult.Done) {
+        return 'done';
+      }
+      if (result !== SendResult.Failed) {
+        this.dropMemory(route);
+      }
+      if (result === SendResult.NotSent) {
+        unsentTries += 1;
+      } else {
+        this.trace.attempts += 1;
+        this.mayHaveRun ||= result === SendResult.Failed;
+      }
+      const isSpent = this.trace.attempts >= this.admitted.route.maximumAttempts;
+      if (isSpent || unsentTries >= MOST_UNSENT_TRIES || (this.mayHaveRun && !this.isRepeatable)) {
+        return this.giveUp('no attempt is left');
       }
     }
   }
@@ -206,44 +216,104 @@
     return this.parts.view.configuration?.services.get(this.admitted.service)?.engine !== undefined;
   }
 
-  private choose(): EndpointState | undefined {
-    const { registry, placement } = this.parts;
+  /** Chooses an endpoint of a plain service, or says why there is none. */
+  private planService(): Destination | string {
+    const { registry, services } = this.parts;
     const states = registry.readyOf(this.admitted.service);
-    return this.isGeneration
-      ? placement.chooseEngine(states, this.context())
-      : placement.chooseService(states, this.context());
+    const state = services.choose(states, this.context());
+    return state === undefined ? 'no endpoint is left' : { state, expectedMilliseconds: 0 };
+  }
+
+  /** Time from now in which a caller waits for the first event, in milliseconds. */
+  private firstEventPatience(): number {
+    const { latencyTargetMilliseconds, pauseTargetMilliseconds } = this.admitted.route;
+    const elapsed =
+      this.parts.clock.monotonicMilliseconds() - this.request.arrivedMilliseconds;
+    const patience = Math.max(
+      EVENT_PATIENCE.Shortest,
+      EVENT_PATIENCE.TargetMultiple * latencyTargetMilliseconds,
+      EVENT_PATIENCE.PauseMultiple * pauseTargetMilliseconds,
+    );
+    return Math.min(this.remaining(), patience - elapsed);
+  }
+
+  /** True if a first event after the given time from now would be late. */
+  private wouldBeLate(milliseconds: number): boolean {
+    const elapsed =
+      this.parts.clock.monotonicMilliseconds() - this.request.arrivedMilliseconds;
+    return elapsed + milliseconds > this.admitted.route.latencyTargetMilliseconds;
+  }
+
+  /**
+   * Chooses engines for a generation, and has its prompt read where another engine does that. Says
+   * why if no engine is left or none can answer in time; then the request has not run.
+   */
+  private async planGeneration(): Promise<Destination | string> {
+    const { registry, engines } = this.parts;
+    const prompt = shapeOf(this.request.promptParts);
+    for (let reads = 0; reads < MOST_READS; reads += 1) {
+      const states = registry.readyOf(this.admitted.service);
+      let plan = engines.plan(states, prompt, false, this.context());
+      if (plan !== undefined && this.wouldBeLate(plan.firstTokenMilliseconds)) {
+        this.isLate = true;
+        plan = engines.plan(states, prompt, true, this.context());
+      }
+      if (plan === undefined) {
+        return 'no engine is left';
+      }
+      const expected = Math.round(plan.firstTokenMilliseconds);
+      if (expected > this.firstEventPatience() * EXPECTED_PATIENCE_PART) {
+        return `no engine can begin in time, the best in ${expected} ms`;
+      }
+      const expectedMilliseconds = plan.reader === undefined ? plan.readingMilliseconds : 0;
+      if (plan.reader === undefined) {
+        return { state: plan.engine, expectedMilliseconds };
+      }
+      const memory = await this.read(plan, prompt);
+      if (memory !== undefined) {
+        return { state: plan.engine, expectedMilliseconds, memory };
+      }
+      if (this.ending.signal.aborted) {
+        return 'the time is over';
+      }
+      this.tried.add(plan.reader);
+      // A read that was refused or failed counts as an arrival beyond the first.
+      if (!this.parts.budgets.tryTake(this.admitted.service)) {
+        return 'the retry budget is used up';
+      }
+    }
+    return 'the prompt could not be read';
   }
 
   private attempt(kind: AttemptKind, state: EndpointState, memory?: PromptMemory): Attempt {
-    const { route, grant } = this.admitted;
+    const { grant } = this.admitted;
     return {
       kind,
       endpoint: state.record,
       request: this.request,
       account: grant?.account,
       remainingMilliseconds: Math.floor(this.remaining()),
-      urgency: this.isGeneration ? (grant?.priority ?? route.priority) : undefined,
+      urgency: this.isGeneration ? this.urgency() : undefined,
       memory,
       lastEvent: this.lastEvent,
     };
   }
 
-  /** Has a long prompt read by an engine of its own. Undefined if the prompt is read in place. */
-  private async readSeparately(): Promise<PromptMemory | undefined> {
-    const { registry, placement, link, clock } = this.parts;
-    const tokens = promptTokensOf(this.request);
-    if (!this.isGeneration || tokens < SEPARATE_READING_TOKENS) {
-      return undefined;
-    }
-    const states = registry.readyOf(this.admitted.service);
-    const reader = placement.chooseReader(states, this.request, this.context());
-    if (reader === undefined) {
-      return undefined;
-    }
+  private urgency(): number {
+    const { route, grant } = this.admitted;
+    return this.isLate ? LATE_URGENCY : (grant?.priority ?? route.priority);
+  }
+
+  /** Has the prompt read by the plan's reading engine. Undefined if it was not read. */
+  private async read(plan: GenerationPlan, prompt: PromptShape): Promise<PromptMemory | undefined> {
+    const { link, clock } = this.parts;
+    const { reader, unreadTokens } = plan;
+    invariant(reader !== undefined, 'The plan has no reading engine.');
+    const { identifier } = reader.record;
     const begun = clock.monotonicMilliseconds();
     const limit = new AbortController();
-    const cancelAlarm = clock.schedule(this.remaining() * READING_TIME_SHARE, () => limit.abort());
-    reader.readingTokens += tokens;
+    const cancelAlarm = clock.schedule(Math.max(0, this.firstEventPatience()), () => limit.abort());
+    const release = this.reserveReading(reader, unreadTokens);
     reader.begin(begun);
     try {
       const signal = AbortSignal.any([this.ending.signal, limit.signal]);
@@ -251,37 +321,57 @@
       const now = clock.monotonicMilliseconds();
       reader.hear(now);
       if (memory === undefined) {
-        reader.recordFailure(now);
         reader.recordDelay(this.admitted.route.latencyTargetMilliseconds, now);
-        // A read that was refused counts as an arrival beyond the first.
-        this.parts.budgets.tryTake(this.admitted.service);
-        this.trace.note(`read ${reader.record.identifier}: refused`);
+        this.trace.note(`read ${identifier}: refused`);
       } else {
         reader.recordSuccess(now);
-        this.trace.note(`read ${reader.record.identifier}: ${Math.round(now - begun)} ms`);
+        reader.recordDelay(Math.max(0, now - begun - plan.readingMilliseconds), now);
+        this.trace.note(
+          `read ${identifier}: ${unreadTokens} of ${prompt.tokens} tokens, ${Math.round(now - begun)} ms`,
+        );
       }
       return memory;
     } catch (error) {
-      this.parts.budgets.tryTake(this.admitted.service);
       if (!this.ending.signal.aborted) {
         reader.recordFailure(clock.monotonicMilliseconds());
       }
-      this.trace.note(`read ${reader.record.identifier}: ${describeFailure(failureOf(error))}`);
+      this.trace.note(`read ${identifier}: ${describeFailure(failureOf(error))}`);
       return undefined;
     } finally {
       cancelAlarm();
-      reader.readingTokens -= tokens;
+      release();
       reader.finish();
     }
   }
 
+  /** Counts tokens that are to be read at an engine. Returns the function that takes them back. */
+  private reserveReading(reader: EndpointState, tokens: number): () => void {
+    if (this.isLate) {
+      reader.lateTokens += tokens;
+      return () => {
+        reader.lateTokens -= tokens;
+      };
+    }
+    reader.readingTokens += tokens;
+    return () => {
+      reader.readingTokens -= tokens;
+    };
+  }
+
+  private dropMemory({ memory }: Destination): void {
+    if (memory !== undefined) {
+      this.releaseMemory(memory);
+    }
+  }
+
   private releaseMemory(memory: PromptMemory): void {
     this.parts.link.release(memory).catch((error: unknown) => {
       this.trace.note(`release: ${describeFailure(failureOf(error))}`);
     });
   }
 
-  private async send(state: EndpointState, memory?: PromptMemory): Promise<SendResult> {
+  private async send(destination: Destination): Promise<SendResult> {
+    const { state, memory } = destination;
     const { link, clock } = this.parts;
     const { identifier } = state.record;
     const begun = clock.monotonicMilliseconds();
@@ -296,7 +386,7 @@
       if (answer.isNotRun || answer.isMisdirected) {
         return this.takeRejection(state, answer);
       }
-      return await this.relay(state, answer, begun, cancelAlarm);
+      return await this.relay(destination, answer, begun, cancelAlarm);
     } catch (error) {
       return this.takeFailure(state, error);
     } finally {
@@ -357,11 +447,12 @@
 
   /** Passes an answer on. A failed answer is dropped if the request may be sent again. */
   private async relay(
-    state: EndpointState,
+    destination: Destination,
     answer: EndpointAnswer,
     begun: number,
     cancelSilenceAlarm: () => void,
   ): Promise<SendResult> {
+    const { state } = destination;
     const isSuccess = answer.status >= FIRST_SUCCESS && answer.status < FIRST_REDIRECT;
     const isBroken =
       (isSuccess && !answer.isSigned) || (answer.status >= FIRST_ERROR && this.canSendAgain());
@@ -377,10 +468,10 @@
       this.trace.note(`run ${state.record.identifier}: status ${answer.status}`);
     }
     if (this.admitted.route.isStreaming && isSuccess) {
-      await this.relayStream(state, answer, begun, cancelSilenceAlarm);
+      await this.relayStream(destination, answer, begun, cancelSilenceAlarm);
     } else {
       cancelSilenceAlarm();
-      await this.relayWhole(state, answer, begun);
+      await this.relayWhole(destination, answer, begun);
     }
     const now = this.parts.clock.monotonicMilliseconds();
     if (answer.status >= FIRST_ERROR) {
@@ -400,17 +491,17 @@
   }
 
   /** Records the first byte of an answer, which is also when the request counts as begun. */
-  private markFirstByte(state: EndpointState, begun: number): void {
+  private markFirstByte({ state, expectedMilliseconds }: Destination, begun: number): void {
     const { clock } = this.parts;
     const now = clock.monotonicMilliseconds();
-    state.recordDelay(now - begun, now);
+    state.recordDelay(Math.max(0, now - begun - expectedMilliseconds), now);
     this.trace.firstByteMilliseconds ??= now - this.request.arrivedMilliseconds;
     this.countRun();
   }
 
   /** Holds a plain answer until it is complete, unless it is long. */
   private async relayWhole(
-    state: EndpointState,
+    destination: Destination,
     answer: EndpointAnswer,
     begun: number,
   ): Promise<void> {
@@ -427,7 +518,7 @@
         }
       }
     }
-    this.markFirstByte(state, begun);
+    this.markFirstByte(destination, begun);
     if (!this.sink.hasStarted) {
       await this.startHeld(answer, held, answer.length ?? heldBytes);
     }
@@ -447,12 +538,13 @@
 
   /** Passes complete events on as they come, so that another endpoint can continue after them. */
   private async relayStream(
-    state: EndpointState,
+    destination: Destination,
     answer: EndpointAnswer,
     begun: number,
     cancelSilenceAlarm: () => void,
   ): Promise<void> {
     const { clock } = this.parts;
+    const { state } = destination;
     const events = new StreamEvents();
     let isFirst = true;
     for await (const piece of answer.body) {
@@ -461,7 +553,7 @@
         if (isFirst) {
           isFirst = false;
           cancelSilenceAlarm();
-          this.markFirstByte(state, begun);
+          this.markFirstByte(destination, begun);
         }
         this.startStream(answer);
         await this.sink.write(event.bytes);
--- a/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
@@ -29,8 +29,3 @@
   /** The last event that the caller already has, where it resumes a stream. */
   readonly lastEvent: string | undefined;
 }
-
-/** Tokens of the whole prompt. */
-export function promptTokensOf(request: ForwardedRequest): number {
-  return request.promptParts.reduce((sum, part) => sum + part.tokens, 0);
-}
--- a/packages/hickoryrelay-forwarding/src/ForwardingConfiguration.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingConfiguration.ts
@@ -30,6 +30,8 @@
   readonly timeoutMilliseconds: number;
   /** Time within which an answer (of a stream: its first event) is on time, in milliseconds. */
   readonly latencyTargetMilliseconds: number;
+  /** Longest pause between two events of an answer that is on time, in milliseconds. */
+  readonly pauseTargetMilliseconds: number;
   /** Rank, 0 is the most urgent. */
   readonly priority: number;
   readonly services: readonly WeightedService[];
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -22,11 +22,17 @@
 /** A request with less time left than this is not sent any more, in milliseconds. */
 export const SHORTEST_ATTEMPT_MILLISECONDS = 25;
 
-/** Prompts from this size on are read by a separate engine, in tokens. */
-export const SEPARATE_READING_TOKENS = 1500;
+/**
+ * Time after which a caller gives up on a stream without an event: the longest of this many
+ * milliseconds and these multiples of the latency target and of the pause target.
+ */
+export const EVENT_PATIENCE = { Shortest: 2000, TargetMultiple: 4, PauseMultiple: 8 } as const;
+
+/** Part of that time in which a first event must be expected, or the request is refused at once. */
+export const EXPECTED_PATIENCE_PART = 0.9;
 
-/** Share of the remaining time after which a prompt that is not read yet is given up. */
-export const READING_TIME_SHARE = 0.4;
+/** Rank of requests that will be late, behind all that can still be on time. */
+export const LATE_URGENCY = 8;
 
 /** Bytes of a plain answer that are held until it is complete, so that a broken one can be retried. */
 export const HELD_ANSWER_BYTES = 65_536;
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/PeerLoads.ts
@@ -0,0 +1,62 @@
+import type { EndpointLoad, LoadMessage } from './LoadMessage.js';
+
+/** A message says nothing any more after this time; about three messages are lost by then. */
+const MESSAGE_LIFE_MILLISECONDS = 1000;
+
+/** The load of all other instances on one endpoint. */
+export interface PeerLoad {
+  readonly running: number;
+  readonly readingTokens: number;
+  readonly lateTokens: number;
+}
+
+const NO_LOAD: PeerLoad = { running: 0, readingTokens: 0, lateTokens: 0 };
+
+/** The load that other instances put on endpoints, by what they last said. */
+export class PeerLoads {
+  private readonly messages = new Map<string, { loads: readonly EndpointLoad[]; at: number }>();
+
+  private sums = new Map<number, PeerLoad>();
+
+  /** What the sums are multiplied by where only some of the instances are heard. */
+  private scale = 1;
+
+  /** Takes a message at a time of the steady clock. */
+  receive({ instance, loads }: LoadMessage, now: number): void {
+    this.messages.set(instance, { loads, at: now });
+    this.sum(now);
+  }
+
+  /** Drops messages that are too old. */
+  expire(now: number): void {
+    this.sum(now);
+  }
+
+  /** States how many other instances there are for each one that is heard. */
+  setScale(scale: number): void {
+    this.scale = scale;
+  }
+
+  loadOf(endpoint: number): PeerLoad {
+    return this.sums.get(endpoint) ?? NO_LOAD;
+  }
+
+  private sum(now: number): void {
+    const sums = new Map<number, PeerLoad>();
+    for (const [instance, { loads, at }] of this.messages) {
+      if (now - at > MESSAGE_LIFE_MILLISECONDS) {
+        this.messages.delete(instance);
+      } else {
+        loads.forEach((load) => {
+          const known = sums.get(load.endpoint) ?? NO_LOAD;
+          sums.set(load.endpoint, {
+            running: known.running + load.running * this.scale,
+            readingTokens: known.readingTokens + load.readingTokens * this.scale,
+            lateTokens: known.lateTokens + load.lateTokens * this.scale,
+          });
+        });
+      }
+    }
+    this.sums = sums;
+  }
+}
