--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -107,7 +107,10 @@
       const plan =
         reading === undefined
           ? inPlace
-          : this.cheaper(this.separatePlan(engine, base, prompt, engine === keeper, reading), inPlace);
+          : this.cheaper(
+              this.separatePlan(engine, base, prompt, engine === keeper, reading),
+              inPlace,
+            );
       if (best === undefined || plan.firstTokenMilliseconds < best.firstTokenMilliseconds) {
         best = plan;
       }
@@ -152,7 +155,10 @@
         reader.delay(context.now) * DELAY_WEIGHT +
         reader.failures(context.now) * FAILURE_MILLISECONDS +
         (isKept ? 0 : AFFINITY_MILLISECONDS);
-      if (best === undefined || waitMilliseconds + milliseconds < best.waitMilliseconds + best.milliseconds) {
+      if (
+        best === undefined ||
+        waitMilliseconds + milliseconds < best.waitMilliseconds + best.milliseconds
+      ) {
         best = { reader, unreadTokens, milliseconds, waitMilliseconds };
       }
     }
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -227,8 +227,7 @@
   /** Time from now in which a caller waits for the first event, in milliseconds. */
   private firstEventPatience(): number {
     const { latencyTargetMilliseconds, pauseTargetMilliseconds } = this.admitted.route;
-    const elapsed =
-      this.parts.clock.monotonicMilliseconds() - this.request.arrivedMilliseconds;
+    const elapsed = this.parts.clock.monotonicMilliseconds() - this.request.arrivedMilliseconds;
     const patience = Math.max(
       EVENT_PATIENCE.Shortest,
       EVENT_PATIENCE.TargetMultiple * latencyTargetMilliseconds,
@@ -239,8 +238,7 @@
 
   /** True if a first event after the given time from now would be late. */
   private wouldBeLate(milliseconds: number): boolean {
-    const elapsed =
-      this.parts.clock.monotonicMilliseconds() - this.request.arrivedMilliseconds;
+    const elapsed = this.parts.clock.monotonicMilliseconds() - this.request.arrivedMilliseconds;
     return elapsed + milliseconds > this.admitted.route.latencyTargetMilliseconds;
   }
 
@@ -591,10 +589,7 @@
     this.sink.answer({
       status: UNAVAILABLE,
       reason,
-      retryAfterMilliseconds: spreadRetryAfter(
-        RETRY_AFTER_MILLISECONDS.NoRoom,
-        this.parts.random,
-      ),
+      retryAfterMilliseconds: spreadRetryAfter(RETRY_AFTER_MILLISECONDS.NoRoom, this.parts.random),
     });
     return `own-${UNAVAILABLE}`;
   }
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -12,8 +12,8 @@
   readonly denialViewAgeMilliseconds: number;
   /** Repeated sends to a service for each request to it, as a share. */
   readonly retryShare: number;
-  /** Repeated sends to a service that may be saved up by one instance. */
-  readonly retryBurst: number;
+  /** Repeated sends to a service that all instances together may save up. */
+  readonly retrySlack: number;
 }
 
 /** Kept back from the time that an endpoint is given, for the way back to the caller, in ms. */
--- a/packages/hickoryrelay-forwarding/src/StreamEvents.ts
+++ b/packages/hickoryrelay-forwarding/src/StreamEvents.ts
@@ -11,7 +11,7 @@
 
 /** Finds the index after the blank line that ends the first event, or -1. */
 function endOfEvent(bytes: Buffer): number {
-  for (let index = bytes.indexOf(LINE_FEED); index !== -1; ) {
+  for (let index = bytes.indexOf(LINE_FEED); index !== -1;) {
     let next = index + 1;
     if (bytes[next] === CARRIAGE_RETURN) {
       next += 1;
--- a/packages/hickoryrelay-forwarding/src/ViewTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewTask.ts
@@ -5,6 +5,7 @@
 import type { ConfirmedView, ViewSource } from './ConfirmedView.js';
 import type { EndpointLink } from './EndpointLink.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
+import type { RetryBudgets } from './RetryBudgets.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 
@@ -23,6 +24,7 @@
   readonly view: ConfirmedView;
   readonly registry: EndpointRegistry;
   readonly link: EndpointLink;
+  readonly budgets: RetryBudgets;
   readonly log: PartLogger;
 }
 
@@ -48,12 +50,13 @@
   }
 
   private async readOnce(): Promise<boolean> {
-    const { source, view, registry, link, log } = this.parts;
+    const { source, view, registry, link, budgets, log } = this.parts;
     const asked = view.now();
     try {
       const change = view.apply(await source.read(), asked);
       registry.replace(view.endpoints);
       link.retain(view.endpoints);
+      budgets.setInstances(view.peers.length);
       if (this.failedReadings > 0) {
         log.info('The store answers again.', { failedReadings: this.failedReadings });
         this.failedReadings = 0;
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import {
+  ConfirmedView,
+  REGISTRATION_RETURN_MILLISECONDS,
+} from 'hickoryrelay-forwarding/ConfirmedView';
+
+import { makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
+
+const readingOf = (names: readonly string[], version = 1) => ({
+  configuration: makeConfiguration({ version }),
+  endpoints: names.map((name) => makeEndpoint(name)),
+  peers: [],
+});
+
+function namesOf(view: ConfirmedView): string[] {
+  return view.endpoints.map(({ identifier }) => identifier).sort();
+}
+
+describe('the confirmed view', () => {
+  it('never goes back to an earlier configuration', () => {
+    const view = new ConfirmedView(new ManualClock());
+    view.apply(readingOf([], 7), 0);
+    view.apply(readingOf([], 6), 1);
+    expect(view.configuration?.version).toBe(7);
+  });
+
+  it('is as old as the moment at which the last reading was asked for', async () => {
+    const clock = new ManualClock();
+    const view = new ConfirmedView(clock);
+    await clock.advance(1000);
+    view.apply(readingOf([]), 400);
+    expect(view.ageMilliseconds).toBe(600);
+  });
+
+  it('drops an endpoint that is missing from a reading', () => {
+    const view = new ConfirmedView(new ManualClock());
+    view.apply(readingOf(['a', 'b']), 0);
+    expect(view.apply(readingOf(['a']), 1).departed.map(({ identifier }) => identifier)).toEqual([
+      'b',
+    ]);
+    expect(namesOf(view)).toEqual(['a']);
+  });
+
+  // Guards against the loss of all endpoints whose registrations lapsed while the store was away.
+  it('keeps missing endpoints for a while after the store was away, and then drops them', async () => {
+    const clock = new ManualClock();
+    const view = new ConfirmedView(clock);
+    view.apply(readingOf(['a', 'b']), 0);
+    view.missReading();
+    view.apply(readingOf([]), clock.monotonicMilliseconds());
+    expect(namesOf(view)).toEqual(['a', 'b']);
+    await clock.advance(REGISTRATION_RETURN_MILLISECONDS + 1);
+    view.apply(readingOf(['a']), clock.monotonicMilliseconds());
+    expect(namesOf(view)).toEqual(['a']);
+  });
+});
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -0,0 +1,271 @@
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { FailureKind } from 'hickoryrelay/Failure';
+import { silentLogger } from 'hickoryrelay/Logger';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { RelayError } from 'hickoryrelay/RelayError';
+import { AnswerSink } from 'hickoryrelay-forwarding/AnswerSink';
+import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
+import { EndpointLink } from 'hickoryrelay-forwarding/EndpointLink';
+import { EndpointPhase } from 'hickoryrelay-forwarding/EndpointRecord';
+import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
+import { EnginePlacement } from 'hickoryrelay-forwarding/EnginePlacement';
+import {
+  ForwardingConfiguration,
+  Repetition,
+} from 'hickoryrelay-forwarding/ForwardingConfiguration';
+import { ForwardingExchange } from 'hickoryrelay-forwarding/ForwardingExchange';
+import { ForwardingMetrics } from 'hickoryrelay-forwarding/ForwardingMetrics';
+import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
+import { ServicePlacement } from 'hickoryrelay-forwarding/Placement';
+import { RequestAdmission } from 'hickoryrelay-forwarding/RequestAdmission';
+import { RetryBudgets } from 'hickoryrelay-forwarding/RetryBudgets';
+import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
+
+import type { OwnAnswer } from 'hickoryrelay-forwarding/AnswerSink';
+import type { Attempt, EndpointAnswer, PromptMemory } from 'hickoryrelay-forwarding/EndpointLink';
+import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
+import type { ForwardedRequest, HeaderList } from 'hickoryrelay-forwarding/ForwardedRequest';
+import type {
+  ForwardingDeclarations,
+  ForwardingRoute,
+} from 'hickoryrelay-forwarding/ForwardingConfiguration';
+import type { ForwardingLimits } from 'hickoryrelay-forwarding/ForwardingLimits';
+
+export const LIMITS: ForwardingLimits = {
+  longestViewAgeMilliseconds: 4500,
+  denialViewAgeMilliseconds: 2000,
+  retryShare: 0.1,
+  retrySlack: 1000,
+};
+
+export function makeRoute(changes: Partial<ForwardingRoute> = {}): ForwardingRoute {
+  return {
+    name: 'route',
+    host: 'h.example',
+    prefix: '/a/',
+    repetition: Repetition.AtMostOnce,
+    isStreaming: false,
+    timeoutMilliseconds: 5000,
+    latencyTargetMilliseconds: 200,
+    pauseTargetMilliseconds: 150,
+    priority: 0,
+    services: [{ service: 'desk', weight: 1 }],
+    maximumAttempts: 2,
+    isOpen: false,
+    ...changes,
+  };
+}
+
+export function makeConfiguration(
+  changes: Partial<ForwardingDeclarations> = {},
+): ForwardingConfiguration {
+  return new ForwardingConfiguration({
+    version: 1,
+    routes: [makeRoute()],
+    services: [
+      { name: 'desk', maximumConnections: 10 },
+      { name: 'model', maximumConnections: 10, engine: { slots: 12, memoryTokens: 300_000 } },
+    ],
+    limits: {
+      headerBytes: 16_384,
+      bodyBytes: 1_000_000,
+      headerTimeoutMilliseconds: 3000,
+      idleTimeoutMilliseconds: 15_000,
+    },
+    grants: new Map([['key-1', { account: 'account-1' }]]),
+    ...changes,
+  });
+}
+
+export function makeEndpoint(
+  identifier: string,
+  changes: Partial<EndpointRecord> = {},
+): EndpointRecord {
+  return {
+    identifier,
+    service: 'desk',
+    address: `10.0.0.1:${identifier.length}`,
+    zone: 'zone-a',
+    slots: 6,
+    phase: EndpointPhase.Ready,
+    startedMilliseconds: 1,
+    isReclaimable: false,
+    ...changes,
+  };
+}
+
+export function makeRequest(changes: Partial<ForwardedRequest> = {}): ForwardedRequest {
+  return {
+    identifier: 'request-1',
+    method: 'POST',
+    host: 'h.example',
+    target: '/a/b',
+    headers: [],
+    body: Buffer.alloc(0),
+    accessKey: 'key-1',
+    patienceMilliseconds: 3000,
+    arrivedMilliseconds: 0,
+    confirmedBy: 0,
+    promptParts: [],
+    lastEvent: undefined,
+    ...changes,
+  };
+}
+
+/** What an endpoint does with one attempt. */
+export type Behaviour = (attempt: Attempt, signal: AbortSignal) => Promise<EndpointAnswer>;
+
+/** An answer of an endpoint. A piece that is an error breaks the body off. */
+export function answer(
+  pieces: readonly (string | Error)[],
+  changes: Partial<EndpointAnswer> = {},
+): EndpointAnswer {
+  async function* body(): AsyncGenerator<Buffer, void, void> {
+    for (const piece of pieces) {
+      if (piece instanceof Error) {
+        throw piece;
+      }
+      yield Buffer.from(piece);
+    }
+  }
+  return {
+    status: 200,
+    headers: ['X-Signature', 's'],
+    length: undefined,
+    isNotRun: false,
+    isMisdirected: false,
+    isSigned: true,
+    body: body(),
+    discard: () => {},
+    ...changes,
+  };
+}
+
+export function endpointFailure(mayHaveRun: boolean): RelayError {
+  return new RelayError({
+    kind: FailureKind.EndpointFailed,
+    endpoint: 'e',
+    reason: 'reset',
+    mayHaveRun,
+  });
+}
+
+/** A link whose endpoints behave as the test says, one behaviour for each send in turn. */
+export class ScriptedLink extends EndpointLink {
+  readonly sent: Attempt[] = [];
+
+  readonly reads: Attempt[] = [];
+
+  readonly released: PromptMemory[] = [];
+
+  readMemory: PromptMemory | undefined = { address: '10.0.0.9:1', handle: 'handle' };
+
+  private readonly behaviours: Behaviour[];
+
+  constructor(behaviours: readonly Behaviour[]) {
+    super();
+    this.behaviours = [...behaviours];
+  }
+
+  override send(attempt: Attempt, signal: AbortSignal): Promise<EndpointAnswer> {
+    this.sent.push(attempt);
+    const behaviour = this.behaviours.shift();
+    return behaviour === undefined
+      ? Promise.reject(endpointFailure(true))
+      : behaviour(attempt, signal);
+  }
+
+  override readPrompt(attempt: Attempt): Promise<PromptMemory | undefined> {
+    this.reads.push(attempt);
+    return Promise.resolve(this.readMemory);
+  }
+
+  override release(memory: PromptMemory): Promise<void> {
+    this.released.push(memory);
+    return Promise.resolve();
+  }
+
+  override retain(): void {}
+}
+
+/** Records what a caller receives. */
+export class RecordingSink extends AnswerSink {
+  readonly leaving = new AbortController();
+
+  override readonly gone = this.leaving.signal;
+
+  status: number | undefined;
+
+  own: OwnAnswer | undefined;
+
+  text = '';
+
+  isEnded = false;
+
+  isBroken = false;
+
+  override get hasStarted(): boolean {
+    return this.status !== undefined;
+  }
+
+  override start(status: number, _headers: HeaderList): void {
+    this.status = status;
+  }
+
+  override write(piece: Buffer): Promise<void> {
+    this.text += piece.toString();
+    return Promise.resolve();
+  }
+
+  override end(): void {
+    this.isEnded = true;
+  }
+
+  override answer(own: OwnAnswer): void {
+    this.own = own;
+  }
+
+  override breakOff(): void {
+    this.isBroken = true;
+  }
+}
+
+/** What a test of the exchange sets up. */
+export interface WorldOptions {
+  readonly configuration?: ForwardingConfiguration;
+  readonly endpoints?: readonly EndpointRecord[];
+  readonly behaviours?: readonly Behaviour[];
+}
+
+/** An exchange with a scripted link and a manual clock. */
+export function makeWorld(options: WorldOptions = {}) {
+  const clock = new ManualClock();
+  const view = new ConfirmedView(clock);
+  const registry = new EndpointRegistry(new PeerLoads());
+  const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
+  const configuration = options.configuration ?? makeConfiguration();
+  view.apply({ configuration, endpoints, peers: [] }, 0);
+  registry.replace(endpoints);
+  const link = new ScriptedLink(options.behaviours ?? []);
+  const random = new SeededRandomSource(1);
+  const tally = new UsageTally(5000);
+  const budgets = new RetryBudgets(LIMITS);
+  const exchange = new ForwardingExchange({
+    zone: 'zone-a',
+    view,
+    registry,
+    services: new ServicePlacement(),
+    engines: new EnginePlacement(),
+    link,
+    budgets,
+    tally,
+    clock,
+    random,
+    admission: new RequestAdmission(view, LIMITS, random),
+    metrics: new ForwardingMetrics(),
+    log: silentLogger,
+  });
+  const sink = new RecordingSink();
+  const run = (request = makeRequest()) => exchange.handle(request, sink);
+  return { clock, view, registry, link, tally, budgets, exchange, sink, run };
+}
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/RequestAdmission.test.ts
@@ -0,0 +1,80 @@
+import { describe, expect, it } from 'vitest';
+
+import { makeConfiguration, makeRequest, makeRoute, makeWorld } from './ForwardingFixture.js';
+import type { Behaviour } from './ForwardingFixture.js';
+import { answer } from './ForwardingFixture.js';
+
+const good: Behaviour = async () => answer(['good']);
+
+describe('admission', () => {
+  it.each([
+    ['an unknown route', { target: '/none/x' }, 404],
+    ['a route of another host', { host: 'other.example' }, 404],
+    ['an unknown key', { accessKey: 'key-2' }, 401],
+    ['no key', { accessKey: undefined }, 401],
+  ])('denies %s', async (_name, changes, status) => {
+    const world = makeWorld({ behaviours: [good] });
+    await world.run(makeRequest(changes));
+    expect(world.sink.own?.status).toBe(status);
+    expect(world.link.sent).toHaveLength(0);
+  });
+
+  // Guards against a denial of a route or a key that a newer configuration has.
+  it.each([
+    ['an unknown route', { target: '/none/x' }],
+    ['an unknown key', { accessKey: 'key-2' }],
+  ])(
+    'asks to come back for %s while the configuration is not confirmed',
+    async (_name, changes) => {
+      const world = makeWorld({ behaviours: [good] });
+      await world.run(makeRequest({ ...changes, confirmedBy: 3000 }));
+      expect(world.sink.own).toMatchObject({ status: 503 });
+    },
+  );
+
+  // Guards against a request on a key that was withdrawn while the store was out of reach.
+  it('runs no request with a key on a configuration that is too old', async () => {
+    const world = makeWorld({ behaviours: [good] });
+    await world.run(makeRequest({ confirmedBy: 4501 }));
+    expect(world.sink.own?.status).toBe(503);
+    expect(world.link.sent).toHaveLength(0);
+  });
+
+  it('runs requests on open routes without a key, also on an old configuration', async () => {
+    const configuration = makeConfiguration({ routes: [makeRoute({ isOpen: true })] });
+    const world = makeWorld({ configuration, behaviours: [good] });
+    await world.run(makeRequest({ accessKey: undefined, confirmedBy: 60_000 }));
+    expect(world.sink.text).toBe('good');
+    expect(world.link.sent[0]?.account).toBeUndefined();
+  });
+
+  it('takes the route with the longest prefix, whatever the query says', async () => {
+    const configuration = makeConfiguration({
+      routes: [
+        makeRoute({ prefix: '/a/', services: [{ service: 'desk', weight: 1 }] }),
+        makeRoute({ prefix: '/a/b/', services: [{ service: 'none', weight: 1 }] }),
+      ],
+    });
+    const world = makeWorld({ configuration, behaviours: [good] });
+    await world.run(makeRequest({ target: '/a/c?x=/a/b/' }));
+    expect(world.sink.text).toBe('good');
+  });
+
+  it('answers 503 before any configuration is known', async () => {
+    const { RequestAdmission } = await import('hickoryrelay-forwarding/RequestAdmission');
+    const { ConfirmedView } = await import('hickoryrelay-forwarding/ConfirmedView');
+    const { CallTrace } = await import('hickoryrelay-forwarding/CallTrace');
+    const { ManualClock } = await import('hickoryrelay/ManualClock');
+    const { SeededRandomSource } = await import('hickoryrelay/RandomSource');
+    const { LIMITS } = await import('./ForwardingFixture.js');
+    const admission = new RequestAdmission(
+      new ConfirmedView(new ManualClock()),
+      LIMITS,
+      new SeededRandomSource(1),
+    );
+    expect(admission.admit(makeRequest(), new CallTrace())).toMatchObject({
+      kind: 'answered',
+      own: { status: 503 },
+    });
+  });
+});
--- a/packages/hickoryrelay/src/BoundedLogOutput.ts
+++ b/packages/hickoryrelay/src/BoundedLogOutput.ts
@@ -65,7 +65,9 @@
       return;
     }
     if (this.droppedLines > 0) {
-      this.waiting.push(`${JSON.stringify({ message: '[log] Lines were dropped.', lines: this.droppedLines })}\n`);
+      this.waiting.push(
+        `${JSON.stringify({ message: '[log] Lines were dropped.', lines: this.droppedLines })}\n`,
+      );
       this.droppedLines = 0;
     }
     const bytes = Buffer.from(this.waiting.join(''));
