--- a/packages/hickoryrelay-forwarding/src/AnswerSink.ts
+++ b/packages/hickoryrelay-forwarding/src/AnswerSink.ts
@@ -1,4 +1,4 @@
-import type { HeaderList } from './ForwardedRequest.js';
+import type { AnswerHead } from './EndpointLink.js';
 
 /** A refusal or failure that the system answers itself. */
 export interface OwnAnswer {
@@ -16,12 +16,12 @@
   abstract get hasStarted(): boolean;
 
   /** Sends the head of an endpoint's answer. */
-  abstract start(status: number, headers: HeaderList, length: number | undefined): void;
+  abstract start(head: AnswerHead): void;
 
   /** Sends a piece of the body. Resolves when the caller can take more. */
   abstract write(piece: Buffer): Promise<void>;
 
-  /** Ends a complete answer. */
+  /** Ends an answer whose body has ended as its head says. */
   abstract end(): void;
 
   /** Sends an answer of the system's own. Not allowed once an answer has started. */
--- a/packages/hickoryrelay-forwarding/src/DutyPlatform.ts
+++ b/packages/hickoryrelay-forwarding/src/DutyPlatform.ts
@@ -1,6 +1,6 @@
-import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 import type { EndpointRecord, EngineStage } from './EndpointRecord.js';
 import type { AccountCounts } from './UsageTally.js';
+import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 
 /** How the platform took a call that only the holder of the authority makes. */
 export const DutyResult = {
--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -33,13 +33,22 @@
   readonly lastEvent: string | undefined;
 }
 
-/** The head of an endpoint's answer, with its body still to come. */
-export interface EndpointAnswer {
+/** The head of an endpoint's answer. */
+export interface AnswerHead {
   readonly status: number;
   /** End-to-end headers, unchanged. */
   readonly headers: HeaderList;
   /** Length of the body in bytes; undefined if the answer does not say. */
   readonly length: number | undefined;
+  /**
+   * True if only the end of its connection ends the answer. An endpoint that crashes ends it as
+   * well, so such an answer is passed on in the same way and never framed as complete.
+   */
+  readonly endsWithConnection: boolean;
+}
+
+/** An endpoint's answer, with its body still to come. */
+export interface EndpointAnswer extends AnswerHead {
   /** True if the endpoint states that it did not run the request. */
   readonly isNotRun: boolean;
   /** True if another endpoint lives at the address. */
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -21,16 +21,16 @@
 
 import type { AnswerSink } from './AnswerSink.js';
 import type { CallTrace } from './CallTrace.js';
+import type { ConfirmedView } from './ConfirmedView.js';
 import type { Attempt, EndpointAnswer, EndpointLink, PromptMemory } from './EndpointLink.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { EndpointState } from './EndpointState.js';
-import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { EnginePlacement, GenerationPlan, PromptShape } from './EnginePlacement.js';
+import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { PlacementContext, ServicePlacement } from './Placement.js';
 import type { AdmissionResult } from './RequestAdmission.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { UsageTally } from './UsageTally.js';
-import type { ConfirmedView } from './ConfirmedView.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 
@@ -518,17 +518,19 @@
     }
     this.markFirstByte(destination, begun);
     if (!this.sink.hasStarted) {
-      await this.startHeld(answer, held, answer.length ?? heldBytes);
+      await this.startHeld(answer, held, heldBytes);
     }
     this.sink.end();
   }
 
+  /** Starts an answer with the pieces that were held; their length, where they are all, is known. */
   private async startHeld(
     answer: EndpointAnswer,
     held: readonly Buffer[],
-    length = answer.length,
+    wholeLength?: number,
   ): Promise<void> {
-    this.sink.start(answer.status, answer.headers, length);
+    const length = answer.length ?? (answer.endsWithConnection ? undefined : wholeLength);
+    this.sink.start({ ...answer, length });
     for (const piece of held) {
       await this.sink.write(piece);
     }
@@ -567,7 +569,7 @@
 
   private startStream(answer: EndpointAnswer): void {
     if (!this.sink.hasStarted) {
-      this.sink.start(answer.status, answer.headers, answer.length);
+      this.sink.start(answer);
     }
   }
 
--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -2,11 +2,11 @@
 
 import { decodeLoad, encodeLoad } from './LoadMessage.js';
 
-import type { TaskContext } from 'hickoryrelay/Task';
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { PeerLoads } from './PeerLoads.js';
 import type { PeerRecord } from './PeerRecord.js';
+import type { TaskContext } from 'hickoryrelay/Task';
 
 /** Shortest time between two messages to a peer; the load of an engine changes within about 100 ms. */
 const PERIOD_MILLISECONDS = 100;
--- a/packages/hickoryrelay-forwarding/src/PeerRegistrationTask.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerRegistrationTask.ts
@@ -4,10 +4,10 @@
 
 import { PEERS_PREFIX } from './PeerRecord.js';
 
+import type { PeerRecord } from './PeerRecord.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
-import type { PeerRecord } from './PeerRecord.js';
 
 /** An instance that is gone disappears from the list after this time. */
 const LEASE_SECONDS = 5;
--- a/packages/hickoryrelay-forwarding/src/StageDuty.ts
+++ b/packages/hickoryrelay-forwarding/src/StageDuty.ts
@@ -3,12 +3,12 @@
 import { DutyResult } from './DutyPlatform.js';
 import { nextStageChange } from './StagePlan.js';
 
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { TaskContext } from 'hickoryrelay/Task';
-import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { DutyPlatform } from './DutyPlatform.js';
 import type { EngineStage } from './EndpointRecord.js';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { TaskContext } from 'hickoryrelay/Task';
+import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 
 const PERIOD_MILLISECONDS = 700;
 
--- a/packages/hickoryrelay-forwarding/src/SupplyDuty.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyDuty.ts
@@ -4,13 +4,13 @@
 import { EndpointPhase } from './EndpointRecord.js';
 import { supplyLevels } from './SupplyLevels.js';
 
-import type { PartLogger } from 'hickoryrelay/Logger';
-import type { TaskContext } from 'hickoryrelay/Task';
-import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { DutyPlatform, SupplyLevel } from './DutyPlatform.js';
 import type { ForwardingService } from './ForwardingConfiguration.js';
 import type { ZoneSupply } from './SupplyLevels.js';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { TaskContext } from 'hickoryrelay/Task';
+import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 
 const PERIOD_MILLISECONDS = 500;
 
--- a/packages/hickoryrelay-forwarding/src/UdpLoadChannel.ts
+++ b/packages/hickoryrelay-forwarding/src/UdpLoadChannel.ts
@@ -2,9 +2,9 @@
 
 import { LoadChannel } from './LoadExchangeTask.js';
 
-import type { Socket } from 'node:dgram';
-import type { PartLogger } from 'hickoryrelay/Logger';
 import type { PeerRecord } from './PeerRecord.js';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { Socket } from 'node:dgram';
 
 /** Sends load messages as UDP datagrams. */
 export class UdpLoadChannel extends LoadChannel {
--- a/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
@@ -4,10 +4,10 @@
 
 import { partKey } from './UsageKeys.js';
 
+import type { UsageTally } from './UsageTally.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
-import type { UsageTally } from './UsageTally.js';
 
 /**
  * Time between two writes of counts. An instance that is killed loses the counts since its last
--- a/packages/hickoryrelay-forwarding/src/UsageReportDuty.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageReportDuty.ts
@@ -5,12 +5,12 @@
 import { DutyResult } from './DutyPlatform.js';
 import { partsPrefix, sealKey } from './UsageKeys.js';
 
+import type { DutyPlatform } from './DutyPlatform.js';
+import type { AccountCounts } from './UsageTally.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
-import type { DutyPlatform } from './DutyPlatform.js';
-import type { AccountCounts } from './UsageTally.js';
 
 /** Time between two looks at the windows that are due. */
 const PERIOD_MILLISECONDS = 500;
@@ -21,6 +21,9 @@
 /** Part of the time until a report is due after which counts that are missing are not awaited. */
 const LATE_SETTLE_PART = 0.65;
 
+/** A transaction of the store takes 32 entries. */
+const MOST_REMOVED_PARTS = 31;
+
 /** What the duty works with. Times are in milliseconds. */
 export interface UsageReportDutyParts {
   readonly store: KeyValueStore;
@@ -168,6 +171,3 @@
     });
   }
 }
-
-/** A transaction of the store takes 32 entries. */
-const MOST_REMOVED_PARTS = 31;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
@@ -81,9 +81,9 @@
   it('does not wait for late reads with a request that can be on time', () => {
     const placement = new EnginePlacement();
     const states = makeStates();
-    states.slice(0, READERS).forEach((reader) => {
+    for (const reader of states.slice(0, READERS)) {
       reader.lateTokens = 100_000;
-    });
+    }
     const onTime = placement.plan(states, longPrompt(1), false, contextOf(1));
     const late = placement.plan(states, longPrompt(1), true, contextOf(1));
     expect(onTime?.reader).toBeDefined();
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
@@ -12,8 +12,8 @@
   makeWorld,
 } from './ForwardingFixture.js';
 
-import type { ForwardingRoute } from 'hickoryrelay-forwarding/ForwardingConfiguration';
 import type { Behaviour, WorldOptions } from './ForwardingFixture.js';
+import type { ForwardingRoute } from 'hickoryrelay-forwarding/ForwardingConfiguration';
 
 const notRun: Behaviour = async () => answer([], { status: 503, isNotRun: true });
 const good: Behaviour = async () => answer(['good']);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -1,6 +1,6 @@
-import { ManualClock } from 'hickoryrelay/ManualClock';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { silentLogger } from 'hickoryrelay/Logger';
+import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { AnswerSink } from 'hickoryrelay-forwarding/AnswerSink';
@@ -22,9 +22,14 @@
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
 
 import type { OwnAnswer } from 'hickoryrelay-forwarding/AnswerSink';
-import type { Attempt, EndpointAnswer, PromptMemory } from 'hickoryrelay-forwarding/EndpointLink';
+import type {
+  AnswerHead,
+  Attempt,
+  EndpointAnswer,
+  PromptMemory,
+} from 'hickoryrelay-forwarding/EndpointLink';
 import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
-import type { ForwardedRequest, HeaderList } from 'hickoryrelay-forwarding/ForwardedRequest';
+import type { ForwardedRequest } from 'hickoryrelay-forwarding/ForwardedRequest';
 import type {
   ForwardingDeclarations,
   ForwardingRoute,
@@ -132,6 +137,7 @@
     status: 200,
     headers: ['X-Signature', 's'],
     length: undefined,
+    endsWithConnection: false,
     isNotRun: false,
     isMisdirected: false,
     isSigned: true,
@@ -194,22 +200,26 @@
 
   override readonly gone = this.leaving.signal;
 
-  status: number | undefined;
+  head: AnswerHead | undefined;
 
   own: OwnAnswer | undefined;
 
   text = '';
 
+  get status(): number | undefined {
+    return this.head?.status;
+  }
+
   isEnded = false;
 
   isBroken = false;
 
   override get hasStarted(): boolean {
-    return this.status !== undefined;
+    return this.head !== undefined;
   }
 
-  override start(status: number, _headers: HeaderList): void {
-    this.status = status;
+  override start(head: AnswerHead): void {
+    this.head = head;
   }
 
   override write(piece: Buffer): Promise<void> {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/RequestAdmission.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/RequestAdmission.test.ts
@@ -1,8 +1,13 @@
 import { describe, expect, it } from 'vitest';
 
-import { makeConfiguration, makeRequest, makeRoute, makeWorld } from './ForwardingFixture.js';
+import {
+  makeConfiguration,
+  makeRequest,
+  makeRoute,
+  makeWorld,
+  answer,
+} from './ForwardingFixture.js';
 import type { Behaviour } from './ForwardingFixture.js';
-import { answer } from './ForwardingFixture.js';
 
 const good: Behaviour = async () => answer(['good']);
 
--- a/packages/hickoryrelay/src/BoundedLogOutput.ts
+++ b/packages/hickoryrelay/src/BoundedLogOutput.ts
@@ -38,6 +38,7 @@
     return this.droppedLines;
   }
 
+  // eslint-disable-next-line no-underscore-dangle -- the name that the stream library calls
   override _write(chunk: Buffer | string, _encoding: string, done: () => void): void {
     this.add(chunk.toString());
     done();
