--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -118,6 +118,30 @@
     return best;
   }
 
+  /** Chooses the engine that takes over the memory of a prompt. Undefined if none can generate. */
+  planTransfer(
+    states: readonly EndpointState[],
+    prompt: PromptShape,
+    context: PlacementContext,
+  ): EndpointState | undefined {
+    const engines = usable(
+      states.filter(({ record }) => record.stage !== EngineStage.Prefill),
+      context,
+    );
+    const keeper = this.keeperOf(engines, prompt);
+    let best: EndpointState | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const engine of engines) {
+      const cost =
+        this.engineCost(engine, context) + (engine === keeper ? 0 : AFFINITY_MILLISECONDS);
+      if (cost < bestCost) {
+        best = engine;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
   /** The engine that all instances prefer for the shared part; undefined for small parts. */
   private keeperOf(
     engines: readonly EndpointState[],
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -269,7 +269,14 @@
       }
       const memory = await this.read(plan, prompt);
       if (memory !== undefined) {
-        return { state: plan.engine, expectedMilliseconds, memory };
+        // Engines may have left or filled up while the prompt was read.
+        const current = registry.readyOf(this.admitted.service);
+        const state = engines.planTransfer(current, prompt, this.context());
+        if (state === undefined) {
+          this.releaseMemory(memory);
+          return 'no engine is left';
+        }
+        return { state, expectedMilliseconds, memory };
       }
       if (this.ending.signal.aborted) {
         return 'the time is over';
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
@@ -219,6 +219,21 @@
     });
   });
 
+  // Guards against a request that reaches an engine long after it said that it leaves.
+  it('does not go to an engine that began to leave while the prompt was read', async () => {
+    const spare = makeEndpoint('spare', {
+      service: 'model',
+      stage: EngineStage.Decode,
+      zone: 'zone-b',
+    });
+    const world = worldOf(route, [async () => answer(['id: 1\n\n'])], {
+      endpoints: [...endpoints, spare],
+    });
+    world.link.onRead = () => world.registry.replace([...endpoints.slice(0, 1), spare]);
+    await world.run(long);
+    expect(world.link.sent.map(({ endpoint }) => endpoint.identifier)).toEqual(['spare']);
+  });
+
   it('frees the memory that no engine took', async () => {
     const world = worldOf({ ...route, maximumAttempts: 1 }, [notRun], { endpoints });
     await world.run(long);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -181,8 +181,12 @@
       : behaviour(attempt, signal);
   }
 
+  /** Called while a prompt is read. */
+  onRead = () => {};
+
   override readPrompt(attempt: Attempt): Promise<PromptMemory | undefined> {
     this.reads.push(attempt);
+    this.onRead();
     return Promise.resolve(this.readMemory);
   }
 
