Count the delay of other requests by reading in place

Cause: long prompts read in place slowed every stream of their engine beyond the pause target (short requests took 720 ms at the ninth decile after the first event). Excluded: queueing at the engines, the first events were early. Reading in place now costs what it delays the requests that run there.

--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -25,6 +25,9 @@
 /** Time that each running request adds to the first token of another, in milliseconds. */
 const BATCH_MILLISECONDS = 1.5;
 
+/** Part of the time of a reading in place by which it delays each request that runs there. */
+const DISTURBANCE_PART = 0.25;
+
 /** Shared parts below this size are not worth keeping to one engine, in tokens. */
 const KEPT_PART_TOKENS = 1000;
 
@@ -48,6 +51,8 @@
   readonly readingMilliseconds: number;
   /** Expected time until the first token, in milliseconds. */
   readonly firstTokenMilliseconds: number;
+  /** That time and the delay of other requests, by which plans are compared, in milliseconds. */
+  readonly costMilliseconds: number;
 }
 
 /** What is known of the prompt of a generation. */
@@ -111,7 +116,7 @@
               this.separatePlan(engine, base, prompt, engine === keeper, reading),
               inPlace,
             );
-      if (best === undefined || plan.firstTokenMilliseconds < best.firstTokenMilliseconds) {
+      if (best === undefined || plan.costMilliseconds < best.costMilliseconds) {
         best = plan;
       }
     }
@@ -218,12 +223,15 @@
     const unreadTokens = isKeeper ? this.ownTokens(prompt) : prompt.tokens;
     const readingMilliseconds = unreadTokens / IN_PLACE_TOKENS_PER_MILLISECOND;
     const crowding = 1 + Math.min(2, engine.allRunning / engine.record.slots);
+    const firstTokenMilliseconds = base + readingMilliseconds * crowding;
     return {
       engine,
       reader: undefined,
       unreadTokens,
       readingMilliseconds,
-      firstTokenMilliseconds: base + readingMilliseconds * crowding,
+      firstTokenMilliseconds,
+      costMilliseconds:
+        firstTokenMilliseconds + readingMilliseconds * engine.allRunning * DISTURBANCE_PART,
     };
   }
 
@@ -234,22 +242,24 @@
     isKeeper: boolean,
     reading: ReadingOption,
   ): GenerationPlan {
+    const firstTokenMilliseconds =
+      base +
+      reading.waitMilliseconds +
+      reading.milliseconds +
+      DETOUR_MILLISECONDS +
+      (prompt.tokens / 1000) * TRANSFER_MILLISECONDS_PER_THOUSAND +
+      (isKeeper ? 0 : AFFINITY_MILLISECONDS);
     return {
       engine,
       reader: reading.reader,
       unreadTokens: reading.unreadTokens,
       readingMilliseconds: reading.milliseconds,
-      firstTokenMilliseconds:
-        base +
-        reading.waitMilliseconds +
-        reading.milliseconds +
-        DETOUR_MILLISECONDS +
-        (prompt.tokens / 1000) * TRANSFER_MILLISECONDS_PER_THOUSAND +
-        (isKeeper ? 0 : AFFINITY_MILLISECONDS),
+      firstTokenMilliseconds,
+      costMilliseconds: firstTokenMilliseconds,
     };
   }
 
   private cheaper(left: GenerationPlan, right: GenerationPlan): GenerationPlan {
-    return left.firstTokenMilliseconds <= right.firstTokenMilliseconds ? left : right;
+    return left.costMilliseconds <= right.costMilliseconds ? left : right;
   }
 }
