Fetch shared parts from the engine that holds them; learn the pace of reading

Excluded: eviction, the memory of the reading engines holds the parts for 25 s. Instances tell each other which engine read which part; an engine that lacks it fetches it from a holder. The pace is learned from readings without a queue.

--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -29,6 +29,8 @@
   /** Rank among the endpoint's requests, 0 is the most urgent; absent for plain services. */
   readonly urgency: number | undefined;
   readonly memory?: PromptMemory;
+  /** Address of an engine from which shared parts of the prompt can be fetched. */
+  readonly fetchFrom?: string;
   /** Continue a stream after this event. */
   readonly lastEvent: string | undefined;
 }
--- a/packages/hickoryrelay-forwarding/src/EndpointState.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointState.ts
@@ -51,7 +51,8 @@
 
   private readonly peers: PeerLoads;
 
-  private readonly hash: number;
+  /** Hash of the incarnation, by which instances tell each other of the endpoint. */
+  readonly hash: number;
 
   private readonly excessDelay = new FadingAverage();
 
@@ -68,7 +69,7 @@
   constructor(record: EndpointRecord, peers: PeerLoads) {
     this.record = record;
     this.peers = peers;
-    this.hash = hashText(record.identifier);
+    this.hash = hashText(`${record.identifier}/${record.startedMilliseconds}`);
   }
 
   /** Requests of all instances that the endpoint runs, as far as is known. */
--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -5,13 +5,9 @@
 
 import type { EndpointState } from './EndpointState.js';
 import type { PromptPart } from './ForwardedRequest.js';
+import type { PartDirectory } from './PartDirectory.js';
 import type { PlacementContext } from './Placement.js';
-
-/** Prompt tokens that an engine of the reading stage reads in a millisecond, attention included. */
-const READER_TOKENS_PER_MILLISECOND = 46;
-
-/** Prompt tokens that a generating engine reads in a millisecond beside its other requests. */
-const IN_PLACE_TOKENS_PER_MILLISECOND = 18;
+import type { ReadingPace } from './ReadingPace.js';
 
 /** The detour over a reading engine: two calls, and the start of the transfer, in milliseconds. */
 const DETOUR_MILLISECONDS = 14;
@@ -19,6 +15,9 @@
 /** Time to move a thousand tokens of memory to another engine, in milliseconds. */
 const TRANSFER_MILLISECONDS_PER_THOUSAND = 1.5;
 
+/** Start of fetching a shared part from another engine, in milliseconds. */
+const FETCH_MILLISECONDS = 5;
+
 /** Time that a place in the batch of an engine is taken on average, over its slots, in ms. */
 const PLACE_MILLISECONDS = 30;
 
@@ -45,8 +44,10 @@
   readonly engine: EndpointState;
   /** Absent if the engine reads the prompt itself. */
   readonly reader: EndpointState | undefined;
-  /** Tokens that the reading is expected to take. */
+  /** Tokens that are expected to be read. */
   readonly unreadTokens: number;
+  /** An engine from which the shared part can be fetched, where the one that reads lacks it. */
+  readonly source: EndpointState | undefined;
   /** Expected time of the reading on an idle engine, in milliseconds. */
   readonly readingMilliseconds: number;
   /** Expected time until the first token, in milliseconds. */
@@ -55,28 +56,44 @@
   readonly costMilliseconds: number;
 }
 
+/** A part of a prompt that is worth keeping to few engines. */
+export interface SharedPart {
+  readonly hash: number;
+  readonly tokens: number;
+}
+
 /** What is known of the prompt of a generation. */
 export interface PromptShape {
   readonly tokens: number;
-  /** The largest part that other requests share; absent if there is none. */
-  readonly shared: PromptPart | undefined;
+  /** The largest part that other requests share; absent if all are small. */
+  readonly shared: SharedPart | undefined;
 }
 
-/** The largest part of a prompt that other requests share, and the size of the whole. */
+/** The largest part of a prompt that other requests share, and the size of the whole prompt. */
 export function shapeOf(parts: readonly PromptPart[]): PromptShape {
   const tokens = parts.reduce((sum, part) => sum + part.tokens, 0);
-  const shared = parts
+  const largest = parts
     .slice(0, -1)
     .reduce<PromptPart | undefined>(
-      (largest, part) => (part.tokens > (largest?.tokens ?? 0) ? part : largest),
+      (known, part) => (part.tokens > (known?.tokens ?? 0) ? part : known),
       undefined,
     );
-  return { tokens, shared };
+  if (largest === undefined || largest.tokens < KEPT_PART_TOKENS) {
+    return { tokens, shared: undefined };
+  }
+  return { tokens, shared: { hash: hashText(largest.identifier), tokens: largest.tokens } };
 }
 
-interface ReadingOption {
-  readonly reader: EndpointState;
+/** What an engine has to do to have a prompt in its memory. */
+interface Reading {
   readonly unreadTokens: number;
+  readonly source: EndpointState | undefined;
+  /** Time to fetch what can be fetched, in milliseconds. */
+  readonly fetchMilliseconds: number;
+}
+
+interface ReadingOption extends Reading {
+  readonly reader: EndpointState;
   readonly milliseconds: number;
   readonly waitMilliseconds: number;
 }
@@ -88,6 +105,15 @@
  * parts, mixed with short ones, whose ratio swings within seconds.
  */
 export class EnginePlacement {
+  private readonly directory: PartDirectory;
+
+  private readonly pace: ReadingPace;
+
+  constructor(directory: PartDirectory, pace: ReadingPace) {
+    this.directory = directory;
+    this.pace = pace;
+  }
+
   /** Undefined if no engine can generate. */
   plan(
     states: readonly EndpointState[],
@@ -104,11 +130,16 @@
       context,
     );
     const keeper = this.keeperOf(engines, prompt);
-    const reading = this.bestReader(readers, prompt, isLate, context);
+    const source = this.sourceOf(states, prompt, context);
+    const reading = this.bestReader(readers, prompt, source, isLate, context);
     let best: GenerationPlan | undefined;
     for (const engine of engines) {
       const base = this.engineCost(engine, context);
-      const inPlace = this.inPlacePlan(engine, base, prompt, engine === keeper);
+      const inPlace = this.inPlacePlan(
+        engine,
+        base,
+        this.readingAt(engine, prompt, source, context),
+      );
       const plan =
         reading === undefined
           ? inPlace
@@ -152,13 +183,13 @@
     engines: readonly EndpointState[],
     { shared }: PromptShape,
   ): EndpointState | undefined {
-    if (shared === undefined || shared.tokens < KEPT_PART_TOKENS) {
+    if (shared === undefined) {
       return undefined;
     }
     let keeper: EndpointState | undefined;
     let highest = -1;
     for (const engine of engines) {
-      const weight = hashText(`${shared.identifier}|${engine.record.identifier}`);
+      const weight = hashText(`${shared.hash}|${engine.record.identifier}`);
       if (weight > highest) {
         highest = weight;
         keeper = engine;
@@ -170,34 +201,63 @@
   private bestReader(
     readers: readonly EndpointState[],
     prompt: PromptShape,
+    source: EndpointState | undefined,
     isLate: boolean,
     context: PlacementContext,
   ): ReadingOption | undefined {
     const keeper = this.keeperOf(readers, prompt);
     let best: ReadingOption | undefined;
     for (const reader of readers) {
-      const isKept = keeper === undefined || reader === keeper;
-      const unreadTokens = isKept ? this.ownTokens(prompt) : prompt.tokens;
-      const milliseconds = unreadTokens / READER_TOKENS_PER_MILLISECOND;
+      const reading = this.readingAt(reader, prompt, source, context);
+      const milliseconds = reading.unreadTokens / this.pace.apart + reading.fetchMilliseconds;
       const waitMilliseconds =
-        reader.tokensBefore(isLate) / READER_TOKENS_PER_MILLISECOND +
+        reader.tokensBefore(isLate) / this.pace.apart +
         reader.delay(context.now) * DELAY_WEIGHT +
         reader.failures(context.now) * FAILURE_MILLISECONDS +
-        (isKept ? 0 : AFFINITY_MILLISECONDS);
+        (keeper === undefined || reader === keeper ? 0 : AFFINITY_MILLISECONDS);
       if (
         best === undefined ||
         waitMilliseconds + milliseconds < best.waitMilliseconds + best.milliseconds
       ) {
-        best = { reader, unreadTokens, milliseconds, waitMilliseconds };
+        best = { ...reading, reader, milliseconds, waitMilliseconds };
       }
     }
     return best;
   }
 
-  /** Tokens of the prompt that no other request shares to a useful extent. */
-  private ownTokens({ tokens, shared }: PromptShape): number {
-    const isKept = shared !== undefined && shared.tokens >= KEPT_PART_TOKENS;
-    return isKept ? tokens - shared.tokens : tokens;
+  /** An engine that holds the shared part. Undefined if none does. */
+  private sourceOf(
+    states: readonly EndpointState[],
+    { shared }: PromptShape,
+    { now }: PlacementContext,
+  ): EndpointState | undefined {
+    if (shared === undefined) {
+      return undefined;
+    }
+    const sound = states.filter((state) => !state.isEjected(now) && !state.isSilent(now));
+    return this.directory.holderOf(shared.hash, sound, now);
+  }
+
+  private readingAt(
+    engine: EndpointState,
+    { tokens, shared }: PromptShape,
+    source: EndpointState | undefined,
+    { now }: PlacementContext,
+  ): Reading {
+    const isMissing = shared !== undefined && !this.directory.isHolder(shared.hash, engine, now);
+    if (!isMissing) {
+      const unreadTokens = tokens - (shared?.tokens ?? 0);
+      return { unreadTokens, source: undefined, fetchMilliseconds: 0 };
+    }
+    if (source === undefined) {
+      return { unreadTokens: tokens, source, fetchMilliseconds: 0 };
+    }
+    return {
+      unreadTokens: tokens - shared.tokens,
+      source,
+      fetchMilliseconds:
+        FETCH_MILLISECONDS + (shared.tokens / 1000) * TRANSFER_MILLISECONDS_PER_THOUSAND,
+    };
   }
 
   /** Expected delay of a first token by the load of the engine, and the cost of choosing it. */
@@ -217,17 +277,16 @@
   private inPlacePlan(
     engine: EndpointState,
     base: number,
-    prompt: PromptShape,
-    isKeeper: boolean,
+    { unreadTokens, source, fetchMilliseconds }: Reading,
   ): GenerationPlan {
-    const unreadTokens = isKeeper ? this.ownTokens(prompt) : prompt.tokens;
-    const readingMilliseconds = unreadTokens / IN_PLACE_TOKENS_PER_MILLISECOND;
+    const readingMilliseconds = unreadTokens / this.pace.inPlace;
     const crowding = 1 + Math.min(2, engine.allRunning / engine.record.slots);
-    const firstTokenMilliseconds = base + readingMilliseconds * crowding;
+    const firstTokenMilliseconds = base + fetchMilliseconds + readingMilliseconds * crowding;
     return {
       engine,
       reader: undefined,
       unreadTokens,
+      source,
       readingMilliseconds,
       firstTokenMilliseconds,
       costMilliseconds:
@@ -253,6 +312,7 @@
       engine,
       reader: reading.reader,
       unreadTokens: reading.unreadTokens,
+      source: reading.source,
       readingMilliseconds: reading.milliseconds,
       firstTokenMilliseconds,
       costMilliseconds: firstTokenMilliseconds,
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -29,6 +29,8 @@
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { PlacementContext, ServicePlacement } from './Placement.js';
 import type { AdmissionResult } from './RequestAdmission.js';
+import type { PartDirectory } from './PartDirectory.js';
+import type { ReadingPace } from './ReadingPace.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { UsageTally } from './UsageTally.js';
 import type { Clock } from 'hickoryrelay/Clock';
@@ -56,6 +58,8 @@
   readonly registry: EndpointRegistry;
   readonly services: ServicePlacement;
   readonly engines: EnginePlacement;
+  readonly directory: PartDirectory;
+  readonly pace: ReadingPace;
   readonly link: EndpointLink;
   readonly budgets: RetryBudgets;
   readonly tally: UsageTally;
@@ -88,6 +92,8 @@
   readonly expectedMilliseconds: number;
   /** Memory of the prompt that another engine has read. */
   readonly memory?: PromptMemory;
+  /** Address of an engine from which shared parts of the prompt can be fetched. */
+  readonly fetchFrom?: string | undefined;
 }
 
 /** One request on its way through endpoints, until its answer is complete or given up. */
@@ -265,7 +271,7 @@
       }
       const expectedMilliseconds = plan.reader === undefined ? plan.readingMilliseconds : 0;
       if (plan.reader === undefined) {
-        return { state: plan.engine, expectedMilliseconds };
+        return { state: plan.engine, expectedMilliseconds, fetchFrom: plan.source?.record.address };
       }
       const memory = await this.read(plan, prompt);
       if (memory !== undefined) {
@@ -290,7 +296,11 @@
     return 'the prompt could not be read';
   }
 
-  private attempt(kind: AttemptKind, state: EndpointState, memory?: PromptMemory): Attempt {
+  private attempt(
+    kind: AttemptKind,
+    state: EndpointState,
+    { memory, fetchFrom }: Pick<Destination, 'memory' | 'fetchFrom'>,
+  ): Attempt {
     const { grant } = this.admitted;
     return {
       kind,
@@ -299,7 +309,8 @@
       account: grant?.account,
       remainingMilliseconds: Math.floor(this.remaining()),
       urgency: this.isGeneration ? this.urgency() : undefined,
-      memory,
+      ...(memory === undefined ? {} : { memory }),
+      ...(fetchFrom === undefined ? {} : { fetchFrom }),
       lastEvent: this.lastEvent,
     };
   }
@@ -318,11 +329,15 @@
     const begun = clock.monotonicMilliseconds();
     const limit = new AbortController();
     const cancelAlarm = clock.schedule(Math.max(0, this.firstEventPatience()), () => limit.abort());
+    const attempt = this.attempt(AttemptKind.ReadPrompt, reader, {
+      fetchFrom: plan.source?.record.address,
+    });
+    const isAlone = reader.tokensBefore(true) === 0;
     const release = this.reserveReading(reader, unreadTokens);
     reader.begin(begun);
     try {
       const signal = AbortSignal.any([this.ending.signal, limit.signal]);
-      const memory = await link.readPrompt(this.attempt(AttemptKind.ReadPrompt, reader), signal);
+      const memory = await link.readPrompt(attempt, signal);
       const now = clock.monotonicMilliseconds();
       reader.hear(now);
       if (memory === undefined) {
@@ -331,8 +346,12 @@
       } else {
         reader.recordSuccess(now);
         reader.recordDelay(Math.max(0, now - begun - plan.readingMilliseconds), now);
+        this.recordPart(reader, prompt);
+        if (isAlone) {
+          this.parts.pace.learn(unreadTokens, now - begun);
+        }
         this.trace.note(
-          `read ${identifier}: ${unreadTokens} of ${prompt.tokens} tokens, ${Math.round(now - begun)} ms`,
+          `read ${identifier}: ${unreadTokens} of ${prompt.tokens} tokens, ${plan.source === undefined ? '' : 'fetched, '}${Math.round(now - begun)} ms`,
         );
       }
       return memory;
@@ -349,6 +368,14 @@
     }
   }
 
+  /** Records that an engine holds the shared part of a prompt now. */
+  private recordPart({ hash }: EndpointState, { shared }: PromptShape): void {
+    if (shared !== undefined) {
+      const now = this.parts.clock.monotonicMilliseconds();
+      this.parts.directory.recordOwn({ engine: hash, part: shared.hash }, now);
+    }
+  }
+
   /** Counts tokens that are to be read at an engine. Returns the function that takes them back. */
   private reserveReading(reader: EndpointState, tokens: number): () => void {
     if (this.isLate) {
@@ -385,7 +412,7 @@
     state.begin(begun);
     try {
       const signal = AbortSignal.any([this.ending.signal, silence.signal]);
-      const attempt = this.attempt(AttemptKind.Run, state, memory);
+      const attempt = this.attempt(AttemptKind.Run, state, destination);
       const answer = await link.send(attempt, signal);
       state.hear(clock.monotonicMilliseconds());
       if (answer.isNotRun || answer.isMisdirected) {
@@ -500,6 +527,9 @@
     const { clock } = this.parts;
     const now = clock.monotonicMilliseconds();
     state.recordDelay(Math.max(0, now - begun - expectedMilliseconds), now);
+    if (this.isGeneration) {
+      this.recordPart(state, shapeOf(this.request.promptParts));
+    }
     this.trace.firstByteMilliseconds ??= now - this.request.arrivedMilliseconds;
     this.countRun();
   }
--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -4,6 +4,7 @@
 
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
+import type { PartDirectory } from './PartDirectory.js';
 import type { PeerLoads } from './PeerLoads.js';
 import type { PeerRecord } from './PeerRecord.js';
 import type { TaskContext } from 'hickoryrelay/Task';
@@ -34,9 +35,13 @@
   readonly view: ConfirmedView;
   readonly registry: EndpointRegistry;
   readonly loads: PeerLoads;
+  readonly directory: PartDirectory;
 }
 
-/** Tells the other instances what this one has under way at each endpoint, and hears theirs. */
+/**
+ * Tells the other instances what this one has under way at each endpoint and which parts of prompts
+ * were read where, and hears theirs.
+ */
 export class LoadExchangeTask extends Task {
   override readonly name = 'load exchange';
 
@@ -50,11 +55,13 @@
   }
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
-    const { channel, loads } = this.parts;
+    const { channel, loads, directory } = this.parts;
     const stopReceiving = channel.receive((bytes) => {
       const message = decodeLoad(bytes);
       if (message !== undefined) {
-        loads.receive(message, clock.monotonicMilliseconds());
+        const now = clock.monotonicMilliseconds();
+        loads.receive(message, now);
+        message.uses.forEach((use) => directory.record(use, now));
       }
     });
     try {
@@ -85,11 +92,12 @@
   }
 
   private tell(peers: readonly PeerRecord[]): void {
-    const { self, registry, channel } = this.parts;
+    const { self, registry, channel, directory } = this.parts;
     const ownLoads = [...registry.ownLoads()];
-    const isIdle = ownLoads.length === 0;
+    const uses = directory.takeUntold();
+    const isIdle = ownLoads.length === 0 && uses.length === 0;
     if (!(isIdle && this.wasIdle)) {
-      const bytes = encodeLoad({ instance: self.instance, loads: ownLoads });
+      const bytes = encodeLoad({ instance: self.instance, loads: ownLoads, uses });
       peers.forEach((peer) => channel.send(peer, bytes));
     }
     this.wasIdle = isIdle;
--- a/packages/hickoryrelay-forwarding/src/LoadMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadMessage.ts
@@ -1,8 +1,10 @@
 import { pack, unpack } from 'msgpackr';
 
+import type { PartUse } from './PartDirectory.js';
+
 /** What one instance has under way at one endpoint. */
 export interface EndpointLoad {
-  /** Hash of the endpoint's identifier. */
+  /** Hash of the endpoint's incarnation. */
   readonly endpoint: number;
   readonly running: number;
   /** Prompt tokens that are read for requests that can still be on time. */
@@ -11,27 +13,45 @@
   readonly lateTokens: number;
 }
 
-/** The load that one instance puts on endpoints. */
+/** What one instance tells the others: its load on endpoints, and which parts were read where. */
 export interface LoadMessage {
   readonly instance: string;
   readonly loads: readonly EndpointLoad[];
+  /** Uses since the last message. */
+  readonly uses: readonly PartUse[];
 }
 
-const FIELDS = 4;
+const LOAD_FIELDS = 4;
+const USE_FIELDS = 2;
 
-/** Encodes a message as one flat list: the instance, then four numbers for each endpoint. */
-export function encodeLoad({ instance, loads }: LoadMessage): Buffer {
+/** Encodes a message as the instance and two flat lists of numbers. */
+export function encodeLoad({ instance, loads, uses }: LoadMessage): Buffer {
   return pack([
     instance,
-    ...loads.flatMap(({ endpoint, running, readingTokens, lateTokens }) => [
+    loads.flatMap(({ endpoint, running, readingTokens, lateTokens }) => [
       endpoint,
       running,
       readingTokens,
       lateTokens,
     ]),
+    uses.flatMap(({ engine, part }) => [engine, part]),
   ]);
 }
 
+function isNumberList(value: unknown, fields: number): value is number[] {
+  return (
+    Array.isArray(value) &&
+    value.length % fields === 0 &&
+    value.every((entry) => typeof entry === 'number' && entry >= 0)
+  );
+}
+
+function* rowsOf(numbers: readonly number[], fields: number): Generator<number[], void, void> {
+  for (let index = 0; index < numbers.length; index += fields) {
+    yield numbers.slice(index, index + fields);
+  }
+}
+
 /** Decodes a message. Undefined if the bytes are not one. */
 export function decodeLoad(bytes: Buffer): LoadMessage | undefined {
   let list: unknown;
@@ -43,21 +63,24 @@
   if (!Array.isArray(list)) {
     return undefined;
   }
-  const [instance, ...numbers] = list as unknown[];
-  const isReadable =
-    typeof instance === 'string' &&
-    numbers.length % FIELDS === 0 &&
-    numbers.every((value) => typeof value === 'number' && value >= 0);
-  if (!isReadable) {
+  const [instance, loads, uses] = list as unknown[];
+  if (
+    typeof instance !== 'string' ||
+    !isNumberList(loads, LOAD_FIELDS) ||
+    !isNumberList(uses, USE_FIELDS)
+  ) {
     return undefined;
   }
-  const loads: EndpointLoad[] = [];
-  for (let index = 0; index < numbers.length; index += FIELDS) {
-    const [endpoint = 0, running = 0, readingTokens = 0, lateTokens = 0] = numbers.slice(
-      index,
-      index + FIELDS,
-    ) as number[];
-    loads.push({ endpoint, running, readingTokens, lateTokens });
-  }
-  return { instance, loads };
+  return {
+    instance,
+    loads: [...rowsOf(loads, LOAD_FIELDS)].map(
+      ([endpoint = 0, running = 0, readingTokens = 0, lateTokens = 0]) => ({
+        endpoint,
+        running,
+        readingTokens,
+        lateTokens,
+      }),
+    ),
+    uses: [...rowsOf(uses, USE_FIELDS)].map(([engine = 0, part = 0]) => ({ engine, part })),
+  };
 }
--- a/packages/hickoryrelay-forwarding/src/PeerLoads.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerLoads.ts
@@ -1,4 +1,4 @@
-import type { EndpointLoad, LoadMessage } from './LoadMessage.js';
+import type { EndpointLoad } from './LoadMessage.js';
 
 /** A message says nothing any more after this time; about three messages are lost by then. */
 const MESSAGE_LIFE_MILLISECONDS = 1000;
@@ -21,8 +21,11 @@
   /** What the sums are multiplied by where only some of the instances are heard. */
   private scale = 1;
 
-  /** Takes a message at a time of the steady clock. */
-  receive({ instance, loads }: LoadMessage, now: number): void {
+  /** Takes what an instance said of its load, at a time of the steady clock. */
+  receive(
+    { instance, loads }: { instance: string; loads: readonly EndpointLoad[] },
+    now: number,
+  ): void {
     this.messages.set(instance, { loads, at: now });
     this.sum(now);
   }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
@@ -3,7 +3,9 @@
 import { EngineStage } from 'hickoryrelay-forwarding/EndpointRecord';
 import { EndpointState } from 'hickoryrelay-forwarding/EndpointState';
 import { EnginePlacement, shapeOf } from 'hickoryrelay-forwarding/EnginePlacement';
+import { PartDirectory } from 'hickoryrelay-forwarding/PartDirectory';
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
+import { ReadingPace } from 'hickoryrelay-forwarding/ReadingPace';
 
 import { makeEndpoint } from './ForwardingFixture.js';
 
@@ -19,6 +21,10 @@
   });
 }
 
+function makePlacement(directory = new PartDirectory()): EnginePlacement {
+  return new EnginePlacement(directory, new ReadingPace());
+}
+
 const contextOf = (seed: number, zone = 'zone-0') => ({
   zone,
   random: new SeededRandomSource(seed),
@@ -40,7 +46,7 @@
 describe('the placement of generations', () => {
   // Guards against a shared part that every instance has read at another engine.
   it('finds the same reading engine for a shared part from every instance and zone', () => {
-    const placement = new EnginePlacement();
+    const placement = makePlacement();
     for (let part = 0; part < 80; part += 1) {
       const readers = ['zone-0', 'zone-1', 'zone-2'].map(
         (zone, seed) =>
@@ -52,7 +58,7 @@
   });
 
   it('spreads 80 shared parts over the reading engines', () => {
-    const placement = new EnginePlacement();
+    const placement = makePlacement();
     const states = makeStates();
     const counts = new Map<string, number>();
     for (let part = 0; part < 80; part += 1) {
@@ -65,21 +71,21 @@
   });
 
   it('keeps short prompts off the reading engines, in the own zone', () => {
-    const plan = new EnginePlacement().plan(makeStates(), shortPrompt, false, contextOf(1));
+    const plan = makePlacement().plan(makeStates(), shortPrompt, false, contextOf(1));
     expect(plan?.reader).toBeUndefined();
     expect(plan?.engine.record.zone).toBe('zone-0');
   });
 
   it('leaves a reading engine whose queue is longer than reading the part again', () => {
-    const placement = new EnginePlacement();
+    const placement = makePlacement();
     const states = makeStates();
     const first = placement.plan(states, longPrompt(1), false, contextOf(1))?.reader;
-    (first as EndpointState).readingTokens = 100_000;
+    (first as EndpointState).readingTokens = 20_000;
     expect(placement.plan(states, longPrompt(1), false, contextOf(1))?.reader).not.toBe(first);
   });
 
   it('does not wait for late reads with a request that can be on time', () => {
-    const placement = new EnginePlacement();
+    const placement = makePlacement();
     const states = makeStates();
     for (const reader of states.slice(0, READERS)) {
       reader.lateTokens = 100_000;
@@ -93,7 +99,7 @@
   });
 
   it('evens out a burst of short requests over the engines of all zones', () => {
-    const placement = new EnginePlacement();
+    const placement = makePlacement();
     const states = makeStates();
     for (let request = 0; request < 100; request += 1) {
       const plan = placement.plan(states, shortPrompt, false, contextOf(request));
@@ -103,8 +109,30 @@
     expect(Math.max(...running)).toBeLessThanOrEqual(14);
   });
 
+  // Guards against a shared part that is read again although an engine holds it.
+  it('fetches a shared part from an engine that holds it', () => {
+    const directory = new PartDirectory();
+    const placement = makePlacement(directory);
+    const states = makeStates();
+    const prompt = longPrompt(1);
+    const holder = states[READERS] as EndpointState;
+    directory.record({ engine: holder.hash, part: prompt.shared?.hash ?? 0 }, 0);
+    const plan = placement.plan(states, prompt, false, contextOf(1));
+    expect(plan?.unreadTokens).toBe(3000);
+    expect(plan?.source ?? plan?.engine).toBe(holder);
+  });
+
+  it('does not fetch from an engine that used the part long ago', () => {
+    const directory = new PartDirectory();
+    const states = makeStates();
+    const prompt = longPrompt(1);
+    directory.record({ engine: states[0]?.hash ?? 0, part: prompt.shared?.hash ?? 0 }, -60_000);
+    const plan = makePlacement(directory).plan(states, prompt, false, contextOf(1));
+    expect(plan).toMatchObject({ source: undefined, unreadTokens: 16_000 });
+  });
+
   it('has nothing to offer without an engine that generates', () => {
     const readers = makeStates().slice(0, READERS);
-    expect(new EnginePlacement().plan(readers, shortPrompt, false, contextOf(1))).toBeUndefined();
+    expect(makePlacement().plan(readers, shortPrompt, false, contextOf(1))).toBeUndefined();
   });
 });
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -15,8 +15,10 @@
 } from 'hickoryrelay-forwarding/ForwardingConfiguration';
 import { ForwardingExchange } from 'hickoryrelay-forwarding/ForwardingExchange';
 import { ForwardingMetrics } from 'hickoryrelay-forwarding/ForwardingMetrics';
+import { PartDirectory } from 'hickoryrelay-forwarding/PartDirectory';
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
 import { ServicePlacement } from 'hickoryrelay-forwarding/Placement';
+import { ReadingPace } from 'hickoryrelay-forwarding/ReadingPace';
 import { RequestAdmission } from 'hickoryrelay-forwarding/RequestAdmission';
 import { RetryBudgets } from 'hickoryrelay-forwarding/RetryBudgets';
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
@@ -262,6 +264,8 @@
   registry.replace(endpoints);
   const link = new ScriptedLink(options.behaviours ?? []);
   const random = new SeededRandomSource(1);
+  const directory = new PartDirectory();
+  const pace = new ReadingPace();
   const tally = new UsageTally(5000);
   const budgets = new RetryBudgets(LIMITS);
   const exchange = new ForwardingExchange({
@@ -269,7 +273,9 @@
     view,
     registry,
     services: new ServicePlacement(),
-    engines: new EnginePlacement(),
+    engines: new EnginePlacement(directory, pace),
+    directory,
+    pace,
     link,
     budgets,
     tally,
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadMessage.test.ts
@@ -10,12 +10,24 @@
   lateTokens: fastCheck.nat(10 ** 6),
 });
 
+const useArbitrary = fastCheck.record({
+  engine: fastCheck.nat(2 ** 32 - 1),
+  part: fastCheck.nat(2 ** 32 - 1),
+});
+
 describe('load messages', () => {
   it('come out as they went in', () => {
     fastCheck.assert(
-      fastCheck.property(fastCheck.string(), fastCheck.array(loadArbitrary), (instance, loads) => {
-        expect(decodeLoad(encodeLoad({ instance, loads }))).toEqual({ instance, loads });
-      }),
+      fastCheck.property(
+        fastCheck.record({
+          instance: fastCheck.string(),
+          loads: fastCheck.array(loadArbitrary),
+          uses: fastCheck.array(useArbitrary),
+        }),
+        (message) => {
+          expect(decodeLoad(encodeLoad(message))).toEqual(message);
+        },
+      ),
     );
   });
 
