Make fewer calls to the store with many instances

The view is read by the tighter of the bounds for changes, counts of usage are written by what a kill may lose, and looks at the authority are shared.

--- a/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
@@ -6,14 +6,22 @@
 
 import type { UsageTally } from './UsageTally.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
 /**
- * Time between two writes of counts. An instance that is killed loses the counts since its last
- * write, which stays below the permitted error of a window.
+ * Part of a window's requests that may be lost when an instance is killed: what it counted since its
+ * last write. It stays below the permitted error of a window.
  */
-const WRITE_PERIOD_MILLISECONDS = 1250;
+const LOST_PART = 0.036;
+
+/** Shortest time between two writes, in milliseconds. */
+const SHORTEST_PERIOD_MILLISECONDS = 1000;
+
+/** Time after the end of a window in which its last counts are written, and the spread of it. */
+const AFTER_WINDOW_MILLISECONDS = 150;
+const AFTER_WINDOW_SPREAD_MILLISECONDS = 800;
 
 /** Windows before the current one whose counts are still written. */
 const LATE_WINDOWS = 1;
@@ -24,6 +32,10 @@
   readonly incarnation: string;
   readonly store: KeyValueStore;
   readonly tally: UsageTally;
+  readonly windowMilliseconds: number;
+  /** Number of instances that share the requests. */
+  readonly countInstances: () => number;
+  readonly random: RandomSource;
   readonly log: PartLogger;
 }
 
@@ -57,11 +69,23 @@
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
     for (;;) {
       yield;
-      await clock.sleep(WRITE_PERIOD_MILLISECONDS, signal);
+      await clock.sleep(this.untilNextWrite(clock.wallMilliseconds()), signal);
       await this.flush(clock.wallMilliseconds());
     }
   }
 
+  /** Time to the next write: after a part of the window, or soon after its end. */
+  private untilNextWrite(wall: number): number {
+    const { windowMilliseconds, countInstances, random } = this.parts;
+    const period = windowMilliseconds * LOST_PART * Math.max(1, countInstances());
+    const untilEnd = windowMilliseconds - (wall % windowMilliseconds);
+    const spread = random.fraction() * AFTER_WINDOW_SPREAD_MILLISECONDS;
+    return Math.min(
+      Math.max(SHORTEST_PERIOD_MILLISECONDS, period),
+      untilEnd + AFTER_WINDOW_MILLISECONDS + spread,
+    );
+  }
+
   private async writeWindow(window: number): Promise<void> {
     const { store, tally, incarnation, log } = this.parts;
     const value = JSON.stringify(tally.countsOf(window));
--- a/packages/hickoryrelay-forwarding/src/ViewTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewTask.ts
@@ -9,13 +9,7 @@
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 
-/**
- * Time between two readings. A change of the configuration or of an endpoint is in force within the
- * tightest bound of the deployments (2 s) also when one reading fails.
- */
-const READING_PERIOD_MILLISECONDS = 800;
-
-/** Time to the next reading after one that failed. */
+/** Time to the next reading after one that failed, in milliseconds. */
 const RETRY_PERIOD_MILLISECONDS = 250;
 
 /** What the view task works with. */
@@ -25,6 +19,8 @@
   readonly registry: EndpointRegistry;
   readonly link: EndpointLink;
   readonly budgets: RetryBudgets;
+  /** Time between two readings, in milliseconds. */
+  readonly periodMilliseconds: number;
   readonly log: PartLogger;
 }
 
@@ -45,7 +41,8 @@
     for (;;) {
       const isRead = await this.readOnce();
       yield;
-      await clock.sleep(isRead ? READING_PERIOD_MILLISECONDS : RETRY_PERIOD_MILLISECONDS, signal);
+      const { periodMilliseconds } = this.parts;
+      await clock.sleep(isRead ? periodMilliseconds : RETRY_PERIOD_MILLISECONDS, signal);
     }
   }
 
--- a/packages/hickoryrelay-zone/src/ZoneAuthority.ts
+++ b/packages/hickoryrelay-zone/src/ZoneAuthority.ts
@@ -35,6 +35,9 @@
 /** A failed renewal is repeated this many times sooner, to have several tries before the term ends. */
 const RETRY_DIVISOR = 4;
 
+/** Up to this number of contenders each looks at the full rate. */
+const FULL_RATE_CONTENDERS = 10;
+
 /** What a zone authority is made of. */
 export interface ZoneAuthorityParts {
   readonly zone: string;
@@ -48,6 +51,11 @@
   /** Makes the tasks that run under a term. They are stopped when it ends. */
   readonly duties: (term: AuthorityTerm) => readonly Task[];
   readonly times?: AuthorityTimes;
+  /**
+   * Number of instances that contend. With more than ten, each looks less often, so that together
+   * they look as often as ten.
+   */
+  readonly contenders?: () => number;
 }
 
 /**
@@ -82,10 +90,15 @@
         yield* this.hold(term, context);
       }
       yield;
-      await context.clock.sleep(this.jittered(this.times.contendMilliseconds), context.signal);
+      await context.clock.sleep(this.jittered(this.contendMilliseconds()), context.signal);
     }
   }
 
+  private contendMilliseconds(): number {
+    const contenders = this.parts.contenders?.() ?? 0;
+    return this.times.contendMilliseconds * Math.max(1, contenders / FULL_RATE_CONTENDERS);
+  }
+
   private async *hold(
     term: AuthorityTerm,
     { clock, signal }: TaskContext,
