--- a/packages/hickoryrelay-forwarding/src/EndpointState.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointState.ts
@@ -83,6 +83,20 @@
     return this.readingTokens + readingTokens + (isLate ? this.lateTokens + lateTokens : 0);
   }
 
+  /** Counts tokens that are to be read here. Returns the function that takes them back. */
+  reserveReading(tokens: number, isLate: boolean): () => void {
+    if (isLate) {
+      this.lateTokens += tokens;
+      return () => {
+        this.lateTokens -= tokens;
+      };
+    }
+    this.readingTokens += tokens;
+    return () => {
+      this.readingTokens -= tokens;
+    };
+  }
+
   /** What this instance has under way here. */
   get ownLoad(): EndpointLoad {
     const { hash, running, readingTokens, lateTokens } = this;
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -27,10 +27,10 @@
 import type { EndpointState } from './EndpointState.js';
 import type { EnginePlacement, GenerationPlan, PromptShape } from './EnginePlacement.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
-import type { PlacementContext, ServicePlacement } from './Placement.js';
-import type { AdmissionResult } from './RequestAdmission.js';
 import type { PartDirectory } from './PartDirectory.js';
+import type { PlacementContext, ServicePlacement } from './Placement.js';
 import type { ReadingPace } from './ReadingPace.js';
+import type { AdmissionResult } from './RequestAdmission.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { UsageTally } from './UsageTally.js';
 import type { Clock } from 'hickoryrelay/Clock';
@@ -333,7 +333,7 @@
       fetchFrom: plan.source?.record.address,
     });
     const isAlone = reader.tokensBefore(true) === 0;
-    const release = this.reserveReading(reader, unreadTokens);
+    const release = reader.reserveReading(unreadTokens, this.isLate);
     reader.begin(begun);
     try {
       const signal = AbortSignal.any([this.ending.signal, limit.signal]);
@@ -376,20 +376,6 @@
     }
   }
 
-  /** Counts tokens that are to be read at an engine. Returns the function that takes them back. */
-  private reserveReading(reader: EndpointState, tokens: number): () => void {
-    if (this.isLate) {
-      reader.lateTokens += tokens;
-      return () => {
-        reader.lateTokens -= tokens;
-      };
-    }
-    reader.readingTokens += tokens;
-    return () => {
-      reader.readingTokens -= tokens;
-    };
-  }
-
   private dropMemory({ memory }: Destination): void {
     if (memory !== undefined) {
       this.releaseMemory(memory);
@@ -403,7 +389,7 @@
   }
 
   private async send(destination: Destination): Promise<SendResult> {
-    const { state, memory } = destination;
+    const { state } = destination;
     const { link, clock } = this.parts;
     const { identifier } = state.record;
     const begun = clock.monotonicMilliseconds();
