--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,7 +8,7 @@
 };
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
@@ -81,6 +81,16 @@
       'n/no-unsupported-features/node-builtins': 'off',
     },
   },
+  {
+    // Only `platform/` knows the words of the users' platform; nothing else imports from it.
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        { patterns: ['hickoryrelay-machines/*', '**/platform/src/*'] },
+      ],
+    },
+  },
   {
     files: ['**/index.ts', '**/index.mts'],
     rules: { 'no-restricted-syntax': ['error', noIndexFiles] },
--- a/packages/hickoryrelay-instance/src/InstanceDigest.ts
+++ b/packages/hickoryrelay-instance/src/InstanceDigest.ts
@@ -1,7 +1,7 @@
+import { hashText } from 'hickoryrelay/RendezvousUtils';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 
 import { Liveness } from './Membership.js';
-import { hashText } from 'hickoryrelay/RendezvousUtils';
 import { ZoneWork } from './ZoneWork.js';
 import type { Member, Membership } from './Membership.js';
 import type { Clock } from 'hickoryrelay/Clock';
--- a/packages/hickoryrelay-instance/src/Membership.ts
+++ b/packages/hickoryrelay-instance/src/Membership.ts
@@ -1,6 +1,6 @@
+import { hashText, rendezvousOrder } from 'hickoryrelay/RendezvousUtils';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 
-import { hashText, rendezvousOrder } from 'hickoryrelay/RendezvousUtils';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { PeerAddress } from 'hickoryrelay-link/PeerDialler';
 import type { DigestRow, HeartbeatEntry, InstanceIdentity } from 'hickoryrelay-link/PeerMessages';
