Never add bytes of another run to an answer that has begun; part ForwardedCall

Cause, found by reading: an idempotent answer over 64 KB that broke after its start was sent again into the same answer; a stream was continued by the body of a failure, or after events without an identifier. An answer that has begun is now only continued where its route resumes and its events are numbered, and only by a success. The call is parted into its deadline, the routing of generations and the relay of answers.

--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -0,0 +1,137 @@
+import { Repetition } from './ForwardingConfiguration.js';
+
+import type { AnswerSink } from './AnswerSink.js';
+import type { CallDeadline } from './CallDeadline.js';
+import type { CallTrace } from './CallTrace.js';
+import type { ConfirmedView } from './ConfirmedView.js';
+import type { EndpointLink, PromptMemory } from './EndpointLink.js';
+import type { EndpointRegistry } from './EndpointRegistry.js';
+import type { EndpointState } from './EndpointState.js';
+import type { EnginePlacement, PromptShape } from './EnginePlacement.js';
+import type { ForwardedRequest } from './ForwardedRequest.js';
+import type { PartDirectory } from './PartDirectory.js';
+import type { PlacementContext, ServicePlacement } from './Placement.js';
+import type { ReadingPace } from './ReadingPace.js';
+import type { AdmissionResult } from './RequestAdmission.js';
+import type { RetryBudgets } from './RetryBudgets.js';
+import type { UsageTally } from './UsageTally.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+
+/** What a call works with. */
+export interface ForwardedCallParts {
+  readonly zone: string;
+  readonly view: ConfirmedView;
+  readonly registry: EndpointRegistry;
+  readonly services: ServicePlacement;
+  readonly engines: EnginePlacement;
+  readonly directory: PartDirectory;
+  readonly pace: ReadingPace;
+  readonly link: EndpointLink;
+  readonly budgets: RetryBudgets;
+  readonly tally: UsageTally;
+  /** The steady clock. */
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/** A request that was admitted. */
+export type AdmittedRequest = AdmissionResult & { readonly kind: 'admitted' };
+
+/** Where a request is sent. */
+export interface Destination {
+  readonly state: EndpointState;
+  /** Expected time of the reading in place, in milliseconds. */
+  readonly expectedMilliseconds: number;
+  /** Memory of the prompt that another engine has read. */
+  readonly memory?: PromptMemory;
+  /** Address of an engine from which shared parts of the prompt can be fetched. */
+  readonly fetchFrom?: string | undefined;
+}
+
+/** What the parts of one call share: the request, its limits, and what was tried and seen. */
+export class CallContext {
+  readonly parts: ForwardedCallParts;
+
+  readonly request: ForwardedRequest;
+
+  readonly admitted: AdmittedRequest;
+
+  readonly sink: AnswerSink;
+
+  readonly trace: CallTrace;
+
+  readonly deadline: CallDeadline;
+
+  /** Endpoints that this request has been sent to, or that could not be reached. */
+  readonly tried = new Set<EndpointState>();
+
+  /** Last event that the caller has. */
+  private deliveredEvent: string | undefined;
+
+  private hasUnnumberedEvent = false;
+
+  constructor(
+    parts: ForwardedCallParts,
+    request: ForwardedRequest,
+    admitted: AdmittedRequest,
+    sink: AnswerSink,
+    trace: CallTrace,
+    deadline: CallDeadline,
+  ) {
+    this.parts = parts;
+    this.request = request;
+    this.admitted = admitted;
+    this.sink = sink;
+    this.trace = trace;
+    this.deadline = deadline;
+    this.deliveredEvent = request.lastEvent;
+  }
+
+  get isGeneration(): boolean {
+    return this.parts.view.configuration?.services.get(this.admitted.service)?.engine !== undefined;
+  }
+
+  get lastEvent(): string | undefined {
+    return this.deliveredEvent;
+  }
+
+  /** Records an event that the caller has. */
+  deliver(identifier: string | undefined): void {
+    this.hasUnnumberedEvent ||= identifier === undefined;
+    this.deliveredEvent = identifier ?? this.deliveredEvent;
+  }
+
+  /**
+   * True if the request may be sent again although it may have run. An answer that has begun can
+   * only be continued, and only after events that have an identifier.
+   */
+  get isRepeatable(): boolean {
+    const { repetition } = this.admitted.route;
+    if (this.sink.hasStarted) {
+      return repetition === Repetition.Resumable && !this.hasUnnumberedEvent;
+    }
+    return repetition !== Repetition.AtMostOnce;
+  }
+
+  placement(): PlacementContext {
+    const { zone, random, clock } = this.parts;
+    return { zone, random, now: clock.monotonicMilliseconds(), tried: this.tried };
+  }
+
+  /** Records that an engine holds the shared part of a prompt now. */
+  recordPart({ hash }: EndpointState, { shared }: PromptShape): void {
+    if (shared !== undefined) {
+      const now = this.parts.clock.monotonicMilliseconds();
+      this.parts.directory.recordOwn({ engine: hash, part: shared.hash }, now);
+    }
+  }
+
+  /** Counts a request that an endpoint has begun, for its client account. */
+  countRun(): void {
+    const { account } = this.trace;
+    if (account !== undefined) {
+      this.parts.tally.add(account, this.parts.clock.wallMilliseconds());
+    }
+  }
+}
--- a/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
@@ -5,7 +5,7 @@
 import { ForwardedCall } from './ForwardedCall.js';
 
 import type { AnswerSink } from './AnswerSink.js';
-import type { ForwardedCallParts } from './ForwardedCall.js';
+import type { ForwardedCallParts } from './CallContext.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
 import type { RequestAdmission } from './RequestAdmission.js';
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -0,0 +1,150 @@
+import { describeFailure } from 'hickoryrelay/Failure';
+import { invariant } from 'hickoryrelay/Invariant';
+import { failureOf } from 'hickoryrelay/RelayError';
+
+import { AttemptKind } from './EndpointLink.js';
+import { shapeOf } from './EnginePlacement.js';
+import { EXPECTED_PATIENCE_PART, LATE_URGENCY } from './ForwardingLimits.js';
+
+import type { CallContext, Destination } from './CallContext.js';
+import type { Attempt, PromptMemory } from './EndpointLink.js';
+import type { EndpointState } from './EndpointState.js';
+import type { GenerationPlan, PromptShape } from './EnginePlacement.js';
+
+/** Engines that are asked to read the prompt of one request. */
+const MOST_READS = 2;
+
+/** Finds the engines of one generation and has its prompt read. */
+export class GenerationRouting {
+  private readonly call: CallContext;
+
+  /** True once the first event is expected after the latency target. */
+  private isLate = false;
+
+  constructor(call: CallContext) {
+    this.call = call;
+  }
+
+  /** Rank of the request at engines, 0 is first. */
+  get urgency(): number {
+    const { route, grant } = this.call.admitted;
+    return this.isLate ? LATE_URGENCY : (grant?.priority ?? route.priority);
+  }
+
+  /**
+   * Chooses engines for a generation, and has its prompt read where another engine does that. Says
+   * why if no engine is left or none can answer in time; then the request has not run.
+   */
+  async plan(): Promise<Destination | string> {
+    const { registry, engines } = this.call.parts;
+    const prompt = shapeOf(this.call.request.promptParts);
+    for (let reads = 0; reads < MOST_READS; reads += 1) {
+      const states = registry.readyOf(this.call.admitted.service);
+      let plan = engines.plan(states, prompt, false, this.call.placement());
+      if (plan !== undefined && this.call.deadline.wouldBeLate(plan.firstTokenMilliseconds)) {
+        this.isLate = true;
+        plan = engines.plan(states, prompt, true, this.call.placement());
+      }
+      if (plan === undefined) {
+        return 'no engine is left';
+      }
+      const expected = Math.round(plan.firstTokenMilliseconds);
+      if (expected > this.call.deadline.firstEventPatience() * EXPECTED_PATIENCE_PART) {
+        return `no engine can begin in time, the best in ${expected} ms`;
+      }
+      const expectedMilliseconds = plan.reader === undefined ? plan.readingMilliseconds : 0;
+      if (plan.reader === undefined) {
+        return { state: plan.engine, expectedMilliseconds, fetchFrom: plan.source?.record.address };
+      }
+      const memory = await this.read(plan, prompt);
+      if (memory !== undefined) {
+        // Engines may have left or filled up while the prompt was read.
+        const current = registry.readyOf(this.call.admitted.service);
+        const state = engines.planTransfer(current, prompt, this.call.placement());
+        if (state === undefined) {
+          this.release(memory);
+          return 'no engine is left';
+        }
+        return { state, expectedMilliseconds, memory };
+      }
+      if (this.call.deadline.signal.aborted) {
+        return 'the time is over';
+      }
+      this.call.tried.add(plan.reader);
+      // A read that was refused or failed counts as an arrival beyond the first.
+      if (!this.call.parts.budgets.tryTake(this.call.admitted.service)) {
+        return 'the retry budget is used up';
+      }
+    }
+    return 'the prompt could not be read';
+  }
+
+  /** Frees memory that no engine will take. */
+  release(memory: PromptMemory): void {
+    this.call.parts.link.release(memory).catch((error: unknown) => {
+      this.call.trace.note(`release: ${describeFailure(failureOf(error))}`);
+    });
+  }
+
+  /** Has the prompt read by the plan's reading engine. Undefined if it was not read. */
+  private async read(plan: GenerationPlan, prompt: PromptShape): Promise<PromptMemory | undefined> {
+    const { link, clock } = this.call.parts;
+    const { reader, unreadTokens } = plan;
+    invariant(reader !== undefined, 'The plan has no reading engine.');
+    const { identifier } = reader.record;
+    const begun = clock.monotonicMilliseconds();
+    const limit = new AbortController();
+    const cancelAlarm = clock.schedule(Math.max(0, this.call.deadline.firstEventPatience()), () =>
+      limit.abort(),
+    );
+    const attempt = this.readingAttempt(reader, plan.source);
+    const isAlone = reader.tokensBefore(true) === 0;
+    const release = reader.reserveReading(unreadTokens, this.isLate);
+    reader.begin(begun);
+    try {
+      const signal = AbortSignal.any([this.call.deadline.signal, limit.signal]);
+      const memory = await link.readPrompt(attempt, signal);
+      const now = clock.monotonicMilliseconds();
+      reader.hear(now);
+      if (memory === undefined) {
+        reader.recordDelay(this.call.admitted.route.latencyTargetMilliseconds, now);
+        this.call.trace.note(`read ${identifier}: refused`);
+      } else {
+        reader.recordSuccess(now);
+        reader.recordDelay(Math.max(0, now - begun - plan.readingMilliseconds), now);
+        this.call.recordPart(reader, prompt);
+        if (isAlone) {
+          this.call.parts.pace.learn(unreadTokens, now - begun);
+        }
+        this.call.trace.note(
+          `read ${identifier}: ${unreadTokens} of ${prompt.tokens} tokens, ${plan.source === undefined ? '' : 'fetched, '}${Math.round(now - begun)} ms`,
+        );
+      }
+      return memory;
+    } catch (error) {
+      if (!this.call.deadline.signal.aborted) {
+        reader.recordFailure(clock.monotonicMilliseconds());
+      }
+      this.call.trace.note(`read ${identifier}: ${describeFailure(failureOf(error))}`);
+      return undefined;
+    } finally {
+      cancelAlarm();
+      release();
+      reader.finish();
+    }
+  }
+
+  private readingAttempt(reader: EndpointState, source: EndpointState | undefined): Attempt {
+    const { request, admitted, deadline, lastEvent } = this.call;
+    return {
+      kind: AttemptKind.ReadPrompt,
+      endpoint: reader.record,
+      request,
+      account: admitted.grant?.account,
+      remainingMilliseconds: Math.floor(deadline.remaining()),
+      urgency: this.urgency,
+      ...(source === undefined ? {} : { fetchFrom: source.record.address }),
+      lastEvent,
+    };
+  }
+}
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
@@ -142,6 +142,18 @@
     expect(world.sink.own).toBeUndefined();
   });
 
+  // Guards against the bytes of two runs in one answer.
+  it('is not sent again once its answer has begun', async () => {
+    const long = 'x'.repeat(70_000);
+    const world = worldOf(idempotent, [
+      async () => answer([long, endpointFailure(true)]),
+      async () => answer([long, 'end']),
+    ]);
+    await world.run();
+    expect(world.link.sent).toHaveLength(1);
+    expect(world.sink).toMatchObject({ text: long, isEnded: false, isBroken: true });
+  });
+
   it('is not sent again without retry budget', async () => {
     const world = worldOf(idempotent, [lost, good]);
     while (world.budgets.tryTake('desk')) {
@@ -177,6 +189,20 @@
     expect(world.sink).toMatchObject({ text: events(1).join(''), isEnded: false, isBroken: true });
   });
 
+  // Guards against the bytes of an error answer, or of a repeated event, within a stream.
+  it.each([
+    [
+      'an engine that answers with a failure',
+      events(1, 2),
+      async () => answer(['no'], { status: 404 }),
+    ],
+    ['events that have no identifier', ['data: 1\n\n'], async () => answer(['data: 1\n\n'])],
+  ] as [string, string[], Behaviour][])('is not continued with %s', async (_name, begun, next) => {
+    const world = worldOf(stream, [async () => answer([...begun, endpointFailure(true)]), next]);
+    await world.run();
+    expect(world.sink).toMatchObject({ text: begun.join(''), isEnded: false, isBroken: true });
+  });
+
   it('passes bytes on that are cut anywhere', async () => {
     const whole = events(1, 2, 3).join('');
     const pieces = whole.match(/.{1,5}/gsu) ?? [];
