--- a/packages/hickoryrelay-forwarding/src/CallTrace.ts
+++ b/packages/hickoryrelay-forwarding/src/CallTrace.ts
@@ -8,7 +8,7 @@
 
   account: string | undefined;
 
-  /** Number of sends to endpoints that may have run the request. */
+  /** Sends that did not end with the answer and may have run, or were rejected. */
   attempts = 0;
 
   readonly steps: string[] = [];
