Relay load and the view of the store through one instance of each zone

A shared part that another zone has read counts as unread: 975 of 1,909 reads of long prompts were cold, and the queues of reading engines are estimated from a quarter of the load (a part that was held waited 365 ms at the median for 55 ms of reading).

Change: the instances of each zone choose one relay by processor time and a hash. Each reports its load to it, relays tell each other the load of their zones, and each instance is told the sum of all others. With four instances or more in a zone the relay also reads the store, twice as often, and answers what has changed since a revision. The configuration is still read from the store. The authority is not looked up while the view shows a holder.

--- a/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
+++ b/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
@@ -16,11 +16,8 @@
   readonly endpoints: readonly EndpointRecord[];
   /** Registered instances of the system, this one included. */
   readonly peers: readonly PeerRecord[];
-}
-
-/** Reads configuration and registered endpoints in one step. An override never caches an answer. */
-export abstract class ViewSource {
-  abstract read(): Promise<ViewReading>;
+  /** True if an instance holds the authority over the duties. */
+  readonly isAuthorityHeld: boolean;
 }
 
 /** What changed by a reading, for the log. */
@@ -42,6 +39,8 @@
 
   private registeredPeers: readonly PeerRecord[] = [];
 
+  private hasHolder = false;
+
   private records = new Map<string, EndpointRecord>();
 
   private confirmedMilliseconds = Number.NEGATIVE_INFINITY;
@@ -66,6 +65,11 @@
     return this.registeredPeers;
   }
 
+  /** True if the last reading showed that an instance holds the authority over the duties. */
+  get isAuthorityHeld(): boolean {
+    return this.hasHolder;
+  }
+
   /** Time since the last confirmed reading was asked for, in milliseconds. */
   get ageMilliseconds(): number {
     return this.ageAt(this.clock.monotonicMilliseconds());
@@ -112,6 +116,7 @@
     const arrived = [...records.values()].filter(({ identifier }) => !this.records.has(identifier));
     this.records = records;
     this.registeredPeers = reading.peers;
+    this.hasHolder = reading.isAuthorityHeld;
     this.confirmedMilliseconds = Math.max(this.confirmedMilliseconds, askedMilliseconds);
     return {
       configurationVersion: isNewer ? this.current?.version : undefined,
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -2,8 +2,8 @@
 import { EndpointState } from './EndpointState.js';
 
 import type { EndpointRecord } from './EndpointRecord.js';
-import type { EndpointLoad } from './LoadMessage.js';
 import type { PeerLoads } from './PeerLoads.js';
+import type { EndpointLoad } from './PeerMessage.js';
 
 /** An incarnation of an endpoint: the identifier may be used again after a restart. */
 function incarnationOf(record: EndpointRecord): string {
--- a/packages/hickoryrelay-forwarding/src/EndpointState.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointState.ts
@@ -1,8 +1,8 @@
 import { hashText } from 'hickoryrelay/RendezvousUtils';
 
 import type { EndpointRecord } from './EndpointRecord.js';
-import type { EndpointLoad } from './LoadMessage.js';
 import type { PeerLoads } from './PeerLoads.js';
+import type { EndpointLoad } from './PeerMessage.js';
 
 /** A request without a sign of life from its endpoint for this long makes it suspect, in ms. */
 const SILENCE_MILLISECONDS = 600;
--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -1,12 +1,16 @@
 import { Task } from 'hickoryrelay/Task';
 
-import { decodeLoad, encodeLoad } from './LoadMessage.js';
+import { LoadRelay } from './LoadRelay.js';
+import { PeerMessageKind } from './PeerMessage.js';
 
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { PartDirectory } from './PartDirectory.js';
+import type { PeerChannel } from './PeerChannel.js';
 import type { PeerLoads } from './PeerLoads.js';
+import type { LoadMessage, PeerMessage } from './PeerMessage.js';
 import type { PeerRecord } from './PeerRecord.js';
+import type { ZoneRelays } from './ZoneRelays.js';
 import type { TaskContext } from 'hickoryrelay/Task';
 
 /** Shortest time between two messages to a peer; the load of an engine changes within about 100 ms. */
@@ -15,91 +19,214 @@
 /** Messages that an instance sends in a second at most. */
 const MOST_MESSAGES_PER_SECOND = 80;
 
-/** With more instances than this, only those of the own zone talk, and their load is scaled up. */
-const MOST_PEERS_ACROSS_ZONES = 16;
+/** With more instances than this, their load goes over the relays of their zones. */
+const MOST_DIRECT_PEERS = 16;
 
-const MILLISECONDS_PER_SECOND = 1000;
+/** Periods between two messages to the relays of other zones, whose bytes are paid for. */
+const ZONE_PERIODS = 2;
 
-/** Carries datagrams between instances. Some are lost. */
-export abstract class LoadChannel {
-  abstract send(peer: PeerRecord, bytes: Buffer): void;
+/** A relay that has been silent for this time is passed over, in milliseconds. */
+const RELAY_SILENCE_MILLISECONDS = 500;
 
-  /** Calls the receiver for each datagram. Returns the function that ends it. */
-  abstract receive(receiver: (bytes: Buffer) => void): () => void;
-}
+/** Instances of another zone that are told while its relay is not known from a message. */
+const RELAY_CANDIDATES = 2;
+
+const MILLISECONDS_PER_SECOND = 1000;
 
 /** What the task works with. */
 export interface LoadExchangeParts {
   readonly self: PeerRecord;
-  readonly channel: LoadChannel;
+  readonly channel: PeerChannel;
   readonly view: ConfirmedView;
   readonly registry: EndpointRegistry;
   readonly loads: PeerLoads;
   readonly directory: PartDirectory;
+  readonly relays: ZoneRelays;
 }
 
 /**
  * Tells the other instances what this one has under way at each endpoint and which parts of prompts
- * were read where, and hears theirs.
+ * were read where, and hears theirs. Few instances tell each other; with more, each tells the relay
+ * of its zone, and the relays tell each other the load of their zones.
  */
 export class LoadExchangeTask extends Task {
   override readonly name = 'load exchange';
 
   private readonly parts: LoadExchangeParts;
 
+  private readonly relay = new LoadRelay();
+
   private wasIdle = false;
 
+  /** Relay that this instance reports to, and since when it has been silent. */
+  private chosen: { readonly instance: string; silentSinceMilliseconds: number } | undefined;
+
+  private period = 0;
+
   constructor(parts: LoadExchangeParts) {
     super();
     this.parts = parts;
   }
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
-    const { channel, loads, directory } = this.parts;
-    const stopReceiving = channel.receive((bytes) => {
-      const message = decodeLoad(bytes);
-      if (message !== undefined) {
-        const now = clock.monotonicMilliseconds();
-        loads.receive(message, now);
-        message.uses.forEach((use) => directory.record(use, now));
-      }
+    const { channel, loads } = this.parts;
+    const unsubscribe = channel.subscribe((message) => {
+      this.hear(message, clock.monotonicMilliseconds());
     });
     try {
       for (;;) {
-        const peers = this.audience();
-        this.tell(peers);
-        loads.expire(clock.monotonicMilliseconds());
+        const now = clock.monotonicMilliseconds();
+        const peers = this.otherPeers();
+        loads.expire(now);
+        this.relay.expire(now);
+        if (peers.length <= MOST_DIRECT_PEERS) {
+          this.tellAll(peers);
+        } else {
+          this.report(now);
+        }
+        this.relayLoads(now);
         yield;
-        const period = (peers.length / MOST_MESSAGES_PER_SECOND) * MILLISECONDS_PER_SECOND;
-        await clock.sleep(Math.max(PERIOD_MILLISECONDS, period), signal);
+        await clock.sleep(this.periodMilliseconds(peers.length), signal);
       }
     } finally {
-      stopReceiving();
+      unsubscribe();
     }
   }
 
-  /** The peers that are told, which are those that are heard. */
-  private audience(): readonly PeerRecord[] {
-    const { view, self, loads } = this.parts;
-    const others = view.peers.filter(({ instance }) => instance !== self.instance);
-    const inZone = others.filter(({ zone }) => zone === self.zone);
-    if (others.length <= MOST_PEERS_ACROSS_ZONES || inZone.length === 0) {
-      loads.setScale(1);
-      return others;
+  private periodMilliseconds(peers: number): number {
+    const direct =
+      peers <= MOST_DIRECT_PEERS ? (peers / MOST_MESSAGES_PER_SECOND) * MILLISECONDS_PER_SECOND : 0;
+    return Math.max(PERIOD_MILLISECONDS, direct);
+  }
+
+  private otherPeers(): readonly PeerRecord[] {
+    const { view, self } = this.parts;
+    return view.peers.filter(({ instance }) => instance !== self.instance);
+  }
+
+  private hear(message: PeerMessage, now: number): void {
+    switch (message.kind) {
+      case PeerMessageKind.Load:
+        this.take(message, now);
+        break;
+      case PeerMessageKind.LoadDigest:
+        if (message.sender === this.chosen?.instance) {
+          this.chosen.silentSinceMilliseconds = now;
+        }
+        // Digests of two relays say the same of most instances, so the latest replaces all.
+        this.take({ ...message, sender: '' }, now);
+        break;
+      case PeerMessageKind.LoadReport:
+        this.relay.collect(message, now);
+        this.recordUses(message, now);
+        break;
+      case PeerMessageKind.ZoneLoad:
+        this.hearZone(message, now);
+        break;
+      default:
+    }
+  }
+
+  private hearZone(message: LoadMessage, now: number): void {
+    const sender = this.parts.view.peers.find(({ instance }) => instance === message.sender);
+    if (sender !== undefined) {
+      this.relay.collectZone(sender.zone, message, now);
+      this.recordUses(message, now);
     }
-    loads.setScale(others.length / inZone.length);
-    return inZone;
   }
 
-  private tell(peers: readonly PeerRecord[]): void {
-    const { self, registry, channel, directory } = this.parts;
-    const ownLoads = [...registry.ownLoads()];
-    const uses = directory.takeUntold();
-    const isIdle = ownLoads.length === 0 && uses.length === 0;
+  private take(message: LoadMessage, now: number): void {
+    this.parts.loads.receive(message, now);
+    this.recordUses(message, now);
+  }
+
+  private recordUses({ uses }: LoadMessage, now: number): void {
+    uses.forEach((use) => this.parts.directory.record(use, now));
+  }
+
+  /** What this instance has to say. */
+  private ownLoad(kind: LoadMessage['kind']): LoadMessage {
+    const { self, registry, directory } = this.parts;
+    return {
+      kind,
+      sender: self.instance,
+      loads: [...registry.ownLoads()],
+      uses: directory.takeUntold(),
+    };
+  }
+
+  private tellAll(peers: readonly PeerRecord[]): void {
+    const message = this.ownLoad(PeerMessageKind.Load);
+    const isIdle = message.loads.length === 0 && message.uses.length === 0;
     if (!(isIdle && this.wasIdle)) {
-      const bytes = encodeLoad({ instance: self.instance, loads: ownLoads, uses });
-      peers.forEach((peer) => channel.send(peer, bytes));
+      this.parts.channel.sendToAll(peers, message);
     }
     this.wasIdle = isIdle;
   }
+
+  /** Tells the relay of the zone, which may be this instance. */
+  private report(now: number): void {
+    const { self, channel } = this.parts;
+    const message = this.ownLoad(PeerMessageKind.LoadReport);
+    const relay = this.chooseRelay(now);
+    if (relay === undefined || relay.instance === self.instance) {
+      this.relay.collect(message, now);
+    } else {
+      channel.send(relay, message);
+    }
+  }
+
+  /** The relay of the own zone, another one after a silence. */
+  private chooseRelay(now: number): PeerRecord | undefined {
+    const { self, view, relays } = this.parts;
+    if (
+      this.chosen !== undefined &&
+      now - this.chosen.silentSinceMilliseconds > RELAY_SILENCE_MILLISECONDS
+    ) {
+      relays.suspect(this.chosen.instance, now);
+    }
+    const relay = relays.relayOf(self.zone, view.peers, now);
+    if (relay?.instance !== this.chosen?.instance) {
+      this.chosen =
+        relay === undefined || relay.instance === self.instance
+          ? undefined
+          : { instance: relay.instance, silentSinceMilliseconds: now };
+    }
+    return relay;
+  }
+
+  /** Passes on what was gathered, where this instance is a relay. */
+  private relayLoads(now: number): void {
+    const { self, view, channel } = this.parts;
+    if (this.relay.members.length === 0) {
+      return;
+    }
+    const peers = new Map(view.peers.map((peer) => [peer.instance, peer]));
+    for (const [member, digest] of this.relay.digests(self.instance)) {
+      const peer = peers.get(member);
+      if (member === self.instance) {
+        this.take({ ...digest, sender: '' }, now);
+      } else if (peer !== undefined) {
+        channel.send(peer, digest);
+      }
+    }
+    this.period += 1;
+    if (this.period % ZONE_PERIODS === 0) {
+      channel.sendToAll(this.otherRelays(now), this.relay.zoneLoad(self.instance));
+    }
+  }
+
+  /** The relays of the other zones, the likely ones while none was heard. */
+  private otherRelays(now: number): readonly PeerRecord[] {
+    const { self, view, relays } = this.parts;
+    const zones = new Set(view.peers.map(({ zone }) => zone));
+    zones.delete(self.zone);
+    return [...zones].flatMap((zone) => {
+      const heard = this.relay.relayHeardFrom(zone);
+      const peer = view.peers.find(({ instance }) => instance === heard);
+      return peer === undefined
+        ? relays.candidatesOf(zone, view.peers, now).slice(0, RELAY_CANDIDATES)
+        : [peer];
+    });
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/PeerLoads.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerLoads.ts
@@ -1,4 +1,4 @@
-import type { EndpointLoad } from './LoadMessage.js';
+import type { EndpointLoad } from './PeerMessage.js';
 
 /** A message says nothing any more after this time; about three messages are lost by then. */
 const MESSAGE_LIFE_MILLISECONDS = 1000;
@@ -18,15 +18,12 @@
 
   private sums = new Map<number, PeerLoad>();
 
-  /** What the sums are multiplied by where only some of the instances are heard. */
-  private scale = 1;
-
   /** Takes what an instance said of its load, at a time of the steady clock. */
   receive(
-    { instance, loads }: { instance: string; loads: readonly EndpointLoad[] },
+    { sender, loads }: { sender: string; loads: readonly EndpointLoad[] },
     now: number,
   ): void {
-    this.messages.set(instance, { loads, at: now });
+    this.messages.set(sender, { loads, at: now });
     this.sum(now);
   }
 
@@ -35,11 +32,6 @@
     this.sum(now);
   }
 
-  /** States how many other instances there are for each one that is heard. */
-  setScale(scale: number): void {
-    this.scale = scale;
-  }
-
   loadOf(endpoint: number): PeerLoad {
     return this.sums.get(endpoint) ?? NO_LOAD;
   }
@@ -53,9 +45,9 @@
         loads.forEach((load) => {
           const known = sums.get(load.endpoint) ?? NO_LOAD;
           sums.set(load.endpoint, {
-            running: known.running + load.running * this.scale,
-            readingTokens: known.readingTokens + load.readingTokens * this.scale,
-            lateTokens: known.lateTokens + load.lateTokens * this.scale,
+            running: known.running + load.running,
+            readingTokens: known.readingTokens + load.readingTokens,
+            lateTokens: known.lateTokens + load.lateTokens,
           });
         });
       }
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/UdpPeerChannel.ts
@@ -0,0 +1,31 @@
+import { createSocket } from 'node:dgram';
+
+import { PeerChannel } from './PeerChannel.js';
+
+import type { PeerAddress } from './PeerRecord.js';
+import type { PartLogger } from 'hickoryrelay/Logger';
+import type { Socket } from 'node:dgram';
+
+/** Sends messages between instances as UDP datagrams. */
+export class UdpPeerChannel extends PeerChannel {
+  private readonly socket: Socket;
+
+  constructor({ host, port }: PeerAddress, log: PartLogger) {
+    super();
+    this.socket = createSocket('udp4');
+    this.socket.on('error', (error) => {
+      log.warn('The peer channel failed.', { reason: error.message });
+    });
+    this.socket.on('message', (bytes: Buffer) => this.deliver(bytes));
+    this.socket.bind(port, host);
+  }
+
+  close(): void {
+    this.socket.close();
+  }
+
+  protected override transmit({ host, port }: PeerAddress, bytes: Buffer): void {
+    // A datagram that cannot be sent is like one that is lost: the next one replaces it.
+    this.socket.send(bytes, port, host, () => {});
+  }
+}
--- a/packages/hickoryrelay-forwarding/src/ViewTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewTask.ts
@@ -2,10 +2,11 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
-import type { ConfirmedView, ViewSource } from './ConfirmedView.js';
+import type { ConfirmedView } from './ConfirmedView.js';
 import type { EndpointLink } from './EndpointLink.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { RetryBudgets } from './RetryBudgets.js';
+import type { ViewSource } from './ViewSource.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 
@@ -39,18 +40,22 @@
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
     for (;;) {
-      const isRead = await this.readOnce();
+      const periodMilliseconds = await this.readOnce();
       yield;
-      const { periodMilliseconds } = this.parts;
-      await clock.sleep(isRead ? periodMilliseconds : RETRY_PERIOD_MILLISECONDS, signal);
+      await clock.sleep(periodMilliseconds, signal);
     }
   }
 
-  private async readOnce(): Promise<boolean> {
-    const { source, view, registry, link, budgets, log } = this.parts;
+  /** Reads once. Returns the time until the next reading, in milliseconds. */
+  private async readOnce(): Promise<number> {
+    const { source, view, registry, link, budgets, log, periodMilliseconds } = this.parts;
     const asked = view.now();
     try {
-      const change = view.apply(await source.read(), asked);
+      const { reading, ageMilliseconds, hasMissedReadings, periodPart } = await source.read();
+      if (hasMissedReadings) {
+        view.missReading();
+      }
+      const change = view.apply(reading, asked - ageMilliseconds);
       registry.replace(view.endpoints);
       link.retain(view.endpoints);
       budgets.setInstances(view.peers.length);
@@ -67,7 +72,7 @@
       for (const { identifier, service, zone } of change.departed) {
         log.info('An endpoint departed.', { endpoint: identifier, service, zone });
       }
-      return true;
+      return periodMilliseconds * periodPart;
     } catch (error) {
       view.missReading();
       this.failedReadings += 1;
@@ -77,7 +82,7 @@
           viewAgeMilliseconds: Math.round(view.ageMilliseconds),
         });
       }
-      return false;
+      return RETRY_PERIOD_MILLISECONDS;
     }
   }
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
@@ -11,6 +11,7 @@
   configuration: makeConfiguration({ version }),
   endpoints: names.map((name) => makeEndpoint(name)),
   peers: [],
+  isAuthorityHeld: false,
 });
 
 function namesOf(view: ConfirmedView): string[] {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -260,7 +260,7 @@
   const registry = new EndpointRegistry(new PeerLoads());
   const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
   const configuration = options.configuration ?? makeConfiguration();
-  view.apply({ configuration, endpoints, peers: [] }, 0);
+  view.apply({ configuration, endpoints, peers: [], isAuthorityHeld: false }, 0);
   registry.replace(endpoints);
   const link = new ScriptedLink(options.behaviours ?? []);
   const random = new SeededRandomSource(1);
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -0,0 +1,109 @@
+import fastCheck from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
+import {
+  decodePeerMessage,
+  encodePeerMessage,
+  PeerMessageKind,
+} from 'hickoryrelay-forwarding/PeerMessage';
+
+import { makeEndpoint } from './ForwardingFixture.js';
+
+import type { PeerMessage } from 'hickoryrelay-forwarding/PeerMessage';
+
+const loadArbitrary = fastCheck.record({
+  endpoint: fastCheck.nat(2 ** 32 - 1),
+  running: fastCheck.nat(500),
+  readingTokens: fastCheck.nat(10 ** 6),
+  lateTokens: fastCheck.nat(10 ** 6),
+});
+
+const useArbitrary = fastCheck.record({
+  engine: fastCheck.nat(2 ** 32 - 1),
+  part: fastCheck.nat(2 ** 32 - 1),
+});
+
+const loadKindArbitrary = fastCheck.constantFrom(
+  PeerMessageKind.Load,
+  PeerMessageKind.LoadReport,
+  PeerMessageKind.LoadDigest,
+  PeerMessageKind.ZoneLoad,
+);
+
+const changesArbitrary = fastCheck.record({
+  revision: fastCheck.nat(),
+  ageMilliseconds: fastCheck.nat(),
+  failedReadings: fastCheck.nat(),
+  configurationVersion: fastCheck.option(fastCheck.nat(), { nil: undefined }),
+  isAuthorityHeld: fastCheck.boolean(),
+  endpoints: fastCheck.record({
+    changed: fastCheck.array(fastCheck.string().map((name) => makeEndpoint(name))),
+    removed: fastCheck.array(fastCheck.string()),
+  }),
+  peers: fastCheck.record({
+    changed: fastCheck.constant([
+      { instance: 'i', zone: 'z', host: '10.0.0.1', port: 7, cores: 0.5 },
+    ]),
+    removed: fastCheck.array(fastCheck.string()),
+  }),
+});
+
+const messageArbitrary: fastCheck.Arbitrary<PeerMessage> = fastCheck.oneof(
+  fastCheck.record({
+    kind: loadKindArbitrary,
+    sender: fastCheck.string(),
+    loads: fastCheck.array(loadArbitrary),
+    uses: fastCheck.array(useArbitrary),
+  }),
+  fastCheck.record({
+    kind: fastCheck.constant(PeerMessageKind.ViewQuestion),
+    asker: fastCheck.record({ host: fastCheck.string(), port: fastCheck.nat() }),
+    number: fastCheck.nat(),
+    sinceRevision: fastCheck.nat(),
+  }),
+  fastCheck.record({
+    kind: fastCheck.constant(PeerMessageKind.ViewAnswer),
+    sender: fastCheck.string(),
+    number: fastCheck.nat(),
+    changes: fastCheck.option(changesArbitrary, { nil: undefined }),
+  }),
+);
+
+describe('peer messages', () => {
+  it('come out as they went in', () => {
+    fastCheck.assert(
+      fastCheck.property(messageArbitrary, (message) => {
+        expect(decodePeerMessage(encodePeerMessage(message))).toEqual(message);
+      }),
+    );
+  });
+
+  it('are dropped when they are not messages', () => {
+    fastCheck.assert(
+      fastCheck.property(fastCheck.uint8Array({ maxLength: 60 }), (bytes) => {
+        const message = decodePeerMessage(Buffer.from(bytes));
+        expect(message === undefined || typeof message.kind === 'number').toBe(true);
+      }),
+    );
+  });
+});
+
+describe('the load of peers', () => {
+  const load = { endpoint: 5, running: 2, readingTokens: 10, lateTokens: 0 };
+
+  it('adds up what peers said last', () => {
+    const loads = new PeerLoads();
+    loads.receive({ sender: 'a', loads: [load] }, 0);
+    loads.receive({ sender: 'a', loads: [{ ...load, running: 3 }] }, 10);
+    loads.receive({ sender: 'b', loads: [load] }, 20);
+    expect(loads.loadOf(5)).toEqual({ running: 5, readingTokens: 20, lateTokens: 0 });
+  });
+
+  // Guards against load of a dead instance that keeps others away from an engine.
+  it('forgets a peer that says nothing', () => {
+    const loads = new PeerLoads();
+    loads.receive({ sender: 'a', loads: [load] }, 0);
+    loads.expire(2000);
+    expect(loads.loadOf(5).running).toBe(0);
+  });
+});
--- a/packages/hickoryrelay-zone/src/ZoneAuthority.ts
+++ b/packages/hickoryrelay-zone/src/ZoneAuthority.ts
@@ -56,6 +56,8 @@
    * they look as often as ten.
    */
   readonly contenders?: () => number;
+  /** False while it is known that another instance holds the authority; then no look is taken. */
+  readonly mayBeVacant?: () => boolean;
 }
 
 /**
@@ -85,7 +87,8 @@
 
   protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
     for (;;) {
-      const term = await this.tryToTake(context.clock);
+      const mayBeVacant = this.parts.mayBeVacant?.() ?? true;
+      const term = mayBeVacant ? await this.tryToTake(context.clock) : undefined;
       if (term !== undefined) {
         yield* this.hold(term, context);
       }
