Read short prompts in place

Cause: placement charged a reading in place for each running request of the engine, also where it delays one event by less than the pause that is allowed.

Excluded: load of the generating engines (first byte of those read in place: 39 ms at the median).

Change: only the part of a reading beyond 40 ms counts as a disturbance. The test failed first.

--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -27,6 +27,12 @@
 /** Part of the time of a reading in place by which it delays each request that runs there. */
 const DISTURBANCE_PART = 0.25;
 
+/**
+ * A reading in place up to this time disturbs nobody: it delays one event of the requests that run
+ * there by a fraction of the pause that is allowed between events. In milliseconds.
+ */
+const HARMLESS_READING_MILLISECONDS = 40;
+
 /** Shared parts below this size are not worth keeping to one engine, in tokens. */
 const KEPT_PART_TOKENS = 1000;
 
@@ -282,6 +288,7 @@
     const readingMilliseconds = unreadTokens / this.pace.inPlace;
     const crowding = 1 + Math.min(2, engine.allRunning / engine.record.slots);
     const firstTokenMilliseconds = base + fetchMilliseconds + readingMilliseconds * crowding;
+    const disturbingMilliseconds = Math.max(0, readingMilliseconds - HARMLESS_READING_MILLISECONDS);
     return {
       engine,
       reader: undefined,
@@ -290,7 +297,7 @@
       readingMilliseconds,
       firstTokenMilliseconds,
       costMilliseconds:
-        firstTokenMilliseconds + readingMilliseconds * engine.allRunning * DISTURBANCE_PART,
+        firstTokenMilliseconds + disturbingMilliseconds * engine.allRunning * DISTURBANCE_PART,
     };
   }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
@@ -76,6 +76,19 @@
     expect(plan?.engine.record.zone).toBe('zone-0');
   });
 
+  // Guards against short prompts that wait behind long ones, and delay them, at reading engines.
+  it('keeps short prompts off idle reading engines while the generating ones are half full', () => {
+    const placement = makePlacement();
+    const states = makeStates();
+    states.slice(READERS).forEach((state) => {
+      state.running = 6;
+    });
+    for (let request = 0; request < 20; request += 1) {
+      const plan = placement.plan(states, shortPrompt, false, contextOf(request));
+      expect(plan?.reader).toBeUndefined();
+    }
+  });
+
   it('leaves a reading engine whose queue is longer than reading the part again', () => {
     const placement = makePlacement();
     const states = makeStates();
