Write the usage counts of a zone in common, and never replace counts by earlier ones

Cause: each of 66 instances wrote its counts once a window (13 calls to the store a second), and lost up to a whole window of counts when it was killed. Writes were unconditional: one whose answer was lost and that took effect seconds later replaced counts by earlier ones.

Excluded: fewer writes for each instance (they lose more with a kill).

Change: instances of a zone with a relay hand it their counts four times a window, at the same times, and it writes them in one transaction. Counts that it does not confirm are written by their owner.

--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -3,6 +3,7 @@
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { PartUse } from './PartDirectory.js';
 import type { PeerAddress, PeerRecord } from './PeerRecord.js';
+import type { UsagePart } from './UsagePartWriter.js';
 
 /** Messages between instances. The value is the first number of the encoded message. */
 export const PeerMessageKind = {
@@ -17,6 +18,10 @@
   /** Asks the relay of the zone what has changed in the store. */
   ViewQuestion: 5,
   ViewAnswer: 6,
+  /** Counts that the relay of the zone writes to the store. */
+  UsagePartReport: 7,
+  /** The counts of a report are stored. */
+  UsagePartStored: 8,
 } as const;
 
 export type PeerMessageKind = (typeof PeerMessageKind)[keyof typeof PeerMessageKind];
@@ -88,7 +93,23 @@
   readonly changes: ViewChanges | undefined;
 }
 
-export type PeerMessage = LoadMessage | ViewQuestion | ViewAnswer;
+/** Counts of an instance for its relay. */
+export interface UsagePartReport {
+  readonly kind: typeof PeerMessageKind.UsagePartReport;
+  readonly reporter: PeerAddress;
+  /** Number of the report, which the confirmation repeats. */
+  readonly number: number;
+  readonly part: UsagePart;
+}
+
+/** Confirms a report. */
+export interface UsagePartStored {
+  readonly kind: typeof PeerMessageKind.UsagePartStored;
+  readonly number: number;
+}
+
+export type PeerMessage =
+  LoadMessage | ViewQuestion | ViewAnswer | UsagePartReport | UsagePartStored;
 
 const LOAD_FIELDS = 4;
 const USE_FIELDS = 2;
@@ -118,6 +139,13 @@
       const { kind, sender, number, changes } = message;
       return pack([kind, sender, number, changes]);
     }
+    case PeerMessageKind.UsagePartReport: {
+      const { kind, reporter, number, part } = message;
+      const { window, incarnation, counts } = part;
+      return pack([kind, reporter.host, reporter.port, number, window, incarnation, counts]);
+    }
+    case PeerMessageKind.UsagePartStored:
+      return pack([message.kind, message.number]);
     default:
       return pack(encodeLoad(message));
   }
@@ -205,6 +233,30 @@
   };
 }
 
+function decodeUsagePart(fields: readonly unknown[]): UsagePartReport | undefined {
+  const [host, port, number, window, incarnation, counts] = fields;
+  if (
+    typeof host !== 'string' ||
+    typeof port !== 'number' ||
+    typeof number !== 'number' ||
+    typeof window !== 'number' ||
+    typeof incarnation !== 'string' ||
+    typeof counts !== 'string'
+  ) {
+    return undefined;
+  }
+  return {
+    kind: PeerMessageKind.UsagePartReport,
+    reporter: { host, port },
+    number,
+    part: { window, incarnation, counts },
+  };
+}
+
+function decodeStored([number]: readonly unknown[]): UsagePartStored | undefined {
+  return typeof number === 'number' ? { kind: PeerMessageKind.UsagePartStored, number } : undefined;
+}
+
 /** Decodes a message. Undefined if the bytes are not one. */
 export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
   let list: unknown;
@@ -227,6 +279,10 @@
       return decodeQuestion(fields);
     case PeerMessageKind.ViewAnswer:
       return decodeAnswer(fields);
+    case PeerMessageKind.UsagePartReport:
+      return decodeUsagePart(fields);
+    case PeerMessageKind.UsagePartStored:
+      return decodeStored(fields);
     default:
       return undefined;
   }
--- a/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
+++ b/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
@@ -20,9 +20,6 @@
 /** Time in which the relay answers: a crossing of the zone, and turns of two busy event loops. */
 const ANSWER_MILLISECONDS = 150;
 
-/** Below this number of instances in a zone, a relay saves less than the shorter periods cost. */
-const FEWEST_INSTANCES = 4;
-
 /** With a relay, the reading and the question each take half of the period for changes. */
 const SHARED_PERIOD_PART = 0.5;
 
@@ -109,12 +106,11 @@
 
   override async read(): Promise<StoreReading> {
     const { self, view, relays, clock } = this.parts;
-    const isShared = view.peers.filter(({ zone }) => zone === self.zone).length >= FEWEST_INSTANCES;
-    if (!isShared) {
+    const relay = relays.sharedRelayOf(self.zone, view.peers, clock.monotonicMilliseconds());
+    if (relay === undefined) {
       return this.readStore(1);
     }
-    const relay = relays.relayOf(self.zone, view.peers, clock.monotonicMilliseconds());
-    if (relay === undefined || relay.instance === self.instance) {
+    if (relay.instance === self.instance) {
       return this.readStore(SHARED_PERIOD_PART);
     }
     return (await this.ask(relay)) ?? this.readStore(1);
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/UsagePartRelay.ts
@@ -0,0 +1,140 @@
+import { describeFailure } from 'hickoryrelay/Failure';
+import { failureOf } from 'hickoryrelay/RelayError';
+
+import { PeerMessageKind } from './PeerMessage.js';
+
+import type { ConfirmedView } from './ConfirmedView.js';
+import type { PeerChannel } from './PeerChannel.js';
+import type { PeerMessage, UsagePartReport } from './PeerMessage.js';
+import type { PeerRecord } from './PeerRecord.js';
+import type { UsagePart, UsagePartWriter } from './UsagePartWriter.js';
+import type { ZoneRelays } from './ZoneRelays.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { PartLogger } from 'hickoryrelay/Logger';
+
+/** Time in which the relay gathers parts for one write, in milliseconds. */
+const GATHER_MILLISECONDS = 150;
+
+/** Time after which a part that the relay has not confirmed is written by its owner. */
+const CONFIRMATION_MILLISECONDS = 800;
+
+/** What the relay works with. */
+export interface UsagePartRelayParts {
+  readonly self: PeerRecord;
+  readonly channel: PeerChannel;
+  readonly view: ConfirmedView;
+  readonly relays: ZoneRelays;
+  readonly writer: UsagePartWriter;
+  readonly clock: Clock;
+  readonly log: PartLogger;
+}
+
+/** Parts that wait for the next write, and the write. */
+interface Batch {
+  readonly parts: Map<string, UsagePart>;
+  readonly written: Promise<void>;
+}
+
+/**
+ * Writes the counts of the instances of a zone in common: each hands its counts to the relay of the
+ * zone, which writes those that come within a short time at once. An instance writes its counts itself
+ * where the zone has no relay or the relay does not confirm them.
+ */
+export class UsagePartRelay {
+  private readonly parts: UsagePartRelayParts;
+
+  private batch: Batch | undefined;
+
+  private reports = 0;
+
+  /** Called when the relay has confirmed a report, by its number. */
+  private readonly confirmations = new Map<number, () => void>();
+
+  constructor(parts: UsagePartRelayParts) {
+    this.parts = parts;
+  }
+
+  /** True if several instances write in common. */
+  get isShared(): boolean {
+    return this.relay() !== undefined;
+  }
+
+  /** Takes parts and confirmations. Returns the function that ends it. */
+  listen(): () => void {
+    return this.parts.channel.subscribe((message: PeerMessage) => {
+      if (message.kind === PeerMessageKind.UsagePartReport) {
+        void this.take(message);
+      } else if (message.kind === PeerMessageKind.UsagePartStored) {
+        this.confirmations.get(message.number)?.();
+      }
+    });
+  }
+
+  /** Stores a part. Throws if it is not certain that it, or a later one, is stored. */
+  async store(part: UsagePart): Promise<void> {
+    const relay = this.relay();
+    if (relay?.instance === this.parts.self.instance) {
+      await this.gather(part);
+    } else if (relay === undefined || !(await this.report(relay, part))) {
+      await this.parts.writer.write([part]);
+    }
+  }
+
+  private relay(): PeerRecord | undefined {
+    const { self, view, relays, clock } = this.parts;
+    return relays.sharedRelayOf(self.zone, view.peers, clock.monotonicMilliseconds());
+  }
+
+  /** Hands a part to the relay. False if it does not confirm it. */
+  private report(relay: PeerRecord, part: UsagePart): Promise<boolean> {
+    const { self, channel, relays, clock } = this.parts;
+    this.reports += 1;
+    const number = this.reports;
+    return new Promise((resolve) => {
+      const cancelAlarm = clock.schedule(CONFIRMATION_MILLISECONDS, () => {
+        this.confirmations.delete(number);
+        relays.suspect(relay.instance, clock.monotonicMilliseconds());
+        resolve(false);
+      });
+      this.confirmations.set(number, () => {
+        this.confirmations.delete(number);
+        cancelAlarm();
+        resolve(true);
+      });
+      const reporter = { host: self.host, port: self.port };
+      channel.send(relay, { kind: PeerMessageKind.UsagePartReport, reporter, number, part });
+    });
+  }
+
+  private async take({ reporter, number, part }: UsagePartReport): Promise<void> {
+    const { channel, log } = this.parts;
+    try {
+      await this.gather(part);
+      channel.send(reporter, { kind: PeerMessageKind.UsagePartStored, number });
+    } catch (error) {
+      log.warn('Counts of another instance were not written; it writes them itself.', {
+        window: part.window,
+        reason: describeFailure(failureOf(error)),
+      });
+    }
+  }
+
+  /** Adds a part to the next write. Resolves when it is written. */
+  private gather(part: UsagePart): Promise<void> {
+    this.batch ??= this.startBatch();
+    // Datagrams of one instance do not overtake each other here by more than a write, and the
+    // writer drops counts that are lower than the stored ones.
+    this.batch.parts.set(`${part.window}/${part.incarnation}`, part);
+    return this.batch.written;
+  }
+
+  private startBatch(): Batch {
+    const { clock, writer } = this.parts;
+    const parts = new Map<string, UsagePart>();
+    const written = clock.sleep(GATHER_MILLISECONDS).then(() => {
+      this.batch = undefined;
+      return writer.write([...parts.values()]);
+    });
+    return { parts, written };
+  }
+}
--- a/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
@@ -2,13 +2,11 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
-import { partKey } from './UsageKeys.js';
-
+import type { UsagePartRelay } from './UsagePartRelay.js';
 import type { UsageTally } from './UsageTally.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
-import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
 /**
  * Part of a window's requests that may be lost when an instance is killed: what it counted since its
@@ -19,6 +17,9 @@
 /** Shortest time between two writes, in milliseconds. */
 const SHORTEST_PERIOD_MILLISECONDS = 1000;
 
+/** Writes in a window where the instances of a zone write in common, all at the same times. */
+const SHARED_WRITES = 4;
+
 /** Time after the end of a window in which its last counts are written, and the spread of it. */
 const AFTER_WINDOW_MILLISECONDS = 150;
 const AFTER_WINDOW_SPREAD_MILLISECONDS = 800;
@@ -30,7 +31,7 @@
 export interface UsagePartTaskParts {
   /** Unique for each start of an instance. */
   readonly incarnation: string;
-  readonly store: KeyValueStore;
+  readonly relay: UsagePartRelay;
   readonly tally: UsageTally;
   readonly windowMilliseconds: number;
   /** Number of instances that share the requests. */
@@ -76,7 +77,11 @@
 
   /** Time to the next write: after a part of the window, or soon after its end. */
   private untilNextWrite(wall: number): number {
-    const { windowMilliseconds, countInstances, random } = this.parts;
+    const { windowMilliseconds, countInstances, random, relay } = this.parts;
+    if (relay.isShared) {
+      const sharedPeriod = windowMilliseconds / SHARED_WRITES;
+      return sharedPeriod - (wall % sharedPeriod) + AFTER_WINDOW_MILLISECONDS;
+    }
     const period = windowMilliseconds * LOST_PART * Math.max(1, countInstances());
     const untilEnd = windowMilliseconds - (wall % windowMilliseconds);
     const spread = random.fraction() * AFTER_WINDOW_SPREAD_MILLISECONDS;
@@ -87,15 +92,14 @@
   }
 
   private async writeWindow(window: number): Promise<void> {
-    const { store, tally, incarnation, log } = this.parts;
-    const value = JSON.stringify(tally.countsOf(window));
-    if (value === '{}' || value === this.written.get(window)) {
+    const { relay, tally, incarnation, log } = this.parts;
+    const counts = JSON.stringify(tally.countsOf(window));
+    if (counts === '{}' || counts === this.written.get(window)) {
       return;
     }
     try {
-      const key = partKey(window, incarnation);
-      await store.commit({ compare: [], success: [{ type: 'put', key, value }], failure: [] });
-      this.written.set(window, value);
+      await relay.store({ window, incarnation, counts });
+      this.written.set(window, counts);
     } catch (error) {
       log.warn('The counts of a window were not written; they are tried again.', {
         window,
--- a/packages/hickoryrelay-forwarding/src/ZoneRelays.ts
+++ b/packages/hickoryrelay-forwarding/src/ZoneRelays.ts
@@ -5,6 +5,9 @@
 /** An instance that did not answer is passed over for this time, in milliseconds. */
 const SUSPICION_MILLISECONDS = 3000;
 
+/** Below this number of instances in a zone, a relay of calls to the store saves little. */
+const FEWEST_SHARING_INSTANCES = 4;
+
 /** Orders the instances of a zone: those with the most processor time first, then by a hash. */
 function ranked(zone: string, peers: readonly PeerRecord[]): PeerRecord[] {
   return peers
@@ -40,6 +43,12 @@
     return this.candidatesOf(zone, peers, now)[0];
   }
 
+  /** The relay of calls to the store. Undefined where each instance makes its own. */
+  sharedRelayOf(zone: string, peers: readonly PeerRecord[], now: number): PeerRecord | undefined {
+    const isShared = peers.filter((peer) => peer.zone === zone).length >= FEWEST_SHARING_INSTANCES;
+    return isShared ? this.relayOf(zone, peers, now) : undefined;
+  }
+
   /** Passes over an instance that did not answer. */
   suspect(instance: string, now: number): void {
     this.suspects.set(instance, now + SUSPICION_MILLISECONDS);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
@@ -80,9 +80,9 @@
   it('keeps short prompts off idle reading engines while the generating ones are half full', () => {
     const placement = makePlacement();
     const states = makeStates();
-    states.slice(READERS).forEach((state) => {
+    for (const state of states.slice(READERS)) {
       state.running = 6;
-    });
+    }
     for (let request = 0; request < 20; request += 1) {
       const plan = placement.plan(states, shortPrompt, false, contextOf(request));
       expect(plan?.reader).toBeUndefined();
