--- a/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
@@ -2,7 +2,7 @@
 import type { ForwardingService } from './ForwardingConfiguration.js';
 
 /** Part of a zone's endpoints that is lasting while reclaimable ones are to be had. */
-const LASTING_PART = 0.25;
+const LASTING_PART = 0.1;
 
 /** Part of a zone's endpoints that is lasting while no reclaimable ones are to be had. */
 const COVER_PART = 0.6;
