Count parts as dropped when as much else has been read; prefer engines that hold a part

Each copy displaces other parts: a reading engine took in its whole memory in about four seconds, while a part counted as held for 15 s after its use. 240 shared parts were read again, each about 0.27 s of a reading engine.

Excluded: links (about a tenth in use); number of fetches from one engine.

Change: each use of a part says how many tokens the engine took in, and a part counts as held until 0.6 of the memory has been filled since its last use. An engine that has to fetch a part is charged 100 ms, about the time of one warm request.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -9,6 +9,7 @@
 import type { EndpointState } from './EndpointState.js';
 import type { EnginePlacement, PromptShape } from './EnginePlacement.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
+import type { EngineTraits } from './ForwardingConfiguration.js';
 import type { PartDirectory } from './PartDirectory.js';
 import type { PlacementContext, ServicePlacement } from './Placement.js';
 import type { ReadingPace } from './ReadingPace.js';
@@ -89,7 +90,12 @@
   }
 
   get isGeneration(): boolean {
-    return this.parts.view.configuration?.services.get(this.admitted.service)?.engine !== undefined;
+    return this.engine !== undefined;
+  }
+
+  /** What the engines of the service are like; undefined for plain services. */
+  private get engine(): EngineTraits | undefined {
+    return this.parts.view.configuration?.services.get(this.admitted.service)?.engine;
   }
 
   get lastEvent(): string | undefined {
@@ -116,14 +122,28 @@
 
   placement(): PlacementContext {
     const { zone, random, clock } = this.parts;
-    return { zone, random, now: clock.monotonicMilliseconds(), tried: this.tried };
+    return {
+      zone,
+      random,
+      now: clock.monotonicMilliseconds(),
+      tried: this.tried,
+      memoryTokens: this.engine?.memoryTokens ?? 0,
+    };
   }
 
   /** Records that an engine holds the shared part of a prompt now. */
-  recordPart({ hash }: EndpointState, { shared }: PromptShape): void {
+  recordPart({ hash }: EndpointState, { shared, tokens }: PromptShape): void {
     if (shared !== undefined) {
       const now = this.parts.clock.monotonicMilliseconds();
-      this.parts.directory.recordOwn({ engine: hash, part: shared.hash }, now);
+      this.parts.directory.recordOwn(
+        {
+          engine: hash,
+          part: shared.hash,
+          sharedTokens: shared.tokens,
+          ownTokens: tokens - shared.tokens,
+        },
+        now,
+      );
     }
   }
 
--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -39,6 +39,13 @@
 /** Preference for the engine that has a shared part, beyond the time to read it, in milliseconds. */
 const AFFINITY_MILLISECONDS = 15;
 
+/**
+ * Preference for an engine that holds the shared part over one that would fetch it, beyond the time
+ * to fetch it, in milliseconds. A second copy displaces other parts, which are then read again,
+ * so a request waits for one other first.
+ */
+const COPY_MILLISECONDS = 100;
+
 /** Range of the random part, so that instances that see the same do not choose the same. */
 const RANDOM_MILLISECONDS = 4;
 
@@ -220,7 +227,8 @@
         reader.tokensBefore(isLate) / this.pace.apart +
         reader.delay(context.now) * DELAY_WEIGHT +
         reader.failures(context.now) * FAILURE_MILLISECONDS +
-        (keeper === undefined || reader === keeper ? 0 : AFFINITY_MILLISECONDS);
+        (keeper === undefined || reader === keeper ? 0 : AFFINITY_MILLISECONDS) +
+        (reading.source === undefined ? 0 : COPY_MILLISECONDS);
       if (
         best === undefined ||
         waitMilliseconds + milliseconds < best.waitMilliseconds + best.milliseconds
@@ -235,22 +243,23 @@
   private sourceOf(
     states: readonly EndpointState[],
     { shared }: PromptShape,
-    { now }: PlacementContext,
+    { now, memoryTokens }: PlacementContext,
   ): EndpointState | undefined {
     if (shared === undefined) {
       return undefined;
     }
     const sound = states.filter((state) => !state.isEjected(now) && !state.isSilent(now));
-    return this.directory.holderOf(shared.hash, sound, now);
+    return this.directory.holderOf(shared.hash, sound, memoryTokens, now);
   }
 
   private readingAt(
     engine: EndpointState,
     { tokens, shared }: PromptShape,
     source: EndpointState | undefined,
-    { now }: PlacementContext,
+    { now, memoryTokens }: PlacementContext,
   ): Reading {
-    const isMissing = shared !== undefined && !this.directory.isHolder(shared.hash, engine, now);
+    const isMissing =
+      shared !== undefined && !this.directory.isHolder(shared.hash, engine, memoryTokens, now);
     if (!isMissing) {
       const unreadTokens = tokens - (shared?.tokens ?? 0);
       return { unreadTokens, source: undefined, fetchMilliseconds: 0 };
@@ -297,7 +306,9 @@
       readingMilliseconds,
       firstTokenMilliseconds,
       costMilliseconds:
-        firstTokenMilliseconds + disturbingMilliseconds * engine.allRunning * DISTURBANCE_PART,
+        firstTokenMilliseconds +
+        disturbingMilliseconds * engine.allRunning * DISTURBANCE_PART +
+        (source === undefined ? 0 : COPY_MILLISECONDS),
     };
   }
 
--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -205,7 +205,8 @@
     for (const [member, digest] of this.relay.digests(self.instance)) {
       const peer = peers.get(member);
       if (member === self.instance) {
-        this.take({ ...digest, sender: '' }, now);
+        // The uses were recorded when they arrived.
+        this.take({ ...digest, sender: '', uses: [] }, now);
       } else if (peer !== undefined) {
         channel.send(peer, digest);
       }
--- a/packages/hickoryrelay-forwarding/src/LoadRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadRelay.ts
@@ -64,8 +64,8 @@
 
   private readonly zones = new Map<string, Report & { readonly relay: string }>();
 
-  /** Uses that instances of the zone have yet to hear. */
-  private usesForMembers: PartUse[] = [];
+  /** Uses that instances of the zone have yet to hear, with the instance that told of them. */
+  private usesForMembers: { readonly origin: string; readonly use: PartUse }[] = [];
 
   /** Uses that other zones have yet to hear. */
   private usesForZones: PartUse[] = [];
@@ -73,14 +73,14 @@
   /** Takes the report of an instance of the zone, the own instance included. */
   collect({ sender, loads, uses }: LoadMessage, now: number): void {
     this.reports.set(sender, { loads, atMilliseconds: now });
-    this.keep(this.usesForMembers, uses);
-    this.keep(this.usesForZones, uses);
+    this.keepForMembers(sender, uses);
+    this.usesForZones.push(...uses.slice(0, MOST_WAITING_USES - this.usesForZones.length));
   }
 
   /** Takes the load of another zone from the instance that relays it. */
   collectZone(zone: string, { sender, loads, uses }: LoadMessage, now: number): void {
     this.zones.set(zone, { loads, atMilliseconds: now, relay: sender });
-    this.keep(this.usesForMembers, uses);
+    this.keepForMembers(sender, uses);
   }
 
   /** The instance that told the load of a zone lately. Undefined if none did. */
@@ -106,11 +106,12 @@
 
   /** What each member is told. Uses are told once. */
   *digests(sender: string): Generator<[member: string, digest: LoadMessage], void, void> {
-    const uses = this.usesForMembers;
+    const waiting = this.usesForMembers;
     this.usesForMembers = [];
     const sums = sumOf([...this.reports.values(), ...this.zones.values()]);
     for (const [member, { loads }] of this.reports) {
       const others = without(sums, loads);
+      const uses = waiting.flatMap(({ origin, use }) => (origin === member ? [] : [use]));
       yield [member, { kind: PeerMessageKind.LoadDigest, sender, loads: others, uses }];
     }
   }
@@ -123,7 +124,8 @@
     return { kind: PeerMessageKind.ZoneLoad, sender, loads, uses };
   }
 
-  private keep(waiting: PartUse[], uses: readonly PartUse[]): void {
-    waiting.push(...uses.slice(0, MOST_WAITING_USES - waiting.length));
+  private keepForMembers(origin: string, uses: readonly PartUse[]): void {
+    const kept = uses.slice(0, MOST_WAITING_USES - this.usesForMembers.length);
+    this.usesForMembers.push(...kept.map((use) => ({ origin, use })));
   }
 }
--- a/packages/hickoryrelay-forwarding/src/PartDirectory.ts
+++ b/packages/hickoryrelay-forwarding/src/PartDirectory.ts
@@ -1,7 +1,13 @@
 import type { EndpointState } from './EndpointState.js';
 
 /** An engine is taken to hold a part for this time after its last known use of it, in ms. */
-const HOLDING_MILLISECONDS = 15_000;
+const HOLDING_MILLISECONDS = 30_000;
+
+/**
+ * Part of an engine's memory that may be filled after the last use of a part before the part counts
+ * as dropped. The rest holds running requests and prompts that no message told of.
+ */
+const KEPT_MEMORY_PART = 0.6;
 
 /** Parts whose holders are kept in mind; a few megabytes. */
 const MOST_PARTS = 20_000;
@@ -15,12 +21,30 @@
   readonly engine: number;
   /** Hash of the part. */
   readonly part: number;
+  /** Tokens of the part. */
+  readonly sharedTokens: number;
+  /** Tokens of the rest of the prompt, which the engine keeps as well. */
+  readonly ownTokens: number;
+}
+
+/** The last use of a part by an engine. */
+interface Holding {
+  readonly atMilliseconds: number;
+  /** Tokens that the engine had taken into its memory by then. */
+  readonly filledTokens: number;
 }
 
-/** Which engines hold which shared parts of prompts, by what this and other instances had read. */
+/**
+ * Which engines hold which shared parts of prompts, by what this and other instances had read. An
+ * engine drops the part that was used least recently when its memory is full, so a part counts as held
+ * until as much else has been read there as the memory holds.
+ */
 export class PartDirectory {
-  /** Time of the last use on the steady clock, by part and engine. */
-  private readonly uses = new Map<number, Map<number, number>>();
+  /** Last uses by part and engine. */
+  private readonly uses = new Map<number, Map<number, Holding>>();
+
+  /** Tokens that each engine has taken into its memory, as far as is known. */
+  private readonly filledTokens = new Map<number, number>();
 
   private untold: PartUse[] = [];
 
@@ -33,7 +57,11 @@
   }
 
   /** Records a use that another instance told. */
-  record({ engine, part }: PartUse, now: number): void {
+  record({ engine, part, sharedTokens, ownTokens }: PartUse, now: number): void {
+    const isKnown = this.uses.get(part)?.has(engine) === true;
+    const filledTokens =
+      (this.filledTokens.get(engine) ?? 0) + ownTokens + (isKnown ? 0 : sharedTokens);
+    this.filledTokens.set(engine, filledTokens);
     let engines = this.uses.get(part);
     if (engines === undefined) {
       engines = new Map();
@@ -42,7 +70,7 @@
       this.uses.delete(part);
     }
     this.uses.set(part, engines);
-    engines.set(engine, now);
+    engines.set(engine, { atMilliseconds: now, filledTokens });
     if (this.uses.size > MOST_PARTS) {
       const [oldest] = this.uses.keys();
       this.uses.delete(oldest as number);
@@ -56,27 +84,45 @@
     return untold;
   }
 
-  isHolder(part: number, engine: EndpointState, now: number): boolean {
-    const used = this.uses.get(part)?.get(engine.hash);
-    return used !== undefined && now - used < HOLDING_MILLISECONDS;
+  /** True if an engine holds a part. The size of its memory is in tokens. */
+  isHolder(part: number, engine: EndpointState, memoryTokens: number, now: number): boolean {
+    const holding = this.uses.get(part)?.get(engine.hash);
+    return holding !== undefined && this.isKept(holding, engine.hash, memoryTokens, now);
   }
 
   /** The engine among the given ones that used the part last. Undefined if none holds it. */
   holderOf(
     part: number,
     engines: readonly EndpointState[],
+    memoryTokens: number,
     now: number,
   ): EndpointState | undefined {
     const uses = this.uses.get(part);
     let holder: EndpointState | undefined;
-    let latest = now - HOLDING_MILLISECONDS;
+    let latest = Number.NEGATIVE_INFINITY;
     for (const engine of uses === undefined ? [] : engines) {
-      const used = uses?.get(engine.hash) ?? Number.NEGATIVE_INFINITY;
-      if (used > latest) {
+      const holding = uses?.get(engine.hash);
+      if (
+        holding !== undefined &&
+        holding.atMilliseconds > latest &&
+        this.isKept(holding, engine.hash, memoryTokens, now)
+      ) {
         holder = engine;
-        latest = used;
+        latest = holding.atMilliseconds;
       }
     }
     return holder;
   }
+
+  private isKept(
+    { atMilliseconds, filledTokens }: Holding,
+    engine: number,
+    memoryTokens: number,
+    now: number,
+  ): boolean {
+    const filledSince = (this.filledTokens.get(engine) ?? 0) - filledTokens;
+    return (
+      now - atMilliseconds < HOLDING_MILLISECONDS && filledSince < memoryTokens * KEPT_MEMORY_PART
+    );
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -112,7 +112,7 @@
   LoadMessage | ViewQuestion | ViewAnswer | UsagePartReport | UsagePartStored;
 
 const LOAD_FIELDS = 4;
-const USE_FIELDS = 2;
+const USE_FIELDS = 4;
 
 function encodeLoad({ kind, sender, loads, uses }: LoadMessage): unknown[] {
   return [
@@ -124,7 +124,12 @@
       readingTokens,
       lateTokens,
     ]),
-    uses.flatMap(({ engine, part }) => [engine, part]),
+    uses.flatMap(({ engine, part, sharedTokens, ownTokens }) => [
+      engine,
+      part,
+      sharedTokens,
+      ownTokens,
+    ]),
   ];
 }
 
@@ -185,7 +190,14 @@
         lateTokens,
       }),
     ),
-    uses: [...rowsOf(uses, USE_FIELDS)].map(([engine = 0, part = 0]) => ({ engine, part })),
+    uses: [...rowsOf(uses, USE_FIELDS)].map(
+      ([engine = 0, part = 0, sharedTokens = 0, ownTokens = 0]) => ({
+        engine,
+        part,
+        sharedTokens,
+        ownTokens,
+      }),
+    ),
   };
 }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
@@ -9,6 +9,8 @@
 
 import { makeEndpoint } from './ForwardingFixture.js';
 
+import type { PromptShape } from 'hickoryrelay-forwarding/EnginePlacement';
+
 const READERS = 4;
 const ENGINES = 9;
 
@@ -30,6 +32,7 @@
   random: new SeededRandomSource(seed),
   now: 0,
   tried: new Set<EndpointState>(),
+  memoryTokens: 350_000,
 });
 
 const longPrompt = (part: number) =>
@@ -38,6 +41,13 @@
     { identifier: `own-${part}`, tokens: 3000 },
   ]);
 
+const useOf = (engine: EndpointState, { shared, tokens }: PromptShape) => ({
+  engine: engine.hash,
+  part: shared?.hash ?? 0,
+  sharedTokens: shared?.tokens ?? 0,
+  ownTokens: tokens - (shared?.tokens ?? 0),
+});
+
 const shortPrompt = shapeOf([
   { identifier: 'shared', tokens: 50 },
   { identifier: 'own', tokens: 300 },
@@ -129,7 +139,7 @@
     const states = makeStates();
     const prompt = longPrompt(1);
     const holder = states[READERS] as EndpointState;
-    directory.record({ engine: holder.hash, part: prompt.shared?.hash ?? 0 }, 0);
+    directory.record(useOf(holder, prompt), 0);
     const plan = placement.plan(states, prompt, false, contextOf(1));
     expect(plan?.unreadTokens).toBe(3000);
     expect(plan?.source ?? plan?.engine).toBe(holder);
@@ -139,11 +149,39 @@
     const directory = new PartDirectory();
     const states = makeStates();
     const prompt = longPrompt(1);
-    directory.record({ engine: states[0]?.hash ?? 0, part: prompt.shared?.hash ?? 0 }, -60_000);
+    directory.record(useOf(states[0] as EndpointState, prompt), -60_000);
     const plan = makePlacement(directory).plan(states, prompt, false, contextOf(1));
     expect(plan).toMatchObject({ source: undefined, unreadTokens: 16_000 });
   });
 
+  // Guards against a plan that counts on a part which newer prompts have displaced.
+  it('does not count on a part after the engine has read as much as its memory holds', () => {
+    const directory = new PartDirectory();
+    const placement = makePlacement(directory);
+    const states = makeStates();
+    const holder = states[0] as EndpointState;
+    directory.record(useOf(holder, longPrompt(1)), 0);
+    expect(placement.plan(states, longPrompt(1), false, contextOf(1))?.unreadTokens).toBe(3000);
+    for (let part = 2; part < 20; part += 1) {
+      directory.record(useOf(holder, longPrompt(part)), 0);
+    }
+    expect(placement.plan(states, longPrompt(1), false, contextOf(1))?.unreadTokens).toBe(16_000);
+    expect(placement.plan(states, longPrompt(19), false, contextOf(1))?.unreadTokens).toBe(3000);
+  });
+
+  // Guards against copies of a part at several engines, which displace other parts.
+  it('waits for one other request where the part is held, and does not wait for three', () => {
+    const directory = new PartDirectory();
+    const placement = makePlacement(directory);
+    const states = makeStates();
+    const holder = states[0] as EndpointState;
+    directory.record(useOf(holder, longPrompt(1)), 0);
+    holder.readingTokens = 3000;
+    expect(placement.plan(states, longPrompt(1), false, contextOf(1))?.reader).toBe(holder);
+    holder.readingTokens = 9000;
+    expect(placement.plan(states, longPrompt(1), false, contextOf(1))?.reader).not.toBe(holder);
+  });
+
   it('has nothing to offer without an engine that generates', () => {
     const readers = makeStates().slice(0, READERS);
     expect(makePlacement().plan(readers, shortPrompt, false, contextOf(1))).toBeUndefined();
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
@@ -14,6 +14,8 @@
 import type { EndpointState } from 'hickoryrelay-forwarding/EndpointState';
 import type { PeerRecord } from 'hickoryrelay-forwarding/PeerRecord';
 
+const MEMORY_TOKENS = 350_000;
+
 const ENDPOINT = makeEndpoint('engine-1', { service: 'model' });
 
 /** Instances that exchange their load over a network in memory. */
@@ -86,11 +88,30 @@
     const fleet = new Fleet(['a', 'b', 'c', 'd'], 16);
     await fleet.clock.advance(300);
     const { state, directory } = fleet.instances[5] as (typeof fleet.instances)[number];
-    directory.recordOwn({ engine: state.hash, part: 77 }, fleet.clock.monotonicMilliseconds());
+    directory.recordOwn(
+      { engine: state.hash, part: 77, sharedTokens: 13_000, ownTokens: 3000 },
+      fleet.clock.monotonicMilliseconds(),
+    );
     await fleet.clock.advance(600);
     for (const instance of fleet.instances) {
       const now = fleet.clock.monotonicMilliseconds();
-      expect(instance.directory.isHolder(77, instance.state, now)).toBe(true);
+      expect(instance.directory.isHolder(77, instance.state, MEMORY_TOKENS, now)).toBe(true);
+    }
+  });
+
+  // Guards against parts that count as dropped early because their use is counted more than once.
+  it('counts each use once at every instance', async () => {
+    const fleet = new Fleet(['a', 'b', 'c', 'd'], 16);
+    await fleet.clock.advance(300);
+    for (let part = 0; part < 12; part += 1) {
+      const { state, directory } = fleet.instances[part] as (typeof fleet.instances)[number];
+      const use = { engine: state.hash, part, sharedTokens: 13_000, ownTokens: 2000 };
+      directory.recordOwn(use, fleet.clock.monotonicMilliseconds());
+    }
+    await fleet.clock.advance(600);
+    for (const { state, directory } of fleet.instances) {
+      const now = fleet.clock.monotonicMilliseconds();
+      expect(directory.isHolder(0, state, MEMORY_TOKENS, now)).toBe(true);
     }
   });
 
