Report windows whose counts were written late because the store was away

With the store away from second 18 to 26, the window that ended at 20 was off by 2,010 of 2,184 requests: instances wrote only the current window and the one before, so its counts were dropped at 26. The window that ended at 25 was off by 1,429 of 1,476: the new holder did not know how many instances count and sealed it with the first that had written.

Excluded: reports that were refused (all were accepted).

Change: counts are written until their window is due, and again after a second when a write failed. A holder expects as many parts as the last seal has, also right after it took the duties. Missing parts are awaited for 0.75 of the time instead of 0.65.

--- a/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
@@ -24,9 +24,6 @@
 const AFTER_WINDOW_MILLISECONDS = 150;
 const AFTER_WINDOW_SPREAD_MILLISECONDS = 800;
 
-/** Windows before the current one whose counts are still written. */
-const LATE_WINDOWS = 1;
-
 /** What the task works with. */
 export interface UsagePartTaskParts {
   /** Unique for each start of an instance. */
@@ -34,6 +31,8 @@
   readonly relay: UsagePartRelay;
   readonly tally: UsageTally;
   readonly windowMilliseconds: number;
+  /** When the usage of a window is due, after its end. */
+  readonly dueMilliseconds: number;
   /** Number of instances that share the requests. */
   readonly countInstances: () => number;
   readonly random: RandomSource;
@@ -49,6 +48,9 @@
   /** What was last written for each window. */
   private readonly written = new Map<number, string>();
 
+  /** True if the last write failed. */
+  private hasFailed = false;
+
   constructor(parts: UsagePartTaskParts) {
     super();
     this.parts = parts;
@@ -56,12 +58,15 @@
 
   /** Writes what was not written yet. */
   async flush(wallMilliseconds: number): Promise<void> {
-    const current = this.parts.tally.windowAt(wallMilliseconds);
-    for (let window = current - LATE_WINDOWS; window <= current; window += 1) {
+    const { tally, windowMilliseconds, dueMilliseconds } = this.parts;
+    const current = tally.windowAt(wallMilliseconds);
+    const oldest = current - Math.ceil(dueMilliseconds / windowMilliseconds);
+    this.hasFailed = false;
+    for (let window = oldest; window <= current && !this.hasFailed; window += 1) {
       await this.writeWindow(window);
     }
     for (const window of this.written.keys()) {
-      if (window < current - LATE_WINDOWS) {
+      if (window < oldest) {
         this.written.delete(window);
       }
     }
@@ -78,6 +83,9 @@
   /** Time to the next write: after a part of the window, or soon after its end. */
   private untilNextWrite(wall: number): number {
     const { windowMilliseconds, countInstances, random, relay } = this.parts;
+    if (this.hasFailed) {
+      return SHORTEST_PERIOD_MILLISECONDS;
+    }
     if (relay.isShared) {
       const sharedPeriod = windowMilliseconds / SHARED_WRITES;
       return sharedPeriod - (wall % sharedPeriod) + AFTER_WINDOW_MILLISECONDS;
@@ -101,6 +109,7 @@
       await relay.store({ window, incarnation, counts });
       this.written.set(window, counts);
     } catch (error) {
+      this.hasFailed = true;
       log.warn('The counts of a window were not written; they are tried again.', {
         window,
         reason: describeFailure(failureOf(error)),
--- a/packages/hickoryrelay-forwarding/src/UsageReportDuty.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageReportDuty.ts
@@ -18,8 +18,11 @@
 /** Time after the end of a window in which all instances have written their counts. */
 const SETTLE_MILLISECONDS = 2500;
 
-/** Part of the time until a report is due after which counts that are missing are not awaited. */
-const LATE_SETTLE_PART = 0.65;
+/**
+ * Part of the time until a report is due after which counts that are missing are not awaited. The rest
+ * is for the calls that seal and report, each of which may have to be repeated.
+ */
+const LATE_SETTLE_PART = 0.75;
 
 /** A transaction of the store takes 32 entries. */
 const MOST_REMOVED_PARTS = 31;
@@ -63,8 +66,8 @@
   /** Windows that the platform has accepted in this term. */
   private readonly reported = new Set<number>();
 
-  /** Number of parts in the last window that was sealed. */
-  private expectedParts = 0;
+  /** Number of parts in the last window that was sealed; undefined until one is known. */
+  private expectedParts: number | undefined;
 
   constructor(term: AuthorityTerm, parts: UsageReportDutyParts) {
     super();
@@ -134,6 +137,7 @@
     }
     const { values } = await store.range(partsPrefix(window), { prefix: true });
     const age = wall - (window + 1) * windowMilliseconds;
+    this.expectedParts ??= await this.countSealedParts(window - 1);
     if (values.length < this.expectedParts && age < dueMilliseconds * LATE_SETTLE_PART) {
       return undefined;
     }
@@ -154,6 +158,12 @@
     return sealed;
   }
 
+  /** Number of parts in the seal of a window; 0 if it has none. */
+  private async countSealedParts(window: number): Promise<number> {
+    const seal = await this.parts.store.get(sealKey(window));
+    return seal === undefined ? 0 : (JSON.parse(seal.value) as SealedWindow).parts.length;
+  }
+
   /** Removes the seal and the parts of a window that cannot be reported any more. */
   private async removeOld(reported: number): Promise<void> {
     const { store, windowMilliseconds, dueMilliseconds } = this.parts;
