Log when an endpoint changes its phase or its stage

Cause: the lines of the view named arrivals and departures only, so that neither a leaving engine nor one that had changed its stage could be seen in the logs of an instance.

--- a/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
+++ b/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
@@ -24,6 +24,8 @@
 export interface ViewChange {
   readonly configurationVersion: number | undefined;
   readonly arrived: readonly EndpointRecord[];
+  /** Known endpoints whose phase or stage is another one now. */
+  readonly changed: readonly EndpointRecord[];
   readonly departed: readonly EndpointRecord[];
 }
 
@@ -113,6 +115,10 @@
         }
       }
     }
+    const changed = [...records.values()].filter((record) => {
+      const known = this.records.get(record.identifier);
+      return known !== undefined && (known.phase !== record.phase || known.stage !== record.stage);
+    });
     const arrived = [...records.values()].filter(({ identifier }) => !this.records.has(identifier));
     this.records = records;
     this.registeredPeers = reading.peers;
@@ -121,6 +127,7 @@
     return {
       configurationVersion: isNewer ? this.current?.version : undefined,
       arrived,
+      changed,
       departed,
     };
   }
--- a/packages/hickoryrelay-forwarding/src/ViewTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewTask.ts
@@ -69,6 +69,9 @@
       for (const { identifier, service, zone, stage, phase } of change.arrived) {
         log.info('An endpoint arrived.', { endpoint: identifier, service, zone, stage, phase });
       }
+      for (const { identifier, service, zone, stage, phase } of change.changed) {
+        log.info('An endpoint changed.', { endpoint: identifier, service, zone, stage, phase });
+      }
       for (const { identifier, service, zone } of change.departed) {
         log.info('An endpoint departed.', { endpoint: identifier, service, zone });
       }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
@@ -4,6 +4,7 @@
   ConfirmedView,
   REGISTRATION_RETURN_MILLISECONDS,
 } from 'hickoryrelay-forwarding/ConfirmedView';
+import { EndpointPhase, EngineStage } from 'hickoryrelay-forwarding/EndpointRecord';
 
 import { makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
 
@@ -43,6 +44,19 @@
     expect(namesOf(view)).toEqual(['a']);
   });
 
+  // Guards against a leaving engine, or one of another stage, that no log line tells of.
+  it('says which endpoints have changed their phase or stage', () => {
+    const view = new ConfirmedView(new ManualClock());
+    const [first, second] = [makeEndpoint('a'), makeEndpoint('b')];
+    const reading = { ...readingOf([]), endpoints: [first, second] };
+    view.apply(reading, 0);
+    expect(view.apply(reading, 1).changed).toEqual([]);
+    const leaving = { ...first, phase: EndpointPhase.Leaving };
+    const reader = { ...second, stage: EngineStage.Prefill };
+    const { changed } = view.apply({ ...reading, endpoints: [leaving, reader] }, 2);
+    expect(changed).toEqual([leaving, reader]);
+  });
+
   // Guards against the loss of all endpoints whose registrations lapsed while the store was away.
   it('keeps missing endpoints for a while after the store was away, and then drops them', async () => {
     const clock = new ManualClock();
