Trial: charge a reading in place a tenth of its time for each running request

A reading in pieces between the tokens of other requests lengthens their pauses to less than what is allowed.

--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -25,7 +25,7 @@
 const BATCH_MILLISECONDS = 1.5;
 
 /** Part of the time of a reading in place by which it delays each request that runs there. */
-const DISTURBANCE_PART = 0.25;
+const DISTURBANCE_PART = 0.1;
 
 /**
  * A reading in place up to this time disturbs nobody: it delays one event of the requests that run
