Wait for the last counts of each instance, and take duties again at once after an outage

Another window did not come: the store was away from second 31 to 37.4 and kept all leases, so the duties rested until the lease of the former holder ran out at 40.98.

Excluded: counts lost with a process (none ended); refused reports.

Change: a part says whether it is final, and the holder awaits final parts of as many instances as before.

--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -4,6 +4,7 @@
 import type { PartUse } from './PartDirectory.js';
 import type { PeerAddress, PeerRecord } from './PeerRecord.js';
 import type { UsagePart } from './UsagePartWriter.js';
+import type { AccountCounts } from './UsageTally.js';
 
 /** Messages between instances. The value is the first number of the encoded message. */
 export const PeerMessageKind = {
@@ -146,8 +147,9 @@
     }
     case PeerMessageKind.UsagePartReport: {
       const { kind, reporter, number, part } = message;
-      const { window, incarnation, counts } = part;
-      return pack([kind, reporter.host, reporter.port, number, window, incarnation, counts]);
+      const { window, incarnation, counts, isFinal } = part;
+      const { host, port } = reporter;
+      return pack([kind, host, port, number, window, incarnation, counts, isFinal]);
     }
     case PeerMessageKind.UsagePartStored:
       return pack([message.kind, message.number]);
@@ -246,14 +248,16 @@
 }
 
 function decodeUsagePart(fields: readonly unknown[]): UsagePartReport | undefined {
-  const [host, port, number, window, incarnation, counts] = fields;
+  const [host, port, number, window, incarnation, counts, isFinal] = fields;
   if (
     typeof host !== 'string' ||
     typeof port !== 'number' ||
     typeof number !== 'number' ||
     typeof window !== 'number' ||
     typeof incarnation !== 'string' ||
-    typeof counts !== 'string'
+    typeof counts !== 'object' ||
+    counts === null ||
+    typeof isFinal !== 'boolean'
   ) {
     return undefined;
   }
@@ -261,7 +265,7 @@
     kind: PeerMessageKind.UsagePartReport,
     reporter: { host, port },
     number,
-    part: { window, incarnation, counts },
+    part: { window, incarnation, counts: counts as AccountCounts, isFinal },
   };
 }
 
--- a/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
@@ -2,6 +2,8 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
+import { encodePart } from './UsagePartWriter.js';
+
 import type { UsagePartRelay } from './UsagePartRelay.js';
 import type { UsageTally } from './UsageTally.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
@@ -63,7 +65,7 @@
     const oldest = current - Math.ceil(dueMilliseconds / windowMilliseconds);
     this.hasFailed = false;
     for (let window = oldest; window <= current && !this.hasFailed; window += 1) {
-      await this.writeWindow(window);
+      await this.writeWindow(window, window < current);
     }
     for (const window of this.written.keys()) {
       if (window < oldest) {
@@ -99,15 +101,16 @@
     );
   }
 
-  private async writeWindow(window: number): Promise<void> {
+  private async writeWindow(window: number, isFinal: boolean): Promise<void> {
     const { relay, tally, incarnation, log } = this.parts;
-    const counts = JSON.stringify(tally.countsOf(window));
-    if (counts === '{}' || counts === this.written.get(window)) {
+    const counts = tally.countsOf(window);
+    const value = encodePart({ counts, isFinal });
+    if (Object.keys(counts).length === 0 || value === this.written.get(window)) {
       return;
     }
     try {
-      await relay.store({ window, incarnation, counts });
-      this.written.set(window, counts);
+      await relay.store({ window, incarnation, counts, isFinal });
+      this.written.set(window, value);
     } catch (error) {
       this.hasFailed = true;
       log.warn('The counts of a window were not written; they are tried again.', {
--- a/packages/hickoryrelay-forwarding/src/UsagePartWriter.ts
+++ b/packages/hickoryrelay-forwarding/src/UsagePartWriter.ts
@@ -16,12 +16,33 @@
 export interface UsagePart {
   readonly window: number;
   readonly incarnation: string;
-  /** Requests of each client account, as JSON. */
-  readonly counts: string;
+  readonly counts: AccountCounts;
+  /** True once the window is over for the instance, so that the counts do not grow any more. */
+  readonly isFinal: boolean;
 }
 
-function totalOf(counts: string): number {
-  return Object.values(JSON.parse(counts) as AccountCounts).reduce((sum, count) => sum + count, 0);
+/** The stored value of a part. */
+export function encodePart({ counts, isFinal }: Pick<UsagePart, 'counts' | 'isFinal'>): string {
+  return JSON.stringify({ counts, isFinal });
+}
+
+/** Decodes a stored value. */
+export function decodePart(value: string): Pick<UsagePart, 'counts' | 'isFinal'> {
+  return JSON.parse(value) as Pick<UsagePart, 'counts' | 'isFinal'>;
+}
+
+function totalOf(counts: AccountCounts): number {
+  return Object.values(counts).reduce((sum, count) => sum + count, 0);
+}
+
+/** True if a part says more than the stored value. */
+function isNewer(part: UsagePart, stored: string | undefined): boolean {
+  if (stored === undefined) {
+    return true;
+  }
+  const known = decodePart(stored);
+  const growth = totalOf(part.counts) - totalOf(known.counts);
+  return growth > 0 || (growth === 0 && part.isFinal && !known.isFinal);
 }
 
 const keyOf = ({ window, incarnation }: UsagePart) => partKey(window, incarnation);
@@ -77,7 +98,7 @@
         target: 'mod-revision',
         operand: this.revisionsOf(part.window).get(keyOf(part)) ?? 0,
       })),
-      success: parts.map((part) => ({ type: 'put', key: keyOf(part), value: part.counts })),
+      success: parts.map((part) => ({ type: 'put', key: keyOf(part), value: encodePart(part) })),
       failure: [],
     });
     if (succeeded) {
@@ -98,7 +119,7 @@
         stored.set(key, value);
       }
     }
-    return parts.filter((part) => totalOf(part.counts) > totalOf(stored.get(keyOf(part)) ?? '{}'));
+    return parts.filter((part) => isNewer(part, stored.get(keyOf(part))));
   }
 
   private revisionsOf(window: number): Map<string, number> {
--- a/packages/hickoryrelay-forwarding/src/UsageReportDuty.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageReportDuty.ts
@@ -4,6 +4,7 @@
 
 import { DutyResult } from './DutyPlatform.js';
 import { partsPrefix, sealKey } from './UsageKeys.js';
+import { decodePart } from './UsagePartWriter.js';
 
 import type { DutyPlatform } from './DutyPlatform.js';
 import type { AccountCounts } from './UsageTally.js';
@@ -15,8 +16,8 @@
 /** Time between two looks at the windows that are due. */
 const PERIOD_MILLISECONDS = 500;
 
-/** Time after the end of a window in which all instances have written their counts. */
-const SETTLE_MILLISECONDS = 2500;
+/** Time after the end of a window in which instances write their last counts of it. */
+const SETTLE_MILLISECONDS = 1200;
 
 /**
  * Part of the time until a report is due after which counts that are missing are not awaited. The rest
@@ -42,10 +43,10 @@
   readonly parts: readonly string[];
 }
 
-function sumCounts(parts: readonly string[]): AccountCounts {
+function sumCounts(parts: readonly AccountCounts[]): AccountCounts {
   const sums = new Map<string, number>();
   for (const part of parts) {
-    for (const [account, count] of Object.entries(JSON.parse(part) as AccountCounts)) {
+    for (const [account, count] of Object.entries(part)) {
       sums.set(account, (sums.get(account) ?? 0) + count);
     }
   }
@@ -138,11 +139,13 @@
     const { values } = await store.range(partsPrefix(window), { prefix: true });
     const age = wall - (window + 1) * windowMilliseconds;
     this.expectedParts ??= await this.countSealedParts(window - 1);
-    if (values.length < this.expectedParts && age < dueMilliseconds * LATE_SETTLE_PART) {
+    const parts = values.map(({ value }) => decodePart(value));
+    const isComplete = values.length >= this.expectedParts && parts.every(({ isFinal }) => isFinal);
+    if (!isComplete && age < dueMilliseconds * LATE_SETTLE_PART) {
       return undefined;
     }
     const sealed: SealedWindow = {
-      counts: sumCounts(values.map(({ value }) => value)),
+      counts: sumCounts(parts.map(({ counts }) => counts)),
       parts: values.map(({ key }) => key),
     };
     this.term.assertHeld();
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageParts.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageParts.test.ts
@@ -7,7 +7,7 @@
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
 import { partKey } from 'hickoryrelay-forwarding/UsageKeys';
 import { UsagePartRelay } from 'hickoryrelay-forwarding/UsagePartRelay';
-import { UsagePartWriter } from 'hickoryrelay-forwarding/UsagePartWriter';
+import { decodePart, UsagePartWriter } from 'hickoryrelay-forwarding/UsagePartWriter';
 import { ZoneRelays } from 'hickoryrelay-forwarding/ZoneRelays';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
@@ -72,7 +72,8 @@
   }
 
   totalOf(key: string): number {
-    const counts = JSON.parse(this.items.get(key)?.value ?? '{}') as Record<string, number>;
+    const value = this.items.get(key)?.value;
+    const counts = value === undefined ? {} : decodePart(value).counts;
     return Object.values(counts).reduce((sum, count) => sum + count, 0);
   }
 
@@ -120,10 +121,11 @@
   }
 }
 
-const partOf = (incarnation: string, count: number, window = 1): UsagePart => ({
-  window,
+const partOf = (incarnation: string, count: number, isFinal = false): UsagePart => ({
+  window: 1,
   incarnation,
-  counts: JSON.stringify({ account: count }),
+  counts: { account: count },
+  isFinal,
 });
 
 describe('the writer of usage counts', () => {
@@ -178,6 +180,15 @@
     );
   });
 
+  it('marks counts as final also when they have not grown', async () => {
+    const store = new WriteModel();
+    await new UsagePartWriter(store).write([partOf('a', 3)]);
+    await new UsagePartWriter(store).write([partOf('a', 3, true)]);
+    expect(decodePart(store.items.get(partKey(1, 'a'))?.value ?? '').isFinal).toBe(true);
+    await new UsagePartWriter(store).write([partOf('a', 3)]);
+    expect(decodePart(store.items.get(partKey(1, 'a'))?.value ?? '').isFinal).toBe(true);
+  });
+
   it('takes more parts than one transaction', async () => {
     const store = new WriteModel();
     const parts = Array.from({ length: 40 }, (_unused, index) => partOf(`i-${index}`, 1));
--- a/packages/hickoryrelay-zone/src/ZoneAuthority.ts
+++ b/packages/hickoryrelay-zone/src/ZoneAuthority.ts
@@ -73,6 +73,9 @@
 
   private term: AuthorityTerm | undefined;
 
+  /** The last term of this instance, while its lease may still stand in the store. */
+  private formerTerm: AuthorityTerm | undefined;
+
   constructor(parts: ZoneAuthorityParts) {
     super();
     this.name = `authority of ${parts.zone}`;
@@ -87,8 +90,8 @@
 
   protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
     for (;;) {
-      const mayBeVacant = this.parts.mayBeVacant?.() ?? true;
-      const term = mayBeVacant ? await this.tryToTake(context.clock) : undefined;
+      const mayTake = this.formerTerm !== undefined || (this.parts.mayBeVacant?.() ?? true);
+      const term = mayTake ? await this.tryToTake(context.clock) : undefined;
       if (term !== undefined) {
         yield* this.hold(term, context);
       }
@@ -97,7 +100,11 @@
     }
   }
 
+  /** A former holder looks more often, since nobody else can take the authority from its lease. */
   private contendMilliseconds(): number {
+    if (this.formerTerm !== undefined) {
+      return this.times.renewalMilliseconds / RETRY_DIVISOR;
+    }
     const contenders = this.parts.contenders?.() ?? 0;
     return this.times.contendMilliseconds * Math.max(1, contenders / FULL_RATE_CONTENDERS);
   }
@@ -127,6 +134,7 @@
     } finally {
       term.end();
       this.term = undefined;
+      this.formerTerm = signal.aborted ? undefined : term;
       log.info('Authority over the zone has ended.', { zone, fencingNumber });
       // The lease outlives the duties and the orders under way, so that no order takes effect after
       // it. With an order under way it is left to expire, which is later than any order's deadline.
@@ -142,13 +150,33 @@
     try {
       const { store, zone } = this.parts;
       const present = await store.get(authorityKey(zone));
-      return present === undefined ? await this.take(clock) : undefined;
+      if (present !== undefined && !(await this.releaseFormer(present))) {
+        return undefined;
+      }
+      return await this.take(clock);
     } catch (error) {
       this.warn('Could not contend for the authority.', error);
       return undefined;
     }
   }
 
+  /**
+   * Ends the lease of a former term of this instance, which the store may have kept while it was away.
+   * With an order under way it is left to expire. Returns false while the authority is held.
+   */
+  private async releaseFormer(present: KeyValue): Promise<boolean> {
+    const { formerTerm } = this;
+    if (formerTerm === undefined || present.value !== formerTerm.storedValue) {
+      this.formerTerm = undefined;
+      return false;
+    }
+    if (formerTerm.hasOrderUnderWay) {
+      return false;
+    }
+    await this.parts.store.revokeLease(formerTerm.grant.lease);
+    return true;
+  }
+
   private async take(clock: Clock): Promise<AuthorityTerm | undefined> {
     const { store, zone, holder } = this.parts;
     const counter = await store.get(fencingKey(zone));
@@ -172,6 +200,9 @@
         await this.revoke(identifier);
       }
     }
+    if (isTaken) {
+      this.formerTerm = undefined;
+    }
     return isTaken ? term : undefined;
   }
 
--- a/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
@@ -116,6 +116,23 @@
     expect(overlaps).toEqual([]);
   });
 
+  // Guards against duties that rest for a lease after an outage in which the store kept all leases.
+  it('takes the authority again at once when its own lease has outlived an outage', async () => {
+    const first = contender('first');
+    first.start();
+    await clock.advance(5000);
+    const lease = first.authority.currentTerm?.grant.lease ?? '';
+    first.store.exchange.faults.standing = Fault.Refuse;
+    for (let passed = 0; passed < 15_000; passed += 1000) {
+      await clock.advance(1000);
+      table.keepLeaseAlive(lease);
+    }
+    expect(first.authority.currentTerm).toBeUndefined();
+    first.store.exchange.faults.standing = Fault.None;
+    await clock.advance(2000);
+    expect(first.authority.currentTerm?.fencingNumber).toBe(2);
+  });
+
   it('does not use a fencing number again that another holder used in the meantime', async () => {
     const first = contender('first');
     first.store.exchange.slow(400, 0);
