Hand over the counts of an instance that stops while the store is away

Excluded: instances cut off before (their counts came after the cut and were awaited).

Change: an instance that stops writes its counts as final; what the store does not take it hands to another instance, which confirms it and writes it when the store is back.

--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -21,8 +21,10 @@
   ViewAnswer: 6,
   /** Counts that the relay of the zone writes to the store. */
   UsagePartReport: 7,
-  /** The counts of a report are stored. */
+  /** The counts of a report are stored, or kept where they were handed over. */
   UsagePartStored: 8,
+  /** Counts of an instance that stops without the store, for another one to write. */
+  UsagePartHandOver: 9,
 } as const;
 
 export type PeerMessageKind = (typeof PeerMessageKind)[keyof typeof PeerMessageKind];
@@ -94,9 +96,9 @@
   readonly changes: ViewChanges | undefined;
 }
 
-/** Counts of an instance for its relay. */
+/** Counts of an instance for its relay, or for another instance that writes them when it can. */
 export interface UsagePartReport {
-  readonly kind: typeof PeerMessageKind.UsagePartReport;
+  readonly kind: typeof PeerMessageKind.UsagePartReport | typeof PeerMessageKind.UsagePartHandOver;
   readonly reporter: PeerAddress;
   /** Number of the report, which the confirmation repeats. */
   readonly number: number;
@@ -145,7 +147,8 @@
       const { kind, sender, number, changes } = message;
       return pack([kind, sender, number, changes]);
     }
-    case PeerMessageKind.UsagePartReport: {
+    case PeerMessageKind.UsagePartReport:
+    case PeerMessageKind.UsagePartHandOver: {
       const { kind, reporter, number, part } = message;
       const { window, incarnation, counts, isFinal } = part;
       const { host, port } = reporter;
@@ -247,7 +250,10 @@
   };
 }
 
-function decodeUsagePart(fields: readonly unknown[]): UsagePartReport | undefined {
+function decodeUsagePart(
+  kind: UsagePartReport['kind'],
+  fields: readonly unknown[],
+): UsagePartReport | undefined {
   const [host, port, number, window, incarnation, counts, isFinal] = fields;
   if (
     typeof host !== 'string' ||
@@ -262,7 +268,7 @@
     return undefined;
   }
   return {
-    kind: PeerMessageKind.UsagePartReport,
+    kind,
     reporter: { host, port },
     number,
     part: { window, incarnation, counts: counts as AccountCounts, isFinal },
@@ -296,7 +302,8 @@
     case PeerMessageKind.ViewAnswer:
       return decodeAnswer(fields);
     case PeerMessageKind.UsagePartReport:
-      return decodeUsagePart(fields);
+    case PeerMessageKind.UsagePartHandOver:
+      return decodeUsagePart(kind, fields);
     case PeerMessageKind.UsagePartStored:
       return decodeStored(fields);
     default:
--- a/packages/hickoryrelay-forwarding/src/UsagePartRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/UsagePartRelay.ts
@@ -18,6 +18,12 @@
 /** Time after which a part that the relay has not confirmed is written by its owner. */
 const CONFIRMATION_MILLISECONDS = 800;
 
+/** Instances to which the counts of a stopping instance are offered, one after the other. */
+const MOST_HAND_OVERS = 3;
+
+/** Parts that are kept for other instances; more are refused. */
+const MOST_KEPT_PARTS = 200;
+
 /** What the relay works with. */
 export interface UsagePartRelayParts {
   readonly self: PeerRecord;
@@ -47,6 +53,9 @@
 
   private reports = 0;
 
+  /** Parts of instances that have stopped, by window and incarnation. */
+  private readonly kept = new Map<string, UsagePart>();
+
   /** Called when the relay has confirmed a report, by its number. */
   private readonly confirmations = new Map<number, () => void>();
 
@@ -64,6 +73,8 @@
     return this.parts.channel.subscribe((message: PeerMessage) => {
       if (message.kind === PeerMessageKind.UsagePartReport) {
         void this.take(message);
+      } else if (message.kind === PeerMessageKind.UsagePartHandOver) {
+        this.keep(message);
       } else if (message.kind === PeerMessageKind.UsagePartStored) {
         this.confirmations.get(message.number)?.();
       }
@@ -80,20 +91,65 @@
     }
   }
 
+  /** Hands a part to another instance, which writes it when it can. False if none takes it. */
+  async handOver(part: UsagePart): Promise<boolean> {
+    const { self, view } = this.parts;
+    const others = view.peers
+      .filter(({ instance }) => instance !== self.instance)
+      .toSorted((left, right) => this.distance(left) - this.distance(right));
+    for (const peer of others.slice(0, MOST_HAND_OVERS)) {
+      if (await this.send(peer, PeerMessageKind.UsagePartHandOver, part)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Writes what was handed over. Parts of windows before the oldest one are dropped. */
+  async writeKept(oldestWindow: number): Promise<void> {
+    for (const [key, part] of this.kept) {
+      if (part.window < oldestWindow) {
+        this.kept.delete(key);
+        this.parts.log.warn('Counts that were handed over could not be written in time.', {
+          window: part.window,
+          incarnation: part.incarnation,
+        });
+      }
+    }
+    const parts = [...this.kept];
+    if (parts.length > 0) {
+      await this.parts.writer.write(parts.map(([, part]) => part));
+      parts.forEach(([key]) => this.kept.delete(key));
+    }
+  }
+
+  private distance({ zone }: PeerRecord): number {
+    return zone === this.parts.self.zone ? 0 : 1;
+  }
+
   private relay(): PeerRecord | undefined {
     const { self, view, relays, clock } = this.parts;
     return relays.sharedRelayOf(self.zone, view.peers, clock.monotonicMilliseconds());
   }
 
   /** Hands a part to the relay. False if it does not confirm it. */
-  private report(relay: PeerRecord, part: UsagePart): Promise<boolean> {
-    const { self, channel, relays, clock } = this.parts;
+  private async report(relay: PeerRecord, part: UsagePart): Promise<boolean> {
+    const isConfirmed = await this.send(relay, PeerMessageKind.UsagePartReport, part);
+    if (!isConfirmed) {
+      const { relays, clock } = this.parts;
+      relays.suspect(relay.instance, clock.monotonicMilliseconds());
+    }
+    return isConfirmed;
+  }
+
+  /** Sends a part and waits for its confirmation. */
+  private send(peer: PeerRecord, kind: UsagePartReport['kind'], part: UsagePart): Promise<boolean> {
+    const { self, channel, clock } = this.parts;
     this.reports += 1;
     const number = this.reports;
     return new Promise((resolve) => {
       const cancelAlarm = clock.schedule(CONFIRMATION_MILLISECONDS, () => {
         this.confirmations.delete(number);
-        relays.suspect(relay.instance, clock.monotonicMilliseconds());
         resolve(false);
       });
       this.confirmations.set(number, () => {
@@ -101,11 +157,17 @@
         cancelAlarm();
         resolve(true);
       });
-      const reporter = { host: self.host, port: self.port };
-      channel.send(relay, { kind: PeerMessageKind.UsagePartReport, reporter, number, part });
+      channel.send(peer, { kind, reporter: { host: self.host, port: self.port }, number, part });
     });
   }
 
+  private keep({ reporter, number, part }: UsagePartReport): void {
+    if (this.kept.size < MOST_KEPT_PARTS) {
+      this.kept.set(`${part.window}/${part.incarnation}`, part);
+      this.parts.channel.send(reporter, { kind: PeerMessageKind.UsagePartStored, number });
+    }
+  }
+
   private async take({ reporter, number, part }: UsagePartReport): Promise<void> {
     const { channel, log } = this.parts;
     try {
--- a/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsagePartTask.ts
@@ -5,6 +5,7 @@
 import { encodePart } from './UsagePartWriter.js';
 
 import type { UsagePartRelay } from './UsagePartRelay.js';
+import type { UsagePart } from './UsagePartWriter.js';
 import type { UsageTally } from './UsageTally.js';
 import type { PartLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
@@ -58,14 +59,16 @@
     this.parts = parts;
   }
 
-  /** Writes what was not written yet. */
-  async flush(wallMilliseconds: number): Promise<void> {
-    const { tally, windowMilliseconds, dueMilliseconds } = this.parts;
-    const current = tally.windowAt(wallMilliseconds);
-    const oldest = current - Math.ceil(dueMilliseconds / windowMilliseconds);
+  /**
+   * Writes what was not written yet, of this instance and of those that handed their counts over. The
+   * last counts of an instance that stops are final for the current window as well.
+   */
+  async flush(wallMilliseconds: number, isLast = false): Promise<void> {
+    const { oldest, current } = this.windowsAt(wallMilliseconds);
     this.hasFailed = false;
+    await this.parts.relay.writeKept(oldest).catch((error: unknown) => this.fail(oldest, error));
     for (let window = oldest; window <= current && !this.hasFailed; window += 1) {
-      await this.writeWindow(window, window < current);
+      await this.writeWindow(window, isLast || window < current);
     }
     for (const window of this.written.keys()) {
       if (window < oldest) {
@@ -74,6 +77,19 @@
     }
   }
 
+  /** Writes the last counts of an instance that stops, or hands them over where that fails. */
+  async finish(wallMilliseconds: number): Promise<void> {
+    await this.flush(wallMilliseconds, true);
+    const { oldest, current } = this.windowsAt(wallMilliseconds);
+    for (let window = oldest; window <= current; window += 1) {
+      const part = this.partOf(window, true);
+      if (this.isUnwritten(part)) {
+        const isTaken = await this.parts.relay.handOver(part);
+        this.parts.log.info('The counts of a window were handed over.', { window, isTaken });
+      }
+    }
+  }
+
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
     for (;;) {
       yield;
@@ -101,22 +117,41 @@
     );
   }
 
+  private windowsAt(wallMilliseconds: number): { oldest: number; current: number } {
+    const { tally, windowMilliseconds, dueMilliseconds } = this.parts;
+    const current = tally.windowAt(wallMilliseconds);
+    return { oldest: current - Math.ceil(dueMilliseconds / windowMilliseconds), current };
+  }
+
+  private partOf(window: number, isFinal: boolean): UsagePart {
+    const { tally, incarnation } = this.parts;
+    return { window, incarnation, counts: tally.countsOf(window), isFinal };
+  }
+
+  private isUnwritten(part: UsagePart): boolean {
+    return (
+      Object.keys(part.counts).length > 0 && encodePart(part) !== this.written.get(part.window)
+    );
+  }
+
   private async writeWindow(window: number, isFinal: boolean): Promise<void> {
-    const { relay, tally, incarnation, log } = this.parts;
-    const counts = tally.countsOf(window);
-    const value = encodePart({ counts, isFinal });
-    if (Object.keys(counts).length === 0 || value === this.written.get(window)) {
+    const part = this.partOf(window, isFinal);
+    if (!this.isUnwritten(part)) {
       return;
     }
     try {
-      await relay.store({ window, incarnation, counts, isFinal });
-      this.written.set(window, value);
+      await this.parts.relay.store(part);
+      this.written.set(window, encodePart(part));
     } catch (error) {
-      this.hasFailed = true;
-      log.warn('The counts of a window were not written; they are tried again.', {
-        window,
-        reason: describeFailure(failureOf(error)),
-      });
+      this.fail(window, error);
     }
   }
+
+  private fail(window: number, error: unknown): void {
+    this.hasFailed = true;
+    this.parts.log.warn('The counts of a window were not written; they are tried again.', {
+      window,
+      reason: describeFailure(failureOf(error)),
+    });
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageParts.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageParts.test.ts
@@ -263,4 +263,21 @@
     await clock.advance(2000);
     expect(await written).toBe('failed');
   });
+
+  // Guards against counts that are lost with an instance that stops while the store is away.
+  it('writes the counts of an instance that has stopped once the store is back', async () => {
+    const { store, clock, relays } = makeZone(3);
+    const [first, second, third] = relays;
+    store.fate = WriteFate.Lost;
+    const taken = first?.handOver(partOf('i-0', 4, true));
+    await clock.advance(10);
+    expect(await taken).toBe(true);
+    const writeAll = (oldest: number) =>
+      Promise.allSettled([second?.writeKept(oldest), third?.writeKept(oldest)]);
+    await writeAll(1);
+    expect(store.items.size).toBe(0);
+    store.fate = WriteFate.Answered;
+    await writeAll(1);
+    expect(store.totalOf(partKey(1, 'i-0'))).toBe(4);
+  });
 });
