--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -44,6 +44,8 @@
   readonly state: EndpointState;
   /** Expected time of the reading in place, in milliseconds. */
   readonly expectedMilliseconds: number;
+  /** Tokens that the engine reads itself, without fetching others; 0 if it reads none. */
+  readonly readsTokens: number;
   /** Memory of the prompt that another engine has read. */
   readonly memory?: PromptMemory;
   /** Address of an engine from which shared parts of the prompt can be fetched. */
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -130,7 +130,9 @@
     const { parts, admitted } = this.call;
     const states = parts.registry.readyOf(admitted.service);
     const state = parts.services.choose(states, this.call.placement());
-    return state === undefined ? 'no endpoint is left' : { state, expectedMilliseconds: 0 };
+    return state === undefined
+      ? 'no endpoint is left'
+      : { state, expectedMilliseconds: 0, readsTokens: 0 };
   }
 
   private attempt({ state, memory, fetchFrom }: Destination): Attempt {
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -52,9 +52,13 @@
       if (expected > this.call.deadline.firstEventPatience() * EXPECTED_PATIENCE_PART) {
         return `no engine can begin in time, the best in ${expected} ms`;
       }
-      const expectedMilliseconds = plan.reader === undefined ? plan.readingMilliseconds : 0;
       if (plan.reader === undefined) {
-        return { state: plan.engine, expectedMilliseconds, fetchFrom: plan.source?.record.address };
+        return {
+          state: plan.engine,
+          expectedMilliseconds: plan.readingMilliseconds,
+          readsTokens: plan.source === undefined ? plan.unreadTokens : 0,
+          fetchFrom: plan.source?.record.address,
+        };
       }
       const memory = await this.read(plan, prompt);
       if (memory !== undefined) {
@@ -65,7 +69,7 @@
           this.release(memory);
           return 'no engine is left';
         }
-        return { state, expectedMilliseconds, memory };
+        return { state, expectedMilliseconds: 0, readsTokens: 0, memory };
       }
       if (this.call.deadline.signal.aborted) {
         return 'the time is over';
