Keep missing endpoints only after a gap in which registrations can lapse

An answer of the relay that told of readings which had failed, also long before, made the asker keep endpoints that are missing for another 2.2 s; so did each single failed reading of its own. A test without the bench showed it: an endpoint that left was kept although only the relay had been without the store.

Change: missing endpoints are kept only if the store was unseen for two beats of the endpoints or more, by the confirmed readings of the instance itself; the relay no longer tells of failures. The test in which the relay alone had missed readings is replaced by one with an outage for all, since a shorter gap cannot lapse a registration.

--- a/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
+++ b/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
@@ -9,6 +9,9 @@
  */
 export const REGISTRATION_RETURN_MILLISECONDS = 2200;
 
+/** Beats for which an endpoint must have been silent before its registration can have lapsed. */
+const LAPSING_BEATS = 2;
+
 /** What one read of the store gave. */
 export interface ViewReading {
   /** Undefined while the operator has written none. */
@@ -37,6 +40,9 @@
   /** Counts suspensions, so that a process that was paused wakes up with an old view. */
   private readonly clock: Clock;
 
+  /** Time without the store below which no registration lapses, in milliseconds. */
+  private readonly shortestLapseMilliseconds: number;
+
   private current: ForwardingConfiguration | undefined;
 
   private registeredPeers: readonly PeerRecord[] = [];
@@ -51,8 +57,10 @@
 
   private keepMissingUntilMilliseconds = Number.NEGATIVE_INFINITY;
 
-  constructor(clock: Clock) {
+  /** Endpoints write their registrations about every `beatMilliseconds`; three beats may be missed. */
+  constructor(clock: Clock, beatMilliseconds: number) {
     this.clock = clock;
+    this.shortestLapseMilliseconds = beatMilliseconds * LAPSING_BEATS;
   }
 
   get configuration(): ForwardingConfiguration | undefined {
@@ -94,10 +102,11 @@
   /** Takes a reading that was asked for at the given moment. */
   apply(reading: ViewReading, askedMilliseconds: number): ViewChange {
     const now = this.clock.monotonicMilliseconds();
-    if (this.hasMissedReadings) {
-      this.hasMissedReadings = false;
+    const unseenMilliseconds = askedMilliseconds - this.confirmedMilliseconds;
+    if (this.hasMissedReadings && unseenMilliseconds > this.shortestLapseMilliseconds) {
       this.keepMissingUntilMilliseconds = now + REGISTRATION_RETURN_MILLISECONDS;
     }
+    this.hasMissedReadings = false;
     const isNewer =
       reading.configuration !== undefined &&
       reading.configuration.version > (this.current?.version ?? -1);
--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -83,8 +83,6 @@
   readonly revision: number;
   /** Time between the request of the reading and this answer, in milliseconds. */
   readonly ageMilliseconds: number;
-  /** Readings that failed since the relay started. */
-  readonly failedReadings: number;
   /** Undefined while the operator has written none. */
   readonly configurationVersion: number | undefined;
   /** True if an instance holds the authority over the duties. */
@@ -237,7 +235,6 @@
   return (
     typeof changes.revision === 'number' &&
     typeof changes.ageMilliseconds === 'number' &&
-    typeof changes.failedReadings === 'number' &&
     ['number', 'undefined'].includes(typeof changes.configurationVersion) &&
     typeof changes.isAuthorityHeld === 'boolean' &&
     isRecordChanges(changes.endpoints) &&
--- a/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
+++ b/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
@@ -85,9 +85,6 @@
   /** Takes the answer to the question that is open. */
   private takeAnswer: (answer: ViewAnswer) => void = () => {};
 
-  /** Failed readings that each relay had when it last answered. */
-  private readonly failedReadings = new Map<string, number>();
-
   constructor(parts: SharedViewSourceParts) {
     super();
     this.parts = parts;
@@ -119,15 +116,10 @@
   private async readStore(periodPart: number): Promise<StoreReading> {
     const { store, relay, clock } = this.parts;
     const asked = clock.monotonicMilliseconds();
-    try {
-      const reading = await store.read();
-      relay.record(reading, asked);
-      this.known = { reading: reading.reading, revision: reading.revision };
-      return { ...reading, periodPart };
-    } catch (error) {
-      relay.miss();
-      throw error;
-    }
+    const reading = await store.read();
+    relay.record(reading, asked);
+    this.known = { reading: reading.reading, revision: reading.revision };
+    return { ...reading, periodPart };
   }
 
   /** Asks the relay. Undefined if the store has to be read. */
@@ -144,7 +136,7 @@
       relays.suspect(relay.instance, clock.monotonicMilliseconds());
       return undefined;
     }
-    return answer.changes === undefined ? undefined : this.apply(relay.instance, answer.changes);
+    return answer.changes === undefined ? undefined : this.apply(answer.changes);
   }
 
   private exchange(relay: PeerRecord, sinceRevision: number): Promise<ViewAnswer | undefined> {
@@ -169,13 +161,11 @@
   }
 
   /** Adds changes to what is known. Undefined if the configuration has to be read. */
-  private apply(relay: string, changes: ViewChanges): StoreReading | undefined {
+  private apply(changes: ViewChanges): StoreReading | undefined {
     const { known } = this;
     if (known === undefined) {
       return undefined;
     }
-    const missedBefore = this.failedReadings.get(relay) ?? changes.failedReadings;
-    this.failedReadings.set(relay, changes.failedReadings);
     // A relay that is behind confirms what is known as of its reading, and changes nothing.
     if (changes.revision > known.revision) {
       const { configuration } = known.reading;
@@ -194,7 +184,6 @@
       ...(this.known ?? known),
       lastRevision: changes.revision,
       ageMilliseconds: changes.ageMilliseconds,
-      hasMissedReadings: changes.failedReadings > missedBefore,
       periodPart: SHARED_PERIOD_PART,
     };
   }
--- a/packages/hickoryrelay-forwarding/src/ViewRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRelay.ts
@@ -82,8 +82,6 @@
 
   private askedMilliseconds = Number.NEGATIVE_INFINITY;
 
-  private failedReadings = 0;
-
   constructor(clock: Clock) {
     this.clock = clock;
   }
@@ -101,11 +99,6 @@
     this.askedMilliseconds = Math.max(this.askedMilliseconds, askedMilliseconds);
   }
 
-  /** Records that a reading failed, which askers take into account for entries that are missing. */
-  miss(): void {
-    this.failedReadings += 1;
-  }
-
   /** What has changed since a revision. Undefined if the asker should read the store itself. */
   changesSince(revision: number): ViewChanges | undefined {
     const endpoints = this.endpoints.changesSince(revision);
@@ -121,7 +114,6 @@
     return {
       revision: this.revision,
       ageMilliseconds: this.clock.monotonicMilliseconds() - this.askedMilliseconds,
-      failedReadings: this.failedReadings,
       configurationVersion: this.latest.configuration?.version,
       isAuthorityHeld: this.latest.isAuthorityHeld,
       endpoints,
--- a/packages/hickoryrelay-forwarding/src/ViewSource.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewSource.ts
@@ -10,8 +10,6 @@
   readonly lastRevision: number;
   /** How long before the call of `read` the reading was asked for, in milliseconds. */
   readonly ageMilliseconds: number;
-  /** True if readings failed before this one that the caller of `read` has not seen. */
-  readonly hasMissedReadings: boolean;
   /** Part of the usual period after which the next reading is due. */
   readonly periodPart: number;
 }
--- a/packages/hickoryrelay-forwarding/src/ViewTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewTask.ts
@@ -51,10 +51,7 @@
     const { source, view, registry, link, budgets, log, periodMilliseconds } = this.parts;
     const asked = view.now();
     try {
-      const { reading, ageMilliseconds, hasMissedReadings, periodPart } = await source.read();
-      if (hasMissedReadings) {
-        view.missReading();
-      }
+      const { reading, ageMilliseconds, periodPart } = await source.read();
       const change = view.apply(reading, asked - ageMilliseconds);
       registry.replace(view.endpoints);
       link.retain(view.endpoints);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
@@ -6,7 +6,7 @@
 } from 'hickoryrelay-forwarding/ConfirmedView';
 import { EndpointPhase, EngineStage } from 'hickoryrelay-forwarding/EndpointRecord';
 
-import { makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
+import { BEAT_MILLISECONDS, makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
 
 const readingOf = (names: readonly string[], version = 1) => ({
   configuration: makeConfiguration({ version }),
@@ -21,7 +21,7 @@
 
 describe('the confirmed view', () => {
   it('never goes back to an earlier configuration', () => {
-    const view = new ConfirmedView(new ManualClock());
+    const view = new ConfirmedView(new ManualClock(), BEAT_MILLISECONDS);
     view.apply(readingOf([], 7), 0);
     view.apply(readingOf([], 6), 1);
     expect(view.configuration?.version).toBe(7);
@@ -29,14 +29,14 @@
 
   it('is as old as the moment at which the last reading was asked for', async () => {
     const clock = new ManualClock();
-    const view = new ConfirmedView(clock);
+    const view = new ConfirmedView(clock, BEAT_MILLISECONDS);
     await clock.advance(1000);
     view.apply(readingOf([]), 400);
     expect(view.ageMilliseconds).toBe(600);
   });
 
   it('drops an endpoint that is missing from a reading', () => {
-    const view = new ConfirmedView(new ManualClock());
+    const view = new ConfirmedView(new ManualClock(), BEAT_MILLISECONDS);
     view.apply(readingOf(['a', 'b']), 0);
     expect(view.apply(readingOf(['a']), 1).departed.map(({ identifier }) => identifier)).toEqual([
       'b',
@@ -46,7 +46,7 @@
 
   // Guards against a leaving engine, or one of another stage, that no log line tells of.
   it('says which endpoints have changed their phase or stage', () => {
-    const view = new ConfirmedView(new ManualClock());
+    const view = new ConfirmedView(new ManualClock(), BEAT_MILLISECONDS);
     const [first, second] = [makeEndpoint('a'), makeEndpoint('b')];
     const reading = { ...readingOf([]), endpoints: [first, second] };
     view.apply(reading, 0);
@@ -60,13 +60,42 @@
   // Guards against the loss of all endpoints whose registrations lapsed while the store was away.
   it('keeps missing endpoints for a while after the store was away, and then drops them', async () => {
     const clock = new ManualClock();
-    const view = new ConfirmedView(clock);
+    const view = new ConfirmedView(clock, BEAT_MILLISECONDS);
     view.apply(readingOf(['a', 'b']), 0);
     view.missReading();
+    await clock.advance(3 * BEAT_MILLISECONDS);
     view.apply(readingOf([]), clock.monotonicMilliseconds());
     expect(namesOf(view)).toEqual(['a', 'b']);
     await clock.advance(REGISTRATION_RETURN_MILLISECONDS + 1);
     view.apply(readingOf(['a']), clock.monotonicMilliseconds());
     expect(namesOf(view)).toEqual(['a']);
   });
+
+  // Guards against requests to an endpoint that left, after a reading that failed once.
+  it('drops a missing endpoint at once after a failure too short for a registration to lapse', async () => {
+    const clock = new ManualClock();
+    const view = new ConfirmedView(clock, BEAT_MILLISECONDS);
+    view.apply(readingOf(['a', 'b']), 0);
+    view.missReading();
+    await clock.advance(BEAT_MILLISECONDS);
+    view.apply(readingOf(['a']), clock.monotonicMilliseconds());
+    expect(namesOf(view)).toEqual(['a']);
+  });
+
+  // Guards against a gone endpoint that is kept for longer by each further reading that fails.
+  it('keeps missing endpoints for no longer when a reading fails after the return', async () => {
+    const clock = new ManualClock();
+    const view = new ConfirmedView(clock, BEAT_MILLISECONDS);
+    view.apply(readingOf(['a', 'b']), 0);
+    view.missReading();
+    await clock.advance(3 * BEAT_MILLISECONDS);
+    view.apply(readingOf(['a']), clock.monotonicMilliseconds());
+    await clock.advance(REGISTRATION_RETURN_MILLISECONDS - 100);
+    view.missReading();
+    view.apply(readingOf(['a']), clock.monotonicMilliseconds());
+    expect(namesOf(view)).toEqual(['a', 'b']);
+    await clock.advance(200);
+    view.apply(readingOf(['a']), clock.monotonicMilliseconds());
+    expect(namesOf(view)).toEqual(['a']);
+  });
 });
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -38,6 +38,9 @@
 } from 'hickoryrelay-forwarding/ForwardingConfiguration';
 import type { ForwardingLimits } from 'hickoryrelay-forwarding/ForwardingLimits';
 
+/** Time between two writes of an endpoint's registration. */
+export const BEAT_MILLISECONDS = 1200;
+
 export const LIMITS: ForwardingLimits = {
   longestViewAgeMilliseconds: 4500,
   denialViewAgeMilliseconds: 2000,
@@ -256,7 +259,7 @@
 /** An exchange with a scripted link and a manual clock. */
 export function makeWorld(options: WorldOptions = {}) {
   const clock = new ManualClock();
-  const view = new ConfirmedView(clock);
+  const view = new ConfirmedView(clock, BEAT_MILLISECONDS);
   const registry = new EndpointRegistry(new PeerLoads());
   const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
   const configuration = options.configuration ?? makeConfiguration();
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
@@ -8,7 +8,7 @@
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
 import { ZoneRelays } from 'hickoryrelay-forwarding/ZoneRelays';
 
-import { makeEndpoint } from './ForwardingFixture.js';
+import { BEAT_MILLISECONDS, makeEndpoint } from './ForwardingFixture.js';
 import { makePeer, PeerNetwork } from './PeerNetwork.js';
 
 import type { EndpointState } from 'hickoryrelay-forwarding/EndpointState';
@@ -38,7 +38,7 @@
     );
     const lifecycle = new LifecycleManager('test', this.clock, () => {});
     this.instances = peers.map((peer) => {
-      const view = new ConfirmedView(this.clock);
+      const view = new ConfirmedView(this.clock, BEAT_MILLISECONDS);
       const reading = { configuration: undefined, endpoints: [ENDPOINT], isAuthorityHeld: false };
       view.apply({ ...reading, peers }, 0);
       const loads = new PeerLoads();
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -36,7 +36,6 @@
 const changesArbitrary = fastCheck.record({
   revision: fastCheck.nat(),
   ageMilliseconds: fastCheck.nat(),
-  failedReadings: fastCheck.nat(),
   configurationVersion: fastCheck.option(fastCheck.nat(), { nil: undefined }),
   isAuthorityHeld: fastCheck.boolean(),
   endpoints: fastCheck.record({
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/RequestAdmission.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/RequestAdmission.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
 import {
+  BEAT_MILLISECONDS,
   makeConfiguration,
   makeRequest,
   makeRoute,
@@ -73,7 +74,7 @@
     const { SeededRandomSource } = await import('hickoryrelay/RandomSource');
     const { LIMITS } = await import('./ForwardingFixture.js');
     const admission = new RequestAdmission(
-      new ConfirmedView(new ManualClock()),
+      new ConfirmedView(new ManualClock(), BEAT_MILLISECONDS),
       LIMITS,
       new SeededRandomSource(1),
     );
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
@@ -7,7 +7,7 @@
 import { ViewSource } from 'hickoryrelay-forwarding/ViewSource';
 import { ZoneRelays } from 'hickoryrelay-forwarding/ZoneRelays';
 
-import { makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
+import { BEAT_MILLISECONDS, makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
 import { makePeer, PeerNetwork } from './PeerNetwork.js';
 
 import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
@@ -71,7 +71,6 @@
       revision: this.revision,
       lastRevision: this.revision,
       ageMilliseconds: 0,
-      hasMissedReadings: false,
       periodPart: 1,
     };
   }
@@ -93,13 +92,16 @@
 class ModelSource extends ViewSource {
   private readonly store: ModelStore;
 
-  constructor(store: ModelStore) {
+  private readonly isRejected: () => boolean;
+
+  constructor(store: ModelStore, isRejected: () => boolean) {
     super();
     this.store = store;
+    this.isRejected = isRejected;
   }
 
   override read(): Promise<StoreReading> {
-    return this.store.isAway
+    return this.store.isAway || this.isRejected()
       ? Promise.reject(new Error('away'))
       : Promise.resolve(this.store.read());
   }
@@ -120,6 +122,9 @@
 
   readonly network = new PeerNetwork();
 
+  /** Instances that the store turns away. */
+  readonly rejected = new Set<number>();
+
   readonly members: readonly Member[];
 
   constructor(size: number) {
@@ -127,11 +132,11 @@
       makePeer(index, 'zone-a', index === 0 ? 1 : 0.3),
     );
     this.store.peers = peers;
-    this.members = peers.map((self) => {
-      const view = new ConfirmedView(this.clock);
+    this.members = peers.map((self, index) => {
+      const view = new ConfirmedView(this.clock, BEAT_MILLISECONDS);
       const source = new SharedViewSource({
         self,
-        store: new ModelSource(this.store),
+        store: new ModelSource(this.store, () => this.rejected.has(index)),
         relay: new ViewRelay(this.clock),
         relays: new ZoneRelays(self.instance),
         channel: this.network.channelOf(self),
@@ -158,9 +163,6 @@
     const asked = view.now();
     let isDone = false;
     const reading = source.read().then((result) => {
-      if (result.hasMissedReadings) {
-        miss();
-      }
       view.apply(result.reading, asked - result.ageMilliseconds);
     }, miss);
     void reading.then(() => {
@@ -229,14 +231,18 @@
     expect(zone.members[3]?.view.ageMilliseconds).toBeGreaterThan(before + 3000);
   });
 
-  // Guards against endpoints that are dropped because only the relay saw that the store was away.
-  it('keeps missing endpoints after readings of the relay failed', async () => {
+  // Guards against the loss of all endpoints whose registrations lapsed while the store was away.
+  it('keeps missing endpoints after an outage in which the relay was asked', async () => {
     const zone = new Zone(6);
     zone.store.put('e1', 1, 0);
     await zone.readAll();
     await zone.readAll();
     zone.store.isAway = true;
-    await zone.read(0);
+    for (let round = 0; round < 8; round += 1) {
+      await zone.read(0);
+      await zone.read(4);
+      await zone.clock.advance(500);
+    }
     zone.store.isAway = false;
     zone.store.remove('e1', zone.clock.monotonicMilliseconds());
     await zone.read(0);
@@ -244,6 +250,28 @@
     expect(zone.members[4]?.view.endpoints).toHaveLength(1);
   });
 
+  // Guards against requests to an endpoint that left, after the relay alone was without the store.
+  it('drops an endpoint that is gone although readings of the relay failed before', async () => {
+    const zone = new Zone(6);
+    zone.store.put('e1', 1, 0);
+    await zone.readAll();
+    await zone.readAll();
+    zone.rejected.add(0);
+    for (let round = 0; round < 6; round += 1) {
+      await zone.read(0);
+      await zone.clock.advance(500);
+      await zone.read(4);
+    }
+    zone.rejected.clear();
+    await zone.clock.advance(3000);
+    await zone.read(0);
+    await zone.read(4);
+    zone.store.remove('e1', zone.clock.monotonicMilliseconds());
+    await zone.read(0);
+    await zone.read(4);
+    expect(zone.members[4]?.view.endpoints).toEqual([]);
+  });
+
   // Guards against an endpoint that stays known because the relay started after its removal.
   it('is read from the store where it is older than the first reading of the relay', async () => {
     const zone = new Zone(6);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageParts.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageParts.test.ts
@@ -11,6 +11,7 @@
 import { ZoneRelays } from 'hickoryrelay-forwarding/ZoneRelays';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
+import { BEAT_MILLISECONDS } from './ForwardingFixture.js';
 import { makePeer, PeerNetwork } from './PeerNetwork.js';
 
 import type { UsagePart } from 'hickoryrelay-forwarding/UsagePartWriter';
@@ -206,7 +207,7 @@
     makePeer(index, 'zone-a', index === 0 ? 1 : 0.3),
   );
   const relays = peers.map((self) => {
-    const view = new ConfirmedView(clock);
+    const view = new ConfirmedView(clock, BEAT_MILLISECONDS);
     view.apply({ configuration: undefined, endpoints: [], peers, isAuthorityHeld: false }, 0);
     const relay = new UsagePartRelay({
       self,
