--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -12,6 +12,7 @@
 import type { EndpointLoad, LoadMessage, PeerMessage } from './PeerMessage.js';
 import type { PeerRecord } from './PeerRecord.js';
 import type { ZoneRelays } from './ZoneRelays.js';
+import type { PartLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 
 /** Shortest time between two messages to a peer; the load of an engine changes within about 100 ms. */
@@ -43,6 +44,7 @@
   readonly loads: PeerLoads;
   readonly directory: PartDirectory;
   readonly relays: ZoneRelays;
+  readonly log: PartLogger;
 }
 
 /**
@@ -201,6 +203,10 @@
       now - this.chosen.silentSinceMilliseconds > RELAY_SILENCE_MILLISECONDS
     ) {
       relays.suspect(this.chosen.instance, now);
+      this.parts.log.info('The relay of the zone is passed over; its load messages stay out.', {
+        relay: this.chosen.instance,
+        silentMilliseconds: Math.round(now - this.chosen.silentSinceMilliseconds),
+      });
     }
     const relay = relays.relayOf(self.zone, view.peers, now);
     if (relay?.instance !== this.chosen?.instance) {
--- a/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
+++ b/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
@@ -16,6 +16,7 @@
 import type { StoreReading } from './ViewSource.js';
 import type { ZoneRelays } from './ZoneRelays.js';
 import type { Clock } from 'hickoryrelay/Clock';
+import type { PartLogger } from 'hickoryrelay/Logger';
 
 /** Time in which the relay answers: a crossing of the zone, and turns of two busy event loops. */
 const ANSWER_MILLISECONDS = 150;
@@ -43,6 +44,7 @@
   readonly clock: Clock;
   /** Time between two readings without a relay, in milliseconds. */
   readonly periodMilliseconds: number;
+  readonly log: PartLogger;
 }
 
 function applyChanges<Entry>(
@@ -134,6 +136,11 @@
       (answer.changes?.ageMilliseconds ?? 0) <= periodMilliseconds * OLDEST_READING_PART;
     if (!isCurrent) {
       relays.suspect(relay.instance, clock.monotonicMilliseconds());
+      this.parts.log.info('The relay of the zone is passed over; the store is read.', {
+        relay: relay.instance,
+        reason: answer === undefined ? 'no answer' : 'its reading is old',
+        readingAgeMilliseconds: Math.round(answer?.changes?.ageMilliseconds ?? 0),
+      });
       return undefined;
     }
     return answer.changes === undefined ? undefined : this.apply(answer.changes);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
+import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
@@ -54,6 +55,7 @@
           loads,
           directory,
           relays: new ZoneRelays(peer.instance),
+          log: silentLogger,
         }),
       );
       return { peer, state: registry.readyOf('model')[0] as EndpointState, directory };
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
@@ -1,5 +1,6 @@
 import fastCheck from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
 import { SharedViewSource } from 'hickoryrelay-forwarding/SharedViewSource';
@@ -143,6 +144,7 @@
         view,
         clock: this.clock,
         periodMilliseconds: PERIOD_MILLISECONDS,
+        log: silentLogger,
       });
       source.listen();
       return { view, source, hasMissed: false };
