Send to endpoints missing after an outage only while they are the most

Endpoints that are missing after an outage were chosen like others.

Change: they are unconfirmed, and chosen only where more endpoints of a service are unconfirmed than ready, so that the first that come back after an outage of the store for all are not overloaded. One that is missing since an earlier outage is dropped with the next. Orders count them as before.

--- a/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
+++ b/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
@@ -1,3 +1,5 @@
+import { EndpointPhase } from './EndpointRecord.js';
+
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { ForwardingConfiguration } from './ForwardingConfiguration.js';
 import type { PeerRecord } from './PeerRecord.js';
@@ -32,6 +34,13 @@
   readonly departed: readonly EndpointRecord[];
 }
 
+/** An endpoint that leaves goes on leaving. */
+function asUnconfirmed(record: EndpointRecord): EndpointRecord {
+  return record.phase === EndpointPhase.Ready
+    ? { ...record, phase: EndpointPhase.Unconfirmed }
+    : record;
+}
+
 /**
  * The configuration and the endpoints that this instance believes in, and since when they are
  * confirmed. A configuration never goes back to an earlier version.
@@ -103,7 +112,9 @@
   apply(reading: ViewReading, askedMilliseconds: number): ViewChange {
     const now = this.clock.monotonicMilliseconds();
     const unseenMilliseconds = askedMilliseconds - this.confirmedMilliseconds;
-    if (this.hasMissedReadings && unseenMilliseconds > this.shortestLapseMilliseconds) {
+    const mayHaveLapsed =
+      this.hasMissedReadings && unseenMilliseconds > this.shortestLapseMilliseconds;
+    if (mayHaveLapsed) {
       this.keepMissingUntilMilliseconds = now + REGISTRATION_RETURN_MILLISECONDS;
     }
     this.hasMissedReadings = false;
@@ -117,8 +128,10 @@
     const departed: EndpointRecord[] = [];
     for (const known of this.records.values()) {
       if (!records.has(known.identifier)) {
-        if (now < this.keepMissingUntilMilliseconds) {
-          records.set(known.identifier, known);
+        // One that is missing since an earlier outage has had its time to come back.
+        const isOverdue = mayHaveLapsed && known.phase === EndpointPhase.Unconfirmed;
+        if (now < this.keepMissingUntilMilliseconds && !isOverdue) {
+          records.set(known.identifier, asUnconfirmed(known));
         } else {
           departed.push(known);
         }
--- a/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
@@ -1,6 +1,8 @@
 /** Whether an endpoint takes new requests. */
 export const EndpointPhase = {
   Ready: 'ready',
+  /** Missing from the store after an outage in which its registration may have lapsed. */
+  Unconfirmed: 'unconfirmed',
   Leaving: 'leaving',
 } as const;
 
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -46,10 +46,15 @@
     this.byService = byService;
   }
 
-  /** Endpoints of a service that take new requests. */
+  /**
+   * Endpoints of a service that take new requests. Unconfirmed ones are among them only while they are
+   * the most, since those that come back would be overloaded and the others have left.
+   */
   readyOf(service: string): EndpointState[] {
-    return (this.byService.get(service) ?? []).filter(
-      ({ record }) => record.phase === EndpointPhase.Ready,
-    );
+    const states = this.byService.get(service) ?? [];
+    const inPhase = (phase: EndpointPhase) => states.filter(({ record }) => record.phase === phase);
+    const ready = inPhase(EndpointPhase.Ready);
+    const unconfirmed = inPhase(EndpointPhase.Unconfirmed);
+    return unconfirmed.length > ready.length ? [...ready, ...unconfirmed] : ready;
   }
 }
--- a/packages/hickoryrelay-forwarding/src/StagePlan.ts
+++ b/packages/hickoryrelay-forwarding/src/StagePlan.ts
@@ -30,7 +30,7 @@
   changing: ReadonlyMap<string, EngineStage>,
 ): StageChange | undefined {
   const ready = engines.filter(
-    ({ phase, stage }) => phase === EndpointPhase.Ready && stage !== undefined,
+    ({ phase, stage }) => phase !== EndpointPhase.Leaving && stage !== undefined,
   );
   const stageOf = (engine: EndpointRecord) => changing.get(engine.identifier) ?? engine.stage;
   const readers = ready.filter((engine) => stageOf(engine) === EngineStage.Prefill);
@@ -44,7 +44,7 @@
   const stage = needsReader ? EngineStage.Prefill : EngineStage.Decode;
   const sign = needsReader ? 1 : -1;
   const [engine] = (needsReader ? decoders : readers)
-    .filter(({ identifier }) => !changing.has(identifier))
+    .filter(({ identifier, phase }) => phase === EndpointPhase.Ready && !changing.has(identifier))
     .toSorted(
       (left, right) =>
         sign * (countIn(readers, left.zone) - countIn(readers, right.zone)) ||
--- a/packages/hickoryrelay-forwarding/src/SupplyDuty.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyDuty.ts
@@ -85,7 +85,7 @@
     const endpoints = this.parts.view.endpoints.filter(
       (endpoint) => endpoint.service === name && endpoint.zone === zone,
     );
-    const ready = endpoints.filter(({ phase }) => phase === EndpointPhase.Ready);
+    const ready = endpoints.filter(({ phase }) => phase !== EndpointPhase.Leaving);
     const reclaimable = ready.filter(({ isReclaimable }) => isReclaimable).length;
     const areTaken = endpoints.some(
       ({ phase, isReclaimable }) => isReclaimable && phase === EndpointPhase.Leaving,
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
@@ -6,6 +6,9 @@
 } from 'hickoryrelay-forwarding/ConfirmedView';
 import { EndpointPhase, EngineStage } from 'hickoryrelay-forwarding/EndpointRecord';
 
+import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
+import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
+
 import { BEAT_MILLISECONDS, makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
 
 const readingOf = (names: readonly string[], version = 1) => ({
@@ -98,4 +101,22 @@
     view.apply(readingOf(['a']), clock.monotonicMilliseconds());
     expect(namesOf(view)).toEqual(['a']);
   });
+
+  // Guards against requests to an endpoint that left while this instance was cut off from the store.
+  it('says of endpoints that it keeps that they are not confirmed', async () => {
+    const clock = new ManualClock();
+    const view = new ConfirmedView(clock, BEAT_MILLISECONDS);
+    view.apply(readingOf(['a', 'b', 'c']), 0);
+    view.missReading();
+    await clock.advance(3 * BEAT_MILLISECONDS);
+    view.apply(readingOf(['a', 'b']), clock.monotonicMilliseconds());
+    const registry = new EndpointRegistry(new PeerLoads());
+    registry.replace(view.endpoints);
+    expect(registry.readyOf('desk').map(({ record }) => record.identifier)).toEqual(['a', 'b']);
+    view.missReading();
+    await clock.advance(3 * BEAT_MILLISECONDS);
+    view.apply(readingOf([]), clock.monotonicMilliseconds());
+    registry.replace(view.endpoints);
+    expect(registry.readyOf('desk')).toHaveLength(2);
+  });
 });
