--- a/packages/hickoryrelay-forwarding/src/PartDirectory.ts
+++ b/packages/hickoryrelay-forwarding/src/PartDirectory.ts
@@ -12,6 +12,9 @@
 /** Parts whose holders are kept in mind; a few megabytes. */
 const MOST_PARTS = 20_000;
 
+/** Engines whose memory is kept in mind, those that have left included. */
+const MOST_ENGINES = 20_000;
+
 /** Uses that wait to be told to other instances. */
 const MOST_UNTOLD_USES = 200;
 
@@ -61,7 +64,10 @@
     const isKnown = this.uses.get(part)?.has(engine) === true;
     const filledTokens =
       (this.filledTokens.get(engine) ?? 0) + ownTokens + (isKnown ? 0 : sharedTokens);
+    // Moves the engine to the end, so that engines that left long ago are dropped first.
+    this.filledTokens.delete(engine);
     this.filledTokens.set(engine, filledTokens);
+    this.dropOldest(this.filledTokens, MOST_ENGINES);
     let engines = this.uses.get(part);
     if (engines === undefined) {
       engines = new Map();
@@ -71,10 +77,7 @@
     }
     this.uses.set(part, engines);
     engines.set(engine, { atMilliseconds: now, filledTokens });
-    if (this.uses.size > MOST_PARTS) {
-      const [oldest] = this.uses.keys();
-      this.uses.delete(oldest as number);
-    }
+    this.dropOldest(this.uses, MOST_PARTS);
   }
 
   /** Takes the uses that others were not told. */
@@ -114,6 +117,13 @@
     return holder;
   }
 
+  private dropOldest(entries: Map<number, unknown>, most: number): void {
+    if (entries.size > most) {
+      const [oldest] = entries.keys();
+      entries.delete(oldest as number);
+    }
+  }
+
   private isKept(
     { atMilliseconds, filledTokens }: Holding,
     engine: number,
--- a/packages/hickoryrelay-forwarding/src/ZoneRelays.ts
+++ b/packages/hickoryrelay-forwarding/src/ZoneRelays.ts
@@ -51,6 +51,11 @@
 
   /** Passes over an instance that did not answer. */
   suspect(instance: string, now: number): void {
+    for (const [known, until] of this.suspects) {
+      if (now >= until) {
+        this.suspects.delete(known);
+      }
+    }
     this.suspects.set(instance, now + SUSPICION_MILLISECONDS);
   }
 }
