Bound the bytes of a stream event and move stalled streams

Cause: EventStreamParser gathered bytes without an event boundary for as long as an endpoint sent them, and joined and searched all of them again for each chunk. A stream that had begun was waited for until its deadline, and an endpoint that sent a byte now and then counted as active. A failure response over 64 KB on a resumable route could be followed by events of a second run.

Excluded: the first event, for which the response timeout already held.

Change: an event that exceeds 256 KB is a protocol violation, which ends the attempt; each byte is searched once. A stream that can be resumed moves to another endpoint after 0.6 of the time after which its caller abandons it; only complete events count, and the time of a slow caller does not. Other streams are left until their deadline.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -70,7 +70,8 @@
 
   private lastDeliveredEvent: string | undefined;
 
-  private hasEventWithoutIdentifier = false;
+  /** True once bytes have been relayed after which another endpoint could not resume. */
+  private isUnresumable = false;
 
   constructor(
     parts: ForwardedCallParts,
@@ -104,10 +105,15 @@
 
   /** Records that an event has been written to the caller. */
   recordDelivery(identifier: string | undefined): void {
-    this.hasEventWithoutIdentifier ||= identifier === undefined;
+    this.isUnresumable ||= identifier === undefined;
     this.lastDeliveredEvent = identifier ?? this.lastDeliveredEvent;
   }
 
+  /** Records that a response has started that is not a stream of events. */
+  recordUnresumableStart(): void {
+    this.isUnresumable = true;
+  }
+
   /**
    * True if the request may be sent again although it may have run. Once the response has started,
    * it can only be resumed, and only if all delivered events have identifiers.
@@ -115,11 +121,16 @@
   get isRetryable(): boolean {
     const { retrySemantics } = this.admitted.route;
     if (this.sink.hasStarted) {
-      return retrySemantics === RetrySemantics.Resumable && !this.hasEventWithoutIdentifier;
+      return retrySemantics === RetrySemantics.Resumable && !this.isUnresumable;
     }
     return retrySemantics !== RetrySemantics.AtMostOnce;
   }
 
+  /** True if the route allows another attempt after the current one. */
+  get hasAnotherAttempt(): boolean {
+    return this.trace.attempts + 1 < this.admitted.route.maximumAttempts;
+  }
+
   placementContext(): PlacementContext {
     const { zone, random, clock } = this.parts;
     return {
--- a/packages/hickoryrelay-forwarding/src/CallDeadline.ts
+++ b/packages/hickoryrelay-forwarding/src/CallDeadline.ts
@@ -1,4 +1,4 @@
-import { FIRST_EVENT_TIMEOUT, RESPONSE_MARGIN_MILLISECONDS } from './ForwardingLimits.js';
+import { EVENT_TIMEOUT, RESPONSE_MARGIN_MILLISECONDS } from './ForwardingLimits.js';
 
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { ForwardingRoute } from './ForwardingConfiguration.js';
@@ -58,14 +58,18 @@
 
   /** Time left until the caller stops waiting for the first event, in milliseconds. */
   firstEventTimeout(): number {
-    const { latencyTargetMilliseconds, eventGapTargetMilliseconds } = this.route;
     const elapsed = this.clock.monotonicMilliseconds() - this.request.arrivedMilliseconds;
-    const timeout = Math.max(
-      FIRST_EVENT_TIMEOUT.MinimumMilliseconds,
-      FIRST_EVENT_TIMEOUT.LatencyTargetMultiple * latencyTargetMilliseconds,
-      FIRST_EVENT_TIMEOUT.GapTargetMultiple * eventGapTargetMilliseconds,
+    return Math.min(this.remaining(), this.eventTimeoutMilliseconds - elapsed);
+  }
+
+  /** Time without an event after which callers abandon a stream. */
+  get eventTimeoutMilliseconds(): number {
+    const { latencyTargetMilliseconds, eventGapTargetMilliseconds } = this.route;
+    return Math.max(
+      EVENT_TIMEOUT.MinimumMilliseconds,
+      EVENT_TIMEOUT.LatencyTargetMultiple * latencyTargetMilliseconds,
+      EVENT_TIMEOUT.GapTargetMultiple * eventGapTargetMilliseconds,
     );
-    return Math.min(this.remaining(), timeout - elapsed);
   }
 
   /** True if a first event after the given delay would miss the latency target. */
--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -1,7 +1,8 @@
 import { summarizePrompt } from './EnginePlacement.js';
 import { EventStreamParser } from './EventStreamParser.js';
-import { BUFFERED_RESPONSE_BYTES } from './ForwardingLimits.js';
+import { BUFFERED_RESPONSE_BYTES, STALLED_STREAM_FRACTION } from './ForwardingLimits.js';
 
+import type { AttemptTimeout } from './AttemptTimeout.js';
 import type { CallContext, Destination } from './CallContext.js';
 import type { EndpointResponse } from './EndpointLink.js';
 
@@ -61,35 +62,41 @@
   ): Promise<void> {
     const length = response.length ?? (response.isCloseDelimited ? undefined : bufferedLength);
     this.call.sink.start({ ...response, length });
+    this.call.recordUnresumableStart();
     for (const chunk of buffered) {
       await this.call.sink.write(chunk);
     }
   }
 
-  /** Relays complete events only, so that another endpoint can resume the stream after them. */
+  /**
+   * Relays complete events only, so that another endpoint can resume the stream after them. The
+   * timeout does not count the time for which the caller is slow to read.
+   */
   async relayStream(
     destination: Destination,
     response: EndpointResponse,
     sentMilliseconds: number,
-    cancelResponseTimeout: () => void,
+    timeout: AttemptTimeout,
   ): Promise<void> {
     const { clock } = this.call.parts;
     const { state } = destination;
-    const parser = new EventStreamParser();
+    const parser = new EventStreamParser(state.record.identifier);
     let isFirst = true;
     for await (const chunk of response.body) {
-      state.recordActivity(clock.monotonicMilliseconds());
       for (const event of parser.push(chunk)) {
+        state.recordActivity(clock.monotonicMilliseconds());
+        timeout.pause();
         if (isFirst) {
-          isFirst = false;
-          cancelResponseTimeout();
           this.recordFirstByte(destination, sentMilliseconds);
         }
         this.startStream(response);
         await this.call.sink.write(event.bytes);
         this.call.recordDelivery(event.identifier);
+        this.watchForStall(timeout, isFirst);
+        isFirst = false;
       }
     }
+    timeout.cancel();
     this.startStream(response);
     if (parser.remainder.length > 0) {
       await this.call.sink.write(parser.remainder);
@@ -97,6 +104,17 @@
     this.call.sink.end();
   }
 
+  /** After an event, waits for the next one if another endpoint could resume the stream. */
+  private watchForStall(timeout: AttemptTimeout, isFirst: boolean): void {
+    if (!this.call.isRetryable || !this.call.hasAnotherAttempt) {
+      timeout.cancel();
+    } else if (isFirst) {
+      timeout.start(this.call.deadline.eventTimeoutMilliseconds * STALLED_STREAM_FRACTION);
+    } else {
+      timeout.recordProgress();
+    }
+  }
+
   private startStream(response: EndpointResponse): void {
     if (!this.call.sink.hasStarted) {
       this.call.sink.start(response);
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -1,6 +1,7 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
 
+import { AttemptTimeout } from './AttemptTimeout.js';
 import { CallContext } from './CallContext.js';
 import { CallDeadline } from './CallDeadline.js';
 import { AttemptKind } from './EndpointLink.js';
@@ -159,26 +160,21 @@
     const { parts, deadline, trace } = this.call;
     const { state } = destination;
     const sentMilliseconds = parts.clock.monotonicMilliseconds();
-    const responseTimeout = new AbortController();
-    const cancelResponseTimeout = this.startResponseTimeout(responseTimeout);
+    const timeout = new AttemptTimeout(parts.clock);
+    this.startResponseTimeout(timeout);
     state.beginRequest(sentMilliseconds);
     try {
-      const signal = AbortSignal.any([deadline.signal, responseTimeout.signal]);
+      const signal = AbortSignal.any([deadline.signal, timeout.signal]);
       const response = await parts.link.send(this.attempt(destination), signal);
       state.recordActivity(parts.clock.monotonicMilliseconds());
       if (response.isNotRun || response.isMisdirected) {
         return this.handleRefusal(state, response);
       }
-      return await this.handleResponse(
-        destination,
-        response,
-        sentMilliseconds,
-        cancelResponseTimeout,
-      );
+      return await this.handleResponse(destination, response, sentMilliseconds, timeout);
     } catch (error) {
       return this.handleFailure(state, error);
     } finally {
-      cancelResponseTimeout();
+      timeout.cancel();
       state.finishRequest();
       if (trace.steps.length === 0) {
         trace.addStep(`run ${state.record.identifier}`);
@@ -186,18 +182,17 @@
     }
   }
 
-  /** Aborts a retryable attempt if no response begins in time. Returns a function to cancel it. */
-  private startResponseTimeout(abortController: AbortController): () => void {
+  /** Aborts a retryable attempt if no response begins in time. */
+  private startResponseTimeout(timeout: AttemptTimeout): void {
     const { route } = this.call.admitted;
-    const hasAnotherAttempt = this.call.trace.attempts + 1 < route.maximumAttempts;
-    if (!this.call.isRetryable || !hasAnotherAttempt) {
-      return () => {};
+    if (this.call.isRetryable && this.call.hasAnotherAttempt) {
+      timeout.start(
+        Math.max(
+          MINIMUM_RESPONSE_TIMEOUT_MILLISECONDS,
+          route.latencyTargetMilliseconds * RESPONSE_TIMEOUT_TARGET_MULTIPLE,
+        ),
+      );
     }
-    const timeoutMilliseconds = Math.max(
-      MINIMUM_RESPONSE_TIMEOUT_MILLISECONDS,
-      route.latencyTargetMilliseconds * RESPONSE_TIMEOUT_TARGET_MULTIPLE,
-    );
-    return this.call.parts.clock.schedule(timeoutMilliseconds, () => abortController.abort());
   }
 
   private handleRefusal(state: EndpointState, response: EndpointResponse): SendResult {
@@ -232,7 +227,7 @@
     destination: Destination,
     response: EndpointResponse,
     sentMilliseconds: number,
-    cancelResponseTimeout: () => void,
+    timeout: AttemptTimeout,
   ): Promise<SendResult> {
     const { parts, admitted, trace } = this.call;
     const { state } = destination;
@@ -247,9 +242,9 @@
       return SendResult.Failed;
     }
     if (admitted.route.isStreaming && isSuccess) {
-      await this.relay.relayStream(destination, response, sentMilliseconds, cancelResponseTimeout);
+      await this.relay.relayStream(destination, response, sentMilliseconds, timeout);
     } else {
-      cancelResponseTimeout();
+      timeout.cancel();
       await this.relay.relayBuffered(destination, response, sentMilliseconds);
     }
     const now = parts.clock.monotonicMilliseconds();
@@ -278,11 +273,10 @@
   }
 
   private canRetry(): boolean {
-    const { trace, admitted, deadline } = this.call;
     return (
       this.call.isRetryable &&
-      trace.attempts + 1 < admitted.route.maximumAttempts &&
-      deadline.remaining() > MINIMUM_ATTEMPT_MILLISECONDS
+      this.call.hasAnotherAttempt &&
+      this.call.deadline.remaining() > MINIMUM_ATTEMPT_MILLISECONDS
     );
   }
 
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -26,7 +26,7 @@
  * Time after which callers abandon a stream without an event: the longest of the minimum and these
  * multiples of the route's latency target and event gap target.
  */
-export const FIRST_EVENT_TIMEOUT = {
+export const EVENT_TIMEOUT = {
   MinimumMilliseconds: 2000,
   LatencyTargetMultiple: 4,
   GapTargetMultiple: 8,
@@ -37,6 +37,13 @@
  */
 export const FIRST_EVENT_TIMEOUT_FRACTION = 0.9;
 
+/**
+ * A stream that can be resumed is moved to another endpoint when it has had no event for this
+ * fraction of the time after which its caller abandons it. The rest is left for the other endpoint
+ * to prefill the prompt.
+ */
+export const STALLED_STREAM_FRACTION = 0.6;
+
 /** Priority of requests that will be late, behind all that can still be on time. */
 export const LATE_PRIORITY = 8;
 
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EventStreamParser.test.ts
@@ -0,0 +1,73 @@
+import { assert, array, constantFrom, property, string, uint8Array } from 'fast-check';
+import { describe, expect, it, vi } from 'vitest';
+import { RelayError } from 'hickoryrelay/RelayError';
+import { EventStreamParser, MAXIMUM_EVENT_BYTES } from 'hickoryrelay-forwarding/EventStreamParser';
+
+function parse(chunks: readonly Buffer[]) {
+  const parser = new EventStreamParser('e-1');
+  const events = chunks.flatMap((chunk) => [...parser.push(chunk)]);
+  return { events, remainder: parser.remainder };
+}
+
+/** Splits at every blank line by a regular expression, as a simple oracle. */
+function splitWhole(text: string): string[] {
+  return text.match(/[^]*?\n\r?\n/gu) ?? [];
+}
+
+describe('EventStreamParser', () => {
+  it('finds the same events wherever the bytes are split', () => {
+    const pieces = constantFrom('\n', '\r\n', '\n\n', '\r', 'id: 7', 'data: x', ':', '\r\n\r\n');
+    assert(
+      property(
+        array(pieces),
+        array(uint8Array({ maxLength: 1 })),
+        string(),
+        (parts, cuts, tail) => {
+          const whole = Buffer.from(parts.join('') + tail);
+          const chunks: Buffer[] = [];
+          let start = 0;
+          for (const cut of cuts) {
+            const end = Math.min(whole.length, start + (cut[0] ?? 1));
+            chunks.push(whole.subarray(start, end));
+            start = end;
+          }
+          chunks.push(whole.subarray(start));
+          const { events, remainder } = parse(chunks);
+          const texts = events.map(({ bytes }) => bytes.toString('utf8'));
+          expect(texts).toEqual(splitWhole(whole.toString('utf8')));
+          expect(texts.join('') + remainder.toString('utf8')).toBe(whole.toString('utf8'));
+        },
+      ),
+    );
+  });
+
+  // Guards against memory that grows as long as an endpoint sends bytes that end no event.
+  it.each([
+    ['small chunks', 7],
+    ['large chunks', 100_000],
+  ])('fails an event that exceeds the limit, in %s', (_name, size) => {
+    const parser = new EventStreamParser('e-1');
+    let accepted = 0;
+    const pushUntilFailure = () => {
+      for (;;) {
+        expect([...parser.push(Buffer.alloc(size, 'x'))]).toEqual([]);
+        accepted += size;
+      }
+    };
+    expect(pushUntilFailure).toThrow(RelayError);
+    expect(accepted).toBeLessThanOrEqual(MAXIMUM_EVENT_BYTES);
+    expect(parser.remainder.length).toBe(accepted);
+  });
+
+  // Guards against joining and searching all earlier bytes again for each chunk.
+  it('reads each byte of an event once', () => {
+    const parser = new EventStreamParser('e-1');
+    const search = vi.spyOn(Buffer.prototype, 'indexOf');
+    for (let count = 0; count < 4000; count += 1) {
+      expect([...parser.push(Buffer.alloc(64, 'x'))]).toEqual([]);
+    }
+    const searchedBytes = search.mock.contexts.reduce((sum, { length }) => sum + length, 0);
+    search.mockRestore();
+    expect(searchedBytes).toBe(4000 * 64);
+  });
+});
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -260,11 +260,13 @@
   readonly configuration?: ForwardingConfiguration;
   readonly endpoints?: readonly EndpointRecord[];
   readonly behaviours?: readonly EndpointBehaviour[];
+  /** Clock that the behaviours use as well. */
+  readonly clock?: ManualClock;
 }
 
 /** Makes an exchange with a scripted link and a manual clock. */
 export function makeHarness(options: HarnessOptions = {}) {
-  const clock = new ManualClock();
+  const clock = options.clock ?? new ManualClock();
   const view = new ConfirmedView(clock, HEARTBEAT_MILLISECONDS);
   const registry = new EndpointRegistry(new PeerLoads());
   const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
