Limit every response that is read into memory

Excluded: the status and cache events of engines, which had a limit, and heads without end, which end at the parser's limit.

Change: readBodyText reads with a limit that each reader names, and closes the connection beyond it.

--- a/packages/hickoryrelay-command-line/src/ConfigurationRollout.ts
+++ b/packages/hickoryrelay-command-line/src/ConfigurationRollout.ts
@@ -1,4 +1,5 @@
 import { request } from 'undici';
+import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 
 import { ExitCode } from './Command.js';
@@ -10,6 +11,9 @@
 const STATUS_TIMEOUT_MILLISECONDS = 2000;
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** A status has about ten short fields. */
+const MAXIMUM_STATUS_BYTES = 65_536;
+
 /** Status of an instance, as returned by `GET /admin/status`. */
 export interface InstanceStatus {
   readonly name: string;
@@ -28,7 +32,8 @@
     const response = await request(`${instance.callersUrl}/admin/status`, {
       signal: AbortSignal.timeout(STATUS_TIMEOUT_MILLISECONDS),
     });
-    return (await response.body.json()) as InstanceStatus;
+    const text = await readBodyText(response.body, MAXIMUM_STATUS_BYTES, instance.name);
+    return JSON.parse(text) as InstanceStatus;
   } catch {
     return undefined;
   }
--- a/packages/hickoryrelay-instance/src/HttpEngineUsageSource.ts
+++ b/packages/hickoryrelay-instance/src/HttpEngineUsageSource.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 import { EngineUsageSource } from 'hickoryrelay-usage/EngineUsageSource';
 
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
@@ -11,6 +12,9 @@
 const OK = 200;
 const NOT_FOUND = 404;
 
+/** The count of one request has a few numbers. */
+const MAXIMUM_RESPONSE_BYTES = 16_384;
+
 const countSchema = z.object({
   prompt_tokens: z.number().int().nonnegative(),
   completion_tokens: z.number().int().nonnegative(),
@@ -39,14 +43,14 @@
       const response = await request(`${location.url}${path}`, {
         signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
       });
-      const body: unknown = await response.body.json();
+      const text = await readBodyText(response.body, MAXIMUM_RESPONSE_BYTES, endpoint);
       if (response.statusCode === NOT_FOUND) {
         return undefined;
       }
       if (response.statusCode !== OK) {
         throw HttpEngineUsageSource.failed(endpoint, `status ${response.statusCode}`);
       }
-      const count = countSchema.parse(body);
+      const count = countSchema.parse(JSON.parse(text));
       return {
         isFinished: count.finished,
         promptTokens: count.prompt_tokens,
--- a/packages/hickoryrelay-link/src/EngineStatusLink.ts
+++ b/packages/hickoryrelay-link/src/EngineStatusLink.ts
@@ -1,6 +1,7 @@
 import { request } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 import { decodeCacheChanges, decodeCacheSnapshot } from 'hickoryrelay-endpoint/CacheEvents';
 import { decodeLoadReport } from 'hickoryrelay-endpoint/EngineLoad';
 
@@ -104,17 +105,10 @@
         // The client does not remove its abort listeners, so each request gets its own signal.
         signal: AbortSignal.any([signal, timeout.signal]),
       });
-      const chunks: Buffer[] = [];
-      let length = 0;
-      for await (const chunk of response.body as AsyncIterable<Buffer>) {
-        length += chunk.length;
-        this.bytes += chunk.length;
-        if (length > MAXIMUM_RESPONSE_BYTES) {
-          throw this.violation(`the response exceeds ${MAXIMUM_RESPONSE_BYTES} bytes`);
-        }
-        chunks.push(chunk);
-      }
-      return { status: response.statusCode, text: Buffer.concat(chunks).toString('utf8') };
+      const peer = this.location.identifier;
+      const body = this.countBytes(response.body as AsyncIterable<Buffer>);
+      const text = await readBodyText(body, MAXIMUM_RESPONSE_BYTES, peer);
+      return { status: response.statusCode, text };
     } catch (error) {
       throw error instanceof RelayError ? error : this.failed(error);
     } finally {
@@ -122,6 +116,13 @@
     }
   }
 
+  private async *countBytes(body: AsyncIterable<Buffer>): AsyncGenerator<Buffer, void, void> {
+    for await (const chunk of body) {
+      this.bytes += chunk.length;
+      yield chunk;
+    }
+  }
+
   private failed(cause: unknown): RelayError {
     const reason = cause instanceof Error ? cause.message : String(cause);
     return new RelayError(
--- a/packages/hickoryrelay-link/src/OrderLink.ts
+++ b/packages/hickoryrelay-link/src/OrderLink.ts
@@ -1,6 +1,7 @@
 import { buildConnector, Client } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError, hasFailureKind } from 'hickoryrelay/RelayError';
+import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 import { guardWrites } from 'hickoryrelay/SocketGuardUtils';
 import { OrderResponse, OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
 
@@ -15,6 +16,9 @@
 const RESPONSE_TIMEOUT_MILLISECONDS = 2000;
 const HTTP_CONFLICT = 409;
 
+/** The responses to orders have a few short fields. */
+const MAXIMUM_RESPONSE_BYTES = 65_536;
+
 /** Throws `authority-lost` unless this instance holds the authority to send orders. */
 export type AuthorityCheck = () => void;
 
@@ -130,7 +134,9 @@
         body,
         signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MILLISECONDS),
       });
-      return { status: response.statusCode, text: await response.body.text() };
+      const peer = this.location.identifier;
+      const text = await readBodyText(response.body, MAXIMUM_RESPONSE_BYTES, peer);
+      return { status: response.statusCode, text };
     } catch (error) {
       if (hasFailureKind(error, FailureKind.AuthorityLost)) {
         throw error;
--- a/packages/hickoryrelay-platform/src/EtcdCodec.ts
+++ b/packages/hickoryrelay-platform/src/EtcdCodec.ts
@@ -1,3 +1,6 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
 import type {
   Comparison,
   KeyValue,
@@ -139,15 +142,35 @@
   };
 }
 
-/** Splits a byte stream into lines. */
+/**
+ * Splits a byte stream into lines. Throws `protocol-violation` if a line is longer than the limit,
+ * in characters.
+ */
 export async function* splitLines(
   chunks: AsyncIterable<Buffer>,
+  limitCharacters: number,
 ): AsyncGenerator<string, void, void> {
-  let remainder = '';
+  /** Parts of the line that has not ended. They are joined once, at its end. */
+  let parts: string[] = [];
+  let length = 0;
   const decoder = new TextDecoder();
   for await (const chunk of chunks) {
-    const lines = (remainder + decoder.decode(chunk, { stream: true })).split('\n');
-    remainder = lines.pop() ?? '';
-    yield* lines.filter((line) => line !== '');
+    const text = decoder.decode(chunk, { stream: true });
+    parts.push(text);
+    length += text.length;
+    if (text.includes('\n')) {
+      const lines = parts.join('').split('\n');
+      const remainder = lines.pop() ?? '';
+      yield* lines.filter((line) => line !== '');
+      parts = [remainder];
+      ({ length } = remainder);
+    }
+    if (length > limitCharacters) {
+      throw new RelayError({
+        kind: FailureKind.ProtocolViolation,
+        peer: 'key-value service',
+        reason: `a line exceeds ${limitCharacters} characters`,
+      });
+    }
   }
 }
--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -1,6 +1,7 @@
 import { Agent, request } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 
 import {
   decodeKeyValue,
@@ -25,6 +26,10 @@
 const OK = 200;
 const NOT_FOUND = 404;
 const INTERNAL_SERVER_ERROR = 500;
+const SERVICE = 'key-value service';
+
+/** Largest response of a call and largest line of a watch. A range is not read in pages. */
+const MAXIMUM_RESPONSE_BYTES = 33_554_432;
 
 /** A connection is closed instead of reused if the error body of a rejected watch is longer. */
 const MAX_ERROR_BODY_BYTES = 16_384;
@@ -127,7 +132,7 @@
         });
         throw this.refused(response.statusCode, false);
       }
-      for await (const line of splitLines(response.body)) {
+      for await (const line of splitLines(response.body, MAXIMUM_RESPONSE_BYTES)) {
         yield this.decodeWatchLine(line);
       }
     } catch (error) {
@@ -146,7 +151,7 @@
     if (result?.compact_revision !== undefined) {
       throw new RelayError({
         kind: FailureKind.ProtocolViolation,
-        peer: 'key-value service',
+        peer: SERVICE,
         reason: `changes before revision ${result.compact_revision} have been compacted`,
       });
     }
@@ -185,7 +190,8 @@
     try {
       const signal = AbortSignal.timeout(this.timeoutMilliseconds);
       const response = await this.open(path, body, signal, this.agent);
-      return { status: response.statusCode, text: await response.body.text() };
+      const text = await readBodyText(response.body, MAXIMUM_RESPONSE_BYTES, SERVICE);
+      return { status: response.statusCode, text };
     } catch (error) {
       this.urlIndex += 1;
       throw this.failure(error, isWrite);
@@ -225,7 +231,7 @@
     return new RelayError(
       {
         kind: FailureKind.PlatformUnavailable,
-        service: 'key-value service',
+        service: SERVICE,
         reason,
         mayHaveTakenEffect,
       },
--- a/packages/hickoryrelay-platform/src/HttpPlatform.ts
+++ b/packages/hickoryrelay-platform/src/HttpPlatform.ts
@@ -1,6 +1,7 @@
 import { buildConnector, Client, getGlobalDispatcher, request } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 import { guardWrites } from 'hickoryrelay/SocketGuardUtils';
 
 import { EndpointSupply } from './EndpointSupply.js';
@@ -20,6 +21,9 @@
 const REQUEST_TIMEOUT_MILLISECONDS = 2000;
 const GONE = 410;
 
+/** A list of 640 instances, or of 7,200 endpoints, takes about 2 MB. */
+const MAXIMUM_RESPONSE_BYTES = 8_388_608;
+
 function isConnectionRefused(error: unknown): boolean {
   return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
 }
@@ -52,7 +56,7 @@
         signal: AbortSignal.timeout(REQUEST_TIMEOUT_MILLISECONDS),
         dispatcher,
       });
-      const text = await response.body.text();
+      const text = await readBodyText(response.body, MAXIMUM_RESPONSE_BYTES, service);
       if (response.statusCode >= 500) {
         throw new RelayError({
           kind: FailureKind.PlatformUnavailable,
