Keep no on-demand endpoints in four or more zones while reclaimable ones last

One on-demand engine in each zone costs as much as five reclaimable ones. Besides, a zone whose engines had all been reclaimed was not known to the task any more and was not ordered again.

Change: with four or more zones the base of on-demand engines is zero, since half of the supply is left when two zones are reclaimed at once; on-demand engines are ordered when a reclaim is announced, as before. Zones are known from their prices. Deployments of three zones are unchanged.

--- a/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
@@ -1,11 +1,18 @@
 import type { SupplyLevel } from './FencedPlatform.js';
-import type { ForwardingService } from './ForwardingConfiguration.js';
+import type { ForwardingService, SupplyBounds } from './ForwardingConfiguration.js';
 
 /**
  * Fraction of a zone's maximum supply that is on-demand while reclaimable endpoints are available.
  */
 const BASE_FRACTION = 0.1;
 
+/**
+ * Number of zones from which on no on-demand endpoints are kept while reclaimable ones are available.
+ * When the reclaimable endpoints of two zones are taken at once, half of the supply is left, and
+ * on-demand endpoints start within the time that a reclaim and a start take.
+ */
+const ZONES_WITHOUT_BASE = 4;
+
 /** Fraction of a zone's maximum supply that is on-demand while reclaimable endpoints are scarce. */
 const FALLBACK_FRACTION = 0.6;
 
@@ -22,6 +29,15 @@
   readonly reclaimable: number;
   /** True while reclaimable endpoints are being reclaimed or are unavailable. */
   readonly isScarce: boolean;
+  /** Number of zones in which the service runs. */
+  readonly zoneCount: number;
+}
+
+/** On-demand endpoints of a zone while reclaimable ones are available. Bounds apply to both kinds. */
+function baseOf({ minimum, maximum }: SupplyBounds, zoneCount: number): number {
+  return zoneCount >= ZONES_WITHOUT_BASE
+    ? 0
+    : Math.max(minimum, Math.ceil(maximum * BASE_FRACTION));
 }
 
 /**
@@ -32,14 +48,14 @@
  */
 export function supplyLevels(
   { supply, name: service }: ForwardingService,
-  { zone, onDemand, reclaimable, isScarce }: ZoneSupply,
+  { zone, onDemand, reclaimable, isScarce, zoneCount }: ZoneSupply,
 ): readonly SupplyLevel[] {
   if (supply === undefined || supply.reclaimablePrice > MAXIMUM_RECLAIMABLE_PRICE) {
     return [];
   }
   const { minimum, maximum } = supply;
-  const base = Math.max(minimum, Math.ceil(maximum * BASE_FRACTION));
-  const fallback = Math.max(base, Math.ceil(maximum * FALLBACK_FRACTION));
+  const base = baseOf(supply, zoneCount);
+  const fallback = Math.max(minimum, base, Math.ceil(maximum * FALLBACK_FRACTION));
   const onDemandLevel = (count: number) => ({ service, zone, count, isReclaimable: false });
   const reclaimableLevel = (count: number) => ({ service, zone, count, isReclaimable: true });
   if (isScarce) {
--- a/packages/hickoryrelay-forwarding/src/SupplyTask.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyTask.ts
@@ -65,13 +65,15 @@
   private *unmetLevels(now: number): Generator<SupplyLevel, void, void> {
     const { view } = this.parts;
     for (const service of view.configuration?.services.values() ?? []) {
-      const zones = new Set(
-        view.endpoints
+      // A zone whose endpoints have all been reclaimed is known from its price.
+      const zones = new Set([
+        ...(service.supply?.zonePrices.keys() ?? []),
+        ...view.endpoints
           .filter((endpoint) => endpoint.service === service.name)
           .map(({ zone }) => zone),
-      );
+      ]);
       for (const zone of [...zones].sort()) {
-        const supply = this.supplyOf(service, zone, now);
+        const supply = this.supplyOf(service, zone, zones.size, now);
         for (const level of supplyLevels(service, supply)) {
           if (level.count !== (level.isReclaimable ? supply.reclaimable : supply.onDemand)) {
             yield level;
@@ -81,7 +83,12 @@
     }
   }
 
-  private supplyOf({ name }: ForwardingService, zone: string, now: number): ZoneSupply {
+  private supplyOf(
+    { name }: ForwardingService,
+    zone: string,
+    zoneCount: number,
+    now: number,
+  ): ZoneSupply {
     const endpoints = this.parts.view.endpoints.filter(
       (endpoint) => endpoint.service === name && endpoint.zone === zone,
     );
@@ -97,6 +104,7 @@
       onDemand: ready.length - reclaimable,
       reclaimable,
       isScarce: isReclaiming || now - lastRefusedAtMilliseconds < SCARCITY_MILLISECONDS,
+      zoneCount,
     };
   }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SupplyLevels.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SupplyLevels.test.ts
@@ -17,8 +17,10 @@
   onDemand: number,
   reclaimable: number,
   isScarce: boolean,
+  zoneCount = 3,
 ) {
-  const levels = supplyLevels(service, { zone: 'z', onDemand, reclaimable, isScarce });
+  const supply = { zone: 'z', onDemand, reclaimable, isScarce, zoneCount };
+  const levels = supplyLevels(service, supply);
   return {
     onDemand: levels.find(({ isReclaimable }) => !isReclaimable)?.count,
     reclaimable: levels.find(({ isReclaimable }) => isReclaimable)?.count,
@@ -32,6 +34,14 @@
     expect(countsOf(large, 3, 23, false)).toEqual({ onDemand: 3, reclaimable: 23 });
   });
 
+  // Guards against paying for on-demand endpoints where the loss of two zones leaves half of them.
+  it('has no on-demand endpoints in four or more zones while reclaimable ones are available', () => {
+    expect(countsOf(serviceOf(), 0, 8, false, 4)).toEqual({ onDemand: 0, reclaimable: 8 });
+    expect(countsOf(serviceOf(), 0, 0, true, 5)).toEqual({ onDemand: 5, reclaimable: 3 });
+    expect(countsOf(serviceOf(), 5, 0, false, 5)).toEqual({ onDemand: undefined, reclaimable: 3 });
+    expect(countsOf(serviceOf(), 5, 3, false, 5)).toEqual({ onDemand: 0, reclaimable: 8 });
+  });
+
   it('replaces reclaimable endpoints by on-demand ones while they are scarce', () => {
     expect(countsOf(serviceOf(), 1, 0, true)).toEqual({ onDemand: 5, reclaimable: 3 });
   });
@@ -55,6 +65,10 @@
         const counts = countsOf(service, onDemand, maximum - onDemand, isScarce);
         expect((counts.onDemand ?? 0) + (counts.reclaimable ?? 0)).toBeLessThanOrEqual(maximum);
         expect(counts.onDemand ?? 1).toBeGreaterThanOrEqual(1);
+        const many = countsOf(service, onDemand, maximum - onDemand, isScarce, 4);
+        const ordered = (many.onDemand ?? 0) + (many.reclaimable ?? 0);
+        expect(ordered).toBeLessThanOrEqual(maximum);
+        expect(ordered + (many.onDemand === undefined ? onDemand : 0)).toBeGreaterThanOrEqual(1);
       }
     }
   });
