Reject a response with another identifier on the product's own links

Cause: connections to plain services are kept for idempotent calls, and the link did not look at the identifier of a response. A second copy of an answer that came late, when the connection was in use again, went to the next caller.

Excluded: calls that are not idempotent, which have a connection of their own, and engines, whose events carry the identifier.

Change: a response with another identifier fails its call. Connections are reused only while the service repeats identifiers; otherwise a copy could not be told from a response. The stand-ins repeat it.

The test of reuse now has a service that repeats identifiers, with one connection more for the first call, before which that is not known; a case for services that do not was added.

Before: the case 'fails a call whose response belongs to another request' received the other response. After: it fails the call.

--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -1,10 +1,11 @@
 import { Client, Pool } from 'undici';
 
 import { EndpointLink } from './EndpointLink.js';
-import { HttpResponseStream } from './HttpResponseStream.js';
+import { HttpResponseStream, REQUEST_IDENTIFIER_HEADER } from './HttpResponseStream.js';
 
 import type { Call } from './Call.js';
 import type { ResumePoint } from './EndpointLink.js';
+import type { HttpResponseObserver } from './HttpResponseStream.js';
 import type { ResponseStream } from './ResponseStream.js';
 import type { EndpointLocation } from 'hickoryrelay-endpoint/Endpoint';
 import type { Dispatcher } from 'undici';
@@ -40,6 +41,9 @@
 export abstract class HttpEndpointLink extends EndpointLink {
   protected readonly location: EndpointLocation;
 
+  /** Whether the last response repeated the identifier of its request; undefined before the first. */
+  private repeatsIdentifier: boolean | undefined;
+
   private current: ConnectionGroup;
 
   /** The current group, and retired groups with calls in progress. */
@@ -54,6 +58,12 @@
   /** Encodes a call from its typed fields. */
   protected abstract encode(call: Call, resume: ResumePoint | undefined): EncodedCall;
 
+  /**
+   * True if the body of a response identifies its request, so that a second copy of an earlier
+   * response is detected there.
+   */
+  protected abstract get isBodyIdentified(): boolean;
+
   override send(call: Call, signal: AbortSignal, resume?: ResumePoint): ResponseStream {
     const encoded = this.encode(call, resume);
     return call.isIdempotent
@@ -69,7 +79,7 @@
 
   private sendOnPool(call: Call, encoded: EncodedCall, signal: AbortSignal): ResponseStream {
     const group = this.current;
-    const response = new HttpResponseStream(this.location.identifier, signal, {
+    const response = this.createResponse(call, signal, {
       onEnd: (ended) => {
         group.responses.delete(ended);
         this.closeWhenIdle(group);
@@ -77,7 +87,21 @@
       onSilence: () => this.retire(group),
     });
     group.responses.add(response);
-    return HttpEndpointLink.dispatch(group.pool, call, encoded, response);
+    const isReusable = this.isBodyIdentified || this.repeatsIdentifier === true;
+    return HttpEndpointLink.dispatch(group.pool, call, encoded, response, isReusable);
+  }
+
+  private createResponse(
+    call: Call,
+    signal: AbortSignal,
+    observer: Omit<HttpResponseObserver, 'onHead'>,
+  ): HttpResponseStream {
+    return new HttpResponseStream(this.location.identifier, call.requestIdentifier, signal, {
+      ...observer,
+      onHead: (isIdentified) => {
+        this.repeatsIdentifier = isIdentified;
+      },
+    });
   }
 
   /**
@@ -91,27 +115,33 @@
     signal: AbortSignal,
   ): ResponseStream {
     const client = new Client(this.location.url, CONNECTION_OPTIONS);
-    const response = new HttpResponseStream(this.location.identifier, signal, {
+    const response = this.createResponse(call, signal, {
       onEnd: () => {
         void client.destroy();
       },
       onSilence: () => this.retire(this.current),
     });
-    return HttpEndpointLink.dispatch(client, call, encoded, response);
+    return HttpEndpointLink.dispatch(client, call, encoded, response, false);
   }
 
+  /**
+   * Sends a call. Unless the connection may be reused, it is closed after the response: a second copy
+   * of a response could not be told from the response to the next call.
+   */
   private static dispatch(
     dispatcher: Dispatcher,
     call: Call,
     { method, path, headers, body }: EncodedCall,
     response: HttpResponseStream,
+    isReusable: boolean,
   ): ResponseStream {
     dispatcher.dispatch(
       {
         method,
         path,
-        headers: { ...headers, 'x-request-id': call.requestIdentifier },
+        headers: { ...headers, [REQUEST_IDENTIFIER_HEADER]: call.requestIdentifier },
         body,
+        reset: !isReusable,
       },
       response,
     );
--- a/packages/hickoryrelay-link/src/HttpResponseStream.ts
+++ b/packages/hickoryrelay-link/src/HttpResponseStream.ts
@@ -10,6 +10,9 @@
  */
 const HIGH_WATER_MARK_BYTES = 65_536;
 
+/** Sent with each call. Endpoints may repeat it in their responses. */
+export const REQUEST_IDENTIFIER_HEADER = 'x-request-id';
+
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
 interface Waiter<Value> {
@@ -19,6 +22,8 @@
 
 /** Owner of a response's connection, notified of the state of the response. */
 export interface HttpResponseObserver {
+  /** The head has arrived. `isIdentified` is true if it repeats the identifier of the request. */
+  onHead(isIdentified: boolean): void;
   /** The response is complete, has broken off or was cancelled. */
   onEnd(response: HttpResponseStream): void;
   /** The response's connection has stalled. */
@@ -50,6 +55,8 @@
 
   private readonly endpoint: string;
 
+  private readonly requestIdentifier: string;
+
   private readonly signal: AbortSignal;
 
   private readonly observer: HttpResponseObserver;
@@ -68,8 +75,14 @@
 
   private hasEnded = false;
 
-  constructor(endpoint: string, signal: AbortSignal, observer: HttpResponseObserver) {
+  constructor(
+    endpoint: string,
+    requestIdentifier: string,
+    signal: AbortSignal,
+    observer: HttpResponseObserver,
+  ) {
     this.endpoint = endpoint;
+    this.requestIdentifier = requestIdentifier;
     this.signal = signal;
     this.observer = observer;
     this.headReceived = new Promise((resolve, reject) => {
@@ -142,6 +155,14 @@
     if (status < 200) {
       return;
     }
+    const responseIdentifier = headers[REQUEST_IDENTIFIER_HEADER];
+    if (responseIdentifier !== undefined && responseIdentifier !== this.requestIdentifier) {
+      // A second copy of an earlier response on a connection that is in use again.
+      const reason = `the response belongs to another request (${String(responseIdentifier)})`;
+      this.fail(toRelayError(reason, this.endpoint, true));
+      return;
+    }
+    this.observer.onHead(responseIdentifier !== undefined);
     const contentType = headers['content-type'];
     this.status = status;
     this.contentType = typeof contentType === 'string' ? contentType : DEFAULT_CONTENT_TYPE;
--- a/packages/hickoryrelay-link/src/OpenAiEngineLink.ts
+++ b/packages/hickoryrelay-link/src/OpenAiEngineLink.ts
@@ -15,6 +15,8 @@
 
 /** Link to an engine with an OpenAI-compatible API. */
 export class OpenAiEngineLink extends HttpEndpointLink {
+  protected override readonly isBodyIdentified = true;
+
   protected override encode(call: Call, resume: ResumePoint | undefined): EncodedCall {
     invariant(call.kind === WorkKind.Model, `expected a model call, received a ${call.kind} call`);
     const body = {
--- a/packages/hickoryrelay-link/src/ServiceLink.ts
+++ b/packages/hickoryrelay-link/src/ServiceLink.ts
@@ -8,6 +8,8 @@
 
 /** Link to a plain service. The client account is sent in a header. */
 export class ServiceLink extends HttpEndpointLink {
+  protected override readonly isBodyIdentified = false;
+
   protected override encode(call: Call): EncodedCall {
     invariant(
       call.kind === WorkKind.Service,
--- a/packages/hickoryrelay-standin/src/JsonServer.ts
+++ b/packages/hickoryrelay-standin/src/JsonServer.ts
@@ -79,6 +79,10 @@
       rawHeaders: request.rawHeaders,
       text: await readText(request),
     };
+    const identifier = request.headers['x-request-id'];
+    if (identifier !== undefined) {
+      response.setHeader('x-request-id', identifier);
+    }
     const fault = this.faults.takeNext();
     if (this.faults.delayMilliseconds > 0) {
       await sleep(this.faults.delayMilliseconds);
