Count each attempt that an engine began once

Cause: an attempt was counted at its first byte and again when it failed later, so a stream that broke off, or whose caller left in the middle, counted twice. A generation that was given up in the queue of its engine was counted although it never began, and a request without a response in the window in which it was given up.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -68,6 +68,8 @@
   /** Endpoints that the request has already been sent to, or that could not be reached. */
   readonly tried = new Set<EndpointState>();
 
+  private isAttemptCounted = false;
+
   private lastDeliveredEvent: string | undefined;
 
   /** True once bytes have been relayed after which another endpoint could not resume. */
@@ -158,11 +160,23 @@
     }
   }
 
-  /** Counts a request that an endpoint has begun to run towards its client account. */
-  recordUsage(): void {
+  /** Starts a new attempt, which an endpoint has not begun to run. */
+  startAttempt(): void {
+    this.isAttemptCounted = false;
+  }
+
+  /**
+   * Counts an attempt that an endpoint began to run at a time of the monotonic clock towards its client
+   * account. An attempt that fails after its first byte has been counted is not counted again.
+   */
+  recordUsage(beganMilliseconds: number): void {
     const { account } = this.trace;
-    if (account !== undefined) {
-      this.parts.tally.add(account, this.parts.clock.wallMilliseconds());
+    if (account === undefined || this.isAttemptCounted) {
+      return;
     }
+    this.isAttemptCounted = true;
+    const { clock, tally } = this.parts;
+    const elapsed = clock.monotonicMilliseconds() - beganMilliseconds;
+    tally.add(account, clock.wallMilliseconds() - elapsed);
   }
 }
--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -25,7 +25,7 @@
       this.call.recordCachedSegment(state, summarizePrompt(this.call.request.promptSegments));
     }
     this.call.trace.firstByteMilliseconds ??= now - this.call.request.arrivedMilliseconds;
-    this.call.recordUsage();
+    this.call.recordUsage(now);
   }
 
   /** Relays a response that is not streamed, buffered until it is complete or exceeds the limit. */
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -163,6 +163,7 @@
     const timeout = new AttemptTimeout(parts.clock);
     this.startResponseTimeout(timeout);
     state.beginRequest(sentMilliseconds);
+    this.call.startAttempt();
     try {
       const signal = AbortSignal.any([deadline.signal, timeout.signal]);
       const response = await parts.link.send(this.attempt(destination), signal);
@@ -172,7 +173,8 @@
       }
       return await this.handleResponse(destination, response, sentMilliseconds, timeout);
     } catch (error) {
-      return this.handleFailure(state, error);
+      const isAborted = deadline.signal.aborted || timeout.signal.aborted;
+      return this.handleFailure(state, error, sentMilliseconds, isAborted);
     } finally {
       timeout.cancel();
       state.finishRequest();
@@ -208,7 +210,12 @@
     return SendResult.NotRun;
   }
 
-  private handleFailure(state: EndpointState, error: unknown): SendResult {
+  private handleFailure(
+    state: EndpointState,
+    error: unknown,
+    sentMilliseconds: number,
+    isAborted: boolean,
+  ): SendResult {
     const { parts, deadline, trace } = this.call;
     const failure = failureOf(error);
     trace.addStep(`run ${state.record.identifier}: ${describeFailure(failure)}`);
@@ -216,8 +223,11 @@
     if (!deadline.signal.aborted) {
       state.recordFailure(parts.clock.monotonicMilliseconds());
     }
-    if (!isUnsent) {
-      this.call.recordUsage();
+    // An engine sends an event as soon as it begins to run a request, so a generation that is given up
+    // without one was most likely still in the queue of the engine.
+    const wasQueued = isAborted && this.call.isGeneration;
+    if (!isUnsent && !wasQueued) {
+      this.call.recordUsage(sentMilliseconds);
     }
     return isUnsent ? SendResult.NotSent : SendResult.Failed;
   }
@@ -238,7 +248,7 @@
     if (this.shouldDiscard(response, isSuccess)) {
       response.discard();
       state.recordFailure(parts.clock.monotonicMilliseconds());
-      this.call.recordUsage();
+      this.call.recordUsage(sentMilliseconds);
       return SendResult.Failed;
     }
     if (admitted.route.isStreaming && isSuccess) {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
@@ -458,6 +458,60 @@
     expect(harness.tally.countsOf(window)).toEqual({ 'account-1': 1 });
   });
 
+  function countOf({ tally, clock }: ReturnType<typeof makeHarness>, age = 0): number {
+    const window = tally.windowAt(clock.wallMilliseconds() - age);
+    return tally.countsOf(window)['account-1'] ?? 0;
+  }
+
+  // Guards against reports that exceed the requests that engines began, by one for each broken stream.
+  it('counts each engine that began a stream once, also if the stream breaks off', async () => {
+    const breaksOff = async () => makeResponse(['id: 1\n\n', endpointFailure(true)]);
+    const harness = makeRouteHarness(stream, [breaksOff, async () => makeResponse(['id: 2\n\n'])]);
+    await harness.run();
+    expect(harness.sink.isEnded).toBe(true);
+    expect(countOf(harness)).toBe(2);
+  });
+
+  it('counts a stream once whose caller leaves in the middle', async () => {
+    const harness = makeRouteHarness(stream, [
+      async (_attempt, signal) => {
+        async function* body(): AsyncGenerator<Buffer, void, void> {
+          yield Buffer.from('id: 1\n\n');
+          await harness.clock.sleep(60_000, signal);
+        }
+        return makeResponse([], { body: body() });
+      },
+    ]);
+    const running = harness.run();
+    await harness.clock.advance(10);
+    harness.sink.leaving.abort();
+    await running;
+    expect(countOf(harness)).toBe(1);
+  });
+
+  it('does not count a generation whose caller leaves before its first event', async () => {
+    const endpoints = [makeEndpoint('engine', { service: 'model', stage: EngineStage.Decode })];
+    const route = { ...stream, services: [{ service: 'model', weight: 1 }] };
+    const harness = makeRouteHarness(route, [neverResponds], { endpoints });
+    const running = harness.run();
+    await harness.clock.advance(10);
+    harness.sink.leaving.abort();
+    await running;
+    expect(harness.link.sent).toHaveLength(1);
+    expect(countOf(harness)).toBe(0);
+  });
+
+  // Guards against a count in the window of the deadline, which may be windows after the run.
+  it('counts a request without a response when it was sent', async () => {
+    const harness = makeRouteHarness({ timeoutMilliseconds: 8000 }, [neverResponds]);
+    const running = harness.run(makeRequest({ callerTimeoutMilliseconds: 7000 }));
+    await harness.clock.advance(7000);
+    await running;
+    expect(harness.sink.own?.status).toBe(504);
+    expect(countOf(harness)).toBe(0);
+    expect(countOf(harness, 7000)).toBe(1);
+  });
+
   it('does not count a request that no endpoint ran', async () => {
     const harness = makeRouteHarness({ maximumAttempts: 1 }, [refusesToRun]);
     await harness.run();
