--- a/packages/hickoryrelay-forwarding/src/AttemptTimeout.ts
+++ b/packages/hickoryrelay-forwarding/src/AttemptTimeout.ts
@@ -1,8 +1,8 @@
 import type { Clock } from 'hickoryrelay/Clock';
 
 /**
- * Aborts an attempt that makes no progress. Progress is a complete event or the start of a response,
- * so an endpoint that sends single bytes from time to time does not keep its attempt alive.
+ * Aborts an attempt that makes no progress for too long. Its user decides what counts as progress and
+ * when there is nothing to wait for.
  */
 export class AttemptTimeout {
   private readonly clock: Clock;
--- a/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
@@ -7,9 +7,8 @@
 const BASE_FRACTION = 0.1;
 
 /**
- * Number of zones from which on no on-demand endpoints are kept while reclaimable ones are available.
- * When the reclaimable endpoints of two zones are taken at once, half of the supply is left, and
- * on-demand endpoints start within the time that a reclaim and a start take.
+ * Number of zones from which on no on-demand endpoints are kept while reclaimable ones are available:
+ * when two zones are reclaimed at once, half of the supply is left until on-demand endpoints start.
  */
 const ZONES_WITHOUT_BASE = 4;
 
