--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
@@ -0,0 +1,230 @@
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { RetrySemantics } from 'hickoryrelay-forwarding/ForwardingConfiguration';
+
+import {
+  endpointFailure,
+  makeRequest,
+  makeResponse,
+  makeRouteHarness,
+  RESUMABLE_STREAM,
+} from './ForwardingFixture.js';
+
+import type { EndpointBehaviour } from './ForwardingFixture.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { ForwardingRoute } from 'hickoryrelay-forwarding/ForwardingConfiguration';
+
+const succeeds: EndpointBehaviour = async () => makeResponse(['good']);
+
+describe('ForwardedCall of a stream', () => {
+  const events = (...identifiers: number[]) =>
+    identifiers.map((identifier) => `id: ${identifier}\ndata: ${identifier}\n\n`);
+
+  it('resumes at another engine after the last complete event', async () => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [
+      async () => makeResponse([...events(1, 2), 'id: 3\nda', endpointFailure(true)]),
+      async () => makeResponse(events(3, 4)),
+    ]);
+    await harness.run();
+    expect(harness.link.sent[1]?.lastEvent).toBe('2');
+    expect(harness.sink.text).toBe(events(1, 2, 3, 4).join(''));
+    expect(harness.sink.isEnded).toBe(true);
+  });
+
+  it('is aborted, not ended, if it cannot be resumed', async () => {
+    const harness = makeRouteHarness(
+      { ...RESUMABLE_STREAM, retrySemantics: RetrySemantics.AtMostOnce },
+      [async () => makeResponse([...events(1), 'id: 2\nda', endpointFailure(true)]), succeeds],
+    );
+    await harness.run();
+    expect(harness.link.sent).toHaveLength(1);
+    expect(harness.sink).toMatchObject({
+      text: events(1).join(''),
+      isEnded: false,
+      isAborted: true,
+    });
+  });
+
+  // Guards against an error body, or a repeated event, within a stream.
+  it.each([
+    ['an error response', events(1, 2), async () => makeResponse(['no'], { status: 404 })],
+    ['events without identifiers', ['data: 1\n\n'], async () => makeResponse(['data: 1\n\n'])],
+  ] as [string, string[], EndpointBehaviour][])(
+    'is not resumed with %s',
+    async (_name, firstChunks, next) => {
+      const harness = makeRouteHarness(RESUMABLE_STREAM, [
+        async () => makeResponse([...firstChunks, endpointFailure(true)]),
+        next,
+      ]);
+      await harness.run();
+      expect(harness.sink).toMatchObject({
+        text: firstChunks.join(''),
+        isEnded: false,
+        isAborted: true,
+      });
+    },
+  );
+
+  it('relays events that are split at any byte', async () => {
+    const whole = events(1, 2, 3).join('');
+    const chunks = whole.match(/.{1,5}/gsu) ?? [];
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [async () => makeResponse(chunks)]);
+    await harness.run();
+    expect(harness.sink.text).toBe(whole);
+  });
+
+  it('starts after the last event that the caller has received', async () => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [async () => makeResponse(events(8))]);
+    await harness.run(makeRequest({ lastEvent: '7' }));
+    expect(harness.link.sent[0]?.lastEvent).toBe('7');
+  });
+});
+
+// The event timeout of these routes is 2000 ms, so a stream counts as stalled after 1200 ms.
+describe('ForwardedCall of a stream that stalls', () => {
+  const event = (identifier: number) => `id: ${identifier}\ndata: x\n\n`;
+
+  /** Sends each chunk after a delay, and then nothing more until the attempt is aborted. */
+  function stallsAfter(
+    chunks: readonly string[],
+    delayMilliseconds: number,
+    clock: Clock,
+  ): EndpointBehaviour {
+    return async (_attempt, signal) => {
+      async function* body(): AsyncGenerator<Buffer, void, void> {
+        for (const chunk of chunks) {
+          await clock.sleep(delayMilliseconds, signal);
+          yield Buffer.from(chunk);
+        }
+        await clock.sleep(60_000, signal);
+      }
+      return makeResponse([], { body: body() });
+    };
+  }
+
+  function makeStallHarness(
+    chunks: readonly string[],
+    delayMilliseconds: number,
+    route: Partial<ForwardingRoute> = RESUMABLE_STREAM,
+  ) {
+    const clock = new ManualClock();
+    const stalls = stallsAfter(chunks, delayMilliseconds, clock);
+    const resumes: EndpointBehaviour = async () => makeResponse([event(8), event(9)]);
+    return makeRouteHarness(route, [stalls, resumes], { clock });
+  }
+
+  it('is resumed at another endpoint', async () => {
+    const harness = makeStallHarness([event(1)], 10);
+    const running = harness.run();
+    await harness.clock.advance(1300);
+    await running;
+    expect(harness.link.sent[1]?.lastEvent).toBe('1');
+    expect(harness.sink).toMatchObject({ text: event(1) + event(8) + event(9), isEnded: true });
+  });
+
+  // Guards against a stalled stream that never ends because it sends a byte now and then.
+  it('is resumed although it sends single bytes', async () => {
+    const drips = Array.from({ length: 100 }, () => ':');
+    const harness = makeStallHarness([event(1), ...drips], 100);
+    const running = harness.run();
+    await harness.clock.advance(1500);
+    await running;
+    expect(harness.link.sent).toHaveLength(2);
+    expect(harness.sink.isEnded).toBe(true);
+  });
+
+  // Guards against cutting a slow but sound stream.
+  it('is not resumed while events arrive', async () => {
+    const route = { ...RESUMABLE_STREAM, latencyTargetMilliseconds: 400 };
+    const harness = makeStallHarness([1, 2, 3].map(event), 900, route);
+    const running = harness.run(makeRequest({ callerTimeoutMilliseconds: 20_000 }));
+    await harness.clock.advance(2800);
+    expect(harness.link.sent).toHaveLength(1);
+    await harness.clock.advance(1200);
+    await running;
+    expect(harness.sink.text).toBe([1, 2, 3, 8, 9].map(event).join(''));
+  });
+
+  it('is not resumed because its caller is slow to read', async () => {
+    const harness = makeStallHarness([event(1), event(2)], 10);
+    harness.sink.write = async (chunk: Buffer) => {
+      await harness.clock.sleep(1900);
+      harness.sink.text += chunk.toString();
+    };
+    const running = harness.run(makeRequest({ callerTimeoutMilliseconds: 20_000 }));
+    await harness.clock.advance(3800);
+    expect(harness.link.sent).toHaveLength(1);
+    harness.sink.leaving.abort();
+    await harness.clock.advance(4000);
+    await running;
+  });
+
+  it.each([
+    [
+      'it is not resumable',
+      { ...RESUMABLE_STREAM, retrySemantics: RetrySemantics.AtMostOnce },
+      event(1),
+    ],
+    ['no attempt is left', { ...RESUMABLE_STREAM, maximumAttempts: 1 }, event(1)],
+    ['its events have no identifiers', RESUMABLE_STREAM, 'data: 1\n\n'],
+  ])('is left until its deadline if %s', async (_name, route, first) => {
+    const harness = makeStallHarness([first], 10, route);
+    const running = harness.run();
+    await harness.clock.advance(2900);
+    expect(harness.sink.isAborted).toBe(false);
+    await harness.clock.advance(200);
+    await running;
+    expect(harness.link.sent).toHaveLength(1);
+    expect(harness.sink.isAborted).toBe(true);
+  });
+});
+
+// Guards against memory that grows with bytes that are no event, and an end that looks complete.
+describe('ForwardedCall of a stream without an event boundary', () => {
+  const endless: EndpointBehaviour = async () => {
+    async function* body(): AsyncGenerator<Buffer, void, void> {
+      yield Buffer.from('id: 1\ndata: x\n\n');
+      for (;;) {
+        yield Buffer.alloc(16_384, 'x');
+      }
+    }
+    return makeResponse([], { body: body() });
+  };
+
+  it('is aborted, not ended, if it cannot be resumed', async () => {
+    const harness = makeRouteHarness(
+      { ...RESUMABLE_STREAM, retrySemantics: RetrySemantics.AtMostOnce },
+      [endless],
+    );
+    await harness.run();
+    expect(harness.sink).toMatchObject({ isEnded: false, isAborted: true });
+  });
+
+  it('is resumed at another endpoint and counts as a failure of the first', async () => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [
+      endless,
+      async () => makeResponse(['id: 2\ndata: y\n\n']),
+    ]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({
+      text: 'id: 1\ndata: x\n\nid: 2\ndata: y\n\n',
+      isEnded: true,
+    });
+    const [failed] = harness.registry
+      .readyEndpoints('desk')
+      .filter(({ record }) => record.identifier === harness.link.sent[0]?.endpoint.identifier);
+    expect(failed?.failureRate(harness.clock.monotonicMilliseconds())).toBeGreaterThan(0);
+  });
+
+  // Guards against events of a second run after the body of a failure response.
+  it('does not resume a failure response that breaks off', async () => {
+    const long = 'x'.repeat(70_000);
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [
+      async () => makeResponse([long, endpointFailure(true)], { status: 404 }),
+      async () => makeResponse(['id: 1\n\n']),
+    ]);
+    await harness.run();
+    expect(harness.link.sent).toHaveLength(1);
+    expect(harness.sink).toMatchObject({ text: long, isEnded: false, isAborted: true });
+  });
+});
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -66,6 +66,9 @@
   };
 }
 
+/** Changes of a route that make it a stream which can be resumed. */
+export const RESUMABLE_STREAM = { retrySemantics: RetrySemantics.Resumable, isStreaming: true };
+
 export function makeConfiguration(
   changes: Partial<ForwardingDeclarations> = {},
 ): ForwardingConfiguration {
@@ -300,3 +303,13 @@
   const run = (request = makeRequest()) => exchange.handle(request, sink);
   return { clock, view, registry, link, tally, budgets, exchange, sink, run };
 }
+
+/** Makes an exchange with a single route, whose endpoints behave as scripted. */
+export function makeRouteHarness(
+  route: Partial<ForwardingRoute>,
+  behaviours: EndpointBehaviour[],
+  options: HarnessOptions = {},
+) {
+  const configuration = makeConfiguration({ routes: [makeRoute(route)] });
+  return makeHarness({ configuration, behaviours, ...options });
+}
