Do not acquire the authority while stopping, nor in turn within a lease

Cause: in a rolling restart an instance that was shutting down acquired the authority less than a second before its stop, acted once and gave it up; the restarted previous holder took it at once.

Change: a stopping instance keeps a term that it holds and acquires none. An instance does not take the authority back within a lease after its own term if another one has held it since.

After: the tests pass.

--- a/packages/hickoryrelay-forwarding/src/Readiness.ts
+++ b/packages/hickoryrelay-forwarding/src/Readiness.ts
@@ -19,6 +19,10 @@
     this.isShuttingDown = true;
   }
 
+  get isStopping(): boolean {
+    return this.isShuttingDown;
+  }
+
   /**
    * True while the view has a configuration and endpoints and is recent enough to run requests with
    * keys.
--- a/packages/hickoryrelay-zone/src/ZoneAuthority.ts
+++ b/packages/hickoryrelay-zone/src/ZoneAuthority.ts
@@ -32,6 +32,8 @@
   pollIntervalMilliseconds: 6000,
 };
 
+const MILLISECONDS_PER_SECOND = 1000;
+
 /** Shortens the interval after a failed renewal, for several retries before the term ends. */
 const RETRY_INTERVAL_DIVISOR = 4;
 
@@ -58,6 +60,11 @@
   readonly candidateCount?: () => number;
   /** Returns false while another instance is known to hold the authority; then the key is not read. */
   readonly mayBeVacant?: () => boolean;
+  /**
+   * Returns true once this instance is stopping. It keeps a term that it holds until it has stopped, but
+   * acquires no new one, which would last for seconds only.
+   */
+  readonly isStopping?: () => boolean;
 }
 
 /**
@@ -77,6 +84,9 @@
   /** The last term of this instance, while the store may still have its lease. */
   private previousTerm: AuthorityTerm | undefined;
 
+  /** Number of the last term of this instance, and the monotonic time at which it ended. */
+  private lastHeld: { fencingNumber: number; endedMilliseconds: number } | undefined;
+
   constructor(parts: ZoneAuthorityParts) {
     super();
     this.name = `authority of ${parts.zone}`;
@@ -91,7 +101,9 @@
 
   protected override async *steps(context: TaskContext): AsyncGenerator<void, void, void> {
     for (;;) {
-      const mayAcquire = this.previousTerm !== undefined || (this.parts.mayBeVacant?.() ?? true);
+      const mayAcquire =
+        this.parts.isStopping?.() !== true &&
+        (this.previousTerm !== undefined || (this.parts.mayBeVacant?.() ?? true));
       const term = mayAcquire ? await this.tryAcquire(context.clock) : undefined;
       if (term !== undefined) {
         yield* this.hold(term, context);
@@ -140,6 +152,7 @@
       term.end();
       this.term = undefined;
       this.previousTerm = signal.aborted ? undefined : term;
+      this.lastHeld = { fencingNumber, endedMilliseconds: clock.monotonicMilliseconds() };
       log.info('Authority over the zone has ended.', { zone, fencingNumber });
       // The lease is revoked only after the tasks have stopped and no order is pending, so that no
       // order takes effect after it. With a pending order the lease is left to expire, which is later
@@ -184,9 +197,24 @@
     return true;
   }
 
+  /**
+   * True if another instance has held the authority since this one did, less than a lease ago. The
+   * platform counts holders that take turns within a lease as acting at the same time.
+   */
+  private mustWaitAfter(newestFencingNumber: number, clock: Clock): boolean {
+    if (this.lastHeld === undefined || newestFencingNumber <= this.lastHeld.fencingNumber) {
+      return false;
+    }
+    const elapsed = clock.monotonicMilliseconds() - this.lastHeld.endedMilliseconds;
+    return elapsed < this.times.leaseSeconds * MILLISECONDS_PER_SECOND;
+  }
+
   private async acquire(clock: Clock): Promise<AuthorityTerm | undefined> {
     const { store, zone, holder } = this.parts;
     const counter = await store.get(fencingKey(zone));
+    if (this.mustWaitAfter(Number(counter?.value ?? 0), clock)) {
+      return undefined;
+    }
     // The lease starts when it is granted, so the term is counted from before the request.
     const requestedMilliseconds = clock.monotonicMilliseconds();
     const { identifier, timeToLiveSeconds } = await store.grantLease(this.times.leaseSeconds);
--- a/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
@@ -8,10 +8,11 @@
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 import { ProcessClock } from 'hickoryrelay-standin/ProcessClock';
 import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
-import { ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
+import { DEFAULT_AUTHORITY_TIMES, ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
 import { authorityKey, fencingKey } from 'hickoryrelay-zone/ZoneKeyUtils';
 
 const ZONE = 'zone-a';
+const LEASE_MILLISECONDS = DEFAULT_AUTHORITY_TIMES.leaseSeconds * 1000;
 
 describe('ZoneAuthority', () => {
   let clock: ManualClock;
@@ -22,7 +23,7 @@
     table = new KeyValueTable(clock);
   });
 
-  function createCandidate(holder: string, seed = 1) {
+  function createCandidate(holder: string, seed = 1, isStopping = () => false) {
     const process = new ProcessClock(clock);
     const store = new InProcessKeyValueStore(table, clock, process);
     const lifecycle = new LifecycleManager(holder, process, () => {});
@@ -34,6 +35,7 @@
       log: silentLogger,
       lifecycle,
       createTasks: () => [],
+      isStopping,
     });
     return {
       process,
@@ -137,6 +139,51 @@
     expect(first.authority.currentTerm?.fencingNumber).toBe(2);
   });
 
+  // Guards against two holders that take turns within a lease, which a platform that does not check
+  // fencing numbers counts as acting at the same time.
+  it('does not take the authority back within a lease after another instance has held it', async () => {
+    const first = createCandidate('first', 1);
+    first.start();
+    await clock.advance(5000);
+    table.revokeLease(first.authority.currentTerm?.grant.lease ?? '');
+    const second = createCandidate('second', 2);
+    second.start();
+    await clock.advance(100);
+    expect(second.authority.currentTerm?.fencingNumber).toBe(2);
+    let firstEndedMilliseconds = clock.monotonicMilliseconds();
+    while (first.authority.currentTerm !== undefined) {
+      await clock.advance(100);
+      firstEndedMilliseconds = clock.monotonicMilliseconds();
+    }
+    await second.stop();
+    expect(storedHolder()).toBeUndefined();
+    while (first.authority.currentTerm === undefined) {
+      await clock.advance(100);
+    }
+    const elapsed = clock.monotonicMilliseconds() - firstEndedMilliseconds;
+    expect(table.range(fencingKey(ZONE)).values[0]?.value).toBe('3');
+    expect(elapsed).toBeGreaterThanOrEqual(LEASE_MILLISECONDS - 100);
+    expect(elapsed).toBeLessThan(3 * LEASE_MILLISECONDS);
+  });
+
+  // Guards against terms of seconds during rolling restarts, after which the restarted previous holder
+  // acts again within a lease.
+  it('keeps its term while it is stopping, and acquires none', async () => {
+    let isStopping = false;
+    const first = createCandidate('first', 1, () => isStopping);
+    first.start();
+    await clock.advance(5000);
+    isStopping = true;
+    await clock.advance(20_000);
+    expect(first.authority.currentTerm?.fencingNumber).toBe(1);
+    await first.stop();
+    const stopping = createCandidate('second', 2, () => isStopping);
+    stopping.start();
+    await clock.advance(60_000);
+    expect(stopping.authority.currentTerm).toBeUndefined();
+    expect(storedHolder()).toBeUndefined();
+  });
+
   // Guards against two terms with the same fencing number.
   it('does not reuse a fencing number that another holder used in the meantime', async () => {
     const first = createCandidate('first');
