Tell a connection cut by a stop from a caller that left

What was missing: a request whose connection a stop closed was logged as `gone`, like that of a caller that left, and both with `the time is over`. A line did not say that its instance was stopping, and nothing was logged about responses that were not written out, or about requests that were dropped before they reached the exchange. The hypotheses on requests lost in a stop could not be told apart.

`ShutdownSchedule` holds the state of the stop, which the readiness, the front end and the exchange had or needed apart. No decision is changed.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -15,6 +15,7 @@
 import type { ResponseSink } from './ResponseSink.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { PlacementContext, ServicePlacement } from './ServicePlacement.js';
+import type { ShutdownSchedule } from './ShutdownSchedule.js';
 import type { UsageTally } from './UsageTally.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
@@ -31,6 +32,7 @@
   readonly link: EndpointLink;
   readonly budgets: RetryBudgets;
   readonly tally: UsageTally;
+  readonly shutdown: ShutdownSchedule;
   /** The monotonic clock, which does not count suspensions. */
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/packages/hickoryrelay-forwarding/src/CallDeadline.ts
+++ b/packages/hickoryrelay-forwarding/src/CallDeadline.ts
@@ -37,6 +37,13 @@
     return this.isExpired;
   }
 
+  /** Describes why the signal has aborted, or is about to. */
+  get endReason(): string {
+    return this.abortController.signal.aborted && !this.isExpired
+      ? 'the connection to the caller has closed'
+      : 'the time is over';
+  }
+
   /** Time left for an endpoint, in milliseconds. */
   remaining(): number {
     return this.endMilliseconds - RESPONSE_MARGIN_MILLISECONDS - this.clock.monotonicMilliseconds();
--- a/packages/hickoryrelay-forwarding/src/CallTrace.ts
+++ b/packages/hickoryrelay-forwarding/src/CallTrace.ts
@@ -19,6 +19,9 @@
 
   firstByteMilliseconds: number | undefined;
 
+  /** Time from the stop signal of the instance to the arrival of the request, if it was stopping. */
+  stoppingMilliseconds: number | undefined;
+
   /** Adds a step, such as `run engine-1: reset`. */
   addStep(step: string): void {
     this.steps.push(step);
@@ -37,6 +40,8 @@
         this.firstByteMilliseconds === undefined
           ? undefined
           : Math.round(this.firstByteMilliseconds),
+      stopping:
+        this.stoppingMilliseconds === undefined ? undefined : Math.round(this.stoppingMilliseconds),
     };
   }
 }
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -80,7 +80,7 @@
     parts.budgets.addRequest(admitted.service);
     const stopDeadline = deadline.watch(sink.gone);
     try {
-      return sink.gone.aborted ? 'gone' : await this.attemptUntilDone();
+      return sink.gone.aborted ? sink.goneOutcome : await this.attemptUntilDone();
     } finally {
       stopDeadline();
     }
@@ -91,7 +91,7 @@
     let unsentAttempts = 0;
     for (;;) {
       if (deadline.signal.aborted || deadline.remaining() < MINIMUM_ATTEMPT_MILLISECONDS) {
-        return this.fail('the time is over');
+        return this.fail(deadline.endReason);
       }
       const destination = this.call.isGeneration
         ? await this.generation.plan()
@@ -295,7 +295,7 @@
     const { sink, trace, deadline, parts } = this.call;
     trace.addStep(reason);
     if (sink.gone.aborted) {
-      return 'gone';
+      return sink.goneOutcome;
     }
     if (sink.hasStarted) {
       sink.abort();
--- a/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
@@ -38,6 +38,7 @@
   /** Responds to one request. Never rejects. */
   async handle(request: ForwardedRequest, sink: ResponseSink): Promise<void> {
     const trace = new CallTrace();
+    trace.stoppingMilliseconds = this.parts.shutdown.elapsedAt(request.arrivedMilliseconds);
     this.open += 1;
     let outcome = 'failed';
     try {
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -75,7 +75,7 @@
         return { state, prefillMilliseconds: 0, prefillTokens: 0, prefilledPrompt };
       }
       if (this.call.deadline.signal.aborted) {
-        return 'the time is over';
+        return this.call.deadline.endReason;
       }
       this.call.tried.add(plan.prefillEngine);
       // A prefill that was refused or failed makes the next one a retry.
--- a/packages/hickoryrelay-forwarding/src/Readiness.ts
+++ b/packages/hickoryrelay-forwarding/src/Readiness.ts
@@ -1,5 +1,6 @@
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { ForwardingLimits } from './ForwardingLimits.js';
+import type { ShutdownSchedule } from './ShutdownSchedule.js';
 
 /** Readiness of this instance for new connections, for the load balancer of the platform. */
 export class Readiness {
@@ -7,30 +8,22 @@
 
   private readonly limits: ForwardingLimits;
 
-  private isShuttingDown = false;
+  private readonly shutdown: ShutdownSchedule;
 
-  constructor(view: ConfirmedView, limits: ForwardingLimits) {
+  constructor(view: ConfirmedView, limits: ForwardingLimits, shutdown: ShutdownSchedule) {
     this.view = view;
     this.limits = limits;
-  }
-
-  /** Makes the instance permanently not ready. */
-  beginShutdown(): void {
-    this.isShuttingDown = true;
-  }
-
-  get isStopping(): boolean {
-    return this.isShuttingDown;
+    this.shutdown = shutdown;
   }
 
   /**
    * True while the view has a configuration and endpoints and is recent enough to run requests with
-   * keys.
+   * keys. An instance that is stopping is not ready.
    */
   get isReady(): boolean {
     const { configuration, endpoints, ageMilliseconds } = this.view;
     return (
-      !this.isShuttingDown &&
+      !this.shutdown.isStopping &&
       configuration !== undefined &&
       endpoints.length > 0 &&
       ageMilliseconds < this.limits.maximumViewAgeMilliseconds
--- a/packages/hickoryrelay-forwarding/src/ResponseSink.ts
+++ b/packages/hickoryrelay-forwarding/src/ResponseSink.ts
@@ -8,11 +8,26 @@
   readonly retryAfterMilliseconds?: number;
 }
 
+/** Why a connection closed before the response was complete. The reason of `ResponseSink.gone`. */
+export const CloseReason = {
+  /** The caller closed it, or it failed. */
+  Caller: 'caller',
+  /** This instance closed it because it was stopping. */
+  Shutdown: 'shutdown',
+} as const;
+
+export type CloseReason = (typeof CloseReason)[keyof typeof CloseReason];
+
 /** Receives the response to one request. Subclasses encode it and make no decisions. */
 export abstract class ResponseSink {
-  /** Aborts when the caller has disconnected. */
+  /** Aborts when the connection has closed early. Its reason is a `CloseReason`. */
   abstract readonly gone: AbortSignal;
 
+  /** Outcome of a request whose connection has closed early: `gone` if the caller left, or `cut`. */
+  get goneOutcome(): string {
+    return this.gone.reason === CloseReason.Shutdown ? 'cut' : 'gone';
+  }
+
   abstract get hasStarted(): boolean;
 
   /** Sends the head of an endpoint's response. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -21,6 +21,7 @@
 import { ResponseSink } from 'hickoryrelay-forwarding/ResponseSink';
 import { RetryBudgets } from 'hickoryrelay-forwarding/RetryBudgets';
 import { ServicePlacement } from 'hickoryrelay-forwarding/ServicePlacement';
+import { ShutdownSchedule } from 'hickoryrelay-forwarding/ShutdownSchedule';
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
 
 import type {
@@ -282,6 +283,7 @@
   const prefillRate = new PrefillRate();
   const tally = new UsageTally(5000);
   const budgets = new RetryBudgets(LIMITS);
+  const shutdown = new ShutdownSchedule(clock);
   const exchange = new ForwardingExchange({
     zone: 'zone-a',
     view,
@@ -293,6 +295,7 @@
     link,
     budgets,
     tally,
+    shutdown,
     clock,
     random,
     admission: new RequestAdmission(view, LIMITS, random),
@@ -301,7 +304,7 @@
   });
   const sink = new RecordingSink();
   const run = (request = makeRequest()) => exchange.handle(request, sink);
-  return { clock, view, registry, link, tally, budgets, exchange, sink, run };
+  return { clock, view, registry, link, tally, budgets, shutdown, exchange, sink, run };
 }
 
 /** Makes an exchange with a single route, whose endpoints behave as scripted. */
