Accept no request that may outlast the stop of its instance

What callers saw: a request that was taken seconds after SIGTERM was given up; its connection closed without an answer (LOST).

Cause: a stopping instance kept its listener and its connections until 0.6 of the grace time and took every request on them, whatever time was left. At 0.95 it closed all connections, also those whose request still waited. Routes allow 8 s and the grace time is 8 s, so a request taken at 4 s was cut at 7.6 s. The class of fault: work is admitted without regard to the deadline of the process that admits it.

Excluded: requests dropped between their arrival and the exchange; none of the lines that would show it was written, and requests that are completed while idle connections are closed are answered (CallerFrontEnd.test.ts).

Now: after 0.3 of the grace time, in which a load balancer takes the instance out, a request is accepted only if its time limit ends before 0.9 of the grace time; others get 503 at once, with a Retry-After for a new connection, which leads elsewhere. At 0.9, requests without a response are answered: 503 if they have not run, else 502. Streams that have begun go on until 0.95. The decision is ShutdownSchedule, on the instance's clock.

DeploymentBounds.test.ts checks the order of all four times instead of two.

--- a/packages/hickoryrelay-forwarding/src/CallDeadline.ts
+++ b/packages/hickoryrelay-forwarding/src/CallDeadline.ts
@@ -2,8 +2,19 @@
 
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { ForwardingRoute } from './ForwardingConfiguration.js';
+import type { ResponseSink } from './ResponseSink.js';
+import type { ShutdownSchedule } from './ShutdownSchedule.js';
 import type { Clock } from 'hickoryrelay/Clock';
 
+/** Why the attempts of a request were aborted. */
+export const EndReason = {
+  Expired: 'the time is over',
+  CallerGone: 'the connection to the caller has closed',
+  Stopping: 'the instance is stopping',
+} as const;
+
+export type EndReason = (typeof EndReason)[keyof typeof EndReason];
+
 /** Tracks the time limits of a request and aborts its attempts when they expire. */
 export class CallDeadline {
   private readonly clock: Clock;
@@ -12,12 +23,13 @@
 
   private readonly route: ForwardingRoute;
 
-  private readonly endMilliseconds: number;
+  /** Time of the monotonic clock at which the caller or the route stops waiting. */
+  readonly endMilliseconds: number;
 
-  /** Aborts at the deadline or when the caller disconnects. */
+  /** Aborts at the deadline, when the caller disconnects or when the instance has to answer. */
   private readonly abortController = new AbortController();
 
-  private isExpired = false;
+  private abortReason: EndReason | undefined;
 
   constructor(clock: Clock, request: ForwardedRequest, route: ForwardingRoute) {
     this.clock = clock;
@@ -34,14 +46,12 @@
 
   /** True once the deadline has passed, which tells it apart from a caller that disconnected. */
   get hasExpired(): boolean {
-    return this.isExpired;
+    return this.abortReason === EndReason.Expired;
   }
 
-  /** Describes why the signal has aborted, or is about to. */
-  get endReason(): string {
-    return this.abortController.signal.aborted && !this.isExpired
-      ? 'the connection to the caller has closed'
-      : 'the time is over';
+  /** Why the signal has aborted, or is about to. */
+  get endReason(): EndReason {
+    return this.abortReason ?? EndReason.Expired;
   }
 
   /** Time left for an endpoint, in milliseconds. */
@@ -49,20 +59,35 @@
     return this.endMilliseconds - RESPONSE_MARGIN_MILLISECONDS - this.clock.monotonicMilliseconds();
   }
 
-  /** Aborts the signal at the deadline or when the caller disconnects. Returns a stop function. */
-  watch(gone: AbortSignal): () => void {
-    const onGone = () => this.abortController.abort();
+  /**
+   * Aborts the signal at the deadline, when the caller disconnects, or when a stopping instance has
+   * to answer a request whose response has not started. Returns a stop function.
+   */
+  watch(sink: ResponseSink, { unanswered }: ShutdownSchedule): () => void {
+    const { gone } = sink;
+    const onGone = () => this.abort(EndReason.CallerGone);
+    const onUnanswered = () => {
+      if (!sink.hasStarted) {
+        this.abort(EndReason.Stopping);
+      }
+    };
     gone.addEventListener('abort', onGone, { once: true });
-    const cancelTimer = this.clock.schedule(Math.max(0, this.remaining()), () => {
-      this.isExpired = true;
-      this.abortController.abort();
-    });
+    unanswered.addEventListener('abort', onUnanswered, { once: true });
+    const cancelTimer = this.clock.schedule(Math.max(0, this.remaining()), () =>
+      this.abort(EndReason.Expired),
+    );
     return () => {
       cancelTimer();
       gone.removeEventListener('abort', onGone);
+      unanswered.removeEventListener('abort', onUnanswered);
     };
   }
 
+  private abort(reason: EndReason): void {
+    this.abortReason ??= reason;
+    this.abortController.abort();
+  }
+
   /** Time left until the caller stops waiting for the first event, in milliseconds. */
   firstEventTimeout(): number {
     const elapsed = this.clock.monotonicMilliseconds() - this.request.arrivedMilliseconds;
--- a/packages/hickoryrelay-forwarding/src/DeploymentBounds.ts
+++ b/packages/hickoryrelay-forwarding/src/DeploymentBounds.ts
@@ -1,4 +1,5 @@
 import type { ForwardingLimits } from './ForwardingLimits.js';
+import type { ShutdownTimes } from './ShutdownSchedule.js';
 import type { AuthorityTimes } from 'hickoryrelay-zone/ZoneAuthority';
 
 /** Time limits and budgets that a deployment declares. All times are in milliseconds. */
@@ -37,14 +38,23 @@
  */
 const REFRESH_FRACTION = 0.4;
 
+/**
+ * Fraction of the grace period in which all requests are accepted. A load balancer that probes each
+ * second and takes two failures as the end of an instance sends it callers for about as long.
+ */
+const ACCEPT_FRACTION = 0.3;
+
 /**
  * Fraction of the grace period for which idle connections stay open, for callers to notice the
  * stop.
  */
 const IDLE_CLOSE_FRACTION = 0.6;
 
-/** Fraction of the grace period after which requests still in flight are aborted. */
-const REQUEST_ABORT_FRACTION = 0.95;
+/** Fraction of the grace period after which requests without a response are answered as failed. */
+const UNANSWERED_FRACTION = 0.9;
+
+/** Fraction of the grace period after which all connections are closed. */
+const CLOSE_FRACTION = 0.95;
 
 /** Fraction of a lease after which it is renewed; allows three renewals within a lease. */
 const LEASE_RENEWAL_FRACTION = 0.3;
@@ -75,17 +85,15 @@
   return Math.min(bounds.configurationMilliseconds, bounds.leavingMilliseconds) * REFRESH_FRACTION;
 }
 
-/**
- * Times after the stop signal at which an instance closes its idle connections and aborts the
- * requests still in flight.
- */
-export function shutdownTimesOf({ graceMilliseconds }: DeploymentBounds): {
-  readonly idleCloseMilliseconds: number;
-  readonly requestAbortMilliseconds: number;
-} {
+/** Times of the shutdown of an instance. */
+export function shutdownTimesOf({
+  graceMilliseconds,
+}: Pick<DeploymentBounds, 'graceMilliseconds'>): ShutdownTimes {
   return {
+    lateRequestMilliseconds: graceMilliseconds * ACCEPT_FRACTION,
     idleCloseMilliseconds: graceMilliseconds * IDLE_CLOSE_FRACTION,
-    requestAbortMilliseconds: graceMilliseconds * REQUEST_ABORT_FRACTION,
+    unansweredMilliseconds: graceMilliseconds * UNANSWERED_FRACTION,
+    closeMilliseconds: graceMilliseconds * CLOSE_FRACTION,
   };
 }
 
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -3,7 +3,7 @@
 
 import { AttemptTimeout } from './AttemptTimeout.js';
 import { CallContext } from './CallContext.js';
-import { CallDeadline } from './CallDeadline.js';
+import { CallDeadline, EndReason } from './CallDeadline.js';
 import { AttemptKind } from './EndpointLink.js';
 import { EndpointResponseRelay } from './EndpointResponseRelay.js';
 import {
@@ -77,8 +77,12 @@
   /** Responds to the request. Returns the outcome for the log and the metrics. */
   async run(): Promise<string> {
     const { parts, admitted, sink, deadline } = this.call;
+    if (!parts.shutdown.canAnswerBy(deadline.endMilliseconds)) {
+      this.call.trace.addStep(EndReason.Stopping);
+      return this.refuse(EndReason.Stopping, RETRY_AFTER_MILLISECONDS.Stopping);
+    }
     parts.budgets.addRequest(admitted.service);
-    const stopDeadline = deadline.watch(sink.gone);
+    const stopDeadline = deadline.watch(sink, parts.shutdown);
     try {
       return sink.gone.aborted ? sink.goneOutcome : await this.attemptUntilDone();
     } finally {
@@ -292,7 +296,7 @@
 
   /** Ends a request without a complete response from an endpoint. Returns the outcome. */
   private fail(reason: string): string {
-    const { sink, trace, deadline, parts } = this.call;
+    const { sink, trace, deadline } = this.call;
     trace.addStep(reason);
     if (sink.gone.aborted) {
       return sink.goneOutcome;
@@ -306,13 +310,21 @@
       sink.answer({ status, reason });
       return `own-${status}`;
     }
+    return this.refuse(
+      reason,
+      deadline.endReason === EndReason.Stopping
+        ? RETRY_AFTER_MILLISECONDS.Stopping
+        : RETRY_AFTER_MILLISECONDS.NoCapacity,
+    );
+  }
+
+  /** Refuses a request that has not run. Returns the outcome. */
+  private refuse(reason: string, retryAfterMilliseconds: number): string {
+    const { sink, parts } = this.call;
     sink.answer({
       status: SERVICE_UNAVAILABLE,
       reason,
-      retryAfterMilliseconds: addRetryAfterJitter(
-        RETRY_AFTER_MILLISECONDS.NoCapacity,
-        parts.random,
-      ),
+      retryAfterMilliseconds: addRetryAfterJitter(retryAfterMilliseconds, parts.random),
     });
     return `own-${SERVICE_UNAVAILABLE}`;
   }
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -63,6 +63,8 @@
 export const RETRY_AFTER_MILLISECONDS = {
   /** The instance has no usable view; another instance may have one. */
   NoView: 150,
+  /** The instance is stopping; a new connection leads to another instance. */
+  Stopping: 20,
   /** All endpoints of the service are full or unavailable. */
   NoCapacity: 300,
 } as const;
--- a/packages/hickoryrelay-forwarding/src/ShutdownSchedule.ts
+++ b/packages/hickoryrelay-forwarding/src/ShutdownSchedule.ts
@@ -1,27 +1,68 @@
 import type { Clock } from 'hickoryrelay/Clock';
 
-/** Tells whether this instance is stopping, and since when. */
+/** Times after the stop signal at which an instance takes the steps of its shutdown. */
+export interface ShutdownTimes {
+  /** From then on, only requests are accepted that end before `unansweredMilliseconds`. */
+  readonly lateRequestMilliseconds: number;
+  /** Idle connections are closed. */
+  readonly idleCloseMilliseconds: number;
+  /** Requests whose response has not started are answered without waiting for an endpoint. */
+  readonly unansweredMilliseconds: number;
+  /** All connections are closed. */
+  readonly closeMilliseconds: number;
+}
+
+/** Tells whether this instance is stopping, and which requests it can still answer. */
 export class ShutdownSchedule {
+  readonly times: ShutdownTimes;
+
   private readonly clock: Clock;
 
   private startedMilliseconds: number | undefined;
 
-  constructor(clock: Clock) {
+  private readonly unansweredController = new AbortController();
+
+  constructor(clock: Clock, times: ShutdownTimes) {
     this.clock = clock;
+    this.times = times;
   }
 
   /** Starts with the stop signal. Further calls have no effect. */
   begin(): void {
-    this.startedMilliseconds ??= this.clock.monotonicMilliseconds();
+    if (this.startedMilliseconds === undefined) {
+      this.startedMilliseconds = this.clock.monotonicMilliseconds();
+      this.clock.schedule(this.times.unansweredMilliseconds, () =>
+        this.unansweredController.abort(),
+      );
+    }
   }
 
   get isStopping(): boolean {
     return this.startedMilliseconds !== undefined;
   }
 
+  /** Aborts when requests have to be answered without waiting for an endpoint. */
+  get unanswered(): AbortSignal {
+    return this.unansweredController.signal;
+  }
+
   /** Time from the stop signal to a time of the monotonic clock. Undefined unless stopping then. */
   elapsedAt(milliseconds: number): number | undefined {
     const started = this.startedMilliseconds;
     return started === undefined || milliseconds < started ? undefined : milliseconds - started;
   }
+
+  /**
+   * True if a request that is admitted now and may take until the given time of the monotonic clock
+   * will be answered. Early in a shutdown all requests are accepted, since the load balancer may
+   * still send callers that are refused to this instance.
+   */
+  canAnswerBy(endMilliseconds: number): boolean {
+    const elapsed = this.elapsedAt(this.clock.monotonicMilliseconds());
+    return (
+      elapsed === undefined ||
+      elapsed < this.times.lateRequestMilliseconds ||
+      (this.elapsedAt(endMilliseconds) ?? 0) <= this.times.unansweredMilliseconds
+    );
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/DeploymentBounds.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/DeploymentBounds.test.ts
@@ -35,12 +35,14 @@
     );
   });
 
-  it('closes idle connections, then aborts requests, before the end of the grace period', () => {
+  it('takes the steps of a shutdown in order, before the end of the grace period', () => {
     fastCheck.assert(
       fastCheck.property(boundsArbitrary, (bounds) => {
-        const { idleCloseMilliseconds, requestAbortMilliseconds } = shutdownTimesOf(bounds);
-        expect(idleCloseMilliseconds).toBeLessThan(requestAbortMilliseconds);
-        expect(requestAbortMilliseconds).toBeLessThan(bounds.graceMilliseconds);
+        const times = shutdownTimesOf(bounds);
+        expect(times.lateRequestMilliseconds).toBeLessThan(times.idleCloseMilliseconds);
+        expect(times.idleCloseMilliseconds).toBeLessThan(times.unansweredMilliseconds);
+        expect(times.unansweredMilliseconds).toBeLessThan(times.closeMilliseconds);
+        expect(times.closeMilliseconds).toBeLessThan(bounds.graceMilliseconds);
       }),
     );
   });
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -4,6 +4,7 @@
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
+import { shutdownTimesOf } from 'hickoryrelay-forwarding/DeploymentBounds';
 import { EndpointLink } from 'hickoryrelay-forwarding/EndpointLink';
 import { EndpointPhase } from 'hickoryrelay-forwarding/EndpointRecord';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
@@ -39,6 +40,9 @@
 import type { ForwardingLimits } from 'hickoryrelay-forwarding/ForwardingLimits';
 import type { LocalResponse } from 'hickoryrelay-forwarding/ResponseSink';
 
+/** Time between the stop signal and the end of the process. */
+export const GRACE_MILLISECONDS = 8000;
+
 /** Time between two writes of an endpoint's registration. */
 export const HEARTBEAT_MILLISECONDS = 1200;
 
@@ -283,7 +287,10 @@
   const prefillRate = new PrefillRate();
   const tally = new UsageTally(5000);
   const budgets = new RetryBudgets(LIMITS);
-  const shutdown = new ShutdownSchedule(clock);
+  const shutdown = new ShutdownSchedule(
+    clock,
+    shutdownTimesOf({ graceMilliseconds: GRACE_MILLISECONDS }),
+  );
   const exchange = new ForwardingExchange({
     zone: 'zone-a',
     view,
