Observe the end of the wait for endpoints without an abort signal

What operators saw: each instance wrote MaxListenersExceededWarning to its standard error once 11 requests were open. Callers saw nothing.

Cause: CallDeadline.watch adds a listener of each open request to one AbortSignal of ShutdownSchedule. The runtime warns of more than 10 and searches all listeners to add or to remove one. Listeners were removed, so there was no leak.

Evidence: the new test fails on the old code with [ 'MaxListenersExceededWarning' ].

Now: ShutdownSchedule keeps a set of observers, and onUnanswered returns the function that removes one.

--- a/packages/hickoryrelay-forwarding/src/CallDeadline.ts
+++ b/packages/hickoryrelay-forwarding/src/CallDeadline.ts
@@ -63,23 +63,22 @@
    * Aborts the signal at the deadline, when the caller disconnects, or when a stopping instance has
    * to answer a request whose response has not started. Returns a stop function.
    */
-  watch(sink: ResponseSink, { unanswered }: ShutdownSchedule): () => void {
+  watch(sink: ResponseSink, shutdown: ShutdownSchedule): () => void {
     const { gone } = sink;
     const onGone = () => this.abort(EndReason.CallerGone);
-    const onUnanswered = () => {
+    gone.addEventListener('abort', onGone, { once: true });
+    const removeObserver = shutdown.onUnanswered(() => {
       if (!sink.hasStarted) {
         this.abort(EndReason.Stopping);
       }
-    };
-    gone.addEventListener('abort', onGone, { once: true });
-    unanswered.addEventListener('abort', onUnanswered, { once: true });
+    });
     const cancelTimer = this.clock.schedule(Math.max(0, this.remaining()), () =>
       this.abort(EndReason.Expired),
     );
     return () => {
       cancelTimer();
       gone.removeEventListener('abort', onGone);
-      unanswered.removeEventListener('abort', onUnanswered);
+      removeObserver();
     };
   }
 
--- a/packages/hickoryrelay-forwarding/src/ShutdownSchedule.ts
+++ b/packages/hickoryrelay-forwarding/src/ShutdownSchedule.ts
@@ -20,7 +20,7 @@
 
   private startedMilliseconds: number | undefined;
 
-  private readonly unansweredController = new AbortController();
+  private readonly unansweredObservers = new Set<() => void>();
 
   constructor(clock: Clock, times: ShutdownTimes) {
     this.clock = clock;
@@ -32,7 +32,7 @@
     if (this.startedMilliseconds === undefined) {
       this.startedMilliseconds = this.clock.monotonicMilliseconds();
       this.clock.schedule(this.times.unansweredMilliseconds, () =>
-        this.unansweredController.abort(),
+        this.unansweredObservers.forEach((observer) => observer()),
       );
     }
   }
@@ -41,9 +41,13 @@
     return this.startedMilliseconds !== undefined;
   }
 
-  /** Aborts when requests have to be answered without waiting for an endpoint. */
-  get unanswered(): AbortSignal {
-    return this.unansweredController.signal;
+  /**
+   * Calls the observer when requests have to be answered without waiting for an endpoint. Returns a
+   * function that removes it.
+   */
+  onUnanswered(observer: () => void): () => void {
+    this.unansweredObservers.add(observer);
+    return () => this.unansweredObservers.delete(observer);
   }
 
   /** Time from the stop signal to a time of the monotonic clock. Undefined unless stopping then. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ShutdownSchedule.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ShutdownSchedule.test.ts
@@ -9,6 +9,7 @@
   makeRequest,
   makeResponse,
   makeRouteHarness,
+  RecordingSink,
   RESUMABLE_STREAM,
 } from './ForwardingFixture.js';
 import type { EndpointBehaviour } from './ForwardingFixture.js';
@@ -89,6 +90,27 @@
     },
   );
 
+  it('does not make the runtime warn of leaked listeners when many requests are open', async () => {
+    const warnings: string[] = [];
+    const onWarning = ({ name }: Error) => warnings.push(name);
+    process.on('warning', onWarning);
+    const openRequests = 20;
+    const { clock, shutdown, exchange } = makeRouteHarness(
+      { timeoutMilliseconds: 60_000 },
+      Array.from({ length: openRequests }, () => neverRespond),
+    );
+    const sinks = Array.from({ length: openRequests }, () => new RecordingSink());
+    const ended = sinks.map((sink, index) =>
+      exchange.handle(makeRequest({ identifier: `r${index}` }), sink),
+    );
+    await clock.advance(0);
+    shutdown.begin();
+    await clock.advance(shutdown.times.unansweredMilliseconds);
+    await Promise.all(ended);
+    process.removeListener('warning', onWarning);
+    expect(warnings).toEqual([]);
+  });
+
   it('keeps a stream that has begun until its connection is closed', async () => {
     const { clock, shutdown, sink, run } = makeRouteHarness(
       { ...RESUMABLE_STREAM, timeoutMilliseconds: 60_000, maximumAttempts: 1 },
