Keep usage counts when the instance that took them over stops

What operators saw: the requests that a stopped instance had counted were missing from the usage of a window, if the store could not be written when it stopped and the instance that took its counts over stopped as well before it could be written. Callers saw nothing.

Cause: a stopping instance hands off its own counts but not those that it has taken over, and it confirms further ones until its process ends. The class of fault is that of the requests taken late in a stop: work is admitted without regard to the end of the process that admits it.

Evidence: the new test fails on the old code ("expected +0 to be 4").

Now: after its final write, an instance hands off what it took over too, at the same time as its own counts, and confirms no more. The sender tries the next instance then. The writer never lowers stored counts and keeps them by incarnation, so counts that two instances hold are not added.

--- a/packages/hickoryrelay-forwarding/src/UsageCountsRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageCountsRelay.ts
@@ -55,6 +55,8 @@
   /** Counts taken over from stopped instances, by window and incarnation. */
   private readonly handedOff = new Map<string, UsageCounts>();
 
+  private isStopping = false;
+
   /** Handlers for the confirmations of pending reports and handoffs, by number. */
   private readonly confirmationHandlers = new Map<number, () => void>();
 
@@ -130,6 +132,18 @@
     }
   }
 
+  /** Hands off again what was taken over from stopped instances, and takes over nothing more. */
+  async handOffAll(): Promise<void> {
+    this.isStopping = true;
+    await Promise.all(
+      [...this.handedOff].map(async ([key, usage]) => {
+        if (await this.handOff(usage)) {
+          this.handedOff.delete(key);
+        }
+      }),
+    );
+  }
+
   private distance({ zone }: PeerRecord): number {
     return zone === this.parts.self.zone ? 0 : 1;
   }
@@ -172,7 +186,7 @@
   }
 
   private acceptHandoff({ reporter, number, usage }: UsageCountsReport): void {
-    if (this.handedOff.size < MAXIMUM_HANDED_OFF_ENTRIES) {
+    if (!this.isStopping && this.handedOff.size < MAXIMUM_HANDED_OFF_ENTRIES) {
       this.handedOff.set(`${usage.window}/${usage.incarnation}`, usage);
       this.parts.channel.send(reporter, { kind: PeerMessageKind.UsageCountsConfirmation, number });
     }
--- a/packages/hickoryrelay-forwarding/src/UsageCountsTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageCountsTask.ts
@@ -82,6 +82,7 @@
   /** Writes the final counts before the instance stops; hands off those that cannot be written. */
   async finish(wallMilliseconds: number): Promise<void> {
     await this.flush(wallMilliseconds, true);
+    const handedOff = this.parts.relay.handOffAll();
     const { oldest, current } = this.openWindowsAt(wallMilliseconds);
     for (let window = oldest; window <= current; window += 1) {
       const usage = this.usageOf(window, true);
@@ -90,6 +91,7 @@
         this.parts.log.info('Tried to hand off the usage counts of a window.', { window, isTaken });
       }
     }
+    await handedOff;
   }
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageCounts.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageCounts.test.ts
@@ -1,14 +1,17 @@
 import fastCheck from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { FailureKind } from 'hickoryrelay/Failure';
+import { invariant } from 'hickoryrelay/Invariant';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
 import { UsageCountsRelay } from 'hickoryrelay-forwarding/UsageCountsRelay';
+import { UsageCountsTask } from 'hickoryrelay-forwarding/UsageCountsTask';
 import { decodeUsageCounts, UsageCountsWriter } from 'hickoryrelay-forwarding/UsageCountsWriter';
 import { usageCountsKey } from 'hickoryrelay-forwarding/UsageKeys';
+import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
 import { ZoneRelaySelector } from 'hickoryrelay-forwarding/ZoneRelaySelector';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
@@ -124,6 +127,8 @@
   }
 }
 
+const WINDOW_MILLISECONDS = 5000;
+
 const usageOf = (incarnation: string, count: number, isFinal = false): UsageCounts => ({
   window: 1,
   incarnation,
@@ -243,6 +248,22 @@
   return { clock, network, store, relays, storeAll, restart };
 }
 
+/** Writes or hands off the counts of an instance that stops in window 1. */
+function finish(relay: UsageCountsRelay | undefined): Promise<void> {
+  invariant(relay !== undefined, 'The zone has no such instance.');
+  const task = new UsageCountsTask({
+    incarnation: 'finished',
+    relay,
+    tally: new UsageTally(WINDOW_MILLISECONDS),
+    windowMilliseconds: WINDOW_MILLISECONDS,
+    dueMilliseconds: WINDOW_MILLISECONDS,
+    countInstances: () => 1,
+    random: new SeededRandomSource(1),
+    log: silentLogger,
+  });
+  return task.finish(WINDOW_MILLISECONDS);
+}
+
 describe('UsageCountsRelay', () => {
   it('writes the counts of all instances of a zone in one transaction', async () => {
     const { store, storeAll } = makeZone(8);
@@ -314,4 +335,24 @@
     await writeAll(1);
     expect(store.totalOf(usageCountsKey(1, 'i-0'))).toBe(4);
   });
+
+  it('does not lose the counts of a stopped instance when the instance that took them over stops', async () => {
+    const { store, clock, network, relays } = makeZone(4);
+    const [first, second, third, fourth] = relays;
+    store.outcome = WriteOutcome.RequestLost;
+    const taken = first?.handOff(usageOf('i-0', 4, true));
+    await clock.advance(10);
+    expect(await taken).toBe(true);
+    network.isDelivered = (from, to) => from !== 0 && to !== 0;
+    const finished = finish(second);
+    await clock.advance(10);
+    const takenLate = fourth?.handOff(usageOf('i-3', 3, true));
+    await clock.advance(5000);
+    await finished;
+    expect(await takenLate).toBe(true);
+    store.outcome = WriteOutcome.Succeeded;
+    await third?.writeHandedOff(1);
+    expect(store.totalOf(usageCountsKey(1, 'i-0'))).toBe(4);
+    expect(store.totalOf(usageCountsKey(1, 'i-3'))).toBe(3);
+  });
 });
