Log the prompt segments of runs that end before their first event

A request line named the engine and the failure of each attempt, but neither whether its first event had arrived nor its prompt segments, so the lines could not tell which requests an engine had not begun when it crashed. The line now has lostSegments, and the step says "before its first event". No decision changes.

The new test fails without the field: expected undefined to be 'shared-1,shared-2'.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -7,7 +7,7 @@
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { EndpointState } from './EndpointState.js';
 import type { EnginePlacement, PromptSummary } from './EnginePlacement.js';
-import type { ForwardedRequest } from './ForwardedRequest.js';
+import type { ForwardedRequest, PromptSegment } from './ForwardedRequest.js';
 import type { EngineCapacity } from './ForwardingConfiguration.js';
 import type { PrefillRate } from './PrefillRate.js';
 import type { PromptCacheDirectory } from './PromptCacheDirectory.js';
@@ -70,6 +70,8 @@
 
   private isAttemptCounted = false;
 
+  private hasAttemptBegun = false;
+
   private lastDeliveredEvent: string | undefined;
 
   /** True once bytes have been relayed after which another endpoint could not resume. */
@@ -96,6 +98,11 @@
     return this.engine !== undefined;
   }
 
+  /** The segments of the prompt that other requests may have as well: all but the last one. */
+  get sharedSegments(): readonly PromptSegment[] {
+    return this.request.promptSegments.slice(0, -1);
+  }
+
   /** Undefined for services without engines. */
   private get engine(): EngineCapacity | undefined {
     return this.parts.view.configuration?.services.get(this.admitted.service)?.engine;
@@ -163,6 +170,17 @@
   /** Starts a new attempt, which an endpoint has not begun to run. */
   startAttempt(): void {
     this.isAttemptCounted = false;
+    this.hasAttemptBegun = false;
+  }
+
+  /** True once the first event or the whole response of the current attempt has arrived. */
+  get hasBegun(): boolean {
+    return this.hasAttemptBegun;
+  }
+
+  /** Records that the first event or the whole response of the current attempt has arrived. */
+  recordBegin(): void {
+    this.hasAttemptBegun = true;
   }
 
   /**
--- a/packages/hickoryrelay-forwarding/src/CallTrace.ts
+++ b/packages/hickoryrelay-forwarding/src/CallTrace.ts
@@ -19,6 +19,9 @@
 
   firstByteMilliseconds: number | undefined;
 
+  /** Identifiers of the shared segments of a prompt whose run failed before its first event. */
+  lostSegments: readonly string[] = [];
+
   /** Adds a step, such as `run engine-1: reset`. */
   addStep(step: string): void {
     this.steps.push(step);
@@ -37,6 +40,7 @@
         this.firstByteMilliseconds === undefined
           ? undefined
           : Math.round(this.firstByteMilliseconds),
+      lostSegments: this.lostSegments.length === 0 ? undefined : this.lostSegments.join(','),
     };
   }
 }
--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -19,6 +19,7 @@
     const { state, prefillMilliseconds, prefillTokens } = destination;
     const { clock, prefillRate } = this.call.parts;
     const now = clock.monotonicMilliseconds();
+    this.call.recordBegin();
     state.recordDelay(Math.max(0, now - sentMilliseconds - prefillMilliseconds), now);
     if (this.call.isGeneration) {
       prefillRate.recordLocal(prefillTokens, now - sentMilliseconds);
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -218,8 +218,13 @@
   ): SendResult {
     const { parts, deadline, trace } = this.call;
     const failure = failureOf(error);
-    trace.addStep(`run ${state.record.identifier}: ${describeFailure(failure)}`);
     const isUnsent = failure.kind === FailureKind.EndpointFailed && !failure.mayHaveRun;
+    const isLost = this.call.isGeneration && !isUnsent && !isAborted && !this.call.hasBegun;
+    const when = isLost ? ' before its first event' : '';
+    trace.addStep(`run ${state.record.identifier}${when}: ${describeFailure(failure)}`);
+    if (isLost) {
+      trace.lostSegments = this.call.sharedSegments.map(({ identifier }) => identifier);
+    }
     if (!deadline.signal.aborted) {
       state.recordFailure(parts.clock.monotonicMilliseconds());
     }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
@@ -4,9 +4,11 @@
 
 import {
   endpointFailure,
+  makeEndpoint,
   makeRequest,
   makeResponse,
   makeRouteHarness,
+  RecordingLogger,
   RESUMABLE_STREAM,
 } from './ForwardingFixture.js';
 
@@ -80,6 +82,34 @@
   });
 });
 
+describe('ForwardedCall of a generation that is lost at its engine', () => {
+  const MODEL_STREAM = { ...RESUMABLE_STREAM, services: [{ service: 'model', weight: 1 }] };
+
+  // Guards against request lines that do not show which prompt segments an engine crashed with.
+  it.each([
+    ['before', [], 'shared-1,shared-2', 'run e1 before its first event: '],
+    ['after', ['id: 1\ndata: 1\n\n'], undefined, 'run e1: '],
+  ] as [string, string[], string | undefined, string][])(
+    'logs its shared segments if it ends %s its first event',
+    async (_name, chunks, lostSegments, step) => {
+      const log = new RecordingLogger();
+      const harness = makeRouteHarness(
+        { ...MODEL_STREAM, maximumAttempts: 1 },
+        [async () => makeResponse([...chunks, endpointFailure(true)])],
+        { log, endpoints: [makeEndpoint('e1', { service: 'model' })] },
+      );
+      const promptSegments = ['shared-1', 'shared-2', 'own'].map((identifier) => ({
+        identifier,
+        tokens: 10,
+      }));
+      await harness.run(makeRequest({ promptSegments }));
+      expect(log.lines).toHaveLength(1);
+      expect(log.lines[0]?.lostSegments).toBe(lostSegments);
+      expect(log.lines[0]?.steps).toContain(step);
+    },
+  );
+});
+
 // The event timeout of these routes is 2000 ms, so a stream counts as stalled after 1200 ms.
 describe('ForwardedCall of a stream that stalls', () => {
   const event = (identifier: number) => `id: ${identifier}\ndata: x\n\n`;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -23,6 +23,7 @@
 import { ServicePlacement } from 'hickoryrelay-forwarding/ServicePlacement';
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
 
+import type { ComponentLogger, LogFields } from 'hickoryrelay/Logger';
 import type {
   Attempt,
   EndpointResponse,
@@ -213,6 +214,23 @@
   override retain(): void {}
 }
 
+/** Keeps the fields of the lines that are written to it. */
+export class RecordingLogger implements ComponentLogger {
+  readonly lines: (LogFields & { readonly sentence: string })[] = [];
+
+  readonly debug = (sentence: string, fields: LogFields = {}) => this.add(sentence, fields);
+
+  readonly info = this.debug;
+
+  readonly warn = this.debug;
+
+  readonly error = this.debug;
+
+  private add(sentence: string, fields: LogFields): void {
+    this.lines.push({ ...fields, sentence });
+  }
+}
+
 /** Records the response to a caller. */
 export class RecordingSink extends ResponseSink {
   readonly leaving = new AbortController();
@@ -265,6 +283,7 @@
   readonly behaviours?: readonly EndpointBehaviour[];
   /** Clock that the behaviours use as well. */
   readonly clock?: ManualClock;
+  readonly log?: ComponentLogger;
 }
 
 /** Makes an exchange with a scripted link and a manual clock. */
@@ -297,7 +316,7 @@
     random,
     admission: new RequestAdmission(view, LIMITS, random),
     metrics: new ForwardingMetrics(),
-    log: silentLogger,
+    log: options.log ?? silentLogger,
   });
   const sink = new RecordingSink();
   const run = (request = makeRequest()) => exchange.handle(request, sink);
