Quarantine prompt segments that crash engines

The cause is a poison request (query of death): one prompt segment crashes each engine that begins an answer on it. The instance saw a reset connection, sent the request to the next engine, and took each new request with the segment for an unrelated one. Nothing connected the crashes with their content.

A run that is lost before its first event now leads to a check of its engine: a crashed one refuses the next connection, one that only lost the response accepts it. Crashes are recorded for all shared segments of the lost run, and a run that begins clears those of its prompt. A segment is quarantined when three engines have crashed with it and no other quarantined segment explains these crashes. Segments that no engine has begun are blamed before others, so that a first segment that sound requests share stays free. Segments that crashed the same engines are refused only together; the next sound request tells them apart. The evidence is spread to all instances as state, repeated, and sent to an instance that starts. A lost run whose segment is suspect is not retried.

Excluded: a cascade by overload, and a call of our own, since 48 of 48 crashes have the same two segments among the lost runs.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -1,3 +1,5 @@
+import { hashString } from 'hickoryrelay/RendezvousUtils';
+
 import { RetrySemantics } from './ForwardingConfiguration.js';
 
 import type { CallDeadline } from './CallDeadline.js';
@@ -6,6 +8,7 @@
 import type { EndpointLink, PrefilledPrompt } from './EndpointLink.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { EndpointState } from './EndpointState.js';
+import type { EngineCrashDetector } from './EngineCrashDetector.js';
 import type { EnginePlacement, PromptSummary } from './EnginePlacement.js';
 import type { ForwardedRequest, PromptSegment } from './ForwardedRequest.js';
 import type { EngineCapacity } from './ForwardingConfiguration.js';
@@ -14,6 +17,7 @@
 import type { AdmissionResult } from './RequestAdmission.js';
 import type { ResponseSink } from './ResponseSink.js';
 import type { RetryBudgets } from './RetryBudgets.js';
+import type { QuarantinedGroup, SegmentQuarantine } from './SegmentQuarantine.js';
 import type { PlacementContext, ServicePlacement } from './ServicePlacement.js';
 import type { UsageTally } from './UsageTally.js';
 import type { Clock } from 'hickoryrelay/Clock';
@@ -29,6 +33,8 @@
   readonly directory: PromptCacheDirectory;
   readonly prefillRate: PrefillRate;
   readonly link: EndpointLink;
+  readonly quarantine: SegmentQuarantine;
+  readonly crashDetector: EngineCrashDetector;
   readonly budgets: RetryBudgets;
   readonly tally: UsageTally;
   /** The monotonic clock, which does not count suspensions. */
@@ -72,6 +78,8 @@
 
   private hasAttemptBegun = false;
 
+  private segmentHashes: readonly number[] | undefined;
+
   private lastDeliveredEvent: string | undefined;
 
   /** True once bytes have been relayed after which another endpoint could not resume. */
@@ -103,6 +111,19 @@
     return this.request.promptSegments.slice(0, -1);
   }
 
+  /** Hashes of the shared segments. The engines of another service may be unaffected by a segment. */
+  get sharedSegmentHashes(): readonly number[] {
+    this.segmentHashes ??= this.sharedSegments.map(({ identifier }) =>
+      hashString(`${this.admitted.service}|${identifier}`),
+    );
+    return this.segmentHashes;
+  }
+
+  /** The quarantined segments because of which the request is refused, if any. */
+  get quarantinedGroup(): QuarantinedGroup | undefined {
+    return this.parts.quarantine.findGroup(this.sharedSegmentHashes);
+  }
+
   /** Undefined for services without engines. */
   private get engine(): EngineCapacity | undefined {
     return this.parts.view.configuration?.services.get(this.admitted.service)?.engine;
@@ -181,6 +202,9 @@
   /** Records that the first event or the whole response of the current attempt has arrived. */
   recordBegin(): void {
     this.hasAttemptBegun = true;
+    if (this.isGeneration) {
+      this.parts.quarantine.recordBegin(this.sharedSegmentHashes);
+    }
   }
 
   /**
--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -77,6 +77,12 @@
   /** Frees the KV cache of a prefilled prompt that no engine will fetch. */
   abstract release(prefilledPrompt: PrefilledPrompt): Promise<void>;
 
+  /**
+   * True if the endpoint refuses a new connection, as it does after a crash. False if it accepts
+   * one, or if that is not known when the signal aborts. Never rejects.
+   */
+  abstract isRefused(endpoint: EndpointRecord, signal: AbortSignal): Promise<boolean>;
+
   /** Closes the idle connections to endpoints that are not in the list. */
   abstract retain(endpoints: readonly EndpointRecord[]): void;
 }
--- a/packages/hickoryrelay-forwarding/src/EndpointState.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointState.ts
@@ -18,6 +18,12 @@
 const MINIMUM_EJECTION_MILLISECONDS = 700;
 const MAXIMUM_EJECTION_MILLISECONDS = 6000;
 
+/**
+ * A crashed endpoint starts again as a new incarnation, and its registration expires after about
+ * three heartbeats.
+ */
+const CRASH_EJECTION_MILLISECONDS = 3000;
+
 /** An exponentially weighted moving average that decays to zero while there are no samples. */
 class DecayingAverage {
   private value = 0;
@@ -153,6 +159,13 @@
       now + Math.min(durationMilliseconds, MAXIMUM_EJECTION_MILLISECONDS);
   }
 
+  /** Excludes a crashed endpoint from placement until it may be back. */
+  recordCrash(now: number): void {
+    this.failureAverage.add(1, now);
+    this.consecutiveFailures = 0;
+    this.ejectedUntilMilliseconds = now + CRASH_EJECTION_MILLISECONDS;
+  }
+
   isEjected(now: number): boolean {
     return now < this.ejectedUntilMilliseconds;
   }
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -21,6 +21,7 @@
 import type { EndpointState } from './EndpointState.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { ResponseSink } from './ResponseSink.js';
+import type { QuarantinedGroup } from './SegmentQuarantine.js';
 
 const SERVICE_UNAVAILABLE = 503;
 const BAD_GATEWAY = 502;
@@ -46,6 +47,8 @@
   NotSent: 'not-sent',
   /** The request may have run. */
   Failed: 'failed',
+  /** The engine crashed before the first event, so the request may have run. */
+  Crashed: 'crashed',
 } as const;
 
 type SendResult = (typeof SendResult)[keyof typeof SendResult];
@@ -97,7 +100,8 @@
         ? await this.generation.plan()
         : this.chooseServiceEndpoint();
       if (typeof destination === 'string') {
-        return this.fail(destination);
+        const group = this.call.quarantinedGroup;
+        return group === undefined ? this.fail(destination) : this.refuseQuarantined(group);
       }
       if (trace.attempts > 0 && !parts.budgets.tryTake(admitted.service)) {
         this.releasePrefilledPrompt(destination);
@@ -108,14 +112,17 @@
       if (result === SendResult.Done) {
         return 'done';
       }
-      if (result !== SendResult.Failed) {
+      if (result === SendResult.NotRun || result === SendResult.NotSent) {
         this.releasePrefilledPrompt(destination);
       }
       if (result === SendResult.NotSent) {
         unsentAttempts += 1;
       } else {
         trace.attempts += 1;
-        this.mayHaveRun ||= result === SendResult.Failed;
+        this.mayHaveRun ||= result === SendResult.Failed || result === SendResult.Crashed;
+      }
+      if (result === SendResult.Crashed && this.isSuspect) {
+        return this.fail('a prompt segment may have crashed the engine');
       }
       const isExhausted = trace.attempts >= admitted.route.maximumAttempts;
       const isNotRetryable = this.mayHaveRun && !this.call.isRetryable;
@@ -174,7 +181,7 @@
       return await this.handleResponse(destination, response, sentMilliseconds, timeout);
     } catch (error) {
       const isAborted = deadline.signal.aborted || timeout.signal.aborted;
-      return this.handleFailure(state, error, sentMilliseconds, isAborted);
+      return await this.handleFailure(state, error, sentMilliseconds, isAborted);
     } finally {
       timeout.cancel();
       state.finishRequest();
@@ -210,12 +217,12 @@
     return SendResult.NotRun;
   }
 
-  private handleFailure(
+  private async handleFailure(
     state: EndpointState,
     error: unknown,
     sentMilliseconds: number,
     isAborted: boolean,
-  ): SendResult {
+  ): Promise<SendResult> {
     const { parts, deadline, trace } = this.call;
     const failure = failureOf(error);
     const isUnsent = failure.kind === FailureKind.EndpointFailed && !failure.mayHaveRun;
@@ -234,9 +241,25 @@
     if (!isUnsent && !wasQueued) {
       this.call.recordUsage(sentMilliseconds);
     }
+    if (isLost && (await this.hasCrashed(state))) {
+      return SendResult.Crashed;
+    }
     return isUnsent ? SendResult.NotSent : SendResult.Failed;
   }
 
+  private async hasCrashed(state: EndpointState): Promise<boolean> {
+    const { parts, trace, sharedSegmentHashes } = this.call;
+    const hasCrashed = await parts.crashDetector.handleLostRun(state, sharedSegmentHashes);
+    const finding = hasCrashed ? 'has crashed' : 'is not known to have crashed';
+    trace.addStep(`${state.record.identifier} ${finding}`);
+    return hasCrashed;
+  }
+
+  private get isSuspect(): boolean {
+    const { parts, sharedSegmentHashes } = this.call;
+    return parts.quarantine.isSuspect(sharedSegmentHashes);
+  }
+
   /** Relays a response to the caller, or discards it. */
   private async handleResponse(
     destination: Destination,
@@ -295,8 +318,24 @@
     );
   }
 
+  /** Refuses a request with quarantined prompt segments. Returns the outcome. */
+  private refuseQuarantined({ segments, crashes }: QuarantinedGroup): string {
+    const { parts, sharedSegments, sharedSegmentHashes } = this.call;
+    parts.quarantine.recordRefusal(segments);
+    const names = sharedSegments
+      .filter((_segment, index) => segments.includes(sharedSegmentHashes[index] as number))
+      .map(({ identifier }) => identifier);
+    return this.fail(
+      `prompt segment ${names.join(' ')} is quarantined after ${crashes} crashes`,
+      RETRY_AFTER_MILLISECONDS.Quarantined,
+    );
+  }
+
   /** Ends a request without a complete response from an endpoint. Returns the outcome. */
-  private fail(reason: string): string {
+  private fail(
+    reason: string,
+    retryAfterMilliseconds: number = RETRY_AFTER_MILLISECONDS.NoCapacity,
+  ): string {
     const { sink, trace, deadline, parts } = this.call;
     trace.addStep(reason);
     if (sink.gone.aborted) {
@@ -314,10 +353,7 @@
     sink.answer({
       status: SERVICE_UNAVAILABLE,
       reason,
-      retryAfterMilliseconds: addRetryAfterJitter(
-        RETRY_AFTER_MILLISECONDS.NoCapacity,
-        parts.random,
-      ),
+      retryAfterMilliseconds: addRetryAfterJitter(retryAfterMilliseconds, parts.random),
     });
     return `own-${SERVICE_UNAVAILABLE}`;
   }
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -65,6 +65,8 @@
   NoView: 150,
   /** All endpoints of the service are full or unavailable. */
   NoCapacity: 300,
+  /** A prompt segment is quarantined, which does not end while requests with it come. */
+  Quarantined: 60_000,
 } as const;
 
 /**
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -14,6 +14,9 @@
 /** Limit on the prefill engines that are tried for one request. */
 const MAXIMUM_PREFILL_ATTEMPTS = 2;
 
+/** Reason why a request with quarantined prompt segments is not sent. */
+const QUARANTINED = 'a prompt segment is quarantined';
+
 /** Chooses the engines of one generation and runs its remote prefill. */
 export class GenerationRouting {
   private readonly call: CallContext;
@@ -39,6 +42,9 @@
     const { registry, engines } = this.call.parts;
     const prompt = summarizePrompt(this.call.request.promptSegments);
     for (let attempts = 0; attempts < MAXIMUM_PREFILL_ATTEMPTS; attempts += 1) {
+      if (this.call.quarantinedGroup !== undefined) {
+        return QUARANTINED;
+      }
       const states = registry.readyEndpoints(this.call.admitted.service);
       let plan = engines.plan(states, prompt, false, this.call.placementContext());
       if (plan !== undefined && this.call.deadline.wouldBeLate(plan.firstTokenMilliseconds)) {
@@ -65,6 +71,10 @@
       }
       const prefilledPrompt = await this.prefill(plan, prompt);
       if (prefilledPrompt !== undefined) {
+        if (this.call.quarantinedGroup !== undefined) {
+          this.release(prefilledPrompt);
+          return QUARANTINED;
+        }
         // Engines may have left or filled up during the prefill.
         const current = registry.readyEndpoints(this.call.admitted.service);
         const state = engines.chooseDecodeEngine(current, prompt, this.call.placementContext());
--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -1,5 +1,12 @@
 import { pack, unpack } from 'msgpackr';
 
+import {
+  CRASH_EVIDENCE_KIND,
+  crashEvidenceElements,
+  decodeCrashEvidence,
+} from './CrashEvidenceMessage.js';
+
+import type { CrashEvidenceMessage } from './CrashEvidenceMessage.js';
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { PeerAddress, PeerRecord } from './PeerRecord.js';
 import type { SegmentUse } from './PromptCacheDirectory.js';
@@ -28,6 +35,8 @@
   UsageCountsConfirmation: 8,
   /** Usage counts that a stopping instance could not store, for another instance to write. */
   UsageCountsHandoff: 9,
+  /** Evidence about prompt segments that may crash engines. */
+  CrashEvidence: CRASH_EVIDENCE_KIND,
 } as const;
 
 export type PeerMessageKind = (typeof PeerMessageKind)[keyof typeof PeerMessageKind];
@@ -120,7 +129,12 @@
 }
 
 export type PeerMessage =
-  LoadMessage | ViewRequest | ViewResponse | UsageCountsReport | UsageCountsConfirmation;
+  | LoadMessage
+  | ViewRequest
+  | ViewResponse
+  | UsageCountsReport
+  | UsageCountsConfirmation
+  | CrashEvidenceMessage;
 
 const MESSAGE_NUMBER_LIMIT = 2 ** 32;
 
@@ -175,6 +189,8 @@
     }
     case PeerMessageKind.UsageCountsConfirmation:
       return pack([message.kind, message.number]);
+    case PeerMessageKind.CrashEvidence:
+      return pack(crashEvidenceElements(message));
     default:
       return pack(encodeLoad(message));
   }
@@ -328,6 +344,8 @@
       return decodeUsageCounts(kind, fields);
     case PeerMessageKind.UsageCountsConfirmation:
       return decodeUsageCountsConfirmation(fields);
+    case PeerMessageKind.CrashEvidence:
+      return decodeCrashEvidence(fields);
     default:
       return undefined;
   }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
@@ -1,5 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from 'hickoryrelay/ManualClock';
+import { hashString } from 'hickoryrelay/RendezvousUtils';
+import { EngineStage } from 'hickoryrelay-forwarding/EndpointRecord';
 import { RetrySemantics } from 'hickoryrelay-forwarding/ForwardingConfiguration';
 
 import {
@@ -85,6 +87,11 @@
 describe('ForwardedCall of a generation that is lost at its engine', () => {
   const MODEL_STREAM = { ...RESUMABLE_STREAM, services: [{ service: 'model', weight: 1 }] };
 
+  const promptSegments = ['shared-1', 'shared-2', 'own'].map((identifier) => ({
+    identifier,
+    tokens: 10,
+  }));
+
   // Guards against request lines that do not show which prompt segments an engine crashed with.
   it.each([
     ['before', [], 'shared-1,shared-2', 'run e1 before its first event: '],
@@ -98,16 +105,83 @@
         [async () => makeResponse([...chunks, endpointFailure(true)])],
         { log, endpoints: [makeEndpoint('e1', { service: 'model' })] },
       );
-      const promptSegments = ['shared-1', 'shared-2', 'own'].map((identifier) => ({
-        identifier,
-        tokens: 10,
-      }));
       await harness.run(makeRequest({ promptSegments }));
       expect(log.lines).toHaveLength(1);
       expect(log.lines[0]?.lostSegments).toBe(lostSegments);
       expect(log.lines[0]?.steps).toContain(step);
     },
   );
+
+  const hashes = ['shared-1', 'shared-2'].map((identifier) => hashString(`model|${identifier}`));
+
+  function makeModelHarness(areEndpointsDown: boolean, behaviours: EndpointBehaviour[]) {
+    const endpoints = ['e1', 'e22', 'e333'].map((name) => makeEndpoint(name, { service: 'model' }));
+    const harness = makeRouteHarness(MODEL_STREAM, behaviours, { endpoints });
+    harness.link.areEndpointsDown = areEndpointsDown;
+    return harness;
+  }
+
+  const loses: EndpointBehaviour = () => Promise.reject(endpointFailure(true));
+  const begins: EndpointBehaviour = async () => makeResponse(['id: 1\ndata: 1\n\n']);
+
+  // Guards against a retry that crashes a second engine with the same prompt.
+  it.each([
+    { engine: 'crashed', areEndpointsDown: true, isKnownSound: false, sends: 1 },
+    { engine: 'crashed', areEndpointsDown: true, isKnownSound: true, sends: 2 },
+    { engine: 'lost only the response', areEndpointsDown: false, isKnownSound: false, sends: 2 },
+  ])(
+    'is sent $sends times if its engine $engine and its segments are known as sound: $isKnownSound',
+    async ({ areEndpointsDown, isKnownSound, sends }) => {
+      const harness = makeModelHarness(areEndpointsDown, [loses, begins]);
+      if (isKnownSound) {
+        harness.quarantine.recordBegin(hashes);
+      }
+      await harness.run(makeRequest({ promptSegments }));
+      expect(harness.link.sent).toHaveLength(sends);
+      expect(harness.sink.own?.status).toBe(sends === 1 ? 502 : undefined);
+    },
+  );
+
+  it('is refused as not run, for long, once a segment is quarantined', async () => {
+    const harness = makeModelHarness(true, [begins]);
+    [1, 2, 3].forEach((engine) => harness.quarantine.recordCrash(engine, hashes));
+    await harness.run(makeRequest({ promptSegments }));
+    expect(harness.link.sent).toHaveLength(0);
+    expect(harness.link.prefills).toHaveLength(0);
+    expect(harness.sink.own).toMatchObject({ status: 503 });
+    expect(harness.sink.own?.retryAfterMilliseconds).toBeGreaterThanOrEqual(60_000);
+  });
+
+  // Guards against a false "not run" for a request that an engine may have run.
+  it('is failed, not refused, if its segment is quarantined after a lost run', async () => {
+    const harness = makeModelHarness(true, [
+      async () => {
+        [1, 2].forEach((engine) => harness.quarantine.recordCrash(engine, hashes));
+        throw endpointFailure(true);
+      },
+    ]);
+    await harness.run(makeRequest({ promptSegments }));
+    expect(harness.link.sent).toHaveLength(1);
+    expect(harness.sink.own?.status).toBe(502);
+    expect(harness.sink.own?.retryAfterMilliseconds).toBeUndefined();
+  });
+
+  // Guards against a run that starts although its segment was quarantined during the prefill.
+  it('is not run if a segment is quarantined during its prefill', async () => {
+    const prefillEngine = makeEndpoint('p1', { service: 'model', stage: EngineStage.Prefill });
+    const decodeEngine = makeEndpoint('e1', { service: 'model', stage: EngineStage.Decode });
+    const harness = makeRouteHarness(MODEL_STREAM, [begins], {
+      endpoints: [prefillEngine, decodeEngine],
+    });
+    harness.link.onPrefill = () =>
+      [1, 2, 3].forEach((engine) => harness.quarantine.recordCrash(engine, hashes));
+    const longPrompt = promptSegments.map((segment) => ({ ...segment, tokens: 20_000 }));
+    await harness.run(makeRequest({ promptSegments: longPrompt }));
+    expect(harness.link.prefills).toHaveLength(1);
+    expect(harness.link.sent).toHaveLength(0);
+    expect(harness.link.released).toHaveLength(1);
+    expect(harness.sink.own?.status).toBe(503);
+  });
 });
 
 // The event timeout of these routes is 2000 ms, so a stream counts as stalled after 1200 ms.
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -4,9 +4,11 @@
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
+import { CrashEvidence } from 'hickoryrelay-forwarding/CrashEvidence';
 import { EndpointLink } from 'hickoryrelay-forwarding/EndpointLink';
 import { EndpointPhase } from 'hickoryrelay-forwarding/EndpointRecord';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
+import { EngineCrashDetector } from 'hickoryrelay-forwarding/EngineCrashDetector';
 import { EnginePlacement } from 'hickoryrelay-forwarding/EnginePlacement';
 import {
   ForwardingConfiguration,
@@ -20,6 +22,7 @@
 import { RequestAdmission } from 'hickoryrelay-forwarding/RequestAdmission';
 import { ResponseSink } from 'hickoryrelay-forwarding/ResponseSink';
 import { RetryBudgets } from 'hickoryrelay-forwarding/RetryBudgets';
+import { SegmentQuarantine } from 'hickoryrelay-forwarding/SegmentQuarantine';
 import { ServicePlacement } from 'hickoryrelay-forwarding/ServicePlacement';
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
 
@@ -211,6 +214,13 @@
     return Promise.resolve();
   }
 
+  /** True if the endpoints refuse connections. */
+  areEndpointsDown = false;
+
+  override isRefused(): Promise<boolean> {
+    return Promise.resolve(this.areEndpointsDown);
+  }
+
   override retain(): void {}
 }
 
@@ -301,6 +311,7 @@
   const prefillRate = new PrefillRate();
   const tally = new UsageTally(5000);
   const budgets = new RetryBudgets(LIMITS);
+  const quarantine = new SegmentQuarantine(new CrashEvidence(), clock);
   const exchange = new ForwardingExchange({
     zone: 'zone-a',
     view,
@@ -310,6 +321,8 @@
     directory,
     prefillRate,
     link,
+    quarantine,
+    crashDetector: new EngineCrashDetector({ link, quarantine, clock }),
     budgets,
     tally,
     clock,
@@ -320,7 +333,7 @@
   });
   const sink = new RecordingSink();
   const run = (request = makeRequest()) => exchange.handle(request, sink);
-  return { clock, view, registry, link, tally, budgets, exchange, sink, run };
+  return { clock, view, registry, link, quarantine, tally, budgets, exchange, sink, run };
 }
 
 /** Makes an exchange with a single route, whose endpoints behave as scripted. */
--- a/packages/hickoryrelay/src/Logger.ts
+++ b/packages/hickoryrelay/src/Logger.ts
@@ -22,6 +22,7 @@
   View: '[view]',
   Forwarding: '[forwarding]',
   Platform: '[platform]',
+  Crashes: '[crashes]',
 } as const;
 
 export type LogPrefix = (typeof LogPrefix)[keyof typeof LogPrefix];
