Keep a prefilled prompt for the next engine if its run was not sent

While engines were down, a request whose run could not be sent was prefilled again before each further attempt.

The handle of an unsent run has not been taken, so the next attempt now passes it on to another decode engine. It is released once when the call ends without a run. A refused run still releases it: the engine may have taken it.

The new test failed on the old code: expected the prefills to have a length of 1 but got 2.

--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -85,6 +85,7 @@
     try {
       return sink.gone.aborted ? 'gone' : await this.attemptUntilDone();
     } finally {
+      this.generation.releaseKept();
       stopDeadline();
     }
   }
@@ -112,10 +113,11 @@
       if (result === SendResult.Done) {
         return 'done';
       }
-      if (result === SendResult.NotRun || result === SendResult.NotSent) {
+      if (result === SendResult.NotRun) {
         this.releasePrefilledPrompt(destination);
       }
       if (result === SendResult.NotSent) {
+        this.generation.keep(destination.prefilledPrompt);
         unsentAttempts += 1;
       } else {
         trace.attempts += 1;
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -24,6 +24,9 @@
   /** True once the first event is expected after the latency target. */
   private isLate = false;
 
+  /** The prefilled prompt of a run that was not sent, for the next attempt. */
+  private kept: PrefilledPrompt | undefined;
+
   constructor(call: CallContext) {
     this.call = call;
   }
@@ -41,6 +44,11 @@
   async plan(): Promise<Destination | string> {
     const { registry, engines } = this.call.parts;
     const prompt = summarizePrompt(this.call.request.promptSegments);
+    const { kept } = this;
+    if (kept !== undefined) {
+      this.kept = undefined;
+      return this.decodeDestination(kept, prompt);
+    }
     for (let attempts = 0; attempts < MAXIMUM_PREFILL_ATTEMPTS; attempts += 1) {
       if (this.call.quarantinedGroup !== undefined) {
         return QUARANTINED;
@@ -71,18 +79,7 @@
       }
       const prefilledPrompt = await this.prefill(plan, prompt);
       if (prefilledPrompt !== undefined) {
-        if (this.call.quarantinedGroup !== undefined) {
-          this.release(prefilledPrompt);
-          return QUARANTINED;
-        }
-        // Engines may have left or filled up during the prefill.
-        const current = registry.readyEndpoints(this.call.admitted.service);
-        const state = engines.chooseDecodeEngine(current, prompt, this.call.placementContext());
-        if (state === undefined) {
-          this.release(prefilledPrompt);
-          return 'no engine is left';
-        }
-        return { state, prefillMilliseconds: 0, prefillTokens: 0, prefilledPrompt };
+        return this.decodeDestination(prefilledPrompt, prompt);
       }
       if (this.call.deadline.signal.aborted) {
         return 'the time is over';
@@ -96,6 +93,19 @@
     return 'the prompt could not be read';
   }
 
+  /** Keeps the prefilled prompt of a run that was not sent, for the next attempt. */
+  keep(prefilledPrompt: PrefilledPrompt | undefined): void {
+    this.kept = prefilledPrompt;
+  }
+
+  /** Frees the KV cache of a prefilled prompt that is kept, if any. */
+  releaseKept(): void {
+    if (this.kept !== undefined) {
+      this.release(this.kept);
+      this.kept = undefined;
+    }
+  }
+
   /** Frees the KV cache of a prefilled prompt that no engine will fetch. */
   release(prefilledPrompt: PrefilledPrompt): void {
     this.call.parts.link.release(prefilledPrompt).catch((error: unknown) => {
@@ -103,6 +113,23 @@
     });
   }
 
+  /** Chooses the engine that receives a prefilled prompt, or releases the prompt. */
+  private decodeDestination(
+    prefilledPrompt: PrefilledPrompt,
+    prompt: PromptSummary,
+  ): Destination | string {
+    const { registry, engines } = this.call.parts;
+    // Engines may have left or filled up, or a segment been quarantined, during the prefill.
+    const current = registry.readyEndpoints(this.call.admitted.service);
+    const state = engines.chooseDecodeEngine(current, prompt, this.call.placementContext());
+    const isQuarantined = this.call.quarantinedGroup !== undefined;
+    if (state === undefined || isQuarantined) {
+      this.release(prefilledPrompt);
+      return isQuarantined ? QUARANTINED : 'no engine is left';
+    }
+    return { state, prefillMilliseconds: 0, prefillTokens: 0, prefilledPrompt };
+  }
+
   /** Prefills the prompt at the plan's prefill engine. Returns undefined if that fails. */
   private async prefill(
     plan: GenerationPlan,
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
@@ -213,6 +213,31 @@
     expect(harness.sink.own?.status).toBe(503);
   });
 
+  // Guards against prefills that are repeated outside the retry budget while engines are down.
+  it('keeps the prefilled prompt for another engine if the first refuses the connection', async () => {
+    const spare = makeEndpoint('spare', { service: 'model', stage: EngineStage.Decode, slots: 12 });
+    const harness = makeRouteHarness(
+      route,
+      [refusesConnection, async () => makeResponse(['id: 1\n\n'])],
+      { endpoints: [...endpoints, spare] },
+    );
+    await harness.run(long);
+    expect(harness.link.sent.map(({ prefilledPrompt }) => prefilledPrompt?.handle)).toEqual([
+      'handle',
+      'handle',
+    ]);
+    expect(harness.link.prefills).toHaveLength(1);
+    expect(harness.link.released).toHaveLength(0);
+  });
+
+  it('releases the prefilled prompt once if every engine refuses the connection', async () => {
+    const harness = makeRouteHarness(route, [refusesConnection, refusesConnection], { endpoints });
+    await harness.run(long);
+    expect(harness.link.prefills).toHaveLength(1);
+    expect(harness.link.released).toEqual([{ address: '10.0.0.9:1', handle: 'handle' }]);
+    expect(harness.sink.own?.status).toBe(503);
+  });
+
   it('is refused at once if no engine can respond before the caller times out', async () => {
     const harness = makeRouteHarness(route, [succeeds], { endpoints: endpoints.slice(1) });
     await harness.run(makeRequest({ promptSegments: [{ identifier: 'own', tokens: 100_000 }] }));
