Send crash evidence to instances that are not in the view yet

An instance that starts asks its peers for the crash evidence that they have. They looked its name up in their view, which lacks a new instance until the next read after its registration, and did not reply. The request now carries the address to reply to.

The new test failed before: expected 0 to be 1.

--- a/packages/hickoryrelay-forwarding/src/CrashEvidenceExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/CrashEvidenceExchangeTask.ts
@@ -6,7 +6,7 @@
 import type { CrashEvidence } from './CrashEvidence.js';
 import type { CrashEvidenceMessage } from './CrashEvidenceMessage.js';
 import type { PeerChannel } from './PeerChannel.js';
-import type { PeerRecord } from './PeerRecord.js';
+import type { PeerAddress, PeerRecord } from './PeerRecord.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
@@ -95,20 +95,17 @@
     this.changed.set(segment, CHANGE_REPETITIONS);
   }
 
-  private receive({ sender, isRequest, evidence: received }: CrashEvidenceMessage): void {
+  private receive({ replyTo, evidence: received }: CrashEvidenceMessage): void {
     const { evidence } = this.parts;
     const { learned, outdated } = evidence.merge(received, this.now());
     outdated.forEach((segment) => this.markChanged(segment));
     if (this.peers.length > MAXIMUM_DIRECT_PEERS) {
       learned.forEach((segment) => this.markChanged(segment));
     }
-    if (isRequest) {
-      const peer = this.peers.find(({ instance }) => instance === sender);
-      if (peer !== undefined) {
-        this.send([peer], this.allSegments(), false);
-      }
-    } else {
+    if (replyTo === undefined) {
       this.hasReply = true;
+    } else {
+      this.send([replyTo], this.allSegments());
     }
   }
 
@@ -119,13 +116,14 @@
       return;
     }
     if (!this.hasReply) {
-      this.send(this.choose(peers, ASKED_PEERS), [], true);
+      const { host, port } = this.parts.self;
+      this.send(this.choose(peers, ASKED_PEERS), [], { host, port });
     }
     const isFull = this.periods % PERIODS_PER_FULL_MESSAGE === 0;
     const segments = isFull ? this.allSegments() : [...this.changed.keys()];
     if (segments.length > 0) {
       const isDirect = peers.length <= MAXIMUM_DIRECT_PEERS;
-      this.send(isDirect ? peers : this.choose(peers, RANDOM_PEERS), segments, false);
+      this.send(isDirect ? peers : this.choose(peers, RANDOM_PEERS), segments);
     }
     for (const [segment, repetitions] of this.changed) {
       if (repetitions > 1) {
@@ -150,11 +148,11 @@
   }
 
   private send(
-    peers: readonly PeerRecord[],
+    peers: readonly PeerAddress[],
     segments: readonly number[],
-    isRequest: boolean,
+    replyTo?: PeerAddress,
   ): void {
-    const { self, channel, evidence } = this.parts;
+    const { channel, evidence } = this.parts;
     const now = this.now();
     const reports = segments
       .map((segment) => evidence.report(segment, now))
@@ -163,8 +161,7 @@
     do {
       channel.sendToAll(peers, {
         kind: CRASH_EVIDENCE_KIND,
-        sender: self.instance,
-        isRequest,
+        replyTo,
         evidence: reports.slice(first, first + MAXIMUM_SEGMENTS_PER_MESSAGE),
       });
       first += MAXIMUM_SEGMENTS_PER_MESSAGE;
--- a/packages/hickoryrelay-forwarding/src/CrashEvidenceMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/CrashEvidenceMessage.ts
@@ -1,4 +1,5 @@
 import type { ReportedEvidence } from './CrashEvidence.js';
+import type { PeerAddress } from './PeerRecord.js';
 
 /** Kind of the message, the first element of its encoding. Differs from those in `PeerMessageKind`. */
 export const CRASH_EVIDENCE_KIND = 10;
@@ -12,20 +13,20 @@
 /** Evidence about prompt segments that may crash engines. */
 export interface CrashEvidenceMessage {
   readonly kind: typeof CRASH_EVIDENCE_KIND;
-  /** Name of the sending instance. */
-  readonly sender: string;
-  /** True if the sender asks for all evidence, since it has just started. */
-  readonly isRequest: boolean;
+  /**
+   * Where to send all evidence, for an instance that has just started and that its peers may not
+   * have in their view yet. Undefined if none is requested.
+   */
+  readonly replyTo: PeerAddress | undefined;
   readonly evidence: readonly ReportedEvidence[];
 }
 
 /** Returns the elements of the encoding. Each segment is a flat list of numbers, as in loads. */
 export function crashEvidenceElements(message: CrashEvidenceMessage): unknown[] {
-  const { kind, sender, isRequest, evidence } = message;
+  const { kind, replyTo, evidence } = message;
   return [
     kind,
-    sender,
-    isRequest,
+    replyTo === undefined ? [] : [replyTo.host, replyTo.port],
     evidence.map(({ segment, begunAgeMilliseconds, seenAgeMilliseconds, crashes }) => [
       segment,
       begunAgeMilliseconds === undefined ? NO_TIME : Math.round(begunAgeMilliseconds),
@@ -59,12 +60,14 @@
 
 /** Decodes the elements after the kind. Returns undefined if they are malformed. */
 export function decodeCrashEvidence(fields: readonly unknown[]): CrashEvidenceMessage | undefined {
-  const [sender, isRequest, list] = fields;
-  if (typeof sender !== 'string' || typeof isRequest !== 'boolean' || !Array.isArray(list)) {
+  const [replyTo, list] = fields;
+  if (!Array.isArray(replyTo) || !Array.isArray(list)) {
     return undefined;
   }
+  const [host, port] = replyTo as unknown[];
+  const isAddress = typeof host === 'string' && typeof port === 'number';
   const evidence = list.map(decodeEvidence).filter((entry) => entry !== undefined);
   return evidence.length === list.length
-    ? { kind: CRASH_EVIDENCE_KIND, sender, isRequest, evidence }
+    ? { kind: CRASH_EVIDENCE_KIND, replyTo: isAddress ? { host, port } : undefined, evidence }
     : undefined;
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/CrashEvidence.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/CrashEvidence.test.ts
@@ -86,19 +86,18 @@
     evidence.recordCrash(0xffff_ffff, [0xffff_fffe, 8], 10);
     const message: CrashEvidenceMessage = {
       kind: CRASH_EVIDENCE_KIND,
-      sender: 'instance-1',
-      isRequest: true,
+      replyTo: { host: '10.0.0.1', port: 7660 },
       evidence: reportAll(evidence, 500),
     };
     expect(decodePeerMessage(encodePeerMessage(message))).toEqual(message);
   });
 
   it.each([
-    ['another sender', [1, false, []]],
-    ['no list', ['a', false, 7]],
-    ['a short entry', ['a', false, [[1, -1]]]],
-    ['a text as number', ['a', false, [[1, -1, 'x']]]],
-    ['half a crash', ['a', false, [[1, -1, 0, 5]]]],
+    ['no address', [7, []]],
+    ['no list', [[], 7]],
+    ['a short entry', [[], [[1, -1]]]],
+    ['a text as number', [[], [[1, -1, 'x']]]],
+    ['half a crash', [[], [[1, -1, 0, 5]]]],
   ])('drops a message with %s', (_name, fields) => {
     expect(decodeCrashEvidence(fields)).toBeUndefined();
   });
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
@@ -253,6 +253,8 @@
 
   readonly exchange: ForwardingExchange;
 
+  readonly quarantine: SegmentQuarantine;
+
   private readonly refreshView: (peers: readonly PeerRecord[]) => void;
 
   private readonly lifecycle: LifecycleManager;
@@ -278,6 +280,7 @@
     const link = new SimulatedEngineLink(engines, clock);
     const evidence = new CrashEvidence();
     const quarantine = new SegmentQuarantine(evidence, clock);
+    this.quarantine = quarantine;
     this.lifecycle.start(
       new CrashEvidenceExchangeTask({
         self: peer,
@@ -362,6 +365,15 @@
     }
   }
 
+  /** Segments that a new instance quarantines after a moment in which only it knows its peers. */
+  async segmentsKnownToNewInstance(): Promise<number> {
+    const instance = this.makeInstance(this.instances.length, 'a');
+    instance.refresh(this.instances.map(({ peer }) => peer));
+    await this.clock.advance(150);
+    instance.stop();
+    return instance.quarantine.quarantinedSegments;
+  }
+
   /** Number of requests with a deadly segment that engines received from a time on. */
   deadlyArrivalsSince(milliseconds: number): number {
     return this.engines.arrivals.filter(
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PoisonRequests.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PoisonRequests.test.ts
@@ -92,6 +92,12 @@
     await playPoisonedDay(cluster);
   });
 
+  it('are known to an instance that its peers do not know yet', async () => {
+    const cluster = new EngineCluster(13);
+    await playPoisonedDay(cluster);
+    expect(await cluster.segmentsKnownToNewInstance()).toBe(1);
+  });
+
   it('are known to instances that return from a partition', async () => {
     const cluster = new EngineCluster(10);
     const isCut = (port: number) => port >= 4;
