Keep the evidence about quarantined segments in the store

When all instances restarted together, the crash evidence was gone, and it took three more crashes to quarantine the same segment again. The evidence of the quarantined segments is now kept under one key. An instance reads it once when it starts; then it calls the store only when the quarantine changes, and writes only if the stored segments differ.

--- a/packages/hickoryrelay-forwarding/src/SegmentQuarantine.ts
+++ b/packages/hickoryrelay-forwarding/src/SegmentQuarantine.ts
@@ -133,10 +133,15 @@
     this.onChange = onChange;
   }
 
-  /** Number of quarantined segments. */
-  get quarantinedSegments(): number {
+  /** The quarantined segments. */
+  get segments(): readonly number[] {
     this.decide();
-    return this.groups.reduce((sum, { segments }) => sum + segments.length, 0);
+    return this.groups.flatMap(({ segments }) => segments);
+  }
+
+  /** Time on the clock of the evidence. */
+  get now(): number {
+    return this.clock.monotonicMilliseconds();
   }
 
   /** Returns the group because of which a request with these segments is refused, if any. */
@@ -149,17 +154,17 @@
 
   /** Records that an engine has begun a run with these segments. */
   recordBegin(segments: readonly number[]): void {
-    this.evidence.recordBegin(segments, this.clock.monotonicMilliseconds());
+    this.evidence.recordBegin(segments, this.now);
   }
 
   /** Records that an engine incarnation crashed before it began a run with these segments. */
   recordCrash(engine: number, segments: readonly number[]): void {
-    this.evidence.recordCrash(engine, segments, this.clock.monotonicMilliseconds());
+    this.evidence.recordCrash(engine, segments, this.now);
   }
 
   /** Records a refused request, so that its segments stay quarantined while such requests come. */
   recordRefusal(segments: readonly number[]): void {
-    const now = this.clock.monotonicMilliseconds();
+    const { now } = this;
     this.refusals += 1;
     segments.forEach((segment) => this.evidence.recordRefusal(segment, now));
   }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
@@ -1,10 +1,13 @@
+import { FailureKind } from 'hickoryrelay/Failure';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
 import { CrashEvidence } from 'hickoryrelay-forwarding/CrashEvidence';
 import { CrashEvidenceExchangeTask } from 'hickoryrelay-forwarding/CrashEvidenceExchangeTask';
+import { CrashEvidenceStoreTask } from 'hickoryrelay-forwarding/CrashEvidenceStoreTask';
 import { AttemptKind, EndpointLink } from 'hickoryrelay-forwarding/EndpointLink';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
 import { EngineCrashDetector } from 'hickoryrelay-forwarding/EngineCrashDetector';
@@ -19,6 +22,7 @@
 import { SegmentQuarantine } from 'hickoryrelay-forwarding/SegmentQuarantine';
 import { ServicePlacement } from 'hickoryrelay-forwarding/ServicePlacement';
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
+import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
 import {
   endpointFailure,
@@ -42,6 +46,11 @@
 import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
 import type { PeerChannel } from 'hickoryrelay-forwarding/PeerChannel';
 import type { PeerRecord } from 'hickoryrelay-forwarding/PeerRecord';
+import type {
+  RangeResult,
+  Transaction,
+  TransactionResult,
+} from 'hickoryrelay-platform/KeyValueStore';
 
 const FIRST_EVENT_MILLISECONDS = 20;
 const STREAM_MILLISECONDS = 200;
@@ -53,6 +62,13 @@
 const RESTART_MILLISECONDS = 3200;
 const VIEW_PERIOD_MILLISECONDS = 300;
 
+function unsupported(): never {
+  throw new RelayError({
+    kind: FailureKind.InvariantViolated,
+    message: 'The test store does not support this call.',
+  });
+}
+
 /** A request that reached an engine. */
 export interface Arrival {
   readonly atMilliseconds: number;
@@ -245,6 +261,7 @@
   readonly channel: PeerChannel;
   readonly clock: ManualClock;
   readonly random: SeededRandomSource;
+  readonly store: KeyValueStore;
 }
 
 /** One instance of the cluster. */
@@ -259,7 +276,7 @@
 
   private readonly lifecycle: LifecycleManager;
 
-  constructor({ peer, engines, channel, clock, random }: SimulatedInstanceParts) {
+  constructor({ peer, engines, channel, clock, random, store }: SimulatedInstanceParts) {
     this.peer = peer;
     this.lifecycle = new LifecycleManager(peer.instance, clock, () => {});
     const view = new ConfirmedView(clock, HEARTBEAT_MILLISECONDS);
@@ -291,6 +308,9 @@
         evidenceClock: clock,
       }),
     );
+    this.lifecycle.start(
+      new CrashEvidenceStoreTask({ store, evidence, quarantine, random, log: silentLogger }),
+    );
     this.exchange = new ForwardingExchange({
       zone: peer.zone,
       view,
@@ -321,6 +341,43 @@
   }
 }
 
+/** Holds single keys and counts the calls. */
+class CountingStore extends KeyValueStore {
+  reads = 0;
+
+  writes = 0;
+
+  private readonly values = new Map<string, string>();
+
+  override range(key: string): Promise<RangeResult> {
+    this.reads += 1;
+    const value = this.values.get(key);
+    const revisions = { createRevision: 1, modRevision: 1, version: 1 };
+    return Promise.resolve({
+      revision: 1,
+      values: value === undefined ? [] : [{ key, value, ...revisions }],
+    });
+  }
+
+  override commit({ success }: Transaction): Promise<TransactionResult> {
+    this.writes += 1;
+    for (const operation of success) {
+      if (operation.type === 'put') {
+        this.values.set(operation.key, operation.value);
+      }
+    }
+    return Promise.resolve({ succeeded: true, revision: 1, results: [] });
+  }
+
+  override grantLease = unsupported;
+
+  override keepLeaseAlive = unsupported;
+
+  override revokeLease = unsupported;
+
+  override watch = unsupported;
+}
+
 /** The end of a request at its caller. */
 export interface CallResult {
   readonly sentMilliseconds: number;
@@ -336,6 +393,8 @@
 
   readonly engines: SimulatedEngines;
 
+  readonly store = new CountingStore();
+
   readonly results: CallResult[] = [];
 
   private readonly instances: SimulatedInstance[];
@@ -371,7 +430,7 @@
     instance.refresh(this.instances.map(({ peer }) => peer));
     await this.clock.advance(150);
     instance.stop();
-    return instance.quarantine.quarantinedSegments;
+    return instance.quarantine.segments.length;
   }
 
   /** Number of requests with a deadly segment that engines received from a time on. */
@@ -434,7 +493,7 @@
     const { engines, clock } = this;
     const channel = this.network.channelOf(peer);
     const random = new SeededRandomSource(this.random.integerBelow(1_000_000));
-    return new SimulatedInstance({ peer, engines, channel, clock, random });
+    return new SimulatedInstance({ peer, engines, channel, clock, random, store: this.store });
   }
 
   private refreshViews(): void {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PoisonRequests.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PoisonRequests.test.ts
@@ -92,6 +92,19 @@
     await playPoisonedDay(cluster);
   });
 
+  // Guards against a start of all instances at once, after which nobody has evidence to send.
+  it('are known after all instances have restarted together', async () => {
+    const cluster = new EngineCluster(14);
+    cluster.clock.schedule(12_000, () => {
+      for (let number = 0; number < 6; number += 1) {
+        cluster.restart(number);
+      }
+    });
+    await playPoisonedDay(cluster, 1500);
+    expect(cluster.engines.crashesMilliseconds.length).toBeLessThanOrEqual(TOLERATED_CRASHES);
+    expect(cluster.store.writes).toBeLessThanOrEqual(6);
+  });
+
   it('are known to an instance that its peers do not know yet', async () => {
     const cluster = new EngineCluster(13);
     await playPoisonedDay(cluster);
@@ -129,12 +142,14 @@
     expect(served).toBeGreaterThan(MINIMUM_SERVED_FRACTION);
   });
 
-  it('leave no datagrams behind on a day without any', async () => {
+  it('cause no datagrams and no calls of the store on a day without any', async () => {
     const cluster = new EngineCluster(12);
     await cluster.clock.advance(1000);
     const { sentDatagrams } = cluster.network;
+    const { reads } = cluster.store;
     sendSoundRequests(cluster, 10_000);
     await cluster.clock.advance(11_000);
     expect(cluster.network.sentDatagrams).toBe(sentDatagrams);
+    expect(cluster.store).toMatchObject({ reads, writes: 0 });
   });
 });
