Retry lost runs of common segments after several engines ended at once

When several engines ended at one time, as with the loss of a zone, a segment that was in flight at two of them withheld the retries of all its requests, although engines had begun it many times. Crashes at one time now count once for such a segment here as well, as they do for the quarantine.

The new test failed before: expected true to be false.

--- a/packages/hickoryrelay-forwarding/src/SegmentQuarantine.ts
+++ b/packages/hickoryrelay-forwarding/src/SegmentQuarantine.ts
@@ -44,10 +44,9 @@
   return moments;
 }
 
-/** An engine that loses its zone crashes with sound segments too, but others soon begin them. */
-function isBlamable({ isProven, crashes }: Suspect): boolean {
-  const count = isProven ? countMoments(crashes.values()) : crashes.size;
-  return count >= CRASHES_TO_QUARANTINE;
+/** Crashes at one time count once for a segment that engines have begun before. */
+function countCrashes({ isProven, crashes }: Suspect): number {
+  return isProven ? countMoments(crashes.values()) : crashes.size;
 }
 
 /** Segments that no engine has begun come before others, then those with more crashes. */
@@ -61,7 +60,7 @@
 function findMostSuspect(suspects: readonly Suspect[]): Suspect | undefined {
   let most: Suspect | undefined;
   for (const suspect of suspects) {
-    if (isBlamable(suspect) && isMoreSuspect(suspect, most)) {
+    if (countCrashes(suspect) >= CRASHES_TO_QUARANTINE && isMoreSuspect(suspect, most)) {
       most = suspect;
     }
   }
@@ -180,7 +179,7 @@
     return segments.some((segment) => {
       const suspect = this.suspects.get(segment);
       const limit = suspect?.isProven === true ? CRASHES_TO_WITHHOLD_PROVEN : 1;
-      return suspect !== undefined && suspect.crashes.size >= limit;
+      return suspect !== undefined && countCrashes(suspect) >= limit;
     });
   }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SegmentQuarantine.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SegmentQuarantine.test.ts
@@ -106,6 +106,15 @@
     expect(isRefused(quarantine, [OTHER])).toBe(false);
   });
 
+  // Guards against sound requests that fail because several engines ended at one time.
+  it('does not withhold retries for a begun segment that was at several engines at one time', async () => {
+    const { quarantine } = await makeQuarantine([begin(OTHER)]);
+    for (let engine = 0; engine < 6; engine += 1) {
+      quarantine.recordCrash(engine, [OTHER]);
+    }
+    expect(quarantine.isSuspect([OTHER])).toBe(false);
+  });
+
   it('keeps refusing while requests come, and ends without any', async () => {
     const { clock, evidence, quarantine } = await makeQuarantine(
       [1, 2, 3].map(() => crash(DEADLY)),
