Count the last segment of a begun prompt as sound too

In a conversation, the last segment of one turn is a shared segment of the next. It had never been begun as a shared one, so each lost run of a second turn was taken for a suspect and not retried. A run that begins now clears all segments of its prompt.

The new test failed before: expected the requests sent to have a length of 3 but got 2.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -78,7 +78,8 @@
 
   private hasAttemptBegun = false;
 
-  private segmentHashes: readonly number[] | undefined;
+  /** Hashes of the segments and the service, since other engines may be unaffected by a segment. */
+  private readonly segmentHashes: readonly number[];
 
   private lastDeliveredEvent: string | undefined;
 
@@ -100,6 +101,9 @@
     this.trace = trace;
     this.deadline = deadline;
     this.lastDeliveredEvent = request.lastEvent;
+    this.segmentHashes = request.promptSegments.map(({ identifier }) =>
+      hashString(`${admitted.service}|${identifier}`),
+    );
   }
 
   get isGeneration(): boolean {
@@ -111,12 +115,9 @@
     return this.request.promptSegments.slice(0, -1);
   }
 
-  /** Hashes of the shared segments. The engines of another service may be unaffected by a segment. */
+  /** Hashes of the shared segments. */
   get sharedSegmentHashes(): readonly number[] {
-    this.segmentHashes ??= this.sharedSegments.map(({ identifier }) =>
-      hashString(`${this.admitted.service}|${identifier}`),
-    );
-    return this.segmentHashes;
+    return this.segmentHashes.slice(0, -1);
   }
 
   /** The quarantined segments because of which the request is refused, if any. */
@@ -203,7 +204,8 @@
   recordBegin(): void {
     this.hasAttemptBegun = true;
     if (this.isGeneration) {
-      this.parts.quarantine.recordBegin(this.sharedSegmentHashes);
+      // The last segment of a conversation recurs as a shared one in its next turn.
+      this.parts.quarantine.recordBegin(this.segmentHashes);
     }
   }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
@@ -142,6 +142,14 @@
     },
   );
 
+  // Guards against the loss of retries in conversations, whose last segment recurs in the next turn.
+  it('is retried if a segment has been begun as the last one of another prompt', async () => {
+    const harness = makeModelHarness(true, [begins, loses, begins]);
+    await harness.run(makeRequest({ promptSegments: promptSegments.slice(0, 2) }));
+    await harness.run(makeRequest({ promptSegments }));
+    expect(harness.link.sent).toHaveLength(3);
+  });
+
   it('is refused as not run, for long, once a segment is quarantined', async () => {
     const harness = makeModelHarness(true, [begins]);
     [1, 2, 3].forEach((engine) => harness.quarantine.recordCrash(engine, hashes));
