Drop remembered segments a generation at a time

Once 20,000 begun segments were remembered, each request spent 48 us on them: the oldest entry of a map whose first entries have been deleted is slow to find. Two generations of entries need no deletion.

--- a/packages/hickoryrelay-forwarding/src/CrashEvidence.ts
+++ b/packages/hickoryrelay-forwarding/src/CrashEvidence.ts
@@ -1,11 +1,13 @@
+import { RecentTimes } from './RecentTimes.js';
+
 /** Further crashes of a segment add nothing to the decision. */
 const MAXIMUM_CRASHES_PER_SEGMENT = 32;
 
 /** Bounds the segments that are tracked, and with them the size of messages. */
 const MAXIMUM_TRACKED_SEGMENTS = 200;
 
-/** Bounds the segments known to be sound to a few megabytes. */
-const MAXIMUM_SOUND_SEGMENTS = 20_000;
+/** Segments that are remembered as begun; at most twice as many, in a few megabytes. */
+const MINIMUM_SOUND_SEGMENTS = 20_000;
 
 /**
  * Time for which a segment that no engine has ever begun to answer is tracked after its last crash
@@ -67,8 +69,8 @@
 export class CrashEvidence {
   private readonly tracked = new Map<number, SegmentEvidence>();
 
-  /** Segments of begun runs with the time of the last one, least recent first. */
-  private readonly sound = new Map<number, number>();
+  /** Segments of begun runs, with the time of the last one. */
+  private readonly sound = new RecentTimes(MINIMUM_SOUND_SEGMENTS);
 
   private readonly listeners = new Set<ChangeListener>();
 
@@ -102,14 +104,9 @@
   /** Records that an engine has begun a run with these segments. */
   recordBegin(segments: readonly number[], now: number): void {
     for (const segment of segments) {
-      this.sound.delete(segment);
       this.sound.set(segment, now);
       this.clear(segment, now);
     }
-    while (this.sound.size > MAXIMUM_SOUND_SEGMENTS) {
-      const [oldest] = this.sound.keys();
-      this.sound.delete(oldest as number);
-    }
   }
 
   /** Records that an engine incarnation crashed before it began a run with these segments. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/CrashEvidence.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/CrashEvidence.test.ts
@@ -80,6 +80,17 @@
     expect(crashesOf(evidence, 1)).toEqual([0, 1, 2]);
   });
 
+  it('remembers the last 20,000 segments that engines have begun', () => {
+    const evidence = new CrashEvidence();
+    for (let segment = 0; segment < 100_000; segment += 1) {
+      evidence.recordBegin([segment], segment);
+    }
+    evidence.recordCrash(1, [0, 80_000, 99_999], 100_000);
+    expect(evidence.get(99_999)?.begunMilliseconds).toBe(99_999);
+    expect(evidence.get(80_000)?.begunMilliseconds).toBe(80_000);
+    expect(evidence.get(0)?.begunMilliseconds).toBeUndefined();
+  });
+
   it('is unchanged by encoding and decoding', () => {
     const evidence = new CrashEvidence();
     evidence.recordBegin([8], 5);
