Send all crash evidence to three peers a second, not to all

With hundreds of instances, the messages with all evidence alone could exceed the 9 KB a second that an instance may spend on control: six messages a second of up to 8 KB. Three random peers a second are enough for an instance that returns from a partition; PoisonRequests.test.ts passes as before.

--- a/packages/hickoryrelay-forwarding/src/CrashEvidenceExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/CrashEvidenceExchangeTask.ts
@@ -16,8 +16,9 @@
 /** Periods in which a change is sent, since datagrams get lost. */
 const CHANGE_REPETITIONS = 4;
 
-/** Periods between two messages with all evidence, for peers that have missed changes. */
+/** Periods between messages with all evidence to a few random peers, which may miss changes. */
 const PERIODS_PER_FULL_MESSAGE = 10;
+const FULL_MESSAGE_PEERS = 3;
 
 /** With more peers, changes spread from each instance to a few others at random. */
 const MAXIMUM_DIRECT_PEERS = 16;
@@ -119,12 +120,17 @@
       const { host, port } = this.parts.self;
       this.send(this.choose(peers, ASKED_PEERS), [], { host, port });
     }
-    const isFull = this.periods % PERIODS_PER_FULL_MESSAGE === 0;
-    const segments = isFull ? this.allSegments() : [...this.changed.keys()];
-    if (segments.length > 0) {
+    if (this.periods % PERIODS_PER_FULL_MESSAGE === 0 && this.parts.evidence.size > 0) {
+      this.send(this.choose(peers, FULL_MESSAGE_PEERS), this.allSegments());
+    }
+    if (this.changed.size > 0) {
       const isDirect = peers.length <= MAXIMUM_DIRECT_PEERS;
-      this.send(isDirect ? peers : this.choose(peers, RANDOM_PEERS), segments);
+      this.send(isDirect ? peers : this.choose(peers, RANDOM_PEERS), [...this.changed.keys()]);
+      this.countRepetition();
     }
+  }
+
+  private countRepetition(): void {
     for (const [segment, repetitions] of this.changed) {
       if (repetitions > 1) {
         this.changed.set(segment, repetitions - 1);
