Remind peers of the strongest crash evidence only

With 200 suspect segments, the most that are tracked, each instance sent 10,890 bytes a second for ten minutes, more than the 9 KB that it may spend on control. Changes are sent at once as before, and an instance that starts still gets everything.

The new test failed before: expected 10890 to be less than 9000.

--- a/packages/hickoryrelay-forwarding/src/CrashEvidenceExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/CrashEvidenceExchangeTask.ts
@@ -16,9 +16,9 @@
 /** Periods in which a change is sent, since datagrams get lost. */
 const CHANGE_REPETITIONS = 4;
 
-/** Periods between messages with all evidence to a few random peers, which may miss changes. */
-const PERIODS_PER_FULL_MESSAGE = 10;
-const FULL_MESSAGE_PEERS = 3;
+/** Periods between messages with the strongest evidence to random peers, which may miss changes. */
+const PERIODS_PER_REMINDER = 10;
+const REMINDED_PEERS = 3;
 
 /** With more peers, changes spread from each instance to a few others at random. */
 const MAXIMUM_DIRECT_PEERS = 16;
@@ -106,7 +106,7 @@
     if (replyTo === undefined) {
       this.hasReply = true;
     } else {
-      this.send([replyTo], this.allSegments());
+      this.send([replyTo], this.strongestSegments());
     }
   }
 
@@ -120,8 +120,9 @@
       const { host, port } = this.parts.self;
       this.send(this.choose(peers, ASKED_PEERS), [], { host, port });
     }
-    if (this.periods % PERIODS_PER_FULL_MESSAGE === 0 && this.parts.evidence.size > 0) {
-      this.send(this.choose(peers, FULL_MESSAGE_PEERS), this.allSegments());
+    if (this.periods % PERIODS_PER_REMINDER === 0 && this.parts.evidence.size > 0) {
+      const strongest = this.strongestSegments().slice(0, MAXIMUM_SEGMENTS_PER_MESSAGE);
+      this.send(this.choose(peers, REMINDED_PEERS), strongest);
     }
     if (this.changed.size > 0) {
       const isDirect = peers.length <= MAXIMUM_DIRECT_PEERS;
@@ -140,8 +141,11 @@
     }
   }
 
-  private allSegments(): number[] {
-    return [...this.parts.evidence.segments].map(({ segment }) => segment);
+  /** All segments, those with the most crashes first. */
+  private strongestSegments(): number[] {
+    return [...this.parts.evidence.segments]
+      .toSorted((left, right) => right.crashes.size - left.crashes.size)
+      .map(({ segment }) => segment);
   }
 
   private choose(peers: readonly PeerRecord[], count: number): PeerRecord[] {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
@@ -424,6 +424,12 @@
     }
   }
 
+  /** Makes the first instance suspect as many segments that no engine has begun. */
+  suspectSegments(count: number): void {
+    const segments = Array.from({ length: count }, (_unused, index) => 4_000_000_000 + index);
+    this.instances[0]?.quarantine.recordCrash(4_100_000_000, segments);
+  }
+
   /** Segments that a new instance quarantines after a moment in which only it knows its peers. */
   async segmentsKnownToNewInstance(): Promise<number> {
     const instance = this.makeInstance(this.instances.length, 'a');
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PoisonRequests.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PoisonRequests.test.ts
@@ -142,6 +142,21 @@
     expect(served).toBeGreaterThan(MINIMUM_SERVED_FRACTION);
   });
 
+  // Guards against evidence of many unrelated crashes that takes the bandwidth for control.
+  it('cost less than 9 KB a second and instance, however many segments are suspect', async () => {
+    const cluster = new EngineCluster(15, ['a', 'b', 'c', 'd'], 6);
+    await cluster.clock.advance(1000);
+    cluster.suspectSegments(500);
+    await cluster.clock.advance(20_000);
+    let sentBytes = 0;
+    cluster.network.observe = (_from, _to, bytes) => {
+      sentBytes += bytes.length;
+    };
+    await cluster.clock.advance(10_000);
+    expect(sentBytes / 24 / 10).toBeLessThan(9000);
+    expect(sentBytes).toBeGreaterThan(0);
+  });
+
   it('cause no datagrams and no calls of the store on a day without any', async () => {
     const cluster = new EngineCluster(12);
     await cluster.clock.advance(1000);
