--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
@@ -105,6 +105,10 @@
       : undefined;
   }
 
+  get isRunning(): boolean {
+    return this.isUp;
+  }
+
   isListening(address: string): boolean {
     return this.isUp && address === `${this.name}-${this.incarnation}`;
   }
@@ -446,15 +450,21 @@
     ).length;
   }
 
+  /** Number of sound requests with a segment, sent from a time on. */
+  soundRequestsSince(milliseconds: number, segment: string): number {
+    return this.soundResultsSince(milliseconds, segment).length;
+  }
+
   /** Fraction of the sound requests with a segment, sent from a time on, that engines began. */
   servedFractionSince(milliseconds: number, segment: string): number {
-    const requests = this.results.filter(
-      ({ sentMilliseconds, segments }) =>
-        sentMilliseconds > milliseconds &&
-        segments.includes(segment) &&
-        !segments.some((name) => this.engines.deadlySegments.has(name)),
-    );
-    return requests.filter(({ sink }) => sink.hasStarted).length / requests.length;
+    const results = this.soundResultsSince(milliseconds, segment);
+    return results.filter(({ sink }) => sink.hasStarted).length / results.length;
+  }
+
+  /** Ends engines that run, for a reason other than a prompt. */
+  crashEngines(count: number): void {
+    const running = this.engines.engines.filter(({ isRunning }) => isRunning);
+    running.slice(0, count).forEach((engine) => engine.crash());
   }
 
   /** Sends a request with shared segments to a random instance each period, for a time. */
@@ -473,6 +483,15 @@
     this.clock.schedule(periodMilliseconds, sendNext);
   }
 
+  private soundResultsSince(milliseconds: number, segment: string): CallResult[] {
+    return this.results.filter(
+      ({ sentMilliseconds, segments }) =>
+        sentMilliseconds > milliseconds &&
+        segments.includes(segment) &&
+        !segments.some((name) => this.engines.deadlySegments.has(name)),
+    );
+  }
+
   private send(segments: readonly string[]): void {
     const instance = this.instances[this.random.integerBelow(this.instances.length)];
     const sink = new RecordingSink();
