--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -1,3 +1,5 @@
+import { hashString } from 'hickoryrelay/RendezvousUtils';
+
 import { RetrySemantics } from './ForwardingConfiguration.js';
 
 import type { CallDeadline } from './CallDeadline.js';
@@ -6,14 +8,16 @@
 import type { EndpointLink, PrefilledPrompt } from './EndpointLink.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { EndpointState } from './EndpointState.js';
+import type { EngineCrashDetector } from './EngineCrashDetector.js';
 import type { EnginePlacement, PromptSummary } from './EnginePlacement.js';
-import type { ForwardedRequest } from './ForwardedRequest.js';
+import type { ForwardedRequest, PromptSegment } from './ForwardedRequest.js';
 import type { EngineCapacity } from './ForwardingConfiguration.js';
 import type { PrefillRate } from './PrefillRate.js';
 import type { PromptCacheDirectory } from './PromptCacheDirectory.js';
 import type { AdmissionResult } from './RequestAdmission.js';
 import type { ResponseSink } from './ResponseSink.js';
 import type { RetryBudgets } from './RetryBudgets.js';
+import type { QuarantinedGroup, SegmentQuarantine } from './SegmentQuarantine.js';
 import type { PlacementContext, ServicePlacement } from './ServicePlacement.js';
 import type { ShutdownSchedule } from './ShutdownSchedule.js';
 import type { UsageTally } from './UsageTally.js';
@@ -30,6 +34,8 @@
   readonly directory: PromptCacheDirectory;
   readonly prefillRate: PrefillRate;
   readonly link: EndpointLink;
+  readonly quarantine: SegmentQuarantine;
+  readonly crashDetector: EngineCrashDetector;
   readonly budgets: RetryBudgets;
   readonly tally: UsageTally;
   readonly shutdown: ShutdownSchedule;
@@ -72,6 +78,11 @@
 
   private isAttemptCounted = false;
 
+  private hasAttemptBegun = false;
+
+  /** Hashes of the segments and the service, since other engines may be unaffected by a segment. */
+  private readonly segmentHashes: readonly number[];
+
   private lastDeliveredEvent: string | undefined;
 
   /** True once bytes have been relayed after which another endpoint could not resume. */
@@ -92,12 +103,30 @@
     this.trace = trace;
     this.deadline = deadline;
     this.lastDeliveredEvent = request.lastEvent;
+    this.segmentHashes = request.promptSegments.map(({ identifier }) =>
+      hashString(`${admitted.service}|${identifier}`),
+    );
   }
 
   get isGeneration(): boolean {
     return this.engine !== undefined;
   }
 
+  /** The segments of the prompt that other requests may have as well: all but the last one. */
+  get sharedSegments(): readonly PromptSegment[] {
+    return this.request.promptSegments.slice(0, -1);
+  }
+
+  /** Hashes of the shared segments. */
+  get sharedSegmentHashes(): readonly number[] {
+    return this.segmentHashes.slice(0, -1);
+  }
+
+  /** The quarantined segments because of which the request is refused, if any. */
+  get quarantinedGroup(): QuarantinedGroup | undefined {
+    return this.parts.quarantine.findGroup(this.sharedSegmentHashes);
+  }
+
   /** Undefined for services without engines. */
   private get engine(): EngineCapacity | undefined {
     return this.parts.view.configuration?.services.get(this.admitted.service)?.engine;
@@ -165,6 +194,21 @@
   /** Starts a new attempt, which an endpoint has not begun to run. */
   startAttempt(): void {
     this.isAttemptCounted = false;
+    this.hasAttemptBegun = false;
+  }
+
+  /** True once the first event or the whole response of the current attempt has arrived. */
+  get hasBegun(): boolean {
+    return this.hasAttemptBegun;
+  }
+
+  /** Records that the first event or the whole response of the current attempt has arrived. */
+  recordBegin(): void {
+    this.hasAttemptBegun = true;
+    if (this.isGeneration) {
+      // The last segment of a conversation recurs as a shared one in its next turn.
+      this.parts.quarantine.recordBegin(this.segmentHashes);
+    }
   }
 
   /**
--- a/packages/hickoryrelay-forwarding/src/CallTrace.ts
+++ b/packages/hickoryrelay-forwarding/src/CallTrace.ts
@@ -22,6 +22,9 @@
   /** Time from the stop signal of the instance to the arrival of the request, if it was stopping. */
   stoppingMilliseconds: number | undefined;
 
+  /** Identifiers of the shared segments of a prompt whose run failed before its first event. */
+  lostSegments: readonly string[] = [];
+
   /** Adds a step, such as `run engine-1: reset`. */
   addStep(step: string): void {
     this.steps.push(step);
@@ -42,6 +45,7 @@
           : Math.round(this.firstByteMilliseconds),
       stopping:
         this.stoppingMilliseconds === undefined ? undefined : Math.round(this.stoppingMilliseconds),
+      lostSegments: this.lostSegments.length === 0 ? undefined : this.lostSegments.join(','),
     };
   }
 }
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -21,6 +21,7 @@
 import type { EndpointState } from './EndpointState.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { ResponseSink } from './ResponseSink.js';
+import type { QuarantinedGroup } from './SegmentQuarantine.js';
 
 const SERVICE_UNAVAILABLE = 503;
 const BAD_GATEWAY = 502;
@@ -46,6 +47,8 @@
   NotSent: 'not-sent',
   /** The request may have run. */
   Failed: 'failed',
+  /** The engine crashed before the first event, so the request may have run. */
+  Crashed: 'crashed',
 } as const;
 
 type SendResult = (typeof SendResult)[keyof typeof SendResult];
@@ -86,6 +89,7 @@
     try {
       return sink.gone.aborted ? sink.goneOutcome : await this.attemptUntilDone();
     } finally {
+      this.generation.releaseKept();
       stopDeadline();
     }
   }
@@ -101,7 +105,8 @@
         ? await this.generation.plan()
         : this.chooseServiceEndpoint();
       if (typeof destination === 'string') {
-        return this.fail(destination);
+        const group = this.call.quarantinedGroup;
+        return group === undefined ? this.fail(destination) : this.refuseQuarantined(group);
       }
       if (trace.attempts > 0 && !parts.budgets.tryTake(admitted.service)) {
         this.releasePrefilledPrompt(destination);
@@ -112,14 +117,18 @@
       if (result === SendResult.Done) {
         return 'done';
       }
-      if (result !== SendResult.Failed) {
+      if (result === SendResult.NotRun) {
         this.releasePrefilledPrompt(destination);
       }
       if (result === SendResult.NotSent) {
+        this.generation.keep(destination.prefilledPrompt);
         unsentAttempts += 1;
       } else {
         trace.attempts += 1;
-        this.mayHaveRun ||= result === SendResult.Failed;
+        this.mayHaveRun ||= result === SendResult.Failed || result === SendResult.Crashed;
+      }
+      if (result === SendResult.Crashed && this.isSuspect) {
+        return this.fail('a prompt segment may have crashed the engine');
       }
       const isExhausted = trace.attempts >= admitted.route.maximumAttempts;
       const isNotRetryable = this.mayHaveRun && !this.call.isRetryable;
@@ -178,7 +187,7 @@
       return await this.handleResponse(destination, response, sentMilliseconds, timeout);
     } catch (error) {
       const isAborted = deadline.signal.aborted || timeout.signal.aborted;
-      return this.handleFailure(state, error, sentMilliseconds, isAborted);
+      return await this.handleFailure(state, error, sentMilliseconds, isAborted);
     } finally {
       timeout.cancel();
       state.finishRequest();
@@ -214,16 +223,21 @@
     return SendResult.NotRun;
   }
 
-  private handleFailure(
+  private async handleFailure(
     state: EndpointState,
     error: unknown,
     sentMilliseconds: number,
     isAborted: boolean,
-  ): SendResult {
+  ): Promise<SendResult> {
     const { parts, deadline, trace } = this.call;
     const failure = failureOf(error);
-    trace.addStep(`run ${state.record.identifier}: ${describeFailure(failure)}`);
     const isUnsent = failure.kind === FailureKind.EndpointFailed && !failure.mayHaveRun;
+    const isLost = this.call.isGeneration && !isUnsent && !isAborted && !this.call.hasBegun;
+    const when = isLost ? ' before its first event' : '';
+    trace.addStep(`run ${state.record.identifier}${when}: ${describeFailure(failure)}`);
+    if (isLost) {
+      trace.lostSegments = this.call.sharedSegments.map(({ identifier }) => identifier);
+    }
     if (!deadline.signal.aborted) {
       state.recordFailure(parts.clock.monotonicMilliseconds());
     }
@@ -233,9 +247,25 @@
     if (!isUnsent && !wasQueued) {
       this.call.recordUsage(sentMilliseconds);
     }
+    if (isLost && (await this.hasCrashed(state))) {
+      return SendResult.Crashed;
+    }
     return isUnsent ? SendResult.NotSent : SendResult.Failed;
   }
 
+  private async hasCrashed(state: EndpointState): Promise<boolean> {
+    const { parts, trace, sharedSegmentHashes } = this.call;
+    const hasCrashed = await parts.crashDetector.handleLostRun(state, sharedSegmentHashes);
+    const finding = hasCrashed ? 'has crashed' : 'is not known to have crashed';
+    trace.addStep(`${state.record.identifier} ${finding}`);
+    return hasCrashed;
+  }
+
+  private get isSuspect(): boolean {
+    const { parts, sharedSegmentHashes } = this.call;
+    return parts.quarantine.isSuspect(sharedSegmentHashes);
+  }
+
   /** Relays a response to the caller, or discards it. */
   private async handleResponse(
     destination: Destination,
@@ -294,8 +324,24 @@
     );
   }
 
+  /** Refuses a request with quarantined prompt segments. Returns the outcome. */
+  private refuseQuarantined({ segments, crashes }: QuarantinedGroup): string {
+    const { parts, sharedSegments, sharedSegmentHashes } = this.call;
+    parts.quarantine.recordRefusal(segments);
+    const names = sharedSegments
+      .filter((_segment, index) => segments.includes(sharedSegmentHashes[index] as number))
+      .map(({ identifier }) => identifier);
+    return this.fail(
+      `prompt segment ${names.join(' ')} is quarantined after ${crashes} crashes`,
+      RETRY_AFTER_MILLISECONDS.Quarantined,
+    );
+  }
+
   /** Ends a request without a complete response from an endpoint. Returns the outcome. */
-  private fail(reason: string): string {
+  private fail(
+    reason: string,
+    retryAfterMilliseconds: number = RETRY_AFTER_MILLISECONDS.NoCapacity,
+  ): string {
     const { sink, trace, deadline } = this.call;
     trace.addStep(reason);
     if (sink.gone.aborted) {
@@ -310,11 +356,10 @@
       sink.answer({ status, reason });
       return `own-${status}`;
     }
+    const isStopping = deadline.endReason === EndReason.Stopping;
     return this.refuse(
       reason,
-      deadline.endReason === EndReason.Stopping
-        ? RETRY_AFTER_MILLISECONDS.Stopping
-        : RETRY_AFTER_MILLISECONDS.NoCapacity,
+      isStopping ? RETRY_AFTER_MILLISECONDS.Stopping : retryAfterMilliseconds,
     );
   }
 
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -67,6 +67,8 @@
   Stopping: 20,
   /** All endpoints of the service are full or unavailable. */
   NoCapacity: 300,
+  /** A prompt segment is quarantined, which does not end while requests with it come. */
+  Quarantined: 60_000,
 } as const;
 
 /**
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -4,10 +4,12 @@
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
+import { CrashEvidence } from 'hickoryrelay-forwarding/CrashEvidence';
 import { shutdownTimesOf } from 'hickoryrelay-forwarding/DeploymentBounds';
 import { EndpointLink } from 'hickoryrelay-forwarding/EndpointLink';
 import { EndpointPhase } from 'hickoryrelay-forwarding/EndpointRecord';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
+import { EngineCrashDetector } from 'hickoryrelay-forwarding/EngineCrashDetector';
 import { EnginePlacement } from 'hickoryrelay-forwarding/EnginePlacement';
 import {
   ForwardingConfiguration,
@@ -21,10 +23,12 @@
 import { RequestAdmission } from 'hickoryrelay-forwarding/RequestAdmission';
 import { ResponseSink } from 'hickoryrelay-forwarding/ResponseSink';
 import { RetryBudgets } from 'hickoryrelay-forwarding/RetryBudgets';
+import { SegmentQuarantine } from 'hickoryrelay-forwarding/SegmentQuarantine';
 import { ServicePlacement } from 'hickoryrelay-forwarding/ServicePlacement';
 import { ShutdownSchedule } from 'hickoryrelay-forwarding/ShutdownSchedule';
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
 
+import type { ComponentLogger, LogFields } from 'hickoryrelay/Logger';
 import type {
   Attempt,
   EndpointResponse,
@@ -53,6 +57,10 @@
   retrySlack: 1000,
 };
 
+export function makeShutdownSchedule(clock: ManualClock): ShutdownSchedule {
+  return new ShutdownSchedule(clock, shutdownTimesOf({ graceMilliseconds: GRACE_MILLISECONDS }));
+}
+
 export function makeRoute(changes: Partial<ForwardingRoute> = {}): ForwardingRoute {
   return {
     name: 'route',
@@ -215,9 +223,33 @@
     return Promise.resolve();
   }
 
+  /** True if the endpoints refuse connections. */
+  areEndpointsDown = false;
+
+  override isRefused(): Promise<boolean> {
+    return Promise.resolve(this.areEndpointsDown);
+  }
+
   override retain(): void {}
 }
 
+/** Keeps the fields of the lines that are written to it. */
+export class RecordingLogger implements ComponentLogger {
+  readonly lines: (LogFields & { readonly sentence: string })[] = [];
+
+  readonly debug = (sentence: string, fields: LogFields = {}) => this.add(sentence, fields);
+
+  readonly info = this.debug;
+
+  readonly warn = this.debug;
+
+  readonly error = this.debug;
+
+  private add(sentence: string, fields: LogFields): void {
+    this.lines.push({ ...fields, sentence });
+  }
+}
+
 /** Records the response to a caller. */
 export class RecordingSink extends ResponseSink {
   readonly leaving = new AbortController();
@@ -270,6 +302,7 @@
   readonly behaviours?: readonly EndpointBehaviour[];
   /** Clock that the behaviours use as well. */
   readonly clock?: ManualClock;
+  readonly log?: ComponentLogger;
 }
 
 /** Makes an exchange with a scripted link and a manual clock. */
@@ -287,10 +320,8 @@
   const prefillRate = new PrefillRate();
   const tally = new UsageTally(5000);
   const budgets = new RetryBudgets(LIMITS);
-  const shutdown = new ShutdownSchedule(
-    clock,
-    shutdownTimesOf({ graceMilliseconds: GRACE_MILLISECONDS }),
-  );
+  const shutdown = makeShutdownSchedule(clock);
+  const quarantine = new SegmentQuarantine(new CrashEvidence(), clock);
   const exchange = new ForwardingExchange({
     zone: 'zone-a',
     view,
@@ -300,6 +331,8 @@
     directory,
     prefillRate,
     link,
+    quarantine,
+    crashDetector: new EngineCrashDetector({ link, quarantine, clock }),
     budgets,
     tally,
     shutdown,
@@ -307,11 +340,23 @@
     random,
     admission: new RequestAdmission(view, LIMITS, random),
     metrics: new ForwardingMetrics(),
-    log: silentLogger,
+    log: options.log ?? silentLogger,
   });
   const sink = new RecordingSink();
   const run = (request = makeRequest()) => exchange.handle(request, sink);
-  return { clock, view, registry, link, tally, budgets, shutdown, exchange, sink, run };
+  return {
+    clock,
+    view,
+    registry,
+    link,
+    quarantine,
+    tally,
+    budgets,
+    shutdown,
+    exchange,
+    sink,
+    run,
+  };
 }
 
 /** Makes an exchange with a single route, whose endpoints behave as scripted. */
