Accept only endpoint entries that requests can be sent to

An entry of another writer among those of the endpoints, with port 70000 or 0, an octet over 255, slots of 1e300 or 0, a start of 1e300, or a key that a header cannot carry, was accepted as an endpoint. Callers of its service got 502 for requests that were never sent (the client library rejects the header, which counted as a request that may have run), or lost attempts to it. Slots of 1e300 make an endpoint look idle, so that placement prefers it. A zone of 700 KB makes the datagram in which a relay passes the record on too large to be sent.

Cause: the decoder checked the types of the fields but not their ranges.

Excluded: the reading of the list does not end.

The ranges are checked by isEndpointRecord, next to the record, so that records from other instances can be checked in the same way.

--- a/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
@@ -1,3 +1,5 @@
+import { isSocketAddress } from './NetworkAddressUtils.js';
+
 /** Whether an endpoint accepts new requests. */
 export const EndpointPhase = {
   Ready: 'ready',
@@ -35,3 +37,44 @@
   /** True if the platform may reclaim the endpoint at short notice, as with spot capacity. */
   readonly isReclaimable: boolean;
 }
+
+/** Identifiers are sent in a header, which cannot carry other characters. */
+const IDENTIFIER_PATTERN = /^[\u0021-\u007e]{1,200}$/u;
+
+/** Bounds the messages in which instances exchange records. */
+const MAXIMUM_NAME_CHARACTERS = 200;
+
+/** Far more than an endpoint runs concurrently. */
+const MAXIMUM_SLOTS = 100_000;
+
+const PHASES: ReadonlySet<unknown> = new Set(Object.values(EndpointPhase));
+const STAGES: ReadonlySet<unknown> = new Set([undefined, ...Object.values(EngineStage)]);
+
+function isName(value: unknown): boolean {
+  return typeof value === 'string' && value.length > 0 && value.length <= MAXIMUM_NAME_CHARACTERS;
+}
+
+/**
+ * True if requests can be sent to the endpoint of a record. Records come from the store, whose
+ * entries may have been written by others, and from instances that accept more than this one.
+ */
+export function isEndpointRecord(value: unknown): value is EndpointRecord {
+  const record = (value ?? {}) as Partial<Record<keyof EndpointRecord, unknown>>;
+  const { identifier, address, slots, startedMilliseconds } = record;
+  return (
+    typeof identifier === 'string' &&
+    IDENTIFIER_PATTERN.test(identifier) &&
+    isName(record.service) &&
+    isName(record.zone) &&
+    typeof address === 'string' &&
+    isSocketAddress(address) &&
+    Number.isInteger(slots) &&
+    Number(slots) > 0 &&
+    Number(slots) <= MAXIMUM_SLOTS &&
+    PHASES.has(record.phase) &&
+    STAGES.has(record.stage) &&
+    Number.isSafeInteger(startedMilliseconds) &&
+    Number(startedMilliseconds) >= 0 &&
+    typeof record.isReclaimable === 'boolean'
+  );
+}
