--- a/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
@@ -1,4 +1,4 @@
-import { isSocketAddress } from './NetworkAddressUtils.js';
+import { isName, isSocketAddress } from './RecordFieldUtils.js';
 
 /** Whether an endpoint accepts new requests. */
 export const EndpointPhase = {
@@ -41,19 +41,12 @@
 /** Identifiers are sent in a header, which cannot carry other characters. */
 const IDENTIFIER_PATTERN = /^[\u0021-\u007e]{1,200}$/u;
 
-/** Bounds the messages in which instances exchange records. */
-const MAXIMUM_NAME_CHARACTERS = 200;
-
 /** Far more than an endpoint runs concurrently. */
 const MAXIMUM_SLOTS = 100_000;
 
 const PHASES: ReadonlySet<unknown> = new Set(Object.values(EndpointPhase));
 const STAGES: ReadonlySet<unknown> = new Set([undefined, ...Object.values(EngineStage)]);
 
-function isName(value: unknown): boolean {
-  return typeof value === 'string' && value.length > 0 && value.length <= MAXIMUM_NAME_CHARACTERS;
-}
-
 /**
  * True if requests can be sent to the endpoint of a record. Records come from the store, whose
  * entries may have been written by others, and from instances that accept more than this one.
