Check the fields of records and addresses in peer messages

A relay of an older version passes odd entries of the store on to the instances of its zone, which took over any value as a record: an endpoint or instance with port 70000, or null, which made each refresh fail. A view request or a usage report with such a port ended the process, since the send of the response throws within the listener of the socket. A revision of 1e300 stopped all later changes, and an age of -1e300 made the view count as fresh for ever. Counts that are no numbers spoilt the sum of a usage window.

Cause: the decoder of peer messages checked only the types of the outer fields.

A record that cannot be used counts as removed, so that an endpoint whose entry turned odd is not kept in its earlier state. The other records of the message are applied.

--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -1,10 +1,13 @@
 import { pack, unpack } from 'msgpackr';
 
+import { isEndpointRecord } from './EndpointRecord.js';
+import { isPeerAddress, isPeerRecord } from './PeerRecord.js';
+import { isAccountCounts } from './UsageTally.js';
+
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { PeerAddress, PeerRecord } from './PeerRecord.js';
 import type { SegmentUse } from './PromptCacheDirectory.js';
 import type { UsageCounts } from './UsageCountsWriter.js';
-import type { AccountCounts } from './UsageTally.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 
 /** Kinds of messages between instances. The value is the first element of the encoded message. */
@@ -228,32 +231,54 @@
 
 function decodeViewRequest(fields: readonly unknown[]): ViewRequest | undefined {
   const [host, port, number, sinceRevision] = fields;
+  const requester = { host, port };
   if (
-    typeof host !== 'string' ||
-    typeof port !== 'number' ||
+    !isPeerAddress(requester) ||
     typeof number !== 'number' ||
     typeof sinceRevision !== 'number'
   ) {
     return undefined;
   }
-  return { kind: PeerMessageKind.ViewRequest, requester: { host, port }, number, sinceRevision };
+  return { kind: PeerMessageKind.ViewRequest, requester, number, sinceRevision };
 }
 
-function isRecordChanges(value: unknown): value is RecordChanges<unknown> {
+/**
+ * Decodes the changes of one kind of record. A relay of an older version may pass on records that
+ * this instance cannot use; those count as removed.
+ */
+function decodeRecordChanges<Entry>(
+  value: unknown,
+  isUsable: (entry: unknown) => entry is Entry,
+  keyField: keyof Entry & string,
+): RecordChanges<Entry> | undefined {
   const { changed, removed } = (value ?? {}) as Partial<RecordChanges<unknown>>;
-  return Array.isArray(changed) && Array.isArray(removed);
+  if (!Array.isArray(changed) || !Array.isArray(removed)) {
+    return undefined;
+  }
+  const unusableKeys = changed
+    .filter((entry) => !isUsable(entry))
+    .map((entry) => ((entry ?? {}) as Record<string, unknown>)[keyField]);
+  return {
+    changed: changed.filter(isUsable),
+    removed: [...(removed as unknown[]), ...unusableKeys].filter((key) => typeof key === 'string'),
+  };
 }
 
-function isViewChanges(value: unknown): value is ViewChanges {
-  const changes = (value ?? {}) as Partial<ViewChanges>;
-  return (
-    typeof changes.revision === 'number' &&
-    typeof changes.ageMilliseconds === 'number' &&
-    ['number', 'undefined'].includes(typeof changes.configurationVersion) &&
-    typeof changes.isAuthorityHeld === 'boolean' &&
-    isRecordChanges(changes.endpoints) &&
-    isRecordChanges(changes.peers)
-  );
+function decodeViewChanges(value: unknown): ViewChanges | undefined {
+  const changes = (value ?? {}) as Partial<Record<keyof ViewChanges, unknown>>;
+  const { revision, ageMilliseconds, configurationVersion, isAuthorityHeld } = changes;
+  const endpoints = decodeRecordChanges(changes.endpoints, isEndpointRecord, 'identifier');
+  const peers = decodeRecordChanges(changes.peers, isPeerRecord, 'instance');
+  return typeof revision === 'number' &&
+    Number.isSafeInteger(revision) &&
+    typeof ageMilliseconds === 'number' &&
+    ageMilliseconds >= 0 &&
+    (configurationVersion === undefined || typeof configurationVersion === 'number') &&
+    typeof isAuthorityHeld === 'boolean' &&
+    endpoints !== undefined &&
+    peers !== undefined
+    ? { revision, ageMilliseconds, configurationVersion, isAuthorityHeld, endpoints, peers }
+    : undefined;
 }
 
 function decodeViewResponse(fields: readonly unknown[]): ViewResponse | undefined {
@@ -265,7 +290,7 @@
     kind: PeerMessageKind.ViewResponse,
     sender,
     number,
-    changes: isViewChanges(changes) ? changes : undefined,
+    changes: decodeViewChanges(changes),
   };
 }
 
@@ -274,24 +299,18 @@
   fields: readonly unknown[],
 ): UsageCountsReport | undefined {
   const [host, port, number, window, incarnation, counts, isFinal] = fields;
+  const reporter = { host, port };
   if (
-    typeof host !== 'string' ||
-    typeof port !== 'number' ||
+    !isPeerAddress(reporter) ||
     typeof number !== 'number' ||
     typeof window !== 'number' ||
     typeof incarnation !== 'string' ||
-    typeof counts !== 'object' ||
-    counts === null ||
+    !isAccountCounts(counts) ||
     typeof isFinal !== 'boolean'
   ) {
     return undefined;
   }
-  return {
-    kind,
-    reporter: { host, port },
-    number,
-    usage: { window, incarnation, counts: counts as AccountCounts, isFinal },
-  };
+  return { kind, reporter, number, usage: { window, incarnation, counts, isFinal } };
 }
 
 function decodeUsageCountsConfirmation([number]: readonly unknown[]):
--- a/packages/hickoryrelay-forwarding/src/UsageTally.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageTally.ts
@@ -4,6 +4,15 @@
 /** Requests by client account. */
 export type AccountCounts = Readonly<Record<string, number>>;
 
+/** True for counts that can be added up. */
+export function isAccountCounts(value: unknown): value is AccountCounts {
+  return (
+    typeof value === 'object' &&
+    value !== null &&
+    Object.values(value).every((count) => Number.isSafeInteger(count) && count >= 0)
+  );
+}
+
 /** Counts the requests that endpoints started for each client account, by wall-clock window. */
 export class UsageTally {
   private readonly windows = new Map<number, Map<string, number>>();
