Treat a stream that ends inside an event as broken off

Callers received the half event, and then an end that looked complete, where an endpoint stopped inside an event and its framing did not show it: a close-delimited stream, and chunks or a length that end there. If the stream had been resumed, text of the second endpoint that is no event appeared in the middle, up to a whole head of a failure response.

Cause: the relay wrote the bytes after the last event and ended the response, and relied on the framing to detect truncation.

Such a stream now fails with endpoint-failed, so that another endpoint resumes it after the last complete event. If none can, the connection of the caller is reset. Blank lines after the last event are no event and are relayed as before.

Excluded: statuses other than 2xx, refusals and unsigned successes of the second endpoint were discarded before as well; the new tests keep that, with and without a third endpoint.

Before: ten of the new tests of BrokenStream fail, such as "is resumed if it is delimited by the end of the connection". After: all pass.

--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -1,3 +1,6 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
 import { summarizePrompt } from './EnginePlacement.js';
 import { EventStreamParser } from './EventStreamParser.js';
 import { BUFFERED_RESPONSE_BYTES, STALLED_STREAM_FRACTION } from './ForwardingLimits.js';
@@ -69,8 +72,9 @@
   }
 
   /**
-   * Relays complete events only, so that another endpoint can resume the stream after them. The
-   * timeout does not count the time for which the caller is slow to read.
+   * Relays complete events only, so that another endpoint can resume the stream after them. Throws
+   * `endpoint-failed` if the stream ends inside an event. The timeout does not count the time for
+   * which the caller is slow to read.
    */
   async relayStream(
     destination: Destination,
@@ -97,6 +101,9 @@
       }
     }
     timeout.cancel();
+    if (parser.isWithinEvent) {
+      throw EndpointResponseRelay.failure(destination, 'the stream ended inside an event');
+    }
     this.startStream(response);
     if (parser.remainder.length > 0) {
       await this.call.sink.write(parser.remainder);
@@ -115,6 +122,16 @@
     }
   }
 
+  private static failure({ state }: Destination, reason: string): RelayError {
+    const endpoint = state.record.identifier;
+    return new RelayError({
+      kind: FailureKind.EndpointFailed,
+      endpoint,
+      reason,
+      mayHaveRun: true,
+    });
+  }
+
   private startStream(response: EndpointResponse): void {
     if (!this.call.sink.hasStarted) {
       this.call.sink.start(response);
--- a/packages/hickoryrelay-forwarding/src/EventStreamParser.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamParser.ts
@@ -72,6 +72,11 @@
     return this.pending.subarray(0, this.pendingBytes);
   }
 
+  /** True if an event has begun and not ended. A stream that ends here has been broken off. */
+  get isWithinEvent(): boolean {
+    return this.remainder.some((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+  }
+
   /** Returns the index after the blank line that ends the current event, or -1. */
   private findEventEnd(chunk: Buffer, start: number): number {
     let position = start;
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/BrokenStream.test.ts
@@ -0,0 +1,110 @@
+import { describe, expect, it } from 'vitest';
+import { RetrySemantics } from 'hickoryrelay-forwarding/ForwardingConfiguration';
+
+import {
+  endpointFailure,
+  makeEndpoint,
+  makeResponse,
+  makeRouteHarness,
+  RESUMABLE_STREAM,
+} from './ForwardingFixture.js';
+
+import type { EndpointBehaviour } from './ForwardingFixture.js';
+import type { EndpointResponse } from 'hickoryrelay-forwarding/EndpointLink';
+
+const AT_MOST_ONCE_STREAM = { ...RESUMABLE_STREAM, retrySemantics: RetrySemantics.AtMostOnce };
+
+const events = (...identifiers: number[]) =>
+  identifiers.map((identifier) => `id: ${identifier}\ndata: ${identifier}\n\n`);
+
+const responds =
+  (chunks: readonly (string | Error)[], changes: Partial<EndpointResponse> = {}) =>
+  async (): Promise<EndpointResponse> =>
+    makeResponse(chunks, changes);
+
+const FRAMINGS: readonly (readonly [string, Partial<EndpointResponse>])[] = [
+  ['chunks', {}],
+  ['a length', { length: 24 }],
+  ['the end of the connection', { isCloseDelimited: true }],
+];
+
+// Guards against a half event, or a complete end, where an endpoint stopped inside an event.
+describe('ForwardedCall of a stream that ends inside an event', () => {
+  it.each(FRAMINGS)('is resumed if it is delimited by %s', async (_name, framing) => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [
+      responds([...events(1), 'id: 2\nda'], framing),
+      responds(events(2, 3), framing),
+    ]);
+    await harness.run();
+    expect(harness.link.sent[1]?.lastEvent).toBe('1');
+    expect(harness.sink).toMatchObject({ text: events(1, 2, 3).join(''), isEnded: true });
+  });
+
+  it.each(FRAMINGS)(
+    'is aborted if it is delimited by %s and cannot be resumed',
+    async (_name, framing) => {
+      const harness = makeRouteHarness(AT_MOST_ONCE_STREAM, [
+        responds([...events(1), 'id: 2\nda'], framing),
+      ]);
+      await harness.run();
+      expect(harness.sink).toMatchObject({ text: events(1)[0], isEnded: false, isAborted: true });
+    },
+  );
+
+  it.each(FRAMINGS)('fails if it is delimited by %s and has no event', async (_name, framing) => {
+    const harness = makeRouteHarness(AT_MOST_ONCE_STREAM, [responds(['id: 1\nda'], framing)]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({ head: undefined, text: '', own: { status: 502 } });
+  });
+
+  it('is complete if only blank lines follow the last event', async () => {
+    const harness = makeRouteHarness(AT_MOST_ONCE_STREAM, [responds([...events(1), '\r\n'])]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({ text: `${events(1)[0] ?? ''}\r\n`, isEnded: true });
+  });
+});
+
+// Guards against an error's text, or a complete end, in a stream that broke off.
+describe('ForwardedCall of a stream that broke off', () => {
+  const breaksOff = responds([...events(1), endpointFailure(true)]);
+  const refusal = { status: 503, isNotRun: true };
+
+  it.each([
+    ['a client error', responds(['{"error":"no"}'], { status: 404 })],
+    ['a server error', responds(['{"error":"no"}'], { status: 500 })],
+    ['a server error with events', responds(events(2), { status: 500 })],
+    [
+      'a server error without the end of its body',
+      responds(['half', endpointFailure(true)], { status: 500 }),
+    ],
+    ['a 503 that does not state that it did not run', responds(['no'], { status: 503 })],
+    ['a refusal', responds(['no'], refusal)],
+    [
+      'a misdirected request',
+      responds(['no'], { status: 421, isMisdirected: true, isNotRun: true }),
+    ],
+    ['a redirect', responds(['no'], { status: 302 })],
+    ['a success without a signature', responds(events(2), { isSigned: false })],
+    ['bytes that are no event', responds(['HTTP/1.1 500 Error\r\nX-A: 1\r\n'])],
+    ['no response', async () => Promise.reject(endpointFailure(true))],
+  ] as [string, EndpointBehaviour][])(
+    'is aborted if the next endpoint responds with %s, and resumed if another one is left',
+    async (_name, next) => {
+      const aborted = makeRouteHarness(RESUMABLE_STREAM, [breaksOff, next, next, next]);
+      await aborted.run();
+      expect(aborted.sink).toMatchObject({
+        text: events(1).join(''),
+        isEnded: false,
+        isAborted: true,
+        own: undefined,
+      });
+      const resumed = makeRouteHarness(
+        { ...RESUMABLE_STREAM, maximumAttempts: 3 },
+        [breaksOff, next, responds(events(2, 3))],
+        { endpoints: ['e1', 'e22', 'e333'].map((name) => makeEndpoint(name)) },
+      );
+      await resumed.run();
+      expect(resumed.sink).toMatchObject({ text: events(1, 2, 3).join(''), isEnded: true });
+    },
+  );
+});
