Do not relay an event that does not follow the delivered one

An endpoint that ignored Last-Event-Id, or that sent an event twice, wrote events into the caller's stream that the caller already had. The stream then looked complete.

Cause: the relay recorded the identifiers of events but did not compare them. By the contract they increase. Events whose identifiers are decimal numbers must now follow the last delivered one, or the attempt fails and another endpoint resumes the stream. Other identifiers must only differ. A gap is not detected, since identifiers need not be consecutive.

Before: four of the new tests fail, such as "is aborted if the next endpoint responds with an event that the caller has". After: they pass.

--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -2,12 +2,13 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 
 import { summarizePrompt } from './EnginePlacement.js';
-import { EventStreamParser } from './EventStreamParser.js';
+import { EventStreamParser, mayFollow } from './EventStreamParser.js';
 import { BUFFERED_RESPONSE_BYTES, STALLED_STREAM_FRACTION } from './ForwardingLimits.js';
 
 import type { AttemptTimeout } from './AttemptTimeout.js';
 import type { CallContext, Destination } from './CallContext.js';
 import type { EndpointResponse } from './EndpointLink.js';
+import type { ServerSentEvent } from './EventStreamParser.js';
 
 /** Relays the responses of endpoints to the caller of one request. */
 export class EndpointResponseRelay {
@@ -73,7 +74,7 @@
 
   /**
    * Relays complete events only, so that another endpoint can resume the stream after them. Throws
-   * `endpoint-failed` if the stream ends inside an event. The timeout does not count the time for
+   * `endpoint-failed` if the stream repeats an event or ends inside one. The timeout does not count the time for
    * which the caller is slow to read.
    */
   async relayStream(
@@ -88,6 +89,7 @@
     let isFirst = true;
     for await (const chunk of response.body) {
       for (const event of parser.push(chunk)) {
+        this.checkOrder(destination, event);
         state.recordActivity(clock.monotonicMilliseconds());
         timeout.pause();
         if (isFirst) {
@@ -111,6 +113,14 @@
     this.call.sink.end();
   }
 
+  private checkOrder(destination: Destination, { identifier }: ServerSentEvent): void {
+    const { lastEvent } = this.call;
+    if (identifier !== undefined && lastEvent !== undefined && !mayFollow(identifier, lastEvent)) {
+      const reason = `event ${identifier.slice(0, 20)} came after event ${lastEvent.slice(0, 20)}`;
+      throw EndpointResponseRelay.failure(destination, reason);
+    }
+  }
+
   /** After an event, waits for the next one if another endpoint could resume the stream. */
   private watchForStall(timeout: AttemptTimeout, isFirst: boolean): void {
     if (!this.call.isRetryable || !this.call.hasAnotherAttempt) {
--- a/packages/hickoryrelay-forwarding/src/EventStreamParser.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamParser.ts
@@ -30,6 +30,15 @@
   readonly identifier: string | undefined;
 }
 
+const EVENT_NUMBER_PATTERN = /^\d{1,15}$/u;
+
+/** True if an event may follow another one. The identifiers of a stream increase. */
+export function mayFollow(identifier: string, previous: string): boolean {
+  return EVENT_NUMBER_PATTERN.test(identifier) && EVENT_NUMBER_PATTERN.test(previous)
+    ? Number(identifier) > Number(previous)
+    : identifier !== previous;
+}
+
 /**
  * Splits the bytes of a stream into complete events. Every byte is searched once, and the memory of
  * an event that has not ended is bounded.
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/BrokenStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/BrokenStream.test.ts
@@ -86,6 +86,8 @@
     ['a redirect', responds(['no'], { status: 302 })],
     ['a success without a signature', responds(events(2), { isSigned: false })],
     ['another content type', responds(['<p>no</p>\n\n'], { isEventStream: false })],
+    ['an event that the caller has', responds(events(1, 2))],
+    ['an earlier event', responds(events(0, 1, 2))],
     ['bytes that are no event', responds(['HTTP/1.1 500 Error\r\nX-A: 1\r\n'])],
     ['no response', async () => Promise.reject(endpointFailure(true))],
   ] as [string, EndpointBehaviour][])(
@@ -110,6 +112,32 @@
   );
 });
 
+// Guards against an event that the caller receives twice or in the wrong order.
+describe('ForwardedCall of a stream whose events do not increase', () => {
+  it.each([
+    ['repeats', [9, 10, 10, 11], [9, 10]],
+    ['goes back', [9, 10, 9], [9, 10]],
+  ])('resumes after the event before it %s', async (_name, sent, relayed) => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [
+      responds(events(...sent)),
+      responds(events(11, 12)),
+    ]);
+    await harness.run();
+    expect(harness.link.sent[1]?.lastEvent).toBe('10');
+    expect(harness.sink).toMatchObject({
+      text: events(...relayed, 11, 12).join(''),
+      isEnded: true,
+    });
+  });
+
+  it('does not compare identifiers that are no numbers', async () => {
+    const text = 'id: b\n\nid: a\n\n';
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [responds([text])]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({ text, isEnded: true });
+  });
+});
+
 // Guards against cutting a response to which the rules of events do not apply.
 describe('ForwardedCall of a stream that is answered with another content type', () => {
   it('relays the response unchanged', async () => {
