Do not frame a resumed stream as complete if its end is not known

A stream that was resumed at a second endpoint whose response ends with its connection was ended with the framing of the first one. A crash of the second endpoint between two events then looked like a complete stream. And where the first endpoint had stated a length, the caller got it although the bytes came from two endpoints: one that sends fewer leaves the caller waiting on a kept connection, and the rest of one that sends more is taken for the next response.

Cause: head and framing of the first response were kept for the whole stream. A stream that may be resumed states no length now. A resumed stream whose end is not known fails unless the caller's own response ends with its connection, so that another endpoint confirms the end, or the caller's connection is reset and the caller resumes.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -123,11 +123,16 @@
   get isRetryable(): boolean {
     const { retrySemantics } = this.admitted.route;
     if (this.sink.hasStarted) {
-      return retrySemantics === RetrySemantics.Resumable && !this.isUnresumable;
+      return this.isResumable && !this.isUnresumable;
     }
     return retrySemantics !== RetrySemantics.AtMostOnce;
   }
 
+  /** True if endpoints may continue the stream of another one. */
+  get isResumable(): boolean {
+    return this.admitted.route.retrySemantics === RetrySemantics.Resumable;
+  }
+
   /** True if the route allows another attempt after the current one. */
   get hasAnotherAttempt(): boolean {
     return this.trace.attempts + 1 < this.admitted.route.maximumAttempts;
--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -14,6 +14,9 @@
 export class EndpointResponseRelay {
   private readonly call: CallContext;
 
+  /** True if only the close of the caller's connection ends the stream. */
+  private isCloseDelimited = false;
+
   constructor(call: CallContext) {
     this.call = call;
   }
@@ -107,6 +110,12 @@
       throw EndpointResponseRelay.failure(destination, 'the stream ended inside an event');
     }
     this.startStream(response);
+    if (response.isCloseDelimited && !this.isCloseDelimited) {
+      throw EndpointResponseRelay.failure(
+        destination,
+        'the resumed stream ended with its connection, which does not show that it is complete',
+      );
+    }
     if (parser.remainder.length > 0) {
       await this.call.sink.write(parser.remainder);
     }
@@ -142,9 +151,12 @@
     });
   }
 
+  /** A stream that may be resumed has no stated length, since its bytes may come from two endpoints. */
   private startStream(response: EndpointResponse): void {
     if (!this.call.sink.hasStarted) {
-      this.call.sink.start(response);
+      const { length, isCloseDelimited } = response;
+      this.isCloseDelimited = isCloseDelimited;
+      this.call.sink.start({ ...response, length: this.call.isResumable ? undefined : length });
     }
   }
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/BrokenStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/BrokenStream.test.ts
@@ -112,6 +112,43 @@
   );
 });
 
+// Guards against a resumed stream that is framed as whole although its end is not known.
+describe('ForwardedCall of a stream that is resumed with another framing', () => {
+  const closeDelimited = { isCloseDelimited: true };
+
+  it('states no length, since the second endpoint may send other bytes', async () => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [
+      responds([...events(1), endpointFailure(true)], { length: 24 }),
+      responds(['id: 2\ndata: longer than before\n\n']),
+    ]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({ head: { length: undefined }, isEnded: true });
+  });
+
+  it.each([
+    ['aborted if the caller would take the end for complete', {}, false],
+    ['ended with the connection if the caller cannot take it for complete', closeDelimited, true],
+  ])('is %s', async (_name, framing, isEnded) => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [
+      responds([...events(1), endpointFailure(true)], framing),
+      responds(events(2), closeDelimited),
+    ]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({
+      head: { isCloseDelimited: isEnded },
+      text: events(1, 2).join(''),
+      isEnded,
+      isAborted: !isEnded,
+    });
+  });
+
+  it('keeps the length of a stream that cannot be resumed', async () => {
+    const harness = makeRouteHarness(AT_MOST_ONCE_STREAM, [responds(events(1), { length: 12 })]);
+    await harness.run();
+    expect(harness.sink.head?.length).toBe(12);
+  });
+});
+
 // Guards against an event that the caller receives twice or in the wrong order.
 describe('ForwardedCall of a stream whose events do not increase', () => {
   it.each([
