Do not relay an empty stream that ended with its connection

Where an engine stopped after the head of a close-delimited stream, callers received a 200 without any event, although a second engine could have run the request.

Cause: without a length or chunks, the end of the connection was taken for the end of the stream. A stream has at least one event, unless the caller resumes it after its last one, so an empty stream that nothing but the close delimits has failed. Empty streams with a length or chunks are relayed as before, since their framing shows that they are complete.

Before: "is sent to another endpoint if it ended with its connection" and "fails if it ended with its connection and cannot be sent again" fail. After: both pass.

--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -109,6 +109,9 @@
     if (parser.isWithinEvent) {
       throw EndpointResponseRelay.failure(destination, 'the stream ended inside an event');
     }
+    if (isFirst && response.isCloseDelimited && this.call.lastEvent === undefined) {
+      throw EndpointResponseRelay.failure(destination, 'the stream ended before its first event');
+    }
     this.startStream(response);
     if (response.isCloseDelimited && !this.isCloseDelimited) {
       throw EndpointResponseRelay.failure(
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/BrokenStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/BrokenStream.test.ts
@@ -4,6 +4,7 @@
 import {
   endpointFailure,
   makeEndpoint,
+  makeRequest,
   makeResponse,
   makeRouteHarness,
   RESUMABLE_STREAM,
@@ -64,6 +65,29 @@
   });
 });
 
+// Guards against an empty stream where an endpoint stopped after the head of its response.
+describe('ForwardedCall of a stream without events', () => {
+  const empty = responds([], { isCloseDelimited: true });
+
+  it('is sent to another endpoint if it ended with its connection', async () => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [empty, responds(events(1))]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({ text: events(1)[0], isEnded: true });
+  });
+
+  it('fails if it ended with its connection and cannot be sent again', async () => {
+    const harness = makeRouteHarness(AT_MOST_ONCE_STREAM, [empty, responds(events(1))]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({ head: undefined, own: { status: 502 } });
+  });
+
+  it('is relayed if the caller may have received the last event', async () => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [empty]);
+    await harness.run(makeRequest({ lastEvent: '7' }));
+    expect(harness.sink).toMatchObject({ text: '', head: { status: 200 }, isEnded: true });
+  });
+});
+
 // Guards against an error's text, or a complete end, in a stream that broke off.
 describe('ForwardedCall of a stream that broke off', () => {
   const breaksOff = responds([...events(1), endpointFailure(true)]);
