--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -57,7 +57,7 @@
   readonly isMisdirected: boolean;
   /** False if the response states another content type than that of server-sent events. */
   readonly isEventStream: boolean;
-  /** True if the response has the endpoint's signature, without which a success is not valid. */
+  /** True if the response has the endpoint's signed body, without which a success is not valid. */
   readonly isSigned: boolean;
   /** Ends normally only if the body is complete; throws `endpoint-failed` otherwise. */
   readonly body: AsyncIterable<Buffer>;
