Fail a close-delimited response of a service that is reset

Callers of the product's own interface received the part of a service's response that had arrived before its connection was reset, as a complete one, and it was stored as the response of its idempotency key.

Cause: the client library takes a reset for the normal end of a response that only the close delimits. The link of the users' platform checks for that; the product's link did not. It now gives the reset another error code before the library sees it.

Excluded: breaks within the status line, the head, bodies with a length and chunks fail on the previous code as well; the new tests keep that. Model responses are not affected, since they must end with their terminator or be complete JSON.

Before: "fails a response if the endpoint resets after the head" and "resets within a body without a length" fail. After: both pass, as do the tests of the link and the end-to-end tests of the instance.

--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -1,4 +1,4 @@
-import { Client, Pool } from 'undici';
+import { buildConnector, Client, Pool } from 'undici';
 
 import { EndpointLink } from './EndpointLink.js';
 import { HttpResponseStream, REQUEST_IDENTIFIER_HEADER } from './HttpResponseStream.js';
@@ -8,17 +8,42 @@
 import type { HttpResponseObserver } from './HttpResponseStream.js';
 import type { ResponseStream } from './ResponseStream.js';
 import type { EndpointLocation } from 'hickoryrelay-endpoint/Endpoint';
+import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
 
+const RESET_CODE = 'ECONNRESET';
+
+/** Code of a reset, which the client library does not handle specially. */
+const ENDPOINT_RESET_CODE = 'ENDPOINT_RESET';
+
+const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+
+/**
+ * Opens a connection whose reset fails the response. The client library would take a reset for the
+ * normal end of a close-delimited response.
+ */
+const connect: buildConnector.connector = (options, callback) => {
+  connectSocket(options, (...result) => {
+    const socket: Socket | null = result[1];
+    // Registered before the listener of the client library.
+    socket?.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === RESET_CODE) {
+        Object.assign(error, { code: ENDPOINT_RESET_CODE });
+      }
+    });
+    callback(...result);
+  });
+};
+
 /**
  * The exchange detects stalls with the `Clock` of the instance, so the timeouts of the library are
  * disabled. A pipelining factor of 1 allows one call at a time on each connection.
  */
 const CONNECTION_OPTIONS = {
   pipelining: 1,
-  connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+  connect,
   headersTimeout: 0,
   bodyTimeout: 0,
 } as const;
--- a/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
@@ -194,4 +194,38 @@
     expect(sentBlocks).toBeLessThan(BODY_BLOCK_COUNT / 2);
     expect(await readAll(stream)).toBe(BODY_BLOCK_COUNT * BODY_BLOCK.length);
   });
+
+  const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n';
+  const closes = (socket: Socket, bytes: string) => socket.end(bytes);
+  const resets = (socket: Socket, bytes: string) => {
+    socket.write(bytes, () => setTimeout(() => socket.resetAndDestroy(), 20));
+  };
+
+  // Guards against a response that broke off and is taken for a complete one.
+  it.each([
+    ['closes within the status line', closes, 'HTTP/1.1 20'],
+    ['closes within the head', closes, head],
+    ['resets within the head', resets, head],
+    ['closes after an interim response', closes, 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+    ['closes within a body with a length', closes, `${head}Content-Length: 9\r\n\r\nhalf`],
+    ['closes between chunks', closes, `${head}Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n`],
+    ['resets after the head', resets, `${head}\r\n`],
+    ['resets within a body without a length', resets, `${head}\r\nhalf`],
+  ])('fails a response if the endpoint %s', async (_name, breakOff, bytes) => {
+    respond = (request) => {
+      breakOff(request.socket, bytes);
+    };
+    for (const call of [CALL, NON_IDEMPOTENT_CALL]) {
+      await expect(readAll(link.send(call, neverAborted))).rejects.toMatchObject({
+        failure: { kind: 'endpoint-failed', mayHaveRun: true },
+      });
+    }
+  });
+
+  it('completes a response that only the close of its connection delimits', async () => {
+    respond = (request) => {
+      closes(request.socket, `${head}\r\nwhole`);
+    };
+    expect(await readAll(link.send(CALL, neverAborted))).toBe(5);
+  });
 });
