Skip odd entries of the lists of endpoints and instances

One odd entry in the list of the endpoint supply or in the instance list of the product's own platform kept every instance from following the list: null among the entries, or a list that is no array, threw a TypeError on each read, and the fleet stayed as it was. An endpoint with port 70000 was taken over, and calls to it failed when its connection pool was created.

Cause: the lists were used as decoded. Each entry is now checked, the sound ones are applied, and a log line with the new field "skipped" says how many were not, each time there are more than before.

Excluded: the key-value readers of the product hold entries of the product's own instances only. Each of them fails its read, not the process; they are left as they are.

--- a/packages/hickoryrelay-instance/src/hickoryrelayd.ts
+++ b/packages/hickoryrelay-instance/src/hickoryrelayd.ts
@@ -64,6 +64,7 @@
 async function run(settings: Settings): Promise<void> {
   const logger = createProcessLogger(settings.log.level, settings.instance.name);
   const log = createComponentLogger(logger, LogPrefix.Daemon);
+  const platformLog = createComponentLogger(logger, LogPrefix.Platform);
   const clock = new SystemClock();
   const random = new SystemRandomSource();
   const callBudget = new CallBudget(clock);
@@ -80,8 +81,8 @@
         clock,
         random,
       }),
-      supply: new HttpEndpointSupply(settings.platform.supply),
-      instances: new HttpInstanceList(settings.platform.instances),
+      supply: new HttpEndpointSupply(settings.platform.supply, platformLog),
+      instances: new HttpInstanceList(settings.platform.instances, platformLog),
       usage: new HttpUsageReportSink(settings.platform.usage),
     },
   });
--- a/packages/hickoryrelay-platform/src/EndpointSupply.ts
+++ b/packages/hickoryrelay-platform/src/EndpointSupply.ts
@@ -1,3 +1,5 @@
+import { HTTP_PROTOCOLS, isName, isUrl } from './ListEntryUtils.js';
+
 /** Lifecycle state of an endpoint. Only a live endpoint accepts new work. */
 export const SupplyState = { Starting: 'starting', Live: 'live', Leaving: 'leaving' } as const;
 
@@ -16,6 +18,21 @@
   readonly orderKey?: string;
 }
 
+const STATES: ReadonlySet<unknown> = new Set(Object.values(SupplyState));
+
+/** True if an entry of the platform's list can be used. Other writers may leave odd entries. */
+export function isSuppliedEndpoint(value: unknown): value is SuppliedEndpoint {
+  const entry = (value ?? {}) as Partial<Record<keyof SuppliedEndpoint, unknown>>;
+  return (
+    isName(entry.identifier) &&
+    isName(entry.kind) &&
+    isName(entry.zone) &&
+    isUrl(entry.url, HTTP_PROTOCOLS) &&
+    STATES.has(entry.state) &&
+    (entry.orderKey === undefined || typeof entry.orderKey === 'string')
+  );
+}
+
 /** An order to provision one endpoint of a kind in a zone. */
 export interface SupplyOrder {
   /** Repeating an order with the same key has no further effect. */
--- a/packages/hickoryrelay-platform/src/HttpPlatform.ts
+++ b/packages/hickoryrelay-platform/src/HttpPlatform.ts
@@ -1,11 +1,12 @@
 import { buildConnector, Client, getGlobalDispatcher, request } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
+import { silentLogger } from 'hickoryrelay/Logger';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 import { guardWrites } from 'hickoryrelay/SocketGuardUtils';
 
-import { EndpointSupply } from './EndpointSupply.js';
-import { InstanceList } from './InstanceList.js';
+import { EndpointSupply, isSuppliedEndpoint } from './EndpointSupply.js';
+import { InstanceList, isListedInstance } from './InstanceList.js';
 import { UsageReportSink } from './UsageReportSink.js';
 
 import type {
@@ -16,6 +17,7 @@
 } from './EndpointSupply.js';
 import type { ListedInstance } from './InstanceList.js';
 import type { UsageReport } from './UsageReportSink.js';
+import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { Dispatcher } from 'undici';
 
 const REQUEST_TIMEOUT_MILLISECONDS = 2000;
@@ -140,22 +142,60 @@
   }
 }
 
+/** Selects the usable entries of a list, and logs when there are more others than before. */
+class ListDecoder<Entry> {
+  private readonly service: string;
+
+  private readonly isUsable: (entry: unknown) => entry is Entry;
+
+  private readonly log: ComponentLogger;
+
+  private highestSkipped = 0;
+
+  constructor(service: string, isUsable: (entry: unknown) => entry is Entry, log: ComponentLogger) {
+    this.service = service;
+    this.isUsable = isUsable;
+    this.log = log;
+  }
+
+  /** Throws `protocol-violation` if the value is not a list. */
+  decode(value: unknown): readonly Entry[] {
+    if (!Array.isArray(value)) {
+      throw new RelayError({
+        kind: FailureKind.ProtocolViolation,
+        peer: this.service,
+        reason: 'the response has no list',
+      });
+    }
+    const entries = value.filter(this.isUsable);
+    const skipped = value.length - entries.length;
+    if (skipped > this.highestSkipped) {
+      this.highestSkipped = skipped;
+      this.log.warn('Skipping invalid entries of a list.', { list: this.service, skipped });
+    }
+    return entries;
+  }
+}
+
 /** Endpoint supply over HTTP/JSON: `GET /endpoints`, `GET` and `POST /orders`, `POST /releases`. */
 export class HttpEndpointSupply extends EndpointSupply {
   private readonly json: JsonClient;
 
-  constructor(baseUrl: string) {
+  private readonly decoder: ListDecoder<SuppliedEndpoint>;
+
+  constructor(baseUrl: string, log: ComponentLogger = silentLogger) {
     super();
     this.json = new JsonClient('endpoint supply', baseUrl);
+    this.decoder = new ListDecoder('endpoint supply', isSuppliedEndpoint, log);
   }
 
   override async list(zone?: string): Promise<readonly SuppliedEndpoint[]> {
     const query = zone === undefined ? '' : `?zone=${encodeURIComponent(zone)}`;
-    const response = await this.json.call<{ endpoints: SuppliedEndpoint[] }>(
+    const response = await this.json.call<{ endpoints: unknown } | null | undefined>(
       'GET',
       `/endpoints${query}`,
     );
-    return response.body.endpoints;
+    return this.decoder.decode(response.body?.endpoints);
   }
 
   override async order(order: SupplyOrder, check: AuthorityCheck): Promise<void> {
@@ -179,14 +219,20 @@
 export class HttpInstanceList extends InstanceList {
   private readonly json: JsonClient;
 
-  constructor(baseUrl: string) {
+  private readonly decoder: ListDecoder<ListedInstance>;
+
+  constructor(baseUrl: string, log: ComponentLogger = silentLogger) {
     super();
     this.json = new JsonClient('instance list', baseUrl);
+    this.decoder = new ListDecoder('instance list', isListedInstance, log);
   }
 
   override async list(): Promise<readonly ListedInstance[]> {
-    const response = await this.json.call<{ instances: ListedInstance[] }>('GET', '/instances');
-    return response.body.instances;
+    const response = await this.json.call<{ instances: unknown } | null | undefined>(
+      'GET',
+      '/instances',
+    );
+    return this.decoder.decode(response.body?.instances);
   }
 
   override async register(instance: ListedInstance): Promise<void> {
