Report a usage window although one of its entries is odd

An entry among the usage counts of a window that was no JSON object, or had counts that are no numbers, kept the window from being reported, or spoilt the sum: the task threw on each attempt and tried again until the window was overdue.

Cause: the entries were used as decoded. An invalid one is skipped now, with a log line when the window is sealed. It does not count as one of the entries that the window waits for, and an instance whose own entry is invalid replaces it.

No other writer is known for these keys; the case was found by the review of the readers.

--- a/packages/hickoryrelay-forwarding/src/UsageCountsWriter.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageCountsWriter.ts
@@ -2,6 +2,7 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 
 import { usageCountsKey, usageCountsPrefix } from './UsageKeys.js';
+import { isAccountCounts } from './UsageTally.js';
 
 import type { AccountCounts } from './UsageTally.js';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
@@ -28,9 +29,16 @@
   return JSON.stringify({ counts, isFinal });
 }
 
-/** Decodes the stored value. */
-export function decodeUsageCounts(value: string): Pick<UsageCounts, 'counts' | 'isFinal'> {
-  return JSON.parse(value) as Pick<UsageCounts, 'counts' | 'isFinal'>;
+/** Decodes the stored value. Returns undefined if it holds no counts. */
+export function decodeUsageCounts(
+  value: string,
+): Pick<UsageCounts, 'counts' | 'isFinal'> | undefined {
+  try {
+    const { counts, isFinal } = JSON.parse(value) as Partial<Record<keyof UsageCounts, unknown>>;
+    return isAccountCounts(counts) ? { counts, isFinal: isFinal === true } : undefined;
+  } catch {
+    return undefined;
+  }
 }
 
 function totalOf(counts: AccountCounts): number {
@@ -39,10 +47,10 @@
 
 /** True if the counts are higher than the stored ones, or equal and newly final. */
 function isNewer(usage: UsageCounts, stored: string | undefined): boolean {
-  if (stored === undefined) {
+  const storedUsage = stored === undefined ? undefined : decodeUsageCounts(stored);
+  if (storedUsage === undefined) {
     return true;
   }
-  const storedUsage = decodeUsageCounts(stored);
   const growth = totalOf(usage.counts) - totalOf(storedUsage.counts);
   return growth > 0 || (growth === 0 && usage.isFinal && !storedUsage.isFinal);
 }
--- a/packages/hickoryrelay-forwarding/src/UsageReportTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageReportTask.ts
@@ -143,9 +143,9 @@
     const { values } = await store.range(usageCountsPrefix(window), { prefix: true });
     const age = wallMilliseconds - (window + 1) * windowMilliseconds;
     this.expectedEntries ??= await this.countSealedEntries(window - 1);
-    const entries = values.map(({ value }) => decodeUsageCounts(value));
+    const entries = values.flatMap(({ value }) => decodeUsageCounts(value) ?? []);
     const isComplete =
-      values.length >= this.expectedEntries && entries.every(({ isFinal }) => isFinal);
+      entries.length >= this.expectedEntries && entries.every(({ isFinal }) => isFinal);
     if (!isComplete && age < dueMilliseconds * SEAL_DEADLINE_FRACTION) {
       return undefined;
     }
@@ -153,6 +153,10 @@
       counts: sumCounts(entries.map(({ counts }) => counts)),
       parts: values.map(({ key }) => key),
     };
+    if (entries.length < values.length) {
+      const skipped = values.length - entries.length;
+      this.parts.log.warn('Sealing a usage window without invalid entries.', { window, skipped });
+    }
     this.term.assertHeld();
     const { succeeded } = await store.commit({
       compare: [{ key: sealedWindowKey(window), target: 'create-revision', operand: 0 }],
@@ -162,7 +166,7 @@
     if (!succeeded) {
       return undefined;
     }
-    this.expectedEntries = values.length;
+    this.expectedEntries = entries.length;
     return sealed;
   }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageCounts.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageCounts.test.ts
@@ -76,7 +76,7 @@
 
   totalOf(key: string): number {
     const value = this.items.get(key)?.value;
-    const counts = value === undefined ? {} : decodeUsageCounts(value).counts;
+    const counts = value === undefined ? {} : (decodeUsageCounts(value)?.counts ?? {});
     return Object.values(counts).reduce((sum, count) => sum + count, 0);
   }
 
@@ -187,11 +187,11 @@
     const store = new InMemoryStore();
     await new UsageCountsWriter(store).write([usageOf('a', 3)]);
     await new UsageCountsWriter(store).write([usageOf('a', 3, true)]);
-    expect(decodeUsageCounts(store.items.get(usageCountsKey(1, 'a'))?.value ?? '').isFinal).toBe(
+    expect(decodeUsageCounts(store.items.get(usageCountsKey(1, 'a'))?.value ?? '')?.isFinal).toBe(
       true,
     );
     await new UsageCountsWriter(store).write([usageOf('a', 3)]);
-    expect(decodeUsageCounts(store.items.get(usageCountsKey(1, 'a'))?.value ?? '').isFinal).toBe(
+    expect(decodeUsageCounts(store.items.get(usageCountsKey(1, 'a'))?.value ?? '')?.isFinal).toBe(
       true,
     );
   });
