Detect resets together with the last bytes on the product's link

A close-delimited response of a service whose endpoint reset the connection right after its last bytes still reached callers of the product's own interface as complete.

Cause: as on the link of the users' platform, Node reports such a reset as a normal end, so the error code is never seen. The link now notes at the end of a connection whether the socket has no peer address, and a close-delimited response that ends in the same turn fails. The client library does not say which connection carried a response, so a sound close-delimited response that ends in the turn in which another connection to the same endpoint is reset fails too.

--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -21,21 +21,48 @@
 const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
 
 /**
- * Opens a connection whose reset fails the response. The client library would take a reset for the
+ * Opens connections and detects their resets, which the client library and Node may take for the
  * normal end of a close-delimited response.
  */
-const connect: buildConnector.connector = (options, callback) => {
-  connectSocket(options, (...result) => {
-    const socket: Socket | null = result[1];
-    // Registered before the listener of the client library.
-    socket?.on('error', (error: NodeJS.ErrnoException) => {
+class ConnectionResets {
+  private hasOccurred = false;
+
+  /**
+   * True if a connection was reset in this turn of the event loop, in which the response that it
+   * carried ends.
+   */
+  get isCurrent(): boolean {
+    return this.hasOccurred;
+  }
+
+  readonly connect: buildConnector.connector = (options, callback) => {
+    connectSocket(options, (...result) => {
+      if (result[0] === null) {
+        this.observe(result[1]);
+      }
+      callback(...result);
+    });
+  };
+
+  /** Adds listeners before those of the client library. */
+  private observe(socket: Socket): void {
+    socket.on('error', (error: NodeJS.ErrnoException) => {
       if (error.code === RESET_CODE) {
         Object.assign(error, { code: ENDPOINT_RESET_CODE });
       }
     });
-    callback(...result);
-  });
-};
+    // Node reports a reset that arrives together with data as a normal end. Only the peer address
+    // tells them apart: a socket that was reset has none.
+    socket.on('end', () => {
+      if (socket.remoteAddress === undefined) {
+        this.hasOccurred = true;
+        setImmediate(() => {
+          this.hasOccurred = false;
+        });
+      }
+    });
+  }
+}
 
 /**
  * The exchange detects stalls with the `Clock` of the instance, so the timeouts of the library are
@@ -43,7 +70,6 @@
  */
 const CONNECTION_OPTIONS = {
   pipelining: 1,
-  connect,
   headersTimeout: 0,
   bodyTimeout: 0,
 } as const;
@@ -59,6 +85,7 @@
 /** Connections that are retired together if one of them stalls. */
 interface ConnectionGroup {
   readonly pool: Pool;
+  readonly resets: ConnectionResets;
   readonly responses: Set<HttpResponseStream>;
 }
 
@@ -110,6 +137,7 @@
         this.closeWhenIdle(group);
       },
       onSilence: () => this.retire(group),
+      wasReset: () => group.resets.isCurrent,
     });
     group.responses.add(response);
     const isReusable = this.isBodyIdentified || this.repeatsIdentifier === true;
@@ -139,12 +167,17 @@
     encoded: EncodedCall,
     signal: AbortSignal,
   ): ResponseStream {
-    const client = new Client(this.location.url, CONNECTION_OPTIONS);
+    const resets = new ConnectionResets();
+    const client = new Client(this.location.url, {
+      ...CONNECTION_OPTIONS,
+      connect: resets.connect,
+    });
     const response = this.createResponse(call, signal, {
       onEnd: () => {
         void client.destroy();
       },
       onSilence: () => this.retire(this.current),
+      wasReset: () => resets.isCurrent,
     });
     return HttpEndpointLink.dispatch(client, call, encoded, response, false);
   }
@@ -174,8 +207,13 @@
   }
 
   private openGroup(): ConnectionGroup {
-    const pool = new Pool(this.location.url, { ...CONNECTION_OPTIONS, connections: null });
-    const group = { pool, responses: new Set<HttpResponseStream>() };
+    const resets = new ConnectionResets();
+    const pool = new Pool(this.location.url, {
+      ...CONNECTION_OPTIONS,
+      connect: resets.connect,
+      connections: null,
+    });
+    const group = { pool, resets, responses: new Set<HttpResponseStream>() };
     this.groups.add(group);
     return group;
   }
--- a/packages/hickoryrelay-link/src/HttpResponseStream.ts
+++ b/packages/hickoryrelay-link/src/HttpResponseStream.ts
@@ -28,6 +28,8 @@
   onEnd(response: HttpResponseStream): void;
   /** The response's connection has stalled. */
   onSilence(): void;
+  /** True if a connection that may be the response's was reset in this turn of the event loop. */
+  wasReset(): boolean;
 }
 
 function toRelayError(error: unknown, endpoint: string, mayHaveRun: boolean): RelayError {
@@ -61,6 +63,9 @@
 
   private readonly observer: HttpResponseObserver;
 
+  /** True if neither a length nor chunks show the end of the response. */
+  private isCloseDelimited = false;
+
   private headWaiter: Waiter<void> | undefined;
 
   private chunkWaiter: Waiter<IteratorResult<Buffer, void>> | undefined;
@@ -165,6 +170,8 @@
     this.observer.onHead(responseIdentifier !== undefined);
     const contentType = headers['content-type'];
     this.status = status;
+    this.isCloseDelimited =
+      headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
     this.contentType = typeof contentType === 'string' ? contentType : DEFAULT_CONTENT_TYPE;
     this.headWaiter?.resolve();
     this.headWaiter = undefined;
@@ -185,6 +192,10 @@
   }
 
   onResponseEnd(): void {
+    if (this.isCloseDelimited && this.observer.wasReset()) {
+      this.fail(toRelayError('the connection was reset', this.endpoint, true));
+      return;
+    }
     this.markEnded();
     this.chunkWaiter?.resolve({ done: true, value: undefined });
     this.chunkWaiter = undefined;
--- a/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
@@ -222,6 +222,19 @@
     }
   });
 
+  // Guards against a reset that Node reports as a normal end, as it arrives together with data.
+  it('fails a response if the endpoint resets together with its last bytes', async () => {
+    respond = ({ socket }) => {
+      socket.write(`${head}\r\npart`);
+      setTimeout(() => socket.write(' of the body', () => socket.resetAndDestroy()), 10);
+    };
+    for (let round = 0; round < 60; round += 1) {
+      await expect(readAll(link.send(CALL, neverAborted))).rejects.toMatchObject({
+        failure: { kind: 'endpoint-failed', mayHaveRun: true },
+      });
+    }
+  });
+
   it('completes a response that only the close of its connection delimits', async () => {
     respond = (request) => {
       closes(request.socket, `${head}\r\nwhole`);
