Survive an order to an engine or platform that refuses connections

An instance of the product that held the authority of a zone ended by itself when an engine to which it sent an order, or the platform's supply, refused the connection.

Cause: on a failure the connector of the client library calls back with one argument, so the socket is undefined, but the code compared it with null and set the write check on undefined. The TypeError was thrown in a listener of the socket, where nothing catches it. Found while the same code was written for the link of endpoints.

Excluded: the client of the users' platform looks at the error instead.

Before: "reports an order to an engine that refuses connections as not run" and "reports an order that could not be sent as without effect" end with an unhandled TypeError and no response. After: both pass, as do all tests of the two packages.

--- a/packages/hickoryrelay-link/src/OrderLink.ts
+++ b/packages/hickoryrelay-link/src/OrderLink.ts
@@ -75,7 +75,7 @@
       bodyTimeout: RESPONSE_TIMEOUT_MILLISECONDS,
       connect: (options, callback) => {
         connector(options, (...result) => {
-          if (result[1] !== null) {
+          if (result[0] === null) {
             guardWrites(result[1], check);
           }
           callback(...result);
--- a/packages/hickoryrelay-link/src/__tests__/e2e/OrderLink.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/OrderLink.test.ts
@@ -94,4 +94,11 @@
     expect(server.orderHandler.taken.length).toBe(1);
     expect((await link.readState()).lastOrder).toBe('one');
   });
+
+  // Guards against an uncaught error that ends the process when an engine is not reachable.
+  it('reports an order to an engine that refuses connections as not run', async () => {
+    await server.close();
+    const failure = await link.send(makeOrder('one', 1)).then(() => undefined, failureOf);
+    expect(failure).toMatchObject({ kind: 'endpoint-failed', mayHaveRun: false });
+  });
 });
--- a/packages/hickoryrelay-platform/src/HttpPlatform.ts
+++ b/packages/hickoryrelay-platform/src/HttpPlatform.ts
@@ -105,7 +105,7 @@
     const client = new Client(this.baseUrl, {
       connect: (options, callback) => {
         connector(options, (...result) => {
-          if (result[1] !== null) {
+          if (result[0] === null) {
             guardWrites(result[1], check);
           }
           callback(...result);
