--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -1,15 +1,22 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
 import { summarizePrompt } from './EnginePlacement.js';
-import { EventStreamParser } from './EventStreamParser.js';
+import { EventStreamParser, mayFollow } from './EventStreamParser.js';
 import { BUFFERED_RESPONSE_BYTES, STALLED_STREAM_FRACTION } from './ForwardingLimits.js';
 
 import type { AttemptTimeout } from './AttemptTimeout.js';
 import type { CallContext, Destination } from './CallContext.js';
 import type { EndpointResponse } from './EndpointLink.js';
+import type { ServerSentEvent } from './EventStreamParser.js';
 
 /** Relays the responses of endpoints to the caller of one request. */
 export class EndpointResponseRelay {
   private readonly call: CallContext;
 
+  /** True if only the close of the caller's connection ends the stream. */
+  private isCloseDelimited = false;
+
   constructor(call: CallContext) {
     this.call = call;
   }
@@ -70,8 +77,9 @@
   }
 
   /**
-   * Relays complete events only, so that another endpoint can resume the stream after them. The
-   * timeout does not count the time for which the caller is slow to read.
+   * Relays complete events only, so that another endpoint can resume the stream after them. Throws
+   * `endpoint-failed` if the stream repeats an event or ends inside one. The timeout does not count the time for
+   * which the caller is slow to read.
    */
   async relayStream(
     destination: Destination,
@@ -85,6 +93,7 @@
     let isFirst = true;
     for await (const chunk of response.body) {
       for (const event of parser.push(chunk)) {
+        this.checkOrder(destination, event);
         state.recordActivity(clock.monotonicMilliseconds());
         timeout.pause();
         if (isFirst) {
@@ -98,13 +107,33 @@
       }
     }
     timeout.cancel();
+    if (parser.isWithinEvent) {
+      throw EndpointResponseRelay.failure(destination, 'the stream ended inside an event');
+    }
+    if (isFirst && response.isCloseDelimited && this.call.lastEvent === undefined) {
+      throw EndpointResponseRelay.failure(destination, 'the stream ended before its first event');
+    }
     this.startStream(response);
+    if (response.isCloseDelimited && !this.isCloseDelimited) {
+      throw EndpointResponseRelay.failure(
+        destination,
+        'the resumed stream ended with its connection, which does not show that it is complete',
+      );
+    }
     if (parser.remainder.length > 0) {
       await this.call.sink.write(parser.remainder);
     }
     this.call.sink.end();
   }
 
+  private checkOrder(destination: Destination, { identifier }: ServerSentEvent): void {
+    const { lastEvent } = this.call;
+    if (identifier !== undefined && lastEvent !== undefined && !mayFollow(identifier, lastEvent)) {
+      const reason = `event ${identifier.slice(0, 20)} came after event ${lastEvent.slice(0, 20)}`;
+      throw EndpointResponseRelay.failure(destination, reason);
+    }
+  }
+
   /** After an event, waits for the next one if another endpoint could resume the stream. */
   private watchForStall(timeout: AttemptTimeout, isFirst: boolean): void {
     if (!this.call.isRetryable || !this.call.hasAnotherAttempt) {
@@ -116,9 +145,22 @@
     }
   }
 
+  private static failure({ state }: Destination, reason: string): RelayError {
+    const endpoint = state.record.identifier;
+    return new RelayError({
+      kind: FailureKind.EndpointFailed,
+      endpoint,
+      reason,
+      mayHaveRun: true,
+    });
+  }
+
+  /** A stream that may be resumed has no stated length, since its bytes may come from two endpoints. */
   private startStream(response: EndpointResponse): void {
     if (!this.call.sink.hasStarted) {
-      this.call.sink.start(response);
+      const { length, isCloseDelimited } = response;
+      this.isCloseDelimited = isCloseDelimited;
+      this.call.sink.start({ ...response, length: this.call.isResumable ? undefined : length });
     }
   }
 }
--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -1,4 +1,4 @@
-import { Client, Pool } from 'undici';
+import { buildConnector, Client, Pool } from 'undici';
 
 import { EndpointLink } from './EndpointLink.js';
 import { HttpResponseStream, REQUEST_IDENTIFIER_HEADER } from './HttpResponseStream.js';
@@ -8,17 +8,68 @@
 import type { HttpResponseObserver } from './HttpResponseStream.js';
 import type { ResponseStream } from './ResponseStream.js';
 import type { EndpointLocation } from 'hickoryrelay-endpoint/Endpoint';
+import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
 
+const RESET_CODE = 'ECONNRESET';
+
+/** Code of a reset, which the client library does not handle specially. */
+const ENDPOINT_RESET_CODE = 'ENDPOINT_RESET';
+
+const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+
+/**
+ * Opens connections and detects their resets, which the client library and Node may take for the
+ * normal end of a close-delimited response.
+ */
+class ConnectionResets {
+  private hasOccurred = false;
+
+  /**
+   * True if a connection was reset in this turn of the event loop, in which the response that it
+   * carried ends.
+   */
+  get isCurrent(): boolean {
+    return this.hasOccurred;
+  }
+
+  readonly connect: buildConnector.connector = (options, callback) => {
+    connectSocket(options, (...result) => {
+      if (result[0] === null) {
+        this.observe(result[1]);
+      }
+      callback(...result);
+    });
+  };
+
+  /** Adds listeners before those of the client library. */
+  private observe(socket: Socket): void {
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === RESET_CODE) {
+        Object.assign(error, { code: ENDPOINT_RESET_CODE });
+      }
+    });
+    // Node reports a reset that arrives together with data as a normal end. Only the peer address
+    // tells them apart: a socket that was reset has none.
+    socket.on('end', () => {
+      if (socket.remoteAddress === undefined) {
+        this.hasOccurred = true;
+        setImmediate(() => {
+          this.hasOccurred = false;
+        });
+      }
+    });
+  }
+}
+
 /**
  * The exchange detects stalls with the `Clock` of the instance, so the timeouts of the library are
  * disabled. A pipelining factor of 1 allows one call at a time on each connection.
  */
 const CONNECTION_OPTIONS = {
   pipelining: 1,
-  connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
   headersTimeout: 0,
   bodyTimeout: 0,
 } as const;
@@ -34,6 +85,7 @@
 /** Connections that are retired together if one of them stalls. */
 interface ConnectionGroup {
   readonly pool: Pool;
+  readonly resets: ConnectionResets;
   readonly responses: Set<HttpResponseStream>;
 }
 
@@ -85,6 +137,7 @@
         this.closeWhenIdle(group);
       },
       onSilence: () => this.retire(group),
+      wasReset: () => group.resets.isCurrent,
     });
     group.responses.add(response);
     const isReusable = this.isBodyIdentified || this.repeatsIdentifier === true;
@@ -114,12 +167,17 @@
     encoded: EncodedCall,
     signal: AbortSignal,
   ): ResponseStream {
-    const client = new Client(this.location.url, CONNECTION_OPTIONS);
+    const resets = new ConnectionResets();
+    const client = new Client(this.location.url, {
+      ...CONNECTION_OPTIONS,
+      connect: resets.connect,
+    });
     const response = this.createResponse(call, signal, {
       onEnd: () => {
         void client.destroy();
       },
       onSilence: () => this.retire(this.current),
+      wasReset: () => resets.isCurrent,
     });
     return HttpEndpointLink.dispatch(client, call, encoded, response, false);
   }
@@ -149,8 +207,13 @@
   }
 
   private openGroup(): ConnectionGroup {
-    const pool = new Pool(this.location.url, { ...CONNECTION_OPTIONS, connections: null });
-    const group = { pool, responses: new Set<HttpResponseStream>() };
+    const resets = new ConnectionResets();
+    const pool = new Pool(this.location.url, {
+      ...CONNECTION_OPTIONS,
+      connect: resets.connect,
+      connections: null,
+    });
+    const group = { pool, resets, responses: new Set<HttpResponseStream>() };
     this.groups.add(group);
     return group;
   }
