Send no requests to an endpoint that announces that it is leaving

Callers' requests went on to endpoints that had already stated in a response that they were leaving, until the store's entry said so. Such a request can meet the exit of the endpoint. The header was not read at all.

The link now reads a notice from the head of each response to a run or a prefill. It is kept by incarnation, so that a view that still reports the endpoint as ready, or a registration that lapses and comes back, does not undo it. Placement asks for it, and the link asks once more before a request is written, for requests that were connecting.

Before: 7 of the 8 cases of platform's EndpointNotices test fail on the old code, such as "gets no further request after a complete response": expected 1 request at the endpoint, got 15. The passing one checks that a new incarnation gets requests. After: all pass. Peers are not told and orders' answers are not read; docs/platform.md says why.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -3,7 +3,8 @@
 import type { CallDeadline } from './CallDeadline.js';
 import type { CallTrace } from './CallTrace.js';
 import type { ConfirmedView } from './ConfirmedView.js';
-import type { EndpointLink, PrefilledPrompt } from './EndpointLink.js';
+import type { Attempt, EndpointLink, PrefilledPrompt } from './EndpointLink.js';
+import type { EndpointNotices } from './EndpointNotices.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { EndpointState } from './EndpointState.js';
 import type { EnginePlacement, PromptSummary } from './EnginePlacement.js';
@@ -29,6 +30,7 @@
   readonly directory: PromptCacheDirectory;
   readonly prefillRate: PrefillRate;
   readonly link: EndpointLink;
+  readonly notices: EndpointNotices;
   readonly budgets: RetryBudgets;
   readonly tally: UsageTally;
   /** The monotonic clock, which does not count suspensions. */
@@ -144,6 +146,14 @@
     };
   }
 
+  /** The fields of an attempt that bind it to what its endpoint states about itself. */
+  bindAttempt(state: EndpointState): Pick<Attempt, 'permit' | 'receiveNotice'> {
+    return {
+      permit: state.availability.startRequest(),
+      receiveNotice: (notice) => this.parts.notices.receive(state, notice, this.request.identifier),
+    };
+  }
+
   /** Records that an engine now has the shared segment of a prompt in its KV cache. */
   recordCachedSegment({ hash }: EndpointState, { shared, tokens }: PromptSummary): void {
     if (shared !== undefined) {
--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -1,5 +1,6 @@
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { ForwardedRequest, HeaderList } from './ForwardedRequest.js';
+import type { EndpointNotice, SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 
 /** What an endpoint is asked to do with a request. */
 export const AttemptKind = {
@@ -33,6 +34,15 @@
   readonly fetchFrom?: string;
   /** Identifier of the event after which a stream is resumed. */
   readonly lastEvent: string | undefined;
+  /** The request is not written once the permit is no longer valid. */
+  readonly permit: SendPermit;
+  /** Called for the head of each response to the attempt, before the response is used. */
+  readonly receiveNotice: (notice: ReceivedNotice) => void;
+}
+
+/** A notice, and whether the endpoint that sent it may not be the one that was addressed. */
+export interface ReceivedNotice extends EndpointNotice {
+  readonly isMisdirected: boolean;
 }
 
 /** The status line and headers of an endpoint's response. */
@@ -65,7 +75,8 @@
 
 /**
  * Sends requests to endpoints. Every failure is `endpoint-failed`, whose `mayHaveRun` is false only
- * if no byte of the request was written.
+ * if no byte of the request was written. A request whose permit is no longer valid once its
+ * connection is open is not written.
  */
 export abstract class EndpointLink {
   /** Sends the request and resolves when the head of the response has arrived. */
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -1,3 +1,5 @@
+import { EndpointAvailability } from 'hickoryrelay-endpoint/EndpointAvailability';
+
 import { EndpointPhase } from './EndpointRecord.js';
 import { EndpointState } from './EndpointState.js';
 
@@ -5,6 +7,12 @@
 import type { PeerLoads } from './PeerLoads.js';
 import type { EndpointLoad } from './PeerMessage.js';
 
+/**
+ * Endpoints without a registration whose availability is kept. A registration may be missing while
+ * the endpoint still runs, as after an outage of the store.
+ */
+const MAXIMUM_UNREGISTERED = 256;
+
 /**
  * Distinguishes the incarnations of an endpoint, which may reuse its identifier after a restart.
  */
@@ -18,6 +26,9 @@
 
   private byService = new Map<string, EndpointState[]>();
 
+  /** By incarnation; those that were registered last come last. */
+  private readonly availabilities = new Map<string, EndpointAvailability>();
+
   private readonly peers: PeerLoads;
 
   constructor(peers: PeerLoads) {
@@ -33,19 +44,36 @@
     }
   }
 
-  /** Replaces the list of endpoints. Keeps the states of known incarnations. */
-  replace(records: readonly EndpointRecord[]): void {
+  /**
+   * Replaces the list of endpoints. Keeps the states of known incarnations. Returns the new
+   * incarnations of endpoints that took no requests.
+   */
+  replace(records: readonly EndpointRecord[]): EndpointRecord[] {
+    const restarted = records.filter((record) => this.isRestartOfUnavailable(record));
     const states = new Map<string, EndpointState>();
     const byService = new Map<string, EndpointState[]>();
     for (const record of records) {
       const key = incarnationKey(record);
-      const state = this.states.get(key) ?? new EndpointState(record, this.peers);
+      const availability = this.retainAvailability(key);
+      const state = this.states.get(key) ?? new EndpointState(record, this.peers, availability);
       state.record = record;
       states.set(key, state);
       byService.set(record.service, [...(byService.get(record.service) ?? []), state]);
     }
     this.states = states;
     this.byService = byService;
+    this.discardAvailabilities();
+    return restarted;
+  }
+
+  /** The states of all registrations with an address. Several exist if the address is reused. */
+  atAddress(address: string): EndpointState[] {
+    return [...this.states.values()].filter(({ record }) => record.address === address);
+  }
+
+  /** True if an endpoint that is registered takes requests from this instance. */
+  allowsRequest(record: EndpointRecord): boolean {
+    return this.availabilities.get(incarnationKey(record))?.allowsRequest() ?? false;
   }
 
   /**
@@ -59,4 +87,29 @@
     const unconfirmed = inPhase(EndpointPhase.Unconfirmed);
     return unconfirmed.length > ready.length ? [...ready, ...unconfirmed] : ready;
   }
+
+  private isRestartOfUnavailable(record: EndpointRecord): boolean {
+    if (this.availabilities.has(incarnationKey(record))) {
+      return false;
+    }
+    const predecessors = [...this.availabilities].filter(([key]) =>
+      key.startsWith(`${record.identifier}/`),
+    );
+    return predecessors.some(([, availability]) => !availability.allowsRequest());
+  }
+
+  /** Returns the availability of an incarnation, as the one that was registered last. */
+  private retainAvailability(key: string): EndpointAvailability {
+    const availability = this.availabilities.get(key) ?? new EndpointAvailability();
+    this.availabilities.delete(key);
+    this.availabilities.set(key, availability);
+    return availability;
+  }
+
+  private discardAvailabilities(): void {
+    const surplus = this.availabilities.size - this.states.size - MAXIMUM_UNREGISTERED;
+    for (const key of [...this.availabilities.keys()].slice(0, Math.max(0, surplus))) {
+      this.availabilities.delete(key);
+    }
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/EndpointState.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointState.ts
@@ -1,4 +1,5 @@
 import { hashString } from 'hickoryrelay/RendezvousUtils';
+import { EndpointAvailability } from 'hickoryrelay-endpoint/EndpointAvailability';
 
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { PeerLoads } from './PeerLoads.js';
@@ -48,6 +49,9 @@
   /** Tokens being prefilled there for own requests that will miss their latency target. */
   latePrefillTokens = 0;
 
+  /** Outlives the state if the registration is missing for a while. */
+  readonly availability: EndpointAvailability;
+
   private readonly peers: PeerLoads;
 
   /** Hash of the incarnation, which identifies the endpoint in messages between instances. */
@@ -65,9 +69,10 @@
 
   private inactiveSinceMilliseconds: number | undefined;
 
-  constructor(record: EndpointRecord, peers: PeerLoads) {
+  constructor(record: EndpointRecord, peers: PeerLoads, availability = new EndpointAvailability()) {
     this.record = record;
     this.peers = peers;
+    this.availability = availability;
     this.hash = hashString(`${record.identifier}/${record.startedMilliseconds}`);
   }
 
--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -270,7 +270,10 @@
     if (shared === undefined) {
       return undefined;
     }
-    const healthy = states.filter((state) => !state.isEjected(now) && !state.isUnresponsive(now));
+    const healthy = states.filter(
+      (state) =>
+        !state.availability.isLeaving && !state.isEjected(now) && !state.isUnresponsive(now),
+    );
     return this.directory.findHolder(shared.hash, healthy, cacheCapacityTokens, now);
   }
 
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -140,6 +140,7 @@
     return {
       kind: AttemptKind.Run,
       endpoint: state.record,
+      ...this.call.bindAttempt(state),
       request,
       account: admitted.grant?.account,
       remainingMilliseconds: Math.floor(deadline.remaining()),
--- a/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
@@ -2,6 +2,7 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 
 import { CallTrace } from './CallTrace.js';
+import { EndpointNotices } from './EndpointNotices.js';
 import { ForwardedCall } from './ForwardedCall.js';
 
 import type { ForwardedCallParts } from './CallContext.js';
@@ -14,7 +15,7 @@
 const BAD_GATEWAY = 502;
 
 /** The collaborators of the exchange. */
-export interface ForwardingExchangeParts extends ForwardedCallParts {
+export interface ForwardingExchangeParts extends Omit<ForwardedCallParts, 'notices'> {
   readonly admission: RequestAdmission;
   readonly metrics: ForwardingMetrics;
   readonly log: ComponentLogger;
@@ -24,10 +25,13 @@
 export class ForwardingExchange {
   private readonly parts: ForwardingExchangeParts;
 
+  private readonly notices: EndpointNotices;
+
   private open = 0;
 
   constructor(parts: ForwardingExchangeParts) {
     this.parts = parts;
+    this.notices = new EndpointNotices(parts);
   }
 
   /** Number of requests in flight. */
@@ -68,7 +72,8 @@
       sink.answer(admitted.own);
       return `own-${admitted.own.status}`;
     }
-    return new ForwardedCall(this.parts, request, admitted, sink, trace).run();
+    const parts = { ...this.parts, notices: this.notices };
+    return new ForwardedCall(parts, request, admitted, sink, trace).run();
   }
 
   private record(request: ForwardedRequest, trace: CallTrace, outcome: string): void {
--- a/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
@@ -35,11 +35,18 @@
 
   private readonly gauges = new Map<string, () => number>();
 
+  private readonly counters = new Map<string, () => number>();
+
   /** Registers a gauge whose value is read when the metrics are rendered. */
   registerGauge(name: string, read: () => number): void {
     this.gauges.set(name, read);
   }
 
+  /** Registers a counter whose value is read when the metrics are rendered. */
+  registerCounter(name: string, read: () => number): void {
+    this.counters.set(name, read);
+  }
+
   /** Records a completed request. */
   record(trace: CallTrace, outcome: string, milliseconds: number): void {
     const series = this.seriesFor(trace);
@@ -89,6 +96,10 @@
         yield `${name}_count{${labels}} ${series[time].totalCount}`;
       }
     }
+    for (const [name, read] of this.counters) {
+      yield `# TYPE hickoryrelay_${name} counter`;
+      yield `hickoryrelay_${name} ${read()}`;
+    }
     for (const [name, read] of this.gauges) {
       yield `# TYPE hickoryrelay_${name} gauge`;
       yield `hickoryrelay_${name} ${read()}`;
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -152,6 +152,7 @@
     return {
       kind: AttemptKind.Prefill,
       endpoint: prefillEngine.record,
+      ...this.call.bindAttempt(prefillEngine),
       request,
       account: admitted.grant?.account,
       remainingMilliseconds: Math.floor(deadline.remaining()),
--- a/packages/hickoryrelay-forwarding/src/ServicePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/ServicePlacement.ts
@@ -26,14 +26,16 @@
 }
 
 /**
- * Excludes endpoints that the request has tried. Excludes ejected and unresponsive ones as well,
+ * Excludes endpoints that the request has tried or that take no requests. Excludes ejected and unresponsive ones as well,
  * unless no other endpoint is left.
  */
 export function eligibleEndpoints(
   states: readonly EndpointState[],
   context: PlacementContext,
 ): EndpointState[] {
-  const untried = states.filter((state) => !context.tried.has(state));
+  const untried = states.filter(
+    (state) => !context.tried.has(state) && state.availability.allowsRequest(),
+  );
   const healthy = untried.filter(
     (state) => !state.isEjected(context.now) && !state.isUnresponsive(context.now),
   );
--- a/packages/hickoryrelay-forwarding/src/StageTask.ts
+++ b/packages/hickoryrelay-forwarding/src/StageTask.ts
@@ -5,6 +5,7 @@
 
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { EngineStage } from './EndpointRecord.js';
+import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { FencedPlatform } from './FencedPlatform.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
@@ -21,6 +22,7 @@
 /** Collaborators of the task. */
 export interface StageTaskParts {
   readonly view: ConfirmedView;
+  readonly registry: EndpointRegistry;
   readonly platform: FencedPlatform;
   readonly log: ComponentLogger;
 }
@@ -71,7 +73,7 @@
   }
 
   private async orderNextChange(service: string, now: number): Promise<void> {
-    const { view, platform, log } = this.parts;
+    const { view, registry, platform, log } = this.parts;
     const engines = view.endpoints.filter((endpoint) => endpoint.service === service);
     const pendingStages = new Map([...this.pendingChanges].map(([key, { stage }]) => [key, stage]));
     const change = nextStageChange(engines, pendingStages);
@@ -79,6 +81,9 @@
       return;
     }
     const { engine, stage } = change;
+    if (!registry.allowsRequest(engine)) {
+      return;
+    }
     this.pendingChanges.set(engine.identifier, {
       stage,
       expiresAtMilliseconds: now + STAGE_CHANGE_TIMEOUT_MILLISECONDS,
--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -52,7 +52,7 @@
     try {
       const { snapshot, ageMilliseconds, periodFraction } = await source.read();
       const difference = view.apply(snapshot, requestedAtMilliseconds - ageMilliseconds);
-      registry.replace(view.endpoints);
+      const restarted = registry.replace(view.endpoints);
       link.retain(view.endpoints);
       budgets.setInstanceCount(view.peers.length);
       if (this.failedReadings > 0) {
@@ -74,6 +74,13 @@
           phase,
         });
       }
+      for (const { identifier, service, startedMilliseconds: started } of restarted) {
+        log.info('An endpoint that took no requests has restarted.', {
+          endpoint: identifier,
+          started,
+          service,
+        });
+      }
       for (const { identifier, service, zone } of difference.removed) {
         log.info('Removed an endpoint.', { endpoint: identifier, service, zone });
       }
