Keep to the time for which an endpoint asks for no requests

An endpoint that refused a request with 503 and Retry-After got the next ones at once. Under overload each instance went on sending to engines that had asked for a pause. Retry-After of endpoints was not read at all.

The notice of a response now holds that time. The availability of the endpoint allows no request until it has passed, then one probe at a time until one is accepted. Requests that are still connecting are not written.

--- a/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
@@ -2,48 +2,159 @@
 export interface EndpointNotice {
   /** The endpoint is shutting down and takes no new requests. */
   readonly isLeaving: boolean;
+  /** Time for which the endpoint asks for no requests; undefined if it does not. */
+  readonly backoffMilliseconds: number | undefined;
+  /** True if the endpoint took the request that it responds to. */
+  readonly isAccepted: boolean;
+}
+
+/** The effect of a notice on the availability of its endpoint. */
+export const AvailabilityChange = {
+  None: 'none',
+  /** The endpoint takes no requests any more. */
+  Leaving: 'leaving',
+  /** The endpoint takes no requests for a time. */
+  BackingOff: 'backing-off',
+  /** The endpoint takes requests again. */
+  Available: 'available',
+} as const;
+
+export type AvailabilityChange = (typeof AvailabilityChange)[keyof typeof AvailabilityChange];
+
+/**
+ * A longer backoff is probed before its end, and ends when the endpoint accepts a probe, so that a
+ * faulty endpoint that asks for hours is not lost until it restarts.
+ */
+const LONG_BACKOFF_MILLISECONDS = 300_000;
+
+/** Times of a long backoff at which one request is sent as a probe. */
+const PROBE_TIMES_MILLISECONDS = [60_000, 600_000] as const;
+
+/** A time for which an endpoint asked for no requests. Times are monotonic. */
+interface Backoff {
+  readonly startMilliseconds: number;
+  readonly endMilliseconds: number;
+  /** Probes sent before the end. */
+  readonly probes: number;
 }
 
 /** The permission to send one request, granted when its endpoint was chosen. */
 export class SendPermit {
-  private readonly allowsSend: () => boolean;
+  private readonly allowsSend: (permit: SendPermit) => boolean;
 
-  constructor(allowsSend: () => boolean) {
+  private readonly onEnd: (permit: SendPermit) => void;
+
+  constructor(
+    allowsSend: (permit: SendPermit) => boolean,
+    onEnd: (permit: SendPermit) => void = () => {},
+  ) {
     this.allowsSend = allowsSend;
+    this.onEnd = onEnd;
   }
 
   /** False once the endpoint takes no requests. Asked right before the request is written. */
   get isValid(): boolean {
-    return this.allowsSend();
+    return this.allowsSend(this);
+  }
+
+  /** Ends the attempt. A probe that has had no response is then followed by another one. */
+  end(): void {
+    this.onEnd(this);
   }
 }
 
 /**
  * Whether one incarnation of an endpoint takes requests from this instance, by what the endpoint
  * itself has stated. What the store or other instances report does not undo it.
+ *
+ * After a backoff, and at the probe times of a long one, one request at a time is sent as a probe
+ * until the endpoint accepts one, so that the waiting requests do not all arrive at once.
  */
 export class EndpointAvailability {
   private hasAnnouncedLeaving = false;
 
+  private backoff: Backoff | undefined;
+
+  /** The request in flight that tries whether the endpoint takes requests again. */
+  private probe: SendPermit | undefined;
+
   /** True once the endpoint has announced that it is leaving. */
   get isLeaving(): boolean {
     return this.hasAnnouncedLeaving;
   }
 
-  /** Applies a notice. Returns true if it is the first that announces that the endpoint is leaving. */
-  receive({ isLeaving }: EndpointNotice): boolean {
-    const isFirst = isLeaving && !this.hasAnnouncedLeaving;
-    this.hasAnnouncedLeaving ||= isLeaving;
-    return isFirst;
+  /** True while the endpoint takes no requests, or only probes. */
+  get isUnavailable(): boolean {
+    return this.hasAnnouncedLeaving || this.backoff !== undefined;
   }
 
   /** True if a new request may be sent. */
-  allowsRequest(): boolean {
-    return !this.hasAnnouncedLeaving;
+  allowsRequest(now: number): boolean {
+    return this.waitMilliseconds(now) === 0 && this.probe === undefined;
+  }
+
+  /** Time until a request may be sent, apart from a probe in flight; infinite for a leaving one. */
+  waitMilliseconds(now: number): number {
+    if (this.hasAnnouncedLeaving) {
+      return Number.POSITIVE_INFINITY;
+    }
+    if (this.backoff === undefined) {
+      return 0;
+    }
+    const { startMilliseconds, endMilliseconds, probes } = this.backoff;
+    const isLong = endMilliseconds - startMilliseconds > LONG_BACKOFF_MILLISECONDS;
+    const probeTime = isLong ? PROBE_TIMES_MILLISECONDS[probes] : undefined;
+    const openMilliseconds =
+      probeTime === undefined
+        ? endMilliseconds
+        : Math.min(endMilliseconds, startMilliseconds + probeTime);
+    return Math.max(0, openMilliseconds - now);
+  }
+
+  /**
+   * Grants the permission to send a request. It is not valid if the endpoint has stopped allowing
+   * requests since it was chosen.
+   */
+  startRequest(now: number): SendPermit {
+    const permit = new SendPermit(
+      (each) => !this.hasAnnouncedLeaving && (this.backoff === undefined || this.probe === each),
+      (each) => {
+        this.probe = this.probe === each ? undefined : this.probe;
+      },
+    );
+    if (this.backoff !== undefined && this.allowsRequest(now)) {
+      this.probe = permit;
+      const { endMilliseconds, probes } = this.backoff;
+      this.backoff = { ...this.backoff, probes: probes + (now < endMilliseconds ? 1 : 0) };
+    }
+    return permit;
+  }
+
+  /** Applies the notice in the response to a request. */
+  receive(notice: EndpointNotice, permit: SendPermit, now: number): AvailabilityChange {
+    if (notice.isLeaving && !this.hasAnnouncedLeaving) {
+      this.hasAnnouncedLeaving = true;
+      return AvailabilityChange.Leaving;
+    }
+    if (notice.backoffMilliseconds !== undefined) {
+      return this.backOff(notice.backoffMilliseconds, now);
+    }
+    if (notice.isAccepted && this.backoff !== undefined && this.probe === permit) {
+      this.backoff = undefined;
+      this.probe = undefined;
+      return AvailabilityChange.Available;
+    }
+    return AvailabilityChange.None;
   }
 
-  /** Grants the permission to send a request to the endpoint. */
-  startRequest(): SendPermit {
-    return new SendPermit(() => !this.hasAnnouncedLeaving);
+  private backOff(milliseconds: number, now: number): AvailabilityChange {
+    const { backoff } = this;
+    const endMilliseconds = now + milliseconds;
+    // An earlier backoff that has not ended stays in force, with the probes that it has had.
+    this.backoff =
+      backoff === undefined || now >= backoff.endMilliseconds
+        ? { startMilliseconds: now, endMilliseconds, probes: 0 }
+        : { ...backoff, endMilliseconds: Math.max(backoff.endMilliseconds, endMilliseconds) };
+    return backoff === undefined ? AvailabilityChange.BackingOff : AvailabilityChange.None;
   }
 }
--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -148,9 +148,11 @@
 
   /** The fields of an attempt that bind it to what its endpoint states about itself. */
   bindAttempt(state: EndpointState): Pick<Attempt, 'permit' | 'receiveNotice'> {
+    const { clock, notices } = this.parts;
+    const permit = state.availability.startRequest(clock.monotonicMilliseconds());
     return {
-      permit: state.availability.startRequest(),
-      receiveNotice: (notice) => this.parts.notices.receive(state, notice, this.request.identifier),
+      permit,
+      receiveNotice: (notice) => notices.receive(state, permit, notice, this.request.identifier),
     };
   }
 
--- a/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
@@ -1,12 +1,23 @@
+import { AvailabilityChange } from 'hickoryrelay-endpoint/EndpointAvailability';
+
 import type { ReceivedNotice } from './EndpointLink.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { EndpointState } from './EndpointState.js';
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
+import type { Clock } from 'hickoryrelay/Clock';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
+import type { SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
+
+const SENTENCES = {
+  [AvailabilityChange.Leaving]: 'An endpoint announced that it is leaving.',
+  [AvailabilityChange.BackingOff]: 'An endpoint asked for no requests for a time.',
+  [AvailabilityChange.Available]: 'An endpoint takes requests again.',
+} as const;
 
 /** Collaborators of the notices. */
 export interface EndpointNoticesParts {
   readonly registry: EndpointRegistry;
+  readonly clock: Clock;
   readonly metrics: ForwardingMetrics;
   readonly log: ComponentLogger;
 }
@@ -15,26 +26,40 @@
 export class EndpointNotices {
   private readonly parts: EndpointNoticesParts;
 
-  private leavingCount = 0;
+  private readonly counts = {
+    [AvailabilityChange.Leaving]: 0,
+    [AvailabilityChange.BackingOff]: 0,
+    [AvailabilityChange.Available]: 0,
+  };
 
   constructor(parts: EndpointNoticesParts) {
     this.parts = parts;
-    parts.metrics.registerCounter('endpoints_leaving_total', () => this.leavingCount);
+    const { metrics } = parts;
+    metrics.registerCounter('endpoints_leaving_total', () => this.counts.leaving);
+    metrics.registerCounter('endpoint_backoffs_total', () => this.counts['backing-off']);
   }
 
   /** Applies the notice in the response of an endpoint to a request. */
-  receive(state: EndpointState, notice: ReceivedNotice, request: string | undefined): void {
+  receive(
+    state: EndpointState,
+    permit: SendPermit,
+    notice: ReceivedNotice,
+    request: string | undefined,
+  ): void {
+    const now = this.parts.clock.monotonicMilliseconds();
     const senders = notice.isMisdirected
       ? new Set([state, ...this.parts.registry.atAddress(state.record.address)])
       : [state];
     for (const { availability, record } of senders) {
-      if (availability.receive(notice)) {
-        this.leavingCount += 1;
-        this.parts.log.info('An endpoint announced that it is leaving.', {
+      const change = availability.receive(notice, permit, now);
+      if (change !== AvailabilityChange.None) {
+        this.counts[change] += 1;
+        this.parts.log.info(SENTENCES[change], {
           endpoint: record.identifier,
           started: record.startedMilliseconds,
           service: record.service,
           address: record.address,
+          backoffMilliseconds: notice.backoffMilliseconds,
           misdirected: notice.isMisdirected,
           request,
         });
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -72,8 +72,16 @@
   }
 
   /** True if an endpoint that is registered takes requests from this instance. */
-  allowsRequest(record: EndpointRecord): boolean {
-    return this.availabilities.get(incarnationKey(record))?.allowsRequest() ?? false;
+  allowsRequest(record: EndpointRecord, now: number): boolean {
+    return this.availabilities.get(incarnationKey(record))?.allowsRequest(now) ?? false;
+  }
+
+  /** Time until an endpoint of a service takes requests; infinite if all are leaving. */
+  waitMilliseconds(service: string, now: number): number {
+    const waits = this.readyEndpoints(service).map(({ availability }) =>
+      availability.waitMilliseconds(now),
+    );
+    return Math.min(Number.POSITIVE_INFINITY, ...waits);
   }
 
   /**
@@ -95,7 +103,7 @@
     const predecessors = [...this.availabilities].filter(([key]) =>
       key.startsWith(`${record.identifier}/`),
     );
-    return predecessors.some(([, availability]) => !availability.allowsRequest());
+    return predecessors.some(([, availability]) => availability.isUnavailable);
   }
 
   /** Returns the availability of an incarnation, as the one that was registered last. */
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -161,13 +161,14 @@
     const { parts, deadline, trace } = this.call;
     const { state } = destination;
     const sentMilliseconds = parts.clock.monotonicMilliseconds();
+    const attempt = this.attempt(destination);
     const timeout = new AttemptTimeout(parts.clock);
     this.startResponseTimeout(timeout);
     state.beginRequest(sentMilliseconds);
     this.call.startAttempt();
     try {
       const signal = AbortSignal.any([deadline.signal, timeout.signal]);
-      const response = await parts.link.send(this.attempt(destination), signal);
+      const response = await parts.link.send(attempt, signal);
       state.recordActivity(parts.clock.monotonicMilliseconds());
       if (response.isNotRun || response.isMisdirected) {
         return this.handleRefusal(state, response);
@@ -175,9 +176,10 @@
       return await this.handleResponse(destination, response, sentMilliseconds, timeout);
     } catch (error) {
       const isAborted = deadline.signal.aborted || timeout.signal.aborted;
-      return this.handleFailure(state, error, sentMilliseconds, isAborted);
+      return this.handleFailure(attempt, state, error, sentMilliseconds, isAborted);
     } finally {
       timeout.cancel();
+      attempt.permit.end();
       state.finishRequest();
       if (trace.steps.length === 0) {
         trace.addStep(`run ${state.record.identifier}`);
@@ -212,6 +214,7 @@
   }
 
   private handleFailure(
+    { permit }: Attempt,
     state: EndpointState,
     error: unknown,
     sentMilliseconds: number,
@@ -221,7 +224,7 @@
     const failure = failureOf(error);
     trace.addStep(`run ${state.record.identifier}: ${describeFailure(failure)}`);
     const isUnsent = failure.kind === FailureKind.EndpointFailed && !failure.mayHaveRun;
-    if (!deadline.signal.aborted) {
+    if (!deadline.signal.aborted && permit.isValid) {
       state.recordFailure(parts.clock.monotonicMilliseconds());
     }
     // An engine sends an event as soon as it begins to run a request, so a generation that is given up
@@ -310,11 +313,17 @@
     sink.answer({
       status: SERVICE_UNAVAILABLE,
       reason,
-      retryAfterMilliseconds: addRetryAfterJitter(
-        RETRY_AFTER_MILLISECONDS.NoCapacity,
-        parts.random,
-      ),
+      retryAfterMilliseconds: addRetryAfterJitter(this.retryAfterMilliseconds(), parts.random),
     });
     return `own-${SERVICE_UNAVAILABLE}`;
   }
+
+  /** Time until an endpoint takes requests, if all have asked for none, within the limits. */
+  private retryAfterMilliseconds(): number {
+    const { registry, clock } = this.call.parts;
+    const { service } = this.call.admitted;
+    const wait = registry.waitMilliseconds(service, clock.monotonicMilliseconds());
+    const { NoCapacity, Maximum } = RETRY_AFTER_MILLISECONDS;
+    return Number.isFinite(wait) ? Math.min(Math.max(NoCapacity, wait), Maximum) : NoCapacity;
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -65,6 +65,8 @@
   NoView: 150,
   /** All endpoints of the service are full or unavailable. */
   NoCapacity: 300,
+  /** All endpoints of the service have asked for no requests. Others may register sooner. */
+  Maximum: 60_000,
 } as const;
 
 /**
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -88,6 +88,13 @@
 
   /** Frees the KV cache of a prefilled prompt that no engine will fetch. */
   release(prefilledPrompt: PrefilledPrompt): void {
+    const { registry, clock } = this.call.parts;
+    const now = clock.monotonicMilliseconds();
+    const holders = registry.atAddress(prefilledPrompt.address);
+    if (holders.some(({ availability }) => !availability.allowsRequest(now))) {
+      // The cache of an engine that takes no requests is freed when its handle expires.
+      return;
+    }
     this.call.parts.link.release(prefilledPrompt).catch((error: unknown) => {
       this.call.trace.addStep(`release: ${describeFailure(failureOf(error))}`);
     });
@@ -143,6 +150,7 @@
     } finally {
       cancelTimer();
       releaseReservation();
+      attempt.permit.end();
       prefillEngine.finishRequest();
     }
   }
--- a/packages/hickoryrelay-forwarding/src/ServicePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/ServicePlacement.ts
@@ -34,7 +34,7 @@
   context: PlacementContext,
 ): EndpointState[] {
   const untried = states.filter(
-    (state) => !context.tried.has(state) && state.availability.allowsRequest(),
+    (state) => !context.tried.has(state) && state.availability.allowsRequest(context.now),
   );
   const healthy = untried.filter(
     (state) => !state.isEjected(context.now) && !state.isUnresponsive(context.now),
--- a/packages/hickoryrelay-forwarding/src/StageTask.ts
+++ b/packages/hickoryrelay-forwarding/src/StageTask.ts
@@ -81,7 +81,7 @@
       return;
     }
     const { engine, stage } = change;
-    if (!registry.allowsRequest(engine)) {
+    if (!registry.allowsRequest(engine, now)) {
       return;
     }
     this.pendingChanges.set(engine.identifier, {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNotices.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNotices.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
 import { EndpointNotices } from 'hickoryrelay-forwarding/EndpointNotices';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
 import { ForwardingMetrics } from 'hickoryrelay-forwarding/ForwardingMetrics';
@@ -6,34 +7,43 @@
 
 import { makeEndpoint } from './ForwardingFixture.js';
 
+import type { ReceivedNotice } from 'hickoryrelay-forwarding/EndpointLink';
 import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
 import type { EndpointState } from 'hickoryrelay-forwarding/EndpointState';
 
-const LEAVING = { isLeaving: true, isMisdirected: false };
+const LEAVING = {
+  isLeaving: true,
+  backoffMilliseconds: undefined,
+  isAccepted: true,
+  isMisdirected: false,
+};
 
 function setUp(records: readonly EndpointRecord[]) {
   const lines: string[] = [];
   const write = (sentence: string) => lines.push(sentence);
   const log = { debug: write, info: write, warn: write, error: write };
   const registry = new EndpointRegistry(new PeerLoads());
+  const clock = new ManualClock();
   const metrics = new ForwardingMetrics();
   registry.replace(records);
-  const notices = new EndpointNotices({ registry, metrics, log });
+  const notices = new EndpointNotices({ registry, clock, metrics, log });
   const stateOf = ({ identifier, service }: EndpointRecord) =>
     registry
       .readyEndpoints(service)
       .find(({ record }) => record.identifier === identifier) as EndpointState;
-  return { registry, metrics, notices, lines, stateOf };
+  const receive = (state: EndpointState, notice: ReceivedNotice, request = 'request-1') =>
+    notices.receive(state, state.availability.startRequest(0), notice, request);
+  return { registry, clock, metrics, notices, receive, lines, stateOf };
 }
 
 describe('EndpointNotices', () => {
   const endpoint = makeEndpoint('e1');
 
   it('logs and counts once that an endpoint is leaving', () => {
-    const { notices, lines, metrics, stateOf } = setUp([endpoint]);
+    const { receive, lines, metrics, stateOf } = setUp([endpoint]);
     const state = stateOf(endpoint);
     for (let count = 0; count < 3; count += 1) {
-      notices.receive(state, LEAVING, `request-${count}`);
+      receive(state, LEAVING, `request-${count}`);
     }
     expect(lines).toHaveLength(1);
     expect(metrics.render()).toContain('hickoryrelay_endpoints_leaving_total 1\n');
@@ -43,42 +53,64 @@
   it('applies the notice of a misdirected response to all endpoints at the address', () => {
     const successor = makeEndpoint('e2', { address: endpoint.address });
     const other = makeEndpoint('e33');
-    const { notices, registry, stateOf } = setUp([endpoint, successor, other]);
-    notices.receive(stateOf(endpoint), { ...LEAVING, isMisdirected: true }, 'request-1');
-    expect([endpoint, successor, other].map((record) => registry.allowsRequest(record))).toEqual([
-      false,
-      false,
-      true,
-    ]);
+    const { receive, registry, stateOf } = setUp([endpoint, successor, other]);
+    receive(stateOf(endpoint), { ...LEAVING, isMisdirected: true });
+    expect([endpoint, successor, other].map((record) => registry.allowsRequest(record, 0))).toEqual(
+      [false, false, true],
+    );
   });
 
   // Guards against a notice that is lost because its request was sent before the registration expired.
   it('keeps the notice of a request that was in flight while the registration was missing', () => {
-    const { notices, registry, stateOf } = setUp([endpoint]);
+    const { receive, registry, stateOf } = setUp([endpoint]);
     const state = stateOf(endpoint);
     registry.replace([]);
-    notices.receive(state, LEAVING, 'request-1');
+    receive(state, LEAVING);
     registry.replace([endpoint]);
-    expect(registry.allowsRequest(endpoint)).toBe(false);
+    expect(registry.allowsRequest(endpoint, 0)).toBe(false);
   });
 
   it('reports a new incarnation of a leaving endpoint as restarted, and only once', () => {
-    const { notices, registry, stateOf } = setUp([endpoint]);
-    notices.receive(stateOf(endpoint), LEAVING, 'request-1');
+    const { receive, registry, stateOf } = setUp([endpoint]);
+    receive(stateOf(endpoint), LEAVING);
     const restarted = { ...endpoint, startedMilliseconds: 2 };
     expect(registry.replace([restarted])).toEqual([restarted]);
     expect(registry.replace([restarted])).toEqual([]);
-    expect(registry.allowsRequest(restarted)).toBe(true);
+    expect(registry.allowsRequest(restarted, 0)).toBe(true);
+  });
+
+  // Guards against a log line for each refused request, and for each refused probe.
+  it('logs and counts a backoff once, and once that the endpoint takes requests again', async () => {
+    const { notices, clock, lines, metrics, stateOf } = setUp([endpoint]);
+    const state = stateOf(endpoint);
+    const send = (notice: Partial<ReceivedNotice>) => {
+      const permit = state.availability.startRequest(clock.monotonicMilliseconds());
+      notices.receive(state, permit, { ...LEAVING, isLeaving: false, ...notice }, 'request-1');
+      permit.end();
+    };
+    const refused = { isAccepted: false, backoffMilliseconds: 1000 };
+    for (let round = 0; round < 5; round += 1) {
+      send(refused);
+      send(refused);
+      await clock.advance(1000);
+    }
+    send({});
+    send({});
+    expect(lines).toEqual([
+      'An endpoint asked for no requests for a time.',
+      'An endpoint takes requests again.',
+    ]);
+    expect(metrics.render()).toContain('hickoryrelay_endpoint_backoffs_total 1\n');
   });
 
   // Guards against memory that grows with each endpoint that has ever been registered.
   it('forgets the endpoints that have been unregistered for longest', () => {
-    const { notices, registry, stateOf } = setUp([endpoint]);
-    notices.receive(stateOf(endpoint), LEAVING, 'request-1');
+    const { receive, registry, stateOf } = setUp([endpoint]);
+    receive(stateOf(endpoint), LEAVING);
     for (let count = 0; count < 300; count += 1) {
       registry.replace([makeEndpoint(`other-${count}`)]);
     }
     registry.replace([endpoint]);
-    expect(registry.allowsRequest(endpoint)).toBe(true);
+    expect(registry.allowsRequest(endpoint, 0)).toBe(true);
   });
 });
