Apply the notices of endpoints to the product's own link

hickoryrelayd sent calls on to endpoints that stated in a response that they were leaving or, with 503 and Retry-After, wanted no calls for a time.

HttpResponseStream now reads the same notice as the link of the users' platform, and each Endpoint keeps the same EndpointAvailability, so that the decisions are in one place. CallAttempts passes over endpoints that take no calls and fails with no-endpoint at once if there are no others; PoolCapacity does not count them, so that calls do not queue for them.

An endpoint that the platform's list drops and lists again under its identifier is a new endpoint here, as before.

--- a/packages/hickoryrelay-endpoint/src/Endpoint.ts
+++ b/packages/hickoryrelay-endpoint/src/Endpoint.ts
@@ -1,4 +1,5 @@
 import { CircuitBreaker } from './CircuitBreaker.js';
+import { EndpointAvailability } from './EndpointAvailability.js';
 import { InFlightLimit } from './InFlightLimit.js';
 import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
 
@@ -30,6 +31,9 @@
 
   readonly limit = new InFlightLimit();
 
+  /** What the endpoint has stated in its responses. */
+  readonly availability = new EndpointAvailability();
+
   private currentState: EndpointState = EndpointState.Live;
 
   private inFlightCount = 0;
@@ -61,7 +65,7 @@
   }
 
   get acceptsCalls(): boolean {
-    return this.currentState === EndpointState.Live;
+    return this.currentState === EndpointState.Live && !this.availability.isLeaving;
   }
 
   /** Records the state that the platform reports. Transitions back to an earlier state are ignored. */
--- a/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
@@ -21,6 +21,18 @@
 
 export type AvailabilityChange = (typeof AvailabilityChange)[keyof typeof AvailabilityChange];
 
+const SENTENCES: Readonly<Record<AvailabilityChange, string>> = {
+  [AvailabilityChange.None]: 'The availability of an endpoint is unchanged.',
+  [AvailabilityChange.Leaving]: 'An endpoint announced that it is leaving.',
+  [AvailabilityChange.BackingOff]: 'An endpoint asked for no requests for a time.',
+  [AvailabilityChange.Available]: 'An endpoint takes requests again.',
+};
+
+/** Describes a change in one sentence, for the log. */
+export function describeAvailabilityChange(change: AvailabilityChange): string {
+  return SENTENCES[change];
+}
+
 /**
  * A longer backoff is probed before its end, and ends when the endpoint accepts a probe, so that a
  * faulty endpoint that asks for hours is not lost until it restarts.
--- a/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
@@ -1,4 +1,7 @@
-import { AvailabilityChange } from 'hickoryrelay-endpoint/EndpointAvailability';
+import {
+  AvailabilityChange,
+  describeAvailabilityChange,
+} from 'hickoryrelay-endpoint/EndpointAvailability';
 
 import type { ReceivedNotice } from './EndpointLink.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
@@ -8,12 +11,6 @@
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 
-const SENTENCES = {
-  [AvailabilityChange.Leaving]: 'An endpoint announced that it is leaving.',
-  [AvailabilityChange.BackingOff]: 'An endpoint asked for no requests for a time.',
-  [AvailabilityChange.Available]: 'An endpoint takes requests again.',
-} as const;
-
 /** Collaborators of the notices. */
 export interface EndpointNoticesParts {
   readonly registry: EndpointRegistry;
@@ -54,7 +51,7 @@
       const change = availability.receive(notice, permit, now);
       if (change !== AvailabilityChange.None) {
         this.counts[change] += 1;
-        this.parts.log.info(SENTENCES[change], {
+        this.parts.log.info(describeAvailabilityChange(change), {
           endpoint: record.identifier,
           started: record.startedMilliseconds,
           service: record.service,
--- a/packages/hickoryrelay-instance/src/Attempt.ts
+++ b/packages/hickoryrelay-instance/src/Attempt.ts
@@ -1,5 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+import { AvailabilityChange } from 'hickoryrelay-endpoint/EndpointAvailability';
 
 import { ProgressDeadline } from './ProgressDeadline.js';
 import type { ExchangeCounters } from './ExchangeCounters.js';
@@ -50,7 +51,7 @@
     if (signal.aborted) {
       this.onCancel();
     }
-    this.answer = link.send(call, this.abort.signal, resume);
+    this.answer = link.send(call, this.abort.signal, resume, this.endpointCall.permit);
     this.deadline = new ProgressDeadline(
       clock,
       stallTimeouts,
@@ -59,6 +60,13 @@
     );
   }
 
+  /** Resolves when the response head has arrived, and applies the endpoint's notice in it. */
+  async receiveHead(): Promise<AvailabilityChange> {
+    await this.answer.headReceived;
+    const { notice } = this.answer;
+    return notice === undefined ? AvailabilityChange.None : this.endpointCall.receiveNotice(notice);
+  }
+
   /** Suspends the progress deadline when data has arrived and the exchange waits for the caller. */
   pauseDeadline(): void {
     this.endpointCall.recordFirstChunk();
--- a/packages/hickoryrelay-instance/src/CallAttempts.ts
+++ b/packages/hickoryrelay-instance/src/CallAttempts.ts
@@ -2,6 +2,10 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
+import {
+  AvailabilityChange,
+  describeAvailabilityChange,
+} from 'hickoryrelay-endpoint/EndpointAvailability';
 
 import { Attempt } from './Attempt.js';
 import type { CallMetering } from './CallMetering.js';
@@ -11,7 +15,11 @@
 import type { Call } from 'hickoryrelay-link/Call';
 import type { ResumePoint } from 'hickoryrelay-link/EndpointLink';
 
-const RETRY_AFTER_SECONDS = 1;
+const MILLISECONDS_PER_SECOND = 1000;
+const MINIMUM_RETRY_AFTER_SECONDS = 1;
+
+/** Other endpoints may start sooner than one that asked for no calls takes them again. */
+const MAXIMUM_RETRY_AFTER_SECONDS = 60;
 
 /** Failures after which another attempt may succeed. */
 const RETRYABLE_KINDS: ReadonlySet<FailureKind> = new Set([
@@ -65,7 +73,7 @@
       this.metering.recordAttempt(endpoint.identifier);
       const attempt = this.attempt(endpoint, resume);
       try {
-        await attempt.answer.headReceived;
+        this.recordChange(endpoint, await attempt.receiveHead());
         this.hasBeenSent = true;
         return attempt;
       } catch (error) {
@@ -143,15 +151,36 @@
     }
   }
 
-  /** Returns the best candidate that has not failed, or the best one overall if all have. */
+  private recordChange({ identifier }: Endpoint, change: AvailabilityChange): void {
+    if (change === AvailabilityChange.None) {
+      return;
+    }
+    const { counters, endpointLog } = this.parts;
+    counters.endpointsLeaving += Number(change === AvailabilityChange.Leaving);
+    counters.endpointBackoffs += Number(change === AvailabilityChange.BackingOff);
+    endpointLog.info(describeAvailabilityChange(change), {
+      endpoint: identifier,
+      request: this.call.requestIdentifier,
+    });
+  }
+
+  /**
+   * Returns the best candidate that takes calls and has not failed, or the best one that takes calls
+   * if all have failed.
+   */
   private selectEndpoint(): Endpoint {
-    const { selection, fleet } = this.parts;
+    const { selection, fleet, clock } = this.parts;
+    const now = clock.monotonicMilliseconds();
     let bestEndpoint: Endpoint | undefined;
+    let waitMilliseconds = Number.POSITIVE_INFINITY;
     for (const endpoint of selection.candidates(this.call, fleet)) {
-      if (!this.failed.has(endpoint)) {
+      const { availability } = endpoint;
+      const isAllowed = availability.allowsRequest(now);
+      if (isAllowed && !this.failed.has(endpoint)) {
         return endpoint;
       }
-      bestEndpoint ??= endpoint;
+      bestEndpoint ??= isAllowed ? endpoint : undefined;
+      waitMilliseconds = Math.min(waitMilliseconds, availability.waitMilliseconds(now));
     }
     if (bestEndpoint === undefined) {
       throw (
@@ -159,11 +188,19 @@
         new RelayError({
           kind: FailureKind.NoEndpoint,
           className: this.call.className,
-          retryAfterSeconds: RETRY_AFTER_SECONDS,
+          retryAfterSeconds: CallAttempts.retryAfterSeconds(waitMilliseconds),
         })
       );
     }
     this.failed.clear();
     return bestEndpoint;
   }
+
+  /** Time until an endpoint takes calls; the minimum if none is known to. */
+  private static retryAfterSeconds(waitMilliseconds: number): number {
+    const seconds = Math.ceil(waitMilliseconds / MILLISECONDS_PER_SECOND);
+    return Number.isFinite(seconds)
+      ? Math.min(Math.max(MINIMUM_RETRY_AFTER_SECONDS, seconds), MAXIMUM_RETRY_AFTER_SECONDS)
+      : MINIMUM_RETRY_AFTER_SECONDS;
+  }
 }
--- a/packages/hickoryrelay-instance/src/Exchange.ts
+++ b/packages/hickoryrelay-instance/src/Exchange.ts
@@ -15,6 +15,7 @@
 import type { ResponseRelay } from './ResponseRelay.js';
 import type { ResponseWriter } from './ResponseWriter.js';
 import type { Clock } from 'hickoryrelay/Clock';
+import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { RetryBudget } from 'hickoryrelay/RetryBudget';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
@@ -42,6 +43,7 @@
   readonly retryBudget: RetryBudget;
   readonly memoryBudget: ResponseMemoryBudget;
   readonly counters: ExchangeCounters;
+  readonly endpointLog: ComponentLogger;
   readonly limits: ExchangeLimits;
 }
 
--- a/packages/hickoryrelay-instance/src/ExchangeCounters.ts
+++ b/packages/hickoryrelay-instance/src/ExchangeCounters.ts
@@ -12,6 +12,12 @@
   /** Attempts that resumed a broken stream. */
   resumes = 0;
 
+  /** Endpoints that announced in a response that they are leaving. */
+  endpointsLeaving = 0;
+
+  /** Times at which an endpoint asked for no calls. */
+  endpointBackoffs = 0;
+
   /** Attempts whose connection stalled. */
   stalls = 0;
 }
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -167,6 +167,7 @@
       retryBudget: new RetryBudget(),
       memoryBudget: new ResponseMemoryBudget(),
       counters: new ExchangeCounters(),
+      endpointLog: createComponentLogger(parts.logger, LogPrefix.Endpoint),
       limits: DEFAULT_EXCHANGE_LIMITS,
     };
   }
--- a/packages/hickoryrelay-instance/src/PoolCapacity.ts
+++ b/packages/hickoryrelay-instance/src/PoolCapacity.ts
@@ -24,7 +24,12 @@
   }
 
   override slotsFor(call: Call, admitted: number): CallSlots {
-    const members = this.pool.membersFor(call).filter((endpoint) => canAcceptCall(endpoint, call));
+    const now = this.clock.monotonicMilliseconds();
+    const members = this.pool
+      .membersFor(call)
+      .filter(
+        (endpoint) => canAcceptCall(endpoint, call) && endpoint.availability.allowsRequest(now),
+      );
     if (members.length === 0) {
       // The call is admitted and fails with `no-endpoint`, instead of waiting for an endpoint that
       // may never appear.
@@ -32,7 +37,7 @@
     }
     let free = 0;
     let running = 0;
-    for (const endpoint of excludeEjected(members, this.clock.monotonicMilliseconds())) {
+    for (const endpoint of excludeEjected(members, now)) {
       free += endpoint.freeCapacity;
       running += endpoint.callsInFlight;
     }
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { FailureKind } from 'hickoryrelay/Failure';
+import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
@@ -209,6 +210,7 @@
       retryBudget: new RetryBudget({ share: 1, capacity: 1000 }),
       memoryBudget: this.memoryBudget,
       counters: this.counters,
+      endpointLog: silentLogger,
       limits: {
         ...DEFAULT_EXCHANGE_LIMITS,
         firstChunkTimeoutMilliseconds: STALL_MILLISECONDS,
--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -8,6 +8,7 @@
 import type { HttpResponseObserver } from './HttpResponseStream.js';
 import type { ResponseStream } from './ResponseStream.js';
 import type { EndpointLocation } from 'hickoryrelay-endpoint/Endpoint';
+import type { SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 import type { Dispatcher } from 'undici';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
@@ -64,11 +65,16 @@
    */
   protected abstract get isBodyIdentified(): boolean;
 
-  override send(call: Call, signal: AbortSignal, resume?: ResumePoint): ResponseStream {
+  override send(
+    call: Call,
+    signal: AbortSignal,
+    resume?: ResumePoint,
+    permit?: SendPermit,
+  ): ResponseStream {
     const encoded = this.encode(call, resume);
     return call.isIdempotent
-      ? this.sendOnPool(call, encoded, signal)
-      : this.sendOnNewConnection(call, encoded, signal);
+      ? this.sendOnPool(call, encoded, signal, permit)
+      : this.sendOnNewConnection(call, encoded, signal, permit);
   }
 
   override async close(): Promise<void> {
@@ -77,9 +83,14 @@
     await Promise.all(groups.map(({ pool }) => pool.destroy()));
   }
 
-  private sendOnPool(call: Call, encoded: EncodedCall, signal: AbortSignal): ResponseStream {
+  private sendOnPool(
+    call: Call,
+    encoded: EncodedCall,
+    signal: AbortSignal,
+    permit: SendPermit | undefined,
+  ): ResponseStream {
     const group = this.current;
-    const response = this.createResponse(call, signal, {
+    const response = this.createResponse(call, signal, permit, {
       onEnd: (ended) => {
         group.responses.delete(ended);
         this.closeWhenIdle(group);
@@ -94,14 +105,15 @@
   private createResponse(
     call: Call,
     signal: AbortSignal,
+    permit: SendPermit | undefined,
     observer: Omit<HttpResponseObserver, 'onHead'>,
   ): HttpResponseStream {
-    return new HttpResponseStream(this.location.identifier, call.requestIdentifier, signal, {
-      ...observer,
-      onHead: (isIdentified) => {
-        this.repeatsIdentifier = isIdentified;
-      },
-    });
+    const { identifier } = this.location;
+    const onHead = (isIdentified: boolean) => {
+      this.repeatsIdentifier = isIdentified;
+    };
+    const head = { ...observer, onHead };
+    return new HttpResponseStream(identifier, call.requestIdentifier, signal, head, permit);
   }
 
   /**
@@ -113,9 +125,10 @@
     call: Call,
     encoded: EncodedCall,
     signal: AbortSignal,
+    permit: SendPermit | undefined,
   ): ResponseStream {
     const client = new Client(this.location.url, CONNECTION_OPTIONS);
-    const response = this.createResponse(call, signal, {
+    const response = this.createResponse(call, signal, permit, {
       onEnd: () => {
         void client.destroy();
       },
--- a/packages/hickoryrelay-link/src/HttpResponseStream.ts
+++ b/packages/hickoryrelay-link/src/HttpResponseStream.ts
@@ -1,7 +1,9 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { backoffOf } from 'hickoryrelay-endpoint/RetryAfterUtils';
 
 import type { ResponseStream } from './ResponseStream.js';
+import type { EndpointNotice, SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 import type { Dispatcher } from 'undici';
 
 /**
@@ -13,6 +15,12 @@
 /** Sent with each call. Endpoints may repeat it in their responses. */
 export const REQUEST_IDENTIFIER_HEADER = 'x-request-id';
 
+/** `1` on the responses of an endpoint that is leaving. */
+const LEAVING_HEADER = 'x-endpoint-leaving';
+
+/** Statuses of an endpoint that does not take the call. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
 interface Waiter<Value> {
@@ -30,6 +38,16 @@
   onSilence(): void;
 }
 
+type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+function decodeNotice(status: number, headers: ResponseHeaders): EndpointNotice {
+  return {
+    isLeaving: headers[LEAVING_HEADER] === '1',
+    backoffMilliseconds: backoffOf(status, [headers['retry-after'] ?? []].flat()),
+    isAccepted: !REFUSAL_STATUSES.has(status),
+  };
+}
+
 function toRelayError(error: unknown, endpoint: string, mayHaveRun: boolean): RelayError {
   if (error instanceof RelayError) {
     return error;
@@ -49,6 +67,8 @@
 
   contentType = DEFAULT_CONTENT_TYPE;
 
+  notice: EndpointNotice | undefined;
+
   isConnectionSuspect = false;
 
   readonly headReceived: Promise<void>;
@@ -61,6 +81,8 @@
 
   private readonly observer: HttpResponseObserver;
 
+  private readonly permit: SendPermit | undefined;
+
   private headWaiter: Waiter<void> | undefined;
 
   private chunkWaiter: Waiter<IteratorResult<Buffer, void>> | undefined;
@@ -80,11 +102,13 @@
     requestIdentifier: string,
     signal: AbortSignal,
     observer: HttpResponseObserver,
+    permit?: SendPermit,
   ) {
     this.endpoint = endpoint;
     this.requestIdentifier = requestIdentifier;
     this.signal = signal;
     this.observer = observer;
+    this.permit = permit;
     this.headReceived = new Promise((resolve, reject) => {
       this.headWaiter = { resolve, reject };
     });
@@ -142,6 +166,9 @@
       // the exchange decides whether a call is retried.
       this.fail(toRelayError('the request would be sent twice', this.endpoint, true));
     }
+    if (this.permit?.isValid === false) {
+      this.fail(toRelayError('the endpoint takes no calls any more', this.endpoint, false));
+    }
     if (this.error !== undefined) {
       controller.abort(this.error);
     }
@@ -150,7 +177,7 @@
   onResponseStart(
     controller: Dispatcher.DispatchController,
     status: number,
-    headers: Readonly<Record<string, string | string[] | undefined>>,
+    headers: ResponseHeaders,
   ): void {
     if (status < 200) {
       return;
@@ -163,6 +190,7 @@
       return;
     }
     this.observer.onHead(responseIdentifier !== undefined);
+    this.notice = decodeNotice(status, headers);
     const contentType = headers['content-type'];
     this.status = status;
     this.contentType = typeof contentType === 'string' ? contentType : DEFAULT_CONTENT_TYPE;
--- a/packages/hickoryrelay-link/src/ResponseStream.ts
+++ b/packages/hickoryrelay-link/src/ResponseStream.ts
@@ -1,3 +1,5 @@
+import type { EndpointNotice } from 'hickoryrelay-endpoint/EndpointAvailability';
+
 /** An endpoint's response while it is being received. */
 export interface ResponseStream {
   /** Resolves when the response head has arrived. Rejects with `endpoint-failed`. */
@@ -5,6 +7,8 @@
   /** HTTP status code; 0 until the response head has arrived. */
   readonly status: number;
   readonly contentType: string;
+  /** What the endpoint states about itself; undefined until the response head has arrived. */
+  readonly notice: EndpointNotice | undefined;
   /** True once a connection of the same group has stalled. */
   readonly isConnectionSuspect: boolean;
   /**
--- a/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { EndpointAvailability } from 'hickoryrelay-endpoint/EndpointAvailability';
 import { ServiceLink } from 'hickoryrelay-link/ServiceLink';
 
 import type { ServiceCall } from 'hickoryrelay-link/Call';
@@ -112,6 +113,27 @@
     });
   });
 
+  // Guards against calls that were connecting when their endpoint announced that it is leaving.
+  it.each([CALL, NON_IDEMPOTENT_CALL])(
+    'does not write a call whose permit has become invalid while it was connecting',
+    async (call) => {
+      let requests = 0;
+      respond = (request, response) => {
+        requests += 1;
+        respondIdentified(request, response);
+      };
+      const availability = new EndpointAvailability();
+      const permit = availability.startRequest(0);
+      const response = link.send(call, neverAborted, undefined, permit);
+      const notice = { isLeaving: true, backoffMilliseconds: undefined, isAccepted: true };
+      availability.receive(notice, permit, 0);
+      await expect(readAll(response)).rejects.toMatchObject({
+        failure: { kind: 'endpoint-failed', mayHaveRun: false },
+      });
+      expect(requests).toBe(0);
+    },
+  );
+
   // Guards against new calls on connections of an endpoint that has stopped responding.
   it('marks the siblings of a stalled connection as suspect and opens new ones for new calls', async () => {
     respond = (request, response) => {
--- a/packages/hickoryrelay-zone/src/EndpointCall.ts
+++ b/packages/hickoryrelay-zone/src/EndpointCall.ts
@@ -4,6 +4,11 @@
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ClassTargets } from 'hickoryrelay-contract/ClassOfWork';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
+import type {
+  AvailabilityChange,
+  EndpointNotice,
+  SendPermit,
+} from 'hickoryrelay-endpoint/EndpointAvailability';
 import type { Call } from 'hickoryrelay-link/Call';
 
 /** Fraction of a lateness target for the endpoint; the rest is for queueing before admission. */
@@ -17,6 +22,9 @@
  * load estimate and prefix index.
  */
 export class EndpointCall {
+  /** The permission to send the call. */
+  readonly permit: SendPermit;
+
   private readonly endpoint: Endpoint;
 
   private readonly targets: ClassTargets['lateness'];
@@ -44,8 +52,9 @@
     this.isStreaming = call.kind === WorkKind.Model && call.isStreaming;
     this.clock = clock;
     this.sentMilliseconds = clock.monotonicMilliseconds();
+    this.permit = endpoint.availability.startRequest(this.sentMilliseconds);
     this.recordOutcome = endpoint.breaker.startCall(this.sentMilliseconds);
-    this.cleanUps = [endpoint.startCall()];
+    this.cleanUps = [endpoint.startCall(), () => this.permit.end()];
     if (endpoint instanceof Engine && call.kind === WorkKind.Model) {
       const keys = call.prefixKeys ?? [];
       const cachedTokens = endpoint.prefixIndex.expectedCachedTokens(keys);
@@ -55,6 +64,12 @@
     }
   }
 
+  /** Applies what the endpoint states in the head of its response. */
+  receiveNotice(notice: EndpointNotice): AvailabilityChange {
+    const now = this.clock.monotonicMilliseconds();
+    return this.endpoint.availability.receive(notice, this.permit, now);
+  }
+
   /** Records that the first chunk of the response has arrived. Later chunks have no effect. */
   recordFirstChunk(): void {
     if (this.firstChunkMilliseconds === undefined) {
