Keep the notices of an endpoint that no view has shown yet

An endpoint that had restarted under its identifier, or had taken over the address of another, was still sent requests under the earlier registration. Its notices went to the state of the earlier one and were lost with the next view: it got more requests in the time for which it had asked for none, or after it had announced that it was leaving.

The state of a new registration now keeps what was received from its address after its start, and a notice counts for each registered state that its sender may have.

--- a/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
@@ -42,12 +42,20 @@
 /** Times of a long backoff at which one request is sent as a probe. */
 const PROBE_TIMES_MILLISECONDS = [60_000, 600_000] as const;
 
+/**
+ * Wall clocks of the system may differ by as much. An announcement of leaving that was received within
+ * this time after the start of an incarnation may be from the one before.
+ */
+const MAXIMUM_CLOCK_SKEW_MILLISECONDS = 5000;
+
 /** A time for which an endpoint asked for no requests. Times are monotonic. */
 interface Backoff {
   readonly startMilliseconds: number;
   readonly endMilliseconds: number;
   /** Probes sent before the end. */
   readonly probes: number;
+  /** Wall-clock time of the last notice. */
+  readonly receivedWallMilliseconds: number;
 }
 
 /** The permission to send one request, granted when its endpoint was chosen. */
@@ -85,6 +93,9 @@
 export class EndpointAvailability {
   private hasAnnouncedLeaving = false;
 
+  /** Wall-clock time of the last announcement. */
+  private leavingWallMilliseconds = Number.NEGATIVE_INFINITY;
+
   private backoff: Backoff | undefined;
 
   /** The request in flight that tries whether the endpoint takes requests again. */
@@ -142,14 +153,39 @@
     return permit;
   }
 
-  /** Applies the notice in the response to a request. */
-  receive(notice: EndpointNotice, permit: SendPermit, now: number): AvailabilityChange {
+  /**
+   * Returns the availability of the next endpoint or incarnation at the address. Until it is known,
+   * requests for this one reach it, so it keeps what has been received since its start.
+   */
+  succeed(startedWallMilliseconds: number): EndpointAvailability {
+    const successor = new EndpointAvailability();
+    const { backoff, leavingWallMilliseconds } = this;
+    if (leavingWallMilliseconds >= startedWallMilliseconds + MAXIMUM_CLOCK_SKEW_MILLISECONDS) {
+      successor.hasAnnouncedLeaving = this.hasAnnouncedLeaving;
+      successor.leavingWallMilliseconds = leavingWallMilliseconds;
+    }
+    if (backoff !== undefined && backoff.receivedWallMilliseconds >= startedWallMilliseconds) {
+      successor.backoff = backoff;
+    }
+    return successor;
+  }
+
+  /** Applies the notice in the response to a request, at a monotonic and a wall-clock time. */
+  receive(
+    notice: EndpointNotice,
+    permit: SendPermit,
+    now: number,
+    wallMilliseconds = Number.NEGATIVE_INFINITY,
+  ): AvailabilityChange {
+    if (notice.isLeaving) {
+      this.leavingWallMilliseconds = wallMilliseconds;
+    }
     if (notice.isLeaving && !this.hasAnnouncedLeaving) {
       this.hasAnnouncedLeaving = true;
       return AvailabilityChange.Leaving;
     }
     if (notice.backoffMilliseconds !== undefined) {
-      return this.backOff(notice.backoffMilliseconds, now);
+      return this.backOff(notice.backoffMilliseconds, now, wallMilliseconds);
     }
     if (notice.isAccepted && this.backoff !== undefined && this.probe === permit) {
       this.backoff = undefined;
@@ -159,14 +195,23 @@
     return AvailabilityChange.None;
   }
 
-  private backOff(milliseconds: number, now: number): AvailabilityChange {
+  private backOff(milliseconds: number, now: number, wallMilliseconds: number): AvailabilityChange {
     const { backoff } = this;
     const endMilliseconds = now + milliseconds;
     // An earlier backoff that has not ended stays in force, with the probes that it has had.
     this.backoff =
       backoff === undefined || now >= backoff.endMilliseconds
-        ? { startMilliseconds: now, endMilliseconds, probes: 0 }
-        : { ...backoff, endMilliseconds: Math.max(backoff.endMilliseconds, endMilliseconds) };
+        ? {
+            startMilliseconds: now,
+            endMilliseconds,
+            probes: 0,
+            receivedWallMilliseconds: wallMilliseconds,
+          }
+        : {
+            ...backoff,
+            endMilliseconds: Math.max(backoff.endMilliseconds, endMilliseconds),
+            receivedWallMilliseconds: wallMilliseconds,
+          };
     return backoff === undefined ? AvailabilityChange.BackingOff : AvailabilityChange.None;
   }
 }
--- a/packages/hickoryrelay-endpoint/src/__tests__/unit/EndpointAvailability.test.ts
+++ b/packages/hickoryrelay-endpoint/src/__tests__/unit/EndpointAvailability.test.ts
@@ -5,6 +5,8 @@
 } from 'hickoryrelay-endpoint/EndpointAvailability';
 import { backoffOf } from 'hickoryrelay-endpoint/RetryAfterUtils';
 
+import type { EndpointNotice } from 'hickoryrelay-endpoint/EndpointAvailability';
+
 const NO_NOTICE = { isLeaving: false, backoffMilliseconds: undefined, isAccepted: false };
 const LEAVING = { ...NO_NOTICE, isLeaving: true, isAccepted: true };
 const ACCEPTED = { ...NO_NOTICE, isAccepted: true };
@@ -103,6 +105,36 @@
   });
 });
 
+describe('the successor of an EndpointAvailability', () => {
+  const WALL_MILLISECONDS = 1_700_000_000_000;
+
+  function receive(notice: Partial<EndpointNotice>) {
+    const availability = new EndpointAvailability();
+    const permit = availability.startRequest(0);
+    availability.receive({ ...NO_NOTICE, ...notice }, permit, 0, WALL_MILLISECONDS);
+    return availability;
+  }
+
+  // Guards against a backoff that is lost because the view did not yet show the restart.
+  it.each([
+    [WALL_MILLISECONDS - 1, false],
+    [WALL_MILLISECONDS + 1, true],
+  ])('keeps a backoff only if it was received after its start at %i', (started, isAllowed) => {
+    const successor = receive({ backoffMilliseconds: 5000 }).succeed(started);
+    expect(successor.allowsRequest(0)).toBe(isAllowed);
+    expect(successor.allowsRequest(5000)).toBe(true);
+  });
+
+  // Guards against an endpoint that is never used because clocks differ.
+  it.each([
+    [WALL_MILLISECONDS - 5001, false],
+    [WALL_MILLISECONDS - 4999, true],
+    [WALL_MILLISECONDS + 1, true],
+  ])('is leaving only if that was received well after its start at %i', (started, isAllowed) => {
+    expect(receive({ isLeaving: true }).succeed(started).allowsRequest(0)).toBe(isAllowed);
+  });
+});
+
 describe('backoffOf', () => {
   it.each([
     [['1'], 1000],
--- a/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
@@ -43,12 +43,11 @@
     notice: ReceivedNotice,
     request: string | undefined,
   ): void {
-    const now = this.parts.clock.monotonicMilliseconds();
-    const senders = notice.isMisdirected
-      ? new Set([state, ...this.parts.registry.atAddress(state.record.address)])
-      : [state];
-    for (const { availability, record } of senders) {
-      const change = availability.receive(notice, permit, now);
+    const { clock } = this.parts;
+    const now = clock.monotonicMilliseconds();
+    const wallMilliseconds = clock.wallMilliseconds();
+    for (const { availability, record } of this.sendersOf(state, notice)) {
+      const change = availability.receive(notice, permit, now, wallMilliseconds);
       if (change !== AvailabilityChange.None) {
         this.counts[change] += 1;
         this.parts.log.info(describeAvailabilityChange(change), {
@@ -63,4 +62,17 @@
       }
     }
   }
+
+  /**
+   * The states that the sender of a notice may have: the addressed one and later incarnations of it.
+   * An endpoint that cannot have been addressed under another state at its address may be any of them.
+   */
+  private sendersOf(state: EndpointState, notice: ReceivedNotice): Set<EndpointState> {
+    const { identifier, address } = state.record;
+    const mayBeOther = notice.isMisdirected || notice.backoffMilliseconds !== undefined;
+    const others = this.parts.registry
+      .atAddress(address)
+      .filter(({ record }) => mayBeOther || record.identifier === identifier);
+    return new Set([state, ...others]);
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -54,7 +54,7 @@
     const byService = new Map<string, EndpointState[]>();
     for (const record of records) {
       const key = incarnationKey(record);
-      const availability = this.retainAvailability(key);
+      const availability = this.retainAvailability(record);
       const state = this.states.get(key) ?? new EndpointState(record, this.peers, availability);
       state.record = record;
       states.set(key, state);
@@ -107,13 +107,26 @@
   }
 
   /** Returns the availability of an incarnation, as the one that was registered last. */
-  private retainAvailability(key: string): EndpointAvailability {
-    const availability = this.availabilities.get(key) ?? new EndpointAvailability();
+  private retainAvailability(record: EndpointRecord): EndpointAvailability {
+    const key = incarnationKey(record);
+    const availability =
+      this.availabilities.get(key) ?? this.succeedPredecessor(record) ?? new EndpointAvailability();
     this.availabilities.delete(key);
     this.availabilities.set(key, availability);
     return availability;
   }
 
+  /**
+   * Returns the availability of an endpoint at an address that another one, or an earlier incarnation,
+   * had before. Undefined if there was none, or if the start of the endpoint is not known.
+   */
+  private succeedPredecessor(record: EndpointRecord): EndpointAvailability | undefined {
+    const { address, startedMilliseconds } = record;
+    const [, predecessor] =
+      [...this.availabilities].findLast(([key]) => key.endsWith(`/${address}`)) ?? [];
+    return startedMilliseconds === 0 ? undefined : predecessor?.succeed(startedMilliseconds);
+  }
+
   private discardAvailabilities(): void {
     const surplus = this.availabilities.size - this.states.size - MAXIMUM_UNREGISTERED;
     for (const key of [...this.availabilities.keys()].slice(0, Math.max(0, surplus))) {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -267,16 +267,17 @@
   readonly clock?: ManualClock;
 }
 
-/** Makes an exchange with a scripted link and a manual clock. */
-export function makeHarness(options: HarnessOptions = {}) {
-  const clock = options.clock ?? new ManualClock();
+/** Makes an exchange whose endpoints are reached over a link. */
+export function makeExchange(
+  clock: ManualClock,
+  link: EndpointLink,
+  configuration: ForwardingConfiguration,
+  endpoints: readonly EndpointRecord[],
+) {
   const view = new ConfirmedView(clock, HEARTBEAT_MILLISECONDS);
   const registry = new EndpointRegistry(new PeerLoads());
-  const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
-  const configuration = options.configuration ?? makeConfiguration();
   view.apply({ configuration, endpoints, peers: [], isAuthorityHeld: false }, 0);
   registry.replace(endpoints);
-  const link = new ScriptedLink(options.behaviours ?? []);
   const random = new SeededRandomSource(1);
   const directory = new PromptCacheDirectory();
   const prefillRate = new PrefillRate();
@@ -299,9 +300,19 @@
     metrics: new ForwardingMetrics(),
     log: silentLogger,
   });
+  return { view, registry, tally, budgets, exchange };
+}
+
+/** Makes an exchange with a scripted link and a manual clock. */
+export function makeHarness(options: HarnessOptions = {}) {
+  const clock = options.clock ?? new ManualClock();
+  const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
+  const configuration = options.configuration ?? makeConfiguration();
+  const link = new ScriptedLink(options.behaviours ?? []);
+  const parts = makeExchange(clock, link, configuration, endpoints);
   const sink = new RecordingSink();
-  const run = (request = makeRequest()) => exchange.handle(request, sink);
-  return { clock, view, registry, link, tally, budgets, exchange, sink, run };
+  const run = (request = makeRequest()) => parts.exchange.handle(request, sink);
+  return { ...parts, clock, link, sink, run };
 }
 
 /** Makes an exchange with a single route, whose endpoints behave as scripted. */
