Look up other endpoints at an address only for a notice that says something

The registry was searched for the address of the endpoint at each response. Most notices state nothing, and then only the addressed endpoint matters. The tests of the notices and the model pass as before.

--- a/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
@@ -64,15 +64,21 @@
   }
 
   /**
-   * The states that the sender of a notice may have: the addressed one and later incarnations of it.
-   * An endpoint that cannot have been addressed under another state at its address may be any of them.
+   * The states whose requests reach the sender of a notice: the addressed one, and those that are
+   * registered with its address. A notice of leaving has no end, so it counts only for incarnations
+   * of the addressed endpoint, unless another one may have responded.
    */
-  private sendersOf(state: EndpointState, notice: ReceivedNotice): Set<EndpointState> {
+  private sendersOf(state: EndpointState, notice: ReceivedNotice): Iterable<EndpointState> {
+    const isBackingOff = notice.backoffMilliseconds !== undefined;
+    if (!notice.isLeaving && !isBackingOff) {
+      return [state];
+    }
     const { identifier, address } = state.record;
-    const mayBeOther = notice.isMisdirected || notice.backoffMilliseconds !== undefined;
     const others = this.parts.registry
       .atAddress(address)
-      .filter(({ record }) => mayBeOther || record.identifier === identifier);
+      .filter(
+        ({ record }) => notice.isMisdirected || isBackingOff || record.identifier === identifier,
+      );
     return new Set([state, ...others]);
   }
 }
