Test that no handle is released at an engine that asked for no requests

A release is a request that reaches the engine, and nothing tested that it is left out. With the check taken out, the new case fails: one release, expected none.

--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNotices.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNotices.test.ts
@@ -1,12 +1,20 @@
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { EndpointNotices } from 'hickoryrelay-forwarding/EndpointNotices';
+import { EngineStage } from 'hickoryrelay-forwarding/EndpointRecord';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
 import { ForwardingMetrics } from 'hickoryrelay-forwarding/ForwardingMetrics';
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
 
-import { makeEndpoint } from './ForwardingFixture.js';
+import {
+  makeEndpoint,
+  makeRequest,
+  makeResponse,
+  makeRouteHarness,
+  RESUMABLE_STREAM,
+} from './ForwardingFixture.js';
 
+import type { SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 import type { ReceivedNotice } from 'hickoryrelay-forwarding/EndpointLink';
 import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
 import type { EndpointState } from 'hickoryrelay-forwarding/EndpointState';
@@ -123,3 +131,33 @@
     expect(registry.allowsRequest(endpoint, 0)).toBe(true);
   });
 });
+
+describe('the KV cache of a prefilled prompt', () => {
+  // Guards against a release that reaches an engine in the time for which it asked for no requests.
+  it.each([
+    [undefined, 1],
+    [5000, 0],
+  ])('is released unless its engine has asked for none for %s ms', async (milliseconds, count) => {
+    const address = '10.0.0.9:1';
+    const engine = { service: 'model', slots: 12 };
+    const prefillEngine = makeEndpoint('p', { ...engine, address, stage: EngineStage.Prefill });
+    const decodeEngine = makeEndpoint('decode', { ...engine, stage: EngineStage.Decode });
+    const route = { ...RESUMABLE_STREAM, services: [{ service: 'model', weight: 1 }] };
+    const harness = makeRouteHarness(
+      { ...route, latencyTargetMilliseconds: 600, maximumAttempts: 1 },
+      [
+        async () => {
+          const [state] = harness.registry.atAddress(address);
+          const permit = state?.availability.startRequest(0) as SendPermit;
+          const notice = { isLeaving: false, backoffMilliseconds: milliseconds, isAccepted: false };
+          state?.availability.receive(notice, permit, 0);
+          return makeResponse([], { status: 503, isNotRun: true });
+        },
+      ],
+      { endpoints: [prefillEngine, decodeEngine] },
+    );
+    await harness.run(makeRequest({ promptSegments: [{ identifier: 'own', tokens: 16_000 }] }));
+    expect(harness.link.sent).toHaveLength(1);
+    expect(harness.link.released).toHaveLength(count);
+  });
+});
