--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -4,6 +4,7 @@
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
+import { shutdownTimesOf } from 'hickoryrelay-forwarding/DeploymentBounds';
 import { EndpointLink } from 'hickoryrelay-forwarding/EndpointLink';
 import { EndpointPhase } from 'hickoryrelay-forwarding/EndpointRecord';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
@@ -21,6 +22,7 @@
 import { ResponseSink } from 'hickoryrelay-forwarding/ResponseSink';
 import { RetryBudgets } from 'hickoryrelay-forwarding/RetryBudgets';
 import { ServicePlacement } from 'hickoryrelay-forwarding/ServicePlacement';
+import { ShutdownSchedule } from 'hickoryrelay-forwarding/ShutdownSchedule';
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
 
 import type {
@@ -38,6 +40,9 @@
 import type { ForwardingLimits } from 'hickoryrelay-forwarding/ForwardingLimits';
 import type { LocalResponse } from 'hickoryrelay-forwarding/ResponseSink';
 
+/** Time between the stop signal and the end of the process. */
+export const GRACE_MILLISECONDS = 8000;
+
 /** Time between two writes of an endpoint's registration. */
 export const HEARTBEAT_MILLISECONDS = 1200;
 
@@ -283,6 +288,10 @@
   const prefillRate = new PrefillRate();
   const tally = new UsageTally(5000);
   const budgets = new RetryBudgets(LIMITS);
+  const shutdown = new ShutdownSchedule(
+    clock,
+    shutdownTimesOf({ graceMilliseconds: GRACE_MILLISECONDS }),
+  );
   const exchange = new ForwardingExchange({
     zone: 'zone-a',
     view,
@@ -294,13 +303,14 @@
     link,
     budgets,
     tally,
+    shutdown,
     clock,
     random,
     admission: new RequestAdmission(view, LIMITS, random),
     metrics: new ForwardingMetrics(),
     log: silentLogger,
   });
-  return { view, registry, tally, budgets, exchange };
+  return { view, registry, tally, budgets, shutdown, exchange };
 }
 
 /** Makes an exchange with a scripted link and a manual clock. */
