--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -5,7 +5,8 @@
 import type { CallDeadline } from './CallDeadline.js';
 import type { CallTrace } from './CallTrace.js';
 import type { ConfirmedView } from './ConfirmedView.js';
-import type { EndpointLink, PrefilledPrompt } from './EndpointLink.js';
+import type { Attempt, EndpointLink, PrefilledPrompt } from './EndpointLink.js';
+import type { EndpointNotices } from './EndpointNotices.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { EndpointState } from './EndpointState.js';
 import type { EngineCrashDetector } from './EngineCrashDetector.js';
@@ -36,6 +37,7 @@
   readonly link: EndpointLink;
   readonly quarantine: SegmentQuarantine;
   readonly crashDetector: EngineCrashDetector;
+  readonly notices: EndpointNotices;
   readonly budgets: RetryBudgets;
   readonly tally: UsageTally;
   readonly shutdown: ShutdownSchedule;
@@ -180,6 +182,16 @@
     };
   }
 
+  /** The fields of an attempt that bind it to what its endpoint states about itself. */
+  bindAttempt(state: EndpointState): Pick<Attempt, 'permit' | 'receiveNotice'> {
+    const { clock, notices } = this.parts;
+    const permit = state.availability.startRequest(clock.monotonicMilliseconds());
+    return {
+      permit,
+      receiveNotice: (notice) => notices.receive(state, permit, notice, this.request.identifier),
+    };
+  }
+
   /** Records that an engine now has the shared segment of a prompt in its KV cache. */
   recordCachedSegment({ hash }: EndpointState, { shared, tokens }: PromptSummary): void {
     if (shared !== undefined) {
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
@@ -0,0 +1,84 @@
+import {
+  AvailabilityChange,
+  describeAvailabilityChange,
+} from 'hickoryrelay-endpoint/EndpointAvailability';
+
+import type { ReceivedNotice } from './EndpointLink.js';
+import type { EndpointRegistry } from './EndpointRegistry.js';
+import type { EndpointState } from './EndpointState.js';
+import type { ForwardingMetrics } from './ForwardingMetrics.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { ComponentLogger } from 'hickoryrelay/Logger';
+import type { SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
+
+/** Collaborators of the notices. */
+export interface EndpointNoticesParts {
+  readonly registry: EndpointRegistry;
+  readonly clock: Clock;
+  readonly metrics: ForwardingMetrics;
+  readonly log: ComponentLogger;
+}
+
+/** Applies what endpoints state about themselves in their responses. */
+export class EndpointNotices {
+  private readonly parts: EndpointNoticesParts;
+
+  private readonly counts = {
+    [AvailabilityChange.Leaving]: 0,
+    [AvailabilityChange.BackingOff]: 0,
+    [AvailabilityChange.Available]: 0,
+  };
+
+  constructor(parts: EndpointNoticesParts) {
+    this.parts = parts;
+    const { metrics } = parts;
+    metrics.registerCounter('endpoints_leaving_total', () => this.counts.leaving);
+    metrics.registerCounter('endpoint_backoffs_total', () => this.counts['backing-off']);
+  }
+
+  /** Applies the notice in the response of an endpoint to a request. */
+  receive(
+    state: EndpointState,
+    permit: SendPermit,
+    notice: ReceivedNotice,
+    request: string | undefined,
+  ): void {
+    const { clock } = this.parts;
+    const now = clock.monotonicMilliseconds();
+    const wallMilliseconds = clock.wallMilliseconds();
+    for (const { availability, record } of this.sendersOf(state, notice)) {
+      const change = availability.receive(notice, permit, now, wallMilliseconds);
+      if (change !== AvailabilityChange.None) {
+        this.counts[change] += 1;
+        this.parts.log.info(describeAvailabilityChange(change), {
+          endpoint: record.identifier,
+          started: record.startedMilliseconds,
+          service: record.service,
+          address: record.address,
+          backoffMilliseconds: notice.backoffMilliseconds,
+          misdirected: notice.isMisdirected,
+          request,
+        });
+      }
+    }
+  }
+
+  /**
+   * The states whose requests reach the sender of a notice: the addressed one, and those that are
+   * registered with its address. A notice of leaving has no end, so it counts only for incarnations
+   * of the addressed endpoint, unless another one may have responded.
+   */
+  private sendersOf(state: EndpointState, notice: ReceivedNotice): Iterable<EndpointState> {
+    const isBackingOff = notice.backoffMilliseconds !== undefined;
+    if (!notice.isLeaving && !isBackingOff) {
+      return [state];
+    }
+    const { identifier, address } = state.record;
+    const others = this.parts.registry
+      .atAddress(address)
+      .filter(
+        ({ record }) => notice.isMisdirected || isBackingOff || record.identifier === identifier,
+      );
+    return new Set([state, ...others]);
+  }
+}
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -153,6 +153,7 @@
     return {
       kind: AttemptKind.Run,
       endpoint: state.record,
+      ...this.call.bindAttempt(state),
       request,
       account: admitted.grant?.account,
       remainingMilliseconds: Math.floor(deadline.remaining()),
@@ -173,13 +174,14 @@
     const { parts, deadline, trace } = this.call;
     const { state } = destination;
     const sentMilliseconds = parts.clock.monotonicMilliseconds();
+    const attempt = this.attempt(destination);
     const timeout = new AttemptTimeout(parts.clock);
     this.startResponseTimeout(timeout);
     state.beginRequest(sentMilliseconds);
     this.call.startAttempt();
     try {
       const signal = AbortSignal.any([deadline.signal, timeout.signal]);
-      const response = await parts.link.send(this.attempt(destination), signal);
+      const response = await parts.link.send(attempt, signal);
       state.recordActivity(parts.clock.monotonicMilliseconds());
       if (response.isNotRun || response.isMisdirected) {
         return this.handleRefusal(state, response);
@@ -187,9 +189,10 @@
       return await this.handleResponse(destination, response, sentMilliseconds, timeout);
     } catch (error) {
       const isAborted = deadline.signal.aborted || timeout.signal.aborted;
-      return await this.handleFailure(state, error, sentMilliseconds, isAborted);
+      return await this.handleFailure(attempt, state, error, sentMilliseconds, isAborted);
     } finally {
       timeout.cancel();
+      attempt.permit.end();
       state.finishRequest();
       if (trace.steps.length === 0) {
         trace.addStep(`run ${state.record.identifier}`);
@@ -224,6 +227,7 @@
   }
 
   private async handleFailure(
+    { permit }: Attempt,
     state: EndpointState,
     error: unknown,
     sentMilliseconds: number,
@@ -238,7 +242,7 @@
     if (isLost) {
       trace.lostSegments = this.call.sharedSegments.map(({ identifier }) => identifier);
     }
-    if (!deadline.signal.aborted) {
+    if (!deadline.signal.aborted && permit.isValid) {
       state.recordFailure(parts.clock.monotonicMilliseconds());
     }
     // An engine sends an event as soon as it begins to run a request, so a generation that is given up
@@ -340,10 +344,7 @@
   }
 
   /** Ends a request without a complete response from an endpoint. Returns the outcome. */
-  private fail(
-    reason: string,
-    retryAfterMilliseconds: number = RETRY_AFTER_MILLISECONDS.NoCapacity,
-  ): string {
+  private fail(reason: string, retryAfterMilliseconds = this.waitMilliseconds()): string {
     const { sink, trace, deadline } = this.call;
     trace.addStep(reason);
     if (sink.gone.aborted) {
@@ -375,4 +376,13 @@
     });
     return `own-${SERVICE_UNAVAILABLE}`;
   }
+
+  /** Time until an endpoint takes requests, if all have asked for none, within the limits. */
+  private waitMilliseconds(): number {
+    const { registry, clock } = this.call.parts;
+    const { service } = this.call.admitted;
+    const wait = registry.waitMilliseconds(service, clock.monotonicMilliseconds());
+    const { NoCapacity, Maximum } = RETRY_AFTER_MILLISECONDS;
+    return Number.isFinite(wait) ? Math.min(Math.max(NoCapacity, wait), Maximum) : NoCapacity;
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -69,6 +69,8 @@
   NoCapacity: 300,
   /** A prompt segment is quarantined, which does not end while requests with it come. */
   Quarantined: 60_000,
+  /** All endpoints of the service have asked for no requests. Others may register sooner. */
+  Maximum: 60_000,
 } as const;
 
 /**
--- a/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
@@ -42,7 +42,7 @@
     this.gauges.set(name, read);
   }
 
-  /** Registers a counter that is kept elsewhere and read when the metrics are rendered. */
+  /** Registers a counter whose value is read when the metrics are rendered. */
   registerCounter(name: string, read: () => number): void {
     this.counters.set(name, read);
   }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -306,16 +306,18 @@
   readonly log?: ComponentLogger;
 }
 
-/** Makes an exchange with a scripted link and a manual clock. */
-export function makeHarness(options: HarnessOptions = {}) {
-  const clock = options.clock ?? new ManualClock();
+/** Makes an exchange whose endpoints are reached over a link. */
+export function makeExchange(
+  clock: ManualClock,
+  link: EndpointLink,
+  configuration: ForwardingConfiguration,
+  endpoints: readonly EndpointRecord[],
+  log: ComponentLogger = silentLogger,
+) {
   const view = new ConfirmedView(clock, HEARTBEAT_MILLISECONDS);
   const registry = new EndpointRegistry(new PeerLoads());
-  const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
-  const configuration = options.configuration ?? makeConfiguration();
   view.apply({ configuration, endpoints, peers: [], isAuthorityHeld: false }, 0);
   registry.replace(endpoints);
-  const link = new ScriptedLink(options.behaviours ?? []);
   const random = new SeededRandomSource(1);
   const directory = new PromptCacheDirectory();
   const prefillRate = new PrefillRate();
@@ -341,23 +343,21 @@
     random,
     admission: new RequestAdmission(view, LIMITS, random),
     metrics: new ForwardingMetrics(),
-    log: options.log ?? silentLogger,
+    log,
   });
+  return { view, registry, quarantine, tally, budgets, shutdown, exchange };
+}
+
+/** Makes an exchange with a scripted link and a manual clock. */
+export function makeHarness(options: HarnessOptions = {}) {
+  const clock = options.clock ?? new ManualClock();
+  const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
+  const configuration = options.configuration ?? makeConfiguration();
+  const link = new ScriptedLink(options.behaviours ?? []);
+  const parts = makeExchange(clock, link, configuration, endpoints, options.log);
   const sink = new RecordingSink();
-  const run = (request = makeRequest()) => exchange.handle(request, sink);
-  return {
-    clock,
-    view,
-    registry,
-    link,
-    quarantine,
-    tally,
-    budgets,
-    shutdown,
-    exchange,
-    sink,
-    run,
-  };
+  const run = (request = makeRequest()) => parts.exchange.handle(request, sink);
+  return { ...parts, clock, link, sink, run };
 }
 
 /** Makes an exchange with a single route, whose endpoints behave as scripted. */
