Stop the endless server of the tests after a failed write

Cause: EndlessServer wrote the next block from the callback of every write, failed or not. Node calls the callback of a failed write before it marks the socket as destroyed, and then the callbacks of all buffered writes in one loop. The next block was put into that buffer, so the loop never ended and the buffer grew until the heap was full. So the test was wrong, not the readers; the bound of its check stays.

Excluded, by traces with the server in a process of its own: - A connection that is read on after the limit: the server had written 33.9 to 38.0 MB over all when a reader of 32 MiB ended. - The memory of the readers: peaks of 10 MB of heap and 41 MB of buffers for a call, 43 and 20 for a watch, 10 and 13 for the list of instances and for the store. A body of chunks of one byte: at most 55 and 4 MB. - Calls that are repeated: each server received one request. What takes 4 s in 'the state of the orders', body, is not the limit (33 ms): undici opens a second connection for the aborted request that is still in its queue, sends nothing on it (0 bytes received), and closes it when its keep-alive time of 4 s ends. The agent behind the list of instances closes it at once.

--- a/packages/hickoryrelay-standin/src/EndlessServer.ts
+++ b/packages/hickoryrelay-standin/src/EndlessServer.ts
@@ -82,12 +82,13 @@
 
   private writeBlocks(socket: Socket, block: string): void {
     const writeNext = () => {
-      if (!socket.destroyed) {
-        socket.write(block, () => {
+      // The callback of a failed write runs before the socket is marked as destroyed.
+      socket.write(block, (error) => {
+        if (error == null) {
           this.written += block.length;
           writeNext();
-        });
-      }
+        }
+      });
     };
     writeNext();
   }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,17 +1,40 @@
-import { defineConfig } from 'vitest/config';
+import { configDefaults, defineConfig } from 'vitest/config';
+
+/** Tests of what is kept in memory of responses without end. */
+const ENDLESS_RESPONSE_TESTS = ['**/EndlessResponses.test.ts', '**/EndlessServer.test.ts'];
+
+/** An instance has 250 MB. */
+const ENDLESS_RESPONSE_HEAP_MEGABYTES = 256;
 
 export default defineConfig({
   resolve: { conditions: ['source'] },
   ssr: { resolve: { conditions: ['source', 'node'] } },
   test: {
-    include: [
-      'packages/*/src/__tests__/**/*.test.ts',
-      'platform/src/__tests__/**/*.test.ts',
-      'scripts/src/__tests__/**/*.test.ts',
-    ],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 4,
     reporters: ['default'],
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: 'general',
+          include: [
+            'packages/*/src/__tests__/**/*.test.ts',
+            'platform/src/__tests__/**/*.test.ts',
+            'scripts/src/__tests__/**/*.test.ts',
+          ],
+          exclude: [...configDefaults.exclude, ...ENDLESS_RESPONSE_TESTS],
+        },
+      },
+      {
+        extends: true,
+        test: {
+          name: 'endless responses',
+          include: ENDLESS_RESPONSE_TESTS,
+          execArgv: [`--max-old-space-size=${ENDLESS_RESPONSE_HEAP_MEGABYTES}`],
+        },
+      },
+    ],
   },
 });
