--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -78,8 +78,8 @@
 
   /**
    * Relays complete events only, so that another endpoint can resume the stream after them. Throws
-   * `endpoint-failed` if the stream repeats an event or ends inside one. The timeout does not count the time for
-   * which the caller is slow to read.
+   * `endpoint-failed` if the stream repeats an event or ends inside one. The timeout does not count
+   * the time for which the caller is slow to read.
    */
   async relayStream(
     destination: Destination,
