--- a/packages/hickoryrelay-forwarding/src/ServicePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/ServicePlacement.ts
@@ -26,8 +26,8 @@
 }
 
 /**
- * Excludes endpoints that the request has tried or that take no requests. Excludes ejected and unresponsive ones as well,
- * unless no other endpoint is left.
+ * Excludes endpoints that the request has tried or that take no requests. Excludes ejected and
+ * unresponsive ones as well, unless no other endpoint is left.
  */
 export function eligibleEndpoints(
   states: readonly EndpointState[],
