--- a/packages/hickoryrelay-bench/src/UsageCost.ts
+++ b/packages/hickoryrelay-bench/src/UsageCost.ts
@@ -9,6 +9,8 @@
 import { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import { RequestIdentifierGenerator } from 'hickoryrelay-link/RequestIdentifierGenerator';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import { StoreEra } from 'hickoryrelay-platform/StoreEra';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 import { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 import { Authority } from 'hickoryrelay-usage/Authority';
@@ -72,6 +74,8 @@
 const FENCING_NUMBER = 1;
 
 class CountingStore extends KeyValueStore {
+  override readonly era = new StoreEra(new ManualClock());
+
   reads = 0;
 
   writes = 0;
@@ -149,7 +153,7 @@
   }
 
   override comparison(): Comparison {
-    return { key: '/authority', target: 'create-revision', operand: 0 };
+    return { key: '/authority', target: 'create-revision', operand: StoreRevision.None };
   }
 }
 
--- a/packages/hickoryrelay-forwarding/src/UsageCountsWriter.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageCountsWriter.ts
@@ -1,5 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { usageCountsKey, usageCountsPrefix } from './UsageKeys.js';
 import { isAccountCounts } from './UsageTally.js';
@@ -72,7 +73,7 @@
   private readonly store: KeyValueStore;
 
   /** Last known revision of each key, by window. */
-  private readonly revisions = new Map<number, Map<string, number>>();
+  private readonly revisions = new Map<number, Map<string, StoreRevision>>();
 
   constructor(store: KeyValueStore) {
     this.store = store;
@@ -106,7 +107,7 @@
       compare: entries.map((usage) => ({
         key: keyOf(usage),
         target: 'mod-revision',
-        operand: this.revisionsOf(usage.window).get(keyOf(usage)) ?? 0,
+        operand: this.revisionsOf(usage.window).get(keyOf(usage)) ?? StoreRevision.None,
       })),
       success: entries.map((usage) => ({
         type: 'put',
@@ -136,7 +137,7 @@
     return entries.filter((usage) => isNewer(usage, stored.get(keyOf(usage))));
   }
 
-  private revisionsOf(window: number): Map<string, number> {
+  private revisionsOf(window: number): Map<string, StoreRevision> {
     let revisions = this.revisions.get(window);
     if (revisions === undefined) {
       revisions = new Map();
--- a/packages/hickoryrelay-forwarding/src/UsageReportTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageReportTask.ts
@@ -1,6 +1,7 @@
 import { describeFailure } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { FencedCallResult } from './FencedPlatform.js';
 import { decodeUsageCounts } from './UsageCountsWriter.js';
@@ -159,7 +160,9 @@
     }
     this.term.assertHeld();
     const { succeeded } = await store.commit({
-      compare: [{ key: sealedWindowKey(window), target: 'create-revision', operand: 0 }],
+      compare: [
+        { key: sealedWindowKey(window), target: 'create-revision', operand: StoreRevision.None },
+      ],
       success: [{ type: 'put', key: sealedWindowKey(window), value: JSON.stringify(sealed) }],
       failure: [],
     });
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
@@ -24,6 +24,8 @@
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
+import { StoreEra } from 'hickoryrelay-platform/StoreEra';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 import {
   endpointFailure,
   HEARTBEAT_MILLISECONDS,
@@ -349,6 +351,8 @@
 
 /** Holds single keys and counts the calls. */
 class CountingStore extends KeyValueStore {
+  override readonly era = new StoreEra(new ManualClock());
+
   reads = 0;
 
   writes = 0;
@@ -358,9 +362,10 @@
   override range(key: string): Promise<RangeResult> {
     this.reads += 1;
     const value = this.values.get(key);
-    const revisions = { createRevision: 1, modRevision: 1, version: 1 };
+    const revision = new StoreRevision(0, 1);
+    const revisions = { createRevision: revision, modRevision: revision, version: 1 };
     return Promise.resolve({
-      revision: 1,
+      revision,
       values: value === undefined ? [] : [{ key, value, ...revisions }],
     });
   }
@@ -372,7 +377,7 @@
         this.values.set(operation.key, operation.value);
       }
     }
-    return Promise.resolve({ succeeded: true, revision: 1, results: [] });
+    return Promise.resolve({ succeeded: true, revision: new StoreRevision(0, 1), results: [] });
   }
 
   override grantLease = unsupported;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageCounts.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageCounts.test.ts
@@ -14,6 +14,8 @@
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
 import { ZoneRelaySelector } from 'hickoryrelay-forwarding/ZoneRelaySelector';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import { StoreEra } from 'hickoryrelay-platform/StoreEra';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { HEARTBEAT_MILLISECONDS } from './ForwardingFixture.js';
 import { InMemoryPeerNetwork, makePeer } from './InMemoryPeerNetwork.js';
@@ -44,13 +46,15 @@
 
 /** Supports conditional writes and ranges in memory, with the outcome that the test sets. */
 class InMemoryStore extends KeyValueStore {
+  override readonly era = new StoreEra(new ManualClock());
+
   outcome: WriteOutcome = WriteOutcome.Succeeded;
 
   readonly items = new Map<string, KeyValue>();
 
   writes = 0;
 
-  private revision = 1;
+  private revision = new StoreRevision(0, 1);
 
   private readonly delayedTransactions: Transaction[] = [];
 
@@ -101,10 +105,12 @@
 
   private execute({ compare, success }: Transaction): TransactionResult {
     const holds = compare.every(
-      ({ key, operand }) => (this.items.get(key)?.modRevision ?? 0) === operand,
+      ({ key, operand }) =>
+        operand instanceof StoreRevision &&
+        operand.equals(this.items.get(key)?.modRevision ?? StoreRevision.None),
     );
     if (holds) {
-      this.revision += 1;
+      this.revision = this.revision.next;
       for (const operation of success) {
         if (operation.type === 'put') {
           const { key, value } = operation;
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/EndlessResponses.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/EndlessResponses.test.ts
@@ -7,6 +7,7 @@
 import { HttpOrderLink } from 'hickoryrelay-link/OrderLink';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
 import { HttpInstanceList } from 'hickoryrelay-platform/HttpPlatform';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 import { EndlessPart, EndlessServer } from 'hickoryrelay-standin/EndlessServer';
 
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
@@ -37,7 +38,9 @@
     limitBytes: 32 * MEBIBYTE,
     isWatch: true,
     read: (url) =>
-      new EtcdKeyValueStore({ urls: [url] }).watch('key', 1, AbortSignal.timeout(30_000)).next(),
+      new EtcdKeyValueStore({ urls: [url] })
+        .watch('key', new StoreRevision(0, 1), AbortSignal.timeout(30_000))
+        .next(),
   },
   {
     name: 'the list of instances',
--- a/packages/hickoryrelay-platform/src/BudgetedKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/BudgetedKeyValueStore.ts
@@ -13,6 +13,8 @@
   TransactionResult,
   WatchBatch,
 } from './KeyValueStore.js';
+import type { StoreEra } from './StoreEra.js';
+import type { StoreRevision } from './StoreRevision.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 
@@ -48,6 +50,10 @@
     this.parts = parts;
   }
 
+  override get era(): StoreEra {
+    return this.parts.store.era;
+  }
+
   override async range(key: string, options: { prefix?: boolean } = {}): Promise<RangeResult> {
     const { store, budget, clock, random } = this.parts;
     const delays = backoffDelays(READ_RETRY_BACKOFF, random);
@@ -92,7 +98,7 @@
    */
   override async *watch(
     prefix: string,
-    fromRevision: number,
+    fromRevision: StoreRevision,
     signal: AbortSignal,
   ): AsyncGenerator<WatchBatch, void, void> {
     const { store, budget, clock, random } = this.parts;
@@ -107,7 +113,7 @@
           // batches with events advance the revision to resume from.
           if (batch.events.length > 0) {
             delays = backoffDelays(RECONNECT_BACKOFF, random);
-            nextRevision = batch.revision + 1;
+            nextRevision = batch.revision.next;
           }
           yield batch;
         }
--- a/packages/hickoryrelay-platform/src/ConfigurationStore.ts
+++ b/packages/hickoryrelay-platform/src/ConfigurationStore.ts
@@ -9,6 +9,8 @@
   splitIntoBuckets,
 } from 'hickoryrelay-contract/ConfigurationBucket';
 
+import { StoreRevision } from './StoreRevision.js';
+
 import type { KeyValue, KeyValueStore, Operation } from './KeyValueStore.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
@@ -57,7 +59,7 @@
 /** A head and the store revision at which it was read. */
 export interface HeadSnapshot {
   readonly head: ConfigurationHead | undefined;
-  readonly storeRevision: number;
+  readonly storeRevision: StoreRevision;
 }
 
 /** Metadata of a configuration change, recorded in the history. */
@@ -134,10 +136,10 @@
 
   /** Yields each head that is written after the given store revision. */
   async *watchHead(
-    storeRevision: number,
+    storeRevision: StoreRevision,
     signal: AbortSignal,
   ): AsyncGenerator<ConfigurationHead, void, void> {
-    for await (const { events } of this.store.watch(HEAD_KEY, storeRevision + 1, signal)) {
+    for await (const { events } of this.store.watch(HEAD_KEY, storeRevision.next, signal)) {
       for (const event of events) {
         if (event.type === 'put' && event.value.key === HEAD_KEY) {
           yield decodeHead(event.value);
@@ -229,7 +231,7 @@
         {
           key: HEAD_KEY,
           target: 'mod-revision' as const,
-          operand: storedHead?.modRevision ?? 0,
+          operand: storedHead?.modRevision ?? StoreRevision.None,
         },
       ],
       success: [
--- a/packages/hickoryrelay-platform/src/EtcdCodec.ts
+++ b/packages/hickoryrelay-platform/src/EtcdCodec.ts
@@ -1,6 +1,8 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
+import { StoreRevision } from './StoreRevision.js';
+
 import type {
   Comparison,
   KeyValue,
@@ -61,13 +63,14 @@
   return prefix.slice(0, -1) + String.fromCharCode(last + 1);
 }
 
-export function decodeKeyValue(raw: EtcdKeyValue): KeyValue {
+/** Decodes a pair that was read in the given era. */
+export function decodeKeyValue(raw: EtcdKeyValue, era: number): KeyValue {
   const hasLease = raw.lease !== undefined && raw.lease !== '0';
   return {
     key: decodeBase64(raw.key),
     value: decodeBase64(raw.value),
-    createRevision: Number(raw.create_revision ?? 0),
-    modRevision: Number(raw.mod_revision ?? 0),
+    createRevision: new StoreRevision(era, Number(raw.create_revision ?? 0)),
+    modRevision: new StoreRevision(era, Number(raw.mod_revision ?? 0)),
     version: Number(raw.version ?? 0),
     ...(hasLease ? { lease: raw.lease } : {}),
   };
@@ -77,9 +80,9 @@
   const common = { key: encodeBase64(comparison.key), result: 'EQUAL' };
   switch (comparison.target) {
     case 'create-revision':
-      return { ...common, target: 'CREATE', create_revision: String(comparison.operand) };
+      return { ...common, target: 'CREATE', create_revision: String(comparison.operand.number) };
     case 'mod-revision':
-      return { ...common, target: 'MOD', mod_revision: String(comparison.operand) };
+      return { ...common, target: 'MOD', mod_revision: String(comparison.operand.number) };
     case 'version':
       return { ...common, target: 'VERSION', version: String(comparison.operand) };
     default:
@@ -121,12 +124,15 @@
   };
 }
 
-function decodeOperation(raw: EtcdOperationResponse): OperationResult {
+function decodeOperation(raw: EtcdOperationResponse, era: number): OperationResult {
   if (raw.response_txn !== undefined) {
-    return { type: 'transaction', result: decodeTransaction(raw.response_txn) };
+    return { type: 'transaction', result: decodeTransaction(raw.response_txn, era) };
   }
   if (raw.response_range !== undefined) {
-    return { type: 'range', values: (raw.response_range.kvs ?? []).map(decodeKeyValue) };
+    return {
+      type: 'range',
+      values: (raw.response_range.kvs ?? []).map((pair) => decodeKeyValue(pair, era)),
+    };
   }
   if (raw.response_delete_range !== undefined) {
     return { type: 'delete', deleted: Number(raw.response_delete_range.deleted ?? 0) };
@@ -134,11 +140,12 @@
   return { type: 'put' };
 }
 
-export function decodeTransaction(raw: EtcdTransactionResponse): TransactionResult {
+/** Decodes the result of a transaction that was applied in the given era. */
+export function decodeTransaction(raw: EtcdTransactionResponse, era: number): TransactionResult {
   return {
     succeeded: raw.succeeded === true,
-    revision: Number(raw.header?.revision ?? 0),
-    results: (raw.responses ?? []).map(decodeOperation),
+    revision: new StoreRevision(era, Number(raw.header?.revision ?? 0)),
+    results: (raw.responses ?? []).map((response) => decodeOperation(response, era)),
   };
 }
 
--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from 'undici';
+import { SystemClock } from 'hickoryrelay/Clock';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
@@ -12,6 +13,8 @@
   splitLines,
 } from './EtcdCodec.js';
 import { KeyValueStore } from './KeyValueStore.js';
+import { StoreEra } from './StoreEra.js';
+import { StoreRevision } from './StoreRevision.js';
 
 import type { EtcdKeyValue, EtcdTransactionResponse, EtcdWatchResponse } from './EtcdCodec.js';
 import type {
@@ -28,6 +31,9 @@
 const INTERNAL_SERVER_ERROR = 500;
 const SERVICE = 'key-value service';
 
+/** The gateway does not state an era. */
+const FIRST_ERA = 0;
+
 /** Largest response of a call and largest line of a watch. A range is not read in pages. */
 const MAXIMUM_RESPONSE_BYTES = 33_554_432;
 
@@ -52,6 +58,8 @@
   /** Separate from `agent`, because watches stay open and would use up its connections. */
   private readonly watchAgent = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
 
+  override readonly era = new StoreEra(new SystemClock());
+
   private urlIndex = 0;
 
   constructor(options: EtcdKeyValueStoreOptions) {
@@ -71,8 +79,8 @@
       false,
     );
     return {
-      revision: Number(response.header?.revision ?? 0),
-      values: (response.kvs ?? []).map(decodeKeyValue),
+      revision: new StoreRevision(FIRST_ERA, Number(response.header?.revision ?? 0)),
+      values: (response.kvs ?? []).map((pair) => decodeKeyValue(pair, FIRST_ERA)),
     };
   }
 
@@ -82,7 +90,7 @@
       encodeTransaction(transaction),
       true,
     );
-    return decodeTransaction(response);
+    return decodeTransaction(response, FIRST_ERA);
   }
 
   override async grantLease(timeToLiveSeconds: number): Promise<LeaseGrant> {
@@ -112,14 +120,14 @@
 
   override async *watch(
     prefix: string,
-    fromRevision: number,
+    fromRevision: StoreRevision,
     signal: AbortSignal,
   ): AsyncGenerator<WatchBatch, void, void> {
     const body = {
       create_request: {
         key: encodeBase64(prefix),
         range_end: encodeBase64(prefixRangeEnd(prefix)),
-        start_revision: String(fromRevision),
+        start_revision: String(fromRevision.number),
       },
     };
     try {
@@ -162,12 +170,15 @@
       event.type === 'DELETE'
         ? {
             type: 'delete' as const,
-            key: decodeKeyValue(event.kv).key,
-            modRevision: Number(event.kv.mod_revision ?? 0),
+            key: decodeKeyValue(event.kv, FIRST_ERA).key,
+            modRevision: new StoreRevision(FIRST_ERA, Number(event.kv.mod_revision ?? 0)),
           }
-        : { type: 'put' as const, value: decodeKeyValue(event.kv) },
+        : { type: 'put' as const, value: decodeKeyValue(event.kv, FIRST_ERA) },
     );
-    return { revision: Number(result?.header?.revision ?? 0), events };
+    return {
+      revision: new StoreRevision(FIRST_ERA, Number(result?.header?.revision ?? 0)),
+      events,
+    };
   }
 
   private async call<ResponseBody>(
--- a/packages/hickoryrelay-platform/src/KeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/KeyValueStore.ts
@@ -1,9 +1,12 @@
+import type { StoreEra } from './StoreEra.js';
+import type { StoreRevision } from './StoreRevision.js';
+
 /** A key-value pair with the revisions that transactions can compare. */
 export interface KeyValue {
   readonly key: string;
   readonly value: string;
-  readonly createRevision: number;
-  readonly modRevision: number;
+  readonly createRevision: StoreRevision;
+  readonly modRevision: StoreRevision;
   /** Number of writes since the key was created. */
   readonly version: number;
   /** Identifier of the lease that the key is attached to, if any. */
@@ -20,10 +23,13 @@
 
 export type CompareTarget = (typeof CompareTarget)[keyof typeof CompareTarget];
 
-/** A condition of a transaction: the target must equal the operand. */
+/**
+ * A condition of a transaction: the target must equal the operand. A revision of an earlier era is
+ * equal to none of the current one.
+ */
 export type Comparison =
-  | { readonly key: string; readonly target: 'create-revision'; readonly operand: number }
-  | { readonly key: string; readonly target: 'mod-revision'; readonly operand: number }
+  | { readonly key: string; readonly target: 'create-revision'; readonly operand: StoreRevision }
+  | { readonly key: string; readonly target: 'mod-revision'; readonly operand: StoreRevision }
   | { readonly key: string; readonly target: 'version'; readonly operand: number }
   | { readonly key: string; readonly target: 'value'; readonly operand: string };
 
@@ -52,13 +58,13 @@
 export interface TransactionResult {
   readonly succeeded: boolean;
   /** Revision of the store after the transaction. */
-  readonly revision: number;
+  readonly revision: StoreRevision;
   readonly results: readonly OperationResult[];
 }
 
 /** The key-value pairs of a range and the store revision at which they were read. */
 export interface RangeResult {
-  readonly revision: number;
+  readonly revision: StoreRevision;
   readonly values: readonly KeyValue[];
 }
 
@@ -71,11 +77,11 @@
 /** A change reported by a watch. */
 export type WatchEvent =
   | { readonly type: 'put'; readonly value: KeyValue }
-  | { readonly type: 'delete'; readonly key: string; readonly modRevision: number };
+  | { readonly type: 'delete'; readonly key: string; readonly modRevision: StoreRevision };
 
 /** Ordered changes of one or more revisions. */
 export interface WatchBatch {
-  readonly revision: number;
+  readonly revision: StoreRevision;
   readonly events: readonly WatchEvent[];
 }
 
@@ -85,6 +91,9 @@
  * effect. Implementations never retry a write.
  */
 export abstract class KeyValueStore {
+  /** The era of the service, as stated by its responses to this client. */
+  abstract get era(): StoreEra;
+
   /** Reads one key or, with `prefix`, all keys that start with it. Linearizable. */
   abstract range(key: string, options?: { prefix?: boolean }): Promise<RangeResult>;
 
@@ -104,7 +113,7 @@
    */
   abstract watch(
     prefix: string,
-    fromRevision: number,
+    fromRevision: StoreRevision,
     signal: AbortSignal,
   ): AsyncGenerator<WatchBatch, void, void>;
 
--- a/packages/hickoryrelay-platform/src/__tests__/e2e/EtcdKeyValueStore.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/e2e/EtcdKeyValueStore.test.ts
@@ -5,6 +5,7 @@
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { failureOf } from 'hickoryrelay/RelayError';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import { KeyValueGateway } from 'hickoryrelay-standin/KeyValueGateway';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
@@ -14,7 +15,7 @@
 
 function putIfAbsent(key: string, value: string, lease?: string): Transaction {
   return {
-    compare: [{ key, target: 'create-revision', operand: 0 }],
+    compare: [{ key, target: 'create-revision', operand: StoreRevision.None }],
     success: [{ type: 'put', key, value, ...(lease === undefined ? {} : { lease }) }],
     failure: [{ type: 'range', key }],
   };
@@ -106,7 +107,7 @@
   it('serves calls while many watches are open but deliver nothing', async () => {
     gateway.silencesWatches = true;
     const aborts = Array.from({ length: 12 }, () => new AbortController());
-    const watches = aborts.map(({ signal }) => store.watch('/w/', 0, signal));
+    const watches = aborts.map(({ signal }) => store.watch('/w/', StoreRevision.None, signal));
     const opened = await Promise.all(watches.map((watch) => watch.next()));
     expect(opened.every((entry) => !entry.done && entry.value.events.length === 0)).toBe(true);
     const pending = watches[0]?.next().then(
@@ -129,7 +130,7 @@
     const { signal } = new AbortController();
     for (let attempt = 0; attempt < 3; attempt += 1) {
       gateway.faults.enqueue(fault);
-      const watch = store.watch('/w/', 0, signal);
+      const watch = store.watch('/w/', StoreRevision.None, signal);
       const opened = await failureFrom(watch.next());
       expect(opened?.kind).toBe(end === 'rejected' ? 'platform-unavailable' : undefined);
       if (end === 'broken') {
@@ -146,7 +147,7 @@
 
   // Guards against a broken watch that is not reopened because its failure has another kind.
   it('reports a broken watch as platform-unavailable', async () => {
-    const watch = store.watch('/w/', 0, new AbortController().signal);
+    const watch = store.watch('/w/', StoreRevision.None, new AbortController().signal);
     await watch.next();
     await gateway.close();
     expect(await failureFrom(watch.next())).toMatchObject({ kind: 'platform-unavailable' });
--- a/packages/hickoryrelay-platform/src/__tests__/unit/BudgetedKeyValueStore.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/unit/BudgetedKeyValueStore.test.ts
@@ -7,6 +7,7 @@
 import { InProcessKeyValueStore } from 'hickoryrelay-standin/InProcessKeyValueStore';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 import { ProcessClock } from 'hickoryrelay-standin/ProcessClock';
+import { StoreRevision } from '../../StoreRevision.js';
 
 const LIMITS = {
   reads: { perSecond: 2, burst: 4 },
@@ -102,7 +103,7 @@
     const abort = new AbortController();
     const receivedKeys: string[] = [];
     const reading = (async () => {
-      for await (const batch of store.watch('/w/', 1, abort.signal)) {
+      for await (const batch of store.watch('/w/', new StoreRevision(0, 1), abort.signal)) {
         receivedKeys.push(
           ...batch.events.map((event) => (event.type === 'put' ? event.value.key : '')),
         );
@@ -128,8 +129,12 @@
     const aborts = instances.map(() => new AbortController());
     instances.forEach(({ store }, index) => {
       void (async () => {
-        for await (const batch of store.watch('/w/', 1, aborts[index]!.signal)) {
-          expect(batch.revision).toBeGreaterThan(0);
+        for await (const batch of store.watch(
+          '/w/',
+          new StoreRevision(0, 1),
+          aborts[index]!.signal,
+        )) {
+          expect(batch.revision.number).toBeGreaterThan(0);
         }
       })();
     });
--- a/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
+++ b/packages/hickoryrelay-standin/src/InProcessKeyValueStore.ts
@@ -36,7 +36,7 @@
   private readonly process: ProcessClock;
 
   constructor(table: KeyValueTable, network: Clock, process: ProcessClock) {
-    super(table);
+    super(table, process);
     this.process = process;
     this.exchange = new InProcessExchange(network, process);
   }
--- a/packages/hickoryrelay-standin/src/KeyValueGateway.ts
+++ b/packages/hickoryrelay-standin/src/KeyValueGateway.ts
@@ -1,5 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { hasFailureKind } from 'hickoryrelay/RelayError';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { JsonServer } from './JsonServer.js';
 import type { JsonResponse, ReceivedRequest } from './JsonServer.js';
@@ -51,13 +52,18 @@
   return Buffer.from(text, 'utf8').toString('base64');
 }
 
+/** Requests state no era, so only the number of a revision is compared. */
+function decodeRevision(text: string | undefined): StoreRevision {
+  return new StoreRevision(0, Number(text ?? 0));
+}
+
 function decodeComparison(raw: RawComparison): Comparison {
   const key = decode(raw.key);
   switch (raw.target) {
     case 'CREATE':
-      return { key, target: 'create-revision', operand: Number(raw.create_revision ?? 0) };
+      return { key, target: 'create-revision', operand: decodeRevision(raw.create_revision) };
     case 'MOD':
-      return { key, target: 'mod-revision', operand: Number(raw.mod_revision ?? 0) };
+      return { key, target: 'mod-revision', operand: decodeRevision(raw.mod_revision) };
     case 'VERSION':
       return { key, target: 'version', operand: Number(raw.version ?? 0) };
     default:
@@ -98,8 +104,8 @@
   return {
     key: encode(value.key),
     value: encode(value.value),
-    create_revision: String(value.createRevision),
-    mod_revision: String(value.modRevision),
+    create_revision: String(value.createRevision.number),
+    mod_revision: String(value.modRevision.number),
     version: String(value.version),
     ...(value.lease === undefined ? {} : { lease: value.lease }),
   };
@@ -120,7 +126,7 @@
 
 function encodeTransaction(result: TransactionResult): object {
   return {
-    header: { revision: String(result.revision) },
+    header: { revision: String(result.revision.number) },
     succeeded: result.succeeded,
     responses: result.results.map(encodeOperation),
   };
@@ -132,7 +138,7 @@
   }
   return {
     type: 'DELETE',
-    kv: { key: encode(event.key), mod_revision: String(event.modRevision) },
+    kv: { key: encode(event.key), mod_revision: String(event.modRevision.number) },
   };
 }
 
@@ -217,7 +223,7 @@
     response.write(`${JSON.stringify({ result: { created: true } })}\n`);
     const send = (batch: WatchBatch) => this.sendBatch(response, prefix, batch);
     if (start > 0) {
-      this.table.changesSince(start).forEach(send);
+      this.table.changesSince(new StoreRevision(0, start)).forEach(send);
     }
     const unsubscribe = this.table.subscribe(send);
     response.once('close', () => {
@@ -233,7 +239,7 @@
       return;
     }
     const result = {
-      header: { revision: String(batch.revision) },
+      header: { revision: String(batch.revision.number) },
       events: events.map(encodeEvent),
     };
     response.write(`${JSON.stringify({ result })}\n`);
@@ -257,7 +263,7 @@
     return {
       status: 200,
       body: {
-        header: { revision: String(revision) },
+        header: { revision: String(revision.number) },
         kvs: values.map(encodeKeyValue),
         count: String(values.length),
       },
--- a/packages/hickoryrelay-standin/src/KeyValueTable.ts
+++ b/packages/hickoryrelay-standin/src/KeyValueTable.ts
@@ -1,5 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { FaultKind, FaultTally } from './FaultTally.js';
 
@@ -81,7 +82,7 @@
 
   private readonly comparisonResults = new WeakMap<Transaction, boolean>();
 
-  private revision = 1;
+  private revision = new StoreRevision(0, 1);
 
   private lastLeaseIdentifier = INITIAL_LEASE_IDENTIFIER;
 
@@ -104,7 +105,7 @@
     putKeys(transaction.failure);
     this.evaluateComparisons(transaction);
     const events: WatchEvent[] = [];
-    const result = this.apply(transaction, events, this.revision + 1);
+    const result = this.apply(transaction, events, this.revision.next);
     this.record(events);
     return { ...result, revision: this.revision };
   }
@@ -138,16 +139,16 @@
     const events: WatchEvent[] = [];
     for (const { key, lease } of [...this.values.values()]) {
       if (lease === identifier) {
-        this.remove(key, events, this.revision + 1);
+        this.remove(key, events, this.revision.next);
       }
     }
     this.record(events);
   }
 
   /** Returns the changes from the given revision on. */
-  changesSince(revision: number): WatchBatch[] {
+  changesSince(revision: StoreRevision): WatchBatch[] {
     this.expireLeases();
-    return this.history.filter((batch) => batch.revision >= revision);
+    return this.history.filter((batch) => batch.revision.number >= revision.number);
   }
 
   /** Calls the observer on each change. Returns the function that unsubscribes it. */
@@ -219,7 +220,7 @@
   private apply(
     transaction: Transaction,
     events: WatchEvent[],
-    newRevision: number,
+    newRevision: StoreRevision,
   ): TransactionResult {
     const succeeded = this.comparisonResults.get(transaction) === true;
     const operations = succeeded ? transaction.success : transaction.failure;
@@ -233,9 +234,9 @@
     const value = this.values.get(comparison.key);
     switch (comparison.target) {
       case 'create-revision':
-        return (value?.createRevision ?? 0) === comparison.operand;
+        return (value?.createRevision ?? StoreRevision.None).number === comparison.operand.number;
       case 'mod-revision':
-        return (value?.modRevision ?? 0) === comparison.operand;
+        return (value?.modRevision ?? StoreRevision.None).number === comparison.operand.number;
       case 'version':
         return (value?.version ?? 0) === comparison.operand;
       default:
@@ -246,7 +247,7 @@
   private applyOperation(
     operation: Operation,
     events: WatchEvent[],
-    newRevision: number,
+    newRevision: StoreRevision,
   ): OperationResult {
     switch (operation.type) {
       case 'put':
@@ -270,7 +271,7 @@
   private put(
     operation: Extract<Operation, { type: 'put' }>,
     events: WatchEvent[],
-    newRevision: number,
+    newRevision: StoreRevision,
   ): void {
     const { key, value, lease } = operation;
     const previous = this.values.get(key);
@@ -286,7 +287,7 @@
     events.push({ type: 'put', value: stored });
   }
 
-  private remove(key: string, events: WatchEvent[], newRevision: number): void {
+  private remove(key: string, events: WatchEvent[], newRevision: StoreRevision): void {
     if (this.values.delete(key)) {
       events.push({ type: 'delete', key, modRevision: newRevision });
     }
@@ -296,7 +297,7 @@
     if (events.length === 0) {
       return;
     }
-    this.revision += 1;
+    this.revision = this.revision.next;
     const batch = { revision: this.revision, events };
     this.history.push(batch);
     this.observers.forEach((observer) => observer(batch));
--- a/packages/hickoryrelay-standin/src/MemoryPlatform.ts
+++ b/packages/hickoryrelay-standin/src/MemoryPlatform.ts
@@ -102,7 +102,7 @@
   private readonly clock: Clock;
 
   constructor(platform: MemoryPlatform, caller: string, clock: Clock) {
-    super(platform.table);
+    super(platform.table, clock);
     this.platform = platform;
     this.caller = caller;
     this.clock = clock;
--- a/packages/hickoryrelay-standin/src/TableKeyValueStore.ts
+++ b/packages/hickoryrelay-standin/src/TableKeyValueStore.ts
@@ -1,6 +1,8 @@
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import { StoreEra } from 'hickoryrelay-platform/StoreEra';
 
 import type { KeyValueTable } from './KeyValueTable.js';
+import type { Clock } from 'hickoryrelay/Clock';
 import type {
   LeaseGrant,
   RangeResult,
@@ -8,19 +10,23 @@
   TransactionResult,
   WatchBatch,
 } from 'hickoryrelay-platform/KeyValueStore';
+import type { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 /**
  * Key-value client of one simulated process, backed by a shared in-memory table. Subclasses add the
  * delays and faults of the connection to the service.
  */
 export abstract class TableKeyValueStore extends KeyValueStore {
+  override readonly era: StoreEra;
+
   private readonly table: KeyValueTable;
 
   private readonly breakCallbacks = new Set<() => void>();
 
-  constructor(table: KeyValueTable) {
+  constructor(table: KeyValueTable, clock: Clock) {
     super();
     this.table = table;
+    this.era = new StoreEra(clock);
   }
 
   override range(key: string, options: { prefix?: boolean } = {}): Promise<RangeResult> {
@@ -50,11 +56,13 @@
 
   override async *watch(
     prefix: string,
-    fromRevision: number,
+    fromRevision: StoreRevision,
     signal: AbortSignal,
   ): AsyncGenerator<WatchBatch, void, void> {
     const pending = [
-      ...(await this.read(() => (fromRevision > 0 ? this.table.changesSince(fromRevision) : []))),
+      ...(await this.read(() =>
+        fromRevision.number > 0 ? this.table.changesSince(fromRevision) : [],
+      )),
     ];
     let isBroken = false;
     let wake = () => {};
--- a/packages/hickoryrelay-usage/src/KeyValueClaimRegister.ts
+++ b/packages/hickoryrelay-usage/src/KeyValueClaimRegister.ts
@@ -1,6 +1,7 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 import { invariant } from 'hickoryrelay/Invariant';
 import { failureOf, hasFailureKind, RelayError } from 'hickoryrelay/RelayError';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { ClaimRegister } from './ClaimRegister.js';
 import { claimKey, completedClaim, outcomeOf, pendingClaim } from './StoredClaim.js';
@@ -127,7 +128,7 @@
       const { succeeded, results } = await this.batcher.commit({
         key,
         transaction: {
-          compare: [{ key, target: 'create-revision', operand: 0 }],
+          compare: [{ key, target: 'create-revision', operand: StoreRevision.None }],
           success: [{ type: 'put', key, value, lease }],
           failure: [{ type: 'range', key }],
         },
--- a/packages/hickoryrelay-usage/src/UsageReporter.ts
+++ b/packages/hickoryrelay-usage/src/UsageReporter.ts
@@ -1,5 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { hasFailureKind, RelayError } from 'hickoryrelay/RelayError';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { countedKey, reportedKey, reportOf, sealKey } from './UsageSeal.js';
 import type { Authority } from './Authority.js';
@@ -68,7 +69,7 @@
     const windows = ((state as CountedState).unreported ?? []).filter(
       (window) => window > Number(reportedMark?.value ?? 0),
     );
-    let { modRevision } = reportedMark ?? { modRevision: 0 };
+    let modRevision = reportedMark?.modRevision ?? StoreRevision.None;
     for (const window of windows) {
       await this.reportWindow(window);
       modRevision = await this.markReported(window, modRevision);
@@ -113,7 +114,7 @@
   }
 
   /** Marks a window as reported and deletes its seal. Returns the revision of the mark. */
-  private async markReported(window: number, modRevision: number): Promise<number> {
+  private async markReported(window: number, modRevision: StoreRevision): Promise<StoreRevision> {
     const { authority, store } = this.parts;
     const key = reportedKey(authority.zone);
     authority.assertHeld();
--- a/packages/hickoryrelay-usage/src/UsageSealer.ts
+++ b/packages/hickoryrelay-usage/src/UsageSealer.ts
@@ -1,3 +1,4 @@
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 import { UsageMerge } from './UsageMerge.js';
 import { countedKey, EMPTY_COUNTED_STATE, reportedKey, sealKey } from './UsageSeal.js';
 import { windowAt } from './UsageWindow.js';
@@ -118,11 +119,11 @@
       const result = await store.commit({
         compare: [
           authority.comparison(),
-          { key: sealKey(zone, window), target: 'create-revision', operand: 0 },
+          { key: sealKey(zone, window), target: 'create-revision', operand: StoreRevision.None },
           {
             key: countedKey(zone),
             target: 'mod-revision',
-            operand: stored?.modRevision ?? 0,
+            operand: stored?.modRevision ?? StoreRevision.None,
           },
         ],
         success: [
--- a/packages/hickoryrelay-usage/src/__tests__/unit/UsageSimulation.ts
+++ b/packages/hickoryrelay-usage/src/__tests__/unit/UsageSimulation.ts
@@ -6,6 +6,8 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 import { PeerNetwork } from 'hickoryrelay-link/PeerNetwork';
 import { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import { StoreEra } from 'hickoryrelay-platform/StoreEra';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 import { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 import { FaultKind, FaultTally } from 'hickoryrelay-standin/FaultTally';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
@@ -160,7 +162,7 @@
     });
     const value = holder.identity.incarnation;
     this.table.commit({ compare: [], success: [{ type: 'put', key, value }], failure: [] });
-    const term = this.table.range(key).values[0]?.createRevision ?? 0;
+    const term = this.table.range(key).values[0]?.createRevision.number ?? 0;
     holder.startTerm(term, this.now());
   }
 }
@@ -257,6 +259,8 @@
 
 /** An in-memory key-value service, with the faults of the simulation. */
 class TestStore extends KeyValueStore {
+  override readonly era = new StoreEra(new ManualClock());
+
   constructor(private readonly owner: TestInstance) {
     super();
   }
@@ -350,7 +354,8 @@
   }
 
   override comparison(): Comparison {
-    return { key: `/authority/${this.zone}`, target: 'create-revision', operand: this.term };
+    const operand = new StoreRevision(0, this.term);
+    return { key: `/authority/${this.zone}`, target: 'create-revision', operand };
   }
 }
 
--- a/packages/hickoryrelay-zone/src/EndpointOrderDispatcher.ts
+++ b/packages/hickoryrelay-zone/src/EndpointOrderDispatcher.ts
@@ -1,6 +1,7 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError, failureOf, hasFailureKind } from 'hickoryrelay/RelayError';
 import { OrderResponse, OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { intentKey, intentsPrefix } from './ZoneKeyUtils.js';
 import type { AuthorityTerm } from './AuthorityTerm.js';
@@ -175,14 +176,17 @@
   }
 
   /** Writes the intent and returns its revision. After a lost response, reads whether it is stored. */
-  private async writeIntent(issued: IssuedOrder): Promise<number> {
+  private async writeIntent(issued: IssuedOrder): Promise<StoreRevision> {
     const { store, term } = this.parts;
     const { endpoint } = issued;
     const key = intentKey(term.zone, endpoint);
     const value = JSON.stringify(issued);
     try {
       const result = await store.commit({
-        compare: [term.holderComparison, { key, target: 'create-revision', operand: 0 }],
+        compare: [
+          term.holderComparison,
+          { key, target: 'create-revision', operand: StoreRevision.None },
+        ],
         success: [{ type: 'put', key, value }],
         failure: [],
       });
@@ -281,7 +285,7 @@
   }
 
   /** Deletes an intent. If that fails, `resolveOpenIntents` resolves the intent later. */
-  private async deleteIntent(endpoint: string, modRevision: number): Promise<void> {
+  private async deleteIntent(endpoint: string, modRevision: StoreRevision): Promise<void> {
     const { store, term } = this.parts;
     const key = intentKey(term.zone, endpoint);
     try {
--- a/packages/hickoryrelay-zone/src/SupplyOrderDispatcher.ts
+++ b/packages/hickoryrelay-zone/src/SupplyOrderDispatcher.ts
@@ -1,5 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError, failureOf, hasFailureKind } from 'hickoryrelay/RelayError';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import {
   MAXIMUM_CLOCK_SKEW_MILLISECONDS,
@@ -141,7 +142,7 @@
             {
               key: supplyIntentKey(this.parts.term.zone, orderKey),
               target: 'create-revision',
-              operand: 0,
+              operand: StoreRevision.None,
             },
           ];
     const stored = await this.writeIntent(intent, orderIsResolved, []);
@@ -258,7 +259,13 @@
       }
       const stored = await this.writeIntent(
         intent,
-        [{ key: SPEND_KEY, target: 'mod-revision', operand: current?.modRevision ?? 0 }],
+        [
+          {
+            key: SPEND_KEY,
+            target: 'mod-revision',
+            operand: current?.modRevision ?? StoreRevision.None,
+          },
+        ],
         [{ type: 'put', key: SPEND_KEY, value: spend.serialize() }],
       );
       if (stored !== undefined) {
@@ -282,7 +289,7 @@
       const result = await store.commit({
         compare: [
           term.holderComparison,
-          { key, target: 'create-revision', operand: 0 },
+          { key, target: 'create-revision', operand: StoreRevision.None },
           ...compare,
         ],
         success: [{ type: 'put', key, value }, ...operations, { type: 'range', key }],
@@ -404,7 +411,11 @@
           compare: [
             term.holderComparison,
             ...compare,
-            { key: SPEND_KEY, target: 'mod-revision', operand: current?.modRevision ?? 0 },
+            {
+              key: SPEND_KEY,
+              target: 'mod-revision',
+              operand: current?.modRevision ?? StoreRevision.None,
+            },
           ],
           success: [
             ...operations,
@@ -418,8 +429,9 @@
           return true;
         }
         const actual = result.results[0];
-        const actualRevision = actual?.type === 'range' ? (actual.values[0]?.modRevision ?? 0) : 0;
-        if (actualRevision === (current?.modRevision ?? 0)) {
+        const actualValue = actual?.type === 'range' ? actual.values[0] : undefined;
+        const actualRevision = actualValue?.modRevision ?? StoreRevision.None;
+        if (actualRevision.equals(current?.modRevision ?? StoreRevision.None)) {
           return false;
         }
       }
--- a/packages/hickoryrelay-zone/src/ZoneAuthority.ts
+++ b/packages/hickoryrelay-zone/src/ZoneAuthority.ts
@@ -1,6 +1,7 @@
 import { describeFailure } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { AuthorityTerm } from './AuthorityTerm.js';
 import { authorityKey, fencingKey } from './ZoneKeyUtils.js';
@@ -250,8 +251,12 @@
     const { lease } = term.grant;
     const transaction: Transaction = {
       compare: [
-        { key: authorityKey(zone), target: 'create-revision', operand: 0 },
-        { key: fencingKey(zone), target: 'mod-revision', operand: counter?.modRevision ?? 0 },
+        { key: authorityKey(zone), target: 'create-revision', operand: StoreRevision.None },
+        {
+          key: fencingKey(zone),
+          target: 'mod-revision',
+          operand: counter?.modRevision ?? StoreRevision.None,
+        },
       ],
       success: [
         { type: 'put', key: authorityKey(zone), value: term.storedValue, lease },
