Pass on changes of the store after it has been restored

Callers of an instance that takes its view from the relay of its zone got 404 on a route that had been added after a restore of the store. The relay and its requesters kept the highest revision number that they had seen; a restored store assigns revisions again, so changes at lower numbers were taken for passed on.

Excluded: a lost datagram, since the requester then reads the store itself.

Before: 'passes on the changes after the store has been restored' fails with 'expected 1 to be 2' (the version of the configuration).

View messages, the relay and the requester now use the era together with the number. A relay forgets the changes of an earlier era, and instances of different eras do not exchange changes; the requester reads the store.

--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -1,4 +1,5 @@
 import { pack, unpack } from 'msgpackr';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import {
   CRASH_EVIDENCE_KIND,
@@ -82,7 +83,7 @@
   readonly requester: PeerAddress;
   /** Number of the request, repeated in the response. */
   readonly number: number;
-  readonly sinceRevision: number;
+  readonly sinceRevision: StoreRevision;
 }
 
 /** Changed records, and the keys of removed ones. */
@@ -94,7 +95,7 @@
 /** Changes in the store since the revision in the request. */
 export interface ViewChanges {
   /** Revision up to which the changes are complete. */
-  readonly revision: number;
+  readonly revision: StoreRevision;
   /** Time since the relay requested its snapshot from the store, in milliseconds. */
   readonly ageMilliseconds: number;
   /** Undefined until the operator has written a configuration. */
@@ -151,6 +152,10 @@
 const LOAD_FIELD_COUNT = 4;
 const USE_FIELD_COUNT = 5;
 
+function encodeViewChanges({ revision, ...changes }: ViewChanges): object {
+  return { ...changes, revision: revision.number, era: revision.era };
+}
+
 function encodeLoad({ kind, sender, loads, uses }: LoadMessage): unknown[] {
   return [
     kind,
@@ -176,11 +181,12 @@
   switch (message.kind) {
     case PeerMessageKind.ViewRequest: {
       const { kind, requester, number, sinceRevision } = message;
-      return pack([kind, requester.host, requester.port, number, sinceRevision]);
+      const { number: since, era } = sinceRevision;
+      return pack([kind, requester.host, requester.port, number, since, era]);
     }
     case PeerMessageKind.ViewResponse: {
       const { kind, sender, number, changes } = message;
-      return pack([kind, sender, number, changes]);
+      return pack([kind, sender, number, changes && encodeViewChanges(changes)]);
     }
     case PeerMessageKind.UsageCountsReport:
     case PeerMessageKind.UsageCountsHandoff: {
@@ -244,14 +250,18 @@
   };
 }
 
+/** Instances that do not know of eras state none, which is the era of a store that has none. */
+function decodeRevision(number: unknown, era: unknown = 0): StoreRevision | undefined {
+  return Number.isSafeInteger(number) && Number.isSafeInteger(era)
+    ? new StoreRevision(Number(era), Number(number))
+    : undefined;
+}
+
 function decodeViewRequest(fields: readonly unknown[]): ViewRequest | undefined {
-  const [host, port, number, sinceRevision] = fields;
+  const [host, port, number, since, era] = fields;
   const requester = { host, port };
-  if (
-    !isPeerAddress(requester) ||
-    typeof number !== 'number' ||
-    typeof sinceRevision !== 'number'
-  ) {
+  const sinceRevision = decodeRevision(since, era);
+  if (!isPeerAddress(requester) || typeof number !== 'number' || sinceRevision === undefined) {
     return undefined;
   }
   return { kind: PeerMessageKind.ViewRequest, requester, number, sinceRevision };
@@ -280,12 +290,12 @@
 }
 
 function decodeViewChanges(value: unknown): ViewChanges | undefined {
-  const changes = (value ?? {}) as Partial<Record<keyof ViewChanges, unknown>>;
-  const { revision, ageMilliseconds, configurationVersion, isAuthorityHeld } = changes;
+  const changes = (value ?? {}) as Partial<Record<keyof ViewChanges | 'era', unknown>>;
+  const { ageMilliseconds, configurationVersion, isAuthorityHeld } = changes;
+  const revision = decodeRevision(changes.revision, changes.era);
   const endpoints = decodeRecordChanges(changes.endpoints, isEndpointRecord, 'identifier');
   const peers = decodeRecordChanges(changes.peers, isPeerRecord, 'instance');
-  return typeof revision === 'number' &&
-    Number.isSafeInteger(revision) &&
+  return revision !== undefined &&
     typeof ageMilliseconds === 'number' &&
     ageMilliseconds >= 0 &&
     (configurationVersion === undefined || typeof configurationVersion === 'number') &&
--- a/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
+++ b/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
@@ -18,6 +18,7 @@
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 /** Covers a round trip within the zone and the delays of two busy event loops. */
 const RESPONSE_TIMEOUT_MILLISECONDS = 150;
@@ -85,7 +86,7 @@
 export class SharedViewSource extends ViewSource {
   private readonly parts: SharedViewSourceParts;
 
-  private latest: { readonly snapshot: ViewSnapshot; readonly revision: number } | undefined;
+  private latest: { readonly snapshot: ViewSnapshot; readonly revision: StoreRevision } | undefined;
 
   /** Handles the response to the pending request. Ignores responses while none is pending. */
   private handleResponse: (response: ViewResponse) => void = () => {};
@@ -151,7 +152,7 @@
 
   private requestChanges(
     relay: PeerRecord,
-    sinceRevision: number,
+    sinceRevision: StoreRevision,
   ): Promise<ViewResponse | undefined> {
     const { self, channel, clock, random } = this.parts;
     const number = randomMessageNumber(random);
@@ -173,15 +174,16 @@
   }
 
   /**
-   * Applies changes to the latest snapshot. Returns undefined if the configuration has to be read.
+   * Applies changes to the latest snapshot. Returns undefined if the configuration has to be read, or
+   * if the changes are of another era.
    */
   private apply(changes: ViewChanges): ViewReadResult | undefined {
     const { latest } = this;
-    if (latest === undefined) {
+    if (latest === undefined || changes.revision.era !== latest.revision.era) {
       return undefined;
     }
     // A relay at an older revision changes nothing, but confirms the snapshot as of its own read.
-    if (changes.revision > latest.revision) {
+    if (changes.revision.isAfter(latest.revision)) {
       const { configuration } = latest.snapshot;
       if (changes.configurationVersion !== configuration?.version) {
         return undefined;
--- a/packages/hickoryrelay-forwarding/src/ViewRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRelay.ts
@@ -1,3 +1,5 @@
+import { laterRevision, StoreRevision } from 'hickoryrelay-platform/StoreRevision';
+
 import type { ViewSnapshot } from './ConfirmedView.js';
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { RecordChanges, ViewChanges } from './PeerMessage.js';
@@ -12,15 +14,15 @@
 class RecordChangeLog<Entry> {
   private records = new Map<string, Entry>();
 
-  private readonly changeRevisions = new Map<string, number>();
+  private readonly changeRevisions = new Map<string, StoreRevision>();
 
-  private readonly removalRevisions = new Map<string, number>();
+  private readonly removalRevisions = new Map<string, StoreRevision>();
 
   /** Revision since which all removals are retained. */
-  private removalsKnownSince = 0;
+  private removalsKnownSince = StoreRevision.None;
 
   /** Applies the records of a snapshot that reflects nothing later than the given revision. */
-  apply(records: ReadonlyMap<string, Entry>, revision: number): void {
+  apply(records: ReadonlyMap<string, Entry>, revision: StoreRevision): void {
     for (const [key, entry] of records) {
       if (this.records.get(key) !== entry) {
         this.changeRevisions.set(key, revision);
@@ -38,15 +40,17 @@
   }
 
   /** Changes after a revision. Undefined if removals since then have been evicted. */
-  changesSince(revision: number): RecordChanges<Entry> | undefined {
-    if (revision < this.removalsKnownSince) {
+  changesSince(revision: StoreRevision): RecordChanges<Entry> | undefined {
+    if (this.removalsKnownSince.isAfter(revision)) {
       return undefined;
     }
     return {
       changed: [...this.records].flatMap(([key, entry]) =>
-        (this.changeRevisions.get(key) ?? 0) > revision ? [entry] : [],
+        this.changeRevisions.get(key)?.isAfter(revision) === true ? [entry] : [],
+      ),
+      removed: [...this.removalRevisions].flatMap(([key, at]) =>
+        at.isAfter(revision) ? [key] : [],
       ),
-      removed: [...this.removalRevisions].flatMap(([key, at]) => (at > revision ? [key] : [])),
     };
   }
 
@@ -72,15 +76,16 @@
    */
   private readonly clock: Clock;
 
-  private readonly endpoints = new RecordChangeLog<EndpointRecord>();
+  private endpoints = new RecordChangeLog<EndpointRecord>();
 
-  private readonly peers = new RecordChangeLog<PeerRecord>();
+  private peers = new RecordChangeLog<PeerRecord>();
 
   private latest: ViewSnapshot | undefined;
 
-  private firstRevision = Number.POSITIVE_INFINITY;
+  /** Of the first snapshot of the era; undefined before it. */
+  private firstRevision: StoreRevision | undefined;
 
-  private revision = 0;
+  private revision = StoreRevision.None;
 
   private requestedAtMilliseconds = Number.NEGATIVE_INFINITY;
 
@@ -93,24 +98,29 @@
     { snapshot, revision, maximumRevision }: ViewReadResult,
     requestedAtMilliseconds: number,
   ): void {
+    if (revision.era !== this.revision.era) {
+      this.forgetEarlierEra();
+    }
     this.endpoints.apply(
       new Map(snapshot.endpoints.map((record) => [record.identifier, record])),
       maximumRevision,
     );
     this.peers.apply(new Map(snapshot.peers.map((peer) => [peer.instance, peer])), maximumRevision);
     this.latest = snapshot;
-    this.firstRevision = Math.min(this.firstRevision, maximumRevision);
-    this.revision = Math.max(this.revision, revision);
+    this.firstRevision ??= maximumRevision;
+    this.revision = laterRevision(this.revision, revision);
     this.requestedAtMilliseconds = Math.max(this.requestedAtMilliseconds, requestedAtMilliseconds);
   }
 
   /** Changes since a revision. Undefined if the requester has to read the store itself. */
-  changesSince(revision: number): ViewChanges | undefined {
+  changesSince(revision: StoreRevision): ViewChanges | undefined {
     const endpoints = this.endpoints.changesSince(revision);
     const peers = this.peers.changesSince(revision);
     if (
       this.latest === undefined ||
-      revision < this.firstRevision ||
+      this.firstRevision === undefined ||
+      revision.era !== this.revision.era ||
+      this.firstRevision.isAfter(revision) ||
       endpoints === undefined ||
       peers === undefined
     ) {
@@ -125,4 +135,12 @@
       peers,
     };
   }
+
+  /** After a restore of the store, changes since revisions of the earlier era are unknown. */
+  private forgetEarlierEra(): void {
+    this.endpoints = new RecordChangeLog();
+    this.peers = new RecordChangeLog();
+    this.firstRevision = undefined;
+    this.revision = StoreRevision.None;
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -6,6 +6,7 @@
   encodePeerMessage,
   PeerMessageKind,
 } from 'hickoryrelay-forwarding/PeerMessage';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { makeEndpoint } from './ForwardingFixture.js';
 
@@ -38,8 +39,12 @@
   PeerMessageKind.ZoneLoad,
 );
 
+const revisionArbitrary = fastCheck
+  .tuple(fastCheck.nat(), fastCheck.nat())
+  .map(([era, number]) => new StoreRevision(era, number));
+
 const changesArbitrary = fastCheck.record({
-  revision: fastCheck.nat(),
+  revision: revisionArbitrary,
   ageMilliseconds: fastCheck.nat(),
   configurationVersion: fastCheck.option(fastCheck.nat(), { nil: undefined }),
   isAuthorityHeld: fastCheck.boolean(),
@@ -68,7 +73,7 @@
     kind: fastCheck.constant(PeerMessageKind.ViewRequest),
     requester: addressArbitrary,
     number: fastCheck.nat(),
-    sinceRevision: fastCheck.nat(),
+    sinceRevision: revisionArbitrary,
   }),
   fastCheck.record({
     kind: fastCheck.constant(PeerMessageKind.ViewResponse),
@@ -101,7 +106,7 @@
 
 function makeChanges(changes: object = {}) {
   return {
-    revision: 1,
+    revision: new StoreRevision(1, 1),
     ageMilliseconds: 0,
     configurationVersion: 1,
     isAuthorityHeld: false,
@@ -167,19 +172,21 @@
   });
 
   it.each([
-    ['revision', 1e300],
-    ['revision', Number.NaN],
+    ['revision', new StoreRevision(1, 1e300)],
+    ['revision', new StoreRevision(1, Number.NaN)],
+    ['revision', new StoreRevision(0.5, 1)],
     ['ageMilliseconds', -1e300],
     ['ageMilliseconds', Number.NaN],
-  ])('have no changes if the field %s is %d', (field, value) => {
+  ])('have no changes if the field %s is %o', (field, value) => {
     expect(decodeChanges(makeChanges({ [field]: value }))).toBeUndefined();
   });
 
   it.each([0, 0.5, -1, 70_000, 1e300])('are rejected if the sender has port %d', (port) => {
     const address = { host: '10.0.0.1', port };
     const usage = { window: 1, incarnation: 'i', counts: {}, isFinal: true };
+    const sinceRevision = new StoreRevision(1, 1);
     const messages = [
-      { kind: PeerMessageKind.ViewRequest, requester: address, number: 1, sinceRevision: 1 },
+      { kind: PeerMessageKind.ViewRequest, requester: address, number: 1, sinceRevision },
       { kind: PeerMessageKind.UsageCountsReport, reporter: address, number: 1, usage },
       { kind: PeerMessageKind.UsageCountsHandoff, reporter: address, number: 1, usage },
     ];
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
@@ -8,6 +8,7 @@
 import { ViewRelay } from 'hickoryrelay-forwarding/ViewRelay';
 import { ViewSource } from 'hickoryrelay-forwarding/ViewSource';
 import { ZoneRelaySelector } from 'hickoryrelay-forwarding/ZoneRelaySelector';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { HEARTBEAT_MILLISECONDS, makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
 import { InMemoryPeerNetwork, makePeer } from './InMemoryPeerNetwork.js';
@@ -33,7 +34,7 @@
 
   peers: readonly PeerRecord[] = [];
 
-  private revision = 10;
+  private revision = new StoreRevision(1, 10);
 
   private configuration: ForwardingConfiguration = makeConfiguration({ version: 1 });
 
@@ -77,8 +78,14 @@
     };
   }
 
+  /** Comes back as it was some changes ago, and assigns their revisions again. */
+  restore(changes: number): void {
+    this.endpoints.clear();
+    this.revision = new StoreRevision(this.revision.era + 1, this.revision.number - changes);
+  }
+
   private recordState(at: number): void {
-    this.revision += 1;
+    this.revision = this.revision.next;
     const { version } = this.configuration;
     this.history.push({
       at,
@@ -249,6 +256,25 @@
     expect(zone.members[3]?.view.ageMilliseconds).toBeGreaterThan(before + 3000);
   });
 
+  // Guards against a relay that takes revisions assigned again for ones it has passed on.
+  it('passes on the changes after the store has been restored', async () => {
+    const zone = new TestZone(6);
+    for (let slots = 1; slots <= 20; slots += 1) {
+      zone.store.put('e1', slots, zone.clock.monotonicMilliseconds());
+    }
+    await zone.readAll();
+    await zone.readAll();
+    zone.store.restore(15);
+    await zone.readAll();
+    zone.store.configure(zone.clock.monotonicMilliseconds());
+    zone.store.put('e2', 1, zone.clock.monotonicMilliseconds());
+    await zone.readAll();
+    for (const { view } of zone.members) {
+      expect(view.configuration?.version).toBe(2);
+      expect(view.endpoints.map(({ identifier }) => identifier)).toContain('e2');
+    }
+  });
+
   // Guards against losing all endpoints whose registrations expired during a store outage.
   it('retains missing endpoints after an outage in which the relay was queried', async () => {
     const zone = new TestZone(6);
