Keep fencing numbers rising across a restore of the store

A store that is restored from an older copy forgets the last fencing numbers and the lease of the holder.

Before: 'does not use a fencing number again that the store has forgotten' and two more tests of ZoneAuthority fail on the earlier code.

Fencing numbers now begin above a floor that rises with the era of the store. A holder ends its term when a response shows a new era. The first term of an era begins a lease after its instance has observed the era, when all terms of the earlier era have expired.

--- /dev/null
+++ b/packages/hickoryrelay-zone/src/FencingNumbers.ts
@@ -0,0 +1,13 @@
+/**
+ * Fencing numbers between the floors of two eras of the store. An era must not use up more: the next
+ * one would then assign some of them again.
+ */
+const FENCING_NUMBERS_PER_ERA = 1_000_000;
+
+/**
+ * The number above which all fencing numbers of an era of the store lie. A store that is restored
+ * from an older copy has forgotten the last numbers, so the stored counter alone would go back.
+ */
+export function fencingFloorOf(era: number): number {
+  return era * FENCING_NUMBERS_PER_ERA;
+}
--- a/packages/hickoryrelay-zone/src/ZoneAuthority.ts
+++ b/packages/hickoryrelay-zone/src/ZoneAuthority.ts
@@ -66,6 +66,8 @@
    * acquires no new one, which would last for seconds only.
    */
   readonly isStopping?: () => boolean;
+  /** Returns the number above which the fencing numbers of the store's current era lie. */
+  readonly fencingFloor?: () => number;
 }
 
 /**
@@ -130,8 +132,11 @@
     term: AuthorityTerm,
     { clock, signal }: TaskContext,
   ): AsyncGenerator<void, void, void> {
-    const { zone, lifecycle, log } = this.parts;
+    const { zone, store, lifecycle, log } = this.parts;
     const { fencingNumber } = term;
+    const { current: era } = store.era;
+    // A restored store has forgotten the lease, so another instance may acquire the authority.
+    const removeObserver = store.era.onRestore(() => term.end());
     log.info('Authority over the zone was acquired.', { zone, fencingNumber });
     const taskLifecycle = lifecycle.child(`term ${fencingNumber} of ${zone}`);
     this.term = term;
@@ -150,9 +155,10 @@
           this.times.renewalIntervalMilliseconds / (isRenewed ? 1 : RETRY_INTERVAL_DIVISOR);
       }
     } finally {
+      removeObserver();
       term.end();
       this.term = undefined;
-      this.previousTerm = signal.aborted ? undefined : term;
+      this.previousTerm = signal.aborted || store.era.current !== era ? undefined : term;
       this.lastHeld = { fencingNumber, endedMilliseconds: clock.monotonicMilliseconds() };
       log.info('Authority over the zone has ended.', { zone, fencingNumber });
       // The lease is revoked only after the tasks have stopped and no order is pending, so that no
@@ -210,16 +216,33 @@
     return elapsed < this.times.leaseSeconds * MILLISECONDS_PER_SECOND;
   }
 
+  /**
+   * True if no instance has held the authority in this era of the store, and a term of the earlier
+   * era, whose lease the store has forgotten, may still be held by an instance out of its reach.
+   */
+  private mustAwaitEarlierEra(newestFencingNumber: number, fencingFloor: number): boolean {
+    const leaseMilliseconds = this.times.leaseSeconds * MILLISECONDS_PER_SECOND;
+    return (
+      newestFencingNumber < fencingFloor &&
+      this.parts.store.era.observedForMilliseconds < leaseMilliseconds
+    );
+  }
+
   private async acquire(clock: Clock): Promise<AuthorityTerm | undefined> {
     const { store, zone, holder } = this.parts;
     const counter = await store.get(fencingKey(zone));
-    if (this.mustWaitAfter(Number(counter?.value ?? 0), clock)) {
+    const fencingFloor = this.parts.fencingFloor?.() ?? 0;
+    const newestFencingNumber = Number(counter?.value ?? 0);
+    const mustWait =
+      this.mustWaitAfter(newestFencingNumber, clock) ||
+      this.mustAwaitEarlierEra(newestFencingNumber, fencingFloor);
+    if (mustWait) {
       return undefined;
     }
     // The lease starts when it is granted, so the term is counted from before the request.
     const requestedMilliseconds = clock.monotonicMilliseconds();
     const { identifier, timeToLiveSeconds } = await store.grantLease(this.times.leaseSeconds);
-    const fencingNumber = Number(counter?.value ?? 0) + 1;
+    const fencingNumber = Math.max(newestFencingNumber, fencingFloor) + 1;
     const { marginMilliseconds } = this.times;
     const term = new AuthorityTerm({ zone, holder, fencingNumber, lease: identifier }, clock, {
       requestedMilliseconds,
--- a/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
@@ -8,6 +8,7 @@
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 import { ProcessClock } from 'hickoryrelay-standin/ProcessClock';
 import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
+import { fencingFloorOf } from 'hickoryrelay-zone/FencingNumbers';
 import { DEFAULT_AUTHORITY_TIMES, ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
 import { authorityKey, fencingKey } from 'hickoryrelay-zone/ZoneKeyUtils';
 
@@ -23,7 +24,12 @@
     table = new KeyValueTable(clock);
   });
 
-  function createCandidate(holder: string, seed = 1, isStopping = () => false) {
+  function createCandidate(
+    holder: string,
+    seed = 1,
+    isStopping = () => false,
+    fencingFloor = () => 0,
+  ) {
     const process = new ProcessClock(clock);
     const store = new InProcessKeyValueStore(table, clock, process);
     const lifecycle = new LifecycleManager(holder, process, () => {});
@@ -36,6 +42,7 @@
       lifecycle,
       createTasks: () => [],
       isStopping,
+      fencingFloor,
     });
     return {
       process,
@@ -51,6 +58,81 @@
     return value === undefined ? undefined : (JSON.parse(value) as { holder: string }).holder;
   }
 
+  describe('after the store was restored from an older copy', () => {
+    const floorOf = ({ store }: { store: InProcessKeyValueStore }) =>
+      fencingFloorOf(store.era.current ?? 0);
+
+    function createObservingCandidate(holder: string, seed: number) {
+      const candidate: ReturnType<typeof createCandidate> = createCandidate(
+        holder,
+        seed,
+        () => false,
+        () => floorOf(candidate),
+      );
+      candidate.store.era.observe(1);
+      return candidate;
+    }
+
+    /** Forgets the last term and its number, as a copy from before it would. */
+    function forgetTerm(): void {
+      const [counter] = table.range(fencingKey(ZONE)).values;
+      table.commit({
+        compare: [],
+        success: [
+          { type: 'delete', key: authorityKey(ZONE) },
+          { type: 'put', key: fencingKey(ZONE), value: String(Number(counter?.value ?? 0) - 1) },
+        ],
+        failure: [],
+      });
+    }
+
+    // Guards against two holders that use the same fencing number (ONE).
+    it('does not use a fencing number again that the store has forgotten', async () => {
+      const both = [createObservingCandidate('first', 1), createObservingCandidate('second', 2)];
+      const numbers = new Set<number>();
+      const holders = () => both.flatMap(({ authority }) => authority.currentTerm ?? []);
+      both.forEach((each) => each.start());
+      for (let era = 2; era < 6; era += 1) {
+        await clock.advance(30_000);
+        const [term] = holders();
+        expect(term?.fencingNumber).toBeGreaterThan(Math.max(0, ...numbers));
+        numbers.add(term?.fencingNumber ?? 0);
+        forgetTerm();
+        both.forEach(({ store }) => store.era.observe(era));
+      }
+      expect(numbers.size).toBe(4);
+    });
+
+    // Guards against two instances that act at the same time.
+    it('does not grant the authority while a term of the earlier era may be held', async () => {
+      const first = createObservingCandidate('first', 1);
+      first.start();
+      await clock.advance(30_000);
+      const second = createObservingCandidate('second', 2);
+      second.start();
+      await clock.advance(1000);
+      expect(first.authority.currentTerm).toBeDefined();
+      first.store.exchange.faults.defaultFault = Fault.Refuse;
+      forgetTerm();
+      second.store.era.observe(2);
+      for (let passed = 0; passed < 2 * LEASE_MILLISECONDS; passed += 100) {
+        await clock.advance(100);
+        const isBothHeld = first.authority.currentTerm && second.authority.currentTerm;
+        expect(isBothHeld).toBeUndefined();
+      }
+      expect(second.authority.currentTerm).toBeDefined();
+    });
+
+    it('ends the term of a holder that learns of the restore', async () => {
+      const first = createObservingCandidate('first', 1);
+      first.start();
+      await clock.advance(30_000);
+      const term = first.authority.currentTerm;
+      first.store.era.observe(2);
+      expect(term?.isHeld).toBe(false);
+    });
+  });
+
   // Guards against two holders at a time, and an authority that alternates between candidates.
   it('grants the authority to one of two candidates, which keeps it', async () => {
     const both = [createCandidate('first', 1), createCandidate('second', 2)];
