Keep what is known of endpoints and instances when the store is restored

After a restore, registrations of the copy were taken for current: an endpoint that had reported that it is leaving was ready again, one that had left was back (DRAIN), and instances and endpoints that had registered since the copy were missing, so that each instance took a larger part of the retry budget (BUDGET).

Before: four new tests of ConfirmedView fail, for example 'expected "ready" to be "leaving"'.

For as long as an old registration can stay in the store, a leaving endpoint stays leaving and a removed one stays removed, by incarnation. Endpoints that the copy lacks are retained for the recovery time, and instances for the length of their lease.

--- a/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
+++ b/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
@@ -1,4 +1,6 @@
 import { EndpointPhase } from './EndpointRecord.js';
+import { PEER_LEASE_MILLISECONDS } from './PeerRecord.js';
+import { RestoredEntryFilter } from './RestoredEntryFilter.js';
 
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { ForwardingConfiguration } from './ForwardingConfiguration.js';
@@ -15,6 +17,9 @@
 /** Heartbeat periods without a renewal after which a registration can expire, at the earliest. */
 const MINIMUM_MISSED_HEARTBEATS = 2;
 
+/** Heartbeat periods without a renewal after which a registration expires. */
+const MAXIMUM_MISSED_HEARTBEATS = 3;
+
 /** The records of one read of the store. */
 export interface ViewSnapshot {
   /** Undefined until the operator has written a configuration. */
@@ -70,6 +75,13 @@
 
   private retainMissingUntilMilliseconds = Number.NEGATIVE_INFINITY;
 
+  private retainPeersUntilMilliseconds = Number.NEGATIVE_INFINITY;
+
+  /** Era of the store in which the latest snapshot was read. */
+  private era: number | undefined;
+
+  private readonly restoredEntries: RestoredEntryFilter;
+
   /**
    * Endpoints renew their registrations about every `heartbeatMilliseconds` and may miss three
    * heartbeats.
@@ -77,6 +89,9 @@
   constructor(clock: Clock, heartbeatMilliseconds: number) {
     this.clock = clock;
     this.minimumExpiryMilliseconds = heartbeatMilliseconds * MINIMUM_MISSED_HEARTBEATS;
+    this.restoredEntries = new RestoredEntryFilter(
+      heartbeatMilliseconds * MAXIMUM_MISSED_HEARTBEATS + REGISTRATION_RECOVERY_MILLISECONDS,
+    );
   }
 
   get configuration(): ForwardingConfiguration | undefined {
@@ -115,11 +130,21 @@
     this.hasFailedReads = true;
   }
 
-  /** Applies a snapshot whose read was requested at the given time. */
-  apply(snapshot: ViewSnapshot, requestedAtMilliseconds: number): ViewDifference {
+  /**
+   * Applies a snapshot whose read was requested at the given time, and which reflects the store in the
+   * given era.
+   */
+  apply(snapshot: ViewSnapshot, requestedAtMilliseconds: number, era = 0): ViewDifference {
     const now = this.clock.monotonicMilliseconds();
+    const isRestored = this.era !== undefined && era > this.era;
+    this.era = era;
+    if (isRestored) {
+      this.restoredEntries.begin(now);
+      this.retainPeersUntilMilliseconds = now + PEER_LEASE_MILLISECONDS;
+    }
     const gapMilliseconds = requestedAtMilliseconds - this.confirmedAtMilliseconds;
-    const mayHaveExpired = this.hasFailedReads && gapMilliseconds > this.minimumExpiryMilliseconds;
+    const mayHaveExpired =
+      isRestored || (this.hasFailedReads && gapMilliseconds > this.minimumExpiryMilliseconds);
     if (mayHaveExpired) {
       this.retainMissingUntilMilliseconds = now + REGISTRATION_RECOVERY_MILLISECONDS;
     }
@@ -130,16 +155,24 @@
     if (isNewer) {
       this.currentConfiguration = snapshot.configuration;
     }
-    const records = new Map(snapshot.endpoints.map((record) => [record.identifier, record]));
+    const records = new Map(
+      snapshot.endpoints.flatMap((stored) => {
+        const known = this.records.get(stored.identifier);
+        const record = this.restoredEntries.apply(stored, known, now);
+        return record === undefined ? [] : [[record.identifier, record] as const];
+      }),
+    );
     const removed: EndpointRecord[] = [];
     for (const known of this.records.values()) {
       if (!records.has(known.identifier)) {
         // An endpoint missing since an earlier outage has already had its recovery time.
-        const hadRecoveryTime = mayHaveExpired && known.phase === EndpointPhase.Unconfirmed;
+        const hadRecoveryTime =
+          mayHaveExpired && !isRestored && known.phase === EndpointPhase.Unconfirmed;
         if (now < this.retainMissingUntilMilliseconds && !hadRecoveryTime) {
           records.set(known.identifier, markUnconfirmed(known));
         } else {
           removed.push(known);
+          this.restoredEntries.recordRemoval(known, now);
         }
       }
     }
@@ -149,7 +182,7 @@
     });
     const added = [...records.values()].filter(({ identifier }) => !this.records.has(identifier));
     this.records = records;
-    this.registeredPeers = snapshot.peers;
+    this.registeredPeers = this.withRetainedPeers(snapshot.peers, now);
     this.hasAuthorityHolder = snapshot.isAuthorityHeld;
     this.confirmedAtMilliseconds = Math.max(this.confirmedAtMilliseconds, requestedAtMilliseconds);
     return {
@@ -159,4 +192,13 @@
       removed,
     };
   }
+
+  /** Adds the instances whose registration the store has lost, for as long as it would have lasted. */
+  private withRetainedPeers(peers: readonly PeerRecord[], now: number): readonly PeerRecord[] {
+    if (now >= this.retainPeersUntilMilliseconds) {
+      return peers;
+    }
+    const registered = new Set(peers.map(({ instance }) => instance));
+    return [...peers, ...this.registeredPeers.filter(({ instance }) => !registered.has(instance))];
+  }
 }
--- a/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
@@ -38,6 +38,13 @@
   readonly isReclaimable: boolean;
 }
 
+/**
+ * Distinguishes the incarnations of an endpoint, which may reuse its identifier after a restart.
+ */
+export function incarnationKey(record: EndpointRecord): string {
+  return `${record.identifier}/${record.startedMilliseconds}/${record.address}`;
+}
+
 /** Identifiers are sent in a header, which cannot carry other characters. */
 const IDENTIFIER_PATTERN = /^[\u0021-\u007e]{1,200}$/u;
 
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -1,6 +1,6 @@
 import { EndpointAvailability } from 'hickoryrelay-endpoint/EndpointAvailability';
 
-import { EndpointPhase } from './EndpointRecord.js';
+import { EndpointPhase, incarnationKey } from './EndpointRecord.js';
 import { EndpointState } from './EndpointState.js';
 
 import type { EndpointRecord } from './EndpointRecord.js';
@@ -13,13 +13,6 @@
  */
 const MAXIMUM_UNREGISTERED = 256;
 
-/**
- * Distinguishes the incarnations of an endpoint, which may reuse its identifier after a restart.
- */
-function incarnationKey(record: EndpointRecord): string {
-  return `${record.identifier}/${record.startedMilliseconds}/${record.address}`;
-}
-
 /** The endpoints of all services, with their observed load and health. */
 export class EndpointRegistry {
   private states = new Map<string, EndpointState>();
--- a/packages/hickoryrelay-forwarding/src/PeerRecord.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerRecord.ts
@@ -16,6 +16,9 @@
   readonly cores: number;
 }
 
+/** Time after which the registration of a stopped instance expires. */
+export const PEER_LEASE_MILLISECONDS = 5000;
+
 /** Prefix of the keys of registered instances. It sorts between the operator and endpoint keys. */
 export const PEERS_PREFIX = 'peers/';
 
--- a/packages/hickoryrelay-forwarding/src/PeerRegistrationTask.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerRegistrationTask.ts
@@ -2,19 +2,18 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
 
-import { PEERS_PREFIX } from './PeerRecord.js';
+import { PEER_LEASE_MILLISECONDS, PEERS_PREFIX } from './PeerRecord.js';
 
 import type { PeerRecord } from './PeerRecord.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
 
-/** Time after which the registration of a stopped instance expires. */
-const LEASE_SECONDS = 5;
-
 /** Allows three renewals within a lease. */
 const RENEWAL_PERIOD_MILLISECONDS = 1500;
 
+const MILLISECONDS_PER_SECOND = 1000;
+
 /** Registers this instance under a lease and renews the lease while the instance runs. */
 export class PeerRegistrationTask extends Task {
   override readonly name = 'peer registration';
@@ -55,7 +54,9 @@
       if (this.lease !== undefined && (await this.store.keepLeaseAlive(this.lease)) > 0) {
         return;
       }
-      const { identifier } = await this.store.grantLease(LEASE_SECONDS);
+      const { identifier } = await this.store.grantLease(
+        PEER_LEASE_MILLISECONDS / MILLISECONDS_PER_SECOND,
+      );
       await this.store.commit({
         compare: [],
         success: [
--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -50,8 +50,12 @@
     const { source, view, registry, link, budgets, log, periodMilliseconds } = this.parts;
     const requestedAtMilliseconds = view.now();
     try {
-      const { snapshot, ageMilliseconds, periodFraction } = await source.read();
-      const difference = view.apply(snapshot, requestedAtMilliseconds - ageMilliseconds);
+      const { snapshot, revision, ageMilliseconds, periodFraction } = await source.read();
+      const difference = view.apply(
+        snapshot,
+        requestedAtMilliseconds - ageMilliseconds,
+        revision.era,
+      );
       const restarted = registry.replace(view.endpoints);
       link.retain(view.endpoints);
       budgets.setInstanceCount(view.peers.length);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
@@ -9,8 +9,12 @@
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
 
+import { PEER_LEASE_MILLISECONDS } from 'hickoryrelay-forwarding/PeerRecord';
+
 import { HEARTBEAT_MILLISECONDS, makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
 
+import type { ViewSnapshot } from 'hickoryrelay-forwarding/ConfirmedView';
+
 const snapshotOf = (names: readonly string[], version = 1) => ({
   configuration: makeConfiguration({ version }),
   endpoints: names.map((name) => makeEndpoint(name)),
@@ -22,6 +26,87 @@
   return view.endpoints.map(({ identifier }) => identifier).sort();
 }
 
+describe('ConfirmedView of a store that was restored from an older copy', () => {
+  const peersOf = (names: readonly string[]) =>
+    names.map((instance) => ({ instance, zone: 'z', host: '10.0.0.1', port: 7, cores: 1 }));
+  const windowMilliseconds = 3 * HEARTBEAT_MILLISECONDS + REGISTRATION_RECOVERY_MILLISECONDS;
+
+  function makeView() {
+    const clock = new ManualClock();
+    const view = new ConfirmedView(clock, HEARTBEAT_MILLISECONDS);
+    const apply = (snapshot: ViewSnapshot, era: number) =>
+      view.apply(snapshot, clock.monotonicMilliseconds(), era);
+    return { clock, view, apply };
+  }
+
+  const withLeaving = (name: string, others: readonly string[] = []) => ({
+    ...snapshotOf(others),
+    endpoints: [
+      { ...makeEndpoint(name), phase: EndpointPhase.Leaving },
+      ...others.map((other) => makeEndpoint(other)),
+    ],
+  });
+
+  // Guards against requests to an endpoint that is leaving (DRAIN).
+  it('keeps an endpoint leaving whose older registration says that it is ready', async () => {
+    const { clock, view, apply } = makeView();
+    apply(snapshotOf(['a', 'b']), 1);
+    apply(withLeaving('a', ['b']), 1);
+    apply(snapshotOf(['a', 'b']), 2);
+    expect(view.endpoints.find(({ identifier }) => identifier === 'a')?.phase).toBe(
+      EndpointPhase.Leaving,
+    );
+    await clock.advance(windowMilliseconds);
+    apply(snapshotOf(['a', 'b']), 2);
+    expect(namesOf(view)).toEqual(['a', 'b']);
+  });
+
+  // Guards against requests to an endpoint that has left (DRAIN).
+  it('leaves out a removed endpoint that is back, until its registration would have expired', async () => {
+    const { clock, view, apply } = makeView();
+    apply(snapshotOf(['a', 'b']), 1);
+    apply(snapshotOf(['b']), 1);
+    apply(snapshotOf(['a', 'b']), 2);
+    expect(namesOf(view)).toEqual(['b']);
+    await clock.advance(windowMilliseconds);
+    apply(snapshotOf(['a', 'b']), 2);
+    expect(namesOf(view)).toEqual(['a', 'b']);
+  });
+
+  it('uses a new incarnation of a removed endpoint at once', () => {
+    const { view, apply } = makeView();
+    apply(snapshotOf(['a', 'b']), 1);
+    apply(snapshotOf(['b']), 1);
+    const restarted = makeEndpoint('a', { startedMilliseconds: 77 });
+    apply({ ...snapshotOf([]), endpoints: [restarted, makeEndpoint('b')] }, 2);
+    expect(namesOf(view)).toEqual(['a', 'b']);
+  });
+
+  // Guards against losing the endpoints that have registered since the copy.
+  it('retains endpoints that the copy lacks for the recovery time', async () => {
+    const { clock, view, apply } = makeView();
+    apply(snapshotOf(['a', 'b']), 1);
+    apply(snapshotOf(['a']), 2);
+    expect(namesOf(view)).toEqual(['a', 'b']);
+    await clock.advance(REGISTRATION_RECOVERY_MILLISECONDS);
+    apply(snapshotOf(['a']), 2);
+    expect(namesOf(view)).toEqual(['a']);
+  });
+
+  // Guards against retry budgets that are divided among the few instances that the copy has (BUDGET).
+  it('retains the registered instances until their leases would have expired', async () => {
+    const { clock, view, apply } = makeView();
+    apply({ ...snapshotOf([]), peers: peersOf(['p', 'q', 'r']) }, 1);
+    apply({ ...snapshotOf([]), peers: peersOf(['p']) }, 2);
+    expect(view.peers.map(({ instance }) => instance)).toEqual(['p', 'q', 'r']);
+    apply({ ...snapshotOf([]), peers: peersOf(['r', 'p']) }, 2);
+    expect(view.peers.map(({ instance }) => instance)).toEqual(['r', 'p', 'q']);
+    await clock.advance(PEER_LEASE_MILLISECONDS);
+    apply({ ...snapshotOf([]), peers: peersOf(['p', 'r']) }, 2);
+    expect(view.peers.map(({ instance }) => instance)).toEqual(['p', 'r']);
+  });
+});
+
 describe('ConfirmedView', () => {
   it('never replaces the configuration by an earlier version', () => {
     const view = new ConfirmedView(new ManualClock(), HEARTBEAT_MILLISECONDS);
