Write the crash evidence again after a restore of the store

Before: 'are known after the store was restored and all instances have restarted' fails with 'expected 6 to be less than or equal to 5'.

After a restore each instance reads the evidence again after a random delay, and writes it if it is missing.

--- a/packages/hickoryrelay-forwarding/src/CrashEvidenceStoreTask.ts
+++ b/packages/hickoryrelay-forwarding/src/CrashEvidenceStoreTask.ts
@@ -93,14 +93,21 @@
 
   private storedAtMilliseconds = Number.NEGATIVE_INFINITY;
 
+  /** True after a restore of the store, which may have lost the evidence. */
+  private mayBeLost = false;
+
   constructor(parts: CrashEvidenceStoreParts) {
     super();
     this.parts = parts;
   }
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
-    const { random, log } = this.parts;
+    const { store, random, log } = this.parts;
     let hasFailed = false;
+    const removeObserver = store.era.onRestore(() => {
+      this.mayBeLost = true;
+    });
+    signal.addEventListener('abort', removeObserver, { once: true });
     for (;;) {
       const isKnown = this.storedSegments !== undefined;
       if (!isKnown || this.isOutdated(clock.monotonicMilliseconds())) {
@@ -133,13 +140,14 @@
     const { segments } = this;
     const isRenewalDue =
       segments !== '' && now - this.storedAtMilliseconds > RENEWAL_PERIOD_MILLISECONDS;
-    return segments !== this.storedSegments || isRenewalDue;
+    return this.mayBeLost || segments !== this.storedSegments || isRenewalDue;
   }
 
   /** Reads the stored evidence, and replaces it if another quarantine follows from all evidence. */
   private async synchronize(now: number, wallMilliseconds: number): Promise<void> {
     const { store, evidence, quarantine } = this.parts;
     const entry = await store.get(STORE_KEY);
+    this.mayBeLost = false;
     const stored = entry === undefined ? undefined : decodeStored(entry.value);
     if (stored !== undefined) {
       evidence.merge(aged(stored, wallMilliseconds), quarantine.now);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
@@ -359,6 +359,12 @@
 
   private readonly values = new Map<string, string>();
 
+  /** Comes back from a copy that holds nothing. */
+  restore(): void {
+    this.values.clear();
+    this.era.observe((this.era.current ?? 0) + 1);
+  }
+
   override range(key: string): Promise<RangeResult> {
     this.reads += 1;
     const value = this.values.get(key);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PoisonRequests.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PoisonRequests.test.ts
@@ -105,6 +105,20 @@
     expect(cluster.store.writes).toBeLessThanOrEqual(6);
   });
 
+  // Guards against evidence that is not written again after the store has lost it.
+  it('are known after the store was restored and all instances have restarted', async () => {
+    const cluster = new EngineCluster(15);
+    cluster.store.restore();
+    cluster.clock.schedule(10_000, () => cluster.store.restore());
+    cluster.clock.schedule(13_000, () => {
+      for (let number = 0; number < 6; number += 1) {
+        cluster.restart(number);
+      }
+    });
+    await playPoisonedDay(cluster, 1500);
+    expect(cluster.engines.crashesMilliseconds.length).toBeLessThanOrEqual(TOLERATED_CRASHES);
+  });
+
   it('are known to an instance that its peers do not know yet', async () => {
     const cluster = new EngineCluster(13);
     await playPoisonedDay(cluster);
