Write out responses before the daemon's connections are closed at a stop

A caller that reads slowly lost its last response when the instance stopped.

Cause: the HTTP library's server.close() closes connections whose response has been handed over, whether or not it has been written out, and moleculer-web calls it when the broker stops. Class: "handed over" is taken for "written out", as in the front end of the platform.

Excluded: the drain itself; no call was in flight when the stop began.

The drain of the daemon now ends when all responses are written out, within its deadline. A caller that neither sends nor reads for limits.callerStallSeconds is disconnected, so that it does not hold up the stop until the deadline. Responses to calls that were cut off have 500 ms to be written out.

--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 
 import ApiGateway from 'moleculer-web';
+import { CallerConnections } from 'hickoryrelay/CallerConnections';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 
@@ -25,6 +26,9 @@
 /** How long the rest of a refused request is read and discarded before the connection is closed. */
 const LINGER_MILLISECONDS = 1000;
 
+/** Receives the server of the API and its connections before it listens. */
+export type ServerObserver = (server: Server, connections: CallerConnections) => void;
+
 type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
 function sendJson(response: ServerResponse, status: number, body: object): void {
@@ -44,7 +48,7 @@
   }
 
   /** Returns the schema of the Moleculer service that serves the API. */
-  serviceSchema(onServer: (server: Server) => void): ServiceSchema {
+  serviceSchema(onServer: ServerObserver): ServiceSchema {
     const { settings } = this.instance;
     return {
       name: 'callers',
@@ -95,7 +99,7 @@
   }
 
   /** Replaces the gateway's server factory, which supports neither header limits nor parser errors. */
-  private serverFactory(onServer: (server: Server) => void) {
+  private serverFactory(onServer: ServerObserver) {
     const { instance } = this;
     const { limits } = instance.settings;
     return function createLimitedServer(this: {
@@ -112,10 +116,14 @@
         },
         this.httpHandler,
       );
+      const connections = new CallerConnections(server);
+      server.prependListener('request', ({ socket }, response) =>
+        connections.beginRequest(socket, response),
+      );
       server.maxConnections = limits.connections;
       handleParserErrors(server, limits, () => instance.nextRequestIdentifier());
       this.server = server;
-      onServer(server);
+      onServer(server, connections);
     };
   }
 
--- a/packages/hickoryrelay-instance/src/Drain.ts
+++ b/packages/hickoryrelay-instance/src/Drain.ts
@@ -2,12 +2,16 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 
 import type { ExchangeTable } from './ExchangeTable.js';
+import type { CallerConnections } from 'hickoryrelay/CallerConnections';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { Settings } from 'hickoryrelay-contract/Settings';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** How long the responses to calls that were cut off may take to be written out. */
+const CUT_OFF_RESPONSE_MILLISECONDS = 500;
+
 /** Phases of a graceful shutdown. */
 export const DrainPhase = {
   /** Accepts all calls. */
@@ -20,30 +24,33 @@
 
 export type DrainPhase = (typeof DrainPhase)[keyof typeof DrainPhase];
 
-/** Shuts an instance down gracefully: it completes the calls in flight before the process ends. */
-export class Drain {
-  private readonly limits: Settings['drain'];
-
-  private readonly exchanges: ExchangeTable;
-
-  private readonly clock: Clock;
+/** Constructor arguments of `Drain`. */
+export interface DrainParts {
+  readonly limits: Settings['drain'];
+  readonly exchanges: ExchangeTable;
+  /** The connections of callers. Undefined if the caller API has not been started. */
+  readonly connections: () => CallerConnections | undefined;
+  /** Time after which the connection of a caller that does not read its response is closed. */
+  readonly stallTimeoutMilliseconds: number;
+  readonly clock: Clock;
+  readonly log: ComponentLogger;
+}
 
-  private readonly log: ComponentLogger;
+/**
+ * Shuts an instance down gracefully: it completes the calls in flight and writes out their responses
+ * before the process ends.
+ */
+export class Drain {
+  private readonly parts: DrainParts;
 
   private readonly waitAbort = new AbortController();
 
+  private readonly doneAbort = new AbortController();
+
   private current: DrainPhase = DrainPhase.Open;
 
-  constructor(
-    limits: Settings['drain'],
-    exchanges: ExchangeTable,
-    clock: Clock,
-    log: ComponentLogger,
-  ) {
-    this.limits = limits;
-    this.exchanges = exchanges;
-    this.clock = clock;
-    this.log = log;
+  constructor(parts: DrainParts) {
+    this.parts = parts;
   }
 
   get phase(): DrainPhase {
@@ -51,26 +58,34 @@
   }
 
   /**
-   * Runs through the phases and waits until all calls have ended, or until the deadline or `force`.
-   * Calls that still run then are cancelled; returns their request identifiers.
+   * Runs through the phases and waits until all calls have ended and their responses are written out,
+   * or until the deadline or `force`. Calls that still run then are cancelled; returns their request
+   * identifiers. No connection of a caller is open afterwards.
    */
   async run(): Promise<readonly string[]> {
+    const { limits, exchanges, clock, log } = this.parts;
     const deadlineMilliseconds =
-      this.clock.monotonicMilliseconds() + this.limits.deadlineSeconds * MILLISECONDS_PER_SECOND;
+      clock.monotonicMilliseconds() + limits.deadlineSeconds * MILLISECONDS_PER_SECOND;
     this.current = DrainPhase.Announcing;
-    await this.sleep(this.limits.announceSeconds * MILLISECONDS_PER_SECOND);
+    await this.sleep(limits.announceSeconds * MILLISECONDS_PER_SECOND);
     this.current = DrainPhase.Closed;
-    this.log.info('Draining; new calls are refused.', { callsInFlight: this.exchanges.size });
+    log.info('Draining; new calls are refused.', { callsInFlight: exchanges.size });
     await Promise.race([
-      this.exchanges.whenEmpty(),
-      this.sleep(Math.max(0, deadlineMilliseconds - this.clock.monotonicMilliseconds())),
+      exchanges.whenEmpty().then(() => this.closeConnectionsWhenIdle()),
+      this.sleep(Math.max(0, deadlineMilliseconds - clock.monotonicMilliseconds())),
     ]);
-    const cutOffIdentifiers = this.exchanges.requestIdentifiers;
+    const cutOffIdentifiers = exchanges.requestIdentifiers;
     for (const requestIdentifier of cutOffIdentifiers) {
-      this.log.error('Cut off a call that was still running at shutdown.', { requestIdentifier });
+      log.error('Cut off a call that was still running at shutdown.', { requestIdentifier });
     }
-    this.exchanges.cancelWhere(() => new RelayError({ kind: FailureKind.ShuttingDown }));
-    await this.exchanges.whenEmpty();
+    exchanges.cancelWhere(() => new RelayError({ kind: FailureKind.ShuttingDown }));
+    await exchanges.whenEmpty();
+    await Promise.race([
+      this.closeConnectionsWhenIdle(),
+      clock.sleep(CUT_OFF_RESPONSE_MILLISECONDS, this.doneAbort.signal).catch(() => {}),
+    ]);
+    this.closeConnections();
+    this.doneAbort.abort();
     this.waitAbort.abort();
     return cutOffIdentifiers;
   }
@@ -80,9 +95,25 @@
     this.waitAbort.abort();
   }
 
+  private async closeConnectionsWhenIdle(): Promise<void> {
+    const { connections, stallTimeoutMilliseconds } = this.parts;
+    await connections()?.closeAllWhenIdle(stallTimeoutMilliseconds);
+  }
+
+  private closeConnections(): void {
+    const connections = this.parts.connections();
+    const unsentBytes = connections?.unsentBytes ?? 0;
+    if (unsentBytes > 0) {
+      this.parts.log.error('Cut off responses that callers had not read at shutdown.', {
+        unsentBytes,
+      });
+    }
+    connections?.close();
+  }
+
   private async sleep(milliseconds: number): Promise<void> {
     try {
-      await this.clock.sleep(milliseconds, this.waitAbort.signal);
+      await this.parts.clock.sleep(milliseconds, this.waitAbort.signal);
     } catch {
       // The drain was forced or is complete, so the caller continues with the next phase.
     }
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -37,6 +37,7 @@
 
 import type { AdmissionPolicy } from './AdmissionPolicy.js';
 import type { ExchangeParts } from './Exchange.js';
+import type { CallerConnections } from 'hickoryrelay/CallerConnections';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { Settings } from 'hickoryrelay-contract/Settings';
@@ -50,6 +51,8 @@
 import type { AddressInfo } from 'node:net';
 import type { Logger as ProcessLogger } from 'winston';
 
+const MILLISECONDS_PER_SECOND = 1000;
+
 /** The platform services that an instance uses. */
 export interface PlatformServices {
   readonly keyValue: KeyValueStore;
@@ -117,6 +120,8 @@
 
   private server: Server | undefined;
 
+  private connections: CallerConnections | undefined;
+
   private stopping: Promise<readonly string[]> | undefined;
 
   private readonly controlPlane: ControlPlane;
@@ -132,7 +137,14 @@
     this.requestIdentifiers = new RequestIdentifierGenerator(parts.random);
     this.view = new ConfigurationView(parts.clock);
     const log = createComponentLogger(parts.logger, LogPrefix.Daemon);
-    this.drain = new Drain(parts.settings.drain, this.exchanges, parts.clock, log);
+    this.drain = new Drain({
+      limits: parts.settings.drain,
+      exchanges: this.exchanges,
+      connections: () => this.connections,
+      stallTimeoutMilliseconds: parts.settings.limits.callerStallSeconds * MILLISECONDS_PER_SECOND,
+      clock: parts.clock,
+      log,
+    });
     this.lifecycle = new LifecycleManager('instance', parts.clock, (owner, failure) => {
       log.error('A task or clean-up failed.', { owner, reason: describeFailure(failure) });
     });
@@ -362,8 +374,9 @@
       createComponentLogger(this.parts.logger, LogPrefix.Caller),
     );
     broker.createService(
-      callerApi.serviceSchema((server) => {
+      callerApi.serviceSchema((server, connections) => {
         this.server = server;
+        this.connections = connections;
       }),
     );
     await broker.start();
--- /dev/null
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -0,0 +1,137 @@
+import { Server as SocketServer } from 'node:net';
+
+import { CallerConnection } from './CallerConnection.js';
+
+import type { Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/**
+ * The open connections of an HTTP server. Closes them at a shutdown without losing a request that
+ * has arrived or a response that has not been written out.
+ */
+export class CallerConnections {
+  private readonly server: Server;
+
+  private readonly connections = new Map<Socket, CallerConnection>();
+
+  /** Number of connections accepted so far. */
+  private acceptedCount = 0;
+
+  /** Sockets that this process has closed rather than the caller. */
+  private readonly closed = new WeakSet<Socket>();
+
+  private isIdleCloseScheduled = false;
+
+  /** Defined while connections are closed as soon as they are idle. */
+  private onAllClosed: (() => void) | undefined;
+
+  constructor(server: Server) {
+    this.server = server;
+    server.on('connection', (socket: Socket) => this.add(socket));
+  }
+
+  /** Number of open connections. */
+  get size(): number {
+    return this.connections.size;
+  }
+
+  /** Bytes of responses that wait for their callers to read, in all connections. */
+  get unsentBytes(): number {
+    const sockets = [...this.connections.keys()];
+    return sockets.reduce((sum, { writableLength }) => sum + writableLength, 0);
+  }
+
+  find(socket: Socket): CallerConnection | undefined {
+    return this.connections.get(socket);
+  }
+
+  /** Records a request whose head has been read, until its response has been written out. */
+  beginRequest(socket: Socket, response: ServerResponse): void {
+    this.connections.get(socket)?.beginRequest(response);
+    response.once('close', () => this.continueClosing());
+  }
+
+  /** True if this process has closed the connection, rather than the caller. */
+  wasClosed(socket: Socket): boolean {
+    return this.closed.has(socket);
+  }
+
+  /**
+   * Stops listening and closes idle connections, once connections and requests that have already
+   * arrived are read. May be repeated. Each connection that stays open has a request that is being
+   * read, waits to be handled or is not completely answered.
+   */
+  closeIdle(): void {
+    if (this.isIdleCloseScheduled) {
+      return;
+    }
+    this.isIdleCloseScheduled = true;
+    const { acceptedCount } = this;
+    // After a stall, timers run before sockets are read. An iteration of the event loop accepts a
+    // connection, the next one reads its request.
+    setImmediate(() =>
+      setImmediate(() => {
+        this.isIdleCloseScheduled = false;
+        if (this.acceptedCount > acceptedCount) {
+          this.closeIdle();
+        } else {
+          this.closeIdleNow();
+        }
+      }),
+    );
+  }
+
+  /**
+   * Stops listening and closes each connection when it is idle, or when its caller has neither sent
+   * nor read anything for the given time. Resolves when none is left.
+   */
+  async closeAllWhenIdle(stallTimeoutMilliseconds: number): Promise<void> {
+    for (const socket of this.connections.keys()) {
+      // The HTTP server destroys a socket whose timeout expires.
+      socket.setTimeout(stallTimeoutMilliseconds);
+    }
+    await new Promise<void>((resolve) => {
+      this.onAllClosed = resolve;
+      this.closeIdle();
+    });
+  }
+
+  /** Stops listening and closes all connections, including those with open requests. */
+  close(): void {
+    for (const connection of this.connections.values()) {
+      this.closed.add(connection.socket);
+      connection.close();
+    }
+    this.server.close();
+  }
+
+  private add(socket: Socket): void {
+    this.acceptedCount += 1;
+    this.connections.set(socket, new CallerConnection(socket));
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      this.continueClosing();
+    });
+    this.continueClosing();
+  }
+
+  private continueClosing(): void {
+    if (this.onAllClosed !== undefined) {
+      this.closeIdle();
+    }
+  }
+
+  private closeIdleNow(): void {
+    // The HTTP server would also close connections whose responses have not been written out.
+    SocketServer.prototype.close.call(this.server);
+    for (const { isIdle, socket } of this.connections.values()) {
+      if (isIdle) {
+        this.closed.add(socket);
+        socket.destroy();
+      }
+    }
+    if (this.connections.size === 0) {
+      this.onAllClosed?.();
+    }
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay/src/__tests__/e2e/CallerConnections.test.ts
@@ -0,0 +1,72 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, describe, expect, it } from 'vitest';
+import { CallerConnections } from 'hickoryrelay/CallerConnections';
+
+import type { ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** More than the socket buffers of both ends hold. */
+const LARGE_BODY = Buffer.alloc(16_777_216);
+
+const STALL_MILLISECONDS = 300;
+
+const cleanUps: (() => unknown)[] = [];
+
+afterEach(() => {
+  cleanUps.splice(0).forEach((cleanUp) => cleanUp());
+});
+
+async function startServer(respond: (response: ServerResponse) => void) {
+  const server = createServer();
+  const connections = new CallerConnections(server);
+  server.on('request', ({ socket }, response) => {
+    connections.beginRequest(socket, response);
+    respond(response);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  cleanUps.push(() => connections.close());
+  const { port } = server.address() as AddressInfo;
+  const caller = connect(port, '127.0.0.1');
+  caller.on('error', () => {});
+  cleanUps.push(() => caller.destroy());
+  await once(caller, 'connect');
+  return { connections, caller };
+}
+
+describe('CallerConnections', () => {
+  // Guards against a shutdown that waits for a caller that never reads its response.
+  it('closes the connection of a caller that has stopped reading', async () => {
+    const { connections, caller } = await startServer((response) => response.end(LARGE_BODY));
+    caller.pause();
+    caller.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    while (connections.unsentBytes === 0) {
+      await sleep(1);
+    }
+    await connections.closeAllWhenIdle(STALL_MILLISECONDS);
+    expect(connections.size).toBe(0);
+  });
+
+  it('closes a connection as soon as its response has been written out', async () => {
+    const responses: ServerResponse[] = [];
+    const { connections, caller } = await startServer((response) => responses.push(response));
+    caller.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+    while (responses.length === 0) {
+      await sleep(1);
+    }
+    const closed = connections.closeAllWhenIdle(60_000);
+    await sleep(100);
+    expect(connections.size).toBe(1);
+    let text = '';
+    caller.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+    });
+    const callerClosed = once(caller, 'close');
+    responses[0]?.end('answered');
+    await Promise.all([closed, callerClosed]);
+    expect(text).toContain('answered');
+  });
+});
