Close queued responses when their caller leaves

The second of two pipelined requests ran on after its caller had left.

Cause: Node emits 'close' on the response that has the socket. Responses that wait behind it get the socket later, or never, and no event. Class: an event of a connection is taken for an event of each of its requests.

Excluded: the requests' messages.

CallerConnection, which owns the open responses, closes those without the socket when the socket closes, with one listener for each socket. A response that has been written out is not reported; one that has ended and waits behind another is.

--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -34,6 +34,17 @@
     return this.openResponses.size === 0 && this.socket.bytesRead === this.handledBytes;
   }
 
+  /** Closes the responses that are queued behind another one. Called when the socket has closed. */
+  handleSocketClose(): void {
+    for (const response of [...this.openResponses]) {
+      // Node emits 'close' on the response that has the socket, but not on those that wait for it.
+      if (response.socket === null && !response.writableFinished) {
+        response.destroy();
+        response.emit('close');
+      }
+    }
+  }
+
   /** Closes the connection. The caller cannot take an unfinished response for complete. */
   close(): void {
     if (this.openResponses.size > 0) {
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -107,9 +107,11 @@
 
   private add(socket: Socket): void {
     this.acceptedCount += 1;
-    this.connections.set(socket, new CallerConnection(socket));
+    const connection = new CallerConnection(socket);
+    this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
+      connection.handleSocketClose();
       this.continueClosing();
     });
     this.continueClosing();
--- a/packages/hickoryrelay/src/__tests__/e2e/CallerConnections.test.ts
+++ b/packages/hickoryrelay/src/__tests__/e2e/CallerConnections.test.ts
@@ -69,4 +69,30 @@
     await Promise.all([closed, callerClosed]);
     expect(text).toContain('answered');
   });
+
+  // Guards against calls that run on because their responses wait behind that of another call when
+  // the caller leaves, and against a listener of the socket for each request.
+  it('closes all responses of a pipelined connection whose caller has left', async () => {
+    const responses: ServerResponse[] = [];
+    const closed: boolean[] = [];
+    const { caller } = await startServer((response) => {
+      responses.push(response);
+      response.on('close', () => closed.push(response.writableFinished));
+    });
+    caller.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n'.repeat(20));
+    while (responses.length < 20) {
+      await sleep(1);
+    }
+    const listeners = responses[0]?.req.socket.listenerCount('close') ?? 0;
+    responses[0]?.end('answered');
+    await once(caller, 'data');
+    // This one has ended, but waits for the one before it.
+    responses[2]?.end('not written out');
+    caller.destroy();
+    while (closed.length < responses.length) {
+      await sleep(1);
+    }
+    expect(closed).toEqual([true, ...Array<boolean>(19).fill(false)]);
+    expect(listeners).toBeLessThan(responses.length);
+  });
 });
