Write usage counts again that a restored store has lost

Cause: an instance remembered the counts of its last write and wrote a window again only if they had grown, and dropped counts that it had taken over from a stopped instance once they were written. When the store comes back from an older copy, those counts are gone, nobody writes them again, and the window is reported too low. The writer also compared revisions of the earlier era, which the store assigns again.

Excluded: counts that were never acknowledged, which are repeated as before.

Before: five tests of UsageCounts fail, such as "writes counts again that a restored store has lost": expected 0 to be 4, and "does not replace counts that have the revision of a write from before a restore": expected 4 to be 5.

After: the era of the store is part of what counts as written. On a restore each instance writes its counts of all windows that are not overdue within 0.8 s. Tests of UsageCounts, UsageReports and PeerMessage: 57 passed.

Conclusion: of the counts lost with a copy, those of instances that were killed and that no relay had written stay lost.

--- a/packages/hickoryrelay-forwarding/src/UsageCountsRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageCountsRelay.ts
@@ -2,6 +2,7 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 
 import { PeerMessageKind, randomMessageNumber } from './PeerMessage.js';
+import { RetainedUsageCounts } from './RetainedUsageCounts.js';
 
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { PeerChannel } from './PeerChannel.js';
@@ -21,8 +22,8 @@
 
 const MAXIMUM_HANDOFF_ATTEMPTS = 3;
 
-/** Limit on the entries held for stopped instances; further handoffs are not confirmed. */
-const MAXIMUM_HANDED_OFF_ENTRIES = 200;
+/** Era of a store that does not state one. */
+const UNKNOWN_ERA = 0;
 
 /** Collaborators of the relay. */
 export interface UsageCountsRelayParts {
@@ -52,8 +53,8 @@
 
   private batch: Batch | undefined;
 
-  /** Counts taken over from stopped instances, by window and incarnation. */
-  private readonly handedOff = new Map<string, UsageCounts>();
+  /** Counts taken over from stopped instances, and those written for other instances. */
+  private readonly retained = new RetainedUsageCounts();
 
   private isStopping = false;
 
@@ -110,40 +111,42 @@
   }
 
   /**
-   * Writes the counts taken over from stopped instances. Drops those of windows before the oldest.
+   * Writes the retained counts of other instances that the store does not have: those taken over
+   * from stopped instances and, after the store has been restored, all. Drops those of windows
+   * before the oldest.
    */
-  async writeHandedOff(oldestWindow: number): Promise<void> {
-    for (const [key, usage] of this.handedOff) {
-      if (usage.window < oldestWindow) {
-        this.handedOff.delete(key);
-        this.parts.log.warn(
-          'Dropped usage counts of a stopped instance; could not write them in time.',
-          {
-            window: usage.window,
-            incarnation: usage.incarnation,
-          },
-        );
-      }
+  async writeRetained(oldestWindow: number): Promise<void> {
+    const { writer, log } = this.parts;
+    for (const { window, incarnation } of this.retained.dropBefore(oldestWindow)) {
+      log.warn('Dropped usage counts of a stopped instance; could not write them in time.', {
+        window,
+        incarnation,
+      });
     }
-    const entries = [...this.handedOff];
+    const { era } = this;
+    const entries = this.retained.unstoredIn(era);
     if (entries.length > 0) {
-      await this.parts.writer.write(entries.map(([, usage]) => usage));
-      entries.forEach(([key]) => this.handedOff.delete(key));
+      await writer.write(entries);
+      this.retained.markStored(entries, era);
     }
   }
 
-  /** Hands off again what was taken over from stopped instances, and takes over nothing more. */
+  /** Hands off again what was taken over and not written, and takes over nothing more. */
   async handOffAll(): Promise<void> {
     this.isStopping = true;
     await Promise.all(
-      [...this.handedOff].map(async ([key, usage]) => {
+      this.retained.unstored.map(async (usage) => {
         if (await this.handOff(usage)) {
-          this.handedOff.delete(key);
+          this.retained.remove(usage);
         }
       }),
     );
   }
 
+  private get era(): number {
+    return this.parts.writer.era.current ?? UNKNOWN_ERA;
+  }
+
   private distance({ zone }: PeerRecord): number {
     return zone === this.parts.self.zone ? 0 : 1;
   }
@@ -186,16 +189,18 @@
   }
 
   private acceptHandoff({ reporter, number, usage }: UsageCountsReport): void {
-    if (!this.isStopping && this.handedOff.size < MAXIMUM_HANDED_OFF_ENTRIES) {
-      this.handedOff.set(`${usage.window}/${usage.incarnation}`, usage);
+    if (!this.isStopping && this.retained.add(usage)) {
       this.parts.channel.send(reporter, { kind: PeerMessageKind.UsageCountsConfirmation, number });
     }
   }
 
   private async acceptReport({ reporter, number, usage }: UsageCountsReport): Promise<void> {
     const { channel, log } = this.parts;
+    // Read before the write: counts that were written while the store was restored count as lost.
+    const { era } = this;
     try {
       await this.addToBatch(usage);
+      this.retained.add(usage, era);
       channel.send(reporter, { kind: PeerMessageKind.UsageCountsConfirmation, number });
     } catch (error) {
       log.warn('Could not write usage counts of another instance; it will write them itself.', {
--- a/packages/hickoryrelay-forwarding/src/UsageCountsTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageCountsTask.ts
@@ -10,6 +10,7 @@
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { TaskContext } from 'hickoryrelay/Task';
+import type { StoreEra } from 'hickoryrelay-platform/StoreEra';
 
 /**
  * Fraction of a window's requests that are lost at most when an instance is killed: those counted
@@ -28,11 +29,19 @@
 /** Spreads the final writes of instances that write on their own. */
 const FINAL_WRITE_JITTER_MILLISECONDS = 800;
 
+/**
+ * Spreads the writes of all instances after the store has been restored. The counts are stored again
+ * before a window is sealed, which takes 1.2 s or more after its end.
+ */
+const RESTORE_WRITE_JITTER_MILLISECONDS = 800;
+
 /** Collaborators and settings of the task. */
 export interface UsageCountsTaskParts {
   /** Unique for each start of an instance. */
   readonly incarnation: string;
   readonly relay: UsageCountsRelay;
+  /** Era of the store; counts that were written in an earlier one are written again. */
+  readonly era: StoreEra;
   readonly tally: UsageTally;
   readonly windowMilliseconds: number;
   /** Time after the end of a window at which its usage report is due. */
@@ -49,8 +58,8 @@
 
   private readonly parts: UsageCountsTaskParts;
 
-  /** Encoded counts of the last write, by window. */
-  private readonly lastWritten = new Map<number, string>();
+  /** Encoded counts of the last write and the era of the store before it, by window. */
+  private readonly lastWritten = new Map<number, { encoded: string; era: number | undefined }>();
 
   private hasFailed = false;
 
@@ -60,14 +69,14 @@
   }
 
   /**
-   * Writes the changed counts of this instance and those taken over from stopped instances. In the
-   * last flush before the instance stops, the counts of the current window are final as well.
+   * Writes the counts of this instance that have changed or were written in an earlier era, and those
+   * retained for other instances. In the last flush before the instance stops, the counts of the current window are final as well.
    */
   async flush(wallMilliseconds: number, isLast = false): Promise<void> {
     const { oldest, current } = this.openWindowsAt(wallMilliseconds);
     this.hasFailed = false;
     await this.parts.relay
-      .writeHandedOff(oldest)
+      .writeRetained(oldest)
       .catch((error: unknown) => this.recordFailure(oldest, error));
     for (let window = oldest; window <= current && !this.hasFailed; window += 1) {
       await this.writeWindow(window, isLast || window < current);
@@ -95,10 +104,24 @@
   }
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
-    for (;;) {
-      yield;
-      await clock.sleep(this.nextWriteDelay(clock.wallMilliseconds()), signal);
-      await this.flush(clock.wallMilliseconds());
+    let restore = new AbortController();
+    const unsubscribe = this.parts.era.onRestore(() => restore.abort());
+    try {
+      for (;;) {
+        yield;
+        const wakeSignal = AbortSignal.any([signal, restore.signal]);
+        const delay = this.nextWriteDelay(clock.wallMilliseconds());
+        await clock.sleep(delay, wakeSignal).catch(() => {});
+        if (restore.signal.aborted) {
+          restore = new AbortController();
+          const jitter = this.parts.random.fraction() * RESTORE_WRITE_JITTER_MILLISECONDS;
+          await clock.sleep(jitter, signal);
+        }
+        yield;
+        await this.flush(clock.wallMilliseconds());
+      }
+    } finally {
+      unsubscribe();
     }
   }
 
@@ -135,10 +158,10 @@
   }
 
   private isUnwritten(usage: UsageCounts): boolean {
-    return (
-      Object.keys(usage.counts).length > 0 &&
-      encodeUsageCounts(usage) !== this.lastWritten.get(usage.window)
-    );
+    const last = this.lastWritten.get(usage.window);
+    const isStored =
+      last?.encoded === encodeUsageCounts(usage) && last.era === this.parts.era.current;
+    return Object.keys(usage.counts).length > 0 && !isStored;
   }
 
   private async writeWindow(window: number, isFinal: boolean): Promise<void> {
@@ -146,9 +169,10 @@
     if (!this.isUnwritten(usage)) {
       return;
     }
+    const era = this.parts.era.current;
     try {
       await this.parts.relay.store(usage);
-      this.lastWritten.set(window, encodeUsageCounts(usage));
+      this.lastWritten.set(window, { encoded: encodeUsageCounts(usage), era });
     } catch (error) {
       this.recordFailure(window, error);
     }
--- a/packages/hickoryrelay-forwarding/src/UsageCountsWriter.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageCountsWriter.ts
@@ -7,6 +7,7 @@
 
 import type { AccountCounts } from './UsageTally.js';
 import type { KeyValueStore } from 'hickoryrelay-platform/KeyValueStore';
+import type { StoreEra } from 'hickoryrelay-platform/StoreEra';
 
 /** The store allows 32 entries in a transaction, and each write takes a condition and a put. */
 const MAXIMUM_ENTRIES_PER_WRITE = 16;
@@ -46,14 +47,17 @@
   return Object.values(counts).reduce((sum, count) => sum + count, 0);
 }
 
-/** True if the counts are higher than the stored ones, or equal and newly final. */
-function isNewer(usage: UsageCounts, stored: string | undefined): boolean {
+type CountsOfUsage = Pick<UsageCounts, 'counts' | 'isFinal'>;
+
+/** True if the counts are higher than the previous ones of the instance, or equal and newly final. */
+export function isNewerUsage(usage: CountsOfUsage, previous: CountsOfUsage): boolean {
+  const growth = totalOf(usage.counts) - totalOf(previous.counts);
+  return growth > 0 || (growth === 0 && usage.isFinal && !previous.isFinal);
+}
+
+function isNewerThanStored(usage: UsageCounts, stored: string | undefined): boolean {
   const storedUsage = stored === undefined ? undefined : decodeUsageCounts(stored);
-  if (storedUsage === undefined) {
-    return true;
-  }
-  const growth = totalOf(usage.counts) - totalOf(storedUsage.counts);
-  return growth > 0 || (growth === 0 && usage.isFinal && !storedUsage.isFinal);
+  return storedUsage === undefined || isNewerUsage(usage, storedUsage);
 }
 
 const keyOf = ({ window, incarnation }: UsageCounts) => usageCountsKey(window, incarnation);
@@ -79,6 +83,10 @@
     this.store = store;
   }
 
+  get era(): StoreEra {
+    return this.store.era;
+  }
+
   /** Throws unless these counts or later ones are certainly stored. */
   async write(entries: readonly UsageCounts[]): Promise<void> {
     for (const chunk of chunksOf(entries, MAXIMUM_ENTRIES_PER_WRITE)) {
@@ -107,7 +115,7 @@
       compare: entries.map((usage) => ({
         key: keyOf(usage),
         target: 'mod-revision',
-        operand: this.revisionsOf(usage.window).get(keyOf(usage)) ?? StoreRevision.None,
+        operand: this.revisionOf(usage),
       })),
       success: entries.map((usage) => ({
         type: 'put',
@@ -134,7 +142,14 @@
         stored.set(key, value);
       }
     }
-    return entries.filter((usage) => isNewer(usage, stored.get(keyOf(usage))));
+    return entries.filter((usage) => isNewerThanStored(usage, stored.get(keyOf(usage))));
+  }
+
+  /** Revisions of an earlier era are not used, since the store has assigned them again. */
+  private revisionOf(usage: UsageCounts): StoreRevision {
+    const revision = this.revisionsOf(usage.window).get(keyOf(usage));
+    const isCurrent = revision !== undefined && revision.era === (this.era.current ?? revision.era);
+    return isCurrent ? revision : StoreRevision.None;
   }
 
   private revisionsOf(window: number): Map<string, StoreRevision> {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageCounts.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageCounts.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { invariant } from 'hickoryrelay/Invariant';
+import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
@@ -54,11 +55,16 @@
 
   writes = 0;
 
-  private revision = new StoreRevision(0, 1);
+  private revision = new StoreRevision(1, 1);
+
+  private copy: ReadonlyMap<string, KeyValue> = new Map();
+
+  private copiedRevision = this.revision;
 
   private readonly delayedTransactions: Transaction[] = [];
 
   override range(prefix: string): Promise<RangeResult> {
+    this.era.observe(this.revision.era);
     const values = [...this.items.values()].filter(({ key }) => key.startsWith(prefix));
     return Promise.resolve({ revision: this.revision, values });
   }
@@ -72,9 +78,33 @@
       return Promise.reject(this.noResponse());
     }
     const result = this.execute(transaction);
-    return this.outcome === WriteOutcome.ResponseLost
-      ? Promise.reject(this.noResponse())
-      : Promise.resolve(result);
+    if (this.outcome === WriteOutcome.ResponseLost) {
+      return Promise.reject(this.noResponse());
+    }
+    this.era.observe(this.revision.era);
+    return Promise.resolve(result);
+  }
+
+  /** Copies the current state for a later restore. */
+  takeCopy(): void {
+    this.copy = new Map(this.items);
+    this.copiedRevision = this.revision;
+  }
+
+  /** Restores the last copy, or the empty store, and assigns the revisions after it again. */
+  restore(): void {
+    const era = this.revision.era + 1;
+    const inEra = ({ number }: StoreRevision) => new StoreRevision(era, number);
+    this.items.clear();
+    for (const [key, item] of this.copy) {
+      const { createRevision, modRevision } = item;
+      this.items.set(key, {
+        ...item,
+        createRevision: inEra(createRevision),
+        modRevision: inEra(modRevision),
+      });
+    }
+    this.revision = inEra(this.copiedRevision);
   }
 
   applyDelayed(): void {
@@ -107,7 +137,7 @@
     const holds = compare.every(
       ({ key, operand }) =>
         operand instanceof StoreRevision &&
-        operand.equals(this.items.get(key)?.modRevision ?? StoreRevision.None),
+        operand.number === (this.items.get(key)?.modRevision ?? StoreRevision.None).number,
     );
     if (holds) {
       this.revision = this.revision.next;
@@ -143,6 +173,17 @@
 });
 
 describe('UsageCountsWriter', () => {
+  // Guards against a comparison with a revision that the store has assigned to other counts since.
+  it('does not replace counts that have the revision of a write from before a restore', async () => {
+    const store = new InMemoryStore();
+    const writer = new UsageCountsWriter(store);
+    await writer.write([usageOf('a', 3)]);
+    store.restore();
+    await new UsageCountsWriter(store).write([usageOf('a', 5)]);
+    await writer.write([usageOf('a', 4)]);
+    expect(store.totalOf(usageCountsKey(1, 'a'))).toBe(5);
+  });
+
   // Guards against a delayed write that replaces counts by earlier ones.
   it('never lowers stored counts, in any order of writers, lost responses and delayed writes', async () => {
     const stepArbitrary = fastCheck.record({
@@ -215,6 +256,67 @@
   });
 });
 
+/** An instance that writes its counts directly to the store. */
+function makeSingleInstance() {
+  const { clock, store, relays } = makeZone(1);
+  const tally = new UsageTally(WINDOW_MILLISECONDS);
+  const lifecycle = new LifecycleManager('test', clock, () => {});
+  const [relay] = relays;
+  invariant(relay !== undefined, 'The zone has no instance.');
+  lifecycle.start(
+    new UsageCountsTask({
+      incarnation: 'single',
+      relay,
+      era: store.era,
+      tally,
+      windowMilliseconds: WINDOW_MILLISECONDS,
+      dueMilliseconds: WINDOW_MILLISECONDS,
+      countInstances: () => 1,
+      random: new SeededRandomSource(1),
+      log: silentLogger,
+    }),
+  );
+  /** Counts requests that start now. */
+  const count = (requests: number) => {
+    for (let request = 0; request < requests; request += 1) {
+      tally.add('account', clock.wallMilliseconds());
+    }
+  };
+  const key = usageCountsKey(tally.windowAt(clock.wallMilliseconds()), 'single');
+  return { clock, store, count, key, lifecycle };
+}
+
+describe('UsageCountsTask', () => {
+  // Guards against a window that is reported too low because counts were written before a restore.
+  it('writes counts again that a restored store has lost', async () => {
+    const { clock, store, count, key, lifecycle } = makeSingleInstance();
+    count(4);
+    await clock.advance(1500);
+    expect(store.totalOf(key)).toBe(4);
+    store.restore();
+    expect(store.totalOf(key)).toBe(0);
+    await store.get('/observes/the/era');
+    await clock.advance(900);
+    expect(store.totalOf(key)).toBe(4);
+    await lifecycle.stop();
+  });
+
+  it('writes counts again although the restored store has earlier ones', async () => {
+    const { clock, store, count, key, lifecycle } = makeSingleInstance();
+    count(2);
+    await clock.advance(1500);
+    store.takeCopy();
+    count(3);
+    await clock.advance(1500);
+    expect(store.totalOf(key)).toBe(5);
+    store.restore();
+    await store.get('/observes/the/era');
+    await clock.advance(900);
+    expect(store.totalOf(key)).toBe(5);
+    await lifecycle.stop();
+  });
+});
+
 /** Instances of one zone that write their counts through the relay, which is the first of them. */
 function makeZone(size: number) {
   const clock = new ManualClock();
@@ -255,12 +357,17 @@
 }
 
 /** Writes or hands off the counts of an instance that stops in window 1. */
-function finish(relay: UsageCountsRelay | undefined): Promise<void> {
+function finish(
+  relay: UsageCountsRelay | undefined,
+  store: KeyValueStore,
+  tally = new UsageTally(WINDOW_MILLISECONDS),
+): Promise<void> {
   invariant(relay !== undefined, 'The zone has no such instance.');
   const task = new UsageCountsTask({
     incarnation: 'finished',
     relay,
-    tally: new UsageTally(WINDOW_MILLISECONDS),
+    era: store.era,
+    tally,
     windowMilliseconds: WINDOW_MILLISECONDS,
     dueMilliseconds: WINDOW_MILLISECONDS,
     countInstances: () => 1,
@@ -334,7 +441,7 @@
     await clock.advance(10);
     expect(await taken).toBe(true);
     const writeAll = (oldest: number) =>
-      Promise.allSettled([second?.writeHandedOff(oldest), third?.writeHandedOff(oldest)]);
+      Promise.allSettled([second?.writeRetained(oldest), third?.writeRetained(oldest)]);
     await writeAll(1);
     expect(store.items.size).toBe(0);
     store.outcome = WriteOutcome.Succeeded;
@@ -342,6 +449,38 @@
     expect(store.totalOf(usageCountsKey(1, 'i-0'))).toBe(4);
   });
 
+  // Guards against losing counts that the relay has written for an instance that is gone since.
+  it('writes the counts of other instances again that a restored store has lost', async () => {
+    const { store, clock, relays, storeAll } = makeZone(6);
+    await storeAll();
+    store.restore();
+    await store.get('/observes/the/era');
+    const written = Promise.all(relays.map((relay) => relay.writeRetained(1)));
+    await clock.advance(1000);
+    await written;
+    expect(store.items.size).toBe(5);
+    expect(store.totalOf(usageCountsKey(1, 'i-3'))).toBe(4);
+  });
+
+  it('writes the counts of a stopped instance again that a restored store has lost', async () => {
+    const { store, clock, relays } = makeZone(3);
+    const [first, second, third] = relays;
+    const taken = first?.handOff(usageOf('i-0', 4, true));
+    await clock.advance(10);
+    expect(await taken).toBe(true);
+    const writeAll = (oldest: number) =>
+      Promise.all([second?.writeRetained(oldest), third?.writeRetained(oldest)]);
+    await writeAll(1);
+    store.restore();
+    await store.get('/observes/the/era');
+    await writeAll(1);
+    expect(store.totalOf(usageCountsKey(1, 'i-0'))).toBe(4);
+    store.restore();
+    await store.get('/observes/the/era');
+    await writeAll(2);
+    expect(store.items.size).toBe(0);
+  });
+
   it('does not lose the counts of a stopped instance when the instance that took them over stops', async () => {
     const { store, clock, network, relays } = makeZone(4);
     const [first, second, third, fourth] = relays;
@@ -350,14 +489,14 @@
     await clock.advance(10);
     expect(await taken).toBe(true);
     network.isDelivered = (from, to) => from !== 0 && to !== 0;
-    const finished = finish(second);
+    const finished = finish(second, store);
     await clock.advance(10);
     const takenLate = fourth?.handOff(usageOf('i-3', 3, true));
     await clock.advance(5000);
     await finished;
     expect(await takenLate).toBe(true);
     store.outcome = WriteOutcome.Succeeded;
-    await third?.writeHandedOff(1);
+    await third?.writeRetained(1);
     expect(store.totalOf(usageCountsKey(1, 'i-0'))).toBe(4);
     expect(store.totalOf(usageCountsKey(1, 'i-3'))).toBe(3);
   });
