Let the etcd stand-in be restored from a copy

Cause: the stand-in for the key-value service stated only revisions and could not return to an older state, so no test could show what a restored etcd cluster does to the product.

Each response and watch message now has the header that etcd publishes: cluster_id, member_id, raft_term and revision. `KeyValueTable.copy` and `restore` return to an older state: values, revision and lease counter as of the copy, no leases and none of their keys, a new cluster identifier or, if asked for, the same one. Open watches break, and a watch from a future revision delivers nothing until the service reaches it.

Excluded: the era of the users' platform, which etcd does not state.

Before: RestoredKeyValueGateway fails 4 of 4 (no header on leases and watches; no copy or restore). After: 4 of 4 pass; the 63 other tests of hickoryrelay-platform and of ZoneAuthority pass.

Conclusion: a restore can be tested over the wire that etcd uses.

--- a/packages/hickoryrelay-standin/src/KeyValueGateway.ts
+++ b/packages/hickoryrelay-standin/src/KeyValueGateway.ts
@@ -126,7 +126,6 @@
 
 function encodeTransaction(result: TransactionResult): object {
   return {
-    header: { revision: String(result.revision.number) },
     succeeded: result.succeeded,
     responses: result.results.map(encodeOperation),
   };
@@ -183,23 +182,19 @@
       case '/v3/kv/txn':
         this.writes += 1;
         return this.answerTransaction(body);
-      case '/v3/lease/grant': {
+      case '/v3/lease/grant':
         this.writes += 1;
-        const grant = this.table.grantLease(Number(body.TTL));
-        return {
-          status: 200,
-          body: { ID: grant.identifier, TTL: String(grant.timeToLiveSeconds) },
-        };
-      }
+        return this.answerGrant(body);
       case '/v3/lease/keepalive': {
         this.writes += 1;
         const seconds = this.table.keepLeaseAlive(String(body.ID));
-        return { status: 200, body: { result: { ID: body.ID, TTL: String(seconds) } } };
+        const result = { header: this.header(), ID: body.ID, TTL: String(seconds) };
+        return { status: 200, body: { result } };
       }
       case '/v3/lease/revoke':
         this.writes += 1;
         this.table.revokeLease(String(body.ID));
-        return { status: 200, body: {} };
+        return { status: 200, body: { header: this.header() } };
       default:
         return { status: 404, body: { code: 5, message: 'Not Found' } };
     }
@@ -220,15 +215,22 @@
     const start = Number(body.create_request.start_revision ?? 0);
     this.openWatches += 1;
     response.writeHead(200, { 'content-type': 'application/json' });
-    response.write(`${JSON.stringify({ result: { created: true } })}\n`);
-    const send = (batch: WatchBatch) => this.sendBatch(response, prefix, batch);
+    response.write(`${JSON.stringify({ result: { header: this.header(), created: true } })}\n`);
+    const send = (batch: WatchBatch) => {
+      // A watch from a future revision delivers nothing until the service reaches it.
+      if (batch.revision.number >= start) {
+        this.sendBatch(response, prefix, batch);
+      }
+    };
     if (start > 0) {
       this.table.changesSince(new StoreRevision(0, start)).forEach(send);
     }
     const unsubscribe = this.table.subscribe(send);
+    const unsubscribeRestore = this.table.onRestore(() => response.destroy());
     response.once('close', () => {
       this.openWatches -= 1;
       unsubscribe();
+      unsubscribeRestore();
     });
     return true;
   }
@@ -239,16 +241,41 @@
       return;
     }
     const result = {
-      header: { revision: String(batch.revision.number) },
+      header: this.header(batch.revision),
       events: events.map(encodeEvent),
     };
     response.write(`${JSON.stringify({ result })}\n`);
   }
 
+  /** The header of a response, which identifies the cluster, the member and the moment. */
+  private header(revision = this.table.currentRevision): object {
+    return {
+      cluster_id: this.table.clusterIdentifier,
+      member_id: this.table.memberIdentifier,
+      revision: String(revision.number),
+      raft_term: String(this.table.raftTerm),
+    };
+  }
+
+  private answerGrant(body: Record<string, string>): JsonResponse {
+    const isChosen = body.ID !== undefined && body.ID !== '0';
+    return this.answerUnlessInvalid(() => {
+      const grant = this.table.grantLease(Number(body.TTL), isChosen ? body.ID : undefined);
+      const { identifier, timeToLiveSeconds } = grant;
+      return { header: this.header(), ID: identifier, TTL: String(timeToLiveSeconds) };
+    });
+  }
+
   private answerTransaction(body: RawTransaction): JsonResponse {
-    try {
+    return this.answerUnlessInvalid(() => {
       const result = this.table.commit(decodeTransaction(body));
-      return { status: 200, body: encodeTransaction(result) };
+      return { header: this.header(result.revision), ...encodeTransaction(result) };
+    });
+  }
+
+  private answerUnlessInvalid(createBody: () => object): JsonResponse {
+    try {
+      return { status: 200, body: createBody() };
     } catch (error) {
       if (hasFailureKind(error, FailureKind.InvalidRequest)) {
         return { status: 400, body: { code: 3, message: String(error) } };
@@ -263,7 +290,7 @@
     return {
       status: 200,
       body: {
-        header: { revision: String(revision.number) },
+        header: this.header(revision),
         kvs: values.map(encodeKeyValue),
         count: String(values.length),
       },
--- a/packages/hickoryrelay-standin/src/KeyValueTable.ts
+++ b/packages/hickoryrelay-standin/src/KeyValueTable.ts
@@ -25,10 +25,31 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 const INITIAL_LEASE_IDENTIFIER = 1000;
+const INITIAL_CLUSTER_IDENTIFIER = 14_841_639;
+const INITIAL_RAFT_TERM = 2;
 
 /** etcd's default limit for each operation list of a transaction. */
 const MAXIMUM_OPERATIONS = 128;
 
+/** State of a key-value service at one moment, as a snapshot holds it. */
+export interface KeyValueTableCopy {
+  readonly clusterIdentifier: number;
+  readonly raftTerm: number;
+  readonly revision: StoreRevision;
+  readonly lastLeaseIdentifier: number;
+  readonly values: readonly KeyValue[];
+  readonly history: readonly WatchBatch[];
+}
+
+/** How a copy is restored. */
+export interface RestoreOptions {
+  /**
+   * If true, the cluster keeps its identifier, as when the data directory of a single member is
+   * restored. A restored snapshot makes a new cluster otherwise.
+   */
+  readonly keepsClusterIdentifier?: boolean;
+}
+
 function createInvalidRequestError(field: string, reason: string): RelayError {
   return new RelayError({ kind: FailureKind.InvalidRequest, field, reason });
 }
@@ -76,7 +97,9 @@
 
   private readonly leases = new Map<string, Lease>();
 
-  private readonly history: WatchBatch[] = [];
+  private history: WatchBatch[] = [];
+
+  private readonly restoreObservers = new Set<() => void>();
 
   private readonly observers = new Set<(batch: WatchBatch) => void>();
 
@@ -86,12 +109,89 @@
 
   private lastLeaseIdentifier = INITIAL_LEASE_IDENTIFIER;
 
+  private clusterNumber = INITIAL_CLUSTER_IDENTIFIER;
+
+  private lastClusterNumber = INITIAL_CLUSTER_IDENTIFIER;
+
+  private term = INITIAL_RAFT_TERM;
+
   private cancelExpiry: () => void = () => {};
 
   constructor(clock: Clock) {
     this.clock = clock;
   }
 
+  get clusterIdentifier(): string {
+    return String(this.clusterNumber);
+  }
+
+  /** Identifier of the only member. A member of a new cluster has a new identifier. */
+  get memberIdentifier(): string {
+    return `1${this.clusterNumber}`;
+  }
+
+  get raftTerm(): number {
+    return this.term;
+  }
+
+  get currentRevision(): StoreRevision {
+    return this.revision;
+  }
+
+  /** Starts a new raft term, as the election of a leader does. */
+  electLeader(): void {
+    this.term += 1;
+  }
+
+  copy(): KeyValueTableCopy {
+    this.expireLeases();
+    return {
+      clusterIdentifier: this.clusterNumber,
+      raftTerm: this.term,
+      revision: this.revision,
+      lastLeaseIdentifier: this.lastLeaseIdentifier,
+      values: [...this.values.values()],
+      history: [...this.history],
+    };
+  }
+
+  /**
+   * Returns to the state of a copy. All leases and the keys attached to them are gone, revisions and
+   * lease identifiers are given out again, and open watches break.
+   */
+  restore(copy: KeyValueTableCopy, { keepsClusterIdentifier = false }: RestoreOptions = {}): void {
+    const era = this.revision.era + 1;
+    const restored = ({ number }: StoreRevision) => new StoreRevision(era, number);
+    this.revision = restored(copy.revision);
+    this.lastLeaseIdentifier = copy.lastLeaseIdentifier;
+    this.leases.clear();
+    this.scheduleExpiry();
+    this.values.clear();
+    for (const value of copy.values.filter(({ lease }) => lease === undefined)) {
+      this.values.set(value.key, {
+        ...value,
+        createRevision: restored(value.createRevision),
+        modRevision: restored(value.modRevision),
+      });
+    }
+    this.history = [...copy.history];
+    if (keepsClusterIdentifier) {
+      this.clusterNumber = copy.clusterIdentifier;
+      this.term = copy.raftTerm + 1;
+    } else {
+      this.lastClusterNumber += 1;
+      this.clusterNumber = this.lastClusterNumber;
+      this.term = INITIAL_RAFT_TERM;
+    }
+    [...this.restoreObservers].forEach((observer) => observer());
+  }
+
+  /** Calls the observer after each restore. Returns the function that unsubscribes it. */
+  onRestore(observer: () => void): () => void {
+    this.restoreObservers.add(observer);
+    return () => this.restoreObservers.delete(observer);
+  }
+
   range(key: string, prefix = false): RangeResult {
     this.expireLeases();
     return { revision: this.revision, values: this.find(key, prefix) };
@@ -110,9 +210,16 @@
     return { ...result, revision: this.revision };
   }
 
-  grantLease(timeToLiveSeconds: number): LeaseGrant {
-    this.lastLeaseIdentifier += 1;
-    const identifier = String(this.lastLeaseIdentifier);
+  /**
+   * Grants a lease with the identifier that the client has chosen, or else with the next one. Throws
+   * `invalid-request` if a lease has the identifier.
+   */
+  grantLease(timeToLiveSeconds: number, chosenIdentifier?: string): LeaseGrant {
+    if (chosenIdentifier !== undefined && this.leases.has(chosenIdentifier)) {
+      throw createInvalidRequestError('lease', 'lease already exists');
+    }
+    this.lastLeaseIdentifier += chosenIdentifier === undefined ? 1 : 0;
+    const identifier = chosenIdentifier ?? String(this.lastLeaseIdentifier);
     const expiryMilliseconds =
       this.clock.monotonicMilliseconds() + timeToLiveSeconds * MILLISECONDS_PER_SECOND;
     this.leases.set(identifier, { timeToLiveSeconds, expiryMilliseconds });
--- a/packages/hickoryrelay-standin/src/TableKeyValueStore.ts
+++ b/packages/hickoryrelay-standin/src/TableKeyValueStore.ts
@@ -76,11 +76,15 @@
     };
     const onAbort = () => wake();
     const unsubscribe = this.table.subscribe((batch) => {
-      this.deliver(() => {
-        pending.push(batch);
-        wake();
-      });
+      // A watch from a future revision delivers nothing until the service reaches it.
+      if (batch.revision.number >= fromRevision.number) {
+        this.deliver(() => {
+          pending.push(batch);
+          wake();
+        });
+      }
     });
+    const unsubscribeRestore = this.table.onRestore(onBreak);
     signal.addEventListener('abort', onAbort, { once: true });
     this.breakCallbacks.add(onBreak);
     try {
@@ -99,6 +103,7 @@
       }
     } finally {
       unsubscribe();
+      unsubscribeRestore();
       this.breakCallbacks.delete(onBreak);
       signal.removeEventListener('abort', onAbort);
     }
