Recognize an etcd cluster that is restored from a copy

Cause: EtcdKeyValueStore used one constant era. After a restore, etcd assigns revisions again, so a comparison with a revision of before held for another value, a lease that was lost counted as held if its identifier was given out again, and a watch from a lost revision waited without an error.

EtcdRestoreDetector takes another cluster_id, a revision that goes back in a linearizable response, a write without a higher revision, or a lower raft_term of a member for a restore, and counts eras for this client. A response is compared with what had been received before its request was sent. Comparisons with revisions of an earlier era never hold; one that meets the restore is of unknown outcome. Leases have random identifiers, so that a restored service gives no identifier out twice, and those of an earlier era have expired. Watches of an earlier era end with protocol-violation, and BudgetedKeyValueStore doesn't resume them. The daemon logs the restore with cluster and revision before and after; the metric hickoryrelay_key_value_service_era counts.

Excluded: raft_term across members, because a member that stands for election states a higher term than the others; revisions of watch and keepalive responses, because they are those of the member, which may lag.

Conclusion: the product notices a restore with its next call. Not recognized: a cluster that keeps its identifier and has passed the last known revision again before that call.

--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -374,6 +374,8 @@
     this.metrics.registerGauge('calls_in_flight', () => this.exchanges.size);
     this.metrics.registerGauge('configuration_revision', () => this.view.revision);
     this.metrics.registerGauge('endpoints', () => [...this.fleet.endpoints()].length);
+    const { era } = this.parts.platform.keyValue;
+    this.metrics.registerGauge('key_value_service_era', () => era.current ?? 0);
     this.metrics.registerGauge('process_resident_bytes', () => process.memoryUsage().rss);
   }
 
--- /dev/null
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/RestoredStore.test.ts
@@ -0,0 +1,49 @@
+import { request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { DaemonProcess } from 'hickoryrelay-standin/DaemonProcess';
+import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
+
+const ZONE = 'zone-a';
+
+describe('a daemon whose key-value service is restored from an older copy', () => {
+  const federation = new LocalFederation();
+  let daemon: DaemonProcess;
+
+  beforeAll(async () => {
+    await federation.start();
+    await federation.apply(sampleDeclarations());
+    daemon = await DaemonProcess.start('instance-1', ZONE, {
+      keyValue: federation.gateway.url,
+      platform: federation.platform.url,
+    });
+  });
+
+  afterAll(async () => {
+    daemon.signal('SIGKILL');
+    await federation.stop();
+  });
+
+  // Guards against a restore of which neither the log nor the metrics tell.
+  it('logs the restore and counts the era', async () => {
+    const { table } = federation.gateway;
+    const copy = table.copy();
+    table.commit({
+      compare: [],
+      success: [{ type: 'put', key: '/lost', value: 'value' }],
+      failure: [],
+    });
+    await daemon.waitUntil(async () => (await daemon.isReady()) && daemon.log !== '');
+    table.restore(copy);
+    const sentence = 'The key-value service has been restored from an older copy.';
+    await daemon.waitUntil(() => daemon.log.includes(sentence));
+    const line = daemon.log.split('\n').find((text) => text.includes(sentence));
+    expect(JSON.parse(line ?? '')).toMatchObject({
+      level: 'warn',
+      message: `[platform] ${sentence}`,
+      clusterBefore: '14841639',
+      clusterAfter: '14841640',
+    });
+    const metrics = await request(`${daemon.url}/metrics`);
+    expect(await metrics.body.text()).toContain('\nhickoryrelay_key_value_service_era 1\n');
+  });
+});
--- a/packages/hickoryrelay-instance/src/hickoryrelayd.ts
+++ b/packages/hickoryrelay-instance/src/hickoryrelayd.ts
@@ -68,6 +68,15 @@
   const clock = new SystemClock();
   const random = new SystemRandomSource();
   const callBudget = new CallBudget(clock);
+  const store = new EtcdKeyValueStore({ urls: settings.platform.keyValue });
+  store.onRestore(({ clusterBefore, clusterAfter, revisionBefore, revisionAfter }) => {
+    platformLog.warn('The key-value service has been restored from an older copy.', {
+      clusterBefore,
+      clusterAfter,
+      revisionBefore,
+      revisionAfter,
+    });
+  });
   const instance = new Instance({
     settings,
     clock,
@@ -75,12 +84,7 @@
     logger,
     callBudget,
     platform: {
-      keyValue: new BudgetedKeyValueStore({
-        store: new EtcdKeyValueStore({ urls: settings.platform.keyValue }),
-        budget: callBudget,
-        clock,
-        random,
-      }),
+      keyValue: new BudgetedKeyValueStore({ store, budget: callBudget, clock, random }),
       supply: new HttpEndpointSupply(settings.platform.supply, platformLog),
       instances: new HttpInstanceList(settings.platform.instances, platformLog),
       usage: new HttpUsageReportSink(settings.platform.usage),
--- a/packages/hickoryrelay-platform/src/BudgetedKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/BudgetedKeyValueStore.ts
@@ -93,8 +93,8 @@
 
   /**
    * Yields changes until the signal aborts and reopens broken watches. Throws only if the service has
-   * compacted the changes after the last revision received; the caller then has to read the current
-   * values and start a new watch.
+   * compacted the changes after the last revision received or has been restored from an older copy;
+   * the caller then has to read the current values and start a new watch.
    */
   override async *watch(
     prefix: string,
@@ -105,6 +105,7 @@
     let nextRevision = fromRevision;
     let delays = backoffDelays(RECONNECT_BACKOFF, random);
     while (!signal.aborted) {
+      this.assertCurrentEra(nextRevision);
       const releaseWatch = await budget.acquireWatch();
       try {
         await budget.acquire(CallKind.Read);
@@ -127,6 +128,14 @@
     }
   }
 
+  /** The changes after a revision of an earlier era are unknown, even if its number exists again. */
+  private assertCurrentEra(revision: StoreRevision): void {
+    const { current } = this.era;
+    if (revision.number > 0 && current !== undefined && revision.era < current) {
+      throw this.protocolViolation(new Error('the service has been restored from an older copy'));
+    }
+  }
+
   private assertCanReconnect(error: unknown, signal: AbortSignal): void {
     if (!signal.aborted && !hasFailureKind(error, FailureKind.PlatformUnavailable)) {
       throw error instanceof RelayError ? error : this.protocolViolation(error);
--- a/packages/hickoryrelay-platform/src/EtcdCodec.ts
+++ b/packages/hickoryrelay-platform/src/EtcdCodec.ts
@@ -12,6 +12,14 @@
   TransactionResult,
 } from './KeyValueStore.js';
 
+/** The header of a response in etcd JSON. */
+export interface EtcdHeader {
+  readonly cluster_id?: string;
+  readonly member_id?: string;
+  readonly revision?: string;
+  readonly raft_term?: string;
+}
+
 /** A key-value pair in etcd JSON: text in base64, integers as decimal strings. */
 export interface EtcdKeyValue {
   readonly key: string;
@@ -32,7 +40,7 @@
 
 /** The response to a transaction in etcd JSON. */
 export interface EtcdTransactionResponse {
-  readonly header?: { readonly revision?: string };
+  readonly header?: EtcdHeader;
   readonly succeeded?: boolean;
   readonly responses?: readonly EtcdOperationResponse[];
 }
@@ -40,7 +48,7 @@
 /** A message of a watch stream in etcd JSON, sent as one line. */
 export interface EtcdWatchResponse {
   readonly result?: {
-    readonly header?: { readonly revision?: string };
+    readonly header?: EtcdHeader;
     readonly created?: boolean;
     readonly canceled?: boolean;
     /** Present if the requested changes have been compacted. */
@@ -140,6 +148,16 @@
   return { type: 'put' };
 }
 
+/** Returns whether the operations of a transaction have changed a key. */
+export function hasWritten({ responses }: Pick<EtcdTransactionResponse, 'responses'>): boolean {
+  return (responses ?? []).some(
+    ({ response_put: put, response_delete_range: deletion, response_txn: nested }) =>
+      put !== undefined ||
+      Number(deletion?.deleted ?? 0) > 0 ||
+      (nested !== undefined && hasWritten(nested)),
+  );
+}
+
 /** Decodes the result of a transaction that was applied in the given era. */
 export function decodeTransaction(raw: EtcdTransactionResponse, era: number): TransactionResult {
   return {
--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -1,6 +1,7 @@
 import { Agent, request } from 'undici';
 import { SystemClock } from 'hickoryrelay/Clock';
 import { FailureKind } from 'hickoryrelay/Failure';
+import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 
@@ -9,14 +10,23 @@
   decodeTransaction,
   encodeBase64,
   encodeTransaction,
+  hasWritten,
   prefixRangeEnd,
   splitLines,
 } from './EtcdCodec.js';
+import { EtcdRestoreDetector, RevisionProof } from './EtcdRestoreDetector.js';
 import { KeyValueStore } from './KeyValueStore.js';
 import { StoreEra } from './StoreEra.js';
 import { StoreRevision } from './StoreRevision.js';
+import { comparesRevisions, refuseOtherEras } from './TransactionUtils.js';
 
-import type { EtcdKeyValue, EtcdTransactionResponse, EtcdWatchResponse } from './EtcdCodec.js';
+import type {
+  EtcdHeader,
+  EtcdKeyValue,
+  EtcdTransactionResponse,
+  EtcdWatchResponse,
+} from './EtcdCodec.js';
+import type { ObservedRestore, ReceivedState } from './EtcdRestoreDetector.js';
 import type {
   LeaseGrant,
   RangeResult,
@@ -24,6 +34,7 @@
   TransactionResult,
   WatchBatch,
 } from './KeyValueStore.js';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 2000;
 const OK = 200;
@@ -31,8 +42,12 @@
 const INTERNAL_SERVER_ERROR = 500;
 const SERVICE = 'key-value service';
 
-/** The gateway does not state an era. */
-const FIRST_ERA = 0;
+const LEASE_IDENTIFIER_BYTES = 8;
+/** Lease identifiers are positive 64-bit integers. */
+const LEASE_IDENTIFIER_BITS = 62;
+
+/** Leases whose era is remembered. An instance holds about 30 at a time. */
+const MAXIMUM_REMEMBERED_LEASES = 1024;
 
 /** Largest response of a call and largest line of a watch. A range is not read in pages. */
 const MAXIMUM_RESPONSE_BYTES = 33_554_432;
@@ -45,9 +60,30 @@
   /** Base URLs. After a failed call, the next call uses the next URL. */
   readonly urls: readonly string[];
   readonly timeoutMilliseconds?: number;
+  readonly random?: RandomSource;
+}
+
+/** A response whose header stands at the top or, in messages of a stream, in the result. */
+interface StatedResponse extends Pick<EtcdTransactionResponse, 'responses'> {
+  readonly header?: EtcdHeader;
+  readonly result?: { readonly header?: EtcdHeader };
+}
+
+/** How a call is treated when it fails, and what its response proves. */
+interface CallTraits {
+  readonly isWrite: boolean;
+  readonly proof: RevisionProof;
 }
 
-/** Key-value store client for the etcd v3 JSON gateway. */
+const RANGE: CallTraits = { isWrite: false, proof: RevisionProof.NotLower };
+const LEASE_GRANT: CallTraits = { isWrite: true, proof: RevisionProof.NotLower };
+const LEASE_RENEWAL: CallTraits = { isWrite: true, proof: RevisionProof.None };
+const TRANSACTION: CallTraits = { isWrite: true, proof: RevisionProof.NotLower };
+
+/**
+ * Key-value store client for the etcd v3 JSON gateway. Its eras are counted by this client, see
+ * `EtcdRestoreDetector`.
+ */
 export class EtcdKeyValueStore extends KeyValueStore {
   private readonly urls: readonly string[];
 
@@ -60,12 +96,25 @@
 
   override readonly era = new StoreEra(new SystemClock());
 
+  private readonly detector = new EtcdRestoreDetector(this.era);
+
+  private readonly random: RandomSource;
+
+  /** The era in which each lease of this client was granted. */
+  private readonly leaseEras = new Map<string, number>();
+
   private urlIndex = 0;
 
   constructor(options: EtcdKeyValueStoreOptions) {
     super();
     this.urls = options.urls;
     this.timeoutMilliseconds = options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS;
+    this.random = options.random ?? new SystemRandomSource();
+  }
+
+  /** Calls the observer with each restore of the service. Returns the function that removes it. */
+  onRestore(observer: (restore: ObservedRestore) => void): () => void {
+    return this.detector.onRestore(observer);
   }
 
   override async range(key: string, options: { prefix?: boolean } = {}): Promise<RangeResult> {
@@ -73,49 +122,70 @@
       key: encodeBase64(key),
       ...(options.prefix === true ? { range_end: encodeBase64(prefixRangeEnd(key)) } : {}),
     };
-    const response = await this.call<{ header?: { revision?: string }; kvs?: EtcdKeyValue[] }>(
+    const { response, era } = await this.call<{ header?: EtcdHeader; kvs?: EtcdKeyValue[] }>(
       '/v3/kv/range',
       body,
-      false,
+      RANGE,
     );
     return {
-      revision: new StoreRevision(FIRST_ERA, Number(response.header?.revision ?? 0)),
-      values: (response.kvs ?? []).map((pair) => decodeKeyValue(pair, FIRST_ERA)),
+      revision: new StoreRevision(era, Number(response.header?.revision ?? 0)),
+      values: (response.kvs ?? []).map((pair) => decodeKeyValue(pair, era)),
     };
   }
 
+  /**
+   * Comparisons with a revision of an earlier era do not hold. If the service is restored while the
+   * transaction is under way, equal numbers may be of different eras, so its outcome is unknown.
+   */
   override async commit(transaction: Transaction): Promise<TransactionResult> {
-    const response = await this.call<EtcdTransactionResponse>(
+    const requestEra = this.detector.received.era;
+    const { response, era } = await this.call<EtcdTransactionResponse>(
       '/v3/kv/txn',
-      encodeTransaction(transaction),
-      true,
+      encodeTransaction(refuseOtherEras(transaction, requestEra)),
+      TRANSACTION,
     );
-    return decodeTransaction(response, FIRST_ERA);
+    if (era !== requestEra && comparesRevisions(transaction)) {
+      throw this.restoredMeanwhile(true);
+    }
+    return decodeTransaction(response, era);
   }
 
+  /**
+   * Grants a lease with a random identifier, so that a restored service does not give the identifier of
+   * a lease that it has lost to another client.
+   */
   override async grantLease(timeToLiveSeconds: number): Promise<LeaseGrant> {
-    const response = await this.call<{ ID: string; TTL: string }>(
+    const random = BigInt(`0x${this.random.identifier(LEASE_IDENTIFIER_BYTES)}`);
+    const chosen = BigInt.asUintN(LEASE_IDENTIFIER_BITS, random) + 1n;
+    const { response, era } = await this.call<{ header?: EtcdHeader; ID: string; TTL: string }>(
       '/v3/lease/grant',
-      { TTL: String(timeToLiveSeconds), ID: '0' },
-      true,
+      { TTL: String(timeToLiveSeconds), ID: String(chosen) },
+      LEASE_GRANT,
     );
+    this.rememberLease(response.ID, era);
     return { identifier: response.ID, timeToLiveSeconds: Number(response.TTL) };
   }
 
   override async keepLeaseAlive(identifier: string): Promise<number> {
-    const response = await this.call<{ result?: { TTL?: string } }>(
+    if (this.isOfEarlierEra(identifier)) {
+      return 0;
+    }
+    const { response } = await this.call<{ result?: { header?: EtcdHeader; TTL?: string } }>(
       '/v3/lease/keepalive',
       { ID: identifier },
-      true,
+      LEASE_RENEWAL,
     );
-    return Number(response.result?.TTL ?? 0);
+    return this.isOfEarlierEra(identifier) ? 0 : Number(response.result?.TTL ?? 0);
   }
 
   override async revokeLease(identifier: string): Promise<void> {
-    const { status } = await this.send('/v3/lease/revoke', { ID: identifier }, true);
-    if (status !== OK && status !== NOT_FOUND) {
-      throw this.refused(status, true);
+    if (!this.isOfEarlierEra(identifier)) {
+      const { status } = await this.send('/v3/lease/revoke', { ID: identifier }, true);
+      if (status !== OK && status !== NOT_FOUND) {
+        throw this.refused(status, true);
+      }
     }
+    this.leaseEras.delete(identifier);
   }
 
   override async *watch(
@@ -123,6 +193,10 @@
     fromRevision: StoreRevision,
     signal: AbortSignal,
   ): AsyncGenerator<WatchBatch, void, void> {
+    const atRequest = this.detector.received;
+    if (fromRevision.number > 0 && fromRevision.era !== atRequest.era) {
+      throw this.restored();
+    }
     const body = {
       create_request: {
         key: encodeBase64(prefix),
@@ -130,8 +204,14 @@
         start_revision: String(fromRevision.number),
       },
     };
+    // A watch that is still open after a restore may wait for a revision that is far in the future.
+    const abort = new AbortController();
+    const endWatch = () => abort.abort();
+    const unsubscribe = this.era.onRestore(endWatch);
+    signal.addEventListener('abort', endWatch, { once: true });
     try {
-      const response = await this.open('/v3/watch', body, signal, this.watchAgent);
+      signal.throwIfAborted();
+      const response = await this.open('/v3/watch', body, abort.signal, this.watchAgent);
       if (response.statusCode !== OK) {
         // undici keeps the connection and a listener on the signal until the body is consumed.
         await response.body.dump({
@@ -141,10 +221,15 @@
         throw this.refused(response.statusCode, false);
       }
       for await (const line of splitLines(response.body, MAXIMUM_RESPONSE_BYTES)) {
-        yield this.decodeWatchLine(line);
+        yield this.decodeWatchLine(line, atRequest);
       }
     } catch (error) {
-      throw this.failure(error, false);
+      throw this.detector.received.era !== atRequest.era
+        ? this.restored()
+        : this.failure(error, false);
+    } finally {
+      unsubscribe();
+      signal.removeEventListener('abort', endWatch);
     }
     throw this.unavailable('the service closed the watch stream', false);
   }
@@ -154,8 +239,13 @@
     await Promise.all([this.agent.destroy(), this.watchAgent.destroy()]);
   }
 
-  private decodeWatchLine(line: string): WatchBatch {
+  private decodeWatchLine(line: string, atRequest: ReceivedState): WatchBatch {
     const { result } = JSON.parse(line) as EtcdWatchResponse;
+    // The revision of a watch message is that of the member, which may be behind the others.
+    const { era } = atRequest;
+    if (this.detector.observe(result?.header, atRequest, RevisionProof.None) !== era) {
+      throw this.restored();
+    }
     if (result?.compact_revision !== undefined) {
       throw new RelayError({
         kind: FailureKind.ProtocolViolation,
@@ -170,27 +260,53 @@
       event.type === 'DELETE'
         ? {
             type: 'delete' as const,
-            key: decodeKeyValue(event.kv, FIRST_ERA).key,
-            modRevision: new StoreRevision(FIRST_ERA, Number(event.kv.mod_revision ?? 0)),
+            key: decodeKeyValue(event.kv, era).key,
+            modRevision: new StoreRevision(era, Number(event.kv.mod_revision ?? 0)),
           }
-        : { type: 'put' as const, value: decodeKeyValue(event.kv, FIRST_ERA) },
+        : { type: 'put' as const, value: decodeKeyValue(event.kv, era) },
     );
     return {
-      revision: new StoreRevision(FIRST_ERA, Number(result?.header?.revision ?? 0)),
+      revision: new StoreRevision(era, Number(result?.header?.revision ?? 0)),
       events,
     };
   }
 
-  private async call<ResponseBody>(
+  /** Returns the response and its era. Throws if the service was restored meanwhile. */
+  private async call<ResponseBody extends StatedResponse>(
     path: string,
     body: object,
-    isWrite: boolean,
-  ): Promise<ResponseBody> {
+    { isWrite, proof }: CallTraits,
+  ): Promise<{ response: ResponseBody; era: number }> {
+    const atRequest = this.detector.received;
     const { status, text } = await this.send(path, body, isWrite);
     if (status !== OK) {
       throw this.refused(status, isWrite);
     }
-    return JSON.parse(text) as ResponseBody;
+    const response = JSON.parse(text) as ResponseBody;
+    const header = response.header ?? response.result?.header;
+    const era = this.detector.observe(
+      header,
+      atRequest,
+      hasWritten(response) ? RevisionProof.Higher : proof,
+    );
+    if (era === undefined) {
+      throw this.restoredMeanwhile(isWrite);
+    }
+    return { response, era };
+  }
+
+  private rememberLease(identifier: string, era: number): void {
+    this.leaseEras.set(identifier, era);
+    const [oldest] = this.leaseEras.keys();
+    if (this.leaseEras.size > MAXIMUM_REMEMBERED_LEASES && oldest !== undefined) {
+      this.leaseEras.delete(oldest);
+    }
+  }
+
+  /** A restored service has lost all leases that it had granted. */
+  private isOfEarlierEra(lease: string): boolean {
+    const { era } = this.detector.received;
+    return (this.leaseEras.get(lease) ?? era) !== era;
   }
 
   private async send(
@@ -238,6 +354,19 @@
     return this.unavailable(reason, isWrite && !isConnectionRefused, error);
   }
 
+  /** Ends a watch. Its reader has to read the current values and to start a new one. */
+  private restored(): RelayError {
+    return new RelayError({
+      kind: FailureKind.ProtocolViolation,
+      peer: SERVICE,
+      reason: 'the service has been restored from an older copy',
+    });
+  }
+
+  private restoredMeanwhile(mayHaveTakenEffect: boolean): RelayError {
+    return this.unavailable('the service was restored during the call', mayHaveTakenEffect);
+  }
+
   private unavailable(reason: string, mayHaveTakenEffect: boolean, cause?: unknown): RelayError {
     return new RelayError(
       {
--- a/packages/hickoryrelay-platform/src/KeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/KeyValueStore.ts
@@ -101,14 +101,18 @@
 
   abstract grantLease(timeToLiveSeconds: number): Promise<LeaseGrant>;
 
-  /** Renews a lease. Returns its new time to live in seconds, 0 if it has expired. */
+  /**
+   * Renews a lease. Returns its new time to live in seconds, 0 if it has expired. Leases of an earlier
+   * era have expired.
+   */
   abstract keepLeaseAlive(identifier: string): Promise<number>;
 
   abstract revokeLease(identifier: string): Promise<void>;
 
   /**
    * Yields changes of keys that start with the prefix, from the given revision until the signal
-   * aborts. Throws when the watch breaks. A watch can stop delivering changes without an error, so
+   * aborts. Throws when the watch breaks, and `protocol-violation` if the changes since the revision
+   * are not known because the service has been restored from an older copy. A watch can stop delivering changes without an error, so
    * callers also read periodically.
    */
   abstract watch(
