Put the configuration in force back into a restored store

Cause: after a restore the stored revision is lower than the one in force. Instances keep theirs, since they never take a lower one, but nobody wrote it back: operators saw the older configuration, and their next change got a revision that instances had passed and was ignored. A head with the same revision but other content confirmed the view as current.

If the head is one that was in force here earlier, or is missing, the configuration is written back with its own revision, conditional on the stored head, so that one writer wins. A head that is not known here may be the change of an operator; it stays, and the conflict is logged once. The stored head confirms the view only if its digests are equal too. `ConfigurationStore.replace` takes the revision in force as the current one if it is higher than the stored one.

Excluded: telling older heads by revision alone (an operator's change after the restore has a low revision too) and by the history in the store (it is as old as the copy).

Conclusion: a change that the store has forgotten comes back from the instances within a read interval. If no instance has had the stored head in force, nothing is written and an operator decides.

--- a/packages/hickoryrelay-instance/src/ConfigurationUpdater.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationUpdater.ts
@@ -1,6 +1,8 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
+import { isSameHead } from 'hickoryrelay-platform/ConfigurationStore';
 
+import type { ConfigurationRecovery } from './ConfigurationRecovery.js';
 import type { ConfigurationView } from './ConfigurationView.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
@@ -34,6 +36,8 @@
 
   private readonly log: ComponentLogger;
 
+  private readonly recovery: ConfigurationRecovery;
+
   private pending: Configuration | undefined;
 
   private firstSubmittedMilliseconds: number | undefined;
@@ -49,11 +53,13 @@
     store: ConfigurationStore,
     clock: Clock,
     log: ComponentLogger,
+    recovery: ConfigurationRecovery,
   ) {
     this.view = view;
     this.store = store;
     this.clock = clock;
     this.log = log;
+    this.recovery = recovery;
   }
 
   /** Number of configurations refused as incomplete, corrupt or invalid. */
@@ -94,20 +100,23 @@
   }
 
   /**
-   * Reads the head from the platform once and fetches the configuration if it is newer. Returns
-   * whether the platform responded.
+   * Reads the head from the platform once and fetches the configuration if it is newer. If the store
+   * has forgotten the configuration in force, puts it back. Returns whether the platform responded.
    */
   async readPlatform(): Promise<boolean> {
     const requestedMilliseconds = this.clock.monotonicMilliseconds();
+    const inForce = this.view.current;
     try {
       const { head } = await this.store.readHeadWithRevision();
       if (head !== undefined) {
         await this.fetch(head);
       }
       this.completeStartup();
-      if (head !== undefined) {
+      const { current } = this.view;
+      if (head !== undefined && current !== undefined && isSameHead(head, current.head)) {
         this.view.confirm(head.revision, requestedMilliseconds);
       }
+      await this.recovery.compare(head, inForce);
       return true;
     } catch (error) {
       this.hasPlatformFailed = true;
--- a/packages/hickoryrelay-instance/src/ControlPlane.ts
+++ b/packages/hickoryrelay-instance/src/ControlPlane.ts
@@ -4,6 +4,7 @@
 
 import { ConfigurationExchangeTask } from './ConfigurationExchangeTask.js';
 import { ConfigurationPollTask } from './ConfigurationPollTask.js';
+import { ConfigurationRecovery } from './ConfigurationRecovery.js';
 import { ConfigurationUpdater } from './ConfigurationUpdater.js';
 import { ConfigurationWatchTask } from './ConfigurationWatchTask.js';
 import { DigestTask } from './DigestTask.js';
@@ -66,6 +67,8 @@
 
   readonly configurationUpdater: ConfigurationUpdater;
 
+  private readonly configurationRecovery: ConfigurationRecovery;
+
   private readonly parts: ControlPlaneParts;
 
   private state: InstanceState = InstanceState.Live;
@@ -94,17 +97,27 @@
       configurationStatus,
       () => transport.url,
     );
+    const configurationLog = log(LogPrefix.Configuration);
+    this.configurationRecovery = new ConfigurationRecovery({
+      view,
+      store,
+      clock,
+      log: configurationLog,
+      author: identity.name,
+    });
     this.configurationUpdater = new ConfigurationUpdater(
       view,
       store,
       clock,
-      log(LogPrefix.Configuration),
+      configurationLog,
+      this.configurationRecovery,
     );
   }
 
   async start(): Promise<void> {
     const { instances, lifecycle, log, random, store, view } = this.parts;
     const { digest, configurationUpdater, membership, network } = this;
+    lifecycle.own('configuration recovery', this.configurationRecovery.observe());
     await network.listen();
     lifecycle.start(new ConfigurationExchangeTask(network, configurationUpdater, view, digest));
     lifecycle.start(new DigestTask(network, membership, digest));
--- a/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationUpdater.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/ConfigurationUpdater.test.ts
@@ -6,6 +6,7 @@
 import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 import { MemoryKeyValueStore, MemoryPlatform } from 'hickoryrelay-standin/MemoryPlatform';
 
+import { ConfigurationRecovery } from '../../ConfigurationRecovery.js';
 import { ConfigurationUpdater } from '../../ConfigurationUpdater.js';
 import { ConfigurationView } from '../../ConfigurationView.js';
 import type { Configuration } from 'hickoryrelay-platform/ConfigurationStore';
@@ -32,7 +33,9 @@
     platform = new MemoryPlatform(clock);
     view = new ConfigurationView(clock);
     const store = new ConfigurationStore(new MemoryKeyValueStore(platform, 'entry', clock));
-    updater = new ConfigurationUpdater(view, store, clock, silentLogger);
+    const log = silentLogger;
+    const recovery = new ConfigurationRecovery({ view, store, clock, log, author: 'entry' });
+    updater = new ConfigurationUpdater(view, store, clock, log, recovery);
   });
 
   /** Advances the clock, so that the store's simulated delays pass, and returns the result. */
--- a/packages/hickoryrelay-platform/src/ConfigurationStore.ts
+++ b/packages/hickoryrelay-platform/src/ConfigurationStore.ts
@@ -62,6 +62,13 @@
   readonly storeRevision: StoreRevision;
 }
 
+/** The stored head with the revision to compare, and the history. */
+interface StoredHead {
+  readonly head: ConfigurationHead | undefined;
+  readonly modRevision: StoreRevision;
+  readonly history: readonly HistoryEntry[];
+}
+
 /** Metadata of a configuration change, recorded in the history. */
 export interface ChangeMetadata {
   readonly author: string;
@@ -69,6 +76,17 @@
   readonly wallMilliseconds: number;
 }
 
+/** How an attempt to put a configuration back has ended. */
+export const PutBackOutcome = {
+  Written: 'written',
+  /** The stored configuration is not one that the store has forgotten. */
+  Refused: 'refused',
+  /** Another writer has replaced the stored configuration first. */
+  Overtaken: 'overtaken',
+} as const;
+
+export type PutBackOutcome = (typeof PutBackOutcome)[keyof typeof PutBackOutcome];
+
 const EMPTY_BUCKET = '[]';
 
 function decodeHead({ value }: Pick<KeyValue, 'value'>): ConfigurationHead {
@@ -94,6 +112,14 @@
   return configuration;
 }
 
+/** Returns whether two heads are of the same configuration. Equal revisions do not prove it. */
+export function isSameHead(left: ConfigurationHead, right: ConfigurationHead): boolean {
+  return (
+    left.revision === right.revision &&
+    left.digests.every((digest, index) => digest === right.digests[index])
+  );
+}
+
 export function bucketKey(index: number): string {
   return `${CONFIGURATION_PREFIX}bucket/${String(index).padStart(2, '0')}`;
 }
@@ -195,21 +221,21 @@
    * Replaces the configuration if its revision is still the expected one (0 before the first
    * apply). Throws `revision-conflict` if another operator has replaced it. If the response is lost,
    * the history is read back to find out whether the write took effect.
+   *
+   * Instances ignore revisions that they have passed, so the revision that is in force there counts
+   * as the current one if the store has gone back to a lower one.
    */
   async replace(
     document: DeclarationsDocument,
     expectedRevision: number,
     metadata: ChangeMetadata,
+    revisionInForce = 0,
   ): Promise<ConfigurationHead> {
     const newBuckets = splitIntoBuckets(document);
     // Throws if the document is invalid, so that no invalid configuration is stored.
     assembleDocument(newBuckets.texts);
-    const { values } = await this.store.range(HEAD_AND_HISTORY_PREFIX, { prefix: true });
-    const storedHead = values.find(({ key }) => key === HEAD_KEY);
-    const storedHistory = values.find(({ key }) => key === HISTORY_KEY);
-    const history = JSON.parse(storedHistory?.value ?? '[]') as HistoryEntry[];
-    const currentHead = storedHead && decodeHead(storedHead);
-    const found = currentHead?.revision ?? 0;
+    const stored = await this.readHeadAndHistory();
+    const found = Math.max(stored.head?.revision ?? 0, revisionInForce);
     if (found !== expectedRevision) {
       throw new RelayError({
         kind: FailureKind.RevisionConflict,
@@ -218,22 +244,60 @@
       });
     }
     const head = { revision: expectedRevision + 1, digests: newBuckets.digests };
-    const puts: Operation[] = newBuckets.texts.flatMap((value, index) =>
-      currentHead?.digests[index] === newBuckets.digests[index]
+    if (await this.write({ head, texts: newBuckets.texts }, stored, metadata)) {
+      return head;
+    }
+    throw new RelayError({
+      kind: FailureKind.RevisionConflict,
+      expected: expectedRevision,
+      found: (await this.readHead())?.revision ?? 0,
+    });
+  }
+
+  /**
+   * Writes a configuration with its own revision over one that a restored store has gone back to.
+   * `isForgotten` decides whether the stored head may be replaced.
+   */
+  async putBack(
+    configuration: Configuration,
+    isForgotten: (head: ConfigurationHead | undefined) => boolean,
+    metadata: ChangeMetadata,
+  ): Promise<PutBackOutcome> {
+    const stored = await this.readHeadAndHistory();
+    if (!isForgotten(stored.head)) {
+      return PutBackOutcome.Refused;
+    }
+    const isWritten = await this.write(configuration, stored, metadata);
+    return isWritten ? PutBackOutcome.Written : PutBackOutcome.Overtaken;
+  }
+
+  private async readHeadAndHistory(): Promise<StoredHead> {
+    const { values } = await this.store.range(HEAD_AND_HISTORY_PREFIX, { prefix: true });
+    const storedHead = values.find(({ key }) => key === HEAD_KEY);
+    const storedHistory = values.find(({ key }) => key === HISTORY_KEY);
+    return {
+      head: storedHead && decodeHead(storedHead),
+      modRevision: storedHead?.modRevision ?? StoreRevision.None,
+      history: JSON.parse(storedHistory?.value ?? '[]') as HistoryEntry[],
+    };
+  }
+
+  /** Writes a configuration unless the head has been replaced since it was read. */
+  private async write(
+    { head, texts }: Configuration,
+    stored: StoredHead,
+    metadata: ChangeMetadata,
+  ): Promise<boolean> {
+    const puts: Operation[] = texts.flatMap((value, index) =>
+      stored.head?.digests[index] === head.digests[index]
         ? []
         : [{ type: 'put' as const, key: bucketKey(index), value }],
     );
     const writer = this.random.identifier(WRITER_IDENTIFIER_BYTES);
     const entry: HistoryEntry = { revision: head.revision, ...metadata, writer };
-    const newHistory = [...history, entry].slice(-MAX_HISTORY_ENTRIES);
+    const newHistory = [...stored.history, entry].slice(-MAX_HISTORY_ENTRIES);
     const transaction = {
-      compare: [
-        {
-          key: HEAD_KEY,
-          target: 'mod-revision' as const,
-          operand: storedHead?.modRevision ?? StoreRevision.None,
-        },
-      ],
+      compare: [{ key: HEAD_KEY, target: 'mod-revision' as const, operand: stored.modRevision }],
       success: [
         ...puts,
         { type: 'put' as const, key: HISTORY_KEY, value: JSON.stringify(newHistory) },
@@ -241,14 +305,7 @@
       ],
       failure: [{ type: 'range' as const, key: HEAD_KEY }],
     };
-    if (await this.commitAndConfirm(transaction, writer)) {
-      return head;
-    }
-    throw new RelayError({
-      kind: FailureKind.RevisionConflict,
-      expected: expectedRevision,
-      found: (await this.readHead())?.revision ?? 0,
-    });
+    return this.commitAndConfirm(transaction, writer);
   }
 
   /**
