Refuse a change while instances have a later revision than the store

Cause: the command-line tool numbered a change by the stored revision only. Between a restore of the store and the moment at which instances put theirs back, the change got a revision that instances had passed, was reported as active and was ignored.

`apply` and the key commands ask the live instances for the revision in force and report a conflict (exit code 3) while it is higher than the stored one. Without the list of instances the check is left out with a message, so that a key can still be withdrawn.

Before: CommandRegistry, "reports a conflict while instances have a revision that the store has lost": expected code 3, received 0.

Conclusion: an operator's change either takes effect or is refused, unless no instance with a later revision can be reached.

--- a/packages/hickoryrelay-command-line/src/CommandContext.ts
+++ b/packages/hickoryrelay-command-line/src/CommandContext.ts
@@ -19,6 +19,8 @@
 export interface CommandFlags {
   readonly json: boolean;
   readonly dryRun: boolean;
+  /** Whether `apply` replaces a revision in force that the store does not have. */
+  readonly supersede: boolean;
   readonly settings: boolean;
   readonly zone: string | undefined;
   readonly window: string | undefined;
--- a/packages/hickoryrelay-command-line/src/ConfigurationCommands.ts
+++ b/packages/hickoryrelay-command-line/src/ConfigurationCommands.ts
@@ -5,7 +5,7 @@
 
 import { Command, ExitCode } from './Command.js';
 import { CommandContext } from './CommandContext.js';
-import { ConfigurationRollout } from './ConfigurationRollout.js';
+import { ConfigurationRollout, findRevisionInForce } from './ConfigurationRollout.js';
 import type { EntryChange } from 'hickoryrelay-contract/DeclarationsChange';
 
 const CHANGE_SYMBOLS = { added: '+', changed: '~', removed: '-' } as const;
@@ -42,14 +42,25 @@
     if (changes.length === 0 || context.flags.dryRun) {
       return ExitCode.Success;
     }
-    const head = await context.platform.configurations.replace(updated, stored.revision, {
+    const revisionInForce = await findRevisionInForce(context);
+    const isBehind = stored.revision < revisionInForce;
+    if (isBehind) {
+      context.writeLine(
+        `Revision ${revisionInForce} is in force, but the store has revision ${stored.revision}. ` +
+          'If the store was restored from an older copy, the instances put theirs back in seconds.',
+      );
+    }
+    const expected = isBehind && context.flags.supersede ? revisionInForce : stored.revision;
+    const change = {
       author: context.author,
       summary: changes
         .map(({ kind, name }) => `${CHANGE_SYMBOLS[kind]}${name}`)
         .join(' ')
         .slice(0, 200),
       wallMilliseconds: context.clock.wallMilliseconds(),
-    });
+    };
+    const { configurations } = context.platform;
+    const head = await configurations.replace(updated, expected, change, revisionInForce);
     context.writeLine(`Revision ${head.revision} is accepted.`);
     return new ConfigurationRollout(context).waitForCompletion(head.revision);
   }
--- a/packages/hickoryrelay-command-line/src/ConfigurationRollout.ts
+++ b/packages/hickoryrelay-command-line/src/ConfigurationRollout.ts
@@ -1,4 +1,6 @@
 import { request } from 'undici';
+import { describeFailure } from 'hickoryrelay/Failure';
+import { failureOf } from 'hickoryrelay/RelayError';
 import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 import { InstanceState } from 'hickoryrelay-platform/InstanceList';
 
@@ -39,6 +41,34 @@
   }
 }
 
+function fetchLiveStatuses(
+  instances: readonly ListedInstance[],
+): Promise<{ name: string; status: InstanceStatus | undefined }[]> {
+  const live = instances.filter(({ state }) => state === InstanceState.Live);
+  return Promise.all(
+    live.map(async (instance) => ({
+      name: instance.name,
+      status: await fetchInstanceStatus(instance),
+    })),
+  );
+}
+
+/**
+ * Returns the highest revision in force at a live instance, or 0 if none states one. It is higher than
+ * the stored one if the store has been restored from an older copy.
+ */
+export async function findRevisionInForce(context: CommandContext): Promise<number> {
+  try {
+    const statuses = await fetchLiveStatuses(await context.platform.instances.list());
+    return Math.max(0, ...statuses.map(({ status }) => status?.revision ?? 0));
+  } catch (error) {
+    // A key has to be withdrawn even if the list of instances is not available.
+    const reason = describeFailure(failureOf(error));
+    context.writeLine(`The revision in force is not known: ${reason}`);
+    return 0;
+  }
+}
+
 /** Polls the live instances until all of them have applied a revision. */
 export class ConfigurationRollout {
   private readonly context: CommandContext;
@@ -71,16 +101,7 @@
   }
 
   private async listPendingInstances(revision: number): Promise<string[]> {
-    const knownInstances = await this.context.platform.instances.list();
-    const liveInstances = knownInstances.filter(
-      (instance) => instance.state === InstanceState.Live,
-    );
-    const statuses = await Promise.all(
-      liveInstances.map(async (instance) => ({
-        name: instance.name,
-        status: await fetchInstanceStatus(instance),
-      })),
-    );
+    const statuses = await fetchLiveStatuses(await this.context.platform.instances.list());
     return statuses
       .filter(({ status }) => status === undefined || status.revision < revision)
       .map(({ name }) => name);
--- a/packages/hickoryrelay-command-line/src/KeyCommands.ts
+++ b/packages/hickoryrelay-command-line/src/KeyCommands.ts
@@ -3,7 +3,7 @@
 import { AccessKey } from 'hickoryrelay-contract/AccessKey';
 
 import { Command, ExitCode } from './Command.js';
-import { ConfigurationRollout } from './ConfigurationRollout.js';
+import { ConfigurationRollout, findRevisionInForce } from './ConfigurationRollout.js';
 import type { CommandContext } from './CommandContext.js';
 import type { AccessKeyDeclaration } from 'hickoryrelay-contract/AccessKey';
 import type { ClientAccountDeclaration } from 'hickoryrelay-contract/ClientAccount';
@@ -30,6 +30,7 @@
         { ...document, accounts },
         revision,
         { author: context.author, summary, wallMilliseconds: context.clock.wallMilliseconds() },
+        await findRevisionInForce(context),
       );
       return head.revision;
     } catch (error) {
--- a/packages/hickoryrelay-command-line/src/__tests__/unit/CommandRegistry.test.ts
+++ b/packages/hickoryrelay-command-line/src/__tests__/unit/CommandRegistry.test.ts
@@ -15,22 +15,39 @@
   HttpInstanceList,
   HttpUsageReportSink,
 } from 'hickoryrelay-platform/HttpPlatform';
+import { JsonServer } from 'hickoryrelay-standin/JsonServer';
 import { KeyValueGateway } from 'hickoryrelay-standin/KeyValueGateway';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 import { PlatformStandIn } from 'hickoryrelay-standin/PlatformStandIn';
 
 import type { CommandFlags } from 'hickoryrelay-command-line/CommandContext';
+import type { JsonResponse } from 'hickoryrelay-standin/JsonServer';
 
 const EXAMPLE = 'examples/foucault/declarations.yaml';
 const FLAGS: CommandFlags = {
   json: false,
   dryRun: false,
+  supersede: false,
   settings: false,
   zone: undefined,
   window: undefined,
   waitSeconds: 1,
 };
 
+/** States the revision in force at an instance. */
+class StatusStandIn extends JsonServer {
+  private readonly revision: number;
+
+  constructor(revision: number) {
+    super();
+    this.revision = revision;
+  }
+
+  protected override answer(): JsonResponse {
+    return { status: 200, body: { revision: this.revision } };
+  }
+}
+
 describe('the command-line tool', () => {
   const clock = new SystemClock();
   const registry = new CommandRegistry();
@@ -133,6 +150,35 @@
     expect((await run('keys list')).output).toContain('withdrawn');
   });
 
+  // Guards against a change that every instance ignores, since a restored store gives out revisions
+  // that the instances have passed.
+  it('reports a conflict while instances have a revision that the store has lost', async () => {
+    await run(`apply ${EXAMPLE}`);
+    const { table } = gateway;
+    const copy = table.copy();
+    await run(`apply ${await writeChanged('lost', { staleKeySeconds: 61 })}`);
+    const instance = new StatusStandIn(2);
+    await instance.listen();
+    platform.instances.set('entry-1', {
+      name: 'entry-1',
+      zone: 'zone-a',
+      state: 'live',
+      callersUrl: instance.url,
+      peersUrl: 'ws://127.0.0.1:9',
+    });
+    table.restore(copy);
+    const file = await writeChanged('next', { staleKeySeconds: 62 });
+    const refused = await run(`apply ${file}`);
+    expect(refused).toMatchObject({ code: 3 });
+    expect(refused.output).toContain('Revision 2 is in force, but the store has revision 1.');
+    expect(await run('keys issue city-museum')).toMatchObject({ code: 3 });
+    expect(await run(`apply ${file}`, { supersede: true, waitSeconds: 0 })).toMatchObject({
+      code: 0,
+    });
+    expect((await run('get')).output).toContain('# revision 3\n');
+    await instance.close();
+  });
+
   it('reports a conflict to the operator whose concurrent change came second', async () => {
     await run(`apply ${EXAMPLE}`);
     const file = await writeChanged('first', { staleKeySeconds: 61 });
--- a/packages/hickoryrelay-command-line/src/hickoryrelay.ts
+++ b/packages/hickoryrelay-command-line/src/hickoryrelay.ts
@@ -39,6 +39,7 @@
     --platform, -p  Operator settings file with the platform addresses [${DEFAULT_SETTINGS_FILE}]
     --json          Write JSON (all commands that read)
     --dry-run       Show what apply would change without applying it
+    --supersede     Let apply replace a revision in force that a restored store has lost
     --wait          Seconds to wait until a change is active on every live instance; 0 does not wait [${DEFAULT_WAIT_SECONDS}]
     --settings      Check an instance settings file instead of declarations
     --zone          Availability zone
@@ -68,6 +69,7 @@
       },
       json: { type: 'boolean', default: false },
       dryRun: { type: 'boolean', default: false },
+      supersede: { type: 'boolean', default: false },
       settings: { type: 'boolean', default: false },
       wait: { type: 'number', default: DEFAULT_WAIT_SECONDS },
       zone: { type: 'string' },
@@ -104,11 +106,12 @@
 
 async function run(): Promise<ExitCode> {
   const settings = await readOperatorSettings();
-  const { json, dryRun, wait, zone, window } = program.flags;
+  const { json, dryRun, supersede, wait, zone, window } = program.flags;
   const context = new CommandContext({
     flags: {
       json,
       dryRun,
+      supersede,
       settings: program.flags.settings,
       zone,
       window,
