--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
@@ -93,7 +93,7 @@
     expect(namesOf(view)).toEqual(['a']);
   });
 
-  // Guards against retry budgets that are divided among the few instances that the copy has (BUDGET).
+  // Guards against load reports and counts that do not reach instances which the copy lacks.
   it('retains the registered instances until their leases would have expired', async () => {
     const { clock, view, apply } = makeView();
     apply({ ...snapshotOf([]), peers: peersOf(['p', 'q', 'r']) }, 1);
