Leave a request at its endpoint if no other one can take it

Three new tests of ForwardedStream.test.ts fail on the old code as well: with one endpoint left, a stream, a stream of an engine and an idempotent request whose endpoint pauses for 3 s end before the response goes on.

Cause: an attempt is aborted when its endpoint has been silent for a part of the time that callers wait, so that another endpoint can take over. Whether there is another one was not asked: only whether the route allows another attempt. With all endpoints tried, none that can begin in time, or the retry budget used up, the abort ended a response that may still have come. Class: work is given up before it is known that it can go on elsewhere.

The timeout now asks when it expires whether the request could be sent elsewhere, with the choice that the next attempt makes, and goes on waiting if not.

--- a/packages/hickoryrelay-forwarding/src/AttemptTimeout.ts
+++ b/packages/hickoryrelay-forwarding/src/AttemptTimeout.ts
@@ -1,12 +1,14 @@
 import type { Clock } from 'hickoryrelay/Clock';
 
 /**
- * Aborts an attempt that makes no progress for too long. Its user decides what counts as progress and
- * when there is nothing to wait for.
+ * Aborts an attempt that makes no progress for too long, if the request can be sent elsewhere then.
+ * Its user decides what counts as progress and when there is nothing to wait for.
  */
 export class AttemptTimeout {
   private readonly clock: Clock;
 
+  private readonly canMove: () => boolean;
+
   private readonly abortController = new AbortController();
 
   private limitMilliseconds = 0;
@@ -17,8 +19,10 @@
 
   private cancelTimer: (() => void) | undefined;
 
-  constructor(clock: Clock) {
+  /** `canMove` tells whether the request could be sent to another endpoint now. */
+  constructor(clock: Clock, canMove: () => boolean) {
     this.clock = clock;
+    this.canMove = canMove;
   }
 
   get signal(): AbortSignal {
@@ -54,10 +58,13 @@
       const elapsed = this.isPaused
         ? 0
         : this.clock.monotonicMilliseconds() - this.progressMilliseconds;
-      if (elapsed >= this.limitMilliseconds) {
+      if (elapsed < this.limitMilliseconds) {
+        this.scheduleCheck(this.limitMilliseconds - elapsed);
+      } else if (this.canMove()) {
         this.abortController.abort();
       } else {
-        this.scheduleCheck(this.limitMilliseconds - elapsed);
+        // The silence of an endpoint is no reason to end a response that no other one can give.
+        this.scheduleCheck(this.limitMilliseconds);
       }
     });
   }
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -138,6 +138,17 @@
     }
   }
 
+  /** True if the request could be taken from its endpoint and sent to another one now. */
+  private canMove(): boolean {
+    const { parts, admitted, isRetryable, hasAnotherAttempt, isGeneration } = this.call;
+    if (!isRetryable || !hasAnotherAttempt || !parts.budgets.hasRetry(admitted.service)) {
+      return false;
+    }
+    return isGeneration
+      ? this.generation.hasPlan()
+      : typeof this.chooseServiceEndpoint() !== 'string';
+  }
+
   /** Chooses an endpoint of a service without engines, or returns the reason if there is none. */
   private chooseServiceEndpoint(): Destination | string {
     const { parts, admitted } = this.call;
@@ -175,7 +186,7 @@
     const { state } = destination;
     const sentMilliseconds = parts.clock.monotonicMilliseconds();
     const attempt = this.attempt(destination);
-    const timeout = new AttemptTimeout(parts.clock);
+    const timeout = new AttemptTimeout(parts.clock, () => this.canMove());
     this.startResponseTimeout(timeout);
     state.beginRequest(sentMilliseconds);
     this.call.startAttempt();
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -42,7 +42,6 @@
    * engine is left or none can respond in time; the request has not run then.
    */
   async plan(): Promise<Destination | string> {
-    const { registry, engines } = this.call.parts;
     const prompt = summarizePrompt(this.call.request.promptSegments);
     const { kept } = this;
     if (kept !== undefined) {
@@ -50,24 +49,9 @@
       return this.decodeDestination(kept, prompt);
     }
     for (let attempts = 0; attempts < MAXIMUM_PREFILL_ATTEMPTS; attempts += 1) {
-      if (this.call.quarantinedGroup !== undefined) {
-        return QUARANTINED;
-      }
-      const states = registry.readyEndpoints(this.call.admitted.service);
-      let plan = engines.plan(states, prompt, false, this.call.placementContext());
-      if (plan !== undefined && this.call.deadline.wouldBeLate(plan.firstTokenMilliseconds)) {
-        this.isLate = true;
-        plan = engines.plan(states, prompt, true, this.call.placementContext());
-      }
-      if (plan === undefined) {
-        return 'no engine is left';
-      }
-      const expectedMilliseconds = Math.round(plan.firstTokenMilliseconds);
-      if (
-        expectedMilliseconds >
-        this.call.deadline.firstEventTimeout() * FIRST_EVENT_TIMEOUT_FRACTION
-      ) {
-        return `no engine can begin in time, the best in ${expectedMilliseconds} ms`;
+      const plan = this.choosePlan(prompt);
+      if (typeof plan === 'string') {
+        return plan;
       }
       if (plan.prefillEngine === undefined) {
         return {
@@ -93,6 +77,33 @@
     return 'the prompt could not be read';
   }
 
+  /** True if an engine could be chosen now. */
+  hasPlan(): boolean {
+    return typeof this.choosePlan(summarizePrompt(this.call.request.promptSegments)) !== 'string';
+  }
+
+  /** Chooses engines, or returns the reason if none is left or none can begin in time. */
+  private choosePlan(prompt: PromptSummary): GenerationPlan | string {
+    if (this.call.quarantinedGroup !== undefined) {
+      return QUARANTINED;
+    }
+    const { registry, engines } = this.call.parts;
+    const { deadline } = this.call;
+    const states = registry.readyEndpoints(this.call.admitted.service);
+    let plan = engines.plan(states, prompt, false, this.call.placementContext());
+    if (plan !== undefined && deadline.wouldBeLate(plan.firstTokenMilliseconds)) {
+      this.isLate = true;
+      plan = engines.plan(states, prompt, true, this.call.placementContext());
+    }
+    if (plan === undefined) {
+      return 'no engine is left';
+    }
+    const expectedMilliseconds = Math.round(plan.firstTokenMilliseconds);
+    return expectedMilliseconds > deadline.firstEventTimeout() * FIRST_EVENT_TIMEOUT_FRACTION
+      ? `no engine can begin in time, the best in ${expectedMilliseconds} ms`
+      : plan;
+  }
+
   /** Keeps the prefilled prompt of a run that was not sent, for the next attempt. */
   keep(prefilledPrompt: PrefilledPrompt | undefined): void {
     this.kept = prefilledPrompt;
--- a/packages/hickoryrelay-forwarding/src/RetryBudgets.ts
+++ b/packages/hickoryrelay-forwarding/src/RetryBudgets.ts
@@ -42,6 +42,11 @@
     return this.budgetFor(service).tryTake();
   }
 
+  /** True if a retry could be taken now. */
+  hasRetry(service: string): boolean {
+    return this.budgetFor(service).hasRetry;
+  }
+
   private budgetFor(service: string): RetryBudget {
     let budget = this.budgets.get(service);
     if (budget === undefined) {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
@@ -18,6 +18,8 @@
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ForwardingRoute } from 'hickoryrelay-forwarding/ForwardingConfiguration';
 
+const MODEL_STREAM = { ...RESUMABLE_STREAM, services: [{ service: 'model', weight: 1 }] };
+
 const succeeds: EndpointBehaviour = async () => makeResponse(['good']);
 
 describe('ForwardedCall of a stream', () => {
@@ -85,8 +87,6 @@
 });
 
 describe('ForwardedCall of a generation that is lost at its engine', () => {
-  const MODEL_STREAM = { ...RESUMABLE_STREAM, services: [{ service: 'model', weight: 1 }] };
-
   const promptSegments = ['shared-1', 'shared-2', 'own'].map((identifier) => ({
     identifier,
     tokens: 10,
@@ -291,6 +291,44 @@
   });
 });
 
+// Guards against a response that ends sooner than it has to because its endpoint is silent.
+describe('ForwardedCall whose endpoint is silent and is the only one left', () => {
+  it.each([
+    ['the rest of a stream', RESUMABLE_STREAM, 'desk'],
+    ['the rest of a stream of an engine', MODEL_STREAM, 'model'],
+    ['the response', { retrySemantics: RetrySemantics.Idempotent }, 'desk'],
+  ])('waits for %s', async (name, route, service) => {
+    const clock = new ManualClock();
+    const first = name === 'the response' ? '' : 'id: 1\n\n';
+    const pauses: EndpointBehaviour = async (_attempt, signal) => {
+      if (first === '') {
+        await clock.sleep(3000, signal);
+      }
+      async function* body(): AsyncGenerator<Buffer, void, void> {
+        if (first !== '') {
+          yield Buffer.from(first);
+          await clock.sleep(3000, signal);
+        }
+        yield Buffer.from('id: 2\n\n');
+      }
+      return makeResponse([], { body: body() });
+    };
+    const harness = makeRouteHarness(
+      { ...route, maximumAttempts: 3, timeoutMilliseconds: 10_000 },
+      [pauses],
+      {
+        clock,
+        endpoints: [makeEndpoint('e1', { service })],
+      },
+    );
+    const running = harness.run(makeRequest({ callerTimeoutMilliseconds: 10_000 }));
+    await clock.advance(9000);
+    await running;
+    expect(harness.link.sent).toHaveLength(1);
+    expect(harness.sink).toMatchObject({ text: `${first}id: 2\n\n`, isEnded: true });
+  });
+});
+
 // Guards against memory that grows with bytes that are no event, and an end that looks complete.
 describe('ForwardedCall of a stream without an event boundary', () => {
   const endless: EndpointBehaviour = async () => {
--- a/packages/hickoryrelay/src/RetryBudget.ts
+++ b/packages/hickoryrelay/src/RetryBudget.ts
@@ -31,9 +31,13 @@
     );
   }
 
+  get hasRetry(): boolean {
+    return this.availableRetries >= 1;
+  }
+
   /** Consumes one retry. Returns false if the budget is exhausted. */
   tryTake(): boolean {
-    if (this.availableRetries < 1) {
+    if (!this.hasRetry) {
       return false;
     }
     this.availableRetries -= 1;
