Keep the sealed counts of a usage window when the store loses the seal

Cause: the seal of a window was only in the store. When the store comes back from an older copy, the same or the next holder finds no seal, adds up the counts that are left and reports the window again with other counts.

Excluded: a report without a response that is executed late carries the counts of the seal, so it does no harm as long as the seal does not change. A seal in the copy is the one that was reported, since it is written once.

The first holder in an era of the store writes from which window on no seal can have been lost. A window before it without a seal is reported only with counts that an instance has kept. A holder that keeps its term through the restore knows all seals since its start, so it closes fewer windows. A store that was never restored has no closed windows.

Conclusion: with clocks more than 5 s apart, or a first era that is not numbered 0 or 1, the margin does not hold or costs up to two windows.

--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -8,6 +8,7 @@
 } from './CrashEvidenceMessage.js';
 import { isEndpointRecord } from './EndpointRecord.js';
 import { isPeerAddress, isPeerRecord } from './PeerRecord.js';
+import { USAGE_SEAL_KIND, decodeUsageSeal, usageSealElements } from './UsageSealMessage.js';
 import { isAccountCounts } from './UsageTally.js';
 
 import type { CrashEvidenceMessage } from './CrashEvidenceMessage.js';
@@ -15,6 +16,7 @@
 import type { PeerAddress, PeerRecord } from './PeerRecord.js';
 import type { SegmentUse } from './PromptCacheDirectory.js';
 import type { UsageCounts } from './UsageCountsWriter.js';
+import type { UsageSealMessage } from './UsageSealMessage.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 
 /** Kinds of messages between instances. The value is the first element of the encoded message. */
@@ -40,6 +42,8 @@
   UsageCountsHandoff: 9,
   /** Evidence about prompt segments that may crash engines. */
   CrashEvidence: CRASH_EVIDENCE_KIND,
+  /** Sealed usage counts of a window, or a request for them. */
+  UsageSeal: USAGE_SEAL_KIND,
 } as const;
 
 export type PeerMessageKind = (typeof PeerMessageKind)[keyof typeof PeerMessageKind];
@@ -137,7 +141,8 @@
   | ViewResponse
   | UsageCountsReport
   | UsageCountsConfirmation
-  | CrashEvidenceMessage;
+  | CrashEvidenceMessage
+  | UsageSealMessage;
 
 const MESSAGE_NUMBER_LIMIT = 2 ** 32;
 
@@ -199,6 +204,8 @@
       return pack([message.kind, message.number]);
     case PeerMessageKind.CrashEvidence:
       return pack(crashEvidenceElements(message));
+    case PeerMessageKind.UsageSeal:
+      return pack(usageSealElements(message));
     default:
       return pack(encodeLoad(message));
   }
@@ -374,6 +381,8 @@
       return decodeUsageCountsConfirmation(fields);
     case PeerMessageKind.CrashEvidence:
       return decodeCrashEvidence(fields);
+    case PeerMessageKind.UsageSeal:
+      return decodeUsageSeal(fields);
     default:
       return undefined;
   }
--- a/packages/hickoryrelay-forwarding/src/UsageKeys.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageKeys.ts
@@ -14,3 +14,6 @@
 export function sealedWindowKey(window: number): string {
   return `${USAGE_PREFIX}seals/${window}`;
 }
+
+/** Key of the first window that no holder can have sealed before the current era of the store. */
+export const SEALABLE_WINDOWS_KEY = `${USAGE_PREFIX}sealable-windows`;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -97,6 +97,20 @@
       isFinal: fastCheck.boolean(),
     }),
   }),
+  fastCheck.record({
+    kind: fastCheck.constant(PeerMessageKind.UsageSeal),
+    replyTo: addressArbitrary,
+    window: fastCheck.nat(),
+    counts: fastCheck.constant(undefined),
+  }),
+  fastCheck.record({
+    kind: fastCheck.constant(PeerMessageKind.UsageSeal),
+    replyTo: fastCheck.constant(undefined),
+    window: fastCheck.nat(),
+    counts: fastCheck.dictionary(fastCheck.stringMatching(/^[a-z]\w*$/u), fastCheck.nat(), {
+      noNullPrototype: true,
+    }),
+  }),
 );
 
 /** Encodes a message as an instance of another version might, without checks of its fields. */
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
@@ -0,0 +1,205 @@
+import fastCheck from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { UsageDeployment, WINDOW_MILLISECONDS } from './UsageRestoreFixture.js';
+
+const WINDOWS_OF_DAY = 20;
+const MAXIMUM_UNREPORTED_WINDOWS = 2;
+
+/** Half of the permitted difference between the clocks of two instances. */
+const MAXIMUM_CLOCK_OFFSET_MILLISECONDS = 2500;
+
+const instanceArbitrary = fastCheck.nat(4);
+
+const stepArbitrary = fastCheck.oneof(
+  {
+    weight: 8,
+    arbitrary: fastCheck.record({
+      type: fastCheck.constant('advance' as const),
+      milliseconds: fastCheck.integer({ min: 1, max: 16 }).map((steps) => steps * 250),
+      requests: fastCheck.array(fastCheck.nat(5), { minLength: 5, maxLength: 5 }),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fastCheck.record({
+      type: fastCheck.constant('restore' as const),
+      ageMilliseconds: fastCheck.nat(10_000),
+      awayMilliseconds: fastCheck.integer({ min: 1, max: 10 }).map((steps) => steps * 250),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fastCheck.record({
+      type: fastCheck.constant('change-holder' as const),
+      instance: instanceArbitrary,
+      overlaps: fastCheck.boolean(),
+    }),
+  },
+  fastCheck.record({ type: fastCheck.constant('restart' as const), instance: instanceArbitrary }),
+  fastCheck.record({
+    type: fastCheck.constant('set-clock' as const),
+    instance: instanceArbitrary,
+    offsetMilliseconds: fastCheck.integer({
+      min: -MAXIMUM_CLOCK_OFFSET_MILLISECONDS,
+      max: MAXIMUM_CLOCK_OFFSET_MILLISECONDS,
+    }),
+  }),
+  fastCheck.record({
+    type: fastCheck.constant('delay-reports' as const),
+    delayMilliseconds: fastCheck.option(fastCheck.nat(6000), { nil: undefined }),
+  }),
+  fastCheck.record({
+    type: fastCheck.constant('lose-responses' as const),
+    responses: fastCheck.nat(3),
+  }),
+  fastCheck.record({
+    type: fastCheck.constant('lose-datagrams' as const),
+    isLosing: fastCheck.boolean(),
+  }),
+);
+
+/** Runs 20 windows with one restore. Returns the windows that were not reported. */
+async function playDayWithRestore(
+  atMilliseconds: number,
+  ageMilliseconds: number,
+  awayMilliseconds: number,
+  nextHolder: number,
+): Promise<{ unreported: number[]; tooLow: number[]; conflicting: number[] }> {
+  const deployment = new UsageDeployment(5);
+  deployment.changeHolder(0);
+  const day = WINDOWS_OF_DAY * WINDOW_MILLISECONDS;
+  let isRestored = false;
+  while (deployment.clock.monotonicMilliseconds() < day + 2 * WINDOW_MILLISECONDS) {
+    for (let instance = 0; instance < deployment.size; instance += 1) {
+      deployment.count(instance, 1);
+    }
+    await deployment.advance(500);
+    if (!isRestored && deployment.clock.monotonicMilliseconds() >= atMilliseconds) {
+      isRestored = true;
+      await deployment.restoreStore(ageMilliseconds, awayMilliseconds);
+      if (nextHolder !== 0) {
+        deployment.changeHolder(nextHolder, true);
+      }
+    }
+  }
+  const windows = Array.from(
+    { length: WINDOWS_OF_DAY },
+    (_unused, index) => deployment.firstWindow + index,
+  );
+  const unreported = windows.filter((window) => deployment.reportedIn(window) === undefined);
+  const tooLow = windows.filter((window) => {
+    const reported = deployment.reportedIn(window);
+    return reported !== undefined && reported < (deployment.counted.get(window) ?? 0) * 0.95;
+  });
+  const { conflictingWindows: conflicting } = deployment;
+  await deployment.stop();
+  return { unreported, tooLow, conflicting };
+}
+
+describe('usage reports with a store that is restored from a copy', () => {
+  // Guards against a second report of a window whose seal was lost, with other counts.
+  it('never have different counts for a window', async () => {
+    await fastCheck.assert(
+      fastCheck.asyncProperty(
+        fastCheck.array(stepArbitrary, { minLength: 5, maxLength: 40 }),
+        async (steps) => {
+          const deployment = new UsageDeployment(5);
+          deployment.changeHolder(0);
+          for (const step of steps) {
+            if (step.type === 'advance') {
+              step.requests.forEach((requests, instance) => deployment.count(instance, requests));
+              await deployment.advance(step.milliseconds);
+            } else if (step.type === 'restore') {
+              await deployment.restoreStore(step.ageMilliseconds, step.awayMilliseconds);
+            } else if (step.type === 'change-holder') {
+              deployment.changeHolder(step.instance, step.overlaps);
+            } else if (step.type === 'restart') {
+              deployment.restart(step.instance);
+            } else if (step.type === 'set-clock') {
+              deployment.setClockOffset(step.instance, step.offsetMilliseconds);
+            } else if (step.type === 'delay-reports') {
+              deployment.platform.delayMilliseconds = step.delayMilliseconds;
+            } else if (step.type === 'lose-responses') {
+              deployment.store.responsesToLose = step.responses;
+            } else {
+              deployment.network.isDelivered = () => !step.isLosing;
+            }
+          }
+          deployment.platform.delayMilliseconds = undefined;
+          await deployment.advance(8000);
+          expect(deployment.conflictingWindows).toEqual([]);
+          await deployment.stop();
+        },
+      ),
+      { numRuns: 100 },
+    );
+  });
+
+  // Guards against a mark that keeps the first windows of a deployment from being reported.
+  it('contain all windows of a deployment whose store was never restored', async () => {
+    const deployment = new UsageDeployment(3);
+    deployment.changeHolder(0);
+    deployment.count(1, 2);
+    await deployment.advance(2 * WINDOW_MILLISECONDS);
+    deployment.changeHolder(2);
+    deployment.count(1, 3);
+    await deployment.advance(2 * WINDOW_MILLISECONDS);
+    expect(deployment.reportedIn(deployment.firstWindow)).toBe(2);
+    expect(deployment.reportedIn(deployment.firstWindow + 2)).toBe(3);
+    await deployment.stop();
+  });
+
+  // A new holder finds neither the seal nor all counts of a window that was reported before.
+  it.each([
+    { knows: 'another instance knows the seal', delivers: true, repeats: true },
+    { knows: 'no instance knows the seal', delivers: false, repeats: false },
+  ])('are repeated exactly or not at all if $knows', async ({ delivers, repeats }) => {
+    const deployment = new UsageDeployment(3);
+    deployment.changeHolder(0);
+    deployment.network.isDelivered = () => delivers;
+    deployment.count(0, 4);
+    deployment.count(1, 2);
+    const { firstWindow: window } = deployment;
+    await deployment.advance(WINDOW_MILLISECONDS + 2500);
+    expect(deployment.reportedIn(window)).toBe(6);
+    deployment.network.isDelivered = () => true;
+    deployment.restart(0);
+    await deployment.restoreStore(7000, 500);
+    deployment.changeHolder(2);
+    await deployment.advance(WINDOW_MILLISECONDS);
+    const reports = deployment.platform.accepted.get(window) ?? [];
+    expect(new Set(reports).size).toBe(1);
+    expect(reports.length > 1).toBe(repeats);
+    await deployment.stop();
+  });
+
+  // Guards against giving up more windows than those that may have been reported before.
+  it.each([
+    { nextHolder: 0, holder: 'the same holder' },
+    { nextHolder: 3, holder: 'a new holder' },
+  ])(
+    'leave at most two windows unreported after a restore with $holder',
+    async ({ nextHolder }) => {
+      await fastCheck.assert(
+        fastCheck.asyncProperty(
+          fastCheck.integer({ min: 10_000, max: 80_000 }),
+          fastCheck.nat(10_000),
+          fastCheck.integer({ min: 2, max: 10 }),
+          async (atMilliseconds, ageMilliseconds, awaySteps) => {
+            const { unreported, tooLow, conflicting } = await playDayWithRestore(
+              atMilliseconds,
+              ageMilliseconds,
+              awaySteps * 250,
+              nextHolder,
+            );
+            expect(conflicting).toEqual([]);
+            expect(unreported.length).toBeLessThanOrEqual(MAXIMUM_UNREPORTED_WINDOWS);
+            expect(tooLow).toEqual([]);
+          },
+        ),
+        { numRuns: 15 },
+      );
+    },
+  );
+});
