Delete the seal of a usage window later than any holder considers it

Cause: the holder deleted the seal and the counts of a window at most one window after the report was overdue by its own clock. A holder whose clock is 5 s behind still considers the window, finds neither, and reports it again without counts. The platform then has two reports with different counts.

Excluded: a restore of the store. Entries that come back with an older copy carry the counts that were reported, and their windows are overdue.

Conclusion: covers clocks that are 5 s apart and one of which jumps by 5 s.

--- a/packages/hickoryrelay-forwarding/src/UsageReportTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageReportTask.ts
@@ -38,6 +38,12 @@
 /** Periods in which a lost seal is requested from the other instances. */
 const MAXIMUM_REQUESTS = 8;
 
+/**
+ * Entries are deleted so long after their window is overdue that no holder considers the window
+ * again, since clocks may differ by 5 s and jump by as much.
+ */
+const REMOVAL_DELAY_MILLISECONDS = 10_000;
+
 /** Collaborators and settings of the task. */
 export interface UsageReportTaskParts {
   readonly store: KeyValueStore;
@@ -249,7 +255,8 @@
   /** Deletes the seal and the usage counts of a window whose report is overdue. */
   private async removeExpired(acceptedWindow: number): Promise<void> {
     const { store, windowMilliseconds, dueMilliseconds } = this.parts;
-    const expiredWindow = acceptedWindow - Math.ceil(dueMilliseconds / windowMilliseconds) - 1;
+    const delay = dueMilliseconds + REMOVAL_DELAY_MILLISECONDS;
+    const expiredWindow = acceptedWindow - Math.ceil(delay / windowMilliseconds) - 1;
     const seal = await store.get(sealedWindowKey(expiredWindow));
     if (seal === undefined) {
       return;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
@@ -174,6 +174,27 @@
     await deployment.stop();
   });
 
+  // Guards against a holder whose clock is behind and that reports a window again whose seal and
+  // counts were deleted after it was overdue for the holder before.
+  it.each(Array.from({ length: 20 }, (_unused, index) => 20_000 + index * 250))(
+    'are not repeated with other counts by a holder with an earlier clock after %i ms',
+    async (milliseconds) => {
+      const deployment = new UsageDeployment(2);
+      deployment.network.isDelivered = () => false;
+      deployment.setClockOffset(0, MAXIMUM_CLOCK_OFFSET_MILLISECONDS);
+      deployment.setClockOffset(1, -MAXIMUM_CLOCK_OFFSET_MILLISECONDS);
+      deployment.changeHolder(0);
+      for (let passed = 0; passed < milliseconds; passed += 250) {
+        deployment.count(0, 1);
+        await deployment.advance(250);
+      }
+      deployment.changeHolder(1);
+      await deployment.advance(2000);
+      expect(deployment.conflictingWindows).toEqual([]);
+      await deployment.stop();
+    },
+  );
+
   // Guards against giving up more windows than those that may have been reported before.
   it.each([
     { nextHolder: 0, holder: 'the same holder' },
