Let fencing numbers rise across a restore of the store

Cause: the fencing number of a term is the counter in the store plus one. After a restore the counter is lower, so numbers of earlier terms were assigned again. Endpoints and the platform refuse lower numbers only, so they took orders of two terms with one number for those of one holder.

FencingFloor keeps the highest number that an instance knows: of its own terms, of the counter and of what endpoints state in their order state. A term with a number that is known to have been assigned ends before it gets tasks. EndpointOrderDispatcher ends a term whose number an endpoint has seen although it had no order of this term.

Excluded: the era of etcd as a part of the number, because it is counted by each client. ZoneAuthority and AuthorityTerm are unchanged.

Conclusion: a number is assigned again only if no running instance of the zone and no endpoint that is ordered knows it.

--- a/packages/hickoryrelay-instance/src/ZoneController.ts
+++ b/packages/hickoryrelay-instance/src/ZoneController.ts
@@ -2,6 +2,8 @@
 import { Engine } from 'hickoryrelay-endpoint/Engine';
 import { HttpOrderLink } from 'hickoryrelay-link/OrderLink';
 import { EndpointOrderDispatcher } from 'hickoryrelay-zone/EndpointOrderDispatcher';
+import { FencingCounterTask } from 'hickoryrelay-zone/FencingCounterTask';
+import { FencingFloor } from 'hickoryrelay-zone/FencingFloor';
 import { PolicyPlanner } from 'hickoryrelay-zone/PolicyPlanner';
 import { DemandRolePolicy } from 'hickoryrelay-zone/RolePolicy';
 import { SupplyOrderDispatcher } from 'hickoryrelay-zone/SupplyOrderDispatcher';
@@ -40,11 +42,14 @@
 export class ZoneController {
   readonly authority: ZoneAuthority;
 
+  private readonly floor: FencingFloor;
+
   private readonly parts: ZoneControllerParts;
 
   constructor(parts: ZoneControllerParts) {
     this.parts = parts;
-    const { instance, store, random, lifecycle } = parts;
+    const { instance, store, random, lifecycle, clock } = parts;
+    this.floor = new FencingFloor(clock);
     this.authority = new ZoneAuthority({
       zone: instance.zone,
       holder: `${instance.name}/${random.identifier(INCARNATION_BYTES)}`,
@@ -53,6 +58,12 @@
       lifecycle,
       log: parts.log(LogPrefix.Authority),
       createTasks: (term) => {
+        if (this.floor.isAssignedBefore(term)) {
+          // The store was restored from an older copy; the next term gets a higher number.
+          term.end();
+          return [];
+        }
+        this.floor.record(term.fencingNumber);
         const observation = parts.createObservationTask?.(term);
         return [this.orders(term), ...(observation === undefined ? [] : [observation])];
       },
@@ -60,7 +71,19 @@
   }
 
   start(): void {
-    this.parts.lifecycle.start(this.authority);
+    const { instance, store, random, lifecycle, log } = this.parts;
+    const { authority, floor } = this;
+    lifecycle.start(authority);
+    lifecycle.start(
+      new FencingCounterTask({
+        zone: instance.zone,
+        store,
+        floor,
+        currentTerm: () => authority.currentTerm,
+        random,
+        log: log(LogPrefix.Authority),
+      }),
+    );
   }
 
   private orders(term: AuthorityTerm): Task {
@@ -78,6 +101,7 @@
             ? new HttpOrderLink(endpoint.location, check)
             : undefined;
         },
+        floor: this.floor,
       }),
       supply: new SupplyOrderDispatcher({ term, store, supply, clock, random }),
       planner: new PolicyPlanner({
--- a/packages/hickoryrelay-zone/src/EndpointOrderDispatcher.ts
+++ b/packages/hickoryrelay-zone/src/EndpointOrderDispatcher.ts
@@ -5,6 +5,7 @@
 
 import { intentKey, intentsPrefix } from './ZoneKeyUtils.js';
 import type { AuthorityTerm } from './AuthorityTerm.js';
+import type { FencingFloor } from './FencingFloor.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { EndpointOrder, IssuedOrder } from 'hickoryrelay-endpoint/EndpointOrder';
@@ -39,6 +40,8 @@
   readonly random: RandomSource;
   /** Opens the order connection to an endpoint; returns undefined if the endpoint is gone. */
   readonly openLink: (endpoint: string, check: () => void) => OrderLink | undefined;
+  /** Records the fencing numbers that endpoints state. */
+  readonly floor?: FencingFloor;
 }
 
 /**
@@ -79,6 +82,9 @@
    */
   private readonly expiryByOrder = new Map<string, number>();
 
+  /** Endpoints to which an order of this term has been sent. */
+  private readonly orderedEndpoints = new Set<string>();
+
   private isReady = false;
 
   constructor(parts: EndpointOrderDispatcherParts) {
@@ -206,6 +212,10 @@
   private async send(link: OrderLink, issued: IssuedOrder): Promise<OrderOutcome> {
     try {
       const state = await link.readState();
+      if (this.isNumberOfOtherTerm(issued, state.fencingNumber)) {
+        this.parts.term.end();
+        return OrderOutcome.NoEffect;
+      }
       if (state.progress === OrderProgress.Running) {
         return OrderOutcome.NoEffect;
       }
@@ -225,7 +235,22 @@
     return outcome;
   }
 
+  /**
+   * Records the number that an endpoint states. It proves that the number of this term has been assigned
+   * before if it is higher, or equal although the endpoint has had no order of this term. A store that
+   * was restored from an older copy assigns numbers again.
+   */
+  private isNumberOfOtherTerm({ endpoint }: IssuedOrder, statedNumber: number): boolean {
+    const { term, floor } = this.parts;
+    floor?.record(statedNumber);
+    return (
+      statedNumber > term.fencingNumber ||
+      (statedNumber === term.fencingNumber && !this.orderedEndpoints.has(endpoint))
+    );
+  }
+
   private async sendOnce(link: OrderLink, issued: IssuedOrder): Promise<OrderOutcome> {
+    this.orderedEndpoints.add(issued.endpoint);
     try {
       const response = await link.send(issued);
       if (response === OrderResponse.RefusedAsFenced) {
