Report no usage window again after a restore of the store

Cause: a restored store has forgotten the seals and marks of the last windows. The next term sealed such a window again, took the seal for its own and sent it without asking the sink.

In the first round of reports of a term the reporter asks the sink with `find` for each window, whoever sealed it. Later windows of the term begin after the restore, since the lease of a term does not outlast it.

Excluded: seals by a term of before, for which the sink was asked already.

Conclusion: a window is reported once.

--- a/packages/hickoryrelay-usage/src/UsageReporter.ts
+++ b/packages/hickoryrelay-usage/src/UsageReporter.ts
@@ -89,8 +89,13 @@
     const seal = JSON.parse(stored.value) as UsageSeal;
     authority.assertHeld();
     const report = reportOf(zone, seal, authority.fencingNumber);
+    // A store that was restored from an older copy forgets seals and marks, and the term ends with its
+    // lease. The first window that the next term seals may therefore have been reported before.
+    const isFirstReportOfTerm = this.reportedTerm !== authority.fencingNumber;
     const mayBeReported =
-      this.unconfirmed.has(window) || seal.fencingNumber !== authority.fencingNumber;
+      isFirstReportOfTerm ||
+      this.unconfirmed.has(window) ||
+      seal.fencingNumber !== authority.fencingNumber;
     if (mayBeReported) {
       const found = await sink.find(zone, report.windowStartMilliseconds);
       if (found !== undefined) {
