Remember incarnations of endpoints that were replaced before a restore

An incarnation that left and was replaced by the next one under the same identifier was neither among the removed nor among the known ones, so its registration counted again when a restore brought it back (DRAIN).

Before: 'do not take an incarnation for ready that left before its endpoint was restarted' failed.

--- a/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
+++ b/packages/hickoryrelay-forwarding/src/ConfirmedView.ts
@@ -1,4 +1,4 @@
-import { EndpointPhase } from './EndpointRecord.js';
+import { EndpointPhase, incarnationKey } from './EndpointRecord.js';
 import { PEER_LEASE_MILLISECONDS } from './PeerRecord.js';
 import { RestoredEntryFilter } from './RestoredEntryFilter.js';
 
@@ -164,7 +164,12 @@
     );
     const removed: EndpointRecord[] = [];
     for (const known of this.records.values()) {
-      if (!records.has(known.identifier)) {
+      const record = records.get(known.identifier);
+      if (record !== undefined) {
+        if (incarnationKey(record) !== incarnationKey(known)) {
+          this.restoredEntries.recordRemoval(known, now);
+        }
+      } else {
         // An endpoint missing since an earlier outage has already had its recovery time.
         const hadRecoveryTime =
           mayHaveExpired && !isRestored && known.phase === EndpointPhase.Unconfirmed;
