Leave copies of the final usage counts of a stopping instance

Cause: an instance that stops writes its final counts and is gone. If the store then comes back from an older copy, nobody has these counts any more, unless a relay had written them.

Excluded: counts that could not be stored before the stop, which are handed off and retained already.

Before: "contain the counts of an instance that stopped before the restore" fails: expected 3 to be 7.

After: the instance sends its stored counts to two others, one datagram for each window, with the era in which they were written. It does not wait for a confirmation, since its grace time is nearly over. The others write them only if the store begins a later era before the window is overdue. Tests of UsageRestore, UsageCounts and PeerMessage: 71 passed.

Conclusion: both datagrams may be lost, and an instance that retains copies does not pass them on when it stops itself. Counts of an instance that is killed and that wrote them itself stay lost.

--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -38,7 +38,10 @@
    * Confirms that the counts of a report are stored, or that those of a handoff were taken over.
    */
   UsageCountsConfirmation: 8,
-  /** Usage counts that a stopping instance could not store, for another instance to write. */
+  /**
+   * Usage counts of a stopping instance, for another instance to write if they are not stored or the
+   * store is restored from an older copy.
+   */
   UsageCountsHandoff: 9,
   /** Evidence about prompt segments that may crash engines. */
   CrashEvidence: CRASH_EVIDENCE_KIND,
@@ -127,6 +130,8 @@
   /** Number of the report, repeated in the confirmation. */
   readonly number: number;
   readonly usage: UsageCounts;
+  /** Era of the store in which the counts were written; undefined if they are yet to be written. */
+  readonly storedEra: number | undefined;
 }
 
 /** Confirms a report or a handoff. */
@@ -195,10 +200,10 @@
     }
     case PeerMessageKind.UsageCountsReport:
     case PeerMessageKind.UsageCountsHandoff: {
-      const { kind, reporter, number, usage } = message;
+      const { kind, reporter, number, usage, storedEra } = message;
       const { window, incarnation, counts, isFinal } = usage;
       const { host, port } = reporter;
-      return pack([kind, host, port, number, window, incarnation, counts, isFinal]);
+      return pack([kind, host, port, number, window, incarnation, counts, isFinal, storedEra]);
     }
     case PeerMessageKind.UsageCountsConfirmation:
       return pack([message.kind, message.number]);
@@ -330,7 +335,7 @@
   kind: UsageCountsReport['kind'],
   fields: readonly unknown[],
 ): UsageCountsReport | undefined {
-  const [host, port, number, window, incarnation, counts, isFinal] = fields;
+  const [host, port, number, window, incarnation, counts, isFinal, storedEra] = fields;
   const reporter = { host, port };
   if (
     !isPeerAddress(reporter) ||
@@ -338,11 +343,12 @@
     typeof window !== 'number' ||
     typeof incarnation !== 'string' ||
     !isAccountCounts(counts) ||
-    typeof isFinal !== 'boolean'
+    typeof isFinal !== 'boolean' ||
+    (storedEra !== undefined && typeof storedEra !== 'number')
   ) {
     return undefined;
   }
-  return { kind, reporter, number, usage: { window, incarnation, counts, isFinal } };
+  return { kind, reporter, number, usage: { window, incarnation, counts, isFinal }, storedEra };
 }
 
 function decodeUsageCountsConfirmation([number]: readonly unknown[]):
--- a/packages/hickoryrelay-forwarding/src/UsageCountsRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageCountsRelay.ts
@@ -22,6 +22,9 @@
 
 const MAXIMUM_HANDOFF_ATTEMPTS = 3;
 
+/** Number of instances that receive a copy of the stored counts of a stopping instance. */
+const COPY_RECIPIENTS = 2;
+
 /** Era of a store that does not state one. */
 const UNKNOWN_ERA = 0;
 
@@ -98,11 +101,7 @@
    * takes them over.
    */
   async handOff(usage: UsageCounts): Promise<boolean> {
-    const { self, view } = this.parts;
-    const others = view.peers
-      .filter(({ instance }) => instance !== self.instance)
-      .toSorted((left, right) => this.distance(left) - this.distance(right));
-    for (const peer of others.slice(0, MAXIMUM_HANDOFF_ATTEMPTS)) {
+    for (const peer of this.nearestPeers.slice(0, MAXIMUM_HANDOFF_ATTEMPTS)) {
       if (await this.send(peer, PeerMessageKind.UsageCountsHandoff, usage)) {
         return true;
       }
@@ -110,6 +109,21 @@
     return false;
   }
 
+  /**
+   * Sends stored counts to some instances, which write them again if the store is restored from an
+   * older copy. Does not wait for confirmations, since the instance is about to stop.
+   */
+  sendCopies(usage: UsageCounts, storedEra: number | undefined): void {
+    const { self, channel, random } = this.parts;
+    channel.sendToAll(this.nearestPeers.slice(0, COPY_RECIPIENTS), {
+      kind: PeerMessageKind.UsageCountsHandoff,
+      reporter: { host: self.host, port: self.port },
+      number: randomMessageNumber(random),
+      usage,
+      storedEra: storedEra ?? UNKNOWN_ERA,
+    });
+  }
+
   /**
    * Writes the retained counts of other instances that the store does not have: those taken over
    * from stopped instances and, after the store has been restored, all. Drops those of windows
@@ -147,6 +161,14 @@
     return this.parts.writer.era.current ?? UNKNOWN_ERA;
   }
 
+  /** All other instances, those of this zone first. */
+  private get nearestPeers(): PeerRecord[] {
+    const { self, view } = this.parts;
+    return view.peers
+      .filter(({ instance }) => instance !== self.instance)
+      .toSorted((left, right) => this.distance(left) - this.distance(right));
+  }
+
   private distance({ zone }: PeerRecord): number {
     return zone === this.parts.self.zone ? 0 : 1;
   }
@@ -184,12 +206,13 @@
         cancelTimeout();
         resolve(true);
       });
-      channel.send(peer, { kind, reporter: { host: self.host, port: self.port }, number, usage });
+      const reporter = { host: self.host, port: self.port };
+      channel.send(peer, { kind, reporter, number, usage, storedEra: undefined });
     });
   }
 
-  private acceptHandoff({ reporter, number, usage }: UsageCountsReport): void {
-    if (!this.isStopping && this.retained.add(usage)) {
+  private acceptHandoff({ reporter, number, usage, storedEra }: UsageCountsReport): void {
+    if (!this.isStopping && this.retained.add(usage, storedEra)) {
       this.parts.channel.send(reporter, { kind: PeerMessageKind.UsageCountsConfirmation, number });
     }
   }
--- a/packages/hickoryrelay-forwarding/src/UsageCountsTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageCountsTask.ts
@@ -70,7 +70,8 @@
 
   /**
    * Writes the counts of this instance that have changed or were written in an earlier era, and those
-   * retained for other instances. In the last flush before the instance stops, the counts of the current window are final as well.
+   * retained for other instances. In the last flush before the instance stops, the counts of the
+   * current window are final as well.
    */
   async flush(wallMilliseconds: number, isLast = false): Promise<void> {
     const { oldest, current } = this.openWindowsAt(wallMilliseconds);
@@ -88,7 +89,10 @@
     }
   }
 
-  /** Writes the final counts before the instance stops; hands off those that cannot be written. */
+  /**
+   * Writes the final counts before the instance stops; hands off those that cannot be written.
+   * Leaves copies of the others, since the store may be restored from an older copy later.
+   */
   async finish(wallMilliseconds: number): Promise<void> {
     await this.flush(wallMilliseconds, true);
     const handedOff = this.parts.relay.handOffAll();
@@ -98,6 +102,8 @@
       if (this.isUnwritten(usage)) {
         const isTaken = await this.parts.relay.handOff(usage);
         this.parts.log.info('Tried to hand off the usage counts of a window.', { window, isTaken });
+      } else if (Object.keys(usage.counts).length > 0) {
+        this.parts.relay.sendCopies(usage, this.lastWritten.get(window)?.era);
       }
     }
     await handedOff;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -96,6 +96,7 @@
       }),
       isFinal: fastCheck.boolean(),
     }),
+    storedEra: fastCheck.option(fastCheck.nat(), { nil: undefined }),
   }),
   fastCheck.record({
     kind: fastCheck.constant(PeerMessageKind.UsageSeal),
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
@@ -174,6 +174,21 @@
     await deployment.stop();
   });
 
+  // Guards against losing the final counts of an instance that is gone when the store is restored.
+  it('contain the counts of an instance that stopped before the restore', async () => {
+    const deployment = new UsageDeployment(3);
+    deployment.changeHolder(0);
+    await deployment.advance(1000);
+    deployment.count(1, 4);
+    deployment.count(2, 3);
+    await deployment.advance(2000);
+    await deployment.finish(1);
+    await deployment.restoreStore(3000, 500);
+    await deployment.advance(2 * WINDOW_MILLISECONDS);
+    expect(deployment.reportedIn(deployment.firstWindow)).toBe(7);
+    await deployment.stop();
+  });
+
   // Guards against a holder whose clock is behind and that reports a window again whose seal and
   // counts were deleted after it was overdue for the holder before.
   it.each(Array.from({ length: 20 }, (_unused, index) => 20_000 + index * 250))(
