Record the sealable windows at the holder that learns of a restore

After a restore, the next holder did not report the window that had ended while the store was away: it cannot know which windows the holder before had sealed, so it left out all that had settled 5 s after it learned of the restore.

Excluded: a lost seal. The windows before were reported again with the same counts.

The holder whose term ends with the restore knows all seals since the start of its term, and writes the mark of the era itself, before the lease is over that the next holder waits for.

Before: 'keep a window open that the holder knows not to have been sealed before a restore' fails with 'expected to be'. After: it passes, and so do the 28 tests of UsageRestore, whose model ends the term of a holder that learns of a restore, as the program does.

--- a/packages/hickoryrelay-forwarding/src/SealableWindows.ts
+++ b/packages/hickoryrelay-forwarding/src/SealableWindows.ts
@@ -1,3 +1,5 @@
+import { describeFailure } from 'hickoryrelay/Failure';
+import { failureOf } from 'hickoryrelay/RelayError';
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { SEALABLE_WINDOWS_KEY } from './UsageKeys.js';
@@ -47,8 +49,8 @@
 /**
  * Decides which windows may be sealed with counts that are added up now. After the store has been
  * restored from an older copy, a window without a seal may have been sealed and reported before. The
- * first window for which this is impossible is written to the store once in each era, by the first
- * holder of the authority in that era, and applies to all later holders.
+ * first window for which this is impossible is written to the store once in each era, by the holder
+ * that learns of the restore or by the first one in that era, and applies to all later holders.
  */
 export class SealableWindows {
   private readonly parts: SealableWindowsParts;
@@ -138,6 +140,14 @@
     // A holder of the era before may act until its term ends, which is within the clock tolerance.
     this.knownSinceMilliseconds = now;
     this.restoredAtMonotonicMilliseconds = this.parts.clock.monotonicMilliseconds();
+    if (isHolder) {
+      // This process knows more seals than a later holder, so its mark keeps more windows open.
+      this.firstWindow().catch((error: unknown) => {
+        this.parts.log.warn('Could not record the first usage window that can be sealed.', {
+          reason: describeFailure(failureOf(error)),
+        });
+      });
+    }
   }
 
   /**
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestoreFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestoreFixture.ts
@@ -22,6 +22,8 @@
 
 import type { AccountCounts } from 'hickoryrelay-forwarding/UsageTally';
 
+export const LEASE_MILLISECONDS = 3000;
+
 export const WINDOW_MILLISECONDS = 5000;
 export const DUE_MILLISECONDS = 10_000;
 
@@ -221,7 +223,18 @@
         log: silentLogger,
       }),
     );
-    this.holder = { index, term };
+    const holder = { index, term };
+    this.holder = holder;
+    // A holder that learns of a restore ends its term, and no term begins for the length of a lease.
+    const removeObserver = store.era.onRestore(() => {
+      removeObserver();
+      term.end();
+      this.clock.schedule(LEASE_MILLISECONDS, () => {
+        if (this.holder === holder) {
+          this.changeHolder(index);
+        }
+      });
+    });
   }
 
   count(index: number, requests: number): void {
