--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestoreFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestoreFixture.ts
@@ -22,8 +22,6 @@
 
 import type { AccountCounts } from 'hickoryrelay-forwarding/UsageTally';
 
-export const LEASE_MILLISECONDS = 3000;
-
 export const WINDOW_MILLISECONDS = 5000;
 export const DUE_MILLISECONDS = 10_000;
 
@@ -189,8 +187,17 @@
     this.processOf(index).clock.offsetMilliseconds = offsetMilliseconds;
   }
 
-  /** Gives the authority to an instance. The previous holder may act for a moment longer. */
-  changeHolder(index: number, overlaps = false): void {
+  /**
+   * Gives the authority to an instance. The previous holder may act for a moment longer. The term
+   * ends when the instance sees a restore of the store, unless it outlasts restores.
+   */
+  changeHolder(
+    index: number,
+    {
+      overlaps = false,
+      outlastsRestores = false,
+    }: { overlaps?: boolean; outlastsRestores?: boolean } = {},
+  ): void {
     const previous = this.holder;
     if (overlaps && previous !== undefined) {
       this.clock.schedule(OVERLAP_MILLISECONDS, () => previous.term.end());
@@ -208,6 +215,9 @@
         marginMilliseconds: 0,
       },
     );
+    if (!outlastsRestores) {
+      store.era.onRestore(() => term.end());
+    }
     const taskLifecycle = lifecycle.child(`term ${this.fencingNumber}`);
     term.signal.addEventListener('abort', () => {
       void taskLifecycle.stop();
@@ -223,18 +233,7 @@
         log: silentLogger,
       }),
     );
-    const holder = { index, term };
-    this.holder = holder;
-    // A holder that learns of a restore ends its term, and no term begins for the length of a lease.
-    const removeObserver = store.era.onRestore(() => {
-      removeObserver();
-      term.end();
-      this.clock.schedule(LEASE_MILLISECONDS, () => {
-        if (this.holder === holder) {
-          this.changeHolder(index);
-        }
-      });
-    });
+    this.holder = { index, term };
   }
 
   count(index: number, requests: number): void {
