Do not take a queued response for one that its caller does not read

The new test of HttpResponseWriter.test.ts fails on the old code with "the caller disconnected".

Cause: the response to a pipelined request has no socket until the earlier ones are complete. Its write buffer fills up meanwhile, which was taken for a caller that does not read: after the stall timeout, or when the call failed, the response was destroyed, and with it the connection as soon as the earlier response was complete. Class: a wait for another response is taken for a wait for the caller.

Excluded: the drain; a trace shows that it closed no connection before the response was destroyed.

The stall timeout now starts when the response has the socket, and a failed stream that is queued gets its error event like any other.

--- a/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
@@ -73,7 +73,7 @@
       this.response.end(JSON.stringify(body));
       return;
     }
-    if (this.response.writableNeedDrain) {
+    if (this.response.writableNeedDrain && !this.isQueued) {
       // The caller is not reading, so an error event would be queued behind unread data.
       this.response.destroy();
       return;
@@ -86,21 +86,42 @@
     this.response.destroy();
   }
 
+  /** True while the response waits for an earlier one on its connection to be complete. */
+  private get isQueued(): boolean {
+    return this.response.socket === null;
+  }
+
   private assertOpen(): void {
     if (this.response.destroyed || this.response.writableEnded) {
       throw new RelayError({ kind: FailureKind.Cancelled, reason: 'the caller disconnected' });
     }
   }
 
+  /** Closes the connection after the stall timeout, which does not count while queued. */
+  private startStallTimer(): () => void {
+    const { clock, stallTimeoutMilliseconds } = this.parts;
+    let cancel = () => {};
+    const schedule = () => {
+      const wasQueued = this.isQueued;
+      cancel = clock.schedule(stallTimeoutMilliseconds, () => {
+        if (wasQueued) {
+          schedule();
+        } else {
+          this.response.destroy();
+        }
+      });
+    };
+    schedule();
+    return () => cancel();
+  }
+
   /** Waits until the write buffer has drained. Closes the connection if the caller does not read. */
   private async waitForDrain(cancelSignal: AbortSignal): Promise<void> {
     const settled = new AbortController();
     const { signal } = settled;
     const settle = () => settled.abort();
     cancelSignal.addEventListener('abort', settle);
-    const cancelStallTimer = this.parts.clock.schedule(this.parts.stallTimeoutMilliseconds, () => {
-      this.response.destroy();
-    });
+    const cancelStallTimer = this.startStallTimer();
     try {
       await Promise.race([
         once(this.response, 'drain', { signal }),
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/HttpResponseWriter.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/HttpResponseWriter.test.ts
@@ -1,4 +1,5 @@
 import { createServer, request } from 'node:http';
+import { connect } from 'node:net';
 
 import { describe, expect, it } from 'vitest';
 import { SystemClock } from 'hickoryrelay/Clock';
@@ -14,13 +15,16 @@
 const clock = new SystemClock();
 const LARGE_CHUNK = Buffer.alloc(1_048_576);
 
-function createWriter(response: ServerResponse): HttpResponseWriter {
+function createWriter(
+  response: ServerResponse,
+  stallTimeoutMilliseconds = 60_000,
+): HttpResponseWriter {
   return new HttpResponseWriter({
     response,
     requestIdentifier: 'request-1',
     timer: new CallTimer({ arrivalMilliseconds: 0 } as Call, new CallSeries('a', 'c'), clock),
     clock,
-    stallTimeoutMilliseconds: 60_000,
+    stallTimeoutMilliseconds,
   });
 }
 
@@ -81,4 +85,41 @@
       isDestroyed: true,
     });
   });
+
+  // Guards against taking a response that waits behind another one for one that is not read.
+  it('does not close the connection while the response waits for an earlier one', async () => {
+    const text = await new Promise<string>((resolve) => {
+      const first: ServerResponse[] = [];
+      const server = createServer(async (incoming, response) => {
+        if (first.length === 0) {
+          first.push(response);
+          return;
+        }
+        const writer = createWriter(response, 50);
+        writer.begin(200, 'text/event-stream');
+        setTimeout(() => first[0]?.end('first'), 300);
+        await writer.write(LARGE_CHUNK, new AbortController().signal);
+        await writer.end();
+      });
+      server.listen(0, '127.0.0.1', () => {
+        const { port } = server.address() as AddressInfo;
+        const caller = connect(port, '127.0.0.1', () => {
+          caller.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n'.repeat(2));
+        });
+        let received = '';
+        caller.on('data', (chunk) => {
+          received += chunk.toString('latin1');
+          if (received.endsWith('\r\n0\r\n\r\n') && received.includes('event-stream')) {
+            caller.end();
+          }
+        });
+        caller.on('close', () => {
+          server.close();
+          resolve(received);
+        });
+      });
+    });
+    expect(text).toContain('first');
+    expect(text.split('\0')).toHaveLength(LARGE_CHUNK.length + 1);
+  });
 });
