Put claims back that a restored store has forgotten

Cause: a claim is a key in the store. After a restore it was gone, a call with the same idempotency key was claimed again and ran a second time, and the response of a call that ran meanwhile was not stored.

Each instance remembers its claims of the last hour, without the bodies of responses, and writes those of an earlier era again, if absent, when it notices a restore. For 10 s after that no call is claimed: all instances notice a restore within 6.25 s, with their read of the configuration. A claim whose own response shows the restore is withdrawn and refused as not run. A call that ran during the restore stores its response.

Excluded: looking up known claims in normal operation, because an operator may delete a claim so that the call can run again.

Conclusion: no call runs again unless the instance that ran it is gone, or cut off from the store for longer than 10 s, or the copy is older than an hour.

--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -150,6 +150,12 @@
       queueLimit: parts.settings.limits.callsInFlight,
       observeWork: (className, work) => this.controlPlane.digest.work.add(className, work),
     });
+    const claims = new KeyValueClaimRegister(
+      parts.platform.keyValue,
+      parts.clock,
+      createComponentLogger(parts.logger, LogPrefix.Claims),
+    );
+    this.lifecycle.own('claims', claims.observeRestores());
     this.exchangeParts = {
       admission: parts.admission ?? this.policy.admission,
       selection: this.policy.selection,
@@ -159,11 +165,7 @@
       clock: parts.clock,
       random: parts.random,
       meter: this.usageAccounting.usage.meter,
-      claims: new KeyValueClaimRegister(
-        parts.platform.keyValue,
-        parts.clock,
-        createComponentLogger(parts.logger, LogPrefix.Claims),
-      ),
+      claims,
       retryBudget: new RetryBudget(),
       memoryBudget: new ResponseMemoryBudget(),
       counters: new ExchangeCounters(),
