--- a/packages/hickoryrelay-instance/src/__tests__/e2e/RestoredStore.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/RestoredStore.test.ts
@@ -1,5 +1,6 @@
 import { request } from 'undici';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { HEAD_KEY } from 'hickoryrelay-platform/ConfigurationStore';
 import { DaemonProcess } from 'hickoryrelay-standin/DaemonProcess';
 import { LocalFederation, sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
 
@@ -46,4 +47,30 @@
     const metrics = await request(`${daemon.url}/metrics`);
     expect(await metrics.body.text()).toContain('\nhickoryrelay_key_value_service_era 1\n');
   });
+
+  // Guards against an acknowledged change that is in force and that nobody writes into the store again.
+  it('puts the configuration in force back, and its next term has a higher fencing number', async () => {
+    const { table } = federation.gateway;
+    const storedRevision = () => {
+      const [head] = table.range(HEAD_KEY).values;
+      return (JSON.parse(head?.value ?? '{}') as { revision?: number }).revision;
+    };
+    const fencingNumber = async () => {
+      const status = await request(`${daemon.url}/admin/status`);
+      return ((await status.body.json()) as { fencingNumber?: number }).fencingNumber ?? 0;
+    };
+    await daemon.waitUntil(async () => (await fencingNumber()) > 0);
+    const numberBefore = await fencingNumber();
+    const copy = table.copy();
+    const document = sampleDeclarations();
+    document.staleKeySeconds += 1;
+    await federation.apply(document);
+    const revision = storedRevision();
+    await daemon.waitUntil(() => daemon.log.includes(`"revision":${revision}`));
+    table.restore(copy, { keepsClusterIdentifier: true });
+    expect(storedRevision()).toBe(Number(revision) - 1);
+    await daemon.waitUntil(() => storedRevision() === revision);
+    await daemon.waitUntil(async () => (await fencingNumber()) > numberBefore);
+    expect(daemon.log).toContain('The configuration in force was put back into the store.');
+  });
 });
