Read waiting requests before a connection is closed for its idle timeout

Cause: after a stall of the event loop (a large configuration that is decoded in one go, a machine without processor time), timers run before sockets are read. Node's HTTP server then destroys a connection whose idle timeout has passed, although its next request has been waiting in the socket. It needs a stall that begins outside a timer and lasts from the arrival of the request until 1 s after the idle timeout, the margin that the server adds. Class: as with idle connections that a stop closes.

Excluded: a stall within a timer; sockets are read before the next timers then.

CallerConnections takes over the timeouts of the sockets: it closes a connection only if nothing has been read from it two iterations of the event loop later. This covers the daemon.

--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -5,6 +5,15 @@
 import type { Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+/**
+ * Runs the action once connections and requests that have already arrived are read. After a stall,
+ * timers run before sockets are read.
+ */
+function afterPendingReads(action: () => void): void {
+  // An iteration of the event loop accepts a connection, the next one reads its request.
+  setImmediate(() => setImmediate(action));
+}
+
 /**
  * The open connections of an HTTP server. Closes them at a shutdown without losing a request that
  * has arrived or a response that has not been written out.
@@ -27,6 +36,8 @@
 
   constructor(server: Server) {
     this.server = server;
+    // With this listener the server leaves the socket to it.
+    server.on('timeout', (socket: Socket) => this.handleTimeout(socket));
     server.on('connection', (socket: Socket) => this.add(socket));
   }
 
@@ -67,18 +78,14 @@
     }
     this.isIdleCloseScheduled = true;
     const { acceptedCount } = this;
-    // After a stall, timers run before sockets are read. An iteration of the event loop accepts a
-    // connection, the next one reads its request.
-    setImmediate(() =>
-      setImmediate(() => {
-        this.isIdleCloseScheduled = false;
-        if (this.acceptedCount > acceptedCount) {
-          this.closeIdle();
-        } else {
-          this.closeIdleNow();
-        }
-      }),
-    );
+    afterPendingReads(() => {
+      this.isIdleCloseScheduled = false;
+      if (this.acceptedCount > acceptedCount) {
+        this.closeIdle();
+      } else {
+        this.closeIdleNow();
+      }
+    });
   }
 
   /**
@@ -87,7 +94,6 @@
    */
   async closeAllWhenIdle(stallTimeoutMilliseconds: number): Promise<void> {
     for (const socket of this.connections.keys()) {
-      // The HTTP server destroys a socket whose timeout expires.
       socket.setTimeout(stallTimeoutMilliseconds);
     }
     await new Promise<void>((resolve) => {
@@ -117,6 +123,16 @@
     this.continueClosing();
   }
 
+  /** Closes a connection whose caller has neither sent nor read anything for too long. */
+  private handleTimeout(socket: Socket): void {
+    const { bytesRead } = socket;
+    afterPendingReads(() => {
+      if (socket.bytesRead === bytesRead) {
+        socket.destroy();
+      }
+    });
+  }
+
   private continueClosing(): void {
     if (this.onAllClosed !== undefined) {
       this.closeIdle();
