Compare the content of configurations between peers

Cause: a heartbeat states the revision only. After a restore of the store two configurations can have one revision: that in force and that of an operator who wrote before the put-back. Instances that hold either one confirmed the views of the others as current.

Heartbeats state a 32-bit hash of the content beside the revision, 5 bytes a second and link; a view is confirmed only if both are equal.

Excluded: hashes in digest rows, whose revisions confirm no view.

Before, with the comparison taken out: RestoredConfiguration "expected 547 to be greater than or equal to 38000". After: 7 of 7; 177 tests of hickoryrelay-link, the unit tests of hickoryrelay-instance and PeerFederation pass.

Conclusion: two configurations with one revision are told apart by the store's readers and by peers.

--- a/packages/hickoryrelay-bench/src/PeerCost.ts
+++ b/packages/hickoryrelay-bench/src/PeerCost.ts
@@ -364,6 +364,7 @@
     sequence: 100_000,
     echo: 100_000,
     revision: 7100,
+    configurationTag: 4_000_000_000,
     viewAgeMilliseconds: 2500,
   });
   const times = 5000;
--- a/packages/hickoryrelay-instance/src/ConfigurationExchangeTask.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationExchangeTask.ts
@@ -89,8 +89,10 @@
         break;
       case PeerMessageType.Heartbeat:
         if (echoedHeartbeatSentMilliseconds !== undefined) {
-          const { revision, viewAgeMilliseconds } = message;
-          this.view.confirm(revision, echoedHeartbeatSentMilliseconds - viewAgeMilliseconds);
+          const { revision, configurationTag, viewAgeMilliseconds } = message;
+          if (configurationTag === this.view.tag) {
+            this.view.confirm(revision, echoedHeartbeatSentMilliseconds - viewAgeMilliseconds);
+          }
         }
         this.handleAnnouncedRevision(from.name, message.revision, clock);
         break;
--- a/packages/hickoryrelay-instance/src/ConfigurationView.ts
+++ b/packages/hickoryrelay-instance/src/ConfigurationView.ts
@@ -1,5 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { hashString } from 'hickoryrelay/RendezvousUtils';
 import { assembleDocument } from 'hickoryrelay-contract/ConfigurationBucket';
 import { Declarations } from 'hickoryrelay-contract/Declarations';
 import { matchesDigests } from 'hickoryrelay-platform/ConfigurationStore';
@@ -24,6 +25,8 @@
 
   private activeDeclarations: Declarations | undefined;
 
+  private contentTag = 0;
+
   private confirmedMilliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(clock: Clock) {
@@ -35,6 +38,11 @@
     return this.configuration?.head.revision ?? 0;
   }
 
+  /** Hash of the content in force, by which peers compare it; 0 before the first activation. */
+  get tag(): number {
+    return this.contentTag;
+  }
+
   get current(): Configuration | undefined {
     return this.configuration;
   }
@@ -76,6 +84,7 @@
     }
     const declarations = this.validated.get(configuration) ?? this.validate(configuration);
     this.configuration = configuration;
+    this.contentTag = hashString(configuration.head.digests.join());
     this.activeDeclarations = declarations;
     for (const observer of this.observers) {
       observer(declarations, configuration.head.revision);
--- a/packages/hickoryrelay-instance/src/ControlPlane.ts
+++ b/packages/hickoryrelay-instance/src/ControlPlane.ts
@@ -79,6 +79,7 @@
     const identity = createIdentity(parts);
     const configurationStatus = () => ({
       revision: view.revision,
+      configurationTag: view.tag,
       viewAgeMilliseconds: view.ageMilliseconds,
     });
     this.network = new LinkedPeerNetwork({
--- a/packages/hickoryrelay-instance/src/InstanceDigest.ts
+++ b/packages/hickoryrelay-instance/src/InstanceDigest.ts
@@ -20,6 +20,9 @@
 /** Older heartbeats are known to most instances and would clear a suspicion only briefly. */
 const MAXIMUM_FORWARDED_HEARTBEAT_AGE_MILLISECONDS = 2500;
 
+/** What a row states about the configuration. */
+type ViewStatus = Pick<ConfigurationStatus, 'revision' | 'viewAgeMilliseconds'>;
+
 /** Called with cost that an account incurred at other instances. */
 export type CostObserver = (account: string, cost: number) => void;
 
@@ -72,7 +75,7 @@
 
   private readonly clock: Clock;
 
-  private readonly statement: () => ConfigurationStatus;
+  private readonly statement: () => ViewStatus;
 
   private readonly peersUrl: () => string;
 
@@ -99,7 +102,7 @@
   constructor(
     membership: Membership,
     clock: Clock,
-    statement: () => ConfigurationStatus,
+    statement: () => ViewStatus,
     peersUrl: () => string,
   ) {
     this.work = new ZoneWork(membership.identity.zone);
@@ -226,11 +229,13 @@
         ([, left], [, right]) => right.total - right.published - (left.total - left.published),
       )
       .slice(0, MAXIMUM_COSTS_PER_ROW);
+    const { revision, viewAgeMilliseconds } = this.statement();
     return {
       identity: this.membership.identity,
       heartbeat: this.heartbeat,
       state: this.state,
-      ...this.statement(),
+      revision,
+      viewAgeMilliseconds,
       peersUrl: this.peersUrl(),
       costs: largestIncreases.map(([account, own]) => {
         const isSmall = own.total - own.published < 1;
--- a/packages/hickoryrelay-instance/src/__tests__/unit/RestoredConfiguration.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/RestoredConfiguration.test.ts
@@ -3,6 +3,7 @@
 import { assembleDocument } from 'hickoryrelay-contract/ConfigurationBucket';
 import { HEAD_KEY } from 'hickoryrelay-platform/ConfigurationStore';
 import { sampleDeclarations } from 'hickoryrelay-standin/LocalFederation';
+import { PathState } from 'hickoryrelay-standin/MemoryNetwork';
 import { SimulatedFederation } from 'hickoryrelay-standin/SimulatedFederation';
 
 import type { ConfigurationHead } from 'hickoryrelay-platform/ConfigurationStore';
@@ -122,6 +123,26 @@
     expect(activeCosts()).toEqual([40, 40, 40, 40]);
   });
 
+  // Guards against peers that confirm each other's views although their configurations differ.
+  it('is not confirmed by a peer that has another configuration with the same revision', async () => {
+    federation.platform.table.restore(copies[2]!);
+    expect(await apply(30, 2)).toBe(3);
+    const others = [...federation.instances.values()];
+    const setPaths = (state: PathState) =>
+      others.forEach(({ url }) => federation.network.setPath('ws://c-1', url, state));
+    setPaths(PathState.Cut);
+    const added = await federation.start('c-1', 'zone-c');
+    await federation.clock.advance(LIMIT_MILLISECONDS);
+    expect(activeCosts()).toEqual([3, 3, 3, 3, 30]);
+    setPaths(PathState.Open);
+    await federation.clock.advance(LIMIT_MILLISECONDS);
+    expect(added.view.ageMilliseconds).toBeLessThan(LIMIT_MILLISECONDS);
+    expect([...added.controlPlane.network.connectedPeers()].length).toBeGreaterThan(0);
+    for (const { view } of others) {
+      expect(view.ageMilliseconds).toBeGreaterThanOrEqual(2 * LIMIT_MILLISECONDS);
+    }
+  });
+
   // Guards against an instance that knows only the newest revision and takes the change of an operator
   // for an older one.
   it('is put back only by an instance that has had the older one in force', async () => {
--- a/packages/hickoryrelay-link/src/DigestMessageCodec.ts
+++ b/packages/hickoryrelay-link/src/DigestMessageCodec.ts
@@ -9,6 +9,7 @@
 const MAXIMUM_NAME_LENGTH = 128;
 const MAXIMUM_LIST_LENGTH = 10_000;
 const TAG_BYTES = 4;
+const MAXIMUM_TAG = 0xff_ff_ff_ff;
 const ADDRESS_BYTES = 4;
 const URL_BYTES = 6;
 
@@ -26,6 +27,7 @@
 
 const name = z.string().max(MAXIMUM_NAME_LENGTH);
 const count = z.number().int().nonnegative();
+const configurationTag = count.max(MAXIMUM_TAG);
 /** `null` stands for the infinite age of a view that was never confirmed. */
 const age = count.nullable();
 /** Larger totals would not be exact when converted to milliseconds. */
@@ -48,7 +50,7 @@
 ]);
 
 const compactMessage = z.union([
-  z.tuple([z.literal(MessageLayout.Heartbeat), count, count, count, age]),
+  z.tuple([z.literal(MessageLayout.Heartbeat), count, count, count, configurationTag, age]),
   z.tuple([
     z.literal(MessageLayout.Digest),
     z.array(digestRow).max(MAXIMUM_LIST_LENGTH),
@@ -174,8 +176,8 @@
 /** Encodes a heartbeat or digest as a list. */
 export function encodeDigestMessage(message: DigestMessage): EncodedDigest {
   if (message.type === 'heartbeat') {
-    const { sequence, echo, revision, viewAgeMilliseconds } = message;
-    return [MessageLayout.Heartbeat, sequence, echo, revision, encodeAge(viewAgeMilliseconds)];
+    const { sequence, echo, revision, configurationTag: tag, viewAgeMilliseconds } = message;
+    return [MessageLayout.Heartbeat, sequence, echo, revision, tag, encodeAge(viewAgeMilliseconds)];
   }
   const { rows, heartbeats } = message;
   const heartbeatCounters = heartbeats.map(([, heartbeat]) => heartbeat);
@@ -186,9 +188,15 @@
 export function decodeDigestMessage(encoded: unknown): DigestMessage {
   const message = compactMessage.parse(encoded);
   if (message[0] === MessageLayout.Heartbeat) {
-    const [, sequence, echo, revision, viewAge] = message;
-    const viewAgeMilliseconds = decodeAge(viewAge);
-    return { type: 'heartbeat', sequence, echo, revision, viewAgeMilliseconds };
+    const [, sequence, echo, revision, tag, viewAge] = message;
+    return {
+      type: 'heartbeat',
+      sequence,
+      echo,
+      revision,
+      configurationTag: tag,
+      viewAgeMilliseconds: decodeAge(viewAge),
+    };
   }
   const [, rows, tags, heartbeatCounters] = message;
   return {
--- a/packages/hickoryrelay-link/src/PeerLink.ts
+++ b/packages/hickoryrelay-link/src/PeerLink.ts
@@ -25,6 +25,8 @@
 /** What an instance reports about its configuration in each heartbeat. */
 export interface ConfigurationStatus {
   readonly revision: number;
+  /** Hash of the content, of 32 bits; 0 without a configuration. */
+  readonly configurationTag: number;
   readonly viewAgeMilliseconds: number;
 }
 
--- a/packages/hickoryrelay-link/src/PeerMessages.ts
+++ b/packages/hickoryrelay-link/src/PeerMessages.ts
@@ -146,6 +146,8 @@
       /** Last sequence received from the other end; 0 before the first. */
       readonly echo: number;
       readonly revision: number;
+      /** Hash of the content of the sender's configuration; equal revisions may differ in it. */
+      readonly configurationTag: number;
       /** Time since the sender's configuration was last confirmed; infinite if it never was. */
       readonly viewAgeMilliseconds: number;
     }
--- a/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/PeerLinks.test.ts
@@ -31,7 +31,7 @@
     random: new SystemRandomSource(),
     log: silentLogger,
     lifecycle,
-    configurationStatus: () => ({ revision: 1, viewAgeMilliseconds: 0 }),
+    configurationStatus: () => ({ revision: 1, configurationTag: 1, viewAgeMilliseconds: 0 }),
   });
   await network.listen();
   cleanUps.push(() => lifecycle.stop());
@@ -69,7 +69,7 @@
   let sequence = 0;
   const timer = setInterval(() => {
     sequence += 1;
-    const body = { sequence, echo: 0, revision: 0, viewAgeMilliseconds: 0 };
+    const body = { sequence, echo: 0, revision: 0, configurationTag: 0, viewAgeMilliseconds: 0 };
     socket.send(encodePeerMessage({ type: 'heartbeat', ...body }));
   }, 200);
   cleanUps.push(() => clearInterval(timer));
--- a/packages/hickoryrelay-link/src/__tests__/unit/LinkedPeerNetwork.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/unit/LinkedPeerNetwork.test.ts
@@ -24,7 +24,7 @@
     random: new SeededRandomSource(seed),
     log: silentLogger,
     lifecycle,
-    configurationStatus: () => ({ revision: 1, viewAgeMilliseconds: 0 }),
+    configurationStatus: () => ({ revision: 1, configurationTag: 1, viewAgeMilliseconds: 0 }),
   });
 }
 
@@ -56,7 +56,7 @@
       waitsMilliseconds.push(clock.monotonicMilliseconds() - endedMilliseconds);
       connection.send(encodeHello(PEER.name));
       const lifetimeMilliseconds = remaining.shift() ?? 100;
-      const fields = { revision: 0, viewAgeMilliseconds: 0, echo: 0 };
+      const fields = { revision: 0, configurationTag: 0, viewAgeMilliseconds: 0, echo: 0 };
       for (let sequence = 1; sequence * 1000 < lifetimeMilliseconds; sequence += 1) {
         const message = encodePeerMessage({ type: 'heartbeat', sequence, ...fields });
         clock.schedule(sequence * 1000, () => connection.send(message));
--- a/packages/hickoryrelay-link/src/__tests__/unit/PeerMessageCodec.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/unit/PeerMessageCodec.test.ts
@@ -106,6 +106,7 @@
     sequence: count,
     echo: count,
     revision: count,
+    configurationTag: fc.nat({ max: 0xff_ff_ff_ff }),
     viewAgeMilliseconds: age,
   }),
   digest: fc.record({
