Keep idle connections for as long as a new configuration states

Cause: the idle timeout of a connection was set when its last response was complete. If a configuration raised the timeout after that, callers that keep connections by the new one sent requests on connections that the instance had closed, or closed while the request was on its way. Class: a limit is fixed at the start of a wait and changes during it.

Excluded: a lower timeout; connections that are idle keep the older, longer one, so that nothing is closed early.

When the timeout of an idle connection expires, the one in force is looked up, and the connection is kept on if it is longer.

--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -5,6 +5,9 @@
 import type { Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+/** Time that the HTTP server adds to the idle timeout, for requests that are on their way. */
+const IDLE_TIMEOUT_MARGIN_MILLISECONDS = 1000;
+
 /**
  * Runs the action once connections and requests that have already arrived are read. After a stall,
  * timers run before sockets are read.
@@ -34,8 +37,12 @@
   /** Defined while connections are closed as soon as they are idle. */
   private onAllClosed: (() => void) | undefined;
 
-  constructor(server: Server) {
+  private readonly idleTimeoutMilliseconds: () => number;
+
+  /** `idleTimeoutMilliseconds` returns the timeout that is in force. The server's is used if absent. */
+  constructor(server: Server, idleTimeoutMilliseconds = () => server.keepAliveTimeout) {
     this.server = server;
+    this.idleTimeoutMilliseconds = idleTimeoutMilliseconds;
     // With this listener the server leaves the socket to it.
     server.on('timeout', (socket: Socket) => this.handleTimeout(socket));
     server.on('connection', (socket: Socket) => this.add(socket));
@@ -126,8 +133,16 @@
   /** Closes a connection whose caller has neither sent nor read anything for too long. */
   private handleTimeout(socket: Socket): void {
     const { bytesRead } = socket;
+    const timeout = this.idleTimeoutMilliseconds() + IDLE_TIMEOUT_MARGIN_MILLISECONDS;
     afterPendingReads(() => {
-      if (socket.bytesRead === bytesRead) {
+      if (socket.bytesRead > bytesRead) {
+        return;
+      }
+      const isIdle = this.connections.get(socket)?.isIdle === true;
+      if (isIdle && timeout > (socket.timeout ?? 0)) {
+        // The timeout has been raised while the connection was idle.
+        socket.setTimeout(timeout);
+      } else {
         socket.destroy();
       }
     });
