--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
@@ -5,9 +5,6 @@
 
 const WINDOWS_OF_DAY = 20;
 
-/** Time after a restore in which no instance acquires the authority. */
-const LEASE_MILLISECONDS = 3000;
-
 /** Half of the permitted difference between the clocks of two instances. */
 const MAXIMUM_CLOCK_OFFSET_MILLISECONDS = 2500;
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestoreFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestoreFixture.ts
@@ -22,6 +22,9 @@
 
 import type { AccountCounts } from 'hickoryrelay-forwarding/UsageTally';
 
+/** Time after a restore in which no instance acquires the authority. */
+export const LEASE_MILLISECONDS = 3000;
+
 export const WINDOW_MILLISECONDS = 5000;
 export const DUE_MILLISECONDS = 10_000;
 
@@ -127,6 +130,11 @@
   readonly countsTask: UsageCountsTask;
 }
 
+interface Holder {
+  readonly index: number;
+  readonly term: AuthorityTerm;
+}
+
 /** Instances that count, seal and report usage with a store that can be restored from a copy. */
 export class UsageDeployment {
   readonly clock = new ManualClock(START_MILLISECONDS);
@@ -148,7 +156,7 @@
 
   private fencingNumber = 0;
 
-  private holder: { index: number; term: AuthorityTerm } | undefined;
+  private holder: Holder | undefined;
 
   constructor(size: number) {
     this.peers = Array.from({ length: size }, (_unused, index) => makePeer(index, 'zone-a'));
@@ -215,9 +223,6 @@
         marginMilliseconds: 0,
       },
     );
-    if (!outlastsRestores) {
-      store.era.onRestore(() => term.end());
-    }
     const taskLifecycle = lifecycle.child(`term ${this.fencingNumber}`);
     term.signal.addEventListener('abort', () => {
       void taskLifecycle.stop();
@@ -233,7 +238,11 @@
         log: silentLogger,
       }),
     );
-    this.holder = { index, term };
+    const holder = { index, term };
+    this.holder = holder;
+    if (!outlastsRestores) {
+      this.endWithRestore(store, holder);
+    }
   }
 
   count(index: number, requests: number): void {
@@ -285,6 +294,21 @@
     await stopped;
   }
 
+  /**
+   * A holder that learns of a restore ends its term, and no term begins for the length of a lease.
+   */
+  private endWithRestore(store: RestorableStoreClient, holder: Holder): void {
+    const removeObserver = store.era.onRestore(() => {
+      removeObserver();
+      holder.term.end();
+      this.clock.schedule(LEASE_MILLISECONDS, () => {
+        if (this.holder === holder) {
+          this.changeHolder(holder.index);
+        }
+      });
+    });
+  }
+
   private processOf(index: number): InstanceProcess {
     const instance = this.processes[index];
     invariant(instance !== undefined, `There is no instance ${index}.`);
