Leave a request at its endpoint if its time is nearly over

A stream was taken from a silent engine 5 ms before its time was over, and the next attempt was not made because less than the minimum was left. The new test of ForwardedStream.test.ts shows it ("expected true to be false": broken off early).

Cause: the question whether the request could be sent elsewhere did not include the time left. Class: a check and the decision that it stands for use different conditions.

--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -140,8 +140,13 @@
 
   /** True if the request could be taken from its endpoint and sent to another one now. */
   private canMove(): boolean {
-    const { parts, admitted, isRetryable, hasAnotherAttempt, isGeneration } = this.call;
-    if (!isRetryable || !hasAnotherAttempt || !parts.budgets.hasRetry(admitted.service)) {
+    const { parts, admitted, deadline, isRetryable, hasAnotherAttempt, isGeneration } = this.call;
+    if (
+      !isRetryable ||
+      !hasAnotherAttempt ||
+      deadline.remaining() < MINIMUM_ATTEMPT_MILLISECONDS ||
+      !parts.budgets.hasRetry(admitted.service)
+    ) {
       return false;
     }
     return isGeneration
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
@@ -257,6 +257,18 @@
     expect(harness.sink.text).toBe([1, 2, 3, 8, 9].map(event).join(''));
   });
 
+  // Guards against ending a stream early that no other endpoint has the time to resume.
+  it('is left until its deadline if too little time is left for another attempt', async () => {
+    const harness = makeStallHarness([event(1)], 10);
+    const running = harness.run(makeRequest({ callerTimeoutMilliseconds: 1240 }));
+    await harness.clock.advance(1224);
+    expect(harness.sink.isAborted).toBe(false);
+    await harness.clock.advance(1);
+    await running;
+    expect(harness.link.sent).toHaveLength(1);
+    expect(harness.sink.isAborted).toBe(true);
+  });
+
   it('is not resumed because its caller is slow to read', async () => {
     const harness = makeStallHarness([event(1), event(2)], 10);
     harness.sink.write = async (chunk: Buffer) => {
