Acquire no authority across a restore of the store

Cause: the fencing number of a term follows from the counter and the floor of the era in which the counter was read. An acquisition whose response showed the restore was also accepted after reading the key back, although its lease was of the earlier era.

Excluded: a counter that exists. Its revision is of the earlier era, and the store client refuses it.

Before: 'acquires no authority across a restore during the acquisition' failed with "expected 1 to be greater than 1000000". After: it passes, with the other tests of ZoneAuthority.

Conclusion: a term is held only if the era is the same from reading the counter to the response.

--- a/packages/hickoryrelay-zone/src/ZoneAuthority.ts
+++ b/packages/hickoryrelay-zone/src/ZoneAuthority.ts
@@ -231,6 +231,7 @@
   private async acquire(clock: Clock): Promise<AuthorityTerm | undefined> {
     const { store, zone, holder } = this.parts;
     const counter = await store.get(fencingKey(zone));
+    const { current: era } = store.era;
     const fencingFloor = this.parts.fencingFloor?.() ?? 0;
     const newestFencingNumber = Number(counter?.value ?? 0);
     const mustWait =
@@ -251,7 +252,12 @@
     });
     let isAcquired = false;
     try {
-      isAcquired = (await this.commitAcquisition(term, counter)) && term.isHeld;
+      // The number of the term is one of the era in which the counter was read.
+      isAcquired =
+        store.era.current === era &&
+        (await this.commitAcquisition(term, counter)) &&
+        store.era.current === era &&
+        term.isHeld;
     } finally {
       if (!isAcquired) {
         term.end();
--- a/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
@@ -84,6 +84,24 @@
       }
     });
 
+    // Guards against a number of the earlier era, which another holder may have had (ONE).
+    it('acquires no authority across a restore during the acquisition', async () => {
+      const copy = table.copy();
+      const { authority, store, start } = createFencedCandidate('first', 1);
+      const grantLease = store.grantLease.bind(store);
+      let restores = 0;
+      store.grantLease = (seconds) => {
+        restores += 1;
+        if (restores === 1) {
+          table.restore(copy);
+        }
+        return grantLease(seconds);
+      };
+      start();
+      await clock.advance(60_000);
+      expect(authority.currentTerm?.fencingNumber).toBeGreaterThan(fencingFloorOf(1));
+    });
+
     // Guards against two instances that act at the same time.
     it('does not grant the authority while a term of the earlier era may be held', async () => {
       const copy = table.copy();
