--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SealableWindows.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SealableWindows.test.ts
@@ -10,10 +10,13 @@
 import { HEARTBEAT_MILLISECONDS } from './ForwardingFixture.js';
 import { InMemoryPeerNetwork, makePeer } from './InMemoryPeerNetwork.js';
 import { RestorableStore, RestorableStoreClient } from './RestorableStore.js';
-import { DUE_MILLISECONDS, WINDOW_MILLISECONDS } from './UsageRestoreFixture.js';
+import {
+  DUE_MILLISECONDS,
+  LEASE_MILLISECONDS,
+  WINDOW_MILLISECONDS,
+} from './UsageRestoreFixture.js';
 
 const START_MILLISECONDS = 1_700_000_000_000;
-const LEASE_MILLISECONDS = 3000;
 
 /** Two instances at a store that can be restored. The first one holds the authority. */
 function makeInstances() {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
@@ -1,7 +1,7 @@
 import fastCheck from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { UsageDeployment, WINDOW_MILLISECONDS } from './UsageRestoreFixture.js';
+import { LEASE_MILLISECONDS, UsageDeployment, WINDOW_MILLISECONDS } from './UsageRestoreFixture.js';
 
 const WINDOWS_OF_DAY = 20;
 
@@ -217,6 +217,21 @@
     },
   );
 
+  // Guards against giving up a window that ended while the store was away.
+  it('contain a window that no holder can have sealed before the restore', async () => {
+    const deployment = new UsageDeployment(3);
+    deployment.changeHolder(0);
+    await deployment.advance(3 * WINDOW_MILLISECONDS - 1000);
+    deployment.count(1, 4);
+    await deployment.restoreStore(7000, 2000);
+    await deployment.advance(LEASE_MILLISECONDS - 1000);
+    deployment.changeHolder(2);
+    await deployment.advance(2 * WINDOW_MILLISECONDS);
+    expect(deployment.reportedIn(deployment.firstWindow + 2)).toBe(4);
+    expect(deployment.conflictingWindows).toEqual([]);
+    await deployment.stop();
+  });
+
   // Guards against giving up more windows than those that may have been reported before.
   it.each([
     { nextHolder: 0, killsHolder: false, maximum: 0, holder: 'the same holder' },
