Know the last holder of the authority until its lease can have ended

A term ends a margin earlier than its lease. Until the lease can have ended, no other instance can have acquired the authority, so the instance still knows all seals.

Before: 'keep a window open that the holder knows not to have been sealed within the margin after its term' fails with 'expected to be'. After: it passes, and no window is kept open after the lease.

--- a/packages/hickoryrelay-forwarding/src/SealableWindows.ts
+++ b/packages/hickoryrelay-forwarding/src/SealableWindows.ts
@@ -79,7 +79,7 @@
   /** Starts observing restores. Returns the function that stops it. */
   listen(): () => void {
     return this.parts.store.era.onRestore(() => {
-      const isHolder = this.term?.isHeld === true;
+      const isHolder = this.term?.isLastHolder === true;
       this.recordRestore(isHolder);
       if (isHolder) {
         void this.writeAsLastHolder();
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SealableWindows.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SealableWindows.test.ts
@@ -19,7 +19,7 @@
 const START_MILLISECONDS = 1_700_000_000_000;
 
 /** Two instances at a store that can be restored. The first one holds the authority. */
-function makeInstances() {
+function makeInstances(timeToLiveSeconds = 6000, marginMilliseconds = 0) {
   const clock = new ManualClock(START_MILLISECONDS);
   const store = new RestorableStore(clock);
   const network = new InMemoryPeerNetwork();
@@ -42,27 +42,34 @@
   const term = new AuthorityTerm(
     { zone: 'z', holder: 'first', fencingNumber: 1, lease: '1' },
     clock,
-    { requestedMilliseconds: 0, timeToLiveSeconds: 6000, marginMilliseconds: 0 },
+    { requestedMilliseconds: 0, timeToLiveSeconds, marginMilliseconds },
   );
   return { clock, store, instances, term };
 }
 
 describe('SealableWindows', () => {
   // Guards against giving up a window that ended while the store was away.
-  it('keep a window open that the holder knows not to have been sealed before a restore', async () => {
-    const { clock, store, instances, term } = makeInstances();
-    const [first, second] = instances;
-    first?.windows.beginTerm(term);
-    first?.client.era.onRestore(() => term.end());
-    await Promise.all(instances.map(({ client }) => client.get('/any')));
-    await clock.advance(2 * WINDOW_MILLISECONDS - 1000);
-    store.takeCopy();
-    const sealedWindow = START_MILLISECONDS / WINDOW_MILLISECONDS;
-    first?.seals.record(sealedWindow, { account: 1 });
-    await clock.advance(1000);
-    store.restore(1000);
-    await Promise.all(instances.map(({ client }) => client.get('/any')));
-    await clock.advance(LEASE_MILLISECONDS);
-    expect(await second?.windows.firstWindow()).toBe(sealedWindow + 1);
-  });
+  it.each([
+    { expiry: 'while its term is held', timeToLiveSeconds: 6000, isKnown: true },
+    { expiry: 'within the margin after its term', timeToLiveSeconds: 10.2, isKnown: true },
+    { expiry: 'after its lease', timeToLiveSeconds: 9.8, isKnown: false },
+  ])(
+    'keep a window open that the holder knows not to have been sealed $expiry',
+    async ({ timeToLiveSeconds, isKnown }) => {
+      const { clock, store, instances, term } = makeInstances(timeToLiveSeconds, 500);
+      const [first, second] = instances;
+      first?.windows.beginTerm(term);
+      first?.client.era.onRestore(() => term.end());
+      await Promise.all(instances.map(({ client }) => client.get('/any')));
+      await clock.advance(2 * WINDOW_MILLISECONDS - 1000);
+      store.takeCopy();
+      const sealedWindow = START_MILLISECONDS / WINDOW_MILLISECONDS;
+      first?.seals.record(sealedWindow, { account: 1 });
+      await clock.advance(1000);
+      store.restore(1000);
+      await Promise.all(instances.map(({ client }) => client.get('/any')));
+      await clock.advance(LEASE_MILLISECONDS);
+      expect(await second?.windows.firstWindow()).toBe(sealedWindow + (isKnown ? 1 : 2));
+    },
+  );
 });
--- a/packages/hickoryrelay-zone/src/AuthorityTerm.ts
+++ b/packages/hickoryrelay-zone/src/AuthorityTerm.ts
@@ -50,6 +50,12 @@
 
   private expiresAtMilliseconds: number;
 
+  /** Time for which the lease outlasts the term at least. */
+  private readonly marginMilliseconds: number;
+
+  /** True if the term was ended before it expired. */
+  private wasEnded = false;
+
   private cancelExpiryTimer: () => void = () => {};
 
   constructor(grant: AuthorityGrant, clock: Clock, validity: LeaseValidity) {
@@ -57,6 +63,7 @@
     this.clock = clock;
     this.startedMilliseconds = clock.monotonicMilliseconds();
     this.expiresAtMilliseconds = expiryOf(validity);
+    this.marginMilliseconds = validity.marginMilliseconds;
     this.startExpiryTimer();
   }
 
@@ -85,6 +92,15 @@
     return this.remainingMilliseconds > 0;
   }
 
+  /**
+   * True while no other instance can have acquired the authority: during the term and, after it has
+   * expired, for as long as the service keeps its lease at least.
+   */
+  get isLastHolder(): boolean {
+    const leaseEndMilliseconds = this.expiresAtMilliseconds + this.marginMilliseconds;
+    return !this.wasEnded && this.clock.monotonicMilliseconds() < leaseEndMilliseconds;
+  }
+
   /** Value of the authority key during this term. Unique, because fencing numbers are unique. */
   get storedValue(): string {
     const { holder, fencingNumber, lease } = this.grant;
@@ -142,6 +158,7 @@
   }
 
   end(): void {
+    this.wasEnded ||= this.isHeld;
     this.cancelExpiryTimer();
     this.abortController.abort();
   }
