Use an endpoint that registers again late after a restore

Cause: after a restore, an endpoint that the copy lacks is removed when its recovery time (2.2 s) is over. The filter of restored registrations remembered this removal like one from before the restore, so a registration that was written after it was ignored for up to three heartbeats. An endpoint that was silent for a second got no requests for that time.

Excluded: registrations that the restore has brought back. They are in the store from the first read of the era on, and the removals from before that read still hide them.

Before: 'uses an endpoint at once that registers again after the recovery time' failed with "expected [ 'b' ] to deeply equal [ 'a', 'b' ]". After: it passes, with the other tests of ConfirmedView.

Conclusion: only removals up to the first read of an era hide a registration in it.

--- a/packages/hickoryrelay-forwarding/src/RestoredEntryFilter.ts
+++ b/packages/hickoryrelay-forwarding/src/RestoredEntryFilter.ts
@@ -17,6 +17,8 @@
   /** Time of the removal, by incarnation. */
   private readonly removals = new Map<string, number>();
 
+  private beganAtMilliseconds = Number.NEGATIVE_INFINITY;
+
   private endsAtMilliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(windowMilliseconds: number) {
@@ -25,6 +27,7 @@
 
   /** Starts the time in which registrations may be old. */
   begin(now: number): void {
+    this.beganAtMilliseconds = now;
     this.endsAtMilliseconds = now + this.windowMilliseconds;
   }
 
@@ -53,6 +56,12 @@
     if (known !== undefined && incarnationKey(known) === incarnation) {
       return known.phase === EndpointPhase.Leaving ? known : record;
     }
-    return this.removals.has(incarnation) ? undefined : record;
+    return this.wasRemovedBeforeRestore(incarnation) ? undefined : record;
+  }
+
+  /** A registration that was missing after the restore and is there now has been written again. */
+  private wasRemovedBeforeRestore(incarnation: string): boolean {
+    const removedAtMilliseconds = this.removals.get(incarnation);
+    return removedAtMilliseconds !== undefined && removedAtMilliseconds <= this.beganAtMilliseconds;
   }
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ConfirmedView.test.ts
@@ -73,6 +73,19 @@
     expect(namesOf(view)).toEqual(['a', 'b']);
   });
 
+  // Guards against capacity that stays unused: what appears after it was missing in the same era has
+  // been written since, as by an endpoint that was silent for a second.
+  it('uses an endpoint at once that registers again after the recovery time', async () => {
+    const { clock, view, apply } = makeView();
+    apply(snapshotOf(['a', 'b']), 1);
+    apply(snapshotOf(['b']), 2);
+    await clock.advance(REGISTRATION_RECOVERY_MILLISECONDS);
+    apply(snapshotOf(['b']), 2);
+    expect(namesOf(view)).toEqual(['b']);
+    apply(snapshotOf(['a', 'b']), 2);
+    expect(namesOf(view)).toEqual(['a', 'b']);
+  });
+
   it('uses a new incarnation of a removed endpoint at once', () => {
     const { view, apply } = makeView();
     apply(snapshotOf(['a', 'b']), 1);
