Remove an authority key of an earlier era of the store

Cause: the store may execute a call seconds later, after a restore. A late acquisition of the earlier era still meets its conditions, since the key is absent and the counter has the revision of the copy. The number of its lease has meanwhile been granted again, for example to the registration of an instance, which renews it. The authority key then stays for as long as that instance runs, while no term holds the authority: no usage report, no supply and no stage order is sent any more.

Excluded: the term of the late acquisition. It has ended, and its numbers are below the floor of the era.

Conclusion: a key whose number is not above the floor of the era counts as vacant, and is removed once a lease has passed in which an instance out of reach could hold its term.

--- a/packages/hickoryrelay-zone/src/FencingNumbers.ts
+++ b/packages/hickoryrelay-zone/src/FencingNumbers.ts
@@ -11,3 +11,17 @@
 export function fencingFloorOf(era: number): number {
   return era * FENCING_NUMBERS_PER_ERA;
 }
+
+/**
+ * True if the stored value of an authority key is from a term of an era before that of the floor. The
+ * store may execute the acquisition of such a term late, attached to a lease that it has granted again
+ * to another instance, which renews it for as long as it runs.
+ */
+export function isAcquiredInEarlierEra(storedValue: string, fencingFloor: number): boolean {
+  try {
+    const { fencingNumber } = JSON.parse(storedValue) as { fencingNumber?: unknown };
+    return typeof fencingNumber === 'number' && fencingNumber <= fencingFloor;
+  } catch {
+    return false;
+  }
+}
--- a/packages/hickoryrelay-zone/src/ZoneAuthority.ts
+++ b/packages/hickoryrelay-zone/src/ZoneAuthority.ts
@@ -4,6 +4,7 @@
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { AuthorityTerm } from './AuthorityTerm.js';
+import { isAcquiredInEarlierEra } from './FencingNumbers.js';
 import { authorityKey, fencingKey } from './ZoneKeyUtils.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { LifecycleManager } from 'hickoryrelay/LifecycleManager';
@@ -176,7 +177,11 @@
     try {
       const { store, zone } = this.parts;
       const current = await store.get(authorityKey(zone));
-      if (current !== undefined && !(await this.releasePreviousTerm(current))) {
+      const isVacant =
+        current === undefined ||
+        (await this.removeEarlierEra(current)) ||
+        (await this.releasePreviousTerm(current));
+      if (!isVacant) {
         return undefined;
       }
       return await this.acquire(clock);
@@ -204,6 +209,33 @@
     return true;
   }
 
+  /**
+   * Removes the key of a term of an earlier era of the store, once no instance can hold that term any
+   * more. Returns whether the authority is vacant now.
+   */
+  private async removeEarlierEra({ value, modRevision }: KeyValue): Promise<boolean> {
+    const { store, zone, fencingFloor } = this.parts;
+    if (!isAcquiredInEarlierEra(value, fencingFloor?.() ?? 0) || this.mayHoldEarlierTerm) {
+      return false;
+    }
+    const key = authorityKey(zone);
+    const { succeeded } = await store.commit({
+      compare: [{ key, target: 'mod-revision', operand: modRevision }],
+      success: [{ type: 'delete', key }],
+      failure: [],
+    });
+    return succeeded;
+  }
+
+  /**
+   * True if an instance out of reach of the store may still hold a term of the earlier era, whose lease
+   * the store has forgotten.
+   */
+  private get mayHoldEarlierTerm(): boolean {
+    const leaseMilliseconds = this.times.leaseSeconds * MILLISECONDS_PER_SECOND;
+    return this.parts.store.era.observedForMilliseconds < leaseMilliseconds;
+  }
+
   /**
    * True if another instance has held the authority since this one did, less than a lease ago. The
    * platform counts holders that take turns within a lease as acting at the same time.
@@ -216,27 +248,15 @@
     return elapsed < this.times.leaseSeconds * MILLISECONDS_PER_SECOND;
   }
 
-  /**
-   * True if no instance has held the authority in this era of the store, and a term of the earlier
-   * era, whose lease the store has forgotten, may still be held by an instance out of its reach.
-   */
-  private mustAwaitEarlierEra(newestFencingNumber: number, fencingFloor: number): boolean {
-    const leaseMilliseconds = this.times.leaseSeconds * MILLISECONDS_PER_SECOND;
-    return (
-      newestFencingNumber < fencingFloor &&
-      this.parts.store.era.observedForMilliseconds < leaseMilliseconds
-    );
-  }
-
   private async acquire(clock: Clock): Promise<AuthorityTerm | undefined> {
     const { store, zone, holder } = this.parts;
     const counter = await store.get(fencingKey(zone));
     const { current: era } = store.era;
     const fencingFloor = this.parts.fencingFloor?.() ?? 0;
     const newestFencingNumber = Number(counter?.value ?? 0);
+    const isFirstOfEra = newestFencingNumber < fencingFloor;
     const mustWait =
-      this.mustWaitAfter(newestFencingNumber, clock) ||
-      this.mustAwaitEarlierEra(newestFencingNumber, fencingFloor);
+      this.mustWaitAfter(newestFencingNumber, clock) || (isFirstOfEra && this.mayHoldEarlierTerm);
     if (mustWait) {
       return undefined;
     }
