Do not let a late registration replace a newer one

Cause: an instance registers with a write that has no condition. If the write gets no response, the instance registers again with a new lease. The store may execute the first write seconds later. The registration then belongs to the first lease and ends with it, while the instance renews the second one and never registers again. Until it restarts, its peers do not know it. No restore is needed.

Excluded: an expired lease.

A registration costs one more read, at a start and after a restore.

Conclusion: the write is conditional on the revision that was read, so only one of two takes effect.

--- a/packages/hickoryrelay-forwarding/src/PeerRegistrationTask.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerRegistrationTask.ts
@@ -1,6 +1,7 @@
 import { describeFailure } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { PEER_LEASE_MILLISECONDS, PEERS_PREFIX } from './PeerRecord.js';
 
@@ -57,24 +58,30 @@
       const { identifier } = await this.store.grantLease(
         PEER_LEASE_MILLISECONDS / MILLISECONDS_PER_SECOND,
       );
-      await this.store.commit({
-        compare: [],
-        success: [
-          {
-            type: 'put',
-            key: `${PEERS_PREFIX}${this.self.instance}`,
-            value: JSON.stringify(this.self),
-            lease: identifier,
-          },
-        ],
-        failure: [],
-      });
-      this.lease = identifier;
+      if (await this.register(identifier)) {
+        this.lease = identifier;
+      }
     } catch (error) {
       this.warn('Could not renew the registration.', error);
     }
   }
 
+  /**
+   * Writes the registration if it is still the one that was read, so that a write which takes effect
+   * late does not replace a newer one. Returns false if it has changed meanwhile.
+   */
+  private async register(lease: string): Promise<boolean> {
+    const key = `${PEERS_PREFIX}${this.self.instance}`;
+    const stored = await this.store.get(key);
+    const operand = stored?.modRevision ?? StoreRevision.None;
+    const { succeeded } = await this.store.commit({
+      compare: [{ key, target: 'mod-revision', operand }],
+      success: [{ type: 'put', key, value: JSON.stringify(this.self), lease }],
+      failure: [],
+    });
+    return succeeded;
+  }
+
   private warn(message: string, error: unknown): void {
     this.log.warn(message, { reason: describeFailure(failureOf(error)) });
   }
