--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -1,4 +1,5 @@
 import { pack, unpack } from 'msgpackr';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import {
   CRASH_EVIDENCE_KIND,
@@ -7,6 +8,7 @@
 } from './CrashEvidenceMessage.js';
 import { isEndpointRecord } from './EndpointRecord.js';
 import { isPeerAddress, isPeerRecord } from './PeerRecord.js';
+import { USAGE_SEAL_KIND, decodeUsageSeal, usageSealElements } from './UsageSealMessage.js';
 import { isAccountCounts } from './UsageTally.js';
 
 import type { CrashEvidenceMessage } from './CrashEvidenceMessage.js';
@@ -14,6 +16,7 @@
 import type { PeerAddress, PeerRecord } from './PeerRecord.js';
 import type { SegmentUse } from './PromptCacheDirectory.js';
 import type { UsageCounts } from './UsageCountsWriter.js';
+import type { UsageSealMessage } from './UsageSealMessage.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 
 /** Kinds of messages between instances. The value is the first element of the encoded message. */
@@ -35,10 +38,15 @@
    * Confirms that the counts of a report are stored, or that those of a handoff were taken over.
    */
   UsageCountsConfirmation: 8,
-  /** Usage counts that a stopping instance could not store, for another instance to write. */
+  /**
+   * Usage counts of a stopping instance, for another instance to write if they are not stored or the
+   * store is restored from an older copy.
+   */
   UsageCountsHandoff: 9,
   /** Evidence about prompt segments that may crash engines. */
   CrashEvidence: CRASH_EVIDENCE_KIND,
+  /** Sealed usage counts of a window, or a request for them. */
+  UsageSeal: USAGE_SEAL_KIND,
 } as const;
 
 export type PeerMessageKind = (typeof PeerMessageKind)[keyof typeof PeerMessageKind];
@@ -82,7 +90,7 @@
   readonly requester: PeerAddress;
   /** Number of the request, repeated in the response. */
   readonly number: number;
-  readonly sinceRevision: number;
+  readonly sinceRevision: StoreRevision;
 }
 
 /** Changed records, and the keys of removed ones. */
@@ -94,7 +102,7 @@
 /** Changes in the store since the revision in the request. */
 export interface ViewChanges {
   /** Revision up to which the changes are complete. */
-  readonly revision: number;
+  readonly revision: StoreRevision;
   /** Time since the relay requested its snapshot from the store, in milliseconds. */
   readonly ageMilliseconds: number;
   /** Undefined until the operator has written a configuration. */
@@ -122,6 +130,8 @@
   /** Number of the report, repeated in the confirmation. */
   readonly number: number;
   readonly usage: UsageCounts;
+  /** Era of the store in which the counts were written; undefined if they are yet to be written. */
+  readonly storedEra: number | undefined;
 }
 
 /** Confirms a report or a handoff. */
@@ -136,7 +146,8 @@
   | ViewResponse
   | UsageCountsReport
   | UsageCountsConfirmation
-  | CrashEvidenceMessage;
+  | CrashEvidenceMessage
+  | UsageSealMessage;
 
 const MESSAGE_NUMBER_LIMIT = 2 ** 32;
 
@@ -151,6 +162,10 @@
 const LOAD_FIELD_COUNT = 4;
 const USE_FIELD_COUNT = 5;
 
+function encodeViewChanges({ revision, ...changes }: ViewChanges): object {
+  return { ...changes, revision: revision.number, era: revision.era };
+}
+
 function encodeLoad({ kind, sender, loads, uses }: LoadMessage): unknown[] {
   return [
     kind,
@@ -176,23 +191,26 @@
   switch (message.kind) {
     case PeerMessageKind.ViewRequest: {
       const { kind, requester, number, sinceRevision } = message;
-      return pack([kind, requester.host, requester.port, number, sinceRevision]);
+      const { number: since, era } = sinceRevision;
+      return pack([kind, requester.host, requester.port, number, since, era]);
     }
     case PeerMessageKind.ViewResponse: {
       const { kind, sender, number, changes } = message;
-      return pack([kind, sender, number, changes]);
+      return pack([kind, sender, number, changes && encodeViewChanges(changes)]);
     }
     case PeerMessageKind.UsageCountsReport:
     case PeerMessageKind.UsageCountsHandoff: {
-      const { kind, reporter, number, usage } = message;
+      const { kind, reporter, number, usage, storedEra } = message;
       const { window, incarnation, counts, isFinal } = usage;
       const { host, port } = reporter;
-      return pack([kind, host, port, number, window, incarnation, counts, isFinal]);
+      return pack([kind, host, port, number, window, incarnation, counts, isFinal, storedEra]);
     }
     case PeerMessageKind.UsageCountsConfirmation:
       return pack([message.kind, message.number]);
     case PeerMessageKind.CrashEvidence:
       return pack(crashEvidenceElements(message));
+    case PeerMessageKind.UsageSeal:
+      return pack(usageSealElements(message));
     default:
       return pack(encodeLoad(message));
   }
@@ -244,14 +262,18 @@
   };
 }
 
+/** Instances that do not know of eras state none, which is the era of a store that has none. */
+function decodeRevision(number: unknown, era: unknown = 0): StoreRevision | undefined {
+  return Number.isSafeInteger(number) && Number.isSafeInteger(era)
+    ? new StoreRevision(Number(era), Number(number))
+    : undefined;
+}
+
 function decodeViewRequest(fields: readonly unknown[]): ViewRequest | undefined {
-  const [host, port, number, sinceRevision] = fields;
+  const [host, port, number, since, era] = fields;
   const requester = { host, port };
-  if (
-    !isPeerAddress(requester) ||
-    typeof number !== 'number' ||
-    typeof sinceRevision !== 'number'
-  ) {
+  const sinceRevision = decodeRevision(since, era);
+  if (!isPeerAddress(requester) || typeof number !== 'number' || sinceRevision === undefined) {
     return undefined;
   }
   return { kind: PeerMessageKind.ViewRequest, requester, number, sinceRevision };
@@ -280,12 +302,12 @@
 }
 
 function decodeViewChanges(value: unknown): ViewChanges | undefined {
-  const changes = (value ?? {}) as Partial<Record<keyof ViewChanges, unknown>>;
-  const { revision, ageMilliseconds, configurationVersion, isAuthorityHeld } = changes;
+  const changes = (value ?? {}) as Partial<Record<keyof ViewChanges | 'era', unknown>>;
+  const { ageMilliseconds, configurationVersion, isAuthorityHeld } = changes;
+  const revision = decodeRevision(changes.revision, changes.era);
   const endpoints = decodeRecordChanges(changes.endpoints, isEndpointRecord, 'identifier');
   const peers = decodeRecordChanges(changes.peers, isPeerRecord, 'instance');
-  return typeof revision === 'number' &&
-    Number.isSafeInteger(revision) &&
+  return revision !== undefined &&
     typeof ageMilliseconds === 'number' &&
     ageMilliseconds >= 0 &&
     (configurationVersion === undefined || typeof configurationVersion === 'number') &&
@@ -313,7 +335,7 @@
   kind: UsageCountsReport['kind'],
   fields: readonly unknown[],
 ): UsageCountsReport | undefined {
-  const [host, port, number, window, incarnation, counts, isFinal] = fields;
+  const [host, port, number, window, incarnation, counts, isFinal, storedEra] = fields;
   const reporter = { host, port };
   if (
     !isPeerAddress(reporter) ||
@@ -321,11 +343,12 @@
     typeof window !== 'number' ||
     typeof incarnation !== 'string' ||
     !isAccountCounts(counts) ||
-    typeof isFinal !== 'boolean'
+    typeof isFinal !== 'boolean' ||
+    (storedEra !== undefined && typeof storedEra !== 'number')
   ) {
     return undefined;
   }
-  return { kind, reporter, number, usage: { window, incarnation, counts, isFinal } };
+  return { kind, reporter, number, usage: { window, incarnation, counts, isFinal }, storedEra };
 }
 
 function decodeUsageCountsConfirmation([number]: readonly unknown[]):
@@ -364,6 +387,8 @@
       return decodeUsageCountsConfirmation(fields);
     case PeerMessageKind.CrashEvidence:
       return decodeCrashEvidence(fields);
+    case PeerMessageKind.UsageSeal:
+      return decodeUsageSeal(fields);
     default:
       return undefined;
   }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -1,4 +1,5 @@
 import fastCheck from 'fast-check';
+import { pack } from 'msgpackr';
 import { describe, expect, it } from 'vitest';
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
 import {
@@ -6,6 +7,7 @@
   encodePeerMessage,
   PeerMessageKind,
 } from 'hickoryrelay-forwarding/PeerMessage';
+import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
 import { makeEndpoint } from './ForwardingFixture.js';
 
@@ -38,8 +40,12 @@
   PeerMessageKind.ZoneLoad,
 );
 
+const revisionArbitrary = fastCheck
+  .tuple(fastCheck.nat(), fastCheck.nat())
+  .map(([era, number]) => new StoreRevision(era, number));
+
 const changesArbitrary = fastCheck.record({
-  revision: fastCheck.nat(),
+  revision: revisionArbitrary,
   ageMilliseconds: fastCheck.nat(),
   configurationVersion: fastCheck.option(fastCheck.nat(), { nil: undefined }),
   isAuthorityHeld: fastCheck.boolean(),
@@ -68,7 +74,7 @@
     kind: fastCheck.constant(PeerMessageKind.ViewRequest),
     requester: addressArbitrary,
     number: fastCheck.nat(),
-    sinceRevision: fastCheck.nat(),
+    sinceRevision: revisionArbitrary,
   }),
   fastCheck.record({
     kind: fastCheck.constant(PeerMessageKind.ViewResponse),
@@ -91,6 +97,21 @@
       }),
       isFinal: fastCheck.boolean(),
     }),
+    storedEra: fastCheck.option(fastCheck.nat(), { nil: undefined }),
+  }),
+  fastCheck.record({
+    kind: fastCheck.constant(PeerMessageKind.UsageSeal),
+    replyTo: addressArbitrary,
+    window: fastCheck.nat(),
+    counts: fastCheck.constant(undefined),
+  }),
+  fastCheck.record({
+    kind: fastCheck.constant(PeerMessageKind.UsageSeal),
+    replyTo: fastCheck.constant(undefined),
+    window: fastCheck.nat(),
+    counts: fastCheck.dictionary(fastCheck.stringMatching(/^[a-z]\w*$/u), fastCheck.nat(), {
+      noNullPrototype: true,
+    }),
   }),
 );
 
@@ -101,7 +122,7 @@
 
 function makeChanges(changes: object = {}) {
   return {
-    revision: 1,
+    revision: new StoreRevision(1, 1),
     ageMilliseconds: 0,
     configurationVersion: 1,
     isAuthorityHeld: false,
@@ -167,19 +188,21 @@
   });
 
   it.each([
-    ['revision', 1e300],
-    ['revision', Number.NaN],
+    ['revision', new StoreRevision(1, 1e300)],
+    ['revision', new StoreRevision(1, Number.NaN)],
+    ['revision', new StoreRevision(0.5, 1)],
     ['ageMilliseconds', -1e300],
     ['ageMilliseconds', Number.NaN],
-  ])('have no changes if the field %s is %d', (field, value) => {
+  ])('have no changes if the field %s is %o', (field, value) => {
     expect(decodeChanges(makeChanges({ [field]: value }))).toBeUndefined();
   });
 
   it.each([0, 0.5, -1, 70_000, 1e300])('are rejected if the sender has port %d', (port) => {
     const address = { host: '10.0.0.1', port };
     const usage = { window: 1, incarnation: 'i', counts: {}, isFinal: true };
+    const sinceRevision = new StoreRevision(1, 1);
     const messages = [
-      { kind: PeerMessageKind.ViewRequest, requester: address, number: 1, sinceRevision: 1 },
+      { kind: PeerMessageKind.ViewRequest, requester: address, number: 1, sinceRevision },
       { kind: PeerMessageKind.UsageCountsReport, reporter: address, number: 1, usage },
       { kind: PeerMessageKind.UsageCountsHandoff, reporter: address, number: 1, usage },
     ];
@@ -224,3 +247,33 @@
     expect(loads.loadOf(5).running).toBe(0);
   });
 });
+
+describe('messages with a sealed usage window', () => {
+  const sealOf = (accounts: number): PeerMessage => ({
+    kind: PeerMessageKind.UsageSeal,
+    replyTo: undefined,
+    window: 353_445_120,
+    counts: Object.fromEntries(
+      Array.from({ length: accounts }, (_unused, index) => [`acc${index}`.padEnd(8, 'x'), 400]),
+    ),
+  });
+
+  it('fit into one datagram at the design size of 1,100 client accounts', () => {
+    expect(encodePeerMessage(sealOf(1100)).length).toBeLessThan(16_384);
+  });
+
+  // Guards against an odd message that changes what an instance takes for a seal.
+  it.each([
+    { field: 'window', fields: [[], 1.5, { a: 1 }] },
+    { field: 'window', fields: [[], '1', { a: 1 }] },
+    { field: 'counts', fields: [[], 1, { a: -1 }] },
+    { field: 'counts', fields: [[], 1, { a: '1' }] },
+    { field: 'counts', fields: [[], 1, null] },
+    { field: 'address', fields: [['host', 7], 1, null] },
+    { field: 'address', fields: [['10.0.0.1', 0], 1, null] },
+    { field: 'address', fields: ['10.0.0.1', 1, null] },
+    { field: 'address', fields: [['10.0.0.1', 7], 1, { a: 1 }] },
+  ])('are dropped with an invalid $field: $fields', ({ fields }) => {
+    expect(decodePeerMessage(pack([PeerMessageKind.UsageSeal, ...fields]))).toBeUndefined();
+  });
+});
--- a/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/ZoneAuthority.test.ts
@@ -8,6 +8,7 @@
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
 import { ProcessClock } from 'hickoryrelay-standin/ProcessClock';
 import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
+import { fencingFloorOf } from 'hickoryrelay-zone/FencingNumbers';
 import { DEFAULT_AUTHORITY_TIMES, ZoneAuthority } from 'hickoryrelay-zone/ZoneAuthority';
 import { authorityKey, fencingKey } from 'hickoryrelay-zone/ZoneKeyUtils';
 
@@ -23,7 +24,12 @@
     table = new KeyValueTable(clock);
   });
 
-  function createCandidate(holder: string, seed = 1, isStopping = () => false) {
+  function createCandidate(
+    holder: string,
+    seed = 1,
+    isStopping = () => false,
+    fencingFloor = () => 0,
+  ) {
     const process = new ProcessClock(clock);
     const store = new InProcessKeyValueStore(table, clock, process);
     const lifecycle = new LifecycleManager(holder, process, () => {});
@@ -36,6 +42,7 @@
       lifecycle,
       createTasks: () => [],
       isStopping,
+      fencingFloor,
     });
     return {
       process,
@@ -51,6 +58,66 @@
     return value === undefined ? undefined : (JSON.parse(value) as { holder: string }).holder;
   }
 
+  describe('after the store was restored from an older copy', () => {
+    function createFencedCandidate(holder: string, seed: number) {
+      const candidate: ReturnType<typeof createCandidate> = createCandidate(
+        holder,
+        seed,
+        () => false,
+        () => fencingFloorOf(candidate.store.era.current ?? 0),
+      );
+      return candidate;
+    }
+
+    // Guards against two holders that use the same fencing number (ONE).
+    it('does not use a fencing number again that the store has forgotten', async () => {
+      const copy = table.copy();
+      const both = [createFencedCandidate('first', 1), createFencedCandidate('second', 2)];
+      const numbers: number[] = [];
+      both.forEach((each) => each.start());
+      for (let restores = 0; restores < 4; restores += 1) {
+        await clock.advance(30_000);
+        const [term] = both.flatMap(({ authority }) => authority.currentTerm ?? []);
+        expect(term?.fencingNumber).toBeGreaterThan(numbers.at(-1) ?? 0);
+        numbers.push(term?.fencingNumber ?? 0);
+        table.restore(copy);
+      }
+    });
+
+    // Guards against two instances that act at the same time.
+    it('does not grant the authority while a term of the earlier era may be held', async () => {
+      const copy = table.copy();
+      const first = createFencedCandidate('first', 1);
+      first.start();
+      await clock.advance(30_000);
+      const second = createFencedCandidate('second', 2);
+      second.start();
+      await clock.advance(1000);
+      expect(first.authority.currentTerm).toBeDefined();
+      first.store.exchange.faults.defaultFault = Fault.Refuse;
+      table.restore(copy);
+      for (let passed = 0; passed < 3 * LEASE_MILLISECONDS; passed += 100) {
+        await clock.advance(100);
+        const isBothHeld = first.authority.currentTerm && second.authority.currentTerm;
+        expect(isBothHeld).toBeUndefined();
+      }
+      expect(second.authority.currentTerm).toBeDefined();
+    });
+
+    it('ends the term of a holder that learns of the restore', async () => {
+      const copy = table.copy();
+      const first = createFencedCandidate('first', 1);
+      first.start();
+      await clock.advance(30_000);
+      const term = first.authority.currentTerm;
+      table.restore(copy);
+      const read = first.store.get(authorityKey(ZONE));
+      await clock.advance(100);
+      expect(await read).toBeUndefined();
+      expect(term?.isHeld).toBe(false);
+    });
+  });
+
   // Guards against two holders at a time, and an authority that alternates between candidates.
   it('grants the authority to one of two candidates, which keeps it', async () => {
     const both = [createCandidate('first', 1), createCandidate('second', 2)];
