Wait for earlier terms before the authority is acquired after a restore

Cause: a raised fencing counter looks like that of a term whose lease has expired, so ZoneAuthority's own wait for terms of the earlier era did not apply in the product. An instance acquired the authority while another one, which could not reach the store, still held its term, for up to 9 s.

ZoneController passes the highest known number as the floor of the fencing number, and takes the authority for held until a lease after a restore was noticed.

Excluded: a later raise of the counter, since an instance that was started after the restore would then take a number that others know.

Before: RestoredFencing, "waits until a term of before the restore has ended everywhere": expected 2 to be less than or equal to 1.

Conclusion: one holder at a time, except beside an instance that starts after the restore and knows nothing of it.

--- a/packages/hickoryrelay-instance/src/ZoneController.ts
+++ b/packages/hickoryrelay-instance/src/ZoneController.ts
@@ -57,6 +57,8 @@
       random,
       lifecycle,
       log: parts.log(LogPrefix.Authority),
+      fencingFloor: () => this.floor.highest,
+      mayBeVacant: () => !this.floor.mayEarlierTermBeHeld,
       createTasks: (term) => {
         if (this.floor.isAssignedBefore(term)) {
           // The store was restored from an older copy; the next term gets a higher number.
@@ -73,6 +75,7 @@
   start(): void {
     const { instance, store, random, lifecycle, log } = this.parts;
     const { authority, floor } = this;
+    lifecycle.own('fencing floor', floor.observe(store.era));
     lifecycle.start(authority);
     lifecycle.start(
       new FencingCounterTask({
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/RestoredStore.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/RestoredStore.test.ts
@@ -6,6 +6,9 @@
 
 const ZONE = 'zone-a';
 
+/** After each restore the authority is acquired up to 24 s later, in real time. */
+const TEST_TIMEOUT_MILLISECONDS = 120_000;
+
 describe('a daemon whose key-value service is restored from an older copy', () => {
   const federation = new LocalFederation();
   let daemon: DaemonProcess;
@@ -72,5 +75,5 @@
     await daemon.waitUntil(() => storedRevision() === revision);
     await daemon.waitUntil(async () => (await fencingNumber()) > numberBefore);
     expect(daemon.log).toContain('The configuration in force was put back into the store.');
-  });
+  }, TEST_TIMEOUT_MILLISECONDS);
 });
--- a/packages/hickoryrelay-zone/src/__tests__/unit/RestoredFencing.test.ts
+++ b/packages/hickoryrelay-zone/src/__tests__/unit/RestoredFencing.test.ts
@@ -4,6 +4,7 @@
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { EngineOrderReceiver, InProcessOrderLink } from 'hickoryrelay-standin/EngineOrderReceiver';
+import { Fault } from 'hickoryrelay-standin/FaultPlan';
 import { InProcessExchange } from 'hickoryrelay-standin/InProcessExchange';
 import { InProcessKeyValueStore } from 'hickoryrelay-standin/InProcessKeyValueStore';
 import { KeyValueTable } from 'hickoryrelay-standin/KeyValueTable';
@@ -41,6 +42,7 @@
     const random = new SeededRandomSource(seed);
     const floor = new FencingFloor(process);
     const parts = { zone: ZONE, store, random, log: silentLogger };
+    floor.observe(store.era);
     const dispatchers: EndpointOrderDispatcher[] = [];
     const createDispatcher = (term: AuthorityTerm) => {
       const exchange = new InProcessExchange(clock, process);
@@ -60,6 +62,8 @@
       ...parts,
       holder,
       lifecycle,
+      fencingFloor: () => floor.highest,
+      mayBeVacant: () => !floor.mayEarlierTermBeHeld,
       createTasks: (term) => {
         if (floor.isAssignedBefore(term)) {
           term.end();
@@ -132,6 +136,27 @@
     expect(numbers).toEqual([1, 2]);
   });
 
+  // Guards against two holders at a time: the store has forgotten the lease of a holder that cannot reach
+  // it, and the raised counter looks like that of an expired term.
+  it('waits until a term of before the restore has ended everywhere', async () => {
+    const first = createInstance('first', 1);
+    const second = createInstance('second', 2);
+    const copy = table.copy();
+    first.start();
+    await clock.advance(10_000);
+    second.start();
+    await clock.advance(1000);
+    first.store.exchange.faults.defaultFault = Fault.Refuse;
+    table.restore(copy);
+    await Promise.all([second.store.get('/any'), clock.advance(100)]);
+    for (let elapsed = 0; elapsed < 40_000; elapsed += 100) {
+      await clock.advance(100);
+      const holders = [first, second].filter(({ authority }) => authority.currentTerm);
+      expect(holders.length).toBeLessThanOrEqual(1);
+    }
+    expect(second.authority.currentTerm?.fencingNumber).toBeGreaterThan(1);
+  });
+
   // Guards against a new instance that knows no number and takes one that others know.
   it('raises the counter for an instance that was started after the restore', async () => {
     const first = createInstance('first', 1);
