--- a/packages/hickoryrelay-instance/src/__tests__/e2e/RestoredStore.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/RestoredStore.test.ts
@@ -52,28 +52,32 @@
   });
 
   // Guards against an acknowledged change that is in force and that nobody writes into the store again.
-  it('puts the configuration in force back, and its next term has a higher fencing number', async () => {
-    const { table } = federation.gateway;
-    const storedRevision = () => {
-      const [head] = table.range(HEAD_KEY).values;
-      return (JSON.parse(head?.value ?? '{}') as { revision?: number }).revision;
-    };
-    const fencingNumber = async () => {
-      const status = await request(`${daemon.url}/admin/status`);
-      return ((await status.body.json()) as { fencingNumber?: number }).fencingNumber ?? 0;
-    };
-    await daemon.waitUntil(async () => (await fencingNumber()) > 0);
-    const numberBefore = await fencingNumber();
-    const copy = table.copy();
-    const document = sampleDeclarations();
-    document.staleKeySeconds += 1;
-    await federation.apply(document);
-    const revision = storedRevision();
-    await daemon.waitUntil(() => daemon.log.includes(`"revision":${revision}`));
-    table.restore(copy, { keepsClusterIdentifier: true });
-    expect(storedRevision()).toBe(Number(revision) - 1);
-    await daemon.waitUntil(() => storedRevision() === revision);
-    await daemon.waitUntil(async () => (await fencingNumber()) > numberBefore);
-    expect(daemon.log).toContain('The configuration in force was put back into the store.');
-  }, TEST_TIMEOUT_MILLISECONDS);
+  it(
+    'puts the configuration in force back, and its next term has a higher fencing number',
+    async () => {
+      const { table } = federation.gateway;
+      const storedRevision = () => {
+        const [head] = table.range(HEAD_KEY).values;
+        return (JSON.parse(head?.value ?? '{}') as { revision?: number }).revision;
+      };
+      const fencingNumber = async () => {
+        const status = await request(`${daemon.url}/admin/status`);
+        return ((await status.body.json()) as { fencingNumber?: number }).fencingNumber ?? 0;
+      };
+      await daemon.waitUntil(async () => (await fencingNumber()) > 0);
+      const numberBefore = await fencingNumber();
+      const copy = table.copy();
+      const document = sampleDeclarations();
+      document.staleKeySeconds += 1;
+      await federation.apply(document);
+      const revision = storedRevision();
+      await daemon.waitUntil(() => daemon.log.includes(`"revision":${revision}`));
+      table.restore(copy, { keepsClusterIdentifier: true });
+      expect(storedRevision()).toBe(Number(revision) - 1);
+      await daemon.waitUntil(() => storedRevision() === revision);
+      await daemon.waitUntil(async () => (await fencingNumber()) > numberBefore);
+      expect(daemon.log).toContain('The configuration in force was put back into the store.');
+    },
+    TEST_TIMEOUT_MILLISECONDS,
+  );
 });
