Show that a silent endpoint is left for one that refuses the request

An endpoint pauses for 1.5 s, after the first event of a stream or before its response. The attempt is aborted because another endpoint could be chosen. That one refuses the request as full, none is left, and the caller gets a broken stream or 502, although the first endpoint goes on after its pause.

Cause: whether the request can go on elsewhere is decided by the choice of an endpoint, not by its response. The same holds for a stream whose next plan prefills the prompt remotely, if the prefill is refused, and for a retry budget that is used up between the choice and the attempt.

A fix has to keep the first attempt open until another endpoint has responded, within the 400 ms in which two endpoints may work on a request.

--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
@@ -329,6 +329,40 @@
   });
 });
 
+// Guards against a response that is given up for an endpoint which then refuses the request.
+describe('ForwardedCall whose endpoint is silent while the only other one is full', () => {
+  it.each([
+    ['the rest of a stream', RESUMABLE_STREAM, 'id: 1\n\n'],
+    ['the response', { retrySemantics: RetrySemantics.Idempotent }, ''],
+  ])('waits for %s', async (_name, route, first) => {
+    const clock = new ManualClock();
+    const pauses: EndpointBehaviour = async (_attempt, signal) => {
+      if (first === '') {
+        await clock.sleep(1500, signal);
+      }
+      async function* body(): AsyncGenerator<Buffer, void, void> {
+        yield Buffer.from(first);
+        if (first !== '') {
+          await clock.sleep(1500, signal);
+        }
+        yield Buffer.from('id: 2\n\n');
+      }
+      return makeResponse([], { body: body() });
+    };
+    const refuses: EndpointBehaviour = async () =>
+      makeResponse([], { status: 503, isNotRun: true });
+    const harness = makeRouteHarness(
+      { ...route, maximumAttempts: 3, timeoutMilliseconds: 10_000 },
+      [pauses, refuses],
+      { clock, endpoints: [makeEndpoint('e1'), makeEndpoint('e02')] },
+    );
+    const running = harness.run(makeRequest({ callerTimeoutMilliseconds: 10_000 }));
+    await clock.advance(9000);
+    await running;
+    expect(harness.sink).toMatchObject({ text: `${first}id: 2\n\n`, isEnded: true });
+  });
+});
+
 // Guards against memory that grows with bytes that are no event, and an end that looks complete.
 describe('ForwardedCall of a stream without an event boundary', () => {
   const endless: EndpointBehaviour = async () => {
