Ask again soon whether an overdue attempt can go on elsewhere

Cause: an attempt that is overdue while no other endpoint can take the request was checked again only after another full limit.

Excluded: endpoints that only pause. They are left, as before, only if another one can be chosen.

Before: 'is resumed at an endpoint that registers shortly after the stall was noticed' failed with "to have a length of 2 but got 1".

Conclusion: an overdue attempt is checked every 250 ms. The cost of these checks was not measured.

--- a/packages/hickoryrelay-forwarding/src/AttemptTimeout.ts
+++ b/packages/hickoryrelay-forwarding/src/AttemptTimeout.ts
@@ -1,5 +1,11 @@
 import type { Clock } from 'hickoryrelay/Clock';
 
+/**
+ * Time until an overdue attempt is checked again. Callers abandon a stream 0.8 s after the limit at the
+ * earliest.
+ */
+const OVERDUE_CHECK_MILLISECONDS = 250;
+
 /**
  * Aborts an attempt that makes no progress for too long, if the request can be sent elsewhere then.
  * Its user decides what counts as progress and when there is nothing to wait for.
@@ -64,7 +70,7 @@
         this.abortController.abort();
       } else {
         // The silence of an endpoint is no reason to end a response that no other one can give.
-        this.scheduleCheck(this.limitMilliseconds);
+        this.scheduleCheck(Math.min(this.limitMilliseconds, OVERDUE_CHECK_MILLISECONDS));
       }
     });
   }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
@@ -225,6 +225,22 @@
     return makeRouteHarness(route, [stalls, resumes], { clock });
   }
 
+  // Guards against a stream that its caller abandons after 2 s although it could have been resumed.
+  it('is resumed at an endpoint that registers shortly after the stall was noticed', async () => {
+    const harness = makeStallHarness([event(1)], 10);
+    const [first, second] = harness.view.endpoints;
+    harness.registry.replace(first === undefined ? [] : [first]);
+    const running = harness.run();
+    await harness.clock.advance(1300);
+    expect(harness.link.sent).toHaveLength(1);
+    harness.registry.replace([first, second].flatMap((endpoint) => endpoint ?? []));
+    await harness.clock.advance(600);
+    expect(harness.link.sent).toHaveLength(2);
+    await harness.clock.advance(5000);
+    await running;
+    expect(harness.sink).toMatchObject({ text: event(1) + event(8) + event(9), isEnded: true });
+  });
+
   it('is resumed at another endpoint', async () => {
     const harness = makeStallHarness([event(1)], 10);
     const running = harness.run();
