--- a/review/lib/EngineStandIn.mjs
+++ b/review/lib/EngineStandIn.mjs
@@ -69,6 +69,11 @@
       );
       return;
     }
+    if (request.path === '/order') {
+      // "409: another order is in progress": the engines of the cases keep their stages.
+      socket.write('HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n');
+      return;
+    }
     this.handle(socket, request);
   }
 }
