--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -69,6 +69,7 @@
 }
 
 async function call(deployment, killer, instance, identifier) {
+  deployment.record('sent', { request: identifier, instance: instance.name });
   const { response, end } = await send({
     port: instance.port,
     path: '/stream/review',
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -74,6 +74,7 @@
     const { instance, sentAt } = this.requests.get(identifier);
     const { drain_ms: drainMilliseconds, contact_ms: contactMilliseconds } = this.deployment.bounds;
     const now = performance.now();
+    this.deployment.record('run', { request: identifier, engine: engine.identifier });
     if (engine.removedAt !== undefined && now - engine.removedAt > drainMilliseconds) {
       const killedAt = this.killedAt.get(instance.name) ?? Number.NEGATIVE_INFINITY;
       const isInTouch = engine.removedAt - killedAt > contactMilliseconds;
@@ -101,12 +102,14 @@
     for (let number = 0; !this.isFinished; number += 1) {
       const identifier = `review-2-${instance.name}-${number}`;
       this.requests.set(identifier, { instance, sentAt: performance.now() });
+      this.deployment.record('sent', { request: identifier });
       void send({
         port: instance.port,
         path: '/book/review',
         headers: { 'X-Request-Id': identifier, 'X-Request-Timeout-Ms': '2608' },
       }).then(({ response, end }) => {
         const outcome = String(response?.status ?? end);
+        this.deployment.record('answer', { request: identifier, outcome });
         this.counts.set(outcome, (this.counts.get(outcome) ?? 0) + 1);
         if (this.lateArrivals.includes(identifier) && outcome !== '200') {
           this.lost += 1;
--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -173,11 +173,18 @@
     const deployment = new Deployment();
     await writeFile(recordFile, '');
     const start = performance.now();
+    let lines = '';
     let written = Promise.resolve();
     deployment.record = (what, fields = {}) => {
       const seconds = ((performance.now() - start) / 1000).toFixed(3);
-      const line = `${seconds} ${what} ${JSON.stringify(fields)}\n`;
-      written = written.then(() => appendFile(recordFile, line));
+      if (lines === '') {
+        written = written.then(() => {
+          const text = lines;
+          lines = '';
+          return appendFile(recordFile, text);
+        });
+      }
+      lines += `${seconds} ${what} ${JSON.stringify(fields)}\n`;
     };
     deployment.flush = () => written;
     deployment.directory = await mkdtemp(join(tmpdir(), 'review-'));
