Mark the end of every response to a caller

Cause: the front end left the end of such a response to the close of the caller's connection, and did the same for every response of unknown length to an HTTP/1.0 caller. The operating system closes the connections of a killed process normally. A reset by the process cannot help, because the process is gone.

Why this works: ResponseFraming gives each response a length or chunks, so that its end is a part of what the process writes. A caller without chunks gets the response whole. Both programs use it. Responses to HEAD, 204 and 304 no longer close their connections.

--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -52,15 +52,14 @@
   readonly headers: HeaderList;
   /** Length of the body in bytes; undefined if the response does not state it. */
   readonly length: number | undefined;
-  /**
-   * True if only the close of the connection ends the body. A crash of the endpoint closes it as
-   * well, so such a response is passed on close-delimited too, and never framed as complete.
-   */
-  readonly isCloseDelimited: boolean;
 }
 
 /** An endpoint's response whose body has not been read yet. */
 export interface EndpointResponse extends ResponseHead {
+  /** False if the response ends with its head, as to a request with the method HEAD. */
+  readonly hasBody: boolean;
+  /** True if only the close of the connection ends the body, as a crash of the endpoint may. */
+  readonly isCloseDelimited: boolean;
   /** True if the endpoint states that it did not run the request. */
   readonly isNotRun: boolean;
   /** True if a different endpoint now has the address. */
--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -14,8 +14,8 @@
 export class EndpointResponseRelay {
   private readonly call: CallContext;
 
-  /** True if only the close of the caller's connection ends the stream. */
-  private isCloseDelimited = false;
+  /** True if the first response of the stream was delimited by the close of its connection. */
+  private isFirstCloseDelimited = false;
 
   constructor(call: CallContext) {
     this.call = call;
@@ -68,7 +68,7 @@
     buffered: readonly Buffer[],
     bufferedLength?: number,
   ): Promise<void> {
-    const length = response.length ?? (response.isCloseDelimited ? undefined : bufferedLength);
+    const length = response.length ?? (response.hasBody ? bufferedLength : undefined);
     this.call.sink.start({ ...response, length });
     this.call.recordUnresumableStart();
     for (const chunk of buffered) {
@@ -114,7 +114,7 @@
       throw EndpointResponseRelay.failure(destination, 'the stream ended before its first event');
     }
     this.startStream(response);
-    if (response.isCloseDelimited && !this.isCloseDelimited) {
+    if (response.isCloseDelimited && !this.isFirstCloseDelimited) {
       throw EndpointResponseRelay.failure(
         destination,
         'the resumed stream ended with its connection, which does not show that it is complete',
@@ -159,7 +159,7 @@
   private startStream(response: EndpointResponse): void {
     if (!this.call.sink.hasStarted) {
       const { length, isCloseDelimited } = response;
-      this.isCloseDelimited = isCloseDelimited;
+      this.isFirstCloseDelimited = isCloseDelimited;
       this.call.sink.start({ ...response, length: this.call.isResumable ? undefined : length });
     }
   }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -165,6 +165,7 @@
     status: 200,
     headers: ['X-Signature', 's'],
     length: undefined,
+    hasBody: true,
     isCloseDelimited: false,
     isNotRun: false,
     isMisdirected: false,
--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -4,6 +4,7 @@
 import { CallerConnections } from 'hickoryrelay/CallerConnections';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+import { sendWhole } from 'hickoryrelay/ResponseFraming';
 
 import { authenticateCaller } from './CallerAuthentication.js';
 import { CallTimer } from './CallTimer.js';
@@ -32,8 +33,7 @@
 type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
 function sendJson(response: ServerResponse, status: number, body: object): void {
-  response.writeHead(status, { 'content-type': 'application/json' });
-  response.end(JSON.stringify(body));
+  sendWhole(response, status, { 'content-type': 'application/json' }, JSON.stringify(body));
 }
 
 /** The HTTP API that an instance offers to callers. */
@@ -196,8 +196,8 @@
     }
     const { status, headers, body } = errorResponse({ failure, requestIdentifier, notRun: true });
     const isIncomplete = !request.complete;
-    response.writeHead(status, { ...headers, ...(isIncomplete ? { connection: 'close' } : {}) });
-    response.end(JSON.stringify(body));
+    const connection = isIncomplete ? { connection: 'close' } : {};
+    sendWhole(response, status, { ...headers, ...connection }, JSON.stringify(body));
     if (isIncomplete) {
       request.resume();
       const cancel = this.instance.clock.schedule(LINGER_MILLISECONDS, () => request.destroy());
@@ -229,8 +229,8 @@
 
   private metricsHandler(): RequestHandler {
     return (request, response) => {
-      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
-      response.end(this.instance.metrics.render());
+      const headers = { 'content-type': 'text/plain; version=0.0.4' };
+      sendWhole(response, 200, headers, this.instance.metrics.render());
     };
   }
 }
--- a/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
@@ -2,6 +2,7 @@
 
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { framingFor, sendWhole } from 'hickoryrelay/ResponseFraming';
 
 import { errorResponse } from './ErrorResponse.js';
 import { ResponseWriter } from './ResponseWriter.js';
@@ -9,6 +10,7 @@
 import type { CallTimer } from './CallTimer.js';
 import type { FailureReport } from './ResponseWriter.js';
 import type { Clock } from 'hickoryrelay/Clock';
+import type { ResponseFraming } from 'hickoryrelay/ResponseFraming';
 import type { ServerResponse } from 'node:http';
 
 const EVENT_STREAM = 'text/event-stream';
@@ -29,6 +31,8 @@
 
   private readonly response: ServerResponse;
 
+  private readonly framing: ResponseFraming;
+
   /** Stored here, because the response does not keep headers that are passed to `writeHead`. */
   private isEventStream = false;
 
@@ -36,16 +40,17 @@
     super();
     this.parts = parts;
     this.response = parts.response;
+    this.framing = framingFor(parts.response);
   }
 
   override get hasBegun(): boolean {
-    return this.response.headersSent;
+    return this.framing.hasStarted;
   }
 
   override begin(status: number, contentType: string): void {
     this.parts.timer.begin(status);
     this.isEventStream = contentType.startsWith(EVENT_STREAM);
-    this.response.writeHead(status, {
+    this.framing.start(status, {
       'content-type': contentType,
       'x-request-id': this.parts.requestIdentifier,
       ...(this.isEventStream ? { 'cache-control': 'no-cache' } : {}),
@@ -55,22 +60,21 @@
   override async write(chunk: Buffer, signal: AbortSignal): Promise<void> {
     this.assertOpen();
     this.parts.timer.recordChunk();
-    if (!this.response.write(chunk)) {
+    if (!this.framing.write(chunk)) {
       await this.waitForDrain(signal);
     }
   }
 
   override async end(): Promise<void> {
     this.parts.timer.end();
-    this.response.end();
+    this.framing.end();
   }
 
   override async fail(report: FailureReport): Promise<void> {
     this.parts.timer.fail(report.failure, report.notRun);
     const { status, headers, body } = errorResponse(report);
     if (!this.hasBegun) {
-      this.response.writeHead(status, headers);
-      this.response.end(JSON.stringify(body));
+      sendWhole(this.response, status, headers, JSON.stringify(body));
       return;
     }
     if (this.response.writableNeedDrain && !this.isQueued) {
@@ -79,7 +83,8 @@
       return;
     }
     if (this.isEventStream && !this.response.writableEnded) {
-      this.response.end(`data: ${JSON.stringify(body)}\n\n`);
+      this.framing.write(Buffer.from(`data: ${JSON.stringify(body)}\n\n`));
+      this.framing.end();
       return;
     }
     // Closing the connection early is the only way to mark any other body as incomplete.
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/HttpResponseWriter.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/HttpResponseWriter.test.ts
@@ -51,6 +51,29 @@
     expect(responseBody).toMatch(/^data: \{\}\n\ndata: \{"error":.*"deadline-exceeded"/u);
   });
 
+  // Guards against a response that looks complete to a caller without chunks when it is cut off.
+  it('sends a caller that speaks HTTP/1.0 nothing before the response is complete', async () => {
+    const received = await new Promise<string>((resolve) => {
+      const server = createServer(async (_incoming, response) => {
+        const writer = createWriter(response);
+        writer.begin(200, 'application/json');
+        await writer.write(Buffer.from('{"half":'), new AbortController().signal);
+        response.destroy();
+        server.close();
+      });
+      server.listen(0, '127.0.0.1', () => {
+        const { port } = server.address() as AddressInfo;
+        const socket = connect(port, '127.0.0.1', () => socket.write('GET / HTTP/1.0\r\n\r\n'));
+        let text = '';
+        socket.on('data', (chunk) => {
+          text += String(chunk);
+        });
+        socket.on('close', () => resolve(text));
+      });
+    });
+    expect(received).toBe('');
+  });
+
   // Guards against a cancelled call that is held open by the write buffer of a caller that never reads.
   it('stops waiting for a caller that does not read when the call is cancelled', async () => {
     const cancel = new AbortController();
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -48,7 +48,7 @@
   /** Closes the connection. The caller cannot take an unfinished response for complete. */
   close(): void {
     if (this.openResponses.size > 0) {
-      // A normal close would complete a close-delimited response.
+      // A reset tells the caller that the responses have failed.
       this.socket.resetAndDestroy();
     } else {
       this.socket.destroy();
