Compare relayed lists of endpoints with the relay's

Why this works: the answer carries a fingerprint of the relay's whole list. An instance uses the changes only if they lead to the same list, and reads the store otherwise, so that a wrong list does not outlast the read that brought it.

--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -111,6 +111,8 @@
   readonly isAuthorityHeld: boolean;
   readonly endpoints: RecordChanges<EndpointRecord>;
   readonly peers: RecordChanges<PeerRecord>;
+  /** Fingerprint of all endpoints and instances of the relay's snapshot. */
+  readonly fingerprint: string;
 }
 
 /** The response to a view request. */
@@ -303,7 +305,7 @@
 
 function decodeViewChanges(value: unknown): ViewChanges | undefined {
   const changes = (value ?? {}) as Partial<Record<keyof ViewChanges | 'era', unknown>>;
-  const { ageMilliseconds, configurationVersion, isAuthorityHeld } = changes;
+  const { ageMilliseconds, configurationVersion, isAuthorityHeld, fingerprint } = changes;
   const revision = decodeRevision(changes.revision, changes.era);
   const endpoints = decodeRecordChanges(changes.endpoints, isEndpointRecord, 'identifier');
   const peers = decodeRecordChanges(changes.peers, isPeerRecord, 'instance');
@@ -313,8 +315,17 @@
     (configurationVersion === undefined || typeof configurationVersion === 'number') &&
     typeof isAuthorityHeld === 'boolean' &&
     endpoints !== undefined &&
-    peers !== undefined
-    ? { revision, ageMilliseconds, configurationVersion, isAuthorityHeld, endpoints, peers }
+    peers !== undefined &&
+    typeof fingerprint === 'string'
+    ? {
+        revision,
+        ageMilliseconds,
+        configurationVersion,
+        isAuthorityHeld,
+        endpoints,
+        peers,
+        fingerprint,
+      }
     : undefined;
 }
 
--- a/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
+++ b/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
@@ -1,4 +1,5 @@
 import { PeerMessageKind, randomMessageNumber } from './PeerMessage.js';
+import { fingerprintOf } from './ViewFingerprint.js';
 import { ViewSource } from './ViewSource.js';
 
 import type { ConfirmedView, ViewSnapshot } from './ConfirmedView.js';
@@ -77,16 +78,25 @@
   );
 }
 
+/** The latest snapshot, read from the store or compared with that of a relay. */
+interface VerifiedSnapshot {
+  readonly snapshot: ViewSnapshot;
+  readonly revision: StoreRevision;
+  /** Undefined until it is compared. */
+  readonly fingerprint?: string;
+}
+
 /**
  * Shares reads of the store within a zone: the relay reads the store, and the other instances
  * request changes from it. They read the store themselves when the configuration has changed, when
- * the relay does not respond and when its snapshot is stale. Store calls are billed, and the
+ * the relay does not respond, when its snapshot is stale and when its changes do not lead to its
+ * list. Store calls are billed, and the
  * store's rate limits grow more slowly than the number of instances.
  */
 export class SharedViewSource extends ViewSource {
   private readonly parts: SharedViewSourceParts;
 
-  private latest: { readonly snapshot: ViewSnapshot; readonly revision: StoreRevision } | undefined;
+  private latest: VerifiedSnapshot | undefined;
 
   /** Handles the response to the pending request. Ignores responses while none is pending. */
   private handleResponse: (response: ViewResponse) => void = () => {};
@@ -174,8 +184,9 @@
   }
 
   /**
-   * Applies changes to the latest snapshot. Returns undefined if the configuration has to be read, or
-   * if the changes are of another era.
+   * Applies changes to the latest snapshot. Returns undefined if the store has to be read: if the
+   * configuration has changed, if the changes are of another era, or if the result is not the list
+   * of the relay.
    */
   private apply(changes: ViewChanges): ViewReadResult | undefined {
     const { latest } = this;
@@ -183,7 +194,7 @@
       return undefined;
     }
     // A relay at an older revision changes nothing, but confirms the snapshot as of its own read.
-    if (changes.revision.isAfter(latest.revision)) {
+    if (!latest.revision.isAfter(changes.revision)) {
       const { configuration } = latest.snapshot;
       if (changes.configurationVersion !== configuration?.version) {
         return undefined;
@@ -191,13 +202,23 @@
       const endpoints = mergeChanges(latest.snapshot.endpoints, changes.endpoints, identifierOf);
       const peers = mergeChanges(latest.snapshot.peers, changes.peers, instanceOf);
       const { isAuthorityHeld } = changes;
-      this.latest = {
-        snapshot: { configuration, endpoints, peers, isAuthorityHeld },
-        revision: changes.revision,
-      };
+      const snapshot = { configuration, endpoints, peers, isAuthorityHeld };
+      const isUnchanged =
+        endpoints === latest.snapshot.endpoints && peers === latest.snapshot.peers;
+      const fingerprint = (isUnchanged ? latest.fingerprint : undefined) ?? fingerprintOf(snapshot);
+      if (fingerprint !== changes.fingerprint) {
+        this.parts.log.info('The changes of the zone relay are incomplete; reading the store.', {
+          sinceRevision: latest.revision.number,
+          revision: changes.revision.number,
+        });
+        return undefined;
+      }
+      this.latest = { snapshot, revision: changes.revision, fingerprint };
     }
+    const { snapshot, revision } = this.latest ?? latest;
     return {
-      ...(this.latest ?? latest),
+      snapshot,
+      revision,
       maximumRevision: changes.revision,
       ageMilliseconds: changes.ageMilliseconds,
       periodFraction: SHARED_PERIOD_FRACTION,
--- a/packages/hickoryrelay-forwarding/src/ViewRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRelay.ts
@@ -1,5 +1,7 @@
 import { laterRevision, StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
+import { fingerprintOf } from './ViewFingerprint.js';
+
 import type { ViewSnapshot } from './ConfirmedView.js';
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { RecordChanges, ViewChanges } from './PeerMessage.js';
@@ -82,6 +84,9 @@
 
   private latest: ViewSnapshot | undefined;
 
+  /** Of the latest snapshot; undefined until it is asked for. */
+  private fingerprint: string | undefined;
+
   /** Of the first snapshot of the era; undefined before it. */
   private firstRevision: StoreRevision | undefined;
 
@@ -107,12 +112,17 @@
     );
     this.peers.apply(new Map(snapshot.peers.map((peer) => [peer.instance, peer])), maximumRevision);
     this.latest = snapshot;
+    this.fingerprint = undefined;
     this.firstRevision ??= maximumRevision;
     this.revision = laterRevision(this.revision, revision);
     this.requestedAtMilliseconds = Math.max(this.requestedAtMilliseconds, requestedAtMilliseconds);
   }
 
-  /** Changes since a revision. Undefined if the requester has to read the store itself. */
+  /**
+   * Changes since a revision. Undefined if the requester has to read the store itself. A record that
+   * was added and removed between two snapshots of this instance is missing among the changes; the
+   * fingerprint shows a requester that has it from elsewhere that its list differs.
+   */
   changesSince(revision: StoreRevision): ViewChanges | undefined {
     const endpoints = this.endpoints.changesSince(revision);
     const peers = this.peers.changesSince(revision);
@@ -126,6 +136,7 @@
     ) {
       return undefined;
     }
+    this.fingerprint ??= fingerprintOf(this.latest);
     return {
       revision: this.revision,
       ageMilliseconds: this.clock.monotonicMilliseconds() - this.requestedAtMilliseconds,
@@ -133,6 +144,7 @@
       isAuthorityHeld: this.latest.isAuthorityHeld,
       endpoints,
       peers,
+      fingerprint: this.fingerprint,
     };
   }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -48,6 +48,7 @@
   revision: revisionArbitrary,
   ageMilliseconds: fastCheck.nat(),
   configurationVersion: fastCheck.option(fastCheck.nat(), { nil: undefined }),
+  fingerprint: fastCheck.string(),
   isAuthorityHeld: fastCheck.boolean(),
   endpoints: fastCheck.record({
     changed: fastCheck.array(
@@ -125,6 +126,7 @@
     revision: new StoreRevision(1, 1),
     ageMilliseconds: 0,
     configurationVersion: 1,
+    fingerprint: 'f',
     isAuthorityHeld: false,
     endpoints: { changed: [], removed: [] },
     peers: { changed: [], removed: [] },
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
@@ -327,6 +327,54 @@
     expect(zone.members[3]?.view.endpoints).toEqual([]);
   });
 
+  // Guards against requests to an endpoint that has left: a new relay has never seen it, so that its
+  // changes lack the removal.
+  it('removes an endpoint that it has read itself and that the relay has never seen', async () => {
+    const zone = new TestZone(6);
+    await zone.readAll();
+    await zone.readAll();
+    zone.store.put('e1', 1, zone.clock.monotonicMilliseconds());
+    zone.network.isDelivered = (from, to) => from !== 0 && to !== 0;
+    await zone.read(3);
+    expect(zone.members[3]?.view.endpoints).toHaveLength(1);
+    zone.store.remove('e1', zone.clock.monotonicMilliseconds());
+    await zone.read(1);
+    await zone.read(3);
+    expect(zone.members[3]?.view.endpoints).toEqual([]);
+  });
+
+  it('removes an endpoint that it has from a relay that has left', async () => {
+    const zone = new TestZone(6);
+    await zone.readAll();
+    await zone.readAll();
+    zone.store.put('e1', 1, zone.clock.monotonicMilliseconds());
+    zone.store.peers = zone.store.peers.slice(1);
+    await zone.read(0);
+    await zone.read(3);
+    expect(zone.members[3]?.view.endpoints).toHaveLength(1);
+    await zone.clock.advance(PERIOD_MILLISECONDS);
+    zone.store.remove('e1', zone.clock.monotonicMilliseconds());
+    await zone.read(1);
+    await zone.read(3);
+    expect(zone.members[3]?.view.endpoints).toEqual([]);
+  });
+
+  // Guards against the fields of an endpoint that has left and come back as it was.
+  it('takes back a change that the relay has never seen', async () => {
+    const zone = new TestZone(6);
+    zone.store.put('e1', 1, 0);
+    await zone.readAll();
+    await zone.readAll();
+    zone.store.put('e1', 2, zone.clock.monotonicMilliseconds());
+    zone.network.isDelivered = (from, to) => from !== 0 && to !== 0;
+    await zone.read(3);
+    expect(zone.members[3]?.view.endpoints).toMatchObject([{ slots: 2 }]);
+    zone.store.put('e1', 1, zone.clock.monotonicMilliseconds());
+    await zone.read(1);
+    await zone.read(3);
+    expect(zone.members[3]?.view.endpoints).toMatchObject([{ slots: 1 }]);
+  });
+
   // Guards against a withdrawn key that stays in use because a delayed response to a request from
   // before a restart is matched to a new request.
   it('ignores the response to a request from before a restart', async () => {
@@ -366,6 +414,9 @@
       fastCheck.record({ kind: fastCheck.constant('recover' as const), index: indexArbitrary }),
       fastCheck.record({ kind: fastCheck.constant('outage' as const), index: indexArbitrary }),
       fastCheck.record({ kind: fastCheck.constant('wait' as const), index: indexArbitrary }),
+      fastCheck.record({ kind: fastCheck.constant('restart' as const), index: indexArbitrary }),
+      fastCheck.record({ kind: fastCheck.constant('visit' as const), index: indexArbitrary }),
+      fastCheck.record({ kind: fastCheck.constant('read all' as const), index: indexArbitrary }),
     );
     await fastCheck.assert(
       fastCheck.asyncProperty(fastCheck.array(stepArbitrary, { maxLength: 40 }), async (steps) => {
@@ -377,8 +428,8 @@
           const now = zone.clock.monotonicMilliseconds();
           switch (kind) {
             case 'put':
-              slots += 1;
-              zone.store.put(`e${index}`, slots, now);
+              slots = (slots + 1) % 3;
+              zone.store.put(`e${index}`, slots + 1, now);
               break;
             case 'remove':
               zone.store.remove(`e${index}`, now);
@@ -386,6 +437,20 @@
             case 'configure':
               zone.store.configure(now);
               break;
+            case 'restart':
+              zone.restart(index);
+              break;
+            case 'read all':
+              await zone.readAll();
+              break;
+            case 'visit':
+              // An endpoint that few instances see, while the relay cannot be reached.
+              unreachable.add(0);
+              zone.store.put('visitor', 1, now);
+              await zone.read(index);
+              await zone.clock.advance(1);
+              zone.store.remove('visitor', zone.clock.monotonicMilliseconds());
+              break;
             case 'disconnect':
               unreachable.add(index);
               break;
