Apply notices to endpoints whose registration is missing

What callers saw: nothing so far.

Cause: the engine restarts, and refuses a request for its earlier incarnation while its new registration, seen before, is missing for a moment. The notice was applied to what is registered at the address, not to the availability that is kept for the missing registration.

Why this works: a notice applies to the kept availabilities of the address by the same rules as to registered ones.

"keeps a backoff that was received while the registration of its sender was missing" failed before and passes now.

--- a/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
@@ -9,7 +9,7 @@
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
-import type { SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
+import type { EndpointAvailability, SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 
 /** Collaborators of the notices. */
 export interface EndpointNoticesParts {
@@ -61,6 +61,28 @@
         });
       }
     }
+    for (const availability of this.unregisteredSendersOf(state, notice)) {
+      availability.receive(notice, permit, now, wallMilliseconds);
+    }
+  }
+
+  /**
+   * Availabilities that a notice applies to once their registrations are back: the endpoint may have
+   * restarted, and its new registration may be missing for a while.
+   */
+  private unregisteredSendersOf(
+    state: EndpointState,
+    notice: ReceivedNotice,
+  ): EndpointAvailability[] {
+    const isBackingOff = notice.backoffMilliseconds !== undefined;
+    if (!notice.isLeaving && !isBackingOff) {
+      return [];
+    }
+    const { identifier, address } = state.record;
+    const isFromAny = notice.isMisdirected || isBackingOff;
+    return this.parts.registry
+      .unregisteredAt(address, isFromAny ? undefined : identifier)
+      .filter((availability) => availability !== state.availability);
   }
 
   /**
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -64,6 +64,20 @@
     return [...this.states.values()].filter(({ record }) => record.address === address);
   }
 
+  /**
+   * The availabilities of endpoints with an address whose registrations are missing. `identifier`
+   * selects the incarnations of one endpoint; undefined stands for all.
+   */
+  unregisteredAt(address: string, identifier: string | undefined): EndpointAvailability[] {
+    return [...this.availabilities].flatMap(([key, availability]) =>
+      !this.states.has(key) &&
+      key.endsWith(`/${address}`) &&
+      (identifier === undefined || key.startsWith(`${identifier}/`))
+        ? [availability]
+        : [],
+    );
+  }
+
   /** True if an endpoint that is registered takes requests from this instance. */
   allowsRequest(record: EndpointRecord, now: number): boolean {
     return this.availabilities.get(incarnationKey(record))?.allowsRequest(now) ?? false;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNotices.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNotices.test.ts
@@ -78,6 +78,20 @@
     expect(registry.allowsRequest(endpoint, 0)).toBe(false);
   });
 
+  // Guards against requests to a restarted endpoint that has asked for none, in response to a request
+  // for its earlier incarnation and while its own registration was missing.
+  it('keeps a backoff that was received while the registration of its sender was missing', () => {
+    const { receive, registry, clock, stateOf } = setUp([endpoint]);
+    const state = stateOf(endpoint);
+    const restarted = { ...endpoint, startedMilliseconds: clock.wallMilliseconds() };
+    registry.replace([restarted]);
+    registry.replace([]);
+    receive(state, { ...LEAVING, isLeaving: false, isAccepted: false, backoffMilliseconds: 9000 });
+    registry.replace([restarted]);
+    expect(registry.allowsRequest(restarted, 0)).toBe(false);
+    expect(registry.allowsRequest(restarted, 9000)).toBe(true);
+  });
+
   it('reports a new incarnation of a leaving endpoint as restarted, and only once', () => {
     const { receive, registry, clock, stateOf } = setUp([endpoint]);
     receive(stateOf(endpoint), LEAVING);
