Complete resumed streams that end with their connection

Cause: a resumed stream was broken off if its second response was delimited by the close and its first one was not. That dated from when the framing was passed on to the caller, who could then judge the end.

Why this works: the link fails a body whose connection is reset or whose endpoint has crashed, so the relay need not judge the end again.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -78,9 +78,6 @@
   /** Endpoints that the request has already been sent to, or that could not be reached. */
   readonly tried = new Set<EndpointState>();
 
-  /** True if the response to the caller began with one that the close of its connection delimits. */
-  beganCloseDelimited = false;
-
   private openAttemptCount = 0;
 
   /** Hashes of the segments and the service, since other engines may be unaffected by a segment. */
--- a/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
@@ -77,11 +77,6 @@
     if (this.firstEvent === undefined && isCloseDelimited && call.lastEvent === undefined) {
       throw this.failure('the stream ended before its first event');
     }
-    if (isCloseDelimited && call.sink.hasStarted && !call.beganCloseDelimited) {
-      throw this.failure(
-        'the resumed stream ended with its connection, which does not show that it is complete',
-      );
-    }
   }
 
   private checkOrder({ identifier }: ServerSentEvent): void {
@@ -98,7 +93,6 @@
     const { call, response } = this;
     if (!call.sink.hasStarted) {
       const { length } = response;
-      call.beganCloseDelimited = response.isCloseDelimited;
       call.sink.start({ ...response, length: call.isResumable ? undefined : length });
     }
   }
