Leave started streams at their endpoint until the deadline

Cause: attempts ended 15 ms before the deadline, so that a response of the instance itself reaches the caller in time. A started stream needs no such response.

Why this works: the margin is kept only until the response has started. Endpoints are still told the time without the margin.

--- a/packages/hickoryrelay-forwarding/src/CallDeadline.ts
+++ b/packages/hickoryrelay-forwarding/src/CallDeadline.ts
@@ -60,8 +60,9 @@
   }
 
   /**
-   * Aborts the signal at the deadline, when the caller disconnects, or when a stopping instance has
-   * to answer a request whose response has not started. Returns a stop function.
+   * Aborts the signal at the deadline, or a margin before it if the response has not started, when the
+   * caller disconnects, or when a stopping instance has to answer a request whose response has not
+   * started. Returns a stop function.
    */
   watch(sink: ResponseSink, shutdown: ShutdownSchedule): () => void {
     const { gone } = sink;
@@ -72,9 +73,15 @@
         this.abort(EndReason.Stopping);
       }
     });
-    const cancelTimer = this.clock.schedule(Math.max(0, this.remaining()), () =>
-      this.abort(EndReason.Expired),
-    );
+    const expire = () => this.abort(EndReason.Expired);
+    let cancelTimer = this.clock.schedule(Math.max(0, this.remaining()), () => {
+      if (sink.hasStarted) {
+        // No time is needed for a response of this instance, and the endpoint may still finish.
+        cancelTimer = this.clock.schedule(RESPONSE_MARGIN_MILLISECONDS, expire);
+      } else {
+        expire();
+      }
+    });
     return () => {
       cancelTimer();
       gone.removeEventListener('abort', onGone);
