Bound the choices of hedges and log their errors

Found while reading the diff: a hedge whose choice of an endpoint fails, perhaps after a remote prefill, was started again at once for as long as an endpoint seemed to be left. And an error in a hedge while the current attempt goes on would have been an unhandled rejection, which ends the process. Both have a test in HedgedAttempts.test.ts.

--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -49,6 +49,7 @@
     this.attempts = new EndpointAttempts(this.call, this.generation);
     this.hedges = new HedgedAttempts({
       attempts: this.attempts,
+      trace,
       watch: (handleOverdue) => {
         const timeout = new AttemptTimeout(parts.clock, handleOverdue);
         this.startResponseTimeout(timeout);
@@ -79,7 +80,7 @@
     for (;;) {
       const successor = this.hedges.isActive ? await this.hedges.takeSuccessor() : undefined;
       const outcome =
-        successor === undefined ? await this.attempt() : await this.complete(successor);
+        successor === undefined ? await this.makeAttempt() : await this.adopt(successor);
       if (outcome !== undefined) {
         return outcome;
       }
@@ -87,7 +88,7 @@
   }
 
   /** Makes one attempt. Returns the outcome if the call has ended with it. */
-  private async attempt(): Promise<string | undefined> {
+  private async makeAttempt(): Promise<string | undefined> {
     const { deadline } = this.call;
     if (this.attempts.isExhausted) {
       return this.fail('no attempt is left');
@@ -111,7 +112,7 @@
   }
 
   /** Relays the response of a hedge that has taken the request. */
-  private complete({ attempt, relay }: PreparedAttempt): Promise<string | undefined> {
+  private adopt({ attempt, relay }: PreparedAttempt): Promise<string | undefined> {
     const timeout = new AttemptTimeout(this.call.parts.clock, () => this.hedges.start());
     return this.relay(attempt, timeout, async () => relay);
   }
--- a/packages/hickoryrelay-forwarding/src/HedgedAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/HedgedAttempts.ts
@@ -1,9 +1,16 @@
+import { describeFailure } from 'hickoryrelay/Failure';
+import { failureOf } from 'hickoryrelay/RelayError';
+
 import { AbandonReason } from './OpenAttempt.js';
 
+import type { CallTrace } from './CallTrace.js';
 import type { EndpointAttempts } from './EndpointAttempts.js';
 import type { OpenAttempt } from './OpenAttempt.js';
 import type { ResponseRelay } from './ResponseRelay.js';
 
+/** A choice may prefill the prompt of the request in vain, so it is not repeated without end. */
+const MAXIMUM_FAILED_CHOICES = 3;
+
 /** An attempt whose response can be relayed. */
 export interface PreparedAttempt {
   readonly attempt: OpenAttempt;
@@ -22,6 +29,7 @@
 /** What the hedges of a call need from it. */
 export interface HedgedAttemptsParts {
   readonly attempts: EndpointAttempts;
+  readonly trace: CallTrace;
   /** Calls back when an attempt makes no progress for too long. Returns the function that stops it. */
   readonly watch: (handleOverdue: () => void) => () => void;
 }
@@ -41,6 +49,9 @@
 
   private successor: PreparedAttempt | undefined;
 
+  /** Hedges for which no endpoint was found although one seemed to be left. */
+  private failedChoices = 0;
+
   constructor(parts: HedgedAttemptsParts) {
     this.parts = parts;
   }
@@ -53,7 +64,9 @@
   /** Sends the request to another endpoint, if one can take it and no hedge is in progress. */
   start(): void {
     const isInProgress = [...this.hedges].some(({ isOverdue }) => !isOverdue);
-    if (this.successor !== undefined || isInProgress || !this.parts.attempts.canOpenAnother) {
+    const mayStart = this.successor === undefined && !isInProgress;
+    const canChoose = this.failedChoices < MAXIMUM_FAILED_CHOICES;
+    if (!mayStart || !canChoose || !this.parts.attempts.canOpenAnother) {
       return;
     }
     const controller = new AbortController();
@@ -99,22 +112,28 @@
   }
 
   private async run(hedge: Hedge, signal: AbortSignal): Promise<void> {
-    const { watch } = this.parts;
+    const { watch, trace } = this.parts;
     const stopWatching = watch(() => {
       Object.assign(hedge, { isOverdue: true });
       this.start();
     });
+    let isLost = false;
     try {
       const attempt = await this.open(signal);
-      if (attempt !== undefined) {
-        await this.runAttempt(hedge, attempt, signal, stopWatching);
+      if (attempt === undefined) {
+        this.failedChoices += 1;
+      } else {
+        isLost = !(await this.runAttempt(hedge, attempt, signal, stopWatching));
       }
+    } catch (error) {
+      // Nobody waits for a hedge while the current attempt goes on.
+      trace.addStep(`hedge: ${describeFailure(failureOf(error))}`);
     } finally {
       stopWatching();
       this.hedges.delete(hedge);
     }
-    if (this.current !== undefined && !signal.aborted) {
-      // The hedge was refused or failed, and the current attempt is still overdue.
+    if (isLost && this.current !== undefined && !signal.aborted) {
+      // The current attempt is still overdue.
       this.start();
     }
   }
@@ -134,12 +153,13 @@
     return typeof attempt === 'string' ? undefined : attempt;
   }
 
+  /** Returns true if the attempt has taken the request. Closes it otherwise. */
   private async runAttempt(
     hedge: Hedge,
     attempt: OpenAttempt,
     signal: AbortSignal,
     stopWatching: () => void,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { attempts } = this.parts;
     const abandon = () => attempt.abandon(AbandonReason.Unneeded);
     signal.addEventListener('abort', abandon);
@@ -151,7 +171,7 @@
       const prepared = await attempts.prepare(attempt, stopWatching);
       if (typeof prepared !== 'string') {
         this.supersede(hedge, { attempt, relay: prepared });
-        return;
+        return true;
       }
       result = prepared;
     } catch (error) {
@@ -159,6 +179,7 @@
     }
     attempts.recordResult(attempt, result);
     attempt.close();
+    return false;
   }
 
   /** Gives the request to a hedge and gives up all other attempts. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/HedgedAttempts.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/HedgedAttempts.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from 'hickoryrelay/ManualClock';
+import { CallTrace } from 'hickoryrelay-forwarding/CallTrace';
 import { RetrySemantics } from 'hickoryrelay-forwarding/ForwardingConfiguration';
+import { HedgedAttempts } from 'hickoryrelay-forwarding/HedgedAttempts';
 
 import {
   endpointFailure,
@@ -12,6 +14,7 @@
 } from './ForwardingFixture.js';
 
 import type { EndpointBehaviour } from './ForwardingFixture.js';
+import type { EndpointAttempts } from 'hickoryrelay-forwarding/EndpointAttempts';
 
 /** The limit of these routes until a response begins, and between two events. */
 const RESPONSE_LIMIT_MILLISECONDS = 700;
@@ -174,6 +177,43 @@
   );
 });
 
+describe('HedgedAttempts', () => {
+  function setUp(choose: () => Promise<string>) {
+    let choices = 0;
+    const trace = new CallTrace();
+    const hedges = new HedgedAttempts({
+      attempts: {
+        canOpenAnother: true,
+        choose: () => {
+          choices += 1;
+          return choose();
+        },
+      } as unknown as EndpointAttempts,
+      trace,
+      watch: () => () => {},
+    });
+    return { hedges, trace, choices: () => choices };
+  }
+
+  // Guards against prefills that are repeated as long as an attempt is overdue.
+  it('gives up after some choices without an endpoint', async () => {
+    const { hedges, choices } = setUp(async () => 'no engine is left');
+    for (let count = 0; count < 10; count += 1) {
+      hedges.start();
+      expect(await hedges.takeSuccessor()).toBeUndefined();
+    }
+    expect(choices()).toBe(3);
+  });
+
+  // Guards against a process that ends because of an error in a hedge, which nobody waits for.
+  it('logs an error of a hedge', async () => {
+    const { hedges, trace } = setUp(() => Promise.reject(endpointFailure(true)));
+    hedges.start();
+    await hedges.close();
+    expect(trace.steps).toEqual(['hedge: Endpoint e failed: reset.']);
+  });
+});
+
 // Guards against a dead endpoint that is left later than before.
 describe('A request whose endpoint is dead', () => {
   const dead = (clock: ManualClock, silence: Silence) => pauses(clock, silence, 60_000);
