--- a/packages/hickoryrelay-forwarding/src/ViewFingerprint.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewFingerprint.ts
@@ -8,11 +8,16 @@
 const FINGERPRINT_CHARACTERS = 16;
 
 function endpointFields(record: EndpointRecord): readonly unknown[] {
-  const { identifier, service, address, zone, slots, phase, startedMilliseconds, stage } = record;
-  const { isReclaimable } = record;
   return [
-    ...[identifier, service, address, zone, slots, phase],
-    ...[startedMilliseconds, stage ?? null, isReclaimable],
+    record.identifier,
+    record.service,
+    record.address,
+    record.zone,
+    record.slots,
+    record.phase,
+    record.startedMilliseconds,
+    record.stage ?? null,
+    record.isReclaimable,
   ];
 }
 
