--- a/packages/hickoryrelay-forwarding/src/BufferedResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/BufferedResponseRelay.ts
@@ -1,10 +1,10 @@
+import { EndpointResponseRelay } from './EndpointResponseRelay.js';
 import { BUFFERED_RESPONSE_BYTES } from './ForwardingLimits.js';
-import { ResponseRelay } from './ResponseRelay.js';
 
-import type { RelayObserver } from './ResponseRelay.js';
+import type { RelayObserver } from './EndpointResponseRelay.js';
 
 /** Relays a response that is not streamed, buffered until it is complete or exceeds the limit. */
-export class BufferedResponseRelay extends ResponseRelay {
+export class BufferedResponseRelay extends EndpointResponseRelay {
   private readonly buffered: Buffer[] = [];
 
   private bufferedBytes = 0;
--- a/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
@@ -8,9 +8,9 @@
 
 import type { CallContext, Destination } from './CallContext.js';
 import type { EndpointResponse } from './EndpointLink.js';
+import type { EndpointResponseRelay } from './EndpointResponseRelay.js';
 import type { EndpointState } from './EndpointState.js';
 import type { GenerationRouting } from './GenerationRouting.js';
-import type { ResponseRelay } from './ResponseRelay.js';
 
 const FIRST_SERVER_ERROR = 500;
 const FIRST_SUCCESS = 200;
@@ -114,7 +114,10 @@
    * Sends the request and reads enough of the response to relay it. Returns the result if it is not
    * to be relayed. `onBody` is called when the body of a response arrives that is not streamed.
    */
-  async prepare(attempt: OpenAttempt, onBody: () => void): Promise<ResponseRelay | AttemptResult> {
+  async prepare(
+    attempt: OpenAttempt,
+    onBody: () => void,
+  ): Promise<EndpointResponseRelay | AttemptResult> {
     const { parts, admitted, trace } = this.call;
     const { state } = attempt;
     const response = await attempt.send();
@@ -143,7 +146,7 @@
   }
 
   /** Records that the response of an attempt has been relayed. */
-  recordRelayed({ state }: OpenAttempt, { status }: ResponseRelay): void {
+  recordRelayed({ state }: OpenAttempt, { status }: EndpointResponseRelay): void {
     const now = this.call.parts.clock.monotonicMilliseconds();
     if (status >= FIRST_SERVER_ERROR) {
       state.recordFailure(now);
--- a/packages/hickoryrelay-forwarding/src/ResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -16,7 +16,7 @@
 }
 
 /** Relays the response of an endpoint to the caller of one request. */
-export abstract class ResponseRelay {
+export abstract class EndpointResponseRelay {
   protected readonly call: CallContext;
 
   protected readonly attempt: OpenAttempt;
--- a/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
@@ -1,14 +1,14 @@
+import { EndpointResponseRelay } from './EndpointResponseRelay.js';
 import { EventStreamParser, mayFollow } from './EventStreamParser.js';
-import { ResponseRelay } from './ResponseRelay.js';
 
+import type { RelayObserver } from './EndpointResponseRelay.js';
 import type { ServerSentEvent } from './EventStreamParser.js';
-import type { RelayObserver } from './ResponseRelay.js';
 
 /**
  * Relays complete events only, so that another endpoint can resume the stream after them. Throws
  * `endpoint-failed` if the stream repeats an event or ends inside one.
  */
-export class EventStreamRelay extends ResponseRelay {
+export class EventStreamRelay extends EndpointResponseRelay {
   private readonly parser = new EventStreamParser(this.attempt.state.record.identifier);
 
   private readonly events = this.readEvents();
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -15,10 +15,10 @@
 
 import type { AdmittedRequest, ForwardedCallParts } from './CallContext.js';
 import type { CallTrace } from './CallTrace.js';
+import type { RelayObserver, EndpointResponseRelay } from './EndpointResponseRelay.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { PreparedAttempt } from './HedgedAttempts.js';
 import type { OpenAttempt } from './OpenAttempt.js';
-import type { RelayObserver, ResponseRelay } from './ResponseRelay.js';
 import type { ResponseSink } from './ResponseSink.js';
 import type { QuarantinedGroup } from './SegmentQuarantine.js';
 
@@ -121,10 +121,10 @@
   private async relay(
     attempt: OpenAttempt,
     timeout: AttemptTimeout,
-    prepare: () => Promise<ResponseRelay | AttemptResult>,
+    prepare: () => Promise<EndpointResponseRelay | AttemptResult>,
   ): Promise<string | undefined> {
     const { trace } = this.call;
-    let relay: ResponseRelay | undefined;
+    let relay: EndpointResponseRelay | undefined;
     let result: AttemptResult;
     this.hedges.setCurrent(attempt);
     try {
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -38,7 +38,7 @@
 export const FIRST_EVENT_TIMEOUT_FRACTION = 0.9;
 
 /**
- * A stream that can be resumed is moved to another endpoint when it has had no event for this
+ * A stream that can be resumed is hedged at another endpoint when it has had no event for this
  * fraction of the time after which its caller abandons it. The rest is left for the other endpoint
  * to prefill the prompt.
  */
@@ -53,7 +53,7 @@
 export const BUFFERED_RESPONSE_BYTES = 65_536;
 
 /**
- * A retryable request is sent to another endpoint if no response begins within this multiple of the
+ * A retryable request is hedged at another endpoint if no response begins within this multiple of the
  * latency target, and not before the minimum.
  */
 export const RESPONSE_TIMEOUT_TARGET_MULTIPLE = 2.5;
--- a/packages/hickoryrelay-forwarding/src/HedgedAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/HedgedAttempts.ts
@@ -5,8 +5,8 @@
 
 import type { CallTrace } from './CallTrace.js';
 import type { EndpointAttempts } from './EndpointAttempts.js';
+import type { EndpointResponseRelay } from './EndpointResponseRelay.js';
 import type { OpenAttempt } from './OpenAttempt.js';
-import type { ResponseRelay } from './ResponseRelay.js';
 
 /** A choice may prefill the prompt of the request in vain, so it is not repeated without end. */
 const MAXIMUM_FAILED_CHOICES = 3;
@@ -14,7 +14,7 @@
 /** An attempt whose response can be relayed. */
 export interface PreparedAttempt {
   readonly attempt: OpenAttempt;
-  readonly relay: ResponseRelay;
+  readonly relay: EndpointResponseRelay;
 }
 
 /** One hedge: the choice of another endpoint and the attempt at it, until the endpoint responds. */
@@ -36,8 +36,8 @@
 
 /**
  * Sends an overdue request to another endpoint while its own one keeps it. The first of them that
- * continues gets the request, and the others are given up then. A request that is taken from a
- * silent endpoint before another one has it is lost if the other one refuses it.
+ * continues gets the request, and the others are given up then. The silence of an endpoint is no
+ * reason to take a request from it: if another one then refused the request, it would be lost.
  */
 export class HedgedAttempts {
   private readonly parts: HedgedAttemptsParts;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SharedViewSource.test.ts
@@ -20,6 +20,9 @@
 
 const PERIOD_MILLISECONDS = 1000;
 
+/** Slots of an endpoint that comes back as it was; other changes never repeat a number. */
+const RETURNED_SLOTS = 100_000;
+
 /** Contents of the store at a revision, for comparison. */
 interface StoreState {
   readonly version: number;
@@ -405,6 +408,7 @@
     const indexArbitrary = fastCheck.nat(5);
     const stepArbitrary = fastCheck.oneof(
       fastCheck.record({ kind: fastCheck.constant('put' as const), index: indexArbitrary }),
+      fastCheck.record({ kind: fastCheck.constant('return' as const), index: indexArbitrary }),
       fastCheck.record({ kind: fastCheck.constant('remove' as const), index: indexArbitrary }),
       fastCheck.record({ kind: fastCheck.constant('configure' as const), index: indexArbitrary }),
       fastCheck.record({ kind: fastCheck.constant('read' as const), index: indexArbitrary }),
@@ -428,8 +432,12 @@
           const now = zone.clock.monotonicMilliseconds();
           switch (kind) {
             case 'put':
-              slots = (slots + 1) % 3;
-              zone.store.put(`e${index}`, slots + 1, now);
+              slots += 1;
+              zone.store.put(`e${index}`, slots, now);
+              break;
+            case 'return':
+              // The fields of an endpoint that has left and come back as it was.
+              zone.store.put(`e${index}`, RETURNED_SLOTS, now);
               break;
             case 'remove':
               zone.store.remove(`e${index}`, now);
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -48,7 +48,7 @@
   /** Closes the connection. The caller cannot take an unfinished response for complete. */
   close(): void {
     if (this.openResponses.size > 0) {
-      // A reset tells the caller that the responses have failed.
+      // A normal close may look like the end of a response to a caller that does not check framing.
       this.socket.resetAndDestroy();
     } else {
       this.socket.destroy();
