Wait in a drain for connections that are not accepted yet

Callers that connected while a stopping instance was busy were reset without an answer. The drain of the caller front end ended as soon as no connection was open. Idle connections and the listening socket are closed two turns of the event loop after that is asked for, so that what has arrived is read first. If no connection was open at that time, the drain was over before these turns, and the process closed its listening socket with the connections that waited on it.

The drain now ends when the listening socket is closed as well.

--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -53,6 +53,11 @@
     return this.connections.size;
   }
 
+  /** True if no connection is open and none is accepted any more. */
+  get areClosed(): boolean {
+    return !this.server.listening && this.connections.size === 0;
+  }
+
   /** Bytes of responses that wait for their callers to read, in all connections. */
   get unsentBytes(): number {
     const sockets = [...this.connections.keys()];
