Don't end the daemon, and its calls, on SIGHUP

What callers saw: the connections of all calls of hickoryrelayd ended at once without an answer when the process got SIGHUP.

Cause: the daemon has no listener for the signal, and the default action of the runtime ends the process without a drain. Operators send SIGHUP when a settings file has changed, and a terminal sends it when it closes.

The daemon now ignores it, with a log line that changed settings take effect only after a restart, which was the case before. It listens as soon as its modules are loaded.

Evidence: the new test of the shutdown failed before; the stream broke off with "other side closed".

--- a/packages/hickoryrelay-instance/src/__tests__/e2e/Shutdown.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/Shutdown.test.ts
@@ -93,6 +93,17 @@
     }
   }
 
+  // Guards against calls that are cut off when an operator signals that the settings have changed.
+  it('goes on with its calls after SIGHUP', async () => {
+    const daemon = await startDaemon({ announceSeconds: 0, deadlineSeconds: 60 });
+    const stream = await startStream(daemon.url, 50);
+    daemon.signal('SIGHUP');
+    expect(await stream.body.text()).toContain('[DONE]');
+    expect(await daemon.isReady()).toBe(true);
+    daemon.signal('SIGTERM');
+    expect(await daemon.exited()).toBe(0);
+  });
+
   // Guards against a long stream that blocks an urgent stop, and against calls that are cut off
   // without a log line.
   it('ends at the second signal, logs the call that was cut off and exits with 3', async () => {
--- a/packages/hickoryrelay-instance/src/hickoryrelayd.ts
+++ b/packages/hickoryrelay-instance/src/hickoryrelayd.ts
@@ -39,6 +39,7 @@
 
   Signals
     SIGTERM, SIGINT  stop gracefully; a second one stops at once
+    SIGHUP           no effect; changed settings take effect after a restart
 
   Exit codes
     0  stopped after all calls had finished
@@ -106,12 +107,18 @@
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
+  process.on('SIGHUP', () => {
+    log.warn('Received SIGHUP; changed settings take effect only after a restart.');
+  });
   await instance.start();
   const { address, port } = instance.callersAddress;
   log.info('Listening for callers.', { address, port });
   process.stdout.write(`${JSON.stringify({ callers: `http://${address}:${port}` })}\n`);
 }
 
+// The runtime's default action would end the process, also while it starts.
+process.on('SIGHUP', () => {});
+
 const settings = await readSettings(program.flags.settings);
 if (settings === undefined) {
   process.exitCode = ExitCode.InvalidSettings;
