Don't end a drain while the listening socket may still accept

What callers saw: a request on a new connection, sent in a planned stop just before idle connections are closed, got no answer; its connection ended while the process wrote its last usage counts.

Cause: the drain waited until no connection was open. Closing idle connections is deferred by two iterations of the event loop, so that what has arrived is read first, but the drain looked at the number of connections before that. After a stall timers run before sockets are read: with no connection open, the drain was over, and the connections that waited in the backlog were accepted by a process that had nothing left to do but end. Few connections are open at that time, as each response of a stopping instance closes its own, and stalls of tens of milliseconds are usual where the processor share is small.

The class: a wait for a condition that a deferred action has still to bring about. The daemon's drain waits for its deferred close and isn't concerned.

--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -59,6 +59,11 @@
     return sockets.reduce((sum, { writableLength }) => sum + writableLength, 0);
   }
 
+  /** True once no connection is open and none will be accepted. */
+  get areAllClosed(): boolean {
+    return this.connections.size === 0 && !this.server.listening;
+  }
+
   find(socket: Socket): CallerConnection | undefined {
     return this.connections.get(socket);
   }
