Answer earlier requests before rejecting malformed bytes

A request whose caller sent something malformed behind it got no answer, and a 400 in the place of its answer, while its endpoint ran it. Such bytes are, for example, a body longer than its length, a head that is never complete (408, which promises that nothing has run) or a CONNECT request.

By default the HTTP server writes the response to a parser error at once and destroys the connection, whatever is open on it. The daemon's own handler wrote into the running response as well. The error belongs to the bytes behind the request, so CallerConnections now writes the rejection after the responses to all requests that were read whole, and closes the connection in a way that does not reset it. A caller that leaves meanwhile still ends its request.

--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -121,7 +121,7 @@
         connections.beginRequest(socket, response),
       );
       server.maxConnections = limits.connections;
-      handleParserErrors(server, limits, () => instance.nextRequestIdentifier());
+      handleParserErrors(server, connections, limits, () => instance.nextRequestIdentifier());
       this.server = server;
       onServer(server, connections);
     };
--- a/packages/hickoryrelay-instance/src/HttpParserErrors.ts
+++ b/packages/hickoryrelay-instance/src/HttpParserErrors.ts
@@ -1,6 +1,7 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 
 import { errorResponse } from './ErrorResponse.js';
+import type { CallerConnections } from 'hickoryrelay/CallerConnections';
 import type { Failure } from 'hickoryrelay/Failure';
 import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { Server } from 'node:http';
@@ -32,30 +33,33 @@
   }
 }
 
-/** Responds to errors of the HTTP parser with the same error body as to all other failures. */
+/** The bytes of a response to what is not a valid request. */
+function rejection(failure: Failure, requestIdentifier: string): string {
+  const { status, headers, body } = errorResponse({ failure, requestIdentifier, notRun: true });
+  const text = JSON.stringify(body);
+  const lines = Object.entries({
+    ...headers,
+    'content-length': String(Buffer.byteLength(text)),
+    connection: 'close',
+  }).map(([name, value]) => `${name}: ${value}\r\n`);
+  return `HTTP/1.1 ${status} ${REASON_PHRASES[status] ?? ''}\r\n${lines.join('')}\r\n${text}`;
+}
+
+/**
+ * Responds to errors of the HTTP parser with the same error body as to all other failures, once the
+ * requests before them on the connection have been answered.
+ */
 export function handleParserErrors(
   server: Server,
+  connections: CallerConnections,
   limits: Settings['limits'],
   nextRequestIdentifier: () => string,
 ): void {
-  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    if (error.code === 'ECONNRESET' || !socket.writable) {
-      socket.destroy();
-      return;
-    }
-    const { status, headers, body } = errorResponse({
-      failure: failureFor(error.code, limits),
-      requestIdentifier: nextRequestIdentifier(),
-      notRun: true,
-    });
-    const text = JSON.stringify(body);
-    const lines = Object.entries({
-      ...headers,
-      'content-length': String(Buffer.byteLength(text)),
-      connection: 'close',
-    }).map(([name, value]) => `${name}: ${value}\r\n`);
-    socket.end(
-      `HTTP/1.1 ${status} ${REASON_PHRASES[status] ?? ''}\r\n${lines.join('')}\r\n${text}`,
-    );
+  server.on('clientError', ({ code }: NodeJS.ErrnoException, socket: Socket) => {
+    connections.reject(socket, rejection(failureFor(code, limits), nextRequestIdentifier()));
+  });
+  server.on('connect', (_request, socket) => {
+    const failure = failureFor(undefined, limits);
+    connections.rejectTunnel(socket as Socket, rejection(failure, nextRequestIdentifier()));
   });
 }
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/BadInput.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/BadInput.test.ts
@@ -179,4 +179,22 @@
     );
     expect(received).toContain('HTTP/1.1 400 ');
   });
+
+  it.each([
+    ['bytes that are no request', 'no request\r\n\r\n'],
+    ['a CONNECT request', 'CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n'],
+  ])('responds to a call before it rejects %s', async (_name, bytes) => {
+    const { hostname, port } = new URL(url);
+    const caller = connect(Number(port), hostname);
+    let text = '';
+    caller.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+    });
+    caller.write(
+      `POST /services/look/up HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer ${key}\r\n` +
+        `Content-Type: text/plain\r\nContent-Length: 4\r\n\r\nbody${bytes}`,
+    );
+    await once(caller, 'close');
+    expect(text).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*HTTP\/1\.1 400 Bad Request\r\n/u);
+  });
 });
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -1,6 +1,9 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+/** How long a connection that is being closed stays open while its caller sends nothing. */
+const LINGER_MILLISECONDS = 1000;
+
 /** One connection of a caller, and whether it carries a request or a response. */
 export class CallerConnection {
   readonly socket: Socket;
@@ -11,6 +14,9 @@
   /** Bytes read when the last response had been written out. */
   private handledBytes = 0;
 
+  /** The response to bytes that are not a valid request. Defined once they have been read. */
+  private rejection: string | undefined;
+
   constructor(socket: Socket) {
     this.socket = socket;
   }
@@ -21,17 +27,40 @@
     response.once('close', () => {
       this.openResponses.delete(response);
       this.handledBytes = this.socket.bytesRead;
+      this.continueRejection();
     });
   }
 
+  /**
+   * Closes the connection after a response to bytes that are not a valid request. Requests that were
+   * read before them are answered first, unless the caller has left.
+   */
+  reject(rejection: string): void {
+    if (this.socket.readableEnded && this.isAnswering) {
+      this.socket.destroy();
+    } else if (this.rejection === undefined) {
+      this.rejection = rejection;
+      this.continueRejection();
+    }
+  }
+
   /** True if the connection closes after a response, so that later requests get none. */
   get isClosing(): boolean {
     return [...this.openResponses].some(({ shouldKeepAlive }) => !shouldKeepAlive);
   }
 
+  /** True while the response to a request that was read whole is due. */
+  private get isAnswering(): boolean {
+    return [...this.openResponses].some(({ req }) => req.complete);
+  }
+
   /** True if no request is being read or handled and no response is being written. */
   get isIdle(): boolean {
-    return this.openResponses.size === 0 && this.socket.bytesRead === this.handledBytes;
+    return (
+      this.openResponses.size === 0 &&
+      this.socket.bytesRead === this.handledBytes &&
+      this.rejection === undefined
+    );
   }
 
   /** Closes the responses that are queued behind another one. Called when the socket has closed. */
@@ -54,4 +83,17 @@
       this.socket.destroy();
     }
   }
+
+  private continueRejection(): void {
+    if (this.rejection === undefined || this.isAnswering) {
+      return;
+    }
+    const hasBegun = [...this.openResponses].some(({ headersSent }) => headersSent);
+    if (this.socket.writable && !hasBegun) {
+      this.socket.write(this.rejection);
+    }
+    // A close with unread bytes would reset the connection, and the caller might not get the response.
+    this.socket.end();
+    this.socket.setTimeout(LINGER_MILLISECONDS);
+  }
 }
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -74,6 +74,21 @@
     response.once('close', () => this.continueClosing());
   }
 
+  /**
+   * Closes a connection after a response to bytes that are not a valid request. Requests that were
+   * read before them are answered first.
+   */
+  reject(socket: Socket, rejection: string): void {
+    this.connections.get(socket)?.reject(rejection);
+  }
+
+  /** Does the same after a CONNECT request, for which the HTTP server stops reading the socket. */
+  rejectTunnel(socket: Socket, rejection: string): void {
+    socket.once('end', () => socket.destroy());
+    socket.resume();
+    this.reject(socket, rejection);
+  }
+
   /** True if this process has closed the connection, rather than the caller. */
   wasClosed(socket: Socket): boolean {
     return this.closed.has(socket);
--- a/packages/hickoryrelay/src/__tests__/e2e/CallerConnections.test.ts
+++ b/packages/hickoryrelay/src/__tests__/e2e/CallerConnections.test.ts
@@ -5,27 +5,38 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { CallerConnections } from 'hickoryrelay/CallerConnections';
 
-import type { ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { ServerOptions, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
 
 /** More than the socket buffers of both ends hold. */
 const LARGE_BODY = Buffer.alloc(16_777_216);
 
 const STALL_MILLISECONDS = 300;
 
+const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+const CHUNKED_HEAD = 'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n';
+const REJECTION = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
+
 const cleanUps: (() => unknown)[] = [];
 
 afterEach(() => {
   cleanUps.splice(0).forEach((cleanUp) => cleanUp());
 });
 
-async function startServer(respond: (response: ServerResponse) => void) {
-  const server = createServer();
+async function startServer(
+  respond: (response: ServerResponse) => void,
+  options: ServerOptions = {},
+) {
+  const server = createServer(options);
   const connections = new CallerConnections(server);
   server.on('request', ({ socket }, response) => {
     connections.beginRequest(socket, response);
     respond(response);
   });
+  server.on('clientError', (_error, socket) => connections.reject(socket as Socket, REJECTION));
+  server.on('connect', (_request, socket) => {
+    connections.rejectTunnel(socket as Socket, REJECTION);
+  });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   cleanUps.push(() => connections.close());
@@ -95,4 +106,45 @@
     expect(closed).toEqual([true, ...Array<boolean>(19).fill(false)]);
     expect(listeners).toBeLessThan(responses.length);
   });
+
+  // Guards against an error response in place of the response to a request that may be running.
+  it.each([
+    ['bytes that are no request', 'no request\r\n\r\n'],
+    ['a CONNECT request', 'CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n'],
+    ['a head that is never complete', REQUEST.slice(0, -2)],
+    ['a body with a malformed chunk', `${CHUNKED_HEAD}no length\r\n`],
+  ])('answers a request before it rejects %s', async (_name, bytes) => {
+    const responses: ServerResponse[] = [];
+    const { caller } = await startServer((response) => responses.push(response), {
+      headersTimeout: STALL_MILLISECONDS,
+      connectionsCheckingInterval: STALL_MILLISECONDS,
+    });
+    let text = '';
+    caller.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+    });
+    const callerClosed = once(caller, 'close');
+    caller.write(REQUEST + bytes);
+    await sleep(3 * STALL_MILLISECONDS);
+    expect(text).toBe('');
+    responses[0]?.end('answered');
+    await callerClosed;
+    expect(text).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*answered/u);
+    expect(text.endsWith(REJECTION)).toBe(true);
+  });
+
+  it.each([
+    ['bytes that are no request', 'no request\r\n\r\n'],
+    ['a CONNECT request', 'CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n'],
+  ])('closes the response of a caller that has left after %s', async (_name, bytes) => {
+    const responses: ServerResponse[] = [];
+    const { caller } = await startServer((response) => responses.push(response));
+    caller.write(REQUEST + bytes);
+    while (responses.length === 0) {
+      await sleep(1);
+    }
+    const closed = once(responses[0] as ServerResponse, 'close');
+    caller.end();
+    await closed;
+  });
 });
