--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -44,6 +44,11 @@
     }
   }
 
+  /** True if no other request on the connection waits for its response. */
+  isOnlyOpen(response: ServerResponse): boolean {
+    return this.openResponses.size === 1 && this.openResponses.has(response);
+  }
+
   /** True if the connection closes after a response, so that later requests get none. */
   get isClosing(): boolean {
     return [...this.openResponses].some(({ shouldKeepAlive }) => !shouldKeepAlive);
