Add rate limit statements to notices and load messages

Endpoints may name the requests per second that they take from all instances together. This adds the types that carry such a statement: from the response of an endpoint in a notice, and between instances in load messages. Nothing fills or reads them yet.

Instances of an earlier version send no limits, which decodes as an empty list; they ignore the fourth field of a load message. PeerMessage.test.ts encodes and decodes random limits.

--- a/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
@@ -1,3 +1,5 @@
+import type { RateLimitStatement } from './RateLimitStatement.js';
+
 /** What an endpoint states about itself in the head of a response. */
 export interface EndpointNotice {
   /** The endpoint is shutting down and takes no new requests. */
@@ -6,6 +8,8 @@
   readonly backoffMilliseconds: number | undefined;
   /** True if the endpoint took the request that it responds to. */
   readonly isAccepted: boolean;
+  /** Absent if the response shows neither that the endpoint has a limit nor that it has none. */
+  readonly rateLimit?: RateLimitStatement;
 }
 
 /** The effect of a notice on the availability of its endpoint. */
--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -170,6 +170,7 @@
       sender: self.instance,
       loads: [...registry.ownLoads()],
       uses: directory.takePendingUses().map((use) => ({ ...use, origin: this.origin })),
+      rateLimits: [],
     };
   }
 
--- a/packages/hickoryrelay-forwarding/src/LoadRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadRelay.ts
@@ -113,7 +113,7 @@
     this.memberUses = [];
     const sums = sumLoads([...this.reports.values(), ...this.zones.values()]);
     const loads = [...sums.values()].filter(hasLoad);
-    return { kind: PeerMessageKind.LoadDigest, sender, loads, uses };
+    return { kind: PeerMessageKind.LoadDigest, sender, loads, uses, rateLimits: [] };
   }
 
   /** Takes the message for other zones: the load of this zone, and the queued uses. */
@@ -121,7 +121,7 @@
     const uses = this.zoneUses;
     this.zoneUses = [];
     const loads = [...sumLoads(this.reports.values()).values()].filter(hasLoad);
-    return { kind: PeerMessageKind.ZoneLoad, sender, loads, uses };
+    return { kind: PeerMessageKind.ZoneLoad, sender, loads, uses, rateLimits: [] };
   }
 
   private enqueue(queue: ReportedUse[], uses: readonly ReportedUse[]): void {
--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -18,6 +18,7 @@
 import type { UsageCounts } from './UsageCountsWriter.js';
 import type { UsageSealMessage } from './UsageSealMessage.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { RateLimitReport } from 'hickoryrelay-endpoint/RateLimitStatement';
 
 /** Kinds of messages between instances. The value is the first element of the encoded message. */
 export const PeerMessageKind = {
@@ -74,7 +75,10 @@
   readonly origin: number;
 }
 
-/** Load on endpoints, and the shared prompt segments that engines have prefilled. */
+/**
+ * Load on endpoints, the shared prompt segments that engines have prefilled, and the rate limits that
+ * endpoints have stated.
+ */
 export interface LoadMessage {
   readonly kind: LoadKind;
   /** Name of the sending instance. */
@@ -82,6 +86,7 @@
   readonly loads: readonly EndpointLoad[];
   /** Uses since the previous message. */
   readonly uses: readonly ReportedUse[];
+  readonly rateLimits: readonly RateLimitReport[];
 }
 
 /** Requests the changes since a store revision. */
@@ -163,12 +168,13 @@
 
 const LOAD_FIELD_COUNT = 4;
 const USE_FIELD_COUNT = 5;
+const RATE_LIMIT_FIELD_COUNT = 4;
 
 function encodeViewChanges({ revision, ...changes }: ViewChanges): object {
   return { ...changes, revision: revision.number, era: revision.era };
 }
 
-function encodeLoad({ kind, sender, loads, uses }: LoadMessage): unknown[] {
+function encodeLoad({ kind, sender, loads, uses, rateLimits }: LoadMessage): unknown[] {
   return [
     kind,
     sender,
@@ -185,6 +191,12 @@
       ownTokens,
       origin,
     ]),
+    rateLimits.flatMap(({ endpoint, requestsPerSecond, ageMilliseconds }) => [
+      endpoint,
+      requestsPerSecond === undefined ? 0 : 1,
+      requestsPerSecond ?? 0,
+      ageMilliseconds,
+    ]),
   ];
 }
 
@@ -233,11 +245,13 @@
 }
 
 function decodeLoad(kind: LoadKind, fields: readonly unknown[]): LoadMessage | undefined {
-  const [sender, loads, uses] = fields;
+  // Instances of an earlier version state no limits.
+  const [sender, loads, uses, rateLimits = []] = fields;
   if (
     typeof sender !== 'string' ||
     !isNumberList(loads, LOAD_FIELD_COUNT) ||
-    !isNumberList(uses, USE_FIELD_COUNT)
+    !isNumberList(uses, USE_FIELD_COUNT) ||
+    !isNumberList(rateLimits, RATE_LIMIT_FIELD_COUNT)
   ) {
     return undefined;
   }
@@ -261,6 +275,13 @@
         origin,
       }),
     ),
+    rateLimits: [...rowsOf(rateLimits, RATE_LIMIT_FIELD_COUNT)].map(
+      ([endpoint = 0, isLimited = 0, requestsPerSecond = 0, ageMilliseconds = 0]) => ({
+        endpoint,
+        requestsPerSecond: isLimited === 0 ? undefined : requestsPerSecond,
+        ageMilliseconds,
+      }),
+    ),
   };
 }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -64,12 +64,21 @@
   }),
 });
 
+const rateLimitArbitrary = fastCheck.record({
+  endpoint: fastCheck.nat(),
+  requestsPerSecond: fastCheck.option(fastCheck.double({ min: 0, max: 1e6, noNaN: true }), {
+    nil: undefined,
+  }),
+  ageMilliseconds: fastCheck.nat(),
+});
+
 const messageArbitrary: fastCheck.Arbitrary<PeerMessage> = fastCheck.oneof(
   fastCheck.record({
     kind: loadKindArbitrary,
     sender: fastCheck.string(),
     loads: fastCheck.array(loadArbitrary),
     uses: fastCheck.array(reportedUseArbitrary),
+    rateLimits: fastCheck.array(rateLimitArbitrary),
   }),
   fastCheck.record({
     kind: fastCheck.constant(PeerMessageKind.ViewRequest),
