Read rate limit policies from the responses of the product's endpoints

What endpoints saw: an endpoint of the product's own interface had no way to name the rate at which it takes calls.

RateLimit-Policy of the IETF draft on rate limit headers now says the same as the statement on the users' platform, in the same field of the notice. The lowest rate of all policies counts; policies without a window or with a unit other than requests name none. The value is parsed as a structured field, and a malformed one neither names a limit nor ends one.

Before: no notice had a rate limit. Nothing applies the statement yet.

--- a/packages/hickoryrelay-link/src/HttpResponseStream.ts
+++ b/packages/hickoryrelay-link/src/HttpResponseStream.ts
@@ -1,7 +1,10 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { rateLimitOf } from 'hickoryrelay-endpoint/RateLimitUtils';
 import { backoffOf } from 'hickoryrelay-endpoint/RetryAfterUtils';
 
+import { decodeRateLimitPolicy, RATE_LIMIT_POLICY_HEADER } from './RateLimitPolicy.js';
+
 import type { ResponseStream } from './ResponseStream.js';
 import type { EndpointNotice, SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 import type { Dispatcher } from 'undici';
@@ -43,10 +46,13 @@
 type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
 function decodeNotice(status: number, headers: ResponseHeaders): EndpointNotice {
+  const policies = [headers[RATE_LIMIT_POLICY_HEADER] ?? []].flat();
+  const rateLimit = rateLimitOf(policies, decodeRateLimitPolicy, true);
   return {
     isLeaving: headers[LEAVING_HEADER] === '1',
     backoffMilliseconds: backoffOf(status, [headers['retry-after'] ?? []].flat()),
     isAccepted: !REFUSAL_STATUSES.has(status),
+    ...(rateLimit !== undefined && { rateLimit }),
   };
 }
 
--- a/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
@@ -113,6 +113,45 @@
     });
   });
 
+  it.each([
+    [200, ['"default";q=58;w=10'], 5.8],
+    [500, ['"burst";q=9;w=1, "default";q=40;w=10'], 4],
+    [503, ['"default";q=7;w=1', '"other";q=5;w=1'], 5],
+    [200, [], undefined],
+    [429, [], undefined],
+  ])(
+    'reads a rate limit or its end from a %s with the policies %j',
+    async (status, values, rate) => {
+      respond = (request, response) => {
+        response.setHeader('RateLimit-Policy', values);
+        response.statusCode = status;
+        respondIdentified(request, response);
+      };
+      const response = link.send(CALL, neverAborted);
+      await readAll(response);
+      expect(response.notice?.rateLimit).toEqual({ requestsPerSecond: rate });
+    },
+  );
+
+  // Guards against a faulty endpoint that is taken out of use, or whose limit ends, by a malformed policy.
+  it.each([
+    '',
+    '5',
+    '"default";q=5',
+    '"default";q=-5;w=1',
+    '"default";q=1e9;w=1',
+    'default;q=5;w=1',
+  ])('reads nothing from the rate limit policy %j', async (value) => {
+    respond = (request, response) => {
+      response.setHeader('RateLimit-Policy', value);
+      respondIdentified(request, response);
+    };
+    const response = link.send(CALL, neverAborted);
+    await readAll(response);
+    expect(response.notice).toBeDefined();
+    expect(response.notice?.rateLimit).toBeUndefined();
+  });
+
   // Guards against calls that were connecting when their endpoint announced that it is leaving.
   it.each([CALL, NON_IDEMPOTENT_CALL])(
     'does not write a call whose permit has become invalid while it was connecting',
