Let engine stand-ins name rate limits

EngineStandIn names a rate limit in all responses, changes it and drops it, also in refusals and streams. The test reads it with the link of the product, so that a test with limits cannot pass because its engines name none.

--- a/packages/hickoryrelay-standin/src/EngineStandIn.ts
+++ b/packages/hickoryrelay-standin/src/EngineStandIn.ts
@@ -4,6 +4,7 @@
 import { SystemClock } from 'hickoryrelay/Clock';
 import { OrderProgress } from 'hickoryrelay-endpoint/EndpointOrder';
 import { EngineRole } from 'hickoryrelay-endpoint/Engine';
+import { RATE_LIMIT_POLICY_HEADER } from 'hickoryrelay-link/RateLimitPolicy';
 
 import { CacheEventLog } from './CacheEventLog.js';
 import { FOREIGN_REQUEST_IDENTIFIER, CompletionStream } from './CompletionStream.js';
@@ -45,6 +46,8 @@
 const CALL_TIME_WEIGHT = 0.1;
 const DEFAULT_CACHE_TOKENS = 160_000;
 const REQUESTS_PATH = '/requests/';
+/** Window of a stated rate limit, which allows for tenths of a request per second. */
+const RATE_WINDOW_SECONDS = 10;
 
 /**
  * Returns the words that every engine stand-in generates for a prompt. They depend only on the prompt,
@@ -114,6 +117,19 @@
     this.times = times;
   }
 
+  /** Names a rate limit in all responses from now on; undefined for none. */
+  set rateLimit(requestsPerSecond: number | undefined) {
+    if (requestsPerSecond === undefined) {
+      this.responseHeaders.delete(RATE_LIMIT_POLICY_HEADER);
+    } else {
+      const quota = Math.round(requestsPerSecond * RATE_WINDOW_SECONDS);
+      this.responseHeaders.set(
+        RATE_LIMIT_POLICY_HEADER,
+        `"stated";q=${quota};w=${RATE_WINDOW_SECONDS}`,
+      );
+    }
+  }
+
   /** Published events of the prefix cache. Tests use it to delay or drop events. */
   get cacheEvents(): CacheEventLog {
     return this.log;
--- a/packages/hickoryrelay-standin/src/JsonServer.ts
+++ b/packages/hickoryrelay-standin/src/JsonServer.ts
@@ -33,6 +33,9 @@
 export abstract class JsonServer {
   readonly faults = new FaultPlan();
 
+  /** Headers of all responses, also of refusals. */
+  protected readonly responseHeaders = new Map<string, string>();
+
   /** Counts the injected faults that took effect. */
   tally = new FaultTally();
 
@@ -83,6 +86,7 @@
     if (identifier !== undefined) {
       response.setHeader('x-request-id', identifier);
     }
+    this.responseHeaders.forEach((value, name) => response.setHeader(name, value));
     const fault = this.faults.takeNext();
     if (this.faults.delayMilliseconds > 0) {
       await sleep(this.faults.delayMilliseconds);
