Send requests to an endpoint with a rate limit only with a token

What endpoints saw: one that had named 5.7 requests a second got 62 in 4 s, of 39 allowed, as the rate limits in its responses were not read. Each instance chose its endpoints without regard to the limit.

EndpointRateLimit keeps the statement of one incarnation and a token bucket. It starts empty and holds one token, or a quarter of a second at high rates. An endpoint without a token is not eligible for placement. The token is taken when the endpoint is chosen and returned if the request is not written. A permit that was granted before the limit was named takes its token right before the write, so that requests that wait for a connection count as well; without one the request goes to another endpoint. A token is void after 500 ms, since requests that wait for one slow connection would arrive together. SendPermit.isValid had both uses, the question and the use; tryUse is the use.

The order of statements: the arrival dates a lower limit, the start of the request dates a higher one or the end, so a response that is overtaken cannot end a limit that was named after its request was sent. A limit named by a response counts for all registrations at the address, as a backoff does. It is raised or ended only by a response that is certainly from its endpoint. A limit survives a registration that lapses and a restart that the view shows late, by the same rule as a backoff. A limit of 0 is probed once in 10 s, because only a response can end it. Orders to engines and releases of handles take a token.

--- a/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
@@ -1,4 +1,8 @@
+import { EndpointRateLimit } from './EndpointRateLimit.js';
+
+import type { RequestToken } from './EndpointRateLimit.js';
 import type { RateLimitStatement } from './RateLimitStatement.js';
+import type { Clock } from 'hickoryrelay/Clock';
 
 /** What an endpoint states about itself in the head of a response. */
 export interface EndpointNotice {
@@ -62,28 +66,53 @@
   readonly receivedWallMilliseconds: number;
 }
 
+/** What a permit asks the availability that has granted it. */
+interface SendPermitParts {
+  /** Time at which the permit was granted. */
+  readonly startedMilliseconds: number;
+  readonly token: RequestToken;
+  readonly readTime: () => number;
+  readonly allowsSend: (permit: SendPermit) => boolean;
+  readonly onEnd: (permit: SendPermit) => void;
+}
+
 /** The permission to send one request, granted when its endpoint was chosen. */
 export class SendPermit {
-  private readonly allowsSend: (permit: SendPermit) => boolean;
+  private readonly parts: SendPermitParts;
+
+  private isRateLimited = false;
 
-  private readonly onEnd: (permit: SendPermit) => void;
+  constructor(parts: SendPermitParts) {
+    this.parts = parts;
+  }
 
-  constructor(
-    allowsSend: (permit: SendPermit) => boolean,
-    onEnd: (permit: SendPermit) => void = () => {},
-  ) {
-    this.allowsSend = allowsSend;
-    this.onEnd = onEnd;
+  /** Time at which the request was started. */
+  get startedMilliseconds(): number {
+    return this.parts.startedMilliseconds;
   }
 
-  /** False once the endpoint takes no requests. Asked right before the request is written. */
+  /** False once the endpoint takes no requests, or did not take this one for its rate limit. */
   get isValid(): boolean {
-    return this.allowsSend(this);
+    return !this.isRateLimited && this.parts.allowsSend(this);
+  }
+
+  /**
+   * Uses the permit for the one request that is about to be written. Returns false if it must not be
+   * written: the endpoint takes no requests any more, or has named a rate limit since.
+   */
+  tryUse(): boolean {
+    const { token, readTime } = this.parts;
+    if (!this.isValid) {
+      return false;
+    }
+    this.isRateLimited = !token.tryUse(readTime());
+    return !this.isRateLimited;
   }
 
   /** Ends the attempt. A probe that has had no response is then followed by another one. */
   end(): void {
-    this.onEnd(this);
+    this.parts.token.release();
+    this.parts.onEnd(this);
   }
 }
 
@@ -92,9 +121,12 @@
  * itself has stated. What the store or other instances report does not undo it.
  *
  * After a backoff, and at the probe times of a long one, one request at a time is sent as a probe
- * until the endpoint accepts one, so that the waiting requests do not all arrive at once.
+ * until the endpoint accepts one, so that the waiting requests do not all arrive at once. While the
+ * endpoint states a rate limit, each request takes a token of this instance's share.
  */
 export class EndpointAvailability {
+  readonly rateLimit: EndpointRateLimit;
+
   private hasAnnouncedLeaving = false;
 
   /** Wall-clock time of the last announcement. */
@@ -105,6 +137,10 @@
   /** The request in flight that tries whether the endpoint takes requests again. */
   private probe: SendPermit | undefined;
 
+  constructor(rateLimit = new EndpointRateLimit()) {
+    this.rateLimit = rateLimit;
+  }
+
   /** True once the endpoint has announced that it is leaving. */
   get isLeaving(): boolean {
     return this.hasAnnouncedLeaving;
@@ -125,6 +161,10 @@
     if (this.hasAnnouncedLeaving) {
       return Number.POSITIVE_INFINITY;
     }
+    return Math.max(this.backoffWaitMilliseconds(now), this.rateLimit.waitMilliseconds(now));
+  }
+
+  private backoffWaitMilliseconds(now: number): number {
     if (this.backoff === undefined) {
       return 0;
     }
@@ -140,16 +180,21 @@
 
   /**
    * Grants the permission to send a request. It is not valid if the endpoint has stopped allowing
-   * requests since it was chosen.
+   * requests since it was chosen. The clock tells when the permit is used.
    */
-  startRequest(now: number): SendPermit {
-    const permit = new SendPermit(
-      (each) => !this.hasAnnouncedLeaving && (this.backoff === undefined || this.probe === each),
-      (each) => {
+  startRequest(now: number, clock?: Clock): SendPermit {
+    const isProbe = this.backoff !== undefined && this.allowsRequest(now);
+    const permit = new SendPermit({
+      startedMilliseconds: now,
+      token: this.rateLimit.reserve(now),
+      readTime: () => clock?.monotonicMilliseconds() ?? now,
+      allowsSend: (each) =>
+        !this.hasAnnouncedLeaving && (this.backoff === undefined || this.probe === each),
+      onEnd: (each) => {
         this.probe = this.probe === each ? undefined : this.probe;
       },
-    );
-    if (this.backoff !== undefined && this.allowsRequest(now)) {
+    });
+    if (this.backoff !== undefined && isProbe) {
       this.probe = permit;
       const { endMilliseconds, probes } = this.backoff;
       this.backoff = { ...this.backoff, probes: probes + (now < endMilliseconds ? 1 : 0) };
@@ -161,8 +206,12 @@
    * Returns the availability of the next endpoint or incarnation at the address. Until it is known,
    * requests for this one reach it, so it keeps what has been received since its start.
    */
-  succeed(startedWallMilliseconds: number): EndpointAvailability {
-    const successor = new EndpointAvailability();
+  succeed(
+    startedWallMilliseconds: number,
+    rateLimit = new EndpointRateLimit(),
+  ): EndpointAvailability {
+    const successor = new EndpointAvailability(rateLimit);
+    rateLimit.inherit(this.rateLimit, startedWallMilliseconds);
     const { backoff, leavingWallMilliseconds } = this;
     if (leavingWallMilliseconds >= startedWallMilliseconds + MAXIMUM_CLOCK_SKEW_MILLISECONDS) {
       successor.hasAnnouncedLeaving = this.hasAnnouncedLeaving;
--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -199,7 +199,7 @@
   /** The fields of an attempt that bind it to what its endpoint states about itself. */
   bindAttempt(state: EndpointState): Pick<Attempt, 'permit' | 'receiveNotice'> {
     const { clock, notices } = this.parts;
-    const permit = state.availability.startRequest(clock.monotonicMilliseconds());
+    const permit = state.availability.startRequest(clock.monotonicMilliseconds(), clock);
     return {
       permit,
       receiveNotice: (notice) => notices.receive(state, permit, notice, this.request.identifier),
--- a/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointNotices.ts
@@ -2,6 +2,7 @@
   AvailabilityChange,
   describeAvailabilityChange,
 } from 'hickoryrelay-endpoint/EndpointAvailability';
+import { describeRateLimitChange, RateLimitChange } from 'hickoryrelay-endpoint/EndpointRateLimit';
 
 import type { ReceivedNotice } from './EndpointLink.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
@@ -10,6 +11,7 @@
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { EndpointAvailability, SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
+import type { RateLimitStatement } from 'hickoryrelay-endpoint/RateLimitStatement';
 
 /** Collaborators of the notices. */
 export interface EndpointNoticesParts {
@@ -29,11 +31,15 @@
     [AvailabilityChange.Available]: 0,
   };
 
+  /** Times that an endpoint has named a rate limit or changed it noticeably. */
+  private rateLimitCount = 0;
+
   constructor(parts: EndpointNoticesParts) {
     this.parts = parts;
     const { metrics } = parts;
     metrics.registerCounter('endpoints_leaving_total', () => this.counts.leaving);
     metrics.registerCounter('endpoint_backoffs_total', () => this.counts['backing-off']);
+    metrics.registerCounter('endpoint_rate_limits_total', () => this.rateLimitCount);
   }
 
   /** Applies the notice in the response of an endpoint to a request. */
@@ -64,6 +70,61 @@
     for (const availability of this.unregisteredSendersOf(state, notice)) {
       availability.receive(notice, permit, now, wallMilliseconds);
     }
+    if (notice.rateLimit !== undefined) {
+      this.receiveRateLimit(state, permit, notice, notice.rateLimit);
+    }
+  }
+
+  /**
+   * Applies a rate limit to all endpoints that the response may come from. Only if that is certain does
+   * a response raise or end the limit of its endpoint.
+   */
+  private receiveRateLimit(
+    state: EndpointState,
+    permit: SendPermit,
+    { isMisdirected }: ReceivedNotice,
+    statement: RateLimitStatement,
+  ): void {
+    const { registry, clock } = this.parts;
+    const isLimited =
+      statement.requestsPerSecond !== undefined ||
+      state.availability.rateLimit.requestsPerSecond !== undefined;
+    const { address } = state.record;
+    const others = isLimited ? registry.atAddress(address).filter((other) => other !== state) : [];
+    const isCertain = !isMisdirected && others.length === 0;
+    const applyTo = ({ rateLimit }: EndpointAvailability, mayRaise: boolean) =>
+      mayRaise || !rateLimit.isRaisedBy(statement)
+        ? rateLimit.receive(
+            statement,
+            permit.startedMilliseconds,
+            clock.monotonicMilliseconds(),
+            clock.wallMilliseconds(),
+          )
+        : RateLimitChange.None;
+    for (const each of [state, ...others]) {
+      const change = applyTo(each.availability, isCertain);
+      if (change !== RateLimitChange.None) {
+        this.recordRateLimit(each, statement, change);
+      }
+    }
+    for (const availability of isLimited ? registry.unregisteredAt(address, undefined) : []) {
+      if (availability !== state.availability) {
+        applyTo(availability, false);
+      }
+    }
+  }
+
+  private recordRateLimit(
+    { record }: EndpointState,
+    { requestsPerSecond }: RateLimitStatement,
+    change: RateLimitChange,
+  ): void {
+    this.rateLimitCount += Number(change === RateLimitChange.Limited);
+    this.parts.log.info(describeRateLimitChange(change), {
+      endpoint: record.identifier,
+      service: record.service,
+      requestsPerSecond,
+    });
   }
 
   /**
--- a/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
@@ -1,3 +1,5 @@
+import { hashString } from 'hickoryrelay/RendezvousUtils';
+
 import { isName, isSocketAddress } from './RecordFieldUtils.js';
 
 /** Whether an endpoint accepts new requests. */
@@ -45,6 +47,11 @@
   return `${record.identifier}/${record.startedMilliseconds}/${record.address}`;
 }
 
+/** Hash of the incarnation, which identifies the endpoint in messages between instances. */
+export function incarnationHash({ identifier, startedMilliseconds }: EndpointRecord): number {
+  return hashString(`${identifier}/${startedMilliseconds}`);
+}
+
 /** Identifiers are sent in a header, which cannot carry other characters. */
 const IDENTIFIER_PATTERN = /^[\u0021-\u007e]{1,200}$/u;
 
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -1,11 +1,14 @@
 import { EndpointAvailability } from 'hickoryrelay-endpoint/EndpointAvailability';
+import { EndpointRateLimit } from 'hickoryrelay-endpoint/EndpointRateLimit';
+import { UndividedRateLimits } from 'hickoryrelay-endpoint/RateLimitShares';
 
-import { EndpointPhase, incarnationKey } from './EndpointRecord.js';
+import { EndpointPhase, incarnationHash, incarnationKey } from './EndpointRecord.js';
 import { EndpointState } from './EndpointState.js';
 
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { PeerLoads } from './PeerLoads.js';
 import type { EndpointLoad } from './PeerMessage.js';
+import type { RateLimitShares } from 'hickoryrelay-endpoint/RateLimitShares';
 
 /**
  * Endpoints without a registration whose availability is kept. A registration may be missing while
@@ -19,13 +22,30 @@
 
   private byService = new Map<string, EndpointState[]>();
 
+  private byHash = new Map<number, EndpointState>();
+
   /** By incarnation; those that were registered last come last. */
   private readonly availabilities = new Map<string, EndpointAvailability>();
 
   private readonly peers: PeerLoads;
 
-  constructor(peers: PeerLoads) {
+  private readonly shares: RateLimitShares;
+
+  constructor(peers: PeerLoads, shares: RateLimitShares = new UndividedRateLimits()) {
     this.peers = peers;
+    this.shares = shares;
+  }
+
+  /** The rate limits of the registered endpoints, including those without a limit. */
+  *rateLimits(): Generator<EndpointRateLimit, void, void> {
+    for (const { availability } of this.states.values()) {
+      yield availability.rateLimit;
+    }
+  }
+
+  /** The registered endpoint with a hash of its incarnation. */
+  findByHash(hash: number): EndpointState | undefined {
+    return this.byHash.get(hash);
   }
 
   /** The load that this instance puts on each endpoint it uses. */
@@ -55,6 +75,7 @@
     }
     this.states = states;
     this.byService = byService;
+    this.byHash = new Map([...states.values()].map((state) => [state.hash, state]));
     this.discardAvailabilities();
     return restarted;
   }
@@ -83,6 +104,12 @@
     return this.availabilities.get(incarnationKey(record))?.allowsRequest(now) ?? false;
   }
 
+  /** Takes the token of a request to a registered endpoint. Returns false if it takes none. */
+  tryTakeRequest(record: EndpointRecord, now: number): boolean {
+    const availability = this.availabilities.get(incarnationKey(record));
+    return availability?.allowsRequest(now) === true && availability.rateLimit.tryTake(now);
+  }
+
   /** Time until an endpoint of a service takes requests; infinite if all are leaving. */
   waitMilliseconds(service: string, now: number): number {
     const waits = this.readyEndpoints(service).map(({ availability }) =>
@@ -116,22 +143,24 @@
   /** Returns the availability of an incarnation, as the one that was registered last. */
   private retainAvailability(record: EndpointRecord): EndpointAvailability {
     const key = incarnationKey(record);
-    const availability =
-      this.availabilities.get(key) ?? this.succeedPredecessor(record) ?? new EndpointAvailability();
+    const availability = this.availabilities.get(key) ?? this.createAvailability(record);
     this.availabilities.delete(key);
     this.availabilities.set(key, availability);
     return availability;
   }
 
   /**
-   * Returns the availability of an endpoint at an address that another one, or an earlier incarnation,
-   * had before. Undefined if there was none, or if the start of the endpoint is not known.
+   * Creates the availability of an endpoint. Another one, or an earlier incarnation, may have had the
+   * address before; it is not taken into account if the start of the endpoint is not known.
    */
-  private succeedPredecessor(record: EndpointRecord): EndpointAvailability | undefined {
+  private createAvailability(record: EndpointRecord): EndpointAvailability {
     const { address, startedMilliseconds } = record;
+    const rateLimit = new EndpointRateLimit(this.shares, incarnationHash(record));
     const [, predecessor] =
       [...this.availabilities].findLast(([key]) => key.endsWith(`/${address}`)) ?? [];
-    return startedMilliseconds === 0 ? undefined : predecessor?.succeed(startedMilliseconds);
+    return startedMilliseconds === 0 || predecessor === undefined
+      ? new EndpointAvailability(rateLimit)
+      : predecessor.succeed(startedMilliseconds, rateLimit);
   }
 
   private discardAvailabilities(): void {
--- a/packages/hickoryrelay-forwarding/src/EndpointState.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointState.ts
@@ -1,6 +1,7 @@
-import { hashString } from 'hickoryrelay/RendezvousUtils';
 import { EndpointAvailability } from 'hickoryrelay-endpoint/EndpointAvailability';
 
+import { incarnationHash } from './EndpointRecord.js';
+
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { PeerLoads } from './PeerLoads.js';
 import type { EndpointLoad } from './PeerMessage.js';
@@ -79,7 +80,7 @@
     this.record = record;
     this.peers = peers;
     this.availability = availability;
-    this.hash = hashString(`${record.identifier}/${record.startedMilliseconds}`);
+    this.hash = incarnationHash(record);
   }
 
   /** Requests in flight at the endpoint, including the last reported load of peers. */
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -132,7 +132,10 @@
     const { registry, clock } = this.call.parts;
     const now = clock.monotonicMilliseconds();
     const holders = registry.atAddress(prefilledPrompt.address);
-    if (holders.some(({ availability }) => !availability.allowsRequest(now))) {
+    const isAllowed =
+      holders.every(({ availability }) => availability.allowsRequest(now)) &&
+      holders.every(({ availability }) => availability.rateLimit.tryTake(now));
+    if (!isAllowed) {
       // The cache of an engine that takes no requests is freed when its handle expires.
       return;
     }
--- a/packages/hickoryrelay-forwarding/src/StageTask.ts
+++ b/packages/hickoryrelay-forwarding/src/StageTask.ts
@@ -81,7 +81,7 @@
       return;
     }
     const { engine, stage } = change;
-    if (!registry.allowsRequest(engine, now)) {
+    if (!registry.tryTakeRequest(engine, now)) {
       return;
     }
     this.pendingChanges.set(engine.identifier, {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNotices.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNotices.test.ts
@@ -125,6 +125,70 @@
     expect(metrics.render()).toContain('hickoryrelay_endpoint_backoffs_total 1\n');
   });
 
+  const limitedTo = (requestsPerSecond: number | undefined, isMisdirected = false) => ({
+    ...LEAVING,
+    isLeaving: false,
+    isMisdirected,
+    rateLimit: { requestsPerSecond },
+  });
+
+  const limitOf = ({ availability }: EndpointState) => availability.rateLimit.requestsPerSecond;
+
+  it('logs and counts a rate limit when it is named, changes noticeably and ends', async () => {
+    const { notices, clock, lines, metrics, stateOf } = setUp([endpoint]);
+    const state = stateOf(endpoint);
+    for (const limit of [undefined, 5, 5, 5.1, 9, undefined, undefined]) {
+      const permit = state.availability.startRequest(clock.monotonicMilliseconds());
+      await clock.advance(1);
+      notices.receive(state, permit, limitedTo(limit), 'request-1');
+      await clock.advance(1);
+    }
+    expect(lines).toEqual([
+      'An endpoint named a rate limit.',
+      'An endpoint named a rate limit.',
+      'An endpoint named no rate limit any more.',
+    ]);
+    expect(metrics.render()).toContain('hickoryrelay_endpoint_rate_limits_total 2\n');
+  });
+
+  // Guards against a limit that ends by the response of another endpoint.
+  it('applies a limit to all endpoints at the address, and ends it only for the sole one', async () => {
+    const successor = makeEndpoint('e2', { address: endpoint.address });
+    const { receive, registry, clock, notices, stateOf } = setUp([endpoint, successor]);
+    const [first, second] = [stateOf(endpoint), stateOf(successor)];
+    receive(first, limitedTo(5));
+    expect([first, second].map(limitOf)).toEqual([5, 5]);
+    await clock.advance(10);
+    const respond = (notice: ReceivedNotice) => {
+      const permit = second.availability.startRequest(clock.monotonicMilliseconds());
+      notices.receive(second, permit, notice, 'request-2');
+    };
+    respond(limitedTo(undefined));
+    respond(limitedTo(9));
+    expect([first, second].map(limitOf)).toEqual([5, 5]);
+    registry.replace([successor]);
+    respond(limitedTo(undefined, true));
+    expect(limitOf(second)).toBe(5);
+    respond(limitedTo(undefined));
+    expect(limitOf(second)).toBeUndefined();
+  });
+
+  // Guards against a limit that is lost with a registration that lapses and comes back.
+  it('keeps the limit of an endpoint whose registration is missing, and of its successor', () => {
+    const { receive, registry, clock, stateOf } = setUp([endpoint]);
+    const state = stateOf(endpoint);
+    registry.replace([]);
+    receive(state, limitedTo(5));
+    registry.replace([endpoint]);
+    expect(limitOf(stateOf(endpoint))).toBe(5);
+    const restarted = { ...endpoint, startedMilliseconds: clock.wallMilliseconds() };
+    registry.replace([restarted]);
+    expect(limitOf(stateOf(restarted))).toBe(5);
+    const later = { ...endpoint, startedMilliseconds: clock.wallMilliseconds() + 1 };
+    registry.replace([later]);
+    expect(limitOf(stateOf(later))).toBeUndefined();
+  });
+
   // Guards against an endpoint that is out of use for good because its start is not known.
   it('does not apply the notice of an earlier endpoint at the address to one of unknown start', () => {
     const { receive, registry, stateOf } = setUp([endpoint]);
@@ -174,4 +238,31 @@
     expect(harness.link.sent).toHaveLength(1);
     expect(harness.link.released).toHaveLength(count);
   });
+
+  // Guards against a release that the rate limit of the engine does not allow.
+  it('is released only with a token of an engine that has a rate limit', async () => {
+    const address = '10.0.0.9:1';
+    const engine = { service: 'model', slots: 12 };
+    const prefillEngine = makeEndpoint('p', { ...engine, address, stage: EngineStage.Prefill });
+    const decodeEngine = makeEndpoint('decode', { ...engine, stage: EngineStage.Decode });
+    const route = { ...RESUMABLE_STREAM, services: [{ service: 'model', weight: 1 }] };
+    const harness = makeRouteHarness(
+      { ...route, latencyTargetMilliseconds: 600, maximumAttempts: 1 },
+      [async () => makeResponse([], { status: 503, isNotRun: true })],
+      { endpoints: [prefillEngine, decodeEngine] },
+    );
+    const [state] = harness.registry.atAddress(address);
+    state?.availability.rateLimit.receive({ requestsPerSecond: 1 }, 0, 0);
+    harness.link.onPrefill = () => harness.link.prefills.at(-1)?.permit.tryUse();
+    await harness.clock.advance(1000);
+    await harness.run(
+      makeRequest({
+        arrivedMilliseconds: 1000,
+        arrivedSuspensionMilliseconds: 1000,
+        promptSegments: [{ identifier: 'own', tokens: 16_000 }],
+      }),
+    );
+    expect(harness.link.prefills).toHaveLength(1);
+    expect(harness.link.released).toHaveLength(0);
+  });
 });
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNoticesModel.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNoticesModel.test.ts
@@ -198,7 +198,7 @@
     const { life, world } = this;
     const { clock, random } = world;
     await clock.sleep(random.integerBelow(400));
-    if (!attempt.permit.isValid) {
+    if (!attempt.permit.tryUse()) {
       throw endpointFailure(false);
     }
     const endpoint = world.at(attempt.endpoint.address);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StageTask.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StageTask.test.ts
@@ -85,4 +85,17 @@
     await clock.advance(1000 + PERIOD_MILLISECONDS);
     expect(platform.ordered).toEqual(['engine-1']);
   });
+
+  // Guards against orders beyond the rate limit of an engine.
+  it('sends an order to an engine with a rate limit when it has a token', async () => {
+    const { clock, registry, platform } = startTask();
+    for (const { availability } of registry.readyEndpoints('model')) {
+      availability.rateLimit.receive({ requestsPerSecond: 0.5 }, 0, 0);
+    }
+    await clock.advance(1900);
+    expect(platform.ordered).toEqual([]);
+    await clock.advance(100 + PERIOD_MILLISECONDS);
+    expect(platform.ordered).toEqual(['engine-1']);
+    expect(registry.readyEndpoints('model')[0]?.availability.allowsRequest(2800)).toBe(false);
+  });
 });
--- a/packages/hickoryrelay-link/src/HttpResponseStream.ts
+++ b/packages/hickoryrelay-link/src/HttpResponseStream.ts
@@ -171,7 +171,7 @@
       // the exchange decides whether a call is retried.
       this.fail(toRelayError('the request would be sent twice', this.endpoint, true));
     }
-    if (this.permit?.isValid === false) {
+    if (!isRepeated && this.permit?.tryUse() === false) {
       this.fail(toRelayError('the endpoint takes no calls any more', this.endpoint, false));
     }
     if (this.error !== undefined) {
--- a/packages/hickoryrelay-zone/src/EndpointCall.ts
+++ b/packages/hickoryrelay-zone/src/EndpointCall.ts
@@ -52,7 +52,7 @@
     this.isStreaming = call.kind === WorkKind.Model && call.isStreaming;
     this.clock = clock;
     this.sentMilliseconds = clock.monotonicMilliseconds();
-    this.permit = endpoint.availability.startRequest(this.sentMilliseconds);
+    this.permit = endpoint.availability.startRequest(this.sentMilliseconds, clock);
     this.recordOutcome = endpoint.breaker.startCall(this.sentMilliseconds);
     this.cleanUps = [endpoint.startCall(), () => this.permit.end()];
     if (endpoint instanceof Engine && call.kind === WorkKind.Model) {
@@ -67,7 +67,11 @@
   /** Applies what the endpoint states in the head of its response. */
   receiveNotice(notice: EndpointNotice): AvailabilityChange {
     const now = this.clock.monotonicMilliseconds();
-    return this.endpoint.availability.receive(notice, this.permit, now);
+    const { availability } = this.endpoint;
+    if (notice.rateLimit !== undefined) {
+      availability.rateLimit.receive(notice.rateLimit, this.permit.startedMilliseconds, now);
+    }
+    return availability.receive(notice, this.permit, now);
   }
 
   /** Records that the first chunk of the response has arrived. Later chunks have no effect. */
