Divide rate limits among the instances without messages

What endpoints saw: the limit is for all instances together, and each alone would take all of it: eight instances eight times as much. Class of fault: a limit of all that each keeps alone.

Each instance computes from the list of instances which few of them use a limited endpoint, by rendezvous hashing, and takes an equal share: floor(limit) + 2 of them, or one below 1 a second. With K users that hold one token each, a window of 4 s gets at most K + 4 * limit, of 6 * limit + 5 allowed. No message is needed, so late and lost ones do not matter. Nobody uses what another leaves.

The instances must not be counted too low. One that is missing from the list counts for three more leases from the first list without it, so that registrations that expire in an outage count as well. One that sends load messages counts although it is not listed. An instance has no share in the first 3 s after its first list, as others may not know it, and half of it while its list is older than a lease.

Load messages carry the limits, in each message for 1.5 s after a change and in about one of eight otherwise, at most 24 of them. Instances repeat what they have learned, which also passes the relays. An instance that is not among the users learns the end of a limit from the others only. A report of the end counts as 1 s older, for the time on its way, and an instance that still reports an ended limit is told again. Idle instances send nothing once the ends have been told.

Two unknown users may exceed the rule for limits of 1 to 3 a second if all users send in the same moment. LoadExchange.test.ts checks that limits and their ends reach 6 and 64 instances.

--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -11,6 +11,7 @@
 import type { EndpointLoad, LoadMessage, PeerMessage } from './PeerMessage.js';
 import type { PeerRecord } from './PeerRecord.js';
 import type { PromptCacheDirectory } from './PromptCacheDirectory.js';
+import type { RateLimitExchange } from './RateLimitExchange.js';
 import type { ZoneRelaySelector } from './ZoneRelaySelector.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
@@ -41,13 +42,14 @@
   readonly registry: EndpointRegistry;
   readonly loads: PeerLoads;
   readonly directory: PromptCacheDirectory;
+  readonly rateLimits: RateLimitExchange;
   readonly relaySelector: ZoneRelaySelector;
   readonly log: ComponentLogger;
 }
 
 /**
- * Exchanges load with the other instances: the requests in flight at each endpoint, and the shared
- * prompt segments that engines have prefilled. A few instances send to each other directly. With
+ * Exchanges load with the other instances: the requests in flight at each endpoint, the shared prompt
+ * segments that engines have prefilled, and the rate limits that endpoints have stated. A few instances send to each other directly. With
  * more, each reports to the relay of its zone, which sends it digests, and the relays exchange the
  * loads of their zones.
  */
@@ -118,19 +120,23 @@
   private handleMessage(message: PeerMessage, now: number): void {
     switch (message.kind) {
       case PeerMessageKind.Load:
+        this.parts.rateLimits.receive(message);
         this.applyLoad(message, now);
         break;
       case PeerMessageKind.LoadDigest:
         if (message.sender === this.selectedRelay?.instance) {
           this.selectedRelay.silentSinceMilliseconds = now;
         }
+        this.parts.rateLimits.receive(message);
         this.applyDigest(message, now);
         break;
       case PeerMessageKind.LoadReport:
+        this.parts.rateLimits.receive(message);
         this.relay.addReport(message, now);
         this.recordUses(message, now);
         break;
       case PeerMessageKind.ZoneLoad:
+        this.parts.rateLimits.receive(message);
         this.handleZoneLoad(message, now);
         break;
       default:
@@ -164,19 +170,20 @@
   }
 
   private ownLoad(kind: LoadMessage['kind']): LoadMessage {
-    const { self, registry, directory } = this.parts;
+    const { self, registry, directory, rateLimits } = this.parts;
     return {
       kind,
       sender: self.instance,
       loads: [...registry.ownLoads()],
       uses: directory.takePendingUses().map((use) => ({ ...use, origin: this.origin })),
-      rateLimits: [],
+      rateLimits: rateLimits.reports(),
     };
   }
 
   private broadcastLoad(peers: readonly PeerRecord[]): void {
     const message = this.ownLoad(PeerMessageKind.Load);
-    const isIdle = message.loads.length === 0 && message.uses.length === 0;
+    const isIdle =
+      message.loads.length === 0 && message.uses.length === 0 && message.rateLimits.length === 0;
     if (!(isIdle && this.wasIdle)) {
       this.parts.channel.sendToAll(peers, message);
     }
@@ -221,12 +228,12 @@
 
   /** Sends digests and the zone load while other instances report to this one. */
   private distributeLoads(now: number): void {
-    const { self, view, channel } = this.parts;
+    const { self, view, channel, rateLimits } = this.parts;
     if (this.relay.members.length === 0) {
       return;
     }
     const members = new Set(this.relay.members);
-    const digest = this.relay.digest(self.instance);
+    const digest = this.relay.digest(self.instance, rateLimits.reports());
     channel.sendToAll(
       view.peers.filter(({ instance }) => instance !== self.instance && members.has(instance)),
       digest,
@@ -237,7 +244,10 @@
     }
     this.completedPeriods += 1;
     if (this.completedPeriods % PERIODS_PER_ZONE_LOAD === 0) {
-      channel.sendToAll(this.otherRelays(now), this.relay.zoneLoad(self.instance));
+      channel.sendToAll(
+        this.otherRelays(now),
+        this.relay.zoneLoad(self.instance, rateLimits.reports()),
+      );
     }
   }
 
--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -5,6 +5,7 @@
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { EndpointLink } from './EndpointLink.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
+import type { InstanceRateLimitShares } from './InstanceRateLimitShares.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { ViewSource } from './ViewSource.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
@@ -19,6 +20,7 @@
   readonly registry: EndpointRegistry;
   readonly link: EndpointLink;
   readonly budgets: RetryBudgets;
+  readonly shares: InstanceRateLimitShares;
   /** Time between two reads, in milliseconds. */
   readonly periodMilliseconds: number;
   readonly log: ComponentLogger;
@@ -47,7 +49,8 @@
 
   /** Reads once. Returns the time until the next read, in milliseconds. */
   private async refresh(): Promise<number> {
-    const { source, view, registry, link, budgets, log, periodMilliseconds } = this.parts;
+    const { source, view, registry, link, budgets, shares } = this.parts;
+    const { log, periodMilliseconds } = this.parts;
     const requestedAtMilliseconds = view.now();
     try {
       const { snapshot, revision, ageMilliseconds, periodFraction } = await source.read();
@@ -59,6 +62,10 @@
       const restarted = registry.replace(view.endpoints);
       link.retain(view.endpoints);
       budgets.setInstanceCount(view.peers.length);
+      shares.setInstances(
+        view.peers.map(({ instance }) => instance),
+        view.ageMilliseconds,
+      );
       if (this.failedReadings > 0) {
         log.info('Reads of the store succeed again.', { failedReadings: this.failedReadings });
         this.failedReadings = 0;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
@@ -4,9 +4,11 @@
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
+import { InstanceRateLimitShares } from 'hickoryrelay-forwarding/InstanceRateLimitShares';
 import { LoadExchangeTask } from 'hickoryrelay-forwarding/LoadExchangeTask';
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
 import { PromptCacheDirectory } from 'hickoryrelay-forwarding/PromptCacheDirectory';
+import { RateLimitExchange } from 'hickoryrelay-forwarding/RateLimitExchange';
 import { ZoneRelaySelector } from 'hickoryrelay-forwarding/ZoneRelaySelector';
 
 import { HEARTBEAT_MILLISECONDS, makeEndpoint } from './ForwardingFixture.js';
@@ -43,7 +45,12 @@
       const snapshot = { configuration: undefined, endpoints: [ENDPOINT], isAuthorityHeld: false };
       view.apply({ ...snapshot, peers }, 0);
       const loads = new PeerLoads();
-      const registry = new EndpointRegistry(loads);
+      const shares = new InstanceRateLimitShares(peer.instance, this.clock);
+      shares.setInstances(
+        peers.map(({ instance }) => instance),
+        0,
+      );
+      const registry = new EndpointRegistry(loads, shares);
       registry.replace([ENDPOINT]);
       const directory = new PromptCacheDirectory();
       lifecycle.start(
@@ -54,6 +61,12 @@
           registry,
           loads,
           directory,
+          rateLimits: new RateLimitExchange({
+            registry,
+            shares,
+            clock: this.clock,
+            log: silentLogger,
+          }),
           relaySelector: new ZoneRelaySelector(peer.instance),
           log: silentLogger,
         }),
@@ -62,6 +75,18 @@
     });
   }
 
+  /** The rate limit of the endpoint as known to each instance, in order. */
+  get rateLimits(): (number | undefined)[] {
+    return this.instances.map(({ state }) => state.availability.rateLimit.requestsPerSecond);
+  }
+
+  /** Applies a statement of the endpoint in a response to one instance. */
+  nameLimit(index: number, requestsPerSecond: number | undefined): void {
+    const now = this.clock.monotonicMilliseconds();
+    const { state } = this.instances[index] as (typeof this.instances)[number];
+    state.availability.rateLimit.receive({ requestsPerSecond }, now, now);
+  }
+
   /** Number of requests at the endpoint as known to each instance, in order. */
   get running(): number[] {
     return this.instances.map(({ state }) => state.totalRunning);
@@ -92,6 +117,51 @@
     },
   );
 
+  // Guards against a limit that an instance does not know until the endpoint has told it as well.
+  it.each([
+    { instances: '6', zones: ['a', 'b'], instancesPerZone: 3 },
+    { instances: '64', zones: ['a', 'b', 'c', 'd'], instancesPerZone: 16 },
+  ])(
+    'tells all of $instances instances the rate limit of an endpoint, and its end',
+    async ({ zones, instancesPerZone }) => {
+      const cluster = new TestCluster(zones, instancesPerZone);
+      await cluster.clock.advance(300);
+      cluster.nameLimit(1, 5.5);
+      await cluster.clock.advance(600);
+      expect(new Set(cluster.rateLimits)).toEqual(new Set([5.5]));
+      await cluster.clock.advance(4000);
+      cluster.nameLimit(2, undefined);
+      await cluster.clock.advance(600);
+      expect(new Set(cluster.rateLimits)).toEqual(new Set([undefined]));
+    },
+  );
+
+  // Guards against a limit that is kept for good by an instance that could not be told its end.
+  it('tells an instance the end of a rate limit after it was cut off', async () => {
+    const cluster = new TestCluster(['a', 'b'], 3);
+    cluster.nameLimit(1, 5);
+    await cluster.clock.advance(5000);
+    cluster.network.isDelivered = (from, to) => from !== 4 && to !== 4;
+    cluster.nameLimit(1, undefined);
+    await cluster.clock.advance(60_000);
+    expect(cluster.rateLimits).toEqual([undefined, undefined, undefined, undefined, 5, undefined]);
+    cluster.network.isDelivered = () => true;
+    await cluster.clock.advance(3000);
+    expect(new Set(cluster.rateLimits)).toEqual(new Set([undefined]));
+  });
+
+  // Guards against messages without end from instances that are idle.
+  it('sends nothing while idle once the end of a rate limit has been told', async () => {
+    const cluster = new TestCluster(['a', 'b'], 3);
+    cluster.nameLimit(1, 5);
+    await cluster.clock.advance(5000);
+    cluster.nameLimit(1, undefined);
+    await cluster.clock.advance(15_000);
+    const before = cluster.network.sentDatagrams;
+    await cluster.clock.advance(20_000);
+    expect(cluster.network.sentDatagrams).toBe(before);
+  });
+
   // Guards against prefilling a segment again in each zone because its holder is unknown there.
   it('reports to the instances of all zones which engine has prefilled a segment', async () => {
     const cluster = new TestCluster(['a', 'b', 'c', 'd'], 16);
