Date a response that names no rate limit by the start of its request

A response without a limit confirms that there is none. It was dated by its arrival if no limit was known, so an instance that was paused for seconds dated an old response as new, reported the end of a limit that had been named meanwhile, and all others believed it.

Such a response now is always dated by the start of its request, as one that ends a limit was already.

--- a/packages/hickoryrelay-endpoint/src/EndpointRateLimit.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointRateLimit.ts
@@ -96,8 +96,8 @@
  * share. Times are monotonic.
  *
  * The latest statement holds, and if the order is unknown the lower limit: responses on different
- * connections may overtake one another. A statement that lowers the limit is dated by its arrival,
- * and one that raises or ends it by the start of the request that it responds to.
+ * connections may overtake one another. A statement that names a limit is dated by its arrival, and one
+ * that raises it or names none by the start of the request that it responds to.
  */
 export class EndpointRateLimit {
   /** Hash of the endpoint's incarnation. */
@@ -181,12 +181,12 @@
     now: number,
     receivedWallMilliseconds = Number.NEGATIVE_INFINITY,
   ): RateLimitChange {
-    const isRaised = this.isRaisedBy({ requestsPerSecond });
-    if (isRaised && requestedMilliseconds <= this.statement.atMilliseconds) {
-      return RateLimitChange.None;
-    }
-    const atMilliseconds = isRaised ? requestedMilliseconds : now;
-    return this.apply({ requestsPerSecond, atMilliseconds, receivedWallMilliseconds }, now);
+    const isDatedByRequest =
+      requestsPerSecond === undefined || this.isRaisedBy({ requestsPerSecond });
+    const atMilliseconds = isDatedByRequest ? requestedMilliseconds : now;
+    return isDatedByRequest && atMilliseconds <= this.statement.atMilliseconds
+      ? RateLimitChange.None
+      : this.apply({ requestsPerSecond, atMilliseconds, receivedWallMilliseconds }, now);
   }
 
   /** Applies a statement that another instance has received. */
--- a/packages/hickoryrelay-endpoint/src/__tests__/unit/EndpointRateLimit.test.ts
+++ b/packages/hickoryrelay-endpoint/src/__tests__/unit/EndpointRateLimit.test.ts
@@ -75,6 +75,13 @@
     expect(limit.requestsPerSecond).toBeUndefined();
   });
 
+  // Guards against a limit that others end because an instance was paused before it read a response.
+  it('reports no limit with the age of the request', () => {
+    const limit = new EndpointRateLimit();
+    limit.receive(UNLIMITED, 1000, 9000);
+    expect(limit.report(9000)).toEqual({ ...UNLIMITED, endpoint: 0, ageMilliseconds: 8000 });
+  });
+
   it('keeps the lower of two limits whose order is not known', () => {
     const limit = new EndpointRateLimit();
     limit.receive(limitedTo(3), 0, 100);
