Do not end rate limits by messages that waited during a pause

The age of a statement in a message does not include the time for which the message waited for an instance that was paused. On its return the instance would take an earlier end of a limit for a new one, and report it to the others. An instance that sent no message for 600 ms, of which it composes one in 100 to 200 ms, does not let messages raise or end limits for a second.

--- a/packages/hickoryrelay-forwarding/src/RateLimitExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/RateLimitExchange.ts
@@ -21,6 +21,12 @@
 /** Keeps a message of many limited endpoints small. */
 const MAXIMUM_REPORTS = 24;
 
+/** Without a message of its own for this long, this instance was paused, and messages have waited. */
+const PAUSE_MILLISECONDS = 600;
+
+/** Time after a pause in which messages may be as old as the pause was long. */
+const BACKLOG_MILLISECONDS = 1000;
+
 /** Collaborators of the exchange. */
 export interface RateLimitExchangeParts {
   readonly registry: EndpointRegistry;
@@ -38,6 +44,11 @@
 export class RateLimitExchange {
   private readonly parts: RateLimitExchangeParts;
 
+  /** Time of the last message of this instance. */
+  private lastMessageMilliseconds: number | undefined;
+
+  private backlogUntilMilliseconds = Number.NEGATIVE_INFINITY;
+
   constructor(parts: RateLimitExchangeParts) {
     this.parts = parts;
   }
@@ -45,6 +56,8 @@
   /** The statements to include in a message now: those that changed lately come first. */
   reports(): RateLimitReport[] {
     const now = this.parts.clock.monotonicMilliseconds();
+    this.detectPause(now);
+    this.lastMessageMilliseconds = now;
     return [...this.parts.registry.rateLimits()]
       .filter((each) => RateLimitExchange.isDue(each, now))
       .toSorted((left, right) => left.changeAgeMilliseconds(now) - right.changeAgeMilliseconds(now))
@@ -57,13 +70,15 @@
     const { registry, shares, clock, log } = this.parts;
     const now = clock.monotonicMilliseconds();
     shares.recordMessage(sender);
+    this.detectPause(now);
     for (const report of rateLimits) {
       const state = registry.findByHash(report.endpoint);
-      const change = state?.availability.rateLimit.receiveReport(
-        report,
-        now,
-        clock.wallMilliseconds(),
-      );
+      const rateLimit = state?.availability.rateLimit;
+      const isTooOld =
+        rateLimit?.isRaisedBy(report) === true && now < this.backlogUntilMilliseconds;
+      const change = isTooOld
+        ? RateLimitChange.None
+        : rateLimit?.receiveReport(report, now, clock.wallMilliseconds());
       if (state !== undefined && change !== undefined && change !== RateLimitChange.None) {
         log.info(describeRateLimitChange(change), {
           endpoint: state.record.identifier,
@@ -75,6 +90,14 @@
     }
   }
 
+  /** The age in a message does not include the time for which it waited for a paused instance. */
+  private detectPause(now: number): void {
+    const { lastMessageMilliseconds = now } = this;
+    if (now - lastMessageMilliseconds > PAUSE_MILLISECONDS) {
+      this.backlogUntilMilliseconds = now + BACKLOG_MILLISECONDS;
+    }
+  }
+
   private static isDue(rateLimit: EndpointRateLimit, now: number): boolean {
     const changeAge = rateLimit.changeAgeMilliseconds(now);
     if (changeAge < CHANGE_REPORT_MILLISECONDS) {
