--- a/packages/hickoryrelay-instance/src/__tests__/e2e/EndpointNotices.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/EndpointNotices.test.ts
@@ -6,6 +6,7 @@
 import { ExchangeFixture } from './ExchangeFixture.js';
 
 import type { RecordingWriter } from './ExchangeFixture.js';
+import type { EngineStandIn } from 'hickoryrelay-standin/EngineStandIn';
 import type { OutgoingHttpHeaders } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
@@ -128,3 +129,36 @@
     expect(refusing.calls).toBe(1);
   });
 });
+
+describe('an engine that names a rate limit', () => {
+  /** Makes 20 calls a second for a time. Returns how many of them reached the first engine. */
+  async function callFor(seconds: number): Promise<number> {
+    const [engine] = fixture.engines;
+    const before = engine?.received.length ?? 0;
+    for (let step = 0; step < seconds * 20; step += 1) {
+      const writer = await fixture.run(fixture.modelCall({}, 1));
+      expect(writer.report).toBeUndefined();
+      await fixture.clock.advance(50);
+    }
+    return (engine?.received.length ?? 0) - before;
+  }
+
+  beforeEach(async () => {
+    await fixture.stop();
+    fixture = await new ExchangeFixture().start(2);
+  });
+
+  // Guards against a limit in the product's own header that is read but not kept.
+  it('gets no more calls than that, and others when it has dropped it', async () => {
+    const [engine] = fixture.engines as [EngineStandIn];
+    expect(await callFor(2)).toBeGreaterThan(10);
+    engine.rateLimit = 2;
+    await callFor(1);
+    const limited = await callFor(8);
+    expect(limited).toBeLessThanOrEqual(2 * 8 + 2);
+    expect(limited).toBeGreaterThan(4);
+    engine.rateLimit = undefined;
+    await callFor(1);
+    expect(await callFor(2)).toBeGreaterThan(10);
+  });
+});
