Tell refused callers the times of successive tokens

If all endpoints of a service have rate limits, all refused callers were told the time of the same next token, and came back together to be refused again. ReturnSchedule spaces them by the rate of this instance's tokens, by up to 10 s or the time of the next token. A service with an endpoint that takes requests without a limit is not affected, and an instance that has no share keeps the short default, since another instance may have a token.

Retry-After also counted prefill engines, which run no request alone: with a limit or a backoff of the decode engines, callers were told to return as soon as a prefill engine took requests.

--- a/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
@@ -158,13 +158,14 @@
 
   /** Time until a request may be sent, apart from a probe in flight; infinite for a leaving one. */
   waitMilliseconds(now: number): number {
-    if (this.hasAnnouncedLeaving) {
-      return Number.POSITIVE_INFINITY;
-    }
     return Math.max(this.backoffWaitMilliseconds(now), this.rateLimit.waitMilliseconds(now));
   }
 
-  private backoffWaitMilliseconds(now: number): number {
+  /** Time until a request may be sent, apart from the rate limit and a probe in flight. */
+  backoffWaitMilliseconds(now: number): number {
+    if (this.hasAnnouncedLeaving) {
+      return Number.POSITIVE_INFINITY;
+    }
     if (this.backoff === undefined) {
       return 0;
     }
--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -18,6 +18,7 @@
 import type { AdmissionResult } from './RequestAdmission.js';
 import type { ResponseSink } from './ResponseSink.js';
 import type { RetryBudgets } from './RetryBudgets.js';
+import type { ReturnSchedule } from './ReturnSchedule.js';
 import type { QuarantinedGroup, SegmentQuarantine } from './SegmentQuarantine.js';
 import type { PlacementContext, ServicePlacement } from './ServicePlacement.js';
 import type { ShutdownSchedule } from './ShutdownSchedule.js';
@@ -39,6 +40,7 @@
   readonly crashDetector: EngineCrashDetector;
   readonly notices: EndpointNotices;
   readonly budgets: RetryBudgets;
+  readonly returns: ReturnSchedule;
   readonly tally: UsageTally;
   readonly shutdown: ShutdownSchedule;
   /** The monotonic clock, which does not count suspensions. */
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -2,7 +2,7 @@
 import { EndpointRateLimit } from 'hickoryrelay-endpoint/EndpointRateLimit';
 import { UndividedRateLimits } from 'hickoryrelay-endpoint/RateLimitShares';
 
-import { EndpointPhase, incarnationHash, incarnationKey } from './EndpointRecord.js';
+import { EndpointPhase, EngineStage, incarnationHash, incarnationKey } from './EndpointRecord.js';
 import { EndpointState } from './EndpointState.js';
 
 import type { EndpointRecord } from './EndpointRecord.js';
@@ -112,12 +112,22 @@
 
   /** Time until an endpoint of a service takes requests; infinite if all are leaving. */
   waitMilliseconds(service: string, now: number): number {
-    const waits = this.readyEndpoints(service).map(({ availability }) =>
+    const waits = this.runningEndpoints(service).map(({ availability }) =>
       availability.waitMilliseconds(now),
     );
     return Math.min(Number.POSITIVE_INFINITY, ...waits);
   }
 
+  /**
+   * Requests per second that this instance may send to the endpoints of a service; infinite if one that
+   * takes requests has no rate limit.
+   */
+  tokensPerSecond(service: string, now: number): number {
+    return this.runningEndpoints(service)
+      .filter(({ availability }) => availability.backoffWaitMilliseconds(now) === 0)
+      .reduce((sum, { availability }) => sum + availability.rateLimit.rateOfShare(now), 0);
+  }
+
   /**
    * Endpoints of a service that accept new requests. Unconfirmed endpoints may have left, so they
    * are included only while they outnumber the ready ones, which would otherwise be overloaded.
@@ -130,6 +140,13 @@
     return unconfirmed.length > ready.length ? [...ready, ...unconfirmed] : ready;
   }
 
+  /** The ready endpoints of a service apart from prefill engines, which run no request alone. */
+  private runningEndpoints(service: string): EndpointState[] {
+    return this.readyEndpoints(service).filter(
+      ({ record }) => record.stage !== EngineStage.Prefill,
+    );
+  }
+
   private isRestartOfUnavailable(record: EndpointRecord): boolean {
     if (this.availabilities.has(incarnationKey(record))) {
       return false;
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -207,7 +207,7 @@
   }
 
   /** Ends a request without a complete response from an endpoint. Returns the outcome. */
-  private fail(reason: string, retryAfterMilliseconds = this.waitMilliseconds()): string {
+  private fail(reason: string, retryAfterMilliseconds?: number): string {
     const { sink, trace, deadline } = this.call;
     trace.addStep(reason);
     if (sink.gone.aborted) {
@@ -225,7 +225,9 @@
     const isStopping = deadline.endReason === EndReason.Stopping;
     return this.refuse(
       reason,
-      isStopping ? RETRY_AFTER_MILLISECONDS.Stopping : retryAfterMilliseconds,
+      isStopping
+        ? RETRY_AFTER_MILLISECONDS.Stopping
+        : (retryAfterMilliseconds ?? this.nextReturnMilliseconds()),
     );
   }
 
@@ -240,12 +242,8 @@
     return `own-${SERVICE_UNAVAILABLE}`;
   }
 
-  /** Time until an endpoint takes requests, if all have asked for none, within the limits. */
-  private waitMilliseconds(): number {
-    const { registry, clock } = this.call.parts;
-    const { service } = this.call.admitted;
-    const wait = registry.waitMilliseconds(service, clock.monotonicMilliseconds());
-    const { NoCapacity, Maximum } = RETRY_AFTER_MILLISECONDS;
-    return Number.isFinite(wait) ? Math.min(Math.max(NoCapacity, wait), Maximum) : NoCapacity;
+  private nextReturnMilliseconds(): number {
+    const { returns, clock } = this.call.parts;
+    return returns.nextMilliseconds(this.call.admitted.service, clock.monotonicMilliseconds());
   }
 }
--- a/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
@@ -4,6 +4,7 @@
 import { CallTrace } from './CallTrace.js';
 import { EndpointNotices } from './EndpointNotices.js';
 import { ForwardedCall } from './ForwardedCall.js';
+import { ReturnSchedule } from './ReturnSchedule.js';
 
 import type { ForwardedCallParts } from './CallContext.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
@@ -15,7 +16,7 @@
 const BAD_GATEWAY = 502;
 
 /** The collaborators of the exchange. */
-export interface ForwardingExchangeParts extends Omit<ForwardedCallParts, 'notices'> {
+export interface ForwardingExchangeParts extends Omit<ForwardedCallParts, 'notices' | 'returns'> {
   readonly admission: RequestAdmission;
   readonly metrics: ForwardingMetrics;
   readonly log: ComponentLogger;
@@ -27,11 +28,14 @@
 
   private readonly notices: EndpointNotices;
 
+  private readonly returns: ReturnSchedule;
+
   private open = 0;
 
   constructor(parts: ForwardingExchangeParts) {
     this.parts = parts;
     this.notices = new EndpointNotices(parts);
+    this.returns = new ReturnSchedule(parts.registry);
   }
 
   /** Number of requests in flight. */
@@ -73,7 +77,7 @@
       sink.answer(admitted.own);
       return `own-${admitted.own.status}`;
     }
-    const parts = { ...this.parts, notices: this.notices };
+    const parts = { ...this.parts, notices: this.notices, returns: this.returns };
     return new ForwardedCall(parts, request, admitted, sink, trace).run();
   }
 
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -67,6 +67,8 @@
   Stopping: 20,
   /** All endpoints of the service are full or unavailable. */
   NoCapacity: 300,
+  /** Longest time for which callers of a service with rate limits are put off one after another. */
+  RateLimited: 10_000,
   /** A prompt segment is quarantined, which does not end while requests with it come. */
   Quarantined: 60_000,
   /** All endpoints of the service have asked for no requests. Others may register sooner. */
