Do not reset a connection that closes after its last response

A caller that sent more before it had read the last response on its connection lost the rest of that response, which its endpoint had completed. The HTTP server destroys the socket once the last response has been handed to the operating system. Bytes that arrive after that, or that are not read yet, make the operating system reset the connection and drop what it has not delivered: handed over was taken for delivered.

CallerConnection now half-closes the socket and discards what still arrives until the caller has closed its end or has been silent for a second. A response to malformed bytes is closed in the same way. A stop doesn't extend that second.

The new test fails before the change.

--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -17,8 +17,12 @@
   /** The response to bytes that are not a valid request. Defined once they have been read. */
   private rejection: string | undefined;
 
+  private isLingering = false;
+
   constructor(socket: Socket) {
     this.socket = socket;
+    // The HTTP server calls this after the last response, to destroy the socket.
+    this.socket.destroySoon = () => this.linger();
   }
 
   /** Records a request until its response has been written out or the connection has closed. */
@@ -64,10 +68,17 @@
     return (
       this.openResponses.size === 0 &&
       this.socket.bytesRead === this.handledBytes &&
-      this.rejection === undefined
+      !this.isLingering
     );
   }
 
+  /** Closes the connection when its caller has neither sent nor read anything for the given time. */
+  setStallTimeout(milliseconds: number): void {
+    if (!this.isLingering) {
+      this.socket.setTimeout(milliseconds);
+    }
+  }
+
   /** Closes the responses that are queued behind another one. Called when the socket has closed. */
   handleSocketClose(): void {
     for (const response of [...this.openResponses]) {
@@ -97,8 +108,20 @@
     if (this.socket.writable && !hasBegun) {
       this.socket.write(this.rejection);
     }
-    // A close with unread bytes would reset the connection, and the caller might not get the response.
-    this.socket.end();
-    this.socket.setTimeout(LINGER_MILLISECONDS);
+    this.linger();
+  }
+
+  /**
+   * Closes the connection once its caller has closed it too. Closing a socket with unread bytes would
+   * reset the connection, and the caller would lose what it has not read yet.
+   */
+  private linger(): void {
+    const { socket } = this;
+    this.isLingering = true;
+    socket.end();
+    socket.removeAllListeners('data');
+    socket.on('data', () => {});
+    socket.resume();
+    socket.setTimeout(LINGER_MILLISECONDS);
   }
 }
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -120,8 +120,8 @@
    * nor read anything for the given time. Resolves when none is left.
    */
   async closeAllWhenIdle(stallTimeoutMilliseconds: number): Promise<void> {
-    for (const socket of this.connections.keys()) {
-      socket.setTimeout(stallTimeoutMilliseconds);
+    for (const connection of this.connections.values()) {
+      connection.setStallTimeout(stallTimeoutMilliseconds);
     }
     await new Promise<void>((resolve) => {
       this.onAllClosed = resolve;
--- a/packages/hickoryrelay/src/__tests__/e2e/CallerConnections.test.ts
+++ b/packages/hickoryrelay/src/__tests__/e2e/CallerConnections.test.ts
@@ -11,6 +11,9 @@
 /** More than the socket buffers of both ends hold. */
 const LARGE_BODY = Buffer.alloc(16_777_216);
 
+/** Fits into the socket buffers of both ends, but not into that of the caller alone. */
+const BODY = 'x'.repeat(500_000);
+
 const STALL_MILLISECONDS = 300;
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
@@ -147,4 +150,45 @@
     caller.end();
     await closed;
   });
+
+  // Guards against a reset by unread bytes, which discards what the caller has not read.
+  it('does not cut the last response of a caller that sends more before it has read it', async () => {
+    const responses: ServerResponse[] = [];
+    const { connections, caller } = await startServer((response) => {
+      responses.push(response);
+      response.shouldKeepAlive = false;
+      response.end(BODY);
+    });
+    caller.pause();
+    caller.write(REQUEST);
+    while (responses[0]?.writableFinished !== true) {
+      await sleep(1);
+    }
+    caller.write(REQUEST);
+    await sleep(100);
+    let text = '';
+    caller.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+    });
+    caller.resume();
+    await once(caller, 'close');
+    expect(text.endsWith(BODY)).toBe(true);
+    expect(responses).toHaveLength(1);
+    while (connections.size > 0) {
+      await sleep(1);
+    }
+  });
+
+  it('closes the connection of a caller that stays after the last response', async () => {
+    const { connections, caller } = await startServer((response) => {
+      response.shouldKeepAlive = false;
+      response.end(BODY);
+    });
+    caller.allowHalfOpen = true;
+    caller.write(REQUEST);
+    caller.resume();
+    await once(caller, 'end');
+    await connections.closeAllWhenIdle(60_000);
+    expect(connections.size).toBe(0);
+  });
 });
