Answer calls that are pipelined to a stopping daemon

Callers of the daemon that pipelined calls while a stop was announced got one response and lost the others, which endpoints ran.

A call that is read behind a response which has begun and closes the connection isn't run any more.

The test of requests around a drain didn't find it, because its endpoint took the service of the path for the identifier and the identifier for the working time: no request was recorded as run and each took a millisecond. Two further tests fail before the change: one of three pipelined calls was answered, and a call behind a stream that closes its connection ran.

--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -42,6 +42,9 @@
 
   private readonly log: ComponentLogger;
 
+  /** Defined once the server has been created. */
+  private connections: CallerConnections | undefined;
+
   constructor(instance: Instance, log: ComponentLogger) {
     this.instance = instance;
     this.log = log;
@@ -77,7 +80,10 @@
         ],
       },
       methods: {
-        createServer: this.serverFactory(onServer),
+        createServer: this.serverFactory((server, connections) => {
+          this.connections = connections;
+          onServer(server, connections);
+        }),
       },
     };
   }
@@ -138,6 +144,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (this.connections?.find(request.socket)?.closesBefore(response) === true) {
+      request.resume();
+      return;
+    }
     const requestIdentifier = this.instance.nextRequestIdentifier();
     try {
       this.instance.assertAcceptsCalls();
@@ -159,9 +169,6 @@
         new RelayError({ kind: FailureKind.Cancelled, reason: 'the caller disconnected' }),
       );
     });
-    if (!this.instance.isReady) {
-      response.setHeader('connection', 'close');
-    }
     const timer = new CallTimer(call, metrics.seriesFor(call), clock);
     await exchange.run(
       new HttpResponseWriter({
@@ -170,6 +177,11 @@
         timer,
         clock,
         stallTimeoutMilliseconds: settings.limits.callerStallSeconds * MILLISECONDS_PER_SECOND,
+        onHead: () => {
+          if (!this.instance.isReady) {
+            this.connections?.closeAfter(response);
+          }
+        },
       }),
     );
     this.log.info('Call ended.', {
--- a/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
@@ -23,6 +23,8 @@
   readonly clock: Clock;
   /** Time without reading after which the connection of a caller is closed. */
   readonly stallTimeoutMilliseconds: number;
+  /** Called before the head of the response is written. */
+  readonly onHead?: () => void;
 }
 
 /** Writes the response of a call to an HTTP/1.1 caller. */
@@ -49,6 +51,7 @@
 
   override begin(status: number, contentType: string): void {
     this.parts.timer.begin(status);
+    this.parts.onHead?.();
     this.isEventStream = contentType.startsWith(EVENT_STREAM);
     this.framing.start(status, {
       'content-type': contentType,
@@ -74,6 +77,7 @@
     this.parts.timer.fail(report.failure, report.notRun);
     const { status, headers, body } = errorResponse(report);
     if (!this.hasBegun) {
+      this.parts.onHead?.();
       sendWhole(this.response, status, headers, JSON.stringify(body));
       return;
     }
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/DrainRequests.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/DrainRequests.test.ts
@@ -112,7 +112,7 @@
   /** Identifiers of requests that an endpoint has received. */
   const ran = new Set<string>();
   const endpoint = createServer((request, response) => {
-    const [identifier = '', milliseconds = ''] = (request.url ?? '').slice(1).split('/');
+    const [, , identifier = '', milliseconds = ''] = (request.url ?? '').split('/');
     ran.add(identifier);
     request.resume();
     setTimeout(() => {
@@ -250,6 +250,50 @@
     await stopped;
   }
 
+  // Guards against a close after the first response that leaves calls behind it without one.
+  it('all get a response if they are pipelined while the stop is announced', async () => {
+    const instance = await federation.addInstance('entry-pipelined', 'zone-a', {
+      drain: { announceSeconds: 1, deadlineSeconds: DEADLINE_SECONDS },
+    });
+    const { hostname: host, port } = new URL(federation.urlOf(instance));
+    const stopped = instance.stop();
+    const plan = { bodyMilliseconds: 0, pauseMilliseconds: 0, isFollowed: true } as const;
+    const works = ([200, 20, 200] as const).map((workMilliseconds) => ({
+      ...plan,
+      workMilliseconds,
+    }));
+    const { text } = await useConnection(
+      'pipelined',
+      { host, port: Number(port) },
+      works.map((work) => ({ ...work, kind: CallKind.AtMostOnce })),
+    );
+    await stopped;
+    expect(countResponses(text)).toBe(works.length);
+  });
+
+  it('do not run behind a response that has begun and closes the connection', async () => {
+    const instance = await federation.addInstance('entry-close', 'zone-a', {
+      drain: { announceSeconds: 1, deadlineSeconds: DEADLINE_SECONDS },
+    });
+    const { hostname: host, port } = new URL(federation.urlOf(instance));
+    const stopped = instance.stop();
+    const plan = {
+      workMilliseconds: 200,
+      bodyMilliseconds: 0,
+      pauseMilliseconds: 0,
+      isFollowed: true,
+    } as const;
+    const socket = connect({ port: Number(port), host });
+    socket.write(requestBytes('close-0', { ...plan, kind: CallKind.Stream }));
+    const [head] = (await once(socket, 'data')) as [Buffer];
+    expect(head.toString('latin1')).toMatch(/\r\nconnection: close\r\n/iu);
+    socket.write(requestBytes('close-1', { ...plan, kind: CallKind.AtMostOnce }));
+    socket.resume();
+    await once(socket, 'close');
+    expect(ran.has('close-1')).toBe(false);
+    await stopped;
+  });
+
   // Guards against requests that come late in the grace time, are passed on and then cut, and
   // against requests that are read and dropped.
   it.each(SEEDS)('get a response if they were read, seed %i', async (seed) => {
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -53,6 +53,11 @@
     return this.openResponses.size === 1 && this.openResponses.has(response);
   }
 
+  /** True if the connection closes after another response, so that this one is never sent. */
+  closesBefore(response: ServerResponse): boolean {
+    return [...this.openResponses].some((open) => open !== response && !open.shouldKeepAlive);
+  }
+
   /** True if the connection closes after a response, so that later requests get none. */
   get isClosing(): boolean {
     return [...this.openResponses].some(({ shouldKeepAlive }) => !shouldKeepAlive);
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -74,6 +74,16 @@
     response.once('close', () => this.continueClosing());
   }
 
+  /**
+   * Closes the connection after a response unless other requests wait for theirs. Called before the
+   * head of the response is written.
+   */
+  closeAfter(response: ServerResponse): void {
+    if (this.connections.get(response.req.socket)?.isOnlyOpen(response) === true) {
+      response.shouldKeepAlive = false;
+    }
+  }
+
   /**
    * Closes a connection after a response to bytes that are not a valid request. Requests that were
    * read before them are answered first.
