Read responses in turns and bound what one response may bring

Callers saw: beside engines that never stop sending, the requests of other clients got no answer for seconds, and most callers of those engines got no status half a second after their deadline.

Cause: nothing shared the event loop between connections. The HTTP client library parses all that has arrived on a connection before it returns, also once the connection has failed: a destroyed socket still returns its bytes, and each header line beyond the limit created an error with its stack (42% of the samples of a profile with endless trailers). Each event was decoded and written on its own, 4,096 in a read of 64 KB, without a turn for I/O in between. And no limit applied to framing, interim responses, trailers or the number of events, so that such a response went on until its deadline and its engine did not count as failed.

Fix: sockets to endpoints, and the bodies read from them, are processed in turns of about 2 ms, first those that have had least, so that timers, new connections and other responses come in between. A destroyed socket returns nothing. A response has 16 KB for its head with interim responses, and 32 KB, 32 KB a second and a quarter of its body for what is neither head nor body. Events that arrive together are written together and split only if one has an identifier, and a stream may bring 8,000 events and 2,000 a second, 16 MB and 16 MB a second. A response beyond that fails as one that breaks off does: its engine counts as failed, and the request is repeated or resumed where its route allows.

The parser's test counted the bytes searched by indexOf; the parser reads each byte by index now, so the test counts both.

--- a/packages/hickoryrelay-forwarding/src/EventStreamParser.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamParser.ts
@@ -3,6 +3,7 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const IDENTIFIER_FIELD = Buffer.from('id:');
 const IDENTIFIER_PATTERN = /^id: ?(.*?)\r?$/mu;
 
 /** An endpoint in trouble may send bytes without an event boundary for as long as it is read. */
@@ -39,6 +40,72 @@
     : identifier !== previous;
 }
 
+/** Finds the blank lines that end events, in bytes that arrive in parts. */
+class EventEndScanner {
+  private lineState: LineState = LineState.WithinLine;
+
+  /** Yields the index after each blank line. Every byte is passed once. */
+  *scan(bytes: Buffer): Generator<number, void, void> {
+    for (let position = 0; position < bytes.length; position += 1) {
+      if (this.endsEvent(bytes[position] as number)) {
+        yield position + 1;
+      }
+    }
+  }
+
+  /** Returns the number of events that end in the bytes, and the index after the last one. */
+  count(bytes: Buffer): { readonly events: number; readonly end: number } {
+    let events = 0;
+    let end = 0;
+    for (let position = 0; position < bytes.length; position += 1) {
+      if (this.endsEvent(bytes[position] as number)) {
+        events += 1;
+        end = position + 1;
+      }
+    }
+    return { events, end };
+  }
+
+  private endsEvent(byte: number): boolean {
+    if (byte === LINE_FEED) {
+      const isBlankLine = this.lineState !== LineState.WithinLine;
+      this.lineState = isBlankLine ? LineState.WithinLine : LineState.AfterLineFeed;
+      return isBlankLine;
+    }
+    const isBlankSoFar = byte === CARRIAGE_RETURN && this.lineState === LineState.AfterLineFeed;
+    this.lineState = isBlankSoFar ? LineState.AfterCarriageReturn : LineState.WithinLine;
+    return false;
+  }
+}
+
+/** Complete events that arrived together, in order. */
+export class EventBatch {
+  readonly bytes: Buffer;
+
+  /** Number of events. */
+  readonly length: number;
+
+  constructor(bytes: Buffer, length: number) {
+    this.bytes = bytes;
+    this.length = length;
+  }
+
+  /** False if no event has an identifier, which costs less to find out than to split the batch. */
+  get mayHaveIdentifiers(): boolean {
+    return this.bytes.includes(IDENTIFIER_FIELD);
+  }
+
+  /** Splits the batch into its events. */
+  *events(): Generator<ServerSentEvent, void, void> {
+    let start = 0;
+    for (const end of new EventEndScanner().scan(this.bytes)) {
+      const bytes = this.bytes.subarray(start, end);
+      yield { bytes, identifier: IDENTIFIER_PATTERN.exec(bytes.toString('utf8'))?.[1] };
+      start = end;
+    }
+  }
+}
+
 /**
  * Splits the bytes of a stream into complete events. Every byte is searched once, and the memory of
  * an event that has not ended is bounded.
@@ -46,7 +113,7 @@
 export class EventStreamParser {
   private readonly endpoint: string;
 
-  private lineState: LineState = LineState.WithinLine;
+  private readonly scanner = new EventEndScanner();
 
   /** Holds the bytes after the last complete event, in its first `pendingBytes` bytes. */
   private pending: Buffer = Buffer.alloc(0);
@@ -59,21 +126,17 @@
   }
 
   /**
-   * Adds a chunk and yields the events that it completes. Throws `protocol-violation` if an event
-   * exceeds `MAXIMUM_EVENT_BYTES`.
+   * Adds a chunk and returns the events that it completes, if any. Throws `protocol-violation` if an
+   * event exceeds `MAXIMUM_EVENT_BYTES`; the complete events before it are lost then.
    */
-  *push(chunk: Buffer): Generator<ServerSentEvent, void, void> {
-    let start = 0;
-    for (let end = this.findEventEnd(chunk, start); end !== -1;) {
-      const bytes = this.takePending(chunk.subarray(start, end));
-      const identifier = IDENTIFIER_PATTERN.exec(bytes.toString('utf8'))?.[1];
-      yield { bytes, identifier };
-      start = end;
-      end = this.findEventEnd(chunk, start);
-    }
-    if (start < chunk.length) {
-      this.appendPending(start === 0 ? chunk : chunk.subarray(start));
+  push(chunk: Buffer): EventBatch | undefined {
+    const { events, end } = this.scanner.count(chunk);
+    const batch =
+      events === 0 ? undefined : new EventBatch(this.takePending(chunk.subarray(0, end)), events);
+    if (end < chunk.length) {
+      this.appendPending(chunk.subarray(end));
     }
+    return batch;
   }
 
   /** Bytes after the last complete event. */
@@ -86,33 +149,6 @@
     return this.remainder.some((byte) => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
   }
 
-  /** Returns the index after the blank line that ends the current event, or -1. */
-  private findEventEnd(chunk: Buffer, start: number): number {
-    let position = start;
-    while (position < chunk.length) {
-      if (this.lineState === LineState.WithinLine) {
-        const lineFeed = chunk.indexOf(LINE_FEED, position);
-        if (lineFeed === -1) {
-          return -1;
-        }
-        this.lineState = LineState.AfterLineFeed;
-        position = lineFeed + 1;
-      } else if (chunk[position] === LINE_FEED) {
-        this.lineState = LineState.WithinLine;
-        return position + 1;
-      } else if (
-        chunk[position] === CARRIAGE_RETURN &&
-        this.lineState === LineState.AfterLineFeed
-      ) {
-        this.lineState = LineState.AfterCarriageReturn;
-        position += 1;
-      } else {
-        this.lineState = LineState.WithinLine;
-      }
-    }
-    return -1;
-  }
-
   /** Returns the pending bytes followed by the given ones. */
   private takePending(bytes: Buffer): Buffer {
     if (this.pendingBytes === 0) {
--- a/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
@@ -1,39 +1,54 @@
 import { EndpointResponseRelay } from './EndpointResponseRelay.js';
+import { EventStreamAllowance } from './EventStreamAllowance.js';
 import { EventStreamParser, mayFollow } from './EventStreamParser.js';
 
 import type { RelayObserver } from './EndpointResponseRelay.js';
-import type { ServerSentEvent } from './EventStreamParser.js';
+import type { EventBatch, ServerSentEvent } from './EventStreamParser.js';
+import type { RelayError } from 'hickoryrelay/RelayError';
+
+/** Events that are written to the caller together. */
+interface Delivery {
+  readonly bytes: Buffer;
+  /** True if the stream can be resumed after them: each has an identifier. */
+  readonly areIdentified: boolean;
+  readonly lastIdentifier: string | undefined;
+}
 
 /**
  * Relays complete events only, so that another endpoint can resume the stream after them. Throws
- * `endpoint-failed` if the stream repeats an event or ends inside one.
+ * `endpoint-failed` if the stream repeats an event, ends inside one or brings too many.
+ *
+ * Events that arrive together are written together: a write for each event would cost more than
+ * its parsing, and the events of one chunk would keep other connections waiting.
  */
 export class EventStreamRelay extends EndpointResponseRelay {
   private readonly parser = new EventStreamParser(this.attempt.state.record.identifier);
 
-  private readonly events = this.readEvents();
+  private readonly deliveries = this.readDeliveries();
 
-  /** The first event, which `prepare` has read; undefined if the stream has none. */
-  private firstEvent: ServerSentEvent | undefined;
+  private readonly allowance = new EventStreamAllowance(this.call.parts.clock);
+
+  /** The first events, which `prepare` has read; undefined if the stream has none. */
+  private firstDelivery: Delivery | undefined;
 
   override async prepare(): Promise<void> {
-    const { done, value } = await this.events.next();
+    const { done, value } = await this.deliveries.next();
     if (done === true) {
       this.assertWhole();
     } else {
-      this.firstEvent = value;
+      this.firstDelivery = value;
       this.recordFirstByte();
     }
   }
 
   override async relay(observer: RelayObserver): Promise<void> {
-    for await (const event of this.allEvents()) {
+    for await (const delivery of this.allDeliveries()) {
       this.attempt.assertWanted();
       observer.onArrival();
       this.start();
-      await this.call.sink.write(event.bytes);
-      this.call.recordDelivery(event.identifier);
-      observer.onWritten(event === this.firstEvent);
+      await this.call.sink.write(delivery.bytes);
+      this.recordDelivery(delivery);
+      observer.onWritten(delivery === this.firstDelivery);
     }
     this.attempt.assertWanted();
     this.assertWhole();
@@ -47,23 +62,66 @@
   }
 
   override discard(): void {
-    void this.events.return();
+    void this.deliveries.return();
   }
 
-  private async *readEvents(): AsyncGenerator<ServerSentEvent, void, void> {
+  private async *readDeliveries(): AsyncGenerator<Delivery, void, void> {
     for await (const chunk of this.response.body) {
-      for (const event of this.parser.push(chunk)) {
-        this.checkOrder(event);
+      const batch = this.parser.push(chunk);
+      if (!this.allowance.tryTake(batch?.length ?? 0, chunk.length)) {
+        throw this.failure('the stream has too many events or bytes');
+      }
+      if (batch !== undefined) {
         this.attempt.recordActivity();
-        yield event;
+        yield* this.split(batch);
+      }
+    }
+  }
+
+  /** Yields the events that may be relayed. Throws at the first one that may not. */
+  private *split(batch: EventBatch): Generator<Delivery, void, void> {
+    if (!batch.mayHaveIdentifiers) {
+      yield { bytes: batch.bytes, areIdentified: false, lastIdentifier: undefined };
+      return;
+    }
+    let previous = this.call.lastEvent;
+    let lastIdentifier: string | undefined;
+    let areIdentified = true;
+    let length = 0;
+    const delivery = (): Delivery => ({
+      bytes: batch.bytes.subarray(0, length),
+      areIdentified,
+      lastIdentifier,
+    });
+    for (const event of batch.events()) {
+      const failure = this.orderFailure(event, previous);
+      if (failure !== undefined) {
+        if (length > 0) {
+          yield delivery();
+        }
+        throw failure;
       }
+      previous = event.identifier ?? previous;
+      lastIdentifier = event.identifier ?? lastIdentifier;
+      areIdentified &&= event.identifier !== undefined;
+      length += event.bytes.length;
     }
+    yield delivery();
   }
 
-  private async *allEvents(): AsyncGenerator<ServerSentEvent, void, void> {
-    if (this.firstEvent !== undefined) {
-      yield this.firstEvent;
-      yield* this.events;
+  private async *allDeliveries(): AsyncGenerator<Delivery, void, void> {
+    if (this.firstDelivery !== undefined) {
+      yield this.firstDelivery;
+      yield* this.deliveries;
+    }
+  }
+
+  private recordDelivery({ areIdentified, lastIdentifier }: Delivery): void {
+    if (!areIdentified) {
+      this.call.recordDelivery(undefined);
+    }
+    if (lastIdentifier !== undefined) {
+      this.call.recordDelivery(lastIdentifier);
     }
   }
 
@@ -74,18 +132,18 @@
     if (parser.isWithinEvent) {
       throw this.failure('the stream ended inside an event');
     }
-    if (this.firstEvent === undefined && isCloseDelimited && call.lastEvent === undefined) {
+    if (this.firstDelivery === undefined && isCloseDelimited && call.lastEvent === undefined) {
       throw this.failure('the stream ended before its first event');
     }
   }
 
-  private checkOrder({ identifier }: ServerSentEvent): void {
-    const { lastEvent } = this.call;
-    if (identifier !== undefined && lastEvent !== undefined && !mayFollow(identifier, lastEvent)) {
-      throw this.failure(
-        `event ${identifier.slice(0, 20)} came after event ${lastEvent.slice(0, 20)}`,
-      );
-    }
+  private orderFailure(
+    { identifier }: ServerSentEvent,
+    previous: string | undefined,
+  ): RelayError | undefined {
+    return identifier === undefined || previous === undefined || mayFollow(identifier, previous)
+      ? undefined
+      : this.failure(`event ${identifier.slice(0, 20)} came after event ${previous.slice(0, 20)}`);
   }
 
   /** A stream that may be resumed has no stated length, since its bytes may come from two endpoints. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EventStreamParser.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EventStreamParser.test.ts
@@ -5,7 +5,7 @@
 
 function parse(chunks: readonly Buffer[]) {
   const parser = new EventStreamParser('e-1');
-  const events = chunks.flatMap((chunk) => [...parser.push(chunk)]);
+  const events = chunks.flatMap((chunk) => [...(parser.push(chunk)?.events() ?? [])]);
   return { events, remainder: parser.remainder };
 }
 
@@ -50,7 +50,7 @@
     let accepted = 0;
     const pushUntilFailure = () => {
       for (;;) {
-        expect([...parser.push(Buffer.alloc(size, 'x'))]).toEqual([]);
+        expect(parser.push(Buffer.alloc(size, 'x'))).toBeUndefined();
         accepted += size;
       }
     };
@@ -62,12 +62,34 @@
   // Guards against joining and searching all earlier bytes again for each chunk.
   it('reads each byte of an event once', () => {
     const parser = new EventStreamParser('e-1');
+    let readBytes = 0;
+    const countReads = (buffer: Buffer) =>
+      new Proxy(buffer, {
+        get: (target, key) => {
+          readBytes += /^\d+$/u.test(String(key)) ? 1 : 0;
+          const value: unknown = Reflect.get(target, key, target);
+          return typeof value === 'function' ? (value.bind(target) as unknown) : value;
+        },
+      });
     const search = vi.spyOn(Buffer.prototype, 'indexOf');
     for (let count = 0; count < 4000; count += 1) {
-      expect([...parser.push(Buffer.alloc(64, 'x'))]).toEqual([]);
+      expect(parser.push(countReads(Buffer.alloc(64, 'x')))).toBeUndefined();
     }
     const searchedBytes = search.mock.contexts.reduce((sum, { length }) => sum + length, 0);
     search.mockRestore();
-    expect(searchedBytes).toBe(4000 * 64);
+    expect(readBytes + searchedBytes).toBe(4000 * 64);
+  });
+
+  // Guards against events that are counted or told apart differently in a batch than one by one.
+  it('counts the events of a batch and finds their identifiers', () => {
+    const parser = new EventStreamParser('e-1');
+    expect(parser.push(Buffer.from('id: 1\nda'))).toBeUndefined();
+    const batch = parser.push(Buffer.from('ta: x\n\ndata: y\r\n\r\nid:3\r\n\r\nid: 4'));
+    expect(batch).toMatchObject({ length: 3, mayHaveIdentifiers: true });
+    const identifiers = [...(batch?.events() ?? [])].map(({ identifier }) => identifier);
+    expect(identifiers).toEqual(['1', undefined, '3']);
+    expect(parser.remainder.toString()).toBe('id: 4');
+    expect(parser.push(Buffer.from('\ndata: z\n\n'))?.length).toBe(1);
+    expect(parser.push(Buffer.from('data: z\n\n'))?.mayHaveIdentifiers).toBe(false);
   });
 });
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedStream.test.ts
@@ -449,6 +449,39 @@
     expect(failed?.failureRate(harness.clock.monotonicMilliseconds())).toBeGreaterThan(0);
   });
 
+  // Guards against streams of complete events that take the processor until their deadline.
+  it.each([
+    ['is broken off', [], false],
+    ['is resumed at another endpoint', [async () => makeResponse(['id: 99999\n\n'])], true],
+  ] as [string, EndpointBehaviour[], boolean][])(
+    '%s if it has too many events, and its engine fails',
+    async (_name, others, isEnded) => {
+      const batch = (first: number) =>
+        Array.from({ length: 1000 }, (_value, index) => `id: ${first + index}\n\n`).join('');
+      const overlong: EndpointBehaviour = async () =>
+        makeResponse(Array.from({ length: 90 }, (_value, index) => batch(index * 1000 + 1)));
+      const harness = makeRouteHarness(RESUMABLE_STREAM, [overlong, ...others]);
+      await harness.run();
+      expect(harness.sink).toMatchObject({ isEnded, isAborted: !isEnded });
+      expect(harness.sink.text.length).toBeLessThan(batch(10_000).length * 12);
+      const [failed] = harness.registry
+        .readyEndpoints('desk')
+        .filter(({ record }) => record.identifier === harness.link.sent[0]?.endpoint.identifier);
+      expect(failed?.failureRate(harness.clock.monotonicMilliseconds())).toBeGreaterThan(0);
+    },
+  );
+
+  // Guards against a delivered event that is not counted when a later one of its chunk is refused.
+  it('delivers the events of a chunk before one that is out of order', async () => {
+    const harness = makeRouteHarness(RESUMABLE_STREAM, [
+      async () => makeResponse(['id: 1\n\nid: 2\n\nid: 2\n\n']),
+      async () => makeResponse(['id: 3\n\n']),
+    ]);
+    await harness.run();
+    expect(harness.link.sent[1]?.lastEvent).toBe('2');
+    expect(harness.sink).toMatchObject({ text: 'id: 1\n\nid: 2\n\nid: 3\n\n', isEnded: true });
+  });
+
   // Guards against events of a second run after the body of a failure response.
   it('does not resume a failure response that breaks off', async () => {
     const long = 'x'.repeat(70_000);
--- /dev/null
+++ b/packages/hickoryrelay/src/PacedReads.ts
@@ -0,0 +1,77 @@
+import { eventLoopTurns, TurnReader } from './ReadTurns.js';
+
+import type { ReadTurns } from './ReadTurns.js';
+import type { ResponseAllowance } from './ResponseAllowance.js';
+import type { Socket } from 'node:net';
+
+/** Reads the bytes of one socket in turns, within what the current response may bring. */
+class PacedReads extends TurnReader {
+  private readonly socket: Socket;
+
+  private readonly turns: ReadTurns;
+
+  private readonly allowance: ResponseAllowance | undefined;
+
+  private readonly readSocket: (size?: number) => Buffer | null;
+
+  /** Bytes that may be read now. */
+  private granted = 0;
+
+  private portionBytes = 0;
+
+  constructor(socket: Socket, turns: ReadTurns, allowance: ResponseAllowance | undefined) {
+    super();
+    this.socket = socket;
+    this.turns = turns;
+    this.allowance = allowance;
+    this.readSocket = socket.read.bind(socket);
+    Object.assign(socket, { read: (size?: number) => this.read(size) });
+    socket.once('close', () => turns.remove(this));
+  }
+
+  override readPortion(portionBytes: number): number {
+    this.granted = portionBytes;
+    this.portionBytes = 0;
+    this.socket.emit('readable');
+    this.granted = 0;
+    return this.portionBytes;
+  }
+
+  private read(size: number | undefined): Buffer | null {
+    const { readableLength, destroyed } = this.socket;
+    if (size !== undefined || readableLength === 0) {
+      return this.readSocket(size);
+    }
+    if (destroyed) {
+      // A destroyed socket would still return all the bytes that it has received.
+      return null;
+    }
+    if (this.granted === 0) {
+      this.turns.request(this);
+      return null;
+    }
+    const allowed = this.allowance?.nextBytes(this.socket) ?? Number.POSITIVE_INFINITY;
+    if (allowed <= 0) {
+      this.socket.destroy(this.allowance?.failure);
+      return null;
+    }
+    const bytes = TurnReader.sizeOf(readableLength, Math.min(this.granted, allowed));
+    this.granted = 0;
+    this.portionBytes = bytes;
+    return bytes === readableLength ? this.readSocket() : this.readSocket(bytes);
+  }
+}
+
+/**
+ * Makes `read()` of a socket return its bytes in portions, in turn with other sockets, and `null`
+ * in between, as if no bytes had arrived. The socket fails when its allowance is used up. For users
+ * that read on `readable`, such as the HTTP client library.
+ */
+export function paceReads(
+  socket: Socket,
+  allowance?: ResponseAllowance,
+  turns: ReadTurns = eventLoopTurns,
+): void {
+  // eslint-disable-next-line no-new -- The socket refers to the object.
+  new PacedReads(socket, turns, allowance);
+}
--- /dev/null
+++ b/packages/hickoryrelay/src/ReadTurns.ts
@@ -0,0 +1,155 @@
+import { SystemClock } from './Clock.js';
+
+import type { Clock } from './Clock.js';
+
+/**
+ * Time for which received bytes are processed before the event loop turns to timers and new
+ * connections, of which it accepts one in each turn.
+ */
+const TURN_MILLISECONDS = 2;
+
+/** Bytes that a turn processes, however long or short its bytes take. */
+const MAXIMUM_TURN_BYTES = 65_536;
+const MINIMUM_TURN_BYTES = 4096;
+
+/** Smallest portion, so that many waiting readers do not add a turn for each few bytes. */
+const MINIMUM_PORTION_BYTES = 2048;
+
+/** Time constant by which the bytes of a reader are forgotten. */
+const DECAY_MILLISECONDS = 1000;
+
+/** One of those that process received bytes in turns. */
+export abstract class TurnReader {
+  private bytes = 0;
+
+  private atMilliseconds = 0;
+
+  /** Bytes processed within about the last second. */
+  recentBytes(now: number): number {
+    return this.bytes * Math.exp((this.atMilliseconds - now) / DECAY_MILLISECONDS);
+  }
+
+  recordBytes(bytes: number, now: number): void {
+    this.bytes = this.recentBytes(now) + bytes;
+    this.atMilliseconds = now;
+  }
+
+  /** Processes a portion of about the given size or smaller. Returns the number of bytes. */
+  abstract readPortion(portionBytes: number): number;
+
+  /** Size of the next portion. A small remainder is included, since splitting may cost a copy. */
+  protected static sizeOf(availableBytes: number, portionBytes: number): number {
+    return availableBytes < 2 * portionBytes ? availableBytes : portionBytes;
+  }
+}
+
+/**
+ * Shares the event loop between those that process received bytes. Each turn of the event loop
+ * processes a limited part, first of the readers that have had least, so that a peer that always
+ * has bytes ready does not delay other connections or timers.
+ */
+export class ReadTurns {
+  private readonly clock: Clock;
+
+  private readonly waiting = new Set<TurnReader>();
+
+  private isScheduled = false;
+
+  private turnBytes = MAXIMUM_TURN_BYTES;
+
+  constructor(clock: Clock = new SystemClock()) {
+    this.clock = clock;
+  }
+
+  /** Lets a reader process a portion in this turn of the event loop or a later one. */
+  request(reader: TurnReader): void {
+    this.waiting.add(reader);
+    this.schedule();
+  }
+
+  /** Withdraws a request. */
+  remove(reader: TurnReader): void {
+    this.waiting.delete(reader);
+  }
+
+  private schedule(): void {
+    if (this.isScheduled || this.waiting.size === 0) {
+      return;
+    }
+    this.isScheduled = true;
+    let processedBytes = 0;
+    let startMilliseconds = 0;
+    setImmediate(() => {
+      startMilliseconds = this.clock.monotonicMilliseconds();
+      processedBytes = this.runTurn(startMilliseconds);
+    });
+    // Runs after the promises and ticks that the portions have led to.
+    setImmediate(() => {
+      this.adapt(processedBytes, this.clock.monotonicMilliseconds() - startMilliseconds);
+      this.isScheduled = false;
+      this.schedule();
+    });
+  }
+
+  /** Serves each reader at most once, since its promises run only after the turn. */
+  private runTurn(now: number): number {
+    const share = Math.floor(this.turnBytes / Math.max(1, this.waiting.size));
+    const portionBytes = Math.max(MINIMUM_PORTION_BYTES, share);
+    const readers = [...this.waiting]
+      .map((reader) => ({ reader, bytes: reader.recentBytes(now) }))
+      .sort((left, right) => left.bytes - right.bytes);
+    let processedBytes = 0;
+    for (const { reader } of readers) {
+      if (processedBytes >= this.turnBytes) {
+        break;
+      }
+      // A reader may be removed while another one is served.
+      if (this.waiting.delete(reader)) {
+        const bytes = reader.readPortion(portionBytes);
+        reader.recordBytes(bytes, now);
+        processedBytes += bytes;
+      }
+    }
+    return processedBytes;
+  }
+
+  /** Sets the size of the next turn so that it takes about its time at the speed of this one. */
+  private adapt(processedBytes: number, milliseconds: number): void {
+    if (processedBytes >= this.turnBytes || milliseconds > TURN_MILLISECONDS) {
+      const bytes = processedBytes * (TURN_MILLISECONDS / Math.max(milliseconds, 0.01));
+      this.turnBytes = Math.min(MAXIMUM_TURN_BYTES, Math.max(MINIMUM_TURN_BYTES, bytes));
+    }
+  }
+}
+
+/** The turns of the event loop of this process, which all its connections share. */
+export const eventLoopTurns = new ReadTurns();
+
+/** Lets a task process bytes that it has received, in turn with others. */
+export class TurnGate extends TurnReader {
+  private readonly turns: ReadTurns;
+
+  private availableBytes = 0;
+
+  private enter: (bytes: number) => void = () => {};
+
+  constructor(turns: ReadTurns = eventLoopTurns) {
+    super();
+    this.turns = turns;
+  }
+
+  /** Resolves with the number of bytes that may be processed now, of those that are available. */
+  wait(availableBytes: number): Promise<number> {
+    this.availableBytes = availableBytes;
+    return new Promise((resolve) => {
+      this.enter = resolve;
+      this.turns.request(this);
+    });
+  }
+
+  override readPortion(portionBytes: number): number {
+    const bytes = TurnReader.sizeOf(this.availableBytes, portionBytes);
+    this.enter(bytes);
+    return bytes;
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay/src/__tests__/unit/PacedReads.test.ts
@@ -0,0 +1,108 @@
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { paceReads } from 'hickoryrelay/PacedReads';
+import { ResponseAllowance } from 'hickoryrelay/ResponseAllowance';
+
+import type { AddressInfo, Socket } from 'node:net';
+
+const cleanUps: (() => unknown)[] = [];
+
+afterEach(() => {
+  cleanUps.splice(0).forEach((cleanUp) => cleanUp());
+});
+
+async function openPair(): Promise<{ readonly socket: Socket; readonly peer: Socket }> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const accepted = once(server, 'connection');
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const [peer] = (await accepted) as [Socket];
+  peer.on('error', () => {});
+  cleanUps.push(
+    () => server.close(),
+    () => socket.destroy(),
+    () => peer.destroy(),
+  );
+  return { socket, peer };
+}
+
+/** Reads as the HTTP client library does. */
+function collect(socket: Socket): Buffer[] {
+  const chunks: Buffer[] = [];
+  socket.on('readable', () => {
+    for (let chunk: unknown = socket.read(); chunk !== null; chunk = socket.read()) {
+      chunks.push(chunk as Buffer);
+    }
+  });
+  return chunks;
+}
+
+describe('A socket that is read in turns', () => {
+  // Guards against bytes that are lost, repeated or out of order, and an end that is not reported.
+  it('returns all bytes and then ends', async () => {
+    const { socket, peer } = await openPair();
+    paceReads(socket);
+    const sent = Buffer.from(Array.from({ length: 500_000 }, (_value, index) => index % 251));
+    const chunks = collect(socket);
+    peer.end(sent);
+    await once(socket, 'end');
+    expect(Buffer.concat(chunks).equals(sent)).toBe(true);
+  });
+
+  // Guards against one connection that is read again and again before others are.
+  it('returns one portion in each turn of the event loop', async () => {
+    const { socket, peer } = await openPair();
+    paceReads(socket);
+    let turn = 0;
+    let isOpen = true;
+    const countTurn = () => {
+      turn += 1;
+      if (isOpen) {
+        setImmediate(countTurn);
+      }
+    };
+    countTurn();
+    const turns: number[] = [];
+    socket.on('readable', () => {
+      while (socket.read() !== null) {
+        turns.push(turn);
+      }
+    });
+    peer.end(Buffer.alloc(2_000_000));
+    await once(socket, 'end');
+    isOpen = false;
+    expect(turns.length).toBeGreaterThan(10);
+    expect(new Set(turns).size).toBe(turns.length);
+  });
+
+  // Guards against the parsing of all that has arrived after the connection has failed.
+  it('returns nothing once it is destroyed', async () => {
+    const { socket, peer } = await openPair();
+    paceReads(socket);
+    const chunks: Buffer[] = [];
+    socket.on('readable', () => {
+      for (let chunk: unknown = socket.read(); chunk !== null; chunk = socket.read()) {
+        chunks.push(chunk as Buffer);
+        socket.destroy();
+      }
+    });
+    peer.write(Buffer.alloc(500_000));
+    await once(socket, 'close');
+    expect(chunks).toHaveLength(1);
+    expect(socket.read()).toBeNull();
+  });
+
+  it('fails when its allowance is used up', async () => {
+    const { socket, peer } = await openPair();
+    const allowance = new ResponseAllowance(new ManualClock(), 'peer');
+    paceReads(socket, allowance);
+    allowance.begin(socket);
+    const chunks = collect(socket);
+    peer.write(Buffer.alloc(500_000));
+    const [error] = (await once(socket, 'error')) as [Error];
+    expect(error.message).toContain('the head of the response has too many bytes');
+    expect(Buffer.concat(chunks).length).toBeLessThanOrEqual(32_768);
+  });
+});
