Read the store, the platform and the product's endpoints in turns

The client of the store, the calls of the authority holder and the product's link to endpoints read all that had arrived on each connection at once, and parsed it on although the connection had failed.

Evidence: in one turn of the event loop, 4 calls to a store without end brought 421 KB, and 20 calls to an endpoint of the product 1.8 MB (idempotent) and 2.1 MB (not idempotent).

Not changed: the requests of the product that go through the client library's global dispatcher (its key-value service, lists and status), each of which reads one bounded response at a time.

--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -1,4 +1,5 @@
 import { buildConnector, Client, Pool } from 'undici';
+import { paceReads } from 'hickoryrelay/PacedReads';
 
 import { EndpointLink } from './EndpointLink.js';
 import { HttpResponseStream, REQUEST_IDENTIFIER_HEADER } from './HttpResponseStream.js';
@@ -39,6 +40,7 @@
   readonly connect: buildConnector.connector = (options, callback) => {
     connectSocket(options, (...result) => {
       if (result[0] === null) {
+        paceReads(result[1]);
         this.observe(result[1]);
       }
       callback(...result);
--- a/packages/hickoryrelay-link/src/OrderLink.ts
+++ b/packages/hickoryrelay-link/src/OrderLink.ts
@@ -1,5 +1,6 @@
 import { buildConnector, Client } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
+import { paceReads } from 'hickoryrelay/PacedReads';
 import { RelayError, hasFailureKind } from 'hickoryrelay/RelayError';
 import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 import { guardWrites } from 'hickoryrelay/SocketGuardUtils';
@@ -77,6 +78,7 @@
         connector(options, (...result) => {
           if (result[0] === null) {
             guardWrites(result[1], check);
+            paceReads(result[1]);
           }
           callback(...result);
         });
--- a/packages/hickoryrelay-platform/src/HttpPlatform.ts
+++ b/packages/hickoryrelay-platform/src/HttpPlatform.ts
@@ -1,6 +1,7 @@
 import { buildConnector, Client, getGlobalDispatcher, request } from 'undici';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { silentLogger } from 'hickoryrelay/Logger';
+import { paceReads } from 'hickoryrelay/PacedReads';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 import { guardWrites } from 'hickoryrelay/SocketGuardUtils';
@@ -107,6 +108,7 @@
         connector(options, (...result) => {
           if (result[0] === null) {
             guardWrites(result[1], check);
+            paceReads(result[1]);
           }
           callback(...result);
         });
