Wait for a caller that does not read until the deadline only

Callers saw nothing: found while endless responses were tried with callers that do not read. Such a request stayed open after its deadline, and its endpoint's place counted as taken, until the caller read or left.

Cause: a write to the caller ended with its reading or leaving, and the deadline only aborted the response of the endpoint.

Fix: a write also ends when the deadline passes.

--- a/packages/hickoryrelay-forwarding/src/BufferedResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/BufferedResponseRelay.ts
@@ -32,11 +32,11 @@
     observer.onArrival();
     this.start();
     for (const chunk of this.buffered) {
-      await sink.write(chunk);
+      await this.write(chunk);
     }
     if (!this.isComplete) {
       for await (const chunk of this.chunks) {
-        await sink.write(chunk);
+        await this.write(chunk);
       }
       this.recordFirstByte();
     }
--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -61,6 +61,12 @@
     this.attempt.recordUsage(now);
   }
 
+  /** Writes to the caller. Does not wait for it beyond the deadline. */
+  protected write(bytes: Buffer): Promise<void> {
+    const { sink, deadline } = this.call;
+    return sink.write(bytes, deadline.signal);
+  }
+
   protected failure(reason: string): RelayError {
     const endpoint = this.attempt.state.record.identifier;
     return new RelayError({
--- a/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
@@ -46,7 +46,7 @@
       this.attempt.assertWanted();
       observer.onArrival();
       this.start();
-      await this.call.sink.write(delivery.bytes);
+      await this.write(delivery.bytes);
       this.recordDelivery(delivery);
       observer.onWritten(delivery === this.firstDelivery);
     }
@@ -56,7 +56,7 @@
     this.start();
     const { sink } = this.call;
     if (this.parser.remainder.length > 0) {
-      await sink.write(this.parser.remainder);
+      await this.write(this.parser.remainder);
     }
     sink.end();
   }
--- a/packages/hickoryrelay-forwarding/src/ResponseSink.ts
+++ b/packages/hickoryrelay-forwarding/src/ResponseSink.ts
@@ -33,8 +33,11 @@
   /** Sends the head of an endpoint's response. */
   abstract start(head: ResponseHead): void;
 
-  /** Sends a chunk of the body. Resolves when the caller can receive more. */
-  abstract write(chunk: Buffer): Promise<void>;
+  /**
+   * Sends a chunk of the body. Resolves when the caller can receive more, has left, or the signal
+   * aborts. A caller that does not read would otherwise hold its request beyond the deadline.
+   */
+  abstract write(chunk: Buffer, signal: AbortSignal): Promise<void>;
 
   /** Completes a response whose body has ended as its head states. */
   abstract end(): void;
