Date rate limits for others by the request, and ignore reports after a pause

A limit that a response named was reported with the age of its arrival. An instance that was paused for 25 s read a response with an earlier, higher limit on its return and reported it as new. The others raised the limit with it. The same happened with reports that had waited during the pause and confirmed what the instance knew: their age lacks the time that they waited.

A statement now has the range of times that it may be from, from the start of the request to the arrival of the response. Others are told the earliest time, so only a later request can raise a limit. What they report lowers a limit if it is later than the earliest time, and raises or ends it if it is later than the latest. A report that names no limit also counts as 1 s older if it confirms what is known. After a pause all reports are ignored for a second; they are repeated within 2.4 s.

EndpointRateLimit.test.ts and RateLimitExchange.test.ts have a case for each.

--- a/packages/hickoryrelay-endpoint/src/EndpointRateLimit.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointRateLimit.ts
@@ -14,8 +14,8 @@
 const TOKEN_LIFETIME_MILLISECONDS = 500;
 
 /**
- * Reports of others may have been on their way for this long. One that raises or ends a limit counts
- * as so much older.
+ * Reports of others may have been on their way for this long. One that raises a limit or names none
+ * counts as so much older.
  */
 const REPORT_TRANSIT_MILLISECONDS = 1000;
 
@@ -49,9 +49,12 @@
   return SENTENCES[change];
 }
 
-/** A statement with the monotonic time as of which it holds. */
+/** A statement with its monotonic times. */
 interface DatedStatement extends RateLimitStatement {
-  readonly atMilliseconds: number;
+  /** Time from which it may be. A statement from a later time may lower the limit. */
+  readonly earliestMilliseconds: number;
+  /** Time until which it may be. Only a statement from a later time raises or ends the limit. */
+  readonly latestMilliseconds: number;
   /** Wall-clock time of its arrival. */
   readonly receivedWallMilliseconds: number;
 }
@@ -96,8 +99,8 @@
  * share. Times are monotonic.
  *
  * The latest statement holds, and if the order is unknown the lower limit: responses on different
- * connections may overtake one another. A statement that names a limit is dated by its arrival, and one
- * that raises it or names none by the start of the request that it responds to.
+ * connections may overtake one another, and an instance may be paused before it reads one. A response
+ * may be from any time between the start of its request and its arrival.
  */
 export class EndpointRateLimit {
   /** Hash of the endpoint's incarnation. */
@@ -107,7 +110,8 @@
 
   private statement: DatedStatement = {
     requestsPerSecond: undefined,
-    atMilliseconds: Number.NEGATIVE_INFINITY,
+    earliestMilliseconds: Number.NEGATIVE_INFINITY,
+    latestMilliseconds: Number.NEGATIVE_INFINITY,
     receivedWallMilliseconds: Number.NEGATIVE_INFINITY,
   };
 
@@ -181,12 +185,17 @@
     now: number,
     receivedWallMilliseconds = Number.NEGATIVE_INFINITY,
   ): RateLimitChange {
-    const isDatedByRequest =
-      requestsPerSecond === undefined || this.isRaisedBy({ requestsPerSecond });
-    const atMilliseconds = isDatedByRequest ? requestedMilliseconds : now;
-    return isDatedByRequest && atMilliseconds <= this.statement.atMilliseconds
-      ? RateLimitChange.None
-      : this.apply({ requestsPerSecond, atMilliseconds, receivedWallMilliseconds }, now);
+    const isCautious = this.isCautiousAbout({ requestsPerSecond });
+    if (isCautious && requestedMilliseconds <= this.statement.latestMilliseconds) {
+      return RateLimitChange.None;
+    }
+    const statement = {
+      requestsPerSecond,
+      earliestMilliseconds: requestedMilliseconds,
+      latestMilliseconds: isCautious ? requestedMilliseconds : now,
+      receivedWallMilliseconds,
+    };
+    return this.apply(statement, now);
   }
 
   /** Applies a statement that another instance has received. */
@@ -195,21 +204,31 @@
     now: number,
     receivedWallMilliseconds = Number.NEGATIVE_INFINITY,
   ): RateLimitChange {
-    const reportedMilliseconds = now - ageMilliseconds;
-    const known = this.statement.atMilliseconds;
+    const { earliestMilliseconds: earliest, latestMilliseconds: latest } = this.statement;
+    const isCautious = this.isCautiousAbout({ requestsPerSecond });
+    const atMilliseconds = now - ageMilliseconds - (isCautious ? REPORT_TRANSIT_MILLISECONDS : 0);
+    const statement = {
+      requestsPerSecond,
+      earliestMilliseconds: atMilliseconds,
+      latestMilliseconds: Math.max(latest, atMilliseconds),
+      receivedWallMilliseconds,
+    };
     if (requestsPerSecond === this.requestsPerSecond) {
-      if (reportedMilliseconds > known + CONFIRMATION_MILLISECONDS) {
-        this.statement = { ...this.statement, atMilliseconds: reportedMilliseconds };
+      if (atMilliseconds > earliest + CONFIRMATION_MILLISECONDS) {
+        this.statement = {
+          ...statement,
+          receivedWallMilliseconds: this.statement.receivedWallMilliseconds,
+        };
       }
       return RateLimitChange.None;
     }
-    const atMilliseconds =
-      reportedMilliseconds -
-      (this.isRaisedBy({ requestsPerSecond }) ? REPORT_TRANSIT_MILLISECONDS : 0);
-    if (atMilliseconds > known) {
-      return this.apply({ requestsPerSecond, atMilliseconds, receivedWallMilliseconds }, now);
+    if (atMilliseconds > (isCautious ? latest : earliest)) {
+      return this.apply(statement, now);
     }
-    if (reportedMilliseconds < known && isNoticeable(requestsPerSecond, this.requestsPerSecond)) {
+    if (
+      now - ageMilliseconds < earliest &&
+      isNoticeable(requestsPerSecond, this.requestsPerSecond)
+    ) {
       this.changedMilliseconds = now;
     }
     return RateLimitChange.None;
@@ -217,8 +236,12 @@
 
   /** The statement as other instances are told it. */
   report(now: number): RateLimitReport {
-    const { requestsPerSecond, atMilliseconds } = this.statement;
-    return { endpoint: this.endpoint, requestsPerSecond, ageMilliseconds: now - atMilliseconds };
+    const { requestsPerSecond, earliestMilliseconds } = this.statement;
+    return {
+      endpoint: this.endpoint,
+      requestsPerSecond,
+      ageMilliseconds: now - earliestMilliseconds,
+    };
   }
 
   /** Takes over what was received for an earlier incarnation since the start of this one. */
@@ -231,6 +254,11 @@
     }
   }
 
+  /** True if a statement must not be taken for newer than it is, as it raises the limit or ends it. */
+  private isCautiousAbout(statement: RateLimitStatement): boolean {
+    return statement.requestsPerSecond === undefined || this.isRaisedBy(statement);
+  }
+
   private apply(statement: DatedStatement, now: number): RateLimitChange {
     const previous = this.requestsPerSecond;
     const { requestsPerSecond } = statement;
--- a/packages/hickoryrelay-endpoint/src/__tests__/unit/EndpointRateLimit.test.ts
+++ b/packages/hickoryrelay-endpoint/src/__tests__/unit/EndpointRateLimit.test.ts
@@ -82,6 +82,16 @@
     expect(limit.report(9000)).toEqual({ ...UNLIMITED, endpoint: 0, ageMilliseconds: 8000 });
   });
 
+  // Guards against a limit that others raise because an instance was paused before it read a response.
+  it('reports a limit with the age of the request, and is lowered by what others learned since', () => {
+    const limit = new EndpointRateLimit();
+    limit.receive(limitedTo(30), 1000, 9000);
+    expect(limit.report(9000)).toEqual({ ...limitedTo(30), endpoint: 0, ageMilliseconds: 8000 });
+    limit.receiveReport({ ...limitedTo(2), endpoint: 0, ageMilliseconds: 3000 }, 9000);
+    expect(limit.requestsPerSecond).toBe(2);
+    expect(limit.receive(UNLIMITED, 8999, 9010)).toBe(RateLimitChange.None);
+  });
+
   it('keeps the lower of two limits whose order is not known', () => {
     const limit = new EndpointRateLimit();
     limit.receive(limitedTo(3), 0, 100);
--- a/packages/hickoryrelay-forwarding/src/RateLimitExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/RateLimitExchange.ts
@@ -71,14 +71,16 @@
     const now = clock.monotonicMilliseconds();
     shares.recordMessage(sender);
     this.detectPause(now);
+    if (now < this.backlogUntilMilliseconds) {
+      return;
+    }
     for (const report of rateLimits) {
       const state = registry.findByHash(report.endpoint);
-      const rateLimit = state?.availability.rateLimit;
-      const isTooOld =
-        rateLimit?.isRaisedBy(report) === true && now < this.backlogUntilMilliseconds;
-      const change = isTooOld
-        ? RateLimitChange.None
-        : rateLimit?.receiveReport(report, now, clock.wallMilliseconds());
+      const change = state?.availability.rateLimit.receiveReport(
+        report,
+        now,
+        clock.wallMilliseconds(),
+      );
       if (state !== undefined && change !== undefined && change !== RateLimitChange.None) {
         log.info(describeRateLimitChange(change), {
           endpoint: state.record.identifier,
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/RateLimitExchange.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/RateLimitExchange.test.ts
@@ -109,4 +109,20 @@
     receive(undefined);
     expect(limit()).toBeUndefined();
   });
+
+  // Guards against an old report that is passed on to others with the age of a new one.
+  it.each([5, 30, undefined])(
+    'does not take %s from a message that waited in a pause',
+    async (value) => {
+      const { clock, states, name, receive, sendFor } = setUp();
+      await sendFor(100);
+      name(5);
+      await clock.advance(1);
+      name(value);
+      await clock.advance(7000);
+      receive(value);
+      const report = states[0]?.availability.rateLimit.report(clock.monotonicMilliseconds());
+      expect(report?.ageMilliseconds).toBe(7000);
+    },
+  );
 });
