Let short parts go first, and end responses without end sooner

Turns of 2 ms let such responses bring so little each that the limits for their time were not reached, and each kept on until its deadline. The event loop accepts one connection in each of its turns, so that new callers waited as well.

Fix: the order counts what a reader has had and what it asks for. Turns take 5 ms, with three turns of the event loop after each for new connections. The limits are 24 KB and 16 KB a second for framing, 5,000 events and 1,500 a second for streams.

--- a/packages/hickoryrelay-forwarding/src/EventStreamAllowance.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamAllowance.ts
@@ -1,10 +1,10 @@
 import type { Clock } from 'hickoryrelay/Clock';
 
 /** What a stream may bring at once, as an engine that repeats a finished stream does. */
-const BURST = { Events: 8000, Bytes: 16_777_216 } as const;
+const BURST = { Events: 5000, Bytes: 16_777_216 } as const;
 
 /** What a stream may bring in each second. An engine generates fewer than 1,000 tokens a second. */
-const RATE = { EventsPerSecond: 2000, BytesPerSecond: 16_777_216 } as const;
+const RATE = { EventsPerSecond: 1500, BytesPerSecond: 16_777_216 } as const;
 
 const MILLISECONDS_PER_SECOND = 1000;
 
--- a/packages/hickoryrelay/src/PacedReads.ts
+++ b/packages/hickoryrelay/src/PacedReads.ts
@@ -29,6 +29,10 @@
     socket.once('close', () => turns.remove(this));
   }
 
+  override get availableBytes(): number {
+    return this.socket.readableLength;
+  }
+
   override readPortion(portionBytes: number): number {
     this.granted = portionBytes;
     this.portionBytes = 0;
--- a/packages/hickoryrelay/src/ReadTurns.ts
+++ b/packages/hickoryrelay/src/ReadTurns.ts
@@ -3,10 +3,13 @@
 import type { Clock } from './Clock.js';
 
 /**
- * Time for which received bytes are processed before the event loop turns to timers and new
+ * Time for which received bytes are processed before the event loop goes on to timers and new
  * connections, of which it accepts one in each turn.
  */
-const TURN_MILLISECONDS = 2;
+const TURN_MILLISECONDS = 5;
+
+/** Further turns of the event loop after one that took its time, for what else has arrived. */
+const FREE_TURNS = 3;
 
 /** Bytes that a turn processes, however long or short its bytes take. */
 const MAXIMUM_TURN_BYTES = 65_536;
@@ -34,6 +37,9 @@
     this.atMilliseconds = now;
   }
 
+  /** Bytes that have arrived and wait to be processed. */
+  abstract get availableBytes(): number;
+
   /** Processes a portion of about the given size or smaller. Returns the number of bytes. */
   abstract readPortion(portionBytes: number): number;
 
@@ -45,7 +51,7 @@
 
 /**
  * Shares the event loop between those that process received bytes. Each turn of the event loop
- * processes a limited part, first of the readers that have had least, so that a peer that always
+ * processes a limited part, first of the readers that have had and need least, so that a peer that always
  * has bytes ready does not delay other connections or timers.
  */
 export class ReadTurns {
@@ -57,6 +63,9 @@
 
   private turnBytes = MAXIMUM_TURN_BYTES;
 
+  /** Turns of the event loop before the next one that processes bytes. */
+  private freeTurns = 0;
+
   constructor(clock: Clock = new SystemClock()) {
     this.clock = clock;
   }
@@ -77,6 +86,15 @@
       return;
     }
     this.isScheduled = true;
+    this.runAfter(this.freeTurns);
+  }
+
+  /** Runs a turn after so many turns of the event loop that process no bytes. */
+  private runAfter(freeTurns: number): void {
+    if (freeTurns > 0) {
+      setImmediate(() => this.runAfter(freeTurns - 1));
+      return;
+    }
     let processedBytes = 0;
     let startMilliseconds = 0;
     setImmediate(() => {
@@ -96,7 +114,11 @@
     const share = Math.floor(this.turnBytes / Math.max(1, this.waiting.size));
     const portionBytes = Math.max(MINIMUM_PORTION_BYTES, share);
     const readers = [...this.waiting]
-      .map((reader) => ({ reader, bytes: reader.recentBytes(now) }))
+      .map((reader) => ({
+        reader,
+        // A short part goes before the first long one of a new connection.
+        bytes: reader.recentBytes(now) + Math.min(reader.availableBytes, portionBytes),
+      }))
       .sort((left, right) => left.bytes - right.bytes);
     let processedBytes = 0;
     for (const { reader } of readers) {
@@ -115,6 +137,7 @@
 
   /** Sets the size of the next turn so that it takes about its time at the speed of this one. */
   private adapt(processedBytes: number, milliseconds: number): void {
+    this.freeTurns = milliseconds >= TURN_MILLISECONDS / 2 ? FREE_TURNS : 0;
     if (processedBytes >= this.turnBytes || milliseconds > TURN_MILLISECONDS) {
       const bytes = processedBytes * (TURN_MILLISECONDS / Math.max(milliseconds, 0.01));
       this.turnBytes = Math.min(MAXIMUM_TURN_BYTES, Math.max(MINIMUM_TURN_BYTES, bytes));
@@ -129,7 +152,7 @@
 export class TurnGate extends TurnReader {
   private readonly turns: ReadTurns;
 
-  private availableBytes = 0;
+  private waitingBytes = 0;
 
   private enter: (bytes: number) => void = () => {};
 
@@ -140,15 +163,19 @@
 
   /** Resolves with the number of bytes that may be processed now, of those that are available. */
   wait(availableBytes: number): Promise<number> {
-    this.availableBytes = availableBytes;
+    this.waitingBytes = availableBytes;
     return new Promise((resolve) => {
       this.enter = resolve;
       this.turns.request(this);
     });
   }
 
+  override get availableBytes(): number {
+    return this.waitingBytes;
+  }
+
   override readPortion(portionBytes: number): number {
-    const bytes = TurnReader.sizeOf(this.availableBytes, portionBytes);
+    const bytes = TurnReader.sizeOf(this.waitingBytes, portionBytes);
     this.enter(bytes);
     return bytes;
   }
--- a/packages/hickoryrelay/src/ResponseAllowance.ts
+++ b/packages/hickoryrelay/src/ResponseAllowance.ts
@@ -7,10 +7,10 @@
 const MAXIMUM_HEAD_BYTES = 16_384;
 
 /** Bytes besides the body, such as chunk sizes, chunk extensions and trailers, at once. */
-const FRAMING_BURST_BYTES = 32_768;
+const FRAMING_BURST_BYTES = 24_576;
 
-/** Bytes besides the body for each second: 6,500 chunks of one byte take as many. */
-const FRAMING_BYTES_PER_SECOND = 32_768;
+/** Bytes besides the body for each second: 3,200 chunks of one byte take as many. */
+const FRAMING_BYTES_PER_SECOND = 16_384;
 
 /** Bytes besides the body for each byte of the body: chunks of 24 bytes and more take less. */
 const FRAMING_FRACTION = 0.25;
--- a/packages/hickoryrelay/src/__tests__/unit/StepClock.ts
+++ b/packages/hickoryrelay/src/__tests__/unit/StepClock.ts
@@ -13,7 +13,6 @@
     return this.nowMilliseconds;
   }
 
-   
   override schedule(): () => void {
     throw new RelayError({ kind: 'cancelled', reason: 'the clock has no timers' });
   }
