Guard and bound connections that linger or have carried CONNECT

A caller that reset its connection after a CONNECT request ended the process, and all requests in it: the HTTP server gives up the socket of such a request, and with it its listener for errors. A caller that stayed, or went on sending, after the response to CONNECT or after the last response kept its connection open for as long as it wanted.

The cause of both is that the lingering close relied on the HTTP server for the end of the socket.

The connection now listens for errors itself, handles its own silence of one second and closes after five seconds at the latest.

--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -4,6 +4,9 @@
 /** How long a connection that is being closed stays open while its caller sends nothing. */
 const LINGER_MILLISECONDS = 1000;
 
+/** How long it stays open for a caller that goes on sending. */
+const MAXIMUM_LINGER_MILLISECONDS = 5000;
+
 /** One connection of a caller, and whether it carries a request or a response. */
 export class CallerConnection {
   readonly socket: Socket;
@@ -122,11 +125,17 @@
    */
   private linger(): void {
     const { socket } = this;
+    if (this.isLingering) {
+      return;
+    }
     this.isLingering = true;
     socket.end();
     socket.removeAllListeners('data');
     socket.on('data', () => {});
     socket.resume();
-    socket.setTimeout(LINGER_MILLISECONDS);
+    // The HTTP server no longer handles the timeout of a socket that has carried a CONNECT request.
+    socket.setTimeout(LINGER_MILLISECONDS, () => socket.destroy());
+    const timer = setTimeout(() => socket.destroy(), MAXIMUM_LINGER_MILLISECONDS);
+    socket.once('close', () => clearTimeout(timer));
   }
 }
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -92,8 +92,10 @@
     this.connections.get(socket)?.reject(rejection);
   }
 
-  /** Does the same after a CONNECT request, for which the HTTP server stops reading the socket. */
+  /** Does the same after a CONNECT request, for which the HTTP server gives up the socket. */
   rejectTunnel(socket: Socket, rejection: string): void {
+    // Without a listener, a reset by the caller would end the process.
+    socket.on('error', () => {});
     socket.once('end', () => socket.destroy());
     socket.resume();
     this.reject(socket, rejection);
