--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/RateLimitWorld.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/RateLimitWorld.ts
@@ -28,6 +28,7 @@
 const TICKS_PER_MESSAGE = 5;
 const TICKS_PER_ZONE_MESSAGE = 10;
 const TICKS_PER_VIEW = 25;
+const TICKS_PER_RENEWAL = 75;
 
 /** Times that a message between instances is on its way for, usually and if it is late. */
 const DELAY_MILLISECONDS = 20;
@@ -158,8 +159,11 @@
 
   isCutOff = false;
 
-  /** Time of the last renewal of its registration. */
-  renewedMilliseconds: number;
+  /** Time of the last renewal of its registration; in the distant past before the first. */
+  renewedMilliseconds = Number.NEGATIVE_INFINITY;
+
+  /** Tick of each period in which the registration is renewed. */
+  readonly renewalTick: number;
 
   refusals = 0;
 
@@ -172,7 +176,7 @@
     const { clock } = world;
     this.name = name;
     this.zone = zone;
-    this.renewedMilliseconds = clock.monotonicMilliseconds();
+    this.renewalTick = world.random.integerBelow(TICKS_PER_RENEWAL);
     this.shares = new InstanceRateLimitShares(name, clock);
     this.registry = new EndpointRegistry(new PeerLoads(), world.createShares(this.shares));
     this.registry.replace(world.records);
@@ -235,6 +239,8 @@
   readonly lateFraction: number;
   /** Longest time between the choice of an endpoint and the write of the request. */
   readonly connectMilliseconds: number;
+  /** Longest time between the arrival of a request and the answer. */
+  readonly responseMilliseconds: number;
 }
 
 /** What the store holds at a time. */
@@ -273,6 +279,7 @@
     lossFraction: 0.02,
     lateFraction: 0.02,
     connectMilliseconds: 20,
+    responseMilliseconds: 400,
   };
 
   private readonly occupants: SimulatedEndpoint[] = [];
@@ -435,7 +442,10 @@
     }
     const now = this.clock.monotonicMilliseconds();
     for (const instance of this.instances) {
-      if (!instance.isFrozen && !instance.isCutOff) {
+      const isDue =
+        this.ticks % TICKS_PER_RENEWAL === instance.renewalTick ||
+        !Number.isFinite(instance.renewedMilliseconds);
+      if (isDue && !instance.isFrozen && !instance.isCutOff) {
         instance.renew(now);
       }
     }
@@ -530,7 +540,7 @@
       instance,
       toldMilliseconds: instance.told.get(key),
     });
-    this.clock.schedule(this.random.integerBelow(400), () => {
+    this.clock.schedule(this.random.integerBelow(this.network.responseMilliseconds), () => {
       const now = this.clock.monotonicMilliseconds();
       const { current: named } = endpoint;
       if (named.requestsPerSecond !== undefined) {
