--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/RateLimitWorld.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/RateLimitWorld.ts
@@ -165,8 +165,6 @@
   /** Tick of each period in which the registration is renewed. */
   readonly renewalTick: number;
 
-  refusals = 0;
-
   private readonly excuses: { readonly from: number; to: number }[] = [];
 
   /** What is due while the instance is frozen. */
@@ -217,10 +215,6 @@
     this.renewedMilliseconds = now;
   }
 
-  recordRefusal(): void {
-    this.refusals += 1;
-  }
-
   pause(): void {
     this.isFrozen = true;
   }
@@ -514,7 +508,6 @@
       .filter(({ availability }) => availability.allowsRequest(now));
     const state = states[this.random.integerBelow(Math.max(1, states.length))];
     if (state === undefined) {
-      instance.recordRefusal();
       return;
     }
     const permit = state.availability.startRequest(now, this.clock);
