Read the last bytes of a connection that a network error has closed

Since responses are read in turns, a response that had been received whole was lost if its connection was reset while it waited for its turn. For a request that may run once this is a failure after a run.

The cause is that a destroyed socket returned nothing, which is meant for responses that exceed their allowance and for those that are not wanted any more. After a network error the bytes that have been received are now read at once, before the error is reported; they are at most what the socket buffers. ResetAfterResponse fails before in its second case and passes now.

--- a/packages/hickoryrelay/src/PacedReads.ts
+++ b/packages/hickoryrelay/src/PacedReads.ts
@@ -19,6 +19,9 @@
 
   private portionBytes = 0;
 
+  /** True once a network error has closed the socket, whose last bytes are read at once. */
+  private hasNetworkFailed = false;
+
   constructor(socket: Socket, turns: ReadTurns, allowance: ResponseAllowance | undefined) {
     super();
     this.socket = socket;
@@ -27,6 +30,13 @@
     this.readSocket = socket.read.bind(socket);
     Object.assign(socket, { read: (size?: number) => this.read(size) });
     socket.once('close', () => turns.remove(this));
+    socket.once('error', (error) => {
+      if ('syscall' in error) {
+        // A response that was received whole may wait for its turn when its connection is reset.
+        this.hasNetworkFailed = true;
+        socket.emit('readable');
+      }
+    });
   }
 
   override get availableBytes(): number {
@@ -48,7 +58,7 @@
     }
     if (destroyed) {
       // A destroyed socket would still return all the bytes that it has received.
-      return null;
+      return this.hasNetworkFailed ? this.readSocket() : null;
     }
     if (this.granted === 0) {
       this.turns.request(this);
