Answer a call before closing for the refused one behind it

A call of the product's daemon was cut, after its endpoint had run it, if the same connection then carried a call that was refused before its body was complete: one second after the refusal the request was destroyed, and with it the connection.

The cause is of the class of the rejected malformed bytes: a fault of one message is charged to its connection. The refusal now only says that the connection closes, which it does after the responses before it; the lingering close then discards the rest of the body within its own bounds. `shouldKeepAlive` is set rather than the header, as it is what shows others on the connection that it closes.

--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -24,9 +24,6 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 
-/** How long the rest of a refused request is read and discarded before the connection is closed. */
-const LINGER_MILLISECONDS = 1000;
-
 /** Receives the server of the API and its connections before it listens. */
 export type ServerObserver = (server: Server, connections: CallerConnections) => void;
 
@@ -207,14 +204,9 @@
       return;
     }
     const { status, headers, body } = errorResponse({ failure, requestIdentifier, notRun: true });
-    const isIncomplete = !request.complete;
-    const connection = isIncomplete ? { connection: 'close' } : {};
-    sendWhole(response, status, { ...headers, ...connection }, JSON.stringify(body));
-    if (isIncomplete) {
-      request.resume();
-      const cancel = this.instance.clock.schedule(LINGER_MILLISECONDS, () => request.destroy());
-      request.once('close', cancel);
-    }
+    response.shouldKeepAlive &&= request.complete;
+    sendWhole(response, status, headers, JSON.stringify(body));
+    request.resume();
   }
 
   private modelsHandler(): RequestHandler {
