Do not run requests behind a response that closes the connection

Requests that were read behind a refused one were passed on, ran, and got no answer: behind a body over the limit (413) and behind a request of HTTP/1.1 without a Host header, to which the HTTP server itself responds with 400 and closes. The lingering close made it worse: it no longer ended what waits behind the last response, so that it was passed on instead of dropped.

The cause is that a close was shown by one sign, and not every close sets it. A connection that lingers now counts as closing and ends the responses that are queued on it.

--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -105,6 +105,12 @@
   private serverFactory(onServer: ServerObserver) {
     const { instance } = this;
     const { limits } = instance.settings;
+    const refuseWithoutHost = (request: IncomingMessage, response: ServerResponse) => {
+      const reason = 'the header is missing';
+      const failure = { kind: FailureKind.InvalidRequest, field: 'host', reason };
+      const identifier = instance.nextRequestIdentifier();
+      this.refuseRequest(request, response, identifier, new RelayError(failure));
+    };
     return function createLimitedServer(this: {
       server?: Server;
       httpHandler: RequestHandler;
@@ -116,8 +122,13 @@
           headersTimeout: limits.requestSeconds * MILLISECONDS_PER_SECOND,
           connectionsCheckingInterval: MILLISECONDS_PER_SECOND,
           noDelay: true,
+          // The server's own response would close the connection without regard to calls behind it.
+          requireHostHeader: false,
+        },
+        (request, response) => {
+          const lacksHost = request.headers.host === undefined && request.httpVersion === '1.1';
+          (lacksHost ? refuseWithoutHost : this.httpHandler)(request, response);
         },
-        this.httpHandler,
       );
       const connections = new CallerConnections(server);
       server.prependListener('request', ({ socket }, response) =>
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -58,12 +58,17 @@
 
   /** True if the connection closes after another response, so that this one is never sent. */
   closesBefore(response: ServerResponse): boolean {
-    return [...this.openResponses].some((open) => open !== response && !open.shouldKeepAlive);
+    const isBeforeClose = [...this.openResponses].some(
+      (open) => open !== response && !open.shouldKeepAlive,
+    );
+    return this.isLingering || isBeforeClose;
   }
 
-  /** True if the connection closes after a response, so that later requests get none. */
+  /** True if the connection closes or will close after a response, so that later requests get none. */
   get isClosing(): boolean {
-    return [...this.openResponses].some(({ shouldKeepAlive }) => !shouldKeepAlive);
+    return (
+      this.isLingering || [...this.openResponses].some(({ shouldKeepAlive }) => !shouldKeepAlive)
+    );
   }
 
   /** True while the response to a request that was read whole is due. */
@@ -87,8 +92,8 @@
     }
   }
 
-  /** Closes the responses that are queued behind another one. Called when the socket has closed. */
-  handleSocketClose(): void {
+  /** Closes the responses that are queued behind another one, which are not sent any more. */
+  closeQueuedResponses(): void {
     for (const response of [...this.openResponses]) {
       // Node emits 'close' on the response that has the socket, but not on those that wait for it.
       if (response.socket === null && !response.writableFinished) {
@@ -129,6 +134,7 @@
       return;
     }
     this.isLingering = true;
+    this.closeQueuedResponses();
     socket.end();
     socket.removeAllListeners('data');
     socket.on('data', () => {});
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -156,7 +156,7 @@
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
-      connection.handleSocketClose();
+      connection.closeQueuedResponses();
       this.continueClosing();
     });
     this.continueClosing();
