--- a/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointAvailability.ts
@@ -181,7 +181,7 @@
 
   /**
    * Grants the permission to send a request. It is not valid if the endpoint has stopped allowing
-   * requests since it was chosen. The clock tells when the permit is used.
+   * requests since it was chosen. The clock is read when the permit is used; without one, `now` counts.
    */
   startRequest(now: number, clock?: Clock): SendPermit {
     const isProbe = this.backoff !== undefined && this.allowsRequest(now);
--- a/packages/hickoryrelay-endpoint/src/EndpointRateLimit.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointRateLimit.ts
@@ -14,14 +14,14 @@
 const TOKEN_LIFETIME_MILLISECONDS = 500;
 
 /**
- * Reports of others may have been on their way for this long. One that raises a limit or names none
+ * Reports of others may have been in transit for this long. One that raises a limit or names none
  * counts as so much older.
  */
 const REPORT_TRANSIT_MILLISECONDS = 1000;
 
 /**
- * A report that confirms what is known counts only if it is so much newer. Otherwise instances that
- * repeat each other's reports would keep an old statement young by the time on the way.
+ * A report that confirms what is known counts only if it is so much newer. Otherwise the transit times
+ * of reports that instances repeat to each other would make an old statement look recent.
  */
 const CONFIRMATION_MILLISECONDS = 500;
 
@@ -234,7 +234,7 @@
     return RateLimitChange.None;
   }
 
-  /** The statement as other instances are told it. */
+  /** The statement as it is reported to other instances. */
   report(now: number): RateLimitReport {
     const { requestsPerSecond, earliestMilliseconds } = this.statement;
     return {
--- a/packages/hickoryrelay-endpoint/src/__tests__/unit/EndpointRateLimit.test.ts
+++ b/packages/hickoryrelay-endpoint/src/__tests__/unit/EndpointRateLimit.test.ts
@@ -152,7 +152,7 @@
   });
 
   // Guards against instances that keep an old statement young by repeating each other's reports.
-  it('that confirm a limit add the time on the way to its age only if they are newer', () => {
+  it('that confirm a limit change its age only if they are newer than their transit time', () => {
     const limit = makeLimit(5);
     limit.receiveReport(report(5, 900), 1100);
     expect(limit.report(1100).ageMilliseconds).toBe(1100);
--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -49,9 +49,9 @@
 
 /**
  * Exchanges load with the other instances: the requests in flight at each endpoint, the shared prompt
- * segments that engines have prefilled, and the rate limits that endpoints have stated. A few instances send to each other directly. With
- * more, each reports to the relay of its zone, which sends it digests, and the relays exchange the
- * loads of their zones.
+ * segments that engines have prefilled, and the rate limits that endpoints have stated. A few
+ * instances send to each other directly. With more, each reports to the relay of its zone, which sends
+ * it digests, and the relays exchange the loads of their zones.
  */
 export class LoadExchangeTask extends Task {
   override readonly name = 'load exchange';
--- a/packages/hickoryrelay-forwarding/src/ReturnSchedule.ts
+++ b/packages/hickoryrelay-forwarding/src/ReturnSchedule.ts
@@ -6,7 +6,7 @@
 
 /**
  * Determines when refused callers may return: when an endpoint of their service takes requests. If all
- * of them have rate limits, each caller is told the time of another token of this instance.
+ * of them have rate limits, each caller gets the time of another token of this instance.
  */
 export class ReturnSchedule {
   private readonly registry: EndpointRegistry;
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -24,7 +24,8 @@
 
   constructor(socket: Socket) {
     this.socket = socket;
-    // The HTTP server calls this after the last response, to destroy the socket.
+    // The HTTP server calls this after the last response and would destroy the socket, which resets the
+    // connection if the caller has sent more.
     this.socket.destroySoon = () => this.linger();
   }
 
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -92,7 +92,10 @@
     this.connections.get(socket)?.reject(rejection);
   }
 
-  /** Does the same after a CONNECT request, for which the HTTP server gives up the socket. */
+  /**
+   * Closes a connection after the response to a CONNECT request, for which the HTTP server gives up the
+   * socket. Requests that were read before it are answered first.
+   */
   rejectTunnel(socket: Socket, rejection: string): void {
     // Without a listener, a reset by the caller would end the process.
     socket.on('error', () => {});
