Share the tokens of a rate limit among registrations of one address

Cause: the bucket belonged to the incarnation, so an endpoint that is registered twice at one address got its limit once for each registration (32 requests in 4 s where 29 are allowed). The bucket and the division among instances now belong to the address. Statements stay with the incarnation, so that a restarted endpoint does not inherit those from before its start.

--- a/packages/hickoryrelay-endpoint/src/EndpointRateLimit.ts
+++ b/packages/hickoryrelay-endpoint/src/EndpointRateLimit.ts
@@ -1,5 +1,5 @@
 import { UndividedRateLimits } from './RateLimitShares.js';
-import { TokenBucket } from './TokenBucket.js';
+import { RateLimitTokens } from './RateLimitTokens.js';
 
 import type { RateLimitShares } from './RateLimitShares.js';
 import type { RateLimitReport, RateLimitStatement } from './RateLimitStatement.js';
@@ -115,7 +115,7 @@
     receivedWallMilliseconds: Number.NEGATIVE_INFINITY,
   };
 
-  private bucket = new TokenBucket(0, 0);
+  private tokens: RateLimitTokens;
 
   /** The limit as last announced by a change. */
   private announcedRequestsPerSecond: number | undefined;
@@ -123,9 +123,14 @@
   /** Time of the last change, or of the last report by another instance that missed it. */
   private changedMilliseconds = Number.NEGATIVE_INFINITY;
 
-  constructor(shares: RateLimitShares = new UndividedRateLimits(), endpoint = 0) {
+  constructor(
+    shares: RateLimitShares = new UndividedRateLimits(),
+    endpoint = 0,
+    tokens = new RateLimitTokens(endpoint),
+  ) {
     this.shares = shares;
     this.endpoint = endpoint;
+    this.tokens = tokens;
   }
 
   /** Undefined if there is no limit. */
@@ -144,7 +149,7 @@
     return requestsPerSecond === undefined
       ? Number.POSITIVE_INFINITY
       : this.shares.rateOf(
-          this.endpoint,
+          this.tokens.key,
           Math.max(requestsPerSecond, MINIMUM_REQUESTS_PER_SECOND),
           now,
         );
@@ -154,16 +159,16 @@
   waitMilliseconds(now: number): number {
     return this.requestsPerSecond === undefined
       ? 0
-      : this.bucket.waitMilliseconds(this.rateOfShare(now), now);
+      : this.tokens.waitMilliseconds(this.rateOfShare(now), now);
   }
 
   /** Takes the token of a request. Returns false if there is none. */
   tryTake(now: number): boolean {
-    return this.requestsPerSecond === undefined || this.bucket.tryTake(this.rateOfShare(now), now);
+    return this.requestsPerSecond === undefined || this.tokens.tryTake(this.rateOfShare(now), now);
   }
 
   giveBack(): void {
-    this.bucket.giveBack();
+    this.tokens.giveBack();
   }
 
   /** Takes the token of a request that is yet to be written. */
@@ -248,7 +253,7 @@
   inherit(predecessor: EndpointRateLimit, startedWallMilliseconds: number): void {
     if (predecessor.statement.receivedWallMilliseconds >= startedWallMilliseconds) {
       this.statement = predecessor.statement;
-      this.bucket = predecessor.bucket;
+      this.tokens = predecessor.tokens;
       this.announcedRequestsPerSecond = predecessor.announcedRequestsPerSecond;
       this.changedMilliseconds = predecessor.changedMilliseconds;
     }
@@ -264,7 +269,7 @@
     const { requestsPerSecond } = statement;
     this.statement = statement;
     if (previous === undefined && requestsPerSecond !== undefined) {
-      this.bucket = new TokenBucket(this.rateOfShare(now), now);
+      this.tokens.begin(this.rateOfShare(now), now);
     }
     return this.announce(requestsPerSecond, now);
   }
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -1,6 +1,8 @@
+import { hashString } from 'hickoryrelay/RendezvousUtils';
 import { EndpointAvailability } from 'hickoryrelay-endpoint/EndpointAvailability';
 import { EndpointRateLimit } from 'hickoryrelay-endpoint/EndpointRateLimit';
 import { UndividedRateLimits } from 'hickoryrelay-endpoint/RateLimitShares';
+import { RateLimitTokens } from 'hickoryrelay-endpoint/RateLimitTokens';
 
 import { EndpointPhase, EngineStage, incarnationHash, incarnationKey } from './EndpointRecord.js';
 import { EndpointState } from './EndpointState.js';
@@ -27,6 +29,9 @@
   /** By incarnation; those that were registered last come last. */
   private readonly availabilities = new Map<string, EndpointAvailability>();
 
+  /** By address. One address may have several registrations, but has one endpoint. */
+  private readonly tokens = new Map<string, RateLimitTokens>();
+
   private readonly peers: PeerLoads;
 
   private readonly shares: RateLimitShares;
@@ -172,7 +177,11 @@
    */
   private createAvailability(record: EndpointRecord): EndpointAvailability {
     const { address, startedMilliseconds } = record;
-    const rateLimit = new EndpointRateLimit(this.shares, incarnationHash(record));
+    const rateLimit = new EndpointRateLimit(
+      this.shares,
+      incarnationHash(record),
+      this.tokensFor(address),
+    );
     const [, predecessor] =
       [...this.availabilities].findLast(([key]) => key.endsWith(`/${address}`)) ?? [];
     return startedMilliseconds === 0 || predecessor === undefined
@@ -180,10 +189,30 @@
       : predecessor.succeed(startedMilliseconds, rateLimit);
   }
 
+  private tokensFor(address: string): RateLimitTokens {
+    const tokens = this.tokens.get(address) ?? new RateLimitTokens(hashString(address));
+    this.tokens.set(address, tokens);
+    return tokens;
+  }
+
   private discardAvailabilities(): void {
     const surplus = this.availabilities.size - this.states.size - MAXIMUM_UNREGISTERED;
     for (const key of [...this.availabilities.keys()].slice(0, Math.max(0, surplus))) {
       this.availabilities.delete(key);
     }
+    if (surplus > 0) {
+      this.discardTokens();
+    }
+  }
+
+  private discardTokens(): void {
+    const addresses = new Set(
+      [...this.availabilities.keys()].map((key) => key.slice(key.lastIndexOf('/') + 1)),
+    );
+    for (const address of this.tokens.keys()) {
+      if (!addresses.has(address)) {
+        this.tokens.delete(address);
+      }
+    }
   }
 }
