Treat early ends and invalid statuses on the daemon's links as broken responses

Failed before in BrokenResponses of hickoryrelay-link: a call whose endpoint ends its side while the request is being written (plain, event stream and a transfer encoding other than chunked, with and without an interim response), statuses 600 to 999 of a call and of a reading of an engine's status, and an order whose endpoint answered 200 without a length and reset or ended the connection with the order unread, which was taken for received. Its outcome is unknown now.

A response of a transfer encoding that is not chunked counts as delimited by its close, as in the users' platform. Resets during an upload, chunked responses, statuses below 200, malformed ones and handshakes of peers held.

--- a/packages/hickoryrelay-link/src/EngineStatusLink.ts
+++ b/packages/hickoryrelay-link/src/EngineStatusLink.ts
@@ -2,6 +2,7 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
+import { isFinalStatus } from 'hickoryrelay/StatusUtils';
 import { decodeCacheChanges, decodeCacheSnapshot } from 'hickoryrelay-endpoint/CacheEvents';
 import { decodeLoadReport } from 'hickoryrelay-endpoint/EngineLoad';
 
@@ -108,6 +109,9 @@
       const peer = this.location.identifier;
       const body = this.countBytes(response.body as AsyncIterable<Buffer>);
       const text = await readBodyText(body, MAXIMUM_RESPONSE_BYTES, peer);
+      if (!isFinalStatus(response.statusCode)) {
+        throw this.failed(`status ${response.statusCode}`);
+      }
       return { status: response.statusCode, text };
     } catch (error) {
       throw error instanceof RelayError ? error : this.failed(error);
--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -1,4 +1,5 @@
 import { buildConnector, Client, Pool } from 'undici';
+import { ConnectionBreak } from 'hickoryrelay/ConnectionBreak';
 import { paceReads } from 'hickoryrelay/PacedReads';
 
 import { EndpointLink } from './EndpointLink.js';
@@ -23,18 +24,18 @@
 const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
 
 /**
- * Opens connections and detects their resets, which the client library and Node may take for the
- * normal end of a close-delimited response.
+ * Opens connections and detects that they break off, which the client library and Node may take for
+ * the normal end of a close-delimited response.
  */
-class ConnectionResets {
-  private hasOccurred = false;
+class ObservedConnector {
+  private hasBrokenNow = false;
 
   /**
-   * True if a connection was reset in this turn of the event loop, in which the response that it
+   * True if a connection has broken off in this turn of the event loop, in which the response that it
    * carried ends.
    */
-  get isCurrent(): boolean {
-    return this.hasOccurred;
+  get hasBroken(): boolean {
+    return this.hasBrokenNow;
   }
 
   readonly connect: buildConnector.connector = (options, callback) => {
@@ -54,13 +55,12 @@
         Object.assign(error, { code: ENDPOINT_RESET_CODE });
       }
     });
-    // Node reports a reset that arrives together with data as a normal end. Only the peer address
-    // tells them apart: a socket that was reset has none.
+    const connectionBreak = new ConnectionBreak(socket);
     socket.on('end', () => {
-      if (socket.remoteAddress === undefined) {
-        this.hasOccurred = true;
+      if (connectionBreak.error !== undefined) {
+        this.hasBrokenNow = true;
         setImmediate(() => {
-          this.hasOccurred = false;
+          this.hasBrokenNow = false;
         });
       }
     });
@@ -88,7 +88,7 @@
 /** Connections that are retired together if one of them stalls. */
 interface ConnectionGroup {
   readonly pool: Pool;
-  readonly resets: ConnectionResets;
+  readonly connector: ObservedConnector;
   readonly responses: Set<HttpResponseStream>;
 }
 
@@ -150,7 +150,7 @@
         this.closeWhenIdle(group);
       },
       onSilence: () => this.retire(group),
-      wasReset: () => group.resets.isCurrent,
+      wasBroken: () => group.connector.hasBroken,
     });
     group.responses.add(response);
     const isReusable = this.isBodyIdentified || this.repeatsIdentifier === true;
@@ -182,17 +182,17 @@
     signal: AbortSignal,
     permit: SendPermit | undefined,
   ): ResponseStream {
-    const resets = new ConnectionResets();
+    const connector = new ObservedConnector();
     const client = new Client(this.location.url, {
       ...CONNECTION_OPTIONS,
-      connect: resets.connect,
+      connect: connector.connect,
     });
     const response = this.createResponse(call, signal, permit, {
       onEnd: () => {
         void client.destroy();
       },
       onSilence: () => this.retire(this.current),
-      wasReset: () => resets.isCurrent,
+      wasBroken: () => connector.hasBroken,
     });
     return HttpEndpointLink.dispatch(client, call, encoded, response, false);
   }
@@ -222,13 +222,13 @@
   }
 
   private openGroup(): ConnectionGroup {
-    const resets = new ConnectionResets();
+    const connector = new ObservedConnector();
     const pool = new Pool(this.location.url, {
       ...CONNECTION_OPTIONS,
-      connect: resets.connect,
+      connect: connector.connect,
       connections: null,
     });
-    const group = { pool, resets, responses: new Set<HttpResponseStream>() };
+    const group = { pool, connector, responses: new Set<HttpResponseStream>() };
     this.groups.add(group);
     return group;
   }
--- a/packages/hickoryrelay-link/src/HttpResponseStream.ts
+++ b/packages/hickoryrelay-link/src/HttpResponseStream.ts
@@ -1,5 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { isFinalStatus } from 'hickoryrelay/StatusUtils';
 import { rateLimitOf } from 'hickoryrelay-endpoint/RateLimitUtils';
 import { backoffOf } from 'hickoryrelay-endpoint/RetryAfterUtils';
 
@@ -39,8 +40,8 @@
   onEnd(response: HttpResponseStream): void;
   /** The response's connection has stalled. */
   onSilence(): void;
-  /** True if a connection that may be the response's was reset in this turn of the event loop. */
-  wasReset(): boolean;
+  /** True if a connection that may be the response's broke off in this turn of the event loop. */
+  wasBroken(): boolean;
 }
 
 type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
@@ -56,6 +57,13 @@
   };
 }
 
+/** True if neither a length nor chunks show the end of the response. */
+function isDelimitedByClose(headers: ResponseHeaders): boolean {
+  const encodings = [headers['transfer-encoding'] ?? []].flat().join(',').toLowerCase();
+  const isChunked = encodings.split(',').at(-1)?.trim() === 'chunked';
+  return headers['content-length'] === undefined && !isChunked;
+}
+
 function toRelayError(error: unknown, endpoint: string, mayHaveRun: boolean): RelayError {
   if (error instanceof RelayError) {
     return error;
@@ -89,7 +97,6 @@
 
   private readonly observer: HttpResponseObserver;
 
-  /** True if neither a length nor chunks show the end of the response. */
   private isCloseDelimited = false;
 
   private readonly permit: SendPermit | undefined;
@@ -193,6 +200,10 @@
     if (status < 200) {
       return;
     }
+    if (!isFinalStatus(status)) {
+      this.fail(toRelayError(`the response has status ${status}`, this.endpoint, true));
+      return;
+    }
     const responseIdentifier = headers[REQUEST_IDENTIFIER_HEADER];
     if (responseIdentifier !== undefined && responseIdentifier !== this.requestIdentifier) {
       // A second copy of an earlier response on a connection that is in use again.
@@ -204,8 +215,7 @@
     this.notice = decodeNotice(status, headers);
     const contentType = headers['content-type'];
     this.status = status;
-    this.isCloseDelimited =
-      headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+    this.isCloseDelimited = isDelimitedByClose(headers);
     this.contentType = typeof contentType === 'string' ? contentType : DEFAULT_CONTENT_TYPE;
     this.headWaiter?.resolve();
     this.headWaiter = undefined;
@@ -226,8 +236,8 @@
   }
 
   onResponseEnd(): void {
-    if (this.isCloseDelimited && this.observer.wasReset()) {
-      this.fail(toRelayError('the connection was reset', this.endpoint, true));
+    if (this.isCloseDelimited && this.observer.wasBroken()) {
+      this.fail(toRelayError('the connection broke off', this.endpoint, true));
       return;
     }
     this.markEnded();
--- a/packages/hickoryrelay-link/src/OrderLink.ts
+++ b/packages/hickoryrelay-link/src/OrderLink.ts
@@ -1,4 +1,5 @@
 import { buildConnector, Client } from 'undici';
+import { ConnectionBreak } from 'hickoryrelay/ConnectionBreak';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { paceReads } from 'hickoryrelay/PacedReads';
 import { RelayError, hasFailureKind } from 'hickoryrelay/RelayError';
@@ -65,6 +66,9 @@
 
   private readonly check: AuthorityCheck;
 
+  /** Of the current connection. */
+  private connectionBreak: ConnectionBreak | undefined;
+
   constructor(location: EndpointLocation, check: AuthorityCheck) {
     super();
     this.location = location;
@@ -77,6 +81,7 @@
       connect: (options, callback) => {
         connector(options, (...result) => {
           if (result[0] === null) {
+            this.connectionBreak = new ConnectionBreak(result[1]);
             guardWrites(result[1], check);
             paceReads(result[1]);
           }
@@ -138,6 +143,8 @@
       });
       const peer = this.location.identifier;
       const text = await readBodyText(response.body, MAXIMUM_RESPONSE_BYTES, peer);
+      // The endpoint may have given up a request that it had not read.
+      this.connectionBreak?.throwIfDetected();
       return { status: response.statusCode, text };
     } catch (error) {
       if (hasFailureKind(error, FailureKind.AuthorityLost)) {
