--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -1,5 +1,5 @@
 import { buildConnector, Client, Pool } from 'undici';
-import { ConnectionBreak } from 'hickoryrelay/ConnectionBreak';
+import { ConnectionBreaks } from 'hickoryrelay/ConnectionBreaks';
 import { paceReads } from 'hickoryrelay/PacedReads';
 
 import { EndpointLink } from './EndpointLink.js';
@@ -11,60 +11,23 @@
 import type { ResponseStream } from './ResponseStream.js';
 import type { EndpointLocation } from 'hickoryrelay-endpoint/Endpoint';
 import type { SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
-import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1000;
 
-const RESET_CODE = 'ECONNRESET';
-
-/** Code of a reset, which the client library does not handle specially. */
-const ENDPOINT_RESET_CODE = 'ENDPOINT_RESET';
-
 const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
 
-/**
- * Opens connections and detects that they break off, which the client library and Node may take for
- * the normal end of a close-delimited response.
- */
-class ObservedConnector {
-  private hasBrokenNow = false;
-
-  /**
-   * True if a connection has broken off in this turn of the event loop, in which the response that it
-   * carried ends.
-   */
-  get hasBroken(): boolean {
-    return this.hasBrokenNow;
-  }
-
-  readonly connect: buildConnector.connector = (options, callback) => {
+/** Returns a connector that observes its connections. */
+function observedConnector(breaks: ConnectionBreaks): buildConnector.connector {
+  return (options, callback) => {
     connectSocket(options, (...result) => {
       if (result[0] === null) {
         paceReads(result[1]);
-        this.observe(result[1]);
+        breaks.observe(result[1]);
       }
       callback(...result);
     });
   };
-
-  /** Adds listeners before those of the client library. */
-  private observe(socket: Socket): void {
-    socket.on('error', (error: NodeJS.ErrnoException) => {
-      if (error.code === RESET_CODE) {
-        Object.assign(error, { code: ENDPOINT_RESET_CODE });
-      }
-    });
-    const connectionBreak = new ConnectionBreak(socket);
-    socket.on('end', () => {
-      if (connectionBreak.error !== undefined) {
-        this.hasBrokenNow = true;
-        setImmediate(() => {
-          this.hasBrokenNow = false;
-        });
-      }
-    });
-  }
 }
 
 /**
@@ -88,7 +51,7 @@
 /** Connections that are retired together if one of them stalls. */
 interface ConnectionGroup {
   readonly pool: Pool;
-  readonly connector: ObservedConnector;
+  readonly breaks: ConnectionBreaks;
   readonly responses: Set<HttpResponseStream>;
 }
 
@@ -150,7 +113,7 @@
         this.closeWhenIdle(group);
       },
       onSilence: () => this.retire(group),
-      wasBroken: () => group.connector.hasBroken,
+      wasBroken: () => group.breaks.isCurrent,
     });
     group.responses.add(response);
     const isReusable = this.isBodyIdentified || this.repeatsIdentifier === true;
@@ -182,17 +145,17 @@
     signal: AbortSignal,
     permit: SendPermit | undefined,
   ): ResponseStream {
-    const connector = new ObservedConnector();
+    const breaks = new ConnectionBreaks();
     const client = new Client(this.location.url, {
       ...CONNECTION_OPTIONS,
-      connect: connector.connect,
+      connect: observedConnector(breaks),
     });
     const response = this.createResponse(call, signal, permit, {
       onEnd: () => {
         void client.destroy();
       },
       onSilence: () => this.retire(this.current),
-      wasBroken: () => connector.hasBroken,
+      wasBroken: () => breaks.isCurrent,
     });
     return HttpEndpointLink.dispatch(client, call, encoded, response, false);
   }
@@ -222,13 +185,13 @@
   }
 
   private openGroup(): ConnectionGroup {
-    const connector = new ObservedConnector();
+    const breaks = new ConnectionBreaks();
     const pool = new Pool(this.location.url, {
       ...CONNECTION_OPTIONS,
-      connect: connector.connect,
+      connect: observedConnector(breaks),
       connections: null,
     });
-    const group = { pool, connector, responses: new Set<HttpResponseStream>() };
+    const group = { pool, breaks, responses: new Set<HttpResponseStream>() };
     this.groups.add(group);
     return group;
   }
