Leave the outcome unknown after broken responses to the daemon's calls of the platform

Failed before in BrokenResponses of hickoryrelay-platform: a transaction of the key-value service and an order, answered with 200 and no length while the request was unread, were taken for done, whether the connection was reset, closed or ended; a transaction whose response was cut short failed with a SyntaxError instead of an unknown outcome; an order answered with 302 was taken for accepted.

--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -1,5 +1,6 @@
-import { Agent, request } from 'undici';
+import { Agent, buildConnector, request } from 'undici';
 import { SystemClock } from 'hickoryrelay/Clock';
+import { ConnectionBreaks } from 'hickoryrelay/ConnectionBreaks';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { SystemRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
@@ -80,6 +81,29 @@
 const LEASE_RENEWAL: CallTraits = { isWrite: true, proof: RevisionProof.None };
 const TRANSACTION: CallTraits = { isWrite: true, proof: RevisionProof.NotLower };
 
+/** Returns a connector that observes its connections. */
+function observedConnector(breaks: ConnectionBreaks): buildConnector.connector {
+  const connect = buildConnector({});
+  return (options, callback) => {
+    connect(options, (...result) => {
+      if (result[0] === null) {
+        breaks.observe(result[1]);
+      }
+      callback(...result);
+    });
+  };
+}
+
+/** Returns undefined for a body that is no JSON object, as one that its connection cut short. */
+function parseObject(text: string): object | undefined {
+  try {
+    const body: unknown = JSON.parse(text);
+    return typeof body === 'object' && body !== null && !Array.isArray(body) ? body : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /**
  * Key-value store client for the etcd v3 JSON gateway. Its eras are counted by this client, see
  * `EtcdRestoreDetector`.
@@ -89,7 +113,13 @@
 
   private readonly timeoutMilliseconds: number;
 
-  private readonly agent = new Agent({ pipelining: 1, connections: 8 });
+  private readonly breaks = new ConnectionBreaks();
+
+  private readonly agent = new Agent({
+    pipelining: 1,
+    connections: 8,
+    connect: observedConnector(this.breaks),
+  });
 
   /** Separate from `agent`, because watches stay open and would use up its connections. */
   private readonly watchAgent = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
@@ -282,7 +312,10 @@
     if (status !== OK) {
       throw this.refused(status, isWrite);
     }
-    const response = JSON.parse(text) as ResponseBody;
+    const response = parseObject(text) as ResponseBody | undefined;
+    if (response === undefined) {
+      throw this.unavailable('the body of the response is incomplete', isWrite);
+    }
     const header = response.header ?? response.result?.header;
     const era = this.detector.observe(
       header,
@@ -318,6 +351,9 @@
       const signal = AbortSignal.timeout(this.timeoutMilliseconds);
       const response = await this.open(path, body, signal, this.agent);
       const text = await readBodyText(response.body, MAXIMUM_RESPONSE_BYTES, SERVICE);
+      if (this.breaks.isCurrent) {
+        throw this.unavailable('the connection broke off', isWrite);
+      }
       return { status: response.statusCode, text };
     } catch (error) {
       this.urlIndex += 1;
--- a/packages/hickoryrelay-platform/src/HttpPlatform.ts
+++ b/packages/hickoryrelay-platform/src/HttpPlatform.ts
@@ -1,4 +1,5 @@
 import { buildConnector, Client, getGlobalDispatcher, request } from 'undici';
+import { ConnectionBreak } from 'hickoryrelay/ConnectionBreak';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { paceReads } from 'hickoryrelay/PacedReads';
@@ -22,6 +23,7 @@
 import type { Dispatcher } from 'undici';
 
 const REQUEST_TIMEOUT_MILLISECONDS = 2000;
+const FIRST_REDIRECT = 300;
 const GONE = 410;
 
 /** A list of 640 instances, or of 7,200 endpoints, takes about 2 MB. */
@@ -61,12 +63,7 @@
       });
       const text = await readBodyText(response.body, MAXIMUM_RESPONSE_BYTES, service);
       if (response.statusCode >= 500) {
-        throw new RelayError({
-          kind: FailureKind.PlatformUnavailable,
-          service,
-          reason: `status ${response.statusCode}`,
-          mayHaveTakenEffect,
-        });
+        throw this.unavailable(`status ${response.statusCode}`, mayHaveTakenEffect);
       }
       return {
         status: response.statusCode,
@@ -77,15 +74,7 @@
         throw error;
       }
       const reason = error instanceof Error ? error.message : String(error);
-      throw new RelayError(
-        {
-          kind: FailureKind.PlatformUnavailable,
-          service,
-          reason,
-          mayHaveTakenEffect: mayHaveTakenEffect && !isConnectionRefused(error),
-        },
-        error,
-      );
+      throw this.unavailable(reason, mayHaveTakenEffect && !isConnectionRefused(error), error);
     }
   }
 
@@ -102,11 +91,13 @@
     check: AuthorityCheck = () => {},
   ): Promise<void> {
     check();
+    let connectionBreak: ConnectionBreak | undefined;
     const connector = buildConnector({ timeout: REQUEST_TIMEOUT_MILLISECONDS });
     const client = new Client(this.baseUrl, {
       connect: (options, callback) => {
         connector(options, (...result) => {
           if (result[0] === null) {
+            connectionBreak = new ConnectionBreak(result[1]);
             guardWrites(result[1], check);
             paceReads(result[1]);
           }
@@ -116,6 +107,11 @@
     });
     try {
       const { status } = await this.call('POST', path, body, client);
+      const error = connectionBreak?.error;
+      if (error !== undefined) {
+        // The platform may have given up a request that it had not read.
+        throw this.unavailable(error.message, true, error);
+      }
       this.assertAccepted(status, path, zone, fencingNumber);
     } finally {
       await client.destroy();
@@ -127,14 +123,9 @@
       throw new RelayError({ kind: FailureKind.AuthorityLost, zone, fencingNumber });
     }
     if (status === GONE) {
-      throw new RelayError({
-        kind: FailureKind.PlatformUnavailable,
-        service: this.service,
-        reason: 'the deadline of the order has passed',
-        mayHaveTakenEffect: false,
-      });
+      throw this.unavailable('the deadline of the order has passed', false);
     }
-    if (status >= 400) {
+    if (status >= FIRST_REDIRECT) {
       throw new RelayError({
         kind: FailureKind.ProtocolViolation,
         peer: this.service,
@@ -142,6 +133,14 @@
       });
     }
   }
+
+  private unavailable(reason: string, mayHaveTakenEffect: boolean, cause?: unknown): RelayError {
+    const { service } = this;
+    return new RelayError(
+      { kind: FailureKind.PlatformUnavailable, service, reason, mayHaveTakenEffect },
+      cause,
+    );
+  }
 }
 
 /** Selects the usable entries of a list, and logs when there are more others than before. */
