Leave the outcome of a write unknown after an unexpected status of the key-value service

Statuses 201 and 302 of a write counted as refusals without effect; the two cases of BrokenResponses failed before.

--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -39,6 +39,7 @@
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 2000;
 const OK = 200;
+const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
 const INTERNAL_SERVER_ERROR = 500;
 const SERVICE = 'key-value service';
@@ -372,12 +373,13 @@
     });
   }
 
-  /** The error for a rejected call. A write rejected with 400 to 499 has not taken effect. */
+  /** The error for a rejected call. Only a write rejected with 400 to 499 has not taken effect. */
   private refused(status: number, isWrite: boolean): RelayError {
     if (status >= INTERNAL_SERVER_ERROR) {
       this.urlIndex += 1;
     }
-    return this.unavailable(`status ${status}`, isWrite && status >= INTERNAL_SERVER_ERROR);
+    const isRefusal = status >= BAD_REQUEST && status < INTERNAL_SERVER_ERROR;
+    return this.unavailable(`status ${status}`, isWrite && !isRefusal);
   }
 
   private failure(error: unknown, isWrite: boolean): RelayError {
--- a/packages/hickoryrelay-platform/src/__tests__/e2e/BrokenResponses.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/e2e/BrokenResponses.test.ts
@@ -155,6 +155,14 @@
     },
   );
 
+  it.each(['201', '302', '500', '502', '504'])(
+    'leaves the outcome of a write unknown after status %s',
+    async (status) => {
+      const url = await startService((socket) => socket.end(statusResponse(status, COMMITTED)));
+      expect(await failureOfCall(write(makeStore(url), 'b'))).toMatchObject(UNKNOWN);
+    },
+  );
+
   // A redirect is neither an acceptance nor a refusal.
   it('does not take an order for accepted after status 302', async () => {
     const url = await startService((socket) => socket.end(statusResponse('302', '{}')));
