Repeat failed reads of the store less often in large deployments

All instances repeated a failed read every 250 ms, so that 59 instances made more than 200 calls a second in an outage, which are billed. Up to 15 instances nothing changes.

--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -11,7 +11,27 @@
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 
-const RETRY_DELAY_MILLISECONDS = 250;
+const MINIMUM_RETRY_DELAY_MILLISECONDS = 250;
+
+/** Longest delay by which instances notice late that the store responds again. */
+const MAXIMUM_RETRY_DELAY_MILLISECONDS = 1000;
+
+/**
+ * Limit on the reads that all instances repeat in an outage of the store. Refused calls are billed as
+ * well, and the store's rate limits do not grow with the number of instances.
+ */
+const MAXIMUM_RETRIES_PER_SECOND = 60;
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Time after which one of a number of instances repeats a failed read. */
+export function retryDelayOf(instances: number): number {
+  const sharedMilliseconds = (instances / MAXIMUM_RETRIES_PER_SECOND) * MILLISECONDS_PER_SECOND;
+  return Math.min(
+    MAXIMUM_RETRY_DELAY_MILLISECONDS,
+    Math.max(MINIMUM_RETRY_DELAY_MILLISECONDS, sharedMilliseconds),
+  );
+}
 
 /** Collaborators and settings of the task. */
 export interface ViewRefreshTaskParts {
@@ -105,7 +125,10 @@
           viewAgeMilliseconds: Math.round(view.ageMilliseconds),
         });
       }
-      return RETRY_DELAY_MILLISECONDS;
+      // A single failure is more often that of one call than an outage.
+      return this.failedReadings === 1
+        ? MINIMUM_RETRY_DELAY_MILLISECONDS
+        : retryDelayOf(view.peers.length);
     }
   }
 }
