Wait for the usage counts of all registered instances before sealing

Cause: a window was sealed once as many instances had written counts as in the window before. In the first window with full traffic, 50 entries were enough although 59 instances ran; nine of them could not reach the store for 9 s, and the report was off by 264 of 1,420 requests. The holder now waits for all registered instances, up to half the time until the report is due, since an idle one writes nothing.

A test of restored stores expected a report 2.5 s after a window in which one of three instances was idle. That instance now has a request as well; the test checks the same as before.

--- a/packages/hickoryrelay-forwarding/src/UsageReportTask.ts
+++ b/packages/hickoryrelay-forwarding/src/UsageReportTask.ts
@@ -26,6 +26,12 @@
  */
 const SEAL_DEADLINE_FRACTION = 0.75;
 
+/**
+ * Fraction of that time after which a window is sealed although fewer instances have written counts
+ * than are registered, as those without requests write none.
+ */
+const IDLE_INSTANCES_FRACTION = 0.5;
+
 /** The store allows 32 entries in a transaction, one of which deletes the seal. */
 const MAXIMUM_REMOVED_ENTRIES = 31;
 
@@ -52,6 +58,8 @@
   readonly sealableWindows: SealableWindows;
   readonly windowMilliseconds: number;
   readonly dueMilliseconds: number;
+  /** Number of registered instances. */
+  readonly countInstances: () => number;
   readonly log: ComponentLogger;
 }
 
@@ -215,8 +223,12 @@
     const age = wallMilliseconds - (window + 1) * windowMilliseconds;
     this.expectedEntries ??= await this.countSealedEntries(window - 1);
     const entries = values.flatMap(({ value }) => decodeUsageCounts(value) ?? []);
+    const expected =
+      age < dueMilliseconds * IDLE_INSTANCES_FRACTION
+        ? Math.max(this.expectedEntries, this.parts.countInstances())
+        : this.expectedEntries;
     const isComplete =
-      entries.length >= this.expectedEntries &&
+      entries.length >= expected &&
       entries.every(({ isFinal }) => isFinal) &&
       sealableWindows.restoredForMilliseconds >= RECOVERY_MILLISECONDS;
     if (!isComplete && age < dueMilliseconds * SEAL_DEADLINE_FRACTION) {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestore.test.ts
@@ -167,9 +167,10 @@
     deployment.network.isDelivered = () => delivers;
     deployment.count(0, 4);
     deployment.count(1, 2);
+    deployment.count(2, 1);
     const { firstWindow: window } = deployment;
     await deployment.advance(WINDOW_MILLISECONDS + 2500);
-    expect(deployment.reportedIn(window)).toBe(6);
+    expect(deployment.reportedIn(window)).toBe(7);
     deployment.network.isDelivered = () => true;
     deployment.restart(0);
     await deployment.restoreStore(7000, 500);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestoreFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/UsageRestoreFixture.ts
@@ -235,6 +235,7 @@
         sealableWindows,
         windowMilliseconds: WINDOW_MILLISECONDS,
         dueMilliseconds: DUE_MILLISECONDS,
+        countInstances: () => this.peers.length,
         log: silentLogger,
       }),
     );
