Plan the supply and the stages of engines from the observed work

The supply of a service was always its maximum, and 0.45 of its engines prefilled prompts. On-demand engines replace reclaimed ones only as far as other zones do not have enough.

--- a/packages/hickoryrelay-forwarding/src/PromptCacheDirectory.ts
+++ b/packages/hickoryrelay-forwarding/src/PromptCacheDirectory.ts
@@ -33,6 +33,7 @@
 /** The last use of a segment by an engine. */
 interface CacheEntry {
   readonly atMilliseconds: number;
+  readonly sharedTokens: number;
   /** Total tokens that the engine had added to its cache by then. */
   readonly filledTokens: number;
 }
@@ -76,7 +77,7 @@
       this.entriesBySegment.delete(segment);
     }
     this.entriesBySegment.set(segment, entries);
-    entries.set(engine, { atMilliseconds: now, filledTokens });
+    entries.set(engine, { atMilliseconds: now, sharedTokens, filledTokens });
     this.evictOldest(this.entriesBySegment, MAXIMUM_SEGMENTS);
   }
 
@@ -122,6 +123,20 @@
     return holder;
   }
 
+  /** Total tokens of the segments that some of the given engines have used since a time. */
+  tokensUsedSince(sinceMilliseconds: number, engines: ReadonlySet<number>): number {
+    let tokens = 0;
+    for (const entries of this.entriesBySegment.values()) {
+      for (const [engine, { atMilliseconds, sharedTokens }] of entries) {
+        if (atMilliseconds >= sinceMilliseconds && engines.has(engine)) {
+          tokens += sharedTokens;
+          break;
+        }
+      }
+    }
+    return tokens;
+  }
+
   private evictOldest(entries: Map<number, unknown>, maximum: number): void {
     if (entries.size > maximum) {
       const [oldest] = entries.keys();
--- a/packages/hickoryrelay-forwarding/src/StagePlan.ts
+++ b/packages/hickoryrelay-forwarding/src/StagePlan.ts
@@ -1,13 +1,9 @@
+import { DEFAULT_PREFILL_SHARE } from 'hickoryrelay-supply/StageShare';
+
 import { EndpointPhase, EngineStage } from './EndpointRecord.js';
 
 import type { EndpointRecord } from './EndpointRecord.js';
 
-/**
- * Target fraction of prefill engines. The ratio of long prompts to long responses changes faster
- * than an engine can change its stage, so the fraction suits the average load and is constant.
- */
-const PREFILL_FRACTION = 0.45;
-
 /** No stage is changed while the number of prefill engines is this close to the target. */
 const TOLERANCE_ENGINES = 0.75;
 
@@ -23,11 +19,12 @@
 /**
  * Returns the next engine that should change its stage, if any. It is in the zone with the fewest
  * prefill engines if one is added, and in the zone with the most if one is removed. Engines in
- * `changing` count towards their new stage.
+ * `changing` count towards their new stage. `prefillShare` is the target fraction of prefill engines.
  */
 export function nextStageChange(
   engines: readonly EndpointRecord[],
   changing: ReadonlyMap<string, EngineStage>,
+  prefillShare = DEFAULT_PREFILL_SHARE,
 ): StageChange | undefined {
   const candidates = engines.filter(
     ({ phase, stage }) => phase !== EndpointPhase.Leaving && stage !== undefined,
@@ -35,7 +32,7 @@
   const stageOf = (engine: EndpointRecord) => changing.get(engine.identifier) ?? engine.stage;
   const prefillEngines = candidates.filter((engine) => stageOf(engine) === EngineStage.Prefill);
   const decodeEngines = candidates.filter((engine) => stageOf(engine) === EngineStage.Decode);
-  const targetPrefillEngines = candidates.length * PREFILL_FRACTION;
+  const targetPrefillEngines = candidates.length * prefillShare;
   const needsPrefillEngine = prefillEngines.length < targetPrefillEngines - TOLERANCE_ENGINES;
   const hasSurplus = prefillEngines.length > targetPrefillEngines + TOLERANCE_ENGINES;
   if (!needsPrefillEngine && !hasSurplus) {
--- a/packages/hickoryrelay-forwarding/src/StageTask.ts
+++ b/packages/hickoryrelay-forwarding/src/StageTask.ts
@@ -1,4 +1,5 @@
 import { Task } from 'hickoryrelay/Task';
+import { StageShare } from 'hickoryrelay-supply/StageShare';
 
 import { FencedCallResult } from './FencedPlatform.js';
 import { nextStageChange } from './StagePlan.js';
@@ -6,7 +7,9 @@
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { EngineStage } from './EndpointRecord.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
+import type { EngineDemands } from './EngineDemands.js';
 import type { FencedPlatform } from './FencedPlatform.js';
+import type { ForwardingService } from './ForwardingConfiguration.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
@@ -24,6 +27,7 @@
   readonly view: ConfirmedView;
   readonly registry: EndpointRegistry;
   readonly platform: FencedPlatform;
+  readonly demands: EngineDemands;
   readonly log: ComponentLogger;
 }
 
@@ -44,6 +48,9 @@
     { stage: EngineStage; expiresAtMilliseconds: number }
   >();
 
+  /** By service. */
+  private readonly shares = new Map<string, StageShare>();
+
   constructor(term: AuthorityTerm, parts: StageTaskParts) {
     super();
     this.term = term;
@@ -58,7 +65,7 @@
       for (const service of this.parts.view.configuration?.services.values() ?? []) {
         yield;
         if (service.engine !== undefined) {
-          await this.orderNextChange(service.name, clock.monotonicMilliseconds());
+          await this.orderNextChange(service, clock.monotonicMilliseconds());
         }
       }
     }
@@ -72,11 +79,25 @@
     }
   }
 
-  private async orderNextChange(service: string, now: number): Promise<void> {
+  private prefillShareOf(service: ForwardingService, now: number): number {
+    const share = this.shares.get(service.name) ?? new StageShare();
+    this.shares.set(service.name, share);
+    const previous = share.current;
+    const current = share.update(this.parts.demands.required(service, now));
+    if (current !== previous) {
+      this.parts.log.info('The target share of prefill engines has changed.', {
+        service: service.name,
+        prefillShare: Number(current.toFixed(2)),
+      });
+    }
+    return current;
+  }
+
+  private async orderNextChange(service: ForwardingService, now: number): Promise<void> {
     const { view, registry, platform, log } = this.parts;
-    const engines = view.endpoints.filter((endpoint) => endpoint.service === service);
+    const engines = view.endpoints.filter((endpoint) => endpoint.service === service.name);
     const pendingStages = new Map([...this.pendingChanges].map(([key, { stage }]) => [key, stage]));
-    const change = nextStageChange(engines, pendingStages);
+    const change = nextStageChange(engines, pendingStages, this.prefillShareOf(service, now));
     if (change === undefined || !this.term.isHeld) {
       return;
     }
--- a/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
@@ -30,6 +30,10 @@
   readonly isScarce: boolean;
   /** Number of zones in which the service runs. */
   readonly zoneCount: number;
+  /** Endpoints that the zone should have for the observed work; undefined while that is not known. */
+  readonly planned?: number | undefined;
+  /** Endpoints that the work needs beyond those that other zones have. */
+  readonly uncovered?: number | undefined;
 }
 
 /** On-demand endpoints of a zone while reclaimable ones are available. Bounds apply to both kinds. */
@@ -41,20 +45,24 @@
 
 /**
  * Decides how many endpoints a service should have in a zone. Endpoints ordered on a rise of the
- * load start too late for it, so the supply of the cheap reclaimable ones is kept at the maximum.
- * When a zone loses them, on-demand endpoints replace them until the first reclaimable ones are
- * back.
+ * load start too late for it, so the supply of the cheap reclaimable ones is kept at the maximum
+ * while the work is not known, and at the plan for its recent peak afterwards. When a zone loses them,
+ * on-demand endpoints replace them until the first reclaimable ones are back, as far as those of the
+ * other zones are not enough.
  */
 export function supplyLevels(
   { supply, name: service }: ForwardingService,
-  { zone, onDemand, reclaimable, isScarce, zoneCount }: ZoneSupply,
+  { zone, onDemand, reclaimable, isScarce, zoneCount, planned, uncovered }: ZoneSupply,
 ): readonly SupplyLevel[] {
   if (supply === undefined || supply.reclaimablePrice > MAXIMUM_RECLAIMABLE_PRICE) {
     return [];
   }
-  const { minimum, maximum } = supply;
-  const base = baseOf(supply, zoneCount);
-  const fallback = Math.max(minimum, base, Math.ceil(maximum * FALLBACK_FRACTION));
+  const { minimum } = supply;
+  const maximum = planned ?? supply.maximum;
+  // Below the maximum, the endpoints of the other zones are enough when a zone loses its own.
+  const base = maximum < supply.maximum ? minimum : baseOf(supply, zoneCount);
+  const wanted = Math.ceil(maximum * FALLBACK_FRACTION);
+  const fallback = Math.max(minimum, base, Math.min(wanted, uncovered ?? wanted));
   const onDemandLevel = (count: number) => ({ service, zone, count, isReclaimable: false });
   const reclaimableLevel = (count: number) => ({ service, zone, count, isReclaimable: true });
   if (isScarce) {
--- a/packages/hickoryrelay-forwarding/src/SupplyTask.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyTask.ts
@@ -1,10 +1,12 @@
 import { Task } from 'hickoryrelay/Task';
+import { SupplyPlan } from 'hickoryrelay-supply/SupplyPlan';
 
 import { EndpointPhase } from './EndpointRecord.js';
 import { FencedCallResult } from './FencedPlatform.js';
 import { supplyLevels } from './SupplyLevels.js';
 
 import type { ConfirmedView } from './ConfirmedView.js';
+import type { EngineDemands } from './EngineDemands.js';
 import type { FencedPlatform, SupplyLevel } from './FencedPlatform.js';
 import type { ForwardingService } from './ForwardingConfiguration.js';
 import type { ZoneSupply } from './SupplyLevels.js';
@@ -27,6 +29,7 @@
 export interface SupplyTaskParts {
   readonly view: ConfirmedView;
   readonly platform: FencedPlatform;
+  readonly demands: EngineDemands;
   readonly log: ComponentLogger;
 }
 
@@ -44,6 +47,9 @@
   /** Monotonic time of the last refused order of reclaimable endpoints, by service and zone. */
   private readonly refusedAtMilliseconds = new Map<string, number>();
 
+  /** By service. */
+  private readonly plans = new Map<string, SupplyPlan>();
+
   constructor(term: AuthorityTerm, parts: SupplyTaskParts) {
     super();
     this.term = term;
@@ -52,6 +58,7 @@
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
     for (;;) {
+      this.parts.demands.observe(clock.monotonicMilliseconds());
       for (const level of this.unmetLevels(clock.monotonicMilliseconds())) {
         yield;
         await this.order(level, clock.monotonicMilliseconds());
@@ -72,8 +79,9 @@
           .filter((endpoint) => endpoint.service === service.name)
           .map(({ zone }) => zone),
       ]);
+      const planned = this.planFor(service, zones.size, now);
       for (const zone of [...zones].sort()) {
-        const supply = this.supplyOf(service, zone, zones.size, now);
+        const supply = { ...this.supplyOf(service, zone, zones.size, now), ...planned(zone) };
         for (const level of supplyLevels(service, supply)) {
           if (level.count !== (level.isReclaimable ? supply.reclaimable : supply.onDemand)) {
             yield level;
@@ -83,6 +91,38 @@
     }
   }
 
+  /** Returns the plan of each zone of a service. */
+  private planFor(
+    service: ForwardingService,
+    zoneCount: number,
+    now: number,
+  ): (zone: string) => Pick<ZoneSupply, 'planned' | 'uncovered'> {
+    const required = this.parts.demands.required(service, now);
+    if (service.supply === undefined || required === undefined) {
+      return () => ({});
+    }
+    const plan = this.plans.get(service.name) ?? new SupplyPlan();
+    this.plans.set(service.name, plan);
+    const previous = plan.planned;
+    const planned = plan.update(required, service.supply, zoneCount);
+    if (planned !== previous) {
+      this.parts.log.info('Planned the endpoints for the observed work.', {
+        service: service.name,
+        endpointsPerZone: planned,
+        requiredPrefill: Math.ceil(required.prefill),
+        requiredDecode: Math.ceil(required.decode),
+      });
+    }
+    const needed = Math.ceil(required.prefill + required.decode);
+    const ready = this.parts.view.endpoints.filter(
+      (endpoint) => endpoint.service === service.name && endpoint.phase !== EndpointPhase.Leaving,
+    );
+    return (zone) => ({
+      planned,
+      uncovered: Math.max(0, needed - ready.filter((endpoint) => endpoint.zone !== zone).length),
+    });
+  }
+
   private supplyOf(
     { name }: ForwardingService,
     zone: string,
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StageTask.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StageTask.test.ts
@@ -5,8 +5,10 @@
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
 import { EngineStage } from 'hickoryrelay-forwarding/EndpointRecord';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
+import { EngineDemands } from 'hickoryrelay-forwarding/EngineDemands';
 import { FencedCallResult, FencedPlatform } from 'hickoryrelay-forwarding/FencedPlatform';
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
+import { PromptCacheDirectory } from 'hickoryrelay-forwarding/PromptCacheDirectory';
 import { StageTask } from 'hickoryrelay-forwarding/StageTask';
 import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 
@@ -62,7 +64,8 @@
   const platform = new RecordingPlatform();
   const lifecycle = new LifecycleManager('test', clock, () => {});
   lifecycles.push(lifecycle);
-  lifecycle.start(new StageTask(term, { view, registry, platform, log: silentLogger }));
+  const demands = new EngineDemands({ view, registry, directory: new PromptCacheDirectory() });
+  lifecycle.start(new StageTask(term, { view, registry, platform, demands, log: silentLogger }));
   return { clock, registry, platform };
 }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SupplyLevels.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SupplyLevels.test.ts
@@ -72,4 +72,24 @@
       }
     }
   });
+
+  // Guards against on-demand endpoints that are paid for although those of other zones are enough.
+  it('follows the plan, and replaces lost endpoints only as far as other zones do not have them', () => {
+    const plannedLevels = (isScarce: boolean, uncovered: number) =>
+      supplyLevels(serviceOf({ maximum: 26 }), {
+        zone: 'z',
+        onDemand: 1,
+        reclaimable: isScarce ? 0 : 9,
+        isScarce,
+        zoneCount: 3,
+        planned: 10,
+        uncovered,
+      }).map(
+        ({ count, isReclaimable }) => `${count} ${isReclaimable ? 'reclaimable' : 'on-demand'}`,
+      );
+    expect(plannedLevels(false, 0)).toEqual(['1 on-demand', '9 reclaimable']);
+    expect(plannedLevels(true, 0)).toEqual(['1 on-demand', '9 reclaimable']);
+    expect(plannedLevels(true, 4)).toEqual(['4 on-demand', '6 reclaimable']);
+    expect(plannedLevels(true, 20)).toEqual(['6 on-demand', '4 reclaimable']);
+  });
 });
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SupplyTask.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SupplyTask.test.ts
@@ -3,7 +3,11 @@
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { ConfirmedView } from 'hickoryrelay-forwarding/ConfirmedView';
+import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
+import { EngineDemands } from 'hickoryrelay-forwarding/EngineDemands';
 import { FencedCallResult, FencedPlatform } from 'hickoryrelay-forwarding/FencedPlatform';
+import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
+import { PromptCacheDirectory } from 'hickoryrelay-forwarding/PromptCacheDirectory';
 import { SupplyTask } from 'hickoryrelay-forwarding/SupplyTask';
 import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 
@@ -59,7 +63,9 @@
   const platform = new RecordingPlatform();
   const lifecycle = new LifecycleManager('test', clock, () => {});
   lifecycles.push(lifecycle);
-  lifecycle.start(new SupplyTask(term, { view, platform, log: silentLogger }));
+  const registry = new EndpointRegistry(new PeerLoads());
+  const demands = new EngineDemands({ view, registry, directory: new PromptCacheDirectory() });
+  lifecycle.start(new SupplyTask(term, { view, platform, demands, log: silentLogger }));
   await clock.advance(600);
   return platform.orders;
 }
