--- a/packages/hickoryrelay-forwarding/src/StageTask.ts
+++ b/packages/hickoryrelay-forwarding/src/StageTask.ts
@@ -1,5 +1,4 @@
 import { Task } from 'hickoryrelay/Task';
-import { StageShare } from 'hickoryrelay-supply/StageShare';
 
 import { FencedCallResult } from './FencedPlatform.js';
 import { nextStageChange } from './StagePlan.js';
@@ -10,6 +9,7 @@
 import type { EngineDemands } from './EngineDemands.js';
 import type { FencedPlatform } from './FencedPlatform.js';
 import type { ForwardingService } from './ForwardingConfiguration.js';
+import type { SupplyPlans } from './SupplyPlans.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
@@ -28,6 +28,7 @@
   readonly registry: EndpointRegistry;
   readonly platform: FencedPlatform;
   readonly demands: EngineDemands;
+  readonly plans: SupplyPlans;
   readonly log: ComponentLogger;
 }
 
@@ -48,9 +49,6 @@
     { stage: EngineStage; expiresAtMilliseconds: number }
   >();
 
-  /** By service. */
-  private readonly shares = new Map<string, StageShare>();
-
   constructor(term: AuthorityTerm, parts: StageTaskParts) {
     super();
     this.term = term;
@@ -80,8 +78,7 @@
   }
 
   private prefillShareOf(service: ForwardingService, now: number): number {
-    const share = this.shares.get(service.name) ?? new StageShare();
-    this.shares.set(service.name, share);
+    const { stages: share } = this.parts.plans.planOf(service.name);
     const previous = share.current;
     const current = share.update(this.parts.demands.required(service, now));
     if (current !== previous) {
--- a/packages/hickoryrelay-forwarding/src/SupplyTask.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyTask.ts
@@ -1,5 +1,6 @@
+import { describeFailure } from 'hickoryrelay/Failure';
+import { failureOf } from 'hickoryrelay/RelayError';
 import { Task } from 'hickoryrelay/Task';
-import { SupplyPlan } from 'hickoryrelay-supply/SupplyPlan';
 
 import { EndpointPhase } from './EndpointRecord.js';
 import { FencedCallResult } from './FencedPlatform.js';
@@ -10,6 +11,7 @@
 import type { FencedPlatform, SupplyLevel } from './FencedPlatform.js';
 import type { ForwardingService } from './ForwardingConfiguration.js';
 import type { ZoneSupply } from './SupplyLevels.js';
+import type { SupplyPlans } from './SupplyPlans.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
@@ -30,6 +32,7 @@
   readonly view: ConfirmedView;
   readonly platform: FencedPlatform;
   readonly demands: EngineDemands;
+  readonly plans: SupplyPlans;
   readonly log: ComponentLogger;
 }
 
@@ -47,9 +50,6 @@
   /** Monotonic time of the last refused order of reclaimable endpoints, by service and zone. */
   private readonly refusedAtMilliseconds = new Map<string, number>();
 
-  /** By service. */
-  private readonly plans = new Map<string, SupplyPlan>();
-
   constructor(term: AuthorityTerm, parts: SupplyTaskParts) {
     super();
     this.term = term;
@@ -59,15 +59,28 @@
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
     for (;;) {
       this.parts.demands.observe(clock.monotonicMilliseconds());
+      await this.keep(() => this.parts.plans.load(clock.wallMilliseconds()));
       for (const level of this.unmetLevels(clock.monotonicMilliseconds())) {
         yield;
         await this.order(level, clock.monotonicMilliseconds());
       }
       yield;
+      await this.keep(() => this.parts.plans.save(clock.wallMilliseconds()));
       await clock.sleep(PERIOD_MILLISECONDS, signal);
     }
   }
 
+  /** Reads or writes the plans in the store. Without it, the plans of this term are used. */
+  private async keep(access: () => Promise<void>): Promise<void> {
+    try {
+      await access();
+    } catch (error) {
+      this.parts.log.warn('Could not access the plans in the store; will retry.', {
+        reason: describeFailure(failureOf(error)),
+      });
+    }
+  }
+
   /** Levels that differ from the number of registered endpoints. */
   private *unmetLevels(now: number): Generator<SupplyLevel, void, void> {
     const { view } = this.parts;
@@ -97,15 +110,17 @@
     zoneCount: number,
     now: number,
   ): (zone: string) => Pick<ZoneSupply, 'planned' | 'uncovered'> {
-    const required = this.parts.demands.required(service, now);
-    if (service.supply === undefined || required === undefined) {
+    if (service.supply === undefined) {
       return () => ({});
     }
-    const plan = this.plans.get(service.name) ?? new SupplyPlan();
-    this.plans.set(service.name, plan);
+    const required = this.parts.demands.required(service, now);
+    const { supply: plan } = this.parts.plans.planOf(service.name);
     const previous = plan.planned;
     const planned = plan.update(required, service.supply, zoneCount);
-    if (planned !== previous) {
+    if (planned === undefined) {
+      return () => ({});
+    }
+    if (planned !== previous && required !== undefined) {
       this.parts.log.info('Planned the endpoints for the observed work.', {
         service: service.name,
         endpointsPerZone: planned,
@@ -113,7 +128,10 @@
         requiredDecode: Math.ceil(required.decode),
       });
     }
-    const needed = Math.ceil(required.prefill + required.decode);
+    const needed =
+      required === undefined
+        ? planned * Math.max(1, zoneCount - 1)
+        : Math.ceil(required.prefill + required.decode);
     const ready = this.parts.view.endpoints.filter(
       (endpoint) => endpoint.service === service.name && endpoint.phase !== EndpointPhase.Leaving,
     );
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StageTask.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StageTask.test.ts
@@ -10,9 +10,11 @@
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
 import { PromptCacheDirectory } from 'hickoryrelay-forwarding/PromptCacheDirectory';
 import { StageTask } from 'hickoryrelay-forwarding/StageTask';
+import { SupplyPlans } from 'hickoryrelay-forwarding/SupplyPlans';
 import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 
 import { HEARTBEAT_MILLISECONDS, makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
+import { RestorableStore, RestorableStoreClient } from './RestorableStore.js';
 
 import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
 
@@ -65,7 +67,10 @@
   const lifecycle = new LifecycleManager('test', clock, () => {});
   lifecycles.push(lifecycle);
   const demands = new EngineDemands({ view, registry, directory: new PromptCacheDirectory() });
-  lifecycle.start(new StageTask(term, { view, registry, platform, demands, log: silentLogger }));
+  const plans = new SupplyPlans(new RestorableStoreClient(new RestorableStore(clock), clock));
+  lifecycle.start(
+    new StageTask(term, { view, registry, platform, demands, plans, log: silentLogger }),
+  );
   return { clock, registry, platform };
 }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/SupplyTask.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/SupplyTask.test.ts
@@ -8,10 +8,12 @@
 import { FencedCallResult, FencedPlatform } from 'hickoryrelay-forwarding/FencedPlatform';
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
 import { PromptCacheDirectory } from 'hickoryrelay-forwarding/PromptCacheDirectory';
+import { SupplyPlans } from 'hickoryrelay-forwarding/SupplyPlans';
 import { SupplyTask } from 'hickoryrelay-forwarding/SupplyTask';
 import { AuthorityTerm } from 'hickoryrelay-zone/AuthorityTerm';
 
 import { HEARTBEAT_MILLISECONDS, makeConfiguration, makeEndpoint } from './ForwardingFixture.js';
+import { RestorableStore, RestorableStoreClient } from './RestorableStore.js';
 
 import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
 import type { SupplyLevel } from 'hickoryrelay-forwarding/FencedPlatform';
@@ -65,7 +67,8 @@
   lifecycles.push(lifecycle);
   const registry = new EndpointRegistry(new PeerLoads());
   const demands = new EngineDemands({ view, registry, directory: new PromptCacheDirectory() });
-  lifecycle.start(new SupplyTask(term, { view, platform, demands, log: silentLogger }));
+  const plans = new SupplyPlans(new RestorableStoreClient(new RestorableStore(clock), clock));
+  lifecycle.start(new SupplyTask(term, { view, platform, demands, plans, log: silentLogger }));
   await clock.advance(600);
   return platform.orders;
 }
--- a/packages/hickoryrelay-supply/src/StageShare.ts
+++ b/packages/hickoryrelay-supply/src/StageShare.ts
@@ -12,7 +12,11 @@
 
 /** The share of a service's engines that prefill prompts, which follows the work with hysteresis. */
 export class StageShare {
-  private share = DEFAULT_PREFILL_SHARE;
+  private share: number;
+
+  constructor(share = DEFAULT_PREFILL_SHARE) {
+    this.share = share;
+  }
 
   get current(): number {
     return this.share;
--- a/packages/hickoryrelay-supply/src/SupplyPlan.ts
+++ b/packages/hickoryrelay-supply/src/SupplyPlan.ts
@@ -31,13 +31,25 @@
 export class SupplyPlan {
   private current: number | undefined;
 
-  /** Engines in each zone; undefined before the first update. */
+  /** @param planned the plan to continue; undefined for a service without one. */
+  constructor(planned?: number) {
+    this.current = planned;
+  }
+
+  /** Engines in each zone; undefined before the first update of a plan that continues none. */
   get planned(): number | undefined {
     return this.current;
   }
 
-  /** Returns the planned engines in each zone. */
-  update(required: RequiredEngines, limits: ZoneLimits, zoneCount: number): number {
+  /** Returns the planned engines in each zone; unchanged while the required ones are not known. */
+  update(
+    required: RequiredEngines | undefined,
+    limits: ZoneLimits,
+    zoneCount: number,
+  ): number | undefined {
+    if (required === undefined) {
+      return this.current;
+    }
     const target = enginesPerZone(required, limits, zoneCount);
     const planned = Math.min(this.current ?? target, limits.maximum);
     const isClose =
