Share the rates of endpoints in load messages

An instance sees a few requests per second, so it would take minutes to learn the speeds of 78 engines by itself. Instances now report what they observe, relays merge it by endpoint, and learned rates are sent in rotation when instances have started. A message has at most 16 observed rates (32 in digests, 64 between zones) of about ten bytes each; without new ones it is one byte longer.

--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -34,6 +34,12 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** Limit on the rates of endpoints in a message of one instance, of about ten bytes each. */
+const MAXIMUM_RATES = 16;
+
+/** Limit on the learned rates that are added to the observed ones for instances that have started. */
+const MAXIMUM_LEARNED_RATES = 32;
+
 /** Collaborators and settings of the task. */
 export interface LoadExchangeParts {
   readonly self: PeerRecord;
@@ -80,7 +86,7 @@
   }
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
-    const { channel, loads } = this.parts;
+    const { channel, loads, registry } = this.parts;
     const unsubscribe = channel.subscribe((message) => {
       this.handleMessage(message, clock.monotonicMilliseconds());
     });
@@ -90,8 +96,9 @@
         const peers = this.otherPeers();
         loads.expire(now);
         this.relay.expire(now);
+        registry.workload.setPeers(peers.length, now);
         if (peers.length <= MAXIMUM_DIRECT_PEERS) {
-          this.broadcastLoad(peers);
+          this.broadcastLoad(peers, now);
         } else {
           this.reportLoad(now);
         }
@@ -162,14 +169,15 @@
     this.recordUses(message, now);
   }
 
-  private recordUses({ uses }: LoadMessage, now: number): void {
-    const { directory } = this.parts;
+  private recordUses({ uses, rates = [] }: LoadMessage, now: number): void {
+    const { directory, registry } = this.parts;
+    registry.workload.receive(rates, now);
     uses
       .filter(({ origin }) => origin !== this.origin)
       .forEach((use) => directory.record(use, now));
   }
 
-  private ownLoad(kind: LoadMessage['kind']): LoadMessage {
+  private ownLoad(kind: LoadMessage['kind'], now: number): LoadMessage {
     const { self, registry, directory, rateLimits } = this.parts;
     return {
       kind,
@@ -177,13 +185,21 @@
       loads: [...registry.ownLoads()],
       uses: directory.takePendingUses().map((use) => ({ ...use, origin: this.origin })),
       rateLimits: rateLimits.reports(),
+      rates: registry.workload.takeReports(MAXIMUM_RATES, now),
     };
   }
 
-  private broadcastLoad(peers: readonly PeerRecord[]): void {
-    const message = this.ownLoad(PeerMessageKind.Load);
+  private broadcastLoad(peers: readonly PeerRecord[], now: number): void {
+    const { workload } = this.parts.registry;
+    const load = this.ownLoad(PeerMessageKind.Load, now);
+    const observed = load.rates ?? [];
+    const learned = workload.takeLearnedReports(MAXIMUM_LEARNED_RATES, observed.length, now);
+    const message = { ...load, rates: [...observed, ...learned] };
     const isIdle =
-      message.loads.length === 0 && message.uses.length === 0 && message.rateLimits.length === 0;
+      message.loads.length === 0 &&
+      message.uses.length === 0 &&
+      message.rateLimits.length === 0 &&
+      message.rates.length === 0;
     if (!(isIdle && this.wasIdle)) {
       this.parts.channel.sendToAll(peers, message);
     }
@@ -193,7 +209,7 @@
   /** Reports to the relay of the zone, which may be this instance. */
   private reportLoad(now: number): void {
     const { self, channel } = this.parts;
-    const message = this.ownLoad(PeerMessageKind.LoadReport);
+    const message = this.ownLoad(PeerMessageKind.LoadReport, now);
     this.lastReportedLoads = message.loads;
     const relay = this.selectRelay(now);
     if (relay === undefined || relay.instance === self.instance) {
@@ -228,26 +244,35 @@
 
   /** Sends digests and the zone load while other instances report to this one. */
   private distributeLoads(now: number): void {
-    const { self, view, channel, rateLimits } = this.parts;
+    const { self, view, channel, rateLimits, registry } = this.parts;
     if (this.relay.members.length === 0) {
       return;
     }
     const members = new Set(this.relay.members);
-    const digest = this.relay.digest(self.instance, rateLimits.reports());
+    const observed = this.relay.takeMemberRates(now);
+    const learned = registry.workload.takeLearnedReports(
+      MAXIMUM_LEARNED_RATES,
+      observed.length,
+      now,
+    );
+    const digest = {
+      ...this.relay.digest(self.instance, rateLimits.reports()),
+      rates: [...observed, ...learned],
+    };
     channel.sendToAll(
       view.peers.filter(({ instance }) => instance !== self.instance && members.has(instance)),
       digest,
     );
     if (members.has(self.instance)) {
-      // The uses were recorded when the reports arrived.
-      this.applyDigest({ ...digest, uses: [] }, now);
+      // The uses and rates were recorded when the reports arrived.
+      this.applyDigest({ ...digest, uses: [], rates: [] }, now);
     }
     this.completedPeriods += 1;
     if (this.completedPeriods % PERIODS_PER_ZONE_LOAD === 0) {
-      channel.sendToAll(
-        this.otherRelays(now),
-        this.relay.zoneLoad(self.instance, rateLimits.reports()),
-      );
+      channel.sendToAll(this.otherRelays(now), {
+        ...this.relay.zoneLoad(self.instance, rateLimits.reports()),
+        rates: this.relay.takeZoneRates(now),
+      });
     }
   }
 
--- a/packages/hickoryrelay-forwarding/src/LoadRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadRelay.ts
@@ -1,7 +1,10 @@
+import { RateReportQueue } from 'hickoryrelay-workload/RateReportQueue';
+
 import { PeerMessageKind } from './PeerMessage.js';
 
 import type { EndpointLoad, LoadMessage, ReportedUse } from './PeerMessage.js';
 import type { RateLimitReport } from 'hickoryrelay-endpoint/RateLimitStatement';
+import type { RateReport } from 'hickoryrelay-workload/RateReport';
 
 /** Time after which a report is discarded. Tolerates the loss of several messages. */
 const REPORT_LIFETIME_MILLISECONDS = 1000;
@@ -12,6 +15,13 @@
  */
 const MAXIMUM_QUEUED_USES = 1000;
 
+/**
+ * Limits on the observed rates in a message, of about ten bytes each: 3.2 KB/s in digests, and as much
+ * in the messages to each other zone.
+ */
+const DIGEST_RATES = 32;
+const ZONE_RATES = 64;
+
 interface ReceivedLoad {
   readonly loads: readonly EndpointLoad[];
   readonly atMilliseconds: number;
@@ -74,17 +84,28 @@
   /** Uses to forward to other zones. */
   private zoneUses: ReportedUse[] = [];
 
+  /** Observed rates to forward to the instances of the zone. */
+  private readonly memberRates = new RateReportQueue();
+
+  /** Observed rates to forward to other zones. */
+  private readonly zoneRates = new RateReportQueue();
+
   /** Adds the report of an instance of the zone, which may be this instance. */
-  addReport({ sender, loads, uses }: LoadMessage, now: number): void {
+  addReport({ sender, loads, uses, rates = [] }: LoadMessage, now: number): void {
     this.reports.set(sender, { loads, atMilliseconds: now });
     this.enqueue(this.memberUses, uses);
     this.enqueue(this.zoneUses, uses);
+    rates.forEach((rate) => {
+      this.memberRates.add(rate, now);
+      this.zoneRates.add(rate, now);
+    });
   }
 
   /** Adds the load of another zone, received from its relay. */
-  addZoneLoad(zone: string, { sender, loads, uses }: LoadMessage, now: number): void {
+  addZoneLoad(zone: string, { sender, loads, uses, rates = [] }: LoadMessage, now: number): void {
     this.zones.set(zone, { loads, atMilliseconds: now, relay: sender });
     this.enqueue(this.memberUses, uses);
+    rates.forEach((rate) => this.memberRates.add(rate, now));
   }
 
   /** The instance that recently sent the load of a zone. Undefined if none did. */
@@ -103,6 +124,16 @@
     }
   }
 
+  /** Takes the observed rates for the next digest. */
+  takeMemberRates(now: number): RateReport[] {
+    return this.memberRates.take(DIGEST_RATES, now);
+  }
+
+  /** Takes the observed rates for the next message to other zones. */
+  takeZoneRates(now: number): RateReport[] {
+    return this.zoneRates.take(ZONE_RATES, now);
+  }
+
   /** Instances with a report that has not expired. */
   get members(): readonly string[] {
     return [...this.reports.keys()];
--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -1,5 +1,6 @@
 import { pack, unpack } from 'msgpackr';
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
+import { decodeRateReports, encodeRateReports } from 'hickoryrelay-workload/RateReport';
 
 import {
   CRASH_EVIDENCE_KIND,
@@ -19,6 +20,7 @@
 import type { UsageSealMessage } from './UsageSealMessage.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { RateLimitReport } from 'hickoryrelay-endpoint/RateLimitStatement';
+import type { RateReport } from 'hickoryrelay-workload/RateReport';
 
 /** Kinds of messages between instances. The value is the first element of the encoded message. */
 export const PeerMessageKind = {
@@ -87,6 +89,8 @@
   /** Uses since the previous message. */
   readonly uses: readonly ReportedUse[];
   readonly rateLimits: readonly RateLimitReport[];
+  /** Observed and learned rates of endpoints since the previous message. Absent if there are none. */
+  readonly rates?: readonly RateReport[];
 }
 
 /** Requests the changes since a store revision. */
@@ -170,11 +174,14 @@
 const USE_FIELD_COUNT = 5;
 const RATE_LIMIT_FIELD_COUNT = 4;
 
+/** More rates than a message of any kind has. */
+const MAXIMUM_RATES = 256;
+
 function encodeViewChanges({ revision, ...changes }: ViewChanges): object {
   return { ...changes, revision: revision.number, era: revision.era };
 }
 
-function encodeLoad({ kind, sender, loads, uses, rateLimits }: LoadMessage): unknown[] {
+function encodeLoad({ kind, sender, loads, uses, rateLimits, rates = [] }: LoadMessage): unknown[] {
   return [
     kind,
     sender,
@@ -197,6 +204,7 @@
       requestsPerSecond ?? 0,
       ageMilliseconds,
     ]),
+    encodeRateReports(rates),
   ];
 }
 
@@ -245,8 +253,8 @@
 }
 
 function decodeLoad(kind: LoadKind, fields: readonly unknown[]): LoadMessage | undefined {
-  // Instances of an earlier version state no limits.
-  const [sender, loads, uses, rateLimits = []] = fields;
+  // Instances of an earlier version state no limits and no rates.
+  const [sender, loads, uses, rateLimits = [], encodedRates = []] = fields;
   if (
     typeof sender !== 'string' ||
     !isNumberList(loads, LOAD_FIELD_COUNT) ||
@@ -255,9 +263,11 @@
   ) {
     return undefined;
   }
+  const rates = decodeRateReports(encodedRates, MAXIMUM_RATES);
   return {
     kind,
     sender,
+    ...(rates.length === 0 ? {} : { rates }),
     loads: [...rowsOf(loads, LOAD_FIELD_COUNT)].map(
       ([endpoint = 0, running = 0, prefillTokens = 0, latePrefillTokens = 0]) => ({
         endpoint,
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/LoadExchange.test.ts
@@ -10,12 +10,14 @@
 import { PromptCacheDirectory } from 'hickoryrelay-forwarding/PromptCacheDirectory';
 import { RateLimitExchange } from 'hickoryrelay-forwarding/RateLimitExchange';
 import { ZoneRelaySelector } from 'hickoryrelay-forwarding/ZoneRelaySelector';
+import { RateKind } from 'hickoryrelay-workload/RateReport';
 
 import { HEARTBEAT_MILLISECONDS, makeEndpoint } from './ForwardingFixture.js';
 import { InMemoryPeerNetwork, makePeer } from './InMemoryPeerNetwork.js';
 
 import type { EndpointState } from 'hickoryrelay-forwarding/EndpointState';
 import type { PeerRecord } from 'hickoryrelay-forwarding/PeerRecord';
+import type { WorkloadModel } from 'hickoryrelay-workload/WorkloadModel';
 
 const CACHE_CAPACITY_TOKENS = 350_000;
 
@@ -31,6 +33,7 @@
     readonly peer: PeerRecord;
     readonly state: EndpointState;
     readonly directory: PromptCacheDirectory;
+    readonly workload: WorkloadModel;
   }[];
 
   constructor(zones: readonly string[], instancesPerZone: number) {
@@ -71,7 +74,9 @@
           log: silentLogger,
         }),
       );
-      return { peer, state: registry.readyEndpoints('model')[0] as EndpointState, directory };
+      const { workload } = registry;
+      const state = registry.readyEndpoints('model')[0] as EndpointState;
+      return { peer, state, directory, workload };
     });
   }
 
@@ -136,6 +141,35 @@
     },
   );
 
+  // Guards against a speed that each instance has to learn from its own few requests.
+  it.each([
+    { instances: '6', zones: ['a', 'b'], instancesPerZone: 3 },
+    { instances: '64', zones: ['a', 'b', 'c', 'd'], instancesPerZone: 16 },
+  ])(
+    'tells all of $instances instances the rate that one has observed, and then nothing',
+    async ({ zones, instancesPerZone }) => {
+      const cluster = new TestCluster(zones, instancesPerZone);
+      await cluster.clock.advance(300);
+      const { state, workload } = cluster.instances[1] as (typeof cluster.instances)[number];
+      workload.recordPrefill(state.hash, 8000, 208, cluster.clock.monotonicMilliseconds());
+      await cluster.clock.advance(600);
+      const rates = cluster.instances.map(
+        (instance) => instance.state.speed.estimateOf(RateKind.Prefill)?.logRate ?? 0,
+      );
+      rates.forEach((rate) => expect(2 ** rate).toBeCloseTo(40, 0));
+      await cluster.clock.advance(4000);
+      const weights = cluster.instances.map(
+        (instance) => instance.state.speed.estimateOf(RateKind.Prefill)?.weight ?? 0,
+      );
+      await cluster.clock.advance(10_000);
+      // At most the observation and its return in the digest of the relay.
+      expect(Math.max(...weights)).toBeLessThanOrEqual(2);
+      cluster.instances.forEach((instance, index) =>
+        expect(instance.state.speed.estimateOf(RateKind.Prefill)?.weight).toBe(weights[index]),
+      );
+    },
+  );
+
   // Guards against a limit that is kept for good by an instance that could not be told its end.
   it('tells an instance the end of a rate limit after it was cut off', async () => {
     const cluster = new TestCluster(['a', 'b'], 3);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -8,6 +8,7 @@
   PeerMessageKind,
 } from 'hickoryrelay-forwarding/PeerMessage';
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
+import { RateKind, ReportAge } from 'hickoryrelay-workload/RateReport';
 
 import { makeEndpoint } from './ForwardingFixture.js';
 
@@ -72,14 +73,27 @@
   ageMilliseconds: fastCheck.nat(),
 });
 
+/** Rates are sent in steps of a 64th of an octave. */
+const rateArbitrary = fastCheck.record({
+  endpoint: fastCheck.nat(2 ** 32 - 1),
+  kind: fastCheck.constantFrom(...Object.values(RateKind)),
+  age: fastCheck.constantFrom(...Object.values(ReportAge)),
+  logRate: fastCheck.nat(64).map((steps) => steps / 64),
+  weight: fastCheck.integer({ min: 1, max: 15 }),
+});
+
 const messageArbitrary: fastCheck.Arbitrary<PeerMessage> = fastCheck.oneof(
-  fastCheck.record({
-    kind: loadKindArbitrary,
-    sender: fastCheck.string(),
-    loads: fastCheck.array(loadArbitrary),
-    uses: fastCheck.array(reportedUseArbitrary),
-    rateLimits: fastCheck.array(rateLimitArbitrary),
-  }),
+  fastCheck.record(
+    {
+      kind: loadKindArbitrary,
+      sender: fastCheck.string(),
+      loads: fastCheck.array(loadArbitrary),
+      uses: fastCheck.array(reportedUseArbitrary),
+      rateLimits: fastCheck.array(rateLimitArbitrary),
+      rates: fastCheck.array(rateArbitrary, { minLength: 1, maxLength: 200 }),
+    },
+    { requiredKeys: ['kind', 'sender', 'loads', 'uses', 'rateLimits'] },
+  ),
   fastCheck.record({
     kind: fastCheck.constant(PeerMessageKind.ViewRequest),
     requester: addressArbitrary,
@@ -168,6 +182,56 @@
   });
 });
 
+describe('the rates in load messages', () => {
+  // Guards against the loss of the load and of the rate limits because of a faulty rate.
+  it.each([
+    ['that are no list', 7],
+    ['that are negative', [1, -5, 16]],
+    ['that are huge', [1, 1e300, 16]],
+    ['that are not a number', [1, Number.NaN, 16]],
+    ['of an unknown kind', [1, 2100, 19]],
+    ['without an observation', [1, 2100, 0]],
+    ['that are cut off', [1, 2100]],
+  ])('are ignored if there are some %s', (_name, rates) => {
+    const fields = [PeerMessageKind.Load, 'a', [5, 1, 0, 0], [], [], rates];
+    expect(decodePeerMessage(pack(fields))).toEqual({
+      kind: PeerMessageKind.Load,
+      sender: 'a',
+      loads: [{ endpoint: 5, running: 1, prefillTokens: 0, latePrefillTokens: 0 }],
+      uses: [],
+      rateLimits: [],
+    });
+  });
+
+  it('may be missing, as in the messages of instances of an earlier version', () => {
+    const message = decodePeerMessage(pack([PeerMessageKind.Load, 'a', [], [], []]));
+    expect(message).toMatchObject({ sender: 'a', loads: [] });
+  });
+
+  // Guards against an exchange that exceeds the 9 KB/s that an instance may use for control.
+  it('take at most eleven bytes each, and one byte if there are none', () => {
+    const message = {
+      kind: PeerMessageKind.LoadDigest,
+      sender: 'instance-1',
+      loads: [],
+      uses: [],
+      rateLimits: [],
+    };
+    const rates = Array.from({ length: 32 }, (_unused, index) => ({
+      endpoint: 2 ** 32 - 1 - index,
+      kind: RateKind.Response,
+      age: ReportAge.Learned,
+      logRate: -8,
+      weight: 15,
+    }));
+    const emptyBytes = encodePeerMessage(message).length;
+    expect(emptyBytes).toBe(pack([message.kind, message.sender, [], [], []]).length + 1);
+    expect(encodePeerMessage({ ...message, rates }).length - emptyBytes).toBeLessThanOrEqual(
+      32 * 11,
+    );
+  });
+});
+
 // Guards against an older relay that passes on odd entries of the store, and against odd datagrams.
 describe('peer messages with odd fields', () => {
   it.each([
--- a/packages/hickoryrelay-workload/src/WorkloadModel.ts
+++ b/packages/hickoryrelay-workload/src/WorkloadModel.ts
@@ -1,5 +1,5 @@
 import { EndpointSpeed } from './EndpointSpeed.js';
-import { isPlausibleRate, RateKind, ReportAge } from './RateReport.js';
+import { isPlausibleRate, MAXIMUM_REPORT_WEIGHT, RateKind, ReportAge } from './RateReport.js';
 import { RateReportQueue } from './RateReportQueue.js';
 
 import type { MedianRates } from './EndpointSpeed.js';
@@ -24,6 +24,9 @@
 /** An observation that differs more from the median is a fault, in octaves. */
 const MAXIMUM_DEVIATION_OCTAVES = 5;
 
+/** Learned rates are sent for this long after the number of instances has grown. */
+const ANNOUNCEMENT_MILLISECONDS = 3000;
+
 /** Learned speeds between these fractions of the endpoints make up the spread. */
 const SPREAD_FRACTIONS = { low: 0.1, high: 0.9 } as const;
 
@@ -52,6 +55,13 @@
 
   private readonly pending = new RateReportQueue();
 
+  private peers = 0;
+
+  private announcesUntilMilliseconds = Number.NEGATIVE_INFINITY;
+
+  /** Learned rates that are yet to be sent in the current rotation. */
+  private rotation: Iterator<RateReport, void> | undefined;
+
   private updatedAtMilliseconds = Number.NEGATIVE_INFINITY;
 
   private isStale = false;
@@ -149,6 +159,37 @@
     return this.pending.take(maximumReports, now);
   }
 
+  /** Sets the number of other instances. Learned rates are announced when it has grown. */
+  setPeers(peers: number, now: number): void {
+    if (peers > this.peers) {
+      this.announcesUntilMilliseconds = now + ANNOUNCEMENT_MILLISECONDS;
+    }
+    this.peers = peers;
+  }
+
+  /**
+   * Returns learned rates to send along with a number of observed ones, in rotation. While the number
+   * of instances grows, these are as many as the limit; afterwards one for each message with observed
+   * rates, for instances that missed the others.
+   */
+  takeLearnedReports(maximumReports: number, observedReports: number, now: number): RateReport[] {
+    const isAnnouncing = now <= this.announcesUntilMilliseconds;
+    const count = isAnnouncing ? maximumReports : Math.min(1, observedReports);
+    const reports: RateReport[] = [];
+    if (count > 0) {
+      this.rotation ??= this.learnedReports();
+      while (reports.length < count) {
+        const next = this.rotation.next();
+        if (next.done === true) {
+          this.rotation = undefined;
+          break;
+        }
+        reports.push(next.value);
+      }
+    }
+    return reports;
+  }
+
   /** Computes the speeds from new observations, at most once in the update period. */
   update(now: number): void {
     if (!this.isStale || now - this.updatedAtMilliseconds < UPDATE_PERIOD_MILLISECONDS) {
@@ -177,6 +218,22 @@
     };
   }
 
+  private *learnedReports(): Generator<RateReport, void, void> {
+    for (const speed of [...this.speeds.values()]) {
+      const { endpoint, isLearned } = speed;
+      if (isLearned) {
+        for (const kind of KINDS) {
+          const estimate = speed.estimateOf(kind);
+          if (estimate !== undefined && estimate.weight > 0) {
+            const { logRate } = estimate;
+            const weight = Math.min(MAXIMUM_REPORT_WEIGHT, estimate.weight);
+            yield { endpoint, kind, age: ReportAge.Learned, logRate, weight };
+          }
+        }
+      }
+    }
+  }
+
   private recordOwn(endpoint: number, kind: RateKind, rate: number, now: number): void {
     const speed = this.speeds.get(endpoint);
     const logRate = Math.log2(rate);
--- a/packages/hickoryrelay-workload/src/__tests__/unit/WorkloadModel.test.ts
+++ b/packages/hickoryrelay-workload/src/__tests__/unit/WorkloadModel.test.ts
@@ -1,6 +1,11 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { RateKind, ReportAge } from 'hickoryrelay-workload/RateReport';
+import {
+  decodeRateReports,
+  encodeRateReports,
+  RateKind,
+  ReportAge,
+} from 'hickoryrelay-workload/RateReport';
 import { WorkloadModel } from 'hickoryrelay-workload/WorkloadModel';
 
 import { SERVICE, SpeedFleet } from './SpeedFleet.js';
@@ -81,6 +86,45 @@
     expect(model.track(0, SERVICE).relative).toBe(1);
   });
 
+  // Guards against an instance that starts and sends to slow engines until it has learned their speeds.
+  it('tells the learned speeds to an instance that starts, within four messages', () => {
+    const fleet = new SpeedFleet(120, SPEEDS);
+    const model = fleet.makeModel();
+    model.setPeers(58, 0);
+    observeFor(fleet, model, 20);
+    model.takeReports(1000, 20 * SECOND);
+    expect(model.takeLearnedReports(32, 0, 20 * SECOND)).toHaveLength(0);
+    model.setPeers(59, 20 * SECOND);
+    const started = fleet.makeModel();
+    for (let message = 0; message < 4; message += 1) {
+      const reports = model.takeLearnedReports(32, 0, 20 * SECOND);
+      expect(reports.length).toBeLessThanOrEqual(32);
+      started.receive(decodeRateReports(encodeRateReports(reports), 256), 20 * SECOND + message);
+    }
+    started.update(21 * SECOND);
+    const difference = fleet.speeds.map((_speed, endpoint) =>
+      Math.abs(
+        Math.log2(
+          started.speedOf(endpoint, 21 * SECOND).value / model.speedOf(endpoint, 21 * SECOND).value,
+        ),
+      ),
+    );
+    expect(Math.max(...difference)).toBeLessThan(0.15);
+  });
+
+  // Guards against messages without end from instances that are idle.
+  it('reports nothing while nothing is observed', () => {
+    const fleet = new SpeedFleet(ENGINES, SPEEDS);
+    const model = fleet.makeModel();
+    model.setPeers(58, 0);
+    observeFor(fleet, model, 20);
+    while (model.takeReports(16, 20 * SECOND).length > 0) {
+      expect(model.takeLearnedReports(32, 1, 20 * SECOND).length).toBeLessThanOrEqual(1);
+    }
+    expect(model.takeReports(16, 30 * SECOND)).toHaveLength(0);
+    expect(model.takeLearnedReports(32, 0, 30 * SECOND)).toHaveLength(0);
+  });
+
   // Guards against a peer whose figures take all requests to one engine or away from it.
   it('keeps all speeds within bounds for any reports of peers', () => {
     const logRate = fc.oneof(fc.double(), fc.double({ min: -20, max: 20 }));
