Distribute requests by the age of load reports and the room in KV caches

All instances chose the engine that the last reports showed as the least loaded, so that engines were overloaded in turn. The load of peers is now expected to return to its average with the age of the reports, endpoints keep a headroom for what is not reported, and StaleLoadSelection distributes the requests that peers have sent in the meantime. Prompts with a large shared segment stay with the engine that has it, by cost. A prompt that does not fit in the KV cache of an engine costs as much as the request that it preempts.

--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -38,7 +38,7 @@
   private readonly shares: RateLimitShares;
 
   /** What is known of the work at the endpoints. */
-  readonly workload = new WorkloadModel();
+  readonly workload = new WorkloadModel((hash) => this.byHash.get(hash));
 
   constructor(peers: PeerLoads, shares: RateLimitShares = new UndividedRateLimits()) {
     this.peers = peers;
--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -1,10 +1,13 @@
 import { hashString } from 'hickoryrelay/RendezvousUtils';
+import { StaleLoadSelection } from 'hickoryrelay-workload/StaleLoadSelection';
 
 import { EngineStage } from './EndpointRecord.js';
 import {
   CROSS_ZONE_PENALTY_MILLISECONDS,
   eligibleEndpoints,
   FAILURE_PENALTY_MILLISECONDS,
+  headroom,
+  SLOT_WAIT_MILLISECONDS,
 } from './ServicePlacement.js';
 
 import type { EndpointState } from './EndpointState.js';
@@ -22,9 +25,6 @@
 /** Setup time of fetching a cached segment from another engine. */
 const FETCH_SETUP_MILLISECONDS = 5;
 
-/** Wait for a free slot, per queued request: mean time a slot is held, over the number of slots. */
-const SLOT_WAIT_MILLISECONDS = 30;
-
 /** Delay that each running request adds to the first token of another request in the batch. */
 const BATCH_DELAY_MILLISECONDS = 1.5;
 
@@ -50,6 +50,12 @@
  */
 const CACHE_COPY_PENALTY_MILLISECONDS = 100;
 
+/**
+ * Cost of a prompt that does not fit in the KV cache, in addition to the time to compute as many tokens
+ * of the request that it preempts. As for a segment that is evicted.
+ */
+const PREEMPTION_PENALTY_MILLISECONDS = 100;
+
 /** Random cost that keeps instances with the same view from choosing the same engine. */
 const JITTER_MILLISECONDS = 4;
 
@@ -134,12 +140,17 @@
 
   private readonly prefillRate: PrefillRate;
 
+  private readonly selection = new StaleLoadSelection();
+
   constructor(directory: PromptCacheDirectory, prefillRate: PrefillRate) {
     this.directory = directory;
     this.prefillRate = prefillRate;
   }
 
-  /** Returns the plan with the lowest cost, or undefined if there is no decode engine. */
+  /**
+   * Returns the plan with the lowest cost, or undefined if there is no decode engine. Prompts without a
+   * large shared segment are distributed by `StaleLoadSelection`.
+   */
   plan(
     states: readonly EndpointState[],
     prompt: PromptSummary,
@@ -157,33 +168,26 @@
     const preferredEngine = this.findPreferredEngine(decodeEngines, prompt);
     const source = this.findCacheSource(states, prompt, context);
     const remotePrefill = this.choosePrefillEngine(prefillEngines, prompt, source, isLate, context);
-    let best: GenerationPlan | undefined;
+    this.selection.begin();
     for (const engine of decodeEngines) {
-      const decodeCost = this.decodeCost(engine, context);
-      const localPlan = this.localPrefillPlan(
-        engine,
-        decodeCost,
-        this.estimatePrefill(engine, prompt, source, context),
-        context.now,
-      );
-      const plan =
+      const decodeCost = this.decodeCost(engine, prompt, context);
+      const localCost =
+        decodeCost +
+        this.localPrefillCost(
+          engine,
+          this.estimatePrefill(engine, prompt, source, context),
+          context,
+        );
+      const remoteCost =
         remotePrefill === undefined
-          ? localPlan
-          : this.cheaperPlan(
-              this.remotePrefillPlan(
-                engine,
-                decodeCost,
-                prompt,
-                engine === preferredEngine,
-                remotePrefill,
-              ),
-              localPlan,
-            );
-      if (best === undefined || plan.costMilliseconds < best.costMilliseconds) {
-        best = plan;
-      }
+          ? Number.POSITIVE_INFINITY
+          : decodeCost + this.remotePrefillCost(prompt, engine === preferredEngine, remotePrefill);
+      this.addCandidate(engine, Math.min(localCost, remoteCost), prompt, context);
     }
-    return best;
+    const chosen = this.choose(decodeEngines, prompt, context);
+    return chosen === undefined
+      ? undefined
+      : this.planFor(chosen, prompt, source, remotePrefill, chosen === preferredEngine, context);
   }
 
   /** Chooses the engine that receives the KV cache of a prefilled prompt, if there is any. */
@@ -197,18 +201,75 @@
       context,
     );
     const preferredEngine = this.findPreferredEngine(decodeEngines, prompt);
-    let best: EndpointState | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
+    this.selection.begin();
     for (const engine of decodeEngines) {
-      const cost =
-        this.decodeCost(engine, context) +
-        (engine === preferredEngine ? 0 : AFFINITY_PENALTY_MILLISECONDS);
-      if (cost < bestCost) {
-        best = engine;
-        bestCost = cost;
-      }
+      const affinityCost =
+        preferredEngine === undefined || engine === preferredEngine
+          ? 0
+          : AFFINITY_PENALTY_MILLISECONDS;
+      const cost = this.decodeCost(engine, prompt, context) + affinityCost;
+      this.addCandidate(engine, cost, prompt, context);
     }
-    return best;
+    return this.choose(decodeEngines, prompt, context);
+  }
+
+  /** Adds a decode engine with the expected cost of a request to the choice. */
+  private addCandidate(
+    engine: EndpointState,
+    costMilliseconds: number,
+    { tokens }: PromptSummary,
+    { now, cacheCapacityTokens, random }: PlacementContext,
+  ): void {
+    const freeSlots = engine.record.slots - engine.expectedRunning(now) - headroom(engine, now);
+    const fittingPrompts =
+      cacheCapacityTokens > 0
+        ? (cacheCapacityTokens - engine.totalOccupiedTokens) / Math.max(1, tokens)
+        : Number.POSITIVE_INFINITY;
+    const slowness = engine.speed.slowdown(now) / engine.speed.relative;
+    this.selection.add(
+      costMilliseconds + random.fraction() * JITTER_MILLISECONDS,
+      BATCH_DELAY_MILLISECONDS * slowness,
+      Math.min(freeSlots, fittingPrompts),
+      (BATCH_DELAY_MILLISECONDS + SLOT_WAIT_MILLISECONDS) * slowness,
+    );
+  }
+
+  /**
+   * Chooses one of the added engines. Prompts with a large shared segment are not distributed, as the
+   * segment would be computed on each engine that gets one of them.
+   */
+  private choose(
+    engines: readonly EndpointState[],
+    { shared }: PromptSummary,
+    { now, random }: PlacementContext,
+  ): EndpointState | undefined {
+    const unreportedRequests =
+      shared === undefined ? (engines[0]?.unreportedRequests(now) ?? 0) : 0;
+    return engines[this.selection.choose(unreportedRequests, random)];
+  }
+
+  /** The cheaper plan with one decode engine: a local prefill, or the best remote one. */
+  private planFor(
+    engine: EndpointState,
+    prompt: PromptSummary,
+    source: EndpointState | undefined,
+    remotePrefill: PrefillCandidate | undefined,
+    isPreferred: boolean,
+    context: PlacementContext,
+  ): GenerationPlan {
+    const decodeCost = this.decodeCost(engine, prompt, context);
+    const localPlan = this.localPrefillPlan(
+      engine,
+      decodeCost,
+      this.estimatePrefill(engine, prompt, source, context),
+      context,
+    );
+    return remotePrefill === undefined
+      ? localPlan
+      : this.cheaperPlan(
+          this.remotePrefillPlan(engine, decodeCost, prompt, isPreferred, remotePrefill),
+          localPlan,
+        );
   }
 
   /** Returns the engine that all instances prefer for the shared segment, by rendezvous hashing. */
@@ -250,7 +311,7 @@
       // A recent delay of the same cause is not counted in addition to the slowdown.
       const slowdownMilliseconds = computeMilliseconds * (slowdown - 1);
       const waitMilliseconds =
-        (prefillEngine.queuedPrefillTokens(isLate) / rate) * slowdown +
+        (prefillEngine.expectedPrefillTokens(isLate, context.now) / rate) * slowdown +
         Math.max(
           0,
           prefillEngine.excessDelayMilliseconds(context.now) * EXCESS_DELAY_WEIGHT -
@@ -312,49 +373,100 @@
     };
   }
 
-  /** Expected delay of the first token by the decode engine's load, plus penalties and jitter. */
-  private decodeCost(engine: EndpointState, context: PlacementContext): number {
+  /** Expected delay of the first token by the decode engine's load, plus penalties. */
+  private decodeCost(
+    engine: EndpointState,
+    { tokens }: PromptSummary,
+    context: PlacementContext,
+  ): number {
+    const { now, cacheCapacityTokens } = context;
     const { slots, zone } = engine.record;
-    const running = engine.totalRunning;
+    const running = engine.expectedRunning(now);
     const queueMilliseconds =
-      Math.max(0, running + 1 - slots) * SLOT_WAIT_MILLISECONDS +
+      Math.max(0, running + 1 - slots + headroom(engine, now)) * SLOT_WAIT_MILLISECONDS +
       running * BATCH_DELAY_MILLISECONDS;
+    const overflowTokens =
+      cacheCapacityTokens > 0 ? engine.totalOccupiedTokens + tokens - cacheCapacityTokens : 0;
+    const preemptionMilliseconds =
+      overflowTokens > 0
+        ? PREEMPTION_PENALTY_MILLISECONDS +
+          overflowTokens / (this.prefillRate.local * engine.speed.relative)
+        : 0;
     return (
-      (queueMilliseconds / engine.speed.relative) * engine.speed.slowdown(context.now) +
-      engine.excessDelayMilliseconds(context.now) * EXCESS_DELAY_WEIGHT +
-      engine.failureRate(context.now) * FAILURE_PENALTY_MILLISECONDS +
-      (zone === context.zone ? 0 : CROSS_ZONE_PENALTY_MILLISECONDS) +
-      context.random.fraction() * JITTER_MILLISECONDS
+      (queueMilliseconds / engine.speed.relative) * engine.speed.slowdown(now) +
+      preemptionMilliseconds +
+      engine.excessDelayMilliseconds(now) * EXCESS_DELAY_WEIGHT +
+      engine.failureRate(now) * FAILURE_PENALTY_MILLISECONDS +
+      (zone === context.zone ? 0 : CROSS_ZONE_PENALTY_MILLISECONDS)
     );
   }
 
-  private localPrefillPlan(
+  /** Expected duration of a local prefill without other requests. */
+  private localPrefillMilliseconds(engine: EndpointState, prefillTokens: number, now: number) {
+    const { speed } = engine;
+    return (prefillTokens / (this.prefillRate.local * speed.relative)) * speed.slowdown(now);
+  }
+
+  /** Expected delay of the first token by a local prefill. */
+  private localPrefillDelay(
     engine: EndpointState,
-    decodeCost: number,
-    { prefillTokens, source, fetchMilliseconds }: PrefillEstimate,
+    { prefillTokens, fetchMilliseconds }: PrefillEstimate,
     now: number,
-  ): GenerationPlan {
-    const prefillMilliseconds =
-      (prefillTokens / (this.prefillRate.local * engine.speed.relative)) *
-      engine.speed.slowdown(now);
-    const contention = 1 + Math.min(2, engine.totalRunning / engine.record.slots);
-    const firstTokenMilliseconds =
-      decodeCost + fetchMilliseconds + prefillMilliseconds * contention;
+  ): number {
+    const contention = 1 + Math.min(2, engine.expectedRunning(now) / engine.record.slots);
+    return (
+      fetchMilliseconds + this.localPrefillMilliseconds(engine, prefillTokens, now) * contention
+    );
+  }
+
+  /** The delay by a local prefill, plus the cost to other requests. */
+  private localPrefillCost(
+    engine: EndpointState,
+    estimate: PrefillEstimate,
+    { now }: PlacementContext,
+  ): number {
+    const prefillMilliseconds = this.localPrefillMilliseconds(engine, estimate.prefillTokens, now);
     const interferenceMilliseconds = Math.max(
       0,
       prefillMilliseconds - TOLERATED_PREFILL_MILLISECONDS,
     );
+    return (
+      this.localPrefillDelay(engine, estimate, now) +
+      interferenceMilliseconds * engine.expectedRunning(now) * INTERFERENCE_FRACTION +
+      (estimate.source === undefined ? 0 : CACHE_COPY_PENALTY_MILLISECONDS)
+    );
+  }
+
+  /** Expected delay of the first token by a remote prefill, plus penalties. */
+  private remotePrefillCost(
+    { tokens }: PromptSummary,
+    isPreferred: boolean,
+    { waitMilliseconds, milliseconds }: PrefillCandidate,
+  ): number {
+    return (
+      waitMilliseconds +
+      milliseconds +
+      REMOTE_PREFILL_OVERHEAD_MILLISECONDS +
+      (tokens / 1000) * TRANSFER_MILLISECONDS_PER_THOUSAND_TOKENS +
+      (isPreferred ? 0 : AFFINITY_PENALTY_MILLISECONDS)
+    );
+  }
+
+  private localPrefillPlan(
+    engine: EndpointState,
+    decodeCost: number,
+    estimate: PrefillEstimate,
+    context: PlacementContext,
+  ): GenerationPlan {
+    const { prefillTokens, source } = estimate;
     return {
       engine,
       prefillEngine: undefined,
       prefillTokens,
       source,
-      prefillMilliseconds,
-      firstTokenMilliseconds,
-      costMilliseconds:
-        firstTokenMilliseconds +
-        interferenceMilliseconds * engine.totalRunning * INTERFERENCE_FRACTION +
-        (source === undefined ? 0 : CACHE_COPY_PENALTY_MILLISECONDS),
+      prefillMilliseconds: this.localPrefillMilliseconds(engine, prefillTokens, context.now),
+      firstTokenMilliseconds: decodeCost + this.localPrefillDelay(engine, estimate, context.now),
+      costMilliseconds: decodeCost + this.localPrefillCost(engine, estimate, context),
     };
   }
 
@@ -366,12 +478,7 @@
     candidate: PrefillCandidate,
   ): GenerationPlan {
     const firstTokenMilliseconds =
-      decodeCost +
-      candidate.waitMilliseconds +
-      candidate.milliseconds +
-      REMOTE_PREFILL_OVERHEAD_MILLISECONDS +
-      (prompt.tokens / 1000) * TRANSFER_MILLISECONDS_PER_THOUSAND_TOKENS +
-      (isPreferred ? 0 : AFFINITY_PENALTY_MILLISECONDS);
+      decodeCost + this.remotePrefillCost(prompt, isPreferred, candidate);
     return {
       engine,
       prefillEngine: candidate.prefillEngine,
--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -34,6 +34,9 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** Average age of a report when the relay sends the digest that contains it. */
+const DIGEST_AGE_MILLISECONDS = MINIMUM_PERIOD_MILLISECONDS;
+
 /** Limit on the rates of endpoints in a message of one instance, of about ten bytes each. */
 const MAXIMUM_RATES = 16;
 
@@ -86,7 +89,7 @@
   }
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
-    const { channel, loads, registry } = this.parts;
+    const { self, channel, loads, registry } = this.parts;
     const unsubscribe = channel.subscribe((message) => {
       this.handleMessage(message, clock.monotonicMilliseconds());
     });
@@ -96,7 +99,11 @@
         const peers = this.otherPeers();
         loads.expire(now);
         this.relay.expire(now);
-        registry.workload.setPeers(peers.length, now);
+        registry.workload.setInstances(
+          peers.map(({ zone }) => zone),
+          self.zone,
+          now,
+        );
         if (peers.length <= MAXIMUM_DIRECT_PEERS) {
           this.broadcastLoad(peers, now);
         } else {
@@ -161,11 +168,11 @@
   /** Digests of different relays cover mostly the same instances, so the latest replaces all. */
   private applyDigest({ loads, ...message }: LoadMessage, now: number): void {
     const otherLoads = subtractLoads(loads, this.lastReportedLoads);
-    this.applyLoad({ ...message, sender: '', loads: otherLoads }, now);
+    this.applyLoad({ ...message, sender: '', loads: otherLoads }, now, DIGEST_AGE_MILLISECONDS);
   }
 
-  private applyLoad(message: LoadMessage, now: number): void {
-    this.parts.loads.receive(message, now);
+  private applyLoad(message: LoadMessage, now: number, ageMilliseconds = 0): void {
+    this.parts.loads.receive(message, now, ageMilliseconds);
     this.recordUses(message, now);
   }
 
--- a/packages/hickoryrelay-forwarding/src/LoadRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadRelay.ts
@@ -41,6 +41,7 @@
         running: (sum?.running ?? 0) + load.running,
         prefillTokens: (sum?.prefillTokens ?? 0) + load.prefillTokens,
         latePrefillTokens: (sum?.latePrefillTokens ?? 0) + load.latePrefillTokens,
+        occupiedTokens: (sum?.occupiedTokens ?? 0) + (load.occupiedTokens ?? 0),
       });
     }
   }
@@ -65,6 +66,7 @@
           running: Math.max(0, sum.running - load.running),
           prefillTokens: Math.max(0, sum.prefillTokens - load.prefillTokens),
           latePrefillTokens: Math.max(0, sum.latePrefillTokens - load.latePrefillTokens),
+          occupiedTokens: Math.max(0, (sum.occupiedTokens ?? 0) - (load.occupiedTokens ?? 0)),
         };
   });
 }
--- a/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
+++ b/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
@@ -36,6 +36,9 @@
 
   private hasEndpointBegun = false;
 
+  /** Undefined for services without engines. */
+  private readonly releaseCache: (() => void) | undefined;
+
   constructor(call: CallContext, destination: Destination, priority: number | undefined) {
     const { request, admitted, deadline, lastEvent } = call;
     const { state, prefilledPrompt, fetchFrom } = destination;
@@ -55,6 +58,9 @@
       lastEvent,
     };
     state.beginRequest(this.sentMilliseconds);
+    const promptTokens = request.promptSegments.reduce((sum, { tokens }) => sum + tokens, 0);
+    state.speed.work.recordRequest(promptTokens, this.sentMilliseconds);
+    this.releaseCache = call.isGeneration ? state.reserveCache(promptTokens) : undefined;
     call.recordOpened(state);
   }
 
@@ -125,6 +131,12 @@
   close(): void {
     this.attempt.permit.end();
     this.state.finishRequest();
+    this.releaseCache?.();
+    if (this.hasEndpointBegun) {
+      const now = this.call.parts.clock.monotonicMilliseconds();
+      const { relative, work } = this.state.speed;
+      work.recordResidence(now - this.sentMilliseconds, relative);
+    }
     this.call.recordClosed();
   }
 }
--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -69,6 +69,8 @@
   readonly prefillTokens: number;
   /** Prompt tokens being prefilled for requests that will miss their latency target. */
   readonly latePrefillTokens: number;
+  /** Tokens in the KV cache of an engine, in steps of `OCCUPIED_TOKENS_STEP`; 0 if absent. */
+  readonly occupiedTokens?: number;
 }
 
 /** The use of a segment, with the instance that reported it first. */
@@ -171,6 +173,12 @@
 }
 
 const LOAD_FIELD_COUNT = 4;
+
+/** Steps in which tokens in KV caches are sent, so that most take one byte. */
+export const OCCUPIED_TOKENS_STEP = 1024;
+
+/** Far more than the KV cache of an engine holds. */
+const MAXIMUM_OCCUPIED_STEPS = 2 ** 16;
 const USE_FIELD_COUNT = 5;
 const RATE_LIMIT_FIELD_COUNT = 4;
 
@@ -181,6 +189,23 @@
   return { ...changes, revision: revision.number, era: revision.era };
 }
 
+/** Encodes one number for each load, in the same order, unless all are 0. */
+function encodeOccupiedTokens(loads: readonly EndpointLoad[]): number[] {
+  const steps = loads.map(({ occupiedTokens = 0 }) =>
+    Math.round(occupiedTokens / OCCUPIED_TOKENS_STEP),
+  );
+  return steps.some((step) => step > 0) ? steps : [];
+}
+
+/** Decodes the tokens in KV caches, if there is a plausible number for each load. */
+function decodeOccupiedTokens(value: unknown, loads: number): readonly number[] {
+  const isPlausible =
+    isNumberList(value, 1) &&
+    value.length === loads &&
+    value.every((step) => Number.isInteger(step) && step <= MAXIMUM_OCCUPIED_STEPS);
+  return isPlausible ? value.map((step) => step * OCCUPIED_TOKENS_STEP) : [];
+}
+
 function encodeLoad({ kind, sender, loads, uses, rateLimits, rates = [] }: LoadMessage): unknown[] {
   return [
     kind,
@@ -205,6 +230,7 @@
       ageMilliseconds,
     ]),
     encodeRateReports(rates),
+    encodeOccupiedTokens(loads),
   ];
 }
 
@@ -242,7 +268,7 @@
   return (
     Array.isArray(value) &&
     value.length % fields === 0 &&
-    value.every((entry) => typeof entry === 'number' && entry >= 0)
+    value.every((entry) => typeof entry === 'number' && entry >= 0 && Number.isFinite(entry))
   );
 }
 
@@ -253,8 +279,8 @@
 }
 
 function decodeLoad(kind: LoadKind, fields: readonly unknown[]): LoadMessage | undefined {
-  // Instances of an earlier version state no limits and no rates.
-  const [sender, loads, uses, rateLimits = [], encodedRates = []] = fields;
+  // Instances of an earlier version state no limits, rates and KV caches.
+  const [sender, loads, uses, rateLimits = [], encodedRates = [], occupiedSteps = []] = fields;
   if (
     typeof sender !== 'string' ||
     !isNumberList(loads, LOAD_FIELD_COUNT) ||
@@ -264,16 +290,18 @@
     return undefined;
   }
   const rates = decodeRateReports(encodedRates, MAXIMUM_RATES);
+  const occupied = decodeOccupiedTokens(occupiedSteps, loads.length / LOAD_FIELD_COUNT);
   return {
     kind,
     sender,
     ...(rates.length === 0 ? {} : { rates }),
     loads: [...rowsOf(loads, LOAD_FIELD_COUNT)].map(
-      ([endpoint = 0, running = 0, prefillTokens = 0, latePrefillTokens = 0]) => ({
+      ([endpoint = 0, running = 0, prefillTokens = 0, latePrefillTokens = 0], index) => ({
         endpoint,
         running,
         prefillTokens,
         latePrefillTokens,
+        ...(occupied.length === 0 ? {} : { occupiedTokens: occupied[index] ?? 0 }),
       }),
     ),
     uses: [...rowsOf(uses, USE_FIELD_COUNT)].map(
--- a/packages/hickoryrelay-forwarding/src/ServicePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/ServicePlacement.ts
@@ -1,3 +1,5 @@
+import { StaleLoadSelection } from 'hickoryrelay-workload/StaleLoadSelection';
+
 import type { EndpointState } from './EndpointState.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 
@@ -13,6 +15,12 @@
 /** Cost at full load; scales with the ratio of requests in flight to slots. */
 const FULL_LOAD_PENALTY_MILLISECONDS = 50;
 
+/** Wait for a free slot, per queued request: mean time a slot is held, over the number of slots. */
+export const SLOT_WAIT_MILLISECONDS = 30;
+
+/** Limits the headroom where reports are older than the requests that they count. */
+const MAXIMUM_HEADROOM_FRACTION = 0.5;
+
 /** Inputs to the choice of an endpoint, apart from the candidates. */
 export interface PlacementContext {
   readonly zone: string;
@@ -42,31 +50,45 @@
   return healthy.length > 0 ? healthy : untried;
 }
 
-/** Chooses endpoints for services without engines. Stateless. */
+/**
+ * Slots of an endpoint that may be taken although its reported load leaves them free: the standard
+ * deviation of what peers have changed since their reports, and at most half of the slots.
+ */
+export function headroom(state: EndpointState, now: number): number {
+  return Math.min(state.record.slots * MAXIMUM_HEADROOM_FRACTION, state.runningDeviation(now));
+}
+
+/** Chooses endpoints for services without engines. Keeps no state between choices. */
 export class ServicePlacement {
-  /** Returns the endpoint with the lowest expected delay. */
+  private readonly selection = new StaleLoadSelection();
+
+  /** Distributes requests over the endpoints with the lowest expected delay. */
   choose(states: readonly EndpointState[], context: PlacementContext): EndpointState | undefined {
+    const { now, random } = context;
     const candidates = eligibleEndpoints(states, context);
     const meanFailureRate =
-      candidates.reduce((sum, state) => sum + state.failureRate(context.now), 0) /
+      candidates.reduce((sum, state) => sum + state.failureRate(now), 0) /
       Math.max(1, candidates.length);
-    let best: EndpointState | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
+    this.selection.begin();
     for (const state of candidates) {
-      const excessFailureRate = Math.max(0, state.failureRate(context.now) - meanFailureRate);
+      const { slots, zone } = state.record;
+      const { speed } = state;
+      const excessFailureRate = Math.max(0, state.failureRate(now) - meanFailureRate);
+      const running = state.expectedRunning(now);
+      const freeSlots = slots - running - headroom(state, now);
+      const step = FULL_LOAD_PENALTY_MILLISECONDS / slots / speed.relative;
+      const slotWait = SLOT_WAIT_MILLISECONDS / speed.relative;
       const cost =
-        (state.totalRunning / state.record.slots / state.speed.relative) *
-          FULL_LOAD_PENALTY_MILLISECONDS +
-        (state.speed.responseMilliseconds ?? 0) +
-        state.excessDelayMilliseconds(context.now) +
+        running * step +
+        Math.max(0, 1 - freeSlots) * slotWait +
+        (speed.responseMilliseconds ?? 0) +
+        state.excessDelayMilliseconds(now) +
         excessFailureRate * FAILURE_PENALTY_MILLISECONDS +
-        (state.record.zone === context.zone ? 0 : CROSS_ZONE_PENALTY_MILLISECONDS) +
-        context.random.fraction() * JITTER_MILLISECONDS;
-      if (cost < bestCost) {
-        best = state;
-        bestCost = cost;
-      }
+        (zone === context.zone ? 0 : CROSS_ZONE_PENALTY_MILLISECONDS) +
+        random.fraction() * JITTER_MILLISECONDS;
+      this.selection.add(cost, step, freeSlots, step + slotWait);
     }
-    return best;
+    const unreportedRequests = candidates[0]?.unreportedRequests(now) ?? 0;
+    return candidates[this.selection.choose(unreportedRequests, random)];
   }
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
@@ -272,4 +272,54 @@
     expect(choose(20_000)).not.toBe(chosen);
     expect(choose(22_000)).toBe(chosen);
   });
+
+  // Guards against a prompt that preempts a running request although another engine has room for it.
+  it('sends a prompt to an engine whose KV cache has room for it', () => {
+    const placement = makePlacement();
+    const states = makeStates();
+    const decodeEngines = states.slice(PREFILL_ENGINES);
+    const roomy = decodeEngines[5] as EndpointState;
+    for (const engine of decodeEngines) {
+      if (engine !== roomy) {
+        engine.reserveCache(345_000);
+      }
+    }
+    roomy.running = 8;
+    for (let segment = 0; segment < 10; segment += 1) {
+      const plan = placement.plan(states, longPrompt(segment), false, makeContext(segment));
+      expect(plan?.engine).toBe(roomy);
+      expect(placement.chooseDecodeEngine(states, longPrompt(segment), makeContext(segment))).toBe(
+        roomy,
+      );
+    }
+  });
+
+  it('does not count the KV cache of requests that have ended', () => {
+    const [state] = makeStates();
+    const release = (state as EndpointState).reserveCache(17_000);
+    expect(state?.totalOccupiedTokens).toBeGreaterThanOrEqual(17_000);
+    release();
+    expect(state?.totalOccupiedTokens).toBe(0);
+  });
+
+  // Guards against prompts of all instances that queue at the engine which was idle at the last report.
+  it('expects the usual queue at a prefill engine that was reported as idle a while ago', () => {
+    const peers = new PeerLoads();
+    const state = new EndpointState(makeEndpoint('e', { stage: EngineStage.Prefill }), peers);
+    const report = (prefillTokens: number, now: number) =>
+      peers.receive(
+        {
+          sender: '',
+          loads: [{ endpoint: state.hash, running: 1, prefillTokens, latePrefillTokens: 0 }],
+        },
+        now,
+      );
+    for (let now = 0; now < 20_000; now += 100) {
+      report(20_000, now);
+      state.expectedPrefillTokens(false, now);
+    }
+    report(0, 20_000);
+    expect(state.expectedPrefillTokens(false, 20_000)).toBeLessThan(1000);
+    expect(state.expectedPrefillTokens(false, 20_500)).toBeGreaterThan(10_000);
+  });
 });
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -5,6 +5,7 @@
 import {
   decodePeerMessage,
   encodePeerMessage,
+  OCCUPIED_TOKENS_STEP,
   PeerMessageKind,
 } from 'hickoryrelay-forwarding/PeerMessage';
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
@@ -21,6 +22,16 @@
   latePrefillTokens: fastCheck.nat(10 ** 6),
 });
 
+/** At least one load has tokens in a KV cache: they are left out if all have none. */
+const occupiedLoadsArbitrary = fastCheck
+  .array(fastCheck.tuple(loadArbitrary, fastCheck.nat(1000)), { minLength: 1 })
+  .map((loads) =>
+    loads.map(([load, steps], index) => ({
+      ...load,
+      occupiedTokens: (index === 0 ? steps + 1 : steps) * OCCUPIED_TOKENS_STEP,
+    })),
+  );
+
 const reportedUseArbitrary = fastCheck.record({
   engine: fastCheck.nat(2 ** 32 - 1),
   segment: fastCheck.nat(2 ** 32 - 1),
@@ -87,7 +98,7 @@
     {
       kind: loadKindArbitrary,
       sender: fastCheck.string(),
-      loads: fastCheck.array(loadArbitrary),
+      loads: fastCheck.oneof(fastCheck.array(loadArbitrary), occupiedLoadsArbitrary),
       uses: fastCheck.array(reportedUseArbitrary),
       rateLimits: fastCheck.array(rateLimitArbitrary),
       rates: fastCheck.array(rateArbitrary, { minLength: 1, maxLength: 200 }),
@@ -182,6 +193,14 @@
   });
 });
 
+describe('the loads in load messages', () => {
+  // Guards against an endpoint, or all of them, of infinite cost.
+  it.each([Number.POSITIVE_INFINITY, Number.NaN, -1])('are rejected if one is %d', (running) => {
+    const fields = [PeerMessageKind.Load, 'a', [5, running, 0, 0], [], []];
+    expect(decodePeerMessage(pack(fields))).toBeUndefined();
+  });
+});
+
 describe('the rates in load messages', () => {
   // Guards against the loss of the load and of the rate limits because of a faulty rate.
   it.each([
@@ -203,6 +222,19 @@
     });
   });
 
+  it.each([
+    ['too few', []],
+    ['too many', [1, 2]],
+    ['negative', [-1]],
+    ['huge', [1e300]],
+    ['fractional', [0.5]],
+    ['no list', 'text'],
+  ])('leave the loads as they are beside tokens in KV caches that are %s', (_name, occupied) => {
+    const loads = [{ endpoint: 5, running: 1, prefillTokens: 0, latePrefillTokens: 0 }];
+    const fields = [PeerMessageKind.Load, 'a', [5, 1, 0, 0], [], [], [], occupied];
+    expect(decodePeerMessage(pack(fields))).toMatchObject({ loads });
+  });
+
   it('may be missing, as in the messages of instances of an earlier version', () => {
     const message = decodePeerMessage(pack([PeerMessageKind.Load, 'a', [], [], []]));
     expect(message).toMatchObject({ sender: 'a', loads: [] });
@@ -225,7 +257,8 @@
       weight: 15,
     }));
     const emptyBytes = encodePeerMessage(message).length;
-    expect(emptyBytes).toBe(pack([message.kind, message.sender, [], [], []]).length + 1);
+    // One byte for the rates and one for the tokens in KV caches.
+    expect(emptyBytes).toBe(pack([message.kind, message.sender, [], [], []]).length + 2);
     expect(encodePeerMessage({ ...message, rates }).length - emptyBytes).toBeLessThanOrEqual(
       32 * 11,
     );
@@ -304,14 +337,37 @@
 });
 
 describe('PeerLoads', () => {
-  const load = { endpoint: 5, running: 2, prefillTokens: 10, latePrefillTokens: 0 };
+  const load = {
+    endpoint: 5,
+    running: 2,
+    prefillTokens: 10,
+    latePrefillTokens: 0,
+    occupiedTokens: 1024,
+  };
 
   it('adds up the latest loads of all peers', () => {
     const loads = new PeerLoads();
     loads.receive({ sender: 'a', loads: [load] }, 0);
     loads.receive({ sender: 'a', loads: [{ ...load, running: 3 }] }, 10);
     loads.receive({ sender: 'b', loads: [load] }, 20);
-    expect(loads.loadOf(5)).toEqual({ running: 5, prefillTokens: 20, latePrefillTokens: 0 });
+    expect(loads.loadOf(5)).toEqual({
+      running: 5,
+      prefillTokens: 20,
+      latePrefillTokens: 0,
+      occupiedTokens: 2048,
+    });
+  });
+
+  // Guards against a choice that takes old reports for new ones.
+  it('states the mean age of the loads, and the greatest age without any', () => {
+    const loads = new PeerLoads();
+    expect(loads.ageMilliseconds(0)).toBe(1000);
+    loads.receive({ sender: 'a', loads: [load] }, 100, 50);
+    expect(loads.ageMilliseconds(200)).toBe(150);
+    loads.receive({ sender: 'b', loads: [load] }, 200);
+    expect(loads.ageMilliseconds(200)).toBe(75);
+    loads.expire(2000);
+    expect(loads.ageMilliseconds(2000)).toBe(1000);
   });
 
   // Guards against the load of a stopped instance keeping requests away from an engine.
--- a/packages/hickoryrelay-workload/src/EndpointSpeed.ts
+++ b/packages/hickoryrelay-workload/src/EndpointSpeed.ts
@@ -1,5 +1,6 @@
 import { RateEstimate } from './RateEstimate.js';
 import { RateKind } from './RateReport.js';
+import { ServiceWork } from './ServiceWork.js';
 
 import type { RateReport } from './RateReport.js';
 
@@ -48,6 +49,9 @@
 
   readonly service: string;
 
+  /** What is known of the requests for the service. */
+  readonly work: ServiceWork;
+
   /** Speed relative to the median endpoint of the service; 1 while unknown. */
   relative = 1;
 
@@ -59,9 +63,10 @@
 
   private readonly estimates: (RateEstimate | undefined)[] = [];
 
-  constructor(endpoint: number, service: string) {
+  constructor(endpoint: number, service: string, work = new ServiceWork()) {
     this.endpoint = endpoint;
     this.service = service;
+    this.work = work;
   }
 
   /** The estimate of a kind; undefined without observations. */
--- a/packages/hickoryrelay-workload/src/WorkloadModel.ts
+++ b/packages/hickoryrelay-workload/src/WorkloadModel.ts
@@ -1,6 +1,7 @@
 import { EndpointSpeed } from './EndpointSpeed.js';
 import { isPlausibleRate, MAXIMUM_REPORT_WEIGHT, RateKind, ReportAge } from './RateReport.js';
 import { RateReportQueue } from './RateReportQueue.js';
+import { ServiceWork } from './ServiceWork.js';
 
 import type { MedianRates } from './EndpointSpeed.js';
 import type { Estimate } from './Estimate.js';
@@ -30,8 +31,27 @@
 /** Learned speeds between these fractions of the endpoints make up the spread. */
 const SPREAD_FRACTIONS = { low: 0.1, high: 0.9 } as const;
 
+/** Callers choose the instances of their zone at random, so that their requests vary about as much. */
+const OWN_ZONE_DEMAND_ERROR = 0.3;
+
+const NO_LOAD: Estimate = {
+  value: 0,
+  ageMilliseconds: Number.POSITIVE_INFINITY,
+  relativeError: 1,
+};
+
 const KINDS: readonly RateKind[] = Object.values(RateKind);
 
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Load of all instances on an endpoint. */
+export interface EndpointLoadEstimates {
+  /** Requests in flight, including the estimate of unreported ones. */
+  estimateRunning(now: number): Estimate;
+  /** Prompt tokens being prefilled. */
+  estimatePrefillTokens(now: number): Estimate;
+}
+
 /** Counts for operators. */
 export interface SpeedSummary {
   readonly learnedEndpoints: number;
@@ -55,8 +75,17 @@
 
   private readonly pending = new RateReportQueue();
 
+  private readonly works = new Map<string, ServiceWork>();
+
   private peers = 0;
 
+  /** Instances by zone, including this one. */
+  private instances: ReadonlyMap<string, number> = new Map();
+
+  private zone: string | undefined;
+
+  private readonly findLoad: (endpointHash: number) => EndpointLoadEstimates | undefined;
+
   private announcesUntilMilliseconds = Number.NEGATIVE_INFINITY;
 
   /** Learned rates that are yet to be sent in the current rotation. */
@@ -66,13 +95,20 @@
 
   private isStale = false;
 
+  /** @param findLoad Returns the load on an endpoint; undefined if it is not registered. */
+  constructor(
+    findLoad: (endpointHash: number) => EndpointLoadEstimates | undefined = () => undefined,
+  ) {
+    this.findLoad = findLoad;
+  }
+
   /** Registers an endpoint. Returns its speed, which is updated with new observations. */
   track(endpointHash: number, service: string): EndpointSpeed {
     const known = this.speeds.get(endpointHash);
     if (known !== undefined && known.service === service) {
       return known;
     }
-    const speed = new EndpointSpeed(endpointHash, service);
+    const speed = new EndpointSpeed(endpointHash, service, this.workOf(service));
     this.speeds.set(endpointHash, speed);
     const others = this.byService.get(service) ?? [];
     this.byService.set(service, [
@@ -104,6 +140,12 @@
           .filter(([, speeds]) => speeds.length > 0),
       );
       this.isStale = true;
+      for (const service of this.works.keys()) {
+        if (!this.byService.has(service)) {
+          this.works.delete(service);
+          this.medians.delete(service);
+        }
+      }
     }
   }
 
@@ -117,6 +159,28 @@
     return this.estimateOf(endpointHash, now, (speed) => speed.slowdown(now));
   }
 
+  /** Requests in flight of all instances, including the estimate of unreported ones. */
+  runningAt(endpointHash: number, now: number): Estimate {
+    return this.findLoad(endpointHash)?.estimateRunning(now) ?? NO_LOAD;
+  }
+
+  /** Prompt tokens being read, of all instances. */
+  prefillTokensAt(endpointHash: number, now: number): Estimate {
+    return this.findLoad(endpointHash)?.estimatePrefillTokens(now) ?? NO_LOAD;
+  }
+
+  /** Requests a second that arrive for a service in a zone. */
+  demandOf(service: string, zone: string, now: number): Estimate {
+    const perMillisecond = this.works.get(service)?.requestsPerMillisecond(now) ?? 0;
+    return this.zoneEstimate(perMillisecond, zone);
+  }
+
+  /** Prompt tokens a second that arrive for a service in a zone. */
+  promptDemandOf(service: string, zone: string, now: number): Estimate {
+    const perMillisecond = this.works.get(service)?.promptTokensPerMillisecond(now) ?? 0;
+    return this.zoneEstimate(perMillisecond, zone);
+  }
+
   /** Records a remote prefill that had no other prefill queued before it. */
   recordPrefill(endpointHash: number, tokens: number, milliseconds: number, now: number): void {
     if (tokens >= MINIMUM_PREFILL_TOKENS) {
@@ -159,12 +223,26 @@
     return this.pending.take(maximumReports, now);
   }
 
-  /** Sets the number of other instances. Learned rates are announced when it has grown. */
-  setPeers(peers: number, now: number): void {
+  /**
+   * Sets the zones of the other instances and of this one. Learned rates are announced when there are
+   * more instances than before.
+   */
+  setInstances(peerZones: Iterable<string>, zone: string, now: number): void {
+    const instances = new Map([[zone, 1]]);
+    let peers = 0;
+    for (const peerZone of peerZones) {
+      instances.set(peerZone, (instances.get(peerZone) ?? 0) + 1);
+      peers += 1;
+    }
     if (peers > this.peers) {
       this.announcesUntilMilliseconds = now + ANNOUNCEMENT_MILLISECONDS;
     }
     this.peers = peers;
+    this.instances = instances;
+    this.zone = zone;
+    for (const work of this.works.values()) {
+      work.zonePeers = this.zonePeers;
+    }
   }
 
   /**
@@ -246,6 +324,27 @@
     this.update(now);
   }
 
+  private workOf(service: string): ServiceWork {
+    const work = this.works.get(service) ?? new ServiceWork();
+    work.zonePeers = this.zonePeers;
+    this.works.set(service, work);
+    return work;
+  }
+
+  private get zonePeers(): number {
+    return this.zone === undefined ? 0 : (this.instances.get(this.zone) ?? 1) - 1;
+  }
+
+  /** Assumes that each instance gets as many requests as this one, which holds best in its zone. */
+  private zoneEstimate(perMillisecond: number, zone: string): Estimate {
+    const isOwnZone = zone === this.zone;
+    return {
+      value: perMillisecond * MILLISECONDS_PER_SECOND * (this.instances.get(zone) ?? 0),
+      ageMilliseconds: 0,
+      relativeError: isOwnZone && perMillisecond > 0 ? OWN_ZONE_DEMAND_ERROR : 1,
+    };
+  }
+
   private isPlausible({ service }: EndpointSpeed, kind: RateKind, logRate: number): boolean {
     const median = this.medians.get(service)?.[kind] ?? logRate;
     return (
--- a/packages/hickoryrelay-workload/src/__tests__/unit/WorkloadModel.test.ts
+++ b/packages/hickoryrelay-workload/src/__tests__/unit/WorkloadModel.test.ts
@@ -15,6 +15,8 @@
 const PREFILLS_PER_SECOND = 40;
 const SECOND = 1000;
 
+const PEER_ZONES = Array.from({ length: 58 }, () => 'a');
+
 /** Mean relative error when nothing is learned: speed 1 is assumed of 0.6, 1 and 1.6. */
 const DEFAULT_ERROR = (2 / 3 + 0 + 0.375) / 3;
 
@@ -90,11 +92,11 @@
   it('tells the learned speeds to an instance that starts, within four messages', () => {
     const fleet = new SpeedFleet(120, SPEEDS);
     const model = fleet.makeModel();
-    model.setPeers(58, 0);
+    model.setInstances(PEER_ZONES, 'a', 0);
     observeFor(fleet, model, 20);
     model.takeReports(1000, 20 * SECOND);
     expect(model.takeLearnedReports(32, 0, 20 * SECOND)).toHaveLength(0);
-    model.setPeers(59, 20 * SECOND);
+    model.setInstances([...PEER_ZONES, 'a'], 'a', 20 * SECOND);
     const started = fleet.makeModel();
     for (let message = 0; message < 4; message += 1) {
       const reports = model.takeLearnedReports(32, 0, 20 * SECOND);
@@ -116,7 +118,7 @@
   it('reports nothing while nothing is observed', () => {
     const fleet = new SpeedFleet(ENGINES, SPEEDS);
     const model = fleet.makeModel();
-    model.setPeers(58, 0);
+    model.setInstances(PEER_ZONES, 'a', 0);
     observeFor(fleet, model, 20);
     while (model.takeReports(16, 20 * SECOND).length > 0) {
       expect(model.takeLearnedReports(32, 1, 20 * SECOND).length).toBeLessThanOrEqual(1);
