--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/PeerMessage.test.ts
@@ -5,9 +5,11 @@
 import {
   decodePeerMessage,
   encodePeerMessage,
+  OCCUPIED_TOKENS_STEP,
   PeerMessageKind,
 } from 'hickoryrelay-forwarding/PeerMessage';
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
+import { RateKind, ReportAge } from 'hickoryrelay-workload/RateReport';
 
 import { makeEndpoint } from './ForwardingFixture.js';
 
@@ -20,6 +22,16 @@
   latePrefillTokens: fastCheck.nat(10 ** 6),
 });
 
+/** At least one load has tokens in a KV cache: they are left out if all have none. */
+const occupiedLoadsArbitrary = fastCheck
+  .array(fastCheck.tuple(loadArbitrary, fastCheck.nat(1000)), { minLength: 1 })
+  .map((loads) =>
+    loads.map(([load, steps], index) => ({
+      ...load,
+      occupiedTokens: (index === 0 ? steps + 1 : steps) * OCCUPIED_TOKENS_STEP,
+    })),
+  );
+
 const reportedUseArbitrary = fastCheck.record({
   engine: fastCheck.nat(2 ** 32 - 1),
   segment: fastCheck.nat(2 ** 32 - 1),
@@ -72,14 +84,27 @@
   ageMilliseconds: fastCheck.nat(),
 });
 
+/** Rates are sent in steps of a 64th of an octave. */
+const rateArbitrary = fastCheck.record({
+  endpoint: fastCheck.nat(2 ** 32 - 1),
+  kind: fastCheck.constantFrom(...Object.values(RateKind)),
+  age: fastCheck.constantFrom(...Object.values(ReportAge)),
+  logRate: fastCheck.nat(64).map((steps) => steps / 64),
+  weight: fastCheck.integer({ min: 1, max: 15 }),
+});
+
 const messageArbitrary: fastCheck.Arbitrary<PeerMessage> = fastCheck.oneof(
-  fastCheck.record({
-    kind: loadKindArbitrary,
-    sender: fastCheck.string(),
-    loads: fastCheck.array(loadArbitrary),
-    uses: fastCheck.array(reportedUseArbitrary),
-    rateLimits: fastCheck.array(rateLimitArbitrary),
-  }),
+  fastCheck.record(
+    {
+      kind: loadKindArbitrary,
+      sender: fastCheck.string(),
+      loads: fastCheck.oneof(fastCheck.array(loadArbitrary), occupiedLoadsArbitrary),
+      uses: fastCheck.array(reportedUseArbitrary),
+      rateLimits: fastCheck.array(rateLimitArbitrary),
+      rates: fastCheck.array(rateArbitrary, { minLength: 1, maxLength: 200 }),
+    },
+    { requiredKeys: ['kind', 'sender', 'loads', 'uses', 'rateLimits'] },
+  ),
   fastCheck.record({
     kind: fastCheck.constant(PeerMessageKind.ViewRequest),
     requester: addressArbitrary,
@@ -168,6 +193,78 @@
   });
 });
 
+describe('the loads in load messages', () => {
+  // Guards against an endpoint, or all of them, of infinite cost.
+  it.each([Number.POSITIVE_INFINITY, Number.NaN, -1])('are rejected if one is %d', (running) => {
+    const fields = [PeerMessageKind.Load, 'a', [5, running, 0, 0], [], []];
+    expect(decodePeerMessage(pack(fields))).toBeUndefined();
+  });
+});
+
+describe('the rates in load messages', () => {
+  // Guards against the loss of the load and of the rate limits because of a faulty rate.
+  it.each([
+    ['that are no list', 7],
+    ['that are negative', [1, -5, 16]],
+    ['that are huge', [1, 1e300, 16]],
+    ['that are not a number', [1, Number.NaN, 16]],
+    ['of an unknown kind', [1, 2100, 19]],
+    ['without an observation', [1, 2100, 0]],
+    ['that are cut off', [1, 2100]],
+  ])('are ignored if there are some %s', (_name, rates) => {
+    const fields = [PeerMessageKind.Load, 'a', [5, 1, 0, 0], [], [], rates];
+    expect(decodePeerMessage(pack(fields))).toEqual({
+      kind: PeerMessageKind.Load,
+      sender: 'a',
+      loads: [{ endpoint: 5, running: 1, prefillTokens: 0, latePrefillTokens: 0 }],
+      uses: [],
+      rateLimits: [],
+    });
+  });
+
+  it.each([
+    ['too few', []],
+    ['too many', [1, 2]],
+    ['negative', [-1]],
+    ['huge', [1e300]],
+    ['fractional', [0.5]],
+    ['no list', 'text'],
+  ])('leave the loads as they are beside tokens in KV caches that are %s', (_name, occupied) => {
+    const loads = [{ endpoint: 5, running: 1, prefillTokens: 0, latePrefillTokens: 0 }];
+    const fields = [PeerMessageKind.Load, 'a', [5, 1, 0, 0], [], [], [], occupied];
+    expect(decodePeerMessage(pack(fields))).toMatchObject({ loads });
+  });
+
+  it('may be missing, as in the messages of instances of an earlier version', () => {
+    const message = decodePeerMessage(pack([PeerMessageKind.Load, 'a', [], [], []]));
+    expect(message).toMatchObject({ sender: 'a', loads: [] });
+  });
+
+  // Guards against an exchange that exceeds the 9 KB/s that an instance may use for control.
+  it('take at most eleven bytes each, and one byte if there are none', () => {
+    const message = {
+      kind: PeerMessageKind.LoadDigest,
+      sender: 'instance-1',
+      loads: [],
+      uses: [],
+      rateLimits: [],
+    };
+    const rates = Array.from({ length: 32 }, (_unused, index) => ({
+      endpoint: 2 ** 32 - 1 - index,
+      kind: RateKind.Response,
+      age: ReportAge.Learned,
+      logRate: -8,
+      weight: 15,
+    }));
+    const emptyBytes = encodePeerMessage(message).length;
+    // One byte for the rates and one for the tokens in KV caches.
+    expect(emptyBytes).toBe(pack([message.kind, message.sender, [], [], []]).length + 2);
+    expect(encodePeerMessage({ ...message, rates }).length - emptyBytes).toBeLessThanOrEqual(
+      32 * 11,
+    );
+  });
+});
+
 // Guards against an older relay that passes on odd entries of the store, and against odd datagrams.
 describe('peer messages with odd fields', () => {
   it.each([
@@ -240,14 +337,37 @@
 });
 
 describe('PeerLoads', () => {
-  const load = { endpoint: 5, running: 2, prefillTokens: 10, latePrefillTokens: 0 };
+  const load = {
+    endpoint: 5,
+    running: 2,
+    prefillTokens: 10,
+    latePrefillTokens: 0,
+    occupiedTokens: 1024,
+  };
 
   it('adds up the latest loads of all peers', () => {
     const loads = new PeerLoads();
     loads.receive({ sender: 'a', loads: [load] }, 0);
     loads.receive({ sender: 'a', loads: [{ ...load, running: 3 }] }, 10);
     loads.receive({ sender: 'b', loads: [load] }, 20);
-    expect(loads.loadOf(5)).toEqual({ running: 5, prefillTokens: 20, latePrefillTokens: 0 });
+    expect(loads.loadOf(5)).toEqual({
+      running: 5,
+      prefillTokens: 20,
+      latePrefillTokens: 0,
+      occupiedTokens: 2048,
+    });
+  });
+
+  // Guards against a choice that takes old reports for new ones.
+  it('states the mean age of the loads, and the greatest age without any', () => {
+    const loads = new PeerLoads();
+    expect(loads.ageMilliseconds(0)).toBe(1000);
+    loads.receive({ sender: 'a', loads: [load] }, 100, 50);
+    expect(loads.ageMilliseconds(200)).toBe(150);
+    loads.receive({ sender: 'b', loads: [load] }, 200);
+    expect(loads.ageMilliseconds(200)).toBe(75);
+    loads.expire(2000);
+    expect(loads.ageMilliseconds(2000)).toBe(1000);
   });
 
   // Guards against the load of a stopped instance keeping requests away from an engine.
