Spread prompts over idle prefill engines in the order of rendezvous weights

Cause: when the preferred engine of a segment was busy, all other idle ones cost the same, and the first in the list was taken, on all instances.

--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -1,4 +1,4 @@
-import { hashString } from 'hickoryrelay/RendezvousUtils';
+import { hashString, mixHashes } from 'hickoryrelay/RendezvousUtils';
 import { StaleLoadSelection } from 'hickoryrelay-workload/StaleLoadSelection';
 
 import { EngineStage } from './EndpointRecord.js';
@@ -43,6 +43,16 @@
 /** Cost of an engine other than the preferred one, in addition to the prefill time. */
 const AFFINITY_PENALTY_MILLISECONDS = 15;
 
+/**
+ * Highest additional cost of a prefill engine other than the preferred one, in the order of rendezvous
+ * weights. Equally idle engines would otherwise be tried in one order for all segments, so that many
+ * instances send their prompts to the same one. The prefill of the rest of a long prompt takes about
+ * twice as long.
+ */
+const AFFINITY_SPREAD_MILLISECONDS = 40;
+
+const HASH_RANGE = 2 ** 32;
+
 /**
  * Cost of caching a segment on a second engine, in addition to the time to fetch it. The copy
  * evicts other segments, which then have to be recomputed. At this cost, a request queues behind
@@ -318,9 +328,9 @@
             slowdownMilliseconds,
         ) +
         prefillEngine.failureRate(context.now) * FAILURE_PENALTY_MILLISECONDS +
-        (preferredEngine === undefined || prefillEngine === preferredEngine
+        (prefillEngine === preferredEngine
           ? 0
-          : AFFINITY_PENALTY_MILLISECONDS) +
+          : EnginePlacement.affinityCost(prefillEngine, prompt, estimate, context)) +
         (estimate.source === undefined ? 0 : CACHE_COPY_PENALTY_MILLISECONDS);
       if (
         best === undefined ||
@@ -332,6 +342,24 @@
     return best;
   }
 
+  /** Cost of a prefill engine that is not the preferred one of the prompt. */
+  private static affinityCost(
+    engine: EndpointState,
+    { shared, tokens }: PromptSummary,
+    { prefillTokens, source }: PrefillEstimate,
+    { random }: PlacementContext,
+  ): number {
+    if (shared === undefined) {
+      return random.fraction() * JITTER_MILLISECONDS;
+    }
+    const isHolder = source === undefined && prefillTokens < tokens;
+    if (isHolder) {
+      return AFFINITY_PENALTY_MILLISECONDS;
+    }
+    const weight = mixHashes(shared.hash, engine.hash) / HASH_RANGE;
+    return AFFINITY_PENALTY_MILLISECONDS + (1 - weight) * AFFINITY_SPREAD_MILLISECONDS;
+  }
+
   /** Returns an engine that has the shared segment in its cache, if any. */
   private findCacheSource(
     states: readonly EndpointState[],
--- a/packages/hickoryrelay-forwarding/src/InstanceRateLimitShares.ts
+++ b/packages/hickoryrelay-forwarding/src/InstanceRateLimitShares.ts
@@ -1,4 +1,4 @@
-import { hashString } from 'hickoryrelay/RendezvousUtils';
+import { hashString, mixHashes } from 'hickoryrelay/RendezvousUtils';
 import { RateLimitShares } from 'hickoryrelay-endpoint/RateLimitShares';
 
 import { PEER_LEASE_MILLISECONDS } from './PeerRecord.js';
@@ -34,12 +34,6 @@
   missingSinceMilliseconds: number | undefined;
 }
 
-function mixHashes(left: number, right: number): number {
-  let hash = Math.imul(left ^ right, 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
-}
-
 /**
  * Divides a rate limit equally among few instances, which rendezvous hashing selects from the list of
  * all. Every instance computes the same selection without a message, so that the sum holds although
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { invariant } from 'hickoryrelay/Invariant';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { EngineStage } from 'hickoryrelay-forwarding/EndpointRecord';
 import { EndpointRegistry } from 'hickoryrelay-forwarding/EndpointRegistry';
@@ -213,6 +214,21 @@
     );
   });
 
+  // Guards against many instances that all send their prompts to the first idle engine of the list.
+  it('spreads segments whose preferred engines are busy over the idle ones', () => {
+    const placement = makePlacement();
+    const used = new Set<string>();
+    for (let segment = 0; segment < 80; segment += 1) {
+      const states = makeStates();
+      const preferred = placement.plan(states, longPrompt(segment), false, makeContext(1));
+      invariant(preferred?.prefillEngine !== undefined, 'The plan has no prefill engine.');
+      preferred.prefillEngine.prefillTokens = 60_000;
+      const plan = placement.plan(states, longPrompt(segment), false, makeContext(1));
+      used.add(plan?.prefillEngine?.record.identifier ?? '');
+    }
+    expect(used).toEqual(new Set(['engine-0', 'engine-1', 'engine-2', 'engine-3']));
+  });
+
   it('returns no plan without a decode engine', () => {
     const prefillEngines = makeStates().slice(0, PREFILL_ENGINES);
     expect(
--- a/packages/hickoryrelay/src/RendezvousUtils.ts
+++ b/packages/hickoryrelay/src/RendezvousUtils.ts
@@ -12,6 +12,13 @@
   return (hash ^ (hash >>> 16)) >>> 0;
 }
 
+/** Combines two hashes into one, for rendezvous weights without a string for each pair. */
+export function mixHashes(left: number, right: number): number {
+  let hash = Math.imul(left ^ right, 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
+
 /** Orders names by rendezvous hashing for a key, highest weight first. */
 export function rendezvousOrder(key: string, names: readonly string[]): string[] {
   return names
