--- a/packages/hickoryrelay-command-line/src/Command.ts
+++ b/packages/hickoryrelay-command-line/src/Command.ts
@@ -3,8 +3,9 @@
 /** Exit codes of the command-line tool. */
 export const ExitCode = {
   Success: 0,
+  /** A failure, or warnings or differences of a check that a flag asked for. */
   Failure: 1,
-  /** Invalid arguments or an invalid file. */
+  /** Invalid arguments, an invalid file or errors of a check. */
   InvalidInput: 2,
   /** The stored configuration was changed concurrently. */
   Conflict: 3,
--- a/packages/hickoryrelay-command-line/src/CommandContext.ts
+++ b/packages/hickoryrelay-command-line/src/CommandContext.ts
@@ -7,6 +7,7 @@
 import { YamlParser } from 'hickoryrelay-contract/YamlParser';
 
 import { renderTable } from './Table.js';
+import type { FileCheckFlags } from './FileCheckFlags.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { DeclarationsDocument } from 'hickoryrelay-contract/Declarations';
@@ -16,12 +17,14 @@
 import type { UsageReportSink } from 'hickoryrelay-platform/UsageReportSink';
 
 /** Parsed command-line flags. */
-export interface CommandFlags {
-  readonly json: boolean;
+export interface CommandFlags extends FileCheckFlags {
   readonly dryRun: boolean;
   /** Whether `apply` replaces a revision in force that the store does not have. */
   readonly supersede: boolean;
+  /** Whether `check` reads the settings of an instance instead of declarations. */
   readonly settings: boolean;
+  /** Whether `check` compares with the stored configuration. */
+  readonly stored: boolean;
   readonly zone: string | undefined;
   readonly window: string | undefined;
   /** Seconds that `apply` and the key commands wait for a rollout to complete; 0 does not wait. */
--- a/packages/hickoryrelay-command-line/src/CommandRegistry.ts
+++ b/packages/hickoryrelay-command-line/src/CommandRegistry.ts
@@ -1,14 +1,9 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 
+import { CheckCommand } from './CheckCommand.js';
 import { ExitCode } from './Command.js';
-import {
-  ApplyCommand,
-  CheckCommand,
-  DiffCommand,
-  GetCommand,
-  HistoryCommand,
-} from './ConfigurationCommands.js';
+import { ApplyCommand, DiffCommand, GetCommand, HistoryCommand } from './ConfigurationCommands.js';
 import { IssueKeyCommand, ListKeysCommand, WithdrawKeyCommand } from './KeyCommands.js';
 import {
   AccountsCommand,
--- a/packages/hickoryrelay-command-line/src/ConfigurationCommands.ts
+++ b/packages/hickoryrelay-command-line/src/ConfigurationCommands.ts
@@ -1,28 +1,19 @@
 import { stringify } from 'yaml';
 import { diffDeclarations, mergeStoredKeys } from 'hickoryrelay-contract/DeclarationsChange';
-import { settingsSchema } from 'hickoryrelay-contract/Settings';
-import { YamlParser } from 'hickoryrelay-contract/YamlParser';
 
+import { CHANGE_SYMBOLS, changeLines } from './ChangeLines.js';
 import { Command, ExitCode } from './Command.js';
-import { CommandContext } from './CommandContext.js';
 import { ConfigurationRollout, findRevisionInForce } from './ConfigurationRollout.js';
+import type { CommandContext } from './CommandContext.js';
 import type { EntryChange } from 'hickoryrelay-contract/DeclarationsChange';
 
-const CHANGE_SYMBOLS = { added: '+', changed: '~', removed: '-' } as const;
-
 function writeChanges(context: CommandContext, changes: readonly EntryChange[]): void {
   if (context.flags.json) {
     context.writeLine(JSON.stringify(changes, undefined, 2));
     return;
   }
-  for (const change of changes) {
-    context.writeLine(`${CHANGE_SYMBOLS[change.kind]} ${change.section} ${change.name}`);
-    for (const { field, before, after } of change.fields) {
-      context.writeLine(`    ${field}: ${before ?? '(absent)'} -> ${after ?? '(absent)'}`);
-    }
-  }
-  if (changes.length === 0) {
-    context.writeLine('No differences.');
+  for (const line of changeLines(changes)) {
+    context.writeLine(line);
   }
 }
 
@@ -119,21 +110,3 @@
     return ExitCode.Success;
   }
 }
-
-/** Validates a declarations or settings file without connecting to the platform. */
-export class CheckCommand extends Command {
-  override readonly name = 'check';
-
-  override readonly usage = 'check <file> [--settings]  Check a declarations or settings file';
-
-  override async run(context: CommandContext, parameters: readonly string[]): Promise<ExitCode> {
-    const file = context.requireArgument(parameters, 0, 'file');
-    if (context.flags.settings) {
-      new YamlParser(settingsSchema).parse(file, await CommandContext.readTextFile(file));
-    } else {
-      await context.readDeclarations(file);
-    }
-    context.writeLine(`${file} is valid.`);
-    return ExitCode.Success;
-  }
-}
--- a/packages/hickoryrelay-command-line/src/__tests__/unit/CommandRegistry.test.ts
+++ b/packages/hickoryrelay-command-line/src/__tests__/unit/CommandRegistry.test.ts
@@ -29,6 +29,10 @@
   dryRun: false,
   supersede: false,
   settings: false,
+  against: undefined,
+  stored: false,
+  strict: false,
+  expectUnchanged: false,
   zone: undefined,
   window: undefined,
   waitSeconds: 1,
@@ -229,6 +233,84 @@
     expect(code).toBe(0);
   });
 
+  describe('check', () => {
+    // A minimum of changes to the example after which a check has something to report.
+    const writeWithWarning = () =>
+      writeChanged('warning', { accounts: [{ name: 'city-museum', classes: ['quick-ask'] }] });
+    const writeWithError = () => writeChanged('error', { budget: { costPerHour: 7 } });
+
+    it('gives warnings an exit code only on request, and errors always', async () => {
+      const warning = await writeWithWarning();
+      const relaxed = await run(`check ${warning}`);
+      expect(relaxed.code).toBe(0);
+      expect(relaxed.output).toContain('warning: class rig-brief: no account may use the class');
+      expect((await run(`check ${warning}`, { strict: true })).code).toBe(1);
+      const error = await run(`check ${await writeWithError()}`);
+      expect(error.code).toBe(2);
+      expect(error.output).toContain('costPerHour of 8 is above the budget of 7');
+      expect(error.output).toContain('has errors.');
+    });
+
+    it('compares with a file and with the stored configuration', async () => {
+      const file = await writeWithWarning();
+      const withFile = await run(`check ${file}`, { against: EXAMPLE, expectUnchanged: true });
+      expect(withFile.code).toBe(1);
+      expect(withFile.output).toContain('- account science-fair');
+      expect((await run(`check ${file}`, { against: EXAMPLE })).code).toBe(0);
+      expect((await run(`check ${file}`, { stored: true })).code).toBe(2);
+      await run(`apply ${EXAMPLE}`);
+      const stored = await run(`check ${file}`, { stored: true, expectUnchanged: true });
+      expect(stored).toMatchObject({ code: 1 });
+      expect(stored.output).toContain('- account science-fair');
+      expect(await run(`check ${EXAMPLE}`, { stored: true, expectUnchanged: true })).toMatchObject({
+        code: 0,
+      });
+    });
+
+    // Guards against an account that is reported as without keys although its keys are stored.
+    it('takes stored keys into account', async () => {
+      await run(`apply ${EXAMPLE}`);
+      const unknown = 'account city-museum: the account has no valid key';
+      expect((await run(`check ${EXAMPLE}`, { stored: true })).output).toContain(unknown);
+      await run('keys issue city-museum');
+      expect((await run(`check ${EXAMPLE}`, { stored: true })).output).not.toContain(unknown);
+      expect((await run(`check ${EXAMPLE}`)).output).toBe(`${EXAMPLE} is valid.\n`);
+    });
+
+    it('writes a report as JSON, also of an invalid file', async () => {
+      const { code, output } = await run(`check ${await writeWithError()}`, { json: true });
+      expect(code).toBe(2);
+      expect(JSON.parse(output)).toMatchObject({
+        layout: 1,
+        outcome: 'errors',
+        findings: [{ severity: 'error', kind: 'contradiction', section: 'endpoint-kind' }],
+        differences: null,
+      });
+      const invalid = await writeChanged('invalid', { weights: {} });
+      const report = await run(`check ${invalid}`, { json: true });
+      expect(report.code).toBe(2);
+      expect(JSON.parse(report.output)).toMatchObject({
+        outcome: 'errors',
+        findings: [{ kind: 'invalid', section: 'file' }],
+      });
+    });
+
+    it('compares the settings of an instance', async () => {
+      const settings = 'examples/foucault/settings.yaml';
+      const against = 'examples/vekstlinje/settings.yaml';
+      const flags = { settings: true, against, expectUnchanged: true };
+      expect((await run(`check ${settings}`, flags)).code).toBe(1);
+      expect((await run(`check ${against}`, flags)).code).toBe(0);
+    });
+
+    it.each([
+      { stored: true, against: EXAMPLE },
+      { stored: true, settings: true },
+    ])('refuses the flags %j', async (flags) => {
+      expect((await run(`check ${EXAMPLE}`, flags)).code).toBe(2);
+    });
+  });
+
   it('refuses an unknown command', async () => {
     expect(await run('frobnicate')).toMatchObject({ code: 2 });
   });
--- a/packages/hickoryrelay-command-line/src/hickoryrelay.ts
+++ b/packages/hickoryrelay-command-line/src/hickoryrelay.ts
@@ -42,6 +42,10 @@
     --supersede     Let apply replace a revision in force that a restored store has lost
     --wait          Seconds to wait until a change is active on every live instance; 0 does not wait [${DEFAULT_WAIT_SECONDS}]
     --settings      Check an instance settings file instead of declarations
+    --against       File with the version in force, with which check compares
+    --stored        Compare with the stored configuration (check of declarations)
+    --strict        Let warnings of check give exit code 1
+    --expect-unchanged  Let differences that check finds give exit code 1
     --zone          Availability zone
     --window        Start of a usage window, as ISO 8601 time
 
@@ -53,8 +57,8 @@
 
   Exit codes
     0  success
-    1  failure
-    2  invalid arguments or an invalid file
+    1  failure, or warnings or differences of check that a flag asked for
+    2  invalid arguments, an invalid file or errors of check
     3  another operator changed the configuration first
     4  accepted, but not yet active on every live instance
     5  the compared declarations differ (diff)
@@ -71,6 +75,10 @@
       dryRun: { type: 'boolean', default: false },
       supersede: { type: 'boolean', default: false },
       settings: { type: 'boolean', default: false },
+      against: { type: 'string' },
+      stored: { type: 'boolean', default: false },
+      strict: { type: 'boolean', default: false },
+      expectUnchanged: { type: 'boolean', default: false },
       wait: { type: 'number', default: DEFAULT_WAIT_SECONDS },
       zone: { type: 'string' },
       window: { type: 'string' },
@@ -93,7 +101,7 @@
 }
 
 async function readOperatorSettings(): Promise<OperatorSettings | undefined> {
-  const isOffline = program.input[0] === 'check';
+  const isOffline = program.input[0] === 'check' && !program.flags.stored;
   if (isOffline) {
     return undefined;
   }
@@ -107,12 +115,17 @@
 async function run(): Promise<ExitCode> {
   const settings = await readOperatorSettings();
   const { json, dryRun, supersede, wait, zone, window } = program.flags;
+  const { against, stored, strict, expectUnchanged } = program.flags;
   const context = new CommandContext({
     flags: {
       json,
       dryRun,
       supersede,
       settings: program.flags.settings,
+      against,
+      stored,
+      strict,
+      expectUnchanged,
       zone,
       window,
       waitSeconds: wait,
--- a/packages/hickoryrelay-contract/src/DeclarationsChange.ts
+++ b/packages/hickoryrelay-contract/src/DeclarationsChange.ts
@@ -1,7 +1,6 @@
 import { splitIntoEntries } from './ConfigurationBucket.js';
 
 import type { AccessKeyDeclaration } from './AccessKey.js';
-import type { EntrySection } from './ConfigurationBucket.js';
 import type { DeclarationsDocument } from './Declarations.js';
 
 /** How a named entry differs between two documents. */
@@ -9,10 +8,17 @@
 
 export type ChangeKind = (typeof ChangeKind)[keyof typeof ChangeKind];
 
+/** An entry of a document, which its section and name identify. */
+export interface NamedEntry {
+  readonly section: string;
+  readonly name: string;
+  readonly body: unknown;
+}
+
 /** An entry that differs between two documents, with its differing fields as dotted paths. */
 export interface EntryChange {
   readonly kind: ChangeKind;
-  readonly section: EntrySection;
+  readonly section: string;
   readonly name: string;
   readonly fields: readonly FieldChange[];
 }
@@ -43,20 +49,15 @@
   }
 }
 
-/**
- * Lists the entries that differ between two documents. Without a previous document, all entries
- * count as added.
- */
-export function diffDeclarations(
-  before: DeclarationsDocument | undefined,
-  after: DeclarationsDocument,
+/** Lists the entries that differ. The fields of an added or removed entry are not listed. */
+export function diffEntries(
+  before: readonly NamedEntry[],
+  after: readonly NamedEntry[],
 ): EntryChange[] {
-  const entryKey = (entry: { section: string; name: string }) => `${entry.section}/${entry.name}`;
-  const unmatched = new Map(
-    (before === undefined ? [] : splitIntoEntries(before)).map((entry) => [entryKey(entry), entry]),
-  );
+  const entryKey = (entry: NamedEntry) => `${entry.section}/${entry.name}`;
+  const unmatched = new Map(before.map((entry) => [entryKey(entry), entry]));
   const changes: EntryChange[] = [];
-  for (const entry of splitIntoEntries(after)) {
+  for (const entry of after) {
     const previous = unmatched.get(entryKey(entry));
     unmatched.delete(entryKey(entry));
     const fields = previous === undefined ? [] : [...diffFields('', previous.body, entry.body)];
@@ -73,6 +74,17 @@
   return changes;
 }
 
+/**
+ * Lists the entries that differ between two documents. Without a previous document, all entries
+ * count as added.
+ */
+export function diffDeclarations(
+  before: DeclarationsDocument | undefined,
+  after: DeclarationsDocument,
+): EntryChange[] {
+  return diffEntries(before === undefined ? [] : splitIntoEntries(before), splitIntoEntries(after));
+}
+
 function mergeAccountKeys(
   declared: readonly AccessKeyDeclaration[] | undefined,
   stored: readonly AccessKeyDeclaration[],
