Make the uploads larger where a test needs a part of them to be unwritten

A machine with larger socket buffers could take all of 4 MB, and the end of a connection would then be one of a whole response.

--- a/packages/hickoryrelay-link/src/__tests__/e2e/BrokenResponses.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/BrokenResponses.test.ts
@@ -30,8 +30,8 @@
 /** Calls for each case, since the order of a reset and of the last bytes varies. */
 const ROUNDS = 3;
 
-/** Larger than what the buffers of a loopback connection hold. */
-const LARGE_BODY_BYTES = 4_194_304;
+/** Larger than what a loopback connection takes whose receiver does not read. */
+const LARGE_BODY_BYTES = 16_777_216;
 
 const IDENTITY = {
   requestIdentifier: 'request-1',
--- a/packages/hickoryrelay-platform/src/__tests__/e2e/BrokenResponses.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/e2e/BrokenResponses.test.ts
@@ -25,8 +25,8 @@
 /** Calls for each case, since the order of a reset and of the last bytes varies. */
 const ROUNDS = 3;
 
-/** Larger than what the buffers of a loopback connection hold. */
-const LARGE_VALUE = 'x'.repeat(4_194_304);
+/** Larger than what a loopback connection takes whose receiver does not read. */
+const LARGE_VALUE = 'x'.repeat(16_777_216);
 
 /** Starts a service that handles each request when its head has arrived, and reads no more of it. */
 async function startService(behaviour: (socket: Socket) => void): Promise<string> {
