Close a connection of the daemon's links whose early response left its request unwritten

A whole response that an endpoint sent before it had read a large request left the connection in the pool, and the next call waited behind bytes that nobody read (failed before: 'gets no further call on that connection' of BrokenResponses in hickoryrelay-link, after 5 s).

--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -108,6 +108,7 @@
   ): ResponseStream {
     const group = this.current;
     const response = this.createResponse(call, signal, permit, {
+      onComplete: () => group.breaks.closeIfUnwritten(),
       onEnd: (ended) => {
         group.responses.delete(ended);
         this.closeWhenIdle(group);
@@ -151,6 +152,7 @@
       connect: observedConnector(breaks),
     });
     const response = this.createResponse(call, signal, permit, {
+      onComplete: () => {},
       onEnd: () => {
         void client.destroy();
       },
--- a/packages/hickoryrelay-link/src/HttpResponseStream.ts
+++ b/packages/hickoryrelay-link/src/HttpResponseStream.ts
@@ -36,6 +36,8 @@
 export interface HttpResponseObserver {
   /** The head has arrived. `isIdentified` is true if it repeats the identifier of the request. */
   onHead(isIdentified: boolean): void;
+  /** The response is complete. Called while the client library reports its end. */
+  onComplete(): void;
   /** The response is complete, has broken off or was cancelled. */
   onEnd(response: HttpResponseStream): void;
   /** The response's connection has stalled. */
@@ -240,6 +242,7 @@
       this.fail(toRelayError('the connection broke off', this.endpoint, true));
       return;
     }
+    this.observer.onComplete();
     this.markEnded();
     this.chunkWaiter?.resolve({ done: true, value: undefined });
     this.chunkWaiter = undefined;
--- a/packages/hickoryrelay-link/src/__tests__/e2e/BrokenResponses.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/BrokenResponses.test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 import { afterEach, describe, expect, it } from 'vitest';
 import { SystemClock } from 'hickoryrelay/Clock';
@@ -27,6 +28,9 @@
 
 const neverAborted = new AbortController().signal;
 
+/** Longer than a response takes on a busy machine. */
+const RESPONSE_TIMEOUT_MILLISECONDS = 5000;
+
 /** Calls for each case, since the order of a reset and of the last bytes varies. */
 const ROUNDS = 3;
 
@@ -162,6 +166,27 @@
   );
 });
 
+// Guards against a call that waits behind a body that its endpoint does not read.
+describe('an endpoint that sends a whole response before it has read the request', () => {
+  it('gets no further call on that connection', async () => {
+    let connections = 0;
+    const location = await startEndpoint((socket) => {
+      connections += 1;
+      socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`);
+    });
+    const link = new ServiceLink(location);
+    cleanUps.push(() => link.close());
+    for (let call = 1; call <= 3; call += 1) {
+      const signal = AbortSignal.timeout(RESPONSE_TIMEOUT_MILLISECONDS);
+      const response = link.send(serviceCall(LARGE_BODY_BYTES), signal);
+      expect(await readAll(response)).toBe('whole');
+      expect(connections).toBe(call);
+      // The client library uses a connection again in a later turn of the event loop.
+      await sleep(20);
+    }
+  });
+});
+
 /** Texts in the place of a final status. Those from 100 to 199 stand for no final response. */
 const INVALID_STATUSES = [
   ...['000', '001', '099', '100', '101', '103', '199', '600', '601', '700', '999'],
--- a/packages/hickoryrelay/src/ConnectionBreaks.ts
+++ b/packages/hickoryrelay/src/ConnectionBreaks.ts
@@ -15,6 +15,9 @@
 export class ConnectionBreaks {
   private hasOccurred = false;
 
+  /** The connection that was read last, whose bytes the library parses at once. */
+  private lastRead: Socket | undefined;
+
   /**
    * True if a connection has broken off in this turn of the event loop, in which the response that it
    * carried ends.
@@ -31,6 +34,13 @@
         Object.assign(error, { code: PEER_RESET_CODE });
       }
     });
+    const read = socket.read.bind(socket);
+    Object.assign(socket, {
+      read: (size?: number) => {
+        this.lastRead = socket;
+        return read(size) as unknown;
+      },
+    });
     const connectionBreak = new ConnectionBreak(socket);
     socket.on('end', () => {
       if (connectionBreak.error !== undefined) {
@@ -41,4 +51,14 @@
       }
     });
   }
+
+  /**
+   * Closes a connection whose request is still being written, so that no other one waits behind bytes
+   * that the peer may never read. Has to be called while the library reports the end of a response.
+   */
+  closeIfUnwritten(): void {
+    if (this.lastRead !== undefined && this.lastRead.writableLength > 0) {
+      this.lastRead.destroy();
+    }
+  }
 }
