Apply quotas of client accounts over all instances

The package hickoryrelay-quota decides on each request from the instance's own use and from the use and demand that peers report in load messages.

--- a/packages/hickoryrelay-forwarding/src/DeploymentBounds.ts
+++ b/packages/hickoryrelay-forwarding/src/DeploymentBounds.ts
@@ -1,5 +1,6 @@
 import type { ForwardingLimits } from './ForwardingLimits.js';
 import type { ShutdownTimes } from './ShutdownSchedule.js';
+import type { QuotaBounds } from 'hickoryrelay-quota/QuotaLimit';
 import type { AuthorityTimes } from 'hickoryrelay-zone/ZoneAuthority';
 
 /** Time limits and budgets that a deployment declares. All times are in milliseconds. */
@@ -20,6 +21,8 @@
   /** Time after the end of a window at which its usage report is due. */
   readonly usageDueMilliseconds: number;
   readonly leaseMilliseconds: number;
+  /** Bound on the quotas of accounts; absent where none are in force. */
+  readonly quota?: QuotaBounds;
 }
 
 /** Safety margin for clock differences and the transfer time of a request. */
--- a/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
@@ -99,6 +99,9 @@
       this.releasePrefilledPrompt(destination);
       return 'the retry budget is used up';
     }
+    if (openAttempts > 0 || this.mayHaveRun) {
+      admitted.quotaTake?.addRun();
+    }
     const priority = isGeneration ? this.generation.priority : undefined;
     return new OpenAttempt(this.call, destination, priority);
   }
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -68,7 +68,11 @@
     parts.budgets.addRequest(admitted.service);
     const stopDeadline = deadline.watch(sink, parts.shutdown);
     try {
-      return sink.gone.aborted ? sink.goneOutcome : await this.attemptUntilDone();
+      if (sink.gone.aborted) {
+        admitted.quotaTake?.giveBack();
+        return sink.goneOutcome;
+      }
+      return await this.attemptUntilDone();
     } finally {
       await this.hedges.close();
       this.generation.releaseKept();
@@ -211,6 +215,9 @@
     const { sink, trace, deadline } = this.call;
     trace.addStep(reason);
     if (sink.gone.aborted) {
+      if (trace.attempts === 0 && this.call.openAttempts === 0 && !this.attempts.mayHaveRun) {
+        this.call.admitted.quotaTake?.giveBack();
+      }
       return sink.goneOutcome;
     }
     if (sink.hasStarted) {
@@ -233,7 +240,8 @@
 
   /** Refuses a request that has not run. Returns the outcome. */
   private refuse(reason: string, retryAfterMilliseconds: number): string {
-    const { sink, parts } = this.call;
+    const { sink, parts, admitted } = this.call;
+    admitted.quotaTake?.giveBack();
     sink.answer({
       status: SERVICE_UNAVAILABLE,
       reason,
--- a/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
@@ -25,6 +25,8 @@
   readonly arrivedMilliseconds: number;
   /** Arrival on the suspension clock, by which the age of the view is measured. */
   readonly arrivedSuspensionMilliseconds: number;
+  /** Prompt tokens and maximum output tokens together; absent if the caller states none. */
+  readonly declaredTokens?: number;
   readonly promptSegments: readonly PromptSegment[];
   /** Identifier of the last event that the caller has received, if it resumes a stream. */
   readonly lastEvent: string | undefined;
--- a/packages/hickoryrelay-forwarding/src/ForwardingConfiguration.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingConfiguration.ts
@@ -1,5 +1,7 @@
 import { createHash } from 'node:crypto';
 
+import type { QuotaLimit } from 'hickoryrelay-quota/QuotaLimit';
+
 /** Whether a request may be sent to an endpoint again after it may have run. */
 export const RetrySemantics = {
   /** The request may run any number of times. */
@@ -68,11 +70,22 @@
   readonly supply?: SupplyBounds;
 }
 
+/** The quota of an account and the unit in which it counts. */
+export interface QuotaTerms {
+  readonly limit: QuotaLimit;
+  /** True if the limit counts tokens, false if it counts requests. */
+  readonly countsTokens: boolean;
+  /** Cost of a request that states no tokens, if tokens are counted. */
+  readonly plainTokens: number;
+}
+
 /** The holder of an access key. */
 export interface AccountGrant {
   readonly account: string;
   /** Takes precedence over the route's priority. */
   readonly priority?: number;
+  /** Absent if the account has no limit. */
+  readonly quota?: QuotaTerms;
 }
 
 /** Limits on what a caller may send. */
@@ -103,6 +116,9 @@
 
   readonly accounts: readonly string[];
 
+  /** Limits of the accounts that have a quota. */
+  readonly quotas: ReadonlyMap<string, QuotaLimit>;
+
   private readonly routesByHost = new Map<string, ForwardingRoute[]>();
 
   private readonly grants: ReadonlyMap<string, AccountGrant> | undefined;
@@ -113,6 +129,11 @@
     this.grants = declarations.grants;
     this.services = new Map(declarations.services.map((service) => [service.name, service]));
     this.accounts = [...new Set([...(this.grants?.values() ?? [])].map((grant) => grant.account))];
+    this.quotas = new Map(
+      [...(this.grants?.values() ?? [])].flatMap(({ account, quota }) =>
+        quota === undefined ? [] : [[account, quota.limit]],
+      ),
+    );
     for (const route of declarations.routes) {
       const known = this.routesByHost.get(route.host);
       if (known === undefined) {
--- a/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
@@ -13,6 +13,18 @@
 /** Bounds the memory use; further series are counted together under `other`. */
 const MAXIMUM_SERIES = 2000;
 
+/** A value of a metric for one label value. */
+export interface LabelledValue {
+  readonly label: string;
+  readonly value: number;
+}
+
+interface MetricFamily {
+  readonly type: 'gauge' | 'counter';
+  readonly labelName: string;
+  readonly read: () => Iterable<LabelledValue>;
+}
+
 interface Series {
   readonly firstByte: Histogram;
   readonly completion: Histogram;
@@ -37,6 +49,13 @@
 
   private readonly counters = new Map<string, () => number>();
 
+  private readonly families = new Map<string, MetricFamily>();
+
+  /** Registers a metric that has a value for each value of a label, such as each account. */
+  registerFamily(name: string, family: MetricFamily): void {
+    this.families.set(name, family);
+  }
+
   /** Registers a gauge whose value is read when the metrics are rendered. */
   registerGauge(name: string, read: () => number): void {
     this.gauges.set(name, read);
@@ -96,6 +115,12 @@
         yield `${name}_count{${labels}} ${series[time].totalCount}`;
       }
     }
+    for (const [name, { type, labelName, read }] of this.families) {
+      yield `# TYPE hickoryrelay_${name} ${type}`;
+      for (const { label, value } of read()) {
+        yield `hickoryrelay_${name}{${labelName}="${label}"} ${value}`;
+      }
+    }
     for (const [type, metrics] of [
       ['gauge', this.gauges],
       ['counter', this.counters],
--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -15,6 +15,7 @@
 import type { ZoneRelaySelector } from './ZoneRelaySelector.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
+import type { AccountUseExchange } from 'hickoryrelay-quota/AccountUseExchange';
 
 /** About the time within which the load of an engine changes. */
 const MINIMUM_PERIOD_MILLISECONDS = 100;
@@ -44,6 +45,8 @@
   readonly directory: PromptCacheDirectory;
   readonly rateLimits: RateLimitExchange;
   readonly relaySelector: ZoneRelaySelector;
+  /** Absent if the quotas of accounts are not shared. */
+  readonly accountUse?: AccountUseExchange;
   readonly log: ComponentLogger;
 }
 
@@ -91,7 +94,8 @@
         loads.expire(now);
         this.relay.expire(now);
         if (peers.length <= MAXIMUM_DIRECT_PEERS) {
-          this.broadcastLoad(peers);
+          this.parts.accountUse?.refreshDirect(now);
+          this.broadcastLoad(peers, now);
         } else {
           this.reportLoad(now);
         }
@@ -121,6 +125,7 @@
     switch (message.kind) {
       case PeerMessageKind.Load:
         this.parts.rateLimits.receive(message);
+        this.parts.accountUse?.receiveDirect(message.sender, message.accountUse, now);
         this.applyLoad(message, now);
         break;
       case PeerMessageKind.LoadDigest:
@@ -132,7 +137,7 @@
         break;
       case PeerMessageKind.LoadReport:
         this.parts.rateLimits.receive(message);
-        this.relay.addReport(message, now);
+        this.addReport(message, now);
         this.recordUses(message, now);
         break;
       case PeerMessageKind.ZoneLoad:
@@ -147,12 +152,14 @@
     const sender = this.parts.view.peers.find(({ instance }) => instance === message.sender);
     if (sender !== undefined) {
       this.relay.addZoneLoad(sender.zone, message, now);
+      this.parts.accountUse?.addZone(sender.zone, message.accountUse, now);
       this.recordUses(message, now);
     }
   }
 
   /** Digests of different relays cover mostly the same instances, so the latest replaces all. */
   private applyDigest({ loads, ...message }: LoadMessage, now: number): void {
+    this.parts.accountUse?.receiveDigest(message.accountUse, now);
     const otherLoads = subtractLoads(loads, this.lastReportedLoads);
     this.applyLoad({ ...message, sender: '', loads: otherLoads }, now);
   }
@@ -169,21 +176,33 @@
       .forEach((use) => directory.record(use, now));
   }
 
-  private ownLoad(kind: LoadMessage['kind']): LoadMessage {
-    const { self, registry, directory, rateLimits } = this.parts;
+  /** As the relay of the zone, takes the report of one of its instances. */
+  private addReport(message: LoadMessage, now: number): void {
+    this.relay.addReport(message, now);
+    this.parts.accountUse?.addMember(message.sender, message.accountUse, now);
+  }
+
+  private ownLoad(kind: LoadMessage['kind'], now: number): LoadMessage {
+    const { self, registry, directory, rateLimits, accountUse } = this.parts;
+    const ownUse = accountUse?.ownReport(now);
     return {
       kind,
       sender: self.instance,
       loads: [...registry.ownLoads()],
       uses: directory.takePendingUses().map((use) => ({ ...use, origin: this.origin })),
       rateLimits: rateLimits.reports(),
+      ...(ownUse === undefined ? {} : { accountUse: ownUse }),
     };
   }
 
-  private broadcastLoad(peers: readonly PeerRecord[]): void {
-    const message = this.ownLoad(PeerMessageKind.Load);
+  private broadcastLoad(peers: readonly PeerRecord[], now: number): void {
+    const message = this.ownLoad(PeerMessageKind.Load, now);
+    // While accounts have quotas, peers need to hear that this instance uses nothing.
     const isIdle =
-      message.loads.length === 0 && message.uses.length === 0 && message.rateLimits.length === 0;
+      message.loads.length === 0 &&
+      message.uses.length === 0 &&
+      message.rateLimits.length === 0 &&
+      message.accountUse === undefined;
     if (!(isIdle && this.wasIdle)) {
       this.parts.channel.sendToAll(peers, message);
     }
@@ -193,11 +212,11 @@
   /** Reports to the relay of the zone, which may be this instance. */
   private reportLoad(now: number): void {
     const { self, channel } = this.parts;
-    const message = this.ownLoad(PeerMessageKind.LoadReport);
+    const message = this.ownLoad(PeerMessageKind.LoadReport, now);
     this.lastReportedLoads = message.loads;
     const relay = this.selectRelay(now);
     if (relay === undefined || relay.instance === self.instance) {
-      this.relay.addReport(message, now);
+      this.addReport(message, now);
     } else {
       channel.send(relay, message);
     }
@@ -228,12 +247,12 @@
 
   /** Sends digests and the zone load while other instances report to this one. */
   private distributeLoads(now: number): void {
-    const { self, view, channel, rateLimits } = this.parts;
+    const { self, view, channel, rateLimits, accountUse } = this.parts;
     if (this.relay.members.length === 0) {
       return;
     }
     const members = new Set(this.relay.members);
-    const digest = this.relay.digest(self.instance, rateLimits.reports());
+    const digest = this.relay.digest(self.instance, rateLimits.reports(), accountUse?.digest(now));
     channel.sendToAll(
       view.peers.filter(({ instance }) => instance !== self.instance && members.has(instance)),
       digest,
@@ -246,7 +265,7 @@
     if (this.completedPeriods % PERIODS_PER_ZONE_LOAD === 0) {
       channel.sendToAll(
         this.otherRelays(now),
-        this.relay.zoneLoad(self.instance, rateLimits.reports()),
+        this.relay.zoneLoad(self.instance, rateLimits.reports(), accountUse?.zoneReport(now)),
       );
     }
   }
--- a/packages/hickoryrelay-forwarding/src/LoadRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadRelay.ts
@@ -2,6 +2,7 @@
 
 import type { EndpointLoad, LoadMessage, ReportedUse } from './PeerMessage.js';
 import type { RateLimitReport } from 'hickoryrelay-endpoint/RateLimitStatement';
+import type { AccountUseReport } from 'hickoryrelay-quota/AccountUse';
 
 /** Time after which a report is discarded. Tolerates the loss of several messages. */
 const REPORT_LIFETIME_MILLISECONDS = 1000;
@@ -109,20 +110,42 @@
   }
 
   /** Takes the message for the members: the load of all instances, and the queued uses. */
-  digest(sender: string, rateLimits: readonly RateLimitReport[] = []): LoadMessage {
+  digest(
+    sender: string,
+    rateLimits: readonly RateLimitReport[] = [],
+    accountUse?: AccountUseReport,
+  ): LoadMessage {
     const uses = this.memberUses;
     this.memberUses = [];
     const sums = sumLoads([...this.reports.values(), ...this.zones.values()]);
     const loads = [...sums.values()].filter(hasLoad);
-    return { kind: PeerMessageKind.LoadDigest, sender, loads, uses, rateLimits };
+    return {
+      kind: PeerMessageKind.LoadDigest,
+      sender,
+      loads,
+      uses,
+      rateLimits,
+      ...(accountUse === undefined ? {} : { accountUse }),
+    };
   }
 
   /** Takes the message for other zones: the load of this zone, and the queued uses. */
-  zoneLoad(sender: string, rateLimits: readonly RateLimitReport[] = []): LoadMessage {
+  zoneLoad(
+    sender: string,
+    rateLimits: readonly RateLimitReport[] = [],
+    accountUse?: AccountUseReport,
+  ): LoadMessage {
     const uses = this.zoneUses;
     this.zoneUses = [];
     const loads = [...sumLoads(this.reports.values()).values()].filter(hasLoad);
-    return { kind: PeerMessageKind.ZoneLoad, sender, loads, uses, rateLimits };
+    return {
+      kind: PeerMessageKind.ZoneLoad,
+      sender,
+      loads,
+      uses,
+      rateLimits,
+      ...(accountUse === undefined ? {} : { accountUse }),
+    };
   }
 
   private enqueue(queue: ReportedUse[], uses: readonly ReportedUse[]): void {
--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -1,6 +1,7 @@
 import { pack, unpack } from 'msgpackr';
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 
+import { decodeAccountUse, encodeAccountUse } from './AccountUseElements.js';
 import {
   CRASH_EVIDENCE_KIND,
   crashEvidenceElements,
@@ -19,6 +20,7 @@
 import type { UsageSealMessage } from './UsageSealMessage.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { RateLimitReport } from 'hickoryrelay-endpoint/RateLimitStatement';
+import type { AccountUseReport } from 'hickoryrelay-quota/AccountUse';
 
 /** Kinds of messages between instances. The value is the first element of the encoded message. */
 export const PeerMessageKind = {
@@ -87,6 +89,8 @@
   /** Uses since the previous message. */
   readonly uses: readonly ReportedUse[];
   readonly rateLimits: readonly RateLimitReport[];
+  /** Use of the accounts that have a quota; absent while none has one. */
+  readonly accountUse?: AccountUseReport;
 }
 
 /** Requests the changes since a store revision. */
@@ -174,7 +178,7 @@
   return { ...changes, revision: revision.number, era: revision.era };
 }
 
-function encodeLoad({ kind, sender, loads, uses, rateLimits }: LoadMessage): unknown[] {
+function encodeLoad({ kind, sender, loads, uses, rateLimits, accountUse }: LoadMessage): unknown[] {
   return [
     kind,
     sender,
@@ -197,6 +201,7 @@
       requestsPerSecond ?? 0,
       ageMilliseconds,
     ]),
+    ...(accountUse === undefined ? [] : [encodeAccountUse(accountUse)]),
   ];
 }
 
@@ -246,7 +251,7 @@
 
 function decodeLoad(kind: LoadKind, fields: readonly unknown[]): LoadMessage | undefined {
   // Instances of an earlier version state no limits.
-  const [sender, loads, uses, rateLimits = []] = fields;
+  const [sender, loads, uses, rateLimits = [], accountUseElements] = fields;
   if (
     typeof sender !== 'string' ||
     !isNumberList(loads, LOAD_FIELD_COUNT) ||
@@ -255,9 +260,11 @@
   ) {
     return undefined;
   }
+  const accountUse = decodeAccountUse(accountUseElements);
   return {
     kind,
     sender,
+    ...(accountUse === undefined ? {} : { accountUse }),
     loads: [...rowsOf(loads, LOAD_FIELD_COUNT)].map(
       ([endpoint = 0, running = 0, prefillTokens = 0, latePrefillTokens = 0]) => ({
         endpoint,
--- a/packages/hickoryrelay-forwarding/src/RequestAdmission.ts
+++ b/packages/hickoryrelay-forwarding/src/RequestAdmission.ts
@@ -5,11 +5,14 @@
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { AccountGrant, ForwardingRoute } from './ForwardingConfiguration.js';
 import type { ForwardingLimits } from './ForwardingLimits.js';
+import type { QuotaAdmission } from './QuotaAdmission.js';
 import type { LocalResponse } from './ResponseSink.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { QuotaTake } from 'hickoryrelay-quota/QuotaTake';
 
 const NOT_FOUND = 404;
 const UNAUTHORIZED = 401;
+const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
 
 /** An admitted request, or the response that it gets instead. */
@@ -19,6 +22,8 @@
       readonly route: ForwardingRoute;
       readonly service: string;
       readonly grant: AccountGrant | undefined;
+      /** Present if the account has a quota. */
+      readonly quotaTake?: QuotaTake;
     }
   | { readonly kind: 'answered'; readonly own: LocalResponse };
 
@@ -35,10 +40,18 @@
 
   private readonly random: RandomSource;
 
-  constructor(view: ConfirmedView, limits: ForwardingLimits, random: RandomSource) {
+  private readonly quotas: QuotaAdmission | undefined;
+
+  constructor(
+    view: ConfirmedView,
+    limits: ForwardingLimits,
+    random: RandomSource,
+    quotas?: QuotaAdmission,
+  ) {
     this.view = view;
     this.limits = limits;
     this.random = random;
+    this.quotas = quotas;
   }
 
   admit(request: ForwardedRequest, trace: CallTrace): AdmissionResult {
@@ -71,7 +84,18 @@
     }
     const service = this.chooseService(route);
     Object.assign(trace, { service });
-    return { kind: 'admitted', route, service, grant };
+    const decision = grant === undefined ? undefined : this.quotas?.tryTake(grant, request);
+    if (decision?.kind === 'refused') {
+      return this.refuseOverQuota(decision.retryAfterMilliseconds);
+    }
+    const quotaTake = decision?.take;
+    return {
+      kind: 'admitted',
+      route,
+      service,
+      grant,
+      ...(quotaTake === undefined ? {} : { quotaTake }),
+    };
   }
 
   /** Denies only if the view is recent, since an older one may lack a new route or key. */
@@ -82,6 +106,17 @@
     return { kind: 'answered', own: { status, reason } };
   }
 
+  private refuseOverQuota(retryAfterMilliseconds: number): AdmissionResult {
+    return {
+      kind: 'answered',
+      own: {
+        status: TOO_MANY_REQUESTS,
+        reason: 'the account is over its quota',
+        retryAfterMilliseconds: addRetryAfterJitter(retryAfterMilliseconds, this.random),
+      },
+    };
+  }
+
   private refuseUnavailable(reason: string): AdmissionResult {
     return {
       kind: 'answered',
--- /dev/null
+++ b/packages/hickoryrelay-quota/src/AccountQuota.ts
@@ -0,0 +1,207 @@
+import { addUses } from './AccountUse.js';
+import { AgreedShare } from './AgreedShare.js';
+import { DemandRate } from './DemandRate.js';
+import { toleranceOf, windowQuantityOf } from './QuotaLimit.js';
+import { UseWindow } from './UseWindow.js';
+
+import type { AccountUse } from './AccountUse.js';
+import type { Coverage } from './AgreedShare.js';
+import type { QuotaBounds, QuotaLimit } from './QuotaLimit.js';
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/**
+ * Time over which what is left of the bucket is spread. Reports are 0.1 to 0.5 s old and up to 1 s
+ * when messages are lost; with a horizon shorter than that, the instances together would oscillate
+ * between spending all and nothing.
+ */
+const HORIZON_MILLISECONDS = 1000;
+
+/**
+ * Fraction of the tolerance that is added to the burst. It covers the age of reports, so that an
+ * account within its quota is not refused because others seem to have used what has leaked since.
+ */
+const CREDIT_FRACTION = 0.25;
+
+/** The credit is at most the leak in this time, about twice the greatest age of a report. */
+const MAXIMUM_CREDIT_MILLISECONDS = 1000;
+
+/** Fraction of the tolerance above the burst to which the known level may rise by a large request. */
+const CEILING_FRACTION = 0.5;
+
+const MINIMUM_RETRY_MILLISECONDS = 100;
+
+/** Result of a decision on one request. */
+export interface Admission {
+  readonly isAdmitted: boolean;
+  /** Time after which to retry. 0 if admitted. */
+  readonly retryAfterMilliseconds: number;
+}
+
+/** A reservation that can be undone. */
+export interface Reservation {
+  readonly cost: number;
+  readonly slot: number;
+}
+
+const ADMITTED: Admission = { isAdmitted: true, retryAfterMilliseconds: 0 };
+
+/**
+ * The quota of one account as seen by one instance: a leaky bucket that all instances fill. Each
+ * instance holds the part of the level that it has admitted and leaks it at its part of the rate, so
+ * that the parts leak at the whole rate together and their sum is the level of one bucket. What other
+ * instances hold is known from reports, which are up to 1 s old.
+ *
+ * A request is admitted with the probability of what is left over a horizon to what all instances
+ * are expected to request in that time. This is the share of this instance by its part of the demand,
+ * and a request larger than the share is admitted with the probability of share to cost. While the
+ * demand fits, the probability is 1.
+ *
+ * Designed for 8 to 640 instances, requests of up to half of what one second allows, and callers that
+ * request up to 10 times the quota.
+ */
+export class AccountQuota {
+  private readonly account: number;
+
+  private readonly bounds: QuotaBounds;
+
+  private limit: QuotaLimit;
+
+  private readonly window: UseWindow;
+
+  private readonly demand = new DemandRate();
+
+  private level = 0;
+
+  private leakedMilliseconds: number;
+
+  private others: AccountUse;
+
+  private readonly agreed = new AgreedShare();
+
+  constructor(account: number, limit: QuotaLimit, bounds: QuotaBounds, now: number) {
+    this.account = account;
+    this.limit = limit;
+    this.bounds = bounds;
+    this.window = new UseWindow(bounds.windowMilliseconds);
+    this.leakedMilliseconds = now;
+    this.others = { account, windowUse: 0, level: 0, demandPerSecond: 0 };
+  }
+
+  /** Replaces the limit. What was admitted before counts against the new one. */
+  setLimit(limit: QuotaLimit, now: number): void {
+    if (limit !== this.limit) {
+      this.leak(now);
+      this.limit = limit;
+    }
+  }
+
+  /** Replaces the use of the other instances that are heard. */
+  setOthers(others: AccountUse | undefined, coverage: Coverage, now: number): void {
+    this.leak(now);
+    this.others = others ?? {
+      account: this.account,
+      windowUse: 0,
+      level: 0,
+      demandPerSecond: 0,
+    };
+    const heardUse = this.others.windowUse + this.window.sumAt(now);
+    this.agreed.update(coverage, heardUse, windowQuantityOf(this.limit, this.bounds));
+  }
+
+  /** Decides on a request and counts it as requested. Takes nothing. */
+  decide(cost: number, now: number, fraction: number): Admission {
+    this.leak(now);
+    this.demand.add(cost, now);
+    const { ratePerSecond, burst } = this.limit;
+    const { share } = this;
+    const tolerance = toleranceOf(this.limit, this.bounds);
+    const rate = ratePerSecond * share;
+    const { level, windowUse, demandPerSecond } = this.totalAt(now);
+    const credit = this.creditOf(tolerance);
+    const windowLimit = (windowQuantityOf(this.limit, this.bounds) + credit) * share;
+    if (windowUse >= windowLimit) {
+      const excess = 1 - windowLimit / windowUse;
+      return this.refuse(excess * this.bounds.windowMilliseconds);
+    }
+    const ceiling = burst + tolerance * CEILING_FRACTION;
+    if (level + cost > ceiling) {
+      return this.refuse(((level + cost - ceiling) / rate) * MILLISECONDS_PER_SECOND);
+    }
+    const horizon = HORIZON_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    const available = (burst + credit) * share - level + rate * horizon;
+    const probability = available / (demandPerSecond * horizon);
+    if (fraction < probability) {
+      return ADMITTED;
+    }
+    return this.refuse(
+      probability > 0
+        ? HORIZON_MILLISECONDS * (1 / probability - 1)
+        : (-available / rate) * MILLISECONDS_PER_SECOND + HORIZON_MILLISECONDS,
+    );
+  }
+
+  /** Counts a request as admitted. */
+  take(cost: number, now: number): Reservation {
+    this.leak(now);
+    this.level += cost;
+    return { cost, slot: this.window.add(cost, now) };
+  }
+
+  /** Gives back what was taken, as far as it has not leaked or left the window. */
+  giveBack({ cost, slot }: Reservation, now: number): void {
+    this.leak(now);
+    this.level = Math.max(0, this.level - cost);
+    this.window.remove(cost, slot);
+  }
+
+  /** What this instance itself has admitted and was asked for. */
+  ownUse(now: number): AccountUse {
+    this.leak(now);
+    return {
+      account: this.account,
+      windowUse: this.window.sumAt(now),
+      level: this.level,
+      demandPerSecond: this.demand.at(now),
+    };
+  }
+
+  /** The sum of all heard instances. */
+  totalAt(now: number): AccountUse {
+    return addUses(this.ownUse(now), this.others);
+  }
+
+  /** Fraction of the quota that belongs to the heard instances. */
+  get share(): number {
+    return this.agreed.current;
+  }
+
+  private creditOf(tolerance: number): number {
+    const perHorizon =
+      (this.limit.ratePerSecond * MAXIMUM_CREDIT_MILLISECONDS) / MILLISECONDS_PER_SECOND;
+    return Math.min(tolerance * CREDIT_FRACTION, perHorizon);
+  }
+
+  private leak(now: number): void {
+    const elapsed = Math.max(0, now - this.leakedMilliseconds) / MILLISECONDS_PER_SECOND;
+    this.leakedMilliseconds = Math.max(this.leakedMilliseconds, now);
+    if (this.level > 0) {
+      const ownPart = this.level / (this.level + this.others.level);
+      this.level = Math.max(
+        0,
+        this.level - this.limit.ratePerSecond * this.share * ownPart * elapsed,
+      );
+    }
+  }
+
+  private refuse(milliseconds: number): Admission {
+    const { windowMilliseconds } = this.bounds;
+    return {
+      isAdmitted: false,
+      retryAfterMilliseconds: Math.min(
+        Math.max(MINIMUM_RETRY_MILLISECONDS, milliseconds),
+        windowMilliseconds,
+      ),
+    };
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-quota/src/AccountQuotas.ts
@@ -0,0 +1,231 @@
+import { hashString } from 'hickoryrelay/RendezvousUtils';
+
+import { AccountQuota } from './AccountQuota.js';
+import { isPlausibleUse } from './AccountUse.js';
+import { QuotaTake } from './QuotaTake.js';
+
+import type { AccountUse, AccountUseReport } from './AccountUse.js';
+import type { Coverage } from './AgreedShare.js';
+import type { QuotaBounds, QuotaLimit } from './QuotaLimit.js';
+import type { Clock } from 'hickoryrelay/Clock';
+import type { RandomSource } from 'hickoryrelay/RandomSource';
+
+/** Time after which the last report no longer holds. Tolerates the loss of several messages. */
+const REPORT_LIFETIME_MILLISECONDS = 1000;
+
+/** A decision on one request. */
+export type QuotaDecision =
+  | { readonly kind: 'taken'; readonly take: QuotaTake }
+  | { readonly kind: 'refused'; readonly retryAfterMilliseconds: number };
+
+/** Counters of one account since the start of the instance. */
+export interface QuotaCounts {
+  readonly account: string;
+  /** Units taken, including those given back. */
+  readonly takenUnits: number;
+  readonly returnedUnits: number;
+  readonly refusedUnits: number;
+  readonly refusedRequests: number;
+  /** Fraction of the quota that the heard instances may use. */
+  readonly share: number;
+}
+
+/** What the quotas depend on. */
+export interface AccountQuotasParts {
+  /** The limits in force, by account. A new map for each configuration. */
+  readonly limits: () => ReadonlyMap<string, QuotaLimit>;
+  readonly bounds: QuotaBounds;
+  /** Number of instances in the list, including this one. */
+  readonly listedInstances: () => number;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+interface AccountState {
+  readonly quota: AccountQuota;
+  takenUnits: number;
+  returnedUnits: number;
+  refusedUnits: number;
+  refusedRequests: number;
+}
+
+const NO_QUOTA = new QuotaTake({ release: () => {}, repeat: () => {} });
+
+/** The quotas of all accounts, as one instance applies them together with the others. */
+export class AccountQuotas {
+  private readonly parts: AccountQuotasParts;
+
+  private knownLimits: ReadonlyMap<string, QuotaLimit> = new Map();
+
+  private namesByHash = new Map<number, string>();
+
+  private readonly states = new Map<string, AccountState>();
+
+  private others = new Map<number, AccountUse>();
+
+  private otherInstances = 0;
+
+  /** Length of the list by which the shares were last computed. */
+  private appliedListedInstances = 0;
+
+  private receivedMilliseconds = Number.NEGATIVE_INFINITY;
+
+  constructor(parts: AccountQuotasParts) {
+    this.parts = parts;
+  }
+
+  /** True if some account has a quota. */
+  get isActive(): boolean {
+    return this.parts.limits().size > 0;
+  }
+
+  /** Decides whether a request of an account may run, and takes its cost if so. */
+  tryTake(account: string, cost: number, now: number): QuotaDecision {
+    this.refresh(now);
+    const state = this.stateOf(account, now);
+    if (state === undefined) {
+      return { kind: 'taken', take: NO_QUOTA };
+    }
+    const { quota } = state;
+    const { isAdmitted, retryAfterMilliseconds } = quota.decide(
+      cost,
+      now,
+      this.parts.random.fraction(),
+    );
+    if (!isAdmitted) {
+      state.refusedUnits += cost;
+      state.refusedRequests += 1;
+      return { kind: 'refused', retryAfterMilliseconds };
+    }
+    const reservation = quota.take(cost, now);
+    state.takenUnits += cost;
+    const { clock } = this.parts;
+    const take = new QuotaTake({
+      release: () => {
+        quota.giveBack(reservation, clock.monotonicMilliseconds());
+        state.returnedUnits += cost;
+      },
+      repeat: () => {
+        quota.take(cost, clock.monotonicMilliseconds());
+        state.takenUnits += cost;
+      },
+    });
+    return { kind: 'taken', take };
+  }
+
+  /** The use of this instance, without accounts that have had none in the window. */
+  report(now: number): AccountUse[] {
+    this.refresh(now);
+    return [...this.states.values()]
+      .map(({ quota }) => quota.ownUse(now))
+      .filter(({ windowUse, level, demandPerSecond }) => windowUse + level + demandPerSecond > 0);
+  }
+
+  /** Orders the use of accounts, those first that use or request the most of their quota. */
+  orderByPressure(uses: Iterable<AccountUse>): AccountUse[] {
+    const limits = this.parts.limits();
+    const pressureOf = ({ account, level, demandPerSecond }: AccountUse) => {
+      const limit = limits.get(this.namesByHash.get(account) ?? '');
+      return limit === undefined ? 0 : (level + demandPerSecond) / limit.ratePerSecond;
+    };
+    return [...uses].toSorted((left, right) => pressureOf(right) - pressureOf(left));
+  }
+
+  /** Replaces what is known of the other instances, whose number is that of the report. */
+  receive({ instances, isComplete, accounts }: AccountUseReport, now: number): void {
+    this.adoptLimits(now);
+    const received = new Map(isComplete ? [] : this.others);
+    for (const use of accounts) {
+      const limit = this.knownLimits.get(this.namesByHash.get(use.account) ?? '');
+      if (limit !== undefined && isPlausibleUse(use, limit, this.parts.bounds)) {
+        received.set(use.account, use);
+      } else if (limit !== undefined) {
+        const last = this.others.get(use.account);
+        if (last !== undefined) {
+          received.set(use.account, last);
+        }
+      }
+    }
+    this.others = received;
+    this.otherInstances = instances;
+    this.receivedMilliseconds = now;
+    this.applyOthers(now);
+  }
+
+  /** True if the sum of a report of a peer is possible under the limit of its account. */
+  isPlausible(use: AccountUse): boolean {
+    const limit = this.parts.limits().get(this.namesByHash.get(use.account) ?? '');
+    return limit !== undefined && isPlausibleUse(use, limit, this.parts.bounds);
+  }
+
+  /** Part of the listed instances that is heard now. */
+  get coverage(): Coverage {
+    const heardInstances = this.otherInstances + 1;
+    return {
+      heardInstances,
+      listedInstances: Math.max(heardInstances, this.parts.listedInstances()),
+    };
+  }
+
+  /** Counters by account, for metrics. */
+  *counts(): Generator<QuotaCounts, void, void> {
+    for (const [account, { quota, ...counts }] of this.states) {
+      yield { account, ...counts, share: quota.share };
+    }
+  }
+
+  /** Discards reports that have expired, and adopts the limits and the list in force. */
+  private refresh(now: number): void {
+    this.adoptLimits(now);
+    const isSilent = now - this.receivedMilliseconds > REPORT_LIFETIME_MILLISECONDS;
+    if (isSilent && (this.otherInstances > 0 || this.others.size > 0)) {
+      this.others = new Map();
+      this.otherInstances = 0;
+      this.applyOthers(now);
+    } else if (this.coverage.listedInstances !== this.appliedListedInstances) {
+      this.applyOthers(now);
+    }
+  }
+
+  private adoptLimits(now: number): void {
+    const limits = this.parts.limits();
+    if (limits === this.knownLimits) {
+      return;
+    }
+    this.knownLimits = limits;
+    this.namesByHash = new Map([...limits.keys()].map((name) => [hashString(name), name]));
+    for (const [account, { quota }] of this.states) {
+      const limit = limits.get(account);
+      if (limit === undefined) {
+        this.states.delete(account);
+      } else {
+        quota.setLimit(limit, now);
+      }
+    }
+  }
+
+  private stateOf(account: string, now: number): AccountState | undefined {
+    const known = this.states.get(account);
+    const limit = this.knownLimits.get(account);
+    if (known !== undefined || limit === undefined) {
+      return known;
+    }
+    const hash = hashString(account);
+    const quota = new AccountQuota(hash, limit, this.parts.bounds, now);
+    quota.setOthers(this.others.get(hash), this.coverage, now);
+    const state = { quota, takenUnits: 0, returnedUnits: 0, refusedUnits: 0, refusedRequests: 0 };
+    this.states.set(account, state);
+    return state;
+  }
+
+  private applyOthers(now: number): void {
+    for (const hash of this.others.keys()) {
+      this.stateOf(this.namesByHash.get(hash) ?? '', now);
+    }
+    const { coverage } = this;
+    this.appliedListedInstances = coverage.listedInstances;
+    for (const [account, { quota }] of this.states) {
+      quota.setOthers(this.others.get(hashString(account)), coverage, now);
+    }
+  }
+}
