--- a/packages/hickoryrelay-forwarding/src/AccountUseElements.ts
+++ b/packages/hickoryrelay-forwarding/src/AccountUseElements.ts
@@ -2,8 +2,8 @@
 
 import type { AccountUse, AccountUseReport } from 'hickoryrelay-quota/AccountUse';
 
-const HEADER_FIELD_COUNT = 2;
-const USE_FIELD_COUNT = 4;
+const HEADER_FIELD_COUNT = 3;
+const USE_FIELD_COUNT = 5;
 
 /** Figures are sent in hundredths, since integers take less space than fractions. */
 const STEPS_PER_UNIT = 100;
@@ -11,14 +11,25 @@
 /** No deployment has as many instances; greater numbers come from a faulty peer. */
 const MAXIMUM_INSTANCES = 100_000;
 
-/** Encodes the use of accounts as a flat list: instances, completeness, and four numbers an account. */
-export function encodeAccountUse({ instances, isComplete, accounts }: AccountUseReport): number[] {
+/**
+ * Encodes the use of accounts as a flat list: instances, time, completeness, and five numbers for each
+ * account.
+ */
+export function encodeAccountUse({
+  instances,
+  sentMilliseconds,
+  isComplete,
+  accounts,
+}: AccountUseReport): number[] {
   return [
     instances,
+    sentMilliseconds,
     isComplete ? 1 : 0,
-    ...accounts.flatMap(({ account, windowUse, level, demandPerSecond }) => [
+    ...accounts.flatMap(({ account, windowUse, level, demandPerSecond, agreedUse }) => [
       account,
-      ...[windowUse, level, demandPerSecond].map((units) => Math.round(units * STEPS_PER_UNIT)),
+      ...[windowUse, level, demandPerSecond, agreedUse].map((units) =>
+        Math.round(units * STEPS_PER_UNIT),
+      ),
     ]),
   ];
 }
@@ -35,25 +46,29 @@
   ) {
     return undefined;
   }
-  const [instances = 0, completeness] = elements;
-  if (!Number.isSafeInteger(instances) || instances < 0 || instances > MAXIMUM_INSTANCES) {
+  const [instances = 0, sentMilliseconds = 0, completeness] = elements;
+  if (
+    !Number.isSafeInteger(instances) ||
+    !Number.isSafeInteger(sentMilliseconds) ||
+    instances < 0 ||
+    instances > MAXIMUM_INSTANCES
+  ) {
     return undefined;
   }
   const accounts: AccountUse[] = [];
   for (let index = HEADER_FIELD_COUNT; index < elements.length; index += USE_FIELD_COUNT) {
-    const [account = 0, windowUse = 0, level = 0, demandPerSecond = 0] = elements.slice(
-      index,
-      index + USE_FIELD_COUNT,
-    );
+    const [account = 0, windowUse = 0, level = 0, demandPerSecond = 0, agreedUse = 0] =
+      elements.slice(index, index + USE_FIELD_COUNT);
     const use = {
       account,
       windowUse: windowUse / STEPS_PER_UNIT,
       level: level / STEPS_PER_UNIT,
       demandPerSecond: demandPerSecond / STEPS_PER_UNIT,
+      agreedUse: agreedUse / STEPS_PER_UNIT,
     };
     if (isValidUse(use)) {
       accounts.push(use);
     }
   }
-  return { instances, isComplete: completeness === 1, accounts };
+  return { instances, sentMilliseconds, isComplete: completeness === 1, accounts };
 }
--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -159,7 +159,7 @@
 
   /** Digests of different relays cover mostly the same instances, so the latest replaces all. */
   private applyDigest({ loads, ...message }: LoadMessage, now: number): void {
-    this.parts.accountUse?.receiveDigest(message.accountUse, now);
+    this.parts.accountUse?.receiveDigest(message.sender, message.accountUse, now);
     const otherLoads = subtractLoads(loads, this.lastReportedLoads);
     this.applyLoad({ ...message, sender: '', loads: otherLoads }, now);
   }
--- a/packages/hickoryrelay-quota/src/AccountQuota.ts
+++ b/packages/hickoryrelay-quota/src/AccountQuota.ts
@@ -1,5 +1,5 @@
-import { addUses } from './AccountUse.js';
-import { AgreedShare } from './AgreedShare.js';
+import { addUses, noUseOf } from './AccountUse.js';
+import { AgreedShare, isAgreement } from './AgreedShare.js';
 import { DemandRate } from './DemandRate.js';
 import { toleranceOf, windowQuantityOf } from './QuotaLimit.js';
 import { UseWindow } from './UseWindow.js';
@@ -85,7 +85,7 @@
     this.bounds = bounds;
     this.window = new UseWindow(bounds.windowMilliseconds);
     this.leakedMilliseconds = now;
-    this.others = { account, windowUse: 0, level: 0, demandPerSecond: 0 };
+    this.others = noUseOf(account);
   }
 
   /** Replaces the limit. What was admitted before counts against the new one. */
@@ -96,17 +96,26 @@
     }
   }
 
+  /**
+   * Fills a part of the bucket because an earlier process of the instance may have admitted as much.
+   * Otherwise instances that restart one after another would admit a burst each.
+   */
+  assumeUse(fraction: number): void {
+    const tolerance = toleranceOf(this.limit, this.bounds);
+    this.level = (this.limit.burst + this.creditOf(tolerance)) * fraction;
+  }
+
   /** Replaces the use of the other instances that are heard. */
   setOthers(others: AccountUse | undefined, coverage: Coverage, now: number): void {
     this.leak(now);
-    this.others = others ?? {
-      account: this.account,
-      windowUse: 0,
-      level: 0,
-      demandPerSecond: 0,
-    };
-    const heardUse = this.others.windowUse + this.window.sumAt(now);
-    this.agreed.update(coverage, heardUse, windowQuantityOf(this.limit, this.bounds));
+    this.others = others ?? noUseOf(this.account);
+    const { windowUse, agreedUse } = this.others;
+    if (isAgreement(coverage)) {
+      const own = this.window.sumAt(now);
+      this.agreed.recordAgreement(own, own + windowUse, now);
+    } else {
+      this.agreed.divide(coverage, agreedUse, windowQuantityOf(this.limit, this.bounds));
+    }
   }
 
   /** Decides on a request and counts it as requested. Takes nothing. */
@@ -163,6 +172,7 @@
       windowUse: this.window.sumAt(now),
       level: this.level,
       demandPerSecond: this.demand.at(now),
+      agreedUse: this.agreed.ownAgreedUse,
     };
   }
 
--- a/packages/hickoryrelay-quota/src/AccountQuotas.ts
+++ b/packages/hickoryrelay-quota/src/AccountQuotas.ts
@@ -3,6 +3,7 @@
 import { AccountQuota } from './AccountQuota.js';
 import { isPlausibleUse } from './AccountUse.js';
 import { QuotaTake } from './QuotaTake.js';
+import { REPORT_LIFETIME_MILLISECONDS, SILENCE_MILLISECONDS } from './ReportLifetimeConstants.js';
 
 import type { AccountUse, AccountUseReport } from './AccountUse.js';
 import type { Coverage } from './AgreedShare.js';
@@ -10,9 +11,6 @@
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 
-/** Time after which the last report no longer holds. Tolerates the loss of several messages. */
-const REPORT_LIFETIME_MILLISECONDS = 1000;
-
 /** A decision on one request. */
 export type QuotaDecision =
   | { readonly kind: 'taken'; readonly take: QuotaTake }
@@ -70,8 +68,11 @@
 
   private receivedMilliseconds = Number.NEGATIVE_INFINITY;
 
+  private readonly startedMilliseconds: number;
+
   constructor(parts: AccountQuotasParts) {
     this.parts = parts;
+    this.startedMilliseconds = parts.clock.monotonicMilliseconds();
   }
 
   /** True if some account has a quota. */
@@ -118,7 +119,10 @@
     this.refresh(now);
     return [...this.states.values()]
       .map(({ quota }) => quota.ownUse(now))
-      .filter(({ windowUse, level, demandPerSecond }) => windowUse + level + demandPerSecond > 0);
+      .filter(
+        ({ windowUse, level, demandPerSecond, agreedUse }) =>
+          windowUse + level + demandPerSecond + agreedUse > 0,
+      );
   }
 
   /** Orders the use of accounts, those first that use or request the most of their quota. */
@@ -132,7 +136,10 @@
   }
 
   /** Replaces what is known of the other instances, whose number is that of the report. */
-  receive({ instances, isComplete, accounts }: AccountUseReport, now: number): void {
+  receive(
+    { instances, isComplete, accounts }: Omit<AccountUseReport, 'sentMilliseconds'>,
+    now: number,
+  ): void {
     this.adoptLimits(now);
     const received = new Map(isComplete ? [] : this.others);
     for (const use of accounts) {
@@ -177,12 +184,19 @@
   /** Discards reports that have expired, and adopts the limits and the list in force. */
   private refresh(now: number): void {
     this.adoptLimits(now);
-    const isSilent = now - this.receivedMilliseconds > REPORT_LIFETIME_MILLISECONDS;
-    if (isSilent && (this.otherInstances > 0 || this.others.size > 0)) {
-      this.others = new Map();
+    const age = now - this.receivedMilliseconds;
+    if (age > SILENCE_MILLISECONDS && this.otherInstances > 0) {
       this.otherInstances = 0;
+      this.others = new Map(
+        [...this.others].map(([account, use]) => [account, { ...use, agreedUse: 0 }]),
+      );
+      this.applyOthers(now);
+    }
+    if (age > REPORT_LIFETIME_MILLISECONDS && this.others.size > 0) {
+      this.others = new Map();
       this.applyOthers(now);
-    } else if (this.coverage.listedInstances !== this.appliedListedInstances) {
+    }
+    if (this.coverage.listedInstances !== this.appliedListedInstances) {
       this.applyOthers(now);
     }
   }
@@ -213,6 +227,9 @@
     const hash = hashString(account);
     const quota = new AccountQuota(hash, limit, this.parts.bounds, now);
     quota.setOthers(this.others.get(hash), this.coverage, now);
+    if (now - this.startedMilliseconds < this.parts.bounds.windowMilliseconds) {
+      quota.assumeUse(1 / this.coverage.listedInstances);
+    }
     const state = { quota, takenUnits: 0, returnedUnits: 0, refusedUnits: 0, refusedRequests: 0 };
     this.states.set(account, state);
     return state;
--- a/packages/hickoryrelay-quota/src/AccountUseExchange.ts
+++ b/packages/hickoryrelay-quota/src/AccountUseExchange.ts
@@ -1,9 +1,11 @@
 import { addUses, smallerUse, subtractUse } from './AccountUse.js';
 import { AccountUseSums } from './AccountUseSums.js';
+import { REPORT_LIFETIME_MILLISECONDS } from './ReportLifetimeConstants.js';
 import { ReportSelection } from './ReportSelection.js';
 
 import type { AccountQuotas } from './AccountQuotas.js';
 import type { AccountUse, AccountUseReport } from './AccountUse.js';
+import type { Clock } from 'hickoryrelay/Clock';
 
 /**
  * Exchanges the use of accounts with the other instances, directly or through the relays of the zones.
@@ -13,6 +15,11 @@
 export class AccountUseExchange {
   private readonly quotas: AccountQuotas;
 
+  private readonly clock: Clock;
+
+  /** Time of the last digest that was applied, on the clock of its relay. */
+  private digestSent = { relay: '', sentMilliseconds: 0, atMilliseconds: 0 };
+
   private readonly direct = new AccountUseSums();
 
   private readonly members = new AccountUseSums();
@@ -30,8 +37,9 @@
 
   private readonly isPlausible: (use: AccountUse) => boolean;
 
-  constructor(quotas: AccountQuotas) {
+  constructor(quotas: AccountQuotas, clock: Clock) {
     this.quotas = quotas;
+    this.clock = clock;
     this.isPlausible = (use) => quotas.isPlausible(use);
   }
 
@@ -62,10 +70,11 @@
   }
 
   /** Applies the digest of the relay of the zone. */
-  receiveDigest(report: AccountUseReport | undefined, now: number): void {
-    if (report === undefined) {
+  receiveDigest(relay: string, report: AccountUseReport | undefined, now: number): void {
+    if (report === undefined || this.isLate(relay, report, now)) {
       return;
     }
+    this.digestSent = { relay, sentMilliseconds: report.sentMilliseconds, atMilliseconds: now };
     this.direct.clear();
     const [last = [], secondLast = []] = this.lastReports;
     const earlier = new Map(secondLast.map((use) => [use.account, use]));
@@ -121,11 +130,25 @@
     return this.select(this.zoneSelection, instances, accounts.values());
   }
 
+  /** True if a digest was sent before the last one of the same relay. */
+  private isLate(relay: string, { sentMilliseconds }: AccountUseReport, now: number): boolean {
+    const { digestSent } = this;
+    return (
+      relay === digestSent.relay &&
+      sentMilliseconds < digestSent.sentMilliseconds &&
+      now - digestSent.atMilliseconds <= REPORT_LIFETIME_MILLISECONDS
+    );
+  }
+
   private select(
     selection: ReportSelection,
     instances: number,
     uses: Iterable<AccountUse>,
   ): AccountUseReport {
-    return selection.select(instances, this.quotas.orderByPressure(uses));
+    return {
+      instances,
+      sentMilliseconds: Math.round(this.clock.wallMilliseconds()),
+      ...selection.select(this.quotas.orderByPressure(uses)),
+    };
   }
 }
--- a/packages/hickoryrelay-quota/src/AccountUseSums.ts
+++ b/packages/hickoryrelay-quota/src/AccountUseSums.ts
@@ -1,10 +1,8 @@
-import { addUses } from './AccountUse.js';
+import { addUses, noUseOf } from './AccountUse.js';
+import { REPORT_LIFETIME_MILLISECONDS, SILENCE_MILLISECONDS } from './ReportLifetimeConstants.js';
 
 import type { AccountUse, AccountUseReport } from './AccountUse.js';
 
-/** Time after which a report is discarded. Tolerates the loss of several messages. */
-const REPORT_LIFETIME_MILLISECONDS = 1000;
-
 /** Time for which the figures of an account hold that incomplete reports leave out. */
 const LEFT_OUT_LIFETIME_MILLISECONDS = 8000;
 
@@ -15,6 +13,7 @@
 
 interface ReceivedReport {
   readonly instances: number;
+  readonly sentMilliseconds: number;
   readonly atMilliseconds: number;
   readonly accounts: Map<number, ReceivedUse>;
 }
@@ -23,14 +22,25 @@
 export class AccountUseSums {
   private readonly reports = new Map<string, ReceivedReport>();
 
-  /** Replaces the report of a sender. Figures that are not plausible leave the previous ones. */
+  /**
+   * Replaces the report of a sender, unless it was sent before the last one. Figures that are not
+   * plausible leave the previous ones.
+   */
   receive(
     sender: string,
-    { instances, isComplete, accounts }: AccountUseReport,
+    { instances, sentMilliseconds, isComplete, accounts }: AccountUseReport,
     isPlausible: (use: AccountUse) => boolean,
     now: number,
   ): void {
-    const previous = this.reports.get(sender)?.accounts ?? new Map<number, ReceivedUse>();
+    const lastReport = this.reports.get(sender);
+    if (
+      lastReport !== undefined &&
+      sentMilliseconds < lastReport.sentMilliseconds &&
+      now - lastReport.atMilliseconds <= REPORT_LIFETIME_MILLISECONDS
+    ) {
+      return;
+    }
+    const previous = lastReport?.accounts ?? new Map<number, ReceivedUse>();
     const received = new Map<number, ReceivedUse>();
     if (!isComplete) {
       for (const [account, last] of previous) {
@@ -47,7 +57,12 @@
         received.set(use.account, last);
       }
     }
-    this.reports.set(sender, { instances, atMilliseconds: now, accounts: received });
+    this.reports.set(sender, {
+      instances,
+      sentMilliseconds,
+      atMilliseconds: now,
+      accounts: received,
+    });
   }
 
   /** Discards the reports of all senders. */
@@ -55,18 +70,23 @@
     this.reports.clear();
   }
 
-  /** The sums of the reports that have not expired, with the number of their instances. */
+  /**
+   * The sums of the reports that have not expired, with the number of instances that are not silent.
+   * Silent instances have no part in the agreed use.
+   */
   sumAt(now: number): { instances: number; accounts: Map<number, AccountUse> } {
     const sums = new Map<number, AccountUse>();
     let total = 0;
     for (const [sender, { instances, atMilliseconds, accounts }] of this.reports) {
-      if (now - atMilliseconds > REPORT_LIFETIME_MILLISECONDS) {
+      const age = now - atMilliseconds;
+      if (age > REPORT_LIFETIME_MILLISECONDS) {
         this.reports.delete(sender);
       } else {
-        total += instances;
+        const isSilent = age > SILENCE_MILLISECONDS;
+        total += isSilent ? 0 : instances;
         for (const { use } of accounts.values()) {
-          const sum = sums.get(use.account);
-          sums.set(use.account, sum === undefined ? use : addUses(sum, use));
+          const sum = sums.get(use.account) ?? noUseOf(use.account);
+          sums.set(use.account, addUses(sum, isSilent ? { ...use, agreedUse: 0 } : use));
         }
       }
     }
--- a/packages/hickoryrelay-quota/src/AgreedShare.ts
+++ b/packages/hickoryrelay-quota/src/AgreedShare.ts
@@ -19,9 +19,17 @@
  */
 const INSTANCE_WEIGHT = 0.1;
 
-interface GroupShare {
-  readonly coverage: number;
-  readonly share: number;
+/**
+ * Age of the use by which shares are divided. Silence is noticed after 1 s, in which each side already
+ * sees only its own use grow; shares by that use would add up to more than 1.
+ */
+const AGREEMENT_LAG_MILLISECONDS = 1500;
+
+/** Use in the window at a time when almost all instances were heard. */
+interface AgreedUse {
+  readonly atMilliseconds: number;
+  readonly own: number;
+  readonly total: number;
 }
 
 /** True if almost all listed instances are heard. */
@@ -31,35 +39,46 @@
 
 /**
  * The share of an account's quota that belongs to the instances that an instance hears. It is 1 while
- * all are heard. When some fall silent, it becomes the part of the window's use that was theirs at the
- * last agreement, and grows only when silent instances are heard again. The shares of the parts of a
- * partition add up to 1, because each part derives its own from the same figures.
+ * almost all are heard. When some are silent, it is the part that the heard ones had of the use at the
+ * last agreement, so that the shares of the parts of a partition add up to 1. It does not grow until
+ * silent instances are heard again. Without an agreement, it is the fraction of instances that is heard.
  */
 export class AgreedShare {
-  private agreedUse = 0;
+  private latest: AgreedUse | undefined;
 
-  /** Shares by coverage, which decreases, since the last agreement. */
-  private readonly groups: GroupShare[] = [];
+  private lagged: AgreedUse | undefined;
+
+  private share = 1;
 
   get current(): number {
-    return this.groups.at(-1)?.share ?? 1;
+    return this.share;
   }
 
-  /** Applies the coverage of the last report, with the window's use of the heard instances. */
-  update(coverage: Coverage, heardUse: number, windowQuantity: number): void {
-    if (isAgreement(coverage)) {
-      this.agreedUse = heardUse;
-      this.groups.length = 0;
-      return;
+  /** Use of this instance at the last agreement, which others need to compute their share. */
+  get ownAgreedUse(): number {
+    return this.lagged?.own ?? 0;
+  }
+
+  /** Records the use of this instance and of all, while almost all are heard. */
+  recordAgreement(own: number, total: number, now: number): void {
+    this.share = 1;
+    if (this.latest === undefined) {
+      this.latest = { atMilliseconds: now, own, total };
+    } else if (now - this.latest.atMilliseconds >= AGREEMENT_LAG_MILLISECONDS) {
+      this.lagged = this.latest;
+      this.latest = { atMilliseconds: now, own, total };
     }
+  }
+
+  /** Divides the quota, given what other heard instances report as their own agreed use. */
+  divide(coverage: Coverage, othersAgreedUse: number, windowQuantity: number): void {
     const fraction = coverage.heardInstances / coverage.listedInstances;
-    while ((this.groups.at(-1)?.coverage ?? 1) < fraction) {
-      this.groups.pop();
-    }
-    if ((this.groups.at(-1)?.coverage ?? 1) > fraction) {
-      const instanceWeight = windowQuantity * INSTANCE_WEIGHT;
-      const share = (heardUse + instanceWeight * fraction) / (this.agreedUse + instanceWeight);
-      this.groups.push({ coverage: fraction, share: Math.min(this.current, share) });
+    if (this.lagged === undefined) {
+      this.share = fraction;
+      return;
     }
+    const instanceWeight = windowQuantity * INSTANCE_WEIGHT;
+    const heardUse = this.lagged.own + othersAgreedUse + instanceWeight * fraction;
+    this.share = Math.min(1, heardUse / (this.lagged.total + instanceWeight));
   }
 }
--- a/packages/hickoryrelay-quota/src/ReportSelection.ts
+++ b/packages/hickoryrelay-quota/src/ReportSelection.ts
@@ -11,17 +11,16 @@
 export class ReportSelection {
   private position = 0;
 
-  /** Returns the report on some instances. The first accounts in the given order are preferred. */
-  select(instances: number, accounts: readonly AccountUse[]): AccountUseReport {
+  /** Returns as many accounts as a message takes. The first accounts in the given order are preferred. */
+  select(accounts: readonly AccountUse[]): Pick<AccountUseReport, 'isComplete' | 'accounts'> {
     if (accounts.length <= FIRST_ACCOUNTS + ROTATING_ACCOUNTS) {
-      return { instances, isComplete: true, accounts };
+      return { isComplete: true, accounts };
     }
     const others = accounts.slice(FIRST_ACCOUNTS);
     const start = this.position % others.length;
     this.position = start + ROTATING_ACCOUNTS;
     const turn = [...others.slice(start), ...others.slice(0, start)].slice(0, ROTATING_ACCOUNTS);
     return {
-      instances,
       isComplete: false,
       accounts: [...accounts.slice(0, FIRST_ACCOUNTS), ...turn],
     };
--- a/packages/hickoryrelay-quota/src/__tests__/unit/QuotaSimulation.ts
+++ b/packages/hickoryrelay-quota/src/__tests__/unit/QuotaSimulation.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from 'hickoryrelay/ManualClock';
+import { Clock } from 'hickoryrelay/Clock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { AccountQuotas } from 'hickoryrelay-quota/AccountQuotas';
 import { AccountUseExchange } from 'hickoryrelay-quota/AccountUseExchange';
@@ -17,6 +17,23 @@
 
 export const ACCOUNT = 'account-1';
 
+/** A clock that a simulation sets. Nothing waits on it. */
+export class SimulationClock extends Clock {
+  now = 0;
+
+  override monotonicMilliseconds(): number {
+    return this.now;
+  }
+
+  override wallMilliseconds(): number {
+    return this.now;
+  }
+
+  override schedule(): () => void {
+    throw new Error('a simulation has no timers');
+  }
+}
+
 /** A request that was admitted. */
 interface AdmittedRequest {
   readonly atMilliseconds: number;
@@ -126,7 +143,7 @@
 
 /** The quota as the instances apply it, with the messages that they exchange. */
 export class SharedQuota extends QuotaScheme {
-  readonly clock = new ManualClock();
+  readonly clock = new SimulationClock();
 
   private readonly options: SharedQuotaOptions;
 
@@ -186,6 +203,7 @@
 
   override advance(now: number): void {
     for (; this.step * STEP_MILLISECONDS <= now; this.step += 1) {
+      this.clock.now = this.step * STEP_MILLISECONDS;
       this.deliveries.get(this.step)?.forEach((deliver) => deliver());
       this.deliveries.delete(this.step);
       for (const [index, { phase }] of this.instances.entries()) {
@@ -205,7 +223,7 @@
       clock: this.clock,
       random,
     });
-    return { quotas, exchange: new AccountUseExchange(quotas) };
+    return { quotas, exchange: new AccountUseExchange(quotas, this.clock) };
   }
 
   /** One period of the load exchange. The first instance of each zone is its relay. */
@@ -231,9 +249,11 @@
     }
     instance.exchange.addMember(`${index}`, report, now);
     const digest = instance.exchange.digest(now);
-    instance.exchange.receiveDigest(digest, now);
+    instance.exchange.receiveDigest(`${index}`, digest, now);
     for (let member = index + zones; member < this.instances.length; member += zones) {
-      this.send(index, member, (at) => this.instances[member]?.exchange.receiveDigest(digest, at));
+      this.send(index, member, (at) =>
+        this.instances[member]?.exchange.receiveDigest(`${index}`, digest, at),
+      );
     }
     if ((this.step + instance.phase) % ZONE_REPORT_STEPS === 0) {
       const zoneReport = instance.exchange.zoneReport(now);
