--- a/packages/hickoryrelay-quota/src/AccountQuota.ts
+++ b/packages/hickoryrelay-quota/src/AccountQuota.ts
@@ -11,11 +11,17 @@
 const MILLISECONDS_PER_SECOND = 1000;
 
 /**
- * Time over which what is left of the bucket is spread. Reports are 0.1 to 0.5 s old and up to 1 s
- * when messages are lost; with a horizon shorter than that, the instances together would oscillate
- * between spending all and nothing.
+ * Time over which what is left of the bucket is spread. Reports are 0.1 to 0.5 s old, and older when
+ * messages are lost or late. With a horizon of 1 s, the instances oscillated between spending all and
+ * nothing when each message took up to 1 s, and admitted a quarter more than the rate.
  */
-const HORIZON_MILLISECONDS = 1000;
+const HORIZON_MILLISECONDS = 2000;
+
+/**
+ * Usual greatest age of reports. While what is left exceeds what can be requested in this time, all
+ * of it may be spent, since the others' part will be known before it is gone.
+ */
+const REPORT_AGE_MILLISECONDS = 500;
 
 /**
  * Fraction of the tolerance that is added to the burst. It covers the age of reports, so that an
@@ -137,9 +143,12 @@
     if (level + cost > ceiling) {
       return this.refuse(((level + cost - ceiling) / rate) * MILLISECONDS_PER_SECOND);
     }
+    const left = (burst + credit) * share - level;
     const horizon = HORIZON_MILLISECONDS / MILLISECONDS_PER_SECOND;
-    const available = (burst + credit) * share - level + rate * horizon;
-    const probability = available / (demandPerSecond * horizon);
+    const available = left + rate * horizon;
+    const reportAge = REPORT_AGE_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    const perSecond = Math.max(available / horizon, left / reportAge);
+    const probability = perSecond / demandPerSecond;
     if (fraction < probability) {
       return ADMITTED;
     }
--- a/packages/hickoryrelay-quota/src/__tests__/unit/QuotaSimulation.ts
+++ b/packages/hickoryrelay-quota/src/__tests__/unit/QuotaSimulation.ts
@@ -7,11 +7,13 @@
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { AccountUseReport } from 'hickoryrelay-quota/AccountUse';
 import type { QuotaBounds, QuotaLimit } from 'hickoryrelay-quota/QuotaLimit';
-import type { QuotaTake } from 'hickoryrelay-quota/QuotaTake';
 
 const STEP_MILLISECONDS = 20;
 const REPORT_STEPS = 5;
 const ZONE_REPORT_STEPS = 10;
+
+/** Requests begin when the instances have heard each other. */
+const QUIET_MILLISECONDS = 1000;
 const MILLISECONDS_PER_SECOND = 1000;
 const MAXIMUM_DIRECT_INSTANCES = 17;
 
@@ -30,7 +32,7 @@
   }
 
   override schedule(): () => void {
-    throw new Error('a simulation has no timers');
+    return () => {};
   }
 }
 
@@ -118,6 +120,22 @@
   readonly doubledFraction: number;
 }
 
+/** Each message of a report passes up to three hops, so reports are 0.1 to 1 s old. */
+export const LOSSY_NETWORK: NetworkFaults = {
+  minimumDelayMilliseconds: 5,
+  maximumDelayMilliseconds: 150,
+  lossFraction: 0.1,
+  doubledFraction: 0.1,
+};
+
+/** Each hop takes up to 1 s. */
+export const SLOW_NETWORK: NetworkFaults = {
+  minimumDelayMilliseconds: 100,
+  maximumDelayMilliseconds: 1000,
+  lossFraction: 0.2,
+  doubledFraction: 0.2,
+};
+
 export const USUAL_NETWORK: NetworkFaults = {
   minimumDelayMilliseconds: 1,
   maximumDelayMilliseconds: 20,
@@ -132,6 +150,11 @@
   readonly phase: number;
 }
 
+type AlterReport = (
+  from: number,
+  report: AccountUseReport | undefined,
+) => AccountUseReport | undefined;
+
 export interface SharedQuotaOptions {
   readonly limit: QuotaLimit;
   readonly bounds: QuotaBounds;
@@ -155,26 +178,32 @@
 
   private readonly deliveries = new Map<number, (() => void)[]>();
 
-  /** Returns false for instances that cannot reach each other. */
-  canReach: (from: number, to: number) => boolean = () => true;
+  private canReach: (from: number, to: number) => boolean = () => true;
 
-  /** Changes the report of an instance before it is sent. */
-  alter: (from: number, report: AccountUseReport | undefined) => AccountUseReport | undefined = (
-    _from,
-    report,
-  ) => report;
-
-  lastTake: QuotaTake | undefined;
+  private alter: AlterReport = (_from, report) => report;
 
   constructor(options: SharedQuotaOptions) {
     super();
     this.options = options;
     this.limits = new Map([[ACCOUNT, options.limit]]);
+    // The instances have run for a while when the simulation starts.
+    this.clock.now = -MILLISECONDS_PER_SECOND - options.bounds.windowMilliseconds;
     this.instances = Array.from({ length: options.instances }, (_unused, index) => ({
       ...this.createInstance(),
       zone: index % options.zones,
       phase: options.random.integerBelow(REPORT_STEPS),
     }));
+    this.clock.now = 0;
+  }
+
+  /** Sets which instances can reach each other. */
+  setReach(canReach: (from: number, to: number) => boolean): void {
+    this.canReach = canReach;
+  }
+
+  /** Sets how the report of an instance is changed before it is sent. */
+  setAlter(alter: AlterReport): void {
+    this.alter = alter;
   }
 
   setLimit(limit: QuotaLimit): void {
@@ -197,7 +226,6 @@
 
   override admit(instance: number, cost: number, now: number): boolean {
     const decision = this.instances[instance]?.quotas.tryTake(ACCOUNT, cost, now);
-    this.lastTake = decision?.kind === 'taken' ? decision.take : undefined;
     return decision?.kind === 'taken';
   }
 
@@ -304,13 +332,9 @@
 
 /** What a scheme did with a demand. */
 export interface SchemeOutcome {
-  readonly requestedUnits: number;
-  readonly admittedUnits: number;
-  /** Units that a token bucket of rate and burst could admit of the demand in the same time. */
-  readonly allowedUnits: number;
-  /** Admitted part of what is allowed. */
+  /** Admitted units as a fraction of those that the rate and one burst allow in the time. */
   readonly usedFraction: number;
-  readonly refusedRequestFraction: number;
+  readonly refusedUnitFraction: number;
   /** Admitted part of the units of large requests, and of small ones. */
   readonly largeFraction: number;
   readonly smallFraction: number;
@@ -351,6 +375,8 @@
   readonly bounds: QuotaBounds;
   readonly milliseconds: number;
   readonly random: RandomSource;
+  /** True if the callers send only what a bucket of rate and burst allows. */
+  readonly isConforming?: boolean;
   /** Called at each step, for faults. */
   readonly onStep?: (now: number) => void;
 }
@@ -382,42 +408,34 @@
   const admitted: AdmittedRequest[] = [];
   const requested = { large: 0, small: 0 };
   const taken = { large: 0, small: 0 };
-  let requests = 0;
-  let backlog = limit.burst;
-  let allowedUnits = 0;
+  const reference = new LocalBucket(limit);
   for (let now = 0; now < options.milliseconds; now += STEP_MILLISECONDS) {
     options.onStep?.(now);
     scheme.advance(now);
     const seconds = STEP_MILLISECONDS / MILLISECONDS_PER_SECOND;
-    backlog = Math.min(limit.burst, backlog + limit.ratePerSecond * seconds);
-    let arrivals = (demand.perSecond(now) * seconds) / meanCost;
-    let stepUnits = 0;
+    const perSecond = now < QUIET_MILLISECONDS ? 0 : demand.perSecond(now);
+    const arrivals = (perSecond * seconds) / meanCost;
+    // Geometric number of arrivals with the given mean: more bursty than Poisson.
     while (random.fraction() < arrivals / (1 + arrivals)) {
-      // Geometric number of arrivals with the given mean: more bursty than Poisson.
-      const isLarge = random.fraction() < largeFraction;
-      const kind = isLarge ? 'large' : 'small';
-      const cost = isLarge ? largeCost : smallCost;
-      requests += 1;
-      requested[kind] += cost;
-      stepUnits += cost;
-      if (scheme.admit(chooseInstance(), cost, now)) {
-        taken[kind] += cost;
-        admitted.push({ atMilliseconds: now, cost });
+      const kind = random.fraction() < largeFraction ? 'large' : 'small';
+      const cost = kind === 'large' ? largeCost : smallCost;
+      const instance = chooseInstance();
+      if (options.isConforming !== true || reference.tryTake(cost, now)) {
+        requested[kind] += cost;
+        if (scheme.admit(instance, cost, now)) {
+          taken[kind] += cost;
+          admitted.push({ atMilliseconds: now, cost });
+        }
       }
     }
-    const allowed = Math.min(stepUnits, backlog);
-    backlog -= allowed;
-    allowedUnits += allowed;
-    arrivals = 0;
   }
   const admittedUnits = taken.large + taken.small;
   const bound = windowQuantityOf(limit, bounds) + toleranceOf(limit, bounds);
+  const loadedSeconds = (options.milliseconds - QUIET_MILLISECONDS) / MILLISECONDS_PER_SECOND;
+  const allowedUnits = limit.ratePerSecond * loadedSeconds + limit.burst;
   return {
-    requestedUnits: requested.large + requested.small,
-    admittedUnits,
-    allowedUnits,
     usedFraction: admittedUnits / allowedUnits,
-    refusedRequestFraction: requests === 0 ? 0 : 1 - admitted.length / requests,
+    refusedUnitFraction: 1 - admittedUnits / (requested.large + requested.small),
     largeFraction: taken.large / requested.large,
     smallFraction: taken.small / requested.small,
     fullestWindow: fullestWindowOf(admitted, bounds.windowMilliseconds) / bound,
