--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -20,6 +20,8 @@
 import { PeerLoads } from 'hickoryrelay-forwarding/PeerLoads';
 import { PrefillRate } from 'hickoryrelay-forwarding/PrefillRate';
 import { PromptCacheDirectory } from 'hickoryrelay-forwarding/PromptCacheDirectory';
+import { QuotaAdmission } from 'hickoryrelay-forwarding/QuotaAdmission';
+import { QuotaLog } from 'hickoryrelay-forwarding/QuotaLog';
 import { RequestAdmission } from 'hickoryrelay-forwarding/RequestAdmission';
 import { ResponseSink } from 'hickoryrelay-forwarding/ResponseSink';
 import { RetryBudgets } from 'hickoryrelay-forwarding/RetryBudgets';
@@ -43,6 +45,7 @@
 } from 'hickoryrelay-forwarding/ForwardingConfiguration';
 import type { ForwardingLimits } from 'hickoryrelay-forwarding/ForwardingLimits';
 import type { LocalResponse } from 'hickoryrelay-forwarding/ResponseSink';
+import type { AccountQuotas } from 'hickoryrelay-quota/AccountQuotas';
 
 /** Time between the stop signal and the end of the process. */
 export const GRACE_MILLISECONDS = 8000;
@@ -305,6 +308,7 @@
   /** Clock that the behaviours use as well. */
   readonly clock?: ManualClock;
   readonly log?: ComponentLogger;
+  readonly quotas?: AccountQuotas;
 }
 
 /** Makes an exchange whose endpoints are reached over a link. */
@@ -314,6 +318,7 @@
   configuration: ForwardingConfiguration,
   endpoints: readonly EndpointRecord[],
   log: ComponentLogger = silentLogger,
+  quotas?: AccountQuotas,
 ) {
   const view = new ConfirmedView(clock, HEARTBEAT_MILLISECONDS);
   const registry = new EndpointRegistry(new PeerLoads());
@@ -342,7 +347,12 @@
     shutdown,
     clock,
     random,
-    admission: new RequestAdmission(view, LIMITS, random),
+    admission: new RequestAdmission(
+      view,
+      LIMITS,
+      random,
+      quotas && new QuotaAdmission(quotas, clock, new QuotaLog(log)),
+    ),
     metrics: new ForwardingMetrics(),
     log,
   });
@@ -355,7 +365,7 @@
   const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
   const configuration = options.configuration ?? makeConfiguration();
   const link = new ScriptedLink(options.behaviours ?? []);
-  const parts = makeExchange(clock, link, configuration, endpoints, options.log);
+  const parts = makeExchange(clock, link, configuration, endpoints, options.log, options.quotas);
   const sink = new RecordingSink();
   const run = (request = makeRequest()) => parts.exchange.handle(request, sink);
   return { ...parts, clock, link, sink, run };
