--- a/packages/hickoryrelay-quota/src/AccountQuota.ts
+++ b/packages/hickoryrelay-quota/src/AccountQuota.ts
@@ -107,8 +107,7 @@
    * Otherwise instances that restart one after another would admit a burst each.
    */
   assumeUse(fraction: number): void {
-    const tolerance = toleranceOf(this.limit, this.bounds);
-    this.level = (this.limit.burst + this.creditOf(tolerance)) * fraction;
+    this.level = this.limit.burst * fraction;
   }
 
   /** Replaces the use of the other instances that are heard. */
@@ -124,39 +123,29 @@
     }
   }
 
-  /** Decides on a request and counts it as requested. Takes nothing. */
+  /**
+   * Decides on a request, with a random fraction, and counts it as requested. Takes nothing. A request
+   * that even an empty bucket would not admit does not count, since others would be refused for it.
+   */
   decide(cost: number, now: number, fraction: number): Admission {
     this.leak(now);
-    this.demand.add(cost, now);
-    const { ratePerSecond, burst } = this.limit;
-    const { share } = this;
     const tolerance = toleranceOf(this.limit, this.bounds);
-    const rate = ratePerSecond * share;
-    const { level, windowUse, demandPerSecond } = this.totalAt(now);
+    const ceiling = this.limit.burst + tolerance * CEILING_FRACTION;
+    if (cost <= ceiling) {
+      this.demand.add(cost, now);
+    }
+    const total = this.totalAt(now);
     const credit = this.creditOf(tolerance);
-    const windowLimit = (windowQuantityOf(this.limit, this.bounds) + credit) * share;
-    if (windowUse >= windowLimit) {
-      const excess = 1 - windowLimit / windowUse;
+    const windowLimit = (windowQuantityOf(this.limit, this.bounds) + credit) * this.share;
+    if (total.windowUse >= windowLimit) {
+      const excess = 1 - windowLimit / total.windowUse;
       return this.refuse(excess * this.bounds.windowMilliseconds);
     }
-    const ceiling = burst + tolerance * CEILING_FRACTION;
-    if (level + cost > ceiling) {
-      return this.refuse(((level + cost - ceiling) / rate) * MILLISECONDS_PER_SECOND);
+    if (total.level + cost > ceiling) {
+      return this.refuse(this.leakMilliseconds(total.level + cost - ceiling));
     }
-    const left = (burst + credit) * share - level;
-    const horizon = HORIZON_MILLISECONDS / MILLISECONDS_PER_SECOND;
-    const available = left + rate * horizon;
-    const reportAge = REPORT_AGE_MILLISECONDS / MILLISECONDS_PER_SECOND;
-    const perSecond = Math.max(available / horizon, left / reportAge);
-    const probability = perSecond / demandPerSecond;
-    if (fraction < probability) {
-      return ADMITTED;
-    }
-    return this.refuse(
-      probability > 0
-        ? HORIZON_MILLISECONDS * (1 / probability - 1)
-        : (-available / rate) * MILLISECONDS_PER_SECOND + HORIZON_MILLISECONDS,
-    );
+    const left = (this.limit.burst + credit) * this.share - total.level;
+    return this.admitAtRandom(left, total.demandPerSecond, fraction);
   }
 
   /** Counts a request as admitted. */
@@ -195,6 +184,28 @@
     return this.agreed.current;
   }
 
+  /** Admits the part of the demand that fits into what is left of the bucket and what leaks. */
+  private admitAtRandom(left: number, demandPerSecond: number, fraction: number): Admission {
+    const rate = this.limit.ratePerSecond * this.share;
+    const horizon = HORIZON_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    const reportAge = REPORT_AGE_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    const spendable = Math.max(rate + left / horizon, left / reportAge);
+    const probability = spendable / demandPerSecond;
+    if (fraction < probability) {
+      return ADMITTED;
+    }
+    return this.refuse(
+      probability > 0
+        ? HORIZON_MILLISECONDS * (1 / probability - 1)
+        : HORIZON_MILLISECONDS + this.leakMilliseconds(-left - rate * horizon),
+    );
+  }
+
+  /** Time in which the heard instances leak some units. */
+  private leakMilliseconds(units: number): number {
+    return (units / (this.limit.ratePerSecond * this.share)) * MILLISECONDS_PER_SECOND;
+  }
+
   private creditOf(tolerance: number): number {
     const perHorizon =
       (this.limit.ratePerSecond * MAXIMUM_CREDIT_MILLISECONDS) / MILLISECONDS_PER_SECOND;
--- a/packages/hickoryrelay-quota/src/__tests__/unit/AccountQuotas.test.ts
+++ b/packages/hickoryrelay-quota/src/__tests__/unit/AccountQuotas.test.ts
@@ -177,6 +177,17 @@
   });
 });
 
+describe('requests that can never be admitted', () => {
+  // Guards against an account whose requests are refused because one caller repeats a too large one.
+  it('do not count as demand', () => {
+    const { quotas } = makeQuotas();
+    for (let count = 0; count < 50; count += 1) {
+      expect(quotas.tryTake(ACCOUNT, 20_000, START).kind).toBe('refused');
+    }
+    expect(quotas.tryTake(ACCOUNT, 500, START).kind).toBe('taken');
+  });
+});
+
 describe('UseWindow', () => {
   // Guards against a sum below what a sliding window includes.
   it('sums at least the window and at most one slot more', () => {
