--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -152,7 +152,7 @@
     const sender = this.parts.view.peers.find(({ instance }) => instance === message.sender);
     if (sender !== undefined) {
       this.relay.addZoneLoad(sender.zone, message, now);
-      this.parts.accountUse?.addZone(sender.zone, message.accountUse, now);
+      this.parts.accountUse?.addZone(sender.zone, message.sender, message.accountUse, now);
       this.recordUses(message, now);
     }
   }
--- a/packages/hickoryrelay-quota/src/AccountQuotas.ts
+++ b/packages/hickoryrelay-quota/src/AccountQuotas.ts
@@ -5,7 +5,8 @@
 import { QuotaTake } from './QuotaTake.js';
 import { REPORT_LIFETIME_MILLISECONDS, SILENCE_MILLISECONDS } from './ReportLifetimeConstants.js';
 
-import type { AccountUse, AccountUseReport } from './AccountUse.js';
+import type { AccountUse } from './AccountUse.js';
+import type { UseSums } from './AccountUseSums.js';
 import type { Coverage } from './AgreedShare.js';
 import type { QuotaBounds, QuotaLimit } from './QuotaLimit.js';
 import type { Clock } from 'hickoryrelay/Clock';
@@ -59,7 +60,7 @@
 
   private readonly states = new Map<string, AccountState>();
 
-  private others = new Map<number, AccountUse>();
+  private others: ReadonlyMap<number, AccountUse> = new Map();
 
   private otherInstances = 0;
 
@@ -127,7 +128,7 @@
 
   /** Orders the use of accounts, those first that use or request the most of their quota. */
   orderByPressure(uses: Iterable<AccountUse>): AccountUse[] {
-    const limits = this.parts.limits();
+    const { knownLimits: limits } = this;
     const pressureOf = ({ account, level, demandPerSecond }: AccountUse) => {
       const limit = limits.get(this.namesByHash.get(account) ?? '');
       return limit === undefined ? 0 : (level + demandPerSecond) / limit.ratePerSecond;
@@ -135,33 +136,19 @@
     return [...uses].toSorted((left, right) => pressureOf(right) - pressureOf(left));
   }
 
-  /** Replaces what is known of the other instances, whose number is that of the report. */
-  receive(
-    { instances, isComplete, accounts }: Omit<AccountUseReport, 'sentMilliseconds'>,
-    now: number,
-  ): void {
+  /** Replaces what is known of the other instances that are heard. */
+  receive({ instances, accounts }: UseSums, now: number): void {
     this.adoptLimits(now);
-    const received = new Map(isComplete ? [] : this.others);
-    for (const use of accounts) {
-      const limit = this.knownLimits.get(this.namesByHash.get(use.account) ?? '');
-      if (limit !== undefined && isPlausibleUse(use, limit, this.parts.bounds)) {
-        received.set(use.account, use);
-      } else if (limit !== undefined) {
-        const last = this.others.get(use.account);
-        if (last !== undefined) {
-          received.set(use.account, last);
-        }
-      }
-    }
-    this.others = received;
+    this.others = accounts;
     this.otherInstances = instances;
     this.receivedMilliseconds = now;
     this.applyOthers(now);
   }
 
-  /** True if the sum of a report of a peer is possible under the limit of its account. */
+  /** True if a figure that a peer reports is possible under the limit of its account. */
   isPlausible(use: AccountUse): boolean {
-    const limit = this.parts.limits().get(this.namesByHash.get(use.account) ?? '');
+    this.adoptLimits(this.parts.clock.monotonicMilliseconds());
+    const limit = this.knownLimits.get(this.namesByHash.get(use.account) ?? '');
     return limit !== undefined && isPlausibleUse(use, limit, this.parts.bounds);
   }
 
--- a/packages/hickoryrelay-quota/src/AccountUseExchange.ts
+++ b/packages/hickoryrelay-quota/src/AccountUseExchange.ts
@@ -1,12 +1,14 @@
 import { addUses, smallerUse, subtractUse } from './AccountUse.js';
 import { AccountUseSums } from './AccountUseSums.js';
-import { REPORT_LIFETIME_MILLISECONDS } from './ReportLifetimeConstants.js';
 import { ReportSelection } from './ReportSelection.js';
 
 import type { AccountQuotas } from './AccountQuotas.js';
 import type { AccountUse, AccountUseReport } from './AccountUse.js';
 import type { Clock } from 'hickoryrelay/Clock';
 
+/** Scope of a digest, which the latest relay defines. */
+const ALL_OTHERS = '';
+
 /**
  * Exchanges the use of accounts with the other instances, directly or through the relays of the zones.
  * Every instance sums the reports of its zone and of other zones in case it is the relay. Without
@@ -17,11 +19,11 @@
 
   private readonly clock: Clock;
 
-  /** Time of the last digest that was applied, on the clock of its relay. */
-  private digestSent = { relay: '', sentMilliseconds: 0, atMilliseconds: 0 };
-
   private readonly direct = new AccountUseSums();
 
+  /** The use of all other instances according to the last digests. */
+  private readonly digests = new AccountUseSums();
+
   private readonly members = new AccountUseSums();
 
   private readonly zones = new AccountUseSums();
@@ -56,7 +58,7 @@
   /** Applies the report of an instance that sends to all others. */
   receiveDirect(sender: string, report: AccountUseReport | undefined, now: number): void {
     if (report !== undefined) {
-      this.direct.receive(sender, report, this.isPlausible, now);
+      this.direct.receive({ scope: sender, sender }, report, this.isPlausible, now);
     }
     this.refreshDirect(now);
   }
@@ -64,17 +66,15 @@
   /** Applies the direct reports that have not expired. */
   refreshDirect(now: number): void {
     if (this.quotas.isActive) {
-      const { instances, accounts } = this.direct.sumAt(now);
-      this.quotas.receive({ instances, isComplete: true, accounts: [...accounts.values()] }, now);
+      this.quotas.receive(this.direct.sumAt(now), now);
     }
   }
 
   /** Applies the digest of the relay of the zone. */
   receiveDigest(relay: string, report: AccountUseReport | undefined, now: number): void {
-    if (report === undefined || this.isLate(relay, report, now)) {
+    if (report === undefined) {
       return;
     }
-    this.digestSent = { relay, sentMilliseconds: report.sentMilliseconds, atMilliseconds: now };
     this.direct.clear();
     const [last = [], secondLast = []] = this.lastReports;
     const earlier = new Map(secondLast.map((use) => [use.account, use]));
@@ -89,20 +89,23 @@
       return part === undefined ? sum : subtractUse(sum, part);
     });
     const instances = Math.max(0, report.instances - 1);
-    this.quotas.receive({ instances, isComplete: report.isComplete, accounts }, now);
+    const source = { scope: ALL_OTHERS, sender: relay };
+    this.digests.receive(source, { ...report, instances, accounts }, this.isPlausible, now);
+    this.quotas.receive(this.digests.sumAt(now), now);
   }
 
   /** As the relay of the zone, takes the report of an instance of the zone. */
   addMember(sender: string, report: AccountUseReport | undefined, now: number): void {
     if (report !== undefined) {
-      this.members.receive(sender, { ...report, instances: 1 }, this.isPlausible, now);
+      const source = { scope: sender, sender };
+      this.members.receive(source, { ...report, instances: 1 }, this.isPlausible, now);
     }
   }
 
   /** As the relay of the zone, takes the sums of another zone. */
-  addZone(zone: string, report: AccountUseReport | undefined, now: number): void {
+  addZone(zone: string, relay: string, report: AccountUseReport | undefined, now: number): void {
     if (report !== undefined) {
-      this.zones.receive(zone, report, this.isPlausible, now);
+      this.zones.receive({ scope: zone, sender: relay }, report, this.isPlausible, now);
     }
   }
 
@@ -130,16 +133,6 @@
     return this.select(this.zoneSelection, instances, accounts.values());
   }
 
-  /** True if a digest was sent before the last one of the same relay. */
-  private isLate(relay: string, { sentMilliseconds }: AccountUseReport, now: number): boolean {
-    const { digestSent } = this;
-    return (
-      relay === digestSent.relay &&
-      sentMilliseconds < digestSent.sentMilliseconds &&
-      now - digestSent.atMilliseconds <= REPORT_LIFETIME_MILLISECONDS
-    );
-  }
-
   private select(
     selection: ReportSelection,
     instances: number,
--- a/packages/hickoryrelay-quota/src/AccountUseSums.ts
+++ b/packages/hickoryrelay-quota/src/AccountUseSums.ts
@@ -12,29 +12,46 @@
 }
 
 interface ReceivedReport {
+  /** The instance that sent the report. */
+  readonly sender: string;
   readonly instances: number;
   readonly sentMilliseconds: number;
   readonly atMilliseconds: number;
   readonly accounts: Map<number, ReceivedUse>;
 }
 
-/** Sums the latest reports of several senders. A report that is received twice counts once. */
+/** The use of several instances. */
+export interface UseSums {
+  /** Number of instances that are not silent. */
+  readonly instances: number;
+  readonly accounts: ReadonlyMap<number, AccountUse>;
+}
+
+/** The source of a report. */
+export interface ReportSource {
+  /** What the report covers, such as an instance or a zone. A later report replaces it. */
+  readonly scope: string;
+  /** The instance that sent it, by whose clock its reports are ordered. */
+  readonly sender: string;
+}
+
+/** Sums the latest reports of several scopes. A report that is received twice counts once. */
 export class AccountUseSums {
   private readonly reports = new Map<string, ReceivedReport>();
 
   /**
-   * Replaces the report of a sender, unless it was sent before the last one. Figures that are not
-   * plausible leave the previous ones.
+   * Replaces the report on a scope, unless its sender sent it before the last one. Figures that are
+   * not plausible leave the previous ones.
    */
   receive(
-    sender: string,
+    { scope, sender }: ReportSource,
     { instances, sentMilliseconds, isComplete, accounts }: AccountUseReport,
     isPlausible: (use: AccountUse) => boolean,
     now: number,
   ): void {
-    const lastReport = this.reports.get(sender);
+    const lastReport = this.reports.get(scope);
     if (
-      lastReport !== undefined &&
+      sender === lastReport?.sender &&
       sentMilliseconds < lastReport.sentMilliseconds &&
       now - lastReport.atMilliseconds <= REPORT_LIFETIME_MILLISECONDS
     ) {
@@ -57,7 +74,8 @@
         received.set(use.account, last);
       }
     }
-    this.reports.set(sender, {
+    this.reports.set(scope, {
+      sender,
       instances,
       sentMilliseconds,
       atMilliseconds: now,
@@ -65,7 +83,7 @@
     });
   }
 
-  /** Discards the reports of all senders. */
+  /** Discards the reports on all scopes. */
   clear(): void {
     this.reports.clear();
   }
@@ -74,13 +92,13 @@
    * The sums of the reports that have not expired, with the number of instances that are not silent.
    * Silent instances have no part in the agreed use.
    */
-  sumAt(now: number): { instances: number; accounts: Map<number, AccountUse> } {
+  sumAt(now: number): UseSums {
     const sums = new Map<number, AccountUse>();
     let total = 0;
-    for (const [sender, { instances, atMilliseconds, accounts }] of this.reports) {
+    for (const [scope, { instances, atMilliseconds, accounts }] of this.reports) {
       const age = now - atMilliseconds;
       if (age > REPORT_LIFETIME_MILLISECONDS) {
-        this.reports.delete(sender);
+        this.reports.delete(scope);
       } else {
         const isSilent = age > SILENCE_MILLISECONDS;
         total += isSilent ? 0 : instances;
--- a/packages/hickoryrelay-quota/src/__tests__/unit/AccountQuotas.test.ts
+++ b/packages/hickoryrelay-quota/src/__tests__/unit/AccountQuotas.test.ts
@@ -113,7 +113,7 @@
             now += elapsed;
             clock.now = now;
             const use = { ...noUseOf(HASH), level: othersLevel, windowUse: othersLevel };
-            quotas.receive({ instances: 1, isComplete: true, accounts: [use] }, now);
+            quotas.receive({ instances: 1, accounts: new Map([[HASH, use]]) }, now);
             const decision = quotas.tryTake(ACCOUNT, cost, now);
             if (decision.kind === 'taken') {
               takes.push(decision.take);
--- a/packages/hickoryrelay-quota/src/__tests__/unit/AccountUseExchange.test.ts
+++ b/packages/hickoryrelay-quota/src/__tests__/unit/AccountUseExchange.test.ts
@@ -18,23 +18,32 @@
   accounts: [use(1, level)],
 });
 const isPlausible = () => true;
+const sourceOf = (name: string) => ({ scope: name, sender: name });
 
 describe('AccountUseSums', () => {
   // Guards against use that counts twice.
   it('counts a doubled report once, and ignores one that was sent before the last', () => {
     const sums = new AccountUseSums();
-    sums.receive('a', report(200, 20), isPlausible, 0);
-    sums.receive('a', report(200, 20), isPlausible, 10);
-    sums.receive('a', report(100, 10), isPlausible, 20);
-    sums.receive('b', report(0, 5), isPlausible, 20);
+    sums.receive(sourceOf('a'), report(200, 20), isPlausible, 0);
+    sums.receive(sourceOf('a'), report(200, 20), isPlausible, 10);
+    sums.receive(sourceOf('a'), report(100, 10), isPlausible, 20);
+    sums.receive(sourceOf('b'), report(0, 5), isPlausible, 20);
     expect(sums.sumAt(20).instances).toBe(2);
     expect(sums.sumAt(20).accounts.get(1)?.level).toBe(25);
   });
 
+  // Guards against the reports of a new relay being ignored because its clock is behind.
+  it('orders reports only by the clock of one sender', () => {
+    const sums = new AccountUseSums();
+    sums.receive({ scope: 'zone', sender: 'a' }, report(5000, 20), isPlausible, 0);
+    sums.receive({ scope: 'zone', sender: 'b' }, report(100, 30), isPlausible, 10);
+    expect(sums.sumAt(20).accounts.get(1)?.level).toBe(30);
+  });
+
   // Guards against a share that counts silent instances, and use that is forgotten at once.
   it('counts the use of a silent sender for 3 s, but not as an instance', () => {
     const sums = new AccountUseSums();
-    sums.receive('a', report(0, 20), isPlausible, 0);
+    sums.receive(sourceOf('a'), report(0, 20), isPlausible, 0);
     expect(sums.sumAt(1500).instances).toBe(0);
     expect(sums.sumAt(1500).accounts.get(1)).toMatchObject({ level: 20, agreedUse: 0 });
     expect(sums.sumAt(3001).accounts.size).toBe(0);
@@ -43,20 +52,20 @@
   it('keeps the last plausible figures of a sender', () => {
     const sums = new AccountUseSums();
     const isSmall = ({ level }: { level: number }) => level < 100;
-    sums.receive('a', report(0, 20), isSmall, 0);
-    sums.receive('a', report(100, 1e9), isSmall, 100);
-    sums.receive('b', report(100, 1e9), isSmall, 100);
+    sums.receive(sourceOf('a'), report(0, 20), isSmall, 0);
+    sums.receive(sourceOf('a'), report(100, 1e9), isSmall, 100);
+    sums.receive(sourceOf('b'), report(100, 1e9), isSmall, 100);
     expect(sums.sumAt(100).accounts.get(1)?.level).toBe(20);
   });
 
   // Guards against accounts that seem idle because a message had no place for them.
   it('keeps what an incomplete report leaves out, and drops what a complete one does', () => {
     const sums = new AccountUseSums();
-    sums.receive('a', report(0, 20), isPlausible, 0);
+    sums.receive(sourceOf('a'), report(0, 20), isPlausible, 0);
     const other = { instances: 1, sentMilliseconds: 100, accounts: [use(2, 7)] };
-    sums.receive('a', { ...other, isComplete: false }, isPlausible, 100);
+    sums.receive(sourceOf('a'), { ...other, isComplete: false }, isPlausible, 100);
     expect([...sums.sumAt(100).accounts.keys()].toSorted()).toEqual([1, 2]);
-    sums.receive('a', { ...other, isComplete: true }, isPlausible, 200);
+    sums.receive(sourceOf('a'), { ...other, isComplete: true }, isPlausible, 200);
     expect([...sums.sumAt(200).accounts.keys()]).toEqual([2]);
   });
 });
@@ -100,6 +109,20 @@
     expect(exchange.zoneReport(0)).toBeUndefined();
   });
 
+  // Guards against an idle account that stays used up because messages have no place for it.
+  it('forgets an account that incomplete digests no longer name', () => {
+    const { quotas, exchange } = makeExchange(['a']);
+    const sum = { ...use(hashString('a'), 260), windowUse: 260, agreedUse: 0 };
+    const digest = { instances: 3, isComplete: false, accounts: [sum] };
+    exchange.receiveDigest('relay', { ...digest, sentMilliseconds: 1 }, 20_000);
+    expect(quotas.tryTake('a', 20, 20_000).kind).toBe('refused');
+    for (let now = 20_100; now <= 29_000; now += 100) {
+      const empty = { ...digest, accounts: [], sentMilliseconds: now };
+      exchange.receiveDigest('relay', empty, now);
+    }
+    expect(quotas.tryTake('a', 20, 29_000).kind).toBe('taken');
+  });
+
   // Guards against own use that counts twice because the digest includes it.
   it('subtracts its own last report from a digest', () => {
     const { quotas, exchange } = makeExchange(['a']);
--- a/packages/hickoryrelay-quota/src/__tests__/unit/QuotaSimulation.ts
+++ b/packages/hickoryrelay-quota/src/__tests__/unit/QuotaSimulation.ts
@@ -288,7 +288,7 @@
       for (let other = 0; other < zones; other += 1) {
         if (other !== index) {
           this.send(index, other, (at) =>
-            this.instances[other]?.exchange.addZone(`${index}`, zoneReport, at),
+            this.instances[other]?.exchange.addZone(`${index}`, `${index}`, zoneReport, at),
           );
         }
       }
