--- a/packages/hickoryrelay-quota/src/AccountQuota.ts
+++ b/packages/hickoryrelay-quota/src/AccountQuota.ts
@@ -12,8 +12,8 @@
 
 /**
  * Time over which what is left of the bucket is spread. Reports are 0.1 to 0.5 s old, and older when
- * messages are lost or late. With a horizon of 1 s, the instances oscillated between spending all and
- * nothing when each message took up to 1 s, and admitted a quarter more than the rate.
+ * messages are lost or late. With a shorter horizon, late reports make the instances oscillate between
+ * spending all and nothing.
  */
 const HORIZON_MILLISECONDS = 2000;
 
--- a/packages/hickoryrelay-quota/src/AccountQuotas.ts
+++ b/packages/hickoryrelay-quota/src/AccountQuotas.ts
@@ -41,6 +41,7 @@
 }
 
 interface AccountState {
+  readonly hash: number;
   readonly quota: AccountQuota;
   takenUnits: number;
   returnedUnits: number;
@@ -126,14 +127,10 @@
       );
   }
 
-  /** Orders the use of accounts, those first that use or request the most of their quota. */
-  orderByPressure(uses: Iterable<AccountUse>): AccountUse[] {
-    const { knownLimits: limits } = this;
-    const pressureOf = ({ account, level, demandPerSecond }: AccountUse) => {
-      const limit = limits.get(this.namesByHash.get(account) ?? '');
-      return limit === undefined ? 0 : (level + demandPerSecond) / limit.ratePerSecond;
-    };
-    return [...uses].toSorted((left, right) => pressureOf(right) - pressureOf(left));
+  /** What an account uses and requests of its quota, as a multiple of its rate. */
+  pressureOf({ account, level, demandPerSecond }: AccountUse): number {
+    const limit = this.knownLimits.get(this.namesByHash.get(account) ?? '');
+    return limit === undefined ? 0 : (level + demandPerSecond) / limit.ratePerSecond;
   }
 
   /** Replaces what is known of the other instances that are heard. */
@@ -163,8 +160,10 @@
 
   /** Counters by account, for metrics. */
   *counts(): Generator<QuotaCounts, void, void> {
-    for (const [account, { quota, ...counts }] of this.states) {
-      yield { account, ...counts, share: quota.share };
+    for (const [account, state] of this.states) {
+      const { quota, takenUnits, returnedUnits, refusedUnits, refusedRequests } = state;
+      const { share } = quota;
+      yield { account, takenUnits, returnedUnits, refusedUnits, refusedRequests, share };
     }
   }
 
@@ -217,7 +216,14 @@
     if (now - this.startedMilliseconds < this.parts.bounds.windowMilliseconds) {
       quota.assumeUse(1 / this.coverage.listedInstances);
     }
-    const state = { quota, takenUnits: 0, returnedUnits: 0, refusedUnits: 0, refusedRequests: 0 };
+    const state = {
+      hash,
+      quota,
+      takenUnits: 0,
+      returnedUnits: 0,
+      refusedUnits: 0,
+      refusedRequests: 0,
+    };
     this.states.set(account, state);
     return state;
   }
@@ -228,8 +234,8 @@
     }
     const { coverage } = this;
     this.appliedListedInstances = coverage.listedInstances;
-    for (const [account, { quota }] of this.states) {
-      quota.setOthers(this.others.get(hashString(account)), coverage, now);
+    for (const { hash, quota } of this.states.values()) {
+      quota.setOthers(this.others.get(hash), coverage, now);
     }
   }
 }
--- a/packages/hickoryrelay-quota/src/AccountUseExchange.ts
+++ b/packages/hickoryrelay-quota/src/AccountUseExchange.ts
@@ -141,7 +141,7 @@
     return {
       instances,
       sentMilliseconds: Math.round(this.clock.wallMilliseconds()),
-      ...selection.select(this.quotas.orderByPressure(uses)),
+      ...selection.select([...uses], (use) => this.quotas.pressureOf(use)),
     };
   }
 }
--- a/packages/hickoryrelay-quota/src/ReportSelection.ts
+++ b/packages/hickoryrelay-quota/src/ReportSelection.ts
@@ -11,18 +11,25 @@
 export class ReportSelection {
   private position = 0;
 
-  /** Returns as many accounts as a message takes. The first accounts in the given order are preferred. */
-  select(accounts: readonly AccountUse[]): Pick<AccountUseReport, 'isComplete' | 'accounts'> {
+  /** Returns as many accounts as a message takes. Those with the highest pressure are preferred. */
+  select(
+    accounts: readonly AccountUse[],
+    pressureOf: (use: AccountUse) => number,
+  ): Pick<AccountUseReport, 'isComplete' | 'accounts'> {
     if (accounts.length <= FIRST_ACCOUNTS + ROTATING_ACCOUNTS) {
       return { isComplete: true, accounts };
     }
-    const others = accounts.slice(FIRST_ACCOUNTS);
+    const ordered = accounts
+      .map((use) => ({ use, pressure: pressureOf(use) }))
+      .toSorted((left, right) => right.pressure - left.pressure)
+      .map(({ use }) => use);
+    const first = ordered.slice(0, FIRST_ACCOUNTS);
+    const preferred = new Set(first);
+    // In the order of the sums, so that changes of pressure do not move an account past its turn.
+    const others = accounts.filter((use) => !preferred.has(use));
     const start = this.position % others.length;
     this.position = start + ROTATING_ACCOUNTS;
     const turn = [...others.slice(start), ...others.slice(0, start)].slice(0, ROTATING_ACCOUNTS);
-    return {
-      isComplete: false,
-      accounts: [...accounts.slice(0, FIRST_ACCOUNTS), ...turn],
-    };
+    return { isComplete: false, accounts: [...first, ...turn] };
   }
 }
--- a/packages/hickoryrelay-quota/src/__tests__/unit/QuotaFaultFixture.ts
+++ b/packages/hickoryrelay-quota/src/__tests__/unit/QuotaFaultFixture.ts
@@ -1,3 +1,5 @@
+import { expect } from 'vitest';
+
 import {
   DESIGN_BOUNDS,
   DESIGN_LIMIT,
@@ -25,11 +27,26 @@
   readonly onStep?: (scheme: SharedQuota, now: number) => void;
 }
 
-/** Runs a scenario with several seeds. */
+/** The fullest window of any run, as a fraction of the bound. */
+export function fullestOf(runs: readonly { outcome: SchemeOutcome }[]): number {
+  return Math.max(...runs.map(({ outcome }) => outcome.fullestWindow));
+}
+
+/** The smallest used fraction of the runs. */
+export function leastUsedOf(runs: readonly { outcome: SchemeOutcome }[]): number {
+  return Math.min(...runs.map(({ outcome }) => outcome.usedFraction));
+}
+
+/** The greatest used fraction of the runs. */
+export function mostUsedOf(runs: readonly { outcome: SchemeOutcome }[]): number {
+  return Math.max(...runs.map(({ outcome }) => outcome.usedFraction));
+}
+
+/** Runs a scenario with several seeds and prints its fullest window and the used fractions. */
 export function runAll(scenario: FaultScenario): { outcome: SchemeOutcome; scheme: SharedQuota }[] {
   const { instances = 60, network = USUAL_NETWORK, isSkewed = false } = scenario;
   const { bounds = DESIGN_BOUNDS, seeds = SEEDS } = scenario;
-  return seeds.map((seed) => {
+  const runs = seeds.map((seed) => {
     const random = seededRandom(seed);
     const options = { limit: DESIGN_LIMIT, bounds, instances, zones: 3, network, random };
     const scheme = new SharedQuota(options);
@@ -47,21 +64,11 @@
     });
     return { outcome, scheme };
   });
-}
-
-/** The fullest window of any run, as a fraction of the bound. */
-export function fullestOf(runs: readonly { outcome: SchemeOutcome }[]): number {
-  return Math.max(...runs.map(({ outcome }) => outcome.fullestWindow));
-}
-
-/** The smallest used fraction of the runs. */
-export function leastUsedOf(runs: readonly { outcome: SchemeOutcome }[]): number {
-  return Math.min(...runs.map(({ outcome }) => outcome.usedFraction));
-}
-
-/** The greatest used fraction of the runs. */
-export function mostUsedOf(runs: readonly { outcome: SchemeOutcome }[]): number {
-  return Math.max(...runs.map(({ outcome }) => outcome.usedFraction));
+  const figures = [fullestOf(runs), leastUsedOf(runs), mostUsedOf(runs)];
+  const cells = figures.map((figure) => figure.toFixed(2));
+  const { currentTestName: name = '' } = expect.getState();
+  process.stdout.write(`| ${[name, instances, ...cells].join(' | ')} |\n`);
+  return runs;
 }
 
 /** Cuts the first zone off from the others for a time. */
