--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -15,6 +15,7 @@
 import type { ZoneRelaySelector } from './ZoneRelaySelector.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
+import type { AccountUseExchange } from 'hickoryrelay-quota/AccountUseExchange';
 
 /** About the time within which the load of an engine changes. */
 const MINIMUM_PERIOD_MILLISECONDS = 100;
@@ -53,6 +54,8 @@
   readonly directory: PromptCacheDirectory;
   readonly rateLimits: RateLimitExchange;
   readonly relaySelector: ZoneRelaySelector;
+  /** Absent if the quotas of accounts are not shared. */
+  readonly accountUse?: AccountUseExchange;
   readonly log: ComponentLogger;
 }
 
@@ -105,6 +108,7 @@
           now,
         );
         if (peers.length <= MAXIMUM_DIRECT_PEERS) {
+          this.parts.accountUse?.refreshDirect(now);
           this.broadcastLoad(peers, now);
         } else {
           this.reportLoad(now);
@@ -135,6 +139,7 @@
     switch (message.kind) {
       case PeerMessageKind.Load:
         this.parts.rateLimits.receive(message);
+        this.parts.accountUse?.receiveDirect(message.sender, message.accountUse, now);
         this.applyLoad(message, now);
         break;
       case PeerMessageKind.LoadDigest:
@@ -146,7 +151,7 @@
         break;
       case PeerMessageKind.LoadReport:
         this.parts.rateLimits.receive(message);
-        this.relay.addReport(message, now);
+        this.addReport(message, now);
         this.recordUses(message, now);
         break;
       case PeerMessageKind.ZoneLoad:
@@ -161,12 +166,14 @@
     const sender = this.parts.view.peers.find(({ instance }) => instance === message.sender);
     if (sender !== undefined) {
       this.relay.addZoneLoad(sender.zone, message, now);
+      this.parts.accountUse?.addZone(sender.zone, message.sender, message.accountUse, now);
       this.recordUses(message, now);
     }
   }
 
   /** Digests of different relays cover mostly the same instances, so the latest replaces all. */
   private applyDigest({ loads, ...message }: LoadMessage, now: number): void {
+    this.parts.accountUse?.receiveDigest(message.sender, message.accountUse, now);
     const otherLoads = subtractLoads(loads, this.lastReportedLoads);
     this.applyLoad({ ...message, sender: '', loads: otherLoads }, now, DIGEST_AGE_MILLISECONDS);
   }
@@ -184,8 +191,15 @@
       .forEach((use) => directory.record(use, now));
   }
 
+  /** As the relay of the zone, takes the report of one of its instances. */
+  private addReport(message: LoadMessage, now: number): void {
+    this.relay.addReport(message, now);
+    this.parts.accountUse?.addMember(message.sender, message.accountUse, now);
+  }
+
   private ownLoad(kind: LoadMessage['kind'], now: number): LoadMessage {
-    const { self, registry, directory, rateLimits } = this.parts;
+    const { self, registry, directory, rateLimits, accountUse } = this.parts;
+    const ownUse = accountUse?.ownReport(now);
     return {
       kind,
       sender: self.instance,
@@ -193,6 +207,7 @@
       uses: directory.takePendingUses().map((use) => ({ ...use, origin: this.origin })),
       rateLimits: rateLimits.reports(),
       rates: registry.workload.takeReports(MAXIMUM_RATES, now),
+      ...(ownUse === undefined ? {} : { accountUse: ownUse }),
     };
   }
 
@@ -202,11 +217,13 @@
     const observed = load.rates ?? [];
     const learned = workload.takeLearnedReports(MAXIMUM_LEARNED_RATES, observed.length, now);
     const message = { ...load, rates: [...observed, ...learned] };
+    // While accounts have quotas, peers need to hear that this instance uses nothing.
     const isIdle =
       message.loads.length === 0 &&
       message.uses.length === 0 &&
       message.rateLimits.length === 0 &&
-      message.rates.length === 0;
+      message.rates.length === 0 &&
+      message.accountUse === undefined;
     if (!(isIdle && this.wasIdle)) {
       this.parts.channel.sendToAll(peers, message);
     }
@@ -220,7 +237,7 @@
     this.lastReportedLoads = message.loads;
     const relay = this.selectRelay(now);
     if (relay === undefined || relay.instance === self.instance) {
-      this.relay.addReport(message, now);
+      this.addReport(message, now);
     } else {
       channel.send(relay, message);
     }
@@ -252,6 +269,7 @@
   /** Sends digests and the zone load while other instances report to this one. */
   private distributeLoads(now: number): void {
     const { self, view, channel, rateLimits, registry } = this.parts;
+    const { self, view, channel, rateLimits, accountUse } = this.parts;
     if (this.relay.members.length === 0) {
       return;
     }
@@ -266,6 +284,7 @@
       ...this.relay.digest(self.instance, rateLimits.reports()),
       rates: [...observed, ...learned],
     };
+    const digest = this.relay.digest(self.instance, rateLimits.reports(), accountUse?.digest(now));
     channel.sendToAll(
       view.peers.filter(({ instance }) => instance !== self.instance && members.has(instance)),
       digest,
@@ -280,6 +299,10 @@
         ...this.relay.zoneLoad(self.instance, rateLimits.reports()),
         rates: this.relay.takeZoneRates(now),
       });
+      channel.sendToAll(
+        this.otherRelays(now),
+        this.relay.zoneLoad(self.instance, rateLimits.reports(), accountUse?.zoneReport(now)),
+      );
     }
   }
 
--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -2,6 +2,7 @@
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
 import { decodeRateReports, encodeRateReports } from 'hickoryrelay-workload/RateReport';
 
+import { decodeAccountUse, encodeAccountUse } from './AccountUseElements.js';
 import {
   CRASH_EVIDENCE_KIND,
   crashEvidenceElements,
@@ -20,6 +21,7 @@
 import type { UsageSealMessage } from './UsageSealMessage.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { RateLimitReport } from 'hickoryrelay-endpoint/RateLimitStatement';
+import type { AccountUseReport } from 'hickoryrelay-quota/AccountUse';
 import type { RateReport } from 'hickoryrelay-workload/RateReport';
 
 /** Kinds of messages between instances. The value is the first element of the encoded message. */
@@ -93,6 +95,8 @@
   readonly rateLimits: readonly RateLimitReport[];
   /** Observed and learned rates of endpoints since the previous message. Absent if there are none. */
   readonly rates?: readonly RateReport[];
+  /** Use of the accounts that have a quota; absent while none has one. */
+  readonly accountUse?: AccountUseReport;
 }
 
 /** Requests the changes since a store revision. */
@@ -206,7 +210,8 @@
   return isPlausible ? value.map((step) => step * OCCUPIED_TOKENS_STEP) : [];
 }
 
-function encodeLoad({ kind, sender, loads, uses, rateLimits, rates = [] }: LoadMessage): unknown[] {
+function encodeLoad(message: LoadMessage): unknown[] {
+  const { kind, sender, loads, uses, rateLimits, rates = [], accountUse } = message;
   return [
     kind,
     sender,
@@ -231,6 +236,7 @@
     ]),
     encodeRateReports(rates),
     encodeOccupiedTokens(loads),
+    ...(accountUse === undefined ? [] : [encodeAccountUse(accountUse)]),
   ];
 }
 
@@ -279,8 +285,9 @@
 }
 
 function decodeLoad(kind: LoadKind, fields: readonly unknown[]): LoadMessage | undefined {
-  // Instances of an earlier version state no limits, rates and KV caches.
-  const [sender, loads, uses, rateLimits = [], encodedRates = [], occupiedSteps = []] = fields;
+  // Instances of an earlier version state no limits, rates, KV caches and use of accounts.
+  const [sender, loads, uses, rateLimits = [], encodedRates = [], occupiedSteps = [], accountUses] =
+    fields;
   if (
     typeof sender !== 'string' ||
     !isNumberList(loads, LOAD_FIELD_COUNT) ||
@@ -291,10 +298,12 @@
   }
   const rates = decodeRateReports(encodedRates, MAXIMUM_RATES);
   const occupied = decodeOccupiedTokens(occupiedSteps, loads.length / LOAD_FIELD_COUNT);
+  const accountUse = decodeAccountUse(accountUses);
   return {
     kind,
     sender,
     ...(rates.length === 0 ? {} : { rates }),
+    ...(accountUse === undefined ? {} : { accountUse }),
     loads: [...rowsOf(loads, LOAD_FIELD_COUNT)].map(
       ([endpoint = 0, running = 0, prefillTokens = 0, latePrefillTokens = 0], index) => ({
         endpoint,
