--- a/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
+++ b/packages/hickoryrelay-forwarding/src/LoadExchangeTask.ts
@@ -268,8 +268,7 @@
 
   /** Sends digests and the zone load while other instances report to this one. */
   private distributeLoads(now: number): void {
-    const { self, view, channel, rateLimits, registry } = this.parts;
-    const { self, view, channel, rateLimits, accountUse } = this.parts;
+    const { self, view, channel, rateLimits, registry, accountUse } = this.parts;
     if (this.relay.members.length === 0) {
       return;
     }
@@ -281,10 +280,9 @@
       now,
     );
     const digest = {
-      ...this.relay.digest(self.instance, rateLimits.reports()),
+      ...this.relay.digest(self.instance, rateLimits.reports(), accountUse?.digest(now)),
       rates: [...observed, ...learned],
     };
-    const digest = this.relay.digest(self.instance, rateLimits.reports(), accountUse?.digest(now));
     channel.sendToAll(
       view.peers.filter(({ instance }) => instance !== self.instance && members.has(instance)),
       digest,
@@ -296,13 +294,9 @@
     this.completedPeriods += 1;
     if (this.completedPeriods % PERIODS_PER_ZONE_LOAD === 0) {
       channel.sendToAll(this.otherRelays(now), {
-        ...this.relay.zoneLoad(self.instance, rateLimits.reports()),
+        ...this.relay.zoneLoad(self.instance, rateLimits.reports(), accountUse?.zoneReport(now)),
         rates: this.relay.takeZoneRates(now),
       });
-      channel.sendToAll(
-        this.otherRelays(now),
-        this.relay.zoneLoad(self.instance, rateLimits.reports(), accountUse?.zoneReport(now)),
-      );
     }
   }
 
