Leak the part of the level that others can know of

Each instance leaked a surge at the whole rate until it heard of the others' part, so up to a quarter more than the rate ran with late reports.

--- a/packages/hickoryrelay-quota/src/AccountQuota.ts
+++ b/packages/hickoryrelay-quota/src/AccountQuota.ts
@@ -1,6 +1,7 @@
 import { addUses, noUseOf } from './AccountUse.js';
 import { AgreedShare, isAgreement } from './AgreedShare.js';
 import { DemandRate } from './DemandRate.js';
+import { LaggedValue } from './LaggedValue.js';
 import { toleranceOf, windowQuantityOf } from './QuotaLimit.js';
 import { UseWindow } from './UseWindow.js';
 
@@ -29,12 +30,18 @@
  */
 const CREDIT_FRACTION = 0.25;
 
-/** The credit is at most the leak in this time, about twice the greatest age of a report. */
-const MAXIMUM_CREDIT_MILLISECONDS = 1000;
+/** The credit is at most the leak in this time, about three times the usual age of a report. */
+const MAXIMUM_CREDIT_MILLISECONDS = 1500;
 
 /** Fraction of the tolerance above the burst to which the known level may rise by a large request. */
 const CEILING_FRACTION = 0.5;
 
+/**
+ * Age of the own level by which the part of the leak is computed. With the current level, each
+ * instance would leak a sudden surge at the whole rate until it hears of the others' part.
+ */
+const LEVEL_LAG_MILLISECONDS = 500;
+
 const MINIMUM_RETRY_MILLISECONDS = 100;
 
 /** Result of a decision on one request. */
@@ -79,6 +86,9 @@
 
   private level = 0;
 
+  /** The level as old as the figures of the others, so that the parts add up to 1. */
+  private readonly laggedLevel = new LaggedValue(LEVEL_LAG_MILLISECONDS);
+
   private leakedMilliseconds: number;
 
   private others: AccountUse;
@@ -130,7 +140,8 @@
   decide(cost: number, now: number, fraction: number): Admission {
     this.leak(now);
     const tolerance = toleranceOf(this.limit, this.bounds);
-    const ceiling = this.limit.burst + tolerance * CEILING_FRACTION;
+    const capacity = this.limit.burst + this.unleaked;
+    const ceiling = capacity + tolerance * CEILING_FRACTION;
     if (cost <= ceiling) {
       this.demand.add(cost, now);
     }
@@ -144,7 +155,7 @@
     if (total.level + cost > ceiling) {
       return this.refuse(this.leakMilliseconds(total.level + cost - ceiling));
     }
-    const left = (this.limit.burst + credit) * this.share - total.level;
+    const left = (capacity + credit) * this.share - total.level;
     return this.admitAtRandom(left, total.demandPerSecond, fraction);
   }
 
@@ -152,6 +163,7 @@
   take(cost: number, now: number): Reservation {
     this.leak(now);
     this.level += cost;
+    this.laggedLevel.record(this.level, now);
     return { cost, slot: this.window.add(cost, now) };
   }
 
@@ -206,6 +218,11 @@
     return (units / (this.limit.ratePerSecond * this.share)) * MILLISECONDS_PER_SECOND;
   }
 
+  /** Units that the level still holds because each unit leaks only after the lag. */
+  private get unleaked(): number {
+    return (this.limit.ratePerSecond * LEVEL_LAG_MILLISECONDS) / MILLISECONDS_PER_SECOND;
+  }
+
   private creditOf(tolerance: number): number {
     const perHorizon =
       (this.limit.ratePerSecond * MAXIMUM_CREDIT_MILLISECONDS) / MILLISECONDS_PER_SECOND;
@@ -215,13 +232,13 @@
   private leak(now: number): void {
     const elapsed = Math.max(0, now - this.leakedMilliseconds) / MILLISECONDS_PER_SECOND;
     this.leakedMilliseconds = Math.max(this.leakedMilliseconds, now);
-    if (this.level > 0) {
-      const ownPart = this.level / (this.level + this.others.level);
-      this.level = Math.max(
-        0,
-        this.level - this.limit.ratePerSecond * this.share * ownPart * elapsed,
-      );
+    const lagged = this.laggedLevel.at(now);
+    if (this.level > 0 && lagged > 0) {
+      const ownPart = lagged / (lagged + this.others.level);
+      const leaked = this.limit.ratePerSecond * this.share * ownPart * elapsed;
+      this.level = Math.max(0, this.level - leaked);
     }
+    this.laggedLevel.record(this.level, now);
   }
 
   private refuse(milliseconds: number): Admission {
