--- a/packages/hickoryrelay-quota/src/AccountQuota.ts
+++ b/packages/hickoryrelay-quota/src/AccountQuota.ts
@@ -70,8 +70,9 @@
  * and a request larger than the share is admitted with the probability of share to cost. While the
  * demand fits, the probability is 1.
  *
- * Designed for 8 to 640 instances, requests of up to half of what one second allows, and callers that
- * request up to 10 times the quota.
+ * Designed for 8 to 640 instances, requests of up to half of what one second allows, callers that
+ * request up to 10 times the quota, and reports that are at most 1 s old. A surge exceeds the bound if
+ * reports are older.
  */
 export class AccountQuota {
   private readonly account: number;
