--- a/packages/hickoryrelay-quota/src/__tests__/unit/SharedQuotaMessages.test.ts
+++ b/packages/hickoryrelay-quota/src/__tests__/unit/SharedQuotaMessages.test.ts
@@ -38,14 +38,14 @@
     }
   });
 
-  // A limit of the approach: until a report arrives, all admit the surge. Guards against a higher one.
+  // Guards against a surge that all instances admit until the first report of it arrives.
   it.each([...SPREADS, { instances: 85, isSkewed: false }])(
-    'exceeds the bound by at most a half when the demand rises tenfold and each message takes up to 1 s (%o)',
+    'keeps the bound when the demand rises tenfold and each message takes up to 1 s (%o)',
     (size) => {
       const seeds = Array.from({ length: 5 }, (_unused, index) => index + 1);
       const multipleAt = (now: number) => (now < 15_000 ? 0.9 : 10);
       const runs = runAll({ ...size, multipleAt, network: SLOW_NETWORK, seeds });
-      expect(fullestOf(runs)).toBeLessThan(1.5);
+      expect(fullestOf(runs)).toBeLessThanOrEqual(1);
     },
   );
 
--- a/packages/hickoryrelay-quota/src/__tests__/unit/SharedQuotaPartitions.test.ts
+++ b/packages/hickoryrelay-quota/src/__tests__/unit/SharedQuotaPartitions.test.ts
@@ -121,9 +121,9 @@
   });
 
   // Without slack, the tolerance is little more than one large request; see account-quotas.md.
-  it('stays within a tenth of the bound without slack', () => {
+  it('keeps the bound without slack', () => {
     const runs = runAll({ multipleAt: () => 3, bounds: DEFAULT_QUOTA_BOUNDS });
-    expect(fullestOf(runs)).toBeLessThan(1.1);
+    expect(fullestOf(runs)).toBeLessThanOrEqual(1);
     expect(leastUsedOf(runs)).toBeGreaterThan(0.8);
   });
 });
