Keep the minimum of on-demand endpoints while reclaimable ones are available

A tenth of the maximum was on demand. When a zone loses its reclaimable endpoints, the other two have two thirds of the supply, and on-demand endpoints are ordered at the notice, as before.

--- a/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyLevels.ts
@@ -1,17 +1,15 @@
 import type { SupplyLevel } from './FencedPlatform.js';
 import type { ForwardingService, SupplyBounds } from './ForwardingConfiguration.js';
 
-/**
- * Fraction of a zone's maximum supply that is on-demand while reclaimable endpoints are available.
- */
-const BASE_FRACTION = 0.1;
-
 /**
  * Number of zones from which on no on-demand endpoints are kept while reclaimable ones are available:
  * when two zones are reclaimed at once, half of the supply is left until on-demand endpoints start.
  */
 const ZONES_WITHOUT_BASE = 4;
 
+/** On-demand endpoints in each zone of a deployment with fewer zones. */
+const MINIMUM_BASE = 1;
+
 /** Fraction of a zone's maximum supply that is on-demand while reclaimable endpoints are scarce. */
 const FALLBACK_FRACTION = 0.6;
 
@@ -36,11 +34,13 @@
   readonly uncovered?: number | undefined;
 }
 
-/** On-demand endpoints of a zone while reclaimable ones are available. Bounds apply to both kinds. */
-function baseOf({ minimum, maximum }: SupplyBounds, zoneCount: number): number {
-  return zoneCount >= ZONES_WITHOUT_BASE
-    ? 0
-    : Math.max(minimum, Math.ceil(maximum * BASE_FRACTION));
+/**
+ * On-demand endpoints of a zone while reclaimable ones are available. Bounds apply to both kinds. When a
+ * zone loses its reclaimable endpoints, those of the other zones carry the load until on-demand ones
+ * start, so that more than the minimum would be paid for without being needed.
+ */
+function baseOf({ minimum }: SupplyBounds, zoneCount: number): number {
+  return zoneCount >= ZONES_WITHOUT_BASE ? 0 : Math.max(minimum, MINIMUM_BASE);
 }
 
 /**
@@ -59,8 +59,7 @@
   }
   const { minimum } = supply;
   const maximum = planned ?? supply.maximum;
-  // Below the maximum, the endpoints of the other zones are enough when a zone loses its own.
-  const base = maximum < supply.maximum ? minimum : baseOf(supply, zoneCount);
+  const base = baseOf(supply, zoneCount);
   const wanted = Math.ceil(maximum * FALLBACK_FRACTION);
   const fallback = Math.max(minimum, base, Math.min(wanted, uncovered ?? wanted));
   const onDemandLevel = (count: number) => ({ service, zone, count, isReclaimable: false });
