--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,6 +3,9 @@
 /** Tests of what is kept in memory of responses without end. */
 const ENDLESS_RESPONSE_TESTS = ['**/EndlessResponses.test.ts', '**/EndlessServer.test.ts'];
 
+/** Tests of processes beside callers that keep to no limit. */
+const CALLER_MEMORY_TESTS = ['**/CallerMemory.test.ts'];
+
 /** An instance has 250 MB. */
 const ENDLESS_RESPONSE_HEAP_MEGABYTES = 256;
 
@@ -24,7 +27,7 @@
             'platform/src/__tests__/**/*.test.ts',
             'scripts/src/__tests__/**/*.test.ts',
           ],
-          exclude: [...configDefaults.exclude, ...ENDLESS_RESPONSE_TESTS],
+          exclude: [...configDefaults.exclude, ...ENDLESS_RESPONSE_TESTS, ...CALLER_MEMORY_TESTS],
         },
       },
       {
@@ -35,6 +38,17 @@
           execArgv: [`--max-old-space-size=${ENDLESS_RESPONSE_HEAP_MEGABYTES}`],
         },
       },
+      {
+        extends: true,
+        test: {
+          name: 'caller memory',
+          include: CALLER_MEMORY_TESTS,
+          // Runs after the other projects and one file at a time, since other load changes the result.
+          fileParallelism: false,
+          maxWorkers: 1,
+          sequence: { groupOrder: 1 },
+        },
+      },
     ],
   },
 });
