Limit the memory and descriptors held for callers of the platform's program

Cause: nothing bounded what a process holds for callers. Every chunk of a body was kept as an object, bodies over the limit were read to their end, and one read of a socket could hold 3,600 pipelined requests, all of which were handled at once.

The new package hickoryrelay-caller owns what is held: CallerMemory decides when a connection is read and which one is evicted, RequestSlots which requests run, CallerReads passes bytes to the HTTP server in portions and in turn with other connections, and CallerGuard ties them to a server. Limits derive from limits.memory_mb and limits.max_fds of the settings.

--- /dev/null
+++ b/packages/hickoryrelay-caller/src/CallerMemory.ts
@@ -0,0 +1,163 @@
+import { CallerAccount, CallerPhase } from './CallerAccount.js';
+import { CONNECTION_COST_BYTES, ORDINARY_CONNECTION_BYTES } from './CallerLimits.js';
+
+import type { CallerLimits } from './CallerLimits.js';
+
+/** Why no more bytes of a connection are read for now. */
+export const PauseReason = {
+  /** Its pipelined requests wait for their responses. */
+  PipelinedRequests: 'pipelined-requests',
+  /** It holds as much memory as one connection may. */
+  ConnectionMemory: 'connection-memory',
+  /** All connections together hold as much memory as they may. */
+  Memory: 'memory',
+} as const;
+
+export type PauseReason = (typeof PauseReason)[keyof typeof PauseReason];
+
+/** Memory beyond which connections are closed at once, as a share of the limit. */
+const OVERFULL_SHARE = 1.1;
+
+/** After an eviction there is room for several waiting connections, so that not each needs one. */
+const EVICTION_TARGET_SHARE = 0.875;
+
+/** Time without progress after which a connection may be evicted while others wait. */
+const EVICTION_STALL_MILLISECONDS = 1000;
+
+/** Time that connections wait before bodies that still make progress are evicted. */
+const MAXIMUM_WAIT_MILLISECONDS = 3000;
+
+/**
+ * Decides what the connections of callers may hold. Designed for callers that no operator controls: a
+ * crowd of them uses the memory for callers without the reserve, and is evicted by lack of progress; ordinary
+ * callers hold less than `ORDINARY_CONNECTION_BYTES` each and use the reserve as well.
+ */
+export class CallerMemory {
+  readonly limits: CallerLimits;
+
+  private readonly accounts = new Set<CallerAccount>();
+
+  private used = 0;
+
+  private requestCount = 0;
+
+  private readonly onRelease: () => void;
+
+  /** `onRelease` is called when something has been released. */
+  constructor(limits: CallerLimits, onRelease: () => void = () => {}) {
+    this.limits = limits;
+    this.onRelease = onRelease;
+  }
+
+  get usedBytes(): number {
+    return this.used;
+  }
+
+  get openRequests(): number {
+    return this.requestCount;
+  }
+
+  get connections(): number {
+    return this.accounts.size;
+  }
+
+  /** Records a connection. The caller has made room for it by `victimForConnection`. */
+  open(now: number): CallerAccount {
+    const account = new CallerAccount(this, now, CONNECTION_COST_BYTES);
+    this.accounts.add(account);
+    return account;
+  }
+
+  /** True if another connection exceeds their number. */
+  get hasAllConnections(): boolean {
+    return this.accounts.size >= this.limits.connections;
+  }
+
+  /** True if so much more is held than may be that connections must be closed at once. */
+  get isOverfull(): boolean {
+    return this.used > this.limits.memoryBytes * OVERFULL_SHARE;
+  }
+
+  /** Why the next bytes of a connection must not be read; undefined if they may. */
+  pauseReasonFor(account: CallerAccount, bytes: number): PauseReason | undefined {
+    const { limits } = this;
+    const isReading = account.readingSinceMilliseconds !== undefined;
+    if (!isReading && account.openRequests >= limits.pipelinedRequests) {
+      return PauseReason.PipelinedRequests;
+    }
+    const heldBytes = account.heldBytes + bytes;
+    if (heldBytes > limits.connectionBytes) {
+      return PauseReason.ConnectionMemory;
+    }
+    return this.used + bytes > this.memoryLimitFor(heldBytes) ? PauseReason.Memory : undefined;
+  }
+
+  /**
+   * Connections to evict, in this order, until `hasRoom`. `waitingMilliseconds` is the longest time that a
+   * connection has waited for memory.
+   */
+  *victims(now: number, waitingMilliseconds: number): Generator<CallerAccount, void, void> {
+    const evictable = [...this.accounts]
+      .filter(({ phase }) => phase !== CallerPhase.Handling)
+      .sort((left, right) => left.progressMilliseconds - right.progressMilliseconds);
+    for (const account of evictable) {
+      const isStalled = now - account.progressMilliseconds >= EVICTION_STALL_MILLISECONDS;
+      if (account.heldBytes > CONNECTION_COST_BYTES && (isStalled || this.isOverfull)) {
+        yield account;
+      }
+    }
+    if (waitingMilliseconds >= MAXIMUM_WAIT_MILLISECONDS) {
+      yield* evictable
+        .filter(({ readingSinceMilliseconds }) => readingSinceMilliseconds !== undefined)
+        .sort(
+          (left, right) =>
+            (left.readingSinceMilliseconds ?? now) - (right.readingSinceMilliseconds ?? now),
+        );
+    }
+  }
+
+  /** True if there is room for several connections, of which the largest waiting one holds the given memory. */
+  hasRoom(heldBytes: number): boolean {
+    return this.used <= this.memoryLimitFor(heldBytes) * EVICTION_TARGET_SHARE;
+  }
+
+  /** The connection to close so that another one can be opened; undefined if none may be closed. */
+  victimForConnection(): CallerAccount | undefined {
+    let victim: CallerAccount | undefined;
+    for (const account of this.accounts) {
+      const isOlder =
+        victim === undefined || account.progressMilliseconds < victim.progressMilliseconds;
+      if (isOlder && account.phase !== CallerPhase.Handling) {
+        victim = account;
+      }
+    }
+    return victim;
+  }
+
+  /** Adds to the sum. Called by accounts. */
+  addBytes(bytes: number): void {
+    this.used += bytes;
+    if (bytes < 0) {
+      this.onRelease();
+    }
+  }
+
+  /** Adds to the number of open requests. Called by accounts. */
+  addRequests(count: number): void {
+    this.requestCount += count;
+    if (count < 0) {
+      this.onRelease();
+    }
+  }
+
+  /** Forgets a connection. Called by accounts. */
+  remove(account: CallerAccount): void {
+    this.accounts.delete(account);
+    this.onRelease();
+  }
+
+  private memoryLimitFor(heldBytes: number): number {
+    const { memoryBytes, reserveBytes } = this.limits;
+    return heldBytes <= ORDINARY_CONNECTION_BYTES ? memoryBytes : memoryBytes - reserveBytes;
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-caller/src/CallerReads.ts
@@ -0,0 +1,253 @@
+import { ConnectionReads } from 'hickoryrelay/ConnectionReads';
+import { eventLoopTurns, TurnReader } from 'hickoryrelay/ReadTurns';
+
+import type { CallerAccount } from './CallerAccount.js';
+import type { CallerRequest } from './CallerRequest.js';
+import type { CallerConnection } from 'hickoryrelay/CallerConnection';
+import type { Socket } from 'node:net';
+
+/** Bytes that are parsed at once while no request is open: most heads, or 110 of the smallest requests. */
+const HEAD_PORTION_BYTES = 2048;
+
+/** Bytes that are parsed at once behind open requests: at most 28 further ones. */
+const PIPELINED_PORTION_BYTES = 512;
+
+/** Bytes of a body of unknown length that are parsed at once, as requests may follow its end. */
+const CHUNKED_PORTION_BYTES = 16_384;
+
+/**
+ * Bytes that a connection parses at once within about a second. Further ones are parsed in turn with other
+ * connections, as those in tiny chunks take a thousand times as long as others.
+ */
+const FREE_BYTES = 8192;
+
+/** Bytes that a caller has to send or read for progress, so that single bytes do not count. */
+const PROGRESS_BYTES = 4096;
+
+type DataListener = (bytes: Buffer) => void;
+
+/** Parses the bytes of one connection in turn with others. */
+class CallerTurns extends TurnReader {
+  private readonly reads: CallerReads;
+
+  constructor(reads: CallerReads) {
+    super();
+    this.reads = reads;
+  }
+
+  override get availableBytes(): number {
+    return this.reads.bufferedBytes;
+  }
+
+  override readPortion(portionBytes: number): number {
+    return this.reads.parseUpTo(TurnReader.sizeOf(this.availableBytes, portionBytes));
+  }
+}
+
+/** Decides whether the next bytes of a connection may be parsed. */
+export abstract class ReadPermission {
+  /** If not, calls `run` of the reads later. */
+  abstract mayRead(reads: CallerReads, bytes: number): boolean;
+
+  /** Called when bytes have arrived that were not parsed. */
+  abstract recordBuffered(reads: CallerReads): void;
+
+  /** Called when the connection has closed or its socket is read by another user. */
+  abstract forget(reads: CallerReads): void;
+}
+
+/**
+ * Passes the bytes of one socket to the HTTP server in portions, as long as the memory for callers permits. The
+ * other bytes stay in the buffer of the socket, which stops reading once the buffer is full.
+ */
+export class CallerReads extends ConnectionReads {
+  readonly connection: CallerConnection;
+
+  readonly account: CallerAccount;
+
+  /** The request whose head was read last. */
+  request: CallerRequest | undefined;
+
+  private readonly socket: Socket;
+
+  private readonly permission: ReadPermission;
+
+  private readonly parse: DataListener;
+
+  private readonly handleReadable = () => this.run();
+
+  /** True while the HTTP server wants no more bytes. */
+  private isPaused = false;
+
+  private isRunning = false;
+
+  private readonly turns = new CallerTurns(this);
+
+  /** Bytes that may be parsed now. */
+  private granted = 0;
+
+  private isDiscarding = false;
+
+  private isDetached = false;
+
+  private progressBytes = 0;
+
+  constructor(connection: CallerConnection, account: CallerAccount, permission: ReadPermission) {
+    super();
+    const { socket } = connection;
+    this.connection = connection;
+    this.socket = socket;
+    this.account = account;
+    this.permission = permission;
+    const [parse] = socket.listeners('data');
+    this.parse = parse as DataListener;
+    socket.removeAllListeners('data');
+    Object.assign(socket, {
+      pause: () => {
+        this.isPaused = true;
+        return socket;
+      },
+      resume: () => {
+        if (this.isPaused) {
+          this.isPaused = false;
+          this.run();
+        }
+        return socket;
+      },
+    });
+    socket.on('readable', this.handleReadable);
+    socket.once('close', () => this.detach());
+  }
+
+  override discard(): void {
+    if (!this.isDiscarding) {
+      this.isDiscarding = true;
+      this.permission.forget(this);
+      this.run();
+    }
+  }
+
+  override detach(): void {
+    if (!this.isDetached) {
+      this.isDetached = true;
+      this.account.setBuffered(0);
+      this.account.readingSinceMilliseconds = undefined;
+      this.permission.forget(this);
+      eventLoopTurns.remove(this.turns);
+      this.socket.removeListener('readable', this.handleReadable);
+      // The methods of the class take effect again.
+      Reflect.deleteProperty(this.socket, 'pause');
+      Reflect.deleteProperty(this.socket, 'resume');
+    }
+  }
+
+  /** Parses what has arrived, as far as it is permitted. */
+  run(): void {
+    if (this.isRunning || this.isDetached) {
+      return;
+    }
+    const now = performance.now();
+    const freeBytes = FREE_BYTES - this.turns.recentBytes(now);
+    if (freeBytes > 0 || this.isDiscarding || this.bufferedBytes === 0) {
+      this.turns.recordBytes(this.parseUpTo(Math.max(freeBytes, 1)), now);
+    } else if (!this.isPaused) {
+      eventLoopTurns.request(this.turns);
+    }
+  }
+
+  /** Bytes that have arrived and have not been parsed. */
+  get bufferedBytes(): number {
+    return this.socket.readableLength;
+  }
+
+  /** Parses about so many bytes at most, as far as it is permitted. Returns their number. */
+  parseUpTo(bytes: number): number {
+    if (this.isRunning || this.isDetached) {
+      return 0;
+    }
+    this.granted = bytes;
+    this.isRunning = true;
+    let canContinue = true;
+    try {
+      // Reading an empty buffer lets the socket emit its end.
+      while (canContinue && (this.granted > 0 || this.isDiscarding || this.bufferedBytes === 0)) {
+        canContinue = this.readPortion();
+      }
+    } finally {
+      this.isRunning = false;
+    }
+    if (!this.isDetached) {
+      this.account.setBuffered(this.bufferedBytes);
+      this.permission.recordBuffered(this);
+      if (canContinue && this.bufferedBytes > 0) {
+        eventLoopTurns.request(this.turns);
+      }
+    }
+    return bytes - this.granted;
+  }
+
+  /** True if bytes wait to be parsed or a body is due. */
+  get isWaitedFor(): boolean {
+    return this.bufferedBytes > 0 || this.request?.isReading === true;
+  }
+
+  /** Updates what the caller has not read, and when it last made progress. */
+  observe(now: number): void {
+    const { socket, account } = this;
+    account.setUnsent(this.connection.unsentBytes);
+    const bytes =
+      socket.bytesRead - socket.readableLength + socket.bytesWritten - socket.writableLength;
+    if (bytes - this.progressBytes >= PROGRESS_BYTES) {
+      this.progressBytes = bytes;
+      account.progressMilliseconds = now;
+    }
+  }
+
+  /** Returns false if nothing more can be parsed now. */
+  private readPortion(): boolean {
+    const { socket } = this;
+    const { readableLength } = socket;
+    if (this.isDetached || readableLength === 0) {
+      if (!this.isDetached) {
+        socket.read();
+      }
+      return false;
+    }
+    if (this.request?.isReading !== true && this.connection.takesNoRequests) {
+      this.isDiscarding = true;
+      this.permission.forget(this);
+    }
+    if (this.isDiscarding) {
+      socket.read();
+      return true;
+    }
+    if (this.isPaused) {
+      return false;
+    }
+    const bytes = this.portionOf(readableLength);
+    if (!this.permission.mayRead(this, bytes)) {
+      return false;
+    }
+    const piece = socket.read(bytes) as Buffer | null;
+    if (piece === null) {
+      return false;
+    }
+    this.granted -= piece.length;
+    this.parse(piece);
+    if (this.request?.isReading !== true) {
+      this.account.readingSinceMilliseconds = undefined;
+    }
+    return true;
+  }
+
+  private portionOf(readableLength: number): number {
+    const { request, granted } = this;
+    if (request?.isReading !== true) {
+      const isPipelined = this.account.openRequests > 0;
+      return Math.min(readableLength, isPipelined ? PIPELINED_PORTION_BYTES : HEAD_PORTION_BYTES);
+    }
+    const bytes = Math.min(readableLength, Math.max(granted, HEAD_PORTION_BYTES));
+    const { missingBytes = CHUNKED_PORTION_BYTES } = request;
+    return Math.min(bytes, Math.max(1, missingBytes));
+  }
+}
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -1,3 +1,6 @@
+import { collectedBytesOf } from './ResponseFraming.js';
+
+import type { ConnectionReads } from './ConnectionReads.js';
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
@@ -11,6 +14,9 @@
 export class CallerConnection {
   readonly socket: Socket;
 
+  /** Reads the socket; undefined if the HTTP server does. */
+  reads: ConnectionReads | undefined;
+
   /** Responses, not yet written out, to requests whose head has been read. */
   private readonly openResponses = new Set<ServerResponse>();
 
@@ -34,7 +40,7 @@
     this.openResponses.add(response);
     response.once('close', () => {
       this.openResponses.delete(response);
-      this.handledBytes = this.socket.bytesRead;
+      this.handledBytes = this.socket.bytesRead - this.socket.readableLength;
       this.continueRejection();
     });
   }
@@ -48,10 +54,32 @@
       this.socket.destroy();
     } else if (this.rejection === undefined) {
       this.rejection = rejection;
+      this.reads?.discard();
       this.continueRejection();
     }
   }
 
+  /** Number of requests whose head has been read and whose response has not been written out. */
+  get openRequests(): number {
+    return this.openResponses.size;
+  }
+
+  /** Bytes of responses that wait for the caller to read, or for their end. */
+  get unsentBytes(): number {
+    let bytes = this.socket.writableLength;
+    for (const response of this.openResponses) {
+      // The bytes of the response that has the socket are among those of the socket.
+      bytes +=
+        (response.socket === null ? response.writableLength : 0) + collectedBytesOf(response);
+    }
+    return bytes;
+  }
+
+  /** True if bytes that arrive now belong to no request that will be answered. */
+  get takesNoRequests(): boolean {
+    return this.rejection !== undefined || this.isClosing;
+  }
+
   /** True if no other request on the connection waits for its response. */
   isOnlyOpen(response: ServerResponse): boolean {
     return this.openResponses.size === 1 && this.openResponses.has(response);
@@ -135,6 +163,7 @@
       return;
     }
     this.isLingering = true;
+    this.reads?.detach();
     this.closeQueuedResponses();
     socket.end();
     socket.removeAllListeners('data');
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -97,6 +97,7 @@
    * socket. Requests that were read before it are answered first.
    */
   rejectTunnel(socket: Socket, rejection: string): void {
+    this.connections.get(socket)?.reads?.detach();
     // Without a listener, a reset by the caller would end the process.
     socket.on('error', () => {});
     socket.once('end', () => socket.destroy());
--- /dev/null
+++ b/packages/hickoryrelay/src/ConnectionReads.ts
@@ -0,0 +1,8 @@
+/** Reads the bytes of a connection on behalf of the HTTP server. */
+export abstract class ConnectionReads {
+  /** Reads and drops all further bytes, so that the end of the connection is noticed. */
+  abstract discard(): void;
+
+  /** Gives the socket up. Its next user reads it. */
+  abstract detach(): void;
+}
--- a/packages/hickoryrelay/src/ResponseFraming.ts
+++ b/packages/hickoryrelay/src/ResponseFraming.ts
@@ -75,6 +75,14 @@
   }
 }
 
+/** Bytes that are collected for responses. */
+const collectedBytes = new WeakMap<ServerResponse, number>();
+
+/** Bytes of a response that are collected until it is complete. */
+export function collectedBytesOf(response: ServerResponse): number {
+  return collectedBytes.get(response) ?? 0;
+}
+
 /**
  * Collects a response of unknown length, for a caller that takes no chunks, and sends it with its
  * length once it is complete. Resets the connection if the response exceeds the limit.
@@ -108,6 +116,7 @@
       return false;
     }
     this.chunks.push(chunk);
+    collectedBytes.set(this.response, this.collectedBytes);
     return true;
   }
 
@@ -116,6 +125,7 @@
       const { status, headers } = this.head;
       this.response.writeHead(status, withLength(headers, this.collectedBytes));
     }
+    collectedBytes.delete(this.response);
     this.response.end(Buffer.concat(this.chunks));
   }
 }
