Test the daemon beside callers that keep to no limit

The settings that the limits will derive from, limits.memoryMegabytes and limits.fileDescriptors, are accepted and have no effect yet.

--- a/packages/hickoryrelay-contract/src/Settings.ts
+++ b/packages/hickoryrelay-contract/src/Settings.ts
@@ -49,6 +49,10 @@
       /** Time without progress in reading the response after which the caller is disconnected. */
       callerStallSeconds: z.number().int().positive().default(60),
       connections: z.number().int().positive().default(10_000),
+      /** Memory of the machine. A share of it is held for callers. */
+      memoryMegabytes: z.number().positive().default(1024),
+      /** File descriptors of the process. A share of them is used for calls that run. */
+      fileDescriptors: z.number().int().positive().default(25_000),
     })
     .prefault({}),
   drain: z
--- a/packages/hickoryrelay-standin/src/DaemonProcess.ts
+++ b/packages/hickoryrelay-standin/src/DaemonProcess.ts
@@ -53,6 +53,7 @@
     zone: string,
     { keyValue, platform }: DaemonPlatform,
     settings: object = {},
+    runtimeArguments: readonly string[] = [],
   ): Promise<DaemonProcess> {
     const folder = await mkdtemp(path.join(tmpdir(), 'hickoryrelay-test-'));
     const file = path.join(folder, 'settings.yaml');
@@ -65,7 +66,7 @@
       ...settings,
     };
     await writeFile(file, stringify(content));
-    const child = spawn(process.execPath, [DAEMON, '--settings', file]);
+    const child = spawn(process.execPath, [...runtimeArguments, DAEMON, '--settings', file]);
     const [line] = (await once(createInterface({ input: child.stdout }), 'line')) as [string];
     const { callers } = JSON.parse(line) as { callers: string };
     const daemon = new DaemonProcess(child, callers);
