Limit the memory and descriptors held for callers of the daemon

The daemon uses the guard of hickoryrelay-caller. Its body reader raced each chunk against one timer, whose promise kept a reaction for every chunk; CallerRequest reads bodies by events instead, and the guard checks time limits of all bodies at once.

Excluded: that the reading in portions changes the order of responses.

--- a/packages/hickoryrelay-caller/src/CallerLimits.ts
+++ b/packages/hickoryrelay-caller/src/CallerLimits.ts
@@ -17,8 +17,8 @@
 const CONNECTION_DESCRIPTOR_SHARE = 0.4;
 const REQUEST_DESCRIPTOR_SHARE = 0.4;
 
-/** Bounds the objects of requests, which share the heap of 128 MB with the rest of the program. */
-const MAXIMUM_MEMORY_BYTES = 67_108_864;
+/** Share of the heap, which holds the objects of requests beside the rest of the program. */
+const HEAP_SHARE = 0.5;
 
 const DEFAULT_PIPELINED_REQUESTS = 16;
 const DEFAULT_BODY_TIMEOUT_MILLISECONDS = 60_000;
@@ -48,6 +48,8 @@
 export interface MachineResources {
   readonly memoryMegabytes: number;
   readonly fileDescriptors: number;
+  /** Limit of the heap of the process. */
+  readonly heapBytes: number;
 }
 
 /** Limits that settings state. The others follow from the machine. */
@@ -70,12 +72,14 @@
 
 /** The limits that settings state, with defaults that follow from the machine. */
 export function callerLimitsOf(
-  { memoryMegabytes, fileDescriptors }: MachineResources,
+  { memoryMegabytes, fileDescriptors, heapBytes }: MachineResources,
   stated: StatedCallerLimits = {},
 ): CallerLimits {
   const memoryBytes =
     stated.memoryBytes ??
-    Math.min(MAXIMUM_MEMORY_BYTES, Math.floor(memoryMegabytes * BYTES_PER_MEGABYTE * MEMORY_SHARE));
+    Math.floor(
+      Math.min(heapBytes * HEAP_SHARE, memoryMegabytes * BYTES_PER_MEGABYTE * MEMORY_SHARE),
+    );
   return {
     memoryBytes,
     reserveBytes: stated.reserveBytes ?? Math.floor(memoryBytes * RESERVE_SHARE),
--- a/packages/hickoryrelay-instance/src/CallMetrics.ts
+++ b/packages/hickoryrelay-instance/src/CallMetrics.ts
@@ -110,7 +110,7 @@
   }
 }
 
-/** Returns the current value of a gauge. */
+/** Returns the current value of a gauge or counter. */
 export type GaugeReader = () => number;
 
 /** The metrics of an instance: histograms and counters per client account and class, and gauges. */
@@ -119,6 +119,8 @@
 
   private readonly gauges = new Map<string, GaugeReader>();
 
+  private readonly counters = new Map<string, GaugeReader>();
+
   /** Finds or creates the series of a call. */
   seriesFor(call: Call): CallSeries {
     const account = call.accountName ?? OPEN_ACCOUNT;
@@ -130,6 +132,11 @@
     this.gauges.set(name, read);
   }
 
+  /** Registers a counter under the metric name `hickoryrelay_<name>`. */
+  registerCounter(name: string, read: GaugeReader): void {
+    this.counters.set(name, read);
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   render(): string {
     return [...this.lines(), ''].join('\n');
@@ -160,9 +167,14 @@
         yield* series.timeLines(time);
       }
     }
-    for (const [name, read] of this.gauges) {
-      yield `# TYPE hickoryrelay_${name} gauge`;
-      yield `hickoryrelay_${name} ${read()}`;
+    for (const [type, metrics] of [
+      ['gauge', this.gauges],
+      ['counter', this.counters],
+    ] as const) {
+      for (const [name, read] of metrics) {
+        yield `# TYPE hickoryrelay_${name} ${type}`;
+        yield `hickoryrelay_${name} ${read()}`;
+      }
     }
   }
 }
--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -1,15 +1,18 @@
 import { createServer } from 'node:http';
+import { getHeapStatistics } from 'node:v8';
 
 import ApiGateway from 'moleculer-web';
 import { CallerConnections } from 'hickoryrelay/CallerConnections';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 import { sendWhole } from 'hickoryrelay/ResponseFraming';
+import { CallerGuard } from 'hickoryrelay-caller/CallerGuard';
+import { callerLimitsOf } from 'hickoryrelay-caller/CallerLimits';
 
 import { authenticateCaller } from './CallerAuthentication.js';
 import { CallTimer } from './CallTimer.js';
 import { errorResponse } from './ErrorResponse.js';
-import { handleParserErrors } from './HttpParserErrors.js';
+import { handleParserErrors, rejection } from './HttpParserErrors.js';
 import { HttpResponseWriter } from './HttpResponseWriter.js';
 import { OpenAiFrontEnd } from './OpenAiFrontEnd.js';
 import { readKeyText } from './RequestReader.js';
@@ -18,6 +21,8 @@
 import type { FrontEnd } from './FrontEnd.js';
 import type { Instance } from './Instance.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
+import type { CallerLimits } from 'hickoryrelay-caller/CallerLimits';
+import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { ServiceSchema } from 'moleculer';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -25,10 +30,25 @@
 const MILLISECONDS_PER_SECOND = 1000;
 
 /** Receives the server of the API and its connections before it listens. */
-export type ServerObserver = (server: Server, connections: CallerConnections) => void;
+export type ServerObserver = (
+  server: Server,
+  connections: CallerConnections,
+  guard: CallerGuard,
+) => void;
 
 type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
+/** Limits on what is held for callers, derived from the settings. */
+function callerLimitsFor(limits: Settings['limits']): CallerLimits {
+  const { memoryMegabytes, fileDescriptors, connections, requestSeconds } = limits;
+  const heapBytes = getHeapStatistics().heap_size_limit;
+  const bodyTimeoutMilliseconds = requestSeconds * MILLISECONDS_PER_SECOND;
+  return callerLimitsOf(
+    { memoryMegabytes, fileDescriptors, heapBytes },
+    { connections, bodyTimeoutMilliseconds },
+  );
+}
+
 function sendJson(response: ServerResponse, status: number, body: object): void {
   sendWhole(response, status, { 'content-type': 'application/json' }, JSON.stringify(body));
 }
@@ -42,6 +62,8 @@
   /** Defined once the server has been created. */
   private connections: CallerConnections | undefined;
 
+  private guard: CallerGuard | undefined;
+
   constructor(instance: Instance, log: ComponentLogger) {
     this.instance = instance;
     this.log = log;
@@ -77,18 +99,20 @@
         ],
       },
       methods: {
-        createServer: this.serverFactory((server, connections) => {
+        createServer: this.serverFactory((server, connections, guard) => {
           this.connections = connections;
-          onServer(server, connections);
+          this.guard = guard;
+          onServer(server, connections, guard);
         }),
       },
     };
   }
 
   private aliases(): Record<string, RequestHandler> {
-    const { view, settings, clock } = this.instance;
-    const openAi = this.relayHandler(new OpenAiFrontEnd(view, settings.limits, clock));
-    const services = this.relayHandler(new ServiceFrontEnd(view, settings.limits, clock));
+    const { view, settings } = this.instance;
+    const guard = () => this.guard;
+    const openAi = this.relayHandler(new OpenAiFrontEnd(view, settings.limits, guard));
+    const services = this.relayHandler(new ServiceFrontEnd(view, settings.limits, guard));
     return {
       'POST /v1/chat/completions': openAi,
       'POST /v1/completions': openAi,
@@ -103,7 +127,7 @@
 
   /** Replaces the gateway's server factory, which supports neither header limits nor parser errors. */
   private serverFactory(onServer: ServerObserver) {
-    const { instance } = this;
+    const { instance, log } = this;
     const { limits } = instance.settings;
     const refuseWithoutHost = (request: IncomingMessage, response: ServerResponse) => {
       const reason = 'the header is missing';
@@ -131,13 +155,19 @@
         },
       );
       const connections = new CallerConnections(server);
-      server.prependListener('request', ({ socket }, response) =>
-        connections.beginRequest(socket, response),
-      );
-      server.maxConnections = limits.connections;
+      const guard = new CallerGuard(server, connections, {
+        limits: callerLimitsFor(limits),
+        clock: instance.clock,
+        log,
+        encodeRejection: (failure) => rejection(failure, instance.nextRequestIdentifier()),
+      });
+      server.prependListener('request', (request, response) => {
+        connections.beginRequest(request.socket, response);
+        guard.begin(request, response);
+      });
       handleParserErrors(server, connections, limits, () => instance.nextRequestIdentifier());
       this.server = server;
-      onServer(server, connections);
+      onServer(server, connections, guard);
     };
   }
 
--- a/packages/hickoryrelay-instance/src/HttpFrontEnd.ts
+++ b/packages/hickoryrelay-instance/src/HttpFrontEnd.ts
@@ -1,7 +1,10 @@
+import { invariant } from 'hickoryrelay/Invariant';
+import { largestBodyBytes } from 'hickoryrelay-caller/CallerLimits';
+
 import { FrontEnd } from './FrontEnd.js';
-import { readBody } from './RequestReader.js';
+
 import type { ConfigurationView } from './ConfigurationView.js';
-import type { Clock } from 'hickoryrelay/Clock';
+import type { CallerGuard } from 'hickoryrelay-caller/CallerGuard';
 import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { IncomingMessage } from 'node:http';
 
@@ -13,20 +16,30 @@
 
   private readonly limits: Settings['limits'];
 
-  private readonly clock: Clock;
+  /** Owns what is held for callers. Undefined until the server has been created. */
+  private readonly guard: () => CallerGuard | undefined;
 
-  constructor(view: ConfigurationView, limits: Settings['limits'], clock: Clock) {
+  constructor(
+    view: ConfigurationView,
+    limits: Settings['limits'],
+    guard: () => CallerGuard | undefined,
+  ) {
     super();
     this.view = view;
     this.limits = limits;
-    this.clock = clock;
+    this.guard = guard;
   }
 
-  /** Reads the whole body. Throws `request-too-large` or `request-timeout` if a limit is exceeded. */
+  /**
+   * Reads the whole body. Throws `request-too-large` or `request-timeout` if a limit is exceeded, and
+   * `overloaded` if too much is held for callers.
+   */
   protected readBody(request: IncomingMessage): Promise<Buffer> {
-    const { bodyBytes, requestSeconds } = this.limits;
-    const bodyTimeoutMilliseconds = requestSeconds * MILLISECONDS_PER_SECOND;
-    return readBody(request, { bodyBytes, bodyTimeoutMilliseconds }, this.clock);
+    const guard = this.guard();
+    const callerRequest = guard?.find(request);
+    invariant(guard !== undefined && callerRequest !== undefined, 'the request was not recorded');
+    const { bodyBytes } = this.limits;
+    return callerRequest.read(Math.min(bodyBytes, largestBodyBytes(guard.limits)));
   }
 
   /** Returns the time by which a call with this arrival time must be complete. */
--- a/packages/hickoryrelay-instance/src/HttpParserErrors.ts
+++ b/packages/hickoryrelay-instance/src/HttpParserErrors.ts
@@ -13,6 +13,7 @@
   400: 'Bad Request',
   408: 'Request Timeout',
   413: 'Content Too Large',
+  429: 'Too Many Requests',
 };
 
 function failureFor(code: string | undefined, limits: Settings['limits']): Failure {
@@ -33,8 +34,8 @@
   }
 }
 
-/** The bytes of a response to what is not a valid request. */
-function rejection(failure: Failure, requestIdentifier: string): string {
+/** The bytes of a response to what is not a valid request, or is refused before it has been read. */
+export function rejection(failure: Failure, requestIdentifier: string): string {
   const { status, headers, body } = errorResponse({ failure, requestIdentifier, notRun: true });
   const text = JSON.stringify(body);
   const lines = Object.entries({
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -5,6 +5,7 @@
 import { LogPrefix, createComponentLogger } from 'hickoryrelay/Logger';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { RetryBudget } from 'hickoryrelay/RetryBudget';
+import { callerCounters, callerGauges } from 'hickoryrelay-caller/CallerMetrics';
 import { RequestIdentifierGenerator } from 'hickoryrelay-link/RequestIdentifierGenerator';
 import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
@@ -40,6 +41,7 @@
 import type { CallerConnections } from 'hickoryrelay/CallerConnections';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { CallerGuard } from 'hickoryrelay-caller/CallerGuard';
 import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { CallBudget } from 'hickoryrelay-platform/CallBudget';
@@ -376,9 +378,10 @@
       createComponentLogger(this.parts.logger, LogPrefix.Caller),
     );
     broker.createService(
-      callerApi.serviceSchema((server, connections) => {
+      callerApi.serviceSchema((server, connections, guard) => {
         this.server = server;
         this.connections = connections;
+        this.registerCallerMetrics(guard);
       }),
     );
     await broker.start();
@@ -394,6 +397,11 @@
     this.metrics.registerGauge('process_resident_bytes', () => process.memoryUsage().rss);
   }
 
+  private registerCallerMetrics(guard: CallerGuard): void {
+    callerGauges(guard).forEach(([name, read]) => this.metrics.registerGauge(name, read));
+    callerCounters(guard).forEach(([name, read]) => this.metrics.registerCounter(name, read));
+  }
+
   private cancelCallsOfWithdrawnKeys(): void {
     const { declarations } = this.view;
     this.exchanges.cancelWhere(({ call: { keyIdentifier, accountName } }) => {
--- a/packages/hickoryrelay-instance/src/RequestReader.ts
+++ b/packages/hickoryrelay-instance/src/RequestReader.ts
@@ -1,7 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
-import type { Clock } from 'hickoryrelay/Clock';
 import type { IncomingMessage } from 'node:http';
 
 const CREDENTIAL_HEADERS: ReadonlySet<string> = new Set([
@@ -27,13 +26,6 @@
 /** More deeply nested bodies could overflow the stack when they are encoded again. */
 const MAXIMUM_NESTING_DEPTH = 64;
 
-/** Limits on the body of a request. */
-export interface RequestLimits {
-  readonly bodyBytes: number;
-  /** Time limit for receiving the whole body. */
-  readonly bodyTimeoutMilliseconds: number;
-}
-
 function invalidRequest(field: string, reason: string): RelayError {
   return new RelayError({ kind: FailureKind.InvalidRequest, field, reason });
 }
@@ -101,49 +93,6 @@
   return contentType;
 }
 
-/** Reads the whole body. Throws `request-too-large` or `request-timeout`. */
-export async function readBody(
-  request: IncomingMessage,
-  limits: RequestLimits,
-  clock: Clock,
-): Promise<Buffer> {
-  const { bodyBytes, bodyTimeoutMilliseconds } = limits;
-  const tooLarge = () =>
-    new RelayError({ kind: FailureKind.RequestTooLarge, part: 'body', limitBytes: bodyBytes });
-  if (Number(request.headers['content-length'] ?? 0) > bodyBytes) {
-    throw tooLarge();
-  }
-  const settled = new AbortController();
-  const timeout = clock.sleep(bodyTimeoutMilliseconds, settled.signal).then(() => {
-    throw new RelayError({
-      kind: FailureKind.RequestTimeout,
-      limitMilliseconds: bodyTimeoutMilliseconds,
-    });
-  });
-  // The sleep rejects when it is aborted after the race below, where nothing awaits it any more.
-  timeout.catch(() => {});
-  const chunks: Buffer[] = [];
-  let size = 0;
-  // The connection must stay open after an error, so that the caller receives the error response.
-  const iterator = request.iterator({ destroyOnReturn: false });
-  try {
-    for (;;) {
-      const next = await Promise.race([iterator.next(), timeout]);
-      if (next.done === true) {
-        return Buffer.concat(chunks, size);
-      }
-      const chunk = next.value as Buffer;
-      size += chunk.length;
-      if (size > bodyBytes) {
-        throw tooLarge();
-      }
-      chunks.push(chunk);
-    }
-  } finally {
-    settled.abort();
-  }
-}
-
 function assertNestingDepth(value: unknown, depth: number): void {
   if (typeof value !== 'object' || value === null) {
     return;
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -85,12 +85,12 @@
     return this.openResponses.size === 1 && this.openResponses.has(response);
   }
 
-  /** True if the connection closes after another response, so that this one is never sent. */
+  /** True if the connection closes after an earlier response, so that this one is never sent. */
   closesBefore(response: ServerResponse): boolean {
-    const isBeforeClose = [...this.openResponses].some(
-      (open) => open !== response && !open.shouldKeepAlive,
-    );
-    return this.isLingering || isBeforeClose;
+    // Several requests may have been read before the first of them is handled.
+    const open = [...this.openResponses];
+    const earlier = open.slice(0, Math.max(0, open.indexOf(response)));
+    return this.isLingering || earlier.some(({ shouldKeepAlive }) => !shouldKeepAlive);
   }
 
   /** True if the connection closes or will close after a response, so that later requests get none. */
