Test the decisions and the guard of what is held for callers

Two faults of the guard were found by these tests and are fixed with them: a caller that left while its pipelined requests waited was not noticed until the idle timeout, as the end of a socket is emitted only after its bytes are read; and when its connection closed, the slots of its requests went to further ones of the same connection. The project 'caller memory' takes only the test files under e2e.

--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -221,7 +221,8 @@
     connection.reads = reads;
     this.readsByAccount.set(account, reads);
     this.readsBySocket.set(socket, reads);
-    socket.once('close', () => {
+    // Before the responses close, whose slots would go to requests of the same connection.
+    socket.prependOnceListener('close', () => {
       this.readsByAccount.delete(account);
       this.slots.forget(account);
       account.close();
--- a/packages/hickoryrelay-caller/src/CallerReads.ts
+++ b/packages/hickoryrelay-caller/src/CallerReads.ts
@@ -26,6 +26,13 @@
 
 type DataListener = (bytes: Buffer) => void;
 
+/** True once the caller has closed its side, although the socket has not emitted its end yet. */
+function hasReceivedEnd(socket: Socket): boolean {
+  // No public property shows this while bytes wait to be read.
+  const { _readableState: state } = socket as unknown as { _readableState: { ended: boolean } };
+  return state.ended;
+}
+
 /** Parses the bytes of one connection in turn with others. */
 class CallerTurns extends TurnReader {
   private readonly reads: CallerReads;
@@ -181,6 +188,9 @@
       this.permission.recordBuffered(this);
       if (canContinue && this.bufferedBytes > 0) {
         eventLoopTurns.request(this.turns);
+      } else if (!this.isPaused && this.bufferedBytes > 0 && hasReceivedEnd(this.socket)) {
+        // The HTTP server takes the end for the leaving of the caller, and has to learn of it now.
+        this.discard();
       }
     }
     return bytes - this.granted;
--- /dev/null
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -0,0 +1,290 @@
+import { createServer } from 'node:http';
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, describe, expect, it } from 'vitest';
+import { CallerConnections } from 'hickoryrelay/CallerConnections';
+import { silentLogger } from 'hickoryrelay/Logger';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { failureOf } from 'hickoryrelay/RelayError';
+import { sendWhole } from 'hickoryrelay/ResponseFraming';
+import { CallerGuard } from 'hickoryrelay-caller/CallerGuard';
+import { CONNECTION_COST_BYTES } from 'hickoryrelay-caller/CallerLimits';
+import { RefusalReason } from 'hickoryrelay-caller/RefusalReason';
+
+import type { CallerLimits } from 'hickoryrelay-caller/CallerLimits';
+import type { ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+const LIMITS: CallerLimits = {
+  memoryBytes: 4_000_000,
+  reserveBytes: 1_000_000,
+  connectionBytes: 1_000_000,
+  connections: 20,
+  requests: 10,
+  pipelinedRequests: 4,
+  bodyTimeoutMilliseconds: 60_000,
+  bodyStallMilliseconds: 15_000,
+};
+
+const BODY_LIMIT_BYTES = 500_000;
+const CHECK_MILLISECONDS = 5;
+const WAIT_MILLISECONDS = 5000;
+
+const STATUSES: Readonly<Record<string, number>> = {
+  'request-too-large': 413,
+  'request-timeout': 408,
+  overloaded: 503,
+};
+
+const cleanUps: (() => unknown)[] = [];
+
+afterEach(() => {
+  cleanUps
+    .splice(0)
+    .reverse()
+    .forEach((cleanUp) => cleanUp());
+});
+
+async function waitFor(condition: () => boolean): Promise<void> {
+  for (let waited = 0; !condition() && waited < WAIT_MILLISECONDS; waited += CHECK_MILLISECONDS) {
+    await sleep(CHECK_MILLISECONDS);
+  }
+  expect(condition()).toBe(true);
+}
+
+/** Starts a server whose responses are the targets of the requests that have run. */
+async function startServer(changes: Partial<CallerLimits> = {}) {
+  const clock = new ManualClock();
+  const server = createServer();
+  const connections = new CallerConnections(server);
+  const guard = new CallerGuard(server, connections, {
+    limits: { ...LIMITS, ...changes },
+    clock,
+    log: silentLogger,
+    encodeRejection: () => 'HTTP/1.1 503 Refused\r\nContent-Length: 0\r\n\r\n',
+  });
+  const ran: string[] = [];
+  const bodies: number[] = [];
+  const held: ServerResponse[] = [];
+  const answer = (response: ServerResponse) =>
+    sendWhole(response, 200, {}, `answer to ${response.req.url}`);
+  server.on('request', (message, response) => {
+    if (connections.find(message.socket)?.isClosing === true) {
+      return;
+    }
+    connections.beginRequest(message.socket, response);
+    guard
+      .begin(message, response)
+      .read(BODY_LIMIT_BYTES)
+      .then((body) => {
+        ran.push(message.url ?? '');
+        bodies.push(body.length);
+        if (message.url?.startsWith('/hold') === true) {
+          held.push(response);
+        } else {
+          answer(response);
+        }
+      })
+      .catch((error: unknown) => {
+        const status = STATUSES[failureOf(error).kind];
+        if (status === undefined) {
+          response.destroy();
+        } else {
+          sendWhole(response, status, {}, 'refused');
+        }
+      });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  cleanUps.push(() => {
+    connections.close();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  return { clock, guard, ran, bodies, held, answer, port };
+}
+
+function openCaller(port: number, bytes: string) {
+  const socket: Socket = connect(port, '127.0.0.1');
+  const caller = { socket, text: '', isClosed: false };
+  socket.on('error', () => {});
+  socket.on('data', (chunk) => {
+    caller.text += chunk.toString('latin1');
+  });
+  socket.on('close', () => {
+    caller.isClosed = true;
+  });
+  socket.write(bytes);
+  cleanUps.push(() => socket.destroy());
+  return caller;
+}
+
+function head(target: string, headers = ''): string {
+  return `POST ${target} HTTP/1.1\r\nHost: h\r\n${headers}\r\n`;
+}
+
+function statusesOf(text: string): string[] {
+  return text.match(/HTTP\/1\.1 \d{3}/gu)?.map((line) => line.slice(9)) ?? [];
+}
+
+describe('CallerGuard', () => {
+  // Guards against a body over the limit that is read to its end, and a request behind it that runs.
+  it('refuses a body that is announced over the limit before it arrives, and what is behind it', async () => {
+    const { port, ran, guard } = await startServer();
+    const caller = openCaller(port, head('/large', 'Content-Length: 10000000000\r\n'));
+    await waitFor(() => caller.text.includes('refused'));
+    expect(statusesOf(caller.text)).toEqual(['413']);
+    caller.socket.write(`${'x'.repeat(1000)}${head('/behind', 'Content-Length: 0\r\n')}`);
+    caller.socket.end();
+    await waitFor(() => caller.isClosed);
+    expect(ran).toEqual([]);
+    expect(guard.refusalsFor(RefusalReason.BodySize)).toBe(1);
+  });
+
+  it('refuses an unannounced body as soon as it exceeds the limit', async () => {
+    const { port, ran } = await startServer();
+    const caller = openCaller(port, head('/large', 'Transfer-Encoding: chunked\r\n'));
+    const chunk = `10000\r\n${'x'.repeat(65_536)}\r\n`;
+    for (let index = 0; index * 65_536 <= BODY_LIMIT_BYTES; index += 1) {
+      caller.socket.write(chunk);
+    }
+    await waitFor(() => caller.text.includes('refused'));
+    expect(statusesOf(caller.text)).toEqual(['413']);
+    expect(ran).toEqual([]);
+  });
+
+  // Guards against a refusal that overtakes the responses before it.
+  it('refuses a body behind other requests in its turn', async () => {
+    const { port, held, answer } = await startServer();
+    const caller = openCaller(
+      port,
+      head('/hold', 'Content-Length: 0\r\n') + head('/large', 'Content-Length: 600000\r\n'),
+    );
+    await waitFor(() => held.length === 1);
+    await sleep(50);
+    expect(caller.text).toBe('');
+    answer(held[0] as ServerResponse);
+    await waitFor(() => caller.text.includes('refused'));
+    expect(statusesOf(caller.text)).toEqual(['200', '413']);
+  });
+
+  it.each([
+    ['nothing arrives', 20_000, 0, RefusalReason.BodyStall],
+    ['it arrives too slowly', 61_000, 13, RefusalReason.BodyTime],
+  ])('refuses a body with 408 if %s', async (_name, milliseconds, parts, reason) => {
+    const { port, clock, guard, ran } = await startServer();
+    const caller = openCaller(port, `${head('/slow', 'Content-Length: 400000\r\n')}begin`);
+    await waitFor(() => guard.openRequests === 1);
+    for (let part = 0; part < parts; part += 1) {
+      const { heldBytes } = guard;
+      caller.socket.write('x'.repeat(5000));
+      await waitFor(() => guard.heldBytes >= heldBytes + 5000);
+      clock.advance(milliseconds / parts);
+      guard.check();
+    }
+    if (parts === 0) {
+      clock.advance(milliseconds);
+      guard.check();
+    }
+    await waitFor(() => caller.text.includes('refused'));
+    expect(statusesOf(caller.text)).toEqual(['408']);
+    expect(guard.refusalsFor(reason)).toBe(1);
+    expect(ran).toEqual([]);
+  });
+
+  // Guards against pipelined requests without bound, and against some that are lost while they wait.
+  it('reads pipelined requests as earlier ones are answered, and answers all in order', async () => {
+    const { port, guard, ran, held, answer } = await startServer();
+    const count = 300;
+    const targets = Array.from({ length: count }, (_, index) => `/hold-${index}`);
+    const caller = openCaller(
+      port,
+      targets.map((target) => head(target, 'Content-Length: 0\r\n')).join(''),
+    );
+    for (let answered = 0; answered < count; answered += 1) {
+      await waitFor(() => held.length > answered);
+      expect(guard.runningRequests).toBeLessThanOrEqual(LIMITS.requests);
+      // Those of the last portion that was parsed are beyond the limit.
+      expect(guard.openRequests).toBeLessThan(80);
+      answer(held[answered] as ServerResponse);
+    }
+    await waitFor(() => statusesOf(caller.text).length === count);
+    expect(ran).toEqual(targets);
+    const answers = [...caller.text.matchAll(/answer to (\/hold-\d+)/gu)].map(([, name]) => name);
+    expect(answers).toEqual(targets);
+  });
+
+  // Guards against the end of a connection that is not noticed while its requests wait, so that they run for a
+  // caller that has left.
+  it('notices that a caller has left whose requests wait', async () => {
+    const { port, guard, ran } = await startServer();
+    const caller = openCaller(port, head('/hold', 'Content-Length: 0\r\n').repeat(100));
+    await waitFor(() => ran.length > 0 && guard.pausedConnections === 1);
+    const count = ran.length;
+    caller.socket.end();
+    await waitFor(() => caller.isClosed && guard.openConnections === 0);
+    expect(ran).toHaveLength(count);
+  });
+
+  // Guards against stalled bodies that keep the memory, so that other callers are never read.
+  it('evicts the bodies that have made no progress for the longest time, and then reads others', async () => {
+    const { port, clock, guard, ran } = await startServer();
+    const stalled = [];
+    for (let index = 0; index < 8; index += 1) {
+      const body = 'x'.repeat(450_000);
+      stalled.push(openCaller(port, head('/stalled', 'Content-Length: 460000\r\n') + body));
+      await sleep(20);
+    }
+    await waitFor(() => guard.pausedConnections > 0);
+    expect(guard.heldBytes).toBeLessThanOrEqual(LIMITS.memoryBytes);
+    for (let step = 0; step < 6; step += 1) {
+      clock.advance(1000);
+      guard.check();
+      await sleep(20);
+    }
+    expect(guard.refusalsFor(RefusalReason.Memory)).toBeGreaterThan(0);
+    const refused = stalled.filter(({ text }) => text !== '');
+    expect(refused.flatMap(({ text }) => statusesOf(text))).toEqual(
+      Array(refused.length).fill('503'),
+    );
+    const ordinary = openCaller(
+      port,
+      `${head('/ordinary', 'Content-Length: 100000\r\n')}${'x'.repeat(100_000)}`,
+    );
+    await waitFor(() => ordinary.text.includes('answer to /ordinary'));
+    expect(ran).toEqual(['/ordinary']);
+  });
+
+  // Guards against connections beyond the file descriptors, and idle ones that keep others out.
+  it('closes the connection that is idle for the longest time to open another one', async () => {
+    const { port, clock, guard, held } = await startServer({ connections: 3 });
+    const running = openCaller(port, head('/hold', 'Content-Length: 0\r\n'));
+    await waitFor(() => held.length === 1);
+    const idle: ReturnType<typeof openCaller>[] = [];
+    for (let index = 0; index < 4; index += 1) {
+      clock.advance(10);
+      idle.push(openCaller(port, ''));
+      await waitFor(() => guard.openConnections === Math.min(3, index + 2));
+      await sleep(20);
+    }
+    await waitFor(() => idle.filter(({ isClosed }) => isClosed).length === 2);
+    expect(idle.map(({ isClosed }) => isClosed)).toEqual([true, true, false, false]);
+    expect(running.isClosed).toBe(false);
+    expect(guard.refusalsFor(RefusalReason.Connections)).toBe(2);
+  });
+
+  // Guards against memory that is still counted after its connection has closed.
+  it('holds nothing after callers have left in the middle of their requests', async () => {
+    const { port, guard } = await startServer();
+    const callers = [
+      openCaller(port, `${head('/a', 'Content-Length: 400000\r\n')}${'x'.repeat(300_000)}`),
+      openCaller(port, head('/hold', 'Content-Length: 0\r\n').repeat(50)),
+      openCaller(port, 'POST /never'),
+    ];
+    await waitFor(() => guard.heldBytes > 300_000 + 3 * CONNECTION_COST_BYTES);
+    callers.forEach(({ socket }) => socket.destroy());
+    await waitFor(() => guard.openConnections === 0);
+    expect([guard.heldBytes, guard.openRequests, guard.runningRequests]).toEqual([0, 0, 0]);
+  });
+});
--- /dev/null
+++ b/packages/hickoryrelay-caller/src/__tests__/unit/CallerMemory.test.ts
@@ -0,0 +1,180 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { CallerPhase } from 'hickoryrelay-caller/CallerAccount';
+import { CONNECTION_COST_BYTES, ORDINARY_CONNECTION_BYTES } from 'hickoryrelay-caller/CallerLimits';
+import { CallerMemory, PauseReason } from 'hickoryrelay-caller/CallerMemory';
+
+import type { CallerAccount, RequestHolding } from 'hickoryrelay-caller/CallerAccount';
+import type { CallerLimits } from 'hickoryrelay-caller/CallerLimits';
+
+const LIMITS: CallerLimits = {
+  memoryBytes: 8_000_000,
+  reserveBytes: 2_000_000,
+  connectionBytes: 3_000_000,
+  connections: 20,
+  requests: 10,
+  pipelinedRequests: 4,
+  bodyTimeoutMilliseconds: 60_000,
+  bodyStallMilliseconds: 15_000,
+};
+
+const PORTION_BYTES = 65_536;
+
+/** One thing that happens to one of the connections. */
+const eventArbitrary = fc.record({
+  kind: fc.constantFrom('open', 'begin', 'read', 'end', 'drain', 'unsent', 'close', 'evict'),
+  index: fc.nat(),
+  bytes: fc.integer({ min: 1, max: PORTION_BYTES }),
+});
+
+interface OpenRequest {
+  readonly account: CallerAccount;
+  readonly holding: RequestHolding;
+}
+
+/** Plays events as the guard and the front ends do, which ask before they read. */
+class Play {
+  readonly memory = new CallerMemory(LIMITS);
+
+  readonly accounts: CallerAccount[] = [];
+
+  readonly requests: OpenRequest[] = [];
+
+  private now = 0;
+
+  run({ kind, index, bytes }: { kind: string; index: number; bytes: number }): void {
+    this.now += 100;
+    const account = this.accounts[index % Math.max(1, this.accounts.length)];
+    const request = this.requests[index % Math.max(1, this.requests.length)];
+    switch (kind) {
+      case 'open':
+        this.open();
+        break;
+      case 'begin':
+        if (account !== undefined && this.memory.pauseReasonFor(account, bytes) === undefined) {
+          this.requests.push({ account, holding: account.beginRequest(bytes) });
+        }
+        break;
+      case 'read':
+        if (
+          request !== undefined &&
+          this.memory.pauseReasonFor(request.account, bytes) === undefined
+        ) {
+          request.holding.resize(request.holding.heldBytes + bytes);
+        }
+        break;
+      case 'end':
+        request?.holding.release();
+        request?.holding.release();
+        break;
+      case 'drain':
+        account?.setUnsent(0);
+        break;
+      case 'unsent':
+        if (account !== undefined && this.memory.pauseReasonFor(account, bytes) === undefined) {
+          account.setUnsent(bytes);
+        }
+        break;
+      case 'close':
+        account?.close();
+        account?.close();
+        break;
+      default:
+        [...this.memory.victims(this.now, 0)].slice(0, 1).forEach((victim) => victim.close());
+    }
+  }
+
+  closeAll(): void {
+    this.accounts.forEach((account) => account.close());
+    this.requests.forEach(({ holding }) => holding.release());
+  }
+
+  private open(): void {
+    if (this.memory.hasAllConnections) {
+      const victim = this.memory.victimForConnection();
+      if (victim === undefined) {
+        return;
+      }
+      victim.close();
+    }
+    this.accounts.push(this.memory.open(this.now));
+  }
+}
+
+// Guards against an account of the memory that drifts from what is held, so that the process exceeds its
+// limits or refuses callers although nothing is held.
+describe('CallerMemory', () => {
+  it('stays under its limits for any order of events', () => {
+    fc.assert(
+      fc.property(fc.array(eventArbitrary, { maxLength: 300 }), (events) => {
+        const play = new Play();
+        for (const event of events) {
+          play.run(event);
+          const { usedBytes, connections } = play.memory;
+          // Connections themselves are limited by their number.
+          const limit = LIMITS.memoryBytes + LIMITS.connections * CONNECTION_COST_BYTES;
+          expect(usedBytes).toBeLessThanOrEqual(limit);
+          expect(usedBytes).toBeGreaterThanOrEqual(0);
+          expect(connections).toBeLessThanOrEqual(LIMITS.connections);
+        }
+      }),
+    );
+  });
+
+  it('holds nothing once all connections have closed', () => {
+    fc.assert(
+      fc.property(fc.array(eventArbitrary, { maxLength: 300 }), (events) => {
+        const play = new Play();
+        events.forEach((event) => play.run(event));
+        play.closeAll();
+        expect(play.memory).toMatchObject({ usedBytes: 0, openRequests: 0, connections: 0 });
+      }),
+    );
+  });
+
+  it('keeps the reserve for connections that hold little', () => {
+    const memory = new CallerMemory(LIMITS);
+    for (let index = 0; index < 2; index += 1) {
+      memory.open(0).beginRequest(2_950_000);
+    }
+    const large = memory.open(0);
+    large.beginRequest(ORDINARY_CONNECTION_BYTES);
+    const ordinary = memory.open(0);
+    expect(memory.pauseReasonFor(large, PORTION_BYTES)).toBe(PauseReason.Memory);
+    expect(memory.pauseReasonFor(ordinary, 100_000)).toBeUndefined();
+  });
+
+  it('stops reading a connection whose pipelined requests wait, but not a body that is due', () => {
+    const memory = new CallerMemory(LIMITS);
+    const account = memory.open(0);
+    for (let index = 0; index < LIMITS.pipelinedRequests; index += 1) {
+      account.beginRequest(1000);
+    }
+    expect(memory.pauseReasonFor(account, 100)).toBe(PauseReason.PipelinedRequests);
+    account.readingSinceMilliseconds = 0;
+    expect(memory.pauseReasonFor(account, 100)).toBeUndefined();
+  });
+
+  it('evicts those that have made no progress for the longest time first, and none that wait for endpoints', () => {
+    const memory = new CallerMemory(LIMITS);
+    const [first, second, third, handling] = [3000, 1000, 2000, 0].map((now) => memory.open(now));
+    [first, second, third].forEach((account) => account?.setUnsent(1000));
+    handling?.beginRequest(100_000);
+    expect(handling?.phase).toBe(CallerPhase.Handling);
+    expect([...memory.victims(3500, 0)]).toEqual([second, third]);
+    expect(memory.victimForConnection()).toBe(second);
+    expect(first?.phase).toBe(CallerPhase.Writing);
+  });
+
+  it('evicts a body that still makes progress once others have waited for long', () => {
+    const memory = new CallerMemory(LIMITS);
+    const [older, newer] = [memory.open(0), memory.open(0)];
+    for (const [index, account] of [older, newer].entries()) {
+      account.beginRequest(100_000);
+      account.readingSinceMilliseconds = index;
+      account.progressMilliseconds = 9900;
+    }
+    expect([...memory.victims(10_000, 2000)]).toEqual([]);
+    expect([...memory.victims(10_000, 3000)]).toEqual([older, newer]);
+  });
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,7 @@
 const ENDLESS_RESPONSE_TESTS = ['**/EndlessResponses.test.ts', '**/EndlessServer.test.ts'];
 
 /** Tests of processes beside callers that keep to no limit. */
-const CALLER_MEMORY_TESTS = ['**/CallerMemory.test.ts'];
+const CALLER_MEMORY_TESTS = ['**/e2e/CallerMemory.test.ts'];
 
 /** An instance has 250 MB. */
 const ENDLESS_RESPONSE_HEAP_MEGABYTES = 256;
