--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -157,6 +157,12 @@
     });
   }
 
+  /** Counts what a caller has not read. Called when a write finds the caller behind. */
+  recordBacklog(socket: Socket): void {
+    this.readsBySocket.get(socket)?.countUnsent();
+    this.recordBuffered();
+  }
+
   override mayRead(reads: CallerReads, bytes: number): boolean {
     const reason = this.memory.pauseReasonFor(reads.account, bytes);
     const entry = this.waiting.get(reads);
--- a/packages/hickoryrelay-caller/src/CallerReads.ts
+++ b/packages/hickoryrelay-caller/src/CallerReads.ts
@@ -201,10 +201,15 @@
     return this.bufferedBytes > 0 || this.request?.isReading === true;
   }
 
+  /** Updates what the caller has not read. */
+  countUnsent(): void {
+    this.account.setUnsent(this.connection.unsentBytes);
+  }
+
   /** Updates what the caller has not read, and when it last made progress. */
   observe(now: number): void {
     const { socket, account } = this;
-    account.setUnsent(this.connection.unsentBytes);
+    this.countUnsent();
     const bytes =
       socket.bytesRead - socket.readableLength + socket.bytesWritten - socket.writableLength;
     if (bytes - this.progressBytes >= PROGRESS_BYTES) {
--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -256,6 +256,41 @@
     expect(ran).toEqual(['/ordinary']);
   });
 
+  // Guards against responses that are not read and are not counted, or that keep the memory from other callers.
+  it('counts responses that are not read, and disconnects their callers to make room', async () => {
+    const { port, clock, guard, held, ran } = await startServer({ memoryBytes: 1_500_000 });
+    for (let index = 0; index < 5; index += 1) {
+      const caller = openCaller(port, head('/hold', 'Content-Length: 0\r\n'));
+      caller.socket.pause();
+      await waitFor(() => held.length === index + 1);
+    }
+    for (const response of held) {
+      const { socket } = response.req;
+      // The buffers of the operating system take the first megabytes.
+      while (socket.writableLength < 200_000) {
+        response.write('x'.repeat(65_536));
+        guard.recordBacklog(socket);
+        await sleep(1);
+      }
+    }
+    expect(guard.heldBytes).toBeGreaterThan(1_000_000);
+    expect(guard.heldBytes).toBeLessThan(1_650_000);
+    const count = ran.length;
+    const waiting = openCaller(
+      port,
+      `${head('/large', 'Content-Length: 400000\r\n')}${'x'.repeat(400_000)}`,
+    );
+    await waitFor(() => guard.pausedConnections === 1);
+    for (let step = 0; step < 3; step += 1) {
+      clock.advance(1000);
+      guard.check();
+      await sleep(20);
+    }
+    await waitFor(() => waiting.text.includes('answer to /large'));
+    expect(ran).toHaveLength(count + 1);
+    expect(guard.refusalsFor(RefusalReason.Memory)).toBeGreaterThan(0);
+  });
+
   // Guards against connections beyond the file descriptors, and idle ones that keep others out.
   it('closes the connection that is idle for the longest time to open another one', async () => {
     const { port, clock, guard, held } = await startServer({ connections: 3 });
--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -214,6 +214,7 @@
         requestIdentifier,
         timer,
         clock,
+        onBacklog: () => this.guard?.recordBacklog(response.req.socket),
         stallTimeoutMilliseconds: settings.limits.callerStallSeconds * MILLISECONDS_PER_SECOND,
         onHead: () => {
           if (!this.instance.isReady) {
--- a/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
@@ -2,7 +2,7 @@
 
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
-import { framingFor, sendWhole } from 'hickoryrelay/ResponseFraming';
+import { collectedBytesOf, framingFor, sendWhole } from 'hickoryrelay/ResponseFraming';
 
 import { errorResponse } from './ErrorResponse.js';
 import { ResponseWriter } from './ResponseWriter.js';
@@ -25,6 +25,8 @@
   readonly stallTimeoutMilliseconds: number;
   /** Called before the head of the response is written. */
   readonly onHead?: () => void;
+  /** Called when a part of the response waits for the caller to read, or for the end. */
+  readonly onBacklog?: () => void;
 }
 
 /** Writes the response of a call to an HTTP/1.1 caller. */
@@ -63,7 +65,11 @@
   override async write(chunk: Buffer, signal: AbortSignal): Promise<void> {
     this.assertOpen();
     this.parts.timer.recordChunk();
-    if (!this.framing.write(chunk)) {
+    const canContinue = this.framing.write(chunk);
+    if (!canContinue || collectedBytesOf(this.response) > 0) {
+      this.parts.onBacklog?.();
+    }
+    if (!canContinue) {
       await this.waitForDrain(signal);
     }
   }
