--- a/packages/hickoryrelay-supply/src/EngineDemand.ts
+++ b/packages/hickoryrelay-supply/src/EngineDemand.ts
@@ -26,11 +26,14 @@
 /** About half the start of an engine: shorter peaks end before an ordered engine could serve them. */
 const SMOOTHING_MILLISECONDS = 2000;
 
-/** Several periods of a mix that shifts back and forth within a few seconds. */
-const PEAK_WINDOW_MILLISECONDS = 20_000;
+/**
+ * The mix of prompts and output swings within minutes, and engines that were handed back start again with
+ * empty caches. With 20 s, engines were ordered and handed back by turns, and callers were served less.
+ */
+const PEAK_WINDOW_MILLISECONDS = 300_000;
 
 /** Time with work after which the observed peak is taken for the demand. */
-const OBSERVATION_MILLISECONDS = 12_000;
+const OBSERVATION_MILLISECONDS = 120_000;
 
 /**
  * Fraction of the time in which a prefill engine may be busy. At a higher one, a long prompt often
