Weight the affinity of segments by speed and tolerate unreported queues

In trials without a network, unreported queues at equal engines counted as temporary slowdowns and as differences of speed, and slow engines held as many shared segments as fast ones. Slowdowns now need a factor of 1.5 and speeds 15%, and rendezvous hashing has the speeds as weights.

The test of slowdowns states the effect of one and of three slow observations.

--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -59,6 +59,9 @@
 /** Random cost that keeps instances with the same view from choosing the same engine. */
 const JITTER_MILLISECONDS = 4;
 
+/** Number of different hashes. */
+const HASH_RANGE = 2 ** 32;
+
 /** Weight of an engine's recent delay beyond the expected. */
 const EXCESS_DELAY_WEIGHT = 0.7;
 
@@ -272,7 +275,10 @@
         );
   }
 
-  /** Returns the engine that all instances prefer for the shared segment, by rendezvous hashing. */
+  /**
+   * Returns the engine that all instances prefer for the shared segment, by rendezvous hashing with the
+   * speeds as weights.
+   */
   private findPreferredEngine(
     engines: readonly EndpointState[],
     { shared }: PromptSummary,
@@ -281,9 +287,11 @@
       return undefined;
     }
     let preferred: EndpointState | undefined;
-    let highest = -1;
+    let highest = Number.NEGATIVE_INFINITY;
     for (const engine of engines) {
-      const weight = hashString(`${shared.hash}|${engine.record.identifier}`);
+      const hash = hashString(`${shared.hash}|${engine.record.identifier}`);
+      // The logarithm gives each engine a part of the segments in proportion to its speed.
+      const weight = Math.log((hash + 1) / HASH_RANGE) / engine.speed.relative;
       if (weight > highest) {
         highest = weight;
         preferred = engine;
--- a/packages/hickoryrelay-workload/src/EndpointSpeed.ts
+++ b/packages/hickoryrelay-workload/src/EndpointSpeed.ts
@@ -28,8 +28,8 @@
  * Deviations from the median up to the first limit are normal variation, and count as none; from the
  * second they count in full. In octaves.
  */
-const IGNORED_OCTAVES = 0.1;
-const FULL_OCTAVES = 0.3;
+const IGNORED_OCTAVES = 0.2;
+const FULL_OCTAVES = 0.35;
 
 /** Speeds are at most this factor from the median, in octaves. */
 const MAXIMUM_OCTAVES = 3;
--- a/packages/hickoryrelay-workload/src/RateEstimate.ts
+++ b/packages/hickoryrelay-workload/src/RateEstimate.ts
@@ -4,14 +4,17 @@
 /** Time constant of a temporary slowdown: engines were seen slower for 600 ms at a time. */
 const SLOWDOWN_MILLISECONDS = 500;
 
-/** Weight of a new observation in the temporary slowdown. */
-const SLOWDOWN_WEIGHT = 0.6;
+/** Weight of a new observation in the temporary slowdown. One may be due to an unreported queue. */
+const SLOWDOWN_WEIGHT = 0.35;
 
 /** Largest temporary slowdown, in octaves. */
-const MAXIMUM_SLOWDOWN_OCTAVES = 2;
+const MAXIMUM_SLOWDOWN_OCTAVES = 1.3;
 
-/** Deviations in the range of normal variation are not a slowdown, in octaves. */
-const TOLERATED_OCTAVES = 0.3;
+/**
+ * Deviations in the range of normal variation are not a slowdown, in octaves. With 0.3, unreported
+ * queues at equal engines counted as slowdowns.
+ */
+const TOLERATED_OCTAVES = 0.6;
 
 /** The median of this many first observations is the initial rate, so that a slow one has no effect. */
 const INITIAL_OBSERVATIONS = 5;
--- a/packages/hickoryrelay-workload/src/__tests__/unit/RateEstimate.test.ts
+++ b/packages/hickoryrelay-workload/src/__tests__/unit/RateEstimate.test.ts
@@ -41,6 +41,9 @@
   it('shows a temporary slowdown that is over within two seconds', () => {
     const estimate = makeLearned(5, 0);
     estimate.addSlowdown(5 - Math.log2(2.5), 10 * SECOND);
+    expect(estimate.slowdown(10 * SECOND)).toBeGreaterThan(0.2);
+    estimate.addSlowdown(5 - Math.log2(2.5), 10 * SECOND);
+    estimate.addSlowdown(5 - Math.log2(2.5), 10 * SECOND);
     expect(estimate.slowdown(10 * SECOND)).toBeGreaterThan(0.5);
     expect(estimate.slowdown(12 * SECOND)).toBeLessThan(0.02);
     expect(estimate.logRate).toBe(5);
