--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -51,6 +51,7 @@
  */
 const AFFINITY_SPREAD_MILLISECONDS = 40;
 
+/** Number of different hashes. */
 const HASH_RANGE = 2 ** 32;
 
 /**
@@ -69,9 +70,6 @@
 /** Random cost that keeps instances with the same view from choosing the same engine. */
 const JITTER_MILLISECONDS = 4;
 
-/** Number of different hashes. */
-const HASH_RANGE = 2 ** 32;
-
 /** Weight of an engine's recent delay beyond the expected. */
 const EXCESS_DELAY_WEIGHT = 0.7;
 
