Move the admission queue into a package of its own

The queue, fair shares, slack order, reservations and drain rates no longer depend on the daemon's call: a program describes its calls by CallCosts. Calls are ordered by priority before slack; the daemon has one priority, so its order is unchanged.

--- a/packages/hickoryrelay-instance/src/AdmissionPolicy.ts
+++ b/packages/hickoryrelay-admission/src/AdmissionPolicy.ts
@@ -1,8 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
-import type { Call } from 'hickoryrelay-link/Call';
-
 /** Permits an admitted call to run until it is released. */
 export interface AdmissionTicket {
   /** Records the arrival of the first chunk of the response. */
@@ -17,14 +15,14 @@
  * Decides when a call may run. An override resolves when the call may start, and rejects with
  * `overloaded` if the call is not admitted. A rejected call has not been sent to an endpoint.
  */
-export abstract class AdmissionPolicy {
-  abstract admit(call: Call, signal: AbortSignal): Promise<AdmissionTicket>;
+export abstract class AdmissionPolicy<TCall> {
+  abstract admit(call: TCall, signal: AbortSignal): Promise<AdmissionTicket>;
 }
 
 const RETRY_AFTER_SECONDS = 1;
 
 /** Admits calls immediately, up to a concurrency limit. */
-export class ConcurrencyLimitAdmission extends AdmissionPolicy {
+export class ConcurrencyLimitAdmission extends AdmissionPolicy<unknown> {
   private readonly limit: number;
 
   private running = 0;
--- a/packages/hickoryrelay-instance/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-admission/src/AdmissionQueue.ts
@@ -1,28 +1,26 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
-import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
 import { AdmissionPolicy } from './AdmissionPolicy.js';
-import { accountOf } from './CallCostModel.js';
 import { CapacityReservation } from './CapacityReservation.js';
-import { MovingAverages } from './DecodeLengthEstimator.js';
 import { DestinationQueue } from './DestinationQueue.js';
 import { DrainRate } from './DrainRate.js';
 import { FairShare } from './FairShare.js';
+import { compareUrgency } from './LeastSlackQueue.js';
+import { MovingAverages } from './MovingAverages.js';
 
 import type { AdmissionTicket } from './AdmissionPolicy.js';
 import type { CallCapacity, CallSlots } from './CallCapacity.js';
-import type { CallCostModel } from './CallCostModel.js';
+import type { CallCosts } from './CallCosts.js';
 import type { QueuedCall } from './DestinationQueue.js';
 import type { RemoteUsage } from './RemoteUsage.js';
 import type { Clock } from 'hickoryrelay/Clock';
-import type { Call } from 'hickoryrelay-link/Call';
 
 /** Dependencies and limits of an admission queue. */
-export interface AdmissionQueueParts {
+export interface AdmissionQueueParts<TCall> {
   readonly clock: Clock;
-  readonly costs: CallCostModel;
-  readonly capacity: CallCapacity;
+  readonly costs: CallCosts<TCall>;
+  readonly capacity: CallCapacity<TCall>;
   readonly remoteUsage: RemoteUsage;
   /** Lateness target of a class of work: time from arrival to the first byte, in milliseconds. */
   readonly latenessMilliseconds: (className: string) => number;
@@ -51,15 +49,18 @@
  */
 const MINIMUM_QUEUEING_FRACTION = 0.5;
 
-/** A destination (model or route) with free slots. */
-interface AvailableDestination {
-  readonly name: string;
-  readonly queue: DestinationQueue;
-  readonly slots: CallSlots;
+/** A queued call, and the caller that waits for the outcome. */
+interface PendingCall<TCall> extends QueuedCall {
+  readonly call: TCall;
+  readonly resolve: (ticket: AdmissionTicket) => void;
+  readonly reject: (error: Error) => void;
 }
 
-function destinationOf(call: Call): string {
-  return call.kind === WorkKind.Model ? `model ${call.model}` : `route ${call.route}`;
+/** A destination with free slots. */
+interface AvailableDestination<TCall> {
+  readonly name: string;
+  readonly queue: DestinationQueue<PendingCall<TCall>>;
+  readonly slots: CallSlots;
 }
 
 /**
@@ -67,14 +68,14 @@
  * the least slack is admitted first; accounts above their share get the remaining capacity. Calls
  * that can no longer meet their lateness target are rejected.
  */
-export class AdmissionQueue extends AdmissionPolicy {
-  private readonly parts: AdmissionQueueParts;
+export class AdmissionQueue<TCall> extends AdmissionPolicy<TCall> {
+  private readonly parts: AdmissionQueueParts<TCall>;
 
   private readonly share: FairShare;
 
   private readonly reservation = new CapacityReservation();
 
-  private readonly queuesByDestination = new Map<string, DestinationQueue>();
+  private readonly queuesByDestination = new Map<string, DestinationQueue<PendingCall<TCall>>>();
 
   private readonly drainRates = new Map<string, DrainRate>();
 
@@ -86,7 +87,7 @@
 
   private cancelPoll: (() => void) | undefined;
 
-  constructor(parts: AdmissionQueueParts) {
+  constructor(parts: AdmissionQueueParts<TCall>) {
     super();
     this.parts = parts;
     this.share = parts.share ?? new FairShare();
@@ -102,7 +103,7 @@
     return this.admittedCount;
   }
 
-  override admit(call: Call, signal: AbortSignal): Promise<AdmissionTicket> {
+  override admit(call: TCall, signal: AbortSignal): Promise<AdmissionTicket> {
     return new Promise((resolve, reject) => {
       const createCancellation = () =>
         new RelayError({ kind: FailureKind.Cancelled, reason: 'the caller disconnected' });
@@ -144,19 +145,22 @@
     });
   }
 
-  private createEntry(call: Call, outcome: Pick<QueuedCall, 'reject' | 'resolve'>): QueuedCall {
+  private createEntry(
+    call: TCall,
+    outcome: Pick<PendingCall<TCall>, 'reject' | 'resolve'>,
+  ): PendingCall<TCall> {
+    const waiting = this.parts.costs.describe(call);
     const cost = this.parts.costs.estimate(call);
-    const target = this.parts.latenessMilliseconds(call.className);
+    const target = this.parts.latenessMilliseconds(waiting.className);
     const firstTokenMilliseconds = Math.min(
-      (this.firstTokenTimes.get(call.className) ?? cost.prefill) * FIRST_TOKEN_SAFETY_FACTOR,
+      (this.firstTokenTimes.get(waiting.className) ?? cost.prefill) * FIRST_TOKEN_SAFETY_FACTOR,
       target * (1 - MINIMUM_QUEUEING_FRACTION),
     );
     return {
+      ...waiting,
       call,
-      account: accountOf(call),
-      destination: destinationOf(call),
       cost,
-      latestStartMilliseconds: call.arrivalMilliseconds + target - firstTokenMilliseconds,
+      latestStartMilliseconds: waiting.arrivalMilliseconds + target - firstTokenMilliseconds,
       ...outcome,
     };
   }
@@ -165,7 +169,7 @@
    * Makes space in the queue, if necessary by evicting other calls. Returns the rejection if the
    * call would miss its lateness target or no space can be made.
    */
-  private makeQueueSpace(entry: QueuedCall): RelayError | undefined {
+  private makeQueueSpace(entry: PendingCall<TCall>): RelayError | undefined {
     const queue = this.queuesByDestination.get(entry.destination);
     const canStartNow = queue === undefined && this.hasFreeSlot(entry);
     const latenessMilliseconds = canStartNow ? 0 : this.expectedLateness(entry, 0);
@@ -187,7 +191,7 @@
   }
 
   /** How far the start would miss the latest start, if calls of `freedCost` left the queue. */
-  private expectedLateness(entry: QueuedCall, freedCost: number): number {
+  private expectedLateness(entry: PendingCall<TCall>, freedCost: number): number {
     const now = this.parts.clock.monotonicMilliseconds();
     const wait = this.expectedWait(entry, freedCost);
     return now + wait - entry.latestStartMilliseconds;
@@ -197,7 +201,7 @@
    * The shorter of two waits: for the account's own calls at its share of the drain rate, or for
    * all calls to the destination at the full drain rate.
    */
-  private expectedWait(entry: QueuedCall, freedCost: number): number {
+  private expectedWait(entry: PendingCall<TCall>, freedCost: number): number {
     const queue = this.queuesByDestination.get(entry.destination);
     const rate = this.drainRates.get(entry.destination)?.costPerMillisecond;
     if (queue === undefined || rate === undefined) {
@@ -213,11 +217,11 @@
    * Evicts the most expensive queued call of the same account and class if several calls of the new
    * call's size fit in its place. One rejection then avoids several, which lowers the class's loss.
    */
-  private evictCostlierCall(entry: QueuedCall): boolean {
+  private evictCostlierCall(entry: PendingCall<TCall>): boolean {
     const accountQueue = this.queuesByDestination
       .get(entry.destination)
       ?.accountQueue(entry.account);
-    const victim = accountQueue?.mostExpensive(entry.call.className);
+    const victim = accountQueue?.mostExpensive(entry.className);
     if (
       victim === undefined ||
       victim.cost.total < entry.cost.total * MINIMUM_EVICTION_COST_RATIO ||
@@ -230,7 +234,7 @@
   }
 
   /** Evicts the call with the most slack from the account with the highest queued cost. */
-  private evictFromLargestAccount(entry: QueuedCall): RelayError | undefined {
+  private evictFromLargestAccount(entry: PendingCall<TCall>): RelayError | undefined {
     let largest = this.queuesByDestination.get(entry.destination)?.accountQueue(entry.account);
     const ownCost = (largest?.queuedCost ?? 0) + entry.cost.total;
     for (const queue of this.queuesByDestination.values()) {
@@ -251,10 +255,10 @@
     return undefined;
   }
 
-  private insert(entry: QueuedCall): void {
+  private insert(entry: PendingCall<TCall>): void {
     let queue = this.queuesByDestination.get(entry.destination);
     if (queue === undefined) {
-      queue = new DestinationQueue();
+      queue = new DestinationQueue<PendingCall<TCall>>();
       this.queuesByDestination.set(entry.destination, queue);
     }
     queue.insert(entry, this.share.beginWaiting(entry.account));
@@ -262,7 +266,7 @@
     this.observeDrainRate(entry.destination);
   }
 
-  private recordDeparture(entry: QueuedCall): void {
+  private recordDeparture(entry: PendingCall<TCall>): void {
     this.reservation.recordDeparture(
       entry.account,
       entry.destination,
@@ -271,7 +275,7 @@
   }
 
   /** Removes a call that will not be admitted. */
-  private remove(entry: QueuedCall): boolean {
+  private remove(entry: PendingCall<TCall>): boolean {
     const wasQueued = this.dequeue(entry);
     if (wasQueued) {
       this.recordDeparture(entry);
@@ -279,7 +283,7 @@
     return wasQueued;
   }
 
-  private dequeue(entry: QueuedCall): boolean {
+  private dequeue(entry: PendingCall<TCall>): boolean {
     const queue = this.queuesByDestination.get(entry.destination);
     if (queue?.remove(entry) !== true) {
       return false;
@@ -325,10 +329,10 @@
     }
   }
 
-  private nextCall(): QueuedCall | undefined {
+  private nextCall(): PendingCall<TCall> | undefined {
     this.rejectLateCalls();
     this.reservation.refresh(this.parts.clock.monotonicMilliseconds());
-    const available: AvailableDestination[] = [];
+    const available: AvailableDestination<TCall>[] = [];
     for (const [name, queue] of this.queuesByDestination) {
       const { first } = queue.calls;
       const slots = first === undefined ? undefined : this.slotsFor(first);
@@ -337,12 +341,11 @@
       }
     }
     this.advanceVirtualTime(available);
-    let best: QueuedCall | undefined;
+    let best: PendingCall<TCall> | undefined;
     for (const destination of available) {
       const first = this.firstEligibleCall(destination);
       const startsEarlier =
-        first !== undefined &&
-        (best === undefined || first.latestStartMilliseconds < best.latestStartMilliseconds);
+        first !== undefined && (best === undefined || compareUrgency(first, best) < 0);
       if (startsEarlier) {
         best = first;
       }
@@ -351,7 +354,7 @@
   }
 
   /** Accounts whose calls must leave the free slots to others do not hold the virtual time back. */
-  private advanceVirtualTime(available: readonly AvailableDestination[]): void {
+  private advanceVirtualTime(available: readonly AvailableDestination<TCall>[]): void {
     let lowest = Number.POSITIVE_INFINITY;
     for (const destination of available) {
       for (const accountQueue of destination.queue.lines) {
@@ -373,7 +376,9 @@
     }
   }
 
-  private firstEligibleCall(destination: AvailableDestination): QueuedCall | undefined {
+  private firstEligibleCall(
+    destination: AvailableDestination<TCall>,
+  ): PendingCall<TCall> | undefined {
     for (const entry of destination.queue.calls) {
       const accountQueue = destination.queue.accountQueue(entry.account);
       // Of the accounts that may use the free slots, the one with the lowest clock is always within
@@ -409,7 +414,7 @@
     }
   }
 
-  private start(entry: QueuedCall): void {
+  private start(entry: PendingCall<TCall>): void {
     this.observeDrainRate(entry.destination).recordDrained(entry.cost.total);
     this.dequeue(entry);
     this.charge(entry.account, entry.cost.total);
@@ -417,8 +422,8 @@
     entry.resolve(this.createTicket(entry));
   }
 
-  private createTicket(entry: QueuedCall): AdmissionTicket {
-    const { call, cost } = entry;
+  private createTicket(entry: PendingCall<TCall>): AdmissionTicket {
+    const { call, className, cost } = entry;
     const startMilliseconds = this.parts.clock.monotonicMilliseconds();
     let isHeld = true;
     let isAwaitingFirstChunk = true;
@@ -427,7 +432,7 @@
         if (isAwaitingFirstChunk) {
           isAwaitingFirstChunk = false;
           const elapsedMilliseconds = this.parts.clock.monotonicMilliseconds() - startMilliseconds;
-          this.firstTokenTimes.record(call.className, elapsedMilliseconds);
+          this.firstTokenTimes.record(className, elapsedMilliseconds);
         }
       },
       settle: (decodeTokens) => {
@@ -439,20 +444,16 @@
           isHeld = false;
           this.admittedCount -= 1;
           this.recordDeparture(entry);
-          this.recordServiceTime(call, startMilliseconds);
+          this.parts.costs.recordRunTime(
+            call,
+            this.parts.clock.monotonicMilliseconds() - startMilliseconds,
+          );
           this.admitQueuedCalls();
         }
       },
     };
   }
 
-  private recordServiceTime(call: Call, startMilliseconds: number): void {
-    if (call.kind === WorkKind.Service) {
-      const elapsedMilliseconds = this.parts.clock.monotonicMilliseconds() - startMilliseconds;
-      this.parts.costs.recordServiceTime(call.route, elapsedMilliseconds);
-    }
-  }
-
   private charge(account: string, cost: number): void {
     this.share.charge(account, cost);
     this.reservation.recordCost(account, cost, this.parts.clock.monotonicMilliseconds());
@@ -466,16 +467,16 @@
     }
   }
 
-  private hasFreeSlot(entry: QueuedCall): boolean {
+  private hasFreeSlot(entry: PendingCall<TCall>): boolean {
     return this.slotsFor(entry).free > 0;
   }
 
-  private slotsFor(entry: QueuedCall): CallSlots {
+  private slotsFor(entry: PendingCall<TCall>): CallSlots {
     return this.parts.capacity.slotsFor(entry.call, this.admittedCount);
   }
 
   /** True if a slot is free and not reserved for other accounts. */
-  private canStart(entry: QueuedCall): boolean {
+  private canStart(entry: PendingCall<TCall>): boolean {
     const slots = this.slotsFor(entry);
     if (slots.free <= 0) {
       return false;
@@ -484,7 +485,7 @@
     return !this.reservation.isReservedForOthers(entry.account, entry.destination, slots);
   }
 
-  private reject(entry: QueuedCall, reason: string): void {
+  private reject(entry: PendingCall<TCall>, reason: string): void {
     const wait = this.expectedWait(entry, 0);
     if (this.remove(entry)) {
       entry.reject(AdmissionQueue.createRejection(reason, wait));
--- a/packages/hickoryrelay-instance/src/CallCapacity.ts
+++ b/packages/hickoryrelay-admission/src/CallCapacity.ts
@@ -1,5 +1,3 @@
-import type { Call } from 'hickoryrelay-link/Call';
-
 /** Slots that are free now, and the total number of slots. A slot runs one call at a time. */
 export interface CallSlots {
   readonly free: number;
@@ -11,12 +9,12 @@
  * admitted calls that have not ended; an override uses it to count calls that have not reached an
  * endpoint yet.
  */
-export abstract class CallCapacity {
-  abstract slotsFor(call: Call, admitted: number): CallSlots;
+export abstract class CallCapacity<TCall> {
+  abstract slotsFor(call: TCall, admitted: number): CallSlots;
 }
 
 /** A fixed number of slots, for tests and benchmarks. */
-export class FixedCapacity extends CallCapacity {
+export class FixedCapacity extends CallCapacity<unknown> {
   private readonly limit: number;
 
   constructor(limit: number) {
@@ -24,7 +22,7 @@
     this.limit = limit;
   }
 
-  override slotsFor(call: Call, admitted: number): CallSlots {
+  override slotsFor(_call: unknown, admitted: number): CallSlots {
     return { free: this.limit - admitted, total: this.limit };
   }
 }
--- a/packages/hickoryrelay-instance/src/DestinationQueue.ts
+++ b/packages/hickoryrelay-admission/src/DestinationQueue.ts
@@ -1,29 +1,23 @@
 import { LeastSlackQueue } from './LeastSlackQueue.js';
-import type { AdmissionTicket } from './AdmissionPolicy.js';
-import type { CallCost } from './CallCostModel.js';
+
+import type { CallCost } from './CallCosts.js';
 import type { VirtualClock } from './FairShare.js';
-import type { Call } from 'hickoryrelay-link/Call';
+import type { WaitingCall } from './WaitingCall.js';
 
 /** A call queued for admission. */
-export interface QueuedCall {
-  readonly call: Call;
-  readonly account: string;
-  /** Model or route. Calls with the same destination run on the same endpoints. */
-  readonly destination: string;
+export interface QueuedCall extends WaitingCall {
   readonly cost: CallCost;
   /** Latest time at which the call may start and still meet its lateness target. */
   readonly latestStartMilliseconds: number;
-  readonly resolve: (ticket: AdmissionTicket) => void;
-  readonly reject: (error: Error) => void;
 }
 
 /** Queued calls of one account to one destination, least slack first. */
-export class AccountQueue {
+export class AccountQueue<TEntry extends QueuedCall> {
   readonly account: string;
 
   readonly virtualClock: VirtualClock;
 
-  private readonly calls = new LeastSlackQueue();
+  private readonly calls = new LeastSlackQueue<TEntry>();
 
   private cost = 0;
 
@@ -40,20 +34,20 @@
     return this.cost;
   }
 
-  get first(): QueuedCall | undefined {
+  get first(): TEntry | undefined {
     return this.calls.first;
   }
 
-  get last(): QueuedCall | undefined {
+  get last(): TEntry | undefined {
     return this.calls.last;
   }
 
-  insert(entry: QueuedCall): void {
+  insert(entry: TEntry): void {
     this.calls.insert(entry);
     this.cost += entry.cost.total;
   }
 
-  remove(entry: QueuedCall): boolean {
+  remove(entry: TEntry): boolean {
     if (!this.calls.remove(entry)) {
       return false;
     }
@@ -62,11 +56,11 @@
   }
 
   /** Returns the most expensive call of a class, if any. */
-  mostExpensive(className: string): QueuedCall | undefined {
-    let mostExpensive: QueuedCall | undefined;
+  mostExpensive(className: string): TEntry | undefined {
+    let mostExpensive: TEntry | undefined;
     for (const entry of this.calls) {
       if (
-        entry.call.className === className &&
+        entry.className === className &&
         (mostExpensive === undefined || entry.cost.total > mostExpensive.cost.total)
       ) {
         mostExpensive = entry;
@@ -77,11 +71,11 @@
 }
 
 /** Queued calls to one destination, by account. Accounts without queued calls are removed. */
-export class DestinationQueue {
-  private readonly queuesByAccount = new Map<string, AccountQueue>();
+export class DestinationQueue<TEntry extends QueuedCall> {
+  private readonly queuesByAccount = new Map<string, AccountQueue<TEntry>>();
 
   /** All calls. The first one whose account is within its share starts next. */
-  readonly calls = new LeastSlackQueue();
+  readonly calls = new LeastSlackQueue<TEntry>();
 
   private cost = 0;
 
@@ -98,18 +92,18 @@
   }
 
   /** The queues of the individual accounts. */
-  get lines(): IterableIterator<AccountQueue> {
+  get lines(): IterableIterator<AccountQueue<TEntry>> {
     return this.queuesByAccount.values();
   }
 
-  accountQueue(account: string): AccountQueue | undefined {
+  accountQueue(account: string): AccountQueue<TEntry> | undefined {
     return this.queuesByAccount.get(account);
   }
 
-  insert(entry: QueuedCall, virtualClock: VirtualClock): void {
+  insert(entry: TEntry, virtualClock: VirtualClock): void {
     let accountQueue = this.queuesByAccount.get(entry.account);
     if (accountQueue === undefined) {
-      accountQueue = new AccountQueue(entry.account, virtualClock);
+      accountQueue = new AccountQueue<TEntry>(entry.account, virtualClock);
       this.queuesByAccount.set(entry.account, accountQueue);
     }
     accountQueue.insert(entry);
@@ -118,7 +112,7 @@
   }
 
   /** Returns false if the call is not queued. */
-  remove(entry: QueuedCall): boolean {
+  remove(entry: TEntry): boolean {
     const accountQueue = this.queuesByAccount.get(entry.account);
     if (accountQueue?.remove(entry) !== true) {
       return false;
--- a/packages/hickoryrelay-bench/src/Baselines.ts
+++ b/packages/hickoryrelay-bench/src/Baselines.ts
@@ -1,8 +1,8 @@
-import { AdmissionPolicy } from 'hickoryrelay-instance/AdmissionPolicy';
+import { AdmissionPolicy } from 'hickoryrelay-admission/AdmissionPolicy';
 import { canAcceptCall, SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 
+import type { AdmissionTicket } from 'hickoryrelay-admission/AdmissionPolicy';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
-import type { AdmissionTicket } from 'hickoryrelay-instance/AdmissionPolicy';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
 
@@ -41,7 +41,7 @@
 }
 
 /** Admits calls in order of arrival up to a fixed concurrency limit. */
-export class FirstComeFirstServedAdmission extends AdmissionPolicy {
+export class FirstComeFirstServedAdmission extends AdmissionPolicy<unknown> {
   private readonly limit: number;
 
   private running = 0;
--- a/packages/hickoryrelay-bench/src/MeasuredRelay.ts
+++ b/packages/hickoryrelay-bench/src/MeasuredRelay.ts
@@ -4,8 +4,8 @@
 import { SystemClock } from 'hickoryrelay/Clock';
 import { createProcessLogger } from 'hickoryrelay/Logger';
 import { SystemRandomSource } from 'hickoryrelay/RandomSource';
+import { ConcurrencyLimitAdmission } from 'hickoryrelay-admission/AdmissionPolicy';
 import { settingsSchema } from 'hickoryrelay-contract/Settings';
-import { ConcurrencyLimitAdmission } from 'hickoryrelay-instance/AdmissionPolicy';
 import { Instance } from 'hickoryrelay-instance/Instance';
 import { EtcdKeyValueStore } from 'hickoryrelay-platform/EtcdKeyValueStore';
 import {
--- a/packages/hickoryrelay-bench/src/PolicySimulation.ts
+++ b/packages/hickoryrelay-bench/src/PolicySimulation.ts
@@ -1,10 +1,10 @@
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { BufferedRemoteUsage } from 'hickoryrelay-admission/RemoteUsage';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { decodeCacheChanges, decodeCacheSnapshot } from 'hickoryrelay-endpoint/CacheEvents';
 import { Engine } from 'hickoryrelay-endpoint/Engine';
 import { cacheReadIntervalMilliseconds } from 'hickoryrelay-instance/CacheEventTasks';
-import { BufferedRemoteUsage } from 'hickoryrelay-instance/RemoteUsage';
 import { TrafficPolicy } from 'hickoryrelay-instance/TrafficPolicy';
 import {
   MAXIMUM_EVENTS,
@@ -24,9 +24,10 @@
 import { CLASSES, MODEL, nominalCost, Workload } from './Workload.js';
 
 import type { PlannedCall } from './Workload.js';
+import type { AdmissionPolicy } from 'hickoryrelay-admission/AdmissionPolicy';
+import type { AccountUsage } from 'hickoryrelay-admission/RemoteUsage';
 import type { EndpointKind } from 'hickoryrelay-contract/EndpointKind';
-import type { AdmissionPolicy } from 'hickoryrelay-instance/AdmissionPolicy';
-import type { AccountUsage } from 'hickoryrelay-instance/RemoteUsage';
+import type { Call } from 'hickoryrelay-link/Call';
 import type { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
 import type { SelectionPolicy } from 'hickoryrelay-zone/SelectionPolicy';
 
@@ -149,7 +150,7 @@
 
   readonly policy: TrafficPolicy;
 
-  readonly admission: AdmissionPolicy;
+  readonly admission: AdmissionPolicy<Call>;
 
   readonly selection: SelectionPolicy;
 
--- a/packages/hickoryrelay-bench/src/policy-cost.ts
+++ b/packages/hickoryrelay-bench/src/policy-cost.ts
@@ -1,14 +1,14 @@
 #!/usr/bin/env node
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { NoRemoteUsage } from 'hickoryrelay-admission/RemoteUsage';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
-import { NoRemoteUsage } from 'hickoryrelay-instance/RemoteUsage';
 import { TrafficPolicy } from 'hickoryrelay-instance/TrafficPolicy';
 import { SupplyState } from 'hickoryrelay-platform/EndpointSupply';
 import { Fleet } from 'hickoryrelay-zone/Fleet';
 
 import { CLASSES, MODEL, Workload } from './Workload.js';
-import type { AdmissionTicket } from 'hickoryrelay-instance/AdmissionPolicy';
+import type { AdmissionTicket } from 'hickoryrelay-admission/AdmissionPolicy';
 
 const SEED = 1;
 const MEASURED_ROUNDS = 5000;
--- a/packages/hickoryrelay-instance/src/CallCostModel.ts
+++ b/packages/hickoryrelay-instance/src/CallCostModel.ts
@@ -1,6 +1,11 @@
+import { CallCosts } from 'hickoryrelay-admission/CallCosts';
+import { MovingAverages } from 'hickoryrelay-admission/MovingAverages';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 
-import { DecodeLengthEstimator, MovingAverages } from './DecodeLengthEstimator.js';
+import { DecodeLengthEstimator } from './DecodeLengthEstimator.js';
+
+import type { CallCost } from 'hickoryrelay-admission/CallCosts';
+import type { WaitingCall } from 'hickoryrelay-admission/WaitingCall';
 import type { Call } from 'hickoryrelay-link/Call';
 
 /** Engine time per token, in milliseconds. */
@@ -9,13 +14,6 @@
   readonly decodeMilliseconds: number;
 }
 
-/** Engine time of a call, in milliseconds. */
-export interface CallCost {
-  readonly prefill: number;
-  readonly decode: number;
-  readonly total: number;
-}
-
 const DEFAULT_SERVICE_TIME_MILLISECONDS = 50;
 
 export function accountOf(call: Call): string {
@@ -31,11 +29,15 @@
   return typeof limit === 'number' && limit > 0 ? limit : undefined;
 }
 
+function destinationOf(call: Call): string {
+  return call.kind === WorkKind.Model ? `model ${call.model}` : `route ${call.route}`;
+}
+
 /** Receives the estimated work of a model call on arrival, and the correction when it has ended. */
 export type WorkObserver = (className: string, work: Omit<CallCost, 'total'>) => void;
 
 /** Estimates the cost of calls from token counts, measured engine rates and past responses. */
-export class CallCostModel {
+export class CallCostModel extends CallCosts<Call> {
   private readonly rates: () => TokenRates;
 
   private readonly cachedTokens: (call: Call) => number;
@@ -56,11 +58,18 @@
     cachedTokens: (call: Call) => number,
     observeWork: WorkObserver = () => {},
   ) {
+    super();
     this.rates = rates;
     this.cachedTokens = cachedTokens;
     this.observeWork = observeWork;
   }
 
+  override describe(call: Call): WaitingCall {
+    const { className, arrivalMilliseconds } = call;
+    const [account, destination] = [accountOf(call), destinationOf(call)];
+    return { account, destination, className, priority: 0, arrivalMilliseconds };
+  }
+
   /** Expected length of the response in tokens. */
   decodeTokens(call: Call): number {
     return this.decodeLengths.tokens(accountOf(call), call.className, maximumDecodeTokens(call));
@@ -70,7 +79,7 @@
    * Estimates the cost of an arriving call and reports its work, so it must be called once per
    * call.
    */
-  estimate(call: Call): CallCost {
+  override estimate(call: Call): CallCost {
     if (call.kind !== WorkKind.Model) {
       const total = this.serviceTimes.get(call.route) ?? DEFAULT_SERVICE_TIME_MILLISECONDS;
       return { prefill: 0, decode: total, total };
@@ -85,7 +94,7 @@
   }
 
   /** Returns the actual cost of a call that has ended. The prefill cost stays as estimated. */
-  settle(call: Call, estimate: CallCost, decodeTokens: number): CallCost {
+  override settle(call: Call, estimate: CallCost, decodeTokens: number): CallCost {
     if (call.kind !== WorkKind.Model) {
       return estimate;
     }
@@ -95,8 +104,10 @@
     return { prefill: estimate.prefill, decode, total: estimate.prefill + decode };
   }
 
-  recordServiceTime(route: string, milliseconds: number): void {
-    this.serviceTimes.record(route, milliseconds);
+  override recordRunTime(call: Call, milliseconds: number): void {
+    if (call.kind === WorkKind.Service) {
+      this.serviceTimes.record(call.route, milliseconds);
+    }
   }
 
   private costOfTokens(prefillTokens: number, decodeTokens: number): CallCost {
--- a/packages/hickoryrelay-instance/src/CallMetering.ts
+++ b/packages/hickoryrelay-instance/src/CallMetering.ts
@@ -1,4 +1,4 @@
-import type { AdmissionTicket } from './AdmissionPolicy.js';
+import type { AdmissionTicket } from 'hickoryrelay-admission/AdmissionPolicy';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { CallMeter, MeteredCall, TokenCounts } from 'hickoryrelay-usage/CallMeter';
 
--- a/packages/hickoryrelay-instance/src/DecodeLengthEstimator.ts
+++ b/packages/hickoryrelay-instance/src/DecodeLengthEstimator.ts
@@ -1,22 +1,6 @@
-const SMOOTHING_FACTOR = 0.1;
-const DEFAULT_DECODE_TOKENS = 256;
-
-/** Exponentially weighted moving averages by key. */
-export class MovingAverages {
-  private readonly averages = new Map<string, number>();
-
-  get(key: string): number | undefined {
-    return this.averages.get(key);
-  }
+import { MovingAverages } from 'hickoryrelay-admission/MovingAverages';
 
-  record(key: string, value: number): void {
-    const average = this.averages.get(key);
-    this.averages.set(
-      key,
-      average === undefined ? value : average + SMOOTHING_FACTOR * (value - average),
-    );
-  }
-}
+const DEFAULT_DECODE_TOKENS = 256;
 
 /**
  * Estimates the length of responses from past ones of the same account and class, or of the same
--- a/packages/hickoryrelay-instance/src/Exchange.ts
+++ b/packages/hickoryrelay-instance/src/Exchange.ts
@@ -7,7 +7,6 @@
 import { CallMetering } from './CallMetering.js';
 import { ModelStreamRelay } from './ModelStreamRelay.js';
 import { ServiceRelay } from './ServiceRelay.js';
-import type { AdmissionPolicy } from './AdmissionPolicy.js';
 import type { EndpointLinks } from './EndpointLinks.js';
 import type { ExchangeCounters } from './ExchangeCounters.js';
 import type { ExchangeLimits } from './ExchangeLimits.js';
@@ -18,6 +17,7 @@
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { RetryBudget } from 'hickoryrelay/RetryBudget';
+import type { AdmissionPolicy } from 'hickoryrelay-admission/AdmissionPolicy';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { CallMeter } from 'hickoryrelay-usage/CallMeter';
@@ -28,7 +28,7 @@
 
 /** Dependencies of an exchange, shared by all exchanges of an instance. */
 export interface ExchangeParts {
-  readonly admission: AdmissionPolicy;
+  readonly admission: AdmissionPolicy<Call>;
   readonly selection: SelectionPolicy;
   readonly fleet: Fleet;
   readonly links: EndpointLinks;
--- a/packages/hickoryrelay-instance/src/Instance.ts
+++ b/packages/hickoryrelay-instance/src/Instance.ts
@@ -5,6 +5,7 @@
 import { LogPrefix, createComponentLogger } from 'hickoryrelay/Logger';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { RetryBudget } from 'hickoryrelay/RetryBudget';
+import { BufferedRemoteUsage } from 'hickoryrelay-admission/RemoteUsage';
 import { RequestIdentifierGenerator } from 'hickoryrelay-link/RequestIdentifierGenerator';
 import { WebSocketPeerTransport } from 'hickoryrelay-link/WebSocketPeerTransport';
 import { ConfigurationStore } from 'hickoryrelay-platform/ConfigurationStore';
@@ -26,7 +27,6 @@
 import { DEFAULT_EXCHANGE_LIMITS } from './ExchangeLimits.js';
 import { ExchangeTable } from './ExchangeTable.js';
 import { FleetTask } from './FleetTask.js';
-import { BufferedRemoteUsage } from './RemoteUsage.js';
 import { ResponseMemoryBudget } from './ResponseMemoryBudget.js';
 import { SmoothedDemand } from './SmoothedDemand.js';
 import { TrafficPolicy } from './TrafficPolicy.js';
@@ -35,11 +35,11 @@
 import { ZoneDemandObserver } from './ZoneDemandObserver.js';
 import { ZoneObservationTask } from './ZoneObservationTask.js';
 
-import type { AdmissionPolicy } from './AdmissionPolicy.js';
 import type { ExchangeParts } from './Exchange.js';
 import type { CallerConnections } from 'hickoryrelay/CallerConnections';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { AdmissionPolicy } from 'hickoryrelay-admission/AdmissionPolicy';
 import type { Settings } from 'hickoryrelay-contract/Settings';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { CallBudget } from 'hickoryrelay-platform/CallBudget';
@@ -71,7 +71,7 @@
   /** The call budget of the key-value store, which the instance sets to its share. */
   readonly callBudget?: CallBudget;
   /** Replaces the admission queue, so that relaying can be measured on its own. */
-  readonly admission?: AdmissionPolicy;
+  readonly admission?: AdmissionPolicy<Call>;
 }
 
 /** The response body of `GET /admin/status`. */
--- a/packages/hickoryrelay-instance/src/PoolCapacity.ts
+++ b/packages/hickoryrelay-instance/src/PoolCapacity.ts
@@ -1,15 +1,15 @@
+import { CallCapacity } from 'hickoryrelay-admission/CallCapacity';
 import { excludeEjected } from 'hickoryrelay-zone/OutlierEjection';
 import { canAcceptCall } from 'hickoryrelay-zone/SelectionPolicy';
 
-import { CallCapacity } from './CallCapacity.js';
-import type { CallSlots } from './CallCapacity.js';
 import type { Clock } from 'hickoryrelay/Clock';
+import type { CallSlots } from 'hickoryrelay-admission/CallCapacity';
 import type { Call } from 'hickoryrelay-link/Call';
 import type { EndpointPool } from 'hickoryrelay-zone/EndpointPool';
 import type { Fleet } from 'hickoryrelay-zone/Fleet';
 
 /** Slots at the endpoints that this instance uses, from their learned concurrency limits. */
-export class PoolCapacity extends CallCapacity {
+export class PoolCapacity extends CallCapacity<Call> {
   private readonly pool: EndpointPool;
 
   private readonly fleet: Fleet;
--- a/packages/hickoryrelay-instance/src/TrafficPolicy.ts
+++ b/packages/hickoryrelay-instance/src/TrafficPolicy.ts
@@ -1,3 +1,4 @@
+import { AdmissionQueue } from 'hickoryrelay-admission/AdmissionQueue';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { Engine } from 'hickoryrelay-endpoint/Engine';
 import { EndpointCall } from 'hickoryrelay-zone/EndpointCall';
@@ -5,13 +6,12 @@
 import { EndpointSubset } from 'hickoryrelay-zone/EndpointSubset';
 import { SampledSelection } from 'hickoryrelay-zone/SampledSelection';
 
-import { AdmissionQueue } from './AdmissionQueue.js';
 import { CallCostModel } from './CallCostModel.js';
 import { PoolCapacity } from './PoolCapacity.js';
 import type { TokenRates, WorkObserver } from './CallCostModel.js';
-import type { RemoteUsage } from './RemoteUsage.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { RemoteUsage } from 'hickoryrelay-admission/RemoteUsage';
 import type { ClassOfWork } from 'hickoryrelay-contract/ClassOfWork';
 import type { Endpoint } from 'hickoryrelay-endpoint/Endpoint';
 import type { Call } from 'hickoryrelay-link/Call';
@@ -47,7 +47,7 @@
 
   readonly costs: CallCostModel;
 
-  readonly admission: AdmissionQueue;
+  readonly admission: AdmissionQueue<Call>;
 
   readonly selection: SelectionPolicy;
 
--- a/packages/hickoryrelay-instance/src/ZoneWork.ts
+++ b/packages/hickoryrelay-instance/src/ZoneWork.ts
@@ -1,6 +1,6 @@
 import { hashString } from 'hickoryrelay/RendezvousUtils';
 
-import type { CallCost } from './CallCostModel.js';
+import type { CallCost } from 'hickoryrelay-admission/CallCosts';
 import type { DigestRow, WorkTotals } from 'hickoryrelay-link/PeerMessages';
 
 const CLASS_TAG_MASK = 0xff_ff;
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
@@ -6,7 +6,7 @@
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { RetryBudget } from 'hickoryrelay/RetryBudget';
-import { ConcurrencyLimitAdmission } from 'hickoryrelay-instance/AdmissionPolicy';
+import { ConcurrencyLimitAdmission } from 'hickoryrelay-admission/AdmissionPolicy';
 import { EndpointLinks } from 'hickoryrelay-instance/EndpointLinks';
 import { Exchange } from 'hickoryrelay-instance/Exchange';
 import { ExchangeCounters } from 'hickoryrelay-instance/ExchangeCounters';
--- a/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/unit/AdmissionQueue.test.ts
@@ -3,18 +3,18 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { failureOf } from 'hickoryrelay/RelayError';
+import { AdmissionQueue } from 'hickoryrelay-admission/AdmissionQueue';
+import { FixedCapacity } from 'hickoryrelay-admission/CallCapacity';
+import { FairShare } from 'hickoryrelay-admission/FairShare';
+import { BufferedRemoteUsage } from 'hickoryrelay-admission/RemoteUsage';
 import { WorkKind } from 'hickoryrelay-contract/ClassOfWork';
 import { ModelOperation } from 'hickoryrelay-link/Call';
 
-import { AdmissionQueue } from '../../AdmissionQueue.js';
-import { FixedCapacity } from '../../CallCapacity.js';
 import { CallCostModel } from '../../CallCostModel.js';
-import { FairShare } from '../../FairShare.js';
-import { BufferedRemoteUsage } from '../../RemoteUsage.js';
 
-import type { AdmissionTicket } from '../../AdmissionPolicy.js';
-import type { CallSlots } from '../../CallCapacity.js';
-import type { ModelCall } from 'hickoryrelay-link/Call';
+import type { AdmissionTicket } from 'hickoryrelay-admission/AdmissionPolicy';
+import type { CallSlots } from 'hickoryrelay-admission/CallCapacity';
+import type { Call, ModelCall } from 'hickoryrelay-link/Call';
 
 const SEED = 20_261_204;
 const RUNS = 200;
@@ -126,7 +126,7 @@
 
   readonly remoteUsage = new BufferedRemoteUsage(() => {});
 
-  readonly queue: AdmissionQueue;
+  readonly queue: AdmissionQueue<Call>;
 
   readonly running: { call: ModelCall; ticket: AdmissionTicket }[] = [];
 
