Admit, hold or refuse forwarded requests by the room at endpoints

A request is sent at once while the estimates show room. Otherwise it waits in the shared queue for a fraction of its latency target if slots become free fast enough, and is refused at once if not. Refused callers of services without rate limits get successive times from the rate at which requests end.

--- a/packages/hickoryrelay-admission/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-admission/src/AdmissionQueue.ts
@@ -11,22 +11,25 @@
 
 import type { AdmissionTicket } from './AdmissionPolicy.js';
 import type { CallCapacity, CallSlots } from './CallCapacity.js';
-import type { CallCosts } from './CallCosts.js';
+import type { CallCost, CallCosts } from './CallCosts.js';
 import type { QueuedCall } from './DestinationQueue.js';
 import type { RemoteUsage } from './RemoteUsage.js';
+import type { WaitingCall } from './WaitingCall.js';
 import type { Clock } from 'hickoryrelay/Clock';
 
 /** Dependencies and limits of an admission queue. */
 export interface AdmissionQueueParts<TCall> {
   readonly clock: Clock;
   readonly costs: CallCosts<TCall>;
-  readonly capacity: CallCapacity<TCall>;
+  readonly capacity: CallCapacity<NoInfer<TCall>>;
   readonly remoteUsage: RemoteUsage;
   /** Lateness target of a class of work: time from arrival to the first byte, in milliseconds. */
   readonly latenessMilliseconds: (className: string) => number;
   /** Maximum number of queued calls. */
   readonly limit: number;
   readonly share?: FairShare;
+  /** How often the capacity is polled while calls are queued. */
+  readonly pollMilliseconds?: number;
 }
 
 const MILLISECONDS_PER_SECOND = 1000;
@@ -34,7 +37,7 @@
 /**
  * Capacity also grows without a release (new load reports, new endpoints), so the queue polls it.
  */
-const POLL_INTERVAL_MILLISECONDS = 50;
+const DEFAULT_POLL_MILLISECONDS = 50;
 
 /** Factor on the average time to first token, which about half of the calls exceed. */
 const FIRST_TOKEN_SAFETY_FACTOR = 1.5;
@@ -49,6 +52,12 @@
  */
 const MINIMUM_QUEUEING_FRACTION = 0.5;
 
+/** A call that has been admitted. */
+interface AdmittedCall<TCall> extends WaitingCall {
+  readonly call: TCall;
+  readonly cost: CallCost;
+}
+
 /** A queued call, and the caller that waits for the outcome. */
 interface PendingCall<TCall> extends QueuedCall {
   readonly call: TCall;
@@ -103,6 +112,31 @@
     return this.admittedCount;
   }
 
+  /** Number of queued calls to a destination. */
+  sizeOf(destination: string): number {
+    return this.queuesByDestination.get(destination)?.size ?? 0;
+  }
+
+  /** Number of queued calls to a destination that a new call with this priority would wait for. */
+  callsAhead(destination: string, priority: number): number {
+    return this.queuesByDestination.get(destination)?.callsAhead(priority) ?? 0;
+  }
+
+  /** Admits a call that need not wait, and charges its account. */
+  admitNow(call: TCall): AdmissionTicket {
+    const entry = {
+      ...this.parts.costs.describe(call),
+      call,
+      cost: this.parts.costs.estimate(call),
+    };
+    this.reservation.recordArrival(
+      entry.account,
+      entry.destination,
+      this.parts.clock.monotonicMilliseconds(),
+    );
+    return this.recordAdmission(entry);
+  }
+
   override admit(call: TCall, signal: AbortSignal): Promise<AdmissionTicket> {
     return new Promise((resolve, reject) => {
       const createCancellation = () =>
@@ -160,7 +194,9 @@
       ...waiting,
       call,
       cost,
-      latestStartMilliseconds: waiting.arrivalMilliseconds + target - firstTokenMilliseconds,
+      latestStartMilliseconds:
+        waiting.latestStartMilliseconds ??
+        waiting.arrivalMilliseconds + target - firstTokenMilliseconds,
       ...outcome,
     };
   }
@@ -209,8 +245,11 @@
     }
     const accountQueue = queue.accountQueue(entry.account);
     const accountCount = queue.accountCount + (accountQueue === undefined ? 1 : 0);
-    const costAtOwnShare = Math.max(0, (accountQueue?.queuedCost ?? 0) - freedCost) * accountCount;
-    return Math.min(costAtOwnShare, Math.max(0, queue.queuedCost - freedCost)) / rate;
+    const costAtOwnShare =
+      Math.max(0, (accountQueue?.costAhead(entry.priority) ?? 0) - freedCost) * accountCount;
+    return (
+      Math.min(costAtOwnShare, Math.max(0, queue.costAhead(entry.priority) - freedCost)) / rate
+    );
   }
 
   /**
@@ -266,7 +305,7 @@
     this.observeDrainRate(entry.destination);
   }
 
-  private recordDeparture(entry: PendingCall<TCall>): void {
+  private recordDeparture(entry: WaitingCall): void {
     this.reservation.recordDeparture(
       entry.account,
       entry.destination,
@@ -322,7 +361,8 @@
     this.cancelPoll?.();
     this.cancelPoll = undefined;
     if (this.queuedCount > 0) {
-      this.cancelPoll = this.parts.clock.schedule(POLL_INTERVAL_MILLISECONDS, () => {
+      const { pollMilliseconds = DEFAULT_POLL_MILLISECONDS } = this.parts;
+      this.cancelPoll = this.parts.clock.schedule(pollMilliseconds, () => {
         this.applyRemoteUsage();
         this.admitQueuedCalls();
       });
@@ -417,12 +457,17 @@
   private start(entry: PendingCall<TCall>): void {
     this.observeDrainRate(entry.destination).recordDrained(entry.cost.total);
     this.dequeue(entry);
+    this.parts.capacity.recordStart(entry.call);
+    entry.resolve(this.recordAdmission(entry));
+  }
+
+  private recordAdmission(entry: AdmittedCall<TCall>): AdmissionTicket {
     this.charge(entry.account, entry.cost.total);
     this.admittedCount += 1;
-    entry.resolve(this.createTicket(entry));
+    return this.createTicket(entry);
   }
 
-  private createTicket(entry: PendingCall<TCall>): AdmissionTicket {
+  private createTicket(entry: AdmittedCall<TCall>): AdmissionTicket {
     const { call, className, cost } = entry;
     const startMilliseconds = this.parts.clock.monotonicMilliseconds();
     let isHeld = true;
--- a/packages/hickoryrelay-admission/src/CallCapacity.ts
+++ b/packages/hickoryrelay-admission/src/CallCapacity.ts
@@ -11,6 +11,9 @@
  */
 export abstract class CallCapacity<TCall> {
   abstract slotsFor(call: TCall, admitted: number): CallSlots;
+
+  /** Called for each call that starts from the queue. Overridden where slots are handed out. */
+  recordStart(_call: TCall): void {}
 }
 
 /** A fixed number of slots, for tests and benchmarks. */
--- a/packages/hickoryrelay-admission/src/DestinationQueue.ts
+++ b/packages/hickoryrelay-admission/src/DestinationQueue.ts
@@ -11,6 +11,25 @@
   readonly latestStartMilliseconds: number;
 }
 
+/** Sums the costs up to a priority. All calls usually have one, so that the total is the answer. */
+function costAhead(
+  calls: LeastSlackQueue<QueuedCall>,
+  totalCost: number,
+  priority: number,
+): number {
+  if ((calls.last?.priority ?? priority) <= priority) {
+    return totalCost;
+  }
+  let cost = 0;
+  for (const entry of calls) {
+    if (entry.priority > priority) {
+      break;
+    }
+    cost += entry.cost.total;
+  }
+  return cost;
+}
+
 /** Queued calls of one account to one destination, least slack first. */
 export class AccountQueue<TEntry extends QueuedCall> {
   readonly account: string;
@@ -55,6 +74,11 @@
     return true;
   }
 
+  /** Cost of the queued calls that a new call with this priority would wait for. */
+  costAhead(priority: number): number {
+    return costAhead(this.calls, this.cost, priority);
+  }
+
   /** Returns the most expensive call of a class, if any. */
   mostExpensive(className: string): TEntry | undefined {
     let mostExpensive: TEntry | undefined;
@@ -96,6 +120,23 @@
     return this.queuesByAccount.values();
   }
 
+  /** Cost of the queued calls that a new call with this priority would wait for. */
+  costAhead(priority: number): number {
+    return costAhead(this.calls, this.cost, priority);
+  }
+
+  /** Number of the queued calls that a new call with this priority would wait for. */
+  callsAhead(priority: number): number {
+    let count = 0;
+    for (const entry of this.calls) {
+      if (entry.priority > priority) {
+        break;
+      }
+      count += 1;
+    }
+    return count;
+  }
+
   accountQueue(account: string): AccountQueue<TEntry> | undefined {
     return this.queuesByAccount.get(account);
   }
--- a/packages/hickoryrelay-admission/src/WaitingCall.ts
+++ b/packages/hickoryrelay-admission/src/WaitingCall.ts
@@ -9,4 +9,9 @@
   /** Calls with a lower number are admitted first, whatever their slack; 0 is the highest. */
   readonly priority: number;
   readonly arrivalMilliseconds: number;
+  /**
+   * Latest time at which the call may start. If absent, it follows from the lateness target of the
+   * class and the usual time to the first token.
+   */
+  readonly latestStartMilliseconds?: number;
 }
--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -1,9 +1,11 @@
 import { hashString } from 'hickoryrelay/RendezvousUtils';
 
+import { EngineStage } from './EndpointRecord.js';
 import { RetrySemantics } from './ForwardingConfiguration.js';
 
 import type { CallDeadline } from './CallDeadline.js';
 import type { CallTrace } from './CallTrace.js';
+import type { CapacityAdmission } from './CapacityAdmission.js';
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { Attempt, EndpointLink, PrefilledPrompt } from './EndpointLink.js';
 import type { EndpointNotices } from './EndpointNotices.js';
@@ -41,6 +43,7 @@
   readonly notices: EndpointNotices;
   readonly budgets: RetryBudgets;
   readonly returns: ReturnSchedule;
+  readonly capacity: CapacityAdmission;
   readonly tally: UsageTally;
   readonly shutdown: ShutdownSchedule;
   /** The monotonic clock, which does not count suspensions. */
@@ -187,6 +190,14 @@
     this.openAttemptCount -= 1;
   }
 
+  /** The endpoints that are not full; prefill engines are among them. */
+  withRoom(states: readonly EndpointState[]): EndpointState[] {
+    return states.filter(
+      (state) =>
+        state.record.stage === EngineStage.Prefill || !this.parts.capacity.isFull(this, state),
+    );
+  }
+
   placementContext(): PlacementContext {
     const { zone, random, clock } = this.parts;
     return {
--- a/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
@@ -203,7 +203,11 @@
   private chooseServiceEndpoint(): Destination | string {
     const { parts, admitted } = this.call;
     const states = parts.registry.readyEndpoints(admitted.service);
-    const state = parts.services.choose(states, this.call.placementContext());
+    const context = this.call.placementContext();
+    let state = parts.services.choose(states, context);
+    if (state !== undefined && parts.capacity.isFull(this.call, state)) {
+      state = parts.services.choose(this.call.withRoom(states), context) ?? state;
+    }
     return state === undefined
       ? 'no endpoint is left'
       : { state, prefillMilliseconds: 0, prefillTokens: 0 };
@@ -217,6 +221,7 @@
       state.eject(now);
     } else {
       state.recordDelay(this.call.admitted.route.latencyTargetMilliseconds, now);
+      this.call.parts.capacity.recordRejection(this.call, state);
     }
     this.call.trace.addStep(`run ${state.record.identifier}: not run, status ${response.status}`);
     return AttemptResult.NotRun;
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -3,6 +3,7 @@
 import { CallDeadline, EndReason } from './CallDeadline.js';
 import { AttemptResult, EndpointAttempts } from './EndpointAttempts.js';
 import {
+  HONOURED_RETRY_FRACTION,
   MINIMUM_ATTEMPT_MILLISECONDS,
   MINIMUM_RESPONSE_TIMEOUT_MILLISECONDS,
   RESPONSE_TIMEOUT_TARGET_MULTIPLE,
@@ -15,7 +16,9 @@
 
 import type { AdmittedRequest, ForwardedCallParts } from './CallContext.js';
 import type { CallTrace } from './CallTrace.js';
+import type { CapacityPermit } from './CapacityAdmission.js';
 import type { RelayObserver, EndpointResponseRelay } from './EndpointResponseRelay.js';
+import type { EndpointState } from './EndpointState.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { PreparedAttempt } from './HedgedAttempts.js';
 import type { OpenAttempt } from './OpenAttempt.js';
@@ -87,15 +90,50 @@
     }
   }
 
-  /** Makes one attempt. Returns the outcome if the call has ended with it. */
+  /** Makes one attempt, if it is admitted. Returns the outcome if the call has ended with it. */
   private async makeAttempt(): Promise<string | undefined> {
-    const { deadline } = this.call;
+    const { deadline, parts } = this.call;
     if (this.attempts.isExhausted) {
       return this.fail('no attempt is left');
     }
     if (deadline.signal.aborted || deadline.remaining() < MINIMUM_ATTEMPT_MILLISECONDS) {
       return this.fail(deadline.endReason);
     }
+    const permit = parts.capacity.tryAdmit(this.call) ?? (await this.waitForRoom());
+    if (typeof permit === 'string') {
+      return this.fail(permit);
+    }
+    let endpoint: EndpointState | undefined;
+    try {
+      return await this.makeAdmittedAttempt((attempt) => {
+        endpoint = attempt.hasBegun ? attempt.state : undefined;
+      });
+    } finally {
+      permit.end(endpoint);
+    }
+  }
+
+  /** Waits for room at the endpoints. Returns the reason if the call is refused. */
+  private async waitForRoom(): Promise<CapacityPermit | string> {
+    const { deadline, parts, trace } = this.call;
+    const startMilliseconds = parts.clock.monotonicMilliseconds();
+    const permit = await parts.capacity.wait(this.call);
+    const elapsedMilliseconds = parts.clock.monotonicMilliseconds() - startMilliseconds;
+    if (elapsedMilliseconds > 0) {
+      trace.addStep(`waited ${Math.round(elapsedMilliseconds)} ms for room`);
+    }
+    if (typeof permit !== 'string' && deadline.signal.aborted) {
+      permit.end(undefined);
+      return deadline.endReason;
+    }
+    return permit;
+  }
+
+  /** @param onClose is called when the attempt has ended, if one was made. */
+  private async makeAdmittedAttempt(
+    onClose: (attempt: OpenAttempt) => void,
+  ): Promise<string | undefined> {
+    const { deadline } = this.call;
     const choice = this.attempts.choose(deadline.signal);
     const destination = choice instanceof Promise ? await choice : choice;
     const attempt =
@@ -106,9 +144,13 @@
     }
     const timeout = new AttemptTimeout(this.call.parts.clock, () => this.hedges.start());
     this.startResponseTimeout(timeout);
-    return this.relay(attempt, timeout, () =>
-      this.attempts.prepare(attempt, () => timeout.cancel()),
-    );
+    try {
+      return await this.relay(attempt, timeout, () =>
+        this.attempts.prepare(attempt, () => timeout.cancel()),
+      );
+    } finally {
+      onClose(attempt);
+    }
   }
 
   /** Relays the response of a hedge that has taken the request. */
@@ -244,6 +286,10 @@
 
   private nextReturnMilliseconds(): number {
     const { returns, clock } = this.call.parts;
-    return returns.nextMilliseconds(this.call.admitted.service, clock.monotonicMilliseconds());
+    return returns.nextMilliseconds(
+      this.call.admitted.service,
+      clock.monotonicMilliseconds(),
+      this.call.deadline.remaining() * HONOURED_RETRY_FRACTION,
+    );
   }
 }
--- a/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
@@ -5,18 +5,28 @@
 import { EndpointNotices } from './EndpointNotices.js';
 import { ForwardedCall } from './ForwardedCall.js';
 import { ReturnSchedule } from './ReturnSchedule.js';
+import { ShortageAdmission } from './ShortageAdmission.js';
 
 import type { ForwardedCallParts } from './CallContext.js';
+import type { CapacityAdmission } from './CapacityAdmission.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
 import type { RequestAdmission } from './RequestAdmission.js';
 import type { ResponseSink } from './ResponseSink.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
+import type { RemoteUsage } from 'hickoryrelay-admission/RemoteUsage';
 
 const BAD_GATEWAY = 502;
 
 /** The collaborators of the exchange. */
-export interface ForwardingExchangeParts extends Omit<ForwardedCallParts, 'notices' | 'returns'> {
+export interface ForwardingExchangeParts extends Omit<
+  ForwardedCallParts,
+  'capacity' | 'notices' | 'returns'
+> {
+  /** Replaces the admission under shortage, to compare with another one. */
+  readonly capacity?: CapacityAdmission;
+  /** What other instances report of the accounts' use. */
+  readonly remoteUsage?: RemoteUsage;
   readonly admission: RequestAdmission;
   readonly metrics: ForwardingMetrics;
   readonly log: ComponentLogger;
@@ -30,12 +40,19 @@
 
   private readonly returns: ReturnSchedule;
 
+  private readonly capacity: CapacityAdmission;
+
   private open = 0;
 
   constructor(parts: ForwardingExchangeParts) {
     this.parts = parts;
     this.notices = new EndpointNotices(parts);
-    this.returns = new ReturnSchedule(parts.registry);
+    this.capacity =
+      parts.capacity ??
+      new ShortageAdmission({ ...parts, countInstances: () => parts.view.peers.length });
+    this.returns = new ReturnSchedule(parts.registry, (service) =>
+      this.capacity.drainPerSecond(service),
+    );
   }
 
   /** Number of requests in flight. */
@@ -77,7 +94,8 @@
       sink.answer(admitted.own);
       return `own-${admitted.own.status}`;
     }
-    const parts = { ...this.parts, notices: this.notices, returns: this.returns };
+    const { notices, returns, capacity } = this;
+    const parts = { ...this.parts, notices, returns, capacity };
     return new ForwardedCall(parts, request, admitted, sink, trace).run();
   }
 
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -67,14 +67,17 @@
   Stopping: 20,
   /** All endpoints of the service are full or unavailable. */
   NoCapacity: 300,
-  /** Longest time for which callers of a service with rate limits are put off one after another. */
-  RateLimited: 10_000,
+  /** Longest time for which callers of a service are put off one after another. */
+  Sequence: 10_000,
   /** A prompt segment is quarantined, which does not end while requests with it come. */
   Quarantined: 60_000,
   /** All endpoints of the service have asked for no requests. Others may register sooner. */
   Maximum: 60_000,
 } as const;
 
+/** Callers follow a `Retry-After` of up to this fraction of the time that they have left. */
+export const HONOURED_RETRY_FRACTION = 1 / 3;
+
 /**
  * Maximum random fraction added to a retry delay, so that refused callers do not return together.
  */
--- a/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
@@ -37,6 +37,11 @@
 
   private readonly counters = new Map<string, () => number>();
 
+  private readonly labelled = new Map<
+    string,
+    { type: string; read: () => Iterable<readonly [labels: string, value: number]> }
+  >();
+
   /** Registers a gauge whose value is read when the metrics are rendered. */
   registerGauge(name: string, read: () => number): void {
     this.gauges.set(name, read);
@@ -47,6 +52,15 @@
     this.counters.set(name, read);
   }
 
+  /** Registers values by their labels, such as `service="desk"`, read when metrics are rendered. */
+  registerSeries(
+    name: string,
+    type: 'counter' | 'gauge',
+    read: () => Iterable<readonly [labels: string, value: number]>,
+  ): void {
+    this.labelled.set(name, { type, read });
+  }
+
   /** Records a completed request. */
   record(trace: CallTrace, outcome: string, milliseconds: number): void {
     const series = this.seriesFor(trace);
@@ -105,5 +119,11 @@
         yield `hickoryrelay_${name} ${read()}`;
       }
     }
+    for (const [name, { type, read }] of this.labelled) {
+      yield `# TYPE hickoryrelay_${name} ${type}`;
+      for (const [labels, value] of read()) {
+        yield `hickoryrelay_${name}{${labels}} ${value}`;
+      }
+    }
   }
 }
