--- a/packages/hickoryrelay-forwarding/src/CapacityAdmission.ts
+++ b/packages/hickoryrelay-forwarding/src/CapacityAdmission.ts
@@ -27,8 +27,11 @@
   /** Records that an endpoint rejected a request, which was a wrong forecast. */
   abstract recordRejection(call: CallContext, state: EndpointState): void;
 
-  /** Requests per second that end at the endpoints of a service; undefined if not known. */
-  abstract drainPerSecond(service: string): number | undefined;
+  /**
+   * Requests per second of this instance that end at the endpoints of the call's service while all of
+   * them are full; 0 if that is not known or one has room.
+   */
+  abstract shortageDrainPerSecond(call: CallContext): number;
 }
 
 const UNLIMITED_PERMIT: CapacityPermit = { end: () => {} };
@@ -49,7 +52,7 @@
 
   override recordRejection(): void {}
 
-  override drainPerSecond(): undefined {
-    return undefined;
+  override shortageDrainPerSecond(): number {
+    return 0;
   }
 }
--- a/packages/hickoryrelay-forwarding/src/ShortageAdmission.ts
+++ b/packages/hickoryrelay-forwarding/src/ShortageAdmission.ts
@@ -6,6 +6,7 @@
 
 import { CapacityAdmission } from './CapacityAdmission.js';
 import { EndpointRoom } from './EndpointRoom.js';
+import { ForecastReliability } from './ForecastReliability.js';
 import {
   allowedWaitMilliseconds,
   declaredPriorityOf,
@@ -65,6 +66,13 @@
 
   private readonly costs: ForwardedCallCosts;
 
+  private readonly random: RandomSource;
+
+  private readonly reliability = new ForecastReliability();
+
+  /** Calls that were sent although the estimates show no room. */
+  private readonly doubtfulCalls = new WeakSet<CallContext>();
+
   private readonly shortages: ServiceShortages;
 
   /** Requests that end at the endpoints of each service, for this instance. */
@@ -74,6 +82,7 @@
     super();
     const { clock, prefillRate, metrics, log, remoteUsage = new NoRemoteUsage() } = parts;
     this.clock = clock;
+    this.random = parts.random;
     this.costs = new ForwardedCallCosts(prefillRate);
     this.room = new ServiceRoom({ ...parts, room: this.endpointRoom });
     this.shortages = new ServiceShortages(clock, metrics, log);
@@ -86,6 +95,7 @@
       latenessMilliseconds: () => 0,
       limit: MAXIMUM_WAITING,
       pollMilliseconds: CLAIM_MILLISECONDS,
+      isWorkConserving: true,
     });
   }
 
@@ -139,12 +149,20 @@
     return this.endpointRoom.roomAt(state, call.isGeneration, now) === 0;
   }
 
-  override recordRejection({ admitted: { service } }: CallContext, state: EndpointState): void {
+  override recordRejection(call: CallContext, state: EndpointState): void {
+    const { service } = call.admitted;
+    this.recordDoubtful(call, false);
     this.shortages.recordRejection(service);
     this.room.recordRejection(service, state);
   }
 
-  override drainPerSecond(service: string): number | undefined {
+  override shortageDrainPerSecond(call: CallContext): number {
+    return this.room.kindFor(call) === RoomKind.Full
+      ? (this.drainPerSecond(call.admitted.service) ?? 0)
+      : 0;
+  }
+
+  private drainPerSecond(service: string): number | undefined {
     const rate = this.drainRates.get(service);
     rate?.observe(this.clock.monotonicMilliseconds(), true);
     const perMillisecond = rate?.costPerMillisecond;
@@ -168,14 +186,30 @@
   }
 
   /**
-   * Admits a call that would be refused otherwise to room that is only estimated, unless another one
-   * waits for it. A rejection by the endpoint is no worse for its caller than a refusal.
+   * Admits a call that would be refused otherwise to room that is only estimated, or although there is
+   * none by estimates that have often been wrong, unless another call waits. A rejection by the
+   * endpoint is no worse for its caller than a refusal.
    */
   private admitDoubtful(call: CallContext): CapacityPermit | undefined {
-    const isFirst = this.queue.sizeOf(call.admitted.service) === 0;
-    return isFirst && this.room.kindFor(call) === RoomKind.Free
-      ? this.permit(call, this.queue.admitNow(call))
-      : undefined;
+    const { service } = call.admitted;
+    if (this.queue.sizeOf(service) > 0) {
+      return undefined;
+    }
+    const isFull = this.room.kindFor(call) === RoomKind.Full;
+    if (isFull && !this.reliability.mayTry(service, this.random.fraction())) {
+      return undefined;
+    }
+    if (isFull) {
+      this.doubtfulCalls.add(call);
+    }
+    return this.permit(call, this.queue.admitNow(call));
+  }
+
+  /** Records the result of a call that was sent against the forecast. */
+  private recordDoubtful(call: CallContext, isAccepted: boolean): void {
+    if (this.doubtfulCalls.delete(call)) {
+      this.reliability.record(call.admitted.service, isAccepted);
+    }
   }
 
   /** Waits in the queue. Throws `cancelled` when the allowed wait or the call ends. */
@@ -202,6 +236,7 @@
     return {
       end: (endpoint) => {
         if (endpoint !== undefined) {
+          this.recordDoubtful(call, true);
           this.recordDrained(call.admitted.service);
           this.room.recordEnd(call, endpoint);
         }
