--- a/packages/hickoryrelay-admission/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-admission/src/AdmissionQueue.ts
@@ -406,11 +406,7 @@
         const { value } = accountQueue.virtualClock;
         if (
           value < lowest &&
-          !this.isReservedForOthers(
-            accountQueue.account,
-            destination.name,
-            destination.slots,
-          )
+          !this.isReservedForOthers(accountQueue.account, destination.name, destination.slots)
         ) {
           lowest = value;
         }
@@ -431,11 +427,7 @@
       if (
         accountQueue !== undefined &&
         this.share.isWithinShare(accountQueue.virtualClock) &&
-        !this.isReservedForOthers(
-          accountQueue.account,
-          destination.name,
-          destination.slots,
-        )
+        !this.isReservedForOthers(accountQueue.account, destination.name, destination.slots)
       ) {
         return entry;
       }
--- a/packages/hickoryrelay-forwarding/src/CapacityAdmission.ts
+++ b/packages/hickoryrelay-forwarding/src/CapacityAdmission.ts
@@ -21,11 +21,8 @@
   /** Waits for room. Returns the reason if the call is refused, which has not been sent then. */
   abstract wait(call: CallContext): Promise<CapacityPermit | string>;
 
-  /** True if the estimates show no room at an endpoint. */
-  abstract isFull(call: CallContext, state: EndpointState): boolean;
-
   /** Records that an endpoint rejected a request, which was a wrong forecast. */
-  abstract recordRejection(call: CallContext, state: EndpointState): void;
+  abstract recordRejection(call: CallContext): void;
 
   /**
    * Requests per second of this instance that end at the endpoints of the call's service while all of
@@ -46,10 +43,6 @@
     return UNLIMITED_PERMIT;
   }
 
-  override isFull(): boolean {
-    return false;
-  }
-
   override recordRejection(): void {}
 
   override shortageDrainPerSecond(): number {
--- a/packages/hickoryrelay-forwarding/src/ForecastReliability.ts
+++ b/packages/hickoryrelay-forwarding/src/ForecastReliability.ts
@@ -1,32 +1,36 @@
-/** Weight of a new outcome. Enough for about ten recent outcomes to count. */
-const SAMPLE_WEIGHT = 0.1;
+/** Weight of a new outcome: the last twenty or so count. */
+const SAMPLE_WEIGHT = 0.05;
 
-/** Assumed until outcomes are known. */
-const INITIAL_ACCEPTANCE = 0.5;
-
-/** A request is sent although the forecast is against it if it is at least as likely to be taken. */
-const MINIMUM_ACCEPTANCE = 0.5;
+/**
+ * Endpoints are expected to take most requests again after this time without an outcome, since a
+ * shortage does not last.
+ */
+const RECOVERY_MILLISECONDS = 1000;
 
-/** Part of the requests that is sent while few are taken, so that a change is noticed. */
-const PROBE_FRACTION = 0.05;
+interface Acceptance {
+  fraction: number;
+  atMilliseconds: number;
+}
 
 /**
- * How often endpoints take requests although the estimates show no room. Reports that are older than
- * most requests take say little about single endpoints, and a fleet is rarely full everywhere at once.
+ * How often endpoints take the requests that are sent by the estimates of their room. The estimates
+ * are relied on until they have been wrong.
  */
 export class ForecastReliability {
-  private readonly acceptances = new Map<string, number>();
+  private readonly acceptances = new Map<string, Acceptance>();
 
-  /** Records whether an endpoint of a service took a request against the forecast. */
-  record(service: string, isAccepted: boolean): void {
-    const acceptance = this.acceptances.get(service) ?? INITIAL_ACCEPTANCE;
-    const sample = isAccepted ? 1 : 0;
-    this.acceptances.set(service, acceptance + (sample - acceptance) * SAMPLE_WEIGHT);
+  /** Records whether an endpoint of a service took a request. */
+  record(service: string, isAccepted: boolean, now: number): void {
+    const previous = this.acceptanceOf(service, now);
+    const fraction = previous + ((isAccepted ? 1 : 0) - previous) * SAMPLE_WEIGHT;
+    this.acceptances.set(service, { fraction, atMilliseconds: now });
   }
 
-  /** @param fraction a random number from 0 to 1. */
-  mayTry(service: string, fraction: number): boolean {
-    const acceptance = this.acceptances.get(service) ?? INITIAL_ACCEPTANCE;
-    return acceptance >= MINIMUM_ACCEPTANCE || fraction < PROBE_FRACTION;
+  /** Expected fraction of requests that endpoints take. */
+  acceptanceOf(service: string, now: number): number {
+    const acceptance = this.acceptances.get(service);
+    return acceptance === undefined || now - acceptance.atMilliseconds > RECOVERY_MILLISECONDS
+      ? 1
+      : acceptance.fraction;
   }
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
@@ -22,9 +22,9 @@
 import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
 import type { EndpointState } from 'hickoryrelay-forwarding/EndpointState';
 import type { ForwardingRoute } from 'hickoryrelay-forwarding/ForwardingConfiguration';
+import type { PeerLoad } from 'hickoryrelay-forwarding/PeerLoads';
 import type { PeerRecord } from 'hickoryrelay-forwarding/PeerRecord';
 import type { PlacementContext } from 'hickoryrelay-forwarding/ServicePlacement';
-import type { PeerLoad } from 'hickoryrelay-forwarding/PeerLoads';
 
 export const SLOTS = 8;
 
@@ -39,7 +39,7 @@
 /** Callers follow a `Retry-After` of up to this fraction of the time that they have left. */
 const HONOURED_FRACTION = 1 / 3;
 
-/** A request is on time if its caller has the response within this multiple of the latency target. */
+/** Callers give up with less time left. */
 const MINIMUM_RETRY_MILLISECONDS = 50;
 
 interface Timer {
@@ -316,6 +316,15 @@
 
   onTime = 0;
 
+  addRequest(): void {
+    this.requests += 1;
+  }
+
+  addServed(isOnTime: boolean): void {
+    this.served += 1;
+    this.onTime += Number(isOnTime);
+  }
+
   get servedFraction(): number {
     return this.served / Math.max(1, this.requests);
   }
@@ -342,8 +351,6 @@
 
   refusedAtOnce = 0;
 
-  readonly lost = new Map<string, number>();
-
   tries = 0;
 
   refusedAfterWait = 0;
@@ -415,7 +422,7 @@
 
   send({ endpoint, request }: Attempt): Promise<EndpointResponse> {
     const target = this.endpoints[this.indexes.get(incarnationHash(endpoint)) as number];
-    const caller = this.requests.get(request.identifier) as CallerRequest;
+    const caller = this.requests.get(request.identifier ?? '') as CallerRequest;
     this.attempts += 1;
     return new Promise((resolve) => {
       this.clock.schedule(TRAVEL_MILLISECONDS, () => {
@@ -503,9 +510,11 @@
         Int16Array.from(exchange.registry.readyEndpoints('desk'), ({ running }) => running),
       );
       const totals = new Int32Array(this.endpoints.length);
-      own.forEach((counts) => counts.forEach((count, index) => {
-        totals[index] = (totals[index] as number) + count;
-      }));
+      own.forEach((counts) =>
+        counts.forEach((count, index) => {
+          totals[index] = (totals[index] as number) + count;
+        }),
+      );
       this.reports.push({ at: this.clock.monotonicMilliseconds(), totals, own });
       if (this.reports.length > 12) {
         this.reports.shift();
@@ -528,10 +537,12 @@
     if (this.instances.length > 1 && sums.size > 0) {
       this.clock.schedule(this.options.reportAgeMilliseconds, () =>
         this.instances.forEach(({ usage }, index) =>
-          usage.add([...sums].map(([account, cost]) => [
-            account,
-            cost - (used.get(`${index}/${account}`) ?? 0),
-          ])),
+          usage.add(
+            [...sums].map(([account, cost]) => [
+              account,
+              cost - (used.get(`${index}/${account}`) ?? 0),
+            ]),
+          ),
         ),
       );
     }
@@ -568,9 +579,7 @@
       bornMilliseconds: this.clock.monotonicMilliseconds(),
       tries: 0,
     };
-    this.groupsOf(request).forEach((group) => {
-      group.requests += 1;
-    });
+    this.groupsOf(request).forEach((group) => group.addRequest());
     this.requests.set(request.identifier, request);
     this.try(request);
   }
@@ -609,14 +618,15 @@
     );
   }
 
-  private handleAnswer(request: CallerRequest, sink: RecordingSink, sentMilliseconds: number): void {
+  private handleAnswer(
+    request: CallerRequest,
+    sink: RecordingSink,
+    sentMilliseconds: number,
+  ): void {
     const now = this.clock.monotonicMilliseconds();
     if (sink.head?.status === 200) {
       const isOnTime = now - request.bornMilliseconds <= request.route.latencyTargetMilliseconds;
-      this.groupsOf(request).forEach((group) => {
-        group.served += 1;
-        group.onTime += Number(isOnTime);
-      });
+      this.groupsOf(request).forEach((group) => group.addServed(isOnTime));
       this.requests.delete(request.identifier);
       return;
     }
@@ -631,7 +641,6 @@
     if (wait <= left * HONOURED_FRACTION && left - wait > MINIMUM_RETRY_MILLISECONDS) {
       this.clock.schedule(wait, () => this.try(request));
     } else {
-      const reason = `${sink.own?.status} ${sink.own?.reason} ${Math.round(wait/200)*200}`; this.lost.set(reason, (this.lost.get(reason) ?? 0) + 1);
       this.requests.delete(request.identifier);
     }
   }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -361,14 +361,7 @@
   const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
   const configuration = options.configuration ?? makeConfiguration();
   const link = new ScriptedLink(options.behaviours ?? []);
-  const parts = makeExchange(
-    clock,
-    link,
-    configuration,
-    endpoints,
-    options.log,
-    options.parts,
-  );
+  const parts = makeExchange(clock, link, configuration, endpoints, options.log, options.parts);
   const sink = new RecordingSink();
   const run = (request = makeRequest()) => parts.exchange.handle(request, sink);
   return { ...parts, clock, link, sink, run };
