--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -4,6 +4,7 @@
 
 import type { CallDeadline } from './CallDeadline.js';
 import type { CallTrace } from './CallTrace.js';
+import type { CapacityAdmission } from './CapacityAdmission.js';
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { Attempt, EndpointLink, PrefilledPrompt } from './EndpointLink.js';
 import type { EndpointNotices } from './EndpointNotices.js';
@@ -41,6 +42,7 @@
   readonly notices: EndpointNotices;
   readonly budgets: RetryBudgets;
   readonly returns: ReturnSchedule;
+  readonly capacity: CapacityAdmission;
   readonly tally: UsageTally;
   readonly shutdown: ShutdownSchedule;
   /** The monotonic clock, which does not count suspensions. */
@@ -80,6 +82,8 @@
   /** Endpoints that the request has already been sent to, or that could not be reached. */
   readonly tried = new Set<EndpointState>();
 
+  private offeredEndpoint: EndpointState | undefined;
+
   private openAttemptCount = 0;
 
   /** Hashes of the segments and the service, since other engines may be unaffected by a segment. */
@@ -187,6 +191,23 @@
     this.openAttemptCount -= 1;
   }
 
+  /** Offers an endpoint that another request of this instance has just left, for the next attempt. */
+  offer(state: EndpointState): void {
+    this.offeredEndpoint = state;
+  }
+
+  /** Returns the offered endpoint once, if it still takes this request. */
+  takeOffered(states: readonly EndpointState[]): EndpointState | undefined {
+    const { offeredEndpoint: state } = this;
+    this.offeredEndpoint = undefined;
+    const isUsable =
+      state !== undefined &&
+      states.includes(state) &&
+      !this.tried.has(state) &&
+      state.availability.allowsRequest(this.parts.clock.monotonicMilliseconds());
+    return isUsable ? state : undefined;
+  }
+
   placementContext(): PlacementContext {
     const { zone, random, clock } = this.parts;
     return {
@@ -226,6 +247,7 @@
 
   /** Records that the first event or the whole response of an attempt has arrived. */
   recordBegin(): void {
+    this.parts.capacity.recordAcceptance(this);
     if (this.isGeneration) {
       // The last segment of a conversation recurs as a shared one in its next turn.
       this.parts.quarantine.recordBegin(this.segmentHashes);
--- a/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
@@ -206,7 +206,9 @@
   private chooseServiceEndpoint(): Destination | string {
     const { parts, admitted } = this.call;
     const states = parts.registry.readyEndpoints(admitted.service);
-    const state = parts.services.choose(states, this.call.placementContext());
+    const context = this.call.placementContext();
+    const offered = this.call.takeOffered(states);
+    const state = offered ?? parts.services.choose(states, context);
     return state === undefined
       ? 'no endpoint is left'
       : { state, prefillMilliseconds: 0, prefillTokens: 0 };
@@ -221,6 +223,7 @@
     } else {
       state.recordDelay(this.call.admitted.route.latencyTargetMilliseconds, now);
       state.speed.work.recordRejection();
+      this.call.parts.capacity.recordRejection(this.call);
     }
     this.call.trace.addStep(`run ${state.record.identifier}: not run, status ${response.status}`);
     return AttemptResult.NotRun;
--- a/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingMetrics.ts
@@ -49,11 +49,16 @@
 
   private readonly counters = new Map<string, () => number>();
 
-  private readonly families = new Map<string, MetricFamily>();
+  private readonly labelled = new Map<
+    string,
+    { type: string; read: () => Iterable<readonly [labels: string, value: number]> }
+  >();
 
   /** Registers a metric that has a value for each value of a label, such as each account. */
-  registerFamily(name: string, family: MetricFamily): void {
-    this.families.set(name, family);
+  registerFamily(name: string, { type, labelName, read }: MetricFamily): void {
+    this.registerSeries(name, type, () =>
+      [...read()].map(({ label, value }) => [`${labelName}="${label}"`, value] as const),
+    );
   }
 
   /** Registers a gauge whose value is read when the metrics are rendered. */
@@ -66,6 +71,15 @@
     this.counters.set(name, read);
   }
 
+  /** Registers values by their labels, such as `service="desk"`, read when metrics are rendered. */
+  registerSeries(
+    name: string,
+    type: 'counter' | 'gauge',
+    read: () => Iterable<readonly [labels: string, value: number]>,
+  ): void {
+    this.labelled.set(name, { type, read });
+  }
+
   /** Records a completed request. */
   record(trace: CallTrace, outcome: string, milliseconds: number): void {
     const series = this.seriesFor(trace);
@@ -115,12 +129,6 @@
         yield `${name}_count{${labels}} ${series[time].totalCount}`;
       }
     }
-    for (const [name, { type, labelName, read }] of this.families) {
-      yield `# TYPE hickoryrelay_${name} ${type}`;
-      for (const { label, value } of read()) {
-        yield `hickoryrelay_${name}{${labelName}="${label}"} ${value}`;
-      }
-    }
     for (const [type, metrics] of [
       ['gauge', this.gauges],
       ['counter', this.counters],
@@ -130,5 +138,11 @@
         yield `hickoryrelay_${name} ${read()}`;
       }
     }
+    for (const [name, { type, read }] of this.labelled) {
+      yield `# TYPE hickoryrelay_${name} ${type}`;
+      for (const [labels, value] of read()) {
+        yield `hickoryrelay_${name}{${labels}} ${value}`;
+      }
+    }
   }
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -43,6 +43,7 @@
   ForwardingDeclarations,
   ForwardingRoute,
 } from 'hickoryrelay-forwarding/ForwardingConfiguration';
+import type { ForwardingExchangeParts } from 'hickoryrelay-forwarding/ForwardingExchange';
 import type { ForwardingLimits } from 'hickoryrelay-forwarding/ForwardingLimits';
 import type { LocalResponse } from 'hickoryrelay-forwarding/ResponseSink';
 import type { AccountQuotas } from 'hickoryrelay-quota/AccountQuotas';
@@ -309,6 +310,8 @@
   readonly clock?: ManualClock;
   readonly log?: ComponentLogger;
   readonly quotas?: AccountQuotas;
+  /** Parts that replace the usual ones. */
+  readonly parts?: Partial<ForwardingExchangeParts>;
 }
 
 /** Makes an exchange whose endpoints are reached over a link. */
@@ -318,10 +321,12 @@
   configuration: ForwardingConfiguration,
   endpoints: readonly EndpointRecord[],
   log: ComponentLogger = silentLogger,
+  changes: Partial<ForwardingExchangeParts> = {},
   quotas?: AccountQuotas,
 ) {
   const view = new ConfirmedView(clock, HEARTBEAT_MILLISECONDS);
-  const registry = new EndpointRegistry(new PeerLoads());
+  const registry = changes.registry ?? new EndpointRegistry(new PeerLoads());
+  const metrics = new ForwardingMetrics();
   view.apply({ configuration, endpoints, peers: [], isAuthorityHeld: false }, 0);
   registry.replace(endpoints);
   const random = new SeededRandomSource(1);
@@ -353,10 +358,11 @@
       random,
       quotas && new QuotaAdmission(quotas, clock, new QuotaLog(log)),
     ),
-    metrics: new ForwardingMetrics(),
+    metrics,
     log,
+    ...changes,
   });
-  return { view, registry, quarantine, tally, budgets, shutdown, exchange };
+  return { view, registry, quarantine, tally, budgets, shutdown, metrics, exchange };
 }
 
 /** Makes an exchange with a scripted link and a manual clock. */
@@ -365,7 +371,15 @@
   const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
   const configuration = options.configuration ?? makeConfiguration();
   const link = new ScriptedLink(options.behaviours ?? []);
-  const parts = makeExchange(clock, link, configuration, endpoints, options.log, options.quotas);
+  const parts = makeExchange(
+    clock,
+    link,
+    configuration,
+    endpoints,
+    options.log,
+    options.parts,
+    options.quotas,
+  );
   const sink = new RecordingSink();
   const run = (request = makeRequest()) => parts.exchange.handle(request, sink);
   return { ...parts, clock, link, sink, run };
