Count a negative reported load as none

The merge of the workload model and of the admission showed it: the deviation of a negative load is not a number, and no endpoint was chosen then. Test fixtures that change loads now also change their version.

--- a/packages/hickoryrelay-forwarding/src/EndpointState.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointState.ts
@@ -215,7 +215,8 @@
     }
     this.peersAtMilliseconds = now;
     this.peersVersion = version;
-    const { running } = this.peerLoad;
+    // Otherwise a negative report would leave the costs of the endpoint undefined.
+    const running = Math.max(0, this.peerLoad.running);
     const age = this.peers.ageMilliseconds(now);
     const residence = this.residenceMilliseconds;
     this.expectedPeerRunning = this.peerRunning.expect(
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
@@ -206,10 +206,18 @@
 
 /** Loads of peers as of a report of a given age. */
 class AgedLoads extends PeerLoads {
+  private readCount = 0;
+
   constructor(private readonly read: (endpoint: number) => number) {
     super();
   }
 
+  /** The loads may differ at each read. */
+  override get version(): number {
+    this.readCount += 1;
+    return this.readCount;
+  }
+
   override loadOf(endpoint: number): PeerLoad {
     return { running: this.read(endpoint), prefillTokens: 0, latePrefillTokens: 0, occupiedTokens: 0 };
   }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ShortageAdmission.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ShortageAdmission.test.ts
@@ -30,6 +30,10 @@
 class FixedLoads extends PeerLoads {
   running = 0;
 
+  override get version(): number {
+    return this.running;
+  }
+
   override loadOf(): PeerLoad {
     return { running: this.running, prefillTokens: 0, latePrefillTokens: 0, occupiedTokens: 0 };
   }
