--- a/packages/hickoryrelay-caller/src/CallerReads.ts
+++ b/packages/hickoryrelay-caller/src/CallerReads.ts
@@ -155,7 +155,7 @@
     }
     const now = performance.now();
     const freeBytes = FREE_BYTES - this.turns.recentBytes(now);
-    if (freeBytes > 0 || this.isDiscarding || this.bufferedBytes === 0) {
+    if (freeBytes > 0 || this.isDiscarding || this.bufferedBytes === 0 || this.isCopying) {
       this.turns.recordBytes(this.parseUpTo(Math.max(freeBytes, 1)), now);
     } else if (!this.isPaused) {
       eventLoopTurns.request(this.turns);
@@ -218,6 +218,11 @@
     }
   }
 
+  /** True in a body whose length was announced, which the parser only copies and which needs no turn. */
+  private get isCopying(): boolean {
+    return this.request?.isReading === true && (this.request.missingBytes ?? 0) > 0;
+  }
+
   /** Returns false if nothing more can be parsed now. */
   private readPortion(): boolean {
     const { socket } = this;
@@ -247,7 +252,9 @@
     if (piece === null) {
       return false;
     }
-    this.granted -= piece.length;
+    if (!this.isCopying) {
+      this.granted -= piece.length;
+    }
     this.parse(piece);
     if (this.request?.isReading !== true) {
       this.account.readingSinceMilliseconds = undefined;
@@ -261,8 +268,9 @@
       const isPipelined = this.account.openRequests > 0;
       return Math.min(readableLength, isPipelined ? PIPELINED_PORTION_BYTES : HEAD_PORTION_BYTES);
     }
-    const bytes = Math.min(readableLength, Math.max(granted, HEAD_PORTION_BYTES));
-    const { missingBytes = CHUNKED_PORTION_BYTES } = request;
-    return Math.min(bytes, Math.max(1, missingBytes));
+    const { missingBytes } = request;
+    return missingBytes === undefined
+      ? Math.min(readableLength, CHUNKED_PORTION_BYTES, Math.max(granted, HEAD_PORTION_BYTES))
+      : Math.min(readableLength, Math.max(1, missingBytes));
   }
 }
