--- a/packages/hickoryrelay-admission/src/AdmissionQueue.ts
+++ b/packages/hickoryrelay-admission/src/AdmissionQueue.ts
@@ -30,6 +30,11 @@
   readonly share?: FairShare;
   /** How often the capacity is polled while calls are queued. */
   readonly pollMilliseconds?: number;
+  /**
+   * True if no slot is left free while calls wait. Otherwise, accounts above their share leave slots
+   * free for the next calls of others.
+   */
+  readonly isWorkConserving?: boolean;
 }
 
 const MILLISECONDS_PER_SECOND = 1000;
@@ -401,11 +406,7 @@
         const { value } = accountQueue.virtualClock;
         if (
           value < lowest &&
-          !this.reservation.isReservedForOthers(
-            accountQueue.account,
-            destination.name,
-            destination.slots,
-          )
+          !this.isReservedForOthers(accountQueue.account, destination.name, destination.slots)
         ) {
           lowest = value;
         }
@@ -426,11 +427,7 @@
       if (
         accountQueue !== undefined &&
         this.share.isWithinShare(accountQueue.virtualClock) &&
-        !this.reservation.isReservedForOthers(
-          accountQueue.account,
-          destination.name,
-          destination.slots,
-        )
+        !this.isReservedForOthers(accountQueue.account, destination.name, destination.slots)
       ) {
         return entry;
       }
@@ -527,7 +524,14 @@
       return false;
     }
     this.reservation.refresh(this.parts.clock.monotonicMilliseconds());
-    return !this.reservation.isReservedForOthers(entry.account, entry.destination, slots);
+    return !this.isReservedForOthers(entry.account, entry.destination, slots);
+  }
+
+  private isReservedForOthers(account: string, destination: string, slots: CallSlots): boolean {
+    return (
+      this.parts.isWorkConserving !== true &&
+      this.reservation.isReservedForOthers(account, destination, slots)
+    );
   }
 
   private reject(entry: PendingCall<TCall>, reason: string): void {
--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -1,6 +1,5 @@
 import { hashString } from 'hickoryrelay/RendezvousUtils';
 
-import { EngineStage } from './EndpointRecord.js';
 import { RetrySemantics } from './ForwardingConfiguration.js';
 
 import type { CallDeadline } from './CallDeadline.js';
@@ -83,6 +82,8 @@
   /** Endpoints that the request has already been sent to, or that could not be reached. */
   readonly tried = new Set<EndpointState>();
 
+  private offeredEndpoint: EndpointState | undefined;
+
   private openAttemptCount = 0;
 
   /** Hashes of the segments and the service, since other engines may be unaffected by a segment. */
@@ -190,12 +191,21 @@
     this.openAttemptCount -= 1;
   }
 
-  /** The endpoints that are not full; prefill engines are among them. */
-  withRoom(states: readonly EndpointState[]): EndpointState[] {
-    return states.filter(
-      (state) =>
-        state.record.stage === EngineStage.Prefill || !this.parts.capacity.isFull(this, state),
-    );
+  /** Offers an endpoint that another request of this instance has just left, for the next attempt. */
+  offer(state: EndpointState): void {
+    this.offeredEndpoint = state;
+  }
+
+  /** Returns the offered endpoint once, if it still takes this request. */
+  takeOffered(states: readonly EndpointState[]): EndpointState | undefined {
+    const { offeredEndpoint: state } = this;
+    this.offeredEndpoint = undefined;
+    const isUsable =
+      state !== undefined &&
+      states.includes(state) &&
+      !this.tried.has(state) &&
+      state.availability.allowsRequest(this.parts.clock.monotonicMilliseconds());
+    return isUsable ? state : undefined;
   }
 
   placementContext(): PlacementContext {
--- a/packages/hickoryrelay-forwarding/src/CapacityAdmission.ts
+++ b/packages/hickoryrelay-forwarding/src/CapacityAdmission.ts
@@ -21,14 +21,14 @@
   /** Waits for room. Returns the reason if the call is refused, which has not been sent then. */
   abstract wait(call: CallContext): Promise<CapacityPermit | string>;
 
-  /** True if the estimates show no room at an endpoint. */
-  abstract isFull(call: CallContext, state: EndpointState): boolean;
-
   /** Records that an endpoint rejected a request, which was a wrong forecast. */
-  abstract recordRejection(call: CallContext, state: EndpointState): void;
+  abstract recordRejection(call: CallContext): void;
 
-  /** Requests per second that end at the endpoints of a service; undefined if not known. */
-  abstract drainPerSecond(service: string): number | undefined;
+  /**
+   * Requests per second of this instance that end at the endpoints of the call's service while all of
+   * them are full; 0 if that is not known or one has room.
+   */
+  abstract shortageDrainPerSecond(call: CallContext): number;
 }
 
 const UNLIMITED_PERMIT: CapacityPermit = { end: () => {} };
@@ -43,13 +43,9 @@
     return UNLIMITED_PERMIT;
   }
 
-  override isFull(): boolean {
-    return false;
-  }
-
   override recordRejection(): void {}
 
-  override drainPerSecond(): undefined {
-    return undefined;
+  override shortageDrainPerSecond(): number {
+    return 0;
   }
 }
--- a/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
@@ -204,10 +204,8 @@
     const { parts, admitted } = this.call;
     const states = parts.registry.readyEndpoints(admitted.service);
     const context = this.call.placementContext();
-    let state = parts.services.choose(states, context);
-    if (state !== undefined && parts.capacity.isFull(this.call, state)) {
-      state = parts.services.choose(this.call.withRoom(states), context) ?? state;
-    }
+    const offered = this.call.takeOffered(states);
+    const state = offered ?? parts.services.choose(states, context);
     return state === undefined
       ? 'no endpoint is left'
       : { state, prefillMilliseconds: 0, prefillTokens: 0 };
@@ -221,7 +219,7 @@
       state.eject(now);
     } else {
       state.recordDelay(this.call.admitted.route.latencyTargetMilliseconds, now);
-      this.call.parts.capacity.recordRejection(this.call, state);
+      this.call.parts.capacity.recordRejection(this.call);
     }
     this.call.trace.addStep(`run ${state.record.identifier}: not run, status ${response.status}`);
     return AttemptResult.NotRun;
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -23,6 +23,7 @@
 import type { PreparedAttempt } from './HedgedAttempts.js';
 import type { OpenAttempt } from './OpenAttempt.js';
 import type { ResponseSink } from './ResponseSink.js';
+import type { ReturnTime } from './ReturnSchedule.js';
 import type { QuarantinedGroup } from './SegmentQuarantine.js';
 
 const SERVICE_UNAVAILABLE = 503;
@@ -269,27 +270,31 @@
       reason,
       isStopping
         ? RETRY_AFTER_MILLISECONDS.Stopping
-        : (retryAfterMilliseconds ?? this.nextReturnMilliseconds()),
+        : (retryAfterMilliseconds ?? this.nextReturn()),
     );
   }
 
   /** Refuses a request that has not run. Returns the outcome. */
-  private refuse(reason: string, retryAfterMilliseconds: number): string {
+  private refuse(reason: string, retryAfter: number | ReturnTime): string {
     const { sink, parts } = this.call;
-    sink.answer({
-      status: SERVICE_UNAVAILABLE,
-      reason,
-      retryAfterMilliseconds: addRetryAfterJitter(retryAfterMilliseconds, parts.random),
-    });
+    const { milliseconds, isInSequence } =
+      typeof retryAfter === 'number'
+        ? { milliseconds: retryAfter, isInSequence: false }
+        : retryAfter;
+    const retryAfterMilliseconds = isInSequence
+      ? milliseconds
+      : addRetryAfterJitter(milliseconds, parts.random);
+    sink.answer({ status: SERVICE_UNAVAILABLE, reason, retryAfterMilliseconds });
     return `own-${SERVICE_UNAVAILABLE}`;
   }
 
-  private nextReturnMilliseconds(): number {
-    const { returns, clock } = this.call.parts;
-    return returns.nextMilliseconds(
+  private nextReturn(): ReturnTime {
+    const { returns, clock, capacity } = this.call.parts;
+    return returns.next(
       this.call.admitted.service,
       clock.monotonicMilliseconds(),
       this.call.deadline.remaining() * HONOURED_RETRY_FRACTION,
+      capacity.shortageDrainPerSecond(this.call),
     );
   }
 }
--- a/packages/hickoryrelay-forwarding/src/ForwardedCallCosts.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCallCosts.ts
@@ -10,9 +10,15 @@
 
 /**
  * Fraction of the latency target that a request may wait for room on the instance. The rest is left
- * for the endpoint. A request that is refused after that can still be repeated in time.
+ * for the endpoint. With 0.1 or 0.25, fewer requests of the simulated load are on time.
  */
-const WAIT_FRACTION = 0.25;
+const WAIT_FRACTION = 0.5;
+
+/**
+ * Longest wait. With longer ones, 640 instances with a few requests each rejected more requests than
+ * without admission, since few of the waits ended with a slot.
+ */
+const MAXIMUM_WAIT_MILLISECONDS = 250;
 
 /**
  * Fraction of the latency target that the usual run time counts for. Otherwise, all requests of a route
@@ -26,6 +32,7 @@
 /** Time for which a call that arrives at the queue now may wait. */
 export function allowedWaitMilliseconds({ admitted, deadline }: CallContext): number {
   return Math.min(
+    MAXIMUM_WAIT_MILLISECONDS,
     admitted.route.latencyTargetMilliseconds * WAIT_FRACTION,
     deadline.remaining() * WAIT_FRACTION,
   );
--- a/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
@@ -50,9 +50,7 @@
     this.capacity =
       parts.capacity ??
       new ShortageAdmission({ ...parts, countInstances: () => parts.view.peers.length });
-    this.returns = new ReturnSchedule(parts.registry, (service) =>
-      this.capacity.drainPerSecond(service),
-    );
+    this.returns = new ReturnSchedule(parts.registry);
   }
 
   /** Number of requests in flight. */
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -94,17 +94,10 @@
     if (this.call.quarantinedGroup !== undefined) {
       return QUARANTINED;
     }
-    const { registry, engines, capacity } = this.call.parts;
+    const { registry, engines } = this.call.parts;
     const { deadline } = this.call;
-    let states = registry.readyEndpoints(this.call.admitted.service);
+    const states = registry.readyEndpoints(this.call.admitted.service);
     let plan = engines.plan(states, prompt, false, this.call.placementContext());
-    if (plan !== undefined && capacity.isFull(this.call, plan.engine)) {
-      const withRoom = this.call.withRoom(states);
-      const planWithRoom = engines.plan(withRoom, prompt, false, this.call.placementContext());
-      if (planWithRoom !== undefined) {
-        [states, plan] = [withRoom, planWithRoom];
-      }
-    }
     if (plan !== undefined && deadline.wouldBeLate(plan.firstTokenMilliseconds)) {
       this.isLate = true;
       plan = engines.plan(states, prompt, true, this.call.placementContext());
@@ -156,15 +149,10 @@
     prefilledPrompt: PrefilledPrompt,
     prompt: PromptSummary,
   ): Destination | string {
-    const { registry, engines, capacity } = this.call.parts;
+    const { registry, engines } = this.call.parts;
     // Engines may have left or filled up, or a segment been quarantined, during the prefill.
     const current = registry.readyEndpoints(this.call.admitted.service);
-    const context = this.call.placementContext();
-    let state = engines.chooseDecodeEngine(current, prompt, context);
-    if (state !== undefined && capacity.isFull(this.call, state)) {
-      const withRoom = this.call.withRoom(current);
-      state = engines.chooseDecodeEngine(withRoom, prompt, context) ?? state;
-    }
+    const state = engines.chooseDecodeEngine(current, prompt, this.call.placementContext());
     const isQuarantined = this.call.quarantinedGroup !== undefined;
     if (state === undefined || isQuarantined) {
       this.release(prefilledPrompt);
--- a/packages/hickoryrelay-forwarding/src/ReturnSchedule.ts
+++ b/packages/hickoryrelay-forwarding/src/ReturnSchedule.ts
@@ -4,6 +4,13 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 
+/** When a refused caller may return. */
+export interface ReturnTime {
+  readonly milliseconds: number;
+  /** True if the times of successive callers differ already, so that they need no jitter. */
+  readonly isInSequence: boolean;
+}
+
 /**
  * Determines when refused callers may return: when an endpoint of their service takes requests. Each
  * caller gets the time of another token of this instance if all endpoints have rate limits, or else
@@ -12,18 +19,16 @@
 export class ReturnSchedule {
   private readonly registry: EndpointRegistry;
 
-  private readonly drainPerSecond: (service: string) => number | undefined;
-
   /** Time at which the last refused caller may return, by service. */
   private readonly lastReturns = new Map<string, number>();
 
-  /** @param drainPerSecond returns the requests of a service that end here; undefined if not known. */
-  constructor(
-    registry: EndpointRegistry,
-    drainPerSecond: (service: string) => number | undefined = () => undefined,
-  ) {
+  constructor(registry: EndpointRegistry) {
     this.registry = registry;
-    this.drainPerSecond = drainPerSecond;
+  }
+
+  /** Returns the time after which the next refused caller of a service may return. */
+  nextMilliseconds(service: string, now: number): number {
+    return this.next(service, now).milliseconds;
   }
 
   /**
@@ -31,40 +36,39 @@
    *
    * @param patienceMilliseconds the longest time that the caller follows. A caller with less patience
    *   does not return, so that its place in the sequence stays free for the next one.
+   * @param drainPerSecond the rate at which requests of this instance end while all endpoints are full;
+   *   0 if it is not known or an endpoint has room.
    */
-  nextMilliseconds(
+  next(
     service: string,
     now: number,
     patienceMilliseconds = Number.POSITIVE_INFINITY,
-  ): number {
+    drainPerSecond = 0,
+  ): ReturnTime {
     const { NoCapacity, Maximum } = RETRY_AFTER_MILLISECONDS;
     const wait = this.registry.waitMilliseconds(service, now);
     if (!Number.isFinite(wait)) {
-      return NoCapacity;
+      return { milliseconds: NoCapacity, isInSequence: false };
     }
     const rate = this.registry.tokensPerSecond(service, now);
     if (rate === 0) {
-      return Math.min(Math.max(NoCapacity, wait), Maximum);
+      return { milliseconds: Math.min(Math.max(NoCapacity, wait), Maximum), isInSequence: false };
     }
     if (Number.isFinite(rate)) {
       const bounded = this.nextInSequence(service, rate, now, wait);
       this.lastReturns.set(service, bounded);
-      return Math.min(Math.max(NoCapacity, bounded - now), Maximum);
+      const milliseconds = Math.min(Math.max(NoCapacity, bounded - now), Maximum);
+      return { milliseconds, isInSequence: false };
     }
-    return this.nextSlot(service, now, Math.max(NoCapacity, wait), patienceMilliseconds);
-  }
-
-  /** The time of another request that ends, not before the given wait. */
-  private nextSlot(service: string, now: number, wait: number, patience: number): number {
-    const rate = this.drainPerSecond(service);
-    if (rate === undefined || !(rate > 0)) {
-      return Math.min(wait, RETRY_AFTER_MILLISECONDS.Maximum);
+    const firstWait = Math.max(NoCapacity, wait);
+    if (!(drainPerSecond > 0)) {
+      return { milliseconds: Math.min(firstWait, Maximum), isInSequence: false };
     }
-    const next = this.nextInSequence(service, rate, now, wait);
-    if (next - now <= patience) {
+    const next = this.nextInSequence(service, drainPerSecond, now, firstWait);
+    if (next - now <= patienceMilliseconds) {
       this.lastReturns.set(service, next);
     }
-    return Math.min(next - now, RETRY_AFTER_MILLISECONDS.Maximum);
+    return { milliseconds: Math.min(next - now, Maximum), isInSequence: true };
   }
 
   private nextInSequence(service: string, perSecond: number, now: number, wait: number): number {
--- a/packages/hickoryrelay-forwarding/src/ServiceRoom.ts
+++ b/packages/hickoryrelay-forwarding/src/ServiceRoom.ts
@@ -1,7 +1,7 @@
 import { CallCapacity } from 'hickoryrelay-admission/CallCapacity';
 
 import { EngineStage } from './EndpointRecord.js';
-import { EndpointRoom } from './EndpointRoom.js';
+import { limitOf, roomAt } from './EndpointRoom.js';
 
 import type { CallContext } from './CallContext.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
@@ -13,11 +13,11 @@
 /** Room that was reported is claimed anew after this time, about a fraction of the report period. */
 export const CLAIM_MILLISECONDS = 25;
 
-/** A slot that a request of this instance has left is reported to the others after about this time. */
-const HAND_OVER_MILLISECONDS = 100;
-
-/** Room that is estimated is not relied on for this long after a rejection: the age of a report. */
-const DISTRUST_MILLISECONDS = 1000;
+/**
+ * A slot that a request of this instance has left is offered for this long. Under shortage, requests
+ * of other instances, which are sent without knowing of it, fill it within a few milliseconds.
+ */
+const OFFER_MILLISECONDS = 5;
 
 /** What is known of the room at the endpoints of a service. */
 export const RoomKind = {
@@ -31,19 +31,23 @@
 
 export type RoomKind = (typeof RoomKind)[keyof typeof RoomKind];
 
-/** What this instance may claim of the room at the endpoints of one service. */
+/** A slot that a request of this instance has left. */
+interface OfferedSlot {
+  readonly state: EndpointState;
+  readonly leftMilliseconds: number;
+  /** Requests of this instance at the endpoint after that. With more, one of them has the slot. */
+  readonly running: number;
+}
+
+/** What this instance may use of the room at the endpoints of one service. */
 class ServiceClaims {
   refreshedMilliseconds = Number.NEGATIVE_INFINITY;
 
   /** Part of the free room that this instance may use until the next refresh. */
   claimable = 0;
 
-  /** Slots that requests of this instance have left since `handOversSinceMilliseconds`. */
-  handOvers = 0;
-
-  handOversSinceMilliseconds = Number.NEGATIVE_INFINITY;
-
-  distrustedUntilMilliseconds = Number.NEGATIVE_INFINITY;
+  /** The slots that requests of this instance have left, the last one at the end. */
+  offers: OfferedSlot[] = [];
 
   total = 0;
 
@@ -53,7 +57,6 @@
 /** Collaborators of the room of services. */
 export interface ServiceRoomParts {
   readonly registry: EndpointRegistry;
-  readonly room: EndpointRoom;
   readonly clock: Clock;
   readonly random: RandomSource;
   /** Number of instances that are known, including this one. */
@@ -79,13 +82,13 @@
 
   /** What the estimates say, from the first endpoint with room. */
   kindFor(call: CallContext): RoomKind {
-    const { registry, room, clock } = this.parts;
+    const { registry, clock } = this.parts;
     const { isGeneration } = call;
     const now = clock.monotonicMilliseconds();
     let kind: RoomKind = RoomKind.NoEndpoint;
     for (const state of registry.readyEndpoints(call.admitted.service)) {
       if (!call.tried.has(state) && ServiceRoom.takesRequests(state, now)) {
-        if (room.roomAt(state, isGeneration, now) > 0) {
+        if (roomAt(state, isGeneration) > 0) {
           return RoomKind.Free;
         }
         kind = RoomKind.Full;
@@ -94,87 +97,60 @@
     return kind;
   }
 
-  /** True unless an endpoint of the service has rejected a request a short time ago. */
-  isTrusted(service: string): boolean {
-    const until = this.claims.get(service)?.distrustedUntilMilliseconds;
-    return until === undefined || this.parts.clock.monotonicMilliseconds() >= until;
-  }
-
-  /** Claims room for a request that does not wait in the queue. Returns false if there is none. */
-  tryClaim(call: CallContext): boolean {
-    const isClaimed = this.slotsFor(call).free > 0;
-    if (isClaimed) {
-      this.recordStart(call);
-    }
-    return isClaimed;
-  }
-
   override slotsFor(call: CallContext): CallSlots {
     const claims = this.claimsOf(call.admitted.service);
     const now = this.parts.clock.monotonicMilliseconds();
-    if (now - claims.handOversSinceMilliseconds > HAND_OVER_MILLISECONDS) {
-      claims.handOvers = 0;
-    }
+    claims.offers = claims.offers.filter(
+      ({ state, running, leftMilliseconds }) =>
+        state.running <= running && now - leftMilliseconds <= OFFER_MILLISECONDS,
+    );
     if (now - claims.refreshedMilliseconds >= CLAIM_MILLISECONDS) {
       this.refresh(claims, call, now);
     }
     // Without an endpoint, the request is admitted and refused as one that cannot be sent.
     return claims.isKnown
-      ? { free: claims.handOvers + claims.claimable, total: claims.total }
+      ? { free: claims.offers.length + claims.claimable, total: claims.total }
       : { free: Number.POSITIVE_INFINITY, total: 0 };
   }
 
   override recordStart(call: CallContext): void {
     const claims = this.claimsOf(call.admitted.service);
-    if (claims.handOvers > 0) {
-      claims.handOvers -= 1;
-    } else {
+    const offer = claims.offers.pop();
+    if (offer === undefined) {
       claims.claimable = Math.max(0, claims.claimable - 1);
+    } else {
+      call.offer(offer.state);
     }
   }
 
   /** Records that a request of this instance has ended at an endpoint, which leaves a slot. */
   recordEnd(call: CallContext, state: EndpointState): void {
-    const now = this.parts.clock.monotonicMilliseconds();
-    if (this.parts.room.roomAt(state, call.isGeneration, now) > 0) {
-      const claims = this.claimsOf(call.admitted.service);
-      if (now - claims.handOversSinceMilliseconds > HAND_OVER_MILLISECONDS) {
-        claims.handOvers = 0;
-        claims.handOversSinceMilliseconds = now;
-      }
-      claims.handOvers += 1;
-    }
-  }
-
-  /** Records that an endpoint did not take a request, although it was expected to have room. */
-  recordRejection(service: string, state: EndpointState): void {
-    const now = this.parts.clock.monotonicMilliseconds();
-    this.parts.room.recordRejection(state, now);
-    this.claimsOf(service).distrustedUntilMilliseconds = now + DISTRUST_MILLISECONDS;
+    const leftMilliseconds = this.parts.clock.monotonicMilliseconds();
+    this.claimsOf(call.admitted.service).offers.push({
+      state,
+      leftMilliseconds,
+      running: state.running,
+    });
   }
 
   private refresh(claims: ServiceClaims, call: CallContext, now: number): void {
-    const { registry, room, random, countInstances } = this.parts;
+    const { registry, random, countInstances } = this.parts;
     const { isGeneration } = call;
     let free = 0;
     let own = 0;
-    let running = 0;
     let total = 0;
     let isKnown = false;
     for (const state of registry.readyEndpoints(call.admitted.service)) {
       if (ServiceRoom.takesRequests(state, now)) {
-        const endpointRoom = room.roomAt(state, isGeneration, now);
-        const limit = EndpointRoom.limitOf(state, isGeneration);
         isKnown = true;
-        free += endpointRoom;
+        free += roomAt(state, isGeneration);
         own += state.running;
-        running += limit - endpointRoom;
-        total += limit;
+        total += limitOf(state, isGeneration);
       }
     }
     const equalShare = 1 / Math.max(1, countInstances());
-    const share = Math.min(1, Math.max(equalShare, own / Math.max(1, running)));
-    const others = Math.max(0, free - claims.handOvers);
+    const share = Math.min(1, Math.max(equalShare, own / Math.max(1, total - free)));
+    const others = Math.max(0, free - claims.offers.length);
     Object.assign(claims, {
       refreshedMilliseconds: now,
       claimable: Math.floor(others * share + random.fraction()),
--- a/packages/hickoryrelay-forwarding/src/ServiceShortages.ts
+++ b/packages/hickoryrelay-forwarding/src/ServiceShortages.ts
@@ -94,7 +94,8 @@
       const { startMilliseconds, lastMilliseconds, waits, refusals } = shortage;
       const quiet = this.clock.monotonicMilliseconds() - lastMilliseconds;
       if (quiet < QUIET_MILLISECONDS) {
-        this.scheduleEnd(service, shortage, QUIET_MILLISECONDS - quiet);
+        // A remainder below the resolution of the clock would be scheduled without end.
+        this.scheduleEnd(service, shortage, Math.ceil(QUIET_MILLISECONDS - quiet));
         return;
       }
       this.current.delete(service);
--- a/packages/hickoryrelay-forwarding/src/ShortageAdmission.ts
+++ b/packages/hickoryrelay-forwarding/src/ShortageAdmission.ts
@@ -5,7 +5,7 @@
 import { NoRemoteUsage } from 'hickoryrelay-admission/RemoteUsage';
 
 import { CapacityAdmission } from './CapacityAdmission.js';
-import { EndpointRoom } from './EndpointRoom.js';
+import { ForecastReliability } from './ForecastReliability.js';
 import {
   allowedWaitMilliseconds,
   declaredPriorityOf,
@@ -17,7 +17,6 @@
 import type { CallContext } from './CallContext.js';
 import type { CapacityPermit } from './CapacityAdmission.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
-import type { EndpointState } from './EndpointState.js';
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
 import type { PrefillRate } from './PrefillRate.js';
 import type { Clock } from 'hickoryrelay/Clock';
@@ -31,6 +30,15 @@
 
 const MILLISECONDS_PER_SECOND = 1000;
 
+/**
+ * Estimates of room are relied on while endpoints take at least this fraction of the requests that are
+ * sent by them.
+ */
+const RELIABLE_ACCEPTANCE = 0.8;
+
+/** A request is sent although all endpoints seem full if it is at least as likely to be taken. */
+const MINIMUM_ACCEPTANCE = 0.5;
+
 /** Collaborators of the admission. */
 export interface ShortageAdmissionParts {
   readonly registry: EndpointRegistry;
@@ -51,20 +59,21 @@
  * makes room likely by then, and is refused at once if not.
  *
  * Designed for bursts that exceed the capacity by up to a few times, on up to 640 instances whose
- * loads are 0.1 to 1 s old. The estimates are trusted until an endpoint rejects a request; for a second
- * after that, a request waits for room that is certain if that is likely to come.
+ * loads are 0.1 to 1 s old. Estimates that old are often wrong under shortage, and instances that act on
+ * them choose the same endpoints. While endpoints reject more than a fifth of the requests, a request
+ * therefore waits for a slot that another request of this instance leaves, and is sent to it.
  */
 export class ShortageAdmission extends CapacityAdmission {
   private readonly clock: Clock;
 
-  private readonly endpointRoom = new EndpointRoom();
-
   private readonly room: ServiceRoom;
 
   private readonly queue: AdmissionQueue<CallContext>;
 
   private readonly costs: ForwardedCallCosts;
 
+  private readonly reliability = new ForecastReliability();
+
   private readonly shortages: ServiceShortages;
 
   /** Requests that end at the endpoints of each service, for this instance. */
@@ -75,7 +84,7 @@
     const { clock, prefillRate, metrics, log, remoteUsage = new NoRemoteUsage() } = parts;
     this.clock = clock;
     this.costs = new ForwardedCallCosts(prefillRate);
-    this.room = new ServiceRoom({ ...parts, room: this.endpointRoom });
+    this.room = new ServiceRoom(parts);
     this.shortages = new ServiceShortages(clock, metrics, log);
     this.queue = new AdmissionQueue({
       clock,
@@ -86,6 +95,7 @@
       latenessMilliseconds: () => 0,
       limit: MAXIMUM_WAITING,
       pollMilliseconds: CLAIM_MILLISECONDS,
+      isWorkConserving: true,
     });
   }
 
@@ -96,13 +106,9 @@
 
   override tryAdmit(call: CallContext): CapacityPermit | undefined {
     const { service } = call.admitted;
-    if (this.queue.sizeOf(service) > 0) {
-      return undefined;
-    }
     const kind = this.room.kindFor(call);
     const isAdmitted =
-      kind === RoomKind.NoEndpoint ||
-      (kind === RoomKind.Free && (this.room.isTrusted(service) || this.room.tryClaim(call)));
+      kind === RoomKind.NoEndpoint || (kind === RoomKind.Free && this.mayRely(service));
     return isAdmitted ? this.permit(call, this.queue.admitNow(call)) : undefined;
   }
 
@@ -134,17 +140,18 @@
     }
   }
 
-  override isFull(call: CallContext, state: EndpointState): boolean {
-    const now = this.clock.monotonicMilliseconds();
-    return this.endpointRoom.roomAt(state, call.isGeneration, now) === 0;
+  override recordRejection({ admitted: { service } }: CallContext): void {
+    this.shortages.recordRejection(service);
+    this.reliability.record(service, false, this.clock.monotonicMilliseconds());
   }
 
-  override recordRejection({ admitted: { service } }: CallContext, state: EndpointState): void {
-    this.shortages.recordRejection(service);
-    this.room.recordRejection(service, state);
+  override shortageDrainPerSecond(call: CallContext): number {
+    return this.room.kindFor(call) === RoomKind.Full
+      ? (this.drainPerSecond(call.admitted.service) ?? 0)
+      : 0;
   }
 
-  override drainPerSecond(service: string): number | undefined {
+  private drainPerSecond(service: string): number | undefined {
     const rate = this.drainRates.get(service);
     rate?.observe(this.clock.monotonicMilliseconds(), true);
     const perMillisecond = rate?.costPerMillisecond;
@@ -168,14 +175,26 @@
   }
 
   /**
-   * Admits a call that would be refused otherwise to room that is only estimated, unless another one
-   * waits for it. A rejection by the endpoint is no worse for its caller than a refusal.
+   * True if a call is sent because the estimates show room. If they have often been wrong, it rather
+   * waits for a slot that is certain, if one is likely to come in time.
+   */
+  private mayRely(service: string): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    const isReliable = this.reliability.acceptanceOf(service, now) >= RELIABLE_ACCEPTANCE;
+    return isReliable && this.queue.sizeOf(service) === 0;
+  }
+
+  /**
+   * Admits a call that would be refused otherwise, although it may not find room, if endpoints take
+   * enough requests. A rejection by the endpoint is no worse for its caller than a refusal.
    */
   private admitDoubtful(call: CallContext): CapacityPermit | undefined {
-    const isFirst = this.queue.sizeOf(call.admitted.service) === 0;
-    return isFirst && this.room.kindFor(call) === RoomKind.Free
-      ? this.permit(call, this.queue.admitNow(call))
-      : undefined;
+    const { service } = call.admitted;
+    const acceptance = this.reliability.acceptanceOf(service, this.clock.monotonicMilliseconds());
+    const isFull = this.room.kindFor(call) === RoomKind.Full;
+    return isFull && acceptance < MINIMUM_ACCEPTANCE
+      ? undefined
+      : this.permit(call, this.queue.admitNow(call));
   }
 
   /** Waits in the queue. Throws `cancelled` when the allowed wait or the call ends. */
@@ -202,6 +221,7 @@
     return {
       end: (endpoint) => {
         if (endpoint !== undefined) {
+          this.reliability.record(call.admitted.service, true, this.clock.monotonicMilliseconds());
           this.recordDrained(call.admitted.service);
           this.room.recordEnd(call, endpoint);
         }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -41,6 +41,7 @@
   ForwardingDeclarations,
   ForwardingRoute,
 } from 'hickoryrelay-forwarding/ForwardingConfiguration';
+import type { ForwardingExchangeParts } from 'hickoryrelay-forwarding/ForwardingExchange';
 import type { ForwardingLimits } from 'hickoryrelay-forwarding/ForwardingLimits';
 import type { LocalResponse } from 'hickoryrelay-forwarding/ResponseSink';
 
@@ -305,6 +306,8 @@
   /** Clock that the behaviours use as well. */
   readonly clock?: ManualClock;
   readonly log?: ComponentLogger;
+  /** Parts that replace the usual ones. */
+  readonly parts?: Partial<ForwardingExchangeParts>;
 }
 
 /** Makes an exchange whose endpoints are reached over a link. */
@@ -314,9 +317,11 @@
   configuration: ForwardingConfiguration,
   endpoints: readonly EndpointRecord[],
   log: ComponentLogger = silentLogger,
+  changes: Partial<ForwardingExchangeParts> = {},
 ) {
   const view = new ConfirmedView(clock, HEARTBEAT_MILLISECONDS);
-  const registry = new EndpointRegistry(new PeerLoads());
+  const registry = changes.registry ?? new EndpointRegistry(new PeerLoads());
+  const metrics = new ForwardingMetrics();
   view.apply({ configuration, endpoints, peers: [], isAuthorityHeld: false }, 0);
   registry.replace(endpoints);
   const random = new SeededRandomSource(1);
@@ -343,10 +348,11 @@
     clock,
     random,
     admission: new RequestAdmission(view, LIMITS, random),
-    metrics: new ForwardingMetrics(),
+    metrics,
     log,
+    ...changes,
   });
-  return { view, registry, quarantine, tally, budgets, shutdown, exchange };
+  return { view, registry, quarantine, tally, budgets, shutdown, metrics, exchange };
 }
 
 /** Makes an exchange with a scripted link and a manual clock. */
@@ -355,7 +361,7 @@
   const endpoints = options.endpoints ?? [makeEndpoint('e1'), makeEndpoint('e22')];
   const configuration = options.configuration ?? makeConfiguration();
   const link = new ScriptedLink(options.behaviours ?? []);
-  const parts = makeExchange(clock, link, configuration, endpoints, options.log);
+  const parts = makeExchange(clock, link, configuration, endpoints, options.log, options.parts);
   const sink = new RecordingSink();
   const run = (request = makeRequest()) => parts.exchange.handle(request, sink);
   return { ...parts, clock, link, sink, run };
