--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ReturnSchedule.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ReturnSchedule.test.ts
@@ -38,6 +38,42 @@
     expect(waits).toEqual([300, 300, 300]);
   });
 
+  // Guards against callers of a full service who all return at the same time.
+  it('tells callers of a full service the times of successive requests that end', () => {
+    const { schedule } = setUp([undefined]);
+    const times = Array.from({ length: 3 }, () => schedule.next('desk', 0, 5000, 10));
+    expect(times.map(({ milliseconds }) => milliseconds)).toEqual([300, 400, 500]);
+    expect(times.every(({ isInSequence }) => isInSequence)).toBe(true);
+    expect(schedule.next('desk', 2000, 5000, 10).milliseconds).toBe(300);
+  });
+
+  // Guards against places in the sequence that are lost to callers who do not return.
+  it('keeps no place for a caller that does not wait as long', () => {
+    const { schedule } = setUp([undefined]);
+    const waits = [5000, 350, 5000].map(
+      (patience) => schedule.next('desk', 0, patience, 10).milliseconds,
+    );
+    expect(waits).toEqual([300, 400, 400]);
+  });
+
+  it('puts callers of a full service off for 10 s at most', () => {
+    const { schedule } = setUp([undefined]);
+    const waits = Array.from(
+      { length: 50 },
+      () => schedule.next('desk', 0, 60_000, 1).milliseconds,
+    );
+    expect(Math.max(...waits)).toBe(10_000);
+  });
+
+  it.each([Number.NaN, 0, -1])('does not space callers with a rate of %s', (drainPerSecond) => {
+    const { schedule } = setUp([undefined]);
+    const waits = Array.from(
+      { length: 2 },
+      () => schedule.next('desk', 0, 5000, drainPerSecond).milliseconds,
+    );
+    expect(waits).toEqual([300, 300]);
+  });
+
   // Guards against a return as soon as a prefill engine has a token, which runs no request alone.
   it('tells callers the time of a token of a decode engine', () => {
     const registry = new EndpointRegistry(new PeerLoads());
