--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionUnderShortage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionUnderShortage.test.ts
@@ -7,6 +7,9 @@
 
 const SECONDS = 4;
 
+/** By how many percent of the requests results differ between seeds. */
+const SEED_VARIATION = 2.5;
+
 /**
  * Instances and endpoints, the ages of reports, and by how many percent of the requests the result may
  * be worse than without admission. Of 640 instances, each has about one request in flight, so that few
@@ -16,7 +19,7 @@
 const FLEETS = [
   { instances: 8, endpoints: 12, ages: [100, 500, 1000], tolerance: 0 },
   { instances: 60, endpoints: 30, ages: [100, 500, 1000], tolerance: 0 },
-  { instances: 640, endpoints: 60, ages: [100, 1000], tolerance: 2.5 },
+  { instances: 640, endpoints: 60, ages: [100, 1000], tolerance: SEED_VARIATION },
 ] as const;
 
 /** Rejections vary with the number of repeated requests, by up to about this many times the rest. */
@@ -51,6 +54,7 @@
   instances: number,
   endpoints: number,
   age: number,
+  hasEngines = false,
 ): Promise<Readonly<Record<string, number>>> {
   const world = new AdmissionWorld({
     kind,
@@ -59,6 +63,7 @@
     reportAgeMilliseconds: age,
     seconds: SECONDS,
     load: BURST,
+    hasEngines,
   });
   await world.run();
   return summarize(world);
@@ -95,3 +100,22 @@
     }, 300_000);
   },
 );
+
+describe.each([
+  { instances: 8, endpoints: 12 },
+  { instances: 60, endpoints: 30 },
+])('the admission of $instances instances with $endpoints engines', ({ instances, endpoints }) => {
+  // Guards against requests that wait on an instance although an engine's own queue has room.
+  it('leaves the queueing to the engines', async () => {
+    const perfect = await play(AdmissionKind.Perfect, instances, endpoints, 0, true);
+    print(`${instances} instances, engines, everything known`, perfect);
+    for (const age of [100, 1000]) {
+      const none = await play(AdmissionKind.None, instances, endpoints, age, true);
+      const shortage = await play(AdmissionKind.Shortage, instances, endpoints, age, true);
+      print(`${instances} instances, engines, reports ${age} ms old, no admission`, none);
+      print(`${instances} instances, engines, reports ${age} ms old, admission`, shortage);
+      expect(shortage.onTime).toBeGreaterThan((none.onTime ?? 0) - SEED_VARIATION);
+      expect(shortage.refusedAfterWait).toBeLessThan(1);
+    }
+  }, 300_000);
+});
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
@@ -28,8 +28,12 @@
 
 export const SLOTS = 8;
 
-/** Requests that a simulated endpoint queues beyond its slots. */
+/** Requests that a simulated plain endpoint, or an engine, queues beyond its slots. */
 const QUEUE = 2;
+const ENGINE_QUEUE = 3 * SLOTS;
+
+/** Tokens of a prompt for each millisecond that the request holds its slot. */
+const TOKENS_PER_MILLISECOND = 2;
 
 const TRAVEL_MILLISECONDS = 1;
 const REPORT_MILLISECONDS = 100;
@@ -152,7 +156,7 @@
   tries: number;
 }
 
-/** One plain endpoint with slots and a short queue in order of arrival. */
+/** One endpoint with slots and a queue, by priority and order of arrival. */
 class SimulatedEndpoint {
   readonly record: EndpointRecord;
 
@@ -162,19 +166,22 @@
 
   private readonly clock: HeapClock;
 
-  private readonly queue: (() => void)[] = [];
+  private readonly queue: { readonly priority: number; readonly start: () => void }[] = [];
+
+  private readonly queueLimit: number;
 
-  constructor(record: EndpointRecord, clock: HeapClock) {
+  constructor(record: EndpointRecord, clock: HeapClock, queueLimit: number) {
     this.record = record;
     this.clock = clock;
+    this.queueLimit = queueLimit;
   }
 
   get isFull(): boolean {
-    return this.running >= SLOTS && this.queue.length >= QUEUE;
+    return this.running >= SLOTS && this.queue.length >= this.queueLimit;
   }
 
   /** Calls back when the request has run. Returns false if it does not fit. */
-  accept(milliseconds: number, done: () => void): boolean {
+  accept(milliseconds: number, priority: number, done: () => void): boolean {
     if (this.isFull) {
       this.rejections += 1;
       return false;
@@ -183,14 +190,15 @@
       this.running += 1;
       this.clock.schedule(milliseconds, () => {
         this.running -= 1;
-        this.queue.shift()?.();
+        this.queue.shift()?.start();
         done();
       });
     };
     if (this.running < SLOTS) {
       start();
     } else {
-      this.queue.push(start);
+      const index = this.queue.findIndex((other) => other.priority > priority);
+      this.queue.splice(index < 0 ? this.queue.length : index, 0, { priority, start });
     }
     return true;
   }
@@ -270,6 +278,8 @@
   readonly seed?: number;
   /** Arriving work over the capacity, at a time in milliseconds. */
   readonly load: (now: number) => number;
+  /** True if the endpoints are engines, which queue three times their slots by priority. */
+  readonly hasEngines?: boolean;
   /** False if no load reports of peers arrive. */
   readonly hasReports?: boolean;
 }
@@ -391,16 +401,28 @@
         name,
         prefix: `/${name}/`,
         priority: 1,
+        services: [{ service: this.service, weight: 1 }],
         latencyTargetMilliseconds: latency,
         timeoutMilliseconds: 4000,
         maximumAttempts: attempts,
       }),
     );
     const records = Array.from({ length: options.endpoints }, (_empty, index) =>
-      makeEndpoint(`endpoint-${index}`, { address: `10.0.0.1:${index + 1}`, slots: SLOTS }),
+      makeEndpoint(`endpoint-${index}`, {
+        address: `10.0.0.1:${index + 1}`,
+        slots: SLOTS,
+        service: this.service,
+      }),
     );
     this.records = records;
-    this.endpoints = records.map((record) => new SimulatedEndpoint(record, this.clock));
+    this.endpoints = records.map(
+      (record) =>
+        new SimulatedEndpoint(
+          record,
+          this.clock,
+          options.hasEngines === true ? ENGINE_QUEUE : QUEUE,
+        ),
+    );
     records.forEach((record, index) => this.indexes.set(incarnationHash(record), index));
     const count = options.kind === AdmissionKind.Perfect ? 1 : options.instances;
     for (let index = 0; index < count; index += 1) {
@@ -408,6 +430,10 @@
     }
   }
 
+  private get service(): string {
+    return this.options.hasEngines === true ? 'model' : 'desk';
+  }
+
   get rejections(): number {
     return this.endpoints.reduce((sum, { rejections }) => sum + rejections, 0);
   }
@@ -420,7 +446,7 @@
     await this.clock.advance(end + 5000);
   }
 
-  send({ endpoint, request }: Attempt): Promise<EndpointResponse> {
+  send({ endpoint, request, priority = 0 }: Attempt): Promise<EndpointResponse> {
     const target = this.endpoints[this.indexes.get(incarnationHash(endpoint)) as number];
     const caller = this.requests.get(request.identifier ?? '') as CallerRequest;
     this.attempts += 1;
@@ -428,7 +454,7 @@
       this.clock.schedule(TRAVEL_MILLISECONDS, () => {
         const respond = (response: EndpointResponse) =>
           this.clock.schedule(TRAVEL_MILLISECONDS, () => resolve(response));
-        const isAccepted = target?.accept(caller.serviceMilliseconds, () => {
+        const isAccepted = target?.accept(caller.serviceMilliseconds, priority, () => {
           this.work.set(
             caller.account,
             (this.work.get(caller.account) ?? 0) + caller.serviceMilliseconds,
@@ -507,7 +533,7 @@
   private scheduleReports(): void {
     const report = () => {
       const own = this.instances.map(({ exchange }) =>
-        Int16Array.from(exchange.registry.readyEndpoints('desk'), ({ running }) => running),
+        Int16Array.from(exchange.registry.readyEndpoints(this.service), ({ running }) => running),
       );
       const totals = new Int32Array(this.endpoints.length);
       own.forEach((counts) =>
@@ -607,6 +633,12 @@
         callerTimeoutMilliseconds: left,
         arrivedMilliseconds: now,
         arrivedSuspensionMilliseconds: now,
+        promptSegments: [
+          {
+            identifier: request.identifier,
+            tokens: Math.round(request.serviceMilliseconds * TOKENS_PER_MILLISECOND),
+          },
+        ],
       }),
       sink,
     );
