--- a/packages/hickoryrelay-forwarding/src/ShortageAdmission.ts
+++ b/packages/hickoryrelay-forwarding/src/ShortageAdmission.ts
@@ -105,7 +105,6 @@
   }
 
   override tryAdmit(call: CallContext): CapacityPermit | undefined {
-    const { service } = call.admitted;
     const kind = this.room.kindFor(call);
     const isAdmitted =
       kind === RoomKind.NoEndpoint || (kind === RoomKind.Free && this.mayRely(call));
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ShortageAdmission.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ShortageAdmission.test.ts
@@ -35,9 +35,16 @@
   }
 }
 
-function makeOneEndpointConfiguration(): ForwardingConfiguration {
+function makeOneRouteConfiguration(service: string): ForwardingConfiguration {
   return makeConfiguration({
-    routes: [makeRoute({ latencyTargetMilliseconds: 400, maximumAttempts: 1, priority: 1 })],
+    routes: [
+      makeRoute({
+        latencyTargetMilliseconds: 400,
+        maximumAttempts: 1,
+        priority: 1,
+        services: [{ service, weight: 1 }],
+      }),
+    ],
     grants: new Map([
       ['key-1', { account: 'account-1' }],
       ['key-urgent', { account: 'account-2', priority: 0 }],
@@ -46,12 +53,12 @@
 }
 
 /** An instance and one endpoint with one slot, whose requests end when the test says so. */
-function setUp(endpoints = [ENDPOINT]) {
+function setUp(endpoints = [ENDPOINT], service = 'desk') {
   const clock = new ManualClock();
   const link = new ManualLink();
   const loads = new FixedLoads();
   const log = new RecordingLogger();
-  const configuration = makeOneEndpointConfiguration();
+  const configuration = makeOneRouteConfiguration(service);
   const registry = new EndpointRegistry(loads);
   const parts = makeExchange(clock, link, configuration, endpoints, log, { registry });
   const send = (accessKey = 'key-1', ageMilliseconds = 0) => {
@@ -148,6 +155,37 @@
     expect(link.sent.at(-1)?.account).toBe('account-2');
   });
 
+  // Guards against requests that wait on the instance although an engine's own queue has room.
+  it('leaves the queueing of generations to the engine', async () => {
+    const engine = makeEndpoint('e1', { service: 'model', slots: 4 });
+    const { send, clock, link, warmUp, reject, loads } = setUp([engine], 'model');
+    await warmUp();
+    await reject();
+    await warmUp();
+    const already = link.sent.length;
+    loads.running = 10;
+    send();
+    await clock.advance(0);
+    expect(link.sent).toHaveLength(already + 1);
+  });
+
+  // Guards against requests that are sent to engines whose queues are full.
+  it('holds a generation while the queues of all engines are full', async () => {
+    const engine = makeEndpoint('e1', { service: 'model', slots: 4 });
+    const { send, clock, link, warmUp, loads } = setUp([engine], 'model');
+    await warmUp();
+    const already = link.sent.length;
+    // The slot that the last request has left is no longer offered then.
+    await clock.advance(10);
+    loads.running = 16;
+    send();
+    await clock.advance(0);
+    expect(link.sent).toHaveLength(already);
+    loads.running = 15;
+    await clock.advance(25);
+    expect(link.sent).toHaveLength(already + 1);
+  });
+
   // Guards against late requests that make others late as well.
   it('admits a request that can be on time before one that will be late', async () => {
     const { send, clock, link, warmUp } = setUp();
