--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
@@ -219,7 +219,12 @@
   }
 
   override loadOf(endpoint: number): PeerLoad {
-    return { running: this.read(endpoint), prefillTokens: 0, latePrefillTokens: 0, occupiedTokens: 0 };
+    return {
+      running: this.read(endpoint),
+      prefillTokens: 0,
+      latePrefillTokens: 0,
+      occupiedTokens: 0,
+    };
   }
 }
 
