--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -180,6 +180,8 @@
     const isQueueEmpty = prefillEngine.queuedPrefillTokens(true) === 0;
     const releaseReservation = prefillEngine.reservePrefill(prefillTokens, this.isLate);
     prefillEngine.beginRequest(sentMilliseconds);
+    // Requests with the same segment that arrive during the prefill wait for it instead of repeating it.
+    this.call.recordCachedSegment(prefillEngine, prompt);
     try {
       const signal = AbortSignal.any([
         this.call.deadline.signal,
@@ -199,7 +201,6 @@
           Math.max(0, now - sentMilliseconds - plan.prefillMilliseconds),
           now,
         );
-        this.call.recordCachedSegment(prefillEngine, prompt);
         if (isQueueEmpty) {
           this.recordUnqueuedPrefill(plan, now - sentMilliseconds, now);
         }
