--- a/packages/hickoryrelay-caller/src/CallerMemory.ts
+++ b/packages/hickoryrelay-caller/src/CallerMemory.ts
@@ -28,9 +28,9 @@
 const MAXIMUM_WAIT_MILLISECONDS = 3000;
 
 /**
- * Decides what the connections of callers may hold. Designed for callers that no operator controls: a
- * crowd of them uses the memory for callers without the reserve, and is evicted by lack of progress; ordinary
- * callers hold less than `ORDINARY_CONNECTION_BYTES` each and use the reserve as well.
+ * Decides what the connections of callers may hold. Designed for callers that no operator controls:
+ * many of them at once use the memory for callers without the reserve, and are evicted by lack of progress;
+ * ordinary callers hold less than `ORDINARY_CONNECTION_BYTES` each and use the reserve as well.
  */
 export class CallerMemory {
   readonly limits: CallerLimits;
--- a/packages/hickoryrelay-forwarding/src/SupplyPlans.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyPlans.ts
@@ -50,12 +50,17 @@
 
   private stored: string | undefined;
 
-  private isLoaded = false;
+  private hasLoaded = false;
 
   constructor(store: KeyValueStore) {
     this.store = store;
   }
 
+  /** True once the store has been read. */
+  get isLoaded(): boolean {
+    return this.hasLoaded;
+  }
+
   /** The plan of a service, which begins without one. */
   planOf(service: string): ServicePlan {
     const plan = this.plans.get(service) ?? { supply: new SupplyPlan(), stages: new StageShare() };
@@ -65,11 +70,11 @@
 
   /** Continues the plans in the store once, unless they are old or invalid. */
   async load(wallMilliseconds: number): Promise<void> {
-    if (this.isLoaded) {
+    if (this.hasLoaded) {
       return;
     }
     const entry = await this.store.get(STORE_KEY);
-    this.isLoaded = true;
+    this.hasLoaded = true;
     const stored = entry === undefined ? undefined : decodeStored(entry.value);
     const age = wallMilliseconds - (stored?.writtenMilliseconds ?? Number.NEGATIVE_INFINITY);
     if (stored === undefined || Math.abs(age) > MAXIMUM_AGE_MILLISECONDS) {
--- a/packages/hickoryrelay-forwarding/src/SupplyTask.ts
+++ b/packages/hickoryrelay-forwarding/src/SupplyTask.ts
@@ -59,19 +59,19 @@
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
     for (;;) {
       this.parts.demands.observe(clock.monotonicMilliseconds());
-      await this.keep(() => this.parts.plans.load(clock.wallMilliseconds()));
+      await this.accessStore(() => this.parts.plans.load(clock.wallMilliseconds()));
       for (const level of this.unmetLevels(clock.monotonicMilliseconds())) {
         yield;
         await this.order(level, clock.monotonicMilliseconds());
       }
       yield;
-      await this.keep(() => this.parts.plans.save(clock.wallMilliseconds()));
+      await this.accessStore(() => this.parts.plans.save(clock.wallMilliseconds()));
       await clock.sleep(PERIOD_MILLISECONDS, signal);
     }
   }
 
-  /** Reads or writes the plans in the store. Without it, the plans of this term are used. */
-  private async keep(access: () => Promise<void>): Promise<void> {
+  /** Reads or writes the plans in the store. */
+  private async accessStore(access: () => Promise<void>): Promise<void> {
     try {
       await access();
     } catch (error) {
@@ -83,7 +83,11 @@
 
   /** Levels that differ from the number of registered endpoints. */
   private *unmetLevels(now: number): Generator<SupplyLevel, void, void> {
-    const { view } = this.parts;
+    const { view, plans } = this.parts;
+    if (!plans.isLoaded) {
+      // The maximum would be ordered although there may be a plan.
+      return;
+    }
     for (const service of view.configuration?.services.values() ?? []) {
       // A zone whose endpoints have all been reclaimed is known from its price.
       const zones = new Set([
