--- a/packages/hickoryrelay-forwarding/src/ReturnSchedule.ts
+++ b/packages/hickoryrelay-forwarding/src/ReturnSchedule.ts
@@ -34,7 +34,7 @@
   /**
    * Returns the time after which the next refused caller of a service may return.
    *
-   * @param patienceMilliseconds the longest time that the caller follows. A caller with less patience
+   * @param maximumMilliseconds the longest time that the caller follows. A caller with a shorter one
    *   does not return, so that its place in the sequence stays free for the next one.
    * @param drainPerSecond the rate at which requests of this instance end while all endpoints are full;
    *   0 if it is not known or an endpoint has room.
@@ -42,7 +42,7 @@
   next(
     service: string,
     now: number,
-    patienceMilliseconds = Number.POSITIVE_INFINITY,
+    maximumMilliseconds = Number.POSITIVE_INFINITY,
     drainPerSecond = 0,
   ): ReturnTime {
     const { NoCapacity, Maximum } = RETRY_AFTER_MILLISECONDS;
@@ -65,7 +65,7 @@
       return { milliseconds: Math.min(firstWait, Maximum), isInSequence: false };
     }
     const next = this.nextInSequence(service, drainPerSecond, now, firstWait);
-    if (next - now <= patienceMilliseconds) {
+    if (next - now <= maximumMilliseconds) {
       this.lastReturns.set(service, next);
     }
     return { milliseconds: Math.min(next - now, Maximum), isInSequence: true };
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionUnderShortage.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionUnderShortage.test.ts
@@ -13,13 +13,12 @@
 /**
  * Instances and endpoints, the ages of reports, and by how many percent of the requests the result may
  * be worse than without admission. Of 640 instances, each has about one request in flight, so that few
- * slots become free there, and the result is as good as without admission: three seeds gave -1.5, 0.7
- * and 1.4.
+ * slots become free there; three seeds gave -1.5, 0.7 and 1.4.
  */
 const FLEETS = [
   { instances: 8, endpoints: 12, ages: [100, 500, 1000], tolerance: 0 },
   { instances: 60, endpoints: 30, ages: [100, 500, 1000], tolerance: 0 },
-  { instances: 640, endpoints: 60, ages: [100, 1000], tolerance: SEED_VARIATION },
+  { instances: 640, endpoints: 60, ages: [100, 1000], tolerance: 0 },
 ] as const;
 
 /** Rejections vary with the number of repeated requests, by up to about this many times the rest. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
@@ -356,6 +356,6 @@
       const speed = ENGINE_SPEEDS[states.indexOf(engine as EndpointState)] ?? 0;
       counts.set(speed, (counts.get(speed) ?? 0) + 1);
     }
-    expect(counts.get(1.6) ?? 0).toBeGreaterThan((counts.get(0.6) ?? 0) * 1.4);
+    expect(counts.get(1.6) ?? 0).toBeGreaterThan((counts.get(0.6) ?? 0) * 2);
   });
 });
