--- a/review/common-2/world.mjs
+++ b/review/common-2/world.mjs
@@ -394,7 +394,10 @@
       body,
     });
     recorder?.write(`${this.id} runs ${id} for tenant ${header(request, 'x-tenant-id')}`);
-    await sleep(workMilliseconds);
+    const isPrefilled = header(request, 'x-kv-source') !== undefined;
+    await sleep(
+      isPrefilled ? workMilliseconds : (this.options.localMilliseconds ?? workMilliseconds),
+    );
     const head = { 'x-request-id': id, 'x-response-signature': identifier('s') };
     if (stage === undefined) {
       response.writeHead(200, head).end('x'.repeat(800));
