Log the software versions of endpoints and the attempt that a caller resumes

The three hypotheses about streams of two software versions could not be told apart: no line named the version of an endpoint, nor the attempt whose stream a caller takes up.

The registration's version is decoded (an entry with one of another type is unusable, as with other fields). The line of a request has softwareVersions, those of the endpoints that began to respond, in order, and resumes. No decision uses them yet.

--- a/packages/hickoryrelay-forwarding/src/CallTrace.ts
+++ b/packages/hickoryrelay-forwarding/src/CallTrace.ts
@@ -25,6 +25,12 @@
   /** Identifiers of the shared segments of a prompt whose run failed before its first event. */
   lostSegments: readonly string[] = [];
 
+  /** Identifier of the attempt whose stream the caller resumes. */
+  resumedRequest: string | undefined;
+
+  /** Software versions of the endpoints that have begun to respond, in order; empty for those without. */
+  readonly softwareVersions: string[] = [];
+
   /** Adds a step, such as `run engine-1: reset`. */
   addStep(step: string): void {
     this.steps.push(step);
@@ -45,6 +51,9 @@
           : Math.round(this.firstByteMilliseconds),
       stopping:
         this.stoppingMilliseconds === undefined ? undefined : Math.round(this.stoppingMilliseconds),
+      resumes: this.resumedRequest,
+      softwareVersions:
+        this.softwareVersions.length === 0 ? undefined : this.softwareVersions.join(','),
       lostSegments: this.lostSegments.length === 0 ? undefined : this.lostSegments.join(','),
     };
   }
--- a/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
@@ -38,6 +38,8 @@
   readonly stage?: EngineStage;
   /** True if the platform may reclaim the endpoint at short notice, as with spot capacity. */
   readonly isReclaimable: boolean;
+  /** Version of the software that the endpoint runs; absent if it states none. */
+  readonly softwareVersion?: string;
 }
 
 /**
@@ -80,6 +82,7 @@
     Number(slots) <= MAXIMUM_SLOTS &&
     PHASES.has(record.phase) &&
     STAGES.has(record.stage) &&
+    (record.softwareVersion === undefined || isName(record.softwareVersion)) &&
     Number.isSafeInteger(startedMilliseconds) &&
     Number(startedMilliseconds) >= 0 &&
     typeof record.isReclaimable === 'boolean'
--- a/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
@@ -30,4 +30,6 @@
   readonly promptSegments: readonly PromptSegment[];
   /** Identifier of the last event that the caller has received, if it resumes a stream. */
   readonly lastEvent: string | undefined;
+  /** Identifier of the attempt that brought the first event of a stream that the caller resumes. */
+  readonly resumedRequest?: string | undefined;
 }
--- a/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
+++ b/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
@@ -113,6 +113,7 @@
   /** Records that the first event or the whole response has arrived. */
   recordBegin(): void {
     this.hasEndpointBegun = true;
+    this.call.trace.softwareVersions.push(this.state.record.softwareVersion ?? '');
     this.call.recordBegin();
   }
 
--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -111,8 +111,15 @@
           previousViewAgeMilliseconds: Math.round(previousViewAgeMilliseconds),
         });
       }
-      for (const { identifier, service, zone, stage, phase } of difference.added) {
-        log.info('Added an endpoint.', { endpoint: identifier, service, zone, stage, phase });
+      for (const { identifier, service, zone, stage, phase, softwareVersion } of difference.added) {
+        log.info('Added an endpoint.', {
+          endpoint: identifier,
+          service,
+          zone,
+          stage,
+          phase,
+          softwareVersion,
+        });
       }
       for (const { identifier, service, zone, stage, phase } of difference.changed) {
         log.info('Endpoint phase or stage changed.', {
