Continue a stream only at the software version that began it

Cause: the choice of an endpoint compared nothing that names the version. A call now binds its stream to the version of the endpoint whose first event it relays, and only endpoints of that version accept the call from then on: for the next attempt, a hedge, and the room that admission sees. Without one the response breaks off at once. A stream whose endpoint has registered another version since the attempt was started is not resumed, since either may have written its events.

StreamVersions: three of six cases fail before (not continued, not hedged, registered anew), none after.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -65,6 +65,20 @@
   readonly fetchFrom?: string | undefined;
 }
 
+/** Where a stream began. */
+export interface StreamOrigin {
+  /** Software version of the endpoint; undefined if it states none. */
+  readonly softwareVersion: string | undefined;
+}
+
+/** What is known of the software version that serves an attempt. */
+export interface AttemptVersion {
+  /** As registered when the attempt was started; undefined if the endpoint states none. */
+  readonly softwareVersion: string | undefined;
+  /** False if the endpoint has registered another version since. */
+  readonly isVersionCurrent: boolean;
+}
+
 /** The state of one call: the request, its limits, the endpoints tried and the events delivered. */
 export class CallContext {
   readonly parts: ForwardedCallParts;
@@ -94,6 +108,9 @@
   /** True once bytes have been relayed after which another endpoint could not resume. */
   private isUnresumable = false;
 
+  /** The stream that the caller receives; undefined until an endpoint has begun it. */
+  private streamOrigin: StreamOrigin | undefined;
+
   constructor(
     parts: ForwardedCallParts,
     request: ForwardedRequest,
@@ -142,6 +159,40 @@
     return this.lastDeliveredEvent;
   }
 
+  /**
+   * The endpoints that accept the request. Endpoints do not check which software version began a stream, so
+   * those of another version are left out once it has begun.
+   */
+  get acceptingEndpoints(): readonly EndpointState[] {
+    const states = this.parts.registry.readyEndpoints(this.admitted.service);
+    const origin = this.streamOrigin;
+    return origin === undefined
+      ? states
+      : states.filter(({ record }) => record.softwareVersion === origin.softwareVersion);
+  }
+
+  /** Why no endpoint is left for the next attempt. */
+  get noEndpointReason(): string {
+    const origin = this.streamOrigin;
+    return origin === undefined
+      ? 'no endpoint is left'
+      : `no endpoint of software version ${origin.softwareVersion ?? '(none)'} is left`;
+  }
+
+  /**
+   * Records that events of an attempt are about to be written to the caller. Returns false if another software
+   * version began the stream. A stream whose endpoint has registered anew with another version since the attempt
+   * was started cannot be resumed, as either version may have begun it.
+   */
+  bindStream({ softwareVersion, isVersionCurrent }: AttemptVersion): boolean {
+    if (this.streamOrigin === undefined) {
+      this.streamOrigin = { softwareVersion };
+      this.isUnresumable ||= !isVersionCurrent;
+      return true;
+    }
+    return isVersionCurrent && this.streamOrigin.softwareVersion === softwareVersion;
+  }
+
   /** Records that an event has been written to the caller. */
   recordDelivery(identifier: string | undefined): void {
     this.isUnresumable ||= identifier === undefined;
--- a/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
@@ -215,13 +215,12 @@
 
   /** Chooses an endpoint of a service without engines, or returns the reason if there is none. */
   private chooseServiceEndpoint(): Destination | string {
-    const { parts, admitted } = this.call;
-    const states = parts.registry.readyEndpoints(admitted.service);
+    const { parts, acceptingEndpoints: states } = this.call;
     const context = this.call.placementContext();
     const offered = this.call.takeOffered(states);
     const state = offered ?? parts.services.choose(states, context);
     return state === undefined
-      ? 'no endpoint is left'
+      ? this.call.noEndpointReason
       : { state, prefillMilliseconds: 0, prefillTokens: 0 };
   }
 
--- a/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
@@ -164,7 +164,10 @@
 
   /** A stream that may be resumed has no stated length, since its bytes may come from two endpoints. */
   private start(): void {
-    const { call, response } = this;
+    const { call, response, attempt } = this;
+    if (!call.bindStream(attempt)) {
+      throw this.failure('another software version began the stream');
+    }
     if (!call.sink.hasStarted) {
       const { length } = response;
       call.sink.start({ ...response, length: call.isResumable ? undefined : length });
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -94,16 +94,15 @@
     if (this.call.quarantinedGroup !== undefined) {
       return QUARANTINED;
     }
-    const { registry, engines } = this.call.parts;
-    const { deadline } = this.call;
-    const states = registry.readyEndpoints(this.call.admitted.service);
+    const { engines } = this.call.parts;
+    const { deadline, acceptingEndpoints: states } = this.call;
     let plan = engines.plan(states, prompt, false, this.call.placementContext());
     if (plan !== undefined && deadline.wouldBeLate(plan.firstTokenMilliseconds)) {
       this.isLate = true;
       plan = engines.plan(states, prompt, true, this.call.placementContext());
     }
     if (plan === undefined) {
-      return 'no engine is left';
+      return this.call.noEndpointReason;
     }
     const expectedMilliseconds = Math.round(plan.firstTokenMilliseconds);
     return expectedMilliseconds > deadline.firstEventTimeout() * FIRST_EVENT_TIMEOUT_FRACTION
@@ -149,14 +148,18 @@
     prefilledPrompt: PrefilledPrompt,
     prompt: PromptSummary,
   ): Destination | string {
-    const { registry, engines } = this.call.parts;
+    const { engines } = this.call.parts;
     // Engines may have left or filled up, or a segment been quarantined, during the prefill.
-    const current = registry.readyEndpoints(this.call.admitted.service);
-    const state = engines.chooseDecodeEngine(current, prompt, this.call.placementContext());
+    const { acceptingEndpoints } = this.call;
+    const state = engines.chooseDecodeEngine(
+      acceptingEndpoints,
+      prompt,
+      this.call.placementContext(),
+    );
     const isQuarantined = this.call.quarantinedGroup !== undefined;
     if (state === undefined || isQuarantined) {
       this.release(prefilledPrompt);
-      return isQuarantined ? QUARANTINED : 'no engine is left';
+      return isQuarantined ? QUARANTINED : this.call.noEndpointReason;
     }
     return { state, prefillMilliseconds: 0, prefillTokens: 0, prefilledPrompt };
   }
--- a/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
+++ b/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
@@ -3,7 +3,7 @@
 
 import { AttemptKind } from './EndpointLink.js';
 
-import type { CallContext, Destination } from './CallContext.js';
+import type { AttemptVersion, CallContext, Destination } from './CallContext.js';
 import type { Attempt, EndpointResponse } from './EndpointLink.js';
 import type { EndpointState } from './EndpointState.js';
 
@@ -18,7 +18,7 @@
 export type AbandonReason = (typeof AbandonReason)[keyof typeof AbandonReason];
 
 /** One attempt in flight at an endpoint, from its start until it is closed. */
-export class OpenAttempt {
+export class OpenAttempt implements AttemptVersion {
   readonly destination: Destination;
 
   /** Time of the monotonic clock at which the attempt was started. */
@@ -68,6 +68,14 @@
     return this.destination.state;
   }
 
+  get softwareVersion(): string | undefined {
+    return this.attempt.endpoint.softwareVersion;
+  }
+
+  get isVersionCurrent(): boolean {
+    return this.state.record.softwareVersion === this.softwareVersion;
+  }
+
   /** False if the endpoint takes no requests any more. */
   get isPermitted(): boolean {
     return this.attempt.permit.isValid;
@@ -113,7 +121,7 @@
   /** Records that the first event or the whole response has arrived. */
   recordBegin(): void {
     this.hasEndpointBegun = true;
-    this.call.trace.softwareVersions.push(this.state.record.softwareVersion ?? '');
+    this.call.trace.softwareVersions.push(this.softwareVersion ?? '');
     this.call.recordBegin();
   }
 
--- a/packages/hickoryrelay-forwarding/src/ServiceRoom.ts
+++ b/packages/hickoryrelay-forwarding/src/ServiceRoom.ts
@@ -82,11 +82,10 @@
 
   /** What the estimates say, from the first endpoint with room. */
   kindFor(call: CallContext): RoomKind {
-    const { registry, clock } = this.parts;
-    const { isGeneration } = call;
-    const now = clock.monotonicMilliseconds();
+    const { isGeneration, acceptingEndpoints } = call;
+    const now = this.parts.clock.monotonicMilliseconds();
     let kind: RoomKind = RoomKind.NoEndpoint;
-    for (const state of registry.readyEndpoints(call.admitted.service)) {
+    for (const state of acceptingEndpoints) {
       if (!call.tried.has(state) && ServiceRoom.takesRequests(state, now)) {
         if (roomAt(state, isGeneration) > 0) {
           return RoomKind.Free;
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -207,6 +207,11 @@
     this.behaviours = [...behaviours];
   }
 
+  /** Adds behaviours for further attempts. */
+  script(behaviours: readonly EndpointBehaviour[]): void {
+    this.behaviours.push(...behaviours);
+  }
+
   override send(attempt: Attempt, signal: AbortSignal): Promise<EndpointResponse> {
     this.sent.push(attempt);
     const behaviour = this.behaviours.shift();
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
@@ -0,0 +1,100 @@
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+
+import {
+  endpointFailure,
+  makeEndpoint,
+  makeResponse,
+  makeRouteHarness,
+  RESUMABLE_STREAM,
+} from './ForwardingFixture.js';
+
+import type { EndpointBehaviour, HarnessOptions } from './ForwardingFixture.js';
+
+const events = (...identifiers: number[]) =>
+  identifiers.map((identifier) => `id: ${identifier}\ndata: ${identifier}\n\n`);
+
+const breaksAfter =
+  (...identifiers: number[]): EndpointBehaviour =>
+  async () =>
+    makeResponse([...events(...identifiers), endpointFailure(true)]);
+
+const delivers =
+  (...identifiers: number[]): EndpointBehaviour =>
+  async () =>
+    makeResponse(events(...identifiers));
+
+/** An exchange with an endpoint of each version. The first one is tried first. */
+function makeVersions(
+  versions: readonly (string | undefined)[],
+  behaviours: EndpointBehaviour[],
+  options: HarnessOptions = {},
+) {
+  const endpoints = versions.map((softwareVersion, index) =>
+    makeEndpoint(`engine-${index}`, {
+      zone: index === 0 ? 'zone-a' : `zone-${index}`,
+      ...(softwareVersion === undefined ? {} : { softwareVersion }),
+    }),
+  );
+  const route = { ...RESUMABLE_STREAM, maximumAttempts: 3 };
+  return makeRouteHarness(route, behaviours, { endpoints, ...options });
+}
+
+describe('a stream while endpoints of two software versions serve', () => {
+  it('is not continued at the version that did not begin it', async () => {
+    const harness = makeVersions(['v1', 'v2'], [breaksAfter(1, 2), delivers(3)]);
+    await harness.run();
+    expect(harness.link.sent).toHaveLength(1);
+    expect(harness.sink).toMatchObject({ text: events(1, 2).join(''), isAborted: true });
+  });
+
+  it.each([
+    ['the same version', ['v1', 'v2', 'v1']],
+    ['no stated version', [undefined, 'v2', undefined]],
+  ])('is continued at an endpoint of %s', async (_name, versions) => {
+    const harness = makeVersions(versions, [breaksAfter(1, 2), delivers(3)]);
+    await harness.run();
+    const [first, second] = harness.link.sent;
+    expect(second?.endpoint.softwareVersion).toBe(first?.endpoint.softwareVersion);
+    expect(harness.sink).toMatchObject({ text: events(1, 2, 3).join(''), isEnded: true });
+  });
+
+  it('begins at the other version if the first one fails before its first event', async () => {
+    const harness = makeVersions(['v1', 'v2'], [breaksAfter(), delivers(1)]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({ text: events(1).join(''), isEnded: true });
+  });
+
+  it('is not hedged at the other version when it stalls', async () => {
+    const clock = new ManualClock();
+    const stalls: EndpointBehaviour = async (_attempt, signal) => {
+      async function* body(): AsyncGenerator<Buffer, void, void> {
+        yield Buffer.from(events(1).join(''));
+        await clock.sleep(60_000, signal);
+      }
+      return { ...makeResponse([]), body: body() };
+    };
+    const harness = makeVersions(['v1', 'v2'], [stalls, delivers(2)], { clock });
+    const run = harness.run();
+    await clock.advance(4000);
+    await run;
+    expect(harness.link.sent).toHaveLength(1);
+    expect(harness.sink.text).toBe(events(1).join(''));
+  });
+
+  it('is not continued once its endpoint has registered anew with another version', async () => {
+    const harness = makeVersions(['v1', 'v1'], []);
+    const [first] = harness.registry.readyEndpoints('desk');
+    const changes: EndpointBehaviour = async ({ endpoint }) => {
+      harness.registry.replace([
+        { ...endpoint, softwareVersion: 'v2' },
+        ...harness.view.endpoints.filter(({ identifier }) => identifier !== endpoint.identifier),
+      ]);
+      return makeResponse([...events(1), endpointFailure(true)]);
+    };
+    harness.link.script([changes, delivers(2)]);
+    await harness.run();
+    expect(first?.record.softwareVersion).toBe('v2');
+    expect(harness.sink).toMatchObject({ text: events(1).join(''), isAborted: true });
+  });
+});
