Move KV cache only between engines of one software version

Cause: the placement compared cost and load of all engines of a service. The source of a cached segment and the remote prefill are now chosen for each version of the decode engines, and a prefilled prompt carries the version of its engine, so that the next attempt does not take it to another one.

EnginePlacement: the new case fails without the change to the placement and passes with it. While all prefill engines are of one version, engines of the other one prefill themselves.

--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -16,6 +16,8 @@
 export interface PrefilledPrompt {
   readonly address: string;
   readonly handle: string;
+  /** Software version of the engine, which another version cannot use the cache of. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** One attempt to send a request to an endpoint. */
--- a/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
+++ b/packages/hickoryrelay-forwarding/src/EnginePlacement.ts
@@ -127,6 +127,13 @@
   readonly fetchMilliseconds: number;
 }
 
+/** What the decode engines of one software version can do with KV cache from other engines. */
+interface VersionChoice {
+  /** Has the shared segment in its cache. */
+  readonly source: EndpointState | undefined;
+  readonly remotePrefill: PrefillCandidate | undefined;
+}
+
 /** A prefill engine with its expected cost. */
 interface PrefillCandidate extends PrefillEstimate {
   readonly prefillEngine: EndpointState;
@@ -136,10 +143,16 @@
   readonly waitMilliseconds: number;
 }
 
+const NO_CHOICE: VersionChoice = { source: undefined, remotePrefill: undefined };
+
+function softwareVersionOf({ record }: EndpointState): string | undefined {
+  return record.softwareVersion;
+}
+
 /**
  * Chooses the engine that prefills a prompt and the engine that generates the response. The prefill
  * is remote, on a prefill engine that transfers the KV cache, or local, on the decode engine
- * itself.
+ * itself. KV cache is moved only between engines of one software version, since another one cannot use it.
  *
  * Rendezvous hashing maps a large shared segment to the same prefill engine and the same decode
  * engine on all instances, so that it is computed once and found in the cache afterwards. Load and
@@ -177,10 +190,17 @@
       context,
     );
     const preferredEngine = this.findPreferredEngine(decodeEngines, prompt);
-    const source = this.findCacheSource(states, prompt, context);
-    const remotePrefill = this.choosePrefillEngine(prefillEngines, prompt, source, isLate, context);
+    const choices = new Map<string | undefined, VersionChoice>();
+    for (const version of new Set(decodeEngines.map(softwareVersionOf))) {
+      const isOfVersion = (state: EndpointState) => softwareVersionOf(state) === version;
+      const source = this.findCacheSource(states.filter(isOfVersion), prompt, context);
+      const engines = prefillEngines.filter(isOfVersion);
+      const remotePrefill = this.choosePrefillEngine(engines, prompt, source, isLate, context);
+      choices.set(version, { source, remotePrefill });
+    }
     this.selection.begin();
     for (const engine of decodeEngines) {
+      const { source, remotePrefill } = choices.get(softwareVersionOf(engine)) ?? NO_CHOICE;
       const decodeCost = this.decodeCost(engine, prompt, context);
       const localCost =
         decodeCost +
@@ -196,9 +216,11 @@
       this.addCandidate(engine, Math.min(localCost, remoteCost), prompt, context);
     }
     const chosen = this.choose(decodeEngines, prompt, context);
-    return chosen === undefined
-      ? undefined
-      : this.planFor(chosen, prompt, source, remotePrefill, chosen === preferredEngine, context);
+    if (chosen === undefined) {
+      return undefined;
+    }
+    const { source, remotePrefill } = choices.get(softwareVersionOf(chosen)) ?? NO_CHOICE;
+    return this.planFor(chosen, prompt, source, remotePrefill, chosen === preferredEngine, context);
   }
 
   /** Chooses the engine that receives the KV cache of a prefilled prompt, if there is any. */
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -150,12 +150,10 @@
   ): Destination | string {
     const { engines } = this.call.parts;
     // Engines may have left or filled up, or a segment been quarantined, during the prefill.
-    const { acceptingEndpoints } = this.call;
-    const state = engines.chooseDecodeEngine(
-      acceptingEndpoints,
-      prompt,
-      this.call.placementContext(),
+    const states = this.call.acceptingEndpoints.filter(
+      ({ record }) => record.softwareVersion === prefilledPrompt.softwareVersion,
     );
+    const state = engines.chooseDecodeEngine(states, prompt, this.call.placementContext());
     const isQuarantined = this.call.quarantinedGroup !== undefined;
     if (state === undefined || isQuarantined) {
       this.release(prefilledPrompt);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EnginePlacement.test.ts
@@ -358,4 +358,23 @@
     }
     expect(counts.get(1.6) ?? 0).toBeGreaterThan((counts.get(0.6) ?? 0) * 2);
   });
+
+  // Guards against KV cache of one software version that an engine of another one decodes.
+  it('moves no KV cache between engines of two software versions', () => {
+    const directory = new PromptCacheDirectory();
+    const states = makeStates();
+    const prompt = longPrompt(1);
+    states.forEach((state) => {
+      const softwareVersion = state.record.stage === EngineStage.Prefill ? 'v1' : 'v2';
+      Object.assign(state, { record: { ...state.record, softwareVersion } });
+    });
+    const holder = states[0] as EndpointState;
+    directory.recordOwn(segmentUse(holder, prompt), 0);
+    const plan = () => makePlacement(directory).plan(states, prompt, false, makeContext(1));
+    expect(plan()).toMatchObject({ prefillEngine: undefined, source: undefined });
+    states.forEach((state) => {
+      Object.assign(state, { record: { ...state.record, softwareVersion: 'v2' } });
+    });
+    expect(plan()).toMatchObject({ prefillEngine: holder });
+  });
 });
