Resume a caller's stream only at the version that began it

An instance now finds the version by the attempt that the caller names: in its own records, those that other instances have sent, or by asking them (hickoryrelay-stream). Streams that may be resumed begin at a new version only once every instance with a current view has seen it, unless there is no other.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -26,6 +26,8 @@
 import type { UsageTally } from './UsageTally.js';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
+import type { StreamOrigin, StreamOrigins } from 'hickoryrelay-stream/StreamOrigins';
 
 /** The collaborators of a call. */
 export interface ForwardedCallParts {
@@ -40,6 +42,7 @@
   readonly quarantine: SegmentQuarantine;
   readonly crashDetector: EngineCrashDetector;
   readonly notices: EndpointNotices;
+  readonly origins: StreamOrigins;
   readonly budgets: RetryBudgets;
   readonly returns: ReturnSchedule;
   readonly capacity: CapacityAdmission;
@@ -65,16 +68,10 @@
   readonly fetchFrom?: string | undefined;
 }
 
-/** Where a stream began. */
-export interface StreamOrigin {
-  /** Software version of the endpoint; undefined if it states none. */
-  readonly softwareVersion: string | undefined;
-}
-
 /** What is known of the software version that serves an attempt. */
 export interface AttemptVersion {
-  /** As registered when the attempt was started; undefined if the endpoint states none. */
-  readonly softwareVersion: string | undefined;
+  /** As registered when the attempt was started. */
+  readonly softwareVersion: SoftwareVersion;
   /** False if the endpoint has registered another version since. */
   readonly isVersionCurrent: boolean;
 }
@@ -111,6 +108,11 @@
   /** The stream that the caller receives; undefined until an endpoint has begun it. */
   private streamOrigin: StreamOrigin | undefined;
 
+  private hasBegunStream = false;
+
+  /** Marks the stream as ended at this instance. */
+  private endStreamRecord = () => {};
+
   constructor(
     parts: ForwardedCallParts,
     request: ForwardedRequest,
@@ -161,14 +163,24 @@
 
   /**
    * The endpoints that accept the request. Endpoints do not check which software version began a stream, so
-   * those of another version are left out once it has begun.
+   * those of another version are left out once it has begun. Until then, those of a version that other
+   * instances may not have seen are left out, unless there are no others.
    */
   get acceptingEndpoints(): readonly EndpointState[] {
-    const states = this.parts.registry.readyEndpoints(this.admitted.service);
+    const { registry, origins } = this.parts;
+    const { service } = this.admitted;
+    const states = registry.readyEndpoints(service);
     const origin = this.streamOrigin;
-    return origin === undefined
-      ? states
-      : states.filter(({ record }) => record.softwareVersion === origin.softwareVersion);
+    if (origin !== undefined) {
+      return states.filter(({ record }) => record.softwareVersion === origin.version);
+    }
+    if (!this.isResumable) {
+      return states;
+    }
+    const established = states.filter(({ record }) =>
+      origins.isEstablished(service, record.softwareVersion),
+    );
+    return established.length > 0 ? established : states;
   }
 
   /** Why no endpoint is left for the next attempt. */
@@ -176,7 +188,22 @@
     const origin = this.streamOrigin;
     return origin === undefined
       ? 'no endpoint is left'
-      : `no endpoint of software version ${origin.softwareVersion ?? '(none)'} is left`;
+      : `no endpoint of software version ${origin.version ?? '(none)'} is left`;
+  }
+
+  /**
+   * Finds the software version that began the stream that the caller resumes. Returns false if that is not
+   * known. Rejects with `cancelled` if the call ends meanwhile.
+   */
+  async findOrigin(): Promise<boolean> {
+    const { lastEvent, resumedRequest } = this.request;
+    if (!this.isResumable || lastEvent === undefined) {
+      return true;
+    }
+    const { origins } = this.parts;
+    const { service } = this.admitted;
+    this.streamOrigin = await origins.find(service, resumedRequest, this.deadline.signal);
+    return this.streamOrigin !== undefined;
   }
 
   /**
@@ -186,11 +213,29 @@
    */
   bindStream({ softwareVersion, isVersionCurrent }: AttemptVersion): boolean {
     if (this.streamOrigin === undefined) {
-      this.streamOrigin = { softwareVersion };
+      this.streamOrigin = { version: softwareVersion };
       this.isUnresumable ||= !isVersionCurrent;
-      return true;
+    } else if (!isVersionCurrent || this.streamOrigin.version !== softwareVersion) {
+      return false;
+    }
+    if (this.isResumable && !this.isUnresumable && !this.hasBegunStream) {
+      this.hasBegunStream = true;
+      this.beginStream(softwareVersion);
+    }
+    return true;
+  }
+
+  /** Records that the call has ended. */
+  endStream(): void {
+    this.endStreamRecord();
+  }
+
+  private beginStream(version: SoftwareVersion): void {
+    const { identifier } = this.request;
+    if (identifier !== undefined) {
+      const { service } = this.admitted;
+      this.endStreamRecord = this.parts.origins.begin(service, identifier, version);
     }
-    return isVersionCurrent && this.streamOrigin.softwareVersion === softwareVersion;
   }
 
   /** Records that an event has been written to the caller. */
--- a/packages/hickoryrelay-forwarding/src/DeploymentBounds.ts
+++ b/packages/hickoryrelay-forwarding/src/DeploymentBounds.ts
@@ -106,6 +106,11 @@
   );
 }
 
+/** Longest time between two reads of the view that are current, with the time of a read, in milliseconds. */
+export function viewObservationBoundOf(bounds: DeploymentBounds): number {
+  return viewRefreshPeriodOf(bounds) + viewReadTimeoutOf(bounds);
+}
+
 /** Times of the shutdown of an instance. */
 export function shutdownTimesOf({
   graceMilliseconds,
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -1,3 +1,6 @@
+import { describeFailure } from 'hickoryrelay/Failure';
+import { failureOf } from 'hickoryrelay/RelayError';
+
 import { AttemptTimeout } from './AttemptTimeout.js';
 import { CallContext } from './CallContext.js';
 import { CallDeadline, EndReason } from './CallDeadline.js';
@@ -76,14 +79,32 @@
         admitted.quotaTake?.giveBack();
         return sink.goneOutcome;
       }
-      return await this.attemptUntilDone();
+      return (await this.refuseUnknownOrigin()) ?? (await this.attemptUntilDone());
     } finally {
+      this.call.endStream();
       await this.hedges.close();
       this.generation.releaseKept();
       stopDeadline();
     }
   }
 
+  /**
+   * Refuses to resume a stream if it is not known which software version began it, since endpoints do not check
+   * that. Returns the outcome if the call has ended with it.
+   */
+  private async refuseUnknownOrigin(): Promise<string | undefined> {
+    try {
+      return (await this.call.findOrigin())
+        ? undefined
+        : this.fail(
+            'it is not known which software version began the stream',
+            RETRY_AFTER_MILLISECONDS.UnknownOrigin,
+          );
+    } catch (error) {
+      return this.fail(describeFailure(failureOf(error)));
+    }
+  }
+
   private async attemptUntilDone(): Promise<string> {
     for (;;) {
       const successor = this.hedges.isActive ? await this.hedges.takeSuccessor() : undefined;
--- a/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingLimits.ts
@@ -65,6 +65,8 @@
   NoView: 150,
   /** The instance is stopping; a new connection leads to another instance. */
   Stopping: 20,
+  /** It is not known which software version began a stream; another instance may know it. */
+  UnknownOrigin: 150,
   /** All endpoints of the service are full or unavailable. */
   NoCapacity: 300,
   /** Longest time for which callers of a service are put off one after another. */
--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -6,12 +6,15 @@
 
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { EndpointLink } from './EndpointLink.js';
+import type { EndpointRecord } from './EndpointRecord.js';
 import type { EndpointRegistry } from './EndpointRegistry.js';
 import type { InstanceRateLimitShares } from './InstanceRateLimitShares.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { ViewSource } from './ViewSource.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
+import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
+import type { StreamOrigins } from 'hickoryrelay-stream/StreamOrigins';
 import type { ViewReadStatistics } from 'hickoryrelay-view/ViewReadStatistics';
 
 const MINIMUM_RETRY_DELAY_MILLISECONDS = 250;
@@ -44,12 +47,25 @@
   readonly link: EndpointLink;
   readonly budgets: RetryBudgets;
   readonly shares: InstanceRateLimitShares;
+  readonly origins: StreamOrigins;
   /** Time between two reads, in milliseconds. */
   readonly periodMilliseconds: number;
   readonly statistics: ViewReadStatistics;
   readonly log: ComponentLogger;
 }
 
+/** The software versions of the endpoints of each service, including those that are leaving. */
+function softwareVersionsOf(
+  endpoints: readonly EndpointRecord[],
+): ReadonlyMap<string, ReadonlySet<SoftwareVersion>> {
+  const versions = new Map<string, Set<SoftwareVersion>>();
+  for (const { service, softwareVersion } of endpoints) {
+    const known = versions.get(service) ?? new Set();
+    versions.set(service, known.add(softwareVersion));
+  }
+  return versions;
+}
+
 /** Periodically reads configuration, endpoints and instances, and applies them to the view. */
 export class ViewRefreshTask extends Task {
   override readonly name = 'view';
@@ -78,7 +94,7 @@
 
   /** Reads once. Returns the time until the next read, in milliseconds. */
   private async refresh(): Promise<number> {
-    const { source, view, registry, link, budgets, shares } = this.parts;
+    const { source, view, registry, link, budgets, shares, origins } = this.parts;
     const { log, periodMilliseconds, statistics } = this.parts;
     const { delayMilliseconds } = this;
     const requestedAtMilliseconds = view.now();
@@ -93,6 +109,7 @@
       const readMilliseconds = view.now() - requestedAtMilliseconds;
       statistics.recordRead({ milliseconds: readMilliseconds, delayMilliseconds });
       const restarted = registry.replace(view.endpoints);
+      origins.observe(softwareVersionsOf(view.endpoints), view.ageMilliseconds);
       link.retain(view.endpoints);
       budgets.setInstanceCount(view.peers.length);
       shares.setInstances(
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
@@ -26,6 +26,8 @@
 
 import { StoreEra } from 'hickoryrelay-platform/StoreEra';
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
+import { StreamOrigins } from 'hickoryrelay-stream/StreamOrigins';
+import { VersionHistory } from 'hickoryrelay-stream/VersionHistory';
 import {
   endpointFailure,
   HEARTBEAT_MILLISECONDS,
@@ -55,6 +57,8 @@
   TransactionResult,
 } from 'hickoryrelay-platform/KeyValueStore';
 
+const VIEW_BOUND_MILLISECONDS = 2000;
+
 const FIRST_EVENT_MILLISECONDS = 20;
 const STREAM_MILLISECONDS = 200;
 const PREFILL_MILLISECONDS = 10;
@@ -329,6 +333,7 @@
       link,
       quarantine,
       crashDetector: new EngineCrashDetector({ link, quarantine, clock }),
+      origins: new StreamOrigins(new VersionHistory(VIEW_BOUND_MILLISECONDS), clock),
       budgets: new RetryBudgets(LIMITS),
       tally: new UsageTally(5000),
       shutdown: makeShutdownSchedule(clock),
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -29,6 +29,8 @@
 import { ServicePlacement } from 'hickoryrelay-forwarding/ServicePlacement';
 import { ShutdownSchedule } from 'hickoryrelay-forwarding/ShutdownSchedule';
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
+import { StreamOrigins } from 'hickoryrelay-stream/StreamOrigins';
+import { HISTORY_MILLISECONDS, VersionHistory } from 'hickoryrelay-stream/VersionHistory';
 
 import type { ComponentLogger, LogFields } from 'hickoryrelay/Logger';
 import type {
@@ -319,6 +321,21 @@
   readonly parts?: Partial<ForwardingExchangeParts>;
 }
 
+/** The origins of an instance that has seen the endpoints for as long as streams are remembered. */
+export function makeOrigins(
+  clock: ManualClock,
+  endpoints: readonly EndpointRecord[],
+): StreamOrigins {
+  const history = new VersionHistory(2 * HISTORY_MILLISECONDS);
+  const versions = new Map<string, Set<string | undefined>>();
+  for (const { service, softwareVersion } of endpoints) {
+    versions.set(service, (versions.get(service) ?? new Set()).add(softwareVersion));
+  }
+  history.observe(versions, clock.monotonicMilliseconds() - HISTORY_MILLISECONDS);
+  history.observe(versions, clock.monotonicMilliseconds());
+  return new StreamOrigins(history, clock);
+}
+
 /** Makes an exchange whose endpoints are reached over a link. */
 export function makeExchange(
   clock: ManualClock,
@@ -341,6 +358,7 @@
   const budgets = new RetryBudgets(LIMITS);
   const shutdown = makeShutdownSchedule(clock);
   const quarantine = new SegmentQuarantine(new CrashEvidence(), clock);
+  const origins = changes.origins ?? makeOrigins(clock, endpoints);
   const exchange = new ForwardingExchange({
     zone: 'zone-a',
     view,
@@ -352,6 +370,7 @@
     link,
     quarantine,
     crashDetector: new EngineCrashDetector({ link, quarantine, clock }),
+    origins,
     budgets,
     tally,
     shutdown,
@@ -367,7 +386,7 @@
     log,
     ...changes,
   });
-  return { view, registry, quarantine, tally, budgets, shutdown, metrics, exchange };
+  return { view, registry, quarantine, origins, tally, budgets, shutdown, metrics, exchange };
 }
 
 /** Makes an exchange with a scripted link and a manual clock. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
@@ -1,9 +1,11 @@
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from 'hickoryrelay/ManualClock';
+import { ASK_TIMEOUT_MILLISECONDS } from 'hickoryrelay-stream/StreamOrigins';
 
 import {
   endpointFailure,
   makeEndpoint,
+  makeRequest,
   makeResponse,
   makeRouteHarness,
   RESUMABLE_STREAM,
@@ -97,4 +99,55 @@
     expect(first?.record.softwareVersion).toBe('v2');
     expect(harness.sink).toMatchObject({ text: events(1).join(''), isAborted: true });
   });
+
+  const resumption = (resumedRequest?: string) =>
+    makeRequest({ identifier: 'resumption', lastEvent: '2', resumedRequest });
+
+  it.each(['v1', 'v2'])(
+    'that a caller resumes goes on at the version that began it: %s',
+    async (version) => {
+      const harness = makeVersions(['v1', 'v2'], [delivers(3)]);
+      harness.origins.begin('desk', 'first', version);
+      await harness.run(resumption('first'));
+      expect(harness.link.sent[0]?.endpoint.softwareVersion).toBe(version);
+      expect(harness.sink.isEnded).toBe(true);
+    },
+  );
+
+  it.each([
+    ['an attempt that never began', 'other'],
+    ['no attempt', undefined],
+  ])(
+    'is refused without a wait for its deadline if its caller names %s',
+    async (_name, resumed) => {
+      const harness = makeVersions(['v1', 'v2'], [delivers(3)]);
+      const run = harness.run(resumption(resumed));
+      await harness.clock.advance(ASK_TIMEOUT_MILLISECONDS);
+      await run;
+      expect(harness.link.sent).toHaveLength(0);
+      expect(harness.sink.own).toMatchObject({
+        status: 503,
+        retryAfterMilliseconds: expect.any(Number),
+      });
+    },
+  );
+
+  it('is refused at once if no endpoint of its version is left', async () => {
+    const harness = makeVersions(['v2'], [delivers(3)]);
+    harness.origins.begin('desk', 'first', 'v1');
+    await harness.run(resumption('first'));
+    expect(harness.sink.own?.status).toBe(503);
+  });
+
+  it('that was resumed can be resumed again by either attempt', async () => {
+    const harness = makeVersions(['v1', 'v2'], [delivers(3)]);
+    harness.origins.begin('desk', 'first', 'v2');
+    await harness.run(resumption('first'));
+    const find = (attempt: string) =>
+      harness.origins.find('desk', attempt, new AbortController().signal);
+    expect(await Promise.all(['first', 'resumption'].map(find))).toEqual([
+      { version: 'v2' },
+      { version: 'v2' },
+    ]);
+  });
 });
--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -96,16 +96,22 @@
     };
   }
 
+  /** True if streams may begin at the version, since all instances with a current view have seen it. */
+  isEstablished(service: string, version: SoftwareVersion): boolean {
+    return this.history.isEstablished(service, version, this.now());
+  }
+
   /**
    * Returns the version that began the stream of an attempt, or undefined if it is not known for
-   * certain. Takes at most `ASK_TIMEOUT_MILLISECONDS`. Rejects with `cancelled` if the signal aborts.
+   * certain. Without an identifier, only the sole version of a service is known. Takes at most
+   * `ASK_TIMEOUT_MILLISECONDS`. Rejects with `cancelled` if the signal aborts.
    */
   async find(
     service: string,
-    identifier: string,
+    identifier: string | undefined,
     signal: AbortSignal,
   ): Promise<StreamOrigin | undefined> {
-    const key = streamKey(service, identifier);
+    const key = streamKey(service, identifier ?? '');
     const own = this.answer(key, service);
     switch (own.kind) {
       case OriginAnswerKind.Known:
