Stream origins: which software version began a stream, on every instance

Cause: a client that takes a stream up again may come to an instance that doesn't know which software version began it, since nothing records it.

Change: hickoryrelay-stream keeps the versions that this instance has seen of each service and a bounded ledger of begun streams, sends records to other instances while a service has several versions, and asks them. A version that is not certain is not named. No part of the call path uses it yet.

Measured: StreamOrigins.test.ts passes.

--- a/packages/hickoryrelay-forwarding/src/PeerMessage.ts
+++ b/packages/hickoryrelay-forwarding/src/PeerMessage.ts
@@ -1,5 +1,10 @@
 import { pack, unpack } from 'msgpackr';
 import { StoreRevision } from 'hickoryrelay-platform/StoreRevision';
+import {
+  STREAM_ORIGIN_KIND,
+  decodeStreamOrigin,
+  streamOriginElements,
+} from 'hickoryrelay-stream/StreamOriginMessage';
 import { decodeRateReports, encodeRateReports } from 'hickoryrelay-workload/RateReport';
 
 import { decodeAccountUse, encodeAccountUse } from './AccountUseElements.js';
@@ -22,6 +27,7 @@
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { RateLimitReport } from 'hickoryrelay-endpoint/RateLimitStatement';
 import type { AccountUseReport } from 'hickoryrelay-quota/AccountUse';
+import type { StreamOriginMessage } from 'hickoryrelay-stream/StreamOriginMessage';
 import type { RateReport } from 'hickoryrelay-workload/RateReport';
 
 /** Kinds of messages between instances. The value is the first element of the encoded message. */
@@ -52,6 +58,8 @@
   CrashEvidence: CRASH_EVIDENCE_KIND,
   /** Sealed usage counts of a window, or a request for them. */
   UsageSeal: USAGE_SEAL_KIND,
+  /** Versions that began streams, or questions about them. */
+  StreamOrigin: STREAM_ORIGIN_KIND,
 } as const;
 
 export type PeerMessageKind = (typeof PeerMessageKind)[keyof typeof PeerMessageKind];
@@ -164,7 +172,8 @@
   | UsageCountsReport
   | UsageCountsConfirmation
   | CrashEvidenceMessage
-  | UsageSealMessage;
+  | UsageSealMessage
+  | StreamOriginMessage;
 
 const MESSAGE_NUMBER_LIMIT = 2 ** 32;
 
@@ -265,6 +274,8 @@
       return pack(crashEvidenceElements(message));
     case PeerMessageKind.UsageSeal:
       return pack(usageSealElements(message));
+    case PeerMessageKind.StreamOrigin:
+      return pack(streamOriginElements(message));
     default:
       return pack(encodeLoad(message));
   }
@@ -468,6 +479,8 @@
       return decodeCrashEvidence(fields);
     case PeerMessageKind.UsageSeal:
       return decodeUsageSeal(fields);
+    case PeerMessageKind.StreamOrigin:
+      return decodeStreamOrigin(fields);
     default:
       return undefined;
   }
--- /dev/null
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -0,0 +1,263 @@
+import { FailureKind } from 'hickoryrelay/Failure';
+import { RelayError } from 'hickoryrelay/RelayError';
+
+import { OriginAnswerKind } from './OriginAnswer.js';
+import { OriginLedger, RECORD_LIFETIME_MILLISECONDS } from './OriginLedger.js';
+import { OriginQuestion } from './OriginQuestion.js';
+import { streamKey } from './StreamKey.js';
+import { HISTORY_MILLISECONDS } from './VersionHistory.js';
+
+import type { OriginAnswer } from './OriginAnswer.js';
+import type { OriginRecord } from './OriginLedger.js';
+import type { StreamOrigin } from './OriginQuestion.js';
+import type { SoftwareVersion } from './SoftwareVersion.js';
+import type { VersionHistory } from './VersionHistory.js';
+import type { Clock } from 'hickoryrelay/Clock';
+
+export type { StreamOrigin } from './OriginQuestion.js';
+
+/** Time after which a question is decided with the answers there are. */
+export const ASK_TIMEOUT_MILLISECONDS = 100;
+
+/** Time after which instances that have not answered are asked again, since datagrams get lost. */
+const ASK_AGAIN_MILLISECONDS = 40;
+
+/** Records of open streams are sent again before other instances drop them. */
+const RENEWAL_MILLISECONDS = RECORD_LIFETIME_MILLISECONDS / 2;
+
+/**
+ * The versions that began the streams of this instance and, as far as this instance has been told, of
+ * the others. Answers which version began the stream of an attempt.
+ */
+export class StreamOrigins {
+  private readonly history: VersionHistory;
+
+  private readonly clock: Clock;
+
+  private readonly ledger = new OriginLedger();
+
+  /** Records to send to other instances, by key. */
+  private readonly unsentRecords = new Map<number, OriginRecord>();
+
+  /** Services that were settled at the last observation. */
+  private readonly settledServices = new Set<string>();
+
+  private renewedMilliseconds = Number.NEGATIVE_INFINITY;
+
+  private readonly questions = new Map<number, OriginQuestion>();
+
+  private readonly unsentQuestions = new Set<OriginQuestion>();
+
+  private readonly listeners = new Set<() => void>();
+
+  /** @param clock The clock of the history, which keeps running while the process is suspended. */
+  constructor(history: VersionHistory, clock: Clock) {
+    this.history = history;
+    this.clock = clock;
+  }
+
+  /** Calls the listener when there is something to send. Returns the function that unsubscribes it. */
+  subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => {
+      this.listeners.delete(listener);
+    };
+  }
+
+  /**
+   * Records the versions of the engines in the view, by service, as `VersionHistory.observe` does.
+   * Queues the records of streams whose service is no longer settled.
+   */
+  observe(
+    versions: ReadonlyMap<string, ReadonlySet<SoftwareVersion>>,
+    ageMilliseconds: number,
+  ): void {
+    const now = this.now();
+    this.history.observe(versions, now, ageMilliseconds);
+    this.queueOwnRecords(now);
+  }
+
+  /**
+   * Records that the first event of an attempt is about to be passed on. Returns the function that
+   * marks the stream as ended; further calls have no effect.
+   */
+  begin(service: string, identifier: string, version: SoftwareVersion): () => void {
+    const key = streamKey(service, identifier);
+    const record = this.ledger.begin(key, service, version);
+    if (!this.isSettled(service)) {
+      this.queueRecord(record);
+    }
+    let isOpen = true;
+    return () => {
+      if (isOpen) {
+        isOpen = false;
+        this.ledger.end(key, this.now());
+      }
+    };
+  }
+
+  /**
+   * Returns the version that began the stream of an attempt, or undefined if it is not known for
+   * certain. Takes at most `ASK_TIMEOUT_MILLISECONDS`. Rejects with `cancelled` if the signal aborts.
+   */
+  async find(
+    service: string,
+    identifier: string,
+    signal: AbortSignal,
+  ): Promise<StreamOrigin | undefined> {
+    const key = streamKey(service, identifier);
+    const own = this.answer(key, service);
+    switch (own.kind) {
+      case OriginAnswerKind.Known:
+      case OriginAnswerKind.SettledSole:
+        return { version: own.version };
+      case OriginAnswerKind.Conflicting:
+        return undefined;
+      default:
+        return this.waitFor(this.ask(key, service, own), signal);
+    }
+  }
+
+  /** What this instance knows about the stream with the key, without asking others. */
+  answer(key: number, service: string): OriginAnswer {
+    const now = this.now();
+    const record = this.ledger.find(key, now);
+    if (record !== undefined) {
+      return record.isConflicting
+        ? { kind: OriginAnswerKind.Conflicting }
+        : { kind: OriginAnswerKind.Known, version: record.version };
+    }
+    const sole = this.history.soleVersion(service, now);
+    if (sole !== undefined) {
+      const kind = sole.isSettled ? OriginAnswerKind.SettledSole : OriginAnswerKind.Sole;
+      return { kind, version: sole.version };
+    }
+    const isUnseen = this.history.versionsOf(service).length === 0;
+    return { kind: isUnseen ? OriginAnswerKind.Unseen : OriginAnswerKind.Mixed };
+  }
+
+  /** Takes over the record of another instance. */
+  receiveRecord(record: OriginRecord): void {
+    const now = this.now();
+    this.ledger.receive(record, now);
+    const question = this.questions.get(record.key);
+    if (question !== undefined) {
+      question.decideByRecord(this.answer(record.key, question.service));
+    }
+  }
+
+  /** Takes the answer of another instance. Ignored if the question has been decided. */
+  receiveAnswer(instance: string, key: number, answer: OriginAnswer): void {
+    this.questions.get(key)?.receive(instance, answer);
+  }
+
+  /** Removes and returns the records to send. */
+  takeRecords(): readonly OriginRecord[] {
+    const records = [...this.unsentRecords.values()];
+    this.unsentRecords.clear();
+    return records;
+  }
+
+  /** Removes and returns the questions to send to the instances that have not answered. */
+  takeQuestions(): readonly OriginQuestion[] {
+    const questions = [...this.unsentQuestions];
+    this.unsentQuestions.clear();
+    return questions;
+  }
+
+  private now(): number {
+    return this.clock.monotonicMilliseconds();
+  }
+
+  private isSettled(service: string): boolean {
+    return this.history.soleVersion(service, this.now())?.isSettled === true;
+  }
+
+  private queueOwnRecords(now: number): void {
+    const unsettledServices = this.updateSettledServices();
+    const isRenewal = now - this.renewedMilliseconds >= RENEWAL_MILLISECONDS;
+    if (isRenewal) {
+      this.renewedMilliseconds = now;
+    }
+    if (!isRenewal && unsettledServices.size === 0) {
+      return;
+    }
+    for (const record of this.ledger.ownRecordsSince(now - HISTORY_MILLISECONDS)) {
+      const { service, openStreams } = record;
+      const needsRenewal = isRenewal && openStreams > 0 && !this.settledServices.has(service);
+      if (needsRenewal || unsettledServices.has(service)) {
+        this.queueRecord(record);
+      }
+    }
+  }
+
+  /** Returns the services that have been settled until now. */
+  private updateSettledServices(): ReadonlySet<string> {
+    const unsettledServices = new Set<string>();
+    for (const service of this.history.serviceNames) {
+      if (this.isSettled(service)) {
+        this.settledServices.add(service);
+      } else if (this.settledServices.delete(service)) {
+        unsettledServices.add(service);
+      }
+    }
+    return unsettledServices;
+  }
+
+  private queueRecord({ key, version, isConflicting }: OriginRecord): void {
+    this.unsentRecords.set(key, { key, version, isConflicting });
+    this.notify();
+  }
+
+  private queueQuestion(question: OriginQuestion): void {
+    this.unsentQuestions.add(question);
+    this.notify();
+  }
+
+  private notify(): void {
+    this.listeners.forEach((listener) => listener());
+  }
+
+  /** Asks other instances. Attempts that name the same stream at the same time share a question. */
+  private ask(key: number, service: string, own: OriginAnswer): Promise<StreamOrigin | undefined> {
+    const known = this.questions.get(key);
+    if (known !== undefined) {
+      return known.outcome;
+    }
+    const question = new OriginQuestion(key, service, own);
+    this.questions.set(key, question);
+    this.queueQuestion(question);
+    const cancelAskingAgain = this.clock.schedule(ASK_AGAIN_MILLISECONDS, () =>
+      this.queueQuestion(question),
+    );
+    const cancelTimeout = this.clock.schedule(ASK_TIMEOUT_MILLISECONDS, () => question.conclude());
+    return question.outcome.finally(() => {
+      cancelAskingAgain();
+      cancelTimeout();
+      this.questions.delete(key);
+      this.unsentQuestions.delete(question);
+    });
+  }
+
+  private waitFor(
+    outcome: Promise<StreamOrigin | undefined>,
+    signal: AbortSignal,
+  ): Promise<StreamOrigin | undefined> {
+    return new Promise((resolve, reject) => {
+      const onAbort = () => {
+        reject(
+          new RelayError({ kind: FailureKind.Cancelled, reason: 'the caller no longer waits' }),
+        );
+      };
+      if (signal.aborted) {
+        onAbort();
+        return;
+      }
+      signal.addEventListener('abort', onAbort, { once: true });
+      void outcome.then((origin) => {
+        signal.removeEventListener('abort', onAbort);
+        resolve(origin);
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
@@ -0,0 +1,135 @@
+import { afterEach, describe, expect, test } from 'vitest';
+
+import { StreamOriginWorld } from './StreamOriginWorld.js';
+
+const SETTLED_MILLISECONDS = 21_000;
+const SPREAD_MILLISECONDS = 250;
+
+let world: StreamOriginWorld;
+
+async function makeWorld(instances: number, versions = ['1', '2']): Promise<void> {
+  world = new StreamOriginWorld(instances);
+  versions.forEach((version) => world.versions.add(version));
+  await world.clock.advance(SETTLED_MILLISECONDS);
+}
+
+afterEach(async () => {
+  await world.stop();
+  expect(world.failures).toEqual([]);
+});
+
+describe('StreamOrigins', () => {
+  test.each([2, 7, 20, 60])('knows a stream of a killed instance among %i', async (count) => {
+    await makeWorld(count);
+    world.begin(0, 'a', '1');
+    world.begin(0, 'b', '2');
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    await world.instance(0).kill();
+    expect(await world.find(1, 'a')).toEqual({ version: '1' });
+    expect(await world.find(1, 'b')).toEqual({ version: '2' });
+  });
+
+  test('tells engines that state no version from those that do', async () => {
+    world = new StreamOriginWorld(3);
+    world.versions.add(undefined);
+    await world.clock.advance(SETTLED_MILLISECONDS);
+    world.begin(0, 'a', undefined);
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    expect(await world.find(1, 'a')).toEqual({ version: undefined });
+    expect(await world.find(1, 'b')).toBeUndefined();
+  });
+
+  test('sends nothing while a service has one version', async () => {
+    await makeWorld(7, []);
+    world.datagrams = 0;
+    world.begin(0, 'a', '1')();
+    expect(await world.find(1, 'a')).toEqual({ version: '1' });
+    await world.clock.advance(SETTLED_MILLISECONDS);
+    expect(world.datagrams).toBe(0);
+  });
+
+  test('sends the records of open streams when a second version appears', async () => {
+    await makeWorld(7, []);
+    world.begin(0, 'a', '1');
+    world.versions.add('2');
+    await world.clock.advance(2000);
+    await world.instance(0).kill();
+    expect(await world.find(1, 'a')).toEqual({ version: '1' });
+  });
+
+  test('does not know an identifier that was used again at another version', async () => {
+    await makeWorld(5);
+    world.begin(0, 'a', '1');
+    world.begin(1, 'a', '2');
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    const found = await Promise.all([0, 1, 2].map((index) => world.find(index, 'a')));
+    expect(found).toEqual([undefined, undefined, undefined]);
+  });
+
+  test('does not know an attempt that has not begun a stream', async () => {
+    await makeWorld(5);
+    expect(await world.find(1, 'a')).toBeUndefined();
+  });
+
+  test('follows a stream over three instances', async () => {
+    await makeWorld(5);
+    world.begin(0, 'a', '2');
+    for (const [index, identifier, resumed] of [
+      [1, 'b', 'a'],
+      [2, 'c', 'b'],
+      [3, 'd', 'c'],
+    ] as const) {
+      await world.clock.advance(SPREAD_MILLISECONDS);
+      await world.instance(index - 1).kill();
+      const origin = await world.find(index, resumed);
+      expect(origin).toEqual({ version: '2' });
+      world.begin(index, identifier, origin?.version);
+    }
+  });
+
+  test('knows the only version after all instances have restarted', async () => {
+    await makeWorld(5, []);
+    world.begin(0, 'a', '1');
+    await Promise.all(world.instances.map((instance) => instance.kill()));
+    world.instances.forEach((instance) => instance.start());
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    expect(await world.find(3, 'a')).toEqual({ version: '1' });
+  });
+
+  test('remembers a version that has left', async () => {
+    await makeWorld(3, []);
+    world.versions.add('2');
+    await world.clock.advance(3000);
+    world.versions.delete('2');
+    await world.clock.advance(10_000);
+    expect(await world.find(0, 'a')).toBeUndefined();
+    await world.clock.advance(15_000);
+    expect(await world.find(0, 'a')).toEqual({ version: '1' });
+  });
+
+  test('does not answer from its history while it is cut off', async () => {
+    await makeWorld(3, []);
+    world.instance(0).isCutOff = true;
+    world.versions.add('2');
+    await world.clock.advance(3000);
+    world.begin(1, 'a', '2');
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    expect(await world.find(0, 'a')).toBeUndefined();
+  });
+
+  test('sends the record of a long stream again before others drop it', async () => {
+    await makeWorld(3);
+    world.begin(0, 'a', '1');
+    await world.clock.advance(200_000);
+    await world.instance(0).kill();
+    expect(await world.find(1, 'a')).toEqual({ version: '1' });
+  });
+
+  test('rejects when the caller no longer waits', async () => {
+    await makeWorld(3);
+    const abort = new AbortController();
+    const found = world.instance(0).origins?.find('chat', 'a', abort.signal);
+    abort.abort();
+    await expect(found).rejects.toMatchObject({ failure: { kind: 'cancelled' } });
+  });
+});
--- /dev/null
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginsModel.test.ts
@@ -0,0 +1,215 @@
+import fc from 'fast-check';
+import { describe, expect, test } from 'vitest';
+
+import { SERVICE, StreamOriginWorld } from './StreamOriginWorld.js';
+
+import type { NetworkFaults } from './StreamOriginWorld.js';
+import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
+
+/** Clients come back within this time after the version of their stream has left. */
+const RETURN_MILLISECONDS = 15_000;
+
+/** Time after which the record of a stream is at other instances. */
+const SPREAD_MILLISECONDS = 250;
+
+/** Time within which every instance has seen a new version and has sent its records. */
+const NOTICE_MILLISECONDS = 1500;
+
+/** A record is at three instances or more. */
+const MAXIMUM_KILLS = 2;
+
+const VERSIONS = ['1', '2', '3', undefined] as const;
+
+type Action = readonly [
+  'begin' | 'find' | 'wait' | 'kill' | 'restart' | 'cut' | 'rejoin' | 'arrive' | 'leave',
+  number,
+];
+
+interface BegunStream {
+  readonly version: SoftwareVersion;
+  readonly begunMilliseconds: number;
+  /** The instance that began it. */
+  readonly choice: number;
+  /** Time since which engines of the version have left. */
+  leftMilliseconds: number;
+  /** True if its instance has not sent the record, since the service had one version. */
+  isUnsent: boolean;
+}
+
+/** Plays actions and knows which version began each stream. */
+class Play {
+  readonly world: StreamOriginWorld;
+
+  private readonly streams: BegunStream[] = [];
+
+  private arrivedMilliseconds = 0;
+
+  private kills = 0;
+
+  /** True if each stream must be found. */
+  private readonly mustFind: boolean;
+
+  constructor(count: number, faults: NetworkFaults, seed: number, mustFind: boolean) {
+    this.world = new StreamOriginWorld(count, faults, seed);
+    this.mustFind = mustFind;
+  }
+
+  async play([name, choice]: Action): Promise<void> {
+    const { world } = this;
+    const instance = world.instance(choice);
+    const version = VERSIONS[choice % VERSIONS.length];
+    switch (name) {
+      case 'begin':
+        this.begin(choice);
+        break;
+      case 'find':
+        await this.find(choice);
+        break;
+      case 'wait':
+        await world.clock.advance(choice * 10);
+        break;
+      case 'kill':
+        await this.kill(choice);
+        break;
+      case 'restart':
+        if (instance.origins === undefined) {
+          instance.start();
+        }
+        break;
+      case 'arrive':
+        if (!world.versions.has(version)) {
+          world.versions.add(version);
+          this.arrivedMilliseconds = this.now;
+        }
+        break;
+      case 'leave':
+        if (world.versions.delete(version)) {
+          this.leave(version);
+        }
+        break;
+      default:
+        instance.isCutOff = name === 'cut' && !this.mustFind;
+    }
+  }
+
+  private get now(): number {
+    return this.world.clock.monotonicMilliseconds();
+  }
+
+  private begin(choice: number): void {
+    const instance = this.world.instance(choice);
+    const usable = instance.usableVersions.filter((version) => this.world.versions.has(version));
+    if (instance.origins === undefined || usable.length === 0) {
+      return;
+    }
+    const version = usable[choice % usable.length];
+    this.world.begin(choice, `stream-${this.streams.length}`, version);
+    this.streams.push({
+      version,
+      begunMilliseconds: this.now,
+      choice: choice % this.world.instances.length,
+      leftMilliseconds: Number.POSITIVE_INFINITY,
+      isUnsent: false,
+    });
+  }
+
+  private leave(version: SoftwareVersion): void {
+    for (const stream of this.streams) {
+      if (stream.version === version) {
+        stream.leftMilliseconds = Math.min(stream.leftMilliseconds, this.now);
+      }
+    }
+  }
+
+  private async kill(choice: number): Promise<void> {
+    const { instances, clock } = this.world;
+    if (this.mustFind) {
+      const latest = Math.max(0, ...this.streams.map(({ begunMilliseconds }) => begunMilliseconds));
+      const isSpread = this.now - latest > SPREAD_MILLISECONDS;
+      const isNoticed = this.now - this.arrivedMilliseconds > NOTICE_MILLISECONDS;
+      const isOneDown = instances.some(({ origins }) => origins === undefined);
+      if (!isSpread || !isNoticed || isOneDown || this.kills === MAXIMUM_KILLS) {
+        return;
+      }
+    }
+    this.kills += 1;
+    const { history } = this.world.instance(choice);
+    const isUnsent = history.soleVersion(SERVICE, this.now)?.isSettled === true;
+    for (const stream of this.streams) {
+      if (stream.choice === choice % instances.length) {
+        stream.isUnsent ||= isUnsent;
+      }
+    }
+    await this.world.instance(choice).kill();
+    await clock.advance(1);
+  }
+
+  private async find(choice: number): Promise<void> {
+    const index = choice % Math.max(1, this.streams.length);
+    const stream = this.streams[index];
+    if (stream === undefined || this.world.instance(choice).origins === undefined) {
+      return;
+    }
+    if (this.now - stream.leftMilliseconds > RETURN_MILLISECONDS) {
+      return;
+    }
+    const isSpread = this.now - stream.begunMilliseconds > SPREAD_MILLISECONDS;
+    const found = await this.world.find(choice, `stream-${index}`);
+    if (found !== undefined || (this.mustFind && isSpread && !stream.isUnsent)) {
+      expect(found).toEqual({ version: stream.version });
+    }
+  }
+}
+
+function actions(names: readonly Action[0][], count: number): fc.Arbitrary<readonly Action[]> {
+  const action = fc.tuple(fc.constantFrom(...names), fc.nat({ max: 400 }));
+  return fc.array(action, { minLength: count / 2, maxLength: count, size: 'max' });
+}
+
+async function check(play: Play, list: readonly Action[]): Promise<void> {
+  try {
+    for (const action of list) {
+      await play.play(action);
+    }
+    expect(play.world.failures).toEqual([]);
+  } finally {
+    await play.world.stop();
+  }
+}
+
+const releases = ['begin', 'begin', 'find', 'find', 'wait', 'wait', 'arrive', 'leave'] as const;
+
+describe('StreamOrigins under faults', () => {
+  test.each([
+    [3, 8, 60],
+    [20, 20, 8],
+  ])('never names another version, with %i to %i instances', async (least, most, numRuns) => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: least, max: most }),
+        fc.record({
+          loss: fc.double({ max: 0.6, min: 0, noNaN: true }),
+          delayMilliseconds: fc.nat({ max: 150 }),
+        }),
+        fc.nat(),
+        actions([...releases, 'kill', 'restart', 'cut', 'rejoin', 'rejoin'], 150),
+        (count, faults, seed, list) => check(new Play(count, faults, seed, false), list),
+      ),
+      { numRuns },
+    );
+  });
+
+  test.each([
+    [3, 8, 40],
+    [20, 20, 6],
+  ])('finds streams of killed instances, with %i to %i instances', async (least, most, numRuns) => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: least, max: most }),
+        actions([...releases, 'kill', 'restart'], 150),
+        (count, list) => check(new Play(count, { loss: 0, delayMilliseconds: 2 }, 1, true), list),
+      ),
+      { numRuns },
+    );
+  });
+});
