Stream origins: a starting instance asks whether the only version is established

Cause: an instance that started took the only version in its first view as established. If the version had just arrived, other instances did not know it, and one answered with the version that it had seen alone.

Change: the only version of a service that an instance has just begun to see is established once other instances confirm it, or after the observation bound.

--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -22,6 +22,9 @@
 /** Time after which instances that have not answered are asked again, since datagrams get lost. */
 const ASK_AGAIN_MILLISECONDS = 40;
 
+/** Asks for the versions of a service rather than for a stream. No attempt has this identifier. */
+const NO_IDENTIFIER = '';
+
 /** Records of open streams are sent again before other instances drop them. */
 const RENEWAL_MILLISECONDS = RECORD_LIFETIME_MILLISECONDS / 2;
 
@@ -66,7 +69,8 @@
 
   /**
    * Records the versions of the engines in the view, by service, as `VersionHistory.observe` does.
-   * Queues the records of streams whose service is no longer settled.
+   * Queues the records of streams whose service is no longer settled. Asks other instances whether the
+   * only version of a service that this instance has just begun to see is established.
    */
   observe(
     versions: ReadonlyMap<string, ReadonlySet<SoftwareVersion>>,
@@ -75,6 +79,12 @@
     const now = this.now();
     this.history.observe(versions, now, ageMilliseconds);
     this.queueOwnRecords(now);
+    for (const service of versions.keys()) {
+      const sole = this.history.soleVersion(service, now);
+      if (sole !== undefined && !this.history.isEstablished(service, sole.version, now)) {
+        void this.confirmSoleVersion(service, sole.version);
+      }
+    }
   }
 
   /**
@@ -239,6 +249,16 @@
     });
   }
 
+  /** Without this, engines would wait for the observation bound after each start of an instance. */
+  private async confirmSoleVersion(service: string, version: SoftwareVersion): Promise<void> {
+    const key = streamKey(service, NO_IDENTIFIER);
+    const agreed = await this.ask(key, service, { kind: OriginAnswerKind.Sole, version });
+    const sole = this.history.soleVersion(service, this.now());
+    if (agreed !== undefined && agreed.version === version && sole?.version === version) {
+      this.history.establish(service, version);
+    }
+  }
+
   private waitFor(
     outcome: Promise<StreamOrigin | undefined>,
     signal: AbortSignal,
--- a/packages/hickoryrelay-stream/src/VersionHistory.ts
+++ b/packages/hickoryrelay-stream/src/VersionHistory.ts
@@ -14,6 +14,7 @@
 }
 
 interface SeenVersion {
+  /** Negative infinity if the version is known to be established. */
   firstSeenMilliseconds: number;
   lastSeenMilliseconds: number;
 }
@@ -69,10 +70,7 @@
     }
     this.observedMilliseconds = requestedMilliseconds;
     for (const [service, present] of versions) {
-      // No other version can be in use, so a service that starts need not wait.
-      const isStart = present.size === 1 && !this.services.has(service);
-      const newSinceMilliseconds = isStart ? Number.NEGATIVE_INFINITY : nowMilliseconds;
-      present.forEach((version) => this.recordVersion(service, version, newSinceMilliseconds));
+      present.forEach((version) => this.recordVersion(service, version, nowMilliseconds));
     }
     this.expire();
   }
@@ -108,11 +106,15 @@
     );
   }
 
-  private recordVersion(
-    service: string,
-    version: SoftwareVersion,
-    newSinceMilliseconds: number,
-  ): void {
+  /** Marks a version as established, since other instances have seen no other version. */
+  establish(service: string, version: SoftwareVersion): void {
+    const seen = this.services.get(service)?.get(version);
+    if (seen !== undefined) {
+      seen.firstSeenMilliseconds = Number.NEGATIVE_INFINITY;
+    }
+  }
+
+  private recordVersion(service: string, version: SoftwareVersion, nowMilliseconds: number): void {
     const seen = this.services.get(service) ?? new Map<SoftwareVersion, SeenVersion>();
     this.services.set(service, seen);
     const known = seen.get(version);
@@ -120,7 +122,7 @@
     const isNew =
       known === undefined || now - known.lastSeenMilliseconds > MAXIMUM_ABSENCE_MILLISECONDS;
     seen.set(version, {
-      firstSeenMilliseconds: isNew ? newSinceMilliseconds : known.firstSeenMilliseconds,
+      firstSeenMilliseconds: isNew ? nowMilliseconds : known.firstSeenMilliseconds,
       lastSeenMilliseconds: now,
     });
   }
