Keep a decode engine of each software version

A stage change could take the last decode engine of a version, after which streams of that version could not be resumed although its prefill engines still serve. The plan leaves that engine as it is; the new case of StagePlan fails before. A version whose engines have all been at the prefill stage from the start gets no decode engine by it.

--- a/packages/hickoryrelay-forwarding/src/StagePlan.ts
+++ b/packages/hickoryrelay-forwarding/src/StagePlan.ts
@@ -16,6 +16,15 @@
   return engines.filter((engine) => engine.zone === zone).length;
 }
 
+/** Leaves out the only engine of a software version, at which alone streams of that version can be resumed. */
+function withoutLastOfVersion(engines: readonly EndpointRecord[]): readonly EndpointRecord[] {
+  return engines.filter(({ identifier, softwareVersion }) =>
+    engines.some(
+      (other) => other.identifier !== identifier && other.softwareVersion === softwareVersion,
+    ),
+  );
+}
+
 /**
  * Returns the next engine that should change its stage, if any. It is in the zone with the fewest
  * prefill engines if one is added, and in the zone with the most if one is removed. Engines in
@@ -40,7 +49,7 @@
   }
   const stage = needsPrefillEngine ? EngineStage.Prefill : EngineStage.Decode;
   const sign = needsPrefillEngine ? 1 : -1;
-  const [engine] = (needsPrefillEngine ? decodeEngines : prefillEngines)
+  const [engine] = (needsPrefillEngine ? withoutLastOfVersion(decodeEngines) : prefillEngines)
     .filter(({ identifier, phase }) => phase === EndpointPhase.Ready && !changing.has(identifier))
     .toSorted(
       (left, right) =>
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StagePlan.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StagePlan.test.ts
@@ -46,4 +46,14 @@
     const second = nextStageChange(engines, changing);
     expect(second?.engine.identifier).not.toBe(first?.engine.identifier);
   });
+
+  // Guards against streams of a software version that no decode engine is left to resume.
+  it('leaves the last decode engine of each software version', () => {
+    const engines = enginesOf(Array<EngineStage>(4).fill(EngineStage.Decode));
+    const ofVersions = (...versions: string[]) =>
+      engines.map((engine, index) => ({ ...engine, softwareVersion: versions[index] as string }));
+    const changeOf = (...versions: string[]) => nextStageChange(ofVersions(...versions), new Map());
+    expect(changeOf('v1', 'v2', 'v2', 'v2')?.engine.softwareVersion).toBe('v2');
+    expect(changeOf('v1', 'v2', 'v3', 'v4')).toBeUndefined();
+  });
 });
