--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,6 +8,7 @@
   '**/e2e/CallerCrowd.test.ts',
   '**/e2e/CallerMemory.test.ts',
   '**/e2e/ConfigurationUnderLoad.test.ts',
+  '**/e2e/EndlessResponseCrowd.test.ts',
 ];
 
 /** An instance has 250 MB. */
