Endless responses: metrics of what is held for responses of endpoints

Resident memory alone does not tell buffers of many open attempts from hedges, garbage or a leak. The new package hickoryrelay-response counts, for each attempt, the bytes that were received and not processed (socket, client library, the chunk at hand) and those that are kept (an incomplete event, a buffered body). Nothing is bounded yet.

Two references no longer keep memory that is not needed: a relay dropped neither the first events of a stream nor the beginning of a buffered body before the whole response had been delivered.

--- a/packages/hickoryrelay-forwarding/src/BufferedResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/BufferedResponseRelay.ts
@@ -27,6 +27,7 @@
       }
       this.buffered.push(value);
       this.bufferedBytes += value.length;
+      this.retain(this.bufferedBytes);
     }
   }
 
@@ -35,12 +36,15 @@
     this.attempt.assertWanted();
     observer.onArrival();
     this.start();
-    for (const chunk of this.buffered) {
+    for (const chunk of this.buffered.splice(0)) {
       await this.write(chunk);
     }
+    this.retain(0);
+    this.recordProgress();
     if (!this.isComplete) {
       for await (const chunk of this.chunks) {
         await this.write(chunk);
+        this.recordProgress();
       }
       this.recordFirstByte();
     }
--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -1,6 +1,7 @@
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { ForwardedRequest, HeaderList } from './ForwardedRequest.js';
 import type { EndpointNotice, SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
+import type { ResponseAccount } from 'hickoryrelay-response/ResponseAccount';
 
 /** What an endpoint is asked to do with a request. */
 export const AttemptKind = {
@@ -68,6 +69,8 @@
   readonly isEventStream: boolean;
   /** True if the response has the endpoint's signed body, without which a success is not valid. */
   readonly isSigned: boolean;
+  /** Counts what is held of the response; absent where nothing is counted. */
+  readonly account?: ResponseAccount | undefined;
   /** Ends normally only if the body is complete; throws `endpoint-failed` otherwise. */
   readonly body: AsyncIterable<Buffer>;
   /** Discards the rest of the body. The connection may be closed. */
--- a/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointResponseRelay.ts
@@ -70,6 +70,16 @@
     this.attempt.recordUsage(now);
   }
 
+  /** Counts bytes that have been processed and are kept. */
+  protected retain(bytes: number): void {
+    this.response.account?.setRetained(bytes);
+  }
+
+  /** Records that an event is complete or that a part has been delivered. */
+  protected recordProgress(): void {
+    this.response.account?.recordProgress(this.call.parts.clock.monotonicMilliseconds());
+  }
+
   /** Writes to the caller. Does not wait for it beyond the deadline. */
   protected write(bytes: Buffer): Promise<void> {
     const { sink, deadline } = this.call;
--- a/packages/hickoryrelay-forwarding/src/EventStreamParser.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamParser.ts
@@ -139,6 +139,11 @@
     return batch;
   }
 
+  /** Memory of the bytes after the last complete event, with room for more. */
+  get retainedBytes(): number {
+    return this.pending.length;
+  }
+
   /** Bytes after the last complete event. */
   get remainder(): Buffer {
     return this.pending.subarray(0, this.pendingBytes);
--- a/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
@@ -28,27 +28,33 @@
 
   private readonly allowance = new EventStreamAllowance(this.call.parts.clock);
 
-  /** The first events, which `prepare` has read; undefined if the stream has none. */
+  /** The first events, which `prepare` has read, until they are delivered. */
   private firstDelivery: Delivery | undefined;
 
+  private hasEvents = false;
+
   override async prepare(): Promise<void> {
     const { done, value } = await this.deliveries.next();
     if (done === true) {
       this.assertWhole();
     } else {
       this.firstDelivery = value;
+      this.hasEvents = true;
       this.recordFirstByte();
     }
   }
 
   override async relay(observer: RelayObserver): Promise<void> {
+    let isFirst = true;
     for await (const delivery of this.allDeliveries()) {
       this.attempt.assertWanted();
       observer.onArrival();
       this.start();
       await this.write(delivery.bytes);
       this.recordDelivery(delivery);
-      observer.onWritten(delivery === this.firstDelivery);
+      this.recordProgress();
+      observer.onWritten(isFirst);
+      isFirst = false;
     }
     this.attempt.assertWanted();
     this.assertWhole();
@@ -73,11 +79,13 @@
     let gaps = 0;
     for await (const chunk of this.response.body) {
       const batch = this.parser.push(chunk);
+      this.retain(this.parser.retainedBytes);
       if (!this.allowance.tryTake(batch?.length ?? 0, chunk.length)) {
         throw this.failure('the stream has too many events or bytes');
       }
       if (batch !== undefined) {
         this.attempt.recordActivity();
+        this.recordProgress();
         lastMilliseconds = clock.monotonicMilliseconds();
         gaps += firstMilliseconds === undefined ? 0 : batch.length;
         firstMilliseconds ??= lastMilliseconds;
@@ -126,8 +134,10 @@
   }
 
   private async *allDeliveries(): AsyncGenerator<Delivery, void, void> {
-    if (this.firstDelivery !== undefined) {
-      yield this.firstDelivery;
+    const { firstDelivery } = this;
+    if (firstDelivery !== undefined) {
+      this.firstDelivery = undefined;
+      yield firstDelivery;
       yield* this.deliveries;
     }
   }
@@ -148,7 +158,7 @@
     if (parser.isWithinEvent) {
       throw this.failure('the stream ended inside an event');
     }
-    if (this.firstDelivery === undefined && isCloseDelimited && call.lastEvent === undefined) {
+    if (!this.hasEvents && isCloseDelimited && call.lastEvent === undefined) {
       throw this.failure('the stream ended before its first event');
     }
   }
