--- a/packages/hickoryrelay/src/PacedReads.ts
+++ b/packages/hickoryrelay/src/PacedReads.ts
@@ -4,10 +4,18 @@
 import type { ResponseAllowance } from './ResponseAllowance.js';
 import type { Socket } from 'node:net';
 
+/** Decides whether the bytes that a socket has received may be read. */
+export abstract class PortionPermission {
+  /** If not, `readable` has to be emitted on the socket later. */
+  abstract mayRead(): boolean;
+}
+
 /** How the bytes of a socket are read. */
 export interface PacedReadOptions {
   /** What the current response may bring; unlimited if absent. */
   readonly allowance?: ResponseAllowance | undefined;
+  /** Asked before each portion; always given if absent. */
+  readonly permission?: PortionPermission;
   /** `ReadPriority.Ordinary` if absent. */
   readonly priority?: ReadPriority;
   /** The turns that the socket shares with others; those of the process if absent. */
@@ -22,6 +30,8 @@
 
   private readonly allowance: ResponseAllowance | undefined;
 
+  private readonly permission: PortionPermission | undefined;
+
   private readonly readSocket: (size?: number) => Buffer | null;
 
   /** Bytes that may be read now. */
@@ -38,6 +48,7 @@
     this.socket = socket;
     this.turns = turns;
     this.allowance = allowance;
+    this.permission = options.permission;
     this.readSocket = socket.read.bind(socket);
     Object.assign(socket, { read: (size?: number) => this.read(size) });
     socket.once('close', () => turns.remove(this));
@@ -71,6 +82,9 @@
       // A destroyed socket would still return all the bytes that it has received.
       return this.hasNetworkFailed ? this.readSocket() : null;
     }
+    if (this.permission?.mayRead() === false) {
+      return null;
+    }
     if (this.granted === 0) {
       this.turns.request(this);
       return null;
