Do not resume a stream whose endpoint has restarted at another software version

An endpoint may start again under its identifier, at its address, with another version. An attempt that was sent by the earlier registration then reaches the later endpoint, which does not check, and its events counted as those of the earlier version: the stream went on there. The check compared the attempt with the state of the same incarnation, which never changes, and only when the first event came.

The attempt is now compared with what is registered under its identifier, at the first event, before each further attempt and when the call ends. If they differ, the stream is not resumed, and its record names both versions, so that it is not resumed for a caller that comes back either.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -72,8 +72,13 @@
 export interface AttemptVersion {
   /** As registered when the attempt was started. */
   readonly softwareVersion: SoftwareVersion;
-  /** False if the endpoint has registered another version since. */
-  readonly isVersionCurrent: boolean;
+  /** As the endpoint is registered now. */
+  readonly registeredVersion: SoftwareVersion;
+}
+
+/** False if the endpoint has registered another version, which may have served the attempt already. */
+function isVersionCertain({ softwareVersion, registeredVersion }: AttemptVersion): boolean {
+  return softwareVersion === registeredVersion;
 }
 
 /** The state of one call: the request, its limits, the endpoints tried and the events delivered. */
@@ -108,10 +113,11 @@
   /** The stream that the caller receives; undefined until an endpoint has begun it. */
   private streamOrigin: StreamOrigin | undefined;
 
-  private hasBegunStream = false;
+  /** The last attempt whose events were written to the caller. */
+  private boundAttempt: AttemptVersion | undefined;
 
-  /** Marks the stream as ended at this instance. */
-  private endStreamRecord = () => {};
+  /** Mark the stream as ended at this instance. */
+  private readonly endStreamRecords: (() => void)[] = [];
 
   constructor(
     parts: ForwardedCallParts,
@@ -191,50 +197,58 @@
       : `no endpoint of software version ${origin.version ?? '(none)'} is left`;
   }
 
+  /** True if the caller resumes a stream, which has to go on at the software version that began it. */
+  get resumesStream(): boolean {
+    return this.isResumable && this.request.lastEvent !== undefined;
+  }
+
   /**
    * Finds the software version that began the stream that the caller resumes. Returns false if that is not
    * known. Rejects with `cancelled` if the call ends meanwhile.
    */
   async findOrigin(): Promise<boolean> {
-    const { lastEvent, resumedRequest } = this.request;
-    if (!this.isResumable || lastEvent === undefined) {
-      return true;
-    }
-    const { origins } = this.parts;
-    const { service } = this.admitted;
-    this.streamOrigin = await origins.find(service, resumedRequest, this.deadline.signal);
+    const { parts, admitted, request, deadline } = this;
+    const { resumedRequest } = request;
+    this.streamOrigin = await parts.origins.find(admitted.service, resumedRequest, deadline.signal);
     return this.streamOrigin !== undefined;
   }
 
   /**
    * Records that events of an attempt are about to be written to the caller. Returns false if another software
-   * version began the stream. A stream whose endpoint has registered anew with another version since the attempt
-   * was started cannot be resumed, as either version may have begun it.
+   * version began the stream.
    */
-  bindStream({ softwareVersion, isVersionCurrent }: AttemptVersion): boolean {
+  bindStream(attempt: AttemptVersion): boolean {
+    const { softwareVersion } = attempt;
     if (this.streamOrigin === undefined) {
       this.streamOrigin = { version: softwareVersion };
-      this.isUnresumable ||= !isVersionCurrent;
-    } else if (!isVersionCurrent || this.streamOrigin.version !== softwareVersion) {
+    } else if (!isVersionCertain(attempt) || this.streamOrigin.version !== softwareVersion) {
       return false;
     }
-    if (this.isResumable && !this.isUnresumable && !this.hasBegunStream) {
-      this.hasBegunStream = true;
-      this.beginStream(softwareVersion);
+    if (this.isResumable && this.boundAttempt === undefined) {
+      this.recordStream(softwareVersion);
     }
+    this.boundAttempt = attempt;
     return true;
   }
 
   /** Records that the call has ended. */
   endStream(): void {
-    this.endStreamRecord();
+    if (
+      this.isResumable &&
+      this.boundAttempt !== undefined &&
+      !isVersionCertain(this.boundAttempt)
+    ) {
+      // Two versions under one identifier are taken for neither when the caller resumes the stream.
+      this.recordStream(this.boundAttempt.registeredVersion);
+    }
+    this.endStreamRecords.splice(0).forEach((end) => end());
   }
 
-  private beginStream(version: SoftwareVersion): void {
+  private recordStream(version: SoftwareVersion): void {
     const { identifier } = this.request;
     if (identifier !== undefined) {
       const { service } = this.admitted;
-      this.endStreamRecord = this.parts.origins.begin(service, identifier, version);
+      this.endStreamRecords.push(this.parts.origins.begin(service, identifier, version));
     }
   }
 
@@ -251,12 +265,14 @@
 
   /**
    * True if the request may be sent again although it may have run. Once the response has started,
-   * it can only be resumed, and only if all delivered events have identifiers.
+   * it can only be resumed, and only if all delivered events have identifiers and the software version that wrote
+   * them is certain.
    */
   get isRetryable(): boolean {
     const { retrySemantics } = this.admitted.route;
     if (this.sink.hasStarted) {
-      return this.isResumable && !this.isUnresumable;
+      const isCertain = this.boundAttempt === undefined || isVersionCertain(this.boundAttempt);
+      return this.isResumable && !this.isUnresumable && isCertain;
     }
     return retrySemantics !== RetrySemantics.AtMostOnce;
   }
--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -27,6 +27,8 @@
 
   private byHash = new Map<number, EndpointState>();
 
+  private byIdentifier = new Map<string, EndpointState>();
+
   /** By incarnation; those that were registered last come last. */
   private readonly availabilities = new Map<string, EndpointAvailability>();
 
@@ -57,6 +59,11 @@
     return this.byHash.get(hash);
   }
 
+  /** The registration that an endpoint has now, of whichever incarnation; that of the record if there is none. */
+  registeredRecord(record: EndpointRecord): EndpointRecord {
+    return this.byIdentifier.get(record.identifier)?.record ?? record;
+  }
+
   /** The load that this instance puts on each endpoint it uses. */
   *ownLoads(): Generator<EndpointLoad, void, void> {
     for (const { ownLoad } of this.states.values()) {
@@ -85,6 +92,9 @@
     this.states = states;
     this.byService = byService;
     this.byHash = new Map([...states.values()].map((state) => [state.hash, state]));
+    this.byIdentifier = new Map(
+      [...states.values()].map((state) => [state.record.identifier, state]),
+    );
     this.workload.retain(this.byHash);
     this.discardAvailabilities();
     return restarted;
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -79,7 +79,8 @@
         admitted.quotaTake?.giveBack();
         return sink.goneOutcome;
       }
-      return (await this.refuseUnknownOrigin()) ?? (await this.attemptUntilDone());
+      const refusal = this.call.resumesStream ? await this.refuseUnknownOrigin() : undefined;
+      return refusal ?? (await this.attemptUntilDone());
     } finally {
       this.call.endStream();
       await this.hedges.close();
--- a/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
+++ b/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
@@ -6,6 +6,7 @@
 import type { AttemptVersion, CallContext, Destination } from './CallContext.js';
 import type { Attempt, EndpointResponse } from './EndpointLink.js';
 import type { EndpointState } from './EndpointState.js';
+import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
 
 /** Why an attempt was given up while its endpoint might still have responded. */
 export const AbandonReason = {
@@ -68,12 +69,12 @@
     return this.destination.state;
   }
 
-  get softwareVersion(): string | undefined {
+  get softwareVersion(): SoftwareVersion {
     return this.attempt.endpoint.softwareVersion;
   }
 
-  get isVersionCurrent(): boolean {
-    return this.state.record.softwareVersion === this.softwareVersion;
+  get registeredVersion(): SoftwareVersion {
+    return this.call.parts.registry.registeredRecord(this.attempt.endpoint).softwareVersion;
   }
 
   /** False if the endpoint takes no requests any more. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -326,13 +326,14 @@
   clock: ManualClock,
   endpoints: readonly EndpointRecord[],
 ): StreamOrigins {
-  const history = new VersionHistory(2 * HISTORY_MILLISECONDS);
+  const history = new VersionHistory(HISTORY_MILLISECONDS);
   const versions = new Map<string, Set<string | undefined>>();
   for (const { service, softwareVersion } of endpoints) {
     versions.set(service, (versions.get(service) ?? new Set()).add(softwareVersion));
   }
-  history.observe(versions, clock.monotonicMilliseconds() - HISTORY_MILLISECONDS);
-  history.observe(versions, clock.monotonicMilliseconds());
+  for (let age = 2 * HISTORY_MILLISECONDS; age >= 0; age -= HISTORY_MILLISECONDS / 4) {
+    history.observe(versions, clock.monotonicMilliseconds() - age);
+  }
   return new StreamOrigins(history, clock);
 }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
@@ -12,6 +12,7 @@
 } from './ForwardingFixture.js';
 
 import type { EndpointBehaviour, HarnessOptions } from './ForwardingFixture.js';
+import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
 
 const events = (...identifiers: number[]) =>
   identifiers.map((identifier) => `id: ${identifier}\ndata: ${identifier}\n\n`);
@@ -84,21 +85,38 @@
     expect(harness.sink.text).toBe(events(1).join(''));
   });
 
-  it('is not continued once its endpoint has registered anew with another version', async () => {
-    const harness = makeVersions(['v1', 'v1'], []);
-    const [first] = harness.registry.readyEndpoints('desk');
-    const changes: EndpointBehaviour = async ({ endpoint }) => {
-      harness.registry.replace([
-        { ...endpoint, softwareVersion: 'v2' },
-        ...harness.view.endpoints.filter(({ identifier }) => identifier !== endpoint.identifier),
-      ]);
-      return makeResponse([...events(1), endpointFailure(true)]);
-    };
-    harness.link.script([changes, delivers(2)]);
-    await harness.run();
-    expect(first?.record.softwareVersion).toBe('v2');
-    expect(harness.sink).toMatchObject({ text: events(1).join(''), isAborted: true });
-  });
+  // An endpoint that restarts under its identifier has another start, and its connections stay at the same address.
+  it.each([
+    ['under the same start', 1, 'before its first event'],
+    ['after a restart', 2, 'before its first event'],
+    ['after a restart', 2, 'after its first event'],
+  ])(
+    'is not continued once its endpoint is registered with another version %s (%i), seen %s',
+    async (_name, startedMilliseconds, seen) => {
+      const harness = makeVersions(['v1', 'v1'], []);
+      const register = ({ identifier, ...endpoint }: EndpointRecord) =>
+        harness.registry.replace([
+          { ...endpoint, identifier, startedMilliseconds, softwareVersion: 'v2' },
+          ...harness.view.endpoints.filter((other) => other.identifier !== identifier),
+        ]);
+      const changes: EndpointBehaviour = async ({ endpoint }) => {
+        async function* body(): AsyncGenerator<Buffer, void, void> {
+          if (seen === 'before its first event') {
+            register(endpoint);
+          }
+          yield Buffer.from(events(1).join(''));
+          register(endpoint);
+          throw endpointFailure(true);
+        }
+        return { ...makeResponse([]), body: body() };
+      };
+      harness.link.script([changes, delivers(2)]);
+      await harness.run();
+      expect(harness.sink).toMatchObject({ text: events(1).join(''), isAborted: true });
+      const { signal } = new AbortController();
+      expect(await harness.origins.find('desk', 'request-1', signal)).toBeUndefined();
+    },
+  );
 
   const resumption = (resumedRequest?: string) =>
     makeRequest({ identifier: 'resumption', lastEvent: '2', resumedRequest });
