Begin no stream at a software version that others may not have seen

An instance that found no version established, as one that restarts while a new version arrives, used all of them. Other instances still took the earlier one for the only version, and named it for a stream of the later one. Found in review, shown with simulated instances. The new case of StreamVersions fails before.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -170,7 +170,7 @@
   /**
    * The endpoints that accept the request. Endpoints do not check which software version began a stream, so
    * those of another version are left out once it has begun. Until then, those of a version that other
-   * instances may not have seen are left out, unless there are no others.
+   * instances may not have seen are left out.
    */
   get acceptingEndpoints(): readonly EndpointState[] {
     const { registry, origins } = this.parts;
@@ -183,10 +183,7 @@
     if (!this.isResumable) {
       return states;
     }
-    const established = states.filter(({ record }) =>
-      origins.isEstablished(service, record.softwareVersion),
-    );
-    return established.length > 0 ? established : states;
+    return states.filter(({ record }) => origins.isEstablished(service, record.softwareVersion));
   }
 
   /** Why no endpoint is left for the next attempt. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
@@ -118,6 +118,17 @@
     },
   );
 
+  // Guards against streams at a version of which another instance would name the earlier one.
+  it('does not begin at a version that other instances may not have seen', async () => {
+    const harness = makeVersions(['v1'], [delivers(1), delivers(1)]);
+    const added = makeEndpoint('added', { softwareVersion: 'v2' });
+    harness.registry.replace([added]);
+    harness.origins.observe(new Map([['desk', new Set(['v1', 'v2'])]]), 0);
+    await harness.run();
+    expect(harness.link.sent).toHaveLength(0);
+    expect(harness.sink.own?.status).toBe(503);
+  });
+
   const resumption = (resumedRequest?: string) =>
     makeRequest({ identifier: 'resumption', lastEvent: '2', resumedRequest });
 
--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -106,9 +106,13 @@
     };
   }
 
-  /** True if streams may begin at the version, since all instances with a current view have seen it. */
+  /**
+   * True if streams may begin at the version: all instances with a current view have seen it, or no version of the
+   * service has been observed here.
+   */
   isEstablished(service: string, version: SoftwareVersion): boolean {
-    return this.history.isEstablished(service, version, this.now());
+    const isObserved = this.history.versionsOf(service).length > 0;
+    return !isObserved || this.history.isEstablished(service, version, this.now());
   }
 
   /**
