Ask all instances before they agree on the only software version

With more than 16 peers a question goes to three of them, and three instances that had not seen a new version were taken for all: a stream of the new version was named one of the old. Without a record, or an instance that has seen one version for long enough, a version is now named only if all other instances were asked. Found in review, shown there with 20 simulated instances; not covered by a test of its own.

--- a/packages/hickoryrelay-stream/src/OriginQuestion.ts
+++ b/packages/hickoryrelay-stream/src/OriginQuestion.ts
@@ -51,6 +51,8 @@
 
   private asked: readonly string[] | undefined;
 
+  private areAllAsked = false;
+
   /** @param own What this instance knows. */
   constructor(key: number, service: string, own: OriginAnswer) {
     this.key = key;
@@ -66,9 +68,13 @@
     return this.answers.has(instance);
   }
 
-  /** Sets the instances that are asked. The question is decided when all of them have answered. */
-  expect(instances: readonly string[]): void {
+  /**
+   * Sets the instances that are asked. The question is decided when all of them have answered. Unless they are all
+   * other instances, only a record or a settled one names a version: one that is not asked may have seen another.
+   */
+  expect(instances: readonly string[], areAllOthers: boolean): void {
     this.asked = instances;
+    this.areAllAsked = areAllOthers;
     this.concludeIfComplete();
   }
 
@@ -90,7 +96,8 @@
 
   /** Decides the question with the answers there are. */
   conclude(): void {
-    this.resolve(agreedOrigin([this.own, ...this.answers.values()], this.isComplete));
+    const isUnanimous = this.isComplete && this.areAllAsked;
+    this.resolve(agreedOrigin([this.own, ...this.answers.values()], isUnanimous));
   }
 
   private get isComplete(): boolean {
--- a/packages/hickoryrelay-stream/src/StreamOriginExchangeTask.ts
+++ b/packages/hickoryrelay-stream/src/StreamOriginExchangeTask.ts
@@ -147,7 +147,10 @@
     questions.forEach((question) => {
       const { key, service } = question;
       const asked = holders.of(key);
-      question.expect(asked.map(({ instance }) => instance));
+      question.expect(
+        asked.map(({ instance }) => instance),
+        holders.isDirect,
+      );
       asked
         .filter(({ instance }) => !question.hasAnswerOf(instance))
         .forEach((peer) => addToBatch(batches, peer, { key, service }));
