Send the records of open streams in an outage of the store

While a service has one version for long enough, no records are sent. They are now also queued when the next stream begins. The new case of StreamOrigins fails before.

--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -94,6 +94,8 @@
   begin(service: string, identifier: string, version: SoftwareVersion): () => void {
     const key = streamKey(service, identifier);
     const record = this.ledger.begin(key, service, version);
+    // The service may have ceased to be settled without an observation, in an outage of the store.
+    this.queueOwnRecords(this.now());
     if (!this.isSettled(service)) {
       this.queueRecord(record);
     }
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
@@ -74,7 +74,7 @@
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
     for (;;) {
-      if (!this.instance.isCutOff) {
+      if (!this.instance.isCutOff && !this.world.isStoreDown) {
         const versions = new Set(this.world.versions);
         this.instance.origins?.observe(
           versions.size === 0 ? new Map() : new Map([[SERVICE, versions]]),
@@ -149,6 +149,8 @@
 
   readonly instances: readonly WorldInstance[];
 
+  isStoreDown = false;
+
   /** The versions of the engines in the store. */
   readonly versions = new Set<SoftwareVersion>(['1']);
 
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
@@ -57,6 +57,17 @@
     expect(await world.find(1, 'a')).toEqual({ version: '1' });
   });
 
+  test('sends the records of open streams when the store has gone out', async () => {
+    await makeWorld(3, []);
+    world.begin(0, 'a', '1');
+    world.isStoreDown = true;
+    await world.clock.advance(5000);
+    world.begin(0, 'b', '1');
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    await world.instance(0).kill();
+    expect(await world.find(1, 'a')).toEqual({ version: '1' });
+  });
+
   test('does not know an identifier that was used again at another version', async () => {
     await makeWorld(5);
     world.begin(0, 'a', '1');
