Send the newest records of streams first

The newest records now go first, open streams before ended ones, and what waits for one instance is bounded.

--- a/packages/hickoryrelay-stream/src/OriginLedger.ts
+++ b/packages/hickoryrelay-stream/src/OriginLedger.ts
@@ -114,14 +114,14 @@
     this.drop();
   }
 
-  /** Own records of streams that are open or have ended since the given time. */
+  /** Own records of streams that have ended since the given time, and then of those that are open. */
   *ownRecordsSince(milliseconds: number): Generator<OwnRecord, void, void> {
-    yield* this.open.values();
     for (const record of this.ended.values()) {
       if ((record.endedMilliseconds ?? milliseconds) >= milliseconds) {
         yield record;
       }
     }
+    yield* this.open.values();
   }
 
   private findOwn(key: number): OwnRecord | undefined {
--- a/packages/hickoryrelay-stream/src/StreamOriginExchangeTask.ts
+++ b/packages/hickoryrelay-stream/src/StreamOriginExchangeTask.ts
@@ -27,6 +27,9 @@
 /** Records for which holders are selected at once, which takes a few milliseconds with many peers. */
 const RECORDS_PER_STEP = 256;
 
+/** Items that wait for one instance, far more than a burst of streams leaves. */
+const MAXIMUM_BATCH_ITEMS = 8192;
+
 const MILLISECONDS_PER_SECOND = 1000;
 
 /** Collaborators of the task. */
@@ -41,12 +44,16 @@
   readonly items: Item[];
 }
 
+/** Drops the oldest item of a batch that is full. */
 function addToBatch<Item>(batches: Map<string, Batch<Item>>, peer: OriginPeer, item: Item): void {
   const batch = batches.get(peer.instance);
   if (batch === undefined) {
     batches.set(peer.instance, { peer, items: [item] });
   } else {
     batch.items.push(item);
+    if (batch.items.length > MAXIMUM_BATCH_ITEMS) {
+      batch.items.shift();
+    }
   }
 }
 
@@ -177,12 +184,13 @@
       return;
     }
     const { holders } = this;
-    this.unassigned.splice(0, RECORDS_PER_STEP).forEach((record) => {
+    this.unassigned.splice(-RECORDS_PER_STEP).forEach((record) => {
       holders.of(record.key).forEach((peer) => addToBatch(this.batches, peer, record));
     });
     const due = [...this.batches.values()].slice(0, DATAGRAMS_PER_ROUND);
     due.forEach(({ peer, items }) => {
-      this.sendBatch(peer, items.splice(0, MAXIMUM_ROWS));
+      // The newest first: the clients of older streams are less likely to come back.
+      this.sendBatch(peer, items.splice(-MAXIMUM_ROWS));
       if (items.length === 0) {
         this.batches.delete(peer.instance);
       }
