Prefill a prompt again if no engine of its software version is left

Since KV cache is moved only between engines of one version, a prompt whose version had lost its last decode engine during the prefill was refused although engines of another version were free. The prefilled prompt is released and the choice goes on; the new prefill counts against the retry budget. The new case of ForwardedCall fails before.

--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -50,7 +50,10 @@
     const { kept } = this;
     if (kept !== undefined) {
       this.kept = undefined;
-      return this.decodeDestination(kept, prompt);
+      const destination = this.decodeDestination(kept, prompt);
+      if (destination !== undefined) {
+        return destination;
+      }
     }
     for (let attempts = 0; attempts < MAXIMUM_PREFILL_ATTEMPTS; attempts += 1) {
       const plan = this.choosePlan(prompt);
@@ -66,8 +69,9 @@
         };
       }
       const prefilledPrompt = await this.prefill(plan, prompt, signal);
-      if (prefilledPrompt !== undefined) {
-        return this.decodeDestination(prefilledPrompt, prompt);
+      const destination = prefilledPrompt && this.decodeDestination(prefilledPrompt, prompt);
+      if (destination !== undefined) {
+        return destination;
       }
       if (this.call.deadline.signal.aborted) {
         return this.call.deadline.endReason;
@@ -76,7 +80,7 @@
         return UNNEEDED;
       }
       this.call.tried.add(plan.prefillEngine);
-      // A prefill that was refused or failed makes the next one a retry.
+      // A prefill that was refused, failed or is of no use makes the next one a retry.
       if (!this.call.parts.budgets.tryTake(this.call.admitted.service)) {
         return 'the retry budget is used up';
       }
@@ -143,23 +147,32 @@
     });
   }
 
-  /** Chooses the engine that receives a prefilled prompt, or releases the prompt. */
+  /**
+   * Chooses the engine that receives a prefilled prompt, or releases the prompt. Returns undefined if there are only
+   * engines of other software versions, which need a prefill of their own.
+   */
   private decodeDestination(
     prefilledPrompt: PrefilledPrompt,
     prompt: PromptSummary,
-  ): Destination | string {
+  ): Destination | string | undefined {
     const { engines } = this.call.parts;
     // Engines may have left or filled up, or a segment been quarantined, during the prefill.
-    const states = this.call.acceptingEndpoints.filter(
+    const { acceptingEndpoints } = this.call;
+    const states = acceptingEndpoints.filter(
       ({ record }) => record.softwareVersion === prefilledPrompt.softwareVersion,
     );
-    const state = engines.chooseDecodeEngine(states, prompt, this.call.placementContext());
+    const context = this.call.placementContext();
+    const state = engines.chooseDecodeEngine(states, prompt, context);
     const isQuarantined = this.call.quarantinedGroup !== undefined;
-    if (state === undefined || isQuarantined) {
-      this.release(prefilledPrompt);
-      return isQuarantined ? QUARANTINED : this.call.noEndpointReason;
+    if (state !== undefined && !isQuarantined) {
+      return { state, prefillMilliseconds: 0, prefillTokens: 0, prefilledPrompt };
+    }
+    this.release(prefilledPrompt);
+    if (isQuarantined) {
+      return QUARANTINED;
     }
-    return { state, prefillMilliseconds: 0, prefillTokens: 0, prefilledPrompt };
+    const other = engines.chooseDecodeEngine(acceptingEndpoints, prompt, context);
+    return other === undefined ? this.call.noEndpointReason : undefined;
   }
 
   /** Prefills the prompt at the plan's prefill engine. Returns undefined if that fails. */
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardedCall.test.ts
@@ -218,6 +218,22 @@
     expect(harness.link.sent.map(({ endpoint }) => endpoint.identifier)).toEqual(['spare']);
   });
 
+  // Guards against a request that is refused although engines of another software version are free.
+  it('is sent to an engine of another software version if none is left that can use its prompt', async () => {
+    const spare = makeEndpoint('spare', {
+      service: 'model',
+      stage: EngineStage.Decode,
+      softwareVersion: 'v2',
+    });
+    const harness = makeRouteHarness(route, [async () => makeResponse(['id: 1\n\n'])], {
+      endpoints: [...endpoints, spare],
+    });
+    harness.link.onPrefill = () => harness.registry.replace([...endpoints.slice(0, 1), spare]);
+    await harness.run(long);
+    expect(harness.link.sent.map(({ endpoint }) => endpoint.identifier)).toEqual(['spare']);
+    expect(harness.link.released).toHaveLength(1);
+  });
+
   // Guards against KV cache that stays allocated after a failed request.
   it('releases the prefilled prompt if no engine accepts the request', async () => {
     const harness = makeRouteHarness({ ...route, maximumAttempts: 1 }, [refusesToRun], {
