Read responses on in turn when their memory is used up

Cause: a response failed when it had held more than 32 KB without progress for a second, and the time in which the bound itself withheld reading counted. At the limit a few of the waiting responses are now read on, those first that hold least, until each completes a part, closes, keeps more than an event may, or has completed nothing for 3 s; only then it fails. What holds 4 KB or less is always read.

The cases of ResponseMemory about responses without progress for a second, and of ResponseGuard about room for several, described the rule that was wrong; those that replace them bound the same things by turns. The bound on what is held in the test of the link stays as it was. EndlessResponseCrowd: the new case of sound bodies fails before, that of silent events passes before and after, and the earlier ones pass.

--- a/packages/hickoryrelay-response/src/ResponseAccount.ts
+++ b/packages/hickoryrelay-response/src/ResponseAccount.ts
@@ -34,6 +34,10 @@
     return this.bytes[ResponsePart.Received] + this.bytes[ResponsePart.Retained];
   }
 
+  get retainedBytes(): number {
+    return this.bytes[ResponsePart.Retained];
+  }
+
   /** When an event was last completed or a part delivered to the caller, or the request was sent. */
   get progressMilliseconds(): number {
     return this.progressedAt;
@@ -56,9 +60,10 @@
     this.resize(ResponsePart.Retained, bytes);
   }
 
-  /** Records that an event is complete or that a part has been delivered to the caller. */
+  /** Records that an event is complete or that a part has been delivered to the caller, which ends its turn. */
   recordProgress(now: number): void {
     this.progressedAt = now;
+    this.memory.endTurn(this);
   }
 
   /** Releases everything. Further calls have no effect. */
--- a/packages/hickoryrelay-response/src/ResponseGuard.ts
+++ b/packages/hickoryrelay-response/src/ResponseGuard.ts
@@ -21,7 +21,7 @@
 
 /**
  * Bounds what a process holds for the responses of its endpoints. While there is too little memory, bytes stay in
- * the buffers of sockets; then the responses fail that have made no progress for the longest time.
+ * the buffers of sockets, and a few responses at a time are read on, which complete, or fail if they do not in time.
  */
 export class ResponseGuard {
   private readonly clock: Clock;
@@ -100,6 +100,10 @@
       return true;
     }
     response.countReceived();
+    if (this.memory.hasExceededTurn(account)) {
+      this.end(account);
+      return false;
+    }
     this.evictIfOverfull();
     if (this.memory.mayRead(account)) {
       this.waiting.delete(response);
@@ -108,16 +112,19 @@
     if (this.accounts.has(response) && !this.waiting.has(response)) {
       this.waiting.add(response);
       this.pauseCount += 1;
+      this.scheduleWake();
     }
     return false;
   }
 
-  /** Counts what has arrived, and makes room while responses wait for memory. */
+  /** Counts what has arrived, and ends responses that others wait for in vain. */
   check(): void {
+    const now = this.clock.monotonicMilliseconds();
     [...this.responses.values()].forEach((response) => response.countReceived());
-    if (this.waiting.size > 0 || this.memory.isOverfull) {
-      this.evict();
+    if (this.waiting.size > 0) {
+      [...this.memory.overdue(now)].forEach((account) => this.end(account));
     }
+    this.evictIfOverfull();
   }
 
   private scheduleCheck(): void {
@@ -132,27 +139,28 @@
   }
 
   private evictIfOverfull(): void {
-    if (this.memory.isOverfull && !this.isEvicting) {
-      this.evict();
+    if (!this.memory.isOverfull || this.isEvicting) {
+      return;
     }
-  }
-
-  private evict(): void {
     this.isEvicting = true;
     for (const account of this.memory.victims(this.clock.monotonicMilliseconds())) {
-      if (this.memory.hasRoom) {
+      if (!this.memory.isOverfull) {
         break;
       }
-      const response = this.responses.get(account);
-      if (response !== undefined) {
-        this.evictionCount += 1;
-        response.evict();
-        this.close(response);
-      }
+      this.end(account);
     }
     this.isEvicting = false;
   }
 
+  private end(account: ResponseAccount): void {
+    const response = this.responses.get(account);
+    if (response !== undefined) {
+      this.evictionCount += 1;
+      response.evict();
+      this.close(response);
+    }
+  }
+
   /** Lets waiting responses go on once what was released in this turn of the event loop is known. */
   private scheduleWake(): void {
     if (!this.isWakeScheduled && this.waiting.size > 0) {
@@ -164,13 +172,20 @@
     }
   }
 
+  /** Lets responses go on, first those that hold least, as far as there is memory or a turn for them. */
   private wake(): void {
-    for (const response of [...this.waiting]) {
+    const now = this.clock.monotonicMilliseconds();
+    const waiting = [...this.waiting].flatMap((response) => {
       const account = this.accounts.get(response);
-      if (account !== undefined && this.memory.mayRead(account)) {
-        this.waiting.delete(response);
-        response.resume();
+      return account === undefined ? [] : [{ response, account }];
+    });
+    waiting.sort((left, right) => left.account.heldBytes - right.account.heldBytes);
+    for (const { response, account } of waiting) {
+      if (!this.memory.mayRead(account) && !this.memory.tryBeginTurn(account, now)) {
+        return;
       }
+      this.waiting.delete(response);
+      response.resume();
     }
   }
 }
--- a/packages/hickoryrelay-response/src/ResponseLimits.ts
+++ b/packages/hickoryrelay-response/src/ResponseLimits.ts
@@ -12,12 +12,12 @@
 /** Bytes that one read of a socket brings. */
 export const SOCKET_READ_BYTES = 16_384;
 
-/**
- * A response that holds less may use the reserve and is evicted last: the buffer of its socket and one
- * further read.
- */
+/** A response that holds less may use the reserve: the buffer of its socket and one further read. */
 export const ORDINARY_RESPONSE_BYTES = 2 * SOCKET_READ_BYTES;
 
+/** A response that holds less is read whatever the others hold: the head, or some events of a stream. */
+export const SMALL_RESPONSE_BYTES = 4096;
+
 /** Limits on what a process holds for responses of endpoints. */
 export interface ResponseLimits {
   /** Memory for all responses. */
--- a/packages/hickoryrelay-response/src/ResponseMemory.ts
+++ b/packages/hickoryrelay-response/src/ResponseMemory.ts
@@ -1,31 +1,37 @@
 import { ResponseAccount, ResponsePart } from './ResponseAccount.js';
-import { ORDINARY_RESPONSE_BYTES } from './ResponseLimits.js';
+import { ORDINARY_RESPONSE_BYTES, SMALL_RESPONSE_BYTES } from './ResponseLimits.js';
 
 import type { ResponseLimits } from './ResponseLimits.js';
 
-/** Memory beyond which responses fail at once, as a share of the limit. */
-const OVERFULL_SHARE = 1.1;
+/**
+ * Memory beyond which responses fail at once, as a share of the limit. What the sockets of all attempts may have
+ * received besides the limit is less.
+ */
+const OVERFULL_SHARE = 2.5;
 
-/** After an eviction there is room for several waiting responses, so that not each needs one. */
-const EVICTION_TARGET_SHARE = 0.875;
+/** Most that a response may keep in its turn: an event of 256 KB in a buffer that has doubled. */
+const MAXIMUM_TURN_BYTES = 524_288;
 
-/** Time without progress after which a response may fail while others wait. */
-const EVICTION_STALL_MILLISECONDS = 1000;
+/** Time within which a response whose turn it is has to complete an event or deliver a part. */
+const TURN_MILLISECONDS = 3000;
 
 /** Time without progress after which a response whose caller does not read may fail. */
 const DELIVERY_STALL_MILLISECONDS = 3000;
 
 /**
  * Decides what the responses of all endpoints may hold together. Designed for endpoints in trouble, which send
- * bytes that complete nothing on any number of connections: such responses share the memory without the reserve
- * and fail by lack of progress. Other responses hold less than `ORDINARY_RESPONSE_BYTES` each, or are delivered
- * as they arrive.
+ * bytes that complete nothing on any number of connections, beside sound responses that together need more than
+ * there is: at the limit a few at a time are read on, those first that hold least. A sound one completes then, and one
+ * that does not in its time, or holds too much, fails.
  */
 export class ResponseMemory {
   readonly limits: ResponseLimits;
 
   private readonly accounts = new Set<ResponseAccount>();
 
+  /** Responses that are read on at the limit, with the time since when. */
+  private readonly turns = new Map<ResponseAccount, number>();
+
   private readonly used: Record<ResponsePart, number> = {
     [ResponsePart.Received]: 0,
     [ResponsePart.Retained]: 0,
@@ -61,8 +67,35 @@
   }
 
   /** True if bytes that have been received may be processed, after which more are received. */
-  mayRead({ heldBytes }: ResponseAccount): boolean {
-    return this.usedBytes <= this.limitFor(heldBytes);
+  mayRead(account: ResponseAccount): boolean {
+    const { heldBytes } = account;
+    return (
+      heldBytes <= SMALL_RESPONSE_BYTES ||
+      this.usedBytes <= this.limitFor(heldBytes) ||
+      this.turns.has(account)
+    );
+  }
+
+  /** Lets a response be read on although the limit is reached. Returns false if too many are. */
+  tryBeginTurn(account: ResponseAccount, now: number): boolean {
+    const maximumTurns = Math.max(1, Math.floor(this.limits.reserveBytes / MAXIMUM_TURN_BYTES));
+    if (this.turns.size >= maximumTurns) {
+      return false;
+    }
+    this.turns.set(account, now);
+    return true;
+  }
+
+  /** True if a response keeps more than it may in its turn. */
+  hasExceededTurn(account: ResponseAccount): boolean {
+    return this.turns.has(account) && account.retainedBytes > MAXIMUM_TURN_BYTES;
+  }
+
+  /** Ends the turn of a response, if it is its turn. Called by accounts. */
+  endTurn(account: ResponseAccount): void {
+    if (this.turns.delete(account)) {
+      this.onRelease();
+    }
   }
 
   /** True if so much more is held than may be that responses must fail at once. */
@@ -70,16 +103,18 @@
     return this.usedBytes > this.limits.memoryBytes * OVERFULL_SHARE;
   }
 
-  /** True if there is room for several responses. */
-  get hasRoom(): boolean {
-    const { memoryBytes, reserveBytes } = this.limits;
-    return this.usedBytes <= (memoryBytes - reserveBytes) * EVICTION_TARGET_SHARE;
+  /** Responses that have not used their turn to complete anything. */
+  *overdue(now: number): Generator<ResponseAccount, void, void> {
+    for (const [account, beganMilliseconds] of [...this.turns]) {
+      if (!account.isInDelivery && now - beganMilliseconds >= TURN_MILLISECONDS) {
+        yield account;
+      }
+    }
   }
 
   /**
-   * Responses to evict, in this order, until `hasRoom`: large ones without progress; if too much is held, also
-   * others whose endpoints are waited for, and those whose callers do not read. In each group, first those that
-   * have held most for the longest time.
+   * Responses to end, in this order, while too much is held: those whose endpoints are waited for, and then those
+   * whose callers do not read. In each group, first those that have held most for the longest time.
    */
   *victims(now: number): Generator<ResponseAccount, void, void> {
     const stalledMilliseconds = (account: ResponseAccount) => now - account.progressMilliseconds;
@@ -87,18 +122,11 @@
     const byCost = [...this.accounts]
       .filter(({ heldBytes }) => heldBytes > 0)
       .sort((left, right) => costOf(right) - costOf(left));
-    const isEvictable = (account: ResponseAccount) =>
-      !account.isInDelivery &&
-      account.heldBytes > ORDINARY_RESPONSE_BYTES &&
-      stalledMilliseconds(account) >= EVICTION_STALL_MILLISECONDS;
-    yield* byCost.filter(isEvictable);
-    if (this.isOverfull) {
-      yield* byCost.filter((account) => !account.isInDelivery && !isEvictable(account));
-      yield* byCost.filter(
-        (account) =>
-          account.isInDelivery && stalledMilliseconds(account) >= DELIVERY_STALL_MILLISECONDS,
-      );
-    }
+    yield* byCost.filter((account) => !account.isInDelivery);
+    yield* byCost.filter(
+      (account) =>
+        account.isInDelivery && stalledMilliseconds(account) >= DELIVERY_STALL_MILLISECONDS,
+    );
   }
 
   /** Adds to the sum. Called by accounts. */
@@ -112,6 +140,7 @@
   /** Forgets a response. Called by accounts. */
   remove(account: ResponseAccount): void {
     this.accounts.delete(account);
+    this.endTurn(account);
   }
 
   private limitFor(heldBytes: number): number {
