Look up the established versions of a service once for each choice

The check of each endpoint read the clock and listed the versions again, for all engines of a service several times a request. By reading; not measured. No behaviour changes.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -183,7 +183,10 @@
     if (!this.isResumable) {
       return states;
     }
-    return states.filter(({ record }) => origins.isEstablished(service, record.softwareVersion));
+    const established = origins.establishedVersions(service);
+    return established === undefined
+      ? states
+      : states.filter(({ record }) => established.has(record.softwareVersion));
   }
 
   /** Why no endpoint is left for the next attempt. */
--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -109,12 +109,15 @@
   }
 
   /**
-   * True if streams may begin at the version: all instances with a current view have seen it, or no version of the
-   * service has been observed here.
+   * The versions at which streams may begin, since all instances with a current view have seen them. Undefined if no
+   * version of the service has been observed here.
    */
-  isEstablished(service: string, version: SoftwareVersion): boolean {
-    const isObserved = this.history.versionsOf(service).length > 0;
-    return !isObserved || this.history.isEstablished(service, version, this.now());
+  establishedVersions(service: string): ReadonlySet<SoftwareVersion> | undefined {
+    const versions = this.history.versionsOf(service);
+    const now = this.now();
+    return versions.length === 0
+      ? undefined
+      : new Set(versions.filter((version) => this.history.isEstablished(service, version, now)));
   }
 
   /**
