Let a stream go on in its response when its endpoint registers anew

A stream was cut after the next event once its endpoint was registered with another version than when the attempt was started: each delivery compared them again. Only the first event of an attempt is compared now. Found in the read-through; the new case of StreamVersions fails before.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -218,6 +218,9 @@
    * version began the stream.
    */
   bindStream(attempt: AttemptVersion): boolean {
+    if (attempt === this.boundAttempt) {
+      return true;
+    }
     const { softwareVersion } = attempt;
     if (this.streamOrigin === undefined) {
       this.streamOrigin = { version: softwareVersion };
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
@@ -118,6 +118,22 @@
     },
   );
 
+  // Guards against a sound stream that is cut because of what its endpoint registers meanwhile.
+  it('goes on in its response when its endpoint is registered with another version', async () => {
+    const harness = makeVersions(['v1'], []);
+    const registers: EndpointBehaviour = async ({ endpoint }) => {
+      async function* body(): AsyncGenerator<Buffer, void, void> {
+        yield Buffer.from(events(1).join(''));
+        harness.registry.replace([{ ...endpoint, softwareVersion: 'v2' }]);
+        yield Buffer.from(events(2).join(''));
+      }
+      return { ...makeResponse([]), body: body() };
+    };
+    harness.link.script([registers]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({ text: events(1, 2).join(''), isEnded: true });
+  });
+
   // Guards against streams at a version of which another instance would name the earlier one.
   it('does not begin at a version that other instances may not have seen', async () => {
     const harness = makeVersions(['v1'], [delivers(1), delivers(1)]);
