Give each software version the target share of stages

Cause: the plan of stages counted all engines of a service together, so that a version could have most of one stage. It now gives each version the target share by itself, within the same tolerance. With one version nothing changes.

The new case of StagePlan fails before.

--- a/packages/hickoryrelay-forwarding/src/StagePlan.ts
+++ b/packages/hickoryrelay-forwarding/src/StagePlan.ts
@@ -16,40 +16,26 @@
   return engines.filter((engine) => engine.zone === zone).length;
 }
 
-/** Leaves out the only engine of a software version, at which alone streams of that version can be resumed. */
-function withoutLastOfVersion(engines: readonly EndpointRecord[]): readonly EndpointRecord[] {
-  return engines.filter(({ identifier, softwareVersion }) =>
-    engines.some(
-      (other) => other.identifier !== identifier && other.softwareVersion === softwareVersion,
-    ),
-  );
-}
-
-/**
- * Returns the next engine that should change its stage, if any. It is in the zone with the fewest
- * prefill engines if one is added, and in the zone with the most if one is removed. Engines in
- * `changing` count towards their new stage. `prefillShare` is the target fraction of prefill engines.
- */
-export function nextStageChange(
+/** Returns the next change among engines of one software version, between which KV cache can be moved. */
+function nextChangeOfVersion(
   engines: readonly EndpointRecord[],
   changing: ReadonlyMap<string, EngineStage>,
-  prefillShare = DEFAULT_PREFILL_SHARE,
+  prefillShare: number,
 ): StageChange | undefined {
-  const candidates = engines.filter(
-    ({ phase, stage }) => phase !== EndpointPhase.Leaving && stage !== undefined,
-  );
   const stageOf = (engine: EndpointRecord) => changing.get(engine.identifier) ?? engine.stage;
-  const prefillEngines = candidates.filter((engine) => stageOf(engine) === EngineStage.Prefill);
-  const decodeEngines = candidates.filter((engine) => stageOf(engine) === EngineStage.Decode);
-  const targetPrefillEngines = candidates.length * prefillShare;
-  const needsPrefillEngine = prefillEngines.length < targetPrefillEngines - TOLERANCE_ENGINES;
+  const prefillEngines = engines.filter((engine) => stageOf(engine) === EngineStage.Prefill);
+  const decodeEngines = engines.filter((engine) => stageOf(engine) === EngineStage.Decode);
+  const targetPrefillEngines = engines.length * prefillShare;
+  // Streams can be resumed only at a decode engine of their version, so the last one stays.
+  const needsPrefillEngine =
+    prefillEngines.length < targetPrefillEngines - TOLERANCE_ENGINES && decodeEngines.length > 1;
   const hasSurplus = prefillEngines.length > targetPrefillEngines + TOLERANCE_ENGINES;
   if (!needsPrefillEngine && !hasSurplus) {
     return undefined;
   }
   const stage = needsPrefillEngine ? EngineStage.Prefill : EngineStage.Decode;
   const sign = needsPrefillEngine ? 1 : -1;
-  const [engine] = (needsPrefillEngine ? withoutLastOfVersion(decodeEngines) : prefillEngines)
+  const [engine] = (needsPrefillEngine ? decodeEngines : prefillEngines)
     .filter(({ identifier, phase }) => phase === EndpointPhase.Ready && !changing.has(identifier))
     .toSorted(
       (left, right) =>
@@ -59,3 +45,27 @@
     );
   return engine === undefined ? undefined : { engine, stage };
 }
+
+/**
+ * Returns the next engine that should change its stage, if any. Each software version has the target share by
+ * itself. The engine is in the zone with the fewest prefill engines if one is added, and in the zone with the
+ * most if one is removed. Engines in `changing` count towards their new stage. `prefillShare` is the target
+ * fraction of prefill engines.
+ */
+export function nextStageChange(
+  engines: readonly EndpointRecord[],
+  changing: ReadonlyMap<string, EngineStage>,
+  prefillShare = DEFAULT_PREFILL_SHARE,
+): StageChange | undefined {
+  const candidates = engines.filter(
+    ({ phase, stage }) => phase !== EndpointPhase.Leaving && stage !== undefined,
+  );
+  for (const version of new Set(candidates.map(({ softwareVersion }) => softwareVersion))) {
+    const ofVersion = candidates.filter(({ softwareVersion }) => softwareVersion === version);
+    const change = nextChangeOfVersion(ofVersion, changing, prefillShare);
+    if (change !== undefined) {
+      return change;
+    }
+  }
+  return undefined;
+}
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StagePlan.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StagePlan.test.ts
@@ -56,4 +56,22 @@
     expect(changeOf('v1', 'v2', 'v2', 'v2')?.engine.softwareVersion).toBe('v2');
     expect(changeOf('v1', 'v2', 'v3', 'v4')).toBeUndefined();
   });
+
+  // Guards against a version with few decode engines left after a release, whose streams cannot be resumed.
+  it('gives each software version the target share by itself', () => {
+    const stages = ['prefill', 'prefill', 'prefill', 'prefill', 'decode', 'decode'] as const;
+    const engines = [
+      ...enginesOf(stages).map((engine) => ({ ...engine, softwareVersion: 'v1' })),
+      ...enginesOf(Array<EngineStage>(6).fill(EngineStage.Decode)).map((engine) => ({
+        ...engine,
+        identifier: `${engine.identifier}-new`,
+        softwareVersion: 'v2',
+      })),
+    ];
+    const [changed, next] = [new Map(), new Map([['engine-0', EngineStage.Decode]])].map(
+      (changing) => nextStageChange(engines, changing, 1 / 3),
+    );
+    expect(changed).toMatchObject({ engine: { softwareVersion: 'v1' }, stage: EngineStage.Decode });
+    expect(next?.engine.softwareVersion).toBe('v1');
+  });
 });
