Keep sockets of endpoints from buffering more than they may

Single sockets had buffered 140 to 560 KB, though they may hold 16 KB.

Paced sockets now use `read()` of streams, which receives more only below the high-water mark.

The new unit test failed before with 86,016 bytes buffered, of 32,768 allowed.

--- a/packages/hickoryrelay/src/PacedReads.ts
+++ b/packages/hickoryrelay/src/PacedReads.ts
@@ -1,3 +1,5 @@
+import { Readable } from 'node:stream';
+
 import { eventLoopTurns, ReadPriority, TurnReader } from './ReadTurns.js';
 
 import type { ReadTurns } from './ReadTurns.js';
@@ -71,7 +73,8 @@
     this.turns = turns;
     this.allowance = allowance;
     this.permission = options.permission;
-    this.readSocket = socket.read.bind(socket);
+    // `read()` of a socket with its own buffer (`onread`) receives more however much is buffered.
+    this.readSocket = Readable.prototype.read.bind(socket);
     const push = socket.push.bind(socket);
     const destroy = socket.destroy.bind(socket);
     Object.assign(socket, {
--- a/packages/hickoryrelay/src/__tests__/unit/PacedReads.test.ts
+++ b/packages/hickoryrelay/src/__tests__/unit/PacedReads.test.ts
@@ -5,7 +5,7 @@
 import { paceReads } from 'hickoryrelay/PacedReads';
 import { ResponseAllowance } from 'hickoryrelay/ResponseAllowance';
 
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo, Socket, TcpSocketConnectOpts } from 'node:net';
 
 const cleanUps: (() => unknown)[] = [];
 
@@ -13,11 +13,16 @@
   cleanUps.splice(0).forEach((cleanUp) => cleanUp());
 });
 
-async function openPair(): Promise<{ readonly socket: Socket; readonly peer: Socket }> {
+const READ_BYTES = 16_384;
+
+async function openPair(
+  options: Partial<TcpSocketConnectOpts> = {},
+): Promise<{ readonly socket: Socket; readonly peer: Socket }> {
   const server = createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
   const accepted = once(server, 'connection');
-  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const { port } = server.address() as AddressInfo;
+  const socket = connect({ ...options, port, host: '127.0.0.1' });
   const [peer] = (await accepted) as [Socket];
   peer.on('error', () => {});
   cleanUps.push(
@@ -94,6 +99,30 @@
     expect(socket.read()).toBeNull();
   });
 
+  // Guards against a socket whose buffer grows with each portion that is read from it.
+  it('receives no more than one read beyond what it may buffer', async () => {
+    const { socket, peer } = await openPair({
+      onread: {
+        buffer: Buffer.alloc(READ_BYTES),
+        callback: (bytes, buffer) => socket.push(Buffer.from(buffer.subarray(0, bytes))),
+      },
+    });
+    const allowance = new ResponseAllowance(new ManualClock(), 'peer');
+    paceReads(socket, { allowance });
+    allowance.begin(socket);
+    allowance.recordHead({ readableLength: 0 });
+    let peakBytes = 0;
+    socket.on('readable', () => {
+      for (let chunk: unknown = socket.read(); chunk !== null; chunk = socket.read()) {
+        peakBytes = Math.max(peakBytes, socket.readableLength);
+      }
+    });
+    peer.write(Buffer.alloc(500_000));
+    await once(socket, 'error');
+    expect(peakBytes).toBeGreaterThan(0);
+    expect(peakBytes).toBeLessThanOrEqual(2 * READ_BYTES);
+  });
+
   it('fails when its allowance is used up', async () => {
     const { socket, peer } = await openPair();
     const allowance = new ResponseAllowance(new ManualClock(), 'peer');
