Test: wait until the manual clock has advanced

Cause: a fault of the test. ManualClock.advance is asynchronous, and the test did not await it. Beside load the next call began before the last one had ended, so that the advances overlapped: in the failed runs the clock stood at 52,654 to 59,885 ms instead of 61,000, short of the limit of 60,000 ms, and the refusal was not due. The bytes held were counted correctly: the other wait of the test never failed. Change: each advance of the file is awaited. The checks and their bounds are unchanged.

--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -180,11 +180,11 @@
       const { heldBytes } = guard;
       caller.socket.write('x'.repeat(5000));
       await waitFor(() => guard.heldBytes >= heldBytes + 5000);
-      clock.advance(milliseconds / parts);
+      await clock.advance(milliseconds / parts);
       guard.check();
     }
     if (parts === 0) {
-      clock.advance(milliseconds);
+      await clock.advance(milliseconds);
       guard.check();
     }
     await waitFor(() => caller.text.includes('refused'));
@@ -239,7 +239,7 @@
     await waitFor(() => guard.pausedConnections > 0);
     expect(guard.heldBytes).toBeLessThanOrEqual(LIMITS.memoryBytes);
     for (let step = 0; step < 6; step += 1) {
-      clock.advance(1000);
+      await clock.advance(1000);
       guard.check();
       await sleep(20);
     }
@@ -282,7 +282,7 @@
     );
     await waitFor(() => guard.pausedConnections === 1);
     for (let step = 0; step < 3; step += 1) {
-      clock.advance(1000);
+      await clock.advance(1000);
       guard.check();
       await sleep(20);
     }
@@ -298,7 +298,7 @@
     await waitFor(() => held.length === 1);
     const idle: ReturnType<typeof openCaller>[] = [];
     for (let index = 0; index < 4; index += 1) {
-      clock.advance(10);
+      await clock.advance(10);
       idle.push(openCaller(port, ''));
       await waitFor(() => guard.openConnections === Math.min(3, index + 2));
       await sleep(20);
