Let tests of any package play responses without end

The kinds of responses without end move from the platform's tests to hickoryrelay-standin, which links of both programs can be tested with.

--- a/platform/src/__tests__/e2e/EndlessResponseKind.ts
+++ b/packages/hickoryrelay-standin/src/EndlessResponse.ts
@@ -1,3 +1,5 @@
+import { BLOCK_BYTES } from './BlockServer.js';
+
 /** Which part of a response goes on without end. */
 export const EndlessResponseKind = {
   Head: 'head',
@@ -24,8 +26,6 @@
 
 export type EndlessResponseKind = (typeof EndlessResponseKind)[keyof typeof EndlessResponseKind];
 
-const BLOCK_BYTES = 65_536;
-
 const SILENT_EVENT_BYTES = 25_000;
 
 /** Less than what is buffered of a body before it is relayed. */
--- a/packages/hickoryrelay-standin/src/EndlessServer.ts
+++ b/packages/hickoryrelay-standin/src/EndlessServer.ts
@@ -1,6 +1,6 @@
-import { createServer } from 'node:net';
+import { BLOCK_BYTES, BlockServer } from './BlockServer.js';
 
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 
 /** Where a response goes on without end. */
 export const EndlessPart = {
@@ -14,64 +14,29 @@
 
 export type EndlessPart = (typeof EndlessPart)[keyof typeof EndlessPart];
 
-const BLOCK_BYTES = 65_536;
 const SLOW_INTERVAL_MILLISECONDS = 50;
 
-/**
- * A server in trouble: it answers every request with bytes that do not end until the client closes
- * the connection. It writes only as fast as the client reads.
- */
-export class EndlessServer {
-  private readonly sockets = new Set<Socket>();
+/** A server in trouble, which knows nothing of the protocol of its client. */
+export class EndlessServer extends BlockServer {
+  private readonly part: EndlessPart;
 
-  private readonly server;
-
-  private written = 0;
+  private readonly status: number;
 
   constructor(part: EndlessPart, status = 200) {
-    this.server = createServer((socket) => {
-      this.sockets.add(socket);
-      socket.on('error', () => {});
-      socket.on('close', () => this.sockets.delete(socket));
-      socket.once('data', () => this.respond(socket, part, status));
-    });
-  }
-
-  async listen(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
-    });
-  }
-
-  get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-  }
-
-  /** Bytes that have been passed to the operating system, over all connections. */
-  get bytesWritten(): number {
-    return this.written;
+    super();
+    this.part = part;
+    this.status = status;
   }
 
-  get openConnections(): number {
-    return this.sockets.size;
-  }
-
-  async close(): Promise<void> {
-    this.sockets.forEach((socket) => socket.destroy());
-    await new Promise((resolve) => {
-      this.server.close(resolve);
-    });
-  }
-
-  private respond(socket: Socket, part: EndlessPart, status: number): void {
-    socket.write(`HTTP/1.1 ${status} Status\r\n`);
-    if (part === EndlessPart.Head) {
+  protected override respond(socket: Socket): void {
+    socket.write(`HTTP/1.1 ${this.status} Status\r\n`);
+    if (this.part === EndlessPart.Head) {
       socket.write('X-Filler: ');
       this.writeBlocks(socket, 'x'.repeat(BLOCK_BYTES));
       return;
     }
     socket.write('Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n');
-    if (part === EndlessPart.SlowBody) {
+    if (this.part === EndlessPart.SlowBody) {
       const timer = setInterval(() => socket.write('1\r\n \r\n'), SLOW_INTERVAL_MILLISECONDS);
       socket.on('close', () => clearInterval(timer));
       return;
@@ -79,17 +44,4 @@
     const block = ' '.repeat(BLOCK_BYTES);
     this.writeBlocks(socket, `${BLOCK_BYTES.toString(16)}\r\n${block}\r\n`);
   }
-
-  private writeBlocks(socket: Socket, block: string): void {
-    const writeNext = () => {
-      // The callback of a failed write runs before the socket is marked as destroyed.
-      socket.write(block, (error) => {
-        if (error == null) {
-          this.written += block.length;
-          writeNext();
-        }
-      });
-    };
-    writeNext();
-  }
 }
