Bound what a response brings besides its body on the daemon's links

Seen: with the daemon's HttpEndpointLink beside endpoints without end, three kinds were read until the call was cancelled: interim responses, chunk extensions and chunks of one byte, with status 200 and 500, on connections of the pool and on those of one call. In 1.5 s one response took 1.4 to 1.6 s of processor time (that of the endpoint in the same process included) and read 73 to 80, 242 to 279 and 53 to 68 MB. The other kinds of heads, chunk sizes and trailers without end already failed within 150 ms, at the limits of the client library.

Cause: the sockets of the link were read in turns without a ResponseAllowance. The client library shows nothing of interim responses and chunk extensions.

Change: EndpointConnections gives each connection a ResponseAllowance. The client library does not tell which connection carries a response, so the link takes the one that is being parsed when a head arrives. The allowance starts again when a response is complete. Such a response fails with protocol-violation, which the exchange already treats as a failure of the endpoint.

A test keeps 100 responses on one connection and fails if the allowance does not start again.

--- a/packages/hickoryrelay-link/src/EndpointLink.ts
+++ b/packages/hickoryrelay-link/src/EndpointLink.ts
@@ -11,7 +11,8 @@
 /**
  * Link to one endpoint. Implementations encode calls from typed fields only, never copy
  * caller headers and never retry a call. They fail with `endpoint-failed`, where `mayHaveRun` is
- * false only if the endpoint cannot have started the call. A call whose permit is no longer valid
+ * false only if the endpoint cannot have started the call, or with `protocol-violation` if the endpoint
+ * sends too many bytes besides the body of its response. A call whose permit is no longer valid
  * once its connection is open is not written. If the signal aborts with a
  * `RelayError` as its reason, the call fails with that error.
  */
--- a/packages/hickoryrelay-link/src/HttpEndpointLink.ts
+++ b/packages/hickoryrelay-link/src/HttpEndpointLink.ts
@@ -1,7 +1,7 @@
-import { buildConnector, Client, Pool } from 'undici';
-import { ConnectionBreaks } from 'hickoryrelay/ConnectionBreaks';
-import { paceReads } from 'hickoryrelay/PacedReads';
+import { Client, Pool } from 'undici';
+import { SystemClock } from 'hickoryrelay/Clock';
 
+import { EndpointConnections } from './EndpointConnections.js';
 import { EndpointLink } from './EndpointLink.js';
 import { HttpResponseStream, REQUEST_IDENTIFIER_HEADER } from './HttpResponseStream.js';
 
@@ -9,27 +9,11 @@
 import type { ResumePoint } from './EndpointLink.js';
 import type { HttpResponseObserver } from './HttpResponseStream.js';
 import type { ResponseStream } from './ResponseStream.js';
+import type { Clock } from 'hickoryrelay/Clock';
 import type { EndpointLocation } from 'hickoryrelay-endpoint/Endpoint';
 import type { SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 import type { Dispatcher } from 'undici';
 
-const CONNECT_TIMEOUT_MILLISECONDS = 1000;
-
-const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
-
-/** Returns a connector that observes its connections. */
-function observedConnector(breaks: ConnectionBreaks): buildConnector.connector {
-  return (options, callback) => {
-    connectSocket(options, (...result) => {
-      if (result[0] === null) {
-        paceReads(result[1]);
-        breaks.observe(result[1]);
-      }
-      callback(...result);
-    });
-  };
-}
-
 /**
  * The exchange detects stalls with the `Clock` of the instance, so the timeouts of the library are
  * disabled. A pipelining factor of 1 allows one call at a time on each connection.
@@ -51,7 +35,7 @@
 /** Connections that are retired together if one of them stalls. */
 interface ConnectionGroup {
   readonly pool: Pool;
-  readonly breaks: ConnectionBreaks;
+  readonly connections: EndpointConnections;
   readonly responses: Set<HttpResponseStream>;
 }
 
@@ -59,6 +43,8 @@
 export abstract class HttpEndpointLink extends EndpointLink {
   protected readonly location: EndpointLocation;
 
+  private readonly clock: Clock;
+
   /** Whether the last response repeated the identifier of its request; undefined before the first. */
   private repeatsIdentifier: boolean | undefined;
 
@@ -67,9 +53,10 @@
   /** The current group, and retired groups with calls in progress. */
   private readonly groups = new Set<ConnectionGroup>();
 
-  constructor(location: EndpointLocation) {
+  constructor(location: EndpointLocation, clock: Clock = new SystemClock()) {
     super();
     this.location = location;
+    this.clock = clock;
     this.current = this.openGroup();
   }
 
@@ -107,14 +94,15 @@
     permit: SendPermit | undefined,
   ): ResponseStream {
     const group = this.current;
-    const response = this.createResponse(call, signal, permit, {
-      onComplete: () => group.breaks.closeIfUnwritten(),
+    const { breaks } = group.connections;
+    const response = this.createResponse(call, signal, permit, group.connections, {
+      onComplete: () => breaks.closeIfUnwritten(),
       onEnd: (ended) => {
         group.responses.delete(ended);
         this.closeWhenIdle(group);
       },
       onSilence: () => this.retire(group),
-      wasBroken: () => group.breaks.isCurrent,
+      wasBroken: () => breaks.isCurrent,
     });
     group.responses.add(response);
     const isReusable = this.isBodyIdentified || this.repeatsIdentifier === true;
@@ -125,11 +113,13 @@
     call: Call,
     signal: AbortSignal,
     permit: SendPermit | undefined,
+    connections: EndpointConnections,
     observer: Omit<HttpResponseObserver, 'onHead'>,
   ): HttpResponseStream {
     const { identifier } = this.location;
     const onHead = (isIdentified: boolean) => {
       this.repeatsIdentifier = isIdentified;
+      return connections.current;
     };
     const head = { ...observer, onHead };
     return new HttpResponseStream(identifier, call.requestIdentifier, signal, head, permit);
@@ -146,18 +136,18 @@
     signal: AbortSignal,
     permit: SendPermit | undefined,
   ): ResponseStream {
-    const breaks = new ConnectionBreaks();
+    const connections = this.createConnections();
     const client = new Client(this.location.url, {
       ...CONNECTION_OPTIONS,
-      connect: observedConnector(breaks),
+      connect: connections.connect,
     });
-    const response = this.createResponse(call, signal, permit, {
+    const response = this.createResponse(call, signal, permit, connections, {
       onComplete: () => {},
       onEnd: () => {
         void client.destroy();
       },
       onSilence: () => this.retire(this.current),
-      wasBroken: () => breaks.isCurrent,
+      wasBroken: () => connections.breaks.isCurrent,
     });
     return HttpEndpointLink.dispatch(client, call, encoded, response, false);
   }
@@ -186,14 +176,18 @@
     return response;
   }
 
+  private createConnections(): EndpointConnections {
+    return new EndpointConnections(this.location.identifier, this.clock);
+  }
+
   private openGroup(): ConnectionGroup {
-    const breaks = new ConnectionBreaks();
+    const connections = this.createConnections();
     const pool = new Pool(this.location.url, {
       ...CONNECTION_OPTIONS,
-      connect: observedConnector(breaks),
+      connect: connections.connect,
       connections: null,
     });
-    const group = { pool, breaks, responses: new Set<HttpResponseStream>() };
+    const group = { pool, connections, responses: new Set<HttpResponseStream>() };
     this.groups.add(group);
     return group;
   }
--- a/packages/hickoryrelay-link/src/HttpResponseStream.ts
+++ b/packages/hickoryrelay-link/src/HttpResponseStream.ts
@@ -6,7 +6,9 @@
 
 import { decodeRateLimitPolicy, RATE_LIMIT_POLICY_HEADER } from './RateLimitPolicy.js';
 
+import type { EndpointConnection } from './EndpointConnections.js';
 import type { ResponseStream } from './ResponseStream.js';
+import type { BufferedBody } from 'hickoryrelay/ResponseAllowance';
 import type { EndpointNotice, SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 import type { Dispatcher } from 'undici';
 
@@ -34,8 +36,11 @@
 
 /** Owner of a response's connection, notified of the state of the response. */
 export interface HttpResponseObserver {
-  /** The head has arrived. `isIdentified` is true if it repeats the identifier of the request. */
-  onHead(isIdentified: boolean): void;
+  /**
+   * The head has arrived. `isIdentified` is true if it repeats the identifier of the request. Returns the
+   * connection of the response. Called while the client library reports the head.
+   */
+  onHead(isIdentified: boolean): EndpointConnection;
   /** The response is complete. Called while the client library reports its end. */
   onComplete(): void;
   /** The response is complete, has broken off or was cancelled. */
@@ -79,7 +84,11 @@
  * takes all buffered bytes at once, so that it creates one promise per wait and not per chunk.
  */
 export class HttpResponseStream
-  implements ResponseStream, Dispatcher.DispatchHandler, AsyncIterableIterator<Buffer, void, void>
+  implements
+    ResponseStream,
+    BufferedBody,
+    Dispatcher.DispatchHandler,
+    AsyncIterableIterator<Buffer, void, void>
 {
   status = 0;
 
@@ -109,6 +118,9 @@
 
   private controller: Dispatcher.DispatchController | undefined;
 
+  /** Undefined until the head has arrived and once the response has ended. */
+  private connection: EndpointConnection | undefined;
+
   private bufferedChunks: Buffer[] = [];
 
   private bufferedBytes = 0;
@@ -142,6 +154,11 @@
     return this;
   }
 
+  /** Bytes that have not been taken from the body. */
+  get readableLength(): number {
+    return this.bufferedBytes;
+  }
+
   retireConnections(): void {
     if (!this.isConnectionSuspect) {
       this.isConnectionSuspect = true;
@@ -213,7 +230,8 @@
       this.fail(toRelayError(reason, this.endpoint, true));
       return;
     }
-    this.observer.onHead(responseIdentifier !== undefined);
+    this.connection = this.observer.onHead(responseIdentifier !== undefined);
+    this.connection.recordHead(this);
     this.notice = decodeNotice(status, headers);
     const contentType = headers['content-type'];
     this.status = status;
@@ -227,6 +245,7 @@
     const waiter = this.chunkWaiter;
     if (waiter !== undefined) {
       this.chunkWaiter = undefined;
+      this.connection?.recordTaken(chunk.length);
       waiter.resolve({ done: false, value: chunk });
       return;
     }
@@ -242,6 +261,7 @@
       this.fail(toRelayError('the connection broke off', this.endpoint, true));
       return;
     }
+    this.connection?.recordEnd();
     this.observer.onComplete();
     this.markEnded();
     this.chunkWaiter?.resolve({ done: true, value: undefined });
@@ -273,6 +293,7 @@
 
   private markEnded(): void {
     this.hasEnded = true;
+    this.connection = undefined;
     this.signal.removeEventListener('abort', this.abort);
     this.observer.onEnd(this);
   }
@@ -282,6 +303,7 @@
     const chunk = arrived.length === 1 ? (arrived[0] ?? Buffer.alloc(0)) : Buffer.concat(arrived);
     this.bufferedChunks = [];
     this.bufferedBytes = 0;
+    this.connection?.recordTaken(chunk.length);
     if (this.controller?.paused === true) {
       this.controller.resume();
     }
--- a/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/HttpEndpointLink.test.ts
@@ -89,6 +89,21 @@
     expect(sockets).toHaveLength(connectionOfFirstCall + 3);
   });
 
+  // Guards against a bound on each response that counts those before it on the same connection.
+  it('reuses a connection for responses whose heads and chunks add up to any size', async () => {
+    respond = (request, response) => {
+      identify(request, response);
+      response.setHeader('x-filler', 'x'.repeat(4000));
+      response.write('x'.repeat(100));
+      response.end('x'.repeat(100));
+    };
+    for (let count = 0; count < 100; count += 1) {
+      expect(await readAll(link.send(CALL, neverAborted))).toBe(200);
+    }
+    const connectionOfFirstCall = 1;
+    expect(sockets).toHaveLength(connectionOfFirstCall + 1);
+  });
+
   // Guards against a late second copy of a response that the next caller on the connection gets.
   it('does not reuse connections of an endpoint that does not identify its responses', async () => {
     respond = (request, response) => response.end('answer');
--- a/packages/hickoryrelay/src/ConnectionBreaks.ts
+++ b/packages/hickoryrelay/src/ConnectionBreaks.ts
@@ -15,8 +15,7 @@
 export class ConnectionBreaks {
   private hasOccurred = false;
 
-  /** The connection that was read last, whose bytes the library parses at once. */
-  private lastRead: Socket | undefined;
+  private lastReadSocket: Socket | undefined;
 
   /**
    * True if a connection has broken off in this turn of the event loop, in which the response that it
@@ -26,6 +25,11 @@
     return this.hasOccurred;
   }
 
+  /** The connection that was read last, whose bytes the library parses at once. */
+  get lastRead(): Socket | undefined {
+    return this.lastReadSocket;
+  }
+
   /** Has to be called before the listeners of the library are added. */
   observe(socket: Socket): void {
     // The library takes a reset for the end of a close-delimited response, but not other errors.
@@ -37,7 +41,7 @@
     const read = socket.read.bind(socket);
     Object.assign(socket, {
       read: (size?: number) => {
-        this.lastRead = socket;
+        this.lastReadSocket = socket;
         return read(size) as unknown;
       },
     });
