Keep the reset of a connection whose response was read to its end

The first error now decides.

What holds back the end of a socket has a class of its own, `SocketEnd`. Only a reset is replaced for a paused reader, since the library takes no other error for an end.

--- a/packages/hickoryrelay/src/PacedReads.ts
+++ b/packages/hickoryrelay/src/PacedReads.ts
@@ -1,6 +1,7 @@
 import { Readable } from 'node:stream';
 
 import { eventLoopTurns, ReadPriority, TurnReader } from './ReadTurns.js';
+import { SocketEnd } from './SocketEnd.js';
 
 import type { ReadTurns } from './ReadTurns.js';
 import type { ResponseAllowance } from './ResponseAllowance.js';
@@ -24,17 +25,6 @@
   readonly turns?: ReadTurns;
 }
 
-/** Errors of the operating system name the call that failed. */
-function isNetworkError(error: Error | undefined): error is Error {
-  return error !== undefined && 'syscall' in error;
-}
-
-/** An error that the HTTP client library does not take for the end of a response without a length. */
-function connectionBroken(cause: Error | undefined): Error {
-  const message = isNetworkError(cause) ? 'the connection was reset' : 'the connection was closed';
-  return Object.assign(new Error(message, { cause }), isNetworkError(cause) && { syscall: 'read' });
-}
-
 /** Reads the bytes of one socket in turns, within what the current response may bring. */
 class PacedReads extends TurnReader {
   private readonly socket: Socket;
@@ -52,19 +42,7 @@
 
   private portionBytes = 0;
 
-  /** True once a network error closes the socket, whose last bytes are read at once. */
-  private hasNetworkFailed = false;
-
-  /** True once the peer has closed the connection. */
-  private hasEnded = false;
-
-  /** True while the socket is being closed without an error. */
-  private isClosing = false;
-
-  private isEndScheduled = false;
-
-  /** True if the reader has called `read()` since this was last set to false. */
-  private hasReaderAsked = false;
+  private readonly end: SocketEnd;
 
   constructor(socket: Socket, options: PacedReadOptions) {
     const { allowance, priority = ReadPriority.Ordinary, turns = eventLoopTurns } = options;
@@ -75,16 +53,8 @@
     this.permission = options.permission;
     // `read()` of a socket with its own buffer (`onread`) receives more however much is buffered.
     this.readSocket = Readable.prototype.read.bind(socket);
-    const push = socket.push.bind(socket);
-    const destroy = socket.destroy.bind(socket);
-    Object.assign(socket, {
-      read: (size?: number) => this.read(size),
-      push: (chunk: Buffer | null) => {
-        this.hasEnded ||= chunk === null;
-        return push(chunk);
-      },
-      destroy: (error?: Error) => destroy(socket.destroyed ? error : this.closeWith(error)),
-    });
+    this.end = new SocketEnd(socket, () => this.readSocket());
+    Object.assign(socket, { read: (size?: number) => this.read(size) });
     socket.once('close', () => turns.remove(this));
   }
 
@@ -100,61 +70,19 @@
     return this.portionBytes;
   }
 
-  /** Returns the error to close the socket with. */
-  private closeWith(error: Error | undefined): Error | undefined {
-    if (error != null && !isNetworkError(error)) {
-      return error;
-    }
-    if (error == null) {
-      this.isClosing = true;
-    } else {
-      // A response that was received whole may wait for its turn when its connection is reset.
-      this.hasNetworkFailed = true;
-      this.socket.emit('readable');
-    }
-    return this.isReaderPaused() ? connectionBroken(error) : error;
-  }
-
-  /** True if the reader does not read when it is told that it can. */
-  private isReaderPaused(): boolean {
-    this.hasReaderAsked = false;
-    return this.socket.emit('readable') && !this.hasReaderAsked;
-  }
-
-  /** Lets the socket report its end unless the reader is paused, in which case it reads again later. */
-  private reportEnd(): void {
-    const mayEnd = !this.socket.destroyed && !this.isReaderPaused();
-    this.isEndScheduled = false;
-    if (mayEnd) {
-      this.readSocket();
-    }
-  }
-
-  private scheduleEnd(): void {
-    if (!this.isEndScheduled) {
-      this.isEndScheduled = true;
-      // The library reads and may pause again in the same call.
-      process.nextTick(() => this.reportEnd());
-    }
-  }
-
   private read(size: number | undefined): Buffer | null {
-    const { readableLength, destroyed } = this.socket;
-    this.hasReaderAsked ||= size === undefined;
-    if (readableLength === 0 && this.hasEnded && this.socket.listenerCount('readable') > 0) {
-      if (size === undefined) {
-        this.scheduleEnd();
-      }
+    const { end, socket } = this;
+    if (size === undefined) {
+      end.recordRead();
+    }
+    if (end.isHeld) {
       return null;
     }
-    if (size !== undefined || readableLength === 0) {
+    const { readableLength } = socket;
+    if (size !== undefined || readableLength === 0 || end.hasNetworkFailed) {
       return this.readSocket(size);
     }
-    if (this.hasNetworkFailed) {
-      return this.readSocket();
-    }
-    if (destroyed || this.isClosing) {
-      // A destroyed socket would still return all the bytes that it has received.
+    if (end.isClosed) {
       return null;
     }
     if (this.permission?.mayRead() === false) {
@@ -172,16 +100,14 @@
     const bytes = TurnReader.sizeOf(readableLength, Math.min(this.granted, allowed));
     this.granted = 0;
     this.portionBytes = bytes;
-    // Without a size, the socket would report its end before the reader has processed the last bytes.
-    return bytes === readableLength && !this.hasEnded ? this.readSocket() : this.readSocket(bytes);
+    return bytes === readableLength && !end.hasArrived ? this.readSocket() : this.readSocket(bytes);
   }
 }
 
 /**
  * Makes `read()` of a socket return its bytes in portions, in turn with other sockets, and `null`
  * in between, as if no bytes had arrived. The socket fails when its allowance is used up. Its end is
- * reported to a reader that has paused only once it reads again. For users that read on `readable`, such
- * as the HTTP client library.
+ * reported as `SocketEnd` says. For users that read on `readable`, such as the HTTP client library.
  */
 export function paceReads(socket: Socket, options: PacedReadOptions = {}): void {
   // eslint-disable-next-line no-new -- The socket refers to the object.
--- a/packages/hickoryrelay/src/__tests__/unit/PacedReads.test.ts
+++ b/packages/hickoryrelay/src/__tests__/unit/PacedReads.test.ts
@@ -1,8 +1,9 @@
 import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import { ManualClock } from 'hickoryrelay/ManualClock';
-import { paceReads } from 'hickoryrelay/PacedReads';
+import { paceReads, PortionPermission } from 'hickoryrelay/PacedReads';
 import { ResponseAllowance } from 'hickoryrelay/ResponseAllowance';
 
 import type { AddressInfo, Socket, TcpSocketConnectOpts } from 'node:net';
@@ -44,6 +45,45 @@
   return chunks;
 }
 
+/** Reads as the HTTP client library does, which may pause while it processes a chunk. */
+class PausingReader {
+  readonly chunks: Buffer[] = [];
+
+  isPaused = false;
+
+  private readonly socket: Socket;
+
+  constructor(socket: Socket) {
+    this.socket = socket;
+    socket.on('readable', () => this.readMore());
+  }
+
+  /** Pauses with each chunk. */
+  readMore(): void {
+    while (!this.isPaused) {
+      const chunk = this.socket.read() as Buffer | null;
+      if (chunk === null) {
+        return;
+      }
+      this.chunks.push(chunk);
+      this.isPaused = true;
+    }
+  }
+}
+
+/** Never gives permission, and counts how often it is asked. */
+class NoPermission extends PortionPermission {
+  asked = 0;
+
+  override mayRead(): boolean {
+    this.asked += 1;
+    return false;
+  }
+}
+
+const WAIT_MILLISECONDS = 50;
+const TEXT = Buffer.from('the last bytes');
+
 describe('A socket that is read in turns', () => {
   // Guards against bytes that are lost, repeated or out of order, and an end that is not reported.
   it('returns all bytes and then ends', async () => {
@@ -134,4 +174,96 @@
     expect(error.message).toContain('the head of the response has too many bytes');
     expect(Buffer.concat(chunks).length).toBeLessThanOrEqual(32_768);
   });
+
+  // Guards against an end that is reported while the reader is paused, also if it pauses again in the call in which it reads.
+  it('reports its end only once its reader reads on', async () => {
+    const { socket, peer } = await openPair();
+    paceReads(socket);
+    const reader = new PausingReader(socket);
+    let ends = 0;
+    socket.on('end', () => {
+      ends += 1;
+    });
+    peer.end(TEXT);
+    await sleep(WAIT_MILLISECONDS);
+    expect(Buffer.concat(reader.chunks)).toEqual(TEXT);
+    expect(ends).toBe(0);
+    socket.read();
+    await sleep(WAIT_MILLISECONDS);
+    expect(ends).toBe(0);
+    reader.isPaused = false;
+    reader.readMore();
+    await sleep(WAIT_MILLISECONDS);
+    expect(ends).toBe(1);
+    expect(socket.destroyed).toBe(true);
+  });
+
+  it('ends without a reader', async () => {
+    const { socket, peer } = await openPair();
+    paceReads(socket);
+    peer.end();
+    await once(socket, 'close');
+  });
+
+  it('is closed with an error while its reader is paused', async () => {
+    const { socket, peer } = await openPair();
+    paceReads(socket);
+    const reader = new PausingReader(socket);
+    peer.write(TEXT);
+    await sleep(WAIT_MILLISECONDS);
+    expect(reader.isPaused).toBe(true);
+    setImmediate(() => socket.destroy());
+    const [error] = (await once(socket, 'error')) as [Error];
+    expect(error.message).toBe('the connection was closed');
+  });
+
+  // Guards against a reset that a paused reader takes for an end, or that is not known as an error of the network.
+  it('hides the code of a reset from a paused reader', async () => {
+    const { socket, peer } = await openPair();
+    paceReads(socket);
+    const reader = new PausingReader(socket);
+    peer.write(TEXT);
+    await sleep(WAIT_MILLISECONDS);
+    expect(reader.isPaused).toBe(true);
+    peer.resetAndDestroy();
+    const [error] = (await once(socket, 'error')) as [Error];
+    expect(error).toMatchObject({ message: 'the connection was reset', syscall: 'read' });
+    expect(error).not.toHaveProperty('code');
+  });
+
+  // Guards against the loss of a whole response that waits when its connection is reset, and of the reset if the
+  // reader closes the connection itself after the response.
+  it('is read whole when it is reset, and fails with the reset', async () => {
+    const { socket, peer } = await openPair();
+    paceReads(socket, { permission: new NoPermission() });
+    const chunks: Buffer[] = [];
+    socket.on('readable', () => {
+      const chunk = socket.read() as Buffer | null;
+      if (chunk !== null) {
+        chunks.push(chunk);
+        socket.destroy(new Error('the response is complete'));
+      }
+    });
+    peer.write(TEXT);
+    await sleep(WAIT_MILLISECONDS);
+    expect(chunks).toEqual([]);
+    peer.resetAndDestroy();
+    const [error] = (await once(socket, 'error')) as [Error];
+    expect(error).toMatchObject({ code: 'ECONNRESET' });
+    expect(Buffer.concat(chunks)).toEqual(TEXT);
+  });
+
+  it('asks for no permission once it is closed', async () => {
+    const { socket, peer } = await openPair();
+    const permission = new NoPermission();
+    paceReads(socket, { permission });
+    collect(socket);
+    peer.write(TEXT);
+    await sleep(WAIT_MILLISECONDS);
+    const { asked } = permission;
+    expect(asked).toBeGreaterThan(0);
+    socket.destroy();
+    await once(socket, 'close');
+    expect(permission.asked).toBe(asked);
+  });
 });
