Report the end of a watch's connection only to a reader that is not paused

Seen: a service that closes or resets the connection of a watch without a length, while the reader waits between two changes and 64 KB are buffered, makes the client library throw `assert(!this.paused)`. Nothing catches it, which ends the daemon.

The configuration watch fetches each changed configuration before it reads the next change, so its response may wait.

Change: the connector of watches calls `paceReads`. Other calls of this client read their bodies at once and stay as they are.

--- a/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
+++ b/packages/hickoryrelay-platform/src/EtcdKeyValueStore.ts
@@ -2,7 +2,9 @@
 import { SystemClock } from 'hickoryrelay/Clock';
 import { ConnectionBreaks } from 'hickoryrelay/ConnectionBreaks';
 import { FailureKind } from 'hickoryrelay/Failure';
+import { paceReads } from 'hickoryrelay/PacedReads';
 import { SystemRandomSource } from 'hickoryrelay/RandomSource';
+import { ReadPriority } from 'hickoryrelay/ReadTurns';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { readBodyText } from 'hickoryrelay/ResponseBodyUtils';
 
@@ -36,6 +38,7 @@
   WatchBatch,
 } from './KeyValueStore.js';
 import type { RandomSource } from 'hickoryrelay/RandomSource';
+import type { Socket } from 'node:net';
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 2000;
 const OK = 200;
@@ -82,13 +85,13 @@
 const LEASE_RENEWAL: CallTraits = { isWrite: true, proof: RevisionProof.None };
 const TRANSACTION: CallTraits = { isWrite: true, proof: RevisionProof.NotLower };
 
-/** Returns a connector that observes its connections. */
-function observedConnector(breaks: ConnectionBreaks): buildConnector.connector {
+/** Returns a connector that prepares each connection before the client library uses it. */
+function preparedConnector(prepare: (socket: Socket) => void): buildConnector.connector {
   const connect = buildConnector({});
   return (options, callback) => {
     connect(options, (...result) => {
       if (result[0] === null) {
-        breaks.observe(result[1]);
+        prepare(result[1]);
       }
       callback(...result);
     });
@@ -119,11 +122,17 @@
   private readonly agent = new Agent({
     pipelining: 1,
     connections: 8,
-    connect: observedConnector(this.breaks),
+    connect: preparedConnector((socket) => this.breaks.observe(socket)),
   });
 
   /** Separate from `agent`, because watches stay open and would use up its connections. */
-  private readonly watchAgent = new Agent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+  private readonly watchAgent = new Agent({
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    // The library fails when a connection ends while its response is not read.
+    connect: preparedConnector((socket) => paceReads(socket, { priority: ReadPriority.Control })),
+  });
 
   override readonly era = new StoreEra(new SystemClock());
 
