Bound the events of one model stream in the daemon

Seen: an exchange of the daemon with an engine that sends whole events without end went on until the deadline of the call: comments, first events, tokens, the first token again and again, finish reasons, usage, and tokens of another request (7 kinds, status 200, a stream). In 4 s one call took 3.7 to 4.8 s of processor time, that of the engine in the same process included, and read 90 to 196 MB. Each chunk also counts as progress, so that the stall timeout does not end it.

Cause: ModelStream drops events that bring nothing, and nothing counted them. The platform's program has EventStreamAllowance for this.

Change: EventStreamAllowance moves from hickoryrelay-forwarding to hickoryrelay. ModelStreamRelay gives each attempt one. What was accepted is forwarded before the attempt fails, as endpoint-failed.

Not covered: a stream of tokens without end is resumed while its text can be kept, at the same engine if there is no other, so that such a call may still last until its deadline.

--- a/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/EventStreamRelay.ts
@@ -1,5 +1,6 @@
+import { EventStreamAllowance } from 'hickoryrelay/EventStreamAllowance';
+
 import { EndpointResponseRelay } from './EndpointResponseRelay.js';
-import { EventStreamAllowance } from './EventStreamAllowance.js';
 import { EventStreamParser, mayFollow } from './EventStreamParser.js';
 
 import type { RelayObserver } from './EndpointResponseRelay.js';
--- a/packages/hickoryrelay-instance/src/ModelStreamRelay.ts
+++ b/packages/hickoryrelay-instance/src/ModelStreamRelay.ts
@@ -1,3 +1,4 @@
+import { EventStreamAllowance } from 'hickoryrelay/EventStreamAllowance';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 import { EngineEventReader } from 'hickoryrelay-link/EngineEventReader';
@@ -15,6 +16,8 @@
 /** The bytes of a chunk to forward, and the error that stopped its parsing, if any. */
 interface AcceptedBytes {
   readonly bytes: Buffer | undefined;
+  /** Events that the chunk has completed, forwarded or not. */
+  readonly events: number;
   readonly error: RelayError | undefined;
 }
 
@@ -71,11 +74,12 @@
 
   private async relayChunks(attempt: Attempt, writer: ResponseWriter): Promise<void> {
     const reader = new EngineEventReader(attempt.endpoint.identifier);
+    const allowance = new EventStreamAllowance(this.parts.clock);
     const { chunks } = attempt.answer;
     let result = await chunks.next();
     while (result.done !== true) {
       attempt.pauseDeadline();
-      const { bytes, error } = this.readChunk(reader, result.value);
+      const { bytes, events, error } = this.readChunk(reader, result.value);
       if (bytes !== undefined) {
         this.attempts.recordProgress();
         await this.forward(bytes, writer);
@@ -88,13 +92,23 @@
         attempt.finish();
         return;
       }
+      if (!allowance.tryTake(events, result.value.length)) {
+        throw ModelStreamRelay.createFailure(attempt, 'the stream has too many events or bytes');
+      }
       attempt.resumeDeadline();
       result = await chunks.next();
     }
-    throw new RelayError({
+    throw ModelStreamRelay.createFailure(
+      attempt,
+      'the stream ended before its end-of-stream event',
+    );
+  }
+
+  private static createFailure({ endpoint }: Attempt, reason: string): RelayError {
+    return new RelayError({
       kind: FailureKind.EndpointFailed,
-      endpoint: attempt.endpoint.identifier,
-      reason: 'the stream ended before its end-of-stream event',
+      endpoint: endpoint.identifier,
+      reason,
       mayHaveRun: true,
     });
   }
@@ -105,9 +119,11 @@
    */
   private readChunk(reader: EngineEventReader, chunk: Buffer): AcceptedBytes {
     const accepted: Buffer[] = [];
+    let events = 0;
     let error: RelayError | undefined;
     try {
       for (const event of reader.read(chunk)) {
+        events += 1;
         if (this.stream.accepts(event)) {
           accepted.push(event.bytes);
         }
@@ -118,7 +134,7 @@
     } catch (caught) {
       error = new RelayError(failureOf(caught), caught);
     }
-    return { bytes: accepted.length > 1 ? Buffer.concat(accepted) : accepted[0], error };
+    return { bytes: accepted.length > 1 ? Buffer.concat(accepted) : accepted[0], events, error };
   }
 
   private async forward(bytes: Buffer, writer: ResponseWriter): Promise<void> {
--- a/packages/hickoryrelay-standin/src/BlockServer.ts
+++ b/packages/hickoryrelay-standin/src/BlockServer.ts
@@ -12,13 +12,21 @@
 export abstract class BlockServer {
   private readonly sockets = new Set<Socket>();
 
+  private readonly answered = new Set<Socket>();
+
   private written = 0;
 
   private readonly server = createServer({ noDelay: true }, (socket) => {
     this.sockets.add(socket);
     socket.on('error', () => {});
-    socket.on('close', () => this.sockets.delete(socket));
-    socket.once('data', (head) => this.respond(socket, head.toString('latin1')));
+    socket.on('close', () => {
+      this.sockets.delete(socket);
+      this.answered.delete(socket);
+    });
+    socket.once('data', (head) => {
+      this.answered.add(socket);
+      this.respond(socket, head.toString('latin1'));
+    });
   });
 
   async listen(): Promise<void> {
@@ -40,6 +48,11 @@
     return this.sockets.size;
   }
 
+  /** Open connections on which a request has arrived. */
+  get openResponses(): number {
+    return this.answered.size;
+  }
+
   async close(): Promise<void> {
     this.sockets.forEach((socket) => socket.destroy());
     await new Promise((resolve) => {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EventStreamAllowance.test.ts
+++ b/packages/hickoryrelay/src/__tests__/unit/EventStreamAllowance.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
+import { EventStreamAllowance } from 'hickoryrelay/EventStreamAllowance';
 import { ManualClock } from 'hickoryrelay/ManualClock';
-import { EventStreamAllowance } from 'hickoryrelay-forwarding/EventStreamAllowance';
 
 describe('EventStreamAllowance', () => {
   // Guards against limits that cut sound streams.
