Test: count what sockets read whichever way they are read

ReadMeter counted calls of `read()` of sockets. It now counts where both ways lead, for sockets only; the checks and their bounds are unchanged.

--- a/packages/hickoryrelay-standin/src/ReadMeter.ts
+++ b/packages/hickoryrelay-standin/src/ReadMeter.ts
@@ -1,8 +1,9 @@
 import { Socket } from 'node:net';
+import { Readable } from 'node:stream';
 
 /** Measures the bytes that all sockets of the process return in one turn of the event loop. */
 export class ReadMeter {
-  private readonly read = Socket.prototype.read;
+  private readonly read = Readable.prototype.read;
 
   private isRunning = true;
 
@@ -15,9 +16,12 @@
   constructor() {
     const { read } = this;
     const record = (chunk: unknown) => this.record(chunk);
-    Socket.prototype.read = function readAndRecord(this: Socket, size?: number) {
+    // Sockets read here in any case, also those whose own `read()` is not called.
+    Readable.prototype.read = function readAndRecord(this: Readable, size?: number) {
       const chunk = read.call(this, size) as unknown;
-      record(chunk);
+      if (this instanceof Socket) {
+        record(chunk);
+      }
       return chunk;
     };
     this.startTurn();
@@ -35,7 +39,7 @@
 
   stop(): void {
     this.isRunning = false;
-    Socket.prototype.read = this.read;
+    Readable.prototype.read = this.read;
   }
 
   private startTurn(): void {
