--- a/packages/hickoryrelay-instance/src/__tests__/e2e/EndlessExchange.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/EndlessExchange.test.ts
@@ -99,8 +99,7 @@
   expect(kinds).toContain(writer.report?.failure.kind);
 }
 
-// Guards against an engine in trouble that takes memory or the time of the event loop for as long as a call
-// may last, and against calls to others that are held up by it.
+// Guards against an engine in trouble that takes memory or processor time until the deadline of its call.
 describe('A call to an engine that sends without end', () => {
   const cases = KINDS.flatMap((kind) =>
     [200, 500].flatMap((status) =>
--- a/packages/hickoryrelay-link/src/__tests__/e2e/PausedResponse.test.ts
+++ b/packages/hickoryrelay-link/src/__tests__/e2e/PausedResponse.test.ts
@@ -129,8 +129,7 @@
   ['has no end', writeWithoutEnd],
 ] as const;
 
-// Guards against the end of a connection that throws in the client library while its response is not read, which
-// ends the process.
+// Guards against a process that ends because the connection of a response ends while it is not read.
 describe.each(CONNECTIONS)('A response without a length on a %s', (_connection, isIdempotent) => {
   it('is complete when its connection is closed and it is read slowly', async () => {
     const uncaught = recordUncaught();
--- a/packages/hickoryrelay-platform/src/__tests__/e2e/PausedWatch.test.ts
+++ b/packages/hickoryrelay-platform/src/__tests__/e2e/PausedWatch.test.ts
@@ -133,8 +133,7 @@
   ['while changes arrive without end', writeWithoutEnd],
 ] as const;
 
-// Guards against the end of a connection that throws in the client library while its watch is not read, which ends
-// the process.
+// Guards against a process that ends because the connection of a watch ends while it is not read.
 describe('A watch without a length that is read slowly', () => {
   it('yields all changes when its connection is closed', async () => {
     const uncaught = recordUncaught();
--- a/packages/hickoryrelay/src/__tests__/unit/PacedReads.test.ts
+++ b/packages/hickoryrelay/src/__tests__/unit/PacedReads.test.ts
@@ -175,7 +175,7 @@
     expect(Buffer.concat(chunks).length).toBeLessThanOrEqual(32_768);
   });
 
-  // Guards against an end that is reported while the reader is paused, also if it pauses again in the call in which it reads.
+  // Guards against an end that is reported to a paused reader, also if it pauses again while it reads on.
   it('reports its end only once its reader reads on', async () => {
     const { socket, peer } = await openPair();
     paceReads(socket);
@@ -231,8 +231,7 @@
     expect(error).not.toHaveProperty('code');
   });
 
-  // Guards against the loss of a whole response that waits when its connection is reset, and of the reset if the
-  // reader closes the connection itself after the response.
+  // Guards against the loss of a response that waits when its connection is reset, and of the reset itself.
   it('is read whole when it is reset, and fails with the reset', async () => {
     const { socket, peer } = await openPair();
     paceReads(socket, { permission: new NoPermission() });
