Count and log why connections of callers close

What callers saw: a connection that closes without a response. What operators saw: nothing. Neither the log nor the metrics told which connection this process had closed, for what reason, and whether a request on it had been passed on to an endpoint.

Each place that closes the connection of a caller now records a typed reason (ConnectionCloseReason); a connection without one was closed by its caller. When a connection closes, the requests on it that were passed on and whose responses were not written out are counted by that reason (caller_unanswered_<reason>_total, beside caller_closes_<reason>_total), and the first of each reason in 10 s is logged with its identifier, the bytes of its response that were written, and the number of other open requests of the connection. Requests whose callers leave are counted apart and not logged. Responses that are dropped behind the last response of a connection count as well, although the connection is still open then.

A request counts as passed on from the moment its attempt is started, so that one whose connection to the endpoint fails counts too.

Both programs register the counters through callerCounters.

--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -1,3 +1,4 @@
+import { ConnectionCloseReason, recordCloseReason } from 'hickoryrelay/ConnectionClosing';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
@@ -13,6 +14,7 @@
 import type { CallerLimits } from './CallerLimits.js';
 import type { CallerConnections } from 'hickoryrelay/CallerConnections';
 import type { Clock } from 'hickoryrelay/Clock';
+import type { ClosedConnection } from 'hickoryrelay/ConnectionClosing';
 import type { Failure } from 'hickoryrelay/Failure';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -23,6 +25,12 @@
 
 const RETRY_AFTER_SECONDS = 1;
 
+function closeReasonFor(reason: RefusalReason): ConnectionCloseReason {
+  return reason === RefusalReason.Memory
+    ? ConnectionCloseReason.Memory
+    : ConnectionCloseReason.UnreadRequest;
+}
+
 /** Dependencies of the guard. */
 export interface CallerGuardParts {
   readonly limits: CallerLimits;
@@ -62,6 +70,10 @@
 
   private readonly pauseCounts = new Map<PauseReason, number>();
 
+  private readonly closeCounts = new Map<ConnectionCloseReason, number>();
+
+  private readonly unansweredCounts = new Map<ConnectionCloseReason, number>();
+
   private readonly log: SampledLog;
 
   private isWakeScheduled = false;
@@ -81,6 +93,7 @@
     server.on('connection', (socket: Socket) => this.open(socket));
     server.once('listening', () => this.scheduleCheck());
     server.once('close', () => this.cancelCheck());
+    connections.onClose((connection) => this.recordClose(connection));
   }
 
   get limits(): CallerLimits {
@@ -120,6 +133,16 @@
     return this.pauseCounts.get(reason) ?? 0;
   }
 
+  /** Connections that were closed for the reason. */
+  closesFor(reason: ConnectionCloseReason): number {
+    return this.closeCounts.get(reason) ?? 0;
+  }
+
+  /** Requests that were passed on and whose connection closed for the reason before their responses were written out. */
+  unansweredFor(reason: ConnectionCloseReason): number {
+    return this.unansweredCounts.get(reason) ?? 0;
+  }
+
   /** Records a request whose head has been read, until its response has been written out. */
   begin(message: IncomingMessage, response: ServerResponse): CallerRequest {
     const reads = this.readsBySocket.get(message.socket);
@@ -157,6 +180,23 @@
     });
   }
 
+  private recordClose({ reason, unansweredRequests }: ClosedConnection): void {
+    this.closeCounts.set(reason, this.closesFor(reason) + 1);
+    const count = unansweredRequests.length;
+    this.unansweredCounts.set(reason, this.unansweredFor(reason) + count);
+    if (reason === ConnectionCloseReason.Caller) {
+      return;
+    }
+    for (const { identifier, writtenBytes, otherRequests } of unansweredRequests) {
+      this.log.warn(`closed ${reason}`, 'A connection closed before a response was complete.', {
+        reason,
+        request: identifier,
+        writtenBytes,
+        otherRequests,
+      });
+    }
+  }
+
   /** Counts what a caller has not read. Called when a write finds the caller behind. */
   recordBacklog(socket: Socket): void {
     this.readsBySocket.get(socket)?.countUnsent();
@@ -218,10 +258,11 @@
       const victim = this.memory.victimForConnection(now);
       this.recordRefusal(RefusalReason.Connections);
       if (victim === undefined) {
+        recordCloseReason(socket, ConnectionCloseReason.Connections);
         socket.destroy();
         return;
       }
-      this.closeAccount(victim);
+      this.closeAccount(victim, ConnectionCloseReason.Connections);
     }
     const account = this.memory.open(now);
     const reads = new CallerReads(connection, account, this);
@@ -302,12 +343,12 @@
     } else if (account.phase === CallerPhase.Idle && reads.isWaitedFor) {
       connection.reject(this.parts.encodeRejection(failure));
     } else {
-      this.closeAccount(account);
+      this.closeAccount(account, closeReasonFor(reason));
     }
   }
 
-  private closeAccount(account: CallerAccount): void {
-    this.readsByAccount.get(account)?.connection.close();
+  private closeAccount(account: CallerAccount, reason: ConnectionCloseReason): void {
+    this.readsByAccount.get(account)?.connection.close(reason);
     this.readsByAccount.delete(account);
     this.slots.forget(account);
     account.close();
--- a/packages/hickoryrelay-caller/src/CallerMetrics.ts
+++ b/packages/hickoryrelay-caller/src/CallerMetrics.ts
@@ -1,3 +1,5 @@
+import { ConnectionCloseReason } from 'hickoryrelay/ConnectionClosing';
+
 import { PauseReason } from './CallerMemory.js';
 import { RefusalReason } from './RefusalReason.js';
 
@@ -21,7 +23,7 @@
   ];
 }
 
-/** How often callers were refused and connections were not read, by reason. */
+/** How often callers were refused, and connections were not read and closed, by reason. */
 export function callerCounters(guard: CallerGuard): CallerMetric[] {
   const nameOf = (event: string, reason: string) =>
     `caller_${event}_${reason.replaceAll('-', '_')}_total`;
@@ -34,5 +36,9 @@
       nameOf('pauses', reason),
       () => guard.pausesFor(reason),
     ]),
+    ...Object.values(ConnectionCloseReason).flatMap((reason): CallerMetric[] => [
+      [nameOf('closes', reason), () => guard.closesFor(reason)],
+      [nameOf('unanswered', reason), () => guard.unansweredFor(reason)],
+    ]),
   ];
 }
--- a/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
+++ b/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
@@ -94,8 +94,9 @@
 
   /** Sends the request. Resolves when the head of the response has arrived. */
   async send(): Promise<EndpointResponse> {
-    const { parts, deadline } = this.call;
+    const { parts, deadline, sink } = this.call;
     const signal = AbortSignal.any([deadline.signal, this.abortController.signal]);
+    sink.recordPassedOn();
     const response = await parts.link.send(this.attempt, signal);
     this.recordActivity();
     return response;
--- a/packages/hickoryrelay-forwarding/src/ResponseSink.ts
+++ b/packages/hickoryrelay-forwarding/src/ResponseSink.ts
@@ -30,6 +30,9 @@
 
   abstract get hasStarted(): boolean;
 
+  /** Called when the request is passed on to an endpoint. Sinks without a connection need not know. */
+  recordPassedOn(): void {}
+
   /** Sends the head of an endpoint's response. */
   abstract start(head: ResponseHead): void;
 
--- a/packages/hickoryrelay-instance/src/CallAttempts.ts
+++ b/packages/hickoryrelay-instance/src/CallAttempts.ts
@@ -45,6 +45,9 @@
 
   private lastError: RelayError | undefined;
 
+  /** Called before the call is sent to an endpoint. */
+  onSend = () => {};
+
   private attemptsWithoutProgress = 0;
 
   private hasBeenSent = false;
@@ -71,6 +74,7 @@
       await this.backOff();
       const endpoint = this.selectEndpoint();
       this.metering.recordAttempt(endpoint.identifier);
+      this.onSend();
       const attempt = this.attempt(endpoint, resume);
       try {
         this.recordChange(endpoint, await attempt.receiveHead());
--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -3,6 +3,7 @@
 
 import ApiGateway from 'moleculer-web';
 import { CallerConnections } from 'hickoryrelay/CallerConnections';
+import { closeConnectionOf, ConnectionCloseReason } from 'hickoryrelay/ConnectionClosing';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 import { sendWhole } from 'hickoryrelay/ResponseFraming';
@@ -216,6 +217,7 @@
         clock,
         onBacklog: () => this.guard?.recordBacklog(response.req.socket),
         stallTimeoutMilliseconds: settings.limits.callerStallSeconds * MILLISECONDS_PER_SECOND,
+        onPassedOn: () => this.connections?.recordPassedOn(response, requestIdentifier),
         onHead: () => {
           if (!this.instance.isReady) {
             this.connections?.closeAfter(response);
@@ -242,7 +244,7 @@
     const failure = failureOf(error);
     this.log.info('Request refused.', { requestIdentifier, code: failure.kind });
     if (response.headersSent || response.destroyed) {
-      response.destroy();
+      closeConnectionOf(response, ConnectionCloseReason.UnreadRequest);
       return;
     }
     const { status, headers, body } = errorResponse({ failure, requestIdentifier, notRun: true });
--- a/packages/hickoryrelay-instance/src/Exchange.ts
+++ b/packages/hickoryrelay-instance/src/Exchange.ts
@@ -90,6 +90,7 @@
   /** Runs the call and writes its response or its failure. Never rejects. */
   async run(writer: ResponseWriter): Promise<void> {
     const cancelDeadline = this.startDeadlineTimer();
+    this.attempts.onSend = () => writer.recordPassedOn();
     try {
       const ticket = await this.parts.admission.admit(this.call, this.abort.signal);
       try {
--- a/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 
+import { closeConnectionOf, ConnectionCloseReason } from 'hickoryrelay/ConnectionClosing';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 import { collectedBytesOf, framingFor, sendWhole } from 'hickoryrelay/ResponseFraming';
@@ -23,6 +24,8 @@
   readonly clock: Clock;
   /** Time without reading after which the connection of a caller is closed. */
   readonly stallTimeoutMilliseconds: number;
+  /** Called when the call is passed on to an endpoint. */
+  readonly onPassedOn?: () => void;
   /** Called before the head of the response is written. */
   readonly onHead?: () => void;
   /** Called when a part of the response waits for the caller to read, or for the end. */
@@ -51,6 +54,10 @@
     return this.framing.hasStarted;
   }
 
+  override recordPassedOn(): void {
+    this.parts.onPassedOn?.();
+  }
+
   override begin(status: number, contentType: string): void {
     this.parts.timer.begin(status);
     this.parts.onHead?.();
@@ -89,7 +96,7 @@
     }
     if (this.response.writableNeedDrain && !this.isQueued) {
       // The caller is not reading, so an error event would be queued behind unread data.
-      this.response.destroy();
+      closeConnectionOf(this.response, ConnectionCloseReason.CallerStall);
       return;
     }
     if (this.isEventStream && !this.response.writableEnded) {
@@ -98,7 +105,7 @@
       return;
     }
     // Closing the connection early is the only way to mark any other body as incomplete.
-    this.response.destroy();
+    closeConnectionOf(this.response, ConnectionCloseReason.IncompleteResponse);
   }
 
   /** True while the response waits for an earlier one on its connection to be complete. */
@@ -122,7 +129,7 @@
         if (wasQueued) {
           schedule();
         } else {
-          this.response.destroy();
+          closeConnectionOf(this.response, ConnectionCloseReason.CallerStall);
         }
       });
     };
--- a/packages/hickoryrelay-instance/src/ResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/ResponseWriter.ts
@@ -17,6 +17,9 @@
   /** True once the first byte has been written to the caller's connection. */
   abstract get hasBegun(): boolean;
 
+  /** Called when the call is passed on to an endpoint. Writers without a connection need not know. */
+  recordPassedOn(): void {}
+
   abstract begin(status: number, contentType: string): void;
 
   /**
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFaults.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFaults.test.ts
@@ -55,6 +55,7 @@
     expect(writer.report?.failure.kind).toBe('endpoint-failed');
     expect(writer.report?.notRun).toBe(false);
     expect(fixture.counters.retries).toBe(3);
+    expect(writer.passedOnCount).toBe(4);
   });
 
   // Guards against engines that generate tokens for callers that have disconnected.
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/ExchangeFixture.ts
@@ -51,6 +51,8 @@
 
   closesBeforeLastWrite = 0;
 
+  passedOnCount = 0;
+
   /** Called before each chunk is recorded. */
   onWrite: (chunk: Buffer) => Promise<void> | void = () => {};
 
@@ -74,6 +76,10 @@
     return Buffer.concat(this.chunks).toString('utf8');
   }
 
+  override recordPassedOn(): void {
+    this.passedOnCount += 1;
+  }
+
   override begin(status: number): void {
     this.status = status;
   }
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -1,5 +1,7 @@
+import { ConnectionCloseReason, recordCloseReason } from './ConnectionClosing.js';
 import { collectedBytesOf } from './ResponseFraming.js';
 
+import type { UnansweredRequest } from './ConnectionClosing.js';
 import type { ConnectionReads } from './ConnectionReads.js';
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -20,6 +22,17 @@
   /** Responses, not yet written out, to requests whose head has been read. */
   private readonly openResponses = new Set<ServerResponse>();
 
+  /** Open responses that have been written out and have not emitted their close. */
+  private readonly writtenOut = new WeakSet<ServerResponse>();
+
+  /** Identifiers of the requests that were passed on to an endpoint and whose responses are not written out. */
+  private readonly passedOn = new Map<ServerResponse, string | undefined>();
+
+  private readonly unanswered: UnansweredRequest[] = [];
+
+  /** Bytes written when the last response had been written out. */
+  private answeredBytes = 0;
+
   /** Bytes read when the last response had been written out. */
   private handledBytes = 0;
 
@@ -32,12 +45,18 @@
     this.socket = socket;
     // The HTTP server calls this after the last response and would destroy the socket, which resets the
     // connection if the caller has sent more.
-    this.socket.destroySoon = () => this.linger();
+    this.socket.destroySoon = () => this.linger(ConnectionCloseReason.FinalResponse);
   }
 
   /** Records a request until its response has been written out or the connection has closed. */
   beginRequest(response: ServerResponse): void {
     this.openResponses.add(response);
+    // Before the HTTP server closes the connection after its last response.
+    response.prependOnceListener('finish', () => {
+      this.passedOn.delete(response);
+      this.writtenOut.add(response);
+      this.answeredBytes = this.socket.bytesWritten;
+    });
     response.once('close', () => {
       this.openResponses.delete(response);
       this.handledBytes = this.socket.bytesRead - this.socket.readableLength;
@@ -45,12 +64,26 @@
     });
   }
 
+  /** Records that a request has been passed on to an endpoint. */
+  recordPassedOn(response: ServerResponse, identifier: string | undefined): void {
+    if (this.openResponses.has(response) && !this.writtenOut.has(response)) {
+      this.passedOn.set(response, identifier);
+    }
+  }
+
+  /** Requests that were passed on and get no whole response, once the connection has closed. */
+  takeUnanswered(): readonly UnansweredRequest[] {
+    this.recordUnanswered();
+    return this.unanswered;
+  }
+
   /**
    * Closes the connection after a response to bytes that are not a valid request. Requests that were
    * read before them are answered first, unless the caller has left.
    */
   reject(rejection: string): void {
     if (this.socket.readableEnded && this.isAnswering) {
+      // The caller has left, and the HTTP server takes the end for an error.
       this.socket.destroy();
     } else if (this.rejection === undefined) {
       this.rejection = rejection;
@@ -133,7 +166,8 @@
   }
 
   /** Closes the connection. The caller cannot take an unfinished response for complete. */
-  close(): void {
+  close(reason: ConnectionCloseReason): void {
+    recordCloseReason(this.socket, reason);
     if (this.openResponses.size > 0) {
       // A normal close may look like the end of a response to a caller that does not check framing.
       this.socket.resetAndDestroy();
@@ -150,19 +184,34 @@
     if (this.socket.writable && !hasBegun) {
       this.socket.write(this.rejection);
     }
-    this.linger();
+    this.linger(ConnectionCloseReason.Rejection);
+  }
+
+  private recordUnanswered(): void {
+    const open = [...this.openResponses].filter((response) => !this.writtenOut.has(response));
+    const { bytesWritten } = this.socket;
+    for (const [response, identifier] of this.passedOn) {
+      this.unanswered.push({
+        identifier,
+        writtenBytes: response === open[0] ? bytesWritten - this.answeredBytes : 0,
+        otherRequests: open.length - 1,
+      });
+    }
+    this.passedOn.clear();
   }
 
   /**
    * Closes the connection once its caller has closed it too. Closing a socket with unread bytes would
    * reset the connection, and the caller would lose what it has not read yet.
    */
-  private linger(): void {
+  private linger(reason: ConnectionCloseReason): void {
     const { socket } = this;
     if (this.isLingering) {
       return;
     }
     this.isLingering = true;
+    recordCloseReason(socket, reason);
+    this.recordUnanswered();
     this.reads?.detach();
     this.closeQueuedResponses();
     if (socket.destroyed) {
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -1,7 +1,9 @@
 import { Server as SocketServer } from 'node:net';
 
 import { CallerConnection } from './CallerConnection.js';
+import { closeReasonOf, ConnectionCloseReason, recordCloseReason } from './ConnectionClosing.js';
 
+import type { ClosedConnectionListener } from './ConnectionClosing.js';
 import type { Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
@@ -29,8 +31,7 @@
   /** Number of connections accepted so far. */
   private acceptedCount = 0;
 
-  /** Sockets that this process has closed rather than the caller. */
-  private readonly closed = new WeakSet<Socket>();
+  private readonly closeListeners = new Set<ClosedConnectionListener>();
 
   private isIdleCloseScheduled = false;
 
@@ -105,9 +106,20 @@
     this.reject(socket, rejection);
   }
 
-  /** True if this process has closed the connection, rather than the caller. */
+  /** Records that a request has been passed on to an endpoint. */
+  recordPassedOn(response: ServerResponse, identifier: string | undefined): void {
+    this.connections.get(response.req.socket)?.recordPassedOn(response, identifier);
+  }
+
+  /** Calls the listener when a connection has closed, until the returned function is called. */
+  onClose(listener: ClosedConnectionListener): () => void {
+    this.closeListeners.add(listener);
+    return () => this.closeListeners.delete(listener);
+  }
+
+  /** True if this process has closed the connection because it stops. */
   wasClosed(socket: Socket): boolean {
-    return this.closed.has(socket);
+    return closeReasonOf(socket) === ConnectionCloseReason.Shutdown;
   }
 
   /**
@@ -148,8 +160,7 @@
   /** Stops listening and closes all connections, including those with open requests. */
   close(): void {
     for (const connection of this.connections.values()) {
-      this.closed.add(connection.socket);
-      connection.close();
+      connection.close(ConnectionCloseReason.Shutdown);
     }
     this.server.close();
   }
@@ -158,6 +169,12 @@
     this.acceptedCount += 1;
     const connection = new CallerConnection(socket);
     this.connections.set(socket, connection);
+    // Before the responses close.
+    socket.prependOnceListener('close', () => {
+      const reason = closeReasonOf(socket);
+      const unansweredRequests = connection.takeUnanswered();
+      this.closeListeners.forEach((listener) => listener({ reason, unansweredRequests }));
+    });
     socket.once('close', () => {
       this.connections.delete(socket);
       connection.closeQueuedResponses();
@@ -179,6 +196,8 @@
         // The timeout has been raised while the connection was idle.
         socket.setTimeout(timeout);
       } else {
+        const { IdleTimeout, CallerStall } = ConnectionCloseReason;
+        recordCloseReason(socket, isIdle ? IdleTimeout : CallerStall);
         socket.destroy();
       }
     });
@@ -195,7 +214,7 @@
     SocketServer.prototype.close.call(this.server);
     for (const { isIdle, socket } of this.connections.values()) {
       if (isIdle) {
-        this.closed.add(socket);
+        recordCloseReason(socket, ConnectionCloseReason.Shutdown);
         socket.destroy();
       }
     }
--- a/packages/hickoryrelay/src/ResponseFraming.ts
+++ b/packages/hickoryrelay/src/ResponseFraming.ts
@@ -1,3 +1,5 @@
+import { ConnectionCloseReason, resetConnectionOf } from './ConnectionClosing.js';
+
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
 /** Bounds the memory of a response that is collected because its caller takes no chunks. */
@@ -112,7 +114,7 @@
     }
     this.collectedBytes += chunk.length;
     if (this.collectedBytes > MAXIMUM_COLLECTED_BYTES) {
-      this.response.socket?.resetAndDestroy();
+      resetConnectionOf(this.response, ConnectionCloseReason.ResponseSize);
       return false;
     }
     this.chunks.push(chunk);
