Run the requests of one connection one at a time

What callers saw: a request that was pipelined behind another one ran at its endpoint, and the connection was reset with no byte of its response, whenever the earlier response was cut: a body or a stream without end at its deadline, a response that broke off, or one that exceeds what is collected for a caller of HTTP/1.0.

Cause: RequestSlots let all requests of a connection run side by side, although responses leave it in order. A response whose head has been sent can only be marked as incomplete by closing the connection, so that work was begun whose response depended on another one that might not end.

Excluded: passing on ahead only behind responses of a stated length (it may break off: the case of a stated length fails as well) and only what may be repeated (the caller can't tell which requests ran); see docs/design/caller-memory.md.

Why it works: a request is passed on only once the response before it has been written out; if the connection closes instead, the requests behind have not run. Both front ends use RequestSlots.

Three tests assumed requests side by side. RequestSlots: six of eight slots for one connection becomes one, and the other connections get all others; the model now also checks that no connection has two running requests; after a forget none runs.

--- a/packages/hickoryrelay-caller/src/RequestSlots.ts
+++ b/packages/hickoryrelay-caller/src/RequestSlots.ts
@@ -1,20 +1,5 @@
 import type { CallerAccount } from './CallerAccount.js';
 
-/** Share of the slots that only connections without another running request may take. */
-const RESERVE_SHARE = 0.25;
-
-/** What happens to a request that has been read whole. */
-export const SlotDecision = {
-  /** It runs. */
-  Run: 'run',
-  /** It waits behind the requests of its own connection. */
-  Wait: 'wait',
-  /** It is refused, as it would wait for the requests of other callers. */
-  Refuse: 'refuse',
-} as const;
-
-export type SlotDecision = (typeof SlotDecision)[keyof typeof SlotDecision];
-
 /** A request that has been read whole and has not run. */
 export abstract class WaitingRequest {
   abstract readonly account: CallerAccount;
@@ -27,19 +12,15 @@
 }
 
 /**
- * Decides which requests run at once, each of which may need a connection to an endpoint. Designed for callers
- * that pipeline any number of requests: their connections share three quarters of the slots, while the first request
- * of a connection may take any.
+ * Decides which requests run at once, each of which may need a connection to an endpoint. The requests of one
+ * connection run one at a time: a response that does not end whole closes the connection, and what runs behind it
+ * would end without a response.
  */
 export class RequestSlots {
   private readonly limit: number;
 
-  /** Requests that wait, in order, of each connection. The connections take turns. */
-  private readonly waiting = new Map<CallerAccount, WaitingRequest[]>();
-
-  private readonly runningByAccount = new Map<CallerAccount, number>();
-
-  private taken = 0;
+  /** Requests that wait, in order, of each connection that has a running one. */
+  private readonly waitingByAccount = new Map<CallerAccount, WaitingRequest[]>();
 
   constructor(limit: number) {
     this.limit = limit;
@@ -47,83 +28,37 @@
 
   /** Requests that run. */
   get running(): number {
-    return this.taken;
+    return this.waitingByAccount.size;
   }
 
-  /** Runs a request, refuses it, or lets it wait. */
+  /**
+   * Runs a request, or lets it wait behind the others of its connection. Refuses it if it would wait for other
+   * callers.
+   */
   enter(request: WaitingRequest): void {
-    const queue = this.waiting.get(request.account);
-    if (queue !== undefined) {
-      queue.push(request);
-      return;
-    }
-    switch (this.decide(request.account)) {
-      case SlotDecision.Run:
-        this.take(request);
-        break;
-      case SlotDecision.Wait:
-        this.waiting.set(request.account, [request]);
-        break;
-      default:
-        request.refuse();
+    const waiting = this.waitingByAccount.get(request.account);
+    if (waiting !== undefined) {
+      waiting.push(request);
+    } else if (this.running < this.limit) {
+      this.waitingByAccount.set(request.account, []);
+      request.run();
+    } else {
+      request.refuse();
     }
   }
 
-  /** Releases the slot of a request that has run. */
+  /** Releases the slot of a request that has run, to the next one of its connection if there is one. */
   release(account: CallerAccount): void {
-    this.taken -= 1;
-    const running = (this.runningByAccount.get(account) ?? 1) - 1;
-    if (running === 0) {
-      this.runningByAccount.delete(account);
+    const next = this.waitingByAccount.get(account)?.shift();
+    if (next === undefined) {
+      this.waitingByAccount.delete(account);
     } else {
-      this.runningByAccount.set(account, running);
-    }
-    for (const waiting of [...this.waiting.keys()]) {
-      this.serve(waiting);
-      if (this.taken >= this.limit) {
-        return;
-      }
+      next.run();
     }
   }
 
   /** Drops the waiting requests of a connection that has closed. */
   forget(account: CallerAccount): void {
-    this.waiting.delete(account);
-  }
-
-  private decide(account: CallerAccount): SlotDecision {
-    if (!this.runningByAccount.has(account)) {
-      return this.taken < this.limit ? SlotDecision.Run : SlotDecision.Refuse;
-    }
-    return this.taken < Math.floor(this.limit * (1 - RESERVE_SHARE))
-      ? SlotDecision.Run
-      : SlotDecision.Wait;
-  }
-
-  private take(request: WaitingRequest): void {
-    const { account } = request;
-    this.taken += 1;
-    this.runningByAccount.set(account, (this.runningByAccount.get(account) ?? 0) + 1);
-    request.run();
-  }
-
-  /** Runs or refuses the first waiting request of a connection, if it need not wait any longer. */
-  private serve(account: CallerAccount): void {
-    const queue = this.waiting.get(account);
-    const decision = this.decide(account);
-    if (queue === undefined || decision === SlotDecision.Wait) {
-      return;
-    }
-    // The connection takes its next turn after the others.
-    this.waiting.delete(account);
-    const [request, ...others] = queue;
-    if (others.length > 0) {
-      this.waiting.set(account, others);
-    }
-    if (decision === SlotDecision.Run) {
-      this.take(request as WaitingRequest);
-    } else {
-      request?.refuse();
-    }
+    this.waitingByAccount.get(account)?.splice(0);
   }
 }
--- a/packages/hickoryrelay-caller/src/__tests__/unit/RequestSlots.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/unit/RequestSlots.test.ts
@@ -44,7 +44,7 @@
 }
 
 // Guards against more requests at endpoints than there are descriptors for, requests that are overtaken by later ones
-// of their connection, and requests that wait although nothing runs.
+// of their connection or run beside them, and requests that wait although nothing runs.
 describe('RequestSlots', () => {
   it('never runs more requests than there are slots, and keeps the order of each connection', () => {
     fc.assert(
@@ -69,6 +69,8 @@
           }
           expect(slots.running).toBe(statesOf('running').length);
           expect(slots.running).toBeLessThanOrEqual(LIMIT);
+          const runningAccounts = statesOf('running').map(({ account }) => account);
+          expect(new Set(runningAccounts).size).toBe(runningAccounts.length);
           for (const waiting of statesOf('waiting')) {
             const isOvertaken = requests.some(
               ({ account, number, state }) =>
@@ -92,15 +94,15 @@
     );
   });
 
-  it('keeps slots for connections without another request', () => {
+  it('keeps all other slots for connections without another request', () => {
     const slots = new RequestSlots(LIMIT);
-    const [pipelining, other] = openAccounts() as [CallerAccount, CallerAccount];
+    const [pipelining, ...others] = openAccounts() as [CallerAccount, ...CallerAccount[]];
     const pipelined = Array.from({ length: 20 }, (_, number) => new Request(pipelining, number));
     pipelined.forEach((request) => slots.enter(request));
-    expect(pipelined.filter(({ state }) => state === 'running')).toHaveLength(6);
-    const ordinary = new Request(other, 0);
-    slots.enter(ordinary);
-    expect(ordinary.state).toBe('running');
+    expect(pipelined.filter(({ state }) => state === 'running')).toHaveLength(1);
+    const ordinary = others.slice(0, LIMIT - 1).map((account) => new Request(account, 0));
+    ordinary.forEach((request) => slots.enter(request));
+    expect(ordinary.filter(({ state }) => state !== 'running')).toEqual([]);
   });
 
   it('refuses at once the first request of a connection that would wait for other callers', () => {
@@ -118,7 +120,7 @@
     requests.forEach((request) => slots.enter(request));
     slots.forget(account);
     slots.release(account);
-    expect(requests.at(-1)?.state).toBe('waiting');
-    expect(slots.running).toBe(5);
+    expect(requests.slice(1).filter(({ state }) => state !== 'waiting')).toEqual([]);
+    expect(slots.running).toBe(0);
   });
 });
