Notice callers that leave behind bytes that are not parsed

What callers saw: nothing, as they had left; their requests went on. A caller that has sent many requests ahead and closes its connection was noticed only when a response was written to it, since parsing stops at 16 pipelined requests, the socket stops receiving once its buffer (16 KB) is full, and its end or reset comes behind the bytes that it has not received.

Cause: an event (the end of a connection) was looked for in a buffer whose reader had been stopped for a reason of its own.

Change: CallerReads empties the full buffer of the socket into one of its own, up to 128 KB of a connection and while less than half of the memory for callers is used, so that crowds that send ahead don't take the rest. The bytes are counted as before.

Open: more than 128 KB ahead, or half of the memory in use.

--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -221,6 +221,10 @@
     return false;
   }
 
+  override mayReceiveAhead({ bufferedBytes }: CallerReads): boolean {
+    return this.memory.mayReceiveAhead(bufferedBytes);
+  }
+
   override recordBuffered(): void {
     if (this.memory.isOverfull && !this.isEvicting) {
       this.evict(this.parts.clock.monotonicMilliseconds());
--- a/packages/hickoryrelay-caller/src/CallerMemory.ts
+++ b/packages/hickoryrelay-caller/src/CallerMemory.ts
@@ -18,6 +18,12 @@
 /** Memory beyond which connections are closed at once, as a share of the limit. */
 const OVERFULL_SHARE = 1.1;
 
+/** Bytes of one connection up to which it may receive more than is parsed. */
+const RECEIVE_AHEAD_BYTES = 131_072;
+
+/** Share of the memory up to which connections may receive more than is parsed. */
+const RECEIVE_AHEAD_SHARE = 0.5;
+
 /** After an eviction there is room for several waiting connections, so that not each needs one. */
 const EVICTION_TARGET_SHARE = 0.875;
 
@@ -95,6 +101,14 @@
     return this.used + bytes > this.memoryLimitFor(heldBytes) ? PauseReason.Memory : undefined;
   }
 
+  /** True if a connection may receive more, of which so many bytes are not parsed yet. */
+  mayReceiveAhead(bufferedBytes: number): boolean {
+    return (
+      bufferedBytes < RECEIVE_AHEAD_BYTES &&
+      this.used < this.limits.memoryBytes * RECEIVE_AHEAD_SHARE
+    );
+  }
+
   /**
    * Connections to evict, in this order, until `hasRoom`. `waitingMilliseconds` is the longest time that a
    * connection has waited for memory.
--- a/packages/hickoryrelay-caller/src/CallerReads.ts
+++ b/packages/hickoryrelay-caller/src/CallerReads.ts
@@ -56,6 +56,9 @@
   /** If not, calls `run` of the reads later. */
   abstract mayRead(reads: CallerReads, bytes: number): boolean;
 
+  /** True if the socket may receive more bytes than its buffer takes, which are not parsed yet. */
+  abstract mayReceiveAhead(reads: CallerReads): boolean;
+
   /** Called when bytes have arrived that were not parsed. */
   abstract recordBuffered(reads: CallerReads): void;
 
@@ -99,6 +102,9 @@
 
   private progressBytes = 0;
 
+  /** Bytes that were received before those in the buffer of the socket and have not been parsed. */
+  private receivedAhead: Buffer = Buffer.alloc(0);
+
   constructor(connection: CallerConnection, account: CallerAccount, permission: ReadPermission) {
     super();
     const { socket } = connection;
@@ -137,6 +143,7 @@
   override detach(): void {
     if (!this.isDetached) {
       this.isDetached = true;
+      this.receivedAhead = Buffer.alloc(0);
       this.account.setBuffered(0);
       this.account.readingSinceMilliseconds = undefined;
       this.permission.forget(this);
@@ -164,7 +171,7 @@
 
   /** Bytes that have arrived and have not been parsed. */
   get bufferedBytes(): number {
-    return this.socket.readableLength;
+    return this.receivedAhead.length + this.socket.readableLength;
   }
 
   /** Parses about so many bytes at most, as far as it is permitted. Returns their number. */
@@ -191,6 +198,8 @@
       } else if (!this.isPaused && this.bufferedBytes > 0 && hasReceivedEnd(this.socket)) {
         // The HTTP server takes the end for the leaving of the caller, and has to learn of it now.
         this.discard();
+      } else {
+        this.receiveAhead();
       }
     }
     return bytes - this.granted;
@@ -218,6 +227,31 @@
     }
   }
 
+  /**
+   * Empties the buffer of the socket when it is full, as it receives nothing more until then and would not learn that
+   * the caller has left behind bytes that wait to be parsed.
+   */
+  private receiveAhead(): void {
+    const { socket } = this;
+    if (
+      !this.isPaused &&
+      socket.readableLength >= socket.readableHighWaterMark &&
+      this.permission.mayReceiveAhead(this)
+    ) {
+      this.receivedAhead = Buffer.concat([this.receivedAhead, socket.read() as Buffer]);
+    }
+  }
+
+  /** Takes the first bytes that have arrived; null if there are not so many. */
+  private take(bytes: number): Buffer | null {
+    const { receivedAhead } = this;
+    if (receivedAhead.length === 0) {
+      return this.socket.read(bytes) as Buffer | null;
+    }
+    this.receivedAhead = receivedAhead.subarray(bytes);
+    return receivedAhead.subarray(0, bytes);
+  }
+
   /** True in a body whose length was announced, which the parser only copies and which needs no turn. */
   private get isCopying(): boolean {
     return this.request?.isReading === true && (this.request.missingBytes ?? 0) > 0;
@@ -225,9 +259,8 @@
 
   /** Returns false if nothing more can be parsed now. */
   private readPortion(): boolean {
-    const { socket } = this;
-    const { readableLength } = socket;
-    if (this.isDetached || readableLength === 0) {
+    const { socket, bufferedBytes } = this;
+    if (this.isDetached || bufferedBytes === 0) {
       if (!this.isDetached) {
         socket.read();
       }
@@ -238,17 +271,18 @@
       this.permission.forget(this);
     }
     if (this.isDiscarding) {
+      this.receivedAhead = Buffer.alloc(0);
       socket.read();
       return true;
     }
     if (this.isPaused) {
       return false;
     }
-    const bytes = this.portionOf(readableLength);
+    const bytes = this.portionOf(this.receivedAhead.length || socket.readableLength);
     if (!this.permission.mayRead(this, bytes)) {
       return false;
     }
-    const piece = socket.read(bytes) as Buffer | null;
+    const piece = this.take(bytes);
     if (piece === null) {
       return false;
     }
