Do not take a connection with bytes that were received ahead for idle

A connection counted as idle once its responses were written out and its socket held no unread bytes. Since bytes may wait to be parsed outside of the socket, so that a shutdown or the idle timeout could close a connection on which a request had arrived.

CallerConnection now asks the reader of the connection for the bytes that are not parsed, and the progress of a caller counts them as well.

--- a/packages/hickoryrelay-caller/src/CallerReads.ts
+++ b/packages/hickoryrelay-caller/src/CallerReads.ts
@@ -169,8 +169,7 @@
     }
   }
 
-  /** Bytes that have arrived and have not been parsed. */
-  get bufferedBytes(): number {
+  override get bufferedBytes(): number {
     return this.receivedAhead.length + this.socket.readableLength;
   }
 
@@ -220,7 +219,7 @@
     const { socket, account } = this;
     this.countUnsent();
     const bytes =
-      socket.bytesRead - socket.readableLength + socket.bytesWritten - socket.writableLength;
+      socket.bytesRead - this.bufferedBytes + socket.bytesWritten - socket.writableLength;
     if (bytes - this.progressBytes >= PROGRESS_BYTES) {
       this.progressBytes = bytes;
       account.progressMilliseconds = now;
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -59,7 +59,7 @@
     });
     response.once('close', () => {
       this.openResponses.delete(response);
-      this.handledBytes = this.socket.bytesRead - this.socket.readableLength;
+      this.handledBytes = this.socket.bytesRead - this.bufferedBytes;
       this.continueRejection();
     });
   }
@@ -133,6 +133,11 @@
     );
   }
 
+  /** Bytes that have arrived and have not been parsed. */
+  private get bufferedBytes(): number {
+    return this.reads?.bufferedBytes ?? this.socket.readableLength;
+  }
+
   /** True while the response to a request that was read whole is due. */
   private get isAnswering(): boolean {
     return [...this.openResponses].some(({ req }) => req.complete);
