--- a/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
@@ -57,12 +57,21 @@
 /** Identifiers are sent in a header, which cannot carry other characters. */
 const IDENTIFIER_PATTERN = /^[\u0021-\u007e]{1,200}$/u;
 
+/** Bounds the messages in which instances exchange records. */
+export const MAXIMUM_VERSION_CHARACTERS = 200;
+
 /** Far more than an endpoint runs concurrently. */
 const MAXIMUM_SLOTS = 100_000;
 
 const PHASES: ReadonlySet<unknown> = new Set(Object.values(EndpointPhase));
 const STAGES: ReadonlySet<unknown> = new Set([undefined, ...Object.values(EngineStage)]);
 
+function isSoftwareVersion(value: unknown): boolean {
+  return (
+    value === undefined || (typeof value === 'string' && value.length <= MAXIMUM_VERSION_CHARACTERS)
+  );
+}
+
 /**
  * True if requests can be sent to the endpoint of a record. Records come from the store, whose
  * entries may have been written by others, and from instances that accept more than this one.
@@ -82,7 +91,7 @@
     Number(slots) <= MAXIMUM_SLOTS &&
     PHASES.has(record.phase) &&
     STAGES.has(record.stage) &&
-    (record.softwareVersion === undefined || isName(record.softwareVersion)) &&
+    isSoftwareVersion(record.softwareVersion) &&
     Number.isSafeInteger(startedMilliseconds) &&
     Number(startedMilliseconds) >= 0 &&
     typeof record.isReclaimable === 'boolean'
