--- a/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRecord.ts
@@ -72,28 +72,32 @@
   );
 }
 
+/** What the fields of a record must hold for requests to be sent to the endpoint. */
+const FIELD_CHECKS: Readonly<Record<keyof EndpointRecord, (value: unknown) => boolean>> = {
+  identifier: (value) => typeof value === 'string' && IDENTIFIER_PATTERN.test(value),
+  service: isName,
+  address: (value) => typeof value === 'string' && isSocketAddress(value),
+  zone: isName,
+  slots: (value) => Number.isInteger(value) && Number(value) > 0 && Number(value) <= MAXIMUM_SLOTS,
+  phase: (value) => PHASES.has(value),
+  startedMilliseconds: (value) => Number.isSafeInteger(value) && Number(value) >= 0,
+  stage: (value) => STAGES.has(value),
+  isReclaimable: (value) => typeof value === 'boolean',
+  softwareVersion: isSoftwareVersion,
+};
+
+const FIELDS = Object.keys(FIELD_CHECKS) as (keyof EndpointRecord)[];
+
+/** Returns the fields of a record because of which no request can be sent to its endpoint. */
+export function invalidFieldsOf(value: unknown): readonly (keyof EndpointRecord)[] {
+  const record = (value ?? {}) as Partial<Record<keyof EndpointRecord, unknown>>;
+  return FIELDS.filter((field) => !FIELD_CHECKS[field](record[field]));
+}
+
 /**
  * True if requests can be sent to the endpoint of a record. Records come from the store, whose
  * entries may have been written by others, and from instances that accept more than this one.
  */
 export function isEndpointRecord(value: unknown): value is EndpointRecord {
-  const record = (value ?? {}) as Partial<Record<keyof EndpointRecord, unknown>>;
-  const { identifier, address, slots, startedMilliseconds } = record;
-  return (
-    typeof identifier === 'string' &&
-    IDENTIFIER_PATTERN.test(identifier) &&
-    isName(record.service) &&
-    isName(record.zone) &&
-    typeof address === 'string' &&
-    isSocketAddress(address) &&
-    Number.isInteger(slots) &&
-    Number(slots) > 0 &&
-    Number(slots) <= MAXIMUM_SLOTS &&
-    PHASES.has(record.phase) &&
-    STAGES.has(record.stage) &&
-    isSoftwareVersion(record.softwareVersion) &&
-    Number.isSafeInteger(startedMilliseconds) &&
-    Number(startedMilliseconds) >= 0 &&
-    typeof record.isReclaimable === 'boolean'
-  );
+  return invalidFieldsOf(value).length === 0;
 }
