Compare the software versions of relayed lists of endpoints

An instance that had missed a change of a version, and nothing else, took its list for that of the zone's relay and went on with the old version. By the version a stream is bound to endpoints, so events of two versions could meet in one.

Cause: the fingerprint of a list, which shows such differences, was made before records had a version and was not extended.

Excluded: a sender that leaves the change out; a record is sent whenever its entry has a later revision.

Evidence: the two new cases of the fingerprint failed before; all cases and those of the shared view and of stream versions pass.

--- a/packages/hickoryrelay-forwarding/src/ViewFingerprint.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewFingerprint.ts
@@ -18,6 +18,7 @@
     record.startedMilliseconds,
     record.stage ?? null,
     record.isReclaimable,
+    record.softwareVersion ?? null,
   ];
 }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ViewFingerprint.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ViewFingerprint.test.ts
@@ -26,6 +26,8 @@
     ['start', { startedMilliseconds: 2 }],
     ['reclaimability', { isReclaimable: true }],
     ['stage', { stage: EngineStage.Prefill }],
+    ['software version', { softwareVersion: 'v2' }],
+    ['empty software version', { softwareVersion: '' }],
   ])('depends on the %s of an endpoint', (_name, changes) => {
     const changed = [makeEndpoint('e1', changes), ...endpoints.slice(1)];
     expect(fingerprintOf({ endpoints: changed, peers })).not.toBe(fingerprint);
