Do not fire timers of over 24.8 days at once

A route whose timeout_ms is above 2^31 - 1, as a writer may put for "no limit", lets each request expire as soon as it arrives, unless its caller states a shorter time: by reading, CallDeadline schedules its end with the clock, and the runtime replaces a longer delay by 1 ms.

The clock now bounds the delay by the longest that the runtime keeps.

Excluded: the idle timeout of connections, which the runtime bounds itself.

--- a/packages/hickoryrelay/src/Clock.ts
+++ b/packages/hickoryrelay/src/Clock.ts
@@ -1,6 +1,9 @@
 import { FailureKind } from './Failure.js';
 import { RelayError } from './RelayError.js';
 
+/** Longest delay of a timer, 24.8 days. The runtime fires at once for longer ones. */
+const MAXIMUM_TIMER_MILLISECONDS = 2 ** 31 - 1;
+
 /** Source of time. Nothing else reads the system clock, so that tests can replace it. */
 export abstract class Clock {
   /** Milliseconds on a clock that never goes back and keeps running while the process is paused. */
@@ -9,7 +12,7 @@
   /** Milliseconds since the Unix epoch. */
   abstract wallMilliseconds(): number;
 
-  /** Runs the action once after the delay. Returns a function that cancels it. */
+  /** Runs the action once after the delay, or after 24.8 days if it is longer. Returns a function that cancels it. */
   abstract schedule(milliseconds: number, action: () => void): () => void;
 
   /** Resolves after the delay. Rejects with `cancelled` if the signal aborts first. */
@@ -46,7 +49,7 @@
   }
 
   override schedule(milliseconds: number, action: () => void): () => void {
-    const timer = setTimeout(action, milliseconds);
+    const timer = setTimeout(action, Math.min(milliseconds, MAXIMUM_TIMER_MILLISECONDS));
     return () => clearTimeout(timer);
   }
 }
