Answer HTTP/1.0 callers whose response is never complete

What callers saw: a caller that speaks HTTP/1.0 keeps its connection, its request is passed on, the engine sends a body without a length and without end, and the connection is reset with no byte of an answer.

Cause: a response of unknown length is collected for such a caller, since it takes no chunks. A collected response counted as one that had started, so that it was aborted by a reset at the deadline, at a stop, when the engine broke off and once it exceeded 1 MiB, although nothing had been sent.

Fix: whether a response has started (it may not be repeated) and whether a part of it has been sent (no other response may take its place) are two questions. Deadlines, stops and failures ask the second one. A collected response is discarded and a whole 502 or 504 is sent; the connection stays usable. The same holds for the daemon, whose writer sends its error.

Excluded: pipelining (the tests send one request at a time), and a slow caller (they read at once).

The reason response-size of closed connections goes, as no connection is closed for it any more.

--- a/packages/hickoryrelay-forwarding/src/CallDeadline.ts
+++ b/packages/hickoryrelay-forwarding/src/CallDeadline.ts
@@ -69,13 +69,13 @@
     const onGone = () => this.abort(EndReason.CallerGone);
     gone.addEventListener('abort', onGone, { once: true });
     const removeObserver = shutdown.onAnswerDeadline(() => {
-      if (!sink.hasStarted) {
+      if (!sink.hasSent) {
         this.abort(EndReason.Stopping);
       }
     });
     const expire = () => this.abort(EndReason.Expired);
     let cancelTimer = this.clock.schedule(Math.max(0, this.remaining()), () => {
-      if (sink.hasStarted) {
+      if (sink.hasSent) {
         // No time is needed for a response of this instance, and the endpoint may still finish.
         cancelTimer = this.clock.schedule(RESPONSE_MARGIN_MILLISECONDS, expire);
       } else {
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -285,7 +285,7 @@
       }
       return sink.goneOutcome;
     }
-    if (sink.hasStarted) {
+    if (sink.hasSent) {
       sink.abort();
       return 'broken-off';
     }
--- a/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
@@ -70,7 +70,7 @@
     } catch (error) {
       trace.addStep(describeFailure(failureOf(error)));
       if (!sink.gone.aborted) {
-        if (sink.hasStarted) {
+        if (sink.hasSent) {
           sink.abort();
         } else {
           sink.answer({ status: BAD_GATEWAY, reason: 'the request failed' });
--- a/packages/hickoryrelay-forwarding/src/ResponseSink.ts
+++ b/packages/hickoryrelay-forwarding/src/ResponseSink.ts
@@ -8,28 +8,41 @@
   readonly retryAfterMilliseconds?: number;
 }
 
-/** Why a connection closed before the response was complete. The reason of `ResponseSink.gone`. */
+/** Why a response ended before it was complete. The reason of `ResponseSink.gone`. */
 export const CloseReason = {
   /** The caller closed it, or it failed. */
   Caller: 'caller',
   /** This instance closed it because it was stopping. */
   Shutdown: 'shutdown',
+  /** It goes on, and the sink has sent a failure in place of a response that it could not send. */
+  Replaced: 'replaced',
 } as const;
 
 export type CloseReason = (typeof CloseReason)[keyof typeof CloseReason];
 
+const GONE_OUTCOMES: Readonly<Record<CloseReason, string>> = {
+  [CloseReason.Caller]: 'gone',
+  [CloseReason.Shutdown]: 'cut',
+  [CloseReason.Replaced]: 'broken-off',
+};
+
 /** Receives the response to one request. Subclasses encode it and make no decisions. */
 export abstract class ResponseSink {
-  /** Aborts when the connection has closed early. Its reason is a `CloseReason`. */
+  /** Aborts when nothing more can be sent before the response is complete. Its reason is a `CloseReason`. */
   abstract readonly gone: AbortSignal;
 
-  /** Outcome of a request whose connection has closed early: `gone` if the caller left, or `cut`. */
+  /** Outcome of a request whose response has ended early. */
   get goneOutcome(): string {
-    return this.gone.reason === CloseReason.Shutdown ? 'cut' : 'gone';
+    return GONE_OUTCOMES[this.gone.reason as CloseReason];
   }
 
   abstract get hasStarted(): boolean;
 
+  /** True if a part of the response may have reached the caller, so that it gets no local response. */
+  get hasSent(): boolean {
+    return this.hasStarted;
+  }
+
   /** Called when the request is passed on to an endpoint. Sinks without a connection need not know. */
   recordPassedOn(): void {}
 
@@ -45,9 +58,9 @@
   /** Completes a response whose body has ended as its head states. */
   abstract end(): void;
 
-  /** Sends a local response. Not allowed once a response has started. */
+  /** Sends a local response. Not allowed once a part of a response has been sent. */
   abstract answer(response: LocalResponse): void;
 
-  /** Aborts a started response so that the caller cannot take it for complete. */
+  /** Aborts a response of which a part has been sent, so that the caller cannot take it for complete. */
   abstract abort(): void;
 }
--- a/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
@@ -73,6 +73,13 @@
     this.assertOpen();
     this.parts.timer.recordChunk();
     const canContinue = this.framing.write(chunk);
+    if (this.framing.isOverLimit) {
+      throw new RelayError({
+        kind: FailureKind.ResultUnknown,
+        requestIdentifier: this.parts.requestIdentifier,
+        reason: 'the response is too long for a caller that takes no chunks',
+      });
+    }
     if (!canContinue || collectedBytesOf(this.response) > 0) {
       this.parts.onBacklog?.();
     }
@@ -89,7 +96,8 @@
   override async fail(report: FailureReport): Promise<void> {
     this.parts.timer.fail(report.failure, report.notRun);
     const { status, headers, body } = errorResponse(report);
-    if (!this.hasBegun) {
+    if (!this.framing.hasSent) {
+      this.framing.discard();
       this.parts.onHead?.();
       sendWhole(this.response, status, headers, JSON.stringify(body));
       return;
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/HttpResponseWriter.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/HttpResponseWriter.test.ts
@@ -4,6 +4,8 @@
 import { describe, expect, it } from 'vitest';
 import { SystemClock } from 'hickoryrelay/Clock';
 import { FailureKind } from 'hickoryrelay/Failure';
+import { failureOf, RelayError } from 'hickoryrelay/RelayError';
+import { MAXIMUM_COLLECTED_BYTES } from 'hickoryrelay/ResponseFraming';
 import { CallSeries } from 'hickoryrelay-instance/CallMetrics';
 import { CallTimer } from 'hickoryrelay-instance/CallTimer';
 import { HttpResponseWriter } from 'hickoryrelay-instance/HttpResponseWriter';
@@ -74,6 +76,45 @@
     expect(received).toBe('');
   });
 
+  // Guards against a connection that closes without an answer although nothing has been sent.
+  it.each([
+    ['fails', 8],
+    ['is too long', MAXIMUM_COLLECTED_BYTES + 1],
+  ])(
+    'sends a caller that speaks HTTP/1.0 the failure of a response that %s',
+    async (_how, bytes) => {
+      const received = await new Promise<string>((resolve) => {
+        const server = createServer((_incoming, response) => {
+          const writer = createWriter(response);
+          const respond = async () => {
+            writer.begin(200, 'text/event-stream');
+            await writer.write(Buffer.alloc(bytes), new AbortController().signal);
+            throw new RelayError({ kind: FailureKind.DeadlineExceeded, limitMilliseconds: 1 });
+          };
+          respond().catch((error: unknown) =>
+            writer.fail({
+              failure: failureOf(error),
+              requestIdentifier: 'request-1',
+              notRun: false,
+            }),
+          );
+          server.close();
+        });
+        server.listen(0, '127.0.0.1', () => {
+          const { port } = server.address() as AddressInfo;
+          const socket = connect(port, '127.0.0.1', () => socket.write('GET / HTTP/1.0\r\n\r\n'));
+          let text = '';
+          socket.on('error', () => {});
+          socket.on('data', (chunk) => {
+            text += String(chunk);
+          });
+          socket.on('close', () => resolve(text));
+        });
+      });
+      expect(received).toMatch(/^HTTP\/1\.1 50[24] [^]*\r\n\r\n\{"error":.*\}$/u);
+    },
+  );
+
   // Guards against a cancelled call that is held open by the write buffer of a caller that never reads.
   it('stops waiting for a caller that does not read when the call is cancelled', async () => {
     const cancel = new AbortController();
--- a/packages/hickoryrelay/src/ConnectionClosing.ts
+++ b/packages/hickoryrelay/src/ConnectionClosing.ts
@@ -17,8 +17,6 @@
   UnreadRequest: 'unread-request',
   /** A response that had begun could not be completed. */
   IncompleteResponse: 'incomplete-response',
-  /** A response for a caller that takes no chunks exceeded the limit on what is collected. */
-  ResponseSize: 'response-size',
   /** The memory for all callers is used. */
   Memory: 'memory',
   /** All connections for callers are open. */
--- a/packages/hickoryrelay/src/ResponseFraming.ts
+++ b/packages/hickoryrelay/src/ResponseFraming.ts
@@ -1,5 +1,3 @@
-import { ConnectionCloseReason, resetConnectionOf } from './ConnectionClosing.js';
-
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
 /** Bounds the memory of a response that is collected because its caller takes no chunks. */
@@ -33,6 +31,14 @@
   response.end(body);
 }
 
+/** Bytes that are collected for responses. */
+const collectedBytes = new WeakMap<ServerResponse, number>();
+
+/** Bytes of a response that are collected until it is complete. */
+export function collectedBytesOf(response: ServerResponse): number {
+  return collectedBytes.get(response) ?? 0;
+}
+
 /**
  * Writes the response to one request so that a length or a last chunk marks its end. The operating
  * system closes the connections of a killed process normally, so that a response which only the
@@ -47,6 +53,19 @@
 
   abstract get hasStarted(): boolean;
 
+  /** True once a part of the response has been passed on, so that no other can take its place. */
+  get hasSent(): boolean {
+    return this.response.headersSent;
+  }
+
+  /** True if the response is too long to be collected. It has to be discarded. */
+  get isOverLimit(): boolean {
+    return collectedBytesOf(this.response) > MAXIMUM_COLLECTED_BYTES;
+  }
+
+  /** Forgets a response of which nothing has been sent. */
+  discard(): void {}
+
   /** Starts the response. `length` is that of the body in bytes, if it is known. */
   abstract start(status: number, headers: FramedHeaders, length?: number): void;
 
@@ -77,22 +96,14 @@
   }
 }
 
-/** Bytes that are collected for responses. */
-const collectedBytes = new WeakMap<ServerResponse, number>();
-
-/** Bytes of a response that are collected until it is complete. */
-export function collectedBytesOf(response: ServerResponse): number {
-  return collectedBytes.get(response) ?? 0;
-}
-
 /**
  * Collects a response of unknown length, for a caller that takes no chunks, and sends it with its
- * length once it is complete. Resets the connection if the response exceeds the limit.
+ * length once it is complete.
  */
 class CollectedFraming extends StreamedFraming {
   private head: { readonly status: number; readonly headers: FramedHeaders } | undefined;
 
-  private readonly chunks: Buffer[] = [];
+  private chunks: Buffer[] = [];
 
   private collectedBytes = 0;
 
@@ -100,6 +111,13 @@
     return this.head !== undefined || super.hasStarted;
   }
 
+  override discard(): void {
+    this.head = undefined;
+    this.chunks = [];
+    this.collectedBytes = 0;
+    collectedBytes.delete(this.response);
+  }
+
   override start(status: number, headers: FramedHeaders, length?: number): void {
     if (length === undefined && mayHaveBody(this.response.req.method, status)) {
       this.head = { status, headers };
@@ -113,12 +131,11 @@
       return super.write(chunk);
     }
     this.collectedBytes += chunk.length;
-    if (this.collectedBytes > MAXIMUM_COLLECTED_BYTES) {
-      resetConnectionOf(this.response, ConnectionCloseReason.ResponseSize);
+    collectedBytes.set(this.response, this.collectedBytes);
+    if (this.isOverLimit) {
       return false;
     }
     this.chunks.push(chunk);
-    collectedBytes.set(this.response, this.collectedBytes);
     return true;
   }
 
