Keep all header lines of a request

Callers saw: headers behind about the thousandth of a request were dropped without an error.

Cause: the HTTP server keeps 1,000 headers by default (`maxHeadersCount`) and drops further ones in blocks of about 31 lines. Only `maxHeaderSize` was set. A head of 1,023 lines may have 4 KB.

Trailers of requests were cut in the same way; they are not forwarded (RFC 9110, 6.5.1).

Excluded: the client library. It counts bytes of a response head and not lines, and fails the response whole (`protocol-violation` by the allowance of the connection).

--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -4,6 +4,7 @@
 import ApiGateway from 'moleculer-web';
 import { CallerConnections } from 'hickoryrelay/CallerConnections';
 import { FailureKind } from 'hickoryrelay/Failure';
+import { ALL_HEADER_LINES } from 'hickoryrelay/HeaderLimits';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 import { sendWhole } from 'hickoryrelay/ResponseFraming';
 import { CallerGuard } from 'hickoryrelay-caller/CallerGuard';
@@ -154,6 +155,7 @@
           (lacksHost ? refuseWithoutHost : this.httpHandler)(request, response);
         },
       );
+      server.maxHeadersCount = ALL_HEADER_LINES;
       const connections = new CallerConnections(server);
       const guard = new CallerGuard(server, connections, {
         limits: callerLimitsFor(limits),
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/BadInput.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/BadInput.test.ts
@@ -180,6 +180,17 @@
     expect(received).toContain('HTTP/1.1 400 ');
   });
 
+  // Guards against headers behind the thousandth that the HTTP server drops, such as the key of a call.
+  it('reads every header line of a call within the limit', async () => {
+    const shortLines = Array.from({ length: 1500 }, () => 'n:\r\n');
+    const received = await sendRaw(
+      `POST /services/book/new HTTP/1.1\r\nHost: h\r\n${shortLines.join('')}` +
+        `Authorization: Bearer ${key}\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n` +
+        'Connection: close\r\n\r\nbody',
+    );
+    expect(received).toContain('HTTP/1.1 200 ');
+  });
+
   it.each([
     ['bytes that are no request', 'no request\r\n\r\n'],
     ['a CONNECT request', 'CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n'],
