Count what the lines of heads and trailers cost

Cause: a head was counted as its characters, although each line holds two strings and entries in the lists of headers and in the object of headers. Heads and trailers that are not complete were not counted at all. A refused request whose body is incomplete kept its head until its connection closed, as the parser holds the message.

What the parser holds of an incomplete head or of incomplete trailers counts as soon as it has been parsed: the bytes since the last head or part of a body, and the lines that the parser has passed on (an internal property; a test fails if it disappears). The head of a request with an incomplete body is released with its response.

A head that one connection cannot hold is refused at once (431, 413 from the daemon) instead of waiting for its time limit, and a body for which the head leaves no room gets 413. An eviction no longer counts on the memory of refused connections to be released at once, so that it refuses no more of them than it needs.

The five new tests of CallerGuard failed with the earlier account.

--- a/packages/hickoryrelay-caller/src/CallerAccount.ts
+++ b/packages/hickoryrelay-caller/src/CallerAccount.ts
@@ -72,7 +72,7 @@
 
   private readonly holdings = new Set<Holding>();
 
-  /** Bytes that have been received and not been parsed, or that the caller has not read. */
+  /** Bytes that have been received and not been parsed to the end, or that the caller has not read. */
   private readonly buffers: Holding;
 
   private held = 0;
@@ -86,6 +86,8 @@
 
   private buffered = 0;
 
+  private parsing = 0;
+
   /** When the body that is being read began; undefined if none is. */
   readingSinceMilliseconds: number | undefined;
 
@@ -158,13 +160,19 @@
   /** Sets the bytes that have been received and not been parsed. */
   setBuffered(bytes: number): void {
     this.buffered = bytes;
-    this.buffers.resize(this.buffered + this.unsent);
+    this.resizeBuffers();
+  }
+
+  /** Sets what the parser holds of an incomplete head or incomplete trailers. */
+  setParsing(bytes: number): void {
+    this.parsing = bytes;
+    this.resizeBuffers();
   }
 
   /** Sets the bytes that wait for the caller to read. */
   setUnsent(bytes: number): void {
     this.unsent = bytes;
-    this.buffers.resize(this.buffered + this.unsent);
+    this.resizeBuffers();
   }
 
   /** Adds to what is held. Called by holdings. */
@@ -181,4 +189,8 @@
       this.memory.remove(this);
     }
   }
+
+  private resizeBuffers(): void {
+    this.buffers.resize(this.buffered + this.parsing + this.unsent);
+  }
 }
--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -174,6 +174,10 @@
       }
       return true;
     }
+    if (reason === PauseReason.ConnectionMemory && reads.isAlone) {
+      this.refuseSize(reads);
+      return false;
+    }
     if (entry?.reason !== reason) {
       this.waiting.set(reads, { reason, sinceMilliseconds: now });
       this.pauseCounts.set(reason, this.pausesFor(reason) + 1);
@@ -276,8 +280,9 @@
       return;
     }
     this.isEvicting = true;
+    let leavingBytes = 0;
     for (const account of this.memory.victims(now, waitingMilliseconds)) {
-      if (this.memory.hasRoom(heldBytes ?? 0)) {
+      if (this.memory.hasRoom(heldBytes ?? 0, leavingBytes)) {
         break;
       }
       const reads = this.readsByAccount.get(account);
@@ -287,11 +292,21 @@
           reason: 'too little memory for more callers',
           retryAfterSeconds: RETRY_AFTER_SECONDS,
         });
+        leavingBytes += account.heldBytes;
       }
     }
     this.isEvicting = false;
   }
 
+  /** Refuses a request that one connection cannot hold. */
+  private refuseSize(reads: CallerReads): void {
+    const [part, reason] = reads.hasOpenHead
+      ? (['header', RefusalReason.HeadSize] as const)
+      : (['body', RefusalReason.BodySize] as const);
+    const limitBytes = this.parts.limits.connectionBytes;
+    this.refuse(reads, reason, { kind: FailureKind.RequestTooLarge, part, limitBytes });
+  }
+
   /** Refuses the request that is being read. Closes the connection if there is none. */
   private refuse(reads: CallerReads, reason: RefusalReason, failure: Failure): void {
     const { account, connection, request } = reads;
--- a/packages/hickoryrelay-caller/src/CallerLimits.ts
+++ b/packages/hickoryrelay-caller/src/CallerLimits.ts
@@ -64,6 +64,12 @@
  */
 export const REQUEST_COST_BYTES = 16_384;
 
+/**
+ * What each line of a head holds besides its characters, in bytes: its two strings, its entries in the lists of
+ * headers that are received and forwarded, and the one in the object of headers.
+ */
+export const HEADER_LINE_COST_BYTES = 160;
+
 /**
  * A connection that holds less may use the reserve. Bodies of ordinary callers have up to 100,000 bytes,
  * and their responses are read as they arrive.
--- a/packages/hickoryrelay-caller/src/CallerMemory.ts
+++ b/packages/hickoryrelay-caller/src/CallerMemory.ts
@@ -119,9 +119,12 @@
     }
   }
 
-  /** True if there is room for several connections, of which the largest waiting one holds the given memory. */
-  hasRoom(heldBytes: number): boolean {
-    return this.used <= this.memoryLimitFor(heldBytes) * EVICTION_TARGET_SHARE;
+  /**
+   * True if there is room for several connections, of which the largest waiting one holds the given memory, once
+   * `leavingBytes` have been released.
+   */
+  hasRoom(heldBytes: number, leavingBytes: number): boolean {
+    return this.used - leavingBytes <= this.memoryLimitFor(heldBytes) * EVICTION_TARGET_SHARE;
   }
 
   /** A small connection that may not be read makes no progress through no fault of its caller. */
--- a/packages/hickoryrelay-caller/src/CallerReads.ts
+++ b/packages/hickoryrelay-caller/src/CallerReads.ts
@@ -1,6 +1,8 @@
 import { ConnectionReads } from 'hickoryrelay/ConnectionReads';
 import { eventLoopTurns, TurnReader } from 'hickoryrelay/ReadTurns';
 
+import { openLineBytesOf } from './HeadMemory.js';
+
 import type { CallerAccount } from './CallerAccount.js';
 import type { CallerRequest } from './CallerRequest.js';
 import type { CallerConnection } from 'hickoryrelay/CallerConnection';
@@ -99,6 +101,9 @@
 
   private progressBytes = 0;
 
+  /** Bytes parsed since the last head or the last part of a body. */
+  private openBytes = 0;
+
   constructor(connection: CallerConnection, account: CallerAccount, permission: ReadPermission) {
     super();
     const { socket } = connection;
@@ -196,9 +201,23 @@
     return bytes - this.granted;
   }
 
-  /** True if bytes wait to be parsed or a body is due. */
+  /** True if bytes wait to be parsed, or the rest of a head or of a body is due. */
   get isWaitedFor(): boolean {
-    return this.bufferedBytes > 0 || this.request?.isReading === true;
+    const isDue = this.hasOpenHead || this.request?.isReading === true;
+    return !this.isDetached && (this.bufferedBytes > 0 || isDue);
+  }
+
+  /** True while a head has arrived in part. */
+  get hasOpenHead(): boolean {
+    return this.openBytes > 0 && this.request?.isReading !== true;
+  }
+
+  /** True if no other request of the connection may release memory before the one that is being read. */
+  get isAlone(): boolean {
+    const { openRequests } = this.account;
+    return this.request?.isReading === true
+      ? openRequests === 1
+      : this.hasOpenHead && openRequests === 0;
   }
 
   /** Updates what the caller has not read. */
@@ -255,7 +274,12 @@
     if (!this.isCopying) {
       this.granted -= piece.length;
     }
+    const { request } = this;
+    const receivedBytes = request?.receivedBytes;
     this.parse(piece);
+    const isOpen = this.request === request && request?.receivedBytes === receivedBytes;
+    this.openBytes = isOpen ? this.openBytes + piece.length : 0;
+    this.account.setParsing(this.openBytes + openLineBytesOf(socket));
     if (this.request?.isReading !== true) {
       this.account.readingSinceMilliseconds = undefined;
     }
--- a/packages/hickoryrelay-caller/src/CallerRequest.ts
+++ b/packages/hickoryrelay-caller/src/CallerRequest.ts
@@ -3,6 +3,7 @@
 
 import { BodyBuffer } from './BodyBuffer.js';
 import { REQUEST_COST_BYTES } from './CallerLimits.js';
+import { headBytesOf, releaseHead, trailerBytesOf } from './HeadMemory.js';
 import { RefusalReason } from './RefusalReason.js';
 import { WaitingRequest } from './RequestSlots.js';
 
@@ -12,11 +13,6 @@
 
 const RETRY_AFTER_SECONDS = 1;
 
-/** Memory of the head of a request: each name and value is a string of its own. */
-function headBytesOf({ rawHeaders, url = '' }: IncomingMessage): number {
-  return rawHeaders.reduce((sum, { length }) => sum + length, url.length);
-}
-
 function lengthOf({ headers }: IncomingMessage): number | undefined {
   const text = headers['content-length'];
   return text === undefined ? undefined : Number(text);
@@ -50,7 +46,7 @@
 
   private readonly holding: RequestHolding;
 
-  private readonly baseBytes: number;
+  private baseBytes: number;
 
   private readonly body = new BodyBuffer();
 
@@ -90,6 +86,11 @@
       : this.announcedBytes - this.body.length - this.message.readableLength;
   }
 
+  /** Bytes of the body that have been parsed. */
+  get receivedBytes(): number {
+    return this.body.length + this.message.readableLength;
+  }
+
   /**
    * Reads the whole body, and resolves once the request may run. Rejects with `request-too-large`, with the failure that is passed to `fail`, or with
    * `cancelled` if the caller has left.
@@ -125,6 +126,8 @@
       });
       message.on('end', () => {
         if (!this.hasFailed && !this.hasClosed) {
+          this.baseBytes += trailerBytesOf(message);
+          this.holding.resize(this.baseBytes + body.heldBytes);
           this.slots.enter(this);
         }
       });
@@ -174,6 +177,9 @@
   private close(): void {
     this.hasClosed = true;
     this.body.clear();
+    if (!this.message.complete) {
+      releaseHead(this.message);
+    }
     this.holding.release();
     if (this.isRunning) {
       this.isRunning = false;
--- a/packages/hickoryrelay-caller/src/RefusalReason.ts
+++ b/packages/hickoryrelay-caller/src/RefusalReason.ts
@@ -6,6 +6,8 @@
   Connections: 'connections',
   /** As many requests run as may at once. */
   Requests: 'requests',
+  /** The head needs more memory than one connection may hold. */
+  HeadSize: 'head-size',
   /** The body is larger than the limit. */
   BodySize: 'body-size',
   /** The body has not arrived within its time limit. */
--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -3,12 +3,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import { CallerConnections } from 'hickoryrelay/CallerConnections';
+import { ALL_HEADER_LINES } from 'hickoryrelay/HeaderLimits';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { failureOf } from 'hickoryrelay/RelayError';
 import { sendWhole } from 'hickoryrelay/ResponseFraming';
 import { CallerGuard } from 'hickoryrelay-caller/CallerGuard';
-import { CONNECTION_COST_BYTES } from 'hickoryrelay-caller/CallerLimits';
+import { CONNECTION_COST_BYTES, HEADER_LINE_COST_BYTES } from 'hickoryrelay-caller/CallerLimits';
 import { RefusalReason } from 'hickoryrelay-caller/RefusalReason';
 
 import type { CallerLimits } from 'hickoryrelay-caller/CallerLimits';
@@ -26,6 +27,9 @@
   bodyStallMilliseconds: 15_000,
 };
 
+/** The most that 2 KB of a head may contain, by which the limits may be exceeded: lines of four bytes. */
+const HEAD_PORTION_COST_BYTES = 2048 + 512 * HEADER_LINE_COST_BYTES;
+
 const BODY_LIMIT_BYTES = 500_000;
 const CHECK_MILLISECONDS = 5;
 const WAIT_MILLISECONDS = 5000;
@@ -55,7 +59,8 @@
 /** Starts a server whose responses are the targets of the requests that have run. */
 async function startServer(changes: Partial<CallerLimits> = {}) {
   const clock = new ManualClock();
-  const server = createServer();
+  const server = createServer({ maxHeaderSize: 65_536 });
+  server.maxHeadersCount = ALL_HEADER_LINES;
   const connections = new CallerConnections(server);
   const guard = new CallerGuard(server, connections, {
     limits: { ...LIMITS, ...changes },
@@ -124,6 +129,10 @@
   return `POST ${target} HTTP/1.1\r\nHost: h\r\n${headers}\r\n`;
 }
 
+function shortLines(count: number): string {
+  return Array.from({ length: count }, (_, index) => `h${index.toString(36)}:x\r\n`).join('');
+}
+
 function statusesOf(text: string): string[] {
   return text.match(/HTTP\/1\.1 \d{3}/gu)?.map((line) => line.slice(9)) ?? [];
 }
@@ -309,6 +318,76 @@
     expect(guard.refusalsFor(RefusalReason.Connections)).toBe(2);
   });
 
+  // Guards against heads of many short lines, which cost many times their bytes.
+  it('counts the lines of a head from their arrival until the response has been written', async () => {
+    const { port, guard, held, answer } = await startServer();
+    const lineBytes = 500 * HEADER_LINE_COST_BYTES;
+    const caller = openCaller(port, `POST /hold HTTP/1.1\r\nHost: h\r\n${shortLines(550)}`);
+    await waitFor(() => guard.heldBytes > lineBytes);
+    expect(guard.openRequests).toBe(0);
+    caller.socket.write('Content-Length: 0\r\n\r\n');
+    await waitFor(() => held.length === 1);
+    expect(guard.heldBytes).toBeGreaterThan(lineBytes);
+    held.forEach(answer);
+    await waitFor(() => guard.heldBytes === CONNECTION_COST_BYTES);
+  });
+
+  it('counts the lines of trailers', async () => {
+    const { port, guard, held } = await startServer();
+    const lineBytes = 500 * HEADER_LINE_COST_BYTES;
+    const caller = openCaller(
+      port,
+      `${head('/hold', 'Transfer-Encoding: chunked\r\n')}0\r\n${shortLines(550)}`,
+    );
+    await waitFor(() => guard.heldBytes > lineBytes);
+    caller.socket.write('\r\n');
+    await waitFor(() => held.length === 1);
+    expect(guard.heldBytes).toBeGreaterThan(lineBytes);
+  });
+
+  // Guards against a head that waits for memory until its time limit.
+  it('refuses a head at once that one connection cannot hold', async () => {
+    const { port, guard, ran } = await startServer();
+    const caller = openCaller(port, head('/large', shortLines(8000)));
+    await waitFor(() => caller.text.includes('Refused'));
+    caller.socket.end();
+    await waitFor(() => caller.isClosed);
+    expect([ran, guard.refusalsFor(RefusalReason.HeadSize)]).toEqual([[], 1]);
+    await waitFor(() => guard.heldBytes === 0);
+  });
+
+  // Guards against a body that waits for memory until its time limit.
+  it('refuses a body at once for which the head leaves no room', async () => {
+    const { port, guard, ran } = await startServer();
+    const lines = `${shortLines(5000)}Content-Length: 400000\r\n`;
+    const caller = openCaller(port, `${head('/large', lines)}${'x'.repeat(400_000)}`);
+    await waitFor(() => caller.text.includes('refused'));
+    expect([statusesOf(caller.text), ran]).toEqual([['413'], []]);
+    caller.socket.destroy();
+    await waitFor(() => guard.heldBytes === 0);
+  });
+
+  // Guards against incomplete heads that keep the memory, so that other callers are never read.
+  it('evicts heads that have made no progress, no more than needed, and then reads others', async () => {
+    const { port, clock, guard } = await startServer();
+    const callers = [];
+    for (let index = 0; index < 12; index += 1) {
+      callers.push(openCaller(port, `POST /open HTTP/1.1\r\nHost: h\r\n${shortLines(2500)}`));
+      await sleep(20);
+    }
+    await waitFor(() => guard.pausedConnections > 0);
+    expect(guard.heldBytes).toBeLessThanOrEqual(LIMITS.memoryBytes + HEAD_PORTION_COST_BYTES);
+    await clock.advance(4000);
+    await waitFor(() => guard.refusalsFor(RefusalReason.Memory) > 0);
+    const ordinary = openCaller(port, head('/ordinary', 'Content-Length: 0\r\n'));
+    for (let step = 0; step < 4; step += 1) {
+      await clock.advance(500);
+      await sleep(20);
+    }
+    await waitFor(() => ordinary.text.includes('answer to /ordinary'));
+    expect(callers.filter(({ text }) => text !== '').length).toBeLessThan(callers.length / 2);
+  });
+
   // Guards against memory that is still counted after its connection has closed.
   it('holds nothing after callers have left in the middle of their requests', async () => {
     const { port, guard } = await startServer();
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,6 +9,7 @@
   '**/e2e/CallerMemory.test.ts',
   '**/e2e/ConfigurationUnderLoad.test.ts',
   '**/e2e/EndlessResponseCrowd.test.ts',
+  '**/e2e/HeadMemory.test.ts',
 ];
 
 /** An instance has 250 MB. */
