Count the segments of a prompt for their caller

Callers could see: the end of the process by memory, as with heads of many short lines. A header of 16 KB names up to 4,000 segments ("a:1,"), each of which becomes an object, a string and a hash; only its four bytes were counted. Found by looking for what else a limit on bytes does not bound; not seen to end a process.

--- a/packages/hickoryrelay-caller/src/CallerRequest.ts
+++ b/packages/hickoryrelay-caller/src/CallerRequest.ts
@@ -74,6 +74,11 @@
     response.once('close', () => this.close());
   }
 
+  /** Adds the memory of what has been decoded from the head, until the request ends. */
+  addDecoded(bytes: number): void {
+    this.holding.resize(this.holding.heldBytes + bytes);
+  }
+
   /** True until the body has been parsed or the request has failed. */
   get isReading(): boolean {
     return !this.message.complete && !this.hasFailed;
