Bound the entries of the prompt cache directory, not only its segments

Callers could see: memory that rises with the engines at which each shared segment was used. The directory keeps up to 20,000 segments, each with an entry for every engine that has had it, also those that have left. Found by looking through the maps that are keyed by what callers choose; not seen to end a process.

Fix: at most 65,536 entries, the least recently used segments first.

Evidence: "stays within its memory when each segment is used at many engines" (20,000 segments at 40 engines) failed before (77.5 MB, at most 33.6) and passes now.

--- a/packages/hickoryrelay-forwarding/src/PromptCacheDirectory.ts
+++ b/packages/hickoryrelay-forwarding/src/PromptCacheDirectory.ts
@@ -9,8 +9,12 @@
  */
 const RETAINED_CAPACITY_FRACTION = 0.6;
 
-/** Bounds the entries for segments to a few megabytes. */
+/** Bound the entries for segments to about 15 MB. */
 const MAXIMUM_SEGMENTS = 20_000;
+const MAXIMUM_ENTRIES = 65_536;
+
+/** Share of the entries that an eviction keeps. The first entry of a map is slow to find after each deletion. */
+const RETAINED_SHARE = 0.875;
 
 /** Bounds the counts for engines, which include engines that have left. */
 const MAXIMUM_ENGINES = 20_000;
@@ -47,6 +51,8 @@
   /** Last uses by segment and engine. */
   private readonly entriesBySegment = new Map<number, Map<number, CacheEntry>>();
 
+  private entryCount = 0;
+
   /** Total tokens known to have been added to the cache of each engine. */
   private readonly filledTokensByEngine = new Map<number, number>();
 
@@ -68,7 +74,10 @@
     // Re-inserts the engine at the end, so that the least recently used one is evicted first.
     this.filledTokensByEngine.delete(engine);
     this.filledTokensByEngine.set(engine, filledTokens);
-    this.evictOldest(this.filledTokensByEngine, MAXIMUM_ENGINES);
+    if (this.filledTokensByEngine.size > MAXIMUM_ENGINES) {
+      const [oldest] = this.filledTokensByEngine.keys();
+      this.filledTokensByEngine.delete(oldest as number);
+    }
     let entries = this.entriesBySegment.get(segment);
     if (entries === undefined) {
       entries = new Map();
@@ -77,8 +86,9 @@
       this.entriesBySegment.delete(segment);
     }
     this.entriesBySegment.set(segment, entries);
+    this.entryCount += isKnown ? 0 : 1;
     entries.set(engine, { atMilliseconds: now, sharedTokens, filledTokens });
-    this.evictOldest(this.entriesBySegment, MAXIMUM_SEGMENTS);
+    this.evictOldestSegments();
   }
 
   /** Returns and clears the uses that have not been reported to peers. */
@@ -137,10 +147,23 @@
     return tokens;
   }
 
-  private evictOldest(entries: Map<number, unknown>, maximum: number): void {
-    if (entries.size > maximum) {
-      const [oldest] = entries.keys();
-      entries.delete(oldest as number);
+  private isWithin(share: number): boolean {
+    return (
+      this.entriesBySegment.size <= MAXIMUM_SEGMENTS * share &&
+      this.entryCount <= MAXIMUM_ENTRIES * share
+    );
+  }
+
+  private evictOldestSegments(): void {
+    if (this.isWithin(1)) {
+      return;
+    }
+    for (const [segment, entries] of this.entriesBySegment) {
+      if (this.isWithin(RETAINED_SHARE)) {
+        return;
+      }
+      this.entriesBySegment.delete(segment);
+      this.entryCount -= entries.size;
     }
   }
 
