--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -5,6 +5,7 @@
 import { CallerConnections } from 'hickoryrelay/CallerConnections';
 import { closeConnectionOf, ConnectionCloseReason } from 'hickoryrelay/ConnectionClosing';
 import { FailureKind } from 'hickoryrelay/Failure';
+import { ALL_HEADER_LINES } from 'hickoryrelay/HeaderLimits';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
 import { sendWhole } from 'hickoryrelay/ResponseFraming';
 import { CallerGuard } from 'hickoryrelay-caller/CallerGuard';
@@ -155,6 +156,7 @@
           (lacksHost ? refuseWithoutHost : this.httpHandler)(request, response);
         },
       );
+      server.maxHeadersCount = ALL_HEADER_LINES;
       const connections = new CallerConnections(server);
       const guard = new CallerGuard(server, connections, {
         limits: callerLimitsFor(limits),
