Resume no more responses than released memory suffices for

Beside load, up to 509 of 1,500 callers of sound bodies of 60 KB that together need more than the limit on responses got 504.

Cause, in part: each release of memory resumed all responses that waited and held 32 KB or less, about a thousand, of which few found memory before they had to wait again. In a profile of the instance (4 s after the arrivals), sorting and resuming them took 11% of its processor time, and all garbage collection 20%.

A release now resumes as many as it suffices for, at one read of a socket each, counting those that were resumed and have not read. The others follow when those have read or with the next check, within 500 ms. The order is as before.

The unit test "resumes as many responses as it suffices for" failed before: 38 were resumed, not 5.

--- a/packages/hickoryrelay-response/src/ResponseGuard.ts
+++ b/packages/hickoryrelay-response/src/ResponseGuard.ts
@@ -1,3 +1,4 @@
+import { SOCKET_READ_BYTES } from './ResponseLimits.js';
 import { ResponseMemory } from './ResponseMemory.js';
 
 import type { ResponseAccount, ResponsePart } from './ResponseAccount.js';
@@ -35,6 +36,9 @@
   /** Responses whose bytes wait for memory. */
   private readonly waiting = new Set<GuardedResponse>();
 
+  /** What responses held when they were resumed, until they have read. */
+  private readonly resumed = new Map<ResponseAccount, number>();
+
   private isWakeScheduled = false;
 
   private isCheckScheduled = false;
@@ -88,6 +92,7 @@
     if (account !== undefined) {
       this.accounts.delete(response);
       this.responses.delete(account);
+      this.resumed.delete(account);
       this.waiting.delete(response);
       account.close();
     }
@@ -107,6 +112,7 @@
     this.evictIfOverfull();
     if (this.memory.mayRead(account)) {
       this.waiting.delete(response);
+      this.scheduleWake();
       return true;
     }
     if (this.accounts.has(response) && !this.waiting.has(response)) {
@@ -121,10 +127,12 @@
   check(): void {
     const now = this.clock.monotonicMilliseconds();
     [...this.responses.values()].forEach((response) => response.countReceived());
+    this.resumed.clear();
     if (this.waiting.size > 0) {
       [...this.memory.overdue(now)].forEach((account) => this.end(account));
     }
     this.evictIfOverfull();
+    this.scheduleWake();
   }
 
   private scheduleCheck(): void {
@@ -172,20 +180,51 @@
     }
   }
 
-  /** Lets responses go on, first those that hold least, as far as there is memory or a turn for them. */
+  /**
+   * Lets responses go on, first those that hold least, as far as there is memory or a turn for them. More
+   * would find no memory, at a cost that grows with the square of their number.
+   */
   private wake(): void {
     const now = this.clock.monotonicMilliseconds();
-    const waiting = [...this.waiting].flatMap((response) => {
-      const account = this.accounts.get(response);
-      return account === undefined ? [] : [{ response, account }];
-    });
-    waiting.sort((left, right) => left.account.heldBytes - right.account.heldBytes);
-    for (const { response, account } of waiting) {
-      if (!this.memory.mayRead(account) && !this.memory.tryBeginTurn(account, now)) {
+    let roomBytes = this.memory.roomBytes - this.resumedBytes();
+    while (roomBytes > 0 || this.memory.hasFreeTurn) {
+      const account = this.leastWaiting();
+      const response = account && this.responses.get(account);
+      if (account === undefined || response === undefined) {
+        return;
+      }
+      if (roomBytes > 0 && this.memory.mayRead(account)) {
+        roomBytes -= SOCKET_READ_BYTES;
+        this.resumed.set(account, account.heldBytes);
+      } else if (!this.memory.tryBeginTurn(account, now)) {
         return;
       }
       this.waiting.delete(response);
       response.resume();
     }
   }
+
+  /** What resumed responses are about to read. */
+  private resumedBytes(): number {
+    for (const [account, heldBytes] of this.resumed) {
+      if (account.heldBytes !== heldBytes) {
+        this.resumed.delete(account);
+      }
+    }
+    return this.resumed.size * SOCKET_READ_BYTES;
+  }
+
+  private leastWaiting(): ResponseAccount | undefined {
+    let least: ResponseAccount | undefined;
+    for (const response of this.waiting) {
+      const account = this.accounts.get(response);
+      if (
+        account !== undefined &&
+        account.heldBytes < (least?.heldBytes ?? Number.POSITIVE_INFINITY)
+      ) {
+        least = account;
+      }
+    }
+    return least;
+  }
 }
--- a/packages/hickoryrelay-response/src/ResponseMemory.ts
+++ b/packages/hickoryrelay-response/src/ResponseMemory.ts
@@ -76,10 +76,19 @@
     );
   }
 
+  /** What may still be held before responses wait. */
+  get roomBytes(): number {
+    return this.limits.memoryBytes - this.usedBytes;
+  }
+
+  /** True if a further response may be read on although the limit is reached. */
+  get hasFreeTurn(): boolean {
+    return this.turns.size < Math.max(1, Math.floor(this.limits.reserveBytes / MAXIMUM_TURN_BYTES));
+  }
+
   /** Lets a response be read on although the limit is reached. Returns false if too many are. */
   tryBeginTurn(account: ResponseAccount, now: number): boolean {
-    const maximumTurns = Math.max(1, Math.floor(this.limits.reserveBytes / MAXIMUM_TURN_BYTES));
-    if (this.turns.size >= maximumTurns) {
+    if (!this.hasFreeTurn) {
       return false;
     }
     this.turns.set(account, now);
--- a/packages/hickoryrelay-response/src/__tests__/unit/ResponseGuard.test.ts
+++ b/packages/hickoryrelay-response/src/__tests__/unit/ResponseGuard.test.ts
@@ -7,6 +7,7 @@
 
 const LIMITS = { memoryBytes: 1_000_000, reserveBytes: 250_000 };
 const LARGE_BYTES = 100_000;
+const SMALL_BYTES = 25_000;
 
 class FakeResponse extends GuardedResponse {
   readonly account: ResponseAccount;
@@ -69,6 +70,44 @@
     expect(responses.every(({ resumed, evicted }) => resumed === 1 && evicted === 0)).toBe(true);
   });
 
+  describe('when little memory is released', () => {
+    async function releaseLittle() {
+      const { clock, guard, open } = makeGuard();
+      const responses = open(41, SMALL_BYTES);
+      responses.forEach((response) => guard.mayRead(response));
+      await nextTurn();
+      const countResumed = () => responses.filter(({ resumed }) => resumed > 0).length;
+      expect(countResumed()).toBe(1);
+      responses.slice(-3).forEach((response) => guard.close(response));
+      await nextTurn();
+      return { clock, guard, responses, countResumed };
+    }
+
+    // Guards against all waiting responses that are resumed for each one that completes, and find no memory.
+    it('resumes as many responses as it suffices for', async () => {
+      const { countResumed } = await releaseLittle();
+      expect(countResumed()).toBe(1 + 4);
+      await nextTurn();
+      expect(countResumed()).toBe(1 + 4);
+    });
+
+    it('resumes further ones once those have read less than was expected', async () => {
+      const { guard, responses, countResumed } = await releaseLittle();
+      const resumed = responses.filter((response) => response.resumed > 0);
+      resumed.forEach(({ account }) => account.setReceived(1000));
+      guard.mayRead(resumed[0] as FakeResponse);
+      await nextTurn();
+      expect(countResumed()).toBeGreaterThan(1 + 4);
+    });
+
+    it('resumes further ones although those read nothing', async () => {
+      const { clock, countResumed } = await releaseLittle();
+      await clock.advance(500);
+      await nextTurn();
+      expect(countResumed()).toBeGreaterThan(1 + 4);
+    });
+  });
+
   it('ends responses that complete nothing in their turn while others wait', async () => {
     const { clock, guard, open } = makeGuard(TURN_LIMITS);
     const responses = open(40, LARGE_BYTES);
