Drop a waiting request at once when its caller leaves

Cause: connections that are closed for new ones left their requests in the queue of RequestTurns until their turn, where nothing counts them.

A request that waits is now removed when its connection closes, and one whose connection has closed before does not wait.

--- a/packages/hickoryrelay-caller/src/RequestTurns.ts
+++ b/packages/hickoryrelay-caller/src/RequestTurns.ts
@@ -9,7 +9,7 @@
 
 /** A request that has been read whole and has not begun. */
 export abstract class ArrivedRequest {
-  /** True if its caller has left or its deadline has passed. */
+  /** True if its deadline has passed. */
   abstract get hasEnded(): boolean;
 
   abstract begin(): void;
@@ -22,7 +22,7 @@
  */
 export class RequestTurns {
   /** Requests that wait, in order, of each group. The groups take turns. */
-  private readonly queues = new Map<string, ArrivedRequest[]>();
+  private readonly queues = new Map<string, Set<ArrivedRequest>>();
 
   private waitingCount = 0;
 
@@ -46,22 +46,36 @@
     this.hasAccepted = true;
   }
 
-  /** Begins a request of a group, now or in its turn. */
-  enter(group: string, request: ArrivedRequest): void {
+  /** Begins a request of a group, now or in its turn. Returns true if it waits. */
+  enter(group: string, request: ArrivedRequest): boolean {
     this.arrivedRequests += 1;
     this.schedule();
     if (this.waitingCount === 0 && this.permitted >= 1) {
       this.permitted -= 1;
       request.begin();
-      return;
+      return false;
     }
     this.waitingCount += 1;
     const queue = this.queues.get(group);
     if (queue === undefined) {
-      this.queues.set(group, [request]);
+      this.queues.set(group, new Set([request]));
     } else {
-      queue.push(request);
+      queue.add(request);
     }
+    return true;
+  }
+
+  /** Removes a request that waits, which then holds nothing more. Returns false if it has begun. */
+  remove(group: string, request: ArrivedRequest): boolean {
+    const queue = this.queues.get(group);
+    if (queue?.delete(request) !== true) {
+      return false;
+    }
+    this.waitingCount -= 1;
+    if (queue.size === 0) {
+      this.queues.delete(group);
+    }
+    return true;
   }
 
   private schedule(): void {
@@ -97,12 +111,10 @@
         return;
       }
       const [group, queue] = entry;
-      const request = queue.shift() as ArrivedRequest;
+      const [request] = queue as unknown as [ArrivedRequest];
       this.queues.delete(group);
-      if (queue.length > 0) {
-        this.queues.set(group, queue);
-      }
-      this.waitingCount -= 1;
+      this.queues.set(group, queue);
+      this.remove(group, request);
       yield request;
     }
   }
--- a/packages/hickoryrelay-caller/src/__tests__/unit/RequestTurns.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/unit/RequestTurns.test.ts
@@ -92,6 +92,19 @@
     expect(turns.waiting).toBe(CROWD - begun.length);
   });
 
+  // Guards against requests that are held although their callers have left.
+  it('forgets a request that is removed', async () => {
+    const turns = new RequestTurns();
+    const begun: string[] = [];
+    const requests = Array.from({ length: CROWD }, () => new Request('crowd', begun));
+    const waiting = requests.filter((request) => turns.enter('crowd', request));
+    expect(waiting.map((request) => turns.remove('crowd', request))).not.toContain(false);
+    expect(turns.waiting).toBe(0);
+    expect(turns.remove('crowd', waiting[0] as Request)).toBe(false);
+    await passTurns(ENOUGH_TURNS);
+    expect(begun).toHaveLength(CROWD - waiting.length);
+  });
+
   it('begins every request once, in order within its group', async () => {
     const arrivals = fc.array(
       fc.array(fc.record({ group: fc.nat({ max: 3 }), hasEnded: fc.boolean() }), { maxLength: 12 }),
