Leave whole responses to callers when a later one is cut

What callers saw: a caller pipelines, and reads slowly. A sound request is answered whole; the response behind it can't be completed and its connection is reset. The caller gets a part of the first response, or nothing of it.

Cause: a reset discards what the operating system holds for the caller, which includes whole responses that were written out before the one that is cut. A response counts as written out once the operating system has it.

Fix: a connection on which a request was read while an earlier one had no whole response is closed normally, and lingers for at most 5 s, as after a final response. The reset is there for callers that don't check the framing; a caller that pipelines finds the ends of responses by their framing, and each response has a length or a last chunk. A caller with one request at a time has read the responses before, and its connection is reset as before. The same holds for connections that are closed at the end of a stop or for room.

Excluded: the bytes were not lost in the stream buffer of the caller, which reads the socket without one.

--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -1,4 +1,8 @@
-import { ConnectionCloseReason, recordCloseReason } from './ConnectionClosing.js';
+import {
+  ConnectionCloseReason,
+  recordCloseReason,
+  resetConnectionOf,
+} from './ConnectionClosing.js';
 import { collectedBytesOf } from './ResponseFraming.js';
 
 import type { UnansweredRequest } from './ConnectionClosing.js';
@@ -41,6 +45,9 @@
 
   private isLingering = false;
 
+  /** True once a request has been read while an earlier one had no whole response. */
+  private hasPipelined = false;
+
   constructor(socket: Socket) {
     this.socket = socket;
     // The HTTP server calls this after the last response and would destroy the socket, which resets the
@@ -50,6 +57,7 @@
 
   /** Records a request until its response has been written out or the connection has closed. */
   beginRequest(response: ServerResponse): void {
+    this.hasPipelined ||= this.openResponses.size > 0;
     this.openResponses.add(response);
     // Before the HTTP server closes the connection after its last response.
     response.prependOnceListener('finish', () => {
@@ -170,10 +178,22 @@
     }
   }
 
+  /**
+   * Closes the connection within the response that is being written. A reset would discard what the caller has
+   * not read of earlier ones. A caller that pipelines finds the ends of responses by their framing.
+   */
+  cut(response: ServerResponse, reason: ConnectionCloseReason): void {
+    if (this.hasPipelined) {
+      this.linger(reason);
+    } else {
+      resetConnectionOf(response, reason);
+    }
+  }
+
   /** Closes the connection. The caller cannot take an unfinished response for complete. */
   close(reason: ConnectionCloseReason): void {
     recordCloseReason(this.socket, reason);
-    if (this.openResponses.size > 0) {
+    if (this.openResponses.size > 0 && !this.hasPipelined) {
       // A normal close may look like the end of a response to a caller that does not check framing.
       this.socket.resetAndDestroy();
     } else {
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -85,6 +85,11 @@
     }
   }
 
+  /** Closes the connection within a response that cannot be completed. */
+  cut(response: ServerResponse, reason: ConnectionCloseReason): void {
+    this.connections.get(response.req.socket)?.cut(response, reason);
+  }
+
   /**
    * Closes a connection after a response to bytes that are not a valid request. Requests that were
    * read before them are answered first.
