Linger for callers that pipeline as long as for those that send

What callers saw: a caller pipelines and does not read for a while. The connection closes after its final response, around a stop or at the caller's own request. The caller sends one more request before it reads, and loses the whole responses that it has not read.

Cause: a closed connection lingered for 1 s while its caller sent nothing. After that, the system answers bytes of the caller with a reset, and the caller's system discards what it holds for it. A caller with one request at a time reads the final response before it sends another; one that pipelines does not.

Fix: a connection on which requests were pipelined lingers for up to 5 s, as it did for callers that go on sending.

What remains: a caller that neither reads nor sends for over 5 s and then sends.

--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -248,7 +248,9 @@
     socket.on('data', () => {});
     socket.resume();
     // The HTTP server no longer handles the timeout of a socket that has carried a CONNECT request.
-    socket.setTimeout(LINGER_MILLISECONDS, () => socket.destroy());
+    // A caller that pipelines may send more before it reads, and the system answers that with a reset.
+    const idleMilliseconds = this.hasPipelined ? MAXIMUM_LINGER_MILLISECONDS : LINGER_MILLISECONDS;
+    socket.setTimeout(idleMilliseconds, () => socket.destroy());
     const timer = setTimeout(() => socket.destroy(), MAXIMUM_LINGER_MILLISECONDS);
     socket.once('close', () => clearTimeout(timer));
   }
