Do not report a reset to the client library as the end of a response

What callers saw: all connections of an instance close at once, also those on which requests to sound engines had been passed on. The process had ended by itself, exit code 1: an AssertionError in Request.onComplete of the HTTP client library, below Parser.finish and onHttpSocketError.

Cause: the library takes ECONNRESET for the end of a response without a length and completes its request. A request may be aborted between the reset of the socket and the report of its error: by its deadline, by a caller that leaves, or by a relay that gives up on the bytes read last. The library then asserts that the request is not aborted, in the listener of an event, which nothing catches. A paused reader was spared this before, a reading one not.

Fix: a reset is reported without its code, whoever reads, so that the library fails the response as it does at any other network error. A response without a length that is reset isn't complete in any case.

Excluded: memory (no such message in the log).

The test "is read whole when it is reset, and fails with the reset" expected the code that the library misreads. It now expects the reset as the cause of the error, the call that failed, and no code.

--- a/packages/hickoryrelay/src/SocketEnd.ts
+++ b/packages/hickoryrelay/src/SocketEnd.ts
@@ -1,6 +1,9 @@
 import type { Socket } from 'node:net';
 
-/** The one network error that the HTTP client library takes for the end of a response without a length. */
+/**
+ * The one network error that the HTTP client library takes for the end of a response without a length. It fails an
+ * assertion, which ends the process, if the request has been aborted before the socket reports the error.
+ */
 const RESET_CODE = 'ECONNRESET';
 
 /** Errors of the operating system name the call that failed. */
@@ -8,14 +11,11 @@
   return 'syscall' in error;
 }
 
-/** The error that a paused reader sees for a close without an error, or for a reset. */
-function errorForPausedReader(cause: Error | undefined): Error | undefined {
-  if (cause === undefined) {
-    return new Error('the connection was closed');
-  }
-  return 'code' in cause && cause.code === RESET_CODE
-    ? Object.assign(new Error('the connection was reset', { cause }), { syscall: 'read' })
-    : cause;
+/** The same error without the code of a reset. */
+function withoutResetCode(error: Error): Error {
+  return 'code' in error && error.code === RESET_CODE
+    ? Object.assign(new Error('the connection was reset', { cause: error }), { syscall: 'read' })
+    : error;
 }
 
 /**
@@ -114,10 +114,12 @@
     }
     this.isClosing = true;
     this.hasFailed = error !== undefined;
-    if (this.hasFailed) {
+    if (error !== undefined) {
+      this.offerRead();
       this.offerRead();
+      return withoutResetCode(error);
     }
     // The last bytes may have paused the reader.
-    return this.offerRead() ? error : errorForPausedReader(error);
+    return this.offerRead() ? undefined : new Error('the connection was closed');
   }
 }
--- a/packages/hickoryrelay/src/__tests__/unit/PacedReads.test.ts
+++ b/packages/hickoryrelay/src/__tests__/unit/PacedReads.test.ts
@@ -248,7 +248,8 @@
     expect(chunks).toEqual([]);
     peer.resetAndDestroy();
     const [error] = (await once(socket, 'error')) as [Error];
-    expect(error).toMatchObject({ code: 'ECONNRESET' });
+    expect(error).toMatchObject({ syscall: 'read', cause: { code: 'ECONNRESET' } });
+    expect(error).not.toHaveProperty('code');
     expect(Buffer.concat(chunks)).toEqual(TEXT);
   });
 
