Do not run requests behind a refusal that closes their connection

What callers saw: requests that were pipelined behind a chunked body over the limit were passed on, although the connection closes after the 413. They ended without a response. A caller that has sent all at once is enough.

Cause: a request whose head was read in the same portion as the end of that body is recorded before the body is refused, so that CallerFrontEnd takes the connection for one that stays open. RequestSlots then ran it at once, as the refused request takes no slot, or when the response before the refusal was complete. When the connection closed, the responses behind the refusal were closed in their order, and each released its slot to the next request, which ran although its connection had closed.

Excluded: bodies of an announced length, which are refused by their head, so that heads behind it are dropped; the end of a connection after an ordinary last response, where the running request holds its slot until those behind it have closed.

Why it works: whether the connection closes before the response is asked when the request is to run, after the requests before it have been decided. It holds for both front ends.

--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -152,6 +152,7 @@
     const request = new CallerRequest({
       message,
       response,
+      connection: reads?.connection,
       account,
       slots: this.slots,
       now,
--- a/packages/hickoryrelay-caller/src/CallerRequest.ts
+++ b/packages/hickoryrelay-caller/src/CallerRequest.ts
@@ -8,6 +8,7 @@
 
 import type { CallerAccount, RequestHolding } from './CallerAccount.js';
 import type { RequestSlots } from './RequestSlots.js';
+import type { CallerConnection } from 'hickoryrelay/CallerConnection';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 const RETRY_AFTER_SECONDS = 1;
@@ -26,6 +27,8 @@
 export interface CallerRequestParts {
   readonly message: IncomingMessage;
   readonly response: ServerResponse;
+  /** Undefined if it has closed. */
+  readonly connection: CallerConnection | undefined;
   readonly account: CallerAccount;
   readonly slots: RequestSlots;
   /** When the head was read. */
@@ -42,6 +45,8 @@
 
   private readonly response: ServerResponse;
 
+  private readonly connection: CallerConnection | undefined;
+
   override readonly account: CallerAccount;
 
   private readonly slots: RequestSlots;
@@ -64,8 +69,10 @@
 
   private hasClosed = false;
 
-  constructor({ message, response, account, slots, now, recordRefusal }: CallerRequestParts) {
+  constructor(parts: CallerRequestParts) {
+    const { message, response, connection, account, slots, now, recordRefusal } = parts;
     super();
+    this.connection = connection;
     this.slots = slots;
     this.recordRefusal = recordRefusal;
     this.message = message;
@@ -149,7 +156,8 @@
   }
 
   override run(): void {
-    if (this.hasClosed) {
+    // A request before it may have been refused after this one was read.
+    if (this.hasClosed || this.connection?.closesBefore(this.response) === true) {
       this.slots.release(this.account);
       return;
     }
