Do not reset a connection because of a body that no handler reads

What callers saw: on a connection of the daemon, a request runs and another one with a body is sent behind it to a path whose handler reads no body (models, health, metrics, status). After 15 s without progress the connection is reset, and the request that ran ends without a response. The body may have been sent whole: the HTTP server stops reading when nobody takes it.

Cause: CallerGuard refuses a body that stalls or is late, and closed the connection if CallerRequest.fail returned false, as if nothing else were open on it. It returns false if the body was never read.

Excluded: the front end of the users' platform, which reads every body; unknown paths of the daemon with a body that arrives, as it is dropped there.

Evidence: two new cases of CallerGuard, with a body that does not arrive and with one that has arrived, failed before (no byte of either response). They use the guard on a server of their own; the daemon itself was not run.

Why it works: the connection is closed as after bytes that are no request, once the requests that were read before have been answered.

--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -345,7 +345,9 @@
     const isReading = account.phase === CallerPhase.Reading;
     if (isReading && request?.fail(new RelayError(failure)) === true) {
       reads.discard();
-    } else if (account.phase === CallerPhase.Idle && reads.isWaitedFor) {
+    } else if (isReading || (account.phase === CallerPhase.Idle && reads.isWaitedFor)) {
+      // Also for a body that no handler reads, as earlier requests of the connection may run.
+      account.readingSinceMilliseconds = undefined;
       connection.reject(this.parts.encodeRejection(failure));
     } else {
       this.closeAccount(account, closeReasonFor(reason));
--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -73,8 +73,12 @@
       return;
     }
     connections.beginRequest(message.socket, response);
-    guard
-      .begin(message, response)
+    const request = guard.begin(message, response);
+    if (message.url === '/unread') {
+      answer(response);
+      return;
+    }
+    request
       .read(BODY_LIMIT_BYTES)
       .then((body) => {
         ran.push(message.url ?? '');
@@ -194,6 +198,27 @@
   });
 
   // Guards against pipelined requests without bound, and against some that are lost while they wait.
+  // Guards against a running request whose connection is reset because of a body that no handler reads.
+  it.each([
+    ['does not arrive', 100, 10],
+    ['has arrived', 300_000, 300_000],
+  ])('answers a request before one whose body is not read and %s', async (_name, length, sent) => {
+    const { clock, port, held, answer, guard } = await startServer();
+    const caller = openCaller(
+      port,
+      head('/hold') + head('/unread', `Content-Length: ${length}\r\n`) + 'b'.repeat(sent),
+    );
+    await waitFor(() => held.length === 1 && guard.openRequests === 2);
+    for (let checks = 0; checks <= 2 * LIMITS.bodyStallMilliseconds; checks += 1000) {
+      await clock.advance(1000);
+    }
+    expect(guard.refusalsFor(RefusalReason.BodyStall)).toBe(1);
+    held.forEach(answer);
+    await waitFor(() => caller.isClosed);
+    expect(statusesOf(caller.text)).toEqual(['200', '200']);
+    expect(guard.runningRequests).toBe(0);
+  });
+
   it('reads pipelined requests as earlier ones are answered, and answers all in order', async () => {
     const { port, guard, ran, held, answer } = await startServer();
     const count = 300;
