Test: requests that run on connections which are closed for others

At the limit on connections, a new one takes the place of one with pipelined requests, which is reset although its first request has been passed on.

--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import { CallerConnections } from 'hickoryrelay/CallerConnections';
+import { ConnectionCloseReason } from 'hickoryrelay/ConnectionClosing';
 import { ALL_HEADER_LINES } from 'hickoryrelay/HeaderLimits';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
@@ -86,6 +87,7 @@
     request
       .read(BODY_LIMIT_BYTES)
       .then((body) => {
+        connections.recordPassedOn(response, message.url);
         ran.push(message.url ?? '');
         bodies.push(body.length);
         if (message.url?.startsWith('/hold') === true) {
@@ -413,6 +415,22 @@
     expect(callers.filter(({ text }) => text !== '').length).toBeLessThan(callers.length / 2);
   });
 
+  // Guards against a request that was passed on and whose connection is closed for another one.
+  it('answers the requests that run on connections beyond which another one is opened', async () => {
+    const { port, held, answer, guard } = await startServer({ connections: 8 });
+    const pipelined = head('/hold', 'Content-Length: 0\r\n').repeat(2);
+    const callers: ReturnType<typeof openCaller>[] = [];
+    while (callers.length < 8) {
+      callers.push(openCaller(port, pipelined));
+      await waitFor(() => guard.openRequests === 2 * callers.length);
+    }
+    openCaller(port, pipelined);
+    await waitFor(() => guard.refusalsFor(RefusalReason.Connections) === 1);
+    held.forEach(answer);
+    await waitFor(() => callers.every(({ text }) => text.includes('answer to /hold')));
+    expect(guard.unansweredFor(ConnectionCloseReason.Connections)).toBe(0);
+  });
+
   // Guards against memory that is still counted after its connection has closed.
   it('holds nothing after callers have left in the middle of their requests', async () => {
     const { port, guard } = await startServer();
