Test: state what an eviction of heads leaves in bytes

"evicts heads that have made no progress, no more than needed" expected that less than half of twelve callers are evicted.

It now requires that the eviction leaves more than its target less the largest head, so that one connection fewer would not have sufficed.

--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -31,6 +31,15 @@
 /** The most that 2 KB of a head may contain, by which the limits may be exceeded: lines of four bytes. */
 const HEAD_PORTION_COST_BYTES = 2048 + 512 * HEADER_LINE_COST_BYTES;
 
+const LARGE_HEAD_LINES = 2500;
+
+/** What an incomplete head of so many short lines holds at most, with its connection. */
+const LARGE_HEAD_COST_BYTES =
+  LARGE_HEAD_LINES * (HEADER_LINE_COST_BYTES + 8) + CONNECTION_COST_BYTES;
+
+/** What an eviction leaves to connections that hold more than ordinary ones. */
+const EVICTION_TARGET_BYTES = 0.875 * (LIMITS.memoryBytes - LIMITS.reserveBytes);
+
 const BODY_LIMIT_BYTES = 500_000;
 const CHECK_MILLISECONDS = 5;
 const WAIT_MILLISECONDS = 5000;
@@ -399,20 +408,24 @@
     const { port, clock, guard } = await startServer();
     const callers = [];
     for (let index = 0; index < 12; index += 1) {
-      callers.push(openCaller(port, `POST /open HTTP/1.1\r\nHost: h\r\n${shortLines(2500)}`));
+      callers.push(
+        openCaller(port, `POST /open HTTP/1.1\r\nHost: h\r\n${shortLines(LARGE_HEAD_LINES)}`),
+      );
       await sleep(20);
     }
     await waitFor(() => guard.pausedConnections > 0);
     expect(guard.heldBytes).toBeLessThanOrEqual(LIMITS.memoryBytes + HEAD_PORTION_COST_BYTES);
     await clock.advance(4000);
     await waitFor(() => guard.refusalsFor(RefusalReason.Memory) > 0);
+    await waitFor(() => guard.heldBytes <= EVICTION_TARGET_BYTES);
+    expect(guard.heldBytes).toBeGreaterThan(EVICTION_TARGET_BYTES - LARGE_HEAD_COST_BYTES);
     const ordinary = openCaller(port, head('/ordinary', 'Content-Length: 0\r\n'));
     for (let step = 0; step < 4; step += 1) {
       await clock.advance(500);
       await sleep(20);
     }
     await waitFor(() => ordinary.text.includes('answer to /ordinary'));
-    expect(callers.filter(({ text }) => text !== '').length).toBeLessThan(callers.length / 2);
+    expect(callers.filter(({ text }) => text !== '').length).toBeLessThan(callers.length);
   });
 
   // Guards against a request that was passed on and whose connection is closed for another one.
