Read what has arrived during a stall before a stop closes connections

What callers saw: a process that was stopped and stood still until its grace time was nearly over closed their connections without an answer when it went on, although their requests had been passed on and the responses of the endpoint had arrived meanwhile. A little earlier, they got 502 instead of these responses.

Cause: after a stall, timers run before sockets are read. The steps of a stop were timers at fixed times of the clock, so that the answer deadline and the close of all connections followed each other within one iteration of the event loop.

The steps are now one task. A step that is late by 50 ms or more waits for as long again, so that what has arrived is read, and the close never comes before requests have been given an answer.

--- a/packages/hickoryrelay-forwarding/src/ShutdownSchedule.ts
+++ b/packages/hickoryrelay-forwarding/src/ShutdownSchedule.ts
@@ -12,6 +12,9 @@
   readonly closeMilliseconds: number;
 }
 
+/** Delay of a step that shows a stall. The step then waits for as long again. */
+const STALL_MILLISECONDS = 50;
+
 /** Tells whether this instance is stopping, and which requests it can still answer. */
 export class ShutdownSchedule {
   readonly times: ShutdownTimes;
@@ -20,6 +23,8 @@
 
   private startedMilliseconds: number | undefined;
 
+  private isCloseDue = false;
+
   private readonly answerDeadlineObservers = new Set<() => void>();
 
   constructor(clock: Clock, times: ShutdownTimes) {
@@ -31,9 +36,7 @@
   begin(): void {
     if (this.startedMilliseconds === undefined) {
       this.startedMilliseconds = this.clock.monotonicMilliseconds();
-      this.clock.schedule(this.times.answerDeadlineMilliseconds, () =>
-        this.answerDeadlineObservers.forEach((observer) => observer()),
-      );
+      void this.run();
     }
   }
 
@@ -41,6 +44,11 @@
     return this.startedMilliseconds !== undefined;
   }
 
+  /** True once all connections are to be closed. */
+  get mustClose(): boolean {
+    return this.isCloseDue;
+  }
+
   /**
    * Calls the observer when requests have to be answered without waiting for an endpoint. Returns a
    * function that removes it.
@@ -69,4 +77,21 @@
       (this.elapsedAt(endMilliseconds) ?? 0) <= this.times.answerDeadlineMilliseconds
     );
   }
+
+  private async run(): Promise<void> {
+    const { answerDeadlineMilliseconds, closeMilliseconds } = this.times;
+    await this.reach(answerDeadlineMilliseconds);
+    this.answerDeadlineObservers.forEach((observer) => observer());
+    await this.reach(closeMilliseconds);
+    this.isCloseDue = true;
+  }
+
+  /** Waits until a step is due. After a stall, timers run before sockets are read, and it waits a little longer for what has arrived. */
+  private async reach(milliseconds: number): Promise<void> {
+    const elapsed = () => this.elapsedAt(this.clock.monotonicMilliseconds()) ?? 0;
+    await this.clock.sleep(Math.max(0, milliseconds - elapsed()));
+    if (elapsed() - milliseconds >= STALL_MILLISECONDS) {
+      await this.clock.sleep(STALL_MILLISECONDS);
+    }
+  }
 }
