Take an early end of a response without a known reason for the caller's

What callers saw: nothing on the users' platform, whose sink always states a reason. Any other sink that aborts without one made the request's task run for ever, which blocks the process and fills its memory.

Cause: since the outcome of a request whose caller has gone was looked up by the reason of the abort, and the task went on as long as it had no outcome.

--- a/packages/hickoryrelay-forwarding/src/ResponseSink.ts
+++ b/packages/hickoryrelay-forwarding/src/ResponseSink.ts
@@ -20,11 +20,13 @@
 
 export type CloseReason = (typeof CloseReason)[keyof typeof CloseReason];
 
-const GONE_OUTCOMES: Readonly<Record<CloseReason, string>> = {
-  [CloseReason.Caller]: 'gone',
-  [CloseReason.Shutdown]: 'cut',
-  [CloseReason.Replaced]: 'broken-off',
-};
+const CALLER_GONE_OUTCOME = 'gone';
+
+/** Outcomes for the reasons that are not the caller's. */
+const GONE_OUTCOMES: ReadonlyMap<unknown, string> = new Map([
+  [CloseReason.Shutdown, 'cut'],
+  [CloseReason.Replaced, 'broken-off'],
+]);
 
 /** Receives the response to one request. Subclasses encode it and make no decisions. */
 export abstract class ResponseSink {
@@ -33,7 +35,7 @@
 
   /** Outcome of a request whose response has ended early. */
   get goneOutcome(): string {
-    return GONE_OUTCOMES[this.gone.reason as CloseReason];
+    return GONE_OUTCOMES.get(this.gone.reason) ?? CALLER_GONE_OUTCOME;
   }
 
   abstract get hasStarted(): boolean;
