Write responses out before a pipelined CONNECT request

What callers saw: a request is passed on, a CONNECT request is pipelined behind it, and the response stops once the buffer of the socket is full, although the caller reads. At the deadline it is cut.

Cause: the HTTP server gives up a socket with a CONNECT request and removes its listener for "drain", which tells the response that is being written that it may go on.

Change: the listener is added again, as the requests before the CONNECT request are still answered.

--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -45,11 +45,15 @@
 
   private isLingering = false;
 
+  /** Tells the response that is being written that the caller reads again. Belongs to the HTTP server. */
+  private readonly drainListeners: readonly (() => void)[];
+
   /** True once a request has been read while an earlier one had no whole response. */
   private hasPipelined = false;
 
   constructor(socket: Socket) {
     this.socket = socket;
+    this.drainListeners = socket.listeners('drain') as (() => void)[];
     // The HTTP server calls this after the last response and would destroy the socket, which resets the
     // connection if the caller has sent more.
     this.socket.destroySoon = () => this.linger(ConnectionCloseReason.FinalResponse);
@@ -100,6 +104,11 @@
     }
   }
 
+  /** Writes the open responses on although the HTTP server has given up the socket. */
+  keepWriting(): void {
+    this.drainListeners.forEach((listener) => this.socket.on('drain', listener));
+  }
+
   /** Number of requests whose head has been read and whose response has not been written out. */
   get openRequests(): number {
     return this.openResponses.size;
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -103,7 +103,9 @@
    * socket. Requests that were read before it are answered first.
    */
   rejectTunnel(socket: Socket, rejection: string): void {
-    this.connections.get(socket)?.reads?.detach();
+    const connection = this.connections.get(socket);
+    connection?.reads?.detach();
+    connection?.keepWriting();
     // Without a listener, a reset by the caller would end the process.
     socket.on('error', () => {});
     socket.once('end', () => socket.destroy());
