Evict no connection whose request waits for its endpoint

What callers saw: while memory was short, a connection was reset without an answer although its request had been passed on and its caller had read all there was. It was reset as well to make room for another connection, before idle ones. It takes a caller of HTTP/1.0 of whose response a part has been collected, or a response that waits behind the request that runs (a refusal, or /health and /metrics of the daemon).

Cause: both were counted as bytes that the caller has not read, so that the connection was taken to wait for a caller without progress.

Change: only bytes in the socket count as unread for the phase of a connection; all count as held, as before. While evictions leave too little room, collected parts are dropped, and callers get a whole failure in their place when the response goes on, ends or fails.

Evidence: three new cases of CallerGuard failed before (the connection was closed; load 22) and pass. ResponseFraming 10, CallerMemory 8, CollectedResponses 6, HttpResponseSink 2, HttpResponseWriter 7 passed. CallerCrowd passed 9 of 9 (94 s, load 20).

--- a/packages/hickoryrelay-caller/src/CallerAccount.ts
+++ b/packages/hickoryrelay-caller/src/CallerAccount.ts
@@ -81,9 +81,12 @@
 
   private isOpen = true;
 
-  /** Bytes of responses that wait for the caller to read. */
+  /** Bytes of responses that wait for the caller to read, or for their end. */
   private unsent = 0;
 
+  /** Those that wait for the caller. */
+  private unread = 0;
+
   private buffered = 0;
 
   private parsing = 0;
@@ -117,7 +120,7 @@
     if (this.readingSinceMilliseconds !== undefined) {
       return CallerPhase.Reading;
     }
-    if (this.unsent > 0) {
+    if (this.unread > 0) {
       return CallerPhase.Writing;
     }
     return this.openRequestCount > 0 ? CallerPhase.Handling : CallerPhase.Idle;
@@ -169,9 +172,10 @@
     this.resizeBuffers();
   }
 
-  /** Sets the bytes that wait for the caller to read. */
-  setUnsent(bytes: number): void {
+  /** Sets the bytes that wait for the caller to read, or for the end of a response, and those for the caller. */
+  setUnsent(bytes: number, unreadBytes = bytes): void {
     this.unsent = bytes;
+    this.unread = unreadBytes;
     this.resizeBuffers();
   }
 
--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -341,6 +341,12 @@
         leavingBytes += account.heldBytes;
       }
     }
+    for (const reads of this.readsByAccount.values()) {
+      if (this.memory.hasRoom(heldBytes ?? 0, leavingBytes)) {
+        break;
+      }
+      reads.dropCollected();
+    }
     this.isEvicting = false;
   }
 
--- a/packages/hickoryrelay-caller/src/CallerReads.ts
+++ b/packages/hickoryrelay-caller/src/CallerReads.ts
@@ -230,7 +230,14 @@
 
   /** Updates what the caller has not read. */
   countUnsent(): void {
-    this.account.setUnsent(this.connection.unsentBytes);
+    const { unsentBytes, unreadBytes } = this.connection;
+    this.account.setUnsent(unsentBytes, unreadBytes);
+  }
+
+  /** Releases what is collected of responses, whose requests run. */
+  dropCollected(): void {
+    this.connection.dropCollected();
+    this.countUnsent();
   }
 
   /** Updates what the caller has not read, and when it last made progress. */
--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -8,7 +8,7 @@
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { failureOf } from 'hickoryrelay/RelayError';
-import { sendWhole } from 'hickoryrelay/ResponseFraming';
+import { framingFor, sendWhole } from 'hickoryrelay/ResponseFraming';
 import { CallerGuard } from 'hickoryrelay-caller/CallerGuard';
 import { CONNECTION_COST_BYTES, HEADER_LINE_COST_BYTES } from 'hickoryrelay-caller/CallerLimits';
 import { RefusalReason } from 'hickoryrelay-caller/RefusalReason';
@@ -118,6 +118,12 @@
         bodies.push(body.length);
         if (message.url?.startsWith('/hold') === true) {
           held.push(response);
+        } else if (message.url === '/collect') {
+          const framing = framingFor(response);
+          framing.start(200, {});
+          framing.write(Buffer.from('part'));
+          guard.recordBacklog(message.socket);
+          held.push(response);
         } else {
           answer(response);
         }
@@ -462,6 +468,44 @@
     expect(guard.unansweredFor(ConnectionCloseReason.Connections)).toBe(0);
   });
 
+  // Guards against a request that was passed on and whose connection is reset while its endpoint works on it.
+  it.each([
+    ['whose response is collected', 'GET /collect HTTP/1.0\r\nConnection: keep-alive\r\n\r\n'],
+    [
+      'before a response that waits',
+      `${head('/hold', 'Content-Length: 0\r\n')}${head('/unread', 'Content-Length: 0\r\n')}`,
+    ],
+  ])('evicts no connection with a running request %s', async (_name, bytes) => {
+    const { port, clock, guard, held } = await startServer({ reserveBytes: 0 });
+    const caller = openCaller(port, bytes);
+    await waitFor(() => held.length === 1);
+    const body = `${head('/hold', 'Content-Length: 490000\r\n')}${'x'.repeat(490_000)}`;
+    for (let index = 0; index < 9; index += 1) {
+      openCaller(port, body);
+    }
+    await waitFor(() => guard.pausedConnections > 0);
+    await clock.advance(2000);
+    await waitFor(() => guard.refusalsFor(RefusalReason.Memory) > 0);
+    await sleep(100);
+    expect(caller.isClosed).toBe(false);
+    expect(guard.unansweredFor(ConnectionCloseReason.Memory)).toBe(0);
+  });
+
+  // Guards against a request that was passed on and whose connection is closed for another one.
+  it('closes no connection whose response is collected to open another one', async () => {
+    const { port, clock, guard, held } = await startServer({ connections: 3 });
+    const caller = openCaller(port, 'GET /collect HTTP/1.0\r\nConnection: keep-alive\r\n\r\n');
+    await waitFor(() => held.length === 1);
+    const idle = [openCaller(port, ''), openCaller(port, '')];
+    await waitFor(() => guard.openConnections === 3);
+    await clock.advance(2000);
+    openCaller(port, '');
+    await waitFor(() => guard.refusalsFor(RefusalReason.Connections) === 1);
+    await waitFor(() => caller.isClosed || idle.some(({ isClosed }) => isClosed));
+    expect(caller.isClosed).toBe(false);
+    expect(guard.unansweredFor(ConnectionCloseReason.Connections)).toBe(0);
+  });
+
   // Guards against memory that is still counted after its connection has closed.
   it('holds nothing after callers have left in the middle of their requests', async () => {
     const { port, guard } = await startServer();
--- a/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
@@ -73,13 +73,7 @@
     this.assertOpen();
     this.parts.timer.recordChunk();
     const canContinue = this.framing.write(chunk);
-    if (this.framing.isOverLimit) {
-      throw new RelayError({
-        kind: FailureKind.ResultUnknown,
-        requestIdentifier: this.parts.requestIdentifier,
-        reason: 'the response is too long for a caller that takes no chunks',
-      });
-    }
+    this.assertCollectable();
     if (!canContinue || collectedBytesOf(this.response) > 0) {
       this.parts.onBacklog?.();
     }
@@ -89,6 +83,7 @@
   }
 
   override async end(): Promise<void> {
+    this.assertCollectable();
     this.parts.timer.end();
     this.framing.end();
   }
@@ -127,6 +122,16 @@
     }
   }
 
+  private assertCollectable(): void {
+    if (this.framing.isOverLimit) {
+      throw new RelayError({
+        kind: FailureKind.ResultUnknown,
+        requestIdentifier: this.parts.requestIdentifier,
+        reason: 'the response is too long for a caller that takes no chunks',
+      });
+    }
+  }
+
   /** Closes the connection after the stall timeout, which does not count while queued. */
   private startStallTimer(): () => void {
     const { clock, stallTimeoutMilliseconds } = this.parts;
--- a/packages/hickoryrelay-instance/src/__tests__/e2e/HttpResponseWriter.test.ts
+++ b/packages/hickoryrelay-instance/src/__tests__/e2e/HttpResponseWriter.test.ts
@@ -5,7 +5,7 @@
 import { SystemClock } from 'hickoryrelay/Clock';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { failureOf, RelayError } from 'hickoryrelay/RelayError';
-import { MAXIMUM_COLLECTED_BYTES } from 'hickoryrelay/ResponseFraming';
+import { dropCollected, MAXIMUM_COLLECTED_BYTES } from 'hickoryrelay/ResponseFraming';
 import { CallSeries } from 'hickoryrelay-instance/CallMetrics';
 import { CallTimer } from 'hickoryrelay-instance/CallTimer';
 import { HttpResponseWriter } from 'hickoryrelay-instance/HttpResponseWriter';
@@ -78,17 +78,22 @@
 
   // Guards against a connection that closes without an answer although nothing has been sent.
   it.each([
-    ['fails', 8],
-    ['is too long', MAXIMUM_COLLECTED_BYTES + 1],
+    ['fails', 8, false],
+    ['is too long', MAXIMUM_COLLECTED_BYTES + 1, false],
+    ['is dropped', 8, true],
   ])(
     'sends a caller that speaks HTTP/1.0 the failure of a response that %s',
-    async (_how, bytes) => {
+    async (_how, bytes, isDropped) => {
       const received = await new Promise<string>((resolve) => {
         const server = createServer((_incoming, response) => {
           const writer = createWriter(response);
           const respond = async () => {
             writer.begin(200, 'text/event-stream');
             await writer.write(Buffer.alloc(bytes), new AbortController().signal);
+            if (isDropped) {
+              dropCollected(response);
+              await writer.end();
+            }
             throw new RelayError({ kind: FailureKind.DeadlineExceeded, limitMilliseconds: 1 });
           };
           respond().catch((error: unknown) =>
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -3,7 +3,7 @@
   recordCloseReason,
   resetConnectionOf,
 } from './ConnectionClosing.js';
-import { collectedBytesOf } from './ResponseFraming.js';
+import { collectedBytesOf, dropCollected } from './ResponseFraming.js';
 
 import type { UnansweredRequest } from './ConnectionClosing.js';
 import type { ConnectionReads } from './ConnectionReads.js';
@@ -125,6 +125,16 @@
     return bytes;
   }
 
+  /** Bytes that the caller has to read before more can be written. */
+  get unreadBytes(): number {
+    return this.socket.writableLength;
+  }
+
+  /** Releases what is collected of responses, in whose place callers get a failure. */
+  dropCollected(): void {
+    this.openResponses.forEach((response) => dropCollected(response));
+  }
+
   /** True if bytes that arrive now belong to no request that will be answered. */
   get takesNoRequests(): boolean {
     return this.rejection !== undefined || this.isClosing;
--- a/packages/hickoryrelay/src/ResponseFraming.ts
+++ b/packages/hickoryrelay/src/ResponseFraming.ts
@@ -31,12 +31,24 @@
   response.end(body);
 }
 
-/** Bytes that are collected for responses. */
-const collectedBytes = new WeakMap<ServerResponse, number>();
+/** What is collected of a response until it is complete. */
+interface Collection {
+  readonly heldBytes: number;
+  /** True if it is too long, or has been dropped. */
+  readonly mustDiscard: boolean;
+  drop(): void;
+}
+
+const collections = new WeakMap<ServerResponse, Collection>();
 
 /** Bytes of a response that are collected until it is complete. */
 export function collectedBytesOf(response: ServerResponse): number {
-  return collectedBytes.get(response) ?? 0;
+  return collections.get(response)?.heldBytes ?? 0;
+}
+
+/** Releases what is collected of a response, which has to be discarded. */
+export function dropCollected(response: ServerResponse): void {
+  collections.get(response)?.drop();
 }
 
 /**
@@ -58,9 +70,9 @@
     return this.response.headersSent;
   }
 
-  /** True if the response is too long to be collected. It has to be discarded. */
+  /** True if the response can't be collected, as it is too long or memory is short. It has to be discarded. */
   get isOverLimit(): boolean {
-    return collectedBytesOf(this.response) > MAXIMUM_COLLECTED_BYTES;
+    return collections.get(this.response)?.mustDiscard === true;
   }
 
   /** Forgets a response of which nothing has been sent. */
@@ -100,13 +112,24 @@
  * Collects a response of unknown length, for a caller that takes no chunks, and sends it with its
  * length once it is complete.
  */
-class CollectedFraming extends StreamedFraming {
+class CollectedFraming extends StreamedFraming implements Collection {
   private head: { readonly status: number; readonly headers: FramedHeaders } | undefined;
 
   private chunks: Buffer[] = [];
 
   private collectedBytes = 0;
 
+  private isDropped = false;
+
+  /** Bytes that are collected. */
+  get heldBytes(): number {
+    return this.isDropped ? 0 : this.collectedBytes;
+  }
+
+  get mustDiscard(): boolean {
+    return this.isDropped || this.collectedBytes > MAXIMUM_COLLECTED_BYTES;
+  }
+
   override get hasStarted(): boolean {
     return this.head !== undefined || super.hasStarted;
   }
@@ -115,7 +138,14 @@
     this.head = undefined;
     this.chunks = [];
     this.collectedBytes = 0;
-    collectedBytes.delete(this.response);
+    this.isDropped = false;
+    collections.delete(this.response);
+  }
+
+  /** Releases what is collected. The response is over its limit. */
+  drop(): void {
+    this.isDropped = true;
+    this.chunks = [];
   }
 
   override start(status: number, headers: FramedHeaders, length?: number): void {
@@ -131,7 +161,7 @@
       return super.write(chunk);
     }
     this.collectedBytes += chunk.length;
-    collectedBytes.set(this.response, this.collectedBytes);
+    collections.set(this.response, this);
     if (this.isOverLimit) {
       return false;
     }
@@ -144,7 +174,7 @@
       const { status, headers } = this.head;
       this.response.writeHead(status, withLength(headers, this.collectedBytes));
     }
-    collectedBytes.delete(this.response);
+    collections.delete(this.response);
     this.response.end(Buffer.concat(this.chunks));
   }
 }
--- a/packages/hickoryrelay/src/__tests__/e2e/ResponseFraming.test.ts
+++ b/packages/hickoryrelay/src/__tests__/e2e/ResponseFraming.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import {
   collectedBytesOf,
+  dropCollected,
   framingFor,
   MAXIMUM_COLLECTED_BYTES,
   sendWhole,
@@ -90,6 +91,23 @@
     expect(text).toMatch(/^HTTP\/1\.1 502 [^]*\r\nContent-Length: 8\r\n[^]*\r\n\r\ntoo long$/u);
   });
 
+  // Guards against a part of a response that looks whole.
+  it('lets another response replace one of which the parts were dropped', async () => {
+    const text = await exchange('GET / HTTP/1.0', (response) => {
+      const framing = framingFor(response);
+      framing.start(200, []);
+      framing.write(Buffer.from('one'));
+      dropCollected(response);
+      expect(collectedBytesOf(response)).toBe(0);
+      expect(framing.write(Buffer.from('two'))).toBe(false);
+      expect(framing.isOverLimit).toBe(true);
+      expect(framing.hasSent).toBe(false);
+      framing.discard();
+      sendWhole(response, 502, [], 'dropped');
+    });
+    expect(text).toMatch(/^HTTP\/1\.1 502 [^]*\r\nContent-Length: 7\r\n[^]*\r\n\r\ndropped$/u);
+  });
+
   it.each(['GET / HTTP/1.1', 'GET / HTTP/1.0'])('of "%s" keeps a known length', async (head) => {
     const text = await exchange(head, (response) => {
       const framing = framingFor(response);
