Leave whole responses to callers of the daemon when a later call is cut

What callers saw: a caller of the daemon pipelines a call behind a whole response, the call is cut within its response, and a further request crosses the close. The reset in answer to it discards the whole response, which the caller has not read.

Cause: the daemon destroyed the connection.

A caller that has not pipelined gets a reset in place of a normal close, as from the other front end.

Evidence: CutCalls failed when the writer destroyed the connection, and passed then without the further request; it passes with the change.

--- a/packages/hickoryrelay-instance/src/CallerApi.ts
+++ b/packages/hickoryrelay-instance/src/CallerApi.ts
@@ -220,6 +220,7 @@
         onBacklog: () => this.guard?.recordBacklog(response.req.socket),
         stallTimeoutMilliseconds: settings.limits.callerStallSeconds * MILLISECONDS_PER_SECOND,
         onPassedOn: () => this.connections?.recordPassedOn(response, requestIdentifier),
+        onCut: () => this.connections?.cut(response, ConnectionCloseReason.IncompleteResponse),
         onHead: () => {
           if (!this.instance.isReady) {
             this.connections?.closeAfter(response);
--- a/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
@@ -28,6 +28,8 @@
   readonly onPassedOn?: () => void;
   /** Called before the head of the response is written. */
   readonly onHead?: () => void;
+  /** Called when a response of which a part has been written is to be cut. */
+  readonly onCut?: () => void;
   /** Called when a part of the response waits for the caller to read, or for the end. */
   readonly onBacklog?: () => void;
 }
@@ -108,7 +110,11 @@
       return;
     }
     // Closing the connection early is the only way to mark any other body as incomplete.
-    closeConnectionOf(this.response, ConnectionCloseReason.IncompleteResponse);
+    if (this.parts.onCut === undefined) {
+      closeConnectionOf(this.response, ConnectionCloseReason.IncompleteResponse);
+    } else {
+      this.parts.onCut();
+    }
   }
 
   /** True while the response waits for an earlier one on its connection to be complete. */
