Leave whole responses to callers that send the next request before they read

What callers saw: a response was cut, and most of the whole one before it was lost as well, since the connection was reset. Their second request had arrived after the first response had been handed to the operating system, so that they did not count as callers that pipeline.

Cause: whether a caller has read what the operating system holds is not known to the process, and the order in which requests and responses pass through it doesn't tell.

A response that is cut behind any other one of its connection now closes the connection normally. A caller of HTTP/1.1 that keeps a connection has found the end of the earlier response by its framing, so it finds that this one is incomplete. A caller of HTTP/1.0 gets a reset, also if it has pipelined, as a stream to it ends with its connection.

--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -51,6 +51,9 @@
   /** True once a request has been read while an earlier one had no whole response. */
   private hasPipelined = false;
 
+  /** True once a response has been written out. */
+  private hasAnswered = false;
+
   constructor(socket: Socket) {
     this.socket = socket;
     this.drainListeners = socket.listeners('drain') as (() => void)[];
@@ -67,6 +70,7 @@
     response.prependOnceListener('finish', () => {
       this.passedOn.delete(response);
       this.writtenOut.add(response);
+      this.hasAnswered = true;
       this.answeredBytes = this.socket.bytesWritten;
     });
     response.once('close', () => {
@@ -199,10 +203,11 @@
 
   /**
    * Closes the connection within the response that is being written. A reset would discard what the caller has
-   * not read of earlier ones. A caller that pipelines finds the ends of responses by their framing.
+   * not read of earlier ones. A caller of HTTP/1.1 that keeps a connection finds the ends of responses by their framing.
    */
   cut(response: ServerResponse, reason: ConnectionCloseReason): void {
-    if (this.hasPipelined) {
+    const isFramed = response.req.httpVersionMinor > 0;
+    if (isFramed && (this.hasPipelined || this.hasAnswered)) {
       this.linger(reason);
     } else {
       resetConnectionOf(response, reason);
