Close a connection that this process resets with an error

A platform that answers an order of the authority holder with a body without a length and without end ended the process, and with it all requests that had been passed on: at the time limit of the call, or at the end of its term, FencedPlatformClient resets the connection and its request is aborted.

Cause: resetAndDestroy closes the socket without an error. The HTTP client library takes such a close for the end of a response without a length, completes the request that was aborted in the same turn, and fails the assertion !this.aborted of Request.onComplete in its listener for close, where nothing catches it.

Change: SocketEnd closes a socket that this process resets with an error, as it does that of a paused reader.

Evidence: the new case of FencedPlatformClient fails before with the assertion as an uncaught error, and passes now. AbortedOrders plays 4,000 random orders of bytes, end, reset, abort (also within the events of the socket), pause, resume and withheld reads on real sockets.

The suspicion that bytes reach an aborted request since destroy is ignored while a socket closes was not confirmed.

No caller in this repository does so while a response is read.

--- a/packages/hickoryrelay/src/SocketEnd.ts
+++ b/packages/hickoryrelay/src/SocketEnd.ts
@@ -20,9 +20,10 @@
 
 /**
  * The end of a socket whose reader may pause. Reports the end only to a reader that reads, and closes the
- * socket of a paused one with an error, since the HTTP client library fails an assertion, which ends the process, if a
- * response without a length ends while its parser is paused. Readers need listeners for `readable` and
- * `error`. A reset that comes before the end was reported still fails the connection.
+ * socket of a paused one, or one that this process resets, with an error, since the HTTP client library fails an
+ * assertion, which ends the process, if a response without a length ends while its parser is paused or after its
+ * request was aborted. Readers need listeners for `readable` and `error`. A reset that comes before the end was
+ * reported still fails the connection.
  */
 export class SocketEnd {
   private readonly socket: Socket;
@@ -41,13 +42,21 @@
 
   private hasFailed = false;
 
+  /** True once this process has reset the connection. */
+  private isReset = false;
+
   /** `readSocket` is `read()` of the socket itself. */
   constructor(socket: Socket, readSocket: () => unknown) {
     this.socket = socket;
     this.readSocket = readSocket;
     const push = socket.push.bind(socket);
     const destroy = socket.destroy.bind(socket);
+    const resetAndDestroy = socket.resetAndDestroy.bind(socket);
     Object.assign(socket, {
+      resetAndDestroy: () => {
+        this.isReset = true;
+        return resetAndDestroy();
+      },
       push: (chunk: Buffer | null) => {
         this.hasEnded ||= chunk === null;
         return push(chunk);
@@ -120,6 +129,6 @@
       return withoutResetCode(error);
     }
     // The last bytes may have paused the reader.
-    return this.offerRead() ? undefined : new Error('the connection was closed');
+    return this.offerRead() && !this.isReset ? undefined : new Error('the connection was closed');
   }
 }
