Complete short responses that arrive before beginning more of their route

Beside load, 604 to 1,182 of 1,500 callers of sound bodies of 60 KB that together need more than the limit on responses got 504 or nothing.

Cause, the design: requests began as fast as the process could begin them, whatever had arrived, and the bytes of a response that has been read least are read first.

ArrivingResponses counts the short responses that have arrived in part, for each account and route. Nothing is searched when a response completes.

--- a/packages/hickoryrelay-caller/src/RequestTurns.ts
+++ b/packages/hickoryrelay-caller/src/RequestTurns.ts
@@ -1,3 +1,5 @@
+import { ArrivingResponses } from 'hickoryrelay/ArrivingResponses';
+
 /** Requests that may begin after a turn of the event loop without arrivals. */
 const FREE_REQUESTS = 4;
 
@@ -18,12 +20,17 @@
 /**
  * Decides in which order requests begin while more arrive than the process can handle. Designed for a crowd on one
  * route of one account: arrivals are read first, as what a connection asks for is not known before, and then the
- * groups take turns with one request each.
+ * groups take turns with one request each. A group is held while many of its responses arrive.
  */
 export class RequestTurns {
   /** Requests that wait, in order, of each group. The groups take turns. */
   private readonly queues = new Map<string, Set<ArrivedRequest>>();
 
+  /** The same of groups whose responses arrive. */
+  private readonly held = new Map<string, Set<ArrivedRequest>>();
+
+  private readonly arriving: ArrivingResponses;
+
   private waitingCount = 0;
 
   /** Requests that may begin now. */
@@ -36,6 +43,11 @@
 
   private isScheduled = false;
 
+  constructor(arriving = new ArrivingResponses()) {
+    this.arriving = arriving;
+    arriving.onRoom((group) => this.release(group));
+  }
+
   /** Requests that wait for their turn. */
   get waiting(): number {
     return this.waitingCount;
@@ -50,13 +62,13 @@
   enter(group: string, request: ArrivedRequest): boolean {
     this.arrivedRequests += 1;
     this.schedule();
-    if (this.waitingCount === 0 && this.permitted >= 1) {
+    if (this.waitingCount === 0 && this.permitted >= 1 && this.arriving.hasRoom(group)) {
       this.permitted -= 1;
       request.begin();
       return false;
     }
     this.waitingCount += 1;
-    const queue = this.queues.get(group);
+    const queue = this.queueOf(group);
     if (queue === undefined) {
       this.queues.set(group, new Set([request]));
     } else {
@@ -67,17 +79,32 @@
 
   /** Removes a request that waits, which then holds nothing more. Returns false if it has begun. */
   remove(group: string, request: ArrivedRequest): boolean {
-    const queue = this.queues.get(group);
+    const queue = this.queueOf(group);
     if (queue?.delete(request) !== true) {
       return false;
     }
     this.waitingCount -= 1;
     if (queue.size === 0) {
       this.queues.delete(group);
+      this.held.delete(group);
     }
     return true;
   }
 
+  private queueOf(group: string): Set<ArrivedRequest> | undefined {
+    return this.queues.get(group) ?? this.held.get(group);
+  }
+
+  /** Lets a group take turns again. */
+  private release(group: string): void {
+    const queue = this.held.get(group);
+    if (queue !== undefined) {
+      this.held.delete(group);
+      this.queues.set(group, queue);
+      this.schedule();
+    }
+  }
+
   private schedule(): void {
     if (!this.isScheduled) {
       this.isScheduled = true;
@@ -111,11 +138,15 @@
         return;
       }
       const [group, queue] = entry;
-      const [request] = queue as unknown as [ArrivedRequest];
       this.queues.delete(group);
-      this.queues.set(group, queue);
-      this.remove(group, request);
-      yield request;
+      if (this.arriving.hasRoom(group)) {
+        const [request] = queue as unknown as [ArrivedRequest];
+        this.queues.set(group, queue);
+        this.remove(group, request);
+        yield request;
+      } else {
+        this.held.set(group, queue);
+      }
     }
   }
 }
