Drop bytes that belong to no request at a bounded rate

What callers saw: a crowd that goes on sending on connections that close after a response brings the process near or over the memory of its machine, and takes the event loop from other callers.

Cause: bytes behind a request that closes the connection, and bytes that arrive until the caller has closed it too, are read and dropped at full speed. Each read takes a new buffer of up to 64 KB outside the heap, which is held until the garbage collection.

Excluded as the cause: connections that linger after their last response, which was suspected.

`DiscardTurns` lets all connections of the process together drop 16 MB a second, those first that have dropped least, so that a caller that has sent little is not reset behind a crowd. It covers connections whose last response is due, that linger, and that have asked for a tunnel. An end that has been received is taken at once, as before.

--- a/packages/hickoryrelay-caller/src/CallerReads.ts
+++ b/packages/hickoryrelay-caller/src/CallerReads.ts
@@ -1,4 +1,5 @@
 import { ConnectionReads } from 'hickoryrelay/ConnectionReads';
+import { DiscardReader, discardTurns } from 'hickoryrelay/DiscardTurns';
 import { eventLoopTurns, TurnReader } from 'hickoryrelay/ReadTurns';
 
 import { openLineBytesOf } from './HeadMemory.js';
@@ -53,6 +54,20 @@
   }
 }
 
+/** Drops the bytes of one connection in turn with others. */
+class CallerDiscard extends DiscardReader {
+  private readonly reads: CallerReads;
+
+  constructor(reads: CallerReads) {
+    super();
+    this.reads = reads;
+  }
+
+  protected override drop(): number {
+    return this.reads.drop();
+  }
+}
+
 /** Decides whether the next bytes of a connection may be parsed. */
 export abstract class ReadPermission {
   /** If not, calls `run` of the reads later. */
@@ -95,6 +110,8 @@
 
   private readonly turns = new CallerTurns(this);
 
+  private readonly discarding = new CallerDiscard(this);
+
   /** Bytes that may be parsed now. */
   private granted = 0;
 
@@ -153,6 +170,7 @@
       this.account.readingSinceMilliseconds = undefined;
       this.permission.forget(this);
       eventLoopTurns.remove(this.turns);
+      discardTurns.remove(this.discarding);
       this.socket.removeListener('readable', this.handleReadable);
       // The methods of the class take effect again.
       Reflect.deleteProperty(this.socket, 'pause');
@@ -202,13 +220,24 @@
       } else if (!this.isPaused && this.bufferedBytes > 0 && hasReceivedEnd(this.socket)) {
         // The HTTP server takes the end for the leaving of the caller, and has to learn of it now.
         this.discard();
-      } else {
+      } else if (!this.isDiscarding) {
         this.receiveAhead();
       }
     }
     return bytes - this.granted;
   }
 
+  /** Drops what has arrived. Returns the number of bytes. */
+  drop(): number {
+    const bytes = this.bufferedBytes;
+    if (!this.isDetached) {
+      this.receivedAhead = Buffer.alloc(0);
+      this.socket.read();
+      this.account.setBuffered(this.bufferedBytes);
+    }
+    return bytes;
+  }
+
   /** True if bytes wait to be parsed, or the rest of a head or of a body is due. */
   get isWaitedFor(): boolean {
     const isDue = this.hasOpenHead || this.request?.isReading === true;
@@ -296,9 +325,12 @@
       this.permission.forget(this);
     }
     if (this.isDiscarding) {
-      this.receivedAhead = Buffer.alloc(0);
-      socket.read();
-      return true;
+      if (hasReceivedEnd(socket)) {
+        this.drop();
+      } else {
+        discardTurns.request(this.discarding);
+      }
+      return false;
     }
     if (this.isPaused) {
       return false;
--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { CallerConnections } from 'hickoryrelay/CallerConnections';
 import { ConnectionCloseReason } from 'hickoryrelay/ConnectionClosing';
+import { DISCARDED_BYTES_PER_SECOND } from 'hickoryrelay/DiscardTurns';
 import { ALL_HEADER_LINES } from 'hickoryrelay/HeaderLimits';
 import { silentLogger } from 'hickoryrelay/Logger';
 import { ManualClock } from 'hickoryrelay/ManualClock';
@@ -40,6 +41,9 @@
 /** What an eviction leaves to connections that hold more than ordinary ones. */
 const EVICTION_TARGET_BYTES = 0.875 * (LIMITS.memoryBytes - LIMITS.reserveBytes);
 
+/** The most that the operating system holds of one connection in both directions. */
+const SOCKET_BUFFERS_BYTES = 12_582_912;
+
 const BODY_LIMIT_BYTES = 500_000;
 const CHECK_MILLISECONDS = 5;
 const WAIT_MILLISECONDS = 5000;
@@ -148,8 +152,8 @@
   return { clock, guard, ran, bodies, held, answer, port };
 }
 
-function openCaller(port: number, bytes: string) {
-  const socket: Socket = connect(port, '127.0.0.1');
+function openCaller(port: number, bytes: string, allowHalfOpen = false) {
+  const socket: Socket = connect({ port, host: '127.0.0.1', allowHalfOpen });
   const caller = { socket, text: '', isClosed: false };
   socket.on('error', () => {});
   socket.on('data', (chunk) => {
@@ -163,6 +167,16 @@
   return caller;
 }
 
+/** Sends without end, as fast as the other side reads. */
+function sendEndlessly(socket: Socket): void {
+  const bytes = Buffer.alloc(65_536, 'x');
+  const send = () => {
+    while (!socket.destroyed && socket.write(bytes));
+  };
+  socket.on('drain', send);
+  send();
+}
+
 function head(target: string, headers = ''): string {
   return `POST ${target} HTTP/1.1\r\nHost: h\r\n${headers}\r\n`;
 }
@@ -506,6 +520,28 @@
     expect(guard.unansweredFor(ConnectionCloseReason.Connections)).toBe(0);
   });
 
+  // Guards against bytes without a request that are read at full speed, whose buffers fill the memory.
+  it.each([
+    ['while its last response is due', '/hold'],
+    ['after its last response', '/answered'],
+  ])('drops what a connection receives at a bounded rate: %s', async (_name, target) => {
+    const { port, ran } = await startServer();
+    const request = head(target, 'Connection: close\r\nContent-Length: 0\r\n');
+    const callers = Array.from({ length: 4 }, () => openCaller(port, request, true));
+    await waitFor(() => ran.length === 4);
+    const startMilliseconds = performance.now();
+    callers.forEach(({ socket }) => sendEndlessly(socket));
+    await sleep(2000);
+    const seconds = (performance.now() - startMilliseconds) / 1000;
+    const sentBytes = callers.reduce(
+      (sum, { socket }) => sum + socket.bytesWritten - socket.writableLength,
+      0,
+    );
+    const allowedBytes = DISCARDED_BYTES_PER_SECOND * seconds + 4 * SOCKET_BUFFERS_BYTES;
+    expect(sentBytes).toBeGreaterThan(DISCARDED_BYTES_PER_SECOND);
+    expect(sentBytes).toBeLessThan(allowedBytes);
+  });
+
   // Guards against memory that is still counted after its connection has closed.
   it('holds nothing after callers have left in the middle of their requests', async () => {
     const { port, guard } = await startServer();
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -3,6 +3,7 @@
   recordCloseReason,
   resetConnectionOf,
 } from './ConnectionClosing.js';
+import { discardInTurns } from './DiscardTurns.js';
 import { collectedBytesOf, dropCollected } from './ResponseFraming.js';
 
 import type { UnansweredRequest } from './ConnectionClosing.js';
@@ -48,6 +49,8 @@
   /** Tells the response that is being written that the caller reads again. Belongs to the HTTP server. */
   private readonly drainListeners: readonly (() => void)[];
 
+  private isDiscarding = false;
+
   /** True once a request has been read while an earlier one had no whole response. */
   private hasPipelined = false;
 
@@ -183,6 +186,15 @@
     );
   }
 
+  /** Drops all further bytes, so that the end of the connection is noticed. No request is read any more. */
+  discard(): void {
+    if (!this.isDiscarding) {
+      this.isDiscarding = true;
+      this.reads?.detach();
+      discardInTurns(this.socket);
+    }
+  }
+
   /** Closes the connection when its caller has neither sent nor read anything for the given time. */
   setStallTimeout(milliseconds: number): void {
     if (!this.isLingering) {
@@ -268,9 +280,7 @@
       return;
     }
     socket.end();
-    socket.removeAllListeners('data');
-    socket.on('data', () => {});
-    socket.resume();
+    this.discard();
     // The HTTP server no longer handles the timeout of a socket that has carried a CONNECT request.
     // A caller that pipelines may send more before it reads, and the system answers that with a reset.
     const idleMilliseconds = this.hasPipelined ? MAXIMUM_LINGER_MILLISECONDS : LINGER_MILLISECONDS;
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -104,12 +104,11 @@
    */
   rejectTunnel(socket: Socket, rejection: string): void {
     const connection = this.connections.get(socket);
-    connection?.reads?.detach();
-    connection?.keepWriting();
     // Without a listener, a reset by the caller would end the process.
     socket.on('error', () => {});
     socket.once('end', () => socket.destroy());
-    socket.resume();
+    connection?.discard();
+    connection?.keepWriting();
     this.reject(socket, rejection);
   }
 
--- a/packages/hickoryrelay/src/ConnectionReads.ts
+++ b/packages/hickoryrelay/src/ConnectionReads.ts
@@ -3,7 +3,7 @@
   /** Bytes that have arrived and have not been parsed. */
   abstract get bufferedBytes(): number;
 
-  /** Reads and drops all further bytes, so that the end of the connection is noticed. */
+  /** Reads and drops all further bytes, in turn with others, so that the end of the connection is noticed. */
   abstract discard(): void;
 
   /** Gives the socket up. Its next user reads it. */
