Close no connection for another one while its request runs

What callers saw: beside as many connections as `max_connections` allows, a connection with pipelined requests was reset when another caller connected. The first of its requests had been passed on and got no byte of a response.

Cause: `CallerMemory.victimForConnection` took the connection with the most pipelined requests, whatever it waited for, and the guard reset it. The same went for a body that was being read behind a request that ran.

From seven eighths of the connections on, each new connection now lets the one with the most pipelined requests retire: its next response without a head closes the connection, and the requests behind that one have not run, since one request of a connection runs at a time. At the limit, retired connections that only wait for their callers are closed first, then idle ones, bodies, and callers that do not read, each after a second without progress; then connections with pipelined requests of which none has been passed on; then those without a request that was passed on. What a crowd may still lose: a connection that sends more than may be read is closed as a last resort, so that an ordinary caller gets a place beside it.

Excluded: retired connections beyond the limit.

It now also expects that two connections close after their responses and that another one is then answered. The test on the victim's order keeps its expectations; the connections of its crowd may be closed.

--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -263,17 +263,14 @@
       return;
     }
     const now = this.parts.clock.monotonicMilliseconds();
-    if (this.memory.hasAllConnections) {
-      const victim = this.memory.victimForConnection(now);
+    if (this.memory.hasAllConnections && !this.closeForConnection(now)) {
       this.recordRefusal(RefusalReason.Connections);
-      if (victim === undefined) {
-        recordCloseReason(socket, ConnectionCloseReason.Connections);
-        socket.destroy();
-        return;
-      }
-      this.closeAccount(victim, ConnectionCloseReason.Connections);
+      recordCloseReason(socket, ConnectionCloseReason.Connections);
+      socket.destroy();
+      return;
     }
     const account = this.memory.open(now);
+    this.retireConnection();
     const reads = new CallerReads(connection, account, this);
     connection.reads = reads;
     this.readsByAccount.set(account, reads);
@@ -286,6 +283,40 @@
     });
   }
 
+  /** Closes a connection for another one. Returns false if none may be closed. */
+  private closeForConnection(now: number): boolean {
+    const victim =
+      this.findAnswered() ??
+      this.memory.victimForConnection(now, (account) => this.mayClose(account));
+    if (victim === undefined) {
+      return false;
+    }
+    this.recordRefusal(RefusalReason.Connections);
+    this.closeAccount(victim, ConnectionCloseReason.Connections);
+    return true;
+  }
+
+  /** True if nothing on the connection was passed on, or if its caller sends more than may be read. */
+  private mayClose(account: CallerAccount): boolean {
+    const reads = this.readsByAccount.get(account);
+    return reads?.connection.hasPassedOn !== true || this.waiting.has(reads);
+  }
+
+  /** A connection that stays open only until its caller has closed it too. */
+  private findAnswered(): CallerAccount | undefined {
+    return [...this.memory.retired].find(
+      (account) => this.readsByAccount.get(account)?.connection.hasEnded === true,
+    );
+  }
+
+  /** Lets a connection with pipelined requests close after a response if nearly all are open. */
+  private retireConnection(): void {
+    const account = this.memory.retire();
+    if (account !== undefined) {
+      this.readsByAccount.get(account)?.connection.closeAfterNextHead();
+    }
+  }
+
   /** The account of a connection that is not open any more. */
   private closedAccount(now: number): CallerAccount {
     const account = this.memory.open(now);
--- a/packages/hickoryrelay-caller/src/CallerMemory.ts
+++ b/packages/hickoryrelay-caller/src/CallerMemory.ts
@@ -15,6 +15,9 @@
 
 export type PauseReason = (typeof PauseReason)[keyof typeof PauseReason];
 
+/** Share of the connections from which on those with pipelined requests retire for others. */
+const RETIRING_SHARE = 0.875;
+
 /** Memory beyond which connections are closed at once, as a share of the limit. */
 const OVERFULL_SHARE = 1.1;
 
@@ -46,6 +49,8 @@
 
   private readonly accounts = new Set<CallerAccount>();
 
+  private readonly retiring = new Set<CallerAccount>();
+
   private used = 0;
 
   private requestCount = 0;
@@ -162,21 +167,64 @@
 
   /**
    * The connection to close so that another one can be opened; undefined if none may be closed. First those without
-   * progress, then those with the most pipelined requests, then others that wait for their callers.
+   * progress, then those with the most pipelined requests, then others on which nothing has been passed on.
+   * `mayClose` tells whether a connection with pipelined requests may be closed.
    */
-  victimForConnection(now: number): CallerAccount | undefined {
-    const waiting = CallerMemory.leastOf(
-      [...this.accounts].filter(({ phase }) => phase !== CallerPhase.Handling),
-      ({ progressMilliseconds }) => progressMilliseconds,
+  victimForConnection(
+    now: number,
+    mayClose: (account: CallerAccount) => boolean,
+  ): CallerAccount | undefined {
+    const accounts = [...this.accounts];
+    const closeable = accounts.filter((account) => CallerMemory.hasPassedOnNothing(account));
+    const unread = accounts.filter(({ phase }) => phase === CallerPhase.Writing);
+    const isStalled = (account: CallerAccount) => CallerMemory.isStalled(account, now);
+    const idle = closeable.filter(({ openRequests }) => openRequests === 0);
+    return (
+      CallerMemory.longestWithoutProgress(idle.filter(isStalled)) ??
+      CallerMemory.longestWithoutProgress(closeable.filter(isStalled)) ??
+      CallerMemory.longestWithoutProgress(unread.filter(isStalled)) ??
+      CallerMemory.mostPipelined(accounts.filter(mayClose)) ??
+      CallerMemory.longestWithoutProgress(closeable)
     );
-    if (waiting !== undefined && CallerMemory.isStalled(waiting, now)) {
-      return waiting;
+  }
+
+  /**
+   * Chooses the connection with the most pipelined requests, if nearly all connections are open, so that it
+   * closes after a response. Undefined if there is none.
+   */
+  retire(): CallerAccount | undefined {
+    if (this.accounts.size < this.limits.connections * RETIRING_SHARE) {
+      return undefined;
     }
-    const pipelining = CallerMemory.leastOf(
-      [...this.accounts].filter(({ openRequests }) => openRequests > 1),
+    const candidates = [...this.accounts].filter((account) => !this.retiring.has(account));
+    const account = CallerMemory.mostPipelined(candidates);
+    if (account !== undefined) {
+      this.retiring.add(account);
+    }
+    return account;
+  }
+
+  /** Connections that close after a response. */
+  get retired(): ReadonlySet<CallerAccount> {
+    return this.retiring;
+  }
+
+  /** True if at most a request that is being read would be lost. */
+  private static hasPassedOnNothing({ phase, openRequests }: CallerAccount): boolean {
+    return openRequests === 0 || (phase === CallerPhase.Reading && openRequests === 1);
+  }
+
+  private static longestWithoutProgress(
+    accounts: readonly CallerAccount[],
+  ): CallerAccount | undefined {
+    return CallerMemory.leastOf(accounts, ({ progressMilliseconds }) => progressMilliseconds);
+  }
+
+  private static mostPipelined(accounts: readonly CallerAccount[]): CallerAccount | undefined {
+    return CallerMemory.leastOf(
+      accounts.filter(({ openRequests }) => openRequests > 1),
       ({ openRequests }) => -openRequests,
     );
-    return pipelining ?? waiting;
   }
 
   /** Adds to the sum. Called by accounts. */
@@ -198,6 +246,7 @@
   /** Forgets a connection. Called by accounts. */
   remove(account: CallerAccount): void {
     this.accounts.delete(account);
+    this.retiring.delete(account);
     this.onRelease();
   }
 
--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -477,8 +477,15 @@
     }
     openCaller(port, pipelined);
     await waitFor(() => guard.refusalsFor(RefusalReason.Connections) === 1);
+    expect(held).toHaveLength(8);
     held.forEach(answer);
     await waitFor(() => callers.every(({ text }) => text.includes('answer to /hold')));
+    const closing = callers.filter(({ text }) => /\r\nConnection: close\r\n/iu.test(text));
+    expect(closing).toHaveLength(2);
+    closing.forEach(({ socket }) => socket.end());
+    await waitFor(() => closing.every(({ isClosed }) => isClosed));
+    const other = openCaller(port, head('/other', 'Content-Length: 0\r\n'));
+    await waitFor(() => other.text.includes('answer to /other'));
     expect(guard.unansweredFor(ConnectionCloseReason.Connections)).toBe(0);
   });
 
--- a/packages/hickoryrelay-caller/src/__tests__/unit/CallerMemory.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/unit/CallerMemory.test.ts
@@ -91,7 +91,7 @@
 
   private open(): void {
     if (this.memory.hasAllConnections) {
-      const victim = this.memory.victimForConnection(this.now);
+      const victim = this.memory.victimForConnection(this.now, () => true);
       if (victim === undefined) {
         return;
       }
@@ -162,7 +162,7 @@
     handling?.beginRequest(100_000);
     expect(handling?.phase).toBe(CallerPhase.Handling);
     expect([...memory.victims(3500, 0)]).toEqual([second, third]);
-    expect(memory.victimForConnection(3500)).toBe(second);
+    expect(memory.victimForConnection(3500, () => true)).toBe(second);
     expect(first?.phase).toBe(CallerPhase.Writing);
   });
 
@@ -172,13 +172,36 @@
     const [single, few, most, reading] = [0, 0, 0, 0].map((now) => memory.open(now));
     [single, few, few, most, most, most, reading].forEach((account) => account?.beginRequest(100));
     Object.assign(reading ?? {}, { readingSinceMilliseconds: 0 });
-    expect(memory.victimForConnection(500)).toBe(most);
-    expect(memory.victimForConnection(1500)).toBe(reading);
+    expect(memory.victimForConnection(500, () => true)).toBe(most);
+    expect(memory.victimForConnection(1500, () => true)).toBe(reading);
     [few, most, reading].forEach((account) => account?.close());
-    expect(memory.victimForConnection(1500)).toBeUndefined();
+    expect(memory.victimForConnection(1500, () => true)).toBeUndefined();
     expect(single?.phase).toBe(CallerPhase.Handling);
   });
 
+  // Guards against a request that was passed on and whose connection is closed for another one.
+  it('closes no connection on which a request was passed on and may not be closed', () => {
+    const memory = new CallerMemory(LIMITS);
+    const [handling, pipelining, body] = [0, 0, 0].map((now) => memory.open(now));
+    [handling, pipelining, pipelining, body, body].forEach((account) => account?.beginRequest(100));
+    Object.assign(body ?? {}, { readingSinceMilliseconds: 0 });
+    expect(memory.victimForConnection(5000, () => false)).toBeUndefined();
+    expect(memory.victimForConnection(5000, (account) => account === body)).toBe(body);
+    const idle = memory.open(5000);
+    expect(memory.victimForConnection(5000, () => false)).toBe(idle);
+  });
+
+  // Guards against a connection that is open for long after a crowd has taken all others.
+  it('retires the connections with the most pipelined requests once nearly all are open', () => {
+    const memory = new CallerMemory(LIMITS);
+    const accounts = Array.from({ length: LIMITS.connections - 3 }, () => memory.open(0));
+    [0, 1, 1, 2, 2, 2].forEach((index) => accounts[index]?.beginRequest(100));
+    expect(memory.retire()).toBeUndefined();
+    memory.open(0);
+    expect([1, 2, 3].map(() => memory.retire())).toEqual([accounts[2], accounts[1], undefined]);
+    expect([...memory.retired]).toEqual([accounts[2], accounts[1]]);
+  });
+
   // Guards against an ordinary caller that is refused because the crowd beside it holds all memory.
   it('does not evict a small connection soon that waits for memory itself', () => {
     const memory = new CallerMemory(LIMITS);
--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -142,6 +142,24 @@
     this.openResponses.forEach((response) => dropCollected(response));
   }
 
+  /** Closes the connection after the next response whose head is written. Requests behind it are not answered. */
+  closeAfterNextHead(): void {
+    const next = [...this.openResponses].find(({ headersSent }) => !headersSent);
+    if (next !== undefined) {
+      next.shouldKeepAlive = false;
+    }
+  }
+
+  /** True if a request has been passed on to an endpoint and its response is not written out. */
+  get hasPassedOn(): boolean {
+    return this.passedOn.size > 0;
+  }
+
+  /** True once the connection stays open only until its caller has closed it too. */
+  get hasEnded(): boolean {
+    return this.isLingering;
+  }
+
   /** True if bytes that arrive now belong to no request that will be answered. */
   get takesNoRequests(): boolean {
     return this.rejection !== undefined || this.isClosing;
