Answer requests on connections beyond the limit

What callers saw: while `max_connections` are open and none may be closed for another one, a new connection is closed in silence, which looks like a crash of the instance and says nothing about when to come back.

The new connection now gets 503 (daemon: 429) with `Retry-After` and `Connection: close` once it sends a request, which has not been read and has not run. It is closed if it sends nothing for a second, as a response before the request is an error for some callers. A sixteenth of the limit may wait for that at once, so that descriptors stay bounded; further connections are closed as before.

Tests, with real sockets: 503 for as many connections as may wait and a close for the next one, while the 32 requests that run are answered; and the close of one that is silent. Before, the first of them got no response.

--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -12,6 +12,7 @@
 
 import type { CallerAccount } from './CallerAccount.js';
 import type { CallerLimits } from './CallerLimits.js';
+import type { CallerConnection } from 'hickoryrelay/CallerConnection';
 import type { CallerConnections } from 'hickoryrelay/CallerConnections';
 import type { Clock } from 'hickoryrelay/Clock';
 import type { ClosedConnection } from 'hickoryrelay/ConnectionClosing';
@@ -25,6 +26,19 @@
 
 const RETRY_AFTER_SECONDS = 1;
 
+/** Connections beyond their limit that are open until they are refused, as a share of the limit. */
+const REFUSED_SHARE = 0.0625;
+
+/** How long a connection that is refused may take to send its first bytes. */
+const REFUSAL_MILLISECONDS = 1000;
+
+/** The failure of a request on a connection beyond the limit. */
+const CONNECTIONS_FAILURE: Failure = {
+  kind: FailureKind.Overloaded,
+  reason: 'too many connections of callers',
+  retryAfterSeconds: RETRY_AFTER_SECONDS,
+};
+
 function closeReasonFor(reason: RefusalReason): ConnectionCloseReason {
   return reason === RefusalReason.Memory
     ? ConnectionCloseReason.Memory
@@ -66,6 +80,9 @@
     { readonly reason: PauseReason; readonly sinceMilliseconds: number }
   >();
 
+  /** Connections beyond the limit that are open until they have been refused. */
+  private readonly refused = new Set<Socket>();
+
   private readonly refusalCounts = new Map<RefusalReason, number>();
 
   private readonly pauseCounts = new Map<PauseReason, number>();
@@ -264,9 +281,7 @@
     }
     const now = this.parts.clock.monotonicMilliseconds();
     if (this.memory.hasAllConnections && !this.closeForConnection(now)) {
-      this.recordRefusal(RefusalReason.Connections);
-      recordCloseReason(socket, ConnectionCloseReason.Connections);
-      socket.destroy();
+      this.refuseConnection(connection);
       return;
     }
     const account = this.memory.open(now);
@@ -317,6 +332,29 @@
     }
   }
 
+  /** Closes a connection beyond the limit, after a response to its first request if there is a descriptor for it. */
+  private refuseConnection(connection: CallerConnection): void {
+    const { socket } = connection;
+    this.recordRefusal(RefusalReason.Connections);
+    recordCloseReason(socket, ConnectionCloseReason.Connections);
+    if (this.refused.size >= Math.max(1, this.parts.limits.connections * REFUSED_SHARE)) {
+      socket.destroy();
+      return;
+    }
+    this.refused.add(socket);
+    const cancelTimer = this.parts.clock.schedule(REFUSAL_MILLISECONDS, () => socket.destroy());
+    socket.once('close', () => {
+      cancelTimer();
+      this.refused.delete(socket);
+    });
+    socket.removeAllListeners('data');
+    // Some callers take a response that comes before their request for an error.
+    socket.once('data', () => {
+      cancelTimer();
+      connection.reject(this.parts.encodeRejection(CONNECTIONS_FAILURE));
+    });
+  }
+
   /** The account of a connection that is not open any more. */
   private closedAccount(now: number): CallerAccount {
     const account = this.memory.open(now);
--- a/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
+++ b/packages/hickoryrelay-caller/src/__tests__/e2e/CallerGuard.test.ts
@@ -549,6 +549,37 @@
     expect(sentBytes).toBeLessThan(allowedBytes);
   });
 
+  // Guards against connections beyond the limit that are closed in silence, or that use all descriptors.
+  it('refuses connections beyond the limit with a response, a bounded number of them at once', async () => {
+    const { port, held, answer, guard } = await startServer({ connections: 32, requests: 32 });
+    const request = head('/hold', 'Content-Length: 0\r\n');
+    const callers = Array.from({ length: 32 }, () => openCaller(port, request));
+    await waitFor(() => held.length === 32);
+    const silent = [openCaller(port, ''), openCaller(port, '')];
+    await waitFor(() => guard.refusalsFor(RefusalReason.Connections) === 2);
+    const further = openCaller(port, request);
+    await waitFor(() => further.isClosed);
+    expect([further.text, ...silent.map(({ text }) => text)]).toEqual(['', '', '']);
+    silent.forEach(({ socket }) => socket.write(request));
+    await waitFor(() => silent.every(({ text }) => text.startsWith('HTTP/1.1 503')));
+    silent.forEach(({ socket }) => socket.end());
+    await waitFor(() => silent.every(({ isClosed }) => isClosed));
+    held.forEach(answer);
+    await waitFor(() => callers.every(({ text }) => text.includes('answer to /hold')));
+    expect(held).toHaveLength(32);
+  });
+
+  it('closes a connection beyond the limit on which nothing is sent', async () => {
+    const { port, held, clock, guard } = await startServer({ connections: 1 });
+    openCaller(port, head('/hold', 'Content-Length: 0\r\n'));
+    await waitFor(() => held.length === 1);
+    const silent = openCaller(port, '');
+    await waitFor(() => guard.refusalsFor(RefusalReason.Connections) === 1);
+    await clock.advance(1000);
+    await waitFor(() => silent.isClosed);
+    expect(silent.text).toBe('');
+  });
+
   // Guards against memory that is still counted after its connection has closed.
   it('holds nothing after callers have left in the middle of their requests', async () => {
     const { port, guard } = await startServer();
