--- a/packages/hickoryrelay-caller/src/RequestTurns.ts
+++ b/packages/hickoryrelay-caller/src/RequestTurns.ts
@@ -1,5 +1,3 @@
-import { ArrivingResponses } from 'hickoryrelay/ArrivingResponses';
-
 /** Requests that may begin after a turn of the event loop without arrivals. */
 const FREE_REQUESTS = 4;
 
@@ -20,17 +18,12 @@
 /**
  * Decides in which order requests begin while more arrive than the process can handle. Designed for a crowd on one
  * route of one account: arrivals are read first, as what a connection asks for is not known before, and then the
- * groups take turns with one request each. A group is held while many of its responses arrive.
+ * groups take turns with one request each.
  */
 export class RequestTurns {
   /** Requests that wait, in order, of each group. The groups take turns. */
   private readonly queues = new Map<string, Set<ArrivedRequest>>();
 
-  /** The same of groups whose responses arrive. */
-  private readonly held = new Map<string, Set<ArrivedRequest>>();
-
-  private readonly arriving: ArrivingResponses;
-
   private waitingCount = 0;
 
   /** Requests that may begin now. */
@@ -43,11 +36,6 @@
 
   private isScheduled = false;
 
-  constructor(arriving = new ArrivingResponses()) {
-    this.arriving = arriving;
-    arriving.onRoom((group) => this.release(group));
-  }
-
   /** Requests that wait for their turn. */
   get waiting(): number {
     return this.waitingCount;
@@ -62,13 +50,13 @@
   enter(group: string, request: ArrivedRequest): boolean {
     this.arrivedRequests += 1;
     this.schedule();
-    if (this.waitingCount === 0 && this.permitted >= 1 && this.arriving.hasRoom(group)) {
+    if (this.waitingCount === 0 && this.permitted >= 1) {
       this.permitted -= 1;
       request.begin();
       return false;
     }
     this.waitingCount += 1;
-    const queue = this.queueOf(group);
+    const queue = this.queues.get(group);
     if (queue === undefined) {
       this.queues.set(group, new Set([request]));
     } else {
@@ -79,32 +67,17 @@
 
   /** Removes a request that waits, which then holds nothing more. Returns false if it has begun. */
   remove(group: string, request: ArrivedRequest): boolean {
-    const queue = this.queueOf(group);
+    const queue = this.queues.get(group);
     if (queue?.delete(request) !== true) {
       return false;
     }
     this.waitingCount -= 1;
     if (queue.size === 0) {
       this.queues.delete(group);
-      this.held.delete(group);
     }
     return true;
   }
 
-  private queueOf(group: string): Set<ArrivedRequest> | undefined {
-    return this.queues.get(group) ?? this.held.get(group);
-  }
-
-  /** Lets a group take turns again. */
-  private release(group: string): void {
-    const queue = this.held.get(group);
-    if (queue !== undefined) {
-      this.held.delete(group);
-      this.queues.set(group, queue);
-      this.schedule();
-    }
-  }
-
   private schedule(): void {
     if (!this.isScheduled) {
       this.isScheduled = true;
@@ -138,15 +111,11 @@
         return;
       }
       const [group, queue] = entry;
+      const [request] = queue as unknown as [ArrivedRequest];
       this.queues.delete(group);
-      if (this.arriving.hasRoom(group)) {
-        const [request] = queue as unknown as [ArrivedRequest];
-        this.queues.set(group, queue);
-        this.remove(group, request);
-        yield request;
-      } else {
-        this.held.set(group, queue);
-      }
+      this.queues.set(group, queue);
+      this.remove(group, request);
+      yield request;
     }
   }
 }
--- a/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
@@ -32,6 +32,4 @@
   readonly lastEvent: string | undefined;
   /** Identifier of the attempt that brought the first event of a stream that the caller resumes. */
   readonly resumedRequest?: string | undefined;
-  /** Group of requests that take turns with others; absent for those that do not. */
-  readonly group?: string;
 }
--- a/packages/hickoryrelay-response/src/ResponseAccount.ts
+++ b/packages/hickoryrelay-response/src/ResponseAccount.ts
@@ -1,5 +1,3 @@
-import { SHORT_RESPONSE_BYTES } from './ResponseLimits.js';
-
 import type { ResponseMemory } from './ResponseMemory.js';
 
 /** Where the bytes of a response are held. */
@@ -27,20 +25,9 @@
 
   private isDelivering = false;
 
-  private isWaiting = false;
-
-  private isShort = true;
-
-  /** True while the response counts among those that arrive. */
-  private isArriving = false;
-
-  /** Group of the request; undefined if it does not count. */
-  private readonly group: string | undefined;
-
-  constructor(memory: ResponseMemory, now: number, group?: string) {
+  constructor(memory: ResponseMemory, now: number) {
     this.memory = memory;
     this.progressedAt = now;
-    this.group = group;
   }
 
   get heldBytes(): number {
@@ -63,19 +50,6 @@
 
   setInDelivery(isInDelivery: boolean): void {
     this.isDelivering = isInDelivery;
-    this.countArriving();
-  }
-
-  /** Records whether received bytes wait for memory. */
-  setWaiting(isWaiting: boolean): void {
-    this.isWaiting = isWaiting;
-    this.countArriving();
-  }
-
-  /** Records the length of the body that the head states; undefined if it states none. */
-  recordLength(bytes: number | undefined): void {
-    this.isShort = bytes !== undefined && bytes <= SHORT_RESPONSE_BYTES;
-    this.countArriving();
   }
 
   setReceived(bytes: number): void {
@@ -98,7 +72,6 @@
       this.setReceived(0);
       this.setRetained(0);
       this.isOpen = false;
-      this.countArriving();
       this.memory.remove(this);
     }
   }
@@ -107,28 +80,7 @@
     const difference = bytes - this.bytes[part];
     if (this.isOpen && difference !== 0) {
       this.bytes[part] = bytes;
-      this.countArriving();
       this.memory.addBytes(part, difference);
     }
   }
-
-  /** Counts a short response while this process has bytes of it to process. */
-  private countArriving(): void {
-    const { group, memory } = this;
-    const isArriving =
-      this.isOpen &&
-      this.isShort &&
-      this.bytes[ResponsePart.Received] > 0 &&
-      !this.isDelivering &&
-      !this.isWaiting;
-    if (group === undefined || isArriving === this.isArriving) {
-      return;
-    }
-    this.isArriving = isArriving;
-    if (isArriving) {
-      memory.arriving.add(group);
-    } else {
-      memory.arriving.remove(group);
-    }
-  }
 }
--- a/packages/hickoryrelay-response/src/ResponseGuard.ts
+++ b/packages/hickoryrelay-response/src/ResponseGuard.ts
@@ -3,7 +3,6 @@
 
 import type { ResponseAccount, ResponsePart } from './ResponseAccount.js';
 import type { ResponseLimits } from './ResponseLimits.js';
-import type { ArrivingResponses } from 'hickoryrelay/ArrivingResponses';
 import type { Clock } from 'hickoryrelay/Clock';
 
 /** Time between two checks of progress. Timers of each response would cost more. */
@@ -55,11 +54,6 @@
     this.memory = new ResponseMemory(limits, () => this.scheduleWake());
   }
 
-  /** The short responses that have arrived in part. */
-  get arriving(): ArrivingResponses {
-    return this.memory.arriving;
-  }
-
   get limits(): ResponseLimits {
     return this.memory.limits;
   }
@@ -84,8 +78,8 @@
   }
 
   /** Records that a response is waited for. The account of an earlier one must have been closed. */
-  open(response: GuardedResponse, group?: string): ResponseAccount {
-    const account = this.memory.open(this.clock.monotonicMilliseconds(), group);
+  open(response: GuardedResponse): ResponseAccount {
+    const account = this.memory.open(this.clock.monotonicMilliseconds());
     this.responses.set(account, response);
     this.accounts.set(response, account);
     this.scheduleCheck();
@@ -118,13 +112,11 @@
     this.evictIfOverfull();
     if (this.memory.mayRead(account)) {
       this.waiting.delete(response);
-      account.setWaiting(false);
       this.scheduleWake();
       return true;
     }
     if (this.accounts.has(response) && !this.waiting.has(response)) {
       this.waiting.add(response);
-      account.setWaiting(true);
       this.pauseCount += 1;
       this.scheduleWake();
     }
--- a/packages/hickoryrelay-response/src/ResponseLimits.ts
+++ b/packages/hickoryrelay-response/src/ResponseLimits.ts
@@ -18,9 +18,6 @@
 /** A response that holds less is read whatever the others hold: the head, or some events of a stream. */
 export const SMALL_RESPONSE_BYTES = 4096;
 
-/** A response of at most this length is complete after a few reads. */
-export const SHORT_RESPONSE_BYTES = 4 * SOCKET_READ_BYTES;
-
 /** Limits on what a process holds for responses of endpoints. */
 export interface ResponseLimits {
   /** Memory for all responses. */
--- a/packages/hickoryrelay-response/src/ResponseMemory.ts
+++ b/packages/hickoryrelay-response/src/ResponseMemory.ts
@@ -1,5 +1,3 @@
-import { ArrivingResponses } from 'hickoryrelay/ArrivingResponses';
-
 import { ResponseAccount, ResponsePart } from './ResponseAccount.js';
 import { ORDINARY_RESPONSE_BYTES, SMALL_RESPONSE_BYTES } from './ResponseLimits.js';
 
@@ -29,8 +27,6 @@
 export class ResponseMemory {
   readonly limits: ResponseLimits;
 
-  readonly arriving = new ArrivingResponses();
-
   private readonly accounts = new Set<ResponseAccount>();
 
   /** Responses that are read on at the limit, with the time since when. */
@@ -63,9 +59,9 @@
     return this.accounts.size;
   }
 
-  /** Records that a response is waited for. Those of a group count while they arrive. */
-  open(now: number, group?: string): ResponseAccount {
-    const account = new ResponseAccount(this, now, group);
+  /** Records that a response is waited for. */
+  open(now: number): ResponseAccount {
+    const account = new ResponseAccount(this, now);
     this.accounts.add(account);
     return account;
   }
