Leave whole responses to callers of HTTP/1.0 that pipeline

What callers saw: a response with a length was cut, and whole responses before it were lost, as the connection was reset.

Cause: resets the connection of each caller of HTTP/1.0, as if a response to it could end with its connection. It never does: one of unknown length is collected (`ResponseFraming`).

CutResponses, CollectedResponses, KilledInstance and CutCalls pass.

--- a/packages/hickoryrelay/src/CallerConnection.ts
+++ b/packages/hickoryrelay/src/CallerConnection.ts
@@ -233,11 +233,10 @@
 
   /**
    * Closes the connection within the response that is being written. A reset would discard what the caller has
-   * not read of earlier ones. A caller of HTTP/1.1 that keeps a connection finds the ends of responses by their framing.
+   * not read of earlier ones. A caller that keeps a connection finds the ends of responses by their framing.
    */
   cut(response: ServerResponse, reason: ConnectionCloseReason): void {
-    const isFramed = response.req.httpVersionMinor > 0;
-    if (isFramed && (this.hasPipelined || this.hasAnswered)) {
+    if (this.hasPipelined || this.hasAnswered) {
       this.linger(reason);
     } else {
       resetConnectionOf(response, reason);
