State that a response cannot be collected, not that it is too long

A response that is collected for a caller of HTTP/1.0 is also replaced by a failure when memory is short, and the failure then gave a length as the reason, which would send an operator the wrong way. No status changes.

CollectedResponses, HttpResponseSink, HttpResponseWriter and ResponseFraming pass (25 tests).

--- a/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
+++ b/packages/hickoryrelay-instance/src/HttpResponseWriter.ts
@@ -133,7 +133,7 @@
       throw new RelayError({
         kind: FailureKind.ResultUnknown,
         requestIdentifier: this.parts.requestIdentifier,
-        reason: 'the response is too long for a caller that takes no chunks',
+        reason: 'the response cannot be collected for a caller that takes no chunks',
       });
     }
   }
