Log what named the version of a resumed stream, and which engines began

The logs could not tell apart the hypotheses of docs/incidents/streams-resumed-at-another-version.md: a line named the versions that answered, but neither what had named the version of a resumption nor the incarnation of the engine that sent the first event.

No decision changes; the tests of the stream package compare the version as before.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -111,7 +111,7 @@
   private isUnresumable = false;
 
   /** The stream that the caller receives; undefined until an endpoint has begun it. */
-  private streamOrigin: StreamOrigin | undefined;
+  private streamOrigin: Pick<StreamOrigin, 'version'> | undefined;
 
   /** The last attempt whose events were written to the caller. */
   private boundAttempt: AttemptVersion | undefined;
@@ -209,8 +209,14 @@
   async findOrigin(): Promise<boolean> {
     const { parts, admitted, request, deadline } = this;
     const { resumedRequest } = request;
-    this.streamOrigin = await parts.origins.find(admitted.service, resumedRequest, deadline.signal);
-    return this.streamOrigin !== undefined;
+    const origin = await parts.origins.find(admitted.service, resumedRequest, deadline.signal);
+    this.streamOrigin = origin;
+    const viewAge = Math.round(parts.view.ageMilliseconds);
+    this.trace.origin =
+      origin === undefined
+        ? `unknown, view ${viewAge} ms`
+        : `${origin.version ?? '(none)'} by ${origin.source}, view ${viewAge} ms`;
+    return origin !== undefined;
   }
 
   /**
--- a/packages/hickoryrelay-forwarding/src/CallTrace.ts
+++ b/packages/hickoryrelay-forwarding/src/CallTrace.ts
@@ -28,9 +28,15 @@
   /** Identifier of the attempt whose stream the caller resumes. */
   resumedRequest: string | undefined;
 
+  /** The version at which a resumed stream has to go on, what has named it, and the age of the view then. */
+  origin: string | undefined;
+
   /** Software versions of the endpoints that have begun to respond, in order; empty for those without. */
   readonly softwareVersions: string[] = [];
 
+  /** The endpoints that have begun to respond, in order, with the start of the registered incarnation. */
+  readonly begunAt: string[] = [];
+
   /** Adds a step, such as `run engine-1: reset`. */
   addStep(step: string): void {
     this.steps.push(step);
@@ -52,6 +58,8 @@
       stopping:
         this.stoppingMilliseconds === undefined ? undefined : Math.round(this.stoppingMilliseconds),
       resumes: this.resumedRequest,
+      origin: this.origin,
+      begunAt: this.begunAt.length === 0 ? undefined : this.begunAt.join(','),
       softwareVersions:
         this.softwareVersions.length === 0 ? undefined : this.softwareVersions.join(','),
       lostSegments: this.lostSegments.length === 0 ? undefined : this.lostSegments.join(','),
--- a/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
+++ b/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
@@ -123,7 +123,9 @@
   /** Records that the first event or the whole response has arrived. */
   recordBegin(): void {
     this.hasEndpointBegun = true;
+    const { identifier, startedMilliseconds } = this.attempt.endpoint;
     this.call.trace.softwareVersions.push(this.softwareVersion ?? '');
+    this.call.trace.begunAt.push(`${identifier}@${startedMilliseconds}`);
     this.call.recordBegin();
   }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
@@ -191,8 +191,8 @@
     const find = (attempt: string) =>
       harness.origins.find('desk', attempt, new AbortController().signal);
     expect(await Promise.all(['first', 'resumption'].map(find))).toEqual([
-      { version: 'v2' },
-      { version: 'v2' },
+      { version: 'v2', source: 'own-record' },
+      { version: 'v2', source: 'own-record' },
     ]);
   });
 });
--- a/packages/hickoryrelay-stream/src/OriginQuestion.ts
+++ b/packages/hickoryrelay-stream/src/OriginQuestion.ts
@@ -3,9 +3,24 @@
 import type { OriginAnswer } from './OriginAnswer.js';
 import type { SoftwareVersion } from './SoftwareVersion.js';
 
+/** What names the version that began a stream. */
+export const OriginSource = {
+  OwnRecord: 'own-record',
+  OwnHistory: 'own-history',
+  /** The record of another instance. */
+  OtherRecord: 'other-record',
+  /** The settled history of another instance. */
+  OtherHistory: 'other-history',
+  /** All other instances were asked and have seen no other version. */
+  Unanimous: 'unanimous',
+} as const;
+
+export type OriginSource = (typeof OriginSource)[keyof typeof OriginSource];
+
 /** The version that began a stream. */
 export interface StreamOrigin {
   readonly version: SoftwareVersion;
+  readonly source: OriginSource;
 }
 
 /** Returns the version that answers without a record agree on. */
@@ -29,7 +44,10 @@
     }
   }
   const [version] = versions;
-  return versions.size === 1 && (isSettled || isComplete) ? { version } : undefined;
+  if (versions.size !== 1 || !(isSettled || isComplete)) {
+    return undefined;
+  }
+  return { version, source: isSettled ? OriginSource.OtherHistory : OriginSource.Unanimous };
 }
 
 /** A question to other instances about the version that began a stream. */
@@ -88,7 +106,7 @@
   /** Decides the question if the answer is from a record. */
   decideByRecord(answer: OriginAnswer): void {
     if (answer.kind === OriginAnswerKind.Known) {
-      this.resolve({ version: answer.version });
+      this.resolve({ version: answer.version, source: OriginSource.OtherRecord });
     } else if (answer.kind === OriginAnswerKind.Conflicting) {
       this.resolve(undefined);
     }
--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -3,7 +3,7 @@
 
 import { OriginAnswerKind } from './OriginAnswer.js';
 import { OriginLedger, RECORD_LIFETIME_MILLISECONDS } from './OriginLedger.js';
-import { OriginQuestion } from './OriginQuestion.js';
+import { OriginQuestion, OriginSource } from './OriginQuestion.js';
 import { streamKey } from './StreamKey.js';
 import { HISTORY_MILLISECONDS } from './VersionHistory.js';
 
@@ -53,6 +53,9 @@
 
   private readonly listeners = new Set<() => void>();
 
+  /** Answers to resumptions by what has named the version; undefined if it was not known. */
+  private readonly answerCounts = new Map<OriginSource | undefined, number>();
+
   /** @param clock The clock of the history, which keeps running while the process is suspended. */
   constructor(history: VersionHistory, clock: Clock) {
     this.history = history;
@@ -129,13 +132,32 @@
     service: string,
     identifier: string | undefined,
     signal: AbortSignal,
+  ): Promise<StreamOrigin | undefined> {
+    const origin = await this.findUncounted(service, identifier, signal);
+    const source = origin?.source;
+    this.answerCounts.set(source, (this.answerCounts.get(source) ?? 0) + 1);
+    return origin;
+  }
+
+  /** The number of answers to resumptions by what has named the version, or `unknown`. */
+  *counts(): Generator<{ readonly source: string; readonly answers: number }, void, void> {
+    for (const [source = 'unknown', answers] of this.answerCounts) {
+      yield { source, answers };
+    }
+  }
+
+  private async findUncounted(
+    service: string,
+    identifier: string | undefined,
+    signal: AbortSignal,
   ): Promise<StreamOrigin | undefined> {
     const key = streamKey(service, identifier ?? '');
     const own = this.answer(key, service);
     switch (own.kind) {
       case OriginAnswerKind.Known:
+        return { version: own.version, source: OriginSource.OwnRecord };
       case OriginAnswerKind.SettledSole:
-        return { version: own.version };
+        return { version: own.version, source: OriginSource.OwnHistory };
       case OriginAnswerKind.Conflicting:
         return undefined;
       default:
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
@@ -185,11 +185,15 @@
   }
 
   /** Returns what `find` resolves to within the time limit. */
-  async find(index: number, identifier: string): Promise<StreamOrigin | undefined> {
+  async find(
+    index: number,
+    identifier: string,
+  ): Promise<Pick<StreamOrigin, 'version'> | undefined> {
     const { signal } = new AbortController();
     const found = this.instance(index).origins?.find(SERVICE, identifier, signal);
     await this.clock.advance(105);
-    return found;
+    const origin = await found;
+    return origin === undefined ? undefined : { version: origin.version };
   }
 
   transmit(from: WorldInstance, port: number, message: StreamOriginMessage): void {
