Keep resumable streams from incarnations that are not registered yet

Cause: an engine that crashes may start again under its identifier and address at another version, and serve before it is registered and the view is read. Until then its record names the earlier process, so a stream went on at another version, and a stream that began there was recorded with the wrong one.

Change: each attempt of a resumable call, its prefill included, carries an IncarnationCheck.

- The registered start: the request is written.
- Another start: it is not written, another endpoint is chosen, and this one is excluded from placement for a short time.
- A report without a usable start: a stream that goes on is not written.
One that begins is, under a version that equals no other, so that neither this response nor a later attempt continues it elsewhere; the record of that version is sent also while the service is settled.

No check of a test is changed.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -1,4 +1,5 @@
 import { hashString } from 'hickoryrelay/RendezvousUtils';
+import { IncarnationCheck } from 'hickoryrelay-endpoint/IncarnationCheck';
 
 import { RetrySemantics } from './ForwardingConfiguration.js';
 
@@ -70,13 +71,13 @@
 
 /** What is known of the software version that serves an attempt. */
 export interface AttemptVersion {
-  /** As registered when the attempt was started. */
+  /** As registered when the attempt was started; one of its own if the endpoint may be another incarnation. */
   readonly softwareVersion: SoftwareVersion;
   /** As the endpoint is registered now. */
   readonly registeredVersion: SoftwareVersion;
 }
 
-/** False if the endpoint has registered another version, which may have served the attempt already. */
+/** False if another version than the registered one may have served the attempt. */
 function isVersionCertain({ softwareVersion, registeredVersion }: AttemptVersion): boolean {
   return softwareVersion === registeredVersion;
 }
@@ -341,15 +342,35 @@
   }
 
   /** The fields of an attempt that bind it to what its endpoint states about itself. */
-  bindAttempt(state: EndpointState): Pick<Attempt, 'permit' | 'receiveNotice'> {
+  bindAttempt(
+    state: EndpointState,
+  ): Pick<Attempt, 'permit' | 'receiveNotice' | 'incarnationCheck'> {
     const { clock, notices } = this.parts;
     const permit = state.availability.startRequest(clock.monotonicMilliseconds(), clock);
     return {
       permit,
       receiveNotice: (notice) => notices.receive(state, permit, notice, this.request.identifier),
+      incarnationCheck: this.checkIncarnation(state),
     };
   }
 
+  /**
+   * Checks the incarnation of an endpoint for a stream that others may continue, since the registered version is
+   * that of one incarnation. Once a stream has begun, it goes on only where the version is certain.
+   */
+  private checkIncarnation(state: EndpointState): IncarnationCheck | undefined {
+    const { startedMilliseconds } = state.record;
+    if (!this.isResumable || startedMilliseconds === 0) {
+      return undefined;
+    }
+    return new IncarnationCheck({
+      registeredMilliseconds: startedMilliseconds,
+      mayBeUnknown: this.streamOrigin === undefined,
+      // The view shows the other incarnation once that is registered.
+      onOther: () => state.ejectOnce(this.parts.clock.monotonicMilliseconds()),
+    });
+  }
+
   /** Records that an engine now has the shared segment of a prompt in its KV cache. */
   recordCachedSegment({ hash }: EndpointState, { shared, tokens }: PromptSummary): void {
     if (shared !== undefined) {
--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -1,6 +1,7 @@
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { ForwardedRequest, HeaderList } from './ForwardedRequest.js';
 import type { EndpointNotice, SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
+import type { IncarnationCheck } from 'hickoryrelay-endpoint/IncarnationCheck';
 import type { ResponseAccount } from 'hickoryrelay-response/ResponseAccount';
 
 /** What an endpoint is asked to do with a request. */
@@ -19,6 +20,8 @@
   readonly handle: string;
   /** Software version of the engine, which another version cannot use the cache of. */
   readonly softwareVersion?: string | undefined;
+  /** True if the engine did not state its start, so that it may have another version. */
+  readonly isVersionUnknown?: boolean;
 }
 
 /** One attempt to send a request to an endpoint. */
@@ -41,6 +44,8 @@
   readonly permit: SendPermit;
   /** Called for the head of each response to the attempt, before the response is used. */
   readonly receiveNotice: (notice: ReceivedNotice) => void;
+  /** Decides on the incarnation that the connection leads to; undefined if any may run the request. */
+  readonly incarnationCheck: IncarnationCheck | undefined;
 }
 
 /** A notice, and whether the endpoint that sent it may not be the one that was addressed. */
@@ -81,8 +86,9 @@
 
 /**
  * Sends requests to endpoints. Every failure is `endpoint-failed`, whose `mayHaveRun` is false only
- * if no byte of the request was written. A request whose permit is no longer valid once its
- * connection is open is not written.
+ * if no byte of the request was written. Once its connection is open, a request is not written if its
+ * permit is no longer valid, or if its incarnation check refuses the start that the endpoint states on
+ * the connection.
  */
 export abstract class EndpointLink {
   /** Sends the request and resolves when the head of the response has arrived. */
--- a/packages/hickoryrelay-forwarding/src/EndpointState.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointState.ts
@@ -318,6 +318,13 @@
       now + Math.min(durationMilliseconds, MAXIMUM_EJECTION_MILLISECONDS);
   }
 
+  /** As `eject`, unless the endpoint is excluded already. */
+  ejectOnce(now: number): void {
+    if (!this.isEjected(now)) {
+      this.eject(now);
+    }
+  }
+
   /** Excludes a crashed endpoint from placement until it may be back. */
   recordCrash(now: number): void {
     this.failureAverage.add(1, now);
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -202,7 +202,10 @@
         prefillTimeout.signal,
         callerSignal,
       ]);
-      const prefilledPrompt = await link.prefill(attempt, signal);
+      const prefilledPrompt = GenerationRouting.markUnknown(
+        attempt,
+        await link.prefill(attempt, signal),
+      );
       const now = clock.monotonicMilliseconds();
       prefillEngine.recordActivity(now);
       if (prefilledPrompt === undefined) {
@@ -237,6 +240,16 @@
     }
   }
 
+  /** Records with a prefilled prompt that its engine did not state its start. */
+  private static markUnknown(
+    { incarnationCheck }: Attempt,
+    prefilledPrompt: PrefilledPrompt | undefined,
+  ): PrefilledPrompt | undefined {
+    return prefilledPrompt !== undefined && incarnationCheck?.isUnknown === true
+      ? { ...prefilledPrompt, isVersionUnknown: true }
+      : prefilledPrompt;
+  }
+
   /** Learns from a prefill before which no other was queued. */
   private recordUnqueuedPrefill(
     { prefillEngine, prefillTokens, source }: GenerationPlan,
--- a/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
+++ b/packages/hickoryrelay-forwarding/src/OpenAttempt.ts
@@ -1,5 +1,6 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { unconfirmedVersion } from 'hickoryrelay-stream/SoftwareVersion';
 
 import { AttemptKind } from './EndpointLink.js';
 
@@ -70,7 +71,12 @@
   }
 
   get softwareVersion(): SoftwareVersion {
-    return this.attempt.endpoint.softwareVersion;
+    const { endpoint, request, incarnationCheck, prefilledPrompt } = this.attempt;
+    const isUnknown =
+      incarnationCheck?.isUnknown === true || prefilledPrompt?.isVersionUnknown === true;
+    return isUnknown
+      ? unconfirmedVersion(`${request.identifier}/${endpoint.identifier}`)
+      : endpoint.softwareVersion;
   }
 
   get registeredVersion(): SoftwareVersion {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
@@ -118,6 +118,46 @@
     },
   );
 
+  // Guards against events of an endpoint that has started again at another version and is not registered yet.
+  it('checks the incarnation of each endpoint, also after an event', async () => {
+    const harness = makeVersions(['v1', 'v1', 'v1'], []);
+    const isOther: EndpointBehaviour = async ({ incarnationCheck }) => {
+      incarnationCheck?.decide(2);
+      throw endpointFailure(false);
+    };
+    harness.link.script([breaksAfter(1), isOther, delivers(2)]);
+    await harness.run();
+    const checks = harness.link.sent.map(({ incarnationCheck }) => incarnationCheck);
+    expect(checks.map((check) => check?.accepts(1))).toEqual([true, true, true]);
+    expect(checks.map((check) => check?.accepts(undefined))).toEqual([true, false, false]);
+    expect(harness.sink).toMatchObject({ text: events(1, 2).join(''), isEnded: true });
+    const isEjected = harness.registry.readyEndpoints('desk').map((state) => state.isEjected(0));
+    expect(isEjected.filter(Boolean)).toHaveLength(1);
+  });
+
+  it.each([
+    ['an endpoint that states no start', RESUMABLE_STREAM, 0],
+    ['a stream that is not resumed', { isStreaming: true }, 1],
+  ])('checks no incarnation for %s', async (_name, route, startedMilliseconds) => {
+    const endpoints = [makeEndpoint('engine', { startedMilliseconds })];
+    const harness = makeRouteHarness(route, [delivers(1)], { endpoints });
+    await harness.run();
+    expect(harness.link.sent[0]?.incarnationCheck).toBeUndefined();
+  });
+
+  it('is not continued if its endpoint may be another incarnation', async () => {
+    const harness = makeVersions(['v1', 'v1'], []);
+    const begins: EndpointBehaviour = async (attempt, signal) => {
+      attempt.incarnationCheck?.decide(undefined);
+      return breaksAfter(1)(attempt, signal);
+    };
+    harness.link.script([begins, delivers(2)]);
+    await harness.run();
+    expect(harness.sink).toMatchObject({ text: events(1).join(''), isAborted: true });
+    const { signal } = new AbortController();
+    expect(await harness.origins.find('desk', 'request-1', signal)).toBeUndefined();
+  });
+
   // Guards against a sound stream that is cut because of what its endpoint registers meanwhile.
   it('goes on in its response when its endpoint is registered with another version', async () => {
     const harness = makeVersions(['v1'], []);
--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -99,7 +99,7 @@
     const record = this.ledger.begin(key, service, version);
     // The service may have ceased to be settled without an observation, in an outage of the store.
     this.queueOwnRecords(this.now());
-    if (!this.isSettled(service)) {
+    if (!this.followsFromHistory(service, version)) {
       this.queueRecord(record);
     }
     let isOpen = true;
@@ -216,6 +216,12 @@
     return this.clock.monotonicMilliseconds();
   }
 
+  /** True if other instances name the version without a record. */
+  private followsFromHistory(service: string, version: SoftwareVersion): boolean {
+    const sole = this.history.soleVersion(service, this.now());
+    return sole?.isSettled === true && sole.version === version;
+  }
+
   private isSettled(service: string): boolean {
     return this.history.soleVersion(service, this.now())?.isSettled === true;
   }
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, describe, expect, test } from 'vitest';
+import { unconfirmedVersion } from 'hickoryrelay-stream/SoftwareVersion';
 
 import { StreamOriginWorld } from './StreamOriginWorld.js';
 
@@ -48,6 +49,14 @@
     expect(world.datagrams).toBe(0);
   });
 
+  // Guards against another instance that names the only version for a stream of an engine that may have another one.
+  test('sends the record of an unconfirmed version while a service has one version', async () => {
+    await makeWorld(7, []);
+    world.begin(0, 'a', unconfirmedVersion('a'));
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    expect(await world.find(1, 'a')).toEqual({ version: unconfirmedVersion('a') });
+  });
+
   test('sends the records of open streams when a second version appears', async () => {
     await makeWorld(7, []);
     world.begin(0, 'a', '1');
