--- a/packages/hickoryrelay-stream/src/SoftwareVersion.ts
+++ b/packages/hickoryrelay-stream/src/SoftwareVersion.ts
@@ -8,5 +8,5 @@
  * of all engines, so that none of them continues what the run has begun.
  */
 export function unconfirmedVersion(run: string): SoftwareVersion {
-  return `unconfirmed ${hashString(run).toString(16)}`;
+  return `unconfirmed:${hashString(run).toString(16)}`;
 }
