Take requests of other instances at the TCP port of the peer address

A second listener passes its connections to the HTTP server of the callers, so that stop, limits and memory accounts stay one.

CallerGuard went on checking until the HTTP server had closed; now until the last connection of any listener has, as body timeouts hold for relayed requests during a drain too.

--- a/packages/hickoryrelay-caller/src/CallerGuard.ts
+++ b/packages/hickoryrelay-caller/src/CallerGuard.ts
@@ -109,7 +109,11 @@
     this.log = new SampledLog(parts.log, parts.clock);
     server.on('connection', (socket: Socket) => this.open(socket));
     server.once('listening', () => this.scheduleCheck());
-    server.once('close', () => this.cancelCheck());
+    server.once('close', () => {
+      if (connections.areClosed) {
+        this.cancelCheck();
+      }
+    });
     connections.onClose((connection) => this.recordClose(connection));
   }
 
@@ -270,7 +274,10 @@
   private scheduleCheck(): void {
     this.cancelCheck = this.parts.clock.schedule(CHECK_MILLISECONDS, () => {
       this.check();
-      this.scheduleCheck();
+      // The server may have closed before the connections of its other listeners.
+      if (!this.connections.areClosed) {
+        this.scheduleCheck();
+      }
     });
   }
 
--- a/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
@@ -7,6 +7,12 @@
   readonly tokens: number;
 }
 
+/** What another instance states about a request that it has passed on. */
+export interface RelayedArrival {
+  /** Attempts that it has made, which count towards the limit of the route. */
+  readonly attemptsMade: number;
+}
+
 /** A decoded request from a caller. */
 export interface ForwardedRequest {
   /** The caller's identifier of this attempt; undefined if the caller sent none. */
@@ -32,4 +38,6 @@
   readonly lastEvent: string | undefined;
   /** Identifier of the attempt that brought the first event of a stream that the caller resumes. */
   readonly resumedRequest?: string | undefined;
+  /** Present if another instance has passed the request on. It is not passed on again. */
+  readonly relayed?: RelayedArrival;
 }
--- a/packages/hickoryrelay-forwarding/src/ResponseSink.ts
+++ b/packages/hickoryrelay-forwarding/src/ResponseSink.ts
@@ -6,6 +6,8 @@
   readonly reason: string;
   /** When the caller may retry. Present only if the request has not run. */
   readonly retryAfterMilliseconds?: number;
+  /** True if another instance has passed the request on and this one cannot reach its endpoints either. */
+  readonly isUnreachable?: boolean;
 }
 
 /** Why a response ended before it was complete. The reason of `ResponseSink.gone`. */
--- a/packages/hickoryrelay/src/CallerConnections.ts
+++ b/packages/hickoryrelay/src/CallerConnections.ts
@@ -26,6 +26,9 @@
 export class CallerConnections {
   private readonly server: Server;
 
+  /** The server, and others whose connections it handles. */
+  private readonly listeners: SocketServer[];
+
   private readonly connections = new Map<Socket, CallerConnection>();
 
   /** Number of connections accepted so far. */
@@ -43,12 +46,21 @@
   /** `idleTimeoutMilliseconds` returns the timeout that is in force. The server's is used if absent. */
   constructor(server: Server, idleTimeoutMilliseconds = () => server.keepAliveTimeout) {
     this.server = server;
+    this.listeners = [server];
     this.idleTimeoutMilliseconds = idleTimeoutMilliseconds;
     // With this listener the server leaves the socket to it.
     server.on('timeout', (socket: Socket) => this.handleTimeout(socket));
     server.on('connection', (socket: Socket) => this.add(socket));
   }
 
+  /** Lets the HTTP server handle the connections of another listener as well, which must not listen yet. */
+  addListener(listener: SocketServer): void {
+    this.listeners.push(listener);
+    listener.on('connection', (socket: Socket) => {
+      this.server.emit('connection', socket);
+    });
+  }
+
   /** Number of open connections. */
   get size(): number {
     return this.connections.size;
@@ -56,7 +68,7 @@
 
   /** True if no connection is open and none is accepted any more. */
   get areClosed(): boolean {
-    return !this.server.listening && this.connections.size === 0;
+    return this.connections.size === 0 && !this.listeners.some(({ listening }) => listening);
   }
 
   /** Bytes of responses that wait for their callers to read, in all connections. */
@@ -168,7 +180,7 @@
     for (const connection of this.connections.values()) {
       connection.close(ConnectionCloseReason.Shutdown);
     }
-    this.server.close();
+    this.listeners.forEach((listener) => listener.close());
   }
 
   private add(socket: Socket): void {
@@ -217,7 +229,7 @@
 
   private closeIdleNow(): void {
     // The HTTP server would also close connections whose responses have not been written out.
-    SocketServer.prototype.close.call(this.server);
+    this.listeners.forEach((listener) => SocketServer.prototype.close.call(listener));
     for (const { isIdle, socket } of this.connections.values()) {
       if (isIdle) {
         recordCloseReason(socket, ConnectionCloseReason.Shutdown);
