--- /dev/null
+++ b/packages/hickoryrelay-relay/src/RelayTarget.ts
@@ -0,0 +1,80 @@
+import type { RelayReceiver } from './RelayLink.js';
+
+/** Hops of this instance that one receiver takes at a time. */
+export const MAXIMUM_OPEN_HOPS = 128;
+
+/** Time for which a receiver that could not help is not asked about the service again. */
+export const UNABLE_MILLISECONDS = 1000;
+
+/** Time for which a receiver is not asked after its connection failed, as it may have stopped. */
+export const UNREACHED_MILLISECONDS = 3000;
+
+function hasSameAddress(left: RelayReceiver, right: RelayReceiver): boolean {
+  return left.host === right.host && left.port === right.port;
+}
+
+/** An instance that may be asked, with what has come of the requests that it was sent. */
+export class RelayTarget {
+  private current: RelayReceiver;
+
+  /** True while the instance is registered. */
+  isListed = false;
+
+  private hops = 0;
+
+  private unreachedUntilMilliseconds = Number.NEGATIVE_INFINITY;
+
+  /** By service. */
+  private readonly unableUntilMilliseconds = new Map<string, number>();
+
+  constructor(receiver: RelayReceiver) {
+    this.current = receiver;
+  }
+
+  get receiver(): RelayReceiver {
+    return this.current;
+  }
+
+  /** A changed address is that of a new process, for which earlier failures do not count. */
+  set receiver(receiver: RelayReceiver) {
+    if (!hasSameAddress(this.current, receiver)) {
+      this.unreachedUntilMilliseconds = Number.NEGATIVE_INFINITY;
+      this.unableUntilMilliseconds.clear();
+    }
+    this.current = receiver;
+  }
+
+  get openHops(): number {
+    return this.hops;
+  }
+
+  /** Counts an open hop. Returns the function that ends it, whose further calls have no effect. */
+  begin(): () => void {
+    this.hops += 1;
+    let isOpen = true;
+    return () => {
+      if (isOpen) {
+        isOpen = false;
+        this.hops -= 1;
+      }
+    };
+  }
+
+  recordUnable(service: string, now: number): void {
+    this.unableUntilMilliseconds.set(service, now + UNABLE_MILLISECONDS);
+  }
+
+  recordUnreached(now: number): void {
+    this.unreachedUntilMilliseconds = now + UNREACHED_MILLISECONDS;
+  }
+
+  /** True if the instance may be asked to serve a request for the service. */
+  mayBeAsked(service: string, now: number): boolean {
+    return (
+      this.isListed &&
+      this.hops < MAXIMUM_OPEN_HOPS &&
+      now >= this.unreachedUntilMilliseconds &&
+      now >= (this.unableUntilMilliseconds.get(service) ?? Number.NEGATIVE_INFINITY)
+    );
+  }
+}
