--- a/packages/hickoryrelay/src/StatusUtils.ts
+++ b/packages/hickoryrelay/src/StatusUtils.ts
@@ -8,3 +8,6 @@
 export function isFinalStatus(status: number): boolean {
   return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
 }
+
+/** Statuses that tell the caller that a request has not run. */
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
