Pass a request on when its endpoints cannot be reached from here

Cause: an instance that is cut off from the endpoints refuses what other instances could serve.

CallRelay, beside ForwardedCall, passes the request on at the start of the call when EndpointReach says so, and when it has not been sent because connections failed: then the call would have ended with 503. A shortage, a quarantine, a retry budget that is used up, a deadline or an attempt that may have run are not reasons. A request of another instance is refused with isUnreachable instead, and its attempts count towards the route's limit. The permit of the admission ends before the request is passed on, so a hop holds no place in the queue.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -3,6 +3,7 @@
 import { RetrySemantics } from './ForwardingConfiguration.js';
 
 import type { CallDeadline } from './CallDeadline.js';
+import type { CallRelayParts } from './CallRelay.js';
 import type { CallTrace } from './CallTrace.js';
 import type { CapacityAdmission } from './CapacityAdmission.js';
 import type { ConfirmedView } from './ConfirmedView.js';
@@ -47,6 +48,8 @@
   readonly returns: ReturnSchedule;
   readonly capacity: CapacityAdmission;
   readonly tally: UsageTally;
+  /** Absent if requests are not passed on to other instances. */
+  readonly relay?: CallRelayParts;
   readonly shutdown: ShutdownSchedule;
   /** The monotonic clock, which does not count suspensions. */
   readonly clock: Clock;
@@ -102,6 +105,8 @@
 
   private openAttemptCount = 0;
 
+  private unreachedCount = 0;
+
   /** Hashes of the segments and the service, since other engines may be unaffected by a segment. */
   private readonly segmentHashes: readonly number[];
 
@@ -312,6 +317,16 @@
     this.openAttemptCount -= 1;
   }
 
+  /** Attempts and prefills that were not sent, as no connection could be opened. */
+  get unreachedEndpoints(): number {
+    return this.unreachedCount;
+  }
+
+  /** Records an attempt or a prefill that was not sent, as no connection could be opened. */
+  recordUnreached(): void {
+    this.unreachedCount += 1;
+  }
+
   /** Offers an endpoint that another request of this instance has just left, for the next attempt. */
   offer(state: EndpointState): void {
     this.offeredEndpoint = state;
--- a/packages/hickoryrelay-forwarding/src/CallTrace.ts
+++ b/packages/hickoryrelay-forwarding/src/CallTrace.ts
@@ -8,7 +8,7 @@
 
   account: string | undefined;
 
-  /** Attempts that reached an endpoint and were refused or failed. */
+  /** Attempts that reached an endpoint and were refused or failed, with those of an instance that passed the request on. */
   attempts = 0;
 
   readonly steps: string[] = [];
@@ -22,6 +22,9 @@
   /** Time from the stop signal of the instance to the arrival of the request, if it was stopping. */
   stoppingMilliseconds: number | undefined;
 
+  /** The instance whose response the caller gets. */
+  relayedTo: string | undefined;
+
   /** Identifiers of the shared segments of a prompt whose run failed before its first event. */
   lostSegments: readonly string[] = [];
 
@@ -57,6 +60,7 @@
           : Math.round(this.firstByteMilliseconds),
       stopping:
         this.stoppingMilliseconds === undefined ? undefined : Math.round(this.stoppingMilliseconds),
+      relayedTo: this.relayedTo,
       resumes: this.resumedRequest,
       origin: this.origin,
       begunAt: this.begunAt.length === 0 ? undefined : this.begunAt.join(','),
--- a/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
@@ -1,9 +1,11 @@
 import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 import { failureOf } from 'hickoryrelay/RelayError';
+import { NOT_RUN_STATUSES } from 'hickoryrelay/StatusUtils';
 
 import { BufferedResponseRelay } from './BufferedResponseRelay.js';
 import { EventStreamRelay } from './EventStreamRelay.js';
 import { MINIMUM_ATTEMPT_MILLISECONDS } from './ForwardingLimits.js';
+import { NOT_PREFILLED } from './GenerationRouting.js';
 import { AbandonReason, OpenAttempt } from './OpenAttempt.js';
 
 import type { CallContext, Destination } from './CallContext.js';
@@ -17,9 +19,6 @@
 const FIRST_SUCCESS = 200;
 const FIRST_REDIRECT = 300;
 
-/** Statuses that tell the caller that a request has not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** True if a status refuses the request itself, which any other endpoint would refuse as well. */
 function isRequestFault(status: number): boolean {
   return (
@@ -30,6 +29,9 @@
 /** Limit on attempts of one request that fail before anything is sent. */
 const MAXIMUM_UNSENT_ATTEMPTS = 4;
 
+/** Reason why a request is not sent again. */
+const EXHAUSTED = 'no attempt is left';
+
 /** The result of an attempt whose response is not relayed. */
 export const AttemptResult = {
   /** The request has certainly not run. */
@@ -64,13 +66,28 @@
     return this.hasUnknownResult;
   }
 
-  /** True if no attempt may follow those that have ended. */
-  get isExhausted(): boolean {
+  /** Why no attempt may follow those that have ended; undefined if one may. */
+  get exhaustedReason(): string | undefined {
     const { trace, admitted, isRetryable } = this.call;
-    return (
+    const isExhausted =
       trace.attempts >= admitted.route.maximumAttempts ||
       (this.mayHaveRun && !isRetryable) ||
-      this.unsentAttempts >= MAXIMUM_UNSENT_ATTEMPTS
+      this.unsentAttempts >= MAXIMUM_UNSENT_ATTEMPTS;
+    return isExhausted ? EXHAUSTED : undefined;
+  }
+
+  /**
+   * True if a call that ends for the reason has not been sent because connections could not be opened. A shortage,
+   * a quarantine or a retry budget that is used up are reasons of their own.
+   */
+  isUnreached(reason: string): boolean {
+    const { trace, admitted, unreachedEndpoints, noEndpointReason, quarantinedGroup } = this.call;
+    return (
+      unreachedEndpoints > 0 &&
+      quarantinedGroup === undefined &&
+      !this.mayHaveRun &&
+      trace.attempts < admitted.route.maximumAttempts &&
+      [EXHAUSTED, NOT_PREFILLED, noEndpointReason].includes(reason)
     );
   }
 
@@ -204,6 +221,7 @@
     if (result === AttemptResult.NotSent) {
       this.generation.keep(destination.prefilledPrompt);
       this.unsentAttempts += 1;
+      this.call.recordUnreached();
       return;
     }
     if (result === AttemptResult.NotRun || abandonReason === AbandonReason.Unneeded) {
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -4,6 +4,7 @@
 import { AttemptTimeout } from './AttemptTimeout.js';
 import { CallContext } from './CallContext.js';
 import { CallDeadline, EndReason } from './CallDeadline.js';
+import { CallRelay } from './CallRelay.js';
 import { AttemptResult, EndpointAttempts } from './EndpointAttempts.js';
 import {
   HONOURED_RETRY_FRACTION,
@@ -17,11 +18,10 @@
 import { HedgedAttempts } from './HedgedAttempts.js';
 import { addRetryAfterJitter } from './RequestAdmission.js';
 
-import type { AdmittedRequest, ForwardedCallParts } from './CallContext.js';
+import type { AdmittedRequest, Destination, ForwardedCallParts } from './CallContext.js';
 import type { CallTrace } from './CallTrace.js';
 import type { CapacityPermit } from './CapacityAdmission.js';
 import type { RelayObserver, EndpointResponseRelay } from './EndpointResponseRelay.js';
-import type { EndpointState } from './EndpointState.js';
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import type { PreparedAttempt } from './HedgedAttempts.js';
 import type { OpenAttempt } from './OpenAttempt.js';
@@ -43,6 +43,8 @@
 
   private readonly hedges: HedgedAttempts;
 
+  private readonly relay: CallRelay;
+
   constructor(
     parts: ForwardedCallParts,
     request: ForwardedRequest,
@@ -54,6 +56,7 @@
     this.call = new CallContext(parts, request, admitted, sink, trace, deadline);
     this.generation = new GenerationRouting(this.call);
     this.attempts = new EndpointAttempts(this.call, this.generation);
+    this.relay = new CallRelay(this.call);
     this.hedges = new HedgedAttempts({
       attempts: this.attempts,
       trace,
@@ -72,13 +75,19 @@
       this.call.trace.addStep(EndReason.Stopping);
       return this.refuse(EndReason.Stopping, RETRY_AFTER_MILLISECONDS.Stopping);
     }
-    parts.budgets.addRequest(admitted.service);
+    const isRelayed = this.relay.shouldReplaceAttempts();
+    if (!isRelayed) {
+      parts.budgets.addRequest(admitted.service);
+    }
     const stopDeadline = deadline.watch(sink, parts.shutdown);
     try {
       if (sink.gone.aborted) {
         admitted.quotaTake?.giveBack();
         return sink.goneOutcome;
       }
+      if (isRelayed) {
+        return await this.passOn('the endpoints cannot be reached');
+      }
       const refusal = this.call.resumesStream ? await this.refuseUnknownOrigin() : undefined;
       return refusal ?? (await this.attemptUntilDone());
     } finally {
@@ -120,24 +129,33 @@
   /** Makes one attempt, if it is admitted. Returns the outcome if the call has ended with it. */
   private async makeAttempt(): Promise<string | undefined> {
     const { deadline, parts } = this.call;
-    if (this.attempts.isExhausted) {
-      return this.fail('no attempt is left');
+    const { exhaustedReason } = this.attempts;
+    if (exhaustedReason !== undefined) {
+      return this.endUnsent(exhaustedReason);
     }
     if (deadline.signal.aborted || deadline.remaining() < MINIMUM_ATTEMPT_MILLISECONDS) {
       return this.fail(deadline.endReason);
     }
     const permit = parts.capacity.tryAdmit(this.call) ?? (await this.waitForRoom());
-    if (typeof permit === 'string') {
-      return this.fail(permit);
-    }
-    let endpoint: EndpointState | undefined;
+    return typeof permit === 'string' ? this.fail(permit) : this.makeAdmittedAttempt(permit);
+  }
+
+  private async makeAdmittedAttempt(permit: CapacityPermit): Promise<string | undefined> {
+    let attempt: OpenAttempt | undefined;
+    let reason: string;
     try {
-      return await this.makeAdmittedAttempt((attempt) => {
-        endpoint = attempt.hasBegun ? attempt.state : undefined;
-      });
+      const choice = this.attempts.choose(this.call.deadline.signal);
+      const started = this.startAttempt(choice instanceof Promise ? await choice : choice);
+      if (typeof started !== 'string') {
+        attempt = started;
+        return await this.relayAttempt(attempt);
+      }
+      reason = started;
     } finally {
-      permit.end(endpoint);
+      permit.end(attempt?.hasBegun === true ? attempt.state : undefined);
     }
+    const group = this.call.quarantinedGroup;
+    return group === undefined ? this.endUnsent(reason) : this.refuseQuarantined(group);
   }
 
   /** Waits for room at the endpoints. Returns the reason if the call is refused. */
@@ -156,38 +174,28 @@
     return permit;
   }
 
-  /** @param onClose is called when the attempt has ended, if one was made. */
-  private async makeAdmittedAttempt(
-    onClose: (attempt: OpenAttempt) => void,
-  ): Promise<string | undefined> {
-    const { deadline } = this.call;
-    const choice = this.attempts.choose(deadline.signal);
-    const destination = choice instanceof Promise ? await choice : choice;
-    const attempt =
-      typeof destination === 'string' ? destination : this.attempts.start(destination);
-    if (typeof attempt === 'string') {
-      const group = this.call.quarantinedGroup;
-      return group === undefined ? this.fail(attempt) : this.refuseQuarantined(group);
-    }
+  /** Starts an attempt at the endpoint that was chosen. Returns the reason if none is made. */
+  private startAttempt(destination: Destination | string): OpenAttempt | string {
+    return typeof destination === 'string' ? destination : this.attempts.start(destination);
+  }
+
+  /** Relays the response of an attempt that has been started. Returns the outcome if the call has ended with it. */
+  private relayAttempt(attempt: OpenAttempt): Promise<string | undefined> {
     const timeout = new AttemptTimeout(this.call.parts.clock, () => this.hedges.start());
     this.startResponseTimeout(timeout);
-    try {
-      return await this.relay(attempt, timeout, () =>
-        this.attempts.prepare(attempt, () => timeout.cancel()),
-      );
-    } finally {
-      onClose(attempt);
-    }
+    return this.relayResponse(attempt, timeout, () =>
+      this.attempts.prepare(attempt, () => timeout.cancel()),
+    );
   }
 
   /** Relays the response of a hedge that has taken the request. */
   private adopt({ attempt, relay }: PreparedAttempt): Promise<string | undefined> {
     const timeout = new AttemptTimeout(this.call.parts.clock, () => this.hedges.start());
-    return this.relay(attempt, timeout, async () => relay);
+    return this.relayResponse(attempt, timeout, async () => relay);
   }
 
   /** Relays the response of an attempt. Returns the outcome if the call has ended with it. */
-  private async relay(
+  private async relayResponse(
     attempt: OpenAttempt,
     timeout: AttemptTimeout,
     prepare: () => Promise<EndpointResponseRelay | AttemptResult>,
@@ -262,6 +270,25 @@
     return parts.quarantine.isSuspect(sharedSegmentHashes);
   }
 
+  /** Ends a request for which no further attempt is made. Returns the outcome. */
+  private async endUnsent(reason: string): Promise<string> {
+    return this.attempts.isUnreached(reason) ? this.passOn(reason) : this.fail(reason);
+  }
+
+  /** Passes on a request that has not run, or tells the instance that has done so. Returns the outcome. */
+  private async passOn(reason: string): Promise<string> {
+    if (this.relay.isReceiver) {
+      this.call.trace.addStep(reason);
+      return this.refuse(reason, RETRY_AFTER_MILLISECONDS.NoCapacity, true);
+    }
+    const failure = await this.relay.run();
+    if (failure !== undefined) {
+      return this.fail(`${reason}: ${failure}`);
+    }
+    this.call.trace.addStep(reason);
+    return 'relayed';
+  }
+
   /** Refuses a request with quarantined prompt segments. Returns the outcome. */
   private refuseQuarantined({ segments, crashes }: QuarantinedGroup): string {
     const { parts, sharedSegments, sharedSegmentHashes } = this.call;
@@ -289,7 +316,7 @@
       sink.abort();
       return 'broken-off';
     }
-    if (this.attempts.mayHaveRun) {
+    if (this.attempts.mayHaveRun || this.relay.mayHaveRun) {
       const status = deadline.hasExpired ? GATEWAY_TIMEOUT : BAD_GATEWAY;
       sink.answer({ status, reason });
       return `own-${status}`;
@@ -304,7 +331,7 @@
   }
 
   /** Refuses a request that has not run. Returns the outcome. */
-  private refuse(reason: string, retryAfter: number | ReturnTime): string {
+  private refuse(reason: string, retryAfter: number | ReturnTime, isUnreachable = false): string {
     const { sink, parts, admitted } = this.call;
     admitted.quotaTake?.giveBack();
     const { milliseconds, isInSequence } =
@@ -314,7 +341,12 @@
     const retryAfterMilliseconds = isInSequence
       ? milliseconds
       : addRetryAfterJitter(milliseconds, parts.random);
-    sink.answer({ status: SERVICE_UNAVAILABLE, reason, retryAfterMilliseconds });
+    sink.answer({
+      status: SERVICE_UNAVAILABLE,
+      reason,
+      retryAfterMilliseconds,
+      ...(isUnreachable ? { isUnreachable } : {}),
+    });
     return `own-${SERVICE_UNAVAILABLE}`;
   }
 
--- a/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
@@ -61,6 +61,7 @@
   /** Responds to one request. Never rejects. */
   async handle(request: ForwardedRequest, sink: ResponseSink): Promise<void> {
     const trace = new CallTrace();
+    trace.attempts = request.relayed?.attemptsMade ?? 0;
     trace.resumedRequest = request.resumedRequest;
     trace.stoppingMilliseconds = this.parts.shutdown.elapsedAt(request.arrivedMilliseconds);
     this.open += 1;
--- a/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
+++ b/packages/hickoryrelay-forwarding/src/GenerationRouting.ts
@@ -1,4 +1,4 @@
-import { describeFailure } from 'hickoryrelay/Failure';
+import { describeFailure, FailureKind } from 'hickoryrelay/Failure';
 import { invariant } from 'hickoryrelay/Invariant';
 import { failureOf } from 'hickoryrelay/RelayError';
 
@@ -20,6 +20,9 @@
 /** Reason why a request with quarantined prompt segments is not sent. */
 const QUARANTINED = 'a prompt segment is quarantined';
 
+/** Reason why a request is not sent after its prefills have failed. */
+export const NOT_PREFILLED = 'the prompt could not be read';
+
 /** Chooses the engines of one generation and runs its remote prefill. */
 export class GenerationRouting {
   private readonly call: CallContext;
@@ -85,7 +88,7 @@
         return 'the retry budget is used up';
       }
     }
-    return 'the prompt could not be read';
+    return NOT_PREFILLED;
   }
 
   /** True if an engine could be chosen now. */
@@ -227,7 +230,11 @@
       if (!this.call.deadline.signal.aborted && !callerSignal.aborted) {
         prefillEngine.recordFailure(clock.monotonicMilliseconds());
       }
-      this.call.trace.addStep(`prefill ${identifier}: ${describeFailure(failureOf(error))}`);
+      const failure = failureOf(error);
+      if (failure.kind === FailureKind.EndpointFailed && !failure.mayHaveRun) {
+        this.call.recordUnreached();
+      }
+      this.call.trace.addStep(`prefill ${identifier}: ${describeFailure(failure)}`);
       return undefined;
     } finally {
       cancelTimer();
--- /dev/null
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/CallRelay.test.ts
@@ -0,0 +1,165 @@
+import { describe, expect, it } from 'vitest';
+import { ManualClock } from 'hickoryrelay/ManualClock';
+import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { EndpointReach } from 'hickoryrelay-relay/EndpointReach';
+import { RelayLink } from 'hickoryrelay-relay/RelayLink';
+import { RelayTargets } from 'hickoryrelay-relay/RelayTargets';
+import { StreamOrigins } from 'hickoryrelay-stream/StreamOrigins';
+import { VersionHistory } from 'hickoryrelay-stream/VersionHistory';
+
+import {
+  endpointFailure,
+  makeRequest,
+  makeResponse,
+  makeRouteHarness,
+  RecordingLogger,
+  RESUMABLE_STREAM,
+} from './ForwardingFixture.js';
+
+import type { EndpointBehaviour, HarnessOptions } from './ForwardingFixture.js';
+import type { ForwardingRoute } from 'hickoryrelay-forwarding/ForwardingConfiguration';
+import type { RelayedRequest, RelayReceiver, RelayResponse } from 'hickoryrelay-relay/RelayLink';
+
+const refusesConnection: EndpointBehaviour = async () => {
+  throw endpointFailure(false);
+};
+const losesResponse: EndpointBehaviour = async () => {
+  throw endpointFailure(true);
+};
+const refusesToRun: EndpointBehaviour = async () =>
+  makeResponse([], { status: 503, isNotRun: true });
+const succeeds: EndpointBehaviour = async () => makeResponse(['here']);
+
+/** Other instances that answer each request in the same way. */
+class OtherInstances extends RelayLink {
+  readonly received: RelayedRequest[] = [];
+
+  answer = async (): Promise<Partial<RelayResponse>> => ({});
+
+  override async send(_receiver: RelayReceiver, request: RelayedRequest): Promise<RelayResponse> {
+    this.received.push(request);
+    return { ...makeResponse(['elsewhere']), isUnreachable: false, ...(await this.answer()) };
+  }
+}
+
+function makeRelay(
+  route: Partial<ForwardingRoute>,
+  behaviours: EndpointBehaviour[],
+  options: HarnessOptions = {},
+) {
+  const clock = new ManualClock();
+  const random = new SeededRandomSource(1);
+  const reach = new EndpointReach({ clock, random });
+  const endpoints = ['e1', 'e22'];
+  reach.setEndpoints(new Map([['desk', new Set(endpoints)]]));
+  const self = { instance: 'instance-1', zone: 'zone-a' };
+  const targets = new RelayTargets({ self, clock, random });
+  targets.setReceivers([{ instance: 'instance-2', zone: 'zone-b', host: '10.0.0.2', port: 7000 }]);
+  const others = new OtherInstances();
+  const log = new RecordingLogger();
+  const parts = { relay: { reach, targets, link: others }, ...options.parts };
+  const harness = makeRouteHarness(route, behaviours, { clock, log, ...options, parts });
+  const cutOff = () => endpoints.forEach((endpoint) => reach.recordFailed('desk', endpoint));
+  return { ...harness, others, log, cutOff };
+}
+
+const expectServedElsewhere = ({ sink, log }: ReturnType<typeof makeRelay>) => {
+  expect(sink).toMatchObject({ status: 200, text: 'elsewhere', isEnded: true });
+  expect(log.lines.at(-1)).toMatchObject({ outcome: 'relayed', relayedTo: 'instance-2' });
+};
+
+describe('The request of a call', () => {
+  it('is passed on without an attempt when its endpoints cannot be reached', async () => {
+    const relay = makeRelay({}, [succeeds]);
+    relay.cutOff();
+    await relay.run();
+    expectServedElsewhere(relay);
+    expect(relay.link.sent).toHaveLength(0);
+    expect(relay.others.received[0]).toMatchObject({ accessKey: 'key-1', attemptsMade: 0 });
+  });
+
+  it('is passed on when no connection to an endpoint could be opened', async () => {
+    const relay = makeRelay({}, [refusesConnection, refusesConnection]);
+    await relay.run();
+    expectServedElsewhere(relay);
+  });
+
+  it('is passed on with its attempts when the other endpoints cannot be reached', async () => {
+    const relay = makeRelay({}, [refusesToRun, refusesConnection]);
+    await relay.run();
+    expectServedElsewhere(relay);
+    expect(relay.others.received[0]?.attemptsMade).toBe(1);
+  });
+
+  // Guards against a version of a resumed stream that a cut-off instance does not know.
+  it('is passed on before the origin of its stream is looked up', async () => {
+    const clock = new ManualClock();
+    const origins = new StreamOrigins(new VersionHistory(1000), clock);
+    const relay = makeRelay(RESUMABLE_STREAM, [], { parts: { origins } });
+    relay.cutOff();
+    await relay.run(makeRequest({ lastEvent: '7', resumedRequest: 'earlier' }));
+    expectServedElsewhere(relay);
+    expect(relay.others.received[0]?.lastEvent).toBe('7');
+  });
+
+  it.each([
+    ['may have run', [losesResponse], 502],
+    ['may have run before a connection fails', [losesResponse, refusesConnection], 502],
+    ['was refused by full endpoints', [refusesToRun, refusesToRun], 503],
+  ])('is not passed on when it %s', async (_name, behaviours, status) => {
+    const relay = makeRelay({}, behaviours);
+    await relay.run();
+    expect(relay.sink.own).toMatchObject({ status });
+    expect(relay.others.received).toHaveLength(0);
+  });
+
+  it('is not passed on without a retry budget', async () => {
+    const relay = makeRelay({ maximumAttempts: 3 }, [refusesConnection, refusesToRun]);
+    while (relay.budgets.tryTake('desk')) {
+      // Exhausts the budget.
+    }
+    await relay.run(makeRequest({ relayed: { attemptsMade: 1 } }));
+    expect(relay.sink.own).toMatchObject({ status: 503 });
+    expect(relay.sink.own?.isUnreachable).toBeUndefined();
+    expect(relay.others.received).toHaveLength(0);
+  });
+
+  it.each([
+    ['cannot be reached', true, []],
+    ['refuse connections', false, [refusesConnection, refusesConnection]],
+  ])('is refused at the second instance if its endpoints %s', async (_name, isCut, behaviours) => {
+    const relay = makeRelay({}, behaviours);
+    if (isCut) {
+      relay.cutOff();
+    }
+    await relay.run(makeRequest({ relayed: { attemptsMade: 0 } }));
+    expect(relay.sink.own).toMatchObject({ status: 503, isUnreachable: true });
+    expect(relay.others.received).toHaveLength(0);
+  });
+
+  it('is not sent beyond the limit of its route by two instances together', async () => {
+    const relay = makeRelay({ maximumAttempts: 2 }, [refusesToRun, succeeds]);
+    await relay.run(makeRequest({ relayed: { attemptsMade: 1 } }));
+    expect(relay.link.sent).toHaveLength(1);
+    expect(relay.sink.own).toMatchObject({ status: 503 });
+  });
+
+  it('is refused with a retry delay if no instance can send it', async () => {
+    const relay = makeRelay({}, []);
+    relay.others.answer = async () => ({ isUnreachable: true });
+    relay.cutOff();
+    await relay.run();
+    expect(relay.sink.own).toMatchObject({ status: 503 });
+    expect(relay.sink.own?.retryAfterMilliseconds).toBeGreaterThan(0);
+    expect(relay.sink.own?.isUnreachable).toBeUndefined();
+  });
+
+  it('ends with 502 if another instance may have run it', async () => {
+    const relay = makeRelay({}, []);
+    relay.others.answer = () => Promise.reject(endpointFailure(true));
+    relay.cutOff();
+    await relay.run();
+    expect(relay.sink.own).toMatchObject({ status: 502 });
+    expect(relay.sink.own?.retryAfterMilliseconds).toBeUndefined();
+  });
+});
