Keep what is known of a receiver that is not registered for a moment

Cause: RelayTargets forgot an instance without open hops as soon as its entry was missing from one read. When the entry was back in the next read, an instance whose connection had just failed was asked again at once.

Change: a target is kept while it has open hops or failures that still count.

The unit test of probes also checks that a first failure is followed by probes, which it did not notice when that condition was changed.

--- a/packages/hickoryrelay-relay/src/RelayTarget.ts
+++ b/packages/hickoryrelay-relay/src/RelayTarget.ts
@@ -68,6 +68,15 @@
     this.unreachedUntilMilliseconds = now + UNREACHED_MILLISECONDS;
   }
 
+  /** True if something about the instance must be kept even if it is not registered for a while. */
+  mustBeKept(now: number): boolean {
+    return (
+      this.hops > 0 ||
+      now < this.unreachedUntilMilliseconds ||
+      [...this.unableUntilMilliseconds.values()].some((until) => now < until)
+    );
+  }
+
   /** True if the instance may be asked to serve a request for the service. */
   mayBeAsked(service: string, now: number): boolean {
     return (
--- a/packages/hickoryrelay-relay/src/RelayTargets.ts
+++ b/packages/hickoryrelay-relay/src/RelayTargets.ts
@@ -18,7 +18,7 @@
 export class RelayTargets {
   private readonly parts: RelayTargetsParts;
 
-  /** By instance. Those that are no longer registered are kept until their hops have ended. */
+  /** By instance. Those that are not registered are kept while they have open hops or recent failures. */
   private readonly targets = new Map<string, RelayTarget>();
 
   constructor(parts: RelayTargetsParts) {
@@ -37,8 +37,8 @@
         target.isListed = true;
       }
     }
-    for (const [instance, { isListed, openHops }] of this.targets) {
-      if (!isListed && openHops === 0) {
+    for (const [instance, target] of this.targets) {
+      if (!target.isListed && !target.mustBeKept(this.now)) {
         this.targets.delete(instance);
       }
     }
--- a/packages/hickoryrelay-relay/src/__tests__/unit/ServiceReach.test.ts
+++ b/packages/hickoryrelay-relay/src/__tests__/unit/ServiceReach.test.ts
@@ -95,7 +95,7 @@
     expect(reach.stateAt(0)).toBe(ReachState.Unreachable);
   });
 
-  // Guards against probes of the same endpoints, and of sound services.
+  // Guards against probes of the same endpoints, and against a first failure that is not looked into.
   it('probes two endpoints in each period, first those that have not failed, then the oldest failures', () => {
     const due = (step: number) => [...reach.dueProbes(step * STEP)];
     expect(due(0)).toEqual([]);
@@ -108,5 +108,8 @@
     expect(due(2)).toEqual(['c', 'd']);
     reach.recordOpened('c', 2 * STEP);
     expect(due(3)).toEqual([]);
+    failAt('a', 3 * STEP);
+    const [first, second] = due(3);
+    expect(new Set(['a', first, second]).size).toBe(3);
   });
 });
