--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -100,6 +100,12 @@
    */
   abstract isRefused(endpoint: EndpointRecord, signal: AbortSignal): Promise<boolean>;
 
+  /**
+   * Opens a new connection to the endpoint and keeps it for requests. False if it cannot be opened, or
+   * if that is not known when the signal aborts. Never rejects.
+   */
+  abstract tryConnection(endpoint: EndpointRecord, signal: AbortSignal): Promise<boolean>;
+
   /** Closes the idle connections to endpoints that are not in the list. */
   abstract retain(endpoints: readonly EndpointRecord[]): void;
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/AdmissionWorld.ts
@@ -269,6 +269,10 @@
     return Promise.resolve(false);
   }
 
+  override tryConnection(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
   override retain(): void {}
 }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNoticesModel.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EndpointNoticesModel.test.ts
@@ -235,6 +235,10 @@
     return Promise.resolve(this.world.at(address).record.identifier !== identifier);
   }
 
+  override tryConnection(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
   override retain(): void {}
 }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/EngineClusterFixture.ts
@@ -247,6 +247,10 @@
     return Promise.resolve(this.engines.engineAt(address) === undefined);
   }
 
+  override async tryConnection(endpoint: EndpointRecord): Promise<boolean> {
+    return !(await this.isRefused(endpoint));
+  }
+
   override retain(): void {}
 
   private connect({ endpoint }: Attempt): SimulatedEngine {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -243,6 +243,10 @@
     return Promise.resolve(this.areEndpointsDown);
   }
 
+  override tryConnection(): Promise<boolean> {
+    return Promise.resolve(!this.areEndpointsDown);
+  }
+
   override retain(): void {}
 }
 
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ManualLink.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ManualLink.ts
@@ -45,5 +45,9 @@
     return Promise.resolve(false);
   }
 
+  override tryConnection(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
   override retain(): void {}
 }
