--- a/packages/hickoryrelay-relay/src/EndpointReach.ts
+++ b/packages/hickoryrelay-relay/src/EndpointReach.ts
@@ -89,11 +89,11 @@
     return this.services.get(service)?.stateAt(this.now) ?? ReachState.Reachable;
   }
 
-  /** The states of the services that have endpoints. */
-  *states(): Generator<readonly [service: string, state: ReachState], void, void> {
+  /** The shares of requests that are sent directly, by service. */
+  *directShares(): Generator<readonly [service: string, share: number], void, void> {
     const { now } = this;
     for (const [service, reach] of this.services) {
-      yield [service, reach.stateAt(now)];
+      yield [service, reach.directShare(now)];
     }
   }
 
