Judge on each instance whether it reaches the endpoints of its services

Requests are not affected: nothing asks shouldRelay yet.

Unconfirmed endpoints count as well, since requests are sent to them while they outnumber the ready ones after an outage of the store.

--- a/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointRegistry.ts
@@ -59,6 +59,11 @@
     return this.byHash.get(hash);
   }
 
+  /** The registered endpoint with an identifier. */
+  findByIdentifier(identifier: string): EndpointState | undefined {
+    return this.byIdentifier.get(identifier);
+  }
+
   /** The registration that an endpoint has now, of whichever incarnation; that of the record if there is none. */
   registeredRecord(record: EndpointRecord): EndpointRecord {
     return this.byIdentifier.get(record.identifier)?.record ?? record;
--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -3,6 +3,7 @@
 import { Task } from 'hickoryrelay/Task';
 
 import { FIRST_RETRY_DELAY_MILLISECONDS } from './DeploymentBounds.js';
+import { EndpointPhase } from './EndpointRecord.js';
 
 import type { ConfirmedView } from './ConfirmedView.js';
 import type { EndpointLink } from './EndpointLink.js';
@@ -13,6 +14,8 @@
 import type { ViewSource } from './ViewSource.js';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
+import type { EndpointReach } from 'hickoryrelay-relay/EndpointReach';
+import type { RelayTargets } from 'hickoryrelay-relay/RelayTargets';
 import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
 import type { StreamOrigins } from 'hickoryrelay-stream/StreamOrigins';
 import type { ViewReadStatistics } from 'hickoryrelay-view/ViewReadStatistics';
@@ -48,6 +51,8 @@
   readonly budgets: RetryBudgets;
   readonly shares: InstanceRateLimitShares;
   readonly origins: StreamOrigins;
+  readonly reach: EndpointReach;
+  readonly targets: RelayTargets;
   /** Time between two reads, in milliseconds. */
   readonly periodMilliseconds: number;
   readonly statistics: ViewReadStatistics;
@@ -66,6 +71,20 @@
   return versions;
 }
 
+/** The endpoints of each service to which requests may be sent. */
+function identifiersByService(
+  endpoints: readonly EndpointRecord[],
+): ReadonlyMap<string, ReadonlySet<string>> {
+  const identifiers = new Map<string, Set<string>>();
+  for (const { service, identifier, phase } of endpoints) {
+    if (phase !== EndpointPhase.Leaving) {
+      const known = identifiers.get(service) ?? new Set();
+      identifiers.set(service, known.add(identifier));
+    }
+  }
+  return identifiers;
+}
+
 /** Periodically reads configuration, endpoints and instances, and applies them to the view. */
 export class ViewRefreshTask extends Task {
   override readonly name = 'view';
@@ -95,7 +114,7 @@
   /** Reads once. Returns the time until the next read, in milliseconds. */
   private async refresh(): Promise<number> {
     const { source, view, registry, link, budgets, shares, origins } = this.parts;
-    const { log, periodMilliseconds, statistics } = this.parts;
+    const { reach, targets, log, periodMilliseconds, statistics } = this.parts;
     const { delayMilliseconds } = this;
     const requestedAtMilliseconds = view.now();
     try {
@@ -111,6 +130,8 @@
       const restarted = registry.replace(view.endpoints);
       origins.observe(softwareVersionsOf(view.endpoints), view.ageMilliseconds);
       link.retain(view.endpoints);
+      reach.setEndpoints(identifiersByService(view.endpoints));
+      targets.setReceivers(view.peers);
       budgets.setInstanceCount(view.peers.length);
       shares.setInstances(
         view.peers.map(({ instance }) => instance),
--- a/packages/hickoryrelay-relay/src/EndpointReach.ts
+++ b/packages/hickoryrelay-relay/src/EndpointReach.ts
@@ -6,6 +6,17 @@
 
 export { ReachState } from './ServiceReach.js';
 
+const DESCRIPTIONS: Readonly<Record<ReachState, string>> = {
+  [ReachState.Reachable]: 'All requests for a service are sent to its endpoints again.',
+  [ReachState.Unreachable]: 'The endpoints of a service cannot be reached.',
+  [ReachState.Returning]: 'Requests for a service are sent to its endpoints again, in steps.',
+};
+
+/** Describes the state that a service has changed to, for a log line. */
+export function describeReach(state: ReachState): string {
+  return DESCRIPTIONS[state];
+}
+
 /** A change of whether the endpoints of a service can be reached. */
 export interface ReachChange {
   readonly service: string;
