--- a/packages/hickoryrelay-relay/src/EndpointReach.ts
+++ b/packages/hickoryrelay-relay/src/EndpointReach.ts
@@ -6,6 +6,17 @@
 
 export { ReachState } from './ServiceReach.js';
 
+const DESCRIPTIONS: Readonly<Record<ReachState, string>> = {
+  [ReachState.Reachable]: 'All requests for a service are sent to its endpoints again.',
+  [ReachState.Unreachable]: 'The endpoints of a service cannot be reached.',
+  [ReachState.Returning]: 'Requests for a service are sent to its endpoints again, in steps.',
+};
+
+/** Describes the state that a service has changed to, for a log line. */
+export function describeReach(state: ReachState): string {
+  return DESCRIPTIONS[state];
+}
+
 /** A change of whether the endpoints of a service can be reached. */
 export interface ReachChange {
   readonly service: string;
@@ -89,11 +100,11 @@
     return this.services.get(service)?.stateAt(this.now) ?? ReachState.Reachable;
   }
 
-  /** The states of the services that have endpoints. */
-  *states(): Generator<readonly [service: string, state: ReachState], void, void> {
+  /** The shares of requests that are sent directly, by service. */
+  *directShares(): Generator<readonly [service: string, share: number], void, void> {
     const { now } = this;
     for (const [service, reach] of this.services) {
-      yield [service, reach.stateAt(now)];
+      yield [service, reach.directShare(now)];
     }
   }
 
