Count responses as evidence that endpoints can be reached

Cause, by reading: an engine that has as many connections as it accepts resets further ones. When all engines of a service are full, new connections fail at three of them in succession on every instance. All would turn unreachable, refuse each other's requests, and leave their open connections unused, although the engines answer on those. The design lists this among the cases in which a service stays reachable.

Change: the link reports the head of each response. A service whose endpoints responded within the last second does not become unreachable, and a response leads out of that state as a connection that opens does.

A partition is noticed one second after the last response at the earliest, that is about when the connections after it have timed out.

--- a/packages/hickoryrelay-relay/src/EndpointReach.ts
+++ b/packages/hickoryrelay-relay/src/EndpointReach.ts
@@ -89,6 +89,14 @@
     }
   }
 
+  override recordResponse(service: string, endpoint: string): void {
+    const reach = this.services.get(service);
+    if (reach !== undefined) {
+      reach.recordResponse(endpoint, this.now);
+      this.reportChange(service, reach);
+    }
+  }
+
   /** Decides for one request whether it is passed on without an attempt. */
   shouldRelay(service: string): boolean {
     const share = this.services.get(service)?.directShare(this.now) ?? 1;
--- a/packages/hickoryrelay-relay/src/ServiceReach.ts
+++ b/packages/hickoryrelay-relay/src/ServiceReach.ts
@@ -16,6 +16,12 @@
 /** The same while connections open again. One engine may be full and reset connections. */
 const RELAPSE_FAILURES = 2;
 
+/**
+ * Time for which a response shows that requests reach an endpoint. Engines that are full reset new connections and
+ * go on to answer on those that are open.
+ */
+export const RESPONSE_EVIDENCE_MILLISECONDS = 1000;
+
 export const PROBE_PERIOD_MILLISECONDS = 500;
 
 export const PROBES_PER_PERIOD = 2;
@@ -26,7 +32,10 @@
 /** Time after which the share of requests that are sent directly doubles. */
 export const DIRECT_SHARE_PERIOD_MILLISECONDS = 500;
 
-/** Judges from the outcome of new connections whether the endpoints of one service can be reached. */
+/**
+ * Judges whether the endpoints of one service can be reached: from the outcome of new connections, and from responses,
+ * which show that open connections still carry requests.
+ */
 export class ServiceReach {
   private readonly random: RandomSource;
 
@@ -39,6 +48,8 @@
 
   private returningSinceMilliseconds = 0;
 
+  private respondedMilliseconds = Number.NEGATIVE_INFINITY;
+
   private probesDueMilliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(random: RandomSource) {
@@ -87,11 +98,22 @@
     this.failed.delete(endpoint);
     this.failed.add(endpoint);
     const isReturning = this.stateAt(now) === ReachState.Returning;
-    if (this.hasFailedAt(isReturning ? RELAPSE_FAILURES : UNREACHABLE_FAILURES)) {
+    const hasResponded = now - this.respondedMilliseconds < RESPONSE_EVIDENCE_MILLISECONDS;
+    if (!hasResponded && this.hasFailedAt(isReturning ? RELAPSE_FAILURES : UNREACHABLE_FAILURES)) {
       this.state = ReachState.Unreachable;
     }
   }
 
+  /** Records a response, which does not show that new connections open. */
+  recordResponse(endpoint: string, now: number): void {
+    if (this.endpoints.has(endpoint)) {
+      this.respondedMilliseconds = now;
+      if (this.state === ReachState.Unreachable) {
+        this.beginReturn(now);
+      }
+    }
+  }
+
   stateAt(now: number): ReachState {
     if (this.state === ReachState.Returning && this.returningShare(now) >= 1) {
       this.state = ReachState.Reachable;
--- a/packages/hickoryrelay-relay/src/__tests__/unit/EndpointReachModel.test.ts
+++ b/packages/hickoryrelay-relay/src/__tests__/unit/EndpointReachModel.test.ts
@@ -65,6 +65,11 @@
     }
   }
 
+  /** An endpoint responds on a connection that was open before. */
+  respond(choice: number): void {
+    this.reach.recordResponse(SERVICE, [...this.paths.keys()][choice % this.paths.size] ?? '');
+  }
+
   async tick(): Promise<void> {
     for (const { endpoint } of this.reach.dueProbes()) {
       this.connect(endpoint);
@@ -97,7 +102,7 @@
   endpoints: fc.integer({ min: 1, max: 6 }),
   seed: fc.integer(),
   steps: fc.array(
-    fc.tuple(fc.constantFrom('send', 'tick', 'paths', 'replace'), fc.nat(63), paths),
+    fc.tuple(fc.constantFrom('send', 'tick', 'paths', 'replace', 'respond'), fc.nat(63), paths),
     { maxLength: 60 },
   ),
 };
@@ -123,6 +128,23 @@
     );
   });
 
+  // Guards against a fleet that stops using its open connections while all engines are full.
+  it('stays reachable while endpoints respond and new connections fail', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.record(setups), paths, async ({ endpoints, seed, steps }, path) => {
+        const world = new World(endpoints, seed);
+        world.setPaths(path);
+        for (const [name, choice] of steps) {
+          world.respond(choice);
+          world.send(choice);
+          await (name === 'tick' ? world.clock.advance(choice * 10) : world.tick());
+        }
+        expect(world.seenStates).not.toContain(ReachState.Unreachable);
+      }),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+
   // Guards against an instance that attempts in a partition, or passes requests on after its end.
   it('is unreachable in a partition and reachable within a bound after it', async () => {
     await fc.assert(
@@ -136,6 +158,9 @@
             case 'tick':
               await world.tick();
               break;
+            case 'respond':
+              world.respond(choice);
+              break;
             case 'paths':
               world.setPaths(path, (index) => ((choice >> index) & 1) === 1);
               break;
--- a/packages/hickoryrelay-relay/src/__tests__/unit/ServiceReach.test.ts
+++ b/packages/hickoryrelay-relay/src/__tests__/unit/ServiceReach.test.ts
@@ -1,7 +1,12 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 
-import { PROBE_PERIOD_MILLISECONDS, ReachState, ServiceReach } from '../../ServiceReach.js';
+import {
+  PROBE_PERIOD_MILLISECONDS,
+  ReachState,
+  RESPONSE_EVIDENCE_MILLISECONDS,
+  ServiceReach,
+} from '../../ServiceReach.js';
 
 const ENDPOINTS = ['a', 'b', 'c', 'd', 'e'];
 const STEP = PROBE_PERIOD_MILLISECONDS;
@@ -87,6 +92,18 @@
     expect(reach.stateAt(0)).toBe(ReachState.Reachable);
   });
 
+  // Guards against engines that are all full, whose open connections would no longer be used.
+  it('stays reachable while connections that are open deliver responses', () => {
+    reach.recordResponse('a', 1);
+    failAt('abcde', RESPONSE_EVIDENCE_MILLISECONDS);
+    expect(reach.stateAt(RESPONSE_EVIDENCE_MILLISECONDS)).toBe(ReachState.Reachable);
+    const end = RESPONSE_EVIDENCE_MILLISECONDS + 1;
+    failAt('a', end);
+    expect(reach.stateAt(end)).toBe(ReachState.Unreachable);
+    reach.recordResponse('b', end);
+    expect(reach.stateAt(end)).toBe(ReachState.Returning);
+  });
+
   // Guards against a partition that one late connection hides.
   it('becomes unreachable again after a straggler', () => {
     failAt('abcdeabcde');
