Keep what callers of an instance get from going back to an older configuration

A request that is passed on is decided by the configuration of its receiver, which may be older or newer than the sender's while a change spreads (up to about a second). After a receiver with the newer one, the next request could be decided by another receiver, or by the sender, with the older one.

The hop states the sender's version, and a receiver that is behind refuses as unable to help. Responses state the receiver's: if it is newer, the sender reads the store at once and asks no receiver that is behind it from then on. A receiver whose connections open again takes requests, rather than the share that a sender would send directly.

--- a/packages/hickoryrelay-forwarding/src/CallRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/CallRelay.ts
@@ -1,6 +1,8 @@
+import { ReachState } from 'hickoryrelay-relay/EndpointReach';
 import { RelayedCall } from 'hickoryrelay-relay/RelayedCall';
 
 import type { CallContext } from './CallContext.js';
+import type { ConfigurationFloor } from 'hickoryrelay-relay/ConfigurationFloor';
 import type { EndpointReach } from 'hickoryrelay-relay/EndpointReach';
 import type { RelayLink } from 'hickoryrelay-relay/RelayLink';
 import type { RelayTargets } from 'hickoryrelay-relay/RelayTargets';
@@ -10,6 +12,7 @@
   readonly reach: EndpointReach;
   readonly targets: RelayTargets;
   readonly link: RelayLink;
+  readonly floor: ConfigurationFloor;
 }
 
 /** Passes the request of one call on to another instance when this one cannot reach its endpoints. */
@@ -32,10 +35,16 @@
     return this.hasUnknownResult;
   }
 
-  /** Decides whether no attempt is made here, as the endpoints cannot be reached. */
+  /**
+   * Decides whether no attempt is made here, as the endpoints cannot be reached. A receiver makes one while connections
+   * are opening again, since the sender would otherwise be refused by most of a fleet that returns.
+   */
   shouldReplaceAttempts(): boolean {
     const { parts, admitted } = this.call;
-    return parts.relay?.reach.shouldRelay(admitted.service) === true;
+    const { reach } = parts.relay ?? {};
+    return this.isReceiver
+      ? reach?.stateOf(admitted.service) === ReachState.Unreachable
+      : reach?.shouldRelay(admitted.service) === true;
   }
 
   /**
@@ -48,7 +57,7 @@
       return 'requests are not passed on';
     }
     admitted.quotaTake?.giveBack();
-    const { targets, link } = parts.relay;
+    const { targets, link, floor } = parts.relay;
     const { identifier, method, target, headers, body, accessKey, lastEvent } = request;
     const relayed = new RelayedCall({
       targets,
@@ -66,6 +75,8 @@
         lastEvent,
         attemptsMade: trace.attempts,
       },
+      floor,
+      configurationVersion: trace.configurationVersion,
       isRepeatable: isRetryable,
       maximumAttempts: admitted.route.maximumAttempts,
       addStep: (step) => trace.addStep(step),
--- a/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedRequest.ts
@@ -11,6 +11,8 @@
 export interface RelayedArrival {
   /** Attempts that it has made, which count towards the limit of the route. */
   readonly attemptsMade: number;
+  /** The oldest configuration version at which the request may be decided; undefined if it states none. */
+  readonly minimumConfiguration?: number | undefined;
 }
 
 /** A decoded request from a caller. */
--- a/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingExchange.ts
@@ -4,6 +4,8 @@
 import { CallTrace } from './CallTrace.js';
 import { EndpointNotices } from './EndpointNotices.js';
 import { ForwardedCall } from './ForwardedCall.js';
+import { RETRY_AFTER_MILLISECONDS } from './ForwardingLimits.js';
+import { addRetryAfterJitter } from './RequestAdmission.js';
 import { ReturnSchedule } from './ReturnSchedule.js';
 import { ShortageAdmission } from './ShortageAdmission.js';
 
@@ -17,6 +19,7 @@
 import type { RemoteUsage } from 'hickoryrelay-admission/RemoteUsage';
 
 const BAD_GATEWAY = 502;
+const SERVICE_UNAVAILABLE = 503;
 
 /** The collaborators of the exchange. */
 export interface ForwardingExchangeParts extends Omit<
@@ -88,6 +91,9 @@
     sink: ResponseSink,
     trace: CallTrace,
   ): Promise<string> {
+    if (this.isBehind(request)) {
+      return this.refuseBehind(sink, trace);
+    }
     const admitted = this.parts.admission.admit(request, trace);
     if (admitted.kind === 'answered') {
       trace.addStep(admitted.own.reason);
@@ -99,6 +105,29 @@
     return new ForwardedCall(parts, request, admitted, sink, trace).run();
   }
 
+  /** True if the instance that has passed the request on knows a newer configuration than this one. */
+  private isBehind({ relayed }: ForwardedRequest): boolean {
+    const { configuration } = this.parts.view;
+    const minimum = relayed?.minimumConfiguration ?? Number.NEGATIVE_INFINITY;
+    return (configuration?.version ?? Number.NEGATIVE_INFINITY) < minimum;
+  }
+
+  private refuseBehind(sink: ResponseSink, trace: CallTrace): string {
+    const reason =
+      'the configuration is older than that of the instance that passed the request on';
+    trace.addStep(reason);
+    sink.answer({
+      status: SERVICE_UNAVAILABLE,
+      reason,
+      retryAfterMilliseconds: addRetryAfterJitter(
+        RETRY_AFTER_MILLISECONDS.NoView,
+        this.parts.random,
+      ),
+      isUnreachable: true,
+    });
+    return `own-${SERVICE_UNAVAILABLE}`;
+  }
+
   private record(request: ForwardedRequest, trace: CallTrace, outcome: string): void {
     const durationMilliseconds =
       this.parts.clock.monotonicMilliseconds() - request.arrivedMilliseconds;
--- a/packages/hickoryrelay-forwarding/src/ResponseSink.ts
+++ b/packages/hickoryrelay-forwarding/src/ResponseSink.ts
@@ -6,7 +6,7 @@
   readonly reason: string;
   /** When the caller may retry. Present only if the request has not run. */
   readonly retryAfterMilliseconds?: number;
-  /** True if another instance has passed the request on and this one cannot reach its endpoints either. */
+  /** True if another instance has passed the request on and this one cannot help. */
   readonly isUnreachable?: boolean;
 }
 
--- a/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
+++ b/packages/hickoryrelay-forwarding/src/SharedViewSource.ts
@@ -117,7 +117,10 @@
     });
   }
 
-  override async read(): Promise<ViewReadResult> {
+  override async read(mustBeFresh = false): Promise<ViewReadResult> {
+    if (mustBeFresh) {
+      return this.readStore(1);
+    }
     const { self, view, relaySelector, clock } = this.parts;
     const relay = relaySelector.storeRelayOf(self.zone, view.peers, clock.monotonicMilliseconds());
     if (relay === undefined) {
--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -12,6 +12,7 @@
 import type { InstanceRateLimitShares } from './InstanceRateLimitShares.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { ViewSource } from './ViewSource.js';
+import type { Clock } from 'hickoryrelay/Clock';
 import type { ComponentLogger } from 'hickoryrelay/Logger';
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { EndpointReach } from 'hickoryrelay-relay/EndpointReach';
@@ -93,6 +94,11 @@
 
   private failedReadings = 0;
 
+  /** True if the next read must not be answered by another instance. */
+  private isRequested = false;
+
+  private wake: () => void = () => {};
+
   /** Time by which the timer of the current read was late. */
   private delayMilliseconds = 0;
 
@@ -106,11 +112,35 @@
       const periodMilliseconds = await this.refresh();
       yield;
       const dueMilliseconds = clock.monotonicMilliseconds() + periodMilliseconds;
-      await clock.sleep(periodMilliseconds, signal);
+      await this.waitForNext(clock, periodMilliseconds, signal);
       this.delayMilliseconds = Math.max(0, clock.monotonicMilliseconds() - dueMilliseconds);
     }
   }
 
+  /** Reads the store at once, since another instance has a newer configuration. */
+  requestRefresh(): void {
+    this.isRequested = true;
+    this.wake();
+  }
+
+  private async waitForNext(
+    clock: Clock,
+    milliseconds: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const early = new AbortController();
+    this.wake = () => early.abort();
+    try {
+      if (!this.isRequested) {
+        await clock.sleep(milliseconds, AbortSignal.any([signal, early.signal]));
+      }
+    } catch (error) {
+      if (!early.signal.aborted || signal.aborted) {
+        throw error;
+      }
+    }
+  }
+
   /** Reads once. Returns the time until the next read, in milliseconds. */
   private async refresh(): Promise<number> {
     const { source, view, registry, link, budgets, shares, origins } = this.parts;
@@ -118,7 +148,10 @@
     const { delayMilliseconds } = this;
     const requestedAtMilliseconds = view.now();
     try {
-      const { snapshot, revision, ageMilliseconds, periodFraction } = await source.read();
+      const mustBeFresh = this.isRequested;
+      this.isRequested = false;
+      const { snapshot, revision, ageMilliseconds, periodFraction } =
+        await source.read(mustBeFresh);
       const previousViewAgeMilliseconds = view.ageMilliseconds;
       const difference = view.apply(
         snapshot,
--- a/packages/hickoryrelay-forwarding/src/ViewSource.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewSource.ts
@@ -17,5 +17,6 @@
 
 /** Reads configuration, endpoints and instances together. Implementations never cache a result. */
 export abstract class ViewSource {
-  abstract read(): Promise<ViewReadResult>;
+  /** @param mustBeFresh True if the store itself has to answer rather than another instance. */
+  abstract read(mustBeFresh?: boolean): Promise<ViewReadResult>;
 }
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/CallRelay.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/CallRelay.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
+import { ConfigurationFloor } from 'hickoryrelay-relay/ConfigurationFloor';
 import { EndpointReach } from 'hickoryrelay-relay/EndpointReach';
 import { RelayLink } from 'hickoryrelay-relay/RelayLink';
 import { RelayTargets } from 'hickoryrelay-relay/RelayTargets';
@@ -57,7 +58,10 @@
   targets.setReceivers([{ instance: 'instance-2', zone: 'zone-b', host: '10.0.0.2', port: 7000 }]);
   const others = new OtherInstances();
   const log = new RecordingLogger();
-  const parts = { relay: { reach, targets, link: others }, ...options.parts };
+  const parts = {
+    relay: { reach, targets, link: others, floor: new ConfigurationFloor(() => {}) },
+    ...options.parts,
+  };
   const harness = makeRouteHarness(route, behaviours, { clock, log, ...options, parts });
   const cutOff = () => endpoints.forEach((endpoint) => reach.recordFailed('desk', endpoint));
   return { ...harness, others, log, cutOff };
@@ -144,6 +148,17 @@
     expect(relay.sink.own).toMatchObject({ status: 503 });
   });
 
+  // Guards against a machine that goes back to an older configuration after another one has decided by a newer one.
+  it('is refused at the second instance if its configuration is older', async () => {
+    const relay = makeRelay({}, [succeeds]);
+    const { version } = relay.view.configuration ?? { version: 0 };
+    await relay.run(
+      makeRequest({ relayed: { attemptsMade: 0, minimumConfiguration: version + 1 } }),
+    );
+    expect(relay.sink.own).toMatchObject({ status: 503, isUnreachable: true });
+    expect(relay.link.sent).toHaveLength(0);
+  });
+
   it('is refused with a retry delay if no instance can send it', async () => {
     const relay = makeRelay({}, []);
     relay.others.answer = async () => ({ isUnreachable: true });
--- a/packages/hickoryrelay-relay/src/RelayLink.ts
+++ b/packages/hickoryrelay-relay/src/RelayLink.ts
@@ -26,6 +26,8 @@
   readonly remainingMilliseconds: number;
   /** Attempts that this instance has made at endpoints. */
   readonly attemptsMade: number;
+  /** The oldest configuration version at which the receiver may decide. */
+  readonly minimumConfiguration?: number | undefined;
 }
 
 /** The response of a receiver, whose body has not been read yet. */
@@ -37,8 +39,10 @@
   readonly length: number | undefined;
   /** False if the response ends with its head, as to a request with the method HEAD. */
   readonly hasBody: boolean;
-  /** True if the receiver has not run the request, since it cannot reach the endpoints either. */
+  /** True if the receiver has not run the request, since it cannot help: it cannot reach the endpoints either. */
   readonly isUnreachable: boolean;
+  /** Version of the receiver's configuration; undefined if it states none. */
+  readonly configurationVersion?: number | undefined;
   /** Ends normally only if the body is complete; throws `endpoint-failed` otherwise. */
   readonly body: AsyncIterable<Buffer>;
   /** Discards the rest of the body. The connection may be closed. */
--- a/packages/hickoryrelay-relay/src/RelayedCall.ts
+++ b/packages/hickoryrelay-relay/src/RelayedCall.ts
@@ -2,6 +2,7 @@
 import { failureOf } from 'hickoryrelay/RelayError';
 import { NOT_RUN_STATUSES } from 'hickoryrelay/StatusUtils';
 
+import type { ConfigurationFloor } from './ConfigurationFloor.js';
 import type {
   HeaderList,
   RelayedRequest,
@@ -50,7 +51,10 @@
   readonly sink: RelayedResponseSink;
   readonly deadline: RelayedCallDeadline;
   readonly service: string;
-  readonly request: Omit<RelayedRequest, 'remainingMilliseconds'>;
+  readonly request: Omit<RelayedRequest, 'remainingMilliseconds' | 'minimumConfiguration'>;
+  readonly floor: ConfigurationFloor;
+  /** Version of the configuration of this instance. */
+  readonly configurationVersion: number | undefined;
   /** True if the request may be sent again although it may have run. */
   readonly isRepeatable: boolean;
   /** Limit on the attempts of all instances together. */
@@ -117,11 +121,12 @@
 
   /** Asks one receiver. Returns the reason if the caller gets no complete response of it. */
   private async ask(receiver: RelayReceiver): Promise<string | undefined> {
-    const { targets, link, sink, deadline, service } = this.parts;
+    const { targets, link, sink, deadline, service, floor, configurationVersion } = this.parts;
     const endHop = targets.begin(receiver);
     try {
       sink.recordPassedOn();
       const response = await link.send(receiver, this.requestNow(), deadline.signal);
+      floor.record(response.configurationVersion, configurationVersion);
       if (response.isUnreachable) {
         response.discard();
         targets.recordUnable(receiver, service);
@@ -143,11 +148,12 @@
   }
 
   private requestNow(): RelayedRequest {
-    const { request, deadline } = this.parts;
+    const { request, deadline, floor, configurationVersion } = this.parts;
     return {
       ...request,
       remainingMilliseconds: deadline.remaining() - HOP_MARGIN_MILLISECONDS,
       attemptsMade: this.attemptsMade,
+      minimumConfiguration: floor.above(configurationVersion),
     };
   }
 
--- a/packages/hickoryrelay-relay/src/__tests__/unit/RelayedCall.test.ts
+++ b/packages/hickoryrelay-relay/src/__tests__/unit/RelayedCall.test.ts
@@ -1,8 +1,9 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { FailureKind } from 'hickoryrelay/Failure';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { RelayError } from 'hickoryrelay/RelayError';
+import { ConfigurationFloor } from 'hickoryrelay-relay/ConfigurationFloor';
 import { HOP_MARGIN_MILLISECONDS, RelayedCall } from 'hickoryrelay-relay/RelayedCall';
 import { RelayLink } from 'hickoryrelay-relay/RelayLink';
 import { RelayTargets } from 'hickoryrelay-relay/RelayTargets';
@@ -123,6 +124,8 @@
     },
     isRepeatable: false,
     maximumAttempts: 3,
+    floor: new ConfigurationFloor(() => {}),
+    configurationVersion: 1,
     addStep: (step) => steps.push(step),
     recordFirstByte: () => {},
     ...changes,
@@ -154,6 +157,17 @@
     expect(link.sent).toHaveLength(1);
   });
 
+  // Guards against a machine that goes back to an older configuration after another one has decided by a newer one.
+  it('names the newest configuration by which a receiver has decided', async () => {
+    const onNewer = vi.fn();
+    const parts = { floor: new ConfigurationFloor(onNewer), configurationVersion: 3 };
+    const first = await run([response([], { configurationVersion: 5 })], parts);
+    const second = await run([response([], { configurationVersion: 4 })], parts);
+    const requests = [first, second].map(({ link }) => link.sent[0]?.request);
+    expect(requests.map((request) => request?.minimumConfiguration)).toEqual([3, 5]);
+    expect(onNewer).toHaveBeenCalledOnce();
+  });
+
   it('is not run twice after a receiver that may have run it', async () => {
     const { reason, call, link, sink } = await run([failure(true), response(['again'])]);
     expect(reason).toBeDefined();
