--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ViewRefreshTask.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ViewRefreshTask.test.ts
@@ -1,7 +1,6 @@
 import { expect, it } from 'vitest';
 import { LifecycleManager } from 'hickoryrelay/LifecycleManager';
 import { silentLogger } from 'hickoryrelay/Logger';
-import { ManualClock } from 'hickoryrelay/ManualClock';
 import { SeededRandomSource } from 'hickoryrelay/RandomSource';
 import { InstanceRateLimitShares } from 'hickoryrelay-forwarding/InstanceRateLimitShares';
 import { retryDelayOf, ViewRefreshTask } from 'hickoryrelay-forwarding/ViewRefreshTask';
