Name the version of a resumed stream from evidence only

Cause: OriginQuestion took the answers for unanimous when every instance asked had answered, also with nobody to ask, and counted those that had just started or stood still. Such an instance has seen only the later version of a release and named it for streams that began at the earlier one.

Change: an origin is named by a record, or by a settled history without a contrary answer. OriginSource.Unanimous is gone, and with it the value "unanimous" of stream_origins_total and of the log. Unanimity only establishes the sole version, at which streams then begin; with an empty list of other instances, whose registrations may have lapsed, the bound is waited for.

Tests: "knows the only version after all instances have restarted" asserted the fault. It is replaced by its opposite, with one version and with one that has left, and by tests of an empty list and of processes that stood still. The model no longer exempts streams of which every instance has started since, and plays entries that vanish from the store, suspended processes and empty lists. The simulated reads take some milliseconds, and a stream begins only at a version that the last read has found.

--- a/packages/hickoryrelay-stream/src/OriginQuestion.ts
+++ b/packages/hickoryrelay-stream/src/OriginQuestion.ts
@@ -1,4 +1,4 @@
-import { OriginAnswerKind } from './OriginAnswer.js';
+import { hasVersion, OriginAnswerKind } from './OriginAnswer.js';
 
 import type { OriginAnswer } from './OriginAnswer.js';
 import type { SoftwareVersion } from './SoftwareVersion.js';
@@ -11,8 +11,6 @@
   OtherRecord: 'other-record',
   /** The settled history of another instance. */
   OtherHistory: 'other-history',
-  /** All other instances were asked and have seen no other version. */
-  Unanimous: 'unanimous',
 } as const;
 
 export type OriginSource = (typeof OriginSource)[keyof typeof OriginSource];
@@ -23,11 +21,11 @@
   readonly source: OriginSource;
 }
 
-/** Returns the version that answers without a record agree on. */
-function agreedOrigin(
-  answers: readonly OriginAnswer[],
-  isComplete: boolean,
-): StreamOrigin | undefined {
+/**
+ * Returns the version that answers without a record agree on. Those of histories that are not settled name none, as
+ * another version may have left before.
+ */
+function agreedOrigin(answers: Iterable<OriginAnswer>): StreamOrigin | undefined {
   const versions = new Set<SoftwareVersion>();
   let isSettled = false;
   for (const answer of answers) {
@@ -44,10 +42,16 @@
     }
   }
   const [version] = versions;
-  if (versions.size !== 1 || !(isSettled || isComplete)) {
-    return undefined;
-  }
-  return { version, source: isSettled ? OriginSource.OtherHistory : OriginSource.Unanimous };
+  return versions.size === 1 && isSettled
+    ? { version, source: OriginSource.OtherHistory }
+    : undefined;
+}
+
+/** Returns whether the answer neither names another version nor says that there are several. */
+function allows(answer: OriginAnswer, version: SoftwareVersion): boolean {
+  return (
+    answer.kind === OriginAnswerKind.Unseen || (hasVersion(answer) && answer.version === version)
+  );
 }
 
 /** A question to other instances about the version that began a stream. */
@@ -87,8 +91,9 @@
   }
 
   /**
-   * Sets the instances that are asked. The question is decided when all of them have answered. Unless they are all
-   * other instances, only a record or a settled one names a version: one that is not asked may have seen another.
+   * Sets the instances that are asked. The question is decided when all of them have answered.
+   *
+   * @param areAllOthers True if these are all other instances that are registered.
    */
   expect(instances: readonly string[], areAllOthers: boolean): void {
     this.asked = instances;
@@ -114,8 +119,20 @@
 
   /** Decides the question with the answers there are. */
   conclude(): void {
-    const isUnanimous = this.isComplete && this.areAllAsked;
-    this.resolve(agreedOrigin([this.own, ...this.answers.values()], isUnanimous));
+    this.resolve(agreedOrigin([this.own, ...this.answers.values()]));
+  }
+
+  /**
+   * True if no other instance can name another version for a stream that begins at this one: one of them is settled, or
+   * all of them have answered, and none has seen another version. Without any other instance in the list, the
+   * registrations of the others may have lapsed.
+   */
+  isUnanimousOn(version: SoftwareVersion): boolean {
+    const answers = [...this.answers.values()];
+    const hasEvidence =
+      answers.some(({ kind }) => kind === OriginAnswerKind.SettledSole) ||
+      (this.areAllAsked && this.isComplete && answers.length > 0);
+    return hasEvidence && answers.every((answer) => allows(answer, version));
   }
 
   private get isComplete(): boolean {
--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -161,7 +161,7 @@
       case OriginAnswerKind.Conflicting:
         return undefined;
       default:
-        return this.waitFor(this.ask(key, service, own), signal);
+        return this.waitFor(this.ask(key, service, own).outcome, signal);
     }
   }
 
@@ -266,10 +266,10 @@
   }
 
   /** Asks other instances. Attempts that name the same stream at the same time share a question. */
-  private ask(key: number, service: string, own: OriginAnswer): Promise<StreamOrigin | undefined> {
+  private ask(key: number, service: string, own: OriginAnswer): OriginQuestion {
     const known = this.questions.get(key);
     if (known !== undefined) {
-      return known.outcome;
+      return known;
     }
     const question = new OriginQuestion(key, service, own);
     this.questions.set(key, question);
@@ -278,20 +278,22 @@
       this.queueQuestion(question),
     );
     const cancelTimeout = this.clock.schedule(ASK_TIMEOUT_MILLISECONDS, () => question.conclude());
-    return question.outcome.finally(() => {
+    void question.outcome.then(() => {
       cancelAskingAgain();
       cancelTimeout();
       this.questions.delete(key);
       this.unsentQuestions.delete(question);
     });
+    return question;
   }
 
   /** Without this, engines would wait for the observation bound after each start of an instance. */
   private async confirmSoleVersion(service: string, version: SoftwareVersion): Promise<void> {
     const key = streamKey(service, NO_IDENTIFIER);
-    const agreed = await this.ask(key, service, { kind: OriginAnswerKind.Sole, version });
+    const question = this.ask(key, service, { kind: OriginAnswerKind.Sole, version });
+    await question.outcome;
     const sole = this.history.soleVersion(service, this.now());
-    if (agreed !== undefined && agreed.version === version && sole?.version === version) {
+    if (question.isUnanimousOn(version) && sole?.version === version) {
       this.history.establish(service, version);
     }
   }
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
@@ -19,6 +19,7 @@
 export const SERVICE = 'chat';
 export const BOUND_MILLISECONDS = 2000;
 const READ_PERIOD_MILLISECONDS = 800;
+const LONGEST_READ_MILLISECONDS = 10;
 const ZONES = 3;
 
 /** Share of datagrams that are lost, and the longest time that one takes. */
@@ -43,6 +44,9 @@
   }
 
   override get peers(): readonly OriginPeer[] {
+    if (this.instance.isAlone) {
+      return [];
+    }
     return this.world.instances.map(({ address }) => address).filter((peer) => peer !== this.self);
   }
 
@@ -74,15 +78,17 @@
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
     for (;;) {
-      if (!this.instance.isCutOff && !this.world.isStoreDown) {
+      const phase = this.instance.address.port % 97;
+      if (!this.instance.isCutOff && !this.instance.isSuspended && !this.world.isStoreDown) {
+        const requestedMilliseconds = clock.monotonicMilliseconds();
         const versions = new Set(this.world.versions);
-        this.instance.origins?.observe(
-          versions.size === 0 ? new Map() : new Map([[SERVICE, versions]]),
-          0,
-        );
+        await clock.sleep(phase % LONGEST_READ_MILLISECONDS, signal);
+        while (this.instance.isSuspended) {
+          await clock.sleep(LONGEST_READ_MILLISECONDS, signal);
+        }
+        this.instance.observe(versions, clock.monotonicMilliseconds() - requestedMilliseconds);
       }
       yield;
-      const phase = this.instance.address.port % 97;
       await clock.sleep(READ_PERIOD_MILLISECONDS + phase, signal);
     }
   }
@@ -95,8 +101,17 @@
   /** True while neither the store nor other instances can be reached. */
   isCutOff = false;
 
+  /** True while the registrations of all other instances have lapsed. */
+  isAlone = false;
+
   listener: ((message: StreamOriginMessage) => void) | undefined;
 
+  /** What the instance handles once its process runs again. Undefined while it runs. */
+  private postponed: (() => void)[] | undefined;
+
+  /** The versions that the last read has found. */
+  private viewedVersions: ReadonlySet<SoftwareVersion> = new Set();
+
   history = new VersionHistory(BOUND_MILLISECONDS);
 
   /** Undefined while the instance is not running. */
@@ -119,6 +134,7 @@
   start(): void {
     const { clock, failures } = this.world;
     this.history = new VersionHistory(BOUND_MILLISECONDS);
+    this.viewedVersions = new Set();
     this.origins = new StreamOrigins(this.history, clock);
     this.lifecycle = new LifecycleManager('instance', clock, (owner, failure) =>
       failures.push(`${owner}: ${failure.kind}`),
@@ -128,9 +144,43 @@
     this.lifecycle.start(new ReadTask(this.world, this));
   }
 
+  get isSuspended(): boolean {
+    return this.postponed !== undefined;
+  }
+
+  /** Stops the process until `resume`. */
+  suspend(): void {
+    this.postponed ??= [];
+  }
+
+  /** Handles first what has arrived meanwhile. */
+  resume(): void {
+    const postponed = this.postponed ?? [];
+    this.postponed = undefined;
+    postponed.forEach((handle) => handle());
+  }
+
+  /** Calls a function once the process runs. */
+  run(handle: () => void): void {
+    if (this.postponed === undefined) {
+      handle();
+    } else {
+      this.postponed.push(handle);
+    }
+  }
+
+  observe(versions: ReadonlySet<SoftwareVersion>, ageMilliseconds: number): void {
+    this.viewedVersions = versions;
+    this.origins?.observe(
+      versions.size === 0 ? new Map() : new Map([[SERVICE, versions]]),
+      ageMilliseconds,
+    );
+  }
+
   async kill(): Promise<void> {
     this.origins = undefined;
     this.listener = undefined;
+    this.postponed = undefined;
     await this.lifecycle?.stop();
   }
 
@@ -139,6 +189,7 @@
     const now = this.world.clock.monotonicMilliseconds();
     return this.history
       .versionsOf(SERVICE)
+      .filter((version) => this.viewedVersions.has(version))
       .filter((version) => this.history.isEstablished(SERVICE, version, now));
   }
 }
@@ -201,6 +252,10 @@
     this.datagrams += 1;
     this.observeDatagram(elements);
     const to = this.instance(port - 1);
+    if (from.isSuspended) {
+      from.run(() => this.transmit(from, port, message));
+      return;
+    }
     if (from.isCutOff || to.isCutOff || this.random.fraction() < this.faults.loss) {
       return;
     }
@@ -208,7 +263,7 @@
     this.clock.schedule(this.random.fraction() * this.faults.delayMilliseconds, () => {
       const decoded = decodeStreamOrigin(fields);
       if (decoded !== undefined && !to.isCutOff) {
-        to.listener?.(decoded);
+        to.run(() => to.listener?.(decoded));
       }
     });
   }
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, test } from 'vitest';
 
-import { StreamOriginWorld } from './StreamOriginWorld.js';
+import { BOUND_MILLISECONDS, StreamOriginWorld } from './StreamOriginWorld.js';
 
 const SETTLED_MILLISECONDS = 21_000;
 const SPREAD_MILLISECONDS = 250;
@@ -98,13 +98,75 @@
     }
   });
 
-  test('knows the only version after all instances have restarted', async () => {
-    await makeWorld(5, []);
+  // Guards against the only version in sight being named by instances that have seen no other one yet.
+  test.each([
+    ['with one version', []],
+    ['with one that has left', ['2']],
+  ])('names nothing after all instances have restarted, %s', async (_name, versions) => {
+    await makeWorld(5, versions);
     world.begin(0, 'a', '1');
     await Promise.all(world.instances.map((instance) => instance.kill()));
+    if (versions.length > 0) {
+      world.versions.delete('1');
+    }
     world.instances.forEach((instance) => instance.start());
+    for (const index of [0, 3, 4]) {
+      await world.clock.advance(SPREAD_MILLISECONDS);
+      expect(await world.find(index, 'a')).toBeUndefined();
+    }
+  });
+
+  test('names nothing while the list of other instances is empty and the history is short', async () => {
+    await makeWorld(3);
+    world.begin(0, 'a', '1');
+    world.versions.delete('1');
     await world.clock.advance(SPREAD_MILLISECONDS);
-    expect(await world.find(3, 'a')).toEqual({ version: '1' });
+    await world.instance(1).kill();
+    world.instance(1).isAlone = true;
+    world.instance(1).start();
+    await world.clock.advance(3000);
+    expect(await world.find(1, 'a')).toBeUndefined();
+  });
+
+  test('names nothing from a view of before the process stood still', async () => {
+    await makeWorld(3, []);
+    world.instances.forEach((instance) => instance.suspend());
+    await world.clock.advance(5000);
+    world.versions.add('2');
+    world.instances.forEach((instance) => instance.resume());
+    expect(await world.find(1, 'a')).toBeUndefined();
+  });
+
+  test.each([3, 20])('lets streams begin at once after one of %i has restarted', async (count) => {
+    await makeWorld(count, []);
+    await world.instance(0).kill();
+    world.instance(0).start();
+    await world.clock.advance(50);
+    expect(world.instance(0).usableVersions).toEqual(['1']);
+  });
+
+  test('lets streams begin at once after all instances have restarted', async () => {
+    await makeWorld(3, []);
+    await Promise.all(world.instances.map((instance) => instance.kill()));
+    world.instances.forEach((instance) => instance.start());
+    await world.clock.advance(50);
+    expect(world.instances.map(({ usableVersions }) => usableVersions)).toEqual([
+      ['1'],
+      ['1'],
+      ['1'],
+    ]);
+  });
+
+  // An instance that is not in the list may answer from a history of the version that has left.
+  test('lets no stream begin for the bound while the list of other instances is empty', async () => {
+    await makeWorld(2, []);
+    await world.instance(0).kill();
+    world.instance(0).isAlone = true;
+    world.instance(0).start();
+    await world.clock.advance(BOUND_MILLISECONDS);
+    expect(world.instance(0).usableVersions).toEqual([]);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    expect(world.instance(0).usableVersions).toEqual(['1']);
   });
 
   test('remembers a version that has left', async () => {
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginsModel.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginsModel.test.ts
@@ -3,7 +3,7 @@
 
 import { BOUND_MILLISECONDS, SERVICE, StreamOriginWorld } from './StreamOriginWorld.js';
 
-import type { NetworkFaults, WorldInstance } from './StreamOriginWorld.js';
+import type { NetworkFaults } from './StreamOriginWorld.js';
 import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
 
 /** `FUZZ_SEED` plays other sequences. */
@@ -18,11 +18,8 @@
 /** Time within which every instance has seen a new version and has sent its records. */
 const NOTICE_MILLISECONDS = 1500;
 
-/** With more instances, a few are asked. */
-const MAXIMUM_DIRECT = 17;
-
-/** The instance that asks and three others. */
-const ASKED = 4;
+/** Histories are settled after 20 s. */
+const MAXIMUM_START_MILLISECONDS = 40_000;
 
 /** A record is at three instances or more. */
 const MAXIMUM_KILLS = 2;
@@ -30,7 +27,10 @@
 const VERSIONS = ['1', '2', '3', undefined] as const;
 
 type Action = readonly [
-  'begin' | 'find' | 'wait' | 'kill' | 'restart' | 'cut' | 'rejoin' | 'arrive' | 'leave',
+  (
+    | ('begin' | 'find' | 'wait' | 'step' | 'arrive' | 'leave' | 'vanish')
+    | ('kill' | 'restart' | 'cut' | 'rejoin' | 'suspend' | 'resume' | 'unlist' | 'list')
+  ),
   number,
 ];
 
@@ -53,8 +53,8 @@
 
   private readonly arrived = new Map<SoftwareVersion, number>();
 
-  /** Times since which instances have watched the service without a break, unless from the start. */
-  private readonly memoryBegan = new Map<WorldInstance, number>();
+  /** The versions of running engines, which may be missing in the store. */
+  private readonly serving = new Set<SoftwareVersion>(['1']);
 
   private kills = 0;
 
@@ -80,17 +80,20 @@
       case 'wait':
         await world.clock.advance(choice * 10);
         break;
+      case 'step':
+        await world.clock.advance(choice);
+        break;
       case 'kill':
         await this.kill(choice);
         break;
       case 'restart':
         if (instance.origins === undefined) {
           instance.start();
-          this.memoryBegan.set(instance, this.now);
         }
         break;
       case 'arrive':
-        if (!world.versions.has(version)) {
+        if (!this.serving.has(version)) {
+          this.serving.add(version);
           world.versions.add(version);
           this.arrived.set(version, this.now);
         }
@@ -98,13 +101,24 @@
       case 'leave':
         if (this.now - (this.arrived.get(version) ?? 0) > BOUND_MILLISECONDS) {
           world.versions.delete(version);
+          this.serving.delete(version);
           this.leave(version);
         }
         break;
+      case 'vanish':
+        this.vanish(version, choice * 10);
+        break;
+      case 'suspend':
+        instance.suspend();
+        break;
+      case 'resume':
+        instance.resume();
+        break;
+      case 'unlist':
+      case 'list':
+        instance.isAlone = name === 'unlist';
+        break;
       default:
-        if (instance.isCutOff) {
-          this.memoryBegan.set(instance, this.now);
-        }
         instance.isCutOff = name === 'cut' && !this.mustFind;
     }
   }
@@ -115,8 +129,8 @@
 
   private begin(choice: number): void {
     const instance = this.world.instance(choice);
-    const usable = instance.usableVersions.filter((version) => this.world.versions.has(version));
-    if (instance.origins === undefined || usable.length === 0) {
+    const usable = instance.usableVersions.filter((version) => this.serving.has(version));
+    if (instance.origins === undefined || instance.isSuspended || usable.length === 0) {
       return;
     }
     const version = usable[choice % usable.length];
@@ -130,6 +144,17 @@
     });
   }
 
+  /** The entries of the engines of a version are missing in the store for a while. */
+  private vanish(version: SoftwareVersion, milliseconds: number): void {
+    const { clock, versions } = this.world;
+    versions.delete(version);
+    clock.schedule(milliseconds, () => {
+      if (this.serving.has(version)) {
+        versions.add(version);
+      }
+    });
+  }
+
   private leave(version: SoftwareVersion): void {
     for (const stream of this.streams) {
       if (stream.version === version) {
@@ -161,24 +186,14 @@
     await clock.advance(1);
   }
 
-  /** True if every instance that could be asked may have started after the version had left. */
-  private isForgotten({ leftMilliseconds }: BegunStream): boolean {
-    const { instances } = this.world;
-    const forgetful = instances.filter((instance) => {
-      const began = this.memoryBegan.get(instance) ?? Number.NEGATIVE_INFINITY;
-      const isAfter = began > leftMilliseconds - BOUND_MILLISECONDS;
-      return isAfter || instance.origins === undefined;
-    });
-    return forgetful.length >= (instances.length > MAXIMUM_DIRECT ? ASKED : instances.length);
-  }
-
   private async find(choice: number): Promise<void> {
     const index = choice % Math.max(1, this.streams.length);
     const stream = this.streams[index];
-    if (stream === undefined || this.world.instance(choice).origins === undefined) {
+    const { origins, isSuspended } = this.world.instance(choice);
+    if (stream === undefined || origins === undefined || isSuspended) {
       return;
     }
-    if (this.now - stream.leftMilliseconds > RETURN_MILLISECONDS || this.isForgotten(stream)) {
+    if (this.now - stream.leftMilliseconds > RETURN_MILLISECONDS) {
       return;
     }
     const isSpread = this.now - stream.begunMilliseconds > SPREAD_MILLISECONDS;
@@ -194,8 +209,9 @@
   return fc.array(action, { minLength: count / 2, maxLength: count, size: 'max' });
 }
 
-async function check(play: Play, list: readonly Action[]): Promise<void> {
+async function check(play: Play, list: readonly Action[], startMilliseconds = 0): Promise<void> {
   try {
+    await play.world.clock.advance(startMilliseconds);
     for (const action of list) {
       await play.play(action);
     }
@@ -207,6 +223,12 @@
 
 const releases = ['begin', 'begin', 'find', 'find', 'wait', 'wait', 'arrive', 'leave'] as const;
 
+const instanceFaults = [
+  ...(['wait', 'step', 'step', 'step', 'begin', 'find', 'arrive', 'leave'] as const),
+  ...(['kill', 'restart', 'restart', 'cut', 'rejoin', 'rejoin'] as const),
+  ...(['vanish', 'suspend', 'resume', 'resume', 'unlist', 'list', 'list'] as const),
+];
+
 describe('StreamOrigins under faults', () => {
   test.each([
     [3, 8, 60],
@@ -220,8 +242,10 @@
           delayMilliseconds: fc.nat({ max: 150 }),
         }),
         fc.nat(),
-        actions([...releases, 'kill', 'restart', 'cut', 'rejoin', 'rejoin'], 150),
-        (count, faults, seed, list) => check(new Play(count, faults, seed, false), list),
+        fc.nat({ max: MAXIMUM_START_MILLISECONDS }),
+        actions([...releases, ...instanceFaults], 150),
+        (count, faults, seed, start, list) =>
+          check(new Play(count, faults, seed, false), list, start),
       ),
       { numRuns, seed: SEED },
     );
