Establish versions by reads of the whole bound, and settle on those only

Cause: a version counted as established once the bound had passed since its first sighting, also if its engines vanished from the store in between or no further read succeeded. An instance that had not read in that moment could be settled on the earlier version and name it for a stream that began at the new one. An instance that had seen no engine of a service for 20 s was settled on the first version it saw, before others could have seen it.

Change: a version is established once it was present in all reads of more than the bound, and stays so until 10 s after such a read. What other instances have agreed on holds while the version is present. A history is settled only on an established version. The bound is measured from read to read, so that a new version is established with the first read after it.

--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -84,7 +84,7 @@
     this.queueOwnRecords(now);
     for (const service of versions.keys()) {
       const sole = this.history.soleVersion(service, now);
-      if (sole !== undefined && !this.history.isEstablished(service, sole.version, now)) {
+      if (sole !== undefined && !this.history.isEstablished(service, sole.version)) {
         void this.confirmSoleVersion(service, sole.version);
       }
     }
@@ -117,10 +117,9 @@
    */
   establishedVersions(service: string): ReadonlySet<SoftwareVersion> | undefined {
     const versions = this.history.versionsOf(service);
-    const now = this.now();
     return versions.length === 0
       ? undefined
-      : new Set(versions.filter((version) => this.history.isEstablished(service, version, now)));
+      : new Set(versions.filter((version) => this.history.isEstablished(service, version)));
   }
 
   /**
--- a/packages/hickoryrelay-stream/src/VersionHistory.ts
+++ b/packages/hickoryrelay-stream/src/VersionHistory.ts
@@ -9,22 +9,26 @@
 /** The only version of a service that an instance has seen. */
 export interface SoleVersion {
   readonly version: SoftwareVersion;
-  /** True if no stream of the last `HISTORY_MILLISECONDS` can have begun at another version. */
+  /** True if no stream of the last `HISTORY_MILLISECONDS` can have begun at another version. Every current view has it. */
   readonly isSettled: boolean;
 }
 
 interface SeenVersion {
-  /** Negative infinity if the version is known to be established. */
-  firstSeenMilliseconds: number;
-  lastSeenMilliseconds: number;
+  /** Since then every read has had the version, without a longer gap than the bound. */
+  readonly presentSinceMilliseconds: number;
+  readonly lastSeenMilliseconds: number;
+  /** The latest read before which the version was present for the bound. */
+  readonly establishedMilliseconds: number;
+  /** True if other instances have agreed since then that the version is the only one. */
+  readonly isAgreed: boolean;
 }
 
 /**
  * The software versions of each service that this instance has seen in its view. The history ends
  * with the last observation, so it does not shrink while the store is out.
  *
- * An instance serves a new version only once the version is established, that is, seen for the
- * observation bound. Any other instance whose view is no older than the bound has then seen it too.
+ * An instance serves a new version only once the version is established, that is, present in all
+ * reads of the observation bound. Any other instance whose view is no older than the bound has then seen it too.
  * All times are in milliseconds on one clock that keeps running while the process is suspended.
  */
 export class VersionHistory {
@@ -65,12 +69,20 @@
     if (requestedMilliseconds < this.observedMilliseconds) {
       return;
     }
-    if (requestedMilliseconds - this.observedMilliseconds > this.boundMilliseconds) {
+    const previousMilliseconds = this.observedMilliseconds;
+    const isContinuous = requestedMilliseconds - previousMilliseconds <= this.boundMilliseconds;
+    if (!isContinuous) {
       this.continuousSinceMilliseconds = requestedMilliseconds;
     }
     this.observedMilliseconds = requestedMilliseconds;
     for (const [service, present] of versions) {
-      present.forEach((version) => this.recordVersion(service, version, nowMilliseconds));
+      const seen = this.services.get(service) ?? new Map<SoftwareVersion, SeenVersion>();
+      this.services.set(service, seen);
+      present.forEach((version) => {
+        const known = seen.get(version);
+        const wasPresent = isContinuous && known?.lastSeenMilliseconds === previousMilliseconds;
+        seen.set(version, this.sighting(known, wasPresent, nowMilliseconds));
+      });
     }
     this.expire();
   }
@@ -92,39 +104,57 @@
     const [version] = versions;
     const isCurrent = nowMilliseconds - this.observedMilliseconds <= this.boundMilliseconds;
     const isLongEnough = nowMilliseconds - this.continuousSinceMilliseconds >= HISTORY_MILLISECONDS;
-    return { version, isSettled: isCurrent && isLongEnough };
+    const seen = this.services.get(service)?.get(version);
+    const isSettled = isCurrent && isLongEnough && this.wasPresentForBound(seen);
+    return { version, isSettled };
   }
 
   /**
    * True if streams may begin at the version: every instance whose view is current has seen it. A
    * version that was absent for long has to be established again.
    */
-  isEstablished(service: string, version: SoftwareVersion, nowMilliseconds: number): boolean {
+  isEstablished(service: string, version: SoftwareVersion): boolean {
     const seen = this.services.get(service)?.get(version);
-    return (
-      seen !== undefined && nowMilliseconds - seen.firstSeenMilliseconds > this.boundMilliseconds
-    );
+    return this.wasPresentForBound(seen) || (this.isPresent(seen) && seen.isAgreed);
   }
 
-  /** Marks a version as established, since other instances have seen no other version. */
+  /** Establishes a version while it is present, since other instances have seen no other version. */
   establish(service: string, version: SoftwareVersion): void {
     const seen = this.services.get(service)?.get(version);
-    if (seen !== undefined) {
-      seen.firstSeenMilliseconds = Number.NEGATIVE_INFINITY;
+    if (this.isPresent(seen)) {
+      this.services.get(service)?.set(version, { ...seen, isAgreed: true });
     }
   }
 
-  private recordVersion(service: string, version: SoftwareVersion, nowMilliseconds: number): void {
-    const seen = this.services.get(service) ?? new Map<SoftwareVersion, SeenVersion>();
-    this.services.set(service, seen);
-    const known = seen.get(version);
+  private isPresent(seen: SeenVersion | undefined): seen is SeenVersion {
+    return seen?.lastSeenMilliseconds === this.observedMilliseconds;
+  }
+
+  private wasPresentForBound(seen: SeenVersion | undefined): boolean {
+    return (
+      seen !== undefined &&
+      this.observedMilliseconds - seen.establishedMilliseconds <= MAXIMUM_ABSENCE_MILLISECONDS
+    );
+  }
+
+  /** A version that is in the latest read. Its presence starts anew unless it was in the one before. */
+  private sighting(
+    known: SeenVersion | undefined,
+    wasPresent: boolean,
+    nowMilliseconds: number,
+  ): SeenVersion {
     const now = this.observedMilliseconds;
-    const isNew =
-      known === undefined || now - known.lastSeenMilliseconds > MAXIMUM_ABSENCE_MILLISECONDS;
-    seen.set(version, {
-      firstSeenMilliseconds: isNew ? nowMilliseconds : known.firstSeenMilliseconds,
+    const presentSinceMilliseconds =
+      known !== undefined && wasPresent ? known.presentSinceMilliseconds : nowMilliseconds;
+    const isEstablished = now - presentSinceMilliseconds > this.boundMilliseconds;
+    return {
+      presentSinceMilliseconds,
       lastSeenMilliseconds: now,
-    });
+      establishedMilliseconds: isEstablished
+        ? now
+        : (known?.establishedMilliseconds ?? Number.NEGATIVE_INFINITY),
+      isAgreed: wasPresent && known?.isAgreed === true,
+    };
   }
 
   /** Keeps versions for the bound longer than they count, since other instances may still count them. */
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
@@ -186,11 +186,10 @@
 
   /** The versions at which the call path may begin streams. */
   get usableVersions(): readonly SoftwareVersion[] {
-    const now = this.world.clock.monotonicMilliseconds();
     return this.history
       .versionsOf(SERVICE)
       .filter((version) => this.viewedVersions.has(version))
-      .filter((version) => this.history.isEstablished(SERVICE, version, now));
+      .filter((version) => this.history.isEstablished(SERVICE, version));
   }
 }
 
