Resume a stream at the service that began it

Cause: a route may be split over several services, and a configuration may move it. RequestAdmission draws the service of each attempt, and the origin was asked for at that service. No record has such a key, so that the other service's only version was named, and the stream went on at a service that had not begun it.

Change: StreamOrigins names the service as well. It follows from the path if RouteHistory has seen one service for the path for 20 s, with the configurations of that time applied to it; otherwise only a record names it, asked for at each service of the route. Streams of such paths are recorded and sent also while each service is settled, and repeated while they are open. When some path gets other services, the records of all streams follow. The service of the origin replaces the drawn one before the request counts in a retry budget; the quota is taken once, as before. A service without a share, also at weight 0, is refused. ObservationPeriod holds what VersionHistory and RouteHistory have in common.

Tests: begin and find of the existing tests take the path and its services.

--- a/packages/hickoryrelay-forwarding/src/CallContext.ts
+++ b/packages/hickoryrelay-forwarding/src/CallContext.ts
@@ -1,6 +1,6 @@
 import { hashString } from 'hickoryrelay/RendezvousUtils';
 
-import { RetrySemantics } from './ForwardingConfiguration.js';
+import { RetrySemantics, servicesOf } from './ForwardingConfiguration.js';
 
 import type { CallDeadline } from './CallDeadline.js';
 import type { CallTrace } from './CallTrace.js';
@@ -28,6 +28,7 @@
 import type { RandomSource } from 'hickoryrelay/RandomSource';
 import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
 import type { StreamOrigin, StreamOrigins } from 'hickoryrelay-stream/StreamOrigins';
+import type { StreamTarget } from 'hickoryrelay-stream/StreamTarget';
 
 /** The collaborators of a call. */
 export interface ForwardedCallParts {
@@ -87,7 +88,7 @@
 
   readonly request: ForwardedRequest;
 
-  readonly admitted: AdmittedRequest;
+  private currentAdmitted: AdmittedRequest;
 
   readonly sink: ResponseSink;
 
@@ -103,7 +104,7 @@
   private openAttemptCount = 0;
 
   /** Hashes of the segments and the service, since other engines may be unaffected by a segment. */
-  private readonly segmentHashes: readonly number[];
+  private segmentHashes: readonly number[];
 
   private lastDeliveredEvent: string | undefined;
 
@@ -129,14 +130,24 @@
   ) {
     this.parts = parts;
     this.request = request;
-    this.admitted = admitted;
+    this.currentAdmitted = admitted;
     this.sink = sink;
     this.trace = trace;
     this.deadline = deadline;
     this.lastDeliveredEvent = request.lastEvent;
-    this.segmentHashes = request.promptSegments.map(({ identifier }) =>
-      hashString(`${admitted.service}|${identifier}`),
-    );
+    this.segmentHashes = this.hashSegments();
+  }
+
+  /** The service is the one that began the stream, once that is known. */
+  get admitted(): AdmittedRequest {
+    return this.currentAdmitted;
+  }
+
+  /** The services at which streams of the same path begin. */
+  private get streamTarget(): StreamTarget {
+    const { host, target } = this.request;
+    const [path = ''] = target.split('?', 1);
+    return { host, path, services: servicesOf(this.admitted.route) };
   }
 
   get isGeneration(): boolean {
@@ -203,14 +214,16 @@
   }
 
   /**
-   * Finds the software version that began the stream that the caller resumes. Returns false if that is not
-   * known. Rejects with `cancelled` if the call ends meanwhile.
+   * Finds the service and the software version that began the stream that the caller resumes, and sends the request
+   * there. Returns false if they are not known. Rejects with `cancelled` if the call ends meanwhile.
    */
   async findOrigin(): Promise<boolean> {
-    const { parts, admitted, request, deadline } = this;
-    const { resumedRequest } = request;
-    const origin = await parts.origins.find(admitted.service, resumedRequest, deadline.signal);
+    const { parts, request, deadline, streamTarget } = this;
+    const origin = await parts.origins.find(streamTarget, request.resumedRequest, deadline.signal);
     this.streamOrigin = origin;
+    if (origin !== undefined) {
+      this.goOnAt(origin.service);
+    }
     const viewAge = Math.round(parts.view.ageMilliseconds);
     this.trace.origin =
       origin === undefined
@@ -219,6 +232,19 @@
     return origin !== undefined;
   }
 
+  /** Sends the request to the service that began its stream, in place of the one drawn for it. */
+  private goOnAt(service: string): void {
+    this.currentAdmitted = { ...this.currentAdmitted, service };
+    this.segmentHashes = this.hashSegments();
+    Object.assign(this.trace, { service });
+  }
+
+  private hashSegments(): readonly number[] {
+    return this.request.promptSegments.map(({ identifier }) =>
+      hashString(`${this.admitted.service}|${identifier}`),
+    );
+  }
+
   /**
    * Records that events of an attempt are about to be written to the caller. Returns false if another software
    * version began the stream.
@@ -257,7 +283,8 @@
     const { identifier } = this.request;
     if (identifier !== undefined) {
       const { service } = this.admitted;
-      this.endStreamRecords.push(this.parts.origins.begin(service, identifier, version));
+      const { origins } = this.parts;
+      this.endStreamRecords.push(origins.begin(this.streamTarget, service, identifier, version));
     }
   }
 
--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -72,14 +72,17 @@
       this.call.trace.addStep(EndReason.Stopping);
       return this.refuse(EndReason.Stopping, RETRY_AFTER_MILLISECONDS.Stopping);
     }
-    parts.budgets.addRequest(admitted.service);
     const stopDeadline = deadline.watch(sink, parts.shutdown);
     try {
-      if (sink.gone.aborted) {
+      const isGone = sink.gone.aborted;
+      const refusal =
+        this.call.resumesStream && !isGone ? await this.refuseUnknownOrigin() : undefined;
+      // The service of a resumption is known only now.
+      parts.budgets.addRequest(this.call.admitted.service);
+      if (isGone) {
         admitted.quotaTake?.giveBack();
         return sink.goneOutcome;
       }
-      const refusal = this.call.resumesStream ? await this.refuseUnknownOrigin() : undefined;
       return refusal ?? (await this.attemptUntilDone());
     } finally {
       this.call.endStream();
--- a/packages/hickoryrelay-forwarding/src/ForwardingConfiguration.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardingConfiguration.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto';
 
 import type { QuotaLimit } from 'hickoryrelay-quota/QuotaLimit';
+import type { RouteTable } from 'hickoryrelay-stream/RouteHistory';
 
 /** Whether a request may be sent to an endpoint again after it may have run. */
 export const RetrySemantics = {
@@ -106,8 +107,16 @@
   readonly grants?: ReadonlyMap<string, AccountGrant>;
 }
 
+/** The services of a route that have a share of its requests. Without any, the last one takes all. */
+export function servicesOf({ services }: ForwardingRoute): readonly string[] {
+  const shared = services.filter(({ weight }) => weight > 0);
+  return [
+    ...new Set((shared.length > 0 ? shared : services.slice(-1)).map(({ service }) => service)),
+  ];
+}
+
 /** An immutable configuration with look-ups by route and by access key. */
-export class ForwardingConfiguration {
+export class ForwardingConfiguration implements RouteTable {
   readonly version: number;
 
   readonly limits: CallerLimits;
@@ -121,6 +130,8 @@
 
   private readonly routesByHost = new Map<string, ForwardingRoute[]>();
 
+  readonly servicesFingerprint: string;
+
   private readonly grants: ReadonlyMap<string, AccountGrant> | undefined;
 
   constructor(declarations: ForwardingDeclarations) {
@@ -145,6 +156,11 @@
     for (const routes of this.routesByHost.values()) {
       routes.sort((left, right) => right.prefix.length - left.prefix.length);
     }
+    this.servicesFingerprint = JSON.stringify(
+      declarations.routes
+        .map((route) => [route.host, route.prefix, ...servicesOf(route).toSorted()].join('\n'))
+        .toSorted(),
+    );
   }
 
   /** Finds the route with the longest matching prefix. The path has no query. */
@@ -152,6 +168,11 @@
     return this.routesByHost.get(host)?.find((route) => path.startsWith(route.prefix));
   }
 
+  servicesFor(host: string, path: string): readonly string[] {
+    const route = this.findRoute(host, path);
+    return route === undefined ? [] : servicesOf(route);
+  }
+
   /** True if requests need an access key, except on routes that allow anonymous requests. */
   get requiresKeys(): boolean {
     return this.grants !== undefined;
--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -110,6 +110,9 @@
       statistics.recordRead({ milliseconds: readMilliseconds, delayMilliseconds });
       const restarted = registry.replace(view.endpoints);
       origins.observe(softwareVersionsOf(view.endpoints), view.ageMilliseconds);
+      if (view.configuration !== undefined) {
+        origins.observeRoutes(view.configuration, view.configurationAgeMilliseconds);
+      }
       link.retain(view.endpoints);
       budgets.setInstanceCount(view.peers.length);
       shares.setInstances(
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/ForwardingFixture.ts
@@ -29,8 +29,9 @@
 import { ServicePlacement } from 'hickoryrelay-forwarding/ServicePlacement';
 import { ShutdownSchedule } from 'hickoryrelay-forwarding/ShutdownSchedule';
 import { UsageTally } from 'hickoryrelay-forwarding/UsageTally';
+import { HISTORY_MILLISECONDS } from 'hickoryrelay-stream/ObservationPeriod';
 import { StreamOrigins } from 'hickoryrelay-stream/StreamOrigins';
-import { HISTORY_MILLISECONDS, VersionHistory } from 'hickoryrelay-stream/VersionHistory';
+import { VersionHistory } from 'hickoryrelay-stream/VersionHistory';
 
 import type { ComponentLogger, LogFields } from 'hickoryrelay/Logger';
 import type {
@@ -321,9 +322,10 @@
   readonly parts?: Partial<ForwardingExchangeParts>;
 }
 
-/** The origins of an instance that has seen the endpoints for as long as streams are remembered. */
+/** The origins of an instance that has seen configuration and endpoints for as long as streams are remembered. */
 export function makeOrigins(
   clock: ManualClock,
+  configuration: ForwardingConfiguration,
   endpoints: readonly EndpointRecord[],
 ): StreamOrigins {
   const history = new VersionHistory(HISTORY_MILLISECONDS);
@@ -334,7 +336,11 @@
   for (let age = 2 * HISTORY_MILLISECONDS; age >= 0; age -= HISTORY_MILLISECONDS / 4) {
     history.observe(versions, clock.monotonicMilliseconds() - age);
   }
-  return new StreamOrigins(history, clock);
+  const origins = new StreamOrigins(history, clock);
+  for (let age = 2 * HISTORY_MILLISECONDS; age >= 0; age -= HISTORY_MILLISECONDS / 4) {
+    origins.observeRoutes(configuration, age);
+  }
+  return origins;
 }
 
 /** Makes an exchange whose endpoints are reached over a link. */
@@ -359,7 +365,7 @@
   const budgets = new RetryBudgets(LIMITS);
   const shutdown = makeShutdownSchedule(clock);
   const quarantine = new SegmentQuarantine(new CrashEvidence(), clock);
-  const origins = changes.origins ?? makeOrigins(clock, endpoints);
+  const origins = changes.origins ?? makeOrigins(clock, configuration, endpoints);
   const exchange = new ForwardingExchange({
     zone: 'zone-a',
     view,
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/StreamVersions.test.ts
@@ -1,18 +1,26 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { ManualClock } from 'hickoryrelay/ManualClock';
 import { ASK_TIMEOUT_MILLISECONDS } from 'hickoryrelay-stream/StreamOrigins';
 
 import {
   endpointFailure,
+  makeConfiguration,
   makeEndpoint,
   makeRequest,
   makeResponse,
+  makeRoute,
   makeRouteHarness,
+  RecordingSink,
   RESUMABLE_STREAM,
 } from './ForwardingFixture.js';
 
 import type { EndpointBehaviour, HarnessOptions } from './ForwardingFixture.js';
 import type { EndpointRecord } from 'hickoryrelay-forwarding/EndpointRecord';
+import type { ForwardedRequest } from 'hickoryrelay-forwarding/ForwardedRequest';
+import type { ForwardingRoute } from 'hickoryrelay-forwarding/ForwardingConfiguration';
+
+/** What `makeRequest` asks for on the route of `makeRoute`. */
+const DESK = { host: 'h.example', path: '/a/b', services: ['desk'] };
 
 const events = (...identifiers: number[]) =>
   identifiers.map((identifier) => `id: ${identifier}\ndata: ${identifier}\n\n`);
@@ -114,7 +122,7 @@
       await harness.run();
       expect(harness.sink).toMatchObject({ text: events(1).join(''), isAborted: true });
       const { signal } = new AbortController();
-      expect(await harness.origins.find('desk', 'request-1', signal)).toBeUndefined();
+      expect(await harness.origins.find(DESK, 'request-1', signal)).toBeUndefined();
     },
   );
 
@@ -152,7 +160,7 @@
     'that a caller resumes goes on at the version that began it: %s',
     async (version) => {
       const harness = makeVersions(['v1', 'v2'], [delivers(3)]);
-      harness.origins.begin('desk', 'first', version);
+      harness.origins.begin(DESK, 'desk', 'first', version);
       await harness.run(resumption('first'));
       expect(harness.link.sent[0]?.endpoint.softwareVersion).toBe(version);
       expect(harness.sink.isEnded).toBe(true);
@@ -179,20 +187,101 @@
 
   it('is refused at once if no endpoint of its version is left', async () => {
     const harness = makeVersions(['v2'], [delivers(3)]);
-    harness.origins.begin('desk', 'first', 'v1');
+    harness.origins.begin(DESK, 'desk', 'first', 'v1');
     await harness.run(resumption('first'));
     expect(harness.sink.own?.status).toBe(503);
   });
 
   it('that was resumed can be resumed again by either attempt', async () => {
     const harness = makeVersions(['v1', 'v2'], [delivers(3)]);
-    harness.origins.begin('desk', 'first', 'v2');
+    harness.origins.begin(DESK, 'desk', 'first', 'v2');
     await harness.run(resumption('first'));
     const find = (attempt: string) =>
-      harness.origins.find('desk', attempt, new AbortController().signal);
+      harness.origins.find(DESK, attempt, new AbortController().signal);
     expect(await Promise.all(['first', 'resumption'].map(find))).toEqual([
-      { version: 'v2', source: 'own-record' },
-      { version: 'v2', source: 'own-record' },
+      { service: 'desk', version: 'v2', source: 'own-record' },
+      { service: 'desk', version: 'v2', source: 'own-record' },
     ]);
   });
 });
+
+/** An exchange with a route that is split over two services of one version each. */
+function makeSplitRoute(services: ForwardingRoute['services']) {
+  const endpoints = ['desk', 'other'].map((service) =>
+    makeEndpoint(`engine-${service}`, { service, softwareVersion: `${service}-v1` }),
+  );
+  const route = { ...RESUMABLE_STREAM, services };
+  const harness = makeRouteHarness(route, [], { endpoints });
+  /** Runs a request. Returns the service at which it ran, or undefined if it was refused. */
+  const run = async (request: Partial<ForwardedRequest>) => {
+    harness.link.script([delivers(request.lastEvent === undefined ? 1 : 2)]);
+    const sent = harness.link.sent.length;
+    const arrivedMilliseconds = harness.clock.monotonicMilliseconds();
+    const received = makeRequest({ ...request, arrivedMilliseconds });
+    const done = harness.exchange.handle(received, new RecordingSink());
+    await harness.clock.advance(ASK_TIMEOUT_MILLISECONDS);
+    await done;
+    return harness.link.sent[sent]?.endpoint.service;
+  };
+  return { ...harness, run };
+}
+
+const BOTH_SERVICES = [
+  { service: 'desk', weight: 1 },
+  { service: 'other', weight: 1 },
+];
+
+// Guards against a stream that goes on at another service, whose only version is named for it.
+describe('a stream of a route that is split over services', () => {
+  it('goes on at the service that began it', async () => {
+    const { run, budgets } = makeSplitRoute(BOTH_SERVICES);
+    const addRequest = vi.spyOn(budgets, 'addRequest');
+    for (let number = 0; number < 16; number += 1) {
+      const identifier = `stream-${number}`;
+      const began = await run({ identifier });
+      expect(began).toBeDefined();
+      const resumption = { identifier: `resumed-${number}`, resumedRequest: identifier };
+      expect(await run({ ...resumption, lastEvent: '1' })).toBe(began);
+      expect(addRequest.mock.calls).toEqual([[began], [began]]);
+      addRequest.mockClear();
+    }
+  });
+
+  it('is refused if no record names its service, though each service has one version', async () => {
+    const { run } = makeSplitRoute(BOTH_SERVICES);
+    expect(await run({ resumedRequest: 'unknown', lastEvent: '1' })).toBeUndefined();
+  });
+
+  it.each([
+    ['no longer has its service', [{ service: 'other', weight: 1 }]],
+    [
+      'gives its service no share',
+      [
+        { service: 'other', weight: 1 },
+        { service: 'desk', weight: 0 },
+      ],
+    ],
+  ])('is refused once its route %s', async (_name, services) => {
+    const { run, view, origins, clock } = makeSplitRoute([{ service: 'desk', weight: 1 }]);
+    expect(await run({ identifier: 'stream' })).toBe('desk');
+    const route = makeRoute({ ...RESUMABLE_STREAM, services });
+    const configuration = makeConfiguration({ version: 2, routes: [route] });
+    const { endpoints, peers } = view;
+    view.apply(
+      { configuration, endpoints, peers, isAuthorityHeld: false },
+      clock.monotonicMilliseconds(),
+    );
+    origins.observeRoutes(configuration, 0);
+    expect(await run({ resumedRequest: 'stream', lastEvent: '1' })).toBeUndefined();
+    expect(await run({ resumedRequest: 'unknown', lastEvent: '1' })).toBeUndefined();
+  });
+
+  it.each([
+    ['is sent to other instances while its service is settled', BOTH_SERVICES, 1],
+    ['is not sent if its route has one service', [{ service: 'desk', weight: 1 }], 0],
+  ])('%s', async (_name, services, records) => {
+    const { run, origins } = makeSplitRoute(services);
+    await run({ identifier: 'stream' });
+    expect(origins.takeRecords()).toHaveLength(records);
+  });
+});
--- a/packages/hickoryrelay-stream/src/OriginLedger.ts
+++ b/packages/hickoryrelay-stream/src/OriginLedger.ts
@@ -16,6 +16,8 @@
 /** The record of a stream that this instance has begun. */
 export interface OwnRecord extends OriginRecord {
   readonly service: string;
+  /** True if other instances can tell from their histories at which service the stream has begun. */
+  readonly hasSoleService: boolean;
   /** Number of streams under the key that have not ended. */
   readonly openStreams: number;
   /** Undefined while a stream is open. */
@@ -69,12 +71,18 @@
   }
 
   /** Records that a stream has begun at this instance. */
-  begin(key: number, service: string, version: SoftwareVersion): OwnRecord {
+  begin(
+    key: number,
+    service: string,
+    version: SoftwareVersion,
+    hasSoleService: boolean,
+  ): OwnRecord {
     const known = this.findOwn(key);
     const record = {
       key,
       service,
       version,
+      hasSoleService: hasSoleService && known?.hasSoleService !== false,
       isConflicting: isConflict(version, [known, this.received.get(key)]),
       openStreams: (known?.openStreams ?? 0) + 1,
       endedMilliseconds: undefined,
@@ -100,6 +108,11 @@
     }
   }
 
+  /** Records that streams of the same paths may have begun at other services. */
+  recordRouteChange(): void {
+    this.open.forEach((record, key) => this.open.set(key, { ...record, hasSoleService: false }));
+  }
+
   /** Takes over the record of another instance. */
   receive({ key, version, isConflicting }: OriginRecord, nowMilliseconds: number): void {
     const known = this.received.get(key);
--- a/packages/hickoryrelay-stream/src/OriginQuestion.ts
+++ b/packages/hickoryrelay-stream/src/OriginQuestion.ts
@@ -15,8 +15,9 @@
 
 export type OriginSource = (typeof OriginSource)[keyof typeof OriginSource];
 
-/** The version that began a stream. */
+/** The service and the version that began a stream. */
 export interface StreamOrigin {
+  readonly service: string;
   readonly version: SoftwareVersion;
   readonly source: OriginSource;
 }
@@ -25,7 +26,7 @@
  * Returns the version that answers without a record agree on. Those of histories that are not settled name none, as
  * another version may have left before.
  */
-function agreedOrigin(answers: Iterable<OriginAnswer>): StreamOrigin | undefined {
+function agreedOrigin(answers: Iterable<OriginAnswer>): Omit<StreamOrigin, 'service'> | undefined {
   const versions = new Set<SoftwareVersion>();
   let isSettled = false;
   for (const answer of answers) {
@@ -111,7 +112,11 @@
   /** Decides the question if the answer is from a record. */
   decideByRecord(answer: OriginAnswer): void {
     if (answer.kind === OriginAnswerKind.Known) {
-      this.resolve({ version: answer.version, source: OriginSource.OtherRecord });
+      this.resolve({
+        service: this.service,
+        version: answer.version,
+        source: OriginSource.OtherRecord,
+      });
     } else if (answer.kind === OriginAnswerKind.Conflicting) {
       this.resolve(undefined);
     }
@@ -119,7 +124,8 @@
 
   /** Decides the question with the answers there are. */
   conclude(): void {
-    this.resolve(agreedOrigin([this.own, ...this.answers.values()]));
+    const agreed = agreedOrigin([this.own, ...this.answers.values()]);
+    this.resolve(agreed === undefined ? undefined : { service: this.service, ...agreed });
   }
 
   /**
--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -1,16 +1,19 @@
 import { FailureKind } from 'hickoryrelay/Failure';
 import { RelayError } from 'hickoryrelay/RelayError';
 
+import { HISTORY_MILLISECONDS } from './ObservationPeriod.js';
 import { OriginAnswerKind } from './OriginAnswer.js';
 import { OriginLedger, RECORD_LIFETIME_MILLISECONDS } from './OriginLedger.js';
 import { OriginQuestion, OriginSource } from './OriginQuestion.js';
+import { RouteHistory } from './RouteHistory.js';
 import { streamKey } from './StreamKey.js';
-import { HISTORY_MILLISECONDS } from './VersionHistory.js';
 
 import type { OriginAnswer } from './OriginAnswer.js';
 import type { OriginRecord } from './OriginLedger.js';
 import type { StreamOrigin } from './OriginQuestion.js';
+import type { RouteTable } from './RouteHistory.js';
 import type { SoftwareVersion } from './SoftwareVersion.js';
+import type { StreamTarget } from './StreamTarget.js';
 import type { VersionHistory } from './VersionHistory.js';
 import type { Clock } from 'hickoryrelay/Clock';
 
@@ -30,11 +33,13 @@
 
 /**
  * The versions that began the streams of this instance and, as far as this instance has been told, of
- * the others. Answers which version began the stream of an attempt.
+ * the others. Answers which service and which version began the stream of an attempt.
  */
 export class StreamOrigins {
   private readonly history: VersionHistory;
 
+  private readonly routes: RouteHistory;
+
   private readonly clock: Clock;
 
   private readonly ledger = new OriginLedger();
@@ -59,6 +64,7 @@
   /** @param clock The clock of the history, which keeps running while the process is suspended. */
   constructor(history: VersionHistory, clock: Clock) {
     this.history = history;
+    this.routes = new RouteHistory(history.boundMilliseconds);
     this.clock = clock;
   }
 
@@ -90,16 +96,36 @@
     }
   }
 
+  /**
+   * Records where the configuration in force sends requests. If that has changed for some path, queues the records of
+   * all streams, since their services no longer follow from the path.
+   */
+  observeRoutes(table: RouteTable, ageMilliseconds: number): void {
+    const now = this.now();
+    if (this.routes.observe(table, now, ageMilliseconds)) {
+      this.ledger.recordRouteChange();
+      for (const record of this.ledger.ownRecordsSince(now - HISTORY_MILLISECONDS)) {
+        this.queueRecord(record);
+      }
+    }
+  }
+
   /**
    * Records that the first event of an attempt is about to be passed on. Returns the function that
    * marks the stream as ended; further calls have no effect.
    */
-  begin(service: string, identifier: string, version: SoftwareVersion): () => void {
+  begin(
+    target: StreamTarget,
+    service: string,
+    identifier: string,
+    version: SoftwareVersion,
+  ): () => void {
     const key = streamKey(service, identifier);
-    const record = this.ledger.begin(key, service, version);
+    const hasSoleService = this.routes.hasSoleService(target, this.now());
+    const record = this.ledger.begin(key, service, version, hasSoleService);
     // The service may have ceased to be settled without an observation, in an outage of the store.
     this.queueOwnRecords(this.now());
-    if (!this.isSettled(service)) {
+    if (!hasSoleService || !this.isSettled(service)) {
       this.queueRecord(record);
     }
     let isOpen = true;
@@ -123,16 +149,17 @@
   }
 
   /**
-   * Returns the version that began the stream of an attempt, or undefined if it is not known for
-   * certain. Without an identifier, only the sole version of a service is known. Takes at most
-   * `ASK_TIMEOUT_MILLISECONDS`. Rejects with `cancelled` if the signal aborts.
+   * Returns the service and the version that began the stream of an attempt, or undefined if they are not known for
+   * certain. Unless the target has had one service for long, they are known from a record only. Without an identifier,
+   * only the sole version of a sole service is known. Takes at most `ASK_TIMEOUT_MILLISECONDS`. Rejects with
+   * `cancelled` if the signal aborts.
    */
   async find(
-    service: string,
+    target: StreamTarget,
     identifier: string | undefined,
     signal: AbortSignal,
   ): Promise<StreamOrigin | undefined> {
-    const origin = await this.findUncounted(service, identifier, signal);
+    const origin = await this.findUncounted(target, identifier ?? NO_IDENTIFIER, signal);
     const source = origin?.source;
     this.answerCounts.set(source, (this.answerCounts.get(source) ?? 0) + 1);
     return origin;
@@ -146,24 +173,68 @@
   }
 
   private async findUncounted(
-    service: string,
-    identifier: string | undefined,
+    target: StreamTarget,
+    identifier: string,
     signal: AbortSignal,
   ): Promise<StreamOrigin | undefined> {
-    const key = streamKey(service, identifier ?? '');
+    const [recorded, ...others] = this.recordedOrigins(target, identifier);
+    if (recorded !== undefined) {
+      const isOnRoute = target.services.includes(recorded.service);
+      return others.length === 0 && isOnRoute ? recorded.origin : undefined;
+    }
+    const [service] = target.services;
+    if (service === undefined || !this.routes.hasSoleService(target, this.now())) {
+      return this.waitFor(this.askForRecord(target.services, identifier), signal);
+    }
+    const key = streamKey(service, identifier);
     const own = this.answer(key, service);
-    switch (own.kind) {
-      case OriginAnswerKind.Known:
-        return { version: own.version, source: OriginSource.OwnRecord };
-      case OriginAnswerKind.SettledSole:
-        return { version: own.version, source: OriginSource.OwnHistory };
-      case OriginAnswerKind.Conflicting:
-        return undefined;
-      default:
-        return this.waitFor(this.ask(key, service, own).outcome, signal);
+    if (own.kind === OriginAnswerKind.SettledSole) {
+      return { service, version: own.version, source: OriginSource.OwnHistory };
+    }
+    return this.waitFor(this.ask(key, service, own).outcome, signal);
+  }
+
+  /**
+   * What the records of this instance name, at most one for each service. The origin is undefined if streams of several
+   * versions have begun. Services that the target no longer has are included.
+   */
+  private *recordedOrigins(
+    target: StreamTarget,
+    identifier: string,
+  ): Generator<{ readonly service: string; readonly origin: StreamOrigin | undefined }, void> {
+    const now = this.now();
+    for (const service of new Set([...target.services, ...this.history.serviceNames])) {
+      const record = this.ledger.find(streamKey(service, identifier), now);
+      if (record !== undefined) {
+        const { version, isConflicting } = record;
+        const origin = { service, version, source: OriginSource.OwnRecord };
+        yield { service, origin: isConflicting ? undefined : origin };
+      }
     }
   }
 
+  /** Asks other instances at which of the services the stream has begun. The first record decides. */
+  private askForRecord(
+    services: readonly string[],
+    identifier: string,
+  ): Promise<StreamOrigin | undefined> {
+    // With this answer of its own, a question is decided by a record only.
+    const own = { kind: OriginAnswerKind.Mixed };
+    const outcomes = services.map(
+      (service) => this.ask(streamKey(service, identifier), service, own).outcome,
+    );
+    return new Promise((resolve) => {
+      void Promise.all(
+        outcomes.map(async (outcome) => {
+          const origin = await outcome;
+          if (origin?.source === OriginSource.OtherRecord) {
+            resolve(origin);
+          }
+        }),
+      ).then(() => resolve(undefined));
+    });
+  }
+
   /** What this instance knows about the stream with the key, without asking others. */
   answer(key: number, service: string): OriginAnswer {
     const now = this.now();
@@ -229,8 +300,9 @@
       return;
     }
     for (const record of this.ledger.ownRecordsSince(now - HISTORY_MILLISECONDS)) {
-      const { service, openStreams } = record;
-      const needsRenewal = isRenewal && openStreams > 0 && !this.settledServices.has(service);
+      const { service, hasSoleService, openStreams } = record;
+      const isSent = !hasSoleService || !this.settledServices.has(service);
+      const needsRenewal = isRenewal && openStreams > 0 && isSent;
       if (needsRenewal || unsettledServices.has(service)) {
         this.queueRecord(record);
       }
--- a/packages/hickoryrelay-stream/src/VersionHistory.ts
+++ b/packages/hickoryrelay-stream/src/VersionHistory.ts
@@ -1,7 +1,6 @@
-import type { SoftwareVersion } from './SoftwareVersion.js';
+import { HISTORY_MILLISECONDS, ObservationPeriod } from './ObservationPeriod.js';
 
-/** Longest time for which a client may come back, and a leaving engine may still serve. */
-export const HISTORY_MILLISECONDS = 20_000;
+import type { SoftwareVersion } from './SoftwareVersion.js';
 
 /** Absence after which a version counts as new. Other instances may be about to forget it. */
 const MAXIMUM_ABSENCE_MILLISECONDS = HISTORY_MILLISECONDS / 2;
@@ -32,21 +31,25 @@
  * All times are in milliseconds on one clock that keeps running while the process is suspended.
  */
 export class VersionHistory {
-  private readonly boundMilliseconds: number;
+  private readonly period: ObservationPeriod;
 
   private readonly services = new Map<string, Map<SoftwareVersion, SeenVersion>>();
 
-  private observedMilliseconds = Number.NEGATIVE_INFINITY;
-
-  /** Start of the time without a longer gap between observations than the bound. */
-  private continuousSinceMilliseconds = Number.NEGATIVE_INFINITY;
-
   /**
    * @param boundMilliseconds Longest time between two reads of an instance whose view is current,
    *   including the time a read takes.
    */
   constructor(boundMilliseconds: number) {
-    this.boundMilliseconds = boundMilliseconds;
+    this.period = new ObservationPeriod(boundMilliseconds);
+  }
+
+  /** Longest time between two reads of an instance whose view is current. */
+  get boundMilliseconds(): number {
+    return this.period.boundMilliseconds;
+  }
+
+  private get observedMilliseconds(): number {
+    return this.period.latestMilliseconds;
   }
 
   /** Services of which versions are kept. */
@@ -70,11 +73,7 @@
       return;
     }
     const previousMilliseconds = this.observedMilliseconds;
-    const isContinuous = requestedMilliseconds - previousMilliseconds <= this.boundMilliseconds;
-    if (!isContinuous) {
-      this.continuousSinceMilliseconds = requestedMilliseconds;
-    }
-    this.observedMilliseconds = requestedMilliseconds;
+    const isContinuous = this.period.recordRead(requestedMilliseconds);
     for (const [service, present] of versions) {
       const seen = this.services.get(service) ?? new Map<SoftwareVersion, SeenVersion>();
       this.services.set(service, seen);
@@ -102,10 +101,8 @@
       return undefined;
     }
     const [version] = versions;
-    const isCurrent = nowMilliseconds - this.observedMilliseconds <= this.boundMilliseconds;
-    const isLongEnough = nowMilliseconds - this.continuousSinceMilliseconds >= HISTORY_MILLISECONDS;
     const seen = this.services.get(service)?.get(version);
-    const isSettled = isCurrent && isLongEnough && this.wasPresentForBound(seen);
+    const isSettled = this.period.coversHistory(nowMilliseconds) && this.wasPresentForBound(seen);
     return { version, isSettled };
   }
 
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
@@ -12,11 +12,18 @@
 
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { OriginAddress, OriginPeer } from 'hickoryrelay-stream/OriginChannel';
+import type { RouteTable } from 'hickoryrelay-stream/RouteHistory';
 import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
 import type { StreamOriginMessage } from 'hickoryrelay-stream/StreamOriginMessage';
 import type { StreamOrigin } from 'hickoryrelay-stream/StreamOrigins';
+import type { StreamTarget } from 'hickoryrelay-stream/StreamTarget';
 
 export const SERVICE = 'chat';
+/** What the simulated clients ask for. */
+export const TARGET: StreamTarget = { host: 'h.example', path: '/a/b', services: [SERVICE] };
+
+const ROUTES: RouteTable = { servicesFingerprint: SERVICE, servicesFor: () => [SERVICE] };
+
 export const BOUND_MILLISECONDS = 2000;
 const READ_PERIOD_MILLISECONDS = 800;
 const LONGEST_READ_MILLISECONDS = 10;
@@ -175,6 +182,7 @@
       versions.size === 0 ? new Map() : new Map([[SERVICE, versions]]),
       ageMilliseconds,
     );
+    this.origins?.observeRoutes(this.world.routes, ageMilliseconds);
   }
 
   async kill(): Promise<void> {
@@ -201,6 +209,8 @@
 
   isStoreDown = false;
 
+  routes = ROUTES;
+
   /** The versions of the engines in the store. */
   readonly versions = new Set<SoftwareVersion>(['1']);
 
@@ -230,17 +240,18 @@
     return instance;
   }
 
-  begin(index: number, identifier: string, version: SoftwareVersion): () => void {
-    return this.instance(index).origins?.begin(SERVICE, identifier, version) ?? (() => {});
+  begin(index: number, identifier: string, version: SoftwareVersion, target = TARGET): () => void {
+    return this.instance(index).origins?.begin(target, SERVICE, identifier, version) ?? (() => {});
   }
 
   /** Returns what `find` resolves to within the time limit. */
   async find(
     index: number,
     identifier: string,
+    target = TARGET,
   ): Promise<Pick<StreamOrigin, 'version'> | undefined> {
     const { signal } = new AbortController();
-    const found = this.instance(index).origins?.find(SERVICE, identifier, signal);
+    const found = this.instance(index).origins?.find(target, identifier, signal);
     await this.clock.advance(105);
     const origin = await found;
     return origin === undefined ? undefined : { version: origin.version };
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, test } from 'vitest';
 
-import { BOUND_MILLISECONDS, StreamOriginWorld } from './StreamOriginWorld.js';
+import { BOUND_MILLISECONDS, SERVICE, StreamOriginWorld, TARGET } from './StreamOriginWorld.js';
 
 const SETTLED_MILLISECONDS = 21_000;
 const SPREAD_MILLISECONDS = 250;
@@ -190,6 +190,43 @@
     expect(await world.find(0, 'a')).toBeUndefined();
   });
 
+  test.each([3, 20])(
+    'names the service of a split route by records only, among %i',
+    async (count) => {
+      await makeWorld(count, []);
+      const split = { ...TARGET, services: ['other', SERVICE] };
+      world.begin(0, 'a', '1', split);
+      await world.clock.advance(SPREAD_MILLISECONDS);
+      await world.instance(0).kill();
+      expect(await world.find(1, 'a', split)).toEqual({ version: '1' });
+      expect(await world.find(1, 'b', split)).toBeUndefined();
+      expect(await world.find(1, 'a', { ...TARGET, services: ['other'] })).toBeUndefined();
+    },
+  );
+
+  test('sends the records of open streams when the services of a path change', async () => {
+    await makeWorld(3, []);
+    world.begin(0, 'a', '1');
+    world.routes = { ...world.routes, servicesFingerprint: 'split' };
+    await world.clock.advance(2000);
+    await world.instance(0).kill();
+    const split = { ...TARGET, services: ['other', SERVICE] };
+    expect(await world.find(1, 'a', split)).toEqual({ version: '1' });
+  });
+
+  test.each([
+    ['of a split route', { ...TARGET, services: ['other', SERVICE] }],
+    ['of a path that has moved', TARGET],
+  ])('sends the record of a long stream %s again', async (_name, target) => {
+    await makeWorld(3, []);
+    world.begin(0, 'a', '1', target);
+    world.routes = { ...world.routes, servicesFingerprint: 'moved' };
+    await world.clock.advance(200_000);
+    await world.instance(0).kill();
+    const split = { ...TARGET, services: ['other', SERVICE] };
+    expect(await world.find(1, 'a', split)).toEqual({ version: '1' });
+  });
+
   test('sends the record of a long stream again before others drop it', async () => {
     await makeWorld(3);
     world.begin(0, 'a', '1');
@@ -201,7 +238,7 @@
   test('rejects when the caller no longer waits', async () => {
     await makeWorld(3);
     const abort = new AbortController();
-    const found = world.instance(0).origins?.find('chat', 'a', abort.signal);
+    const found = world.instance(0).origins?.find(TARGET, 'a', abort.signal);
     abort.abort();
     await expect(found).rejects.toMatchObject({ failure: { kind: 'cancelled' } });
   });
--- a/packages/hickoryrelay-stream/src/__tests__/unit/VersionHistory.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/VersionHistory.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, test } from 'vitest';
-import { HISTORY_MILLISECONDS, VersionHistory } from 'hickoryrelay-stream/VersionHistory';
+import { HISTORY_MILLISECONDS } from 'hickoryrelay-stream/ObservationPeriod';
+import { VersionHistory } from 'hickoryrelay-stream/VersionHistory';
 
 const BOUND = 2000;
 
