--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -76,19 +76,20 @@
       return this.refuse(EndReason.Stopping, RETRY_AFTER_MILLISECONDS.Stopping);
     }
     const isRelayed = this.relay.shouldReplaceAttempts();
-    if (!isRelayed) {
-      parts.budgets.addRequest(admitted.service);
-    }
     const stopDeadline = deadline.watch(sink, parts.shutdown);
     try {
-      if (sink.gone.aborted) {
+      const isGone = sink.gone.aborted;
+      if (isRelayed && !isGone) {
+        return await this.passOn('the endpoints cannot be reached');
+      }
+      const refusal =
+        this.call.resumesStream && !isGone ? await this.refuseUnknownOrigin() : undefined;
+      // The service of a resumption is known only now.
+      parts.budgets.addRequest(this.call.admitted.service);
+      if (isGone) {
         admitted.quotaTake?.giveBack();
         return sink.goneOutcome;
       }
-      if (isRelayed) {
-        return await this.passOn('the endpoints cannot be reached');
-      }
-      const refusal = this.call.resumesStream ? await this.refuseUnknownOrigin() : undefined;
       return refusal ?? (await this.attemptUntilDone());
     } finally {
       this.call.endStream();
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
@@ -12,13 +12,21 @@
 
 import type { TaskContext } from 'hickoryrelay/Task';
 import type { OriginAddress, OriginPeer } from 'hickoryrelay-stream/OriginChannel';
+import type { RouteTable } from 'hickoryrelay-stream/RouteHistory';
 import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
 import type { StreamOriginMessage } from 'hickoryrelay-stream/StreamOriginMessage';
 import type { StreamOrigin } from 'hickoryrelay-stream/StreamOrigins';
+import type { StreamTarget } from 'hickoryrelay-stream/StreamTarget';
 
 export const SERVICE = 'chat';
+/** What the simulated clients ask for. */
+export const TARGET: StreamTarget = { host: 'h.example', path: '/a/b', services: [SERVICE] };
+
+const ROUTES: RouteTable = { servicesFingerprint: SERVICE, servicesFor: () => [SERVICE] };
+
 export const BOUND_MILLISECONDS = 2000;
 const READ_PERIOD_MILLISECONDS = 800;
+const LONGEST_READ_MILLISECONDS = 10;
 const ZONES = 3;
 
 /** Share of datagrams that are lost, and the longest time that one takes. */
@@ -43,6 +51,9 @@
   }
 
   override get peers(): readonly OriginPeer[] {
+    if (this.instance.isAlone) {
+      return [];
+    }
     return this.world.instances.map(({ address }) => address).filter((peer) => peer !== this.self);
   }
 
@@ -74,15 +85,17 @@
 
   protected override async *steps({ clock, signal }: TaskContext): AsyncGenerator<void, void> {
     for (;;) {
-      if (!this.instance.isCutOff && !this.world.isStoreDown) {
+      const phase = this.instance.address.port % 97;
+      if (!this.instance.isCutOff && !this.instance.isSuspended && !this.world.isStoreDown) {
+        const requestedMilliseconds = clock.monotonicMilliseconds();
         const versions = new Set(this.world.versions);
-        this.instance.origins?.observe(
-          versions.size === 0 ? new Map() : new Map([[SERVICE, versions]]),
-          0,
-        );
+        await clock.sleep(phase % LONGEST_READ_MILLISECONDS, signal);
+        while (this.instance.isSuspended) {
+          await clock.sleep(LONGEST_READ_MILLISECONDS, signal);
+        }
+        this.instance.observe(versions, clock.monotonicMilliseconds() - requestedMilliseconds);
       }
       yield;
-      const phase = this.instance.address.port % 97;
       await clock.sleep(READ_PERIOD_MILLISECONDS + phase, signal);
     }
   }
@@ -95,8 +108,17 @@
   /** True while neither the store nor other instances can be reached. */
   isCutOff = false;
 
+  /** True while the registrations of all other instances have lapsed. */
+  isAlone = false;
+
   listener: ((message: StreamOriginMessage) => void) | undefined;
 
+  /** What the instance handles once its process runs again. Undefined while it runs. */
+  private postponed: (() => void)[] | undefined;
+
+  /** The versions that the last read has found. */
+  private viewedVersions: ReadonlySet<SoftwareVersion> = new Set();
+
   history = new VersionHistory(BOUND_MILLISECONDS);
 
   /** Undefined while the instance is not running. */
@@ -119,6 +141,7 @@
   start(): void {
     const { clock, failures } = this.world;
     this.history = new VersionHistory(BOUND_MILLISECONDS);
+    this.viewedVersions = new Set();
     this.origins = new StreamOrigins(this.history, clock);
     this.lifecycle = new LifecycleManager('instance', clock, (owner, failure) =>
       failures.push(`${owner}: ${failure.kind}`),
@@ -128,18 +151,53 @@
     this.lifecycle.start(new ReadTask(this.world, this));
   }
 
+  get isSuspended(): boolean {
+    return this.postponed !== undefined;
+  }
+
+  /** Stops the process until `resume`. */
+  suspend(): void {
+    this.postponed ??= [];
+  }
+
+  /** Handles first what has arrived meanwhile. */
+  resume(): void {
+    const postponed = this.postponed ?? [];
+    this.postponed = undefined;
+    postponed.forEach((handle) => handle());
+  }
+
+  /** Calls a function once the process runs. */
+  run(handle: () => void): void {
+    if (this.postponed === undefined) {
+      handle();
+    } else {
+      this.postponed.push(handle);
+    }
+  }
+
+  observe(versions: ReadonlySet<SoftwareVersion>, ageMilliseconds: number): void {
+    this.viewedVersions = versions;
+    this.origins?.observe(
+      versions.size === 0 ? new Map() : new Map([[SERVICE, versions]]),
+      ageMilliseconds,
+    );
+    this.origins?.observeRoutes(this.world.routes, ageMilliseconds);
+  }
+
   async kill(): Promise<void> {
     this.origins = undefined;
     this.listener = undefined;
+    this.postponed = undefined;
     await this.lifecycle?.stop();
   }
 
   /** The versions at which the call path may begin streams. */
   get usableVersions(): readonly SoftwareVersion[] {
-    const now = this.world.clock.monotonicMilliseconds();
     return this.history
       .versionsOf(SERVICE)
-      .filter((version) => this.history.isEstablished(SERVICE, version, now));
+      .filter((version) => this.viewedVersions.has(version))
+      .filter((version) => this.history.isEstablished(SERVICE, version));
   }
 }
 
@@ -151,6 +209,8 @@
 
   isStoreDown = false;
 
+  routes = ROUTES;
+
   /** The versions of the engines in the store. */
   readonly versions = new Set<SoftwareVersion>(['1']);
 
@@ -180,17 +240,18 @@
     return instance;
   }
 
-  begin(index: number, identifier: string, version: SoftwareVersion): () => void {
-    return this.instance(index).origins?.begin(SERVICE, identifier, version) ?? (() => {});
+  begin(index: number, identifier: string, version: SoftwareVersion, target = TARGET): () => void {
+    return this.instance(index).origins?.begin(target, SERVICE, identifier, version) ?? (() => {});
   }
 
   /** Returns what `find` resolves to within the time limit. */
   async find(
     index: number,
     identifier: string,
+    target = TARGET,
   ): Promise<Pick<StreamOrigin, 'version'> | undefined> {
     const { signal } = new AbortController();
-    const found = this.instance(index).origins?.find(SERVICE, identifier, signal);
+    const found = this.instance(index).origins?.find(target, identifier, signal);
     await this.clock.advance(105);
     const origin = await found;
     return origin === undefined ? undefined : { version: origin.version };
@@ -201,6 +262,10 @@
     this.datagrams += 1;
     this.observeDatagram(elements);
     const to = this.instance(port - 1);
+    if (from.isSuspended) {
+      from.run(() => this.transmit(from, port, message));
+      return;
+    }
     if (from.isCutOff || to.isCutOff || this.random.fraction() < this.faults.loss) {
       return;
     }
@@ -208,7 +273,7 @@
     this.clock.schedule(this.random.fraction() * this.faults.delayMilliseconds, () => {
       const decoded = decodeStreamOrigin(fields);
       if (decoded !== undefined && !to.isCutOff) {
-        to.listener?.(decoded);
+        to.run(() => to.listener?.(decoded));
       }
     });
   }
