Accept settled histories of instances that have had the same routes

Change: such an instance asks with a fingerprint of its routes, and the others count their histories as settled only if they have had these routes for 20 s. The fingerprint is an optional last element of a question; an instance without this change ignores it and answers as before. Questions about the versions of a service have a key of their own, which a caller without an identifier can't share.

--- a/packages/hickoryrelay-stream/src/OriginAnswer.ts
+++ b/packages/hickoryrelay-stream/src/OriginAnswer.ts
@@ -39,3 +39,10 @@
 ): answer is Extract<OriginAnswer, { version: SoftwareVersion }> {
   return 'version' in answer;
 }
+
+/** Returns the answer without the claim that the stream cannot have begun at another version. */
+export function unsettled(answer: OriginAnswer): OriginAnswer {
+  return answer.kind === OriginAnswerKind.SettledSole
+    ? { kind: OriginAnswerKind.Sole, version: answer.version }
+    : answer;
+}
--- a/packages/hickoryrelay-stream/src/OriginQuestion.ts
+++ b/packages/hickoryrelay-stream/src/OriginQuestion.ts
@@ -61,6 +61,9 @@
 
   readonly service: string;
 
+  /** Fingerprint of the routes for which the histories of other instances count. Undefined if they all do. */
+  readonly routes: number | undefined;
+
   /** Resolves once the question is decided. Undefined if the version is unknown. */
   readonly outcome: Promise<StreamOrigin | undefined>;
 
@@ -77,10 +80,11 @@
   private areAllAsked = false;
 
   /** @param own What this instance knows. */
-  constructor(key: number, service: string, own: OriginAnswer) {
+  constructor(key: number, service: string, own: OriginAnswer, routes?: number) {
     this.key = key;
     this.service = service;
     this.own = own;
+    this.routes = routes;
     this.outcome = new Promise((resolve) => {
       this.resolve = resolve;
     });
--- a/packages/hickoryrelay-stream/src/RouteHistory.ts
+++ b/packages/hickoryrelay-stream/src/RouteHistory.ts
@@ -1,3 +1,5 @@
+import { hashString } from 'hickoryrelay/RendezvousUtils';
+
 import { HISTORY_MILLISECONDS, ObservationPeriod } from './ObservationPeriod.js';
 
 import type { StreamTarget } from './StreamTarget.js';
@@ -28,6 +30,8 @@
 
   private current: RouteTable | undefined;
 
+  private currentFingerprint: number | undefined;
+
   /** The oldest first. */
   private former: readonly FormerTable[] = [];
 
@@ -45,6 +49,9 @@
     this.period.recordRead(nowMilliseconds - ageMilliseconds);
     const { current } = this;
     this.current = table;
+    if (current?.servicesFingerprint !== table.servicesFingerprint) {
+      this.currentFingerprint = hashString(table.servicesFingerprint);
+    }
     const isChanged =
       current !== undefined && current.servicesFingerprint !== table.servicesFingerprint;
     if (isChanged) {
@@ -54,15 +61,37 @@
     return isChanged;
   }
 
+  /** Identifies the services of all paths; undefined before the first table. */
+  get fingerprint(): number | undefined {
+    return this.currentFingerprint;
+  }
+
+  /** True if the table is current and no table of the history was missed. */
+  isComplete(nowMilliseconds: number): boolean {
+    return this.period.coversHistory(nowMilliseconds);
+  }
+
+  /** True if all paths have had the services of the table with the fingerprint, and no others. */
+  isSettledOn(fingerprint: number, nowMilliseconds: number): boolean {
+    return (
+      this.isComplete(nowMilliseconds) &&
+      this.former.length === 0 &&
+      this.fingerprint === fingerprint
+    );
+  }
+
   /** True if streams of the target can have begun at its only service and at no other. */
-  hasSoleService({ host, path, services }: StreamTarget, nowMilliseconds: number): boolean {
-    const [service, ...others] = services;
-    if (service === undefined || others.length > 0 || !this.period.coversHistory(nowMilliseconds)) {
-      return false;
-    }
+  hasSoleService(target: StreamTarget, nowMilliseconds: number): boolean {
+    return this.isComplete(nowMilliseconds) && this.hasSeenSoleService(target);
+  }
+
+  /** True if the target has one service and has had no other one, as far as this instance has seen. */
+  hasSeenSoleService({ host, path, services }: StreamTarget): boolean {
+    const [service] = services;
     const tables = [...this.former.map(({ table }) => table), this.current];
-    return tables.every((table) =>
-      table?.servicesFor(host, path).every((known) => known === service),
+    return (
+      services.length === 1 &&
+      tables.every((table) => table?.servicesFor(host, path).every((known) => known === service))
     );
   }
 
--- a/packages/hickoryrelay-stream/src/StreamOriginExchangeTask.ts
+++ b/packages/hickoryrelay-stream/src/StreamOriginExchangeTask.ts
@@ -7,6 +7,7 @@
 
 import type { OriginAddress, OriginChannel, OriginPeer } from './OriginChannel.js';
 import type { OriginRecord } from './OriginLedger.js';
+import type { OriginQuestion } from './OriginQuestion.js';
 import type { QuestionsMessage, StreamOriginMessage } from './StreamOriginMessage.js';
 import type { StreamOrigins } from './StreamOrigins.js';
 import type { Clock } from 'hickoryrelay/Clock';
@@ -146,9 +147,15 @@
 
   private askQuestions(): void {
     const questions = this.parts.origins.takeQuestions();
-    if (questions.length === 0) {
-      return;
-    }
+    new Set(questions.map(({ routes }) => routes)).forEach((routes) => {
+      this.askAbout(
+        questions.filter((question) => question.routes === routes),
+        routes,
+      );
+    });
+  }
+
+  private askAbout(questions: readonly OriginQuestion[], routes: number | undefined): void {
     const { holders } = this;
     const batches = new Map<string, Batch<QuestionsMessage['streams'][number]>>();
     questions.forEach((question) => {
@@ -162,10 +169,14 @@
         .filter(({ instance }) => !question.hasAnswerOf(instance))
         .forEach((peer) => addToBatch(batches, peer, { key, service }));
     });
-    batches.forEach(({ peer, items }) => this.sendQuestions(peer, items));
+    batches.forEach(({ peer, items }) => this.sendQuestions(peer, items, routes));
   }
 
-  private sendQuestions(peer: OriginPeer, items: QuestionsMessage['streams']): void {
+  private sendQuestions(
+    peer: OriginPeer,
+    items: QuestionsMessage['streams'],
+    routes: number | undefined,
+  ): void {
     const { channel } = this.parts;
     const { host, port } = channel.self;
     for (const streams of slicesOf(items)) {
@@ -173,6 +184,7 @@
         kind: STREAM_ORIGIN_KIND,
         content: StreamOriginContent.Questions,
         replyTo: { host, port },
+        routes,
         streams,
       });
     }
@@ -225,13 +237,16 @@
     }
   }
 
-  private answer({ replyTo, streams }: QuestionsMessage): void {
+  private answer({ replyTo, routes, streams }: QuestionsMessage): void {
     const { channel, origins } = this.parts;
     channel.send([replyTo], {
       kind: STREAM_ORIGIN_KIND,
       content: StreamOriginContent.Answers,
       sender: channel.self.instance,
-      streams: streams.map(({ key, service }) => ({ key, answer: origins.answer(key, service) })),
+      streams: streams.map(({ key, service }) => ({
+        key,
+        answer: origins.answer(key, service, routes),
+      })),
     });
   }
 }
--- a/packages/hickoryrelay-stream/src/StreamOriginMessage.ts
+++ b/packages/hickoryrelay-stream/src/StreamOriginMessage.ts
@@ -49,6 +49,8 @@
   readonly kind: typeof STREAM_ORIGIN_KIND;
   readonly content: typeof StreamOriginContent.Questions;
   readonly replyTo: OriginAddress;
+  /** Fingerprint of the routes for which a history has to be settled. Absent if it counts for any. */
+  readonly routes?: number | undefined;
   readonly streams: readonly AskedStream[];
 }
 
@@ -97,8 +99,14 @@
     }
     case StreamOriginContent.Questions: {
       const rows = message.streams.flatMap(({ key, service }) => [key, texts.indexOf(service)]);
-      const { host, port } = message.replyTo;
-      return [message.kind, message.content, texts.elements, rows, host, port];
+      const { routes, replyTo } = message;
+      const elements = [texts.elements, rows, replyTo.host, replyTo.port];
+      return [
+        message.kind,
+        message.content,
+        ...elements,
+        ...(routes === undefined ? [] : [routes]),
+      ];
     }
     default: {
       const rows = message.streams.flatMap(({ key, answer }) => [
@@ -115,6 +123,10 @@
   return typeof value === 'string' && value.length <= MAXIMUM_TEXT_LENGTH;
 }
 
+function isFingerprint(value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0;
+}
+
 function decodeTexts(value: unknown): SoftwareVersion[] | undefined {
   const isValid =
     Array.isArray(value) &&
@@ -163,7 +175,7 @@
 
 function decodeQuestions(
   texts: readonly SoftwareVersion[],
-  [encodedRows, host, port]: readonly unknown[],
+  [encodedRows, host, port, routes]: readonly unknown[],
 ): QuestionsMessage | undefined {
   const rows = decodeRows(encodedRows, QUESTION_FIELD_COUNT, texts.length);
   const streams = rows?.map(([key = 0, text = NO_TEXT]) => ({ key, service: texts[text] }));
@@ -171,11 +183,13 @@
   return streams?.every((stream): stream is AskedStream => stream.service !== undefined) === true &&
     isShortText(host) &&
     isIPv4(host) &&
-    isPort
+    isPort &&
+    (routes === undefined || isFingerprint(routes))
     ? {
         kind: STREAM_ORIGIN_KIND,
         content: StreamOriginContent.Questions,
         replyTo: { host, port: Number(port) },
+        routes,
         streams,
       }
     : undefined;
--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -2,7 +2,7 @@
 import { RelayError } from 'hickoryrelay/RelayError';
 
 import { HISTORY_MILLISECONDS } from './ObservationPeriod.js';
-import { OriginAnswerKind } from './OriginAnswer.js';
+import { OriginAnswerKind, unsettled } from './OriginAnswer.js';
 import { OriginLedger, RECORD_LIFETIME_MILLISECONDS } from './OriginLedger.js';
 import { OriginQuestion, OriginSource } from './OriginQuestion.js';
 import { RouteHistory } from './RouteHistory.js';
@@ -25,9 +25,12 @@
 /** Time after which instances that have not answered are asked again, since datagrams get lost. */
 const ASK_AGAIN_MILLISECONDS = 40;
 
-/** Asks for the versions of a service rather than for a stream. No attempt has this identifier. */
+/** Stands for the identifier of a caller that names no attempt. */
 const NO_IDENTIFIER = '';
 
+/** Asks for the versions of a service rather than for a stream. No header has such a value. */
+const VERSIONS_IDENTIFIER = '\n';
+
 /** Records of open streams are sent again before other instances drop them. */
 const RENEWAL_MILLISECONDS = RECORD_LIFETIME_MILLISECONDS / 2;
 
@@ -183,15 +186,19 @@
       return others.length === 0 && isOnRoute ? recorded.origin : undefined;
     }
     const [service] = target.services;
-    if (service === undefined || !this.routes.hasSoleService(target, this.now())) {
+    if (service === undefined || !this.routes.hasSeenSoleService(target)) {
       return this.waitFor(this.askForRecord(target.services, identifier), signal);
     }
     const key = streamKey(service, identifier);
     const own = this.answer(key, service);
-    if (own.kind === OriginAnswerKind.SettledSole) {
-      return { service, version: own.version, source: OriginSource.OwnHistory };
+    if (!this.routes.isComplete(this.now())) {
+      // Only an instance that has had the same routes for the history knows that there was no other service.
+      const { fingerprint } = this.routes;
+      return this.waitFor(this.ask(key, service, unsettled(own), fingerprint).outcome, signal);
     }
-    return this.waitFor(this.ask(key, service, own).outcome, signal);
+    return own.kind === OriginAnswerKind.SettledSole
+      ? { service, version: own.version, source: OriginSource.OwnHistory }
+      : this.waitFor(this.ask(key, service, own).outcome, signal);
   }
 
   /**
@@ -235,8 +242,18 @@
     });
   }
 
-  /** What this instance knows about the stream with the key, without asking others. */
-  answer(key: number, service: string): OriginAnswer {
+  /**
+   * What this instance knows about the stream with the key, without asking others.
+   *
+   * @param routes Fingerprint of the routes that the history has to be settled on, if any.
+   */
+  answer(key: number, service: string, routes?: number): OriginAnswer {
+    const answer = this.answerForAnyRoutes(key, service);
+    const isSettled = routes === undefined || this.routes.isSettledOn(routes, this.now());
+    return isSettled ? answer : unsettled(answer);
+  }
+
+  private answerForAnyRoutes(key: number, service: string): OriginAnswer {
     const now = this.now();
     const record = this.ledger.find(key, now);
     if (record !== undefined) {
@@ -337,12 +354,12 @@
   }
 
   /** Asks other instances. Attempts that name the same stream at the same time share a question. */
-  private ask(key: number, service: string, own: OriginAnswer): OriginQuestion {
+  private ask(key: number, service: string, own: OriginAnswer, routes?: number): OriginQuestion {
     const known = this.questions.get(key);
     if (known !== undefined) {
       return known;
     }
-    const question = new OriginQuestion(key, service, own);
+    const question = new OriginQuestion(key, service, own, routes);
     this.questions.set(key, question);
     this.queueQuestion(question);
     const cancelAskingAgain = this.clock.schedule(ASK_AGAIN_MILLISECONDS, () =>
@@ -360,7 +377,7 @@
 
   /** Without this, engines would wait for the observation bound after each start of an instance. */
   private async confirmSoleVersion(service: string, version: SoftwareVersion): Promise<void> {
-    const key = streamKey(service, NO_IDENTIFIER);
+    const key = streamKey(service, VERSIONS_IDENTIFIER);
     const question = this.ask(key, service, { kind: OriginAnswerKind.Sole, version });
     await question.outcome;
     const sole = this.history.soleVersion(service, this.now());
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginMessage.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginMessage.test.ts
@@ -29,6 +29,13 @@
       replyTo,
       streams: [{ key: 1, service: 'chat' }],
     },
+    {
+      kind,
+      content: StreamOriginContent.Questions,
+      replyTo,
+      routes: 2 ** 32 - 1,
+      streams: [{ key: 1, service: 'chat' }],
+    },
     {
       kind,
       content: StreamOriginContent.Answers,
@@ -56,6 +63,8 @@
     [[1, [null], [1, 0], '127.0.0.1', 7000]],
     [[1, ['chat'], [1, 0], 'host.example', 7000]],
     [[1, ['chat'], [1, 0], '127.0.0.1', 0]],
+    [[1, ['chat'], [1, 0], '127.0.0.1', 7000, -1]],
+    [[1, ['chat'], [1, 0], '127.0.0.1', 7000, 'routes']],
     [[2, ['1'], [1, 0, -1], 'a']],
     [[2, ['1'], [1, 6, 0], 'a']],
     [[2, ['1'], [1, 0, 0]]],
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
@@ -204,6 +204,22 @@
     },
   );
 
+  // Guards against a path whose other service an instance that has just started has not seen.
+  test.each([
+    ['that has had the same routes', 0, { version: '1' }],
+    ['unless the routes have changed', 1000, undefined],
+  ])('names a version by the history of another instance %s', async (_name, age, version) => {
+    await makeWorld(3, []);
+    if (age > 0) {
+      world.routes = { ...world.routes, servicesFingerprint: 'moved' };
+      await world.clock.advance(age);
+    }
+    await Promise.all([0, 1].map((index) => world.instance(index).kill()));
+    world.instance(1).start();
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    expect(await world.find(1, 'a')).toEqual(version);
+  });
+
   test('sends the records of open streams when the services of a path change', async () => {
     await makeWorld(3, []);
     world.begin(0, 'a', '1');
