--- a/packages/hickoryrelay-relay/src/RelayedCall.ts
+++ b/packages/hickoryrelay-relay/src/RelayedCall.ts
@@ -17,6 +17,8 @@
 /** No further receiver is asked with less time left. */
 export const MINIMUM_HOP_MILLISECONDS = 60;
 
+const FIRST_CLIENT_ERROR = 400;
+
 /** Sends the response to the caller of a request that is passed on. */
 export interface RelayedResponseSink {
   /** True once the response has been started. No other one can be started then. */
@@ -132,6 +134,9 @@
         response.discard();
         return `refused with status ${response.status}`;
       }
+      if (response.status >= FIRST_CLIENT_ERROR) {
+        this.parts.addStep(`relay ${receiver.instance}: status ${response.status}`);
+      }
       this.answeredBy = receiver;
       await this.relay(response);
       return undefined;
