Play routes that move in the model of stream origins

The model moves the route between two services and splits it, and checks the service of each answer beside its version. Left out are what the failures table names: an instance that has not read the new routes, and one that is cut off and begins streams by routes that are older than the bound.

--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginWorld.ts
@@ -19,10 +19,13 @@
 import type { StreamTarget } from 'hickoryrelay-stream/StreamTarget';
 
 export const SERVICE = 'chat';
+export const OTHER_SERVICE = 'other';
 /** What the simulated clients ask for. */
 export const TARGET: StreamTarget = { host: 'h.example', path: '/a/b', services: [SERVICE] };
 
-const ROUTES: RouteTable = { servicesFingerprint: SERVICE, servicesFor: () => [SERVICE] };
+export function makeRoutes(...services: readonly string[]): RouteTable {
+  return { servicesFingerprint: services.join(' '), servicesFor: () => services };
+}
 
 export const BOUND_MILLISECONDS = 2000;
 const READ_PERIOD_MILLISECONDS = 800;
@@ -89,11 +92,16 @@
       if (!this.instance.isCutOff && !this.instance.isSuspended && !this.world.isStoreDown) {
         const requestedMilliseconds = clock.monotonicMilliseconds();
         const versions = new Set(this.world.versions);
+        const { routes } = this.world;
         await clock.sleep(phase % LONGEST_READ_MILLISECONDS, signal);
         while (this.instance.isSuspended) {
           await clock.sleep(LONGEST_READ_MILLISECONDS, signal);
         }
-        this.instance.observe(versions, clock.monotonicMilliseconds() - requestedMilliseconds);
+        this.instance.observe(
+          versions,
+          routes,
+          clock.monotonicMilliseconds() - requestedMilliseconds,
+        );
       }
       yield;
       await clock.sleep(READ_PERIOD_MILLISECONDS + phase, signal);
@@ -119,6 +127,9 @@
   /** The versions that the last read has found. */
   private viewedVersions: ReadonlySet<SoftwareVersion> = new Set();
 
+  /** The routes that the last read has found. */
+  viewedRoutes: RouteTable | undefined;
+
   history = new VersionHistory(BOUND_MILLISECONDS);
 
   /** Undefined while the instance is not running. */
@@ -142,6 +153,7 @@
     const { clock, failures } = this.world;
     this.history = new VersionHistory(BOUND_MILLISECONDS);
     this.viewedVersions = new Set();
+    this.viewedRoutes = undefined;
     this.origins = new StreamOrigins(this.history, clock);
     this.lifecycle = new LifecycleManager('instance', clock, (owner, failure) =>
       failures.push(`${owner}: ${failure.kind}`),
@@ -176,13 +188,16 @@
     }
   }
 
-  observe(versions: ReadonlySet<SoftwareVersion>, ageMilliseconds: number): void {
+  observe(
+    versions: ReadonlySet<SoftwareVersion>,
+    routes: RouteTable,
+    ageMilliseconds: number,
+  ): void {
+    const services = versions.size === 0 ? [] : [SERVICE, OTHER_SERVICE];
     this.viewedVersions = versions;
-    this.origins?.observe(
-      versions.size === 0 ? new Map() : new Map([[SERVICE, versions]]),
-      ageMilliseconds,
-    );
-    this.origins?.observeRoutes(this.world.routes, ageMilliseconds);
+    this.viewedRoutes = routes;
+    this.origins?.observe(new Map(services.map((name) => [name, versions])), ageMilliseconds);
+    this.origins?.observeRoutes(routes, ageMilliseconds);
   }
 
   async kill(): Promise<void> {
@@ -209,7 +224,7 @@
 
   isStoreDown = false;
 
-  routes = ROUTES;
+  routes = makeRoutes(SERVICE);
 
   /** The versions of the engines in the store. */
   readonly versions = new Set<SoftwareVersion>(['1']);
@@ -240,20 +255,36 @@
     return instance;
   }
 
-  begin(index: number, identifier: string, version: SoftwareVersion, target = TARGET): () => void {
-    return this.instance(index).origins?.begin(target, SERVICE, identifier, version) ?? (() => {});
+  begin(
+    index: number,
+    identifier: string,
+    version: SoftwareVersion,
+    target = TARGET,
+    service = SERVICE,
+  ): () => void {
+    return this.instance(index).origins?.begin(target, service, identifier, version) ?? (() => {});
   }
 
   /** Returns what `find` resolves to within the time limit. */
-  async find(
+  async findOrigin(
     index: number,
     identifier: string,
-    target = TARGET,
-  ): Promise<Pick<StreamOrigin, 'version'> | undefined> {
+    target: StreamTarget,
+  ): Promise<Omit<StreamOrigin, 'source'> | undefined> {
     const { signal } = new AbortController();
     const found = this.instance(index).origins?.find(target, identifier, signal);
     await this.clock.advance(105);
     const origin = await found;
+    return origin === undefined ? undefined : { service: origin.service, version: origin.version };
+  }
+
+  /** The version of what `findOrigin` returns. */
+  async find(
+    index: number,
+    identifier: string,
+    target = TARGET,
+  ): Promise<Pick<StreamOrigin, 'version'> | undefined> {
+    const origin = await this.findOrigin(index, identifier, target);
     return origin === undefined ? undefined : { version: origin.version };
   }
 
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginsModel.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOriginsModel.test.ts
@@ -1,9 +1,17 @@
 import fc from 'fast-check';
 import { describe, expect, test } from 'vitest';
 
-import { BOUND_MILLISECONDS, SERVICE, StreamOriginWorld } from './StreamOriginWorld.js';
+import {
+  BOUND_MILLISECONDS,
+  makeRoutes,
+  OTHER_SERVICE,
+  SERVICE,
+  StreamOriginWorld,
+  TARGET,
+} from './StreamOriginWorld.js';
 
 import type { NetworkFaults } from './StreamOriginWorld.js';
+import type { RouteTable } from 'hickoryrelay-stream/RouteHistory';
 import type { SoftwareVersion } from 'hickoryrelay-stream/SoftwareVersion';
 
 /** `FUZZ_SEED` plays other sequences. */
@@ -24,22 +32,29 @@
 /** A record is at three instances or more. */
 const MAXIMUM_KILLS = 2;
 
+const ROUTES = [
+  makeRoutes(SERVICE),
+  makeRoutes(OTHER_SERVICE),
+  makeRoutes(SERVICE, OTHER_SERVICE),
+] as const;
+
 const VERSIONS = ['1', '2', '3', undefined] as const;
 
 type Action = readonly [
   (
-    | ('begin' | 'find' | 'wait' | 'step' | 'arrive' | 'leave' | 'vanish')
+    | ('begin' | 'find' | 'wait' | 'step' | 'arrive' | 'leave' | 'vanish' | 'route')
     | ('kill' | 'restart' | 'cut' | 'rejoin' | 'suspend' | 'resume' | 'unlist' | 'list')
   ),
   number,
 ];
 
 interface BegunStream {
+  readonly service: string;
   readonly version: SoftwareVersion;
   readonly begunMilliseconds: number;
   /** The instance that began it. */
   readonly choice: number;
-  /** Time since which engines of the version have left. */
+  /** Time since which engines of the version have left, or the route has moved. */
   leftMilliseconds: number;
   /** True if its instance has not sent the record, since the service had one version. */
   isUnsent: boolean;
@@ -56,6 +71,8 @@
   /** The versions of running engines, which may be missing in the store. */
   private readonly serving = new Set<SoftwareVersion>(['1']);
 
+  private movedMilliseconds = 0;
+
   private kills = 0;
 
   /** True if each stream must be found. */
@@ -108,6 +125,9 @@
       case 'vanish':
         this.vanish(version, choice * 10);
         break;
+      case 'route':
+        this.move(ROUTES[choice % ROUTES.length] ?? world.routes);
+        break;
       case 'suspend':
         instance.suspend();
         break;
@@ -133,17 +153,40 @@
     if (instance.origins === undefined || instance.isSuspended || usable.length === 0) {
       return;
     }
+    const routes = instance.viewedRoutes ?? this.world.routes;
+    // An instance that is cut off goes on by its routes for longer than others remember them.
+    if (routes !== this.world.routes && this.now - this.movedMilliseconds > BOUND_MILLISECONDS) {
+      return;
+    }
     const version = usable[choice % usable.length];
-    this.world.begin(choice, `stream-${this.streams.length}`, version);
+    const target = { ...TARGET, services: routes.servicesFor('', '') };
+    const service = target.services[choice % target.services.length] ?? SERVICE;
+    this.world.begin(choice, `stream-${this.streams.length}`, version, target, service);
+    const isOnRoute = this.world.routes.servicesFor('', '').includes(service);
     this.streams.push({
+      service,
       version,
       begunMilliseconds: this.now,
       choice: choice % this.world.instances.length,
-      leftMilliseconds: Number.POSITIVE_INFINITY,
+      leftMilliseconds: isOnRoute ? Number.POSITIVE_INFINITY : this.movedMilliseconds,
       isUnsent: false,
     });
   }
 
+  /** Moves the route to other services, after the bound at the earliest. */
+  private move(routes: RouteTable): void {
+    if (this.now - this.movedMilliseconds <= BOUND_MILLISECONDS || routes === this.world.routes) {
+      return;
+    }
+    this.movedMilliseconds = this.now;
+    this.world.routes = routes;
+    for (const stream of this.streams) {
+      if (!routes.servicesFor('', '').includes(stream.service)) {
+        stream.leftMilliseconds = Math.min(stream.leftMilliseconds, this.now);
+      }
+    }
+  }
+
   /** The entries of the engines of a version are missing in the store for a while. */
   private vanish(version: SoftwareVersion, milliseconds: number): void {
     const { clock, versions } = this.world;
@@ -189,17 +232,23 @@
   private async find(choice: number): Promise<void> {
     const index = choice % Math.max(1, this.streams.length);
     const stream = this.streams[index];
-    const { origins, isSuspended } = this.world.instance(choice);
+    const { origins, isSuspended, viewedRoutes } = this.world.instance(choice);
     if (stream === undefined || origins === undefined || isSuspended) {
       return;
     }
+    // An instance that has not read the routes yet may not have the record of a stream at their services.
+    const { routes } = this.world;
+    if ((viewedRoutes ?? routes) !== routes) {
+      return;
+    }
     if (this.now - stream.leftMilliseconds > RETURN_MILLISECONDS) {
       return;
     }
     const isSpread = this.now - stream.begunMilliseconds > SPREAD_MILLISECONDS;
-    const found = await this.world.find(choice, `stream-${index}`);
+    const target = { ...TARGET, services: routes.servicesFor('', '') };
+    const found = await this.world.findOrigin(choice, `stream-${index}`, target);
     if (found !== undefined || (this.mustFind && isSpread && !stream.isUnsent)) {
-      expect(found).toEqual({ version: stream.version });
+      expect(found).toEqual({ service: stream.service, version: stream.version });
     }
   }
 }
@@ -226,7 +275,7 @@
 const instanceFaults = [
   ...(['wait', 'step', 'step', 'step', 'begin', 'find', 'arrive', 'leave'] as const),
   ...(['kill', 'restart', 'restart', 'cut', 'rejoin', 'rejoin'] as const),
-  ...(['vanish', 'suspend', 'resume', 'resume', 'unlist', 'list', 'list'] as const),
+  ...(['vanish', 'route', 'suspend', 'resume', 'resume', 'unlist', 'list', 'list'] as const),
 ];
 
 describe('StreamOrigins under faults', () => {
