Repeat the records of streams whose version is not the settled one

Records of open streams are repeated every 60 s, so that other instances still have them after 120 s. StreamOrigins left this out for services that are settled, whichever version the stream has. Once the version of a long stream has left for 20 s, or if its engine has stated no start, the others dropped the record after 120 s and named the settled version instead.

The condition is now the same as for the first sending of a record: it is left out only if other instances name this version from their histories.

Before: 'sends the record of a long stream whose version has left again' got version 2 for a stream of version 1, and '... of an unconfirmed version again' version 1 for an unconfirmed one, 200 s after the begin among 3 instances. Now both pass, with the other tests of the package.

Not covered: with more than 16 peers, an instance that does not hold the record answers from its own settled history without asking.

--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -306,9 +306,11 @@
       return;
     }
     for (const record of this.ledger.ownRecordsSince(now - HISTORY_MILLISECONDS)) {
-      const { service, hasSoleService, openStreams } = record;
-      const isSent = !hasSoleService || !this.settledServices.has(service);
-      const needsRenewal = isRenewal && openStreams > 0 && isSent;
+      const { service, version, hasSoleService, openStreams } = record;
+      const needsRenewal =
+        isRenewal &&
+        openStreams > 0 &&
+        (!hasSoleService || !this.followsFromHistory(service, version));
       if (needsRenewal || unsettledServices.has(service)) {
         this.queueRecord(record);
       }
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
@@ -244,6 +244,20 @@
     expect(await world.find(1, 'a')).toEqual({ version: '1' });
   });
 
+  // Guards against the settled version being named for a stream whose record others have dropped.
+  test.each([
+    ['whose version has left', '1', ['1']],
+    ['of an unconfirmed version', unconfirmedVersion('a'), []],
+  ])('sends the record of a long stream %s again', async (_name, version, leaving) => {
+    await makeWorld(3, leaving.length > 0 ? ['2'] : []);
+    world.begin(0, 'a', version);
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    leaving.forEach((left) => world.versions.delete(left));
+    await world.clock.advance(200_000);
+    await world.instance(0).kill();
+    expect(await world.find(1, 'a')).toEqual({ version });
+  });
+
   test('rejects when the caller no longer waits', async () => {
     await makeWorld(3);
     const abort = new AbortController();
