Ask another zone when the instances of the own one cannot help

A request asks three instances, those of the own zone first. Where a whole zone is cut off, these are all of the own zone and all refuse, and a refusal is remembered for one second only: an instance with few requests asked three of them, in vain, for each request.

The last instance that is asked for a request is of a zone that has not been asked.

--- a/packages/hickoryrelay-relay/src/RelayTargets.ts
+++ b/packages/hickoryrelay-relay/src/RelayTargets.ts
@@ -7,6 +7,8 @@
 /** Instances that are asked to serve one request, at most. */
 export const MAXIMUM_CANDIDATES = 3;
 
+const NO_ZONES: ReadonlySet<string> = new Set();
+
 /** Collaborators of the targets. */
 export interface RelayTargetsParts {
   readonly self: { readonly instance: string; readonly zone: string };
@@ -46,16 +48,20 @@
 
   /**
    * The instances to ask for one request, in order. Each is selected when it is needed, from what is
-   * known by then.
+   * known by then. The last one is of a zone that has not been asked, if there is one, since all instances of a zone
+   * may have lost the same way.
    */
   *candidates(service: string): Generator<RelayReceiver, void, void> {
     const asked = new Set<string>();
+    const askedZones = new Set<string>();
     while (asked.size < MAXIMUM_CANDIDATES) {
-      const target = this.select(service, asked);
+      const isLast = asked.size === MAXIMUM_CANDIDATES - 1;
+      const target = this.select(service, asked, isLast ? askedZones : NO_ZONES);
       if (target === undefined) {
         return;
       }
       asked.add(target.receiver.instance);
+      askedZones.add(target.receiver.zone);
       yield target.receiver;
     }
   }
@@ -89,13 +95,17 @@
   }
 
   /** Draws one of the preferred instances that have not been asked yet. */
-  private select(service: string, asked: ReadonlySet<string>): RelayTarget | undefined {
+  private select(
+    service: string,
+    asked: ReadonlySet<string>,
+    avoidedZones: ReadonlySet<string>,
+  ): RelayTarget | undefined {
     const { now } = this;
     let selected: RelayTarget | undefined;
     let equals = 0;
     for (const [instance, target] of this.targets) {
       if (!asked.has(instance) && target.mayBeAsked(service, now)) {
-        const order = selected === undefined ? -1 : this.compare(target, selected);
+        const order = selected === undefined ? -1 : this.compare(target, selected, avoidedZones);
         if (order < 0) {
           selected = target;
           equals = 1;
@@ -108,10 +118,16 @@
     return selected;
   }
 
-  /** Negative if the left one is preferred: the own zone first, then the fewest open hops. */
-  private compare(left: RelayTarget, right: RelayTarget): number {
+  /** Negative if the left one is preferred: by zone, the own one first, then by the fewest open hops. */
+  private compare(
+    left: RelayTarget,
+    right: RelayTarget,
+    avoidedZones: ReadonlySet<string>,
+  ): number {
     const { zone } = this.parts.self;
     return (
+      Number(avoidedZones.has(left.receiver.zone)) -
+        Number(avoidedZones.has(right.receiver.zone)) ||
       Number(right.receiver.zone === zone) - Number(left.receiver.zone === zone) ||
       left.openHops - right.openHops
     );
--- a/packages/hickoryrelay-relay/src/__tests__/unit/RelayTargets.test.ts
+++ b/packages/hickoryrelay-relay/src/__tests__/unit/RelayTargets.test.ts
@@ -91,3 +91,23 @@
     expect(namesFor()).toEqual(['near-1']);
   });
 });
+
+describe('RelayTargets of a zone whose instances are all cut off', () => {
+  // Guards against requests that ask instances of the own zone only, all of which refuse.
+  it.each([4, 60])('names another zone in time, with %d instances in its own', async (size) => {
+    const near = Array.from({ length: size }, (_, index) => receiver(`near-${index}`, 'here'));
+    targets.setReceivers([...near, ...FAR]);
+    let served = 0;
+    for (let request = 0; request < 40; request += 1) {
+      for (const each of targets.candidates(SERVICE)) {
+        if (each.zone === 'there') {
+          served += 1;
+          break;
+        }
+        targets.recordUnable(each, SERVICE);
+      }
+      await clock.advance(250);
+    }
+    expect(served).toBe(40);
+  });
+});
