Let another instance serve what a stopping receiver refuses

A stopping instance refuses requests that could outlast its stop. Its registration stays until it ends, so that other instances still ask it, and they passed the refusal on to the caller though another instance could serve.

A receiver states that such a refusal is one of an instance that cannot help, as for endpoints that it does not reach. The sender asks the next one.

--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -73,7 +73,9 @@
     const { parts, admitted, sink, deadline } = this.call;
     if (!parts.shutdown.canAnswerBy(deadline.endMilliseconds)) {
       this.call.trace.addStep(EndReason.Stopping);
-      return this.refuse(EndReason.Stopping, RETRY_AFTER_MILLISECONDS.Stopping);
+      // Another instance may serve a request that has been passed on to this one.
+      const { isReceiver } = this.relay;
+      return this.refuse(EndReason.Stopping, RETRY_AFTER_MILLISECONDS.Stopping, isReceiver);
     }
     const isRelayed = this.relay.shouldReplaceAttempts();
     const stopDeadline = deadline.watch(sink, parts.shutdown);
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/CallRelay.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/CallRelay.test.ts
@@ -10,6 +10,7 @@
 
 import {
   endpointFailure,
+  GRACE_MILLISECONDS,
   makeRequest,
   makeResponse,
   makeRouteHarness,
@@ -159,6 +160,18 @@
     expect(relay.link.sent).toHaveLength(0);
   });
 
+  // Guards against callers that are refused although another instance than the one that stops could serve them.
+  it('is refused at the second instance as unable to help while that stops', async () => {
+    const relay = makeRelay({ timeoutMilliseconds: GRACE_MILLISECONDS }, [succeeds]);
+    relay.shutdown.begin();
+    await relay.clock.advance(GRACE_MILLISECONDS / 2);
+    const arrivedMilliseconds = relay.clock.monotonicMilliseconds();
+    const times = { arrivedMilliseconds, callerTimeoutMilliseconds: GRACE_MILLISECONDS };
+    await relay.run(makeRequest({ ...times, relayed: { attemptsMade: 0 } }));
+    expect(relay.sink.own).toMatchObject({ status: 503, isUnreachable: true });
+    expect(relay.link.sent).toHaveLength(0);
+  });
+
   it('is refused with a retry delay if no instance can send it', async () => {
     const relay = makeRelay({}, []);
     relay.others.answer = async () => ({ isUnreachable: true });
