Keep idle connections to other instances when the view is read

Each read of the view closed the idle connections to all addresses that are not those of endpoints, and with them the connections of the hop.

The view refresh names the registered instances as well, whose idle connections are kept.

--- a/packages/hickoryrelay-forwarding/src/EndpointLink.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointLink.ts
@@ -1,5 +1,6 @@
 import type { EndpointRecord } from './EndpointRecord.js';
 import type { ForwardedRequest, HeaderList } from './ForwardedRequest.js';
+import type { PeerAddress } from './PeerRecord.js';
 import type { EndpointNotice, SendPermit } from 'hickoryrelay-endpoint/EndpointAvailability';
 import type { IncarnationCheck } from 'hickoryrelay-endpoint/IncarnationCheck';
 import type { ResponseAccount } from 'hickoryrelay-response/ResponseAccount';
@@ -112,6 +113,6 @@
    */
   abstract tryConnection(endpoint: EndpointRecord, signal: AbortSignal): Promise<boolean>;
 
-  /** Closes the idle connections to endpoints that are not in the list. */
-  abstract retain(endpoints: readonly EndpointRecord[]): void;
+  /** Closes the idle connections to endpoints and instances that are not in the lists. */
+  abstract retain(endpoints: readonly EndpointRecord[], instances?: readonly PeerAddress[]): void;
 }
--- a/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
+++ b/packages/hickoryrelay-forwarding/src/ViewRefreshTask.ts
@@ -165,7 +165,7 @@
       if (view.configuration !== undefined) {
         origins.observeRoutes(view.configuration, view.configurationAgeMilliseconds);
       }
-      link.retain(view.endpoints);
+      link.retain(view.endpoints, view.peers);
       reach.setEndpoints(identifiersByService(view.endpoints));
       targets.setReceivers(view.peers);
       budgets.setInstanceCount(view.peers.length);
