Try endpoints that can be connected to again when no other instance can help

After a failure that all instances had in common, each refused nine tenths of its requests in the first half second of the return, since the others refused them as well. An instance without a receiver that may be asked makes an attempt. While its endpoints are unreachable it still refuses at once.

The new case of CallRelay got 503 before.

--- a/packages/hickoryrelay-forwarding/src/CallRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/CallRelay.ts
@@ -36,15 +36,21 @@
   }
 
   /**
-   * Decides whether no attempt is made here, as the endpoints cannot be reached. A receiver makes one while connections
-   * are opening again, since the sender would otherwise be refused by most of a fleet that returns.
+   * Decides whether no attempt is made here, as the endpoints cannot be reached. While connections open again, a receiver
+   * makes one, and so does a sender that no other instance can help: after a failure that all instances had in common,
+   * they would otherwise refuse what could be served.
    */
   shouldReplaceAttempts(): boolean {
-    const { parts, admitted } = this.call;
-    const { reach } = parts.relay ?? {};
-    return this.isReceiver
-      ? reach?.stateOf(admitted.service) === ReachState.Unreachable
-      : reach?.shouldRelay(admitted.service) === true;
+    const { relay } = this.call.parts;
+    const { service } = this.call.admitted;
+    if (relay?.reach.stateOf(service) === ReachState.Unreachable) {
+      return true;
+    }
+    return (
+      !this.isReceiver &&
+      relay?.reach.shouldRelay(service) === true &&
+      relay.targets.hasCandidate(service)
+    );
   }
 
   /**
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/CallRelay.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/CallRelay.test.ts
@@ -65,7 +65,7 @@
   };
   const harness = makeRouteHarness(route, behaviours, { clock, log, ...options, parts });
   const cutOff = () => endpoints.forEach((endpoint) => reach.recordFailed('desk', endpoint));
-  return { ...harness, others, log, cutOff };
+  return { ...harness, others, log, cutOff, reach, targets };
 }
 
 const expectServedElsewhere = ({ sink, log }: ReturnType<typeof makeRelay>) => {
@@ -83,6 +83,17 @@
     expect(relay.others.received[0]).toMatchObject({ accessKey: 'key-1', attemptsMade: 0 });
   });
 
+  // Guards against refusals by all instances after a failure of the endpoints that they had in common.
+  it('is sent to endpoints that can be connected to again if no other instance can help', async () => {
+    const relay = makeRelay({}, [succeeds]);
+    relay.cutOff();
+    relay.reach.recordOpened('desk', 'e1');
+    relay.targets.setReceivers([]);
+    await relay.run();
+    expect(relay.sink).toMatchObject({ status: 200, text: 'here', isEnded: true });
+    expect(relay.others.received).toHaveLength(0);
+  });
+
   it('is passed on when no connection to an endpoint could be opened', async () => {
     const relay = makeRelay({}, [refusesConnection, refusesConnection]);
     await relay.run();
--- a/packages/hickoryrelay-relay/src/RelayTargets.ts
+++ b/packages/hickoryrelay-relay/src/RelayTargets.ts
@@ -66,6 +66,11 @@
     }
   }
 
+  /** True if some instance may be asked to serve a request for the service. */
+  hasCandidate(service: string): boolean {
+    return this.candidates(service).next().done !== true;
+  }
+
   /** Counts an open hop. Returns the function that ends it, whose further calls have no effect. */
   begin(receiver: RelayReceiver): () => void {
     return this.targetOf(receiver).begin();
