Repeat no hop that may have begun a stream which can be resumed

Found by review: after a receiver whose response broke off, the request went to another one. Both had recorded an origin under the identifier of the caller, and until both records had arrived an instance named either version.

Such a request ends with 502 now. The new case of CallRelay asked two instances before.

--- a/packages/hickoryrelay-forwarding/src/CallRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/CallRelay.ts
@@ -58,7 +58,8 @@
    * the caller has no complete response.
    */
   async run(): Promise<string | undefined> {
-    const { parts, request, admitted, sink, trace, deadline, isRetryable } = this.call;
+    const { parts, request, admitted, sink, trace, deadline } = this.call;
+    const { isRetryable, isResumable } = this.call;
     if (parts.relay === undefined) {
       return 'requests are not passed on';
     }
@@ -83,7 +84,8 @@
       },
       floor,
       configurationVersion: trace.configurationVersion,
-      isRepeatable: isRetryable,
+      // Two receivers that have begun a stream would both have recorded its origin.
+      isRepeatable: isRetryable && !isResumable,
       maximumAttempts: admitted.route.maximumAttempts,
       addStep: (step) => trace.addStep(step),
       recordFirstByte: () => {
--- a/packages/hickoryrelay-forwarding/src/__tests__/unit/CallRelay.test.ts
+++ b/packages/hickoryrelay-forwarding/src/__tests__/unit/CallRelay.test.ts
@@ -193,6 +193,20 @@
     expect(relay.sink.own?.isUnreachable).toBeUndefined();
   });
 
+  // Guards against two origins of one stream, of which either may be named when its caller resumes it.
+  it('is not repeated if another instance may have begun a stream that can be resumed', async () => {
+    const relay = makeRelay({ ...RESUMABLE_STREAM, maximumAttempts: 3 }, []);
+    const receiver = { zone: 'zone-b', host: '10.0.0.2', port: 7000 };
+    relay.targets.setReceivers(
+      ['instance-2', 'instance-3'].map((instance) => ({ ...receiver, instance })),
+    );
+    relay.others.answer = () => Promise.reject(endpointFailure(true));
+    relay.cutOff();
+    await relay.run();
+    expect(relay.others.received).toHaveLength(1);
+    expect(relay.sink.own).toMatchObject({ status: 502 });
+  });
+
   it('ends with 502 if another instance may have run it', async () => {
     const relay = makeRelay({}, []);
     relay.others.answer = () => Promise.reject(endpointFailure(true));
