--- a/packages/hickoryrelay-relay/src/RelayLink.ts
+++ b/packages/hickoryrelay-relay/src/RelayLink.ts
@@ -39,7 +39,7 @@
   readonly length: number | undefined;
   /** False if the response ends with its head, as to a request with the method HEAD. */
   readonly hasBody: boolean;
-  /** True if the receiver has not run the request, since it cannot help: it cannot reach the endpoints either. */
+  /** True if the receiver has not run the request, since it cannot help, mostly as it cannot reach the endpoints either. */
   readonly isUnreachable: boolean;
   /** Version of the receiver's configuration; undefined if it states none. */
   readonly configurationVersion?: number | undefined;
