Let the sender of a hop pay for its retry

Found by review: whoever holds a valid key could state attempts at the relay port, and each such request took a retry from the budget that the service has at the receiver (60 requests in sequence: 37 got 503).

The instance that passes a request on after an attempt takes the retry from its own budget, and the receiver takes none for its first attempt. Stated attempts still count towards the limit of the route.

Two new cases of CallRelay failed before. 'is not passed on without a retry budget' has a third endpoint and one more attempt, since its sequence ended without an endpoint rather than without a budget now; its checks are unchanged.

--- a/packages/hickoryrelay-forwarding/src/CallRelay.ts
+++ b/packages/hickoryrelay-forwarding/src/CallRelay.ts
@@ -63,6 +63,9 @@
     if (parts.relay === undefined) {
       return 'requests are not passed on';
     }
+    if (trace.attempts > 0 && !parts.budgets.tryTake(admitted.service)) {
+      return 'the retry budget is used up';
+    }
     admitted.quotaTake?.giveBack();
     const { targets, link, floor } = parts.relay;
     const { identifier, method, target, headers, body, accessKey, lastEvent } = request;
--- a/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
+++ b/packages/hickoryrelay-forwarding/src/EndpointAttempts.ts
@@ -119,7 +119,9 @@
   /** Starts an attempt, which its user closes. Returns the reason if it may not be made. */
   start(destination: Destination): OpenAttempt | string {
     const { parts, admitted, trace, isGeneration, openAttempts } = this.call;
-    const isRetry = trace.attempts + openAttempts > 0;
+    // The instance that has passed a request on has paid for its first attempt here.
+    const statedAttempts = this.call.request.relayed?.attemptsMade ?? 0;
+    const isRetry = trace.attempts + openAttempts > statedAttempts;
     if (isRetry && !parts.budgets.tryTake(admitted.service)) {
       this.releasePrefilledPrompt(destination);
       return 'the retry budget is used up';
