--- a/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
+++ b/packages/hickoryrelay-forwarding/src/ForwardedCall.ts
@@ -278,7 +278,7 @@
     return this.attempts.isUnreached(reason) ? this.passOn(reason) : this.fail(reason);
   }
 
-  /** Passes on a request that has not run, or tells the instance that has done so. Returns the outcome. */
+  /** Passes on a request that has not run, or refuses it if another instance has passed it on. Returns the outcome. */
   private async passOn(reason: string): Promise<string> {
     if (this.relay.isReceiver) {
       this.call.trace.addStep(reason);
