Ask an instance again soon after its connection failed

Five of eight instances are cut off, two stop, and the last one is killed for half a second. Until then the cut-off instances had nearly all requests served; after it, no other instance could send them, and the killed one was not asked for three seconds after a refused connection, although it was back.

An instance whose connection failed is not asked for 250 ms, and for twice as long after each further failure, up to three seconds, until it responds. Failures of requests that were sent together count once.

The new case of RelayTargets states the times; the case and the model that fixed three seconds check each wait of the sequence now.

--- a/packages/hickoryrelay-relay/src/RelayTarget.ts
+++ b/packages/hickoryrelay-relay/src/RelayTarget.ts
@@ -6,8 +6,11 @@
 /** Time for which a receiver that could not help is not asked about the service again. */
 export const UNABLE_MILLISECONDS = 1000;
 
-/** Time for which a receiver is not asked after its connection failed, as it may have stopped. */
-export const UNREACHED_MILLISECONDS = 3000;
+/** Time for which a receiver is not asked after its connection failed, as it may be starting again. */
+export const FIRST_UNREACHED_MILLISECONDS = 250;
+
+/** The same after several failures, each of which doubles it. */
+export const MAXIMUM_UNREACHED_MILLISECONDS = 3000;
 
 function hasSameAddress(left: RelayReceiver, right: RelayReceiver): boolean {
   return left.host === right.host && left.port === right.port;
@@ -24,6 +27,9 @@
 
   private unreachedUntilMilliseconds = Number.NEGATIVE_INFINITY;
 
+  /** Time for which it is not asked after the next failure. */
+  private unreachedMilliseconds = FIRST_UNREACHED_MILLISECONDS;
+
   /** By service. */
   private readonly unableUntilMilliseconds = new Map<string, number>();
 
@@ -39,6 +45,7 @@
   set receiver(receiver: RelayReceiver) {
     if (!hasSameAddress(this.current, receiver)) {
       this.unreachedUntilMilliseconds = Number.NEGATIVE_INFINITY;
+      this.unreachedMilliseconds = FIRST_UNREACHED_MILLISECONDS;
       this.unableUntilMilliseconds.clear();
     }
     this.current = receiver;
@@ -64,8 +71,21 @@
     this.unableUntilMilliseconds.set(service, now + UNABLE_MILLISECONDS);
   }
 
+  /** Requests that fail together count as one failure. */
   recordUnreached(now: number): void {
-    this.unreachedUntilMilliseconds = now + UNREACHED_MILLISECONDS;
+    if (now < this.unreachedUntilMilliseconds) {
+      return;
+    }
+    this.unreachedUntilMilliseconds = now + this.unreachedMilliseconds;
+    this.unreachedMilliseconds = Math.min(
+      this.unreachedMilliseconds * 2,
+      MAXIMUM_UNREACHED_MILLISECONDS,
+    );
+  }
+
+  /** Records that the instance has responded. */
+  recordReached(): void {
+    this.unreachedMilliseconds = FIRST_UNREACHED_MILLISECONDS;
   }
 
   /** True if something about the instance must be kept even if it is not registered for a while. */
--- a/packages/hickoryrelay-relay/src/RelayTargets.ts
+++ b/packages/hickoryrelay-relay/src/RelayTargets.ts
@@ -86,6 +86,11 @@
     this.targets.get(receiver.instance)?.recordUnreached(this.now);
   }
 
+  /** Records that the instance has responded. */
+  recordReached(receiver: RelayReceiver): void {
+    this.targets.get(receiver.instance)?.recordReached();
+  }
+
   private get now(): number {
     return this.parts.clock.monotonicMilliseconds();
   }
--- a/packages/hickoryrelay-relay/src/RelayedCall.ts
+++ b/packages/hickoryrelay-relay/src/RelayedCall.ts
@@ -128,6 +128,7 @@
     try {
       sink.recordPassedOn();
       const response = await link.send(receiver, this.requestNow(), deadline.signal);
+      targets.recordReached(receiver);
       floor.record(response.configurationVersion, configurationVersion);
       if (response.isUnreachable) {
         response.discard();
