Take the only version seen for callers that name no attempt

Without an attempt, the only version is taken that any instance has seen, if one of them is settled on it or all others have answered.

The new case of StreamOrigins failed before. 189 tests of the package and of forwarding's streams pass.

--- a/packages/hickoryrelay-stream/src/OriginQuestion.ts
+++ b/packages/hickoryrelay-stream/src/OriginQuestion.ts
@@ -11,6 +11,8 @@
   OtherRecord: 'other-record',
   /** The settled history of another instance. */
   OtherHistory: 'other-history',
+  /** All instances have seen one version only, and the caller names no attempt. */
+  Unanimous: 'unanimous',
 } as const;
 
 export type OriginSource = (typeof OriginSource)[keyof typeof OriginSource];
--- a/packages/hickoryrelay-stream/src/StreamOrigins.ts
+++ b/packages/hickoryrelay-stream/src/StreamOrigins.ts
@@ -154,7 +154,7 @@
   /**
    * Returns the service and the version that began the stream of an attempt, or undefined if they are not known for
    * certain. Unless the target has had one service for long, they are known from a record only. Without an identifier,
-   * only the sole version of a sole service is known. Takes at most `ASK_TIMEOUT_MILLISECONDS`. Rejects with
+   * the only version of a sole service that any instance has seen is taken. Takes at most `ASK_TIMEOUT_MILLISECONDS`. Rejects with
    * `cancelled` if the signal aborts.
    */
   async find(
@@ -189,6 +189,9 @@
     if (service === undefined || !this.routes.hasSeenSoleService(target)) {
       return this.waitFor(this.askForRecord(target.services, identifier), signal);
     }
+    if (identifier === NO_IDENTIFIER) {
+      return this.waitFor(this.findUnnamed(service), signal);
+    }
     const key = streamKey(service, identifier);
     const own = this.answer(key, service);
     if (!this.routes.isComplete(this.now())) {
@@ -201,6 +204,26 @@
       : this.waitFor(this.ask(key, service, own).outcome, signal);
   }
 
+  /**
+   * The only version of a service that any instance has seen. No record can name it for a caller that names no attempt,
+   * so that it would be unknown until a history is settled.
+   */
+  private async findUnnamed(service: string): Promise<StreamOrigin | undefined> {
+    const sole = this.history.soleVersion(service, this.now());
+    if (sole === undefined) {
+      return undefined;
+    }
+    const { version, isSettled } = sole;
+    if (isSettled) {
+      return { service, version, source: OriginSource.OwnHistory };
+    }
+    const question = this.askForVersions(service, version);
+    await question.outcome;
+    return question.isUnanimousOn(version)
+      ? { service, version, source: OriginSource.Unanimous }
+      : undefined;
+  }
+
   /**
    * What the records of this instance name, at most one for each service. The origin is undefined if streams of several
    * versions have begun. Services that the target no longer has are included.
@@ -383,10 +406,15 @@
     return question;
   }
 
+  /** Asks other instances whether they have seen another version than the only one that this instance has seen. */
+  private askForVersions(service: string, version: SoftwareVersion): OriginQuestion {
+    const key = streamKey(service, VERSIONS_IDENTIFIER);
+    return this.ask(key, service, { kind: OriginAnswerKind.Sole, version });
+  }
+
   /** Without this, engines would wait for the observation bound after each start of an instance. */
   private async confirmSoleVersion(service: string, version: SoftwareVersion): Promise<void> {
-    const key = streamKey(service, VERSIONS_IDENTIFIER);
-    const question = this.ask(key, service, { kind: OriginAnswerKind.Sole, version });
+    const question = this.askForVersions(service, version);
     await question.outcome;
     const sole = this.history.soleVersion(service, this.now());
     if (question.isUnanimousOn(version) && sole?.version === version) {
--- a/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/hickoryrelay-stream/src/__tests__/unit/StreamOrigins.test.ts
@@ -125,6 +125,18 @@
     }
   });
 
+  // Guards against lost streams of callers that name no attempt, for which there is no record.
+  test('takes the only version that any instance has seen if no attempt is named', async () => {
+    await makeWorld(5, []);
+    await Promise.all(world.instances.map((instance) => instance.kill()));
+    world.instances.forEach((instance) => instance.start());
+    await world.clock.advance(SPREAD_MILLISECONDS);
+    expect(await world.find(3, '')).toEqual({ version: '1' });
+    world.versions.add('2');
+    await world.clock.advance(3000);
+    expect(await world.find(3, '')).toBeUndefined();
+  });
+
   test('names nothing while the list of other instances is empty and the history is short', async () => {
     await makeWorld(3);
     world.begin(0, 'a', '1');
